--- /dev/null
+++ b/goldcreststair/__init__.py
@@ -0,0 +1,1 @@
+"""Serve online and batch inference from one shared fleet."""
--- /dev/null
+++ b/goldcreststair/blackboard.py
@@ -0,0 +1,83 @@
+"""Named sections of facts and decisions, each with one writer and any number of readers."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Generic, TypeVar
+
+_LOGGER = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True)
+class SectionKey(Generic[T]):
+    """The typed name of one section; `T` is a frozen data class."""
+
+    name: str
+
+
+class SectionWriter(Generic[T]):
+    """The right to write one section."""
+
+    def __init__(self, board: "Blackboard", key: SectionKey[T]) -> None:
+        """Bind the writer to its section."""
+        self._board = board
+        self._key = key
+
+    def write(self, value: T) -> None:
+        """Replace the section's value and tell its subscribers if it changed."""
+        self._board._write(self._key.name, value)
+
+
+class Blackboard:
+    """All that controllers know and have decided.
+
+    >>> board = Blackboard()
+    >>> key = SectionKey[int]("answer")
+    >>> writer = board.open_section(key, 0)
+    >>> seen: list[int] = []
+    >>> stop = board.subscribe(key, seen.append)
+    >>> writer.write(42)
+    >>> board.read(key), seen
+    (42, [42])
+    """
+
+    def __init__(self) -> None:
+        """Start with no sections."""
+        self._values: dict[str, Any] = {}
+        self._subscribers: dict[str, list[Callable[[Any], None]]] = {}
+
+    def open_section(self, key: SectionKey[T], initial: T) -> SectionWriter[T]:
+        """Create a section and return its only writer; raises `ValueError` if it exists."""
+        if key.name in self._values:
+            raise ValueError(f"section {key.name} already has a writer")
+        self._values[key.name] = initial
+        return SectionWriter(self, key)
+
+    def read(self, key: SectionKey[T]) -> T:
+        """Return the section's value; raises `KeyError` if no component opened it."""
+        value: T = self._values[key.name]
+        return value
+
+    def subscribe(self, key: SectionKey[T], callback: Callable[[T], None]) -> Callable[[], None]:
+        """Call `callback` at every change; returns a function that ends this."""
+        subscribers = self._subscribers.setdefault(key.name, [])
+        subscribers.append(callback)
+
+        def unsubscribe() -> None:
+            if callback in subscribers:
+                subscribers.remove(callback)
+
+        return unsubscribe
+
+    def _write(self, name: str, value: Any) -> None:
+        if self._values[name] == value:
+            return
+        self._values[name] = value
+        for callback in tuple(self._subscribers.get(name, ())):
+            # One faulty subscriber must not hide a fact from the others.
+            try:
+                callback(value)
+            except Exception:
+                _LOGGER.exception("Subscriber of section %s failed", name)
--- /dev/null
+++ b/goldcreststair/bootstrap.py
@@ -0,0 +1,110 @@
+"""Builds one daemon: the core, its components in order, the HTTP server, and a clean stop."""
+
+import asyncio
+import logging
+import random
+import secrets
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from goldcreststair.blackboard import Blackboard
+from goldcreststair.clock import Clock, LoopClock
+from goldcreststair.components import (
+    caller_api,
+    configuration,
+    keys,
+    limits,
+    online,
+    operator_api,
+    routing,
+)
+from goldcreststair.core import Component, Core
+from goldcreststair.journal import Journal
+from goldcreststair.platform.http import create_platform
+from goldcreststair.settings import Settings
+from goldcreststair.statistics import create_statistics
+from goldcreststair.upstreams.http import create_upstream_clients
+
+_LOGGER = logging.getLogger(__name__)
+
+Setup = Callable[[Core], Awaitable[Component]]
+
+MAX_BODY_BYTES: Final = 512 * 1024 * 1024
+
+COMPONENTS: Final[tuple[Setup, ...]] = (
+    configuration.async_setup,
+    keys.async_setup,
+    limits.async_setup,
+    routing.async_setup,
+    online.async_setup,
+    caller_api.async_setup,
+    operator_api.async_setup,
+)
+"""Set up and started in this order, closed in reverse; each may use those before it."""
+
+
+def create_core(settings: Settings, clock: Clock) -> Core:
+    """Return a core that talks to the real platform and upstreams."""
+    seed = settings.seed or secrets.randbits(64)
+    return Core(
+        settings=settings,
+        clock=clock,
+        random=random.Random(seed),
+        blackboard=Blackboard(),
+        journal=Journal(clock),
+        statistics=create_statistics(settings.statsd_address),
+        platform=create_platform(settings.platform_url),
+        upstreams=create_upstream_clients(),
+        session_id=secrets.token_hex(8),
+    )
+
+
+class Daemon:
+    """One running daemon."""
+
+    def __init__(self, core: Core) -> None:
+        """Take the core; nothing runs yet."""
+        self._core = core
+        self._components: list[Component] = []
+        self._server: HTTPServer | None = None
+
+    async def async_start(self) -> None:
+        """Bind, set up and start every component, then serve."""
+        core = self._core
+        sockets = bind_sockets(core.settings.http_port, core.settings.address)
+        core.http_port = sockets[0].getsockname()[1]
+        for setup in COMPONENTS:
+            self._components.append(await setup(core))
+        for component in self._components:
+            await component.async_start()
+        self._server = HTTPServer(Application(core.routes), max_body_size=MAX_BODY_BYTES)
+        self._server.add_sockets(sockets)
+        address = f"{core.settings.address}:{core.http_port}"
+        _LOGGER.info("Serving", extra={"listening": address, "session": core.session_id})
+
+    async def async_close(self) -> None:
+        """Close every component in reverse, then the server."""
+        for component in reversed(self._components):
+            await component.async_close()
+        self._components.clear()
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+            self._server = None
+
+
+async def async_run(settings: Settings) -> None:
+    """Run a daemon until SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    daemon = Daemon(create_core(settings, LoopClock()))
+    await daemon.async_start()
+    await stopped.wait()
+    _LOGGER.info("Stopping")
+    await daemon.async_close()
--- /dev/null
+++ b/goldcreststair/clock.py
@@ -0,0 +1,46 @@
+"""The only source of time: integer milliseconds that never go back."""
+
+import asyncio
+from collections.abc import Callable
+from typing import NewType, Protocol
+
+from goldcreststair.const import MS_PER_SECOND
+
+Millis = NewType("Millis", int)
+"""A point on a `Clock`, in milliseconds since an arbitrary start."""
+
+
+class TimerHandle(Protocol):
+    """A scheduled call that can be taken back."""
+
+    def cancel(self) -> None:
+        """Take the call back; does nothing after it ran."""
+
+
+class Clock(Protocol):
+    """Monotonic time in milliseconds."""
+
+    def now(self) -> Millis:
+        """Return the current time."""
+
+    def call_later(self, delay_ms: int, callback: Callable[[], None]) -> TimerHandle:
+        """Run `callback` once after `delay_ms`."""
+
+    async def async_sleep(self, delay_ms: int) -> None:
+        """Wait `delay_ms`."""
+
+
+class LoopClock:
+    """The time of the running event loop, real or virtual."""
+
+    def now(self) -> Millis:
+        """Return the loop's time."""
+        return Millis(int(asyncio.get_running_loop().time() * MS_PER_SECOND))
+
+    def call_later(self, delay_ms: int, callback: Callable[[], None]) -> TimerHandle:
+        """Run `callback` once after `delay_ms` of the loop's time."""
+        return asyncio.get_running_loop().call_later(delay_ms / MS_PER_SECOND, callback)
+
+    async def async_sleep(self, delay_ms: int) -> None:
+        """Wait `delay_ms` of the loop's time."""
+        await asyncio.sleep(delay_ms / MS_PER_SECOND)
--- /dev/null
+++ b/goldcreststair/components/__init__.py
@@ -0,0 +1,1 @@
+"""One folder a domain; each offers `async_setup(core)`."""
--- /dev/null
+++ b/goldcreststair/components/configuration/document.py
@@ -0,0 +1,199 @@
+"""The configuration document: JSON as operators write it, checked field by field."""
+
+from collections.abc import Callable, Mapping
+from typing import Any, Final, TypeVar
+
+from result import Err, Ok, Result
+
+from goldcreststair.components.configuration.errors import DocumentInvalid
+from goldcreststair.components.configuration.models import (
+    Configuration,
+    Customer,
+    Objective,
+    ServiceRoute,
+)
+from goldcreststair.upstreams.models import Upstream, UpstreamKind
+
+T = TypeVar("T")
+
+Document = Mapping[str, Any]
+
+SECTIONS: Final = (
+    "customers",
+    "keys",
+    "withdrawn",
+    "upstreams",
+    "leaving_upstreams",
+    "leaving_vms",
+    "routes",
+    "objectives",
+    "models",
+)
+KEY_HASH_LENGTH: Final = 64
+
+
+class _FieldError(Exception):
+    """Carries the offending field up to `decode_document`."""
+
+    def __init__(self, field: str, message: str) -> None:
+        super().__init__(message)
+        self.field = field
+
+
+def decode_document(version: int, document: Document) -> Result[Configuration, DocumentInvalid]:
+    """Check a document and return it as a configuration; the error names the field."""
+    try:
+        return Ok(_decode(version, document))
+    except _FieldError as error:
+        return Err(DocumentInvalid(str(error), error.field))
+
+
+def _decode(version: int, document: Document) -> Configuration:
+    for section in document:
+        if section not in SECTIONS:
+            raise _FieldError(section, "unknown section")
+    customers = _decode_section(document, "customers", _decode_customer)
+    withdrawn = frozenset(_read_names(document, "withdrawn"))
+    keys = _decode_section(document, "keys", _decode_key)
+    for key_hash, customer in keys.items():
+        if customer not in customers:
+            raise _FieldError(f"keys.{key_hash}", f"unknown customer {customer!r}")
+    return Configuration(
+        version=version,
+        customers=customers,
+        keys={key: customer for key, customer in keys.items() if key not in withdrawn},
+        withdrawn=withdrawn,
+        upstreams=_decode_section(document, "upstreams", _decode_upstream),
+        leaving_upstreams=frozenset(_read_names(document, "leaving_upstreams")),
+        leaving_vms=frozenset(_read_names(document, "leaving_vms")),
+        routes=tuple(_decode_section(document, "routes", _decode_route).values()),
+        objectives=tuple(_decode_section(document, "objectives", _decode_objective).values()),
+        models=_decode_section(document, "models", lambda _, raw, field: _read_text(raw, field)),
+    )
+
+
+def _decode_section(
+    document: Document, name: str, decode: Callable[[str, Any, str], T]
+) -> dict[str, T]:
+    section = document.get(name, {})
+    if not isinstance(section, Mapping):
+        raise _FieldError(name, "must be an object")
+    return {key: decode(key, raw, f"{name}.{key}") for key, raw in section.items()}
+
+
+def _decode_customer(name: str, raw: Any, field: str) -> Customer:
+    _check_fields(raw, field, {"rate_per_s", "burst", "weight"})
+    rate = _read_number(raw, "rate_per_s", field, above=0)
+    burst = _read_number(raw, "burst", field, above=0)
+    if burst != int(burst):
+        raise _FieldError(f"{field}.burst", "must be a whole number")
+    return Customer(name, rate, int(burst), _read_number(raw, "weight", field, 1.0, above=0))
+
+
+def _decode_key(key_hash: str, raw: Any, field: str) -> str:
+    if len(key_hash) != KEY_HASH_LENGTH or not set(key_hash) <= set("0123456789abcdef"):
+        raise _FieldError(field, "must be a SHA-256 in lower-case hex, never the key itself")
+    return _read_text(raw, field)
+
+
+def _decode_upstream(name: str, raw: Any, field: str) -> Upstream:
+    _check_fields(
+        raw, field, {"address", "data_centre", "kind", "models", "service", "checks_fencing"}
+    )
+    kind = raw.get("kind", UpstreamKind.ENGINE)
+    if kind not in tuple(UpstreamKind):
+        raise _FieldError(f"{field}.kind", "must be engine or service")
+    address = _read_text(raw.get("address"), f"{field}.address")
+    if not address.rpartition(":")[2].isdecimal():
+        raise _FieldError(f"{field}.address", "must be HOST:PORT")
+    return Upstream(
+        name=name,
+        address=address,
+        data_centre=_read_text(raw.get("data_centre"), f"{field}.data_centre"),
+        kind=UpstreamKind(kind),
+        models=_read_list(raw, "models", field),
+        service=str(raw.get("service", "")),
+        checks_fencing=bool(raw.get("checks_fencing", True)),
+    )
+
+
+def _decode_route(_: str, raw: Any, field: str) -> ServiceRoute:
+    _check_fields(raw, field, {"service", "method", "path", "repeatable"})
+    repeatable = raw.get("repeatable")
+    if not isinstance(repeatable, bool):
+        raise _FieldError(f"{field}.repeatable", "must be true or false")
+    return ServiceRoute(
+        service=_read_text(raw.get("service"), f"{field}.service"),
+        method=_read_text(raw.get("method"), f"{field}.method").upper(),
+        path=_read_text(raw.get("path"), f"{field}.path"),
+        repeatable=repeatable,
+    )
+
+
+def _decode_objective(name: str, raw: Any, field: str) -> Objective:
+    _check_fields(raw, field, {"customer", "threshold_ms", "target", "window_s"})
+    target = _read_number(raw, "target", field, above=0)
+    if target >= 1:
+        raise _FieldError(f"{field}.target", "must be below 1")
+    return Objective(
+        name=name,
+        customer=str(raw.get("customer", "*")),
+        threshold_ms=int(_read_number(raw, "threshold_ms", field, above=0)),
+        target=target,
+        window_s=int(_read_number(raw, "window_s", field, 2_592_000, above=0)),
+    )
+
+
+def _check_fields(raw: Any, field: str, known: set[str]) -> None:
+    if not isinstance(raw, Mapping):
+        raise _FieldError(field, "must be an object")
+    for name in raw:
+        if name not in known:
+            raise _FieldError(f"{field}.{name}", "unknown field")
+
+
+def _read_number(
+    raw: Mapping[str, Any], name: str, field: str, default: float | None = None, *, above: float
+) -> float:
+    value = raw.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value > above:
+        raise _FieldError(f"{field}.{name}", f"must be a number above {above:g}")
+    return value
+
+
+def _read_text(value: Any, field: str) -> str:
+    if not isinstance(value, str) or not value:
+        raise _FieldError(field, "must be a text that is not empty")
+    return value
+
+
+def _read_list(raw: Mapping[str, Any], name: str, field: str) -> tuple[str, ...]:
+    values = raw.get(name, [])
+    if not isinstance(values, list) or not all(isinstance(value, str) for value in values):
+        raise _FieldError(f"{field}.{name}", "must be a list of texts")
+    return tuple(values)
+
+
+def _read_names(document: Document, name: str) -> list[str]:
+    """Return the keys of a section that is a set: `{"name": true}`, so that patches can merge."""
+    section = document.get(name, {})
+    if not isinstance(section, Mapping):
+        raise _FieldError(name, "must be an object")
+    return [key for key, present in section.items() if present]
+
+
+def merge_patch(target: Any, patch: Any) -> Any:
+    """Apply a JSON merge patch (RFC 7396) and return the result.
+
+    >>> merge_patch({"a": 1, "b": {"c": 2}}, {"a": None, "b": {"d": 3}})
+    {'b': {'c': 2, 'd': 3}}
+    """
+    if not isinstance(patch, Mapping):
+        return patch
+    merged = dict(target) if isinstance(target, Mapping) else {}
+    for name, value in patch.items():
+        if value is None:
+            merged.pop(name, None)
+        else:
+            merged[name] = merge_patch(merged.get(name), value)
+    return merged
--- /dev/null
+++ b/goldcreststair/components/keys/controller.py
@@ -0,0 +1,67 @@
+"""Turns keys into identities from the configuration in force."""
+
+import hashlib
+import logging
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from goldcreststair.components.configuration.models import CONFIGURATION, Configuration
+from goldcreststair.components.keys.protocols import Identity, KeyRefused
+from goldcreststair.core import Core
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def hash_key(key: str) -> str:
+    """Return the only form in which a key is kept: its SHA-256 in hex."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class KeyController:
+    """Knows the keys in force and tells watchers when theirs is withdrawn."""
+
+    def __init__(self, core: Core) -> None:
+        """Follow the configuration."""
+        self._board = core.blackboard
+        self._watchers: dict[str, list[Callable[[], None]]] = {}
+        self._unsubscribe = self._board.subscribe(CONFIGURATION, self._on_configuration)
+
+    async def async_start(self) -> None:
+        """Do nothing; the configuration drives this controller."""
+
+    async def async_close(self) -> None:
+        """Stop following."""
+        self._unsubscribe()
+
+    def identify(self, key: str) -> Result[Identity, KeyRefused]:
+        """Return whose key this is."""
+        configuration = self._board.read(CONFIGURATION)
+        if configuration.version == 0:
+            return Err(KeyRefused("no configuration yet", temporary=True))
+        key_hash = hash_key(key)
+        name = configuration.keys.get(key_hash)
+        if name is None:
+            return Err(KeyRefused("unknown or withdrawn key"))
+        return Ok(Identity(configuration.customers[name], key_hash))
+
+    def watch(self, key_hash: str, on_withdrawn: Callable[[], None]) -> Callable[[], None]:
+        """Call back once if the key is withdrawn; returns a function that ends the watch."""
+        watchers = self._watchers.setdefault(key_hash, [])
+        watchers.append(on_withdrawn)
+
+        def unwatch() -> None:
+            if on_withdrawn in watchers:
+                watchers.remove(on_withdrawn)
+            if not watchers and self._watchers.get(key_hash) is watchers:
+                del self._watchers[key_hash]
+
+        return unwatch
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        gone = [key for key in self._watchers if key not in configuration.keys]
+        for key_hash in gone:
+            watchers = self._watchers.pop(key_hash)
+            _LOGGER.info("Key withdrawn with %d requests running", len(watchers))
+            for on_withdrawn in tuple(watchers):
+                on_withdrawn()
--- /dev/null
+++ b/goldcreststair/components/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Fenced partitions: everything that is kept or agreed."""
--- /dev/null
+++ b/goldcreststair/components/limits/controller.py
@@ -0,0 +1,45 @@
+"""A token bucket a customer on this VM alone."""
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.configuration.models import Customer
+from goldcreststair.components.limits.protocols import LimitExceeded
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.core import Core
+
+
+@dataclass(slots=True)
+class _Bucket:
+    level: float
+    at: Millis
+
+
+class LocalLimits:
+    """Admits by this VM's own buckets."""
+
+    def __init__(self, core: Core) -> None:
+        """Start with full buckets."""
+        self._clock = core.clock
+        self._buckets: dict[str, _Bucket] = {}
+
+    async def async_start(self) -> None:
+        """Do nothing."""
+
+    async def async_close(self) -> None:
+        """Do nothing."""
+
+    async def async_admit(self, customer: Customer) -> Result[None, LimitExceeded]:
+        """Take one token."""
+        now = self._clock.now()
+        bucket = self._buckets.setdefault(customer.name, _Bucket(customer.burst, now))
+        refill = (now - bucket.at) * customer.rate_per_s / MS_PER_SECOND
+        bucket.level = min(customer.burst, bucket.level + refill)
+        bucket.at = now
+        if bucket.level < 1:
+            wait_ms = int((1 - bucket.level) / customer.rate_per_s * MS_PER_SECOND) + 1
+            return Err(LimitExceeded("rate and burst are spent", wait_ms))
+        bucket.level -= 1
+        return Ok(None)
--- /dev/null
+++ b/goldcreststair/components/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs are part of the fleet."""
--- /dev/null
+++ b/goldcreststair/components/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links to the other daemons."""
--- /dev/null
+++ b/goldcreststair/components/peers/protocols.py
@@ -0,0 +1,43 @@
+"""What other components ask of the links to other daemons."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Final, Protocol
+
+from result import Result
+
+from goldcreststair.core import ComponentKey
+from goldcreststair.errors import GoldcreststairError
+
+
+@dataclass(frozen=True, slots=True)
+class PeerError(GoldcreststairError):
+    """A message to another daemon that got no answer."""
+
+    not_sent: bool = False
+    """True if the other side certainly never saw it."""
+
+
+PeerMessage = Any
+"""A struct generated from `wire/*.thrift`."""
+
+Handler = Callable[[str, PeerMessage], Awaitable[PeerMessage | None]]
+"""Takes the sender's session id and a message; returns the answer, or None for a one-way one."""
+
+
+class PeerLinks(Protocol):
+    """Framed thrift messages to other daemons, by session id."""
+
+    def register(self, number: int, struct: type[PeerMessage], handler: Handler | None) -> None:
+        """Give a struct its message number (see docs/PROTOCOLS.md) and its handler."""
+
+    async def async_request(
+        self, session_id: str, message: PeerMessage, timeout_ms: int
+    ) -> Result[PeerMessage, PeerError]:
+        """Send a message and return its answer."""
+
+    def post(self, session_id: str, message: PeerMessage) -> None:
+        """Send a message without answer; it may be lost."""
+
+
+PEERS: Final = ComponentKey[PeerLinks]("peers")
--- /dev/null
+++ b/goldcreststair/const.py
@@ -0,0 +1,12 @@
+"""Constants shared by all components."""
+
+from typing import Final
+
+VERSION: Final = "0.1.0"
+ENV_PREFIX: Final = "GOLDCRESTSTAIR_"
+
+MS_PER_SECOND: Final = 1000
+
+HEADER_REQUEST_ID: Final = "X-Request-Id"
+HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
+HEADER_RETRY_AFTER: Final = "Retry-After"
--- /dev/null
+++ b/goldcreststair/core.py
@@ -0,0 +1,76 @@
+"""What every component is given: settings, clock, blackboard, platform and its fellow components."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import Any, Generic, Protocol, TypeVar
+
+from tornado.routing import Rule
+
+from goldcreststair.blackboard import Blackboard
+from goldcreststair.clock import Clock
+from goldcreststair.journal import Journal
+from goldcreststair.platform.protocols import Platform
+from goldcreststair.settings import Settings
+from goldcreststair.statistics import Statistics
+from goldcreststair.upstreams.protocols import UpstreamClients
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True)
+class ComponentKey(Generic[T]):
+    """The typed name under which a component offers itself to the others."""
+
+    name: str
+
+
+class Component(Protocol):
+    """A part with an explicit start and close; started in order, closed in reverse."""
+
+    async def async_start(self) -> None:
+        """Begin work."""
+
+    async def async_close(self) -> None:
+        """End work and release everything; safe to call twice."""
+
+
+class PassiveComponent:
+    """A component that runs nothing of its own."""
+
+    async def async_start(self) -> None:
+        """Do nothing."""
+
+    async def async_close(self) -> None:
+        """Do nothing."""
+
+
+@dataclass(slots=True)
+class Core:
+    """The shared core of one daemon."""
+
+    settings: Settings
+    clock: Clock
+    random: random.Random
+    blackboard: Blackboard
+    journal: Journal
+    statistics: Statistics
+    platform: Platform
+    upstreams: UpstreamClients
+    session_id: str
+    """Names this run of the daemon; never used again after a restart."""
+    http_port: int = 0
+    """The port really bound, known before components are set up."""
+    routes: list[Rule] = field(default_factory=list)
+    """HTTP routes that components add while they are set up."""
+    _components: dict[str, Any] = field(default_factory=dict)
+
+    def offer(self, key: ComponentKey[T], component: T) -> None:
+        """Make a component known to those set up after it."""
+        self._components[key.name] = component
+
+    def get(self, key: ComponentKey[T]) -> T:
+        """Return a component set up earlier; raises `KeyError` if there is none."""
+        component: T = self._components[key.name]
+        return component
--- /dev/null
+++ b/goldcreststair/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: table, object store, list of VMs, weight store."""
--- /dev/null
+++ b/goldcreststair/platform/errors.py
@@ -0,0 +1,34 @@
+"""Errors of the platform's services."""
+
+from dataclasses import dataclass
+
+from goldcreststair.errors import GoldcreststairError
+from goldcreststair.platform.models import Row
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformError(GoldcreststairError):
+    """A call to the platform that did not succeed."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformUnavailable(PlatformError):
+    """The call certainly had no effect (refused, or it never left)."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformOutcomeUnknown(PlatformError):
+    """No answer came back: the call may or may not have taken effect."""
+
+
+@dataclass(frozen=True, slots=True)
+class RowConflict(PlatformError):
+    """A compare-and-set met another version; nothing was written."""
+
+    current: Row | None = None
+    """The row as it stands, or None if it does not exist."""
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectMissing(PlatformError):
+    """No object has this name."""
--- /dev/null
+++ b/goldcreststair/settings.py
@@ -0,0 +1,90 @@
+"""The daemon's settings, from flags and environment variables, checked before anything starts."""
+
+import ipaddress
+from dataclasses import dataclass
+from typing import Annotated, Final
+from urllib.parse import urlsplit
+
+from cyclopts import Parameter
+from result import Err, Ok, Result
+
+from goldcreststair.errors import GoldcreststairError
+
+DEFAULT_PARTITIONS: Final = 64
+MAX_PORT: Final = 65535
+LOG_LEVELS: Final = ("debug", "info", "warning", "error")
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsError(GoldcreststairError):
+    """A setting that cannot be used."""
+
+    setting: str = ""
+
+
+@Parameter(name="*")
+@dataclass(frozen=True)
+class Settings:
+    """Everything a daemon is told at its start; all else is configuration."""
+
+    address: Annotated[str, Parameter(help="IP number of this VM, as others reach it.")]
+    data_centre: Annotated[str, Parameter(help="Data centre this VM stands in.")]
+    platform_url: Annotated[str, Parameter(help="Base URL of the platform's services.")]
+    operator_token: Annotated[str, Parameter(help="Token that operators show.", show=True)]
+    region: Annotated[str, Parameter(help="Region of the data centre.")] = "default"
+    http_port: Annotated[int, Parameter(help="Port for callers and operators; 0 is any.")] = 8080
+    peer_port: Annotated[int, Parameter(help="Port for other daemons; 0 is any free one.")] = 8081
+    partitions: Annotated[int, Parameter(help="Partitions of the key space.")] = DEFAULT_PARTITIONS
+    statsd_address: Annotated[str, Parameter(help="HOST:PORT of statsd; empty for none.")] = ""
+    log_level: Annotated[str, Parameter(help="debug, info, warning or error.")] = "info"
+    seed: Annotated[int, Parameter(help="Seed of random choices; 0 takes a fresh one.")] = 0
+    drain_ms: Annotated[int, Parameter(help="Longest wait for running work at a stop, ms.")] = (
+        120_000
+    )
+
+
+def check_settings(settings: Settings) -> Result[Settings, SettingsError]:
+    """Return the settings, or the first one that cannot be used."""
+    for name, problem in _find_problems(settings):
+        if problem:
+            return Err(SettingsError(problem, name))
+    return Ok(settings)
+
+
+def _find_problems(settings: Settings) -> list[tuple[str, str]]:
+    return [
+        ("address", _check_ip(settings.address)),
+        ("data_centre", "" if settings.data_centre else "must not be empty"),
+        ("platform_url", _check_url(settings.platform_url)),
+        ("operator_token", "" if settings.operator_token else "must not be empty"),
+        ("http_port", _check_range(settings.http_port, 0, MAX_PORT)),
+        ("peer_port", _check_range(settings.peer_port, 0, MAX_PORT)),
+        ("partitions", _check_range(settings.partitions, 1, 65536)),
+        ("statsd_address", _check_statsd(settings.statsd_address)),
+        ("log_level", "" if settings.log_level in LOG_LEVELS else f"must be one of {LOG_LEVELS}"),
+        ("drain_ms", _check_range(settings.drain_ms, 0, 3_600_000)),
+    ]
+
+
+def _check_ip(text: str) -> str:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return f"{text!r} is not an IP number"
+    return ""
+
+
+def _check_url(text: str) -> str:
+    parts = urlsplit(text)
+    return "" if parts.scheme in ("http", "https") and parts.hostname else "must be an HTTP URL"
+
+
+def _check_range(value: int, low: int, high: int) -> str:
+    return "" if low <= value <= high else f"{value} is not between {low} and {high}"
+
+
+def _check_statsd(text: str) -> str:
+    if not text:
+        return ""
+    host, _, port = text.rpartition(":")
+    return "" if host and port.isdecimal() else f"{text!r} is not HOST:PORT"
--- /dev/null
+++ b/goldcreststair/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons: `*.thrift` and the code generated from them."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, for tests and the demo only."""
--- /dev/null
+++ b/standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole fleet on loopback: stand-ins and daemons as separate processes."""
--- /dev/null
+++ b/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for an inference engine."""
--- /dev/null
+++ b/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for the platform's services."""
--- /dev/null
+++ b/standins/service/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a plain service."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
--- /dev/null
+++ b/tests/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""What tests share."""
