--- /dev/null
+++ b/goldcreststair/components/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency claims: at most one run a key."""
--- /dev/null
+++ b/goldcreststair/components/claims/protocols.py
@@ -0,0 +1,104 @@
+"""What other components ask of claims."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final, Protocol
+
+from result import Result
+
+from goldcreststair.core import ComponentKey
+from goldcreststair.errors import GoldcreststairError
+
+
+class ClaimProblem(StrEnum):
+    """Why there is no claim or outcome."""
+
+    UNAVAILABLE = "unavailable"
+    """The claim certainly is not held and nothing ran on it; try again later."""
+    MISMATCH = "mismatch"
+    """The key was used before with another body."""
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    """It may have run, its outcome was lost, and it may not run again."""
+    TIMEOUT = "timeout"
+    """The run being joined did not end in time; it may still end."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimError(GoldcreststairError):
+    """A claim call without the wanted result."""
+
+    problem: ClaimProblem = ClaimProblem.UNAVAILABLE
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRequest:
+    """Who wants to run what."""
+
+    customer: str
+    key: str
+    """The caller's idempotency key, or the request id where the caller gave none."""
+    fingerprint: str
+    """SHA-256 of method, path and body, in hex."""
+    request_id: str
+    repeatable: bool
+    """Whether a run whose outcome was lost may be run again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """A whole final answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """The caller of `async_claim` runs the request, and must settle or release the claim."""
+
+    claim_id: str
+    request: ClaimRequest
+
+
+@dataclass(frozen=True, slots=True)
+class Joined:
+    """Another run of the same request is under way; wait for its outcome."""
+
+    claim_id: str
+    request: ClaimRequest
+    runner: str
+    """Session id of the VM that runs it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The request ran before; this is its answer."""
+
+    outcome: Outcome
+
+
+class Claims(Protocol):
+    """Claims kept in the ledger by the owner of each key's partition."""
+
+    async def async_claim(
+        self, request: ClaimRequest, timeout_ms: int
+    ) -> Result[Granted | Joined | Finished, ClaimError]:
+        """Claim a key durably before its run, or find its run or outcome."""
+
+    async def async_settle(
+        self, claim: Granted, outcome: Outcome, timeout_ms: int
+    ) -> Result[None, ClaimError]:
+        """Make the outcome durable; the answer may be given only after this."""
+
+    async def async_release(self, claim: Granted) -> None:
+        """Give a claim back whose request certainly did not run."""
+
+    async def async_abandon(self, claim: Granted) -> None:
+        """Record that the run's outcome is unknown and never will be known."""
+
+    async def async_wait(self, claim: Joined, timeout_ms: int) -> Result[Outcome, ClaimError]:
+        """Wait for the outcome of a run that was joined."""
+
+
+CLAIMS: Final = ComponentKey[Claims]("claims")
--- a/goldcreststair/components/ledger/protocols.py
+++ b/goldcreststair/components/ledger/protocols.py
@@ -6,6 +6,7 @@
 
 from result import Result
 
+from goldcreststair.clock import Millis
 from goldcreststair.core import ComponentKey
 from goldcreststair.errors import GoldcreststairError
 
@@ -44,6 +45,10 @@
     def epoch(self) -> int:
         """The fencing number; grows at each change of owner."""
 
+    @property
+    def confirmed_at(self) -> Millis:
+        """When the last store call began that showed this VM still owns the partition."""
+
     def get(self, key: str) -> bytes | None:
         """Return a record, staged changes included."""
 
--- a/goldcreststair/components/membership/models.py
+++ b/goldcreststair/components/membership/models.py
@@ -41,3 +41,13 @@
 
 
 MEMBERS: Final = SectionKey[Members]("members")
+
+
+@dataclass(frozen=True, slots=True)
+class MemberLoads:
+    """Online requests in flight at each member, as last heard; old by some seconds."""
+
+    by_session: Mapping[str, int] = field(default_factory=dict)
+
+
+MEMBER_LOADS: Final = SectionKey[MemberLoads]("member_loads")
--- /dev/null
+++ b/goldcreststair/components/membership/protocols.py
@@ -0,0 +1,27 @@
+"""What other components ask of membership, beside the sections of the blackboard."""
+
+from collections.abc import Callable
+from typing import Final, Protocol
+
+from goldcreststair.core import ComponentKey
+
+
+class SharedSets(Protocol):
+    """Named grow-only sets of short texts that spread to every member in seconds, without the store.
+
+    Items cannot be taken back; each expires `lifetime_ms` after it was first added (0: never).
+    """
+
+    def add(self, name: str, item: str, lifetime_ms: int = 0) -> None:
+        """Add an item here and pass it on."""
+
+    def contains(self, name: str, item: str) -> bool:
+        """Return whether the item is known here."""
+
+    def watch(self, name: str, on_added: Callable[[str], None]) -> None:
+        """Call back for every item that becomes known here, whoever added it."""
+
+
+SHARED_SETS: Final = ComponentKey[SharedSets]("shared_sets")
+SET_WITHDRAWN_KEYS: Final = "withdrawn_keys"
+SET_QUARANTINE: Final = "quarantine"
--- a/tests/helpers/ledgers.py
+++ b/tests/helpers/ledgers.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.ledger.protocols import (
     Change,
     CommitRefused,
@@ -22,6 +23,7 @@
         self.epoch = 1
         self.records: dict[str, bytes] = {}
         self.commits = 0
+        self.confirmed_at = Millis(0)
         self.down = False
 
     def get(self, key: str) -> bytes | None:
