Add service-level burn and explanations over all VMs

Cause: operators could see neither error budgets nor why a VM chose what it chose. Change: each VM reports numbered counts and hdrhistogram histograms to the owner of the customer's partition, which keeps them in the ledger; multi-window burn rates; explanations gathered from all members when asked. Ruled out: objects a VM a minute (reading a month of 820 VMs back), ddsketch (its merge needs protobuf to travel). Not wired into bootstrap until links and ledger are there.

--- /dev/null
+++ b/goldcreststair/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' and batch callers' command line: `goldcreststair`."""
--- a/goldcreststair/clock.py
+++ b/goldcreststair/clock.py
@@ -1,6 +1,7 @@
 """The only source of time: integer milliseconds that never go back."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import NewType, Protocol
 
@@ -26,6 +27,9 @@
     def call_later(self, delay_ms: int, callback: Callable[[], None]) -> TimerHandle:
         """Run `callback` once after `delay_ms`."""
 
+    def read_utc_s(self) -> int:
+        """Return the seconds since 1970, for reports only: they are never compared between VMs."""
+
     async def async_sleep(self, delay_ms: int) -> None:
         """Wait `delay_ms`."""
 
@@ -33,6 +37,15 @@
 class LoopClock:
     """The time of the running event loop, real or virtual."""
 
+    def __init__(self, utc_start_s: float | None = None) -> None:
+        """Take the date of the loop's time 0; by default today's, from the machine's clock."""
+        start = time.time() - time.monotonic() if utc_start_s is None else utc_start_s
+        self._utc_start_s = start
+
+    def read_utc_s(self) -> int:
+        """Return the seconds since 1970 by the loop's time."""
+        return int(self._utc_start_s + asyncio.get_running_loop().time())
+
     def now(self) -> Millis:
         """Return the loop's time."""
         return Millis(int(asyncio.get_running_loop().time() * MS_PER_SECOND))
--- /dev/null
+++ b/goldcreststair/components/operator_api/reports.py
@@ -0,0 +1,67 @@
+"""HTTP routes of operators that only read: burn, explanations, status."""
+
+import dataclasses
+
+import orjson
+from result import Err
+
+from goldcreststair.components.configuration.models import CONFIGURATION
+from goldcreststair.components.explain.service import EXPLAINER
+from goldcreststair.components.membership.models import MEMBER_LOADS, MEMBERS
+from goldcreststair.components.operator_api.views import OperatorHandler
+from goldcreststair.components.service_level.protocols import SERVICE_LEVELS
+from goldcreststair.components.service_level.service import ServiceLevels
+from goldcreststair.journal import Subject
+
+
+class BurnHandler(OperatorHandler):
+    """Service-level burn."""
+
+    async def get(self) -> None:
+        """Return every customer's standing, and the customers whose owner did not answer."""
+        levels = self.core.get(SERVICE_LEVELS)
+        assert isinstance(levels, ServiceLevels)
+        computed = await levels.async_compute_burns()
+        if isinstance(computed, Err):
+            burns, missing = list(computed.err_value.partial), computed.err_value.customers
+        else:
+            burns, missing = computed.ok_value, ()
+        body = {"burns": [dataclasses.asdict(burn) for burn in burns], "missing": missing}
+        self.set_header("Content-Type", "application/json")
+        self.finish(orjson.dumps(body))
+
+
+class ExplainHandler(OperatorHandler):
+    """Explanations."""
+
+    async def get(self, subject: str, subject_id: str) -> None:
+        """Return what the fleet decided about one thing."""
+        if subject not in tuple(Subject):
+            self.set_status(404)
+            subjects = ", ".join(Subject)
+            message = f"subject: must be one of {subjects}"
+            self.finish({"error": {"code": "unknown_subject", "message": message}})
+            return
+        explanation = await self.core.get(EXPLAINER).async_explain(Subject(subject), subject_id)
+        self.set_header("Content-Type", "application/json")
+        self.finish(orjson.dumps(dataclasses.asdict(explanation)))
+
+
+class StatusHandler(OperatorHandler):
+    """The fleet as this VM sees it."""
+
+    def get(self) -> None:
+        """Return members with their loads, and the configuration in force."""
+        board = self.core.blackboard
+        loads = board.read(MEMBER_LOADS).by_session
+        members = [
+            {**dataclasses.asdict(member), "in_flight": loads.get(member.session_id, 0)}
+            for member in board.read(MEMBERS).by_session.values()
+        ]
+        body = {
+            "session_id": self.core.session_id,
+            "configuration_version": board.read(CONFIGURATION).version,
+            "members": sorted(members, key=lambda member: str(member["session_id"])),
+        }
+        self.set_header("Content-Type", "application/json")
+        self.finish(orjson.dumps(body))
--- /dev/null
+++ b/goldcreststair/components/service_level/history.py
@@ -0,0 +1,119 @@
+"""One customer's counts by minute and hour, at the owner of its partition."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from goldcreststair.components.service_level.const import (
+    KEPT_HOURS,
+    KEPT_MINUTES,
+    SECONDS_PER_HOUR,
+    SECONDS_PER_MINUTE,
+)
+from goldcreststair.components.service_level.models import Counts
+from goldcreststair.components.service_level.recorder import Report, create_histogram
+
+Buckets = dict[int, dict[str, Counts]]
+"""Number of the minute or hour since 1970, to objective, to counts."""
+
+
+@dataclass(slots=True)
+class CustomerHistory:
+    """Counts of one customer over the last hours and days."""
+
+    minutes: Buckets = field(default_factory=dict)
+    hours: Buckets = field(default_factory=dict)
+    seen: dict[str, int] = field(default_factory=dict)
+    """Session id to the last report counted from it."""
+    day: int = 0
+    histogram: HdrHistogram = field(default_factory=create_histogram)
+    """Times to first token of the day `day`."""
+
+    def add(self, session_id: str, report: Report, utc_s: int) -> bool:
+        """Count a report; returns False if it was counted before.
+
+        A report whose answer was lost comes again; counted twice it would show as a burn that
+        never was. The sender numbers its reports and has one under way a customer, so the last
+        number is enough.
+        """
+        if self.seen.get(session_id, 0) >= report.sequence:
+            return False
+        self.seen[session_id] = report.sequence
+        for objective, counts in report.counts:
+            _count(self.minutes, utc_s // SECONDS_PER_MINUTE, objective, counts)
+            _count(self.hours, utc_s // SECONDS_PER_HOUR, objective, counts)
+        _prune(self.minutes, utc_s // SECONDS_PER_MINUTE - KEPT_MINUTES)
+        _prune(self.hours, utc_s // SECONDS_PER_HOUR - KEPT_HOURS)
+        self._merge_histogram(report.histogram, utc_s // (24 * SECONDS_PER_HOUR))
+        return True
+
+    def sum_since(self, objective: str, utc_s: int, window_s: int) -> Counts:
+        """Return the counts of the last `window_s` seconds, from the finest buckets that reach."""
+        if window_s <= KEPT_MINUTES * SECONDS_PER_MINUTE:
+            buckets, width_s = self.minutes, SECONDS_PER_MINUTE
+        else:
+            buckets, width_s = self.hours, SECONDS_PER_HOUR
+        first = (utc_s - window_s) // width_s + 1
+        found = (counts.get(objective, Counts()) for at, counts in buckets.items() if at >= first)
+        return sum(found, Counts())
+
+    def forget_sessions(self, alive: frozenset[str]) -> None:
+        """Drop the numbers of sessions that no longer exist; their ids are never used again."""
+        self.seen = {name: number for name, number in self.seen.items() if name in alive}
+
+    def encode(self) -> bytes:
+        """Return the history as JSON."""
+        return orjson.dumps(
+            {
+                "minutes": _encode(self.minutes),
+                "hours": _encode(self.hours),
+                "seen": self.seen,
+                "day": self.day,
+                "histogram": self.histogram.encode().decode(),
+            }
+        )
+
+    def _merge_histogram(self, encoded: bytes, day: int) -> None:
+        if day != self.day:
+            self.day = day
+            self.histogram = create_histogram()
+        self.histogram.decode_and_add(encoded)
+
+
+def decode_history(encoded: bytes) -> CustomerHistory:
+    """Return a history from JSON."""
+    raw = orjson.loads(encoded)
+    history = CustomerHistory(
+        minutes=_decode(raw["minutes"]),
+        hours=_decode(raw["hours"]),
+        seen=raw["seen"],
+        day=raw["day"],
+    )
+    history.histogram.decode_and_add(raw["histogram"].encode())
+    return history
+
+
+def _count(buckets: Buckets, at: int, objective: str, counts: Counts) -> None:
+    bucket = buckets.setdefault(at, {})
+    bucket[objective] = bucket.get(objective, Counts()) + counts
+
+
+def _prune(buckets: Buckets, first: int) -> None:
+    for at in [at for at in buckets if at < first]:
+        del buckets[at]
+
+
+def _encode(buckets: Buckets) -> dict[str, Any]:
+    return {
+        str(at): {name: [counts.good, counts.total] for name, counts in bucket.items()}
+        for at, bucket in buckets.items()
+    }
+
+
+def _decode(raw: dict[str, Any]) -> Buckets:
+    return {
+        int(at): {name: Counts(*pair) for name, pair in bucket.items()}
+        for at, bucket in raw.items()
+    }
--- /dev/null
+++ b/goldcreststair/components/service_level/models.py
@@ -0,0 +1,50 @@
+"""Counts of requests against objectives."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """Requests that met an objective, and all requests."""
+
+    good: int = 0
+    total: int = 0
+
+    def __add__(self, other: "Counts") -> "Counts":
+        """Return the sum."""
+        return Counts(self.good + other.good, self.total + other.total)
+
+
+class Alarm(StrEnum):
+    """How urgent a burn is."""
+
+    NONE = "none"
+    TICKET = "ticket"
+    PAGE = "page"
+
+
+@dataclass(frozen=True, slots=True)
+class WindowBurn:
+    """Burn rate over one window; 1.0 spends the whole budget in the objective's own window."""
+
+    window_s: int
+    rate: float
+    total: int
+
+
+@dataclass(frozen=True, slots=True)
+class Burn:
+    """One customer's standing against one objective."""
+
+    customer: str
+    objective: str
+    threshold_ms: int
+    target: float
+    budget_left: float
+    """Share of the error budget not yet spent; negative when overspent."""
+    windows: tuple[WindowBurn, ...]
+    alarm: Alarm
+    p50_ms: int
+    p95_ms: int
+    p99_ms: int
--- /dev/null
+++ b/goldcreststair/components/service_level/service.py
@@ -0,0 +1,158 @@
+"""Reports this VM's counts to the customers' owners, and keeps those it owns in the ledger."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+
+from result import Err, Ok, Result
+
+from goldcreststair.components.configuration.models import CONFIGURATION, Objective
+from goldcreststair.components.ledger.protocols import LEDGER, Change, Partition
+from goldcreststair.components.membership.models import MEMBERS
+from goldcreststair.components.peers.protocols import PEERS, PeerMessage
+from goldcreststair.components.service_level import const
+from goldcreststair.components.service_level.burn import compute_burn
+from goldcreststair.components.service_level.errors import LevelUnavailable
+from goldcreststair.components.service_level.history import CustomerHistory, decode_history
+from goldcreststair.components.service_level.models import Burn, Counts
+from goldcreststair.components.service_level.recorder import LevelRecorder, Report
+from goldcreststair.core import Core
+from goldcreststair.wire.generated.service_level.ttypes import (
+    LevelQuery,
+    LevelQueryAnswer,
+    LevelReport,
+    LevelReportAnswer,
+    ObjectiveCounts,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ServiceLevels:
+    """Implements `RequestObserver` and answers what became of objectives."""
+
+    def __init__(self, core: Core) -> None:
+        """Register the messages; nothing is sent yet."""
+        self._core = core
+        self._ledger = core.get(LEDGER)
+        self._peers = core.get(PEERS)
+        self._recorder = LevelRecorder()
+        self._reporting: asyncio.Task[None] | None = None
+        self._peers.register(const.NUMBER_LEVEL_REPORT, LevelReport, self._async_on_report)
+        self._peers.register(const.NUMBER_LEVEL_REPORT_ANSWER, LevelReportAnswer, None)
+        self._peers.register(const.NUMBER_LEVEL_QUERY, LevelQuery, self._async_on_query)
+        self._peers.register(const.NUMBER_LEVEL_QUERY_ANSWER, LevelQueryAnswer, None)
+
+    async def async_start(self) -> None:
+        """Begin to report."""
+        self._reporting = asyncio.create_task(self._async_report_forever())
+
+    async def async_close(self) -> None:
+        """Report what is left and stop."""
+        if self._reporting is None:
+            return
+        self._reporting.cancel()
+        self._reporting = None
+        await self.async_report()
+
+    def observe(self, customer: str, first_token_ms: int | None) -> None:
+        """Count one request; None if it failed for a reason that is not the customer's."""
+        self._recorder.observe(customer, first_token_ms, self._objectives)
+
+    async def async_report(self) -> None:
+        """Send every report that its owner has not counted yet."""
+        for report in self._recorder.cut_reports():
+            if await self._async_send(report):
+                self._recorder.confirm(report)
+
+    async def async_compute_burns(self) -> Result[list[Burn], LevelUnavailable]:
+        """Return every customer's standing; the error names customers without an answer."""
+        burns: list[Burn] = []
+        missing: list[str] = []
+        for customer in sorted(self._core.blackboard.read(CONFIGURATION).customers):
+            history = await self._async_fetch(customer)
+            if history is None:
+                missing.append(customer)
+            else:
+                burns.extend(self._compute(customer, history))
+        if missing:
+            return Err(LevelUnavailable("owners did not answer", tuple(missing), tuple(burns)))
+        return Ok(burns)
+
+    @property
+    def _objectives(self) -> Sequence[Objective]:
+        return self._core.blackboard.read(CONFIGURATION).objectives
+
+    def _compute(self, customer: str, history: CustomerHistory) -> list[Burn]:
+        utc_s = self._core.clock.read_utc_s()
+        mine = [o for o in self._objectives if o.customer in ("*", customer)]
+        return [compute_burn(customer, objective, history, utc_s) for objective in mine]
+
+    async def _async_report_forever(self) -> None:
+        while True:
+            # Spread over the interval, or all VMs of a fleet started together report at once.
+            jitter_ms = self._core.random.randrange(const.REPORT_INTERVAL_MS // 2)
+            await self._core.clock.async_sleep(const.REPORT_INTERVAL_MS // 2 + jitter_ms)
+            await self.async_report()
+
+    async def _async_send(self, report: Report) -> bool:
+        owner = self._ledger.find_owner(self._ledger.find_index(_make_key(report.customer)))
+        if owner is None:
+            return False
+        if owner == self._core.session_id:
+            return await self._async_count(owner, report)
+        counts = [ObjectiveCounts(name, c.good, c.total) for name, c in report.counts]
+        message = LevelReport(report.customer, report.sequence, counts, report.histogram)
+        answer = await self._peers.async_request(owner, message, const.REPORT_TIMEOUT_MS)
+        return isinstance(answer, Ok) and bool(answer.ok_value.counted)
+
+    async def _async_on_report(self, sender: str, message: PeerMessage) -> PeerMessage:
+        counts = tuple((c.objective, Counts(c.good, c.total)) for c in message.counts)
+        report = Report(message.customer, message.sequence, counts, message.histogram)
+        return LevelReportAnswer(await self._async_count(sender, report))
+
+    async def _async_count(self, sender: str, report: Report) -> bool:
+        partition = self._find_owned(report.customer)
+        if partition is None:
+            return False
+        history = _load(partition, report.customer)
+        if not history.add(sender, report, self._core.clock.read_utc_s()):
+            return True
+        history.forget_sessions(frozenset(self._core.blackboard.read(MEMBERS).by_session))
+        change = Change(_make_key(report.customer), history.encode())
+        committed = await partition.async_commit([change], const.COMMIT_TIMEOUT_MS)
+        if isinstance(committed, Err):
+            _LOGGER.info("Report of %s not kept: %s", sender, committed.err_value.message)
+        return isinstance(committed, Ok)
+
+    async def _async_fetch(self, customer: str) -> CustomerHistory | None:
+        partition = self._find_owned(customer)
+        if partition is not None:
+            return _load(partition, customer)
+        owner = self._ledger.find_owner(self._ledger.find_index(_make_key(customer)))
+        if owner is None or owner == self._core.session_id:
+            return None
+        answer = await self._peers.async_request(
+            owner, LevelQuery(customer), const.QUERY_TIMEOUT_MS
+        )
+        if isinstance(answer, Err) or not answer.ok_value.owned:
+            return None
+        return decode_history(answer.ok_value.levels)
+
+    async def _async_on_query(self, sender: str, message: PeerMessage) -> PeerMessage:
+        partition = self._find_owned(message.customer)
+        if partition is None:
+            return LevelQueryAnswer(False, b"")
+        return LevelQueryAnswer(True, _load(partition, message.customer).encode())
+
+    def _find_owned(self, customer: str) -> Partition | None:
+        return self._ledger.get_owned(self._ledger.find_index(_make_key(customer)))
+
+
+def _make_key(customer: str) -> str:
+    return const.KEY_PREFIX + customer
+
+
+def _load(partition: Partition, customer: str) -> CustomerHistory:
+    encoded = partition.get(_make_key(customer))
+    return CustomerHistory() if encoded is None else decode_history(encoded)
--- a/tests/helpers/virtual_time.py
+++ b/tests/helpers/virtual_time.py
@@ -59,6 +59,10 @@
         """Move time on."""
         self._now += delay_ms
 
+    def read_utc_s(self) -> int:
+        """Return a date that moves with the time."""
+        return 1_700_000_000 + self._now // 1000
+
     def call_later(self, delay_ms: int, callback: Any) -> Any:
         """Not for this clock."""
         raise NotImplementedError
