--- /dev/null
+++ b/tests/golden/session.py
@@ -0,0 +1,84 @@
+"""Drives real processes through one session and compares its transcript with a golden file."""
+
+import os
+import re
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+import orjson
+
+from standins.demo.fleet import Fleet, HttpAnswer, send_request
+
+GOLDEN: Final = Path(__file__).parent / "sessions"
+UPDATE: Final = "GOLDEN_UPDATE"
+SHOWN_HEADERS: Final = ("Content-Type", "Retry-After", "Connection", "X-Request-Id")
+KEEP_ALIVE: Final = re.compile(rb": keep-alive\n\n")
+PATTERNS: Final = (
+    ("id", re.compile(r"\b(?:batch-|job-)?[0-9a-f]{32}\b")),
+    ("address", re.compile(r"127\.0\.0\.1:\d+")),
+    ("session", re.compile(r"\b[0-9a-f]{16}\b")),
+)
+
+
+class Session:
+    """One transcript; ids and addresses are numbered by their first appearance."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self._lines: list[str] = []
+        self._names: dict[str, str] = {}
+
+    def note(self, text: str) -> None:
+        """Add what happens outside of calls, as a fault being switched on."""
+        self._add(f"-- {text}")
+
+    def call(
+        self,
+        who: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: Mapping[str, str] | None = None,
+        daemon: int = 0,
+    ) -> HttpAnswer:
+        """Send a request and add it and its answer to the transcript."""
+        shown = "" if body is None else " " + _show(body)
+        self._add(f"{who} > vm{daemon} {method} {path}{shown}")
+        address = self.fleet.daemons[daemon].wait_listening()
+        answer = send_request(address, method, path, body, headers)
+        self.add_answer(who, answer)
+        return answer
+
+    def add_answer(self, who: str, answer: HttpAnswer) -> None:
+        """Add an answer to the transcript."""
+        self._add(f"{who} < {answer.status}")
+        for name in SHOWN_HEADERS:
+            if name in answer.headers:
+                self._add(f"    {name}: {answer.headers[name]}")
+        text = KEEP_ALIVE.sub(b"", answer.body).decode()
+        for line in text.splitlines():
+            self._add(f"    {line}".rstrip())
+
+    def compare(self, name: str) -> None:
+        """Compare the transcript with its golden file; `GOLDEN_UPDATE=1` writes it instead."""
+        path = GOLDEN / f"{name}.txt"
+        transcript = "\n".join(self._lines) + "\n"
+        if os.environ.get(UPDATE):
+            path.write_text(transcript)
+        assert transcript == path.read_text(), f"transcript differs from {path.name}"
+
+    def _add(self, line: str) -> None:
+        for kind, pattern in PATTERNS:
+            line = pattern.sub(lambda match, kind=kind: self._name(kind, match[0]), line)  # type: ignore[misc]
+        self._lines.append(line)
+
+    def _name(self, kind: str, text: str) -> str:
+        if text not in self._names:
+            number = 1 + sum(1 for name in self._names.values() if name.startswith(f"<{kind} "))
+            self._names[text] = f"<{kind} {number}>"
+        return self._names[text]
+
+
+def _show(body: Any) -> str:
+    return body.decode() if isinstance(body, bytes) else orjson.dumps(body).decode()
