Link daemons with framed thrift messages

Cause: claims, limits, gossip and batch need requests between daemons, over links that can go silent while open, and an exact answer to whether the other side saw a message.

PeerTransport is in the core, TCP or an in-process network with cuts, silence and delay. Ruled out: TCP keep-alive (needs tens of seconds and its settings differ by machine); a session in every envelope (bytes).

--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -21,6 +21,7 @@
     limits,
     online,
     operator_api,
+    peers,
     routing,
 )
 from goldcreststair.core import Component, Core
@@ -28,6 +29,7 @@
 from goldcreststair.platform.http import create_platform
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import create_statistics
+from goldcreststair.transport import TcpTransport
 from goldcreststair.upstreams.http import create_upstream_clients
 
 _LOGGER = logging.getLogger(__name__)
@@ -37,6 +39,7 @@
 MAX_BODY_BYTES: Final = 512 * 1024 * 1024
 
 COMPONENTS: Final[tuple[Setup, ...]] = (
+    peers.async_setup,
     configuration.async_setup,
     keys.async_setup,
     limits.async_setup,
@@ -60,6 +63,7 @@
         statistics=create_statistics(settings.statsd_address),
         platform=create_platform(settings.platform_url),
         upstreams=create_upstream_clients(),
+        transport=TcpTransport(),
         session_id=secrets.token_hex(8),
     )
 
--- a/goldcreststair/components/peers/__init__.py
+++ b/goldcreststair/components/peers/__init__.py
@@ -1,1 +1,13 @@
 """Links to the other daemons."""
+
+from goldcreststair.components.peers.protocols import PEERS
+from goldcreststair.components.peers.service import PeerService
+from goldcreststair.core import Component, Core
+
+
+async def async_setup(core: Core) -> Component:
+    """Set up the links and bind the peer port."""
+    service = PeerService(core)
+    core.offer(PEERS, service)
+    await service.async_listen()
+    return service
--- /dev/null
+++ b/goldcreststair/components/peers/service.py
@@ -0,0 +1,234 @@
+"""The links of this daemon: opened when there is something to say, closed when idle or silent."""
+
+import asyncio
+import itertools
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from goldcreststair.components.membership.models import MEMBERS, Member
+from goldcreststair.components.peers.codec import decode_struct, encode_struct
+from goldcreststair.components.peers.const import CONNECT_TIMEOUT_MS, MAX_MEMBERSHIP_NUMBER
+from goldcreststair.components.peers.link import Link
+from goldcreststair.components.peers.protocols import Handler, PeerError, PeerMessage
+from goldcreststair.core import Core
+from goldcreststair.transport import PeerChannel
+from goldcreststair.wire.generated.peers.ttypes import Envelope, FrameKind, Hello
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """How messages of one number are read and served."""
+
+    struct: type[PeerMessage]
+    handler: Handler | None
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Where a daemon listens; an empty session stands for whichever runs there."""
+
+    address: str
+    port: int
+    session_id: str = ""
+
+
+class PeerService:
+    """Implements `PeerLinks` over the core's transport."""
+
+    def __init__(self, core: Core) -> None:
+        """Register nothing yet."""
+        self._core = core
+        self._by_number: dict[int, Registration] = {}
+        self._numbers: dict[type[PeerMessage], int] = {}
+        self._links: dict[str, Link] = {}
+        self._all_links: set[Link] = set()
+        self._opening: dict[Endpoint, asyncio.Task[Result[Link, PeerError]]] = {}
+        self._correlation_ids = itertools.count(1)
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._closed = False
+
+    async def async_listen(self) -> None:
+        """Bind the peer port and note it in the core; components may send after `async_start`."""
+        settings = self._core.settings
+        self._core.peer_port = await self._core.transport.async_listen(
+            settings.address, settings.peer_port, self._on_accept
+        )
+
+    async def async_start(self) -> None:
+        """Do nothing; the port is bound while this component is set up."""
+
+    async def async_close(self) -> None:
+        """Close every link and stop listening."""
+        self._closed = True
+        await self._core.transport.async_close()
+        for link in tuple(self._all_links):
+            link.close("this daemon stops")
+        for task in (*self._tasks, *self._opening.values()):
+            task.cancel()
+
+    def register(self, number: int, struct: type[PeerMessage], handler: Handler | None) -> None:
+        """Give a struct its number and handler; raises `ValueError` if either is taken."""
+        if number in self._by_number or struct in self._numbers:
+            raise ValueError(f"message {number} or {struct.__name__} is registered already")
+        self._by_number[number] = Registration(struct, handler)
+        self._numbers[struct] = number
+
+    async def async_request(
+        self, session_id: str, message: PeerMessage, timeout_ms: int
+    ) -> Result[PeerMessage, PeerError]:
+        """Send a message to a member and return its answer."""
+        found = self._find_endpoint(session_id)
+        if isinstance(found, Err):
+            return found
+        return await self.async_request_at(found.ok_value, message, timeout_ms)
+
+    async def async_request_at(
+        self, endpoint: Endpoint, message: PeerMessage, timeout_ms: int
+    ) -> Result[PeerMessage, PeerError]:
+        """Send a message to where a daemon listens, known as a member or not."""
+        deadline = self._core.clock.now() + timeout_ms
+        opened = await self._async_find_link(endpoint, timeout_ms)
+        if isinstance(opened, Err):
+            return opened
+        answered = await opened.ok_value.async_request(
+            next(self._correlation_ids),
+            self._numbers[type(message)],
+            encode_struct(message),
+            max(1, deadline - self._core.clock.now()),
+        )
+        if isinstance(answered, Err):
+            return answered
+        return self._decode(answered.ok_value)
+
+    def post(self, session_id: str, message: PeerMessage) -> None:
+        """Send a message without answer."""
+        found = self._find_endpoint(session_id)
+        if isinstance(found, Ok) and not self._closed:
+            self._spawn(self._async_post(found.ok_value, message))
+
+    def is_heard(self, session_id: str) -> bool:
+        """Return whether an open link to a member is alive by its heartbeats."""
+        link = self._links.get(session_id)
+        return link is not None and link.usable
+
+    async def async_serve(self, session_id: str, envelope: Any) -> tuple[int, bytes] | None:
+        """Run the handler of an incoming message."""
+        registration = self._by_number.get(envelope.number)
+        if registration is None or registration.handler is None:
+            return None
+        # A daemon whose session has expired may still run and believe it owns things; only
+        # messages that make it known again are served until membership has it back.
+        if envelope.number > MAX_MEMBERSHIP_NUMBER and not self._is_member(session_id):
+            return None
+        decoded = decode_struct(registration.struct, envelope.payload or b"")
+        if isinstance(decoded, Err):
+            _LOGGER.warning("Dropped a message: %s", decoded.err_value.message)
+            return None
+        answer = await registration.handler(session_id, decoded.ok_value)
+        if answer is None:
+            return 0, b""
+        return self._numbers[type(answer)], encode_struct(answer)
+
+    def forget(self, link: Link) -> None:
+        """Drop a link that has closed."""
+        self._all_links.discard(link)
+        if self._links.get(link.session_id) is link:
+            del self._links[link.session_id]
+
+    def _decode(self, envelope: Any) -> Result[PeerMessage, PeerError]:
+        registration = self._by_number.get(envelope.number)
+        if registration is None:
+            return Ok(None) if envelope.number == 0 else Err(PeerError("answer of unknown number"))
+        decoded = decode_struct(registration.struct, envelope.payload or b"")
+        return decoded.map_err(lambda error: PeerError(error.message))
+
+    def _is_member(self, session_id: str) -> bool:
+        return session_id in self._core.blackboard.read(MEMBERS).by_session
+
+    def _find_endpoint(self, session_id: str) -> Result[Endpoint, PeerError]:
+        member: Member | None = self._core.blackboard.read(MEMBERS).by_session.get(session_id)
+        if member is None:
+            return Err(PeerError(f"{session_id} is no member", not_sent=True))
+        return Ok(Endpoint(member.address, member.peer_port, session_id))
+
+    async def _async_post(self, endpoint: Endpoint, message: PeerMessage) -> None:
+        opened = await self._async_find_link(endpoint, CONNECT_TIMEOUT_MS)
+        if isinstance(opened, Ok):
+            number = self._numbers[type(message)]
+            opened.ok_value.send(Envelope(FrameKind.POST, number, None, encode_struct(message)))
+
+    async def _async_find_link(
+        self, endpoint: Endpoint, timeout_ms: int
+    ) -> Result[Link, PeerError]:
+        link = self._links.get(endpoint.session_id)
+        if link is not None and link.usable:
+            return Ok(link)
+        if link is not None:
+            link.close("silent")
+        opening = self._opening.get(endpoint)
+        if opening is None:
+            opening = asyncio.create_task(self._async_open(endpoint))
+            self._opening[endpoint] = opening
+            opening.add_done_callback(lambda _: self._opening.pop(endpoint, None))
+        done, _ = await asyncio.wait({opening}, timeout=timeout_ms / 1000)
+        if not done or opening.cancelled():
+            return Err(PeerError("no link in time", not_sent=True))
+        return opening.result()
+
+    async def _async_open(self, endpoint: Endpoint) -> Result[Link, PeerError]:
+        opened = await self._core.transport.async_connect(
+            endpoint.address, endpoint.port, CONNECT_TIMEOUT_MS
+        )
+        if isinstance(opened, Err):
+            return Err(PeerError(opened.err_value.message, not_sent=True))
+        channel = opened.ok_value
+        channel.send(encode_struct(Hello(self._core.session_id, endpoint.session_id)))
+        hello = await self._async_read_hello(channel)
+        # The address may have been taken over by a new daemon: what was meant for the old
+        # session must not reach it. Nothing but the Hello has been sent at this point.
+        if hello is None or (endpoint.session_id and hello.session_id != endpoint.session_id):
+            channel.close()
+            return Err(PeerError("another session answers there, or none", not_sent=True))
+        return Ok(self._add_link(channel, hello.session_id))
+
+    def _on_accept(self, channel: PeerChannel) -> None:
+        self._spawn(self._async_accept(channel))
+
+    async def _async_accept(self, channel: PeerChannel) -> None:
+        hello = await self._async_read_hello(channel)
+        own = self._core.session_id
+        if hello is None or self._closed:
+            channel.close()
+            return
+        channel.send(encode_struct(Hello(own, hello.session_id)))
+        if hello.target_session_id not in ("", own):
+            channel.close()
+            return
+        self._add_link(channel, hello.session_id)
+
+    async def _async_read_hello(self, channel: PeerChannel) -> Any:
+        """Return the other side's Hello, or None if none comes in time."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
+                frame = await channel.async_receive()
+        except TimeoutError:
+            return None
+        decoded = decode_struct(Hello, frame or b"")
+        return decoded.ok_value if isinstance(decoded, Ok) else None
+
+    def _add_link(self, channel: PeerChannel, session_id: str) -> Link:
+        link = Link(channel, session_id, self, self._core.clock)
+        self._links[session_id] = link
+        self._all_links.add(link)
+        link.start()
+        return link
+
+    def _spawn(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/goldcreststair/core.py
+++ b/goldcreststair/core.py
@@ -14,6 +14,7 @@
 from goldcreststair.platform.protocols import Platform
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import Statistics
+from goldcreststair.transport import PeerTransport
 from goldcreststair.upstreams.protocols import UpstreamClients
 
 T = TypeVar("T")
@@ -46,6 +47,16 @@
         """Do nothing."""
 
 
+class Drainable(Protocol):
+    """Work that a graceful shutdown waits for."""
+
+    async def async_drain(self, deadline_ms: int) -> None:
+        """Take no new work of its own and return when the rest has ended, or at the deadline.
+
+        The deadline is a point on the core's clock.
+        """
+
+
 @dataclass(slots=True)
 class Core:
     """The shared core of one daemon."""
@@ -58,10 +69,15 @@
     statistics: Statistics
     platform: Platform
     upstreams: UpstreamClients
+    transport: PeerTransport
     session_id: str
-    """Names this run of the daemon; never used again after a restart."""
+    """Names this run of the daemon, never used again after a restart; changes if it expired."""
     http_port: int = 0
     """The port really bound, known before components are set up."""
+    peer_port: int = 0
+    """The peer port really bound, known once the peers component is set up."""
+    drainables: list[Drainable] = field(default_factory=list)
+    """What must come to its end before a graceful shutdown, in the order of registration."""
     routes: list[Rule] = field(default_factory=list)
     """HTTP routes that components add while they are set up."""
     _components: dict[str, Any] = field(default_factory=dict)
--- /dev/null
+++ b/goldcreststair/transport.py
@@ -0,0 +1,147 @@
+"""Channels of whole frames between daemons: the protocol, and TCP behind it."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from result import Err, Ok, Result
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.errors import GoldcreststairError
+
+MAX_FRAME_BYTES: Final = 16 * 1024 * 1024
+MAX_QUEUED_BYTES: Final = 32 * 1024 * 1024
+"""Bytes that may wait to be sent on one channel; more are refused as not sent."""
+LENGTH: Final = struct.Struct("!I")
+
+
+@dataclass(frozen=True, slots=True)
+class TransportError(GoldcreststairError):
+    """A channel that could not be opened; nothing was sent."""
+
+
+class PeerChannel(Protocol):
+    """One open channel that carries frames both ways, in order."""
+
+    def send(self, frame: bytes) -> bool:
+        """Queue a frame; False if it certainly will not be sent (closed, too large or full)."""
+
+    async def async_receive(self) -> bytes | None:
+        """Return the next frame, or None once the channel is closed or broken."""
+
+    def close(self) -> None:
+        """Close at once; safe to call twice."""
+
+
+OnAccept = Callable[[PeerChannel], None]
+
+
+class PeerTransport(Protocol):
+    """Opens and accepts channels."""
+
+    async def async_listen(self, address: str, port: int, on_accept: OnAccept) -> int:
+        """Accept channels from now on; returns the port really bound."""
+
+    async def async_connect(
+        self, address: str, port: int, timeout_ms: int
+    ) -> Result[PeerChannel, TransportError]:
+        """Open a channel."""
+
+    async def async_close(self) -> None:
+        """Stop accepting."""
+
+
+class TcpChannel:
+    """Frames with a length before each, over one TCP connection."""
+
+    def __init__(self, stream: IOStream) -> None:
+        """Take an open stream."""
+        self._stream = stream
+
+    def send(self, frame: bytes) -> bool:
+        """Queue a frame."""
+        if self._stream.closed() or len(frame) > MAX_FRAME_BYTES:
+            return False
+        try:
+            writing = self._stream.write(LENGTH.pack(len(frame)) + frame)
+        except (StreamClosedError, StreamBufferFullError):
+            return False
+        # A broken write also ends the receiving side, which is where it is noticed.
+        asyncio.ensure_future(writing).add_done_callback(lambda done: done.exception())
+        return True
+
+    async def async_receive(self) -> bytes | None:
+        """Return the next frame, or None at the end."""
+        try:
+            (length,) = LENGTH.unpack(await self._stream.read_bytes(LENGTH.size))
+            # A length beyond the bound is a sender out of step: memory stays bounded.
+            if length > MAX_FRAME_BYTES:
+                self.close()
+                return None
+            return await self._stream.read_bytes(length) if length else b""
+        except (StreamClosedError, OSError):
+            return None
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+
+class _Server(TCPServer):
+    def __init__(self, on_accept: OnAccept) -> None:
+        super().__init__(max_buffer_size=MAX_FRAME_BYTES * 2)
+        self._on_accept = on_accept
+
+    def handle_stream(self, stream: IOStream, address: object) -> None:
+        stream.set_nodelay(True)
+        stream.max_write_buffer_size = MAX_QUEUED_BYTES
+        self._on_accept(TcpChannel(stream))
+
+
+class TcpTransport:
+    """Channels over TCP."""
+
+    def __init__(self) -> None:
+        """Start without a listener."""
+        self._server: _Server | None = None
+
+    async def async_listen(self, address: str, port: int, on_accept: OnAccept) -> int:
+        """Bind and accept."""
+        sockets = bind_sockets(port, address)
+        self._server = _Server(on_accept)
+        self._server.add_sockets(sockets)
+        bound: int = sockets[0].getsockname()[1]
+        return bound
+
+    async def async_connect(
+        self, address: str, port: int, timeout_ms: int
+    ) -> Result[PeerChannel, TransportError]:
+        """Open one connection."""
+        family = socket.AF_INET6 if ":" in address else socket.AF_INET
+        raw = socket.socket(family, socket.SOCK_STREAM)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = IOStream(
+            raw, max_buffer_size=MAX_FRAME_BYTES * 2, max_write_buffer_size=MAX_QUEUED_BYTES
+        )
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                await stream.connect((address, port))
+        except (TimeoutError, StreamClosedError, OSError) as error:
+            stream.close()
+            return Err(TransportError(f"cannot connect to {address}:{port}: {error!r}"))
+        except BaseException:
+            stream.close()
+            raise
+        return Ok(TcpChannel(stream))
+
+    async def async_close(self) -> None:
+        """Stop accepting."""
+        if self._server is not None:
+            self._server.stop()
+            self._server = None
--- a/tests/helpers/cores.py
+++ b/tests/helpers/cores.py
@@ -12,7 +12,9 @@
 from goldcreststair.journal import Journal
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import NullStatistics
+from goldcreststair.transport import PeerTransport
 from standins.engine.client import FakeUpstreams
+from standins.network import FakeNetwork
 from standins.platform.store import FakePlatform
 
 OPERATOR_TOKEN = "operator-token"
@@ -23,6 +25,7 @@
     platform: FakePlatform | None = None,
     upstreams: FakeUpstreams | None = None,
     clock: Clock | None = None,
+    transport: PeerTransport | None = None,
     session_id: str = "session-1",
     seed: int = 1,
     **settings: Any,
@@ -45,6 +48,7 @@
         statistics=NullStatistics(),
         platform=(platform or FakePlatform(clock)).as_platform(),
         upstreams=(upstreams or FakeUpstreams(clock)).as_clients(),
+        transport=transport or FakeNetwork(clock).join(values["address"]),
         session_id=session_id,
     )
 
