Keep one session a VM and spread its news by gossip

Cause: ledger, limits and steering need to know which VMs live, in agreement with the store, and withdrawals must reach every VM while the store is down.

Change: one row a VM with a heartbeat counter; observers add up the time their own successful reads saw it still, and delete the row at the version they judged. A woken owner finds no row and takes a new session id (core.session_id and Members.own_session_id change, its links are closed). Session and slot are written in one transaction; a slot stays taken for 60 s after its session has gone. Up to 16 members all rows are scanned every 5 s, beyond that three ring successors are watched. News flood over six partners, digests find what was missed. Core.find and Blackboard.find return None for what a daemon does not have. Ruled out: leases on a clock (compares clocks); sending whole lists (820 x 80 bytes); a failed read as proof of anything.

Removing the slot grace or the digest fetch fails the test of each.

--- a/goldcreststair/blackboard.py
+++ b/goldcreststair/blackboard.py
@@ -60,6 +60,11 @@
         value: T = self._values[key.name]
         return value
 
+    def find(self, key: SectionKey[T]) -> T | None:
+        """Return the section's value, or None if no component opened it."""
+        value: T | None = self._values.get(key.name)
+        return value
+
     def subscribe(self, key: SectionKey[T], callback: Callable[[T], None]) -> Callable[[], None]:
         """Call `callback` at every change; returns a function that ends this."""
         subscribers = self._subscribers.setdefault(key.name, [])
--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -19,6 +19,7 @@
     configuration,
     keys,
     limits,
+    membership,
     online,
     operator_api,
     peers,
@@ -40,6 +41,7 @@
 
 COMPONENTS: Final[tuple[Setup, ...]] = (
     peers.async_setup,
+    membership.async_setup,
     configuration.async_setup,
     keys.async_setup,
     limits.async_setup,
--- a/goldcreststair/components/membership/models.py
+++ b/goldcreststair/components/membership/models.py
@@ -51,3 +51,15 @@
 
 
 MEMBER_LOADS: Final = SectionKey[MemberLoads]("member_loads")
+
+
+@dataclass(frozen=True, slots=True)
+class HeardVersion:
+    """The highest configuration version heard from a peer that is not in force here."""
+
+    version: int = 0
+    session_id: str = ""
+    """Who has it."""
+
+
+HEARD_VERSION: Final = SectionKey[HeardVersion]("heard_version")
--- a/goldcreststair/components/membership/protocols.py
+++ b/goldcreststair/components/membership/protocols.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final, Protocol
 
+from goldcreststair.components.membership.models import MemberState
 from goldcreststair.core import ComponentKey
 
 
@@ -25,3 +26,20 @@
 SHARED_SETS: Final = ComponentKey[SharedSets]("shared_sets")
 SET_WITHDRAWN_KEYS: Final = "withdrawn_keys"
 SET_QUARANTINE: Final = "quarantine"
+
+
+class Membership(Protocol):
+    """This VM's place in the fleet."""
+
+    def set_state(self, state: MemberState) -> None:
+        """Change this VM's state and tell all partners at once."""
+
+    def is_isolated(self) -> bool:
+        """Return whether this VM cannot know what was withdrawn lately.
+
+        True before it has fetched what peers know, and while it is cut off from the store for
+        15 s and from most of the VMs it talks to.
+        """
+
+
+MEMBERSHIP: Final = ComponentKey[Membership]("membership")
--- /dev/null
+++ b/goldcreststair/components/membership/ring.py
@@ -0,0 +1,43 @@
+"""Who watches and who talks to whom, computed alike everywhere from the session ids."""
+
+import hashlib
+from collections.abc import Collection
+from functools import lru_cache
+
+from goldcreststair.components.membership.const import PARTNERS, RING_PARTNERS, WATCHED
+
+
+@lru_cache(maxsize=4096)
+def hash_text(text: str) -> int:
+    """Return 64 signed bits that are the same in every process."""
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big", signed=True)
+
+
+def find_successors(own: str, sessions: Collection[str], count: int) -> tuple[str, ...]:
+    """Return the next sessions after `own` on the ring.
+
+    >>> len(find_successors("a", ["a", "b", "c"], 3))
+    2
+    """
+    place = (hash_text(own), own)
+    others = sorted((hash_text(name), name) for name in sessions if name != own)
+    after = [name for at, name in others if (at, name) > place]
+    before = [name for at, name in others if (at, name) < place]
+    return tuple((after + before)[:count])
+
+
+def choose_watched(own: str, sessions: Collection[str]) -> tuple[str, ...]:
+    """Return the sessions whose rows `own` watches."""
+    return find_successors(own, sessions, WATCHED)
+
+
+def choose_partners(own: str, sessions: Collection[str]) -> tuple[str, ...]:
+    """Return the sessions that `own` gossips to.
+
+    The ring keeps the graph connected, the random rest keeps it a few steps wide.
+    """
+    ring = find_successors(own, sessions, RING_PARTNERS)
+    rest = [name for name in sessions if name != own and name not in ring]
+    rest.sort(key=lambda name: (hash_text(f"{own}>{name}"), name))
+    return ring + tuple(rest[: PARTNERS - len(ring)])
--- /dev/null
+++ b/goldcreststair/components/membership/service.py
@@ -0,0 +1,186 @@
+"""Keeps the sections of membership up to date from the store and from gossip."""
+
+import asyncio
+import logging
+from typing import Any, Final
+
+from result import Err
+
+from goldcreststair.components.configuration.models import CONFIGURATION
+from goldcreststair.components.membership.const import RETRY_MS, STORE_SILENT_MS
+from goldcreststair.components.membership.gossip import Gossiper
+from goldcreststair.components.membership.loads import LoadTable
+from goldcreststair.components.membership.models import (
+    HEARD_VERSION,
+    MEMBER_LOADS,
+    MEMBERS,
+    HeardVersion,
+    MemberLoads,
+    Members,
+    MemberState,
+)
+from goldcreststair.components.membership.session import OwnSession
+from goldcreststair.components.membership.shared_sets import SharedSetTable
+from goldcreststair.components.membership.table import MemberTable, Record
+from goldcreststair.components.membership.watcher import Watcher
+from goldcreststair.components.online.models import ONLINE_PRESSURE
+from goldcreststair.components.peers.protocols import PEER_REACH, Endpoint
+from goldcreststair.core import Core
+
+_LOGGER = logging.getLogger(__name__)
+
+MAX_JOIN_TRIES: Final = 3
+LOADS_MS: Final = 1000
+
+
+class MembershipService:
+    """Implements `Membership`."""
+
+    def __init__(self, core: Core) -> None:
+        """Open the sections; they hold only this VM until the store or a peer answers."""
+        self._core = core
+        self._peers = core.get(PEER_REACH)
+        self.table = MemberTable(core.clock)
+        self.sets = SharedSetTable(core.clock, lambda items: self._gossip.push_items(items))
+        self.loads = LoadTable()
+        self.session = OwnSession(core, self._on_own_change)
+        self.watcher = Watcher(core, self.table, self.take_record)
+        self._gossip = Gossiper(core, self)
+        self._synchronised = False
+        self._tasks: list[asyncio.Task[Any]] = []
+        board = core.blackboard
+        self._members = board.open_section(MEMBERS, self._describe())
+        self._loads = board.open_section(MEMBER_LOADS, MemberLoads())
+        self._heard = board.open_section(HEARD_VERSION, HeardVersion())
+        self._unsubscribe = board.subscribe(CONFIGURATION, lambda _: self._gossip.push())
+
+    async def async_start(self) -> None:
+        """Register and read the fleet once; an absent store is tried again, never fatal."""
+        await self.watcher.async_step()
+        first = await self.session.async_step()
+        if isinstance(first, Err):
+            _LOGGER.warning("Not registered yet: %s", first.err_value.message)
+        self._synchronised = self.watcher.answered_at is not None and not self._list_others()
+        for run in (
+            self.session.async_run,
+            self.watcher.async_run,
+            self._gossip.async_run,
+            self._async_join,
+            self._async_watch_loads,
+        ):
+            self._tasks.append(asyncio.create_task(run()))
+
+    async def async_close(self) -> None:
+        """End the session, so that nobody waits for its expiry."""
+        if not self._tasks:
+            return
+        self._unsubscribe()
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
+        await self.session.async_end()
+        self._gossip.push_record(Record(self._core.session_id, 0, None))
+        self._gossip.flush()
+        await asyncio.sleep(0)
+        self._gossip.close()
+
+    def set_state(self, state: MemberState) -> None:
+        """Change this VM's state and tell all partners at once."""
+        self.session.set_state(state)
+
+    def is_isolated(self) -> bool:
+        """Return whether this VM cannot know what was withdrawn lately."""
+        if not self._synchronised:
+            return True
+        partners = self._gossip.choose_partners()
+        answered_at = self.watcher.answered_at or 0
+        if not partners or self._core.clock.now() - answered_at <= STORE_SILENT_MS:
+            return False
+        heard = sum(self._peers.is_heard(partner) for partner in partners)
+        return heard * 2 < len(partners)
+
+    def read_version(self) -> int:
+        """Return the configuration version in force here."""
+        configuration = self._core.blackboard.find(CONFIGURATION)
+        return configuration.version if configuration else 0
+
+    def take_version(self, version: int, session_id: str) -> None:
+        """Hear which version another daemon has."""
+        if session_id and version > self.read_version():
+            self._heard.write(HeardVersion(version, session_id))
+
+    def take_record(self, record: Record) -> None:
+        """Hear news of a session, from the store or from a peer."""
+        own = self._core.session_id
+        if record.session_id == own:
+            # Others have ended this session, while this VM was paused or cut off.
+            if record.member is None and self.session.registered:
+                self.session.renew()
+            return
+        if self.table.merge(record):
+            self._gossip.push_record(record)
+            self._publish()
+
+    def _on_own_change(self, record: Record) -> None:
+        if record.member is None or self.session.registered:
+            self.table.merge(record)
+            self._gossip.push_record(record)
+        self._publish()
+
+    def _publish(self) -> None:
+        described = self._describe()
+        self.loads.set_members(described.by_session)
+        self._members.write(described)
+
+    def _describe(self) -> Members:
+        own = self.session.member
+        return Members(own.session_id, {**self.table.live, own.session_id: own})
+
+    async def _async_join(self) -> None:
+        """Fetch from a peer what is not in the store, before this VM trusts what it knows."""
+        tries = 0
+        while not (self._synchronised and self.session.registered):
+            endpoints = self._list_others() or await self._async_list_listed()
+            # Nobody gossips to a VM without a row: until the store takes it, it has to ask.
+            fetched = await self._async_fetch_any(endpoints)
+            tries += 1
+            # A fleet that lost all its VMs leaves only rows of the dead for a while: with the
+            # store answering, nothing can be known that it does not hold.
+            alone = not endpoints or tries >= MAX_JOIN_TRIES
+            if fetched or (alone and self.watcher.answered_at is not None):
+                self._synchronised = True
+            await self._core.clock.async_sleep(RETRY_MS)
+
+    async def _async_fetch_any(self, endpoints: list[Endpoint]) -> bool:
+        self._core.random.shuffle(endpoints)
+        for endpoint in endpoints[:MAX_JOIN_TRIES]:
+            if await self._gossip.async_fetch(endpoint):
+                return True
+        return False
+
+    def _list_others(self) -> list[Endpoint]:
+        own = self._core.session_id
+        return [
+            Endpoint(member.address, member.peer_port, member.session_id)
+            for member in self.table.live.values()
+            if member.session_id != own
+        ]
+
+    async def _async_list_listed(self) -> list[Endpoint]:
+        settings = self._core.settings
+        if self.watcher.answered_at is not None or not settings.peer_port:
+            return []
+        listed = await self._core.platform.vm_list.async_list()
+        if isinstance(listed, Err):
+            return []
+        others = [vm.address for vm in listed.ok_value if vm.address != settings.address]
+        return [Endpoint(address, settings.peer_port) for address in others]
+
+    async def _async_watch_loads(self) -> None:
+        while True:
+            await self._core.clock.async_sleep(LOADS_MS)
+            pressure = self._core.blackboard.find(ONLINE_PRESSURE)
+            if pressure is not None:
+                self.loads.set_own(self.session.member.slot, pressure.in_flight)
+            self._loads.write(self.loads.describe())
+            self.sets.prune()
--- /dev/null
+++ b/goldcreststair/components/membership/session.py
@@ -0,0 +1,197 @@
+"""This VM's own session: its row, its heartbeats and its slot."""
+
+import asyncio
+import dataclasses
+import logging
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.membership.const import BEAT_MS, PAGE_ROWS, RETRY_MS, ROW_SLOT
+from goldcreststair.components.membership.errors import MembershipError, SessionLost
+from goldcreststair.components.membership.models import Member, MemberState
+from goldcreststair.components.membership.rows import (
+    SessionRow,
+    decode_row,
+    encode_row,
+    name_row,
+)
+from goldcreststair.components.membership.table import Record
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.core import Core
+from goldcreststair.platform.errors import PlatformError, RowConflict
+from goldcreststair.platform.models import Row, RowWrite
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def name_slot(slot: int) -> str:
+    """Return the key of a slot's row; its value is the holder's session id."""
+    return f"{ROW_SLOT}{slot:06d}"
+
+
+def find_free_slot(rows: tuple[Row, ...]) -> int:
+    """Return the lowest slot without a row.
+
+    >>> find_free_slot((Row("slot/000000", 1, b"a"), Row("slot/000002", 1, b"b")))
+    1
+    """
+    taken = {row.key for row in rows}
+    return next(slot for slot in range(len(rows) + 1) if name_slot(slot) not in taken)
+
+
+class OwnSession:
+    """Registers, beats, and takes a new session id when the old one has expired."""
+
+    def __init__(self, core: Core, on_change: Callable[[Record], None]) -> None:
+        """Take the facts of this VM; `on_change` hears of every change of them."""
+        self._core = core
+        self._on_change = on_change
+        self._first_id = core.session_id
+        self._lost = 0
+        self._beat = 0
+        self._row_version = 0
+        self._version = 1
+        self._wake = asyncio.Event()
+        settings = core.settings
+        self.member = Member(
+            core.session_id,
+            settings.address,
+            core.http_port,
+            core.peer_port,
+            settings.data_centre,
+            settings.region,
+            MemberState.STARTING,
+        )
+        self.confirmed_at: Millis | None = None
+        """When the last successful store call began; None before the first."""
+
+    @property
+    def registered(self) -> bool:
+        """Return whether this session has a row, as far as known."""
+        return self._row_version > 0
+
+    @property
+    def record(self) -> Record:
+        """Return this session as others shall know it."""
+        return Record(self.member.session_id, self._version, self.member)
+
+    async def async_run(self) -> None:
+        """Register and beat until cancelled."""
+        while True:
+            stepped = await self.async_step()
+            if isinstance(stepped, Err):
+                _LOGGER.info("Session not confirmed: %s", stepped.err_value.message)
+            delay_ms = RETRY_MS if isinstance(stepped, Err) else BEAT_MS
+            try:
+                async with asyncio.timeout(delay_ms / MS_PER_SECOND):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+
+    async def async_step(self) -> Result[None, MembershipError]:
+        """Write the row once."""
+        began = self._core.clock.now()
+        step = self._async_beat if self.registered else self._async_register
+        stepped = await step()
+        if isinstance(stepped, Ok):
+            self.confirmed_at = began
+        elif isinstance(stepped.err_value, SessionLost):
+            self.renew()
+        return stepped
+
+    def set_state(self, state: MemberState) -> None:
+        """Change the state and write it as soon as the store allows."""
+        if self.member.state != state:
+            self._change(dataclasses.replace(self.member, state=state))
+            self._wake.set()
+
+    def renew(self) -> None:
+        """Take a new session id: this one is gone for the others and must never act again."""
+        self._lost += 1
+        _LOGGER.warning("Session %s has expired; taking a new one", self.member.session_id)
+        self._on_change(Record(self.member.session_id, 0, None))
+        self._core.session_id = f"{self._first_id}-{self._lost}"
+        self._beat = self._row_version = 0
+        self._version = 1
+        member = dataclasses.replace(self.member, session_id=self._core.session_id, slot=-1)
+        self.member = member
+        self._on_change(self.record)
+        self._wake.set()
+
+    async def async_end(self) -> None:
+        """Remove the row and free the slot; left to the watchers if the store does not answer."""
+        if not self.registered:
+            return
+        key = name_row(self.member.session_id)
+        writes = [RowWrite(key, self._row_version, None)]
+        if self.member.slot >= 0:
+            writes.append(RowWrite(name_slot(self.member.slot), 1, None))
+        await self._core.platform.table.async_write(writes)
+        self._row_version = 0
+
+    async def _async_register(self) -> Result[None, MembershipError]:
+        table = self._core.platform.table
+        key = name_row(self.member.session_id)
+        own = await table.async_read(key)
+        if isinstance(own, Err):
+            return Err(MembershipError(own.err_value.message))
+        # The answer of an earlier try may have been lost after it took effect.
+        if own.ok_value is not None:
+            self._adopt(own.ok_value)
+            return Ok(None)
+        slots = await table.async_scan(ROW_SLOT, limit=PAGE_ROWS)
+        if isinstance(slots, Err):
+            return Err(MembershipError(slots.err_value.message))
+        slot = find_free_slot(slots.ok_value)
+        state = self._state_when_registered()
+        member = dataclasses.replace(self.member, slot=slot, state=state)
+        row = SessionRow(member, self._beat, self._version + 1)
+        # Both rows in one write: two VMs that race for a slot cannot both have it.
+        writes = [
+            RowWrite(key, 0, encode_row(row)),
+            RowWrite(name_slot(slot), 0, member.session_id.encode()),
+        ]
+        written = await table.async_write(writes)
+        if isinstance(written, Err):
+            return Err(MembershipError(written.err_value.message))
+        self._row_version = written.ok_value[0]
+        self._change(member)
+        return Ok(None)
+
+    async def _async_beat(self) -> Result[None, MembershipError]:
+        row = SessionRow(self.member, self._beat + 1, self._version)
+        write = RowWrite(name_row(self.member.session_id), self._row_version, encode_row(row))
+        written = await self._core.platform.table.async_write([write])
+        if isinstance(written, Err):
+            return self._explain(written.err_value)
+        self._row_version = written.ok_value[0]
+        self._beat += 1
+        return Ok(None)
+
+    def _explain(self, error: PlatformError) -> Result[None, MembershipError]:
+        if not isinstance(error, RowConflict):
+            return Err(MembershipError(error.message))
+        if error.current is None:
+            return Err(SessionLost("the row is gone"))
+        # Only this VM writes this row: an earlier write took effect and its answer was lost.
+        self._row_version = error.current.version
+        self._beat = decode_row(error.current.value).beat
+        return Err(MembershipError("an earlier heartbeat had taken effect"))
+
+    def _adopt(self, row: Row) -> None:
+        stored = decode_row(row.value)
+        self._row_version, self._beat = row.version, stored.beat
+        slot, state = stored.member.slot, self._state_when_registered()
+        self._change(dataclasses.replace(self.member, slot=slot, state=state))
+
+    def _state_when_registered(self) -> MemberState:
+        starting = self.member.state is MemberState.STARTING
+        return MemberState.SERVING if starting else self.member.state
+
+    def _change(self, member: Member) -> None:
+        self.member = member
+        self._version += 1
+        self._on_change(self.record)
--- /dev/null
+++ b/goldcreststair/components/membership/shared_sets.py
@@ -0,0 +1,83 @@
+"""Grow-only sets that spread from VM to VM."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.membership.const import EXPIRED_ITEM_MS
+from goldcreststair.components.membership.ring import hash_text
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """One item with its remaining lifetime, 0 for ever."""
+
+    set_name: str
+    text: str
+    lifetime_ms: int
+
+
+class SharedSetTable:
+    """Implements `SharedSets`; `on_news` passes new items on."""
+
+    def __init__(self, clock: Clock, on_news: Callable[[list[Item]], None]) -> None:
+        """Start empty."""
+        self._clock = clock
+        self._on_news = on_news
+        self._expires: dict[tuple[str, str], Millis | None] = {}
+        self._watchers: dict[str, list[Callable[[str], None]]] = {}
+
+    @property
+    def digest(self) -> int:
+        """Return a summary of all items in force."""
+        summary = 0
+        for name, text in self._iterate():
+            summary ^= hash_text(f"{name}:{text}")
+        return summary
+
+    def add(self, name: str, item: str, lifetime_ms: int = 0) -> None:
+        """Add an item here and pass it on."""
+        self.merge([Item(name, item, lifetime_ms)])
+
+    def contains(self, name: str, item: str) -> bool:
+        """Return whether the item is in force here."""
+        return self._is_valid(self._expires.get((name, item), Millis(0)))
+
+    def watch(self, name: str, on_added: Callable[[str], None]) -> None:
+        """Call back for every item that becomes known here."""
+        self._watchers.setdefault(name, []).append(on_added)
+
+    def merge(self, items: Iterable[Item]) -> None:
+        """Take items from here or elsewhere; new ones are announced and passed on."""
+        news = [item for item in items if (item.set_name, item.text) not in self._expires]
+        now = self._clock.now()
+        for item in news:
+            expires = Millis(now + item.lifetime_ms) if item.lifetime_ms else None
+            self._expires[(item.set_name, item.text)] = expires
+        if news:
+            self._on_news(news)
+        for item in news:
+            for on_added in tuple(self._watchers.get(item.set_name, ())):
+                on_added(item.text)
+
+    def list_items(self) -> list[Item]:
+        """Return all items in force."""
+        now = self._clock.now()
+        found = []
+        for name, text in self._iterate():
+            expires = self._expires[(name, text)]
+            found.append(Item(name, text, 0 if expires is None else expires - now))
+        return found
+
+    def prune(self) -> None:
+        """Forget what expired long ago."""
+        horizon = self._clock.now() - EXPIRED_ITEM_MS
+        self._expires = {
+            key: at for key, at in self._expires.items() if at is None or at >= horizon
+        }
+
+    def _iterate(self) -> Iterable[tuple[str, str]]:
+        return (key for key, expires in self._expires.items() if self._is_valid(expires))
+
+    def _is_valid(self, expires: Millis | None) -> bool:
+        return expires is None or expires > self._clock.now()
--- a/goldcreststair/components/peers/const.py
+++ b/goldcreststair/components/peers/const.py
@@ -10,5 +10,5 @@
 CONNECT_TIMEOUT_MS: Final = 1000
 MAX_SERVED: Final = 256
 """Requests of one link that may be served at a time; more are refused."""
-MAX_MEMBERSHIP_NUMBER: Final = 19
-"""Messages up to this number are served whoever sends them: they make the sender known."""
+SERVED_TO_ANYONE: Final = frozenset((*range(1, 20), 80, 81))
+"""Messages of membership and configuration, which make the sender known and bring it up to date."""
--- a/goldcreststair/components/peers/protocols.py
+++ b/goldcreststair/components/peers/protocols.py
@@ -41,3 +41,27 @@
 
 
 PEERS: Final = ComponentKey[PeerLinks]("peers")
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """Where a daemon listens; an empty session stands for whichever runs there."""
+
+    address: str
+    port: int
+    session_id: str = ""
+
+
+class PeerReach(PeerLinks, Protocol):
+    """What membership and the configuration ask beyond `PeerLinks`."""
+
+    async def async_request_at(
+        self, endpoint: Endpoint, message: PeerMessage, timeout_ms: int
+    ) -> Result[PeerMessage, PeerError]:
+        """Send a message to where a daemon listens, known as a member or not."""
+
+    def is_heard(self, session_id: str) -> bool:
+        """Return whether an open link to a member is alive by its heartbeats."""
+
+
+PEER_REACH: Final = ComponentKey[PeerReach]("peer_reach")
--- a/goldcreststair/components/peers/service.py
+++ b/goldcreststair/components/peers/service.py
@@ -3,16 +3,17 @@
 import asyncio
 import itertools
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 from result import Err, Ok, Result
 
-from goldcreststair.components.membership.models import MEMBERS, Member
+from goldcreststair.components.membership.models import MEMBERS, Member, Members
 from goldcreststair.components.peers.codec import decode_struct, encode_struct
-from goldcreststair.components.peers.const import CONNECT_TIMEOUT_MS, MAX_MEMBERSHIP_NUMBER
+from goldcreststair.components.peers.const import CONNECT_TIMEOUT_MS, SERVED_TO_ANYONE
 from goldcreststair.components.peers.link import Link
-from goldcreststair.components.peers.protocols import Handler, PeerError, PeerMessage
+from goldcreststair.components.peers.protocols import Endpoint, Handler, PeerError, PeerMessage
 from goldcreststair.core import Core
 from goldcreststair.transport import PeerChannel
 from goldcreststair.wire.generated.peers.ttypes import Envelope, FrameKind, Hello
@@ -28,15 +29,6 @@
     handler: Handler | None
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """Where a daemon listens; an empty session stands for whichever runs there."""
-
-    address: str
-    port: int
-    session_id: str = ""
-
-
 class PeerService:
     """Implements `PeerLinks` over the core's transport."""
 
@@ -51,6 +43,8 @@
         self._correlation_ids = itertools.count(1)
         self._tasks: set[asyncio.Task[Any]] = set()
         self._closed = False
+        self._own_session_id = core.session_id
+        self._unsubscribe: Callable[[], None] = lambda: None
 
     async def async_listen(self) -> None:
         """Bind the peer port and note it in the core; components may send after `async_start`."""
@@ -60,11 +54,14 @@
         )
 
     async def async_start(self) -> None:
-        """Do nothing; the port is bound while this component is set up."""
+        """Follow the own session; the port was bound while this component was set up."""
+        self._own_session_id = self._core.session_id
+        self._unsubscribe = self._core.blackboard.subscribe(MEMBERS, self._on_members)
 
     async def async_close(self) -> None:
         """Close every link and stop listening."""
         self._closed = True
+        self._unsubscribe()
         await self._core.transport.async_close()
         for link in tuple(self._all_links):
             link.close("this daemon stops")
@@ -122,8 +119,8 @@
         if registration is None or registration.handler is None:
             return None
         # A daemon whose session has expired may still run and believe it owns things; only
-        # messages that make it known again are served until membership has it back.
-        if envelope.number > MAX_MEMBERSHIP_NUMBER and not self._is_member(session_id):
+        # messages that bring it up to date are served until membership has it back.
+        if envelope.number not in SERVED_TO_ANYONE and not self._is_member(session_id):
             return None
         decoded = decode_struct(registration.struct, envelope.payload or b"")
         if isinstance(decoded, Err):
@@ -140,6 +137,13 @@
         if self._links.get(link.session_id) is link:
             del self._links[link.session_id]
 
+    def _on_members(self, members: Members) -> None:
+        # The Hellos of open links name the session that has expired: new links name the new one.
+        if members.own_session_id != self._own_session_id:
+            self._own_session_id = members.own_session_id
+            for link in tuple(self._all_links):
+                link.close("this daemon has a new session")
+
     def _decode(self, envelope: Any) -> Result[PeerMessage, PeerError]:
         registration = self._by_number.get(envelope.number)
         if registration is None:
--- a/goldcreststair/core.py
+++ b/goldcreststair/core.py
@@ -90,3 +90,8 @@
         """Return a component set up earlier; raises `KeyError` if there is none."""
         component: T = self._components[key.name]
         return component
+
+    def find(self, key: ComponentKey[T]) -> T | None:
+        """Return a component, or None if it is not part of this daemon."""
+        component: T | None = self._components.get(key.name)
+        return component
--- /dev/null
+++ b/tests/components/membership/test_service.py
@@ -0,0 +1,305 @@
+"""Who is part of the fleet, through outages, pauses and lost links."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import pytest
+from result import Ok
+
+from goldcreststair.clock import LoopClock
+from goldcreststair.components.membership.models import MEMBERS, Members, MemberState
+from goldcreststair.components.membership.protocols import MEMBERSHIP, SHARED_SETS
+from goldcreststair.components.membership.rows import name_row
+from goldcreststair.platform.models import ListedState, ListedVm, RowWrite
+from standins.daemons import FakeDaemons
+from standins.network import FakeNetwork
+from standins.platform.store import FakePlatform
+from tests.helpers.virtual_time import run_virtual
+
+
+def run_fleet(async_test: Callable[[FakeDaemons], Awaitable[None]]) -> None:
+    """Run a test on an empty fleet and close what it leaves."""
+
+    async def async_run() -> None:
+        clock = LoopClock()
+        fleet = FakeDaemons(clock, FakePlatform(clock), FakeNetwork(clock))
+        try:
+            await async_test(fleet)
+        finally:
+            await fleet.async_close()
+
+    run_virtual(async_run())
+
+
+def share_platform(fleet: FakeDaemons) -> FakePlatform:
+    """Return a second way to the fleet's store, with faults of its own."""
+    store = fleet.platform
+    other = FakePlatform(fleet.clock, rows=store.rows)
+    other._keys = store._keys
+    return other
+
+
+@pytest.mark.parametrize("count", [1, 3, 20])
+def test_all_see_all_with_slots_of_their_own(count: int) -> None:
+    async def async_test(fleet: FakeDaemons) -> None:
+        await fleet.async_add_many(count)
+        await fleet.async_wait(
+            lambda: all(len(d.members.by_session) == count for d in fleet.running), 15_000
+        )
+        await fleet.async_wait(
+            lambda: all(
+                sorted(m.slot for m in d.members.by_session.values()) == list(range(count))
+                for d in fleet.running
+            ),
+            15_000,
+        )
+
+    run_fleet(async_test)
+
+
+def test_store_outage_expires_nobody() -> None:
+    """The store is away for ten minutes, then back.
+
+    No heartbeat was written in that time. Had observers counted it, the whole fleet would expire
+    at the first read after the outage and every partition would change hands.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemons = await fleet.async_add_many(5)
+        await asyncio.sleep(25)
+        fleet.platform.faults.down = True
+        await asyncio.sleep(600)
+        fleet.platform.faults.down = False
+        await asyncio.sleep(120)
+        ids = {f"{number:016x}" for number in range(1, 6)}
+        assert all(set(d.members.by_session) == ids for d in daemons)
+
+    run_fleet(async_test)
+
+
+def test_paused_vm_wakes_with_a_new_session() -> None:
+    """A VM is paused for minutes; the others take over what it owned; it wakes.
+
+    It must not act under its old session: its row is gone, so it registers anew, and the others
+    never take the old session back.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        private = share_platform(fleet)
+        await fleet.async_add_many(3)
+        paused = await fleet.async_add(private.as_platform())
+        old = paused.core.session_id
+        others = [d for d in fleet.running if d is not paused]
+        await fleet.async_wait(lambda: all(old in d.members.by_session for d in others), 15_000)
+        private.faults.down = True
+        fleet.isolate(paused)
+        took_ms = await fleet.async_wait(
+            lambda: not any(old in d.members.by_session for d in others), 60_000
+        )
+        assert took_ms >= 20_000
+        private.faults.down = False
+        fleet.network.heal()
+        new = f"{old}-1"
+        await fleet.async_wait(lambda: all(new in d.members.by_session for d in others), 30_000)
+        assert paused.core.session_id == paused.members.own_session_id == new
+        assert not any(old in d.members.by_session for d in fleet.running)
+
+    run_fleet(async_test)
+
+
+def test_slot_is_not_reused_before_its_leases_ran_out() -> None:
+    """A VM is lost; a new one starts at once.
+
+    The lost VM may still run and spend its static share: the new one must get another slot until
+    the grace has passed, and then the slot is free again.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        private = share_platform(fleet)
+        await fleet.async_add_many(2)
+        lost = await fleet.async_add(private.as_platform())
+        assert lost.members.by_session[lost.core.session_id].slot == 2
+        private.faults.down = True
+        fleet.isolate(lost)
+        await asyncio.sleep(60)
+        early = await fleet.async_add()
+        assert early.members.by_session[early.core.session_id].slot == 3
+        await asyncio.sleep(150)
+        late = await fleet.async_add()
+        assert late.members.by_session[late.core.session_id].slot == 2
+
+    run_fleet(async_test)
+
+
+def test_two_vms_racing_for_a_slot_get_two() -> None:
+    """Two VMs start at the same moment and both see slot 0 free: one must take another."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        fleet.platform.faults.slow_ms = 50
+        await asyncio.gather(*(fleet.async_add() for _ in range(4)))
+        await fleet.async_wait(
+            lambda: all(len(d.members.by_session) == 4 for d in fleet.running), 30_000
+        )
+        slots = [d.members.by_session[d.core.session_id].slot for d in fleet.running]
+        assert sorted(slots) == [0, 1, 2, 3]
+
+    run_fleet(async_test)
+
+
+@pytest.mark.parametrize("when", ["registering", "beating"])
+def test_lost_answer_of_a_write_costs_no_session(when: str) -> None:
+    """The store takes a session's write and its answer is lost; the session must live on."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        if when == "registering":
+            fleet.platform.faults.lose_answers = 1
+        daemon = await fleet.async_add()
+        if when == "beating":
+            fleet.platform.faults.lose_answers = 2
+        await asyncio.sleep(60)
+        assert daemon.core.session_id == f"{1:016x}"
+        assert daemon.members.by_session[daemon.core.session_id].state is MemberState.SERVING
+        assert name_row(daemon.core.session_id) in fleet.platform.rows
+
+    run_fleet(async_test)
+
+
+def test_start_in_an_outage_is_not_fatal() -> None:
+    """A VM starts while the store is down and the list of VMs lags: it serves later, unaided."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        fleet.platform.faults.list_lag_ms = 60_000
+        first = await fleet.async_add()
+        fleet.platform.set_vms([ListedVm(first.address, "dc1", ListedState.LIVE)])
+        fleet.platform.faults.down = True
+        second = await fleet.async_add()
+        assert second.core.get(MEMBERSHIP).is_isolated()
+        await asyncio.sleep(60)
+        fleet.platform.faults.down = False
+        await fleet.async_wait(
+            lambda: all(len(d.members.by_session) == 2 for d in fleet.running), 15_000
+        )
+        assert not second.core.get(MEMBERSHIP).is_isolated()
+
+    run_fleet(async_test)
+
+
+def test_new_vm_learns_members_from_a_listed_peer() -> None:
+    """The table is down for a new VM, but the platform's list names another VM."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemons = await fleet.async_add_many(3)
+        table, listing = FakePlatform(fleet.clock), FakePlatform(fleet.clock)
+        table.faults.down = True
+        listing.set_vms([ListedVm(daemons[0].address, "dc1", ListedState.LIVE)])
+        half = dataclasses.replace(listing.as_platform(), table=table)
+        daemons[0].core.get(SHARED_SETS).add("withdrawn_keys", "x")
+        newcomer = await fleet.async_add(half)
+        await fleet.async_wait(lambda: len(newcomer.members.by_session) == 4, 10_000)
+        assert newcomer.core.get(SHARED_SETS).contains("withdrawn_keys", "x")
+
+    run_fleet(async_test)
+
+
+@pytest.mark.parametrize("count", [3, 40])
+def test_shared_items_reach_all_without_the_store(count: int) -> None:
+    async def async_test(fleet: FakeDaemons) -> None:
+        await fleet.async_add_many(count)
+        await asyncio.sleep(30)
+        fleet.platform.faults.down = True
+        sets = [d.core.get(SHARED_SETS) for d in fleet.running]
+        sets[0].add("quarantine", "f", 60_000)
+        await fleet.async_wait(lambda: all(s.contains("quarantine", "f") for s in sets), 3000)
+        await asyncio.sleep(61)
+        assert not any(s.contains("quarantine", "f") for s in sets)
+
+    run_fleet(async_test)
+
+
+def test_item_missed_in_a_partition_is_found_by_digest() -> None:
+    """One VM is cut off while an item is pushed; nobody pushes it again, digests must tell."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemons = await fleet.async_add_many(4)
+        await asyncio.sleep(10)
+        fleet.isolate(daemons[3])
+        daemons[0].core.get(SHARED_SETS).add("withdrawn_keys", "k")
+        await asyncio.sleep(5)
+        assert not daemons[3].core.get(SHARED_SETS).contains("withdrawn_keys", "k")
+        fleet.network.heal()
+        await fleet.async_wait(
+            lambda: daemons[3].core.get(SHARED_SETS).contains("withdrawn_keys", "k"), 15_000
+        )
+
+    run_fleet(async_test)
+
+
+def test_leaving_spreads_while_the_store_is_down() -> None:
+    """Callers must not be sent to a leaving VM, also while the store cannot be written."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemons = await fleet.async_add_many(4)
+        await asyncio.sleep(10)
+        fleet.platform.faults.down = True
+        leaving = daemons[1].core.session_id
+        daemons[1].core.get(MEMBERSHIP).set_state(MemberState.LEAVING)
+
+        def read_states() -> set[MemberState]:
+            return {d.members.by_session[leaving].state for d in daemons}
+
+        await fleet.async_wait(lambda: read_states() == {MemberState.LEAVING}, 1000)
+
+    run_fleet(async_test)
+
+
+def test_closed_daemon_leaves_nothing_behind() -> None:
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemons = await fleet.async_add_many(3)
+        await asyncio.sleep(10)
+        gone = fleet.running.pop(1)
+        await gone.async_close()
+        assert len(fleet.platform.rows) == 4
+        seen: list[Members] = []
+        daemons[0].core.blackboard.subscribe(MEMBERS, seen.append)
+        await fleet.async_wait(
+            lambda: all(len(d.members.by_session) == 2 for d in fleet.running), 8000
+        )
+
+    run_fleet(async_test)
+
+
+def test_isolation_needs_both_store_and_peers_away() -> None:
+    """A VM that sees neither store nor peers cannot hear of withdrawals and must say so."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        await fleet.async_add_many(3)
+        private = share_platform(fleet)
+        daemon = await fleet.async_add(private.as_platform())
+        member = daemon.core.get(MEMBERSHIP)
+        await asyncio.sleep(10)
+        private.faults.down = True
+        await asyncio.sleep(60)
+        assert not member.is_isolated()
+        fleet.isolate(daemon)
+        await asyncio.sleep(7)
+        assert member.is_isolated()
+        private.faults.down = False
+        await asyncio.sleep(10)
+        assert not member.is_isolated()
+
+    run_fleet(async_test)
+
+
+def test_owner_that_beats_wins_over_a_watcher() -> None:
+    """A watcher deletes at the version it judged; a later heartbeat makes that a conflict."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemon = await fleet.async_add()
+        key = name_row(daemon.core.session_id)
+        judged = fleet.platform.rows[key].version
+        await asyncio.sleep(11)
+        deleted = await fleet.platform.async_write([RowWrite(key, judged, None)])
+        assert not isinstance(deleted, Ok)
+
+    run_fleet(async_test)
