Keep records in fenced partitions

Cause: claims, batch jobs and limit homes need one owner a key and commits that outlive any VM. A claim writes down the sequence that it found, so a displaced owner mostly learns for certain how its last write ended. Ruled out: taking back a timed-out commit alone, as later staged ones may rest on it.

--- /dev/null
+++ b/goldcreststair/components/ledger/codec.py
@@ -0,0 +1,81 @@
+"""Thrift compact encoding of head rows and change lists."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.transport.TTransport import TMemoryBuffer
+
+from goldcreststair.components.ledger.models import Head, StoredHead
+from goldcreststair.components.ledger.protocols import Change
+from goldcreststair.platform.models import Row
+from goldcreststair.wire.generated.ledger.ttypes import ChangeList, HeadRow, RecordChange
+
+_FACTORY = TCompactProtocolAcceleratedFactory()
+
+
+def encode_struct(struct: Any) -> bytes:
+    """Return a generated struct as bytes."""
+    buffer = TMemoryBuffer()
+    struct.write(_FACTORY.getProtocol(buffer))
+    content: bytes = buffer.getvalue()
+    return content
+
+
+def decode_struct(struct: Any, content: bytes) -> Any:
+    """Fill an empty generated struct from bytes and return it."""
+    return struct.read(_FACTORY.getProtocol(TMemoryBuffer(content))) or struct
+
+
+def encode_changes(changes: Iterable[Change]) -> bytes:
+    """Return the content of a segment or snapshot object."""
+    return encode_struct(ChangeList(_to_wire(changes)))
+
+
+def decode_changes(content: bytes) -> tuple[Change, ...]:
+    """Return the changes in a segment or snapshot object."""
+    return _from_wire(decode_struct(ChangeList(), content).changes)
+
+
+def encode_head(head: Head) -> bytes:
+    """Return the value of a head row."""
+    return encode_struct(
+        HeadRow(
+            head.owner,
+            head.epoch,
+            head.sequence,
+            head.commit_id,
+            _to_wire(head.tail),
+            list(head.segments),
+            head.snapshot,
+            head.claim_sequence,
+            list(head.garbage),
+        )
+    )
+
+
+def decode_head(row: Row | None) -> StoredHead:
+    """Return what a head row says; epoch 0 without owner if there is none."""
+    if row is None:
+        return StoredHead(Head(), 0)
+    raw = decode_struct(HeadRow(), row.value)
+    head = Head(
+        raw.owner,
+        raw.epoch,
+        raw.sequence,
+        raw.commit_id,
+        _from_wire(raw.tail),
+        tuple(raw.segments),
+        raw.snapshot,
+        raw.claim_sequence,
+        tuple(raw.garbage),
+    )
+    return StoredHead(head, row.version)
+
+
+def _to_wire(changes: Iterable[Change]) -> list[RecordChange]:
+    return [RecordChange(change.key, change.value) for change in changes]
+
+
+def _from_wire(changes: Iterable[Any]) -> tuple[Change, ...]:
+    return tuple(Change(change.key, change.value) for change in changes)
--- /dev/null
+++ b/goldcreststair/components/ledger/const.py
@@ -0,0 +1,28 @@
+"""Constants of the ledger."""
+
+from typing import Final
+
+ROW_PREFIX: Final = "partition/"
+OBJECT_PREFIX: Final = "ledger/"
+
+MAX_TAIL_BYTES: Final = 16 * 1024
+"""Every commit rewrites the tail, so it is kept small; beyond it goes to a segment object."""
+MAX_SEGMENTS: Final = 24
+MIN_COMPACT_BYTES: Final = 512 * 1024
+"""Segments are compacted when they outweigh the snapshot and this."""
+GARBAGE_GRACE_MS: Final = 60_000
+"""How long superseded objects stay for loaders that still read them."""
+
+FLEET_WRITES_PER_S: Final = 250
+"""The ledger's part of the table service's several hundred writes a second."""
+BURST_WRITES: Final = 8
+"""Writes that a VM may make at once after a quiet time."""
+FLEET_HANDOVERS_PER_S: Final = 25
+"""Graceful hand-overs of the whole fleet; each costs a release, a claim and a load."""
+CLAIMS_AT_ONCE: Final = 8
+
+SWEEP_INTERVAL_MS: Final = 1000
+CONFIRM_INTERVAL_MS: Final = 5000
+"""Age at which ownership is confirmed by a read; a commit confirms as well."""
+FIRST_BACKOFF_MS: Final = 100
+MAX_BACKOFF_MS: Final = 5000
--- /dev/null
+++ b/goldcreststair/components/ledger/controller.py
@@ -0,0 +1,262 @@
+"""Claims wanted partitions, releases unwanted ones and confirms ownership."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import replace
+from typing import Any
+
+from result import Err, Ok
+
+from goldcreststair.components.ledger.const import (
+    BURST_WRITES,
+    CLAIMS_AT_ONCE,
+    CONFIRM_INTERVAL_MS,
+    FLEET_HANDOVERS_PER_S,
+    FLEET_WRITES_PER_S,
+    SWEEP_INTERVAL_MS,
+)
+from goldcreststair.components.ledger.heads import HeadTable, Swapped
+from goldcreststair.components.ledger.loader import Loaded, async_load
+from goldcreststair.components.ledger.models import Head, StoredHead
+from goldcreststair.components.ledger.pacing import Backoff, Pacer, elapsed
+from goldcreststair.components.ledger.partition import OwnedPartition, Tools
+from goldcreststair.components.ledger.protocols import Partition
+from goldcreststair.components.ledger.rendezvous import WantedOwners, find_index
+from goldcreststair.components.membership.models import MEMBERS, Members, MemberState
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.core import Core
+from goldcreststair.journal import Subject
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class LedgerKeeper:
+    """Implements `Ledger` on the platform's table and objects."""
+
+    def __init__(self, core: Core) -> None:
+        """Own nothing yet."""
+        self._core = core
+        self._partitions = core.settings.partitions
+        self._heads = HeadTable(core.platform.table, core.clock, core.random)
+        self._pacer = Pacer(core.clock, FLEET_WRITES_PER_S, BURST_WRITES)
+        self._handovers = Pacer(core.clock, FLEET_HANDOVERS_PER_S, 1)
+        self._tools = Tools(core, self._heads, self._pacer, self._handle_lost)
+        self._wanted = WantedOwners(self._partitions)
+        self._owned: dict[int, OwnedPartition] = {}
+        self._busy: set[int] = set()
+        self._hints: dict[int, str] = {}
+        self._watchers: list[tuple[Callable[[Partition], None], Callable[[int], None]]] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._changing: set[asyncio.Task[None]] = set()
+        self._unsubscribe: Callable[[], None] = lambda: None
+        self._closing = False
+
+    async def async_start(self) -> None:
+        """Follow the members and begin to claim."""
+        board = self._core.blackboard
+        self._unsubscribe = board.subscribe(MEMBERS, self._handle_members)
+        self._handle_members(board.read(MEMBERS))
+        self._spawn(self._async_sweep_forever())
+        self._spawn(self._async_confirm_forever())
+
+    async def async_close(self) -> None:
+        """Release every partition, within the drain time."""
+        if self._closing:
+            return
+        self._closing = True
+        self._unsubscribe()
+        for index, partition in tuple(self._owned.items()):
+            self._spawn(partition.async_hand_over(), index)
+        try:
+            async with asyncio.timeout(self._core.settings.drain_ms / MS_PER_SECOND):
+                await asyncio.gather(*self._changing, return_exceptions=True)
+        except TimeoutError:
+            _LOGGER.warning("Partitions not released in time: %s", sorted(self._owned))
+        for task in (*self._tasks, *self._changing):
+            task.cancel()
+        for partition in tuple(self._owned.values()):
+            partition.abort()
+
+    def find_index(self, key: str) -> int:
+        """Return the partition of a key."""
+        return find_index(key, self._partitions)
+
+    def get_owned(self, index: int) -> Partition | None:
+        """Return a partition that this VM owns and has loaded, else None."""
+        partition = self._owned.get(index)
+        return partition if partition is not None and partition.is_owned else None
+
+    def find_owner(self, index: int) -> str | None:
+        """Return the session believed to own a partition, else None."""
+        if self.get_owned(index) is not None:
+            return self._core.session_id
+        return self._hints.get(index) or self._wanted.find(index) or None
+
+    def learn_owner(self, index: int, session: str) -> None:
+        """Believe another VM's or the head row's word on the owner."""
+        if session in self._core.blackboard.read(MEMBERS).by_session:
+            self._hints[index] = session
+
+    async def async_read_owner(self, index: int) -> str | None:
+        """Return the owner that the head row names, and believe it; None if there is none."""
+        read = await self._heads.async_read([index])
+        if isinstance(read, Err) or not read.ok_value[0].head.owner:
+            return None
+        owner = read.ok_value[0].head.owner
+        self.learn_owner(index, owner)
+        return owner
+
+    def watch(self, on_gained: Callable[[Partition], None], on_lost: Callable[[int], None]) -> None:
+        """Call back when this VM gains or loses a partition; at once for those it owns."""
+        self._watchers.append((on_gained, on_lost))
+        for partition in tuple(self._owned.values()):
+            if partition.is_owned:
+                on_gained(partition)
+
+    def _handle_members(self, members: Members) -> None:
+        self._pacer.members = self._handovers.members = len(members.by_session)
+        self._wanted.update(
+            member.session_id
+            for member in members.by_session.values()
+            if member.state is not MemberState.LEAVING
+        )
+        for index, session in tuple(self._hints.items()):
+            if session not in members.by_session:
+                del self._hints[index]
+
+    async def _async_sweep_forever(self) -> None:
+        while not self._closing:
+            self._release_unwanted()
+            await self._async_claim_wanted()
+            await self._core.clock.async_sleep(SWEEP_INTERVAL_MS)
+
+    def _is_wanted(self, index: int) -> bool:
+        return self._wanted.find(index) == self._core.session_id
+
+    def _is_leaving(self) -> bool:
+        own = self._core.blackboard.read(MEMBERS).by_session.get(self._core.session_id)
+        return own is not None and own.state is MemberState.LEAVING
+
+    def _release_unwanted(self) -> None:
+        for index, partition in tuple(self._owned.items()):
+            if self._is_wanted(index) or not partition.is_owned:
+                continue
+            if not (self._is_leaving() or self._handovers.is_free()):
+                return
+            self._handovers.reserve()
+            self._core.journal.record(
+                Subject.PARTITION, str(index), "release", "another VM is wanted"
+            )
+            self._spawn(partition.async_hand_over(), index)
+
+    async def _async_claim_wanted(self) -> None:
+        missing = [
+            index
+            for index in range(self._partitions)
+            if self._is_wanted(index) and index not in self._owned and index not in self._busy
+        ]
+        if not missing:
+            return
+        # A random choice, so that rows whose owner does not let go never starve the others.
+        missing = self._core.random.sample(missing, min(len(missing), CLAIMS_AT_ONCE * 4))
+        read = await self._heads.async_read(missing)
+        if isinstance(read, Err):
+            return
+        for index, stored in zip(missing, read.ok_value, strict=True):
+            if self._is_claimable(stored.head) and len(self._busy) < CLAIMS_AT_ONCE:
+                self._spawn(self._async_acquire(index, stored), index)
+
+    def _is_claimable(self, head: Head) -> bool:
+        # A live owner is never robbed: it releases when it learns that another is wanted. Its own
+        # session in the row means that a release or a load of ours did not end well.
+        members = self._core.blackboard.read(MEMBERS)
+        return head.owner == self._core.session_id or head.owner not in members.by_session
+
+    async def _async_acquire(self, index: int, stored: StoredHead) -> None:
+        head = replace(
+            stored.head,
+            owner=self._core.session_id,
+            epoch=stored.head.epoch + 1,
+            commit_id=self._tools.make_commit_id(),
+            claim_sequence=stored.head.sequence,
+        )
+        await self._core.clock.async_sleep(self._pacer.reserve())
+        outcome = await self._heads.async_swap(index, stored.version, head, lambda: self._closing)
+        if not isinstance(outcome, Swapped):
+            return
+        loaded = await self._async_load(index, outcome.stored)
+        if loaded is None:
+            return
+        partition = OwnedPartition(self._tools, index, loaded, outcome.begun_at)
+        if self._closing:
+            await partition.async_hand_over()
+            return
+        self._owned[index] = partition
+        self._core.journal.record(
+            Subject.PARTITION, str(index), "claim", "wanted here", epoch=head.epoch
+        )
+        for on_gained, _ in tuple(self._watchers):
+            on_gained(partition)
+
+    async def _async_load(self, index: int, stored: StoredHead) -> Loaded | None:
+        backoff = Backoff(self._core.random)
+        while True:
+            loaded = await async_load(self._core.platform.objects, stored)
+            if isinstance(loaded, Ok):
+                return loaded.ok_value
+            # A loader that was paused past the grace time finds objects deleted: another VM has
+            # claimed and compacted meanwhile, and the head row shows it. With the head unchanged
+            # the objects must be there, and an empty partition is never served in their place.
+            read = await self._heads.async_read([index])
+            if isinstance(read, Ok) and read.ok_value[0].head.epoch != stored.head.epoch:
+                return None
+            _LOGGER.warning("Partition %s not loaded: %s", index, loaded.err_value.message)
+            await self._core.clock.async_sleep(backoff.next_ms())
+
+    async def _async_confirm_forever(self) -> None:
+        while not self._closing:
+            await self._core.clock.async_sleep(SWEEP_INTERVAL_MS)
+            await self._async_confirm(self._list_stale())
+
+    def _list_stale(self) -> list[OwnedPartition]:
+        return [
+            partition
+            for partition in self._owned.values()
+            if partition.is_owned
+            and elapsed(self._core.clock, partition.confirmed_at) >= CONFIRM_INTERVAL_MS
+        ]
+
+    async def _async_confirm(self, stale: Iterable[OwnedPartition]) -> None:
+        partitions = list(stale)
+        if not partitions:
+            return
+        begun_at = self._core.clock.now()
+        read = await self._heads.async_read([partition.index for partition in partitions])
+        if isinstance(read, Err):
+            return
+        for partition, stored in zip(partitions, read.ok_value, strict=True):
+            partition.confirm(stored.head, begun_at)
+
+    def _handle_lost(self, index: int) -> None:
+        if self._owned.pop(index, None) is None:
+            return
+        for _, on_lost in tuple(self._watchers):
+            on_lost(index)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None], index: int | None = None) -> None:
+        task = asyncio.ensure_future(coroutine)
+        if index is None:
+            self._tasks.add(task)
+        else:
+            self._changing.add(task)
+            self._busy.add(index)
+        task.add_done_callback(lambda done: self._finish(done, index))
+
+    def _finish(self, task: asyncio.Task[None], index: int | None) -> None:
+        self._tasks.discard(task)
+        self._changing.discard(task)
+        if index is not None:
+            self._busy.discard(index)
+        if not task.cancelled() and task.exception() is not None:
+            _LOGGER.error("Ledger task failed", exc_info=task.exception())
--- /dev/null
+++ b/goldcreststair/components/ledger/pacing.py
@@ -0,0 +1,52 @@
+"""Keeps this VM to its part of the fleet's budget of store writes."""
+
+from random import Random
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.ledger.const import FIRST_BACKOFF_MS, MAX_BACKOFF_MS
+from goldcreststair.const import MS_PER_SECOND
+
+
+class Pacer:
+    """Gives out slots at a rate that the members of the fleet share evenly."""
+
+    def __init__(self, clock: Clock, fleet_per_s: float, burst: int) -> None:
+        """Allow `burst` slots at once after a quiet time."""
+        self._clock = clock
+        self._fleet_per_s = fleet_per_s
+        self._burst = burst
+        self._next = float(clock.now())
+        self.members = 1
+
+    def reserve(self) -> int:
+        """Take the next slot and return how many milliseconds away it is."""
+        interval = MS_PER_SECOND * max(self.members, 1) / self._fleet_per_s
+        now = self._clock.now()
+        self._next = max(self._next, now - interval * (self._burst - 1))
+        wait = max(0, int(self._next - now))
+        self._next += interval
+        return wait
+
+    def is_free(self) -> bool:
+        """Return whether a slot is to be had without waiting."""
+        return self._next <= self._clock.now()
+
+
+class Backoff:
+    """Delays between tries, doubled up to a cap, with jitter."""
+
+    def __init__(self, random: Random) -> None:
+        """Start at the first delay."""
+        self._random = random
+        self._delay = FIRST_BACKOFF_MS
+
+    def next_ms(self) -> int:
+        """Return the next delay; the jitter keeps VMs apart when the store comes back."""
+        delay = int(self._delay * self._random.uniform(0.5, 1.0))
+        self._delay = min(self._delay * 2, MAX_BACKOFF_MS)
+        return delay
+
+
+def elapsed(clock: Clock, since: Millis) -> int:
+    """Return milliseconds since a point in time."""
+    return clock.now() - since
--- /dev/null
+++ b/tests/helpers/vms.py
@@ -0,0 +1,127 @@
+"""Several daemons' ledgers on one stand-in of the platform, with a membership set by hand."""
+
+import asyncio
+import random
+from typing import Any
+
+from result import Err, Result
+
+from goldcreststair.blackboard import SectionWriter
+from goldcreststair.clock import LoopClock
+from goldcreststair.components.ledger.controller import LedgerKeeper
+from goldcreststair.components.ledger.protocols import LEDGER, Change, LedgerError, Partition
+from goldcreststair.components.membership.models import MEMBERS, Member, Members, MemberState
+from goldcreststair.platform.errors import PlatformError, PlatformUnavailable
+from goldcreststair.platform.models import Row
+from goldcreststair.platform.protocols import Platform
+from standins.platform.store import FakePlatform
+from tests.helpers.cores import make_core
+
+
+class VmTable:
+    """One VM's view of the table: `paused` holds its calls, `dead` refuses them."""
+
+    def __init__(self, table: FakePlatform) -> None:
+        self.table = table
+        self.paused = asyncio.Event()
+        self.paused.set()
+        self.dead = False
+
+    async def _async_enter(self) -> PlatformError | None:
+        await self.paused.wait()
+        return PlatformUnavailable("this VM is dead") if self.dead else None
+
+    async def async_read(self, key: str) -> Any:
+        return (await self.async_read_many([key])).map(lambda rows: rows[0])
+
+    async def async_read_many(self, keys: Any) -> Any:
+        refused = await self._async_enter()
+        return await self.table.async_read_many(keys) if refused is None else Err(refused)
+
+    async def async_scan(self, prefix: str, after: str = "", limit: int = 1000) -> Any:
+        return await self.table.async_scan(prefix, after, limit)
+
+    async def async_write(self, writes: Any) -> Any:
+        refused = await self._async_enter()
+        return await self.table.async_write(writes) if refused is None else Err(refused)
+
+
+class Vm:
+    """One daemon's core and ledger."""
+
+    def __init__(self, fleet: "Fleet", session_id: str) -> None:
+        self.core = make_core(
+            platform=fleet.platform,
+            clock=fleet.clock,
+            session_id=session_id,
+            seed=len(fleet.vms) + 1,
+            partitions=fleet.partitions,
+            drain_ms=60_000,
+        )
+        self.table = VmTable(fleet.platform)
+        stores = self.core.platform
+        self.core.platform = Platform(self.table, stores.objects, stores.vm_list, stores.weights)
+        self.members: SectionWriter[Members] = self.core.blackboard.open_section(MEMBERS, Members())
+        self.ledger = LedgerKeeper(self.core)
+        self.core.offer(LEDGER, self.ledger)
+
+    @property
+    def session_id(self) -> str:
+        return self.core.session_id
+
+    def get_owned(self, index: int) -> Partition:
+        partition = self.ledger.get_owned(index)
+        assert partition is not None, f"{self.session_id} does not own {index}"
+        return partition
+
+    async def async_put(
+        self, key: str, value: bytes, timeout_ms: int = 60_000
+    ) -> Result[None, LedgerError]:
+        partition = self.get_owned(self.ledger.find_index(key))
+        return await partition.async_commit([Change(key, value)], timeout_ms)
+
+
+class Fleet:
+    """VMs by session id."""
+
+    def __init__(self, partitions: int = 4) -> None:
+        self.clock = LoopClock()
+        self.platform = FakePlatform(self.clock, random.Random(7))
+        self.partitions = partitions
+        self.vms: dict[str, Vm] = {}
+        self.members: dict[str, Member] = {}
+
+    async def async_add(self, *sessions: str) -> None:
+        """Start VMs and wait until the wanted owners have settled."""
+        for session in sessions:
+            self.vms[session] = Vm(self, session)
+            self.set_state(session, MemberState.SERVING)
+            self._publish()
+            await self.vms[session].ledger.async_start()
+        await self.clock.async_sleep(15_000)
+
+    def set_state(self, session: str, state: MemberState) -> None:
+        self.members[session] = Member(session, "127.0.0.1", 1, 2, "dc1", "default", state)
+        self._publish()
+
+    def forget(self, session: str) -> None:
+        """Let every VM hold this session for expired."""
+        self.members.pop(session, None)
+        self._publish()
+
+    def kill(self, session: str) -> None:
+        """Stop a VM without warning: nothing that it does reaches the store any more."""
+        self.vms[session].table.dead = True
+
+    def _publish(self) -> None:
+        for session, vm in self.vms.items():
+            vm.members.write(Members(session, dict(self.members)))
+
+    async def async_close(self) -> None:
+        for vm in self.vms.values():
+            vm.table.paused.set()
+            vm.core.settings.__dict__["drain_ms"] = 1000
+            await vm.ledger.async_close()
+
+    def find_row(self, index: int) -> Row | None:
+        return self.platform.rows.get(f"partition/{index}")
