Claim each idempotency key in the ledger before its run

Cause: a call that may not be repeated has to run at most once, whichever VM its resends reach and whatever is lost on the way. Change: claims component: the owner of a key's partition decides, commits, then answers; messages are idempotent by request id; endings that get no answer are sent again in the background. Answers that rest on staged records wait for them by an empty commit. The age of a record is a durable count of ticks, as no clock outlives its VM. Ruled out: marking a claim unknown as soon as its runner is not among the members, as a VM that has just started would be.

--- /dev/null
+++ b/goldcreststair/components/claims/codec.py
@@ -0,0 +1,60 @@
+"""Thrift encoding of claims and outcomes."""
+
+from typing import Any
+
+from goldcreststair.components.claims.const import RECORD_PREFIX
+from goldcreststair.components.claims.models import ClaimRecord, ClaimState, StoredOutcome
+from goldcreststair.components.ledger.codec import decode_struct, encode_struct
+from goldcreststair.wire.generated.ledger import ttypes
+
+
+def make_record_key(customer: str, key: str) -> str:
+    """Return the key under which a claim is kept."""
+    return f"{RECORD_PREFIX}{customer}/{key}"
+
+
+def encode_record(record: ClaimRecord) -> bytes:
+    """Return a claim as bytes."""
+    return encode_struct(
+        ttypes.ClaimRecord(
+            record.fingerprint,
+            record.request_id,
+            record.repeatable,
+            record.runner,
+            record.claim_id,
+            int(record.state),
+            record.tick,
+            to_wire(record.outcome),
+        )
+    )
+
+
+def decode_record(content: bytes) -> ClaimRecord:
+    """Return the claim in bytes."""
+    raw = decode_struct(ttypes.ClaimRecord(), content)
+    return ClaimRecord(
+        raw.fingerprint,
+        raw.request_id,
+        raw.repeatable,
+        raw.runner,
+        raw.claim_id,
+        ClaimState(raw.state),
+        raw.tick,
+        from_wire(raw.outcome),
+    )
+
+
+def to_wire(outcome: StoredOutcome | None) -> Any:
+    """Return an outcome as a generated struct, or None."""
+    if outcome is None:
+        return None
+    return ttypes.OutcomeData(
+        outcome.status, outcome.content_type, outcome.body, outcome.body_object
+    )
+
+
+def from_wire(raw: Any) -> StoredOutcome | None:
+    """Return an outcome from a generated struct, or None."""
+    if raw is None:
+        return None
+    return StoredOutcome(raw.status, raw.content_type, raw.body or b"", raw.body_object or "")
--- a/goldcreststair/components/ledger/protocols.py
+++ b/goldcreststair/components/ledger/protocols.py
@@ -76,6 +76,12 @@
     def find_owner(self, index: int) -> str | None:
         """Return the session id believed to own a partition (may be this VM's), else None."""
 
+    def learn_owner(self, index: int, session: str) -> None:
+        """Believe another VM's word on the owner of a partition."""
+
+    async def async_read_owner(self, index: int) -> str | None:
+        """Return the owner that the head row names, and believe it; None if there is none."""
+
     def watch(self, on_gained: Callable[[Partition], None], on_lost: Callable[[int], None]) -> None:
         """Call back when this VM gains or loses a partition; at once for those it owns."""
 
--- a/goldcreststair/wire/ledger.thrift
+++ b/goldcreststair/wire/ledger.thrift
@@ -65,11 +65,11 @@
   7: optional OutcomeData outcome
 }
 
-/** Waits for the outcome of a claim. */
+/** Waits for the outcome of a run that was joined. */
 struct WaitMessage {
   1: required string customer
   2: required string key
-  3: required string claim_id
+  3: required string fingerprint
   4: required i32 timeout_ms
 }
 
--- a/tests/helpers/ledgers.py
+++ b/tests/helpers/ledgers.py
@@ -63,6 +63,12 @@
     def find_owner(self, index: int) -> str | None:
         return self.session_id
 
+    def learn_owner(self, index: int, session: str) -> None:
+        pass
+
+    async def async_read_owner(self, index: int) -> str | None:
+        return self.session_id
+
     def watch(self, on_gained: Callable[[Partition], None], on_lost: Callable[[int], None]) -> None:
         for partition in self.partitions:
             on_gained(partition)
--- a/tests/helpers/vms.py
+++ b/tests/helpers/vms.py
@@ -8,14 +8,17 @@
 
 from goldcreststair.blackboard import SectionWriter
 from goldcreststair.clock import LoopClock
+from goldcreststair.components.claims.service import ClaimService
 from goldcreststair.components.ledger.controller import LedgerKeeper
 from goldcreststair.components.ledger.protocols import LEDGER, Change, LedgerError, Partition
 from goldcreststair.components.membership.models import MEMBERS, Member, Members, MemberState
+from goldcreststair.components.peers.protocols import PEERS
 from goldcreststair.platform.errors import PlatformError, PlatformUnavailable
 from goldcreststair.platform.models import Row
 from goldcreststair.platform.protocols import Platform
 from standins.platform.store import FakePlatform
 from tests.helpers.cores import make_core
+from tests.helpers.peers import FakePeerNetwork
 
 
 class VmTable:
@@ -56,7 +59,7 @@
             session_id=session_id,
             seed=len(fleet.vms) + 1,
             partitions=fleet.partitions,
-            drain_ms=60_000,
+            drain_ms=2_000,
         )
         self.table = VmTable(fleet.platform)
         stores = self.core.platform
@@ -64,6 +67,8 @@
         self.members: SectionWriter[Members] = self.core.blackboard.open_section(MEMBERS, Members())
         self.ledger = LedgerKeeper(self.core)
         self.core.offer(LEDGER, self.ledger)
+        self.core.offer(PEERS, fleet.network.join(session_id))
+        self.claims = ClaimService(self.core)
 
     @property
     def session_id(self) -> str:
@@ -87,6 +92,7 @@
     def __init__(self, partitions: int = 4) -> None:
         self.clock = LoopClock()
         self.platform = FakePlatform(self.clock, random.Random(7))
+        self.network = FakePeerNetwork(self.clock)
         self.partitions = partitions
         self.vms: dict[str, Vm] = {}
         self.members: dict[str, Member] = {}
@@ -98,6 +104,7 @@
             self.set_state(session, MemberState.SERVING)
             self._publish()
             await self.vms[session].ledger.async_start()
+            await self.vms[session].claims.async_start()
         await self.clock.async_sleep(15_000)
 
     def set_state(self, session: str, state: MemberState) -> None:
@@ -112,6 +119,7 @@
     def kill(self, session: str) -> None:
         """Stop a VM without warning: nothing that it does reaches the store any more."""
         self.vms[session].table.dead = True
+        self.network.kill(session)
 
     def _publish(self) -> None:
         for session, vm in self.vms.items():
@@ -120,7 +128,7 @@
     async def async_close(self) -> None:
         for vm in self.vms.values():
             vm.table.paused.set()
-            vm.core.settings.__dict__["drain_ms"] = 1000
+            await vm.claims.async_close()
             await vm.ledger.async_close()
 
     def find_row(self, index: int) -> Row | None:
