--- a/tests/helpers/vms.py
+++ b/tests/helpers/vms.py
@@ -22,7 +22,7 @@
 
 
 class VmTable:
-    """One VM's view of the table: `paused` holds its calls, `dead` refuses them."""
+    """One VM's view of the table: `paused` clear holds its calls before and after effect."""
 
     def __init__(self, table: FakePlatform) -> None:
         self.table = table
@@ -39,14 +39,18 @@
 
     async def async_read_many(self, keys: Any) -> Any:
         refused = await self._async_enter()
-        return await self.table.async_read_many(keys) if refused is None else Err(refused)
+        outcome = await self.table.async_read_many(keys) if refused is None else Err(refused)
+        await self.paused.wait()
+        return outcome
 
     async def async_scan(self, prefix: str, after: str = "", limit: int = 1000) -> Any:
         return await self.table.async_scan(prefix, after, limit)
 
     async def async_write(self, writes: Any) -> Any:
         refused = await self._async_enter()
-        return await self.table.async_write(writes) if refused is None else Err(refused)
+        outcome = await self.table.async_write(writes) if refused is None else Err(refused)
+        await self.paused.wait()
+        return outcome
 
 
 class Vm:
@@ -89,9 +93,9 @@
 class Fleet:
     """VMs by session id."""
 
-    def __init__(self, partitions: int = 4) -> None:
+    def __init__(self, partitions: int = 4, platform: FakePlatform | None = None) -> None:
         self.clock = LoopClock()
-        self.platform = FakePlatform(self.clock, random.Random(7))
+        self.platform = platform or FakePlatform(self.clock, random.Random(7))
         self.network = FakePeerNetwork(self.clock)
         self.partitions = partitions
         self.vms: dict[str, Vm] = {}
