--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -21,6 +21,7 @@
     limits,
     online,
     operator_api,
+    quarantine,
     routing,
 )
 from goldcreststair.core import Component, Core
@@ -40,6 +41,7 @@
     configuration.async_setup,
     keys.async_setup,
     limits.async_setup,
+    quarantine.async_setup,
     routing.async_setup,
     online.async_setup,
     caller_api.async_setup,
--- /dev/null
+++ b/goldcreststair/components/caller_api/errors.py
@@ -0,0 +1,50 @@
+"""How refusals look to callers."""
+
+from typing import Final
+
+import orjson
+
+from goldcreststair.components.caller_api.parsing import BadField
+from goldcreststair.components.keys.protocols import KeyRefused
+from goldcreststair.components.online.errors import Refusal, RefusalCode
+
+DEFAULT_TYPE: Final = "server_error"
+_TYPES: Final = {
+    RefusalCode.INVALID_REQUEST: "invalid_request_error",
+    RefusalCode.UNKNOWN_MODEL: "invalid_request_error",
+    RefusalCode.UNKNOWN_SERVICE: "invalid_request_error",
+    RefusalCode.QUARANTINED: "invalid_request_error",
+    RefusalCode.INVALID_KEY: "authentication_error",
+    RefusalCode.KEY_WITHDRAWN: "authentication_error",
+    RefusalCode.RATE_LIMITED: "rate_limit_error",
+}
+
+
+def refuse_key(error: KeyRefused) -> Refusal:
+    """Turn a refused key into a refusal."""
+    if error.temporary:
+        return Refusal(error.message, RefusalCode.NOT_READY, 503, True, 1000)
+    return Refusal(error.message, RefusalCode.INVALID_KEY, 401, True)
+
+
+def refuse_field(error: BadField) -> Refusal:
+    """Turn a field that cannot be read into a refusal."""
+    message = f"{error.field}: {error.message}"
+    return Refusal(message, RefusalCode.INVALID_REQUEST, 400, True)
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Return a refusal as an OpenAI-format error with `not_run` and `retry_after_ms`."""
+    if refusal.upstream_body:
+        return refusal.upstream_body
+    field, separator, _ = refusal.message.partition(": ")
+    invalid = refusal.code is RefusalCode.INVALID_REQUEST and separator
+    error = {
+        "message": refusal.message,
+        "type": _TYPES.get(refusal.code, DEFAULT_TYPE),
+        "param": field if invalid else None,
+        "code": refusal.code,
+        "not_run": refusal.not_run,
+        "retry_after_ms": refusal.retry_after_ms,
+    }
+    return orjson.dumps({"error": error})
--- /dev/null
+++ b/goldcreststair/components/caller_api/handler.py
@@ -0,0 +1,62 @@
+"""What all routes of callers share."""
+
+import asyncio
+import math
+import uuid
+from collections.abc import Coroutine
+from typing import Any
+
+from result import Err
+from tornado.web import RequestHandler
+
+from goldcreststair.components.caller_api.const import BEARER
+from goldcreststair.components.caller_api.errors import encode_refusal, refuse_key
+from goldcreststair.components.keys.protocols import KEYS, Identity
+from goldcreststair.components.online.errors import Refusal
+from goldcreststair.const import HEADER_REQUEST_ID, HEADER_RETRY_AFTER, MS_PER_SECOND
+from goldcreststair.core import Core
+
+
+class CallerHandler(RequestHandler):
+    """Identifies the caller, runs its request and writes typed refusals."""
+
+    identity: Identity
+    key: str = ""
+    _running: "asyncio.Task[None] | None" = None
+
+    def initialize(self, core: Core) -> None:
+        """Keep the core and name the request."""
+        self.core = core
+        self.request_id = uuid.uuid4().hex
+
+    def prepare(self) -> None:
+        """Turn the key into an identity, or refuse."""
+        self.set_header(HEADER_REQUEST_ID, self.request_id)
+        shown = self.request.headers.get("Authorization", "")
+        self.key = shown[len(BEARER) :] if shown.startswith(BEARER) else ""
+        found = self.core.get(KEYS).identify(self.key)
+        if isinstance(found, Err):
+            self.refuse(refuse_key(found.err_value))
+            return
+        self.identity = found.ok_value
+
+    def on_connection_close(self) -> None:
+        """Stop work nobody waits for."""
+        if self._running is not None:
+            self._running.cancel()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal as the whole answer."""
+        self.set_status(refusal.status)
+        if refusal.retry_after_ms:
+            seconds = math.ceil(refusal.retry_after_ms / MS_PER_SECOND)
+            self.set_header(HEADER_RETRY_AFTER, str(seconds))
+        self.set_header("Content-Type", "application/json")
+        self.finish(encode_refusal(refusal))
+
+    async def async_follow(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run the request until it ends or its caller goes away."""
+        self._running = asyncio.create_task(work)
+        await asyncio.wait({self._running})
+        if not self._running.cancelled():
+            self._running.result()
--- a/goldcreststair/components/caller_api/views.py
+++ b/goldcreststair/components/caller_api/views.py
@@ -1,129 +1,88 @@
 """HTTP routes of callers, in the OpenAI format."""
 
 import asyncio
-import math
-import uuid
 
-import orjson
 from result import Err
 from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
-from goldcreststair.components.caller_api.parsing import BadField, parse_body
+from goldcreststair.components.caller_api.const import KEEP_ALIVE_COMMENT, KEEP_ALIVE_MS
+from goldcreststair.components.caller_api.errors import encode_refusal, refuse_field
+from goldcreststair.components.caller_api.handler import CallerHandler
+from goldcreststair.components.caller_api.parsing import parse_body, parse_deadline
 from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.keys.protocols import KEYS, Identity, KeyRefused
-from goldcreststair.components.online.const import DEFAULT_DEADLINE_MS
-from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.online.errors import Refusal
 from goldcreststair.components.online.models import GenerateRequest
 from goldcreststair.components.online.service import ONLINE
-from goldcreststair.const import (
-    HEADER_IDEMPOTENCY_KEY,
-    HEADER_REQUEST_ID,
-    HEADER_RETRY_AFTER,
-    MS_PER_SECOND,
-)
+from goldcreststair.const import HEADER_IDEMPOTENCY_KEY
 from goldcreststair.core import Core
 from goldcreststair.upstreams.models import StreamChunk, UpstreamKind
 
-BEARER = "Bearer "
-
-
-class CallerHandler(RequestHandler):
-    """Identifies the caller and writes typed refusals."""
-
-    identity: Identity
-
-    def initialize(self, core: Core) -> None:
-        """Keep the core and name the request."""
-        self.core = core
-        self.request_id = uuid.uuid4().hex
-
-    def prepare(self) -> None:
-        """Turn the key into an identity, or refuse."""
-        self.set_header(HEADER_REQUEST_ID, self.request_id)
-        shown = self.request.headers.get("Authorization", "")
-        key = shown[len(BEARER) :] if shown.startswith(BEARER) else ""
-        found = self.core.get(KEYS).identify(key)
-        if isinstance(found, Err):
-            self.refuse(refuse_key(found.err_value))
-            return
-        self.identity = found.ok_value
-
-    def refuse(self, refusal: Refusal) -> None:
-        """Send a refusal as the whole answer."""
-        self.set_status(refusal.status)
-        if refusal.retry_after_ms:
-            seconds = math.ceil(refusal.retry_after_ms / MS_PER_SECOND)
-            self.set_header(HEADER_RETRY_AFTER, str(seconds))
-        self.set_header("Content-Type", "application/json")
-        self.finish(encode_refusal(refusal))
-
-
-def refuse_key(error: KeyRefused) -> Refusal:
-    """Turn a refused key into a refusal."""
-    if error.temporary:
-        return Refusal(error.message, RefusalCode.NOT_READY, 503, True, 1000)
-    return Refusal(error.message, RefusalCode.INVALID_KEY, 401, True)
-
-
-def encode_refusal(refusal: Refusal) -> bytes:
-    """Return a refusal as an OpenAI-format error with `not_run` and `retry_after_ms`."""
-    if refusal.upstream_body:
-        return refusal.upstream_body
-    error = {
-        "message": refusal.message,
-        "type": "goldcreststair",
-        "code": refusal.code,
-        "not_run": refusal.not_run,
-        "retry_after_ms": refusal.retry_after_ms,
-    }
-    return orjson.dumps({"error": error})
-
 
 class GenerateHandler(CallerHandler):
     """Chat and text completions."""
 
-    _running: "asyncio.Task[None] | None" = None
+    _last_write_ms = 0
 
     async def post(self) -> None:
         """Run one request."""
-        parsed = parse_body(self.request.path, self.request.body)
+        deadline = parse_deadline(self.request.headers)
+        if isinstance(deadline, Err):
+            self.refuse(refuse_field(deadline.err_value))
+            return
+        parsed = parse_body(self.request.path, self.request.body, self.key)
         if isinstance(parsed, Err):
-            self.refuse(_refuse_field(parsed.err_value))
+            self.refuse(refuse_field(parsed.err_value))
             return
         body = parsed.ok_value
         request = GenerateRequest(
             request_id=self.request_id,
             identity=self.identity,
             path=self.request.path,
-            body=self.request.body,
+            body=body.forwarded,
             model=body.model,
             stream=body.stream,
             prefix=body.prefix,
-            deadline_ms=DEFAULT_DEADLINE_MS,
+            deadline_ms=deadline.ok_value,
             idempotency_key=self.request.headers.get(HEADER_IDEMPOTENCY_KEY, ""),
         )
-        self._running = asyncio.create_task(self._async_run(request))
-        await asyncio.wait({self._running})
-        if not self._running.cancelled():
-            self._running.result()
-
-    def on_connection_close(self) -> None:
-        """Stop work nobody waits for."""
-        if self._running is not None:
-            self._running.cancel()
+        await self.async_follow(self._async_run(request))
 
     async def async_accept(self, chunk: StreamChunk) -> None:
         """Pass one chunk on to the caller."""
+        await self._async_write(chunk.data)
+
+    async def _async_write(self, data: bytes) -> None:
         if not self._headers_written:
             self.set_header("Content-Type", "text/event-stream")
             self.set_header("Cache-Control", "no-store")
-        self.write(chunk.data)
-        await self.flush()
+        self._last_write_ms = self.core.clock.now()
+        self.write(data)
+        try:
+            await self.flush()
+        except StreamClosedError:
+            # A run under a claim goes on without its caller; others are cancelled when the
+            # connection's end is noticed.
+            return
+
+    async def _async_keep_alive(self) -> None:
+        """Write comments while no token comes, so that silence means a dead connection."""
+        self._last_write_ms = self.core.clock.now()
+        while True:
+            quiet_ms = self.core.clock.now() - self._last_write_ms
+            if quiet_ms >= KEEP_ALIVE_MS:
+                await self._async_write(KEEP_ALIVE_COMMENT)
+                quiet_ms = 0
+            await self.core.clock.async_sleep(KEEP_ALIVE_MS - quiet_ms)
 
     async def _async_run(self, request: GenerateRequest) -> None:
+        keep_alive = asyncio.create_task(self._async_keep_alive()) if request.stream else None
         try:
             outcome = await self.core.get(ONLINE).async_generate(request, self)
+        finally:
+            if keep_alive is not None:
+                keep_alive.cancel()
+        try:
             if isinstance(outcome, Err):
                 self._finish_refused(outcome.err_value)
             elif request.stream:
@@ -142,11 +101,6 @@
         self.finish(b"event: error\ndata: " + encode_refusal(refusal) + b"\n\n")
 
 
-def _refuse_field(error: BadField) -> Refusal:
-    message = f"{error.field}: {error.message}"
-    return Refusal(message, RefusalCode.INVALID_REQUEST, 400, True)
-
-
 class ModelsHandler(CallerHandler):
     """The models served."""
 
--- /dev/null
+++ b/goldcreststair/components/online/budget.py
@@ -0,0 +1,33 @@
+"""How many repeated runs this VM may cause."""
+
+from goldcreststair.components.online.const import BUDGET_CAPACITY, BUDGET_FRACTION
+
+
+class RetryBudget:
+    """A token bucket that each request fills by a fraction and each repeated run empties by one.
+
+    >>> budget = RetryBudget(fraction=0.5, capacity=1.0)
+    >>> budget.take(), budget.take()
+    (True, False)
+    >>> budget.earn(); budget.earn(); budget.take()
+    True
+    """
+
+    def __init__(
+        self, fraction: float = BUDGET_FRACTION, capacity: float = BUDGET_CAPACITY
+    ) -> None:
+        """Start full, so that a crash soon after a start is recovered from."""
+        self._fraction = fraction
+        self._capacity = capacity
+        self._level = capacity
+
+    def earn(self) -> None:
+        """Count one request."""
+        self._level = min(self._capacity, self._level + self._fraction)
+
+    def take(self) -> bool:
+        """Spend one repeated run if there is one."""
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
--- /dev/null
+++ b/goldcreststair/components/online/claiming.py
@@ -0,0 +1,140 @@
+"""Runs a request under a claim, so that it is answered once however often it is sent."""
+
+import asyncio
+import hashlib
+import logging
+from collections.abc import Awaitable, Callable
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.claims.protocols import (
+    CLAIMS,
+    ClaimError,
+    ClaimProblem,
+    ClaimRequest,
+    Claims,
+    Finished,
+    Granted,
+    Joined,
+    Outcome,
+)
+from goldcreststair.components.online.const import (
+    CLAIM_TIMEOUT_MS,
+    RETRY_PAUSE_MS,
+    SETTLE_TIMEOUT_MS,
+)
+from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.core import Core
+
+_LOGGER = logging.getLogger(__name__)
+
+Run = Callable[[], Awaitable[Result[Outcome, Refusal]]]
+
+
+def make_request_fingerprint(method: str, path: str, body: bytes) -> str:
+    """Return what tells a resend from another request under the same key."""
+    return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()
+
+
+class ClaimedRunner:
+    """Claims, runs, settles; a run under a claim outlives its caller's connection."""
+
+    def __init__(self, core: Core) -> None:
+        """Use claims if they are offered."""
+        self._clock: Clock = core.clock
+        self._claims = _find_claims(core)
+        self._runs: set[asyncio.Task[Result[Outcome, Refusal]]] = set()
+
+    async def async_close(self) -> None:
+        """Wait for nothing more: cut the runs that are left."""
+        for task in tuple(self._runs):
+            task.cancel()
+        await asyncio.gather(*self._runs, return_exceptions=True)
+
+    async def async_run(
+        self, request: ClaimRequest, run: Run, deadline_at: Millis
+    ) -> Result[Outcome, Refusal]:
+        """Return the request's only outcome, by running it, joining its run, or reading it."""
+        if self._claims is None:
+            message = "requests that must run once cannot be kept here now"
+            return Err(Refusal(message, RefusalCode.NOT_READY, 503, True, 1000))
+        claimed = await self._claims.async_claim(
+            request, min(CLAIM_TIMEOUT_MS, max(1, deadline_at - self._clock.now()))
+        )
+        if isinstance(claimed, Err):
+            return Err(refuse_claim(claimed.err_value))
+        match claimed.ok_value:
+            case Finished(outcome):
+                return Ok(outcome)
+            case Joined() as joined:
+                remaining = max(1, deadline_at - self._clock.now())
+                waited = await self._claims.async_wait(joined, remaining)
+                return waited.map_err(refuse_claim)
+            case Granted() as granted:
+                return await self._async_detach(self._claims, granted, run)
+
+    async def _async_detach(
+        self, claims: Claims, granted: Granted, run: Run
+    ) -> Result[Outcome, Refusal]:
+        # A caller whose connection went away sends again and must find this run or its outcome,
+        # so the run is not the connection's to end.
+        task = asyncio.create_task(self._async_settle(claims, granted, run))
+        self._runs.add(task)
+        task.add_done_callback(self._runs.discard)
+        return await asyncio.shield(task)
+
+    async def _async_settle(
+        self, claims: Claims, granted: Granted, run: Run
+    ) -> Result[Outcome, Refusal]:
+        try:
+            outcome = await run()
+        except BaseException:
+            await claims.async_abandon(granted)
+            raise
+        if isinstance(outcome, Ok):
+            return await self._async_commit(claims, granted, outcome.ok_value)
+        if outcome.err_value.not_run:
+            await claims.async_release(granted)
+        else:
+            await claims.async_abandon(granted)
+        return outcome
+
+    async def _async_commit(
+        self, claims: Claims, granted: Granted, outcome: Outcome
+    ) -> Result[Outcome, Refusal]:
+        give_up_at = self._clock.now() + SETTLE_TIMEOUT_MS
+        while True:
+            remaining = max(1, give_up_at - self._clock.now())
+            settled = await claims.async_settle(granted, outcome, remaining)
+            if isinstance(settled, Ok):
+                return Ok(outcome)
+            if self._clock.now() >= give_up_at:
+                break
+            await self._clock.async_sleep(RETRY_PAUSE_MS)
+        # Given out although not kept, a resend after this VM's loss could not get the same
+        # answer; the caller is told that it ran and that its outcome is not known for good.
+        _LOGGER.warning("Outcome of claim %s could not be kept", granted.claim_id)
+        message = "it ran, but its outcome could not be kept"
+        return Err(Refusal(message, RefusalCode.OUTCOME_UNKNOWN, 409, False))
+
+
+def refuse_claim(error: ClaimError) -> Refusal:
+    """Turn a claim that was not given into a refusal."""
+    match error.problem:
+        case ClaimProblem.UNAVAILABLE:
+            return Refusal(error.message, RefusalCode.NOT_READY, 503, True, 1000)
+        case ClaimProblem.MISMATCH:
+            message = "Idempotency-Key: used before with another body"
+            return Refusal(message, RefusalCode.INVALID_REQUEST, 422, True)
+        case ClaimProblem.OUTCOME_UNKNOWN:
+            return Refusal(error.message, RefusalCode.OUTCOME_UNKNOWN, 409, False)
+        case ClaimProblem.TIMEOUT:
+            return Refusal(error.message, RefusalCode.DEADLINE, 504, False, 1000)
+
+
+def _find_claims(core: Core) -> Claims | None:
+    try:
+        return core.get(CLAIMS)
+    except KeyError:
+        return None
--- a/goldcreststair/components/online/const.py
+++ b/goldcreststair/components/online/const.py
@@ -3,4 +3,23 @@
 from typing import Final
 
 DEFAULT_DEADLINE_MS: Final = 60_000
-MAX_ATTEMPTS: Final = 3
+MAX_DEADLINE_MS: Final = 600_000
+
+MAX_ATTEMPTS: Final = 6
+"""Runs of one request, on all upstreams together."""
+MAX_RECONNECTS: Final = 2
+"""New connections to the same upstream that brought no token, before another is tried."""
+RETRY_PAUSE_MS: Final = 100
+
+BUDGET_FRACTION: Final = 0.2
+"""Repeated runs earned by each request."""
+BUDGET_CAPACITY: Final = 128.0
+"""Repeated runs that may come at once: the requests of one VM at one crashed upstream."""
+
+MAX_QUEUED: Final = 2000
+"""Requests of one customer that may wait on one VM."""
+SETTLE_TIMEOUT_MS: Final = 5000
+CLAIM_TIMEOUT_MS: Final = 3000
+
+PRESSURE_PERIOD_MS: Final = 250
+EXPECTED_QUEUE_PER_WAITING_MS: Final = 20
--- /dev/null
+++ b/goldcreststair/components/online/generation.py
@@ -0,0 +1,225 @@
+"""Runs one generation over as many connections and upstreams as it takes."""
+
+import asyncio
+import logging
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.online.budget import RetryBudget
+from goldcreststair.components.online.const import RETRY_PAUSE_MS
+from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.online.fair_queue import Ticket
+from goldcreststair.components.online.gate import AdmissionGate
+from goldcreststair.components.online.models import GenerateRequest
+from goldcreststair.components.online.pressure import PressureMeter
+from goldcreststair.components.online.recovery import NextStep, RunProgress, decide_next
+from goldcreststair.components.online.stream import StreamRecorder
+from goldcreststair.components.quarantine.protocols import QUARANTINE, make_fingerprint
+from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
+from goldcreststair.core import Core
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, StreamChunk, Upstream
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class _FirstTokenMeter:
+    """Passes chunks to the recorder and measures the time to the first of one run."""
+
+    def __init__(self, recorder: StreamRecorder) -> None:
+        self.seen = asyncio.Event()
+        self._recorder = recorder
+
+    async def async_accept(self, chunk: StreamChunk) -> None:
+        if not self.seen.is_set():
+            self.seen.set()
+        await self._recorder.async_accept(chunk)
+
+
+class GenerationRunner:
+    """Places, runs, resumes and moves generations."""
+
+    def __init__(self, core: Core, gate: AdmissionGate, meter: PressureMeter) -> None:
+        """Use the components set up before."""
+        self._clock = core.clock
+        self._engines = core.upstreams.engines
+        self._router = core.get(ROUTER)
+        self._quarantine = core.get(QUARANTINE)
+        self._gate = gate
+        self._meter = meter
+        self._budget = RetryBudget()
+        self._cancels: set[asyncio.Task[object]] = set()
+
+    async def async_run(
+        self, request: GenerateRequest, recorder: StreamRecorder, deadline_at: Millis
+    ) -> Result[GenerateEnd, Refusal]:
+        """Run one request to its whole answer."""
+        self._budget.earn()
+        run = _GenerationRun(request, recorder, deadline_at)
+        if self._quarantine.is_quarantined(run.fingerprint):
+            return Err(_refuse_quarantined(run))
+        while True:
+            placed = await self._async_place(run)
+            if isinstance(placed, Err):
+                return Err(_keep_truth(placed.err_value, run.progress))
+            done = await self._async_run_placed(run, placed.ok_value)
+            if done is not None:
+                return done
+
+    async def _async_place(self, run: "_GenerationRun") -> Result[Upstream, Refusal]:
+        run.alone = self._quarantine.is_suspect(run.fingerprint)
+        ticket = run.make_ticket()
+        while True:
+            placed = await self._gate.async_enter(ticket, run.make_query())
+            waiting = isinstance(placed, Err) and placed.err_value.code is RefusalCode.NO_UPSTREAM
+            if not waiting or not run.progress.attempts:
+                return placed
+            if self._clock.now() + RETRY_PAUSE_MS >= run.deadline_at or run.pauses <= 0:
+                return placed
+            # Every other upstream is busy with a suspect or failed just now: come back soon,
+            # and to any, for the one left first may serve again.
+            run.pauses -= 1
+            run.excluded = frozenset()
+            await self._clock.async_sleep(RETRY_PAUSE_MS)
+
+    async def _async_run_placed(
+        self, run: "_GenerationRun", upstream: Upstream
+    ) -> Result[GenerateEnd, Refusal] | None:
+        """Run at one upstream until it ends or moves; None to be placed again."""
+        request_id = run.request.request_id
+        if run.alone:
+            self._router.isolate(upstream.name, request_id)
+        self._quarantine.begin(upstream.name, request_id, run.fingerprint)
+        ok, left_running = False, True
+        try:
+            while True:
+                outcome = await self._async_attempt(run, upstream)
+                if isinstance(outcome, Ok):
+                    ok, left_running = True, False
+                    return outcome
+                step = self._decide(run, upstream, outcome.err_value)
+                left_running = not outcome.err_value.not_run
+                if step is NextStep.GIVE_UP:
+                    return Err(_refuse_failure(outcome.err_value, run.progress))
+                if self._quarantine.is_quarantined(run.fingerprint):
+                    return Err(_refuse_quarantined(run))
+                if step is NextStep.ELSEWHERE:
+                    run.excluded |= {upstream.name}
+                    return None
+        finally:
+            self._quarantine.end(upstream.name, request_id, ok=ok)
+            self._router.release(upstream.name, request_id)
+            self._gate.leave(upstream.name, ok=ok)
+            if left_running:
+                self._cancel(upstream, request_id)
+
+    async def _async_attempt(
+        self, run: "_GenerationRun", upstream: Upstream
+    ) -> Result[GenerateEnd, UpstreamError]:
+        run.recorder.begin_run()
+        run.progress.attempts += 1
+        began = self._clock.now()
+        first = _FirstTokenMeter(run.recorder)
+        watching = asyncio.create_task(self._async_measure(first, upstream.name, began))
+        try:
+            outcome = await self._engines.async_generate(upstream, run.make_call(began), first)
+        finally:
+            watching.cancel()
+        if isinstance(outcome, Ok) and run.recorder.gap:
+            return Err(UpstreamError("tokens were left out", UpstreamFailure.INCOMPLETE))
+        return outcome
+
+    async def _async_measure(self, first: _FirstTokenMeter, upstream: str, began: int) -> None:
+        await first.seen.wait()
+        self._meter.note_first_token(upstream, self._clock.now() - began)
+
+    def _decide(self, run: "_GenerationRun", upstream: Upstream, error: UpstreamError) -> NextStep:
+        progress = run.progress
+        if run.recorder.last_index > progress.last_index:
+            progress.reconnects = 0
+        progress.last_index = run.recorder.last_index
+        progress.may_have_run = progress.may_have_run or not error.not_run
+        if error.failure is UpstreamFailure.REFUSED:
+            self._router.note_refused(upstream.name)
+        if error.failure is UpstreamFailure.LOST and not error.status:
+            self._quarantine.report_crash(upstream.name, run.request.request_id)
+        remaining = run.deadline_at - self._clock.now()
+        step = decide_next(progress, error, self._budget, remaining)
+        _LOGGER.info(
+            "Run of %s at %s: %s, %s", run.request.request_id, upstream.name, error.failure, step
+        )
+        progress.reconnects = progress.reconnects + 1 if step is NextStep.SAME else 0
+        return step
+
+    def _cancel(self, upstream: Upstream, request_id: str) -> None:
+        """Free the upstream of a run that nobody follows any more."""
+        task = asyncio.ensure_future(self._engines.async_cancel(upstream, request_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+
+class _GenerationRun:
+    """One request over all its runs."""
+
+    def __init__(
+        self, request: GenerateRequest, recorder: StreamRecorder, deadline_at: Millis
+    ) -> None:
+        self.request = request
+        self.recorder = recorder
+        self.deadline_at = deadline_at
+        self.progress = RunProgress(repeatable=True)
+        self.excluded: frozenset[str] = frozenset()
+        self.alone = False
+        self.pauses = 100
+        self.fingerprint = make_fingerprint(request.identity.customer.name, request.body)
+
+    def make_ticket(self) -> Ticket:
+        customer = self.request.identity.customer
+        return Ticket(self.request.request_id, customer.name, customer.weight, self.deadline_at)
+
+    def make_query(self) -> RouteQuery:
+        return RouteQuery(
+            model=self.request.model,
+            prefix=self.request.prefix,
+            excluded=self.excluded,
+            alone=self.alone,
+            admitted=self.progress.attempts > 0,
+        )
+
+    def make_call(self, now: Millis) -> GenerateCall:
+        resumed = self.recorder.last_index >= 0
+        return GenerateCall(
+            request_id=self.request.request_id,
+            path=self.request.path,
+            body=self.request.body,
+            stream=self.request.stream,
+            timeout_ms=max(1, self.deadline_at - now),
+            resume_after=self.recorder.last_index,
+            prior=self.recorder.read_text() if resumed else "",
+        )
+
+
+def _keep_truth(refusal: Refusal, progress: RunProgress) -> Refusal:
+    """Return a refusal that says "not run" only if no run before may have happened."""
+    if not progress.may_have_run or not refusal.not_run:
+        return refusal
+    return Refusal(refusal.message, refusal.code, 502, False, refusal.retry_after_ms)
+
+
+def _refuse_quarantined(run: _GenerationRun) -> Refusal:
+    message = "this request crashed upstreams and is quarantined"
+    ran = run.progress.may_have_run
+    return Refusal(message, RefusalCode.QUARANTINED, 422, not_run=not ran)
+
+
+def _refuse_failure(error: UpstreamError, progress: RunProgress) -> Refusal:
+    not_run = not progress.may_have_run
+    if error.failure is UpstreamFailure.REJECTED:
+        code, status = RefusalCode.INVALID_REQUEST, error.status
+        return Refusal(error.message, code, status, False, upstream_body=error.body)
+    if error.failure is UpstreamFailure.TIMEOUT:
+        return Refusal(error.message, RefusalCode.DEADLINE, 504, False, 1000)
+    if not_run:
+        return Refusal("no upstream took it", RefusalCode.NO_UPSTREAM, 503, True, 1000)
+    return Refusal(error.message, RefusalCode.UPSTREAM_FAILED, 502, False, 1000)
--- a/goldcreststair/components/online/models.py
+++ b/goldcreststair/components/online/models.py
@@ -24,6 +24,24 @@
     idempotency_key: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """One call of a plain service."""
+
+    request_id: str
+    identity: Identity
+    service: str
+    method: str
+    path: str
+    """The service's own path, with its query."""
+    body: bytes
+    repeatable: bool
+    deadline_ms: int = 60_000
+    idempotency_key: str = ""
+    headers: Mapping[str, str] = field(default_factory=dict)
+    """Allow-listed headers only."""
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamPressure:
     """What this VM's online work meets at one upstream."""
--- /dev/null
+++ b/goldcreststair/components/online/pressure.py
@@ -0,0 +1,69 @@
+"""What this VM's online work meets at upstreams; no I/O."""
+
+from goldcreststair.blackboard import Blackboard
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.online.const import (
+    EXPECTED_QUEUE_PER_WAITING_MS,
+    PRESSURE_PERIOD_MS,
+)
+from goldcreststair.components.online.models import (
+    ONLINE_PRESSURE,
+    OnlinePressure,
+    UpstreamPressure,
+)
+from goldcreststair.components.routing.protocols import Router
+
+ONSET_FACTOR = 1.5
+ONSET_SLACK = 3
+IDLE_FACTOR = 2.0
+IDLE_SLACK_MS = 100
+IDLE_DRIFT = 1.02
+"""The idle expectation rises by so much a sample, so that an outdated minimum fades."""
+QUEUE_LIFETIME_MS = 2000
+
+
+class PressureMeter:
+    """Writes `ONLINE_PRESSURE`: at once when a burst begins, otherwise throttled."""
+
+    def __init__(self, board: Blackboard, clock: Clock, router: Router) -> None:
+        """Open the section."""
+        self._clock = clock
+        self._router = router
+        self._writer = board.open_section(ONLINE_PRESSURE, OnlinePressure())
+        self._written = OnlinePressure()
+        self._written_at = Millis(0)
+        self._idle_ms: dict[str, float] = {}
+        self._queues: dict[str, tuple[Millis, int]] = {}
+
+    def note_first_token(self, upstream: str, waited_ms: int) -> None:
+        """Take one time to first token, counted from when the call left."""
+        idle = min(self._idle_ms.get(upstream, float(waited_ms)) * IDLE_DRIFT, float(waited_ms))
+        self._idle_ms[upstream] = max(1.0, idle)
+        expected = idle * IDLE_FACTOR + IDLE_SLACK_MS
+        self._queues[upstream] = (self._clock.now(), max(0, int(waited_ms - expected)))
+        self.update()
+
+    def update(self, in_flight: int | None = None) -> None:
+        """Publish if a burst began or the last word is old."""
+        total = self._written.in_flight if in_flight is None else in_flight
+        now = self._clock.now()
+        onset = total > self._written.in_flight * ONSET_FACTOR + ONSET_SLACK
+        if not onset and now - self._written_at < PRESSURE_PERIOD_MS:
+            return
+        self._written_at = now
+        self._written = OnlinePressure(total, self._measure(now))
+        self._writer.write(self._written)
+
+    def _measure(self, now: Millis) -> dict[str, UpstreamPressure]:
+        in_flight = self._router.count_in_flight()
+        return {
+            name: UpstreamPressure(count, self._measure_queue(name, now))
+            for name, count in in_flight.items()
+        }
+
+    def _measure_queue(self, upstream: str, now: Millis) -> int:
+        at, queue_ms = self._queues.get(upstream, (now, 0))
+        if now - at > QUEUE_LIFETIME_MS:
+            queue_ms = 0
+        reported = self._router.read_waiting(upstream) * EXPECTED_QUEUE_PER_WAITING_MS
+        return max(queue_ms, reported)
--- /dev/null
+++ b/goldcreststair/components/online/recovery.py
@@ -0,0 +1,57 @@
+"""Decides what follows a failed run; no I/O."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from goldcreststair.components.online.budget import RetryBudget
+from goldcreststair.components.online.const import MAX_ATTEMPTS, MAX_RECONNECTS
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+
+RECONNECTABLE = (UpstreamFailure.SILENT, UpstreamFailure.INCOMPLETE, UpstreamFailure.CROSSED)
+
+
+class NextStep(StrEnum):
+    """What follows a failed run."""
+
+    SAME = "same"
+    """A new connection to the same upstream, which knows the request by its id."""
+    ELSEWHERE = "elsewhere"
+    """Another upstream, after the tokens already received."""
+    GIVE_UP = "give_up"
+
+
+@dataclass(slots=True)
+class RunProgress:
+    """How far one request has come over all its runs."""
+
+    repeatable: bool
+    attempts: int = 0
+    reconnects: int = 0
+    """New connections to the present upstream since the last token."""
+    last_index: int = -1
+    """Index of the last token received."""
+    may_have_run: bool = False
+    """Whether any upstream may have run any part; "not run" is untrue from then on."""
+
+
+def decide_next(
+    progress: RunProgress, error: UpstreamError, budget: RetryBudget, remaining_ms: int
+) -> NextStep:
+    """Return what follows `error`; `progress` already counts the failed run."""
+    if remaining_ms <= 0 or progress.attempts >= MAX_ATTEMPTS:
+        return NextStep.GIVE_UP
+    if error.failure in (UpstreamFailure.REJECTED, UpstreamFailure.TIMEOUT):
+        return NextStep.GIVE_UP
+    # A run that certainly did not happen is free to move, whether repeatable or not.
+    if error.not_run:
+        return NextStep.ELSEWHERE
+    # Shows as two grounds booked: the answer was lost, not the run, so it is never sent again.
+    if not progress.repeatable:
+        return NextStep.GIVE_UP
+    if error.failure in RECONNECTABLE and progress.reconnects < MAX_RECONNECTS:
+        return NextStep.SAME
+    # A stream with tokens out goes on without the budget: to cut it would be the greater harm,
+    # and it cannot storm, since the attempts of each stream are bounded.
+    if progress.last_index >= 0 or budget.take():
+        return NextStep.ELSEWHERE
+    return NextStep.GIVE_UP
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -1,103 +1,198 @@
-"""Runs one online request from admission to its whole answer."""
+"""Online requests from admission to the whole answer."""
 
+import asyncio
 import logging
-from typing import Final
+from collections.abc import Awaitable
+from typing import Final, TypeVar
 
 from result import Err, Ok, Result
 
+from goldcreststair.clock import Millis
+from goldcreststair.components.claims.protocols import ClaimRequest, Outcome
+from goldcreststair.components.keys.protocols import KEYS, Identity
 from goldcreststair.components.limits.protocols import LIMITS
-from goldcreststair.components.online.const import MAX_ATTEMPTS
+from goldcreststair.components.online.calls import ServiceRunner
+from goldcreststair.components.online.claiming import ClaimedRunner, make_request_fingerprint
 from goldcreststair.components.online.errors import Refusal, RefusalCode
-from goldcreststair.components.online.models import GenerateRequest
-from goldcreststair.components.routing.protocols import ROUTER, NoUpstream, RouteQuery
+from goldcreststair.components.online.gate import AdmissionGate
+from goldcreststair.components.online.generation import GenerationRunner
+from goldcreststair.components.online.models import GenerateRequest, ServiceRequest
+from goldcreststair.components.online.pressure import PressureMeter
+from goldcreststair.components.online.stream import StreamRecorder
+from goldcreststair.components.routing.protocols import ROUTER
 from goldcreststair.core import ComponentKey, Core
-from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
-from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, Upstream
+from goldcreststair.upstreams.models import GenerateEnd, StreamChunk
 from goldcreststair.upstreams.protocols import StreamSink
 
 _LOGGER = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
+CONTENT_JSON: Final = "application/json"
+CONTENT_EVENTS: Final = "text/event-stream"
+
 
 class OnlineService:
-    """Admits, routes, runs and retries."""
+    """Admits, runs under claims where need be, and ends what lost its key."""
 
     def __init__(self, core: Core) -> None:
         """Use the components set up before."""
-        self._core = core
+        self._clock = core.clock
         self._limits = core.get(LIMITS)
-        self._router = core.get(ROUTER)
+        self._keys = core.get(KEYS)
+        self._gate = AdmissionGate(core)
+        self._meter = PressureMeter(core.blackboard, core.clock, core.get(ROUTER))
+        self._generations = GenerationRunner(core, self._gate, self._meter)
+        self._calls = ServiceRunner(core, self._gate)
+        self._claimed = ClaimedRunner(core)
+        self._in_flight = 0
+        self._withdrawn_runs: set[str] = set()
+        self._generation_runs: dict[str, asyncio.Task[object]] = {}
 
     async def async_start(self) -> None:
         """Do nothing."""
 
     async def async_close(self) -> None:
-        """Do nothing."""
+        """Refuse who waits and end what runs."""
+        self._gate.close()
+        await self._claimed.async_close()
+
+    def count_in_flight(self) -> int:
+        """Return the requests accepted and not yet answered."""
+        return self._in_flight
 
     async def async_generate(
         self, request: GenerateRequest, sink: StreamSink
     ) -> Result[GenerateEnd, Refusal]:
         """Run one request; streamed chunks go to the sink."""
-        admitted = await self._limits.async_admit(request.identity.customer)
-        if isinstance(admitted, Err):
-            error = admitted.err_value
-            return Err(
-                Refusal(error.message, RefusalCode.RATE_LIMITED, 429, True, error.retry_after_ms)
-            )
-        return await self._async_attempt(request, sink)
-
-    async def _async_attempt(
+        run = self._async_generate(request, sink)
+        return await self._async_guard(request.identity, request.request_id, run)
+
+    async def async_call(self, request: ServiceRequest) -> Result[Outcome, Refusal]:
+        """Run one call of a plain service."""
+        run = self._async_call(request)
+        return await self._async_guard(request.identity, request.request_id, run)
+
+    async def _async_guard(
+        self, identity: Identity, request_id: str, run: Awaitable[Result[T, Refusal]]
+    ) -> Result[T, Refusal]:
+        """Run while the key holds; a withdrawal ends the request at once."""
+        task = asyncio.ensure_future(run)
+
+        def end() -> None:
+            self._withdrawn_runs.add(request_id)
+            detached = self._generation_runs.get(request_id)
+            if detached is not None:
+                detached.cancel()
+            task.cancel()
+
+        unwatch = self._keys.watch(identity.key_hash, end)
+        self._count(1)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if request_id not in self._withdrawn_runs:
+                raise
+            return Err(Refusal("the key was withdrawn", RefusalCode.KEY_WITHDRAWN, 401, False))
+        finally:
+            self._withdrawn_runs.discard(request_id)
+            unwatch()
+            self._count(-1)
+
+    def _count(self, change: int) -> None:
+        self._in_flight += change
+        self._meter.update(self._in_flight)
+
+    async def _async_admit(self, identity: Identity) -> Result[None, Refusal]:
+        admitted = await self._limits.async_admit(identity.customer)
+        if isinstance(admitted, Ok):
+            return Ok(None)
+        error = admitted.err_value
+        code = RefusalCode.RATE_LIMITED
+        return Err(Refusal(error.message, code, 429, True, error.retry_after_ms))
+
+    async def _async_generate(
         self, request: GenerateRequest, sink: StreamSink
     ) -> Result[GenerateEnd, Refusal]:
-        tried: frozenset[str] = frozenset()
-        for _ in range(MAX_ATTEMPTS):
-            chosen = self._router.choose(
-                RouteQuery(model=request.model, prefix=request.prefix, excluded=tried)
-            )
-            if isinstance(chosen, Err):
-                return Err(_refuse_route(chosen.err_value))
-            upstream = chosen.ok_value
-            outcome = await self._async_run(upstream, request, sink)
-            if isinstance(outcome, Ok):
-                return outcome
-            if not outcome.err_value.not_run:
-                return Err(_refuse_failure(outcome.err_value))
-            _LOGGER.info("Upstream %s did not run %s", upstream.name, request.request_id)
-            tried |= {upstream.name}
-        return Err(
-            Refusal("no upstream took it", RefusalCode.NO_UPSTREAM, 503, True, retry_after_ms=1000)
-        )
-
-    async def _async_run(
-        self, upstream: Upstream, request: GenerateRequest, sink: StreamSink
-    ) -> Result[GenerateEnd, UpstreamError]:
-        call = GenerateCall(
-            request.request_id, request.path, request.body, request.stream, request.deadline_ms
+        deadline_at = Millis(self._clock.now() + request.deadline_ms)
+        admitted = await self._async_admit(request.identity)
+        if isinstance(admitted, Err):
+            return admitted
+        recorder = StreamRecorder(sink)
+        if not request.idempotency_key:
+            return await self._generations.async_run(request, recorder, deadline_at)
+        return await self._async_generate_claimed(request, recorder, sink, deadline_at)
+
+    async def _async_generate_claimed(
+        self,
+        request: GenerateRequest,
+        recorder: StreamRecorder,
+        sink: StreamSink,
+        deadline_at: Millis,
+    ) -> Result[GenerateEnd, Refusal]:
+        async def async_run() -> Result[Outcome, Refusal]:
+            task = asyncio.current_task()
+            assert task is not None
+            self._generation_runs[request.request_id] = task
+            try:
+                ended = await self._generations.async_run(request, recorder, deadline_at)
+                return _make_outcome(request, recorder, ended)
+            finally:
+                del self._generation_runs[request.request_id]
+
+        claim = ClaimRequest(
+            customer=request.identity.customer.name,
+            key=request.idempotency_key,
+            fingerprint=make_request_fingerprint("POST", request.path, request.body),
+            request_id=request.request_id,
+            repeatable=True,
         )
-        self._router.begin(upstream.name)
-        ok = False
-        try:
-            outcome = await self._core.upstreams.engines.async_generate(upstream, call, sink)
-            ok = isinstance(outcome, Ok)
+        outcome = await self._claimed.async_run(claim, async_run, deadline_at)
+        if isinstance(outcome, Err):
             return outcome
-        finally:
-            self._router.end(upstream.name, ok=ok)
-
+        return await _async_replay(request, recorder, sink, outcome.ok_value)
 
-def _refuse_route(error: NoUpstream) -> Refusal:
-    if not error.known:
-        return Refusal(error.message, RefusalCode.UNKNOWN_MODEL, 404, True)
-    return Refusal(error.message, RefusalCode.NO_UPSTREAM, 503, True, error.retry_after_ms)
+    async def _async_call(self, request: ServiceRequest) -> Result[Outcome, Refusal]:
+        deadline_at = Millis(self._clock.now() + request.deadline_ms)
+        admitted = await self._async_admit(request.identity)
+        if isinstance(admitted, Err):
+            return admitted
+        if request.repeatable and not request.idempotency_key:
+            return await self._calls.async_run(request, deadline_at)
+        claim = ClaimRequest(
+            customer=request.identity.customer.name,
+            key=request.idempotency_key or request.request_id,
+            fingerprint=make_request_fingerprint(
+                request.method, f"{request.service}{request.path}", request.body
+            ),
+            request_id=request.request_id,
+            repeatable=request.repeatable,
+        )
+        return await self._claimed.async_run(
+            claim, lambda: self._calls.async_run(request, deadline_at), deadline_at
+        )
 
 
-def _refuse_failure(error: UpstreamError) -> Refusal:
-    if error.failure is UpstreamFailure.REJECTED:
-        return Refusal(
-            error.message,
-            RefusalCode.INVALID_REQUEST,
-            error.status,
-            upstream_body=error.body,
-        )
-    return Refusal(error.message, RefusalCode.UPSTREAM_FAILED, 502, retry_after_ms=1000)
+def _make_outcome(
+    request: GenerateRequest, recorder: StreamRecorder, ended: Result[GenerateEnd, Refusal]
+) -> Result[Outcome, Refusal]:
+    if isinstance(ended, Err):
+        return ended
+    if request.stream:
+        return Ok(Outcome(200, CONTENT_EVENTS, recorder.read_data()))
+    return Ok(Outcome(200, CONTENT_JSON, ended.ok_value.body))
+
+
+async def _async_replay(
+    request: GenerateRequest, recorder: StreamRecorder, sink: StreamSink, outcome: Outcome
+) -> Result[GenerateEnd, Refusal]:
+    """Give the outcome to the caller, unless its own run streamed it already."""
+    if not request.stream:
+        return Ok(GenerateEnd(outcome.body, 0, -1))
+    if not recorder.first_token_seen:
+        tokens = outcome.body.count(b"\n\n")
+        await sink.async_accept(StreamChunk(outcome.body, tokens, tokens - 1))
+    return Ok(GenerateEnd(b"", 0, recorder.last_index))
 
 
 ONLINE: Final = ComponentKey[OnlineService]("online")
--- a/goldcreststair/components/routing/controller.py
+++ b/goldcreststair/components/routing/controller.py
@@ -1,53 +1,158 @@
-"""Chooses the upstream with the fewest of this VM's requests in flight."""
+"""Chooses upstreams: bounded-load affinity first, the less loaded of two otherwise; no I/O."""
 
-from collections import Counter
+import random
+from collections.abc import Mapping, Sequence
 
 from result import Err, Ok, Result
 
-from goldcreststair.components.configuration.models import CONFIGURATION
+from goldcreststair.blackboard import Blackboard
+from goldcreststair.components.configuration.models import CONFIGURATION, Configuration
+from goldcreststair.components.routing.beliefs import CacheBeliefs
+from goldcreststair.components.routing.const import BOUND_FACTOR, BOUND_SLACK, SUBSET_SIZE
+from goldcreststair.components.routing.loads import LoadBook
 from goldcreststair.components.routing.protocols import NoUpstream, RouteQuery
+from goldcreststair.components.routing.rendezvous import score, select_subset
 from goldcreststair.core import Core
 from goldcreststair.upstreams.models import Upstream
 
 
-class LeastInFlightRouter:
-    """Least own in-flight, ties broken at random."""
+class AffinityRouter:
+    """Sends like prompts to like upstreams while these are not loaded beyond the mean."""
 
     def __init__(self, core: Core) -> None:
-        """Start with nothing in flight."""
-        self._core = core
-        self._in_flight: Counter[str] = Counter()
-
-    async def async_start(self) -> None:
-        """Do nothing."""
-
-    async def async_close(self) -> None:
-        """Do nothing."""
+        """Start knowing nothing of any load."""
+        self.loads = LoadBook(core.clock)
+        self.beliefs = CacheBeliefs(core.clock)
+        self._board: Blackboard = core.blackboard
+        self._random: random.Random = core.random
+        self._session_id = core.session_id
+        self._data_centre = core.settings.data_centre
+        self._own_address = core.settings.address
+        self._leaving_addresses: frozenset[str] = frozenset()
+        self._isolated: dict[str, set[str]] = {}
+        self._subsets: dict[tuple[str, str], list[Upstream]] = {}
+        self._subset_version = -1
 
     def choose(self, query: RouteQuery) -> Result[Upstream, NoUpstream]:
         """Return the upstream that shall run a request."""
-        configuration = self._core.blackboard.read(CONFIGURATION)
-        able = [u for u in configuration.upstreams.values() if _fits(u, query)]
+        configuration = self._board.read(CONFIGURATION)
+        able = self._find_able(configuration, query)
         if not able:
             return Err(NoUpstream("no upstream serves this", known=False))
-        free = [
-            upstream
-            for upstream in able
-            if upstream.name not in query.excluded
-            and upstream.name not in configuration.leaving_upstreams
-        ]
-        if not free:
+        opened = [upstream for upstream in able if self._is_open(upstream, configuration, query)]
+        if not opened:
             return Err(NoUpstream("no upstream can take this now"))
-        self._core.random.shuffle(free)
-        return Ok(min(free, key=lambda upstream: self._in_flight[upstream.name]))
+        free = [upstream for upstream in opened if upstream.name not in self._isolated]
+        # Suspects leave at least one upstream to everyone else; they wait for one another.
+        if not free or (query.alone and len(free) == 1 and len(opened) > 1):
+            return Err(NoUpstream("upstreams are kept for suspect requests", saturated=True))
+        if query.alone:
+            return Ok(min(free, key=lambda upstream: self.loads.read_in_flight(upstream.name)))
+        roomy = [u for u in free if query.admitted or self.loads.has_room(u.name)]
+        if not roomy:
+            return Err(NoUpstream("all upstreams are at their limit", saturated=True))
+        chosen = self._choose_among(self._prefer_near(roomy), query)
+        self.beliefs.record(chosen.name, query.prefix)
+        return Ok(chosen)
 
     def begin(self, upstream: str) -> None:
         """Count a request as in flight."""
-        self._in_flight[upstream] += 1
+        self.loads.add(upstream, 1)
 
     def end(self, upstream: str, *, ok: bool) -> None:
         """Count a request as ended."""
-        self._in_flight[upstream] -= 1
+        self.loads.add(upstream, -1)
+
+    def isolate(self, upstream: str, request_id: str) -> None:
+        """Keep new work away from an upstream while a suspect runs there."""
+        self._isolated.setdefault(upstream, set()).add(request_id)
+
+    def release(self, upstream: str, request_id: str) -> None:
+        """End an isolation."""
+        suspects = self._isolated.get(upstream, set())
+        suspects.discard(request_id)
+        if not suspects:
+            self._isolated.pop(upstream, None)
+
+    def note_refused(self, upstream: str) -> None:
+        """Note that an upstream said it takes no work: it is given none for a while."""
+        self.loads.note_refused(upstream)
+
+    def count_in_flight(self) -> Mapping[str, int]:
+        """Return this VM's requests in flight by upstream."""
+        return self.loads.read_all_in_flight()
+
+    def read_waiting(self, upstream: str) -> int:
+        """Return the requests queued at an upstream as last reported, discounted by age."""
+        return self.loads.read_waiting(upstream)
+
+    def set_leaving_addresses(self, addresses: frozenset[str]) -> None:
+        """Take the addresses that the platform says are leaving."""
+        self._leaving_addresses = addresses
+
+    def list_used(self) -> list[Upstream]:
+        """Return the upstreams in any of this VM's subsets."""
+        configuration = self._board.read(CONFIGURATION)
+        models = {model for u in configuration.upstreams.values() for model in u.models}
+        used = {
+            upstream.name: upstream
+            for model in models
+            for upstream in self._find_able(configuration, RouteQuery(model=model))
+        }
+        return list(used.values())
+
+    def _find_able(self, configuration: Configuration, query: RouteQuery) -> list[Upstream]:
+        if configuration.version != self._subset_version:
+            self._subsets.clear()
+            self._subset_version = configuration.version
+        key = (query.model, query.service)
+        if key not in self._subsets:
+            able = [u for u in configuration.upstreams.values() if _fits(u, query)]
+            self._subsets[key] = select_subset(
+                able, self._session_id, self._data_centre, SUBSET_SIZE
+            )
+        return self._subsets[key]
+
+    def _is_open(self, upstream: Upstream, configuration: Configuration, query: RouteQuery) -> bool:
+        return (
+            upstream.name not in query.excluded
+            and upstream.name not in configuration.leaving_upstreams
+            and not self._is_listed_leaving(upstream)
+            and self.loads.is_open(upstream.name)
+        )
+
+    def _is_listed_leaving(self, upstream: Upstream) -> bool:
+        if upstream.address in self._leaving_addresses:
+            return True
+        host = upstream.address.rpartition(":")[0]
+        # Nothing of ours runs on upstream VMs. Where an upstream shares our own IP number, the
+        # whole fleet stands on one machine, and a leaving daemon must not take it along.
+        return host != self._own_address and host in self._leaving_addresses
+
+    def _prefer_near(self, free: Sequence[Upstream]) -> Sequence[Upstream]:
+        return [u for u in free if u.data_centre == self._data_centre] or free
+
+    def _choose_among(self, upstreams: Sequence[Upstream], query: RouteQuery) -> Upstream:
+        if query.prefix:
+            found = self._find_favourite(upstreams, query)
+            if found is not None:
+                return found
+        two = self._random.sample(upstreams, min(2, len(upstreams)))
+        return min(two, key=lambda upstream: self.loads.estimate(upstream.name))
+
+    def _find_favourite(self, upstreams: Sequence[Upstream], query: RouteQuery) -> Upstream | None:
+        loads = {upstream.name: self.loads.estimate(upstream.name) for upstream in upstreams}
+        mean = sum(loads.values()) / len(loads)
+        bound = max(mean * BOUND_FACTOR, mean + BOUND_SLACK)
+        ranked = sorted(
+            upstreams,
+            key=lambda upstream: score(query.model, query.prefix, upstream.name),
+            reverse=True,
+        )
+        if loads[ranked[0].name] <= bound:
+            return ranked[0]
+        warm = [u for u in ranked[1:] if self.beliefs.holds(u.name, query.prefix)]
+        return next((u for u in warm if loads[u.name] <= bound), None)
 
 
 def _fits(upstream: Upstream, query: RouteQuery) -> bool:
--- /dev/null
+++ b/goldcreststair/components/routing/poller.py
@@ -0,0 +1,89 @@
+"""Reads load reports, cache events and the platform's list of VMs, at a bounded rate."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from result import Err
+
+from goldcreststair.components.routing.const import (
+    EVENT_PERIOD_POLLS,
+    MAX_POLLS_PER_S,
+    POLL_PERIOD_MS,
+    VM_LIST_PERIOD_MS,
+)
+from goldcreststair.components.routing.controller import AffinityRouter
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.core import Core
+from goldcreststair.platform.models import ListedState
+from goldcreststair.upstreams.models import Upstream, UpstreamKind
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class UpstreamPoller:
+    """Posts to the router what upstreams and the platform say."""
+
+    def __init__(self, core: Core, router: AffinityRouter) -> None:
+        """Bind to the router; nothing runs yet."""
+        self._core = core
+        self._router = router
+        self._tasks: list[asyncio.Task[None]] = []
+        self._polls = 0
+
+    async def async_start(self) -> None:
+        """Begin polling."""
+        self._tasks = [
+            asyncio.create_task(self._async_repeat(self.async_poll_upstreams, POLL_PERIOD_MS)),
+            asyncio.create_task(self._async_repeat(self.async_poll_vms, VM_LIST_PERIOD_MS)),
+        ]
+
+    async def async_close(self) -> None:
+        """End polling."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+
+    async def async_poll_upstreams(self) -> None:
+        """Ask each upstream once, spread over the time that the bounded rate takes."""
+        self._polls += 1
+        upstreams = [u for u in self._router.list_used() if u.kind is UpstreamKind.ENGINE]
+        size = max(1, MAX_POLLS_PER_S // 2)
+        for start in range(0, len(upstreams), size):
+            if start:
+                await self._core.clock.async_sleep(size * MS_PER_SECOND // MAX_POLLS_PER_S)
+            batch = upstreams[start : start + size]
+            await asyncio.gather(*(self._async_poll(upstream) for upstream in batch))
+
+    async def async_poll_vms(self) -> None:
+        """Ask the platform which VMs are leaving."""
+        listed = await self._core.platform.vm_list.async_list()
+        if isinstance(listed, Err):
+            return
+        leaving = (vm.address for vm in listed.ok_value if vm.state is ListedState.LEAVING)
+        self._router.set_leaving_addresses(frozenset(leaving))
+
+    async def _async_poll(self, upstream: Upstream) -> None:
+        engines = self._core.upstreams.engines
+        report = await engines.async_read_load(upstream)
+        if isinstance(report, Err):
+            self._router.loads.forget_report(upstream.name)
+            return
+        self._router.loads.take_report(upstream.name, report.ok_value)
+        if self._polls % EVENT_PERIOD_POLLS:
+            return
+        after = self._router.beliefs.read_sequence(upstream.name)
+        events = await engines.async_read_cache_events(upstream, after)
+        if not isinstance(events, Err):
+            self._router.beliefs.take_events(upstream.name, events.ok_value)
+
+    async def _async_repeat(self, poll: Callable[[], Awaitable[None]], period_ms: int) -> None:
+        while True:
+            try:
+                await poll()
+            except Exception:
+                # A malformed answer of one upstream must not end the polling of all others.
+                _LOGGER.exception("Polling failed")
+            jitter = self._core.random.uniform(0.8, 1.2)
+            await self._core.clock.async_sleep(int(period_ms * jitter))
--- a/goldcreststair/components/routing/protocols.py
+++ b/goldcreststair/components/routing/protocols.py
@@ -1,5 +1,6 @@
 """What other components ask of routing."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final, Protocol
 
@@ -17,6 +18,8 @@
     known: bool = True
     """False if no upstream is configured for this model or service at all."""
     retry_after_ms: int = 1000
+    saturated: bool = False
+    """True if upstreams serve this but all run as many of this VM's requests as they may."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +32,10 @@
     """Digest of the prompt's first block, or empty."""
     excluded: frozenset[str] = frozenset()
     """Names of upstreams already tried."""
+    alone: bool = False
+    """Whether the request is suspected of crashing upstreams, and runs apart from others."""
+    admitted: bool = False
+    """Whether the request ran before and only moves, so that no limit holds it back."""
 
 
 class Router(Protocol):
@@ -43,5 +50,20 @@
     def end(self, upstream: str, *, ok: bool) -> None:
         """Count a request as ended."""
 
+    def isolate(self, upstream: str, request_id: str) -> None:
+        """Keep new work away from an upstream while a suspect runs there."""
+
+    def release(self, upstream: str, request_id: str) -> None:
+        """End an isolation."""
+
+    def note_refused(self, upstream: str) -> None:
+        """Note that an upstream said it takes no work: it is given none for a while."""
+
+    def count_in_flight(self) -> Mapping[str, int]:
+        """Return this VM's requests in flight by upstream."""
+
+    def read_waiting(self, upstream: str) -> int:
+        """Return the requests queued at an upstream as last reported, discounted by age."""
+
 
 ROUTER: Final = ComponentKey[Router]("routing")
--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -33,6 +33,8 @@
 EVENT_END: Final = b"\n\n"
 EVENT_ID: Final = b"id: "
 IDLE_TIMEOUT_MS: Final = 5000
+WHOLE_IDLE_TIMEOUT_MS: Final = 15_000
+"""An answer that comes at once at its end may keep still for longer; asking again joins it."""
 CONTROL_TIMEOUT_MS: Final = 2000
 STATUS_OK: Final = 200
 STATUS_FENCED: Final = 409
@@ -192,7 +194,7 @@
         timeout_ms=call.timeout_ms,
         headers={HEADER_REQUEST_ID: call.request_id, "Content-Type": "application/json"},
         body=body,
-        idle_timeout_ms=IDLE_TIMEOUT_MS if call.stream else 0,
+        idle_timeout_ms=IDLE_TIMEOUT_MS if call.stream else WHOLE_IDLE_TIMEOUT_MS,
     )
 
 
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -170,6 +170,10 @@
             self._waiting.popleft()
             if head.state is not GenerationState.WAITING:
                 continue
+            if head.produced >= head.wanted_tokens:
+                # Resumed after its last token: only the end marker is left to send.
+                self._end(head, GenerationState.DONE)
+                continue
             head.state = GenerationState.RUNNING
             self._running.append(head)
             prefill_ms += self._prefill(head) * self.parameters.prefill_per_token_ms
--- /dev/null
+++ b/tests/components/online/test_admission.py
@@ -0,0 +1,181 @@
+"""Fair queues, deadlines, poison and leaving upstreams."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.membership.protocols import SET_QUARANTINE
+from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.online.fair_queue import FairQueue, Ticket
+from goldcreststair.components.online.models import ONLINE_PRESSURE
+from goldcreststair.components.online.service import ONLINE
+from goldcreststair.components.routing import loads
+from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.upstreams.models import GenerateCall, GenerateEnd
+from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
+from tests.helpers.shared_sets import FakeSharedSets
+from tests.helpers.virtual_time import run_virtual
+
+
+@pytest.mark.parametrize(
+    ("weights", "expected"),
+    [({"a": 1.0, "b": 1.0}, (20, 20)), ({"a": 3.0, "b": 1.0}, (30, 10))],
+)
+def test_shares_follow_weights(weights: dict[str, float], expected: tuple[int, int]) -> None:
+    queue = FairQueue()
+    for number in range(200):
+        for customer, weight in weights.items():
+            queue.push(Ticket(f"{customer}{number}", customer, weight, Millis(10)))
+    taken = [ticket.customer for _ in range(40) if (ticket := queue.pop())]
+    assert (taken.count("a"), taken.count("b")) == expected
+
+
+def test_busy_customer_does_not_hold_up_the_other(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One customer sends five times the other's requests, and both wait for one upstream.
+
+    First come first served, the small customer would wait behind all of the busy one's work;
+    served in turn, its last request is answered when about twice its own work is done.
+    """
+    monkeypatch.setattr(loads, "MAX_IN_FLIGHT", 2)
+    ended: list[str] = []
+
+    async def async_send(vm: OnlineVm, customer: str, number: int) -> None:
+        outcome = await vm.async_generate(f"{customer}{number}", customer=customer, max_tokens=5)
+        assert isinstance(outcome, Ok)
+        ended.append(customer)
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=1)
+        plan = [("busy", n) for n in range(50)] + [("acme", n) for n in range(10)]
+        await asyncio.gather(*(async_send(vm, customer, number) for customer, number in plan))
+        assert max(at for at, customer in enumerate(ended) if customer == "acme") < 26
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+def test_request_that_cannot_meet_its_deadline_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A burst fills the queue, and a caller sends a request that must be done in 300 ms.
+
+    Told at its deadline, it could ask nobody else any more; it must be told at once that it
+    did not run and when to come back.
+    """
+    monkeypatch.setattr(loads, "MAX_IN_FLIGHT", 2)
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=1)
+        burst = [asyncio.create_task(vm.async_generate(f"b{n}", max_tokens=20)) for n in range(100)]
+        await asyncio.sleep(1.0)
+        began = vm.core.clock.now()
+        refused = await vm.async_generate("late", deadline_ms=300)
+        assert isinstance(refused, Err) and refused.err_value.not_run
+        assert refused.err_value.retry_after_ms >= 1000
+        assert vm.core.clock.now() - began < 50
+        assert vm.core.get(ONLINE).count_in_flight() > 0
+        for task in burst:
+            task.cancel()
+        await asyncio.gather(*burst, return_exceptions=True)
+        assert vm.core.get(ONLINE).count_in_flight() == 0
+        assert not [call for _, call in vm.upstreams.calls if call.request_id == "late"]
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+def test_poison_is_found_and_the_innocent_finish() -> None:
+    """One request crashes each upstream that runs it, and its caller sends it again elsewhere.
+
+    Those that ran beside it must finish; it must be quarantined in the whole fleet, so that
+    its resend to another VM crashes nothing.
+    """
+
+    async def async_test() -> None:
+        shared = FakeSharedSets()
+        vm = OnlineVm()
+        other = OnlineVm(vm.upstreams, "vm2")
+        await vm.async_setup(engines=3, shared_sets=shared)
+        await other.async_setup(engines=3, shared_sets=shared)
+        for engine in vm.upstreams.engines.values():
+            engine.faults.crash_marker = "poison"
+        sinks = [RecordingSink() for _ in range(12)]
+        innocent = [
+            asyncio.create_task(vm.async_generate(f"r{n}", sink, prompt=f"p{n}", max_tokens=100))
+            for n, sink in enumerate(sinks)
+        ]
+        await asyncio.sleep(0.5)
+        poisoned = await vm.async_generate("bad", prompt="poison")
+        assert isinstance(poisoned, Err)
+        assert poisoned.err_value.code is RefusalCode.QUARANTINED
+        assert not poisoned.err_value.not_run
+        for outcome in await asyncio.gather(*innocent):
+            assert isinstance(outcome, Ok)
+        assert all(sink.data.count(b"id: ") == 100 for sink in sinks)
+        crashes = sum(engine.crashes for engine in vm.upstreams.engines.values())
+        assert crashes <= 4
+        again = await other.async_generate("bad2", prompt="poison")
+        assert isinstance(again, Err) and again.err_value.code is RefusalCode.QUARANTINED
+        assert again.err_value.not_run
+        assert sum(engine.crashes for engine in vm.upstreams.engines.values()) == crashes
+        assert len([item for item in shared.items if item[0] == SET_QUARANTINE]) == 1
+        await other.async_close()
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+async def async_leave(vm: OnlineVm, how: str) -> None:
+    if how == "configuration":
+        vm.apply(leaving_upstreams={"e0": True})
+    if how == "report":
+        vm.upstreams.engines[ADDRESSES[0]].draining = True
+    if how == "platform":
+        vm.platform.set_vms([ListedVm(ADDRESSES[0], "dc1", ListedState.LEAVING)])
+
+
+@pytest.mark.parametrize("how", ["configuration", "report", "platform"])
+def test_leaving_upstream_gets_no_new_work(how: str) -> None:
+    """An upstream is taken out for maintenance while callers are served.
+
+    Three seconds later it must be given nothing new, and what runs there must finish.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup()
+        running = [
+            asyncio.create_task(vm.async_generate(f"r{n}", prompt=f"p{n}", max_tokens=300))
+            for n in range(8)
+        ]
+        await asyncio.sleep(0.5)
+        await async_leave(vm, how)
+        before = [await vm.async_generate(f"s{n}", prompt=f"q{n}", max_tokens=2) for n in range(8)]
+        await asyncio.sleep(3)
+        sent = len(vm.upstreams.calls)
+        after = [await vm.async_generate(f"t{n}", prompt=f"u{n}", max_tokens=2) for n in range(20)]
+        assert all(isinstance(outcome, Ok) for outcome in before + after)
+        assert ADDRESSES[0] not in {address for address, _ in vm.upstreams.calls[sent:]}
+        finished: list[Result[GenerateEnd, Refusal]] = await asyncio.gather(*running)
+        assert all(isinstance(outcome, Ok) for outcome in finished)
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+def test_burst_shows_at_once_in_the_pressure() -> None:
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup()
+        tasks = [asyncio.create_task(vm.async_generate(f"r{n}")) for n in range(20)]
+        await asyncio.sleep(0.001)
+        assert vm.core.blackboard.read(ONLINE_PRESSURE).in_flight >= 10
+        await asyncio.gather(*tasks)
+        assert any(isinstance(call, GenerateCall) for _, call in vm.upstreams.calls)
+        await vm.async_close()
+
+    run_virtual(async_test())
--- /dev/null
+++ b/tests/components/online/test_service_calls.py
@@ -0,0 +1,115 @@
+"""Calls of plain services under faults: at most once, and truth about "not run"."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from goldcreststair.components.online.errors import RefusalCode
+from goldcreststair.components.online.service import ONLINE
+from tests.helpers.claims import FakeClaims
+from tests.helpers.online import SERVICE_ADDRESSES, OnlineVm
+from tests.helpers.virtual_time import run_virtual
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_lost_answer_is_repeated_only_where_that_does_no_harm(repeatable: bool) -> None:
+    """A secretary books a ground; the service books it, then the answer is lost.
+
+    Sent again, a child's team would have two grounds. The booking must end as "outcome
+    unknown", not as "not run", and its resend must not book either; a mere listing is repeated.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(claims=FakeClaims())
+        for service in vm.upstreams.services.values():
+            service.lose_answers = 1
+        online = vm.core.get(ONLINE)
+        outcomes = [
+            await online.async_call(vm.make_call(f"r{n}", repeatable=repeatable, key="k"))
+            for n in range(2)
+        ]
+        if repeatable:
+            assert all(isinstance(outcome, Ok) for outcome in outcomes)
+            assert vm.count_runs() > 1
+        else:
+            assert vm.count_runs() == 1
+            assert all(isinstance(outcome, Err) for outcome in outcomes)
+        for outcome in outcomes:
+            if isinstance(outcome, Err):
+                assert outcome.err_value.code is RefusalCode.OUTCOME_UNKNOWN
+                assert not outcome.err_value.not_run
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+def test_call_that_did_not_run_is_free_to_move() -> None:
+    """One replica cannot be reached, the other says that it did not run the call.
+
+    Neither booked anything: with the refusal gone the second try books once, and while both
+    fail the caller reads a true "not run" and may send again.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(claims=FakeClaims())
+        online = vm.core.get(ONLINE)
+        vm.upstreams.unreachable.add(SERVICE_ADDRESSES[0])
+        vm.upstreams.services[SERVICE_ADDRESSES[1]].refuse = True
+        refused = await online.async_call(vm.make_call("r1", repeatable=False, key="k"))
+        assert isinstance(refused, Err) and refused.err_value.not_run
+        assert vm.count_runs() == 0
+        vm.upstreams.services[SERVICE_ADDRESSES[1]].refuse = False
+        await asyncio.sleep(2)
+        again = await online.async_call(vm.make_call("r2", repeatable=False, key="k"))
+        assert isinstance(again, Ok)
+        assert vm.count_runs() == 1
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+def test_resend_joins_the_run_whose_caller_went_away() -> None:
+    """A caller's connection breaks while its booking runs, and it sends the booking again.
+
+    The first run must go on to its end and the resend read its outcome: one booking, one
+    answer, although the connection that began it is gone.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(claims=FakeClaims())
+        online = vm.core.get(ONLINE)
+        for service in vm.upstreams.services.values():
+            service.delay_ms = 1000
+        first = asyncio.create_task(
+            online.async_call(vm.make_call("r1", repeatable=False, key="k"))
+        )
+        await asyncio.sleep(0.5)
+        first.cancel()
+        again = await online.async_call(vm.make_call("r2", repeatable=False, key="k"))
+        assert isinstance(again, Ok)
+        assert vm.count_runs() == 1
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+def test_booking_without_claims_is_refused_before_it_runs() -> None:
+    """The store that keeps claims is not there, and a secretary books a ground.
+
+    Run all the same, a resend could book twice; refused as "not run", the caller may try again.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup()
+        refused = await vm.core.get(ONLINE).async_call(vm.make_call("r1", repeatable=False))
+        assert isinstance(refused, Err) and refused.err_value.not_run
+        assert refused.err_value.retry_after_ms > 0
+        assert vm.count_runs() == 0
+        await vm.async_close()
+
+    run_virtual(async_test())
