--- /dev/null
+++ b/standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is one name of `script/measure`."""
