--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -23,6 +23,7 @@
     online,
     operator_api,
     peers,
+    quarantine,
     routing,
 )
 from goldcreststair.core import Component, Core
@@ -45,6 +46,7 @@
     configuration.async_setup,
     keys.async_setup,
     limits.async_setup,
+    quarantine.async_setup,
     routing.async_setup,
     online.async_setup,
     caller_api.async_setup,
