Lend a customer's tokens from one home to the other VMs

Cause: each VM kept its own full bucket, so N VMs admitted N times the rate and burst.

Change: the owner of the customer's partition is its home and lends lots of tokens; level and lent tokens together stay within the burst. A home spends only while the store, or two of three supporters named in the partition's record, confirmed it within 12 s. A new home takes the old one's buckets over, or waits until its rights and lots have ended. Ruled out: counting a loan when granted only, refilling after a report instead of before it, and a majority of all members as confirmation (it grows with the fleet). The static share of a slot depends on the slot alone, so a changed number of VMs can't double it.

--- /dev/null
+++ b/goldcreststair/components/limits/borrower.py
@@ -0,0 +1,50 @@
+"""One customer's dealings with its home: concurrent requests share an ask."""
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass, field
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.limits.borrowed import BorrowedBucket
+from goldcreststair.components.limits.const import ASK_INTERVAL_MS
+
+
+@dataclass(slots=True)
+class Waiter:
+    """One request that waits for a token; the future's value is the retry time, 0 if admitted."""
+
+    future: "asyncio.Future[int]"
+
+
+@dataclass(slots=True)
+class Borrower:
+    """What this VM holds and knows of one customer whose home is elsewhere."""
+
+    bucket: BorrowedBucket = field(default_factory=BorrowedBucket)
+    waiters: deque[Waiter] = field(default_factory=deque)
+    task: "asyncio.Task[None] | None" = None
+    asked_at: Millis = Millis(-ASK_INTERVAL_MS)
+    denied_until: Millis = Millis(0)
+
+    def add_waiter(self) -> Waiter:
+        """Queue one request."""
+        waiter = Waiter(asyncio.get_running_loop().create_future())
+        self.waiters.append(waiter)
+        return waiter
+
+    def count_waiting(self) -> int:
+        """Drop the waiters that gave up and count the rest."""
+        self.waiters = deque(w for w in self.waiters if not w.future.done())
+        return len(self.waiters)
+
+    def serve_waiters(self, now: Millis) -> None:
+        """Hand tokens to waiting requests in their order."""
+        while self.count_waiting() and self.bucket.take(now):
+            self.waiters.popleft().future.set_result(0)
+
+    def refuse_waiters(self, retry_after_ms: int) -> None:
+        """Refuse all that wait, at once."""
+        while self.waiters:
+            waiter = self.waiters.popleft()
+            if not waiter.future.done():
+                waiter.future.set_result(max(1, retry_after_ms))
--- /dev/null
+++ b/goldcreststair/components/limits/const.py
@@ -0,0 +1,48 @@
+"""Times and sizes of limits; docs/design/limits.md has the proof that rests on them."""
+
+from typing import Final
+
+RIGHT_MS: Final = 12_000
+"""How long a home may spend after a store call or its supporters confirmed it."""
+LOT_LIFETIME_MS: Final = 3_000
+"""How long a borrower may spend a lot, counted from when it asked."""
+SUPPORTED_LIMIT_MS: Final = 600_000
+"""How long a home may live on its supporters alone."""
+SUPPORT_INTERVAL_MS: Final = 2_000
+SUPPORT_AFTER_MS: Final = 6_000
+"""Age of the last store confirmation at which a home turns to its supporters."""
+SUPPORTERS: Final = 3
+MARGIN_DIVISOR: Final = 50
+"""Observers of another clock wait a fiftieth longer: two clocks drifting 1% apart each."""
+MARGIN_MS: Final = 100
+
+ASK_INTERVAL_MS: Final = 150
+ASK_TIMEOUT_MS: Final = 120
+ADMIT_WAIT_MS: Final = 150
+UNREACHABLE_RETRY_MS: Final = 300
+PREFETCH_MS: Final = 400
+DEMAND_WINDOW_MS: Final = 1_000
+REPORT_INTERVAL_MS: Final = 300
+IDLE_RETURN_MS: Final = 500
+QUESTION_TIMEOUT_MS: Final = 500
+QUESTION_INTERVAL_MS: Final = 1_000
+COMMIT_TIMEOUT_MS: Final = 5_000
+
+STATIC_FRACTION: Final = 0.1
+FIRST_SLOTS: Final = 16
+FIRST_SLOTS_PART: Final = 0.75
+
+SUPPORTERS_RECORD: Final = "limits/supporters"
+
+
+def wait_out(duration_ms: int) -> int:
+    """Return how long to wait until another clock has certainly counted `duration_ms`.
+
+    >>> wait_out(3000)
+    3160
+    """
+    return duration_ms + duration_ms // MARGIN_DIVISOR + MARGIN_MS
+
+
+FIRST_EPOCH: Final = 1
+"""A partition's first owner has no predecessor."""
--- /dev/null
+++ b/goldcreststair/components/limits/fleet.py
@@ -0,0 +1,142 @@
+"""Limits over the whole fleet: this VM's own tokens, its home buckets, and what it borrows."""
+
+import asyncio
+from itertools import count
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.configuration.models import CONFIGURATION, Customer
+from goldcreststair.components.ledger.protocols import LEDGER
+from goldcreststair.components.limits import messages
+from goldcreststair.components.limits.borrower import Borrower
+from goldcreststair.components.limits.const import (
+    ADMIT_WAIT_MS,
+    ASK_INTERVAL_MS,
+    ASK_TIMEOUT_MS,
+    REPORT_INTERVAL_MS,
+    UNREACHABLE_RETRY_MS,
+)
+from goldcreststair.components.limits.homes import Homes, find_customer_index
+from goldcreststair.components.limits.models import HomeAnswer
+from goldcreststair.components.limits.protocols import LimitExceeded
+from goldcreststair.components.limits.static_share import StaticShare
+from goldcreststair.components.limits.takeover import HomeTasks
+from goldcreststair.components.membership.models import MEMBERS
+from goldcreststair.components.peers.protocols import PEERS, PeerMessage
+from goldcreststair.core import Core
+from goldcreststair.wire.generated.limits import ttypes
+
+
+class FleetLimits:
+    """Implements `Limits` over all VMs together."""
+
+    def __init__(self, core: Core) -> None:
+        """Register the messages; nothing runs yet."""
+        self._core = core
+        self._clock = core.clock
+        self._ledger = core.get(LEDGER)
+        self._peers = core.get(PEERS)
+        self._homes = Homes(self._ledger)
+        self._tasks = HomeTasks(core, self._homes, self._ledger, self._peers)
+        self._borrowers: dict[str, Borrower] = {}
+        self._shares: dict[str, StaticShare] = {}
+        self._numbers = count(1)
+        self._peers.register(messages.NUMBER_TOKEN_ASK, ttypes.TokenAsk, self._async_on_ask)
+        self._peers.register(messages.NUMBER_TOKEN_GRANT, ttypes.TokenGrant, None)
+
+    async def async_start(self) -> None:
+        """Begin to be home for the owned partitions."""
+        self._tasks.start()
+
+    async def async_close(self) -> None:
+        """Stop asking; refuses all that wait."""
+        await self._tasks.async_close()
+        for borrower in self._borrowers.values():
+            if borrower.task is not None:
+                borrower.task.cancel()
+            borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
+
+    async def async_admit(self, customer: Customer) -> Result[None, LimitExceeded]:
+        """Take one token, asking the customer's home VM for more if need be."""
+        now = self._clock.now()
+        if self._spend_static(customer, now):
+            return Ok(None)
+        answer = self._homes.spend(customer, now)
+        if answer is not None:
+            return Ok(None) if answer.granted else self._refuse(answer.retry_after_ms)
+        borrower = self._borrowers.setdefault(customer.name, Borrower())
+        borrower.bucket.note_demand(now)
+        if borrower.count_waiting() == 0 and borrower.bucket.take(now):
+            return Ok(None)
+        if now < borrower.denied_until:
+            return self._refuse(borrower.denied_until - now)
+        return await self._async_wait(customer.name, borrower)
+
+    def _spend_static(self, customer: Customer, now: Millis) -> bool:
+        members = self._core.blackboard.read(MEMBERS)
+        own = members.by_session.get(members.own_session_id)
+        share = self._shares.setdefault(customer.name, StaticShare())
+        return share.spend(customer, own.slot if own else -1, now)
+
+    def _refuse(self, retry_after_ms: int) -> Result[None, LimitExceeded]:
+        return Err(LimitExceeded("rate and burst are spent", max(1, retry_after_ms)))
+
+    async def _async_wait(self, name: str, borrower: Borrower) -> Result[None, LimitExceeded]:
+        waiter = borrower.add_waiter()
+        if borrower.task is None or borrower.task.done():
+            borrower.task = asyncio.create_task(self._async_borrow(name, borrower))
+        try:
+            async with asyncio.timeout(ADMIT_WAIT_MS / 1000):
+                retry_after_ms = await waiter.future
+        except TimeoutError:
+            return self._refuse(UNREACHABLE_RETRY_MS)
+        return Ok(None) if retry_after_ms == 0 else self._refuse(retry_after_ms)
+
+    async def _async_borrow(self, name: str, borrower: Borrower) -> None:
+        """Ask while requests wait; then report until the home knows all."""
+        while True:
+            now = self._clock.now()
+            waiting = borrower.count_waiting()
+            if not waiting and not borrower.bucket.has_news(now):
+                return
+            interval = ASK_INTERVAL_MS if waiting else REPORT_INTERVAL_MS
+            pause = borrower.asked_at + interval - now
+            if pause > 0:
+                await self._clock.async_sleep(min(pause, ASK_INTERVAL_MS))
+                continue
+            await self._async_ask(name, borrower)
+
+    async def _async_ask(self, name: str, borrower: Borrower) -> None:
+        now = borrower.asked_at = self._clock.now()
+        number = next(self._numbers)
+        asked = borrower.count_waiting()
+        want = borrower.bucket.get_want(asked, now)
+        reports = messages.encode_reports(borrower.bucket.ask(number, now))
+        owner = self._ledger.find_owner(find_customer_index(self._ledger, name))
+        grant = None
+        if owner is not None and owner != self._core.session_id:
+            message = ttypes.TokenAsk(name, number, want, reports)
+            answer = await self._peers.async_request(owner, message, ASK_TIMEOUT_MS)
+            grant = answer.ok_value if isinstance(answer, Ok) else None
+        now = self._clock.now()
+        if grant is None or not grant.home:
+            borrower.bucket.give_up(number)
+            borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
+            return
+        borrower.bucket.accept(number, grant.granted, now)
+        borrower.serve_waiters(now)
+        if grant.granted < asked:
+            borrower.refuse_waiters(grant.retry_after_ms)
+            borrower.denied_until = Millis(now + min(grant.retry_after_ms, ASK_INTERVAL_MS))
+
+    async def _async_on_ask(self, sender: str, message: PeerMessage) -> PeerMessage:
+        customer = self._core.blackboard.read(CONFIGURATION).customers.get(message.customer)
+        answer: HomeAnswer | None = None
+        if customer is not None:
+            reports = messages.decode_reports(message)
+            now = self._clock.now()
+            answer = self._homes.lend(customer, sender, message.number, message.want, reports, now)
+        if answer is None:
+            return ttypes.TokenGrant(False, 0, UNREACHABLE_RETRY_MS)
+        return ttypes.TokenGrant(True, answer.granted, answer.retry_after_ms)
--- /dev/null
+++ b/goldcreststair/components/limits/right.py
@@ -0,0 +1,90 @@
+"""A home's right to spend, and how a new home waits for the old one's to end."""
+
+from collections.abc import Iterable
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.limits.const import (
+    LOT_LIFETIME_MS,
+    RIGHT_MS,
+    SUPPORTED_LIMIT_MS,
+    wait_out,
+)
+
+
+def count_majority(size: int) -> int:
+    """Return how many of `size` are more than half.
+
+    >>> count_majority(3), count_majority(2)
+    (2, 2)
+    """
+    return size // 2 + 1
+
+
+class HomeRight:
+    """Until when a home may spend, by its own clock."""
+
+    def __init__(self) -> None:
+        """Start without supporters."""
+        self._supporters: frozenset[str] = frozenset()
+        self._asked: dict[str, Millis] = {}
+
+    @property
+    def supporters(self) -> frozenset[str]:
+        """The sessions written durably as supporters; empty while that is in doubt."""
+        return self._supporters
+
+    def set_supporters(self, sessions: Iterable[str]) -> None:
+        """Take the set that is durable now."""
+        self._supporters = frozenset(sessions)
+        self._asked.clear()
+
+    def support(self, session_id: str, asked_at: Millis) -> None:
+        """Take in a supporter's consent to a question sent at `asked_at`."""
+        if session_id in self._supporters:
+            self._asked[session_id] = Millis(max(asked_at, self._asked.get(session_id, asked_at)))
+
+    def find_end(self, confirmed_at: Millis) -> Millis:
+        """Return when the right ends."""
+        # A paused or cut-off home can't see that it was replaced: it would spend beside its
+        # successor. Both kinds of confirmation run from before the other side answered.
+        supported = sorted(self._asked.values(), reverse=True)
+        needed = count_majority(len(self._supporters))
+        end = confirmed_at
+        if self._supporters and len(supported) >= needed:
+            limit = confirmed_at + SUPPORTED_LIMIT_MS - RIGHT_MS
+            end = Millis(max(end, min(supported[needed - 1], limit)))
+        return Millis(end + RIGHT_MS)
+
+
+class TakeOver:
+    """Waits until no right of an older epoch can be in use."""
+
+    def __init__(self, old_supporters: Iterable[str], now: Millis) -> None:
+        """Begin when the partition was gained; `old_supporters` as its record says."""
+        self._supporters = frozenset(old_supporters)
+        self._renounced: set[str] = set()
+        self._gained_at = now
+        self._fenced_at: Millis | None = None if self._supporters else now
+
+    @property
+    def unheard(self) -> frozenset[str]:
+        """Old supporters that have not renounced yet."""
+        return self._supporters - self._renounced
+
+    def renounce(self, session_id: str, now: Millis) -> None:
+        """Take in that a VM will support no older epoch; its answer came at `now`."""
+        if session_id not in self._supporters:
+            return
+        self._renounced.add(session_id)
+        if self._fenced_at is None and len(self._renounced) >= count_majority(
+            len(self._supporters)
+        ):
+            self._fenced_at = now
+
+    def find_end(self) -> Millis:
+        """Return when the old rights have certainly ended, lots included."""
+        longest = self._gained_at + wait_out(SUPPORTED_LIMIT_MS + LOT_LIFETIME_MS)
+        if self._fenced_at is None:
+            return Millis(longest)
+        fenced = self._fenced_at + wait_out(RIGHT_MS + LOT_LIFETIME_MS)
+        return Millis(min(longest, fenced))
