Shorten the wait of a new home and leave it a reserve

Cause: a new home waited 12 s of right and 3 s of lease, and ten minutes if the supporters were lost with the old home.

Change: with supporters in the record a home's right lasts 5 s, renewed by them every second; lots live 2 s. A home that lives on supporters alone uses nine tenths of rate and burst, so that a successor that can't hear of them has a tenth. Ruled out: shortening the right without supporters (the store confirms a home only every few seconds).

--- a/goldcreststair/components/limits/const.py
+++ b/goldcreststair/components/limits/const.py
@@ -2,14 +2,18 @@
 
 from typing import Final
 
-RIGHT_MS: Final = 12_000
-"""How long a home may spend after a store call or its supporters confirmed it."""
-LOT_LIFETIME_MS: Final = 3_000
+STORE_RIGHT_MS: Final = 12_000
+"""How long a home without supporters may spend after a store call confirmed it."""
+SUPPORT_RIGHT_MS: Final = 5_000
+"""How long a home with supporters may spend after they or the store confirmed it."""
+LOT_LIFETIME_MS: Final = 2_000
 """How long a borrower may spend a lot, counted from when it asked."""
-SUPPORTED_LIMIT_MS: Final = 600_000
+SUPPORTED_LIMIT_MS: Final = 420_000
 """How long a home may live on its supporters alone."""
-SUPPORT_INTERVAL_MS: Final = 2_000
-SUPPORT_AFTER_MS: Final = 6_000
+RESERVE: Final = 0.1
+"""Part that such a home leaves to a successor that cannot hear of its supporters."""
+SUPPORT_INTERVAL_MS: Final = 1_000
+SUPPORT_AFTER_MS: Final = 1_500
 """Age of the last store confirmation at which a home turns to its supporters."""
 SUPPORTERS: Final = 3
 MARGIN_DIVISOR: Final = 50
@@ -23,7 +27,7 @@
 PREFETCH_MS: Final = 400
 DEMAND_WINDOW_MS: Final = 1_000
 REPORT_INTERVAL_MS: Final = 300
-IDLE_RETURN_MS: Final = 500
+IDLE_RETURN_MS: Final = 400
 QUESTION_TIMEOUT_MS: Final = 500
 QUESTION_INTERVAL_MS: Final = 1_000
 COMMIT_TIMEOUT_MS: Final = 5_000
--- a/goldcreststair/components/limits/right.py
+++ b/goldcreststair/components/limits/right.py
@@ -5,7 +5,9 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.limits.const import (
     LOT_LIFETIME_MS,
-    RIGHT_MS,
+    RESERVE,
+    STORE_RIGHT_MS,
+    SUPPORT_RIGHT_MS,
     SUPPORTED_LIMIT_MS,
     wait_out,
 )
@@ -23,8 +25,9 @@
 class HomeRight:
     """Until when a home may spend, by its own clock."""
 
-    def __init__(self) -> None:
-        """Start without supporters."""
+    def __init__(self, recorded: bool = False) -> None:
+        """Start without supporters; `recorded` if the partition's record names any."""
+        self._recorded = recorded
         self._supporters: frozenset[str] = frozenset()
         self._asked: dict[str, Millis] = {}
 
@@ -34,7 +37,8 @@
         return self._supporters
 
     def set_supporters(self, sessions: Iterable[str]) -> None:
-        """Take the set that is durable now."""
+        """Take the set that is durable now; empty before a set is written."""
+        self._recorded = True
         self._supporters = frozenset(sessions)
         self._asked.clear()
 
@@ -47,13 +51,21 @@
         """Return when the right ends."""
         # A paused or cut-off home can't see that it was replaced: it would spend beside its
         # successor. Both kinds of confirmation run from before the other side answered.
+        if not self._recorded:
+            return Millis(confirmed_at + STORE_RIGHT_MS)
         supported = sorted(self._asked.values(), reverse=True)
         needed = count_majority(len(self._supporters))
         end = confirmed_at
         if self._supporters and len(supported) >= needed:
-            limit = confirmed_at + SUPPORTED_LIMIT_MS - RIGHT_MS
+            limit = confirmed_at + SUPPORTED_LIMIT_MS - SUPPORT_RIGHT_MS
             end = Millis(max(end, min(supported[needed - 1], limit)))
-        return Millis(end + RIGHT_MS)
+        return Millis(end + SUPPORT_RIGHT_MS)
+
+    def find_part(self, confirmed_at: Millis, now: Millis) -> float:
+        """Return the part of rate and burst that the home may use."""
+        # If the supporters are lost too, a successor can't hear that the old home has ended: all
+        # would be refused for minutes. So it has the reserve once the store right has run out.
+        return 1.0 if now < confirmed_at + STORE_RIGHT_MS else 1 - RESERVE
 
 
 class TakeOver:
@@ -81,10 +93,14 @@
         ):
             self._fenced_at = now
 
+    def find_reserve_start(self) -> Millis:
+        """Return from when the reserve is this home's, whatever the old one does."""
+        return Millis(self._gained_at + wait_out(STORE_RIGHT_MS + LOT_LIFETIME_MS))
+
     def find_end(self) -> Millis:
         """Return when the old rights have certainly ended, lots included."""
         longest = self._gained_at + wait_out(SUPPORTED_LIMIT_MS + LOT_LIFETIME_MS)
         if self._fenced_at is None:
             return Millis(longest)
-        fenced = self._fenced_at + wait_out(RIGHT_MS + LOT_LIFETIME_MS)
-        return Millis(min(longest, fenced))
+        right_ms = SUPPORT_RIGHT_MS if self._supporters else STORE_RIGHT_MS
+        return Millis(min(longest, self._fenced_at + wait_out(right_ms + LOT_LIFETIME_MS)))
--- a/goldcreststair/components/limits/takeover.py
+++ b/goldcreststair/components/limits/takeover.py
@@ -3,18 +3,20 @@
 import asyncio
 import hashlib
 import logging
-from collections.abc import Coroutine, Iterable
+from collections import Counter
+from collections.abc import Coroutine, Mapping
 from typing import Any
 
 from result import Ok
 
 from goldcreststair.components.configuration.models import CONFIGURATION, Customer
-from goldcreststair.components.ledger.protocols import Change, Ledger, Partition
+from goldcreststair.components.ledger.protocols import Change, CommitRefused, Ledger, Partition
 from goldcreststair.components.limits import messages
 from goldcreststair.components.limits.const import (
     COMMIT_TIMEOUT_MS,
     QUESTION_INTERVAL_MS,
     QUESTION_TIMEOUT_MS,
+    STORE_RIGHT_MS,
     SUPPORT_AFTER_MS,
     SUPPORT_INTERVAL_MS,
     SUPPORTERS,
@@ -119,20 +121,24 @@
 
     def _look_after(self, home: Home) -> None:
         age = self._clock.now() - home.partition.confirmed_at
+        supporters = home.right.supporters
         if age >= SUPPORT_AFTER_MS:
-            for session_id in home.right.supporters:
+            for session_id in supporters:
                 self._spawn(self._async_ask_support(home, session_id))
-            return
         serving = self._find_serving()
-        if len(home.right.supporters) < min(SUPPORTERS, len(serving)) or not (
-            home.right.supporters <= serving
-        ):
+        wanted = min(SUPPORTERS, len(serving))
+        stale = len(supporters) < wanted or not supporters <= set(serving)
+        if stale and wanted and age < STORE_RIGHT_MS and not home.writing:
             self._spawn(self._async_write_supporters(home, serving))
 
-    def _find_serving(self) -> set[str]:
+    def _find_serving(self) -> dict[str, str]:
+        """Return the data centre of every other serving member."""
         members = self._core.blackboard.read(MEMBERS).by_session.items()
-        serving = {s for s, member in members if member.state is MemberState.SERVING}
-        return serving - {self._core.session_id}
+        return {
+            session_id: member.data_centre
+            for session_id, member in members
+            if member.state is MemberState.SERVING and session_id != self._core.session_id
+        }
 
     async def _async_ask_support(self, home: Home, session_id: str) -> None:
         asked_at = self._clock.now()
@@ -141,21 +147,41 @@
         if isinstance(answer, Ok) and answer.ok_value.granted:
             home.right.support(session_id, asked_at)
 
-    async def _async_write_supporters(self, home: Home, serving: Iterable[str]) -> None:
-        chosen = choose_supporters(home.partition.index, serving)
+    async def _async_write_supporters(self, home: Home, serving: Mapping[str, str]) -> None:
+        index, before = home.partition.index, home.right.supporters
+        chosen = choose_supporters(index, serving, self._core.settings.data_centre)
         # While the write is in doubt the record may hold the old or the new set, so a successor
         # could ask the wrong one to renounce: until it is durable there are no supporters.
+        home.writing = True
         home.right.set_supporters(())
         change = Change(SUPPORTERS_RECORD, " ".join(chosen).encode())
-        written = await home.partition.async_commit([change], COMMIT_TIMEOUT_MS)
+        try:
+            written = await home.partition.async_commit([change], COMMIT_TIMEOUT_MS)
+        finally:
+            home.writing = False
         if isinstance(written, Ok):
             home.right.set_supporters(chosen)
+        elif isinstance(written.err_value, CommitRefused):
+            home.right.set_supporters(before)
 
 
-def choose_supporters(index: int, sessions: Iterable[str]) -> tuple[str, ...]:
-    """Return a few sessions, stable as long as they are there."""
+def choose_supporters(index: int, members: Mapping[str, str], home_centre: str) -> tuple[str, ...]:
+    """Return a few sessions, spread over data centres and stable as long as they are there.
+
+    >>> choose_supporters(0, {"a": "x", "b": "y", "c": "z", "d": "x"}, "x")[:2] in (
+    ...     ("b", "c"), ("c", "b"))
+    True
+    """
 
     def weigh(session_id: str) -> bytes:
         return hashlib.sha256(f"{index}/{session_id}".encode()).digest()
 
-    return tuple(sorted(sessions, key=weigh)[:SUPPORTERS])
+    # Losing a data centre must not take the home and the majority of its supporters at once.
+    used = Counter({home_centre: 1})
+    chosen: list[str] = []
+    for _ in range(min(SUPPORTERS, len(members))):
+        rest = [session_id for session_id in members if session_id not in chosen]
+        best = min(rest, key=lambda session_id: (used[members[session_id]], weigh(session_id)))
+        chosen.append(best)
+        used[members[best]] += 1
+    return tuple(chosen)
