Accept, run and keep batch jobs over the fleet

Cause: nothing served batch work; a job must be accepted durably, run once an item, survive the loss of any VM and yield to online work.

Change: jobs are cut into chunks of 128 items whose objects are written while the body arrives; chunk records and last the manifest go through the ledger. Chunk keys hold the content's fingerprint, so a resend with other content cannot touch the accepted job (ruled out: one record a chunk number, which a racing submit would overwrite). Owners give leased lots to stewards, the first result of an open item stands, and results are offered to whoever owns the chunk now (ruled out: to the VM that gave the lot, whose loss would waste it). A stream that yields is resumed by request id from its last token.

--- /dev/null
+++ b/goldcreststair/components/batch/directory.py
@@ -0,0 +1,76 @@
+"""Finds the owner of a record and asks it, wherever it is."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from goldcreststair.components.batch.const import ATTEMPTS, CALL_TIMEOUT_MS, RETRY_DELAY_MS
+from goldcreststair.components.ledger.protocols import LEDGER
+from goldcreststair.components.peers.protocols import PEERS, PeerError
+from goldcreststair.core import Core
+from goldcreststair.wire.generated.batch.ttypes import Reply, ReplyStatus
+
+OwnerHandler = Callable[[str, Any], Awaitable[Any]]
+
+
+class Directory:
+    """Sends messages about a key to the owner of its partition."""
+
+    def __init__(self, core: Core) -> None:
+        """Use the ledger's map and the peer links."""
+        self._core = core
+        self._ledger = core.get(LEDGER)
+        self.peers = core.get(PEERS)
+        self._handlers: dict[type[Any], OwnerHandler] = {}
+
+    def register(self, number: int, struct: type[Any], handler: OwnerHandler) -> None:
+        """Serve a message here, from others and from this VM itself."""
+        self._handlers[struct] = handler
+        self.peers.register(number, struct, handler)
+
+    def owns(self, key: str) -> bool:
+        """Return whether this VM owns a key's partition."""
+        return self._ledger.get_owned(self._ledger.find_index(key)) is not None
+
+    def find_owner(self, key: str) -> str | None:
+        """Return the session believed to own a key's partition."""
+        return self._ledger.find_owner(self._ledger.find_index(key))
+
+    async def async_send(self, session: str, message: Any) -> Result[Any, PeerError]:
+        """Send a message to a VM, this one included."""
+        if session == self._core.session_id:
+            return Ok(await self._handlers[type(message)](session, message))
+        return await self.peers.async_request(session, message, CALL_TIMEOUT_MS)
+
+    def post(self, session: str, message: Any) -> None:
+        """Send a hint that may be lost."""
+        self.peers.post(session, message)
+
+    async def async_ask(self, key: str, message: Any) -> Reply:
+        """Ask the owner of a key; REFUSED only if certainly nothing was written."""
+        refused = Reply(status=ReplyStatus.REFUSED)
+        target = self.find_owner(key)
+        for attempt in range(ATTEMPTS):
+            if attempt:
+                await self._core.clock.async_sleep(RETRY_DELAY_MS * attempt)
+            if self.owns(key):
+                target = self._core.session_id
+            if target is None:
+                target = self.find_owner(key)
+                continue
+            answer = await self.async_send(target, message)
+            if isinstance(answer, Err):
+                # An answer lost after the write: from here on the outcome is unknown unless a
+                # later attempt reads it back (every write here is idempotent).
+                if not answer.err_value.not_sent:
+                    refused = Reply(status=ReplyStatus.UNKNOWN)
+                target = self.find_owner(key)
+                continue
+            reply: Reply = answer.ok_value
+            if reply.status == ReplyStatus.OK or reply.status == ReplyStatus.MISSING:
+                return reply
+            if reply.status == ReplyStatus.UNKNOWN:
+                refused = reply
+            target = reply.owner or self.find_owner(key)
+        return refused
--- /dev/null
+++ b/goldcreststair/components/batch/keeper.py
@@ -0,0 +1,326 @@
+"""Owner of chunks: gives lots out, takes results, commits them in groups."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine, Iterator
+from typing import Any
+
+from result import Err, Ok
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.batch.calendar import Calendar
+from goldcreststair.components.batch.chunks import Chunk
+from goldcreststair.components.batch.const import (
+    COMMIT_TIMEOUT_MS,
+    FLUSH_MS,
+    JOB_CHECK_MS,
+    LEASE_MS,
+    LOADED_CHUNKS,
+    MAX_FINISHED_BYTES,
+    ORPHAN_S,
+    RETENTION_S,
+)
+from goldcreststair.components.batch.directory import Directory
+from goldcreststair.components.batch.models import ItemState
+from goldcreststair.components.batch.objects import async_get_object, async_put_object
+from goldcreststair.components.batch.order import ChunkFacts, FairOrder
+from goldcreststair.components.batch.quarantine import Quarantine
+from goldcreststair.components.batch.records import (
+    PREFIX_CHUNK,
+    decode_chunk,
+    decode_items,
+    encode_lines,
+    encode_record,
+)
+from goldcreststair.components.batch.submission import async_read_manifest
+from goldcreststair.components.configuration.models import CONFIGURATION
+from goldcreststair.components.ledger.protocols import Change, CommitUnknown, Partition
+from goldcreststair.core import Core
+from goldcreststair.wire.generated.batch.ttypes import (
+    ItemResult,
+    Lot,
+    LotItem,
+    LotRequest,
+    LotStop,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ChunkKeeper:
+    """All chunks of the partitions that this VM owns."""
+
+    def __init__(self, core: Core, directory: Directory, calendar: Calendar) -> None:
+        """Start with no chunks; the ledger hands partitions over."""
+        self._core = core
+        self._directory = directory
+        self._calendar = calendar
+        self._quarantine = Quarantine(core)
+        self._order = FairOrder()
+        self.chunks: dict[str, Chunk] = {}
+        self.commits = 0
+        self._lots = 0
+        self._checked: dict[str, Millis] = {}
+        self._checking: set[str] = set()
+        self._loading: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def async_close(self) -> None:
+        """Stop what is under way; uncommitted results run again elsewhere."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def on_gained(self, partition: Partition) -> None:
+        """Load a partition's chunks from its records."""
+        for key, value in partition.scan(PREFIX_CHUNK):
+            self.add(partition, key, value)
+
+    def on_lost(self, index: int) -> None:
+        """Drop everything of a partition: whoever owns it now runs what is not committed."""
+        gone = [key for key, chunk in self.chunks.items() if chunk.partition.index == index]
+        for key in gone:
+            del self.chunks[key]
+
+    def add(self, partition: Partition, key: str, value: bytes) -> None:
+        """Take a committed chunk into care; it runs once its manifest is seen."""
+        if key not in self.chunks:
+            self.chunks[key] = Chunk(key, partition, decode_chunk(value))
+            self._checked.pop(self.chunks[key].record.job, None)
+
+    def check_job(self, job: str) -> None:
+        """Read a job's manifest again soon."""
+        if any(chunk.record.job == job for chunk in self.chunks.values()):
+            self._checked.pop(job, None)
+            self._check_jobs()
+
+    def tick(self) -> None:
+        """Do what time brings: lapsed lots, commits, loads, checks of jobs, sweeping."""
+        now = self._core.clock.now()
+        for chunk in tuple(self.chunks.values()):
+            if chunk.lapse(now):
+                _LOGGER.info("A lot of chunk %s lapsed", chunk.key)
+            if self._is_due_for_commit(chunk, now):
+                self._spawn_commit(chunk)
+        self._check_jobs()
+        self._load_items()
+
+    def count_backlog(self) -> dict[str, int]:
+        """Return ready items by model."""
+        counts: dict[str, int] = {}
+        if self._is_full():
+            return counts
+        for chunk in self.chunks.values():
+            if chunk.active and chunk.items is not None:
+                for model in chunk.record.models:
+                    ready = len(chunk.list_ready(model, suspects=False))
+                    ready += len(chunk.list_ready(model, suspects=True))
+                    counts[model] = counts.get(model, 0) + ready
+        return {model: count for model, count in counts.items() if count}
+
+    def give(self, holder: str, request: LotRequest) -> Lot:
+        """Give a lot out, in the order between jobs; empty while results cannot be committed."""
+        items: list[LotItem] = []
+        if self._is_full():
+            return Lot(items, LEASE_MS)
+        for chunk in self._list_ranked():
+            # One suspect an upstream, so that a crash names its cause; it goes beside others.
+            if request.suspect_wanted and not any(item.suspect for item in items):
+                suspects = chunk.list_ready(request.model, suspects=True)[:1]
+                items += self._lease(chunk, suspects, holder, suspect=True)
+            free = max(0, request.limit - len(items))
+            ready = chunk.list_ready(request.model, suspects=False)[:free]
+            items += self._lease(chunk, ready, holder, suspect=False)
+            if len(items) >= request.limit:
+                break
+        return Lot(items, LEASE_MS)
+
+    def accept(self, holder: str, key: str, results: list[ItemResult]) -> bool:
+        """Take results of a chunk; False if it is not loaded here yet."""
+        chunk = self.chunks.get(key)
+        if chunk is None or (chunk.items is None and chunk.record.undone and not chunk.cancelled):
+            return False
+        for result in results:
+            chunk.accept(holder, result, self._core.clock.now())
+            self._quarantine.observe(chunk, result.index)
+        if self._is_due_for_commit(chunk, self._core.clock.now()):
+            self._spawn_commit(chunk)
+        return True
+
+    def renew(self, holder: str, key: str, indexes: list[int]) -> bool:
+        """Keep a holder's leases; False if it should stop these items."""
+        chunk = self.chunks.get(key)
+        if chunk is None or chunk.cancelled:
+            return False
+        chunk.renew(indexes, holder, self._core.clock.now())
+        return True
+
+    def _is_full(self) -> bool:
+        held = (f for chunk in self.chunks.values() for f in chunk.finished.values())
+        return sum(len(finished.body) for finished in held) > MAX_FINISHED_BYTES
+
+    def _list_ranked(self) -> Iterator[Chunk]:
+        facts = [
+            ChunkFacts(chunk.key, chunk.record.customer, chunk.record.due_s, chunk.record.undone)
+            for chunk in self.chunks.values()
+            if chunk.active and chunk.items is not None
+        ]
+        for fact in self._order.rank(facts, self._calendar.now_s()):
+            yield self.chunks[fact.key]
+
+    def _lease(
+        self, chunk: Chunk, indexes: list[int], holder: str, *, suspect: bool
+    ) -> list[LotItem]:
+        if not indexes or chunk.items is None:
+            return []
+        chunk.lease(indexes, holder, self._core.clock.now())
+        customer = self._core.blackboard.read(CONFIGURATION).customers.get(chunk.record.customer)
+        weight = customer.weight if customer else 1.0
+        self._order.charge(chunk.record.customer, len(indexes), weight)
+        self._lots += 1
+        # The lot is part of the id: an engine must not take a second run for the first one.
+        name = f"{self._core.session_id}-{self._lots}"
+        return [
+            LotItem(
+                chunk=chunk.key,
+                index=index,
+                request_id=f"batch-{name}-{index}",
+                path=chunk.items[index].path,
+                body=chunk.items[index].body.encode(),
+                suspect=suspect,
+            )
+            for index in indexes
+        ]
+
+    def _is_due_for_commit(self, chunk: Chunk, now: Millis) -> bool:
+        if not chunk.finished or chunk.committing or self.chunks.get(chunk.key) is not chunk:
+            return False
+        if chunk.cancelled or len(chunk.finished) >= chunk.record.undone:
+            return True
+        return chunk.finished_at is not None and now - chunk.finished_at >= FLUSH_MS
+
+    def _spawn_commit(self, chunk: Chunk) -> None:
+        chunk.committing = True
+        self._spawn(self._async_commit(chunk))
+
+    async def _async_commit(self, chunk: Chunk) -> None:
+        """Commit all finished results of a chunk: the object first, then the record."""
+        try:
+            indexes = sorted(chunk.finished)
+            name = ""
+            lines = chunk.make_lines(indexes)
+            if lines:
+                # The epoch keeps a paused owner that wakes from overwriting its successor's.
+                record = chunk.record
+                name = (
+                    f"batch/{record.job}/results/{record.fingerprint[:12]}/{record.number:05d}"
+                    f"-{chunk.partition.epoch}-{len(record.results)}-{indexes[0]}-{len(indexes)}"
+                )
+                put = await async_put_object(self._core, name, encode_lines(lines))
+                if isinstance(put, Err):
+                    return
+            record = chunk.make_record(indexes, name)
+            change = Change(chunk.key, encode_record(record))
+            outcome = await chunk.partition.async_commit([change], COMMIT_TIMEOUT_MS)
+            if isinstance(outcome, Ok):
+                self.commits += 1
+                chunk.settle(indexes, record)
+            elif isinstance(outcome.err_value, CommitUnknown):
+                # The next owner knows which states stand; what is held here may contradict them.
+                self.chunks.pop(chunk.key, None)
+        finally:
+            chunk.committing = False
+
+    def _check_jobs(self) -> None:
+        now = self._core.clock.now()
+        for chunk in tuple(self.chunks.values()):
+            job = chunk.record.job
+            last = self._checked.get(job)
+            if job in self._checking or (last is not None and now - last < JOB_CHECK_MS):
+                continue
+            if not chunk.cancelled and (chunk.record.undone or self._is_expired(chunk)):
+                self._checking.add(job)
+                self._spawn(self._async_check_job(job))
+
+    async def _async_check_job(self, job: str) -> None:
+        try:
+            found = await async_read_manifest(self._directory, job)
+            self._checked[job] = self._core.clock.now()
+            if isinstance(found, Err):
+                return
+            manifest = found.ok_value
+            for chunk in [c for c in self.chunks.values() if c.record.job == job]:
+                accepted = manifest is not None and (
+                    manifest.fingerprint == chunk.record.fingerprint
+                )
+                if manifest is None or not accepted or self._is_expired(chunk):
+                    await self._async_sweep(chunk, accepted=accepted)
+                elif manifest.cancelled:
+                    self._cancel(chunk)
+                else:
+                    chunk.active = True
+        finally:
+            self._checking.discard(job)
+
+    def _cancel(self, chunk: Chunk) -> None:
+        if chunk.cancelled or not chunk.record.undone:
+            return
+        for holder in chunk.cancel():
+            self._spawn(self._async_tell_stop(holder, chunk.key))
+        if not chunk.committing:
+            self._spawn_commit(chunk)
+
+    async def _async_tell_stop(self, holder: str, key: str) -> None:
+        await self._directory.async_send(holder, LotStop(key))
+
+    def _is_expired(self, chunk: Chunk) -> bool:
+        start = max(chunk.record.due_s, chunk.record.created_s)
+        return not chunk.record.undone and self._calendar.now_s() - start > RETENTION_S
+
+    async def _async_sweep(self, chunk: Chunk, *, accepted: bool) -> None:
+        """Remove a chunk past its retention, or one whose job was never accepted."""
+        age_s = self._calendar.now_s() - chunk.record.created_s
+        if not accepted and age_s < ORPHAN_S:
+            return
+        gone = await chunk.partition.async_commit([Change(chunk.key, None)], COMMIT_TIMEOUT_MS)
+        if isinstance(gone, Ok):
+            self.chunks.pop(chunk.key, None)
+            names = chunk.record.results + ((chunk.record.items_object,) if accepted else ())
+            for name in names:
+                await self._core.platform.objects.async_delete(name)
+
+    def _load_items(self) -> None:
+        loaded = sum(1 for chunk in self.chunks.values() if chunk.items is not None)
+        room = LOADED_CHUNKS - loaded - len(self._loading)
+        if room <= 0:
+            return
+        waiting = [
+            ChunkFacts(chunk.key, chunk.record.customer, chunk.record.due_s, chunk.record.undone)
+            for chunk in self.chunks.values()
+            if chunk.active
+            and chunk.items is None
+            and chunk.record.undone
+            and chunk.key not in self._loading
+        ]
+        for fact in self._order.rank(waiting, self._calendar.now_s())[:room]:
+            self._loading.add(fact.key)
+            self._spawn(self._async_load(self.chunks[fact.key]))
+
+    async def _async_load(self, chunk: Chunk) -> None:
+        try:
+            content = await async_get_object(self._core, chunk.record.items_object)
+            if isinstance(content, Ok):
+                chunk.items = decode_items(content.ok_value)
+                self._quarantine.sift(chunk, self._core.clock.now())
+        finally:
+            self._loading.discard(chunk.key)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def count_states(states: str) -> dict[ItemState, int]:
+    """Return how many items are in each state."""
+    return {state: states.count(state) for state in ItemState}
--- /dev/null
+++ b/goldcreststair/components/batch/steward.py
@@ -0,0 +1,186 @@
+"""Runs batch items at one upstream within its allowance, and yields."""
+
+import asyncio
+import logging
+from collections import defaultdict
+from collections.abc import Coroutine
+from typing import Any, Final, Protocol
+
+from result import Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.batch.allowance import AllowanceController
+from goldcreststair.components.batch.const import LOT_ITEMS
+from goldcreststair.components.batch.outbox import Outbox
+from goldcreststair.components.batch.streams import ItemStream
+from goldcreststair.core import Core
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.models import GenerateEnd, Upstream
+from goldcreststair.wire.generated.batch.ttypes import ItemResult, LotItem, LotRequest, Verdict
+
+_LOGGER = logging.getLogger(__name__)
+
+BACK_OFF_MS: Final = 1000
+"""Pause of an upstream that did not take an item, or crashed."""
+CRASH_WINDOW_MS: Final = 1000
+"""Streams lost so soon after a suspect's crash were bystanders of it."""
+
+_FAILURES: Final = {
+    UpstreamFailure.CONNECT: Verdict.NOT_RUN,
+    UpstreamFailure.REFUSED: Verdict.NOT_RUN,
+    UpstreamFailure.REJECTED: Verdict.REJECTED,
+    UpstreamFailure.LOST: Verdict.CRASHED,
+}
+
+
+class LotSource(Protocol):
+    """Where a steward asks for items."""
+
+    async def async_request(self, request: LotRequest) -> list[LotItem]:
+        """Return items of a model, none if nobody has any."""
+
+
+class Steward:
+    """All batch streams of one upstream."""
+
+    def __init__(
+        self,
+        core: Core,
+        upstream: Upstream,
+        allowance: AllowanceController,
+        source: LotSource,
+        outbox: Outbox,
+    ) -> None:
+        """Start with nothing running."""
+        self._core = core
+        self.upstream = upstream
+        self.allowance = allowance
+        self._source = source
+        self._outbox = outbox
+        self.running: list[ItemStream] = []
+        """In the order of their starts."""
+        self.paused: list[ItemStream] = []
+        self.online_in_flight = 0
+        """Online requests of this VM at the upstream."""
+        self._pulling = False
+        self._blocked_until = Millis(0)
+        self._suspect_lost_at: Millis | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def async_close(self) -> None:
+        """Cancel all streams and give their items back."""
+        for stream in tuple(self.running):
+            self._pause(stream)
+        for stream in self.paused:
+            self._report(stream.item, Verdict.NOT_RUN)
+        self.paused.clear()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def take_hint(self) -> None:
+        """Yield at once."""
+        self.allowance.cut(len(self.running))
+        self._enforce()
+
+    def tick(self, *, pull: bool) -> None:
+        """Follow the allowance up or down."""
+        self.allowance.tick(len(self.running))
+        self._enforce()
+        if self._core.clock.now() < self._blocked_until:
+            return
+        while self.paused and len(self.running) < self._limit:
+            self._start(self.paused.pop(0))
+        if pull and not self._pulling and self._limit > len(self.running):
+            self._pulling = True
+            self._spawn(self._async_pull(self._limit - len(self.running)))
+
+    def stop_chunk(self, chunk: str) -> None:
+        """Cancel the streams of a chunk whose job was cancelled."""
+        for stream in [s for s in self.running if s.item.chunk == chunk]:
+            self._pause(stream)
+        self.paused = [stream for stream in self.paused if stream.item.chunk != chunk]
+
+    def list_held(self) -> dict[str, list[int]]:
+        """Return the items this steward works on, by chunk."""
+        held: defaultdict[str, list[int]] = defaultdict(list)
+        for stream in (*self.running, *self.paused):
+            held[stream.item.chunk].append(stream.item.index)
+        return held
+
+    @property
+    def _limit(self) -> int:
+        return max(0, self.allowance.limit - self.online_in_flight)
+
+    def _enforce(self) -> None:
+        # Youngest first: it has the least prefill and text to lose.
+        while len(self.running) > self._limit:
+            self._pause(self.running[-1])
+
+    def _pause(self, stream: ItemStream) -> None:
+        self.running.remove(stream)
+        if stream.task is not None:
+            stream.task.cancel()
+        self.paused.append(stream)
+        self._spawn(self._async_cancel(stream.item.request_id))
+
+    async def _async_cancel(self, request_id: str) -> None:
+        await self._core.upstreams.engines.async_cancel(self.upstream, request_id)
+
+    async def _async_pull(self, free: int) -> None:
+        try:
+            suspect_wanted = not any(stream.item.suspect for stream in self.running)
+            for model in self.upstream.models:
+                limit = min(free, LOT_ITEMS)
+                request = LotRequest(model, limit, suspect_wanted)
+                items = await self._source.async_request(request)
+                for item in items:
+                    self._start(ItemStream(item, self._core.clock, self._core.clock.now()))
+                free -= len(items)
+                if free <= 0:
+                    return
+        finally:
+            self._pulling = False
+
+    def _start(self, stream: ItemStream) -> None:
+        self.running.append(stream)
+        stream.task = asyncio.ensure_future(self._async_run(stream))
+
+    async def _async_run(self, stream: ItemStream) -> None:
+        engines = self._core.upstreams.engines
+        outcome = await engines.async_generate(self.upstream, stream.begin(), stream)
+        if stream not in self.running:
+            return
+        verdict = self._judge(stream, outcome)
+        self.running.remove(stream)
+        if stream.first_token_ms >= 0:
+            self.allowance.observe_first_token(stream.first_token_ms, len(self.running) + 1)
+        if isinstance(outcome, Ok):
+            self._report(stream.item, verdict, 200, stream.make_answer())
+        else:
+            error = outcome.err_value
+            self._report(stream.item, verdict, error.status, error.body)
+
+    def _judge(self, stream: ItemStream, outcome: Result[GenerateEnd, UpstreamError]) -> Verdict:
+        if isinstance(outcome, Ok):
+            return Verdict.DONE
+        verdict = _FAILURES.get(outcome.err_value.failure, Verdict.FAILED)
+        now = self._core.clock.now()
+        if verdict in (Verdict.NOT_RUN, Verdict.CRASHED):
+            self._blocked_until = Millis(now + BACK_OFF_MS)
+        if verdict != Verdict.CRASHED:
+            return verdict
+        if stream.item.suspect:
+            self._suspect_lost_at = now
+            return Verdict.CRASHED
+        # A crash beside a known suspect is held to be the suspect's: the others run again
+        # without a mark, or one poison item would put every neighbour under suspicion each time.
+        recent = self._suspect_lost_at is not None and now - self._suspect_lost_at < CRASH_WINDOW_MS
+        beside = any(other.item.suspect for other in self.running)
+        return Verdict.BYSTANDER if recent or beside else Verdict.CRASHED
+
+    def _report(self, item: LotItem, verdict: Verdict, status: int = 0, body: bytes = b"") -> None:
+        self._outbox.put(item.chunk, ItemResult(item.index, verdict, status, body))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/goldcreststair/components/batch/stewards.py
@@ -0,0 +1,177 @@
+"""The upstreams this VM is steward of, their hints, lots and leases."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from result import Err
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
+from goldcreststair.components.batch.const import ADVERT_LIFETIME_MS, LOAD_REPORT_MS, RENEW_MS
+from goldcreststair.components.batch.directory import Directory
+from goldcreststair.components.batch.outbox import Outbox
+from goldcreststair.components.batch.steward import Steward
+from goldcreststair.components.configuration.models import CONFIGURATION
+from goldcreststair.components.online.models import OnlinePressure
+from goldcreststair.core import Core
+from goldcreststair.upstreams.models import Upstream, UpstreamKind
+from goldcreststair.wire.generated.batch.ttypes import (
+    BacklogAdvert,
+    LotItem,
+    LotRenewal,
+    LotRequest,
+    ReplyStatus,
+)
+from goldcreststair.wire.generated.online.ttypes import YieldHint
+
+MakeAllowance = Callable[[], AllowanceController]
+
+
+def make_upstream_key(name: str) -> str:
+    """Return the key whose partition's owner is the steward of an upstream."""
+    return f"upstream/{name}"
+
+
+class Stewards:
+    """All stewards of one VM; also the source of their lots."""
+
+    def __init__(
+        self, core: Core, directory: Directory, make_allowance: MakeAllowance | None = None
+    ) -> None:
+        """Start with none."""
+        self._core = core
+        self._directory = directory
+        self._make_allowance = make_allowance or (
+            lambda: AllowanceController(core.clock, AllowanceParameters())
+        )
+        self._outbox = Outbox(core.clock, directory)
+        self.by_name: dict[str, Steward] = {}
+        self._adverts: dict[tuple[str, str], tuple[int, Millis]] = {}
+        """(model, owner) to the items it has and when it said so."""
+        self._next_load: dict[str, int] = {}
+        self._renewed_at = Millis(0)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def async_close(self) -> None:
+        """Stop all streams, offer what is finished once more, and end."""
+        for steward in self.by_name.values():
+            await steward.async_close()
+        self.by_name.clear()
+        await asyncio.gather(*(self._outbox.async_send(k) for k in self._outbox.list_unsent()))
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def tick(self) -> None:
+        """Follow the configuration and the partitions, then let each steward work."""
+        configuration = self._core.blackboard.read(CONFIGURATION)
+        wanted = {
+            name: upstream
+            for name, upstream in configuration.upstreams.items()
+            if upstream.kind is UpstreamKind.ENGINE
+            and self._directory.owns(make_upstream_key(name))
+        }
+        self._follow(wanted)
+        for name, steward in self.by_name.items():
+            steward.tick(pull=name not in configuration.leaving_upstreams)
+            self._read_load(steward)
+        for chunk in self._outbox.list_unsent():
+            self._spawn(self._outbox.async_send(chunk))
+        now = self._core.clock.now()
+        if now - self._renewed_at >= RENEW_MS:
+            self._renewed_at = now
+            self._renew()
+
+    def take_advert(self, owner: str, advert: BacklogAdvert) -> None:
+        """Remember who has undone items."""
+        key = (advert.model, owner)
+        if advert.items:
+            self._adverts[key] = (advert.items, self._core.clock.now())
+        else:
+            self._adverts.pop(key, None)
+
+    def take_hint(self, hint: YieldHint) -> None:
+        """Yield at an upstream."""
+        steward = self.by_name.get(hint.upstream)
+        if steward is not None:
+            steward.take_hint()
+
+    def take_pressure(self, pressure: OnlinePressure) -> None:
+        """Hint the stewards of all upstreams where this VM's online work queues."""
+        for name, steward in self.by_name.items():
+            own = pressure.by_upstream.get(name)
+            steward.online_in_flight = own.in_flight if own else 0
+        for name, met in pressure.by_upstream.items():
+            if met.queue_ms <= 0:
+                continue
+            hint = YieldHint(name, met.queue_ms)
+            if name in self.by_name:
+                self.take_hint(hint)
+                continue
+            owner = self._directory.find_owner(make_upstream_key(name))
+            if owner is not None and owner != self._core.session_id:
+                self._directory.post(owner, hint)
+
+    def stop_chunk(self, chunk: str) -> None:
+        """Stop the items of a chunk whose job was cancelled."""
+        for steward in self.by_name.values():
+            steward.stop_chunk(chunk)
+
+    async def async_request(self, request: LotRequest) -> list[LotItem]:
+        """Ask one owner with backlog, chosen at random, for items."""
+        horizon = self._core.clock.now() - ADVERT_LIFETIME_MS
+        owners = sorted(
+            owner
+            for (model, owner), (_, at) in self._adverts.items()
+            if model == request.model and at >= horizon
+        )
+        if not owners:
+            return []
+        owner = self._core.random.choice(owners)
+        answer = await self._directory.async_send(owner, request)
+        if isinstance(answer, Err) or not answer.ok_value.items:
+            self._adverts.pop((request.model, owner), None)
+            return []
+        items: list[LotItem] = answer.ok_value.items
+        return items
+
+    def _follow(self, wanted: dict[str, Upstream]) -> None:
+        for name in [name for name in self.by_name if name not in wanted]:
+            self._spawn(self.by_name.pop(name).async_close())
+        for name, upstream in wanted.items():
+            if name not in self.by_name:
+                allowance = self._make_allowance()
+                self.by_name[name] = Steward(self._core, upstream, allowance, self, self._outbox)
+            self.by_name[name].upstream = upstream
+
+    def _read_load(self, steward: Steward) -> None:
+        now = self._core.clock.now()
+        if self._next_load.get(steward.upstream.name, 0) <= now:
+            self._next_load[steward.upstream.name] = now + LOAD_REPORT_MS
+            self._spawn(self._async_read_load(steward))
+
+    async def _async_read_load(self, steward: Steward) -> None:
+        report = await self._core.upstreams.engines.async_read_load(steward.upstream)
+        if not isinstance(report, Err):
+            steward.allowance.observe_load(report.ok_value, len(steward.running))
+
+    def _renew(self) -> None:
+        held: dict[str, list[int]] = {
+            chunk: self._outbox.list_held(chunk) for chunk in self._outbox.list_chunks()
+        }
+        for steward in self.by_name.values():
+            for chunk, indexes in steward.list_held().items():
+                held[chunk] = held.get(chunk, []) + indexes
+        for chunk, indexes in held.items():
+            self._spawn(self._async_renew(chunk, indexes))
+
+    async def _async_renew(self, chunk: str, indexes: list[int]) -> None:
+        reply = await self._directory.async_ask(chunk, LotRenewal(chunk, indexes))
+        if reply.status == ReplyStatus.MISSING:
+            self.stop_chunk(chunk)
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/goldcreststair/components/batch/streams.py
@@ -0,0 +1,77 @@
+"""One batch item running at an upstream, with all that a later resume needs."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.batch.const import ITEM_TIMEOUT_MS
+from goldcreststair.components.batch.parsing import PATHS
+from goldcreststair.upstreams.models import GenerateCall, StreamChunk
+from goldcreststair.wire.generated.batch.ttypes import LotItem
+
+DATA_FIELD = b"data: "
+
+
+@dataclass(slots=True, eq=False)
+class ItemStream:
+    """A stream and the text it has brought; implements `StreamSink`."""
+
+    item: LotItem
+    clock: Clock
+    started_at: Millis
+    first_token_ms: int = -1
+    """Wait from the start of the current call to its first token; -1 before it."""
+    last_index: int = -1
+    parts: list[str] = field(default_factory=list)
+    finish_reason: str | None = None
+    task: "asyncio.Task[None] | None" = None
+
+    async def async_accept(self, chunk: StreamChunk) -> None:
+        """Keep the text of one chunk."""
+        if self.first_token_ms < 0:
+            self.first_token_ms = self.clock.now() - self.started_at
+        for line in chunk.data.split(b"\n"):
+            if line.startswith(DATA_FIELD) and line[len(DATA_FIELD) :].startswith(b"{"):
+                self._take(orjson.loads(line[len(DATA_FIELD) :]))
+        self.last_index = chunk.last_index
+
+    def begin(self) -> GenerateCall:
+        """Return the call that starts the item, or goes on after what came already."""
+        self.started_at = self.clock.now()
+        self.first_token_ms = -1
+        return GenerateCall(
+            request_id=self.item.request_id,
+            path=self.item.path,
+            body=self.item.body,
+            stream=True,
+            timeout_ms=ITEM_TIMEOUT_MS,
+            resume_after=self.last_index,
+            prior="".join(self.parts) if self.last_index >= 0 else "",
+        )
+
+    def make_answer(self) -> bytes:
+        """Return the whole answer as the engine would give it unstreamed."""
+        chat = self.item.path == PATHS[0]
+        text = "".join(self.parts)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": self.finish_reason}
+        if chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        answer = {
+            "id": self.item.request_id,
+            "object": "chat.completion" if chat else "text_completion",
+            "model": orjson.loads(self.item.body)["model"],
+            "choices": [choice],
+            "usage": {"completion_tokens": self.last_index + 1},
+        }
+        return orjson.dumps(answer)
+
+    def _take(self, event: dict[str, Any]) -> None:
+        for choice in event.get("choices", ()):
+            text = choice.get("text") or choice.get("delta", {}).get("content") or ""
+            self.parts.append(text)
+            self.finish_reason = choice.get("finish_reason") or self.finish_reason
--- /dev/null
+++ b/goldcreststair/components/batch/submission.py
@@ -0,0 +1,214 @@
+"""Takes a job in as it arrives; the manifest, committed last, makes it exist."""
+
+import hashlib
+import uuid
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from goldcreststair.components.batch.calendar import Calendar
+from goldcreststair.components.batch.const import CHUNK_ITEMS, FAN_OUT, MAX_ITEMS
+from goldcreststair.components.batch.directory import Directory
+from goldcreststair.components.batch.errors import BatchError, BatchProblem
+from goldcreststair.components.batch.fan_out import async_map
+from goldcreststair.components.batch.models import ChunkRecord, Item, ItemState, Manifest
+from goldcreststair.components.batch.objects import async_put_object
+from goldcreststair.components.batch.parsing import Defaults, LineSplitter, parse_line
+from goldcreststair.components.batch.records import (
+    decode_manifest,
+    encode_lines,
+    encode_record,
+    make_chunk_key,
+    make_index_key,
+    make_job_key,
+)
+from goldcreststair.core import Core
+from goldcreststair.wire.generated.batch.ttypes import RecordGet, RecordPut, Reply, ReplyStatus
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitOptions:
+    """What a submission says beside its lines."""
+
+    customer: str
+    idempotency_key: str
+    due_in_s: int
+    defaults: Defaults
+
+
+@dataclass(frozen=True, slots=True)
+class _StoredChunk:
+    items_object: str
+    count: int
+    models: tuple[str, ...]
+
+
+def make_job_id(customer: str, idempotency_key: str) -> str:
+    """Return the id that every resend of a job gets too; random without a key."""
+    if not idempotency_key:
+        return uuid.uuid4().hex
+    return hashlib.sha256(f"{customer}\0{idempotency_key}".encode()).hexdigest()[:32]
+
+
+class Submission:
+    """One job on its way in; holds one chunk of items at a time."""
+
+    def __init__(
+        self, core: Core, directory: Directory, calendar: Calendar, options: SubmitOptions
+    ) -> None:
+        """Take the options; nothing is written yet."""
+        self._core = core
+        self._directory = directory
+        self._calendar = calendar
+        self._options = options
+        self.job = make_job_id(options.customer, options.idempotency_key)
+        self._splitter = LineSplitter()
+        self._lines = 0
+        self._items: list[Item] = []
+        self._chunks: list[_StoredChunk] = []
+        self._digest = hashlib.sha256()
+        self._error: BatchError | None = None
+
+    async def async_feed(self, data: bytes) -> None:
+        """Take some bytes of the body; returns once they are safe or found bad."""
+        if self._error is not None:
+            return
+        await self._async_take(self._splitter.feed(data))
+        if self._splitter.too_long:
+            self._fail(BatchError(f"line {self._lines + 1}: too long", BatchProblem.BAD_LINE))
+
+    async def async_finish(self) -> Result[Manifest, BatchError]:
+        """Commit the chunks, then the manifest; returns the job's manifest, old or new."""
+        await self._async_take(self._splitter.finish())
+        await self._async_store_chunk()
+        if self._error is not None:
+            return Err(self._error)
+        if not self._chunks:
+            return Err(BatchError("line 1: the job has no items", BatchProblem.BAD_LINE))
+        manifest = self._make_manifest()
+        existing = await self._async_find()
+        if isinstance(existing, Err):
+            return existing
+        if existing.ok_value is None:
+            stored = await self._async_commit_chunks(manifest)
+            if isinstance(stored, Err):
+                return stored
+            return await self._async_commit_manifest(manifest)
+        return self._compare(existing.ok_value, manifest.fingerprint)
+
+    async def _async_take(self, lines: list[bytes]) -> None:
+        for line in lines:
+            self._lines += 1
+            if not line.strip() or self._error is not None:
+                continue
+            parsed = parse_line(line, self._lines, self._options.defaults)
+            if isinstance(parsed, Err):
+                self._fail(parsed.err_value)
+                return
+            self._items.append(parsed.ok_value)
+            if len(self._items) >= CHUNK_ITEMS:
+                await self._async_store_chunk()
+
+    async def _async_store_chunk(self) -> None:
+        if not self._items or self._error is not None:
+            return
+        if len(self._chunks) * CHUNK_ITEMS >= MAX_ITEMS:
+            message = f"line {self._lines}: more than {MAX_ITEMS} items"
+            self._fail(BatchError(message, BatchProblem.BAD_LINE))
+            return
+        content = encode_lines(self._items)
+        digest = hashlib.sha256(content).hexdigest()
+        self._digest.update(digest.encode())
+        # Named by content: two submits that race under one key cannot overwrite each other's.
+        name = f"batch/{self.job}/items/{len(self._chunks):05d}-{digest[:16]}"
+        put = await async_put_object(self._core, name, content)
+        if isinstance(put, Err):
+            self._fail(put.err_value)
+            return
+        models = tuple(sorted({item.model for item in self._items}))
+        self._chunks.append(_StoredChunk(name, len(self._items), models))
+        self._items = []
+
+    def _make_manifest(self) -> Manifest:
+        now_s = self._calendar.now_s()
+        return Manifest(
+            job=self.job,
+            customer=self._options.customer,
+            fingerprint=self._digest.hexdigest(),
+            items=sum(chunk.count for chunk in self._chunks),
+            chunks=len(self._chunks),
+            created_s=now_s,
+            due_s=now_s + self._options.due_in_s,
+        )
+
+    async def _async_find(self) -> Result[Manifest | None, BatchError]:
+        if not self._options.idempotency_key:
+            return Ok(None)
+        return await async_read_manifest(self._directory, self.job)
+
+    async def _async_commit_chunks(self, manifest: Manifest) -> Result[None, BatchError]:
+        async def async_commit(number: int) -> Reply:
+            key = make_chunk_key(self.job, manifest.fingerprint, number)
+            value = encode_record(_make_chunk(manifest, number, self._chunks[number]))
+            return await self._directory.async_ask(key, RecordPut(key, key, value))
+
+        for first in range(0, manifest.chunks, FAN_OUT):
+            numbers = range(first, min(first + FAN_OUT, manifest.chunks))
+            for reply in await async_map(async_commit, numbers):
+                if reply.status != ReplyStatus.OK:
+                    # Without its manifest the job does not exist, whatever became of chunks.
+                    return Err(BatchError("the store cannot be reached", job=self.job))
+        return Ok(None)
+
+    async def _async_commit_manifest(self, manifest: Manifest) -> Result[Manifest, BatchError]:
+        partition = make_index_key(manifest.customer)
+        entry = RecordPut(partition, f"{partition}{self.job}", self.job.encode())
+        indexed = await self._directory.async_ask(partition, entry)
+        if indexed.status != ReplyStatus.OK:
+            return Err(BatchError("the store cannot be reached", job=self.job))
+        key = make_job_key(self.job)
+        reply = await self._directory.async_ask(key, RecordPut(key, key, encode_record(manifest)))
+        if reply.status == ReplyStatus.OK:
+            return self._compare(decode_manifest(reply.value), manifest.fingerprint)
+        if reply.status == ReplyStatus.UNKNOWN:
+            # The manifest may stand although its answer was lost: "not run" would be a lie.
+            message = "it is not known whether the job was accepted; resend with the same key"
+            return Err(BatchError(message, BatchProblem.OUTCOME_UNKNOWN, self.job))
+        return Err(BatchError("the store cannot be reached", job=self.job))
+
+    def _compare(self, existing: Manifest, fingerprint: str) -> Result[Manifest, BatchError]:
+        if existing.fingerprint == fingerprint:
+            return Ok(existing)
+        message = f"the idempotency key stands for job {self.job} with other content"
+        return Err(BatchError(message, BatchProblem.MISMATCH, self.job))
+
+    def _fail(self, error: BatchError) -> None:
+        self._error = error
+        self._items = []
+
+
+def _make_chunk(manifest: Manifest, number: int, chunk: _StoredChunk) -> ChunkRecord:
+    return ChunkRecord(
+        job=manifest.job,
+        fingerprint=manifest.fingerprint,
+        number=number,
+        customer=manifest.customer,
+        items_object=chunk.items_object,
+        models=chunk.models,
+        created_s=manifest.created_s,
+        due_s=manifest.due_s,
+        states=ItemState.UNDONE * chunk.count,
+    )
+
+
+async def async_read_manifest(
+    directory: Directory, job: str
+) -> Result[Manifest | None, BatchError]:
+    """Return a job's manifest from its owner, None if there is no such job."""
+    key = make_job_key(job)
+    reply = await directory.async_ask(key, RecordGet(key, key))
+    if reply.status == ReplyStatus.OK:
+        return Ok(decode_manifest(reply.value))
+    if reply.status == ReplyStatus.MISSING:
+        return Ok(None)
+    return Err(BatchError("the job's owner cannot be reached", job=job))
--- /dev/null
+++ b/tests/components/batch/test_failures.py
@@ -0,0 +1,300 @@
+"""Failures of batch jobs; each ends with the checker of `BatchFleet`."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from result import Err, Ok
+
+from goldcreststair.components.batch.errors import BatchProblem
+from goldcreststair.components.batch.records import make_job_key
+from tests.helpers.batch_fleet import BatchFleet, make_lines
+from tests.helpers.virtual_time import run_virtual
+
+Story = Callable[[BatchFleet], Awaitable[None]]
+
+
+def run(story: Story, **options: int) -> None:
+    async def async_test() -> None:
+        fleet = BatchFleet(**options)  # type: ignore[arg-type]
+        await fleet.async_start()
+        try:
+            await story(fleet)
+        finally:
+            await fleet.async_close()
+
+    run_virtual(async_test())
+
+
+def test_runs_a_job_over_the_fleet() -> None:
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(300))).unwrap()
+        assert (manifest.items, manifest.chunks) == (300, 3)
+        await fleet.async_wait(manifest.job)
+        assert (await fleet.async_check(manifest.job))["done"] == 300
+
+    run(story)
+
+
+def test_owner_lost_right_after_acknowledgement() -> None:
+    """The VM that said "accepted" dies at once.
+
+    A caller must not lose a job it has an id for: manifest and chunks were committed before the
+    answer, so the next owners of the partitions find and run them.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(300))).unwrap()
+        await fleet.async_kill("vm0")
+        await fleet.async_wait(manifest.job)
+        assert (await fleet.async_check(manifest.job))["done"] == 300
+
+    run(story)
+
+
+def test_paused_chunk_owner_wakes() -> None:
+    """A chunk's owner is paused, another takes over and finishes, then the first wakes.
+
+    The old owner still believes in its chunk and commits what it has; the fence refuses it, so
+    the states that the new owner committed do not change.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(128, tokens=60))).unwrap()
+        await fleet.clock.async_sleep(1500)
+        owner = next(vm for vm, s in fleet.services.items() if s.keeper.chunks)
+        other = next(vm for vm in fleet.services if vm != owner)
+        chunk = next(iter(fleet.services[owner].keeper.chunks.values()))
+        index = chunk.partition.index
+        fleet.world.move(index, other, tell_old=False)
+        await fleet.async_wait(manifest.job)
+        assert chunk.key in fleet.services[owner].keeper.chunks, "the old owner was told"
+        await fleet.clock.async_sleep(10_000)
+        fleet.world.ledgers[owner].lose(index)
+        assert (await fleet.async_check(manifest.job))["done"] == 128
+
+    run(story)
+
+
+def test_steward_dies_with_a_lot() -> None:
+    """The VM that runs a lot dies; its items are nobody's.
+
+    The job would hang at its last items: the lease lapses, the items run again elsewhere.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(200, tokens=40))).unwrap()
+        await fleet.clock.async_sleep(1500)
+        await fleet.async_kill(fleet.find_steward("e1"))
+        await fleet.async_wait(manifest.job)
+        assert (await fleet.async_check(manifest.job))["done"] == 200
+
+    run(story)
+
+
+def test_store_down_for_minutes_while_running() -> None:
+    """The store goes down while a job runs and comes back minutes later.
+
+    Work goes on with what the VMs own; results wait in memory and are committed afterwards.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(300))).unwrap()
+        await fleet.clock.async_sleep(700)
+        fleet.world.down = fleet.platform.faults.down = True
+        await fleet.clock.async_sleep(180_000)
+        held = sum(
+            len(c.finished) for s in fleet.services.values() for c in s.keeper.chunks.values()
+        )
+        assert held > 100, "nothing went on through the outage"
+        fleet.world.down = fleet.platform.faults.down = False
+        await fleet.async_wait(manifest.job, 30)
+        assert (await fleet.async_check(manifest.job))["done"] == 300
+
+    run(story)
+
+
+def test_store_down_at_submit_accepts_nothing() -> None:
+    """A job is submitted while the store is down.
+
+    "Not run" must be true: no manifest, nothing runs, and the resend after the outage is taken.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        fleet.world.down = True
+        refused = await fleet.async_submit(make_lines(10), key="k")
+        assert refused.unwrap_err().problem is BatchProblem.UNAVAILABLE
+        await fleet.clock.async_sleep(5000)
+        assert not fleet.upstreams.calls
+        fleet.world.down = False
+        manifest = (await fleet.async_submit(make_lines(10), key="k")).unwrap()
+        await fleet.async_wait(manifest.job)
+        assert (await fleet.async_check(manifest.job))["done"] == 10
+
+    run(story)
+
+
+def test_answer_lost_after_effect_on_submit() -> None:
+    """The manifest is committed, its partition moves, and the commit's answer is lost.
+
+    The submit asks the new owner, which has the manifest: one job, accepted once.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        lines = make_lines(20)
+        first = (await fleet.async_submit(lines, key="probe")).unwrap()
+        fleet.world.lose_next = True
+        second = (await fleet.async_submit(lines, key="real")).unwrap()
+        assert not fleet.world.lose_next
+        again = (await fleet.async_submit(lines, key="real", vm="vm1")).unwrap()
+        assert again.job == second.job != first.job
+        await fleet.async_wait(second.job)
+        assert (await fleet.async_check(second.job))["done"] == 20
+
+    run(story)
+
+
+def test_engine_dies_with_items_in_flight() -> None:
+    """An engine restarts and loses all that runs there; every item still ends done."""
+
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(200, tokens=40))).unwrap()
+        await fleet.clock.async_sleep(1500)
+        fleet.engines["e1"].crash()
+        await fleet.async_wait(manifest.job)
+        assert (await fleet.async_check(manifest.job))["done"] == 200
+
+    run(story)
+
+
+@pytest.mark.parametrize("wait_ms", [0, 400, 900, 1500, 2500])
+def test_cancel_racing_completion(wait_ms: int) -> None:
+    """A job is cancelled while its items complete.
+
+    Each item ends either done or cancelled, and neither changes into the other afterwards;
+    nothing more is sent to the engines.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(300, tokens=30))).unwrap()
+        await fleet.clock.async_sleep(wait_ms)
+        cancelled = (await fleet.services["vm1"].jobs.async_cancel("acme", manifest.job)).unwrap()
+        assert cancelled.cancelled
+        await fleet.clock.async_sleep(1000)
+        calls = len(fleet.upstreams.calls)
+        await fleet.async_wait(manifest.job, 20)
+        counts = await fleet.async_check(manifest.job)
+        assert counts["done"] + counts["cancelled"] == 300 and counts["cancelled"] > 0
+        assert len(fleet.upstreams.calls) == calls
+        assert not any(engine._running for engine in fleet.engines.values())
+
+    run(story)
+
+
+def test_resent_submit_gives_the_same_job() -> None:
+    """A caller sends its job twice at once, and once more later with other content.
+
+    One job; the other content is refused by name and runs nothing.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        lines = make_lines(150)
+        outcomes = await asyncio.gather(
+            fleet.async_submit(lines, "k", "vm0"), fleet.async_submit(lines, "k", "vm1")
+        )
+        jobs = {outcome.unwrap().job for outcome in outcomes}
+        assert len(jobs) == 1
+        other = await fleet.async_submit(make_lines(150, word="other"), key="k")
+        assert isinstance(other, Err) and other.err_value.problem is BatchProblem.MISMATCH
+        (job,) = jobs
+        assert job in other.err_value.message
+        await fleet.async_wait(job)
+        assert (await fleet.async_check(job))["done"] == 150
+
+    run(story)
+
+
+def test_poison_item_does_not_hold_the_rest_up() -> None:
+    """One item crashes each engine that runs it.
+
+    It ends quarantined after bounded runs; every other item ends done, its job soon.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        for engine in fleet.engines.values():
+            engine.faults.crash_marker = '"item 17"'
+        manifest = (await fleet.async_submit(make_lines(200, tokens=40))).unwrap()
+        await fleet.async_wait(manifest.job, 240)
+        counts = await fleet.async_check(manifest.job, {"item 17|40": "quarantined"})
+        assert (counts["done"], counts["quarantined"]) == (199, 1)
+        assert sum(engine.crashes for engine in fleet.engines.values()) == 3
+        assert len(fleet.sets.items) == 1
+
+    run(story)
+
+
+def test_item_that_engines_reject_fails_alone() -> None:
+    """An item is bad in a way that only the engine sees; it fails, the others finish."""
+
+    async def story(fleet: BatchFleet) -> None:
+        lines = make_lines(30)
+        lines[7] = b'{"custom_id": "bad|1", "body": {"prompt": "x", "max_tokens": -1}}'
+        manifest = (await fleet.async_submit(lines)).unwrap()
+        await fleet.async_wait(manifest.job)
+        counts = await fleet.async_check(manifest.job, {"bad|1": "failed"})
+        assert (counts["done"], counts["failed"]) == (29, 1)
+
+    run(story)
+
+
+def test_lot_answered_twice() -> None:
+    """Answers to delivered results are lost, so stewards send them again."""
+
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(300))).unwrap()
+        for _ in range(20):
+            fleet.network.lose_answers = 3
+            await fleet.clock.async_sleep(200)
+        await fleet.async_wait(manifest.job)
+        assert (await fleet.async_check(manifest.job))["done"] == 300
+
+    run(story)
+
+
+def test_only_its_customer_sees_a_job() -> None:
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(3))).unwrap()
+        jobs = fleet.services["vm1"].jobs
+        missing = (await jobs.async_describe("other", manifest.job)).unwrap_err()
+        assert missing.problem is BatchProblem.MISSING
+        assert isinstance(await jobs.async_cancel("other", manifest.job), Err)
+        listed = (await jobs.async_list("acme", "", 10)).unwrap()
+        assert [found.job for found in listed] == [manifest.job]
+        assert await jobs.async_list("other", "", 10) == Ok(())
+
+    run(story)
+
+
+def test_bad_line_names_line_and_field_and_accepts_nothing() -> None:
+    async def story(fleet: BatchFleet) -> None:
+        lines = make_lines(200)
+        lines[150] = b'{"custom_id": "x", "body": {"max_tokens": 3}}'
+        refused = (await fleet.async_submit(lines, key="k")).unwrap_err()
+        assert refused.problem is BatchProblem.BAD_LINE
+        assert refused.message.startswith("line 151: body.prompt:")
+        assert not fleet.world.find_all(make_job_key(""))
+
+    run(story)
+
+
+def test_results_are_swept_after_retention() -> None:
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(10))).unwrap()
+        await fleet.async_wait(manifest.job)
+        await fleet.async_check(manifest.job)
+        fleet.calendar.seconds += 8 * 24 * 3600
+        await fleet.clock.async_sleep(30_000)
+        assert not fleet.list_records(manifest.job)
+        assert not fleet.platform.objects
+
+    run(story)
