--- /dev/null
+++ b/goldcreststair/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' and callers' command line."""
--- a/goldcreststair/components/batch/allowance.py
+++ b/goldcreststair/components/batch/allowance.py
@@ -1,5 +1,6 @@
 """How many batch streams one upstream may run now."""
 
+from collections import deque
 from dataclasses import dataclass
 from typing import Final
 
@@ -7,24 +8,29 @@
 from goldcreststair.upstreams.models import LoadReport
 
 START: Final = 4.0
-MAX_ALLOWANCE: Final = 256.0
+PROBE: Final = 16
+"""Streams beyond the most ever reported, while no queue has been seen at the upstream."""
 
 
 @dataclass(frozen=True, slots=True)
 class AllowanceParameters:
-    """What shapes the rise and the cut."""
+    """What shapes the rise and the cut; the defaults are measured (docs/measurements/batch.md)."""
 
     quiet_ms: int = 300
     """Time without a sign of pressure before the allowance rises."""
     raise_share: float = 0.25
     """Growth a tick, as a share of the allowance; at least one stream."""
-    cut_share: float = 0.25
+    cut_share: float = 0.5
     """What a hint leaves of the running streams."""
+    cut_every_ms: int = 100
+    """Shortest time between two cuts."""
     kv_headroom: float = 0.15
     """Share of KV memory kept free for online work."""
     slot_headroom: float = 0.2
     """Share of the streams at which a queue was seen that is kept free."""
-    first_token_ms: int = 400
+    report_lag_ms: int = 1000
+    """Assumed age of a load report."""
+    first_token_ms: int = 200
     """A batch stream's own time to first token above which the engine is held to queue."""
 
 
@@ -36,27 +42,41 @@
         self._clock = clock
         self._parameters = parameters
         self._allowance = START
-        self._ceiling = MAX_ALLOWANCE
+        self._peak = 0
+        """Most streams ever reported running: what the upstream takes, once a queue was seen."""
+        self._queue_seen = False
+        self._others = 0
+        """Streams of others at the upstream, as last reported."""
+        self._queued = False
         self._pressed_at: Millis | None = None
+        self._cut_at: Millis | None = None
         self._sequence = -1
+        self._past: deque[tuple[Millis, int]] = deque()
+        """Own running streams at past ticks, as far back as a report may be old."""
 
     @property
     def limit(self) -> int:
         """Streams that may run now."""
-        return int(min(self._allowance, self._ceiling))
+        # Unbounded, the allowance would outrun reports that are a second old and fill the
+        # upstream's queue, where online work then stands behind batch.
+        free = self._peak * (1 - self._parameters.slot_headroom)
+        room = (free if self._queue_seen else self._peak + PROBE) - self._others
+        return max(0, int(min(self._allowance, room)))
 
     def cut(self, running: int) -> None:
-        """Take a yield hint; one a quiet time, so that hints of many VMs count once."""
+        """Take a yield hint; hints that come together cut once."""
         now = self._clock.now()
+        self._pressed_at = now
         # Every VM of a fleet hints at the same onset within milliseconds; were each to cut, one
         # burst would stop all batch work of the upstream however small the burst.
-        if self._pressed_at is None or now - self._pressed_at >= self._parameters.quiet_ms:
-            self._allowance = float(int(min(self._allowance, running) * self._parameters.cut_share))
-        self._pressed_at = now
+        if self._cut_at is None or now - self._cut_at >= self._parameters.cut_every_ms:
+            self._cut_at = now
+            self._allowance = min(self._allowance, running) * self._parameters.cut_share
 
     def observe_first_token(self, wait_ms: int, running: int) -> None:
         """Take the time a batch stream waited for its first token."""
         if wait_ms > self._parameters.first_token_ms:
+            self._queue_seen = True
             self._lower(running * (1 - self._parameters.slot_headroom))
 
     def observe_load(self, report: LoadReport, running: int) -> None:
@@ -64,23 +84,36 @@
         if report.sequence <= self._sequence:
             return
         self._sequence = report.sequence
-        if report.waiting and report.running:
-            self._ceiling = max(1.0, report.running * (1 - self._parameters.slot_headroom))
-            self._lower(max(0.0, running - report.waiting))
-        if report.kv_total and report.kv_used > report.kv_total * (
-            1 - self._parameters.kv_headroom
-        ):
-            self._lower(running)
+        self._others = max(0, report.running - self._find_past())
+        self._learn_capacity(report, running)
+        headroom = 1 - self._parameters.kv_headroom
+        if report.kv_total and report.kv_used > report.kv_total * headroom:
+            self._lower(running * headroom)
 
     def tick(self, running: int) -> None:
         """Raise the allowance once pressure has been gone for a while and it is being used."""
         now = self._clock.now()
         parameters = self._parameters
+        self._past.append((now, running))
+        while len(self._past) > 1 and self._past[1][0] <= now - parameters.report_lag_ms:
+            self._past.popleft()
         if self._pressed_at is not None and now - self._pressed_at < parameters.quiet_ms:
             return
         if running + 1 >= self.limit:
             step = max(1.0, self._allowance * parameters.raise_share)
-            self._allowance = min(self._allowance + step, self._ceiling)
+            self._allowance = min(self._allowance + step, float(self._peak + PROBE))
+
+    def _learn_capacity(self, report: LoadReport, running: int) -> None:
+        self._peak = max(self._peak, report.running)
+        # A request waits for one step even at an idle engine, so a single report of a queue says
+        # nothing; two in a row do.
+        if report.waiting and self._queued:
+            self._queue_seen = True
+            self._lower(max(0.0, running - report.waiting))
+        self._queued = bool(report.waiting)
+
+    def _find_past(self) -> int:
+        return self._past[0][1] if self._past else 0
 
     def _lower(self, value: float) -> None:
         self._allowance = min(self._allowance, value)
--- a/goldcreststair/components/batch/steward.py
+++ b/goldcreststair/components/batch/steward.py
@@ -142,6 +142,7 @@
 
     def _start(self, stream: ItemStream) -> None:
         self.running.append(stream)
+        stream.on_first_token = self._observe_first_token
         stream.task = asyncio.ensure_future(self._async_run(stream))
 
     async def _async_run(self, stream: ItemStream) -> None:
@@ -151,14 +152,16 @@
             return
         verdict = self._judge(stream, outcome)
         self.running.remove(stream)
-        if stream.first_token_ms >= 0:
-            self.allowance.observe_first_token(stream.first_token_ms, len(self.running) + 1)
         if isinstance(outcome, Ok):
             self._report(stream.item, verdict, 200, stream.make_answer())
         else:
             error = outcome.err_value
             self._report(stream.item, verdict, error.status, error.body)
 
+    def _observe_first_token(self, wait_ms: int) -> None:
+        self.allowance.observe_first_token(wait_ms, len(self.running))
+        self._enforce()
+
     def _judge(self, stream: ItemStream, outcome: Result[GenerateEnd, UpstreamError]) -> Verdict:
         if isinstance(outcome, Ok):
             return Verdict.DONE
--- a/goldcreststair/components/batch/streams.py
+++ b/goldcreststair/components/batch/streams.py
@@ -1,6 +1,7 @@
 """One batch item running at an upstream, with all that a later resume needs."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -28,11 +29,14 @@
     parts: list[str] = field(default_factory=list)
     finish_reason: str | None = None
     task: "asyncio.Task[None] | None" = None
+    on_first_token: Callable[[int], None] | None = None
 
     async def async_accept(self, chunk: StreamChunk) -> None:
         """Keep the text of one chunk."""
         if self.first_token_ms < 0:
             self.first_token_ms = self.clock.now() - self.started_at
+            if self.on_first_token is not None:
+                self.on_first_token(self.first_token_ms)
         for line in chunk.data.split(b"\n"):
             if line.startswith(DATA_FIELD) and line[len(DATA_FIELD) :].startswith(b"{"):
                 self._take(orjson.loads(line[len(DATA_FIELD) :]))
--- /dev/null
+++ b/standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on stand-ins, in process on virtual time."""
