Wire peers, membership, ledger, claims, limits, service levels and batch into the daemon

Cause: the parts stood side by side but no daemon ran them together. Change: the order of set-up in bootstrap; fakes follow the ledger's wider protocol.

--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -15,9 +15,13 @@
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.clock import Clock, LoopClock
 from goldcreststair.components import (
+    batch,
     caller_api,
+    claims,
     configuration,
+    explain,
     keys,
+    ledger,
     limits,
     membership,
     online,
@@ -25,6 +29,7 @@
     peers,
     quarantine,
     routing,
+    service_level,
 )
 from goldcreststair.core import Component, Core
 from goldcreststair.journal import Journal
@@ -45,10 +50,15 @@
     membership.async_setup,
     configuration.async_setup,
     keys.async_setup,
+    ledger.async_setup,
+    claims.async_setup,
     limits.async_setup,
+    service_level.async_setup,
     quarantine.async_setup,
     routing.async_setup,
     online.async_setup,
+    batch.async_setup,
+    explain.async_setup,
     caller_api.async_setup,
     operator_api.async_setup,
 )
--- a/goldcreststair/components/batch/views.py
+++ b/goldcreststair/components/batch/views.py
@@ -13,7 +13,7 @@
 from goldcreststair.components.batch.parsing import PATHS, Defaults
 from goldcreststair.components.batch.service import BATCH
 from goldcreststair.components.batch.submission import Submission, SubmitOptions
-from goldcreststair.components.caller_api.views import CallerHandler
+from goldcreststair.components.caller_api.handler import CallerHandler
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.const import HEADER_IDEMPOTENCY_KEY
--- a/tests/helpers/ledger_world.py
+++ b/tests/helpers/ledger_world.py
@@ -116,6 +116,12 @@
     def find_owner(self, index: int) -> str | None:
         return self._world.owners[index] or None
 
+    def learn_owner(self, index: int, session: str) -> None:
+        pass
+
+    async def async_read_owner(self, index: int) -> str | None:
+        return self._world.owners[index] or None
+
     def watch(self, on_gained: Callable[[Partition], None], on_lost: Callable[[int], None]) -> None:
         self._on_gained.append(on_gained)
         self._on_lost.append(on_lost)
