Spread versions and withdrawals through peers

Cause: a version polled every 5 s from the store takes 5 s at best and stands still in an outage, and a key withdrawn during an outage went on working.

Change: digests name the version in force; who is behind takes it from the peer that is ahead, then from the store (Spread decides and never goes back). The row keeps the last 64 patch ids, so that a patch whose answer was lost is known after others followed it; history rows are written in the same transaction and kept for 2,000 versions. async_patch returns Applied (version, current row, decoded configuration). A patch may not shrink `withdrawn`. A withdrawal goes into a shared set first, then into the configuration; the member with the lowest session id finishes what its taker could not. Keys are refused for the time being while this VM is isolated. Ruled out: sending documents in gossip (bytes); every VM retrying the patch (write conflicts).

--- a/goldcreststair/components/configuration/document.py
+++ b/goldcreststair/components/configuration/document.py
@@ -40,6 +40,11 @@
         self.field = field
 
 
+def is_key_hash(text: str) -> bool:
+    """Return whether a text has the form in which keys are kept."""
+    return len(text) == KEY_HASH_LENGTH and set(text) <= set("0123456789abcdef")
+
+
 def decode_document(version: int, document: Document) -> Result[Configuration, DocumentInvalid]:
     """Check a document and return it as a configuration; the error names the field."""
     try:
@@ -49,11 +54,15 @@
 
 
 def _decode(version: int, document: Document) -> Configuration:
+    if not isinstance(document, Mapping):
+        raise _FieldError("", "must be an object")
     for section in document:
         if section not in SECTIONS:
             raise _FieldError(section, "unknown section")
     customers = _decode_section(document, "customers", _decode_customer)
     withdrawn = frozenset(_read_names(document, "withdrawn"))
+    for key_hash in withdrawn:
+        _check_hash(key_hash, f"withdrawn.{key_hash}")
     keys = _decode_section(document, "keys", _decode_key)
     for key_hash, customer in keys.items():
         if customer not in customers:
@@ -91,11 +100,15 @@
 
 
 def _decode_key(key_hash: str, raw: Any, field: str) -> str:
-    if len(key_hash) != KEY_HASH_LENGTH or not set(key_hash) <= set("0123456789abcdef"):
-        raise _FieldError(field, "must be a SHA-256 in lower-case hex, never the key itself")
+    _check_hash(key_hash, field)
     return _read_text(raw, field)
 
 
+def _check_hash(key_hash: str, field: str) -> None:
+    if not is_key_hash(key_hash):
+        raise _FieldError(field, "must be a SHA-256 in lower-case hex, never the key itself")
+
+
 def _decode_upstream(name: str, raw: Any, field: str) -> Upstream:
     _check_fields(
         raw, field, {"address", "data_centre", "kind", "models", "service", "checks_fencing"}
--- a/goldcreststair/components/configuration/store.py
+++ b/goldcreststair/components/configuration/store.py
@@ -1,20 +1,28 @@
 """The current version's row: read, and patched by compare-and-set."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 import orjson
 from result import Err, Ok, Result
 
-from goldcreststair.components.configuration.const import EMPTY_DOCUMENT, ROW_CURRENT
+from goldcreststair.components.configuration.const import (
+    EMPTY_DOCUMENT,
+    HISTORY_VERSIONS,
+    RECENT_PATCHES,
+    ROW_CURRENT,
+    ROW_HISTORY,
+)
 from goldcreststair.components.configuration.document import decode_document, merge_patch
 from goldcreststair.components.configuration.errors import (
     ConfigurationError,
+    DocumentInvalid,
     StoreUnavailable,
     VersionStale,
 )
 from goldcreststair.components.configuration.models import Configuration
-from goldcreststair.platform.errors import PlatformOutcomeUnknown, RowConflict
+from goldcreststair.platform.errors import PlatformError, PlatformOutcomeUnknown, RowConflict
 from goldcreststair.platform.models import Row, RowWrite
 from goldcreststair.platform.protocols import TableService
 
@@ -24,15 +32,47 @@
     """One version as the row holds it; the row's own version is the configuration's number."""
 
     version: int
-    patch_id: str
     document: dict[str, Any]
+    patches: Mapping[str, int]
+    """The last patch ids and the versions they made."""
+    row: bytes
+    """The row's value as stored, empty if there is none."""
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A patch that took effect."""
+
+    version: int
+    """The version it made; later ones may have followed."""
+    current: StoredVersion
+    configuration: Configuration
+    """The current version decoded."""
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """What made one version."""
+
+    version: int
+    patch_id: str
+    patch: Any
+
+
+def decode_stored(version: int, value: bytes) -> StoredVersion:
+    """Return the version that a row's value holds."""
+    raw = orjson.loads(value)
+    return StoredVersion(version, raw["document"], raw["patches"], value)
 
 
 def _decode_row(row: Row | None) -> StoredVersion:
     if row is None:
-        return StoredVersion(0, "", dict(EMPTY_DOCUMENT))
-    raw = orjson.loads(row.value)
-    return StoredVersion(row.version, raw["patch_id"], raw["document"])
+        return StoredVersion(0, dict(EMPTY_DOCUMENT), {}, b"")
+    return decode_stored(row.version, row.value)
+
+
+def _name_history(version: int) -> str:
+    return f"{ROW_HISTORY}{version:012d}"
 
 
 class ConfigurationStore:
@@ -49,29 +89,98 @@
             return Err(StoreUnavailable(row.err_value.message))
         return Ok(_decode_row(row.ok_value))
 
+    async def async_read_history(
+        self, after_version: int = 0, limit: int = 100
+    ) -> Result[tuple[HistoryEntry, ...], ConfigurationError]:
+        """Return what made the versions after `after_version`, oldest first."""
+        after = _name_history(after_version)
+        rows = await self._table.async_scan(ROW_HISTORY, after, limit)
+        if isinstance(rows, Err):
+            return Err(StoreUnavailable(rows.err_value.message))
+        raws = [(row, orjson.loads(row.value)) for row in rows.ok_value]
+        return Ok(
+            tuple(
+                HistoryEntry(int(row.key.removeprefix(ROW_HISTORY)), raw["patch_id"], raw["patch"])
+                for row, raw in raws
+            )
+        )
+
     async def async_patch(
         self, base_version: int, patch_id: str, patch: Any
-    ) -> Result[Configuration, ConfigurationError]:
+    ) -> Result[Applied, ConfigurationError]:
         """Apply a merge patch to `base_version`; the same patch id again is not applied twice."""
         read = await self.async_read()
         if isinstance(read, Err):
             return read
         current = read.ok_value
-        if current.patch_id == patch_id and current.version == base_version + 1:
-            return decode_document(current.version, current.document)
+        # Sent again after a lost answer: it took effect, maybe with other patches after it.
+        if patch_id in current.patches:
+            return _find_applied(current, patch_id)
         if current.version != base_version:
             return Err(VersionStale(f"current version is {current.version}", current.version))
-        document = merge_patch(current.document, patch)
-        decoded = decode_document(base_version + 1, document)
-        if isinstance(decoded, Err):
-            return decoded
-        value = orjson.dumps({"patch_id": patch_id, "document": document})
-        written = await self._table.async_write([RowWrite(ROW_CURRENT, base_version, value)])
-        if not isinstance(written, Err):
-            return decoded
-        error = written.err_value
+        prepared = _prepare(current, patch_id, patch)
+        if isinstance(prepared, Err):
+            return prepared
+        stored = prepared.ok_value
+        written = await self._table.async_write(_list_writes(stored, patch_id, patch))
+        if isinstance(written, Err):
+            return await self._async_settle(written.err_value, patch_id)
+        return _find_applied(stored, patch_id)
+
+    async def _async_settle(
+        self, error: PlatformError, patch_id: str
+    ) -> Result[Applied, ConfigurationError]:
         if isinstance(error, RowConflict):
-            version = error.current.version if error.current else 0
+            # The row is read anew: the conflict may be on the history row, which has no version.
+            read = await self.async_read()
+            version = read.ok_value.version if isinstance(read, Ok) else 0
+            if isinstance(read, Ok) and patch_id in read.ok_value.patches:
+                return _find_applied(read.ok_value, patch_id)
             return Err(VersionStale(f"current version is {version}", version))
-        known = not isinstance(error, PlatformOutcomeUnknown)
-        return Err(StoreUnavailable(error.message, known))
+        if not isinstance(error, PlatformOutcomeUnknown):
+            return Err(StoreUnavailable(error.message))
+        read = await self.async_read()
+        if isinstance(read, Ok) and patch_id in read.ok_value.patches:
+            return _find_applied(read.ok_value, patch_id)
+        return Err(StoreUnavailable(error.message, outcome_known=False))
+
+
+def _find_applied(stored: StoredVersion, patch_id: str) -> Result[Applied, ConfigurationError]:
+    decoded = decode_document(stored.version, stored.document)
+    if isinstance(decoded, Err):
+        return decoded
+    return Ok(Applied(stored.patches[patch_id], stored, decoded.ok_value))
+
+
+def _prepare(
+    current: StoredVersion, patch_id: str, patch: Any
+) -> Result[StoredVersion, ConfigurationError]:
+    """Return the version that a patch makes, checked."""
+    if not isinstance(patch, Mapping):
+        return Err(DocumentInvalid("must be an object", "patch"))
+    version = current.version + 1
+    document = merge_patch(current.document, patch)
+    decoded = decode_document(version, document)
+    if isinstance(decoded, Err):
+        return decoded
+    before = decode_document(current.version, current.document)
+    known = before.ok_value.withdrawn if isinstance(before, Ok) else frozenset()
+    # A withdrawn key that came back would work again on VMs that had stopped it.
+    for key_hash in sorted(known - decoded.ok_value.withdrawn):
+        message = "a withdrawn key cannot be taken back"
+        return Err(DocumentInvalid(message, f"withdrawn.{key_hash}"))
+    patches = dict([*current.patches.items(), (patch_id, version)][-RECENT_PATCHES:])
+    row = orjson.dumps({"patches": patches, "document": document})
+    return Ok(StoredVersion(version, document, patches, row))
+
+
+def _list_writes(stored: StoredVersion, patch_id: str, patch: Any) -> list[RowWrite]:
+    version = stored.version
+    entry = orjson.dumps({"patch_id": patch_id, "patch": patch})
+    writes = [
+        RowWrite(ROW_CURRENT, version - 1, stored.row),
+        RowWrite(_name_history(version), 0, entry),
+    ]
+    if version > HISTORY_VERSIONS:
+        writes.append(RowWrite(_name_history(version - HISTORY_VERSIONS), 1, None))
+    return writes
--- a/goldcreststair/components/keys/__init__.py
+++ b/goldcreststair/components/keys/__init__.py
@@ -1,12 +1,11 @@
 """Which customer a key stands for, and whether it still may."""
 
-from goldcreststair.components.keys.controller import KeyController
-from goldcreststair.components.keys.protocols import KEYS
 from goldcreststair.core import Component, Core
 
 
 async def async_setup(core: Core) -> Component:
-    """Set up the controller."""
-    controller = KeyController(core)
-    core.offer(KEYS, controller)
-    return controller
+    """Set up the controller, and withdrawals where there is a fleet."""
+    # Imported here, as other components import this package's protocols while they are imported.
+    from goldcreststair.components.keys.component import create_component
+
+    return create_component(core)
--- a/goldcreststair/components/keys/controller.py
+++ b/goldcreststair/components/keys/controller.py
@@ -1,4 +1,4 @@
-"""Turns keys into identities from the configuration in force."""
+"""Turns keys into identities from the configuration in force and the withdrawals heard."""
 
 import hashlib
 import logging
@@ -8,6 +8,11 @@
 
 from goldcreststair.components.configuration.models import CONFIGURATION, Configuration
 from goldcreststair.components.keys.protocols import Identity, KeyRefused
+from goldcreststair.components.membership.protocols import (
+    MEMBERSHIP,
+    SET_WITHDRAWN_KEYS,
+    SHARED_SETS,
+)
 from goldcreststair.core import Core
 
 _LOGGER = logging.getLogger(__name__)
@@ -22,10 +27,15 @@
     """Knows the keys in force and tells watchers when theirs is withdrawn."""
 
     def __init__(self, core: Core) -> None:
-        """Follow the configuration."""
+        """Follow the configuration and the set of withdrawn keys."""
         self._board = core.blackboard
+        self._membership = core.find(MEMBERSHIP)
+        self._withdrawn: set[str] = set()
         self._watchers: dict[str, list[Callable[[], None]]] = {}
         self._unsubscribe = self._board.subscribe(CONFIGURATION, self._on_configuration)
+        sets = core.find(SHARED_SETS)
+        if sets is not None:
+            sets.watch(SET_WITHDRAWN_KEYS, self._on_withdrawn)
 
     async def async_start(self) -> None:
         """Do nothing; the configuration drives this controller."""
@@ -34,14 +44,23 @@
         """Stop following."""
         self._unsubscribe()
 
+    @property
+    def not_durable(self) -> frozenset[str]:
+        """Return the withdrawn keys that the configuration in force does not hold yet."""
+        return frozenset(self._withdrawn - self._board.read(CONFIGURATION).withdrawn)
+
     def identify(self, key: str) -> Result[Identity, KeyRefused]:
         """Return whose key this is."""
         configuration = self._board.read(CONFIGURATION)
         if configuration.version == 0:
             return Err(KeyRefused("no configuration yet", temporary=True))
+        # Cut off from the store and most peers, this VM would go on serving withdrawn keys.
+        if self._membership is not None and self._membership.is_isolated():
+            return Err(KeyRefused("cut off from the fleet", temporary=True))
+        # Keys are found by their hash, so the time of the look-up tells nothing about the key.
         key_hash = hash_key(key)
         name = configuration.keys.get(key_hash)
-        if name is None:
+        if name is None or key_hash in self._withdrawn:
             return Err(KeyRefused("unknown or withdrawn key"))
         return Ok(Identity(configuration.customers[name], key_hash))
 
@@ -58,10 +77,17 @@
 
         return unwatch
 
+    def _on_withdrawn(self, key_hash: str) -> None:
+        self._withdrawn.add(key_hash)
+        self._stop(key_hash)
+
     def _on_configuration(self, configuration: Configuration) -> None:
-        gone = [key for key in self._watchers if key not in configuration.keys]
-        for key_hash in gone:
-            watchers = self._watchers.pop(key_hash)
+        for key_hash in [key for key in self._watchers if key not in configuration.keys]:
+            self._stop(key_hash)
+
+    def _stop(self, key_hash: str) -> None:
+        watchers = self._watchers.pop(key_hash, [])
+        if watchers:
             _LOGGER.info("Key withdrawn with %d requests running", len(watchers))
-            for on_withdrawn in tuple(watchers):
-                on_withdrawn()
+        for on_withdrawn in tuple(watchers):
+            on_withdrawn()
--- a/goldcreststair/components/operator_api/views.py
+++ b/goldcreststair/components/operator_api/views.py
@@ -66,7 +66,8 @@
         if isinstance(patched, Err):
             self._refuse(patched.err_value)
             return
-        self.follower.apply(patched.ok_value)
+        applied = patched.ok_value
+        self.follower.apply(applied.configuration, applied.current.row)
         self.finish({"version": patched.ok_value.version})
 
     def _refuse(self, error: ConfigurationError) -> None:
--- /dev/null
+++ b/tests/helpers/daemons.py
@@ -0,0 +1,31 @@
+"""Tests on a fleet of daemons in process."""
+
+from collections.abc import Awaitable, Callable
+
+from goldcreststair.clock import LoopClock
+from standins.daemons import FakeDaemons
+from standins.network import FakeNetwork
+from standins.platform.store import FakePlatform
+from tests.helpers.virtual_time import run_virtual
+
+
+def run_fleet(async_test: Callable[[FakeDaemons], Awaitable[None]]) -> None:
+    """Run a test on an empty fleet and close what it leaves."""
+
+    async def async_run() -> None:
+        clock = LoopClock()
+        fleet = FakeDaemons(clock, FakePlatform(clock), FakeNetwork(clock))
+        try:
+            await async_test(fleet)
+        finally:
+            await fleet.async_close()
+
+    run_virtual(async_run())
+
+
+def share_platform(fleet: FakeDaemons) -> FakePlatform:
+    """Return a second way to the fleet's store, with faults of its own."""
+    store = fleet.platform
+    other = FakePlatform(fleet.clock, rows=store.rows)
+    other._keys = store._keys
+    return other
