Give operators a command line for configuration, keys, leaving, status, explanations and burn

Cause: operators had HTTP routes only. Change: config get|patch|history|wait, key issue|withdraw, leave vm|upstream, report burn with an SVG, status, explain; errors name the field.

--- a/goldcreststair/cli/__main__.py
+++ b/goldcreststair/cli/__main__.py
@@ -2,11 +2,17 @@
 
 from cyclopts import App
 
-from goldcreststair.cli import batch
+from goldcreststair.cli import batch, operator
 from goldcreststair.const import VERSION
 
 app = App(name="goldcreststair", help="Work with a goldcreststair fleet.", version=VERSION)
 app.command(batch.app)
+app.command(operator.config)
+app.command(operator.key)
+app.command(operator.leave)
+app.command(operator.report)
+app.command(operator.status)
+app.command(operator.explain)
 
 
 def main() -> None:
--- a/goldcreststair/cli/client.py
+++ b/goldcreststair/cli/client.py
@@ -90,8 +90,15 @@
     retry_after = answer.getheader("Retry-After", "0")
     try:
         error = json.loads(body)["error"]
-        message, not_run = str(error["message"]), bool(error["not_run"])
+        message, not_run = _describe(error), bool(error.get("not_run"))
     except (ValueError, KeyError, TypeError):
         message, not_run = body.decode(errors="replace")[:200], False
     seconds = int(retry_after) if retry_after.isdecimal() else 0
     return ClientError(message, answer.status, not_run, seconds)
+
+
+def _describe(error: Mapping[str, Any]) -> str:
+    """Return the message, after the field it is about where the daemon names one."""
+    field_name = error.get("field") or error.get("param")
+    message = str(error["message"])
+    return f"{field_name}: {message}" if field_name and field_name not in message else message
--- a/goldcreststair/components/operator_api/reports.py
+++ b/goldcreststair/components/operator_api/reports.py
@@ -5,6 +5,7 @@
 import orjson
 from result import Err
 
+from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
 from goldcreststair.components.configuration.models import CONFIGURATION
 from goldcreststair.components.explain.service import EXPLAINER
 from goldcreststair.components.membership.models import MEMBER_LOADS, MEMBERS
@@ -13,6 +14,33 @@
 from goldcreststair.components.service_level.service import ServiceLevels
 from goldcreststair.journal import Subject
 
+MAX_HISTORY = 1000
+
+
+class HistoryHandler(OperatorHandler):
+    """The configuration's history."""
+
+    async def get(self) -> None:
+        """Return the patches after version `after`, oldest first, `limit` at most."""
+        try:
+            after = int(self.get_query_argument("after", "0"))
+            limit = int(self.get_query_argument("limit", "100"))
+        except ValueError:
+            self.set_status(400)
+            message = "after and limit: must be whole numbers"
+            self.finish({"error": {"code": "invalid", "message": message}})
+            return
+        store = self.core.get(CONFIGURATION_FOLLOWER).store
+        read = await store.async_read_history(after, min(max(limit, 1), MAX_HISTORY))
+        self.set_header("Content-Type", "application/json")
+        if isinstance(read, Err):
+            self.set_status(503)
+            error = {"code": "store_unavailable", "message": read.err_value.message}
+            self.finish(orjson.dumps({"error": error}))
+            return
+        versions = [dataclasses.asdict(entry) for entry in read.ok_value]
+        self.finish(orjson.dumps({"versions": versions}))
+
 
 class BurnHandler(OperatorHandler):
     """Service-level burn."""
--- /dev/null
+++ b/tests/cli/test_operator.py
@@ -0,0 +1,80 @@
+"""Operators' commands against a real fleet."""
+
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from standins.demo.__main__ import CUSTOMERS, wait_ready
+from standins.demo.fleet import OPERATOR_TOKEN, Fleet, FleetPlan, send_request
+from standins.demo.process import ROOT
+
+
+@pytest.fixture(name="fleet", scope="module")
+def start_fleet() -> Iterator[Fleet]:
+    with Fleet(FleetPlan(daemons=2, engines=1, step_base_ms=2.0)) as fleet:
+        assert fleet.patch_configuration(0, fleet.describe_configuration(CUSTOMERS)).status == 200
+        for daemon in fleet.daemons:
+            wait_ready(daemon.wait_listening())
+        yield fleet
+
+
+def run_cli(fleet: Fleet, *arguments: str) -> subprocess.CompletedProcess[str]:
+    url = "http://" + fleet.daemons[0].wait_listening()
+    command = [sys.executable, "-m", "goldcreststair.cli", *arguments]
+    target = ["--url", url, "--token", OPERATOR_TOKEN]
+    return subprocess.run(
+        [*command, *target], cwd=ROOT, capture_output=True, text=True, timeout=60, check=False
+    )
+
+
+def test_key_from_issue_to_withdrawal(fleet: Fleet) -> None:
+    """An operator issues a key and withdraws it through one daemon.
+
+    Another daemon must first take it and then refuse it.
+    """
+    issued = json.loads(run_cli(fleet, "key", "issue", "designers").stdout)
+    waited = run_cli(fleet, "config", "wait", str(issued["version"]))
+    assert waited.returncode == 0, waited.stderr
+    other = fleet.daemons[1].wait_listening()
+    headers = {"Authorization": f"Bearer {issued['key']}"}
+    assert send_request(other, "GET", "/v1/models", headers=headers).status == 200
+    withdrawn = run_cli(fleet, "key", "withdraw", issued["key_hash"])
+    version = json.loads(withdrawn.stdout)["version"]
+    assert run_cli(fleet, "config", "wait", str(version)).returncode == 0
+    assert send_request(other, "GET", "/v1/models", headers=headers).status == 401
+    history = json.loads(run_cli(fleet, "config", "history").stdout)["versions"]
+    assert [entry["version"] for entry in history] == list(range(1, version + 1))
+
+
+def test_bad_patch_names_the_field(fleet: Fleet, tmp_path: Path) -> None:
+    current = json.loads(run_cli(fleet, "config", "get").stdout)
+    file = tmp_path / "patch.json"
+    file.write_text(json.dumps({"customers": {"designers": {"burst": -1}}}))
+    refused = run_cli(fleet, "config", "patch", str(current["version"]), str(file))
+    assert refused.returncode == 1
+    assert "customers.designers.burst: must be a number above 0" in refused.stderr
+    assert json.loads(run_cli(fleet, "config", "get").stdout) == current
+
+
+def test_stale_patch_is_refused_with_the_current_version(fleet: Fleet, tmp_path: Path) -> None:
+    current = json.loads(run_cli(fleet, "config", "get").stdout)["version"]
+    file = tmp_path / "patch.json"
+    file.write_text("{}")
+    refused = run_cli(fleet, "config", "patch", str(current - 1), str(file))
+    assert refused.returncode == 1
+    assert f"current version is {current}" in refused.stderr
+
+
+def test_reports_read_without_traffic(fleet: Fleet, tmp_path: Path) -> None:
+    picture = tmp_path / "burn.svg"
+    burn = run_cli(fleet, "report", "burn", "--svg", str(picture))
+    assert burn.returncode == 0, burn.stderr
+    assert "<svg" in picture.read_text()
+    assert len(json.loads(run_cli(fleet, "status").stdout)["members"]) == 2
+    unknown = run_cli(fleet, "explain", "request", "nothing")
+    assert unknown.returncode == 1
+    assert "nothing known" in unknown.stdout
