Let a VM that has just started rob no owner

Cause: a new VM sees itself alone for some seconds and took every owner that it did not see for gone, so it claimed the whole key space; the others then took it back, as they did not see it either. Change: a session that was never seen counts as alive for 30 s, in the ledger as in claims; one class for both.

--- a/goldcreststair/components/claims/const.py
+++ b/goldcreststair/components/claims/const.py
@@ -18,8 +18,6 @@
 REMOVE_AT_ONCE: Final = 200
 REMOVE_PAUSE_MS: Final = 100
 
-UNSEEN_RUNNER_GRACE_MS: Final = 30_000
-"""How long a runner that this VM never saw among the members counts as alive."""
 WAIT_SLICE_MS: Final = 10_000
 RUNNER_CHECK_MS: Final = 1000
 RETRY_DELAY_MS: Final = 200
--- a/goldcreststair/components/claims/keeper.py
+++ b/goldcreststair/components/claims/keeper.py
@@ -20,7 +20,7 @@
     decide_wait,
 )
 from goldcreststair.components.claims.models import AnswerCode, ClaimRecord, ClaimState, Ending
-from goldcreststair.components.claims.runners import Runners
+from goldcreststair.components.ledger import sessions
 from goldcreststair.components.ledger.protocols import (
     LEDGER,
     Change,
@@ -44,9 +44,13 @@
         """Use the ledger."""
         self._core = core
         self._ledger = core.get(LEDGER)
-        self._runners = Runners(core)
+        self._sessions = sessions.SessionWatch(core)
         self._changed: dict[str, asyncio.Event] = {}
 
+    def close(self) -> None:
+        """Stop following the members."""
+        self._sessions.close()
+
     async def async_claim(self, asker: str, message: ClaimMessage) -> ClaimAnswer:
         """Grant, join or refuse."""
         key = make_record_key(message.customer, message.key)
@@ -63,7 +67,7 @@
             read_tick(partition),
         )
         found = _find(partition, key)
-        decision = decide_claim(found, wanted, self._runners.is_gone)
+        decision = decide_claim(found, wanted, self._sessions.is_gone)
         return await self._async_carry_out(partition, key, decision, message.timeout_ms)
 
     async def async_end(self, asker: str, message: SettleMessage) -> ClaimAnswer:
@@ -87,7 +91,7 @@
             if partition is None:
                 return self._refer(key)
             found = _find(partition, key)
-            decision = decide_wait(found, message.fingerprint, self._runners.is_gone)
+            decision = decide_wait(found, message.fingerprint, self._sessions.is_gone)
             left = until - self._core.clock.now()
             if decision.code is not AnswerCode.WAITING or left <= 0:
                 return await self._async_carry_out(partition, key, decision, max(left, 1000))
--- a/goldcreststair/components/claims/service.py
+++ b/goldcreststair/components/claims/service.py
@@ -61,7 +61,7 @@
         """Register the messages."""
         self._core = core
         self._ledger = core.get(LEDGER)
-        keeper = ClaimKeeper(core)
+        self._keeper = keeper = ClaimKeeper(core)
         handlers: dict[type[Any], Handler] = {
             ClaimMessage: keeper.async_claim,
             SettleMessage: keeper.async_end,
@@ -85,6 +85,7 @@
 
     async def async_close(self) -> None:
         """Stop."""
+        self._keeper.close()
         for task in tuple(self._tasks):
             task.cancel()
 
--- a/goldcreststair/components/ledger/const.py
+++ b/goldcreststair/components/ledger/const.py
@@ -24,5 +24,7 @@
 SWEEP_INTERVAL_MS: Final = 1000
 CONFIRM_INTERVAL_MS: Final = 5000
 """Age at which ownership is confirmed by a read; a commit confirms as well."""
+UNSEEN_GRACE_MS: Final = 30_000
+"""How long a session that this VM never saw among the members counts as alive."""
 FIRST_BACKOFF_MS: Final = 100
 MAX_BACKOFF_MS: Final = 5000
--- a/goldcreststair/components/ledger/controller.py
+++ b/goldcreststair/components/ledger/controller.py
@@ -23,6 +23,7 @@
 from goldcreststair.components.ledger.partition import OwnedPartition, Tools
 from goldcreststair.components.ledger.protocols import Partition
 from goldcreststair.components.ledger.rendezvous import WantedOwners, find_index
+from goldcreststair.components.ledger.sessions import SessionWatch
 from goldcreststair.components.membership.models import MEMBERS, Members, MemberState
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
@@ -42,6 +43,7 @@
         self._pacer = Pacer(core.clock, FLEET_WRITES_PER_S, BURST_WRITES)
         self._handovers = Pacer(core.clock, FLEET_HANDOVERS_PER_S, 1)
         self._tools = Tools(core, self._heads, self._pacer, self._handle_lost)
+        self._sessions = SessionWatch(core)
         self._wanted = WantedOwners(self._partitions)
         self._owned: dict[int, OwnedPartition] = {}
         self._busy: set[int] = set()
@@ -66,13 +68,14 @@
             return
         self._closing = True
         self._unsubscribe()
+        self._sessions.close()
         for index, partition in tuple(self._owned.items()):
             self._spawn(partition.async_hand_over(), index)
         try:
             async with asyncio.timeout(self._core.settings.drain_ms / MS_PER_SECOND):
                 await asyncio.gather(*self._changing, return_exceptions=True)
         except TimeoutError:
-            _LOGGER.warning("Partitions not released in time: %s", sorted(self._owned))
+            _LOGGER.warning("Hand-over of %s partitions not finished", len(self._changing))
         for task in (*self._tasks, *self._changing):
             task.cancel()
         for partition in tuple(self._owned.values()):
@@ -170,8 +173,8 @@
     def _is_claimable(self, head: Head) -> bool:
         # A live owner is never robbed: it releases when it learns that another is wanted. Its own
         # session in the row means that a release or a load of ours did not end well.
-        members = self._core.blackboard.read(MEMBERS)
-        return head.owner == self._core.session_id or head.owner not in members.by_session
+        owner = head.owner
+        return owner in ("", self._core.session_id) or self._sessions.is_gone(owner)
 
     async def _async_acquire(self, index: int, stored: StoredHead) -> None:
         head = replace(
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -2,15 +2,16 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 from result import Ok
 
 from goldcreststair.components.ledger.codec import decode_head
 from goldcreststair.components.ledger.protocols import Change, CommitRefused, CommitUnknown
-from goldcreststair.components.membership.models import MemberState
+from goldcreststair.components.membership.models import Members, MemberState
 from tests.helpers.virtual_time import run_virtual
-from tests.helpers.vms import Fleet
+from tests.helpers.vms import Fleet, Vm
 
 
 def run_fleet(body: Callable[[Fleet], Awaitable[None]], partitions: int = 4) -> None:
@@ -231,3 +232,26 @@
         assert await loading is None
 
     run_fleet(async_body)
+
+
+def test_a_vm_that_has_just_started_robs_nobody() -> None:
+    """A VM starts while the store or the other VMs are slow to tell it who is there.
+
+    For some seconds it sees itself alone. If it took every owner that it does not see for gone,
+    it would claim the whole key space, and all work would stop until it was handed back.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        before = [decode_head(fleet.find_row(index)) for index in range(fleet.partitions)]
+        late = Vm(fleet, "c")
+        late.members.write(Members("c", {"c": replace(fleet.members["a"], session_id="c")}))
+        await late.ledger.async_start()
+        await fleet.clock.async_sleep(10_000)
+        after = [decode_head(fleet.find_row(index)) for index in range(fleet.partitions)]
+        assert after == before
+        fleet.vms["c"] = late
+        fleet.set_state("c", MemberState.SERVING)
+        await fleet.clock.async_sleep(10_000)
+        assert "c" in list_owners(fleet)
+
+    run_fleet(async_body, 16)
