Split the write budget by owned partitions and keep ownership through outages

Cause: the budget was split by members, so with fewer partitions than VMs most of it went to VMs that own nothing; and a VM that joined during an outage made owners begin releases that could not be written.

--- a/goldcreststair/components/ledger/controller.py
+++ b/goldcreststair/components/ledger/controller.py
@@ -46,6 +46,7 @@
         self._tools = Tools(core, self._heads, self._pacer, self._handle_lost)
         self._sessions = SessionWatch(core)
         self._wanted = WantedOwners(self._partitions)
+        self._mine: tuple[int, ...] = ()
         self._owned: dict[int, OwnedPartition] = {}
         self._busy: set[int] = set()
         self._hints: dict[int, str] = {}
@@ -119,18 +120,28 @@
                 on_gained(partition)
 
     def _handle_members(self, members: Members) -> None:
-        self._pacer.members = self._handovers.members = len(members.by_session)
         self._wanted.update(
             member.session_id
             for member in members.by_session.values()
             if member.state is not MemberState.LEAVING
         )
+        self._mine = tuple(filter(self._is_wanted, range(self._partitions)))
+        self._share_budget()
         for index, session in tuple(self._hints.items()):
             if session not in members.by_session:
                 del self._hints[index]
 
+    def _share_budget(self) -> None:
+        """Take the part of the fleet's writes that this VM's part of the partitions comes to.
+
+        A split by members would leave most of the budget to VMs that own nothing.
+        """
+        part = max(len(self._owned), len(self._mine), 1) / self._partitions
+        self._pacer.share = self._handovers.share = part
+
     async def _async_sweep_forever(self) -> None:
         while not self._closing:
+            self._share_budget()
             self._release_unwanted()
             more = await self._async_claim_wanted()
             await self._core.clock.async_sleep(CLAIM_PAUSE_MS if more else SWEEP_INTERVAL_MS)
@@ -146,6 +157,10 @@
         for index, partition in tuple(self._owned.items()):
             if self._is_wanted(index) or not partition.is_owned:
                 continue
+            # With the store down a release cannot be written: the partition would refuse commits
+            # here and be served nowhere. So an owner that nothing confirmed lately keeps it.
+            if elapsed(self._core.clock, partition.confirmed_at) > 2 * CONFIRM_INTERVAL_MS:
+                continue
             if not (self._is_leaving() or self._handovers.is_free()):
                 return
             self._handovers.reserve()
@@ -157,9 +172,7 @@
     async def _async_claim_wanted(self) -> bool:
         """Begin to claim what may be claimed, some at once; returns whether any was."""
         missing = [
-            index
-            for index in range(self._partitions)
-            if self._is_wanted(index) and index not in self._owned and index not in self._busy
+            index for index in self._mine if index not in self._owned and index not in self._busy
         ]
         if not missing:
             return False
--- a/goldcreststair/components/ledger/pacing.py
+++ b/goldcreststair/components/ledger/pacing.py
@@ -8,7 +8,7 @@
 
 
 class Pacer:
-    """Gives out slots at a rate that the members of the fleet share evenly."""
+    """Gives out slots at this VM's share of a rate of the whole fleet."""
 
     def __init__(self, clock: Clock, fleet_per_s: float, burst: int) -> None:
         """Allow `burst` slots at once after a quiet time."""
@@ -16,11 +16,12 @@
         self._fleet_per_s = fleet_per_s
         self._burst = burst
         self._next = float(clock.now())
-        self.members = 1
+        self.share = 1.0
+        """Part of the fleet's rate, above 0 up to 1."""
 
     def reserve(self) -> int:
         """Take the next slot and return how many milliseconds away it is."""
-        interval = MS_PER_SECOND * max(self.members, 1) / self._fleet_per_s
+        interval = MS_PER_SECOND / (self._fleet_per_s * self.share)
         now = self._clock.now()
         self._next = max(self._next, now - interval * (self._burst - 1))
         wait = max(0, int(self._next - now))
--- a/standins/measure/ledger.py
+++ b/standins/measure/ledger.py
@@ -19,18 +19,19 @@
 VALUE_BYTES: Final = 200
 LOAD_S: Final = 20
 RATES_PER_S: Final = (1, 10, 100, 1000)
-FLEETS: Final = ((1, 64), (10, 6), (820, 5), (820, 1))
-"""Members of the fleet, and partitions a VM has."""
+SHARES: Final = ((64, 64), (6, 64), (1, 64), (5, 4096), (1, 820))
+"""Partitions that the VM owns, and partitions of the fleet."""
 RECOVERY_RECORDS: Final = (100, 1_000, 10_000, 50_000)
 
 
-async def async_start(partitions: int, members: int) -> tuple[Fleet, Vm]:
-    """Return a VM that owns all partitions and paces itself as one of `members`."""
-    fleet = Fleet(partitions)
+async def async_start(owned: int, partitions: int) -> tuple[Fleet, Vm]:
+    """Return a VM that owns `owned` partitions and paces itself as if there were `partitions`."""
+    fleet = Fleet(owned)
     fleet.platform.faults.slow_ms = STORE_MS
     await fleet.async_add("a")
     vm = fleet.vms["a"]
-    vm.ledger._pacer.members = members
+    vm.ledger._share_budget = lambda: None  # type: ignore[method-assign]
+    vm.ledger._pacer.share = owned / partitions
     return fleet, vm
 
 
@@ -43,9 +44,9 @@
     latencies.append((asyncio.get_running_loop().time() - begun) * 1000)
 
 
-async def async_load(members: int, partitions: int, rate: int) -> str:
+async def async_load(owned: int, partitions: int, rate: int) -> str:
     """Return writes per 1,000 records, p50 and p99, and processor time per 1,000 records."""
-    fleet, vm = await async_start(partitions, members)
+    fleet, vm = await async_start(owned, partitions)
     latencies: list[float] = []
     before, begun = fleet.platform.counts.writes, time.process_time()
     tasks = []
@@ -63,7 +64,7 @@
 
 async def async_recover(records: int) -> str:
     """Return the time from an owner's expiry until all is served, and its processor time."""
-    fleet, vm = await async_start(6, 1)
+    fleet, vm = await async_start(6, 6)
     for first in range(0, records, 5000):
         numbers = range(first, min(first + 5000, records))
         await asyncio.gather(*(async_commit(vm, number, []) for number in numbers))
@@ -88,11 +89,11 @@
 def main() -> None:
     """Print all figures."""
     print(f"store {STORE_MS} ms a call, {VALUE_BYTES} bytes a record, {LOAD_S} s a line")
-    print("members  partitions/VM  rate/s  writes/1000  p50 ms  p99 ms  cpu ms/1000")
-    for members, partitions in FLEETS:
+    print("owned  partitions  rate/s  writes/1000  p50 ms  p99 ms  cpu ms/1000")
+    for owned, partitions in SHARES:
         for rate in RATES_PER_S:
-            figures = run_virtual(async_load(members, partitions, rate))
-            print(f"{members:7} {partitions:14} {rate:7} {figures}")
+            figures = run_virtual(async_load(owned, partitions, rate))
+            print(f"{owned:5} {partitions:11} {rate:7} {figures}")
     print("records  served after ms  cpu ms  object bytes")
     for records in RECOVERY_RECORDS:
         print(f"{records:7} {run_virtual(async_recover(records))}")
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -271,3 +271,22 @@
         await fleet.async_close()
 
     run_virtual(async_test())
+
+
+def test_an_owner_goes_on_through_an_outage() -> None:
+    """A VM joins while the store is down, so that some partitions are wanted elsewhere.
+
+    A release cannot be written now. If the owner began one it would refuse work that it can hold
+    until the store is back, and no other VM could take it.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        fleet.platform.faults.down = True
+        await fleet.clock.async_sleep(15_000)
+        await fleet.async_add("c")
+        assert set(list_owners(fleet)) == {"a", "b"}
+        fleet.platform.faults.down = False
+        await fleet.clock.async_sleep(20_000)
+        assert "c" in list_owners(fleet)
+
+    run_fleet(async_body, 16)
