Leave no objects behind when only the table is down

Cause: each retry of a large commit put a new object that no head row named. Change: an object whose head write certainly did not happen joins the garbage; deletions end with the ownership. Counters for writes and losses.

--- a/goldcreststair/components/ledger/garbage.py
+++ b/goldcreststair/components/ledger/garbage.py
@@ -37,6 +37,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def close(self) -> None:
+        """Leave the rest to the next owner, which finds the names in the head row."""
+        for task in self._tasks:
+            task.cancel()
+
     async def _async_delete(self, names: list[str]) -> None:
         # A loader that read the head row before the compaction may still read these objects; the
         # grace time is far above a load. One that is paused for longer meets `ObjectMissing`,
--- a/goldcreststair/components/ledger/partition.py
+++ b/goldcreststair/components/ledger/partition.py
@@ -12,7 +12,7 @@
 from goldcreststair.components.ledger.heads import HeadTable, NotSwapped, Superseded, SwapOutcome
 from goldcreststair.components.ledger.loader import Loaded
 from goldcreststair.components.ledger.models import Head, StoredHead
-from goldcreststair.components.ledger.pacing import Backoff, Pacer
+from goldcreststair.components.ledger.pacing import Backoff, Pacer, elapsed
 from goldcreststair.components.ledger.plan import Plan, plan_commit, weigh
 from goldcreststair.components.ledger.protocols import Change, CommitRefused, CommitUnknown
 from goldcreststair.components.ledger.records import Records
@@ -105,6 +105,7 @@
             return
         # The components above stop acting as owner before the row says that another may begin.
         self._lost = True
+        self._garbage.close()
         self._tools.on_lost(self.index)
         commit_id = self._tools.make_commit_id()
         released = replace(self._stored.head, owner="", commit_id=commit_id)
@@ -154,6 +155,9 @@
         if self._lost:
             return True
         if isinstance(outcome, NotSwapped):
+            # The table refuses while the object store still takes objects: each try would leave
+            # one behind that no head row names.
+            self._garbage.add([plan.object_name] if plan.object_name else [])
             return False
         if isinstance(outcome, Superseded):
             self._pending = plan
@@ -172,12 +176,18 @@
         self._sizes = plan.sizes
         self.confirmed_at = max(self.confirmed_at, begun_at)
         self._garbage.add(stored.head.garbage)
+        self._tools.core.statistics.count("ledger.writes")
+        self._tools.core.statistics.record_ms(
+            "ledger.write_ms", elapsed(self._tools.clock, begun_at)
+        )
         self._stage.settle_group(OK_RESULT)
 
     def _lose(self, head: Head, doubtful: bool) -> None:
         if self._lost:
             return
         self._lost = True
+        self._garbage.close()
+        self._tools.core.statistics.count("ledger.lost")
         self._tools.core.journal.record(
             Subject.PARTITION, str(self.index), "lost", "newer epoch", epoch=head.epoch
         )
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -290,3 +290,25 @@
         assert "c" in list_owners(fleet)
 
     run_fleet(async_body, 16)
+
+
+def test_tries_during_an_outage_of_the_table_leave_no_objects() -> None:
+    """The table is down for a minute and the object store is not, while a large commit waits.
+
+    Operators would see the object store grow with each try, by objects that nothing names.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        index = find_owned(fleet, "a")
+        partition = fleet.vms["a"].get_owned(index)
+        fleet.vms["a"].table.dead = True
+        change = Change("k", b"x" * 20_000)
+        large = asyncio.ensure_future(partition.async_commit([change], 300_000))
+        await fleet.clock.async_sleep(60_000)
+        assert len(fleet.platform.objects) > 5
+        fleet.vms["a"].table.dead = False
+        assert isinstance(await large, Ok)
+        await fleet.clock.async_sleep(70_000)
+        assert set(fleet.platform.objects) == set(decode_head(fleet.find_row(index)).head.segments)
+
+    run_fleet(async_body)
