--- a/goldcreststair/components/ledger/const.py
+++ b/goldcreststair/components/ledger/const.py
@@ -20,9 +20,13 @@
 FLEET_HANDOVERS_PER_S: Final = 25
 """Graceful hand-overs of the whole fleet; each costs a release, a claim and a load."""
 CLAIMS_AT_ONCE: Final = 8
+CLAIM_PAUSE_MS: Final = 20
+"""Pause between two looks for more to claim while there is more."""
 
 SWEEP_INTERVAL_MS: Final = 1000
 CONFIRM_INTERVAL_MS: Final = 5000
 """Age at which ownership is confirmed by a read; a commit confirms as well."""
+UNSEEN_GRACE_MS: Final = 30_000
+"""How long a session that this VM never saw among the members counts as alive."""
 FIRST_BACKOFF_MS: Final = 100
 MAX_BACKOFF_MS: Final = 5000
--- a/goldcreststair/components/ledger/controller.py
+++ b/goldcreststair/components/ledger/controller.py
@@ -10,6 +10,7 @@
 
 from goldcreststair.components.ledger.const import (
     BURST_WRITES,
+    CLAIM_PAUSE_MS,
     CLAIMS_AT_ONCE,
     CONFIRM_INTERVAL_MS,
     FLEET_HANDOVERS_PER_S,
@@ -23,6 +24,7 @@
 from goldcreststair.components.ledger.partition import OwnedPartition, Tools
 from goldcreststair.components.ledger.protocols import Partition
 from goldcreststair.components.ledger.rendezvous import WantedOwners, find_index
+from goldcreststair.components.ledger.sessions import SessionWatch
 from goldcreststair.components.membership.models import MEMBERS, Members, MemberState
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
@@ -42,7 +44,9 @@
         self._pacer = Pacer(core.clock, FLEET_WRITES_PER_S, BURST_WRITES)
         self._handovers = Pacer(core.clock, FLEET_HANDOVERS_PER_S, 1)
         self._tools = Tools(core, self._heads, self._pacer, self._handle_lost)
+        self._sessions = SessionWatch(core)
         self._wanted = WantedOwners(self._partitions)
+        self._mine: tuple[int, ...] = ()
         self._owned: dict[int, OwnedPartition] = {}
         self._busy: set[int] = set()
         self._hints: dict[int, str] = {}
@@ -66,13 +70,14 @@
             return
         self._closing = True
         self._unsubscribe()
+        self._sessions.close()
         for index, partition in tuple(self._owned.items()):
             self._spawn(partition.async_hand_over(), index)
         try:
             async with asyncio.timeout(self._core.settings.drain_ms / MS_PER_SECOND):
                 await asyncio.gather(*self._changing, return_exceptions=True)
         except TimeoutError:
-            _LOGGER.warning("Partitions not released in time: %s", sorted(self._owned))
+            _LOGGER.warning("Hand-over of %s partitions not finished", len(self._changing))
         for task in (*self._tasks, *self._changing):
             task.cancel()
         for partition in tuple(self._owned.values()):
@@ -115,21 +120,31 @@
                 on_gained(partition)
 
     def _handle_members(self, members: Members) -> None:
-        self._pacer.members = self._handovers.members = len(members.by_session)
         self._wanted.update(
             member.session_id
             for member in members.by_session.values()
             if member.state is not MemberState.LEAVING
         )
+        self._mine = tuple(filter(self._is_wanted, range(self._partitions)))
+        self._share_budget()
         for index, session in tuple(self._hints.items()):
             if session not in members.by_session:
                 del self._hints[index]
 
+    def _share_budget(self) -> None:
+        """Take the part of the fleet's writes that this VM's part of the partitions comes to.
+
+        A split by members would leave most of the budget to VMs that own nothing.
+        """
+        part = max(len(self._owned), len(self._mine), 1) / self._partitions
+        self._pacer.share = self._handovers.share = part
+
     async def _async_sweep_forever(self) -> None:
         while not self._closing:
+            self._share_budget()
             self._release_unwanted()
-            await self._async_claim_wanted()
-            await self._core.clock.async_sleep(SWEEP_INTERVAL_MS)
+            more = await self._async_claim_wanted()
+            await self._core.clock.async_sleep(CLAIM_PAUSE_MS if more else SWEEP_INTERVAL_MS)
 
     def _is_wanted(self, index: int) -> bool:
         return self._wanted.find(index) == self._core.session_id
@@ -142,6 +157,10 @@
         for index, partition in tuple(self._owned.items()):
             if self._is_wanted(index) or not partition.is_owned:
                 continue
+            # With the store down a release cannot be written: the partition would refuse commits
+            # here and be served nowhere. So an owner that nothing confirmed lately keeps it.
+            if elapsed(self._core.clock, partition.confirmed_at) > 2 * CONFIRM_INTERVAL_MS:
+                continue
             if not (self._is_leaving() or self._handovers.is_free()):
                 return
             self._handovers.reserve()
@@ -150,28 +169,35 @@
             )
             self._spawn(partition.async_hand_over(), index)
 
-    async def _async_claim_wanted(self) -> None:
+    async def _async_claim_wanted(self) -> bool:
+        """Begin to claim what may be claimed, some at once; returns whether any was."""
         missing = [
-            index
-            for index in range(self._partitions)
-            if self._is_wanted(index) and index not in self._owned and index not in self._busy
+            index for index in self._mine if index not in self._owned and index not in self._busy
         ]
         if not missing:
-            return
+            return False
+        free = CLAIMS_AT_ONCE - len(self._busy)
+        if free <= 0:
+            return True
         # A random choice, so that rows whose owner does not let go never starve the others.
-        missing = self._core.random.sample(missing, min(len(missing), CLAIMS_AT_ONCE * 4))
+        missing = self._core.random.sample(missing, min(len(missing), free * 4))
         read = await self._heads.async_read(missing)
         if isinstance(read, Err):
-            return
-        for index, stored in zip(missing, read.ok_value, strict=True):
-            if self._is_claimable(stored.head) and len(self._busy) < CLAIMS_AT_ONCE:
-                self._spawn(self._async_acquire(index, stored), index)
+            return False
+        claimable = [
+            (index, stored)
+            for index, stored in zip(missing, read.ok_value, strict=True)
+            if self._is_claimable(stored.head)
+        ]
+        for index, stored in claimable[:free]:
+            self._spawn(self._async_acquire(index, stored), index)
+        return bool(claimable)
 
     def _is_claimable(self, head: Head) -> bool:
         # A live owner is never robbed: it releases when it learns that another is wanted. Its own
         # session in the row means that a release or a load of ours did not end well.
-        members = self._core.blackboard.read(MEMBERS)
-        return head.owner == self._core.session_id or head.owner not in members.by_session
+        owner = head.owner
+        return owner in ("", self._core.session_id) or self._sessions.is_gone(owner)
 
     async def _async_acquire(self, index: int, stored: StoredHead) -> None:
         head = replace(
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -2,15 +2,16 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 from result import Ok
 
 from goldcreststair.components.ledger.codec import decode_head
 from goldcreststair.components.ledger.protocols import Change, CommitRefused, CommitUnknown
-from goldcreststair.components.membership.models import MemberState
+from goldcreststair.components.membership.models import Members, MemberState
 from tests.helpers.virtual_time import run_virtual
-from tests.helpers.vms import Fleet
+from tests.helpers.vms import Fleet, Vm
 
 
 def run_fleet(body: Callable[[Fleet], Awaitable[None]], partitions: int = 4) -> None:
@@ -231,3 +232,83 @@
         assert await loading is None
 
     run_fleet(async_body)
+
+
+def test_a_vm_that_has_just_started_robs_nobody() -> None:
+    """A VM starts while the store or the other VMs are slow to tell it who is there.
+
+    For some seconds it sees itself alone. If it took every owner that it does not see for gone,
+    it would claim the whole key space, and all work would stop until it was handed back.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        before = [decode_head(fleet.find_row(index)) for index in range(fleet.partitions)]
+        late = Vm(fleet, "c")
+        late.members.write(Members("c", {"c": replace(fleet.members["a"], session_id="c")}))
+        await late.ledger.async_start()
+        await fleet.clock.async_sleep(10_000)
+        after = [decode_head(fleet.find_row(index)) for index in range(fleet.partitions)]
+        assert after == before
+        fleet.vms["c"] = late
+        fleet.set_state("c", MemberState.SERVING)
+        await fleet.clock.async_sleep(10_000)
+        assert "c" in list_owners(fleet)
+
+    run_fleet(async_body, 16)
+
+
+def test_a_lone_vm_soon_serves_all_partitions() -> None:
+    """A fleet starts anew; until a key's partition has an owner its callers are refused."""
+
+    async def async_test() -> None:
+        fleet = Fleet(64)
+        fleet.platform.faults.slow_ms = 5
+        fleet.vms["a"] = Vm(fleet, "a")
+        fleet.set_state("a", MemberState.SERVING)
+        await fleet.vms["a"].ledger.async_start()
+        await fleet.clock.async_sleep(1000)
+        assert list_owners(fleet) == ["a"] * 64
+        await fleet.async_close()
+
+    run_virtual(async_test())
+
+
+def test_an_owner_goes_on_through_an_outage() -> None:
+    """A VM joins while the store is down, so that some partitions are wanted elsewhere.
+
+    A release cannot be written now. If the owner began one it would refuse work that it can hold
+    until the store is back, and no other VM could take it.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        fleet.platform.faults.down = True
+        await fleet.clock.async_sleep(15_000)
+        await fleet.async_add("c")
+        assert set(list_owners(fleet)) == {"a", "b"}
+        fleet.platform.faults.down = False
+        await fleet.clock.async_sleep(20_000)
+        assert "c" in list_owners(fleet)
+
+    run_fleet(async_body, 16)
+
+
+def test_tries_during_an_outage_of_the_table_leave_no_objects() -> None:
+    """The table is down for a minute and the object store is not, while a large commit waits.
+
+    Operators would see the object store grow with each try, by objects that nothing names.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        index = find_owned(fleet, "a")
+        partition = fleet.vms["a"].get_owned(index)
+        fleet.vms["a"].table.dead = True
+        change = Change("k", b"x" * 20_000)
+        large = asyncio.ensure_future(partition.async_commit([change], 300_000))
+        await fleet.clock.async_sleep(60_000)
+        assert len(fleet.platform.objects) > 5
+        fleet.vms["a"].table.dead = False
+        assert isinstance(await large, Ok)
+        await fleet.clock.async_sleep(70_000)
+        assert set(fleet.platform.objects) == set(decode_head(fleet.find_row(index)).head.segments)
+
+    run_fleet(async_body)
