--- a/goldcreststair/components/routing/const.py
+++ b/goldcreststair/components/routing/const.py
@@ -10,8 +10,10 @@
 """Requests of this VM that may run at an upstream whose own queue is long."""
 BOUND_FACTOR: Final = 1.25
 """The favourite takes a request while its load is at most so many times the mean."""
-BOUND_SLACK: Final = 4.0
-"""Requests by which the favourite may always exceed the mean."""
+OWN_SLACK: Final = 1.0
+"""Requests of this VM by which the favourite may always exceed the mean."""
+BELIEVED_SLACK: Final = 4.0
+"""Requests of all VMs, as believed, by which the favourite may always exceed the mean."""
 
 REPORT_LIFETIME_MS: Final = 10_000
 """A report's word on other VMs' load fades to nothing over this time."""
--- a/goldcreststair/components/routing/controller.py
+++ b/goldcreststair/components/routing/controller.py
@@ -2,13 +2,19 @@
 
 import random
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.components.configuration.models import CONFIGURATION, Configuration
 from goldcreststair.components.routing.beliefs import CacheBeliefs
-from goldcreststair.components.routing.const import BOUND_FACTOR, BOUND_SLACK, SUBSET_SIZE
+from goldcreststair.components.routing.const import (
+    BELIEVED_SLACK,
+    BOUND_FACTOR,
+    OWN_SLACK,
+    SUBSET_SIZE,
+)
 from goldcreststair.components.routing.loads import LoadBook
 from goldcreststair.components.routing.protocols import NoUpstream, RouteQuery
 from goldcreststair.components.routing.rendezvous import score, select_subset
@@ -16,6 +22,21 @@
 from goldcreststair.upstreams.models import Upstream
 
 
+@dataclass(frozen=True, slots=True)
+class _Bounds:
+    """Loads up to which an upstream takes a prompt that it probably has cached."""
+
+    own: float
+    believed: float
+
+    def allow(self, loads: LoadBook, upstream: Upstream) -> bool:
+        # Reports lag by more than a short request lasts. Bounded by them alone, all VMs sent a
+        # popular prompt to the same favourite until its memory was full; a bound on each VM's
+        # own exact count bounds their sum as well, without any report.
+        own = loads.read_in_flight(upstream.name)
+        return own <= self.own and loads.estimate(upstream.name) <= self.believed
+
+
 class AffinityRouter:
     """Sends like prompts to like upstreams while these are not loaded beyond the mean."""
 
@@ -141,18 +162,25 @@
         return min(two, key=lambda upstream: self.loads.estimate(upstream.name))
 
     def _find_favourite(self, upstreams: Sequence[Upstream], query: RouteQuery) -> Upstream | None:
-        loads = {upstream.name: self.loads.estimate(upstream.name) for upstream in upstreams}
-        mean = sum(loads.values()) / len(loads)
-        bound = max(mean * BOUND_FACTOR, mean + BOUND_SLACK)
         ranked = sorted(
             upstreams,
             key=lambda upstream: score(query.model, query.prefix, upstream.name),
             reverse=True,
         )
-        if loads[ranked[0].name] <= bound:
-            return ranked[0]
+        bounds = self._make_bounds(upstreams)
         warm = [u for u in ranked[1:] if self.beliefs.holds(u.name, query.prefix)]
-        return next((u for u in warm if loads[u.name] <= bound), None)
+        allowed = [u for u in (ranked[0], *warm) if bounds.allow(self.loads, u)]
+        # A popular prompt has spilled over and is warm in several places: the least loaded goes
+        # first, the better ranked among equals, so that rare prompts keep to their favourite.
+        return min(allowed, key=lambda u: self.loads.read_in_flight(u.name), default=None)
+
+    def _make_bounds(self, upstreams: Sequence[Upstream]) -> _Bounds:
+        own = sum(self.loads.read_in_flight(upstream.name) for upstream in upstreams)
+        believed = sum(self.loads.estimate(upstream.name) for upstream in upstreams)
+        return _Bounds(
+            own=own / len(upstreams) * BOUND_FACTOR + OWN_SLACK,
+            believed=believed / len(upstreams) * BOUND_FACTOR + BELIEVED_SLACK,
+        )
 
 
 def _fits(upstream: Upstream, query: RouteQuery) -> bool:
