Keep waiting requests in their place and refresh the online pressure

Cause: silence before the first token, which a long engine queue shows too, moved a request to another upstream after 15 s and spent the retry budget; the end of a burst could stay unwritten, so that batch would be held back for good.

Change: before the first token a request reconnects by its id eight times, and joining does not count as a run; a whole answer of a long call may keep still for an eighth of its time. The section is refreshed until it says idle.

--- a/goldcreststair/components/online/const.py
+++ b/goldcreststair/components/online/const.py
@@ -9,6 +9,8 @@
 """Runs of one request, on all upstreams together."""
 MAX_RECONNECTS: Final = 2
 """New connections to the same upstream that brought no token, before another is tried."""
+MAX_WAITING_RECONNECTS: Final = 8
+"""The same before the first token, when silence is more likely a queue than a dead connection."""
 RETRY_PAUSE_MS: Final = 100
 
 BUDGET_FRACTION: Final = 0.2
--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -148,6 +148,9 @@
             "Run of %s at %s: %s, %s", run.request.request_id, upstream.name, error.failure, step
         )
         progress.reconnects = progress.reconnects + 1 if step is NextStep.SAME else 0
+        if step is NextStep.SAME and error.failure is UpstreamFailure.SILENT:
+            # Joins the run that is already counted.
+            progress.attempts -= 1
         return step
 
     def _cancel(self, upstream: Upstream, request_id: str) -> None:
--- a/goldcreststair/components/online/pressure.py
+++ b/goldcreststair/components/online/pressure.py
@@ -1,7 +1,7 @@
 """What this VM's online work meets at upstreams; no I/O."""
 
 from goldcreststair.blackboard import Blackboard
-from goldcreststair.clock import Clock, Millis
+from goldcreststair.clock import Clock, Millis, TimerHandle
 from goldcreststair.components.online.const import (
     EXPECTED_QUEUE_PER_WAITING_MS,
     PRESSURE_PERIOD_MS,
@@ -32,6 +32,8 @@
         self._writer = board.open_section(ONLINE_PRESSURE, OnlinePressure())
         self._written = OnlinePressure()
         self._written_at = Millis(0)
+        self._in_flight = 0
+        self._timer: TimerHandle | None = None
         self._idle_ms: dict[str, float] = {}
         self._queues: dict[str, tuple[Millis, int]] = {}
 
@@ -44,15 +46,34 @@
         self.update()
 
     def update(self, in_flight: int | None = None) -> None:
-        """Publish if a burst began or the last word is old."""
-        total = self._written.in_flight if in_flight is None else in_flight
+        """Publish if a burst began or the last word is old, else soon."""
+        if in_flight is not None:
+            self._in_flight = in_flight
+        onset = self._in_flight > self._written.in_flight * ONSET_FACTOR + ONSET_SLACK
+        if onset or self._clock.now() - self._written_at >= PRESSURE_PERIOD_MS:
+            self._write()
+        elif self._timer is None:
+            self._arm()
+
+    def close(self) -> None:
+        """End the refreshing."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _write(self) -> None:
+        self.close()
         now = self._clock.now()
-        onset = total > self._written.in_flight * ONSET_FACTOR + ONSET_SLACK
-        if not onset and now - self._written_at < PRESSURE_PERIOD_MS:
-            return
         self._written_at = now
-        self._written = OnlinePressure(total, self._measure(now))
+        self._written = OnlinePressure(self._in_flight, self._measure(now))
         self._writer.write(self._written)
+        # Shows as batch held back for good: the end of a burst falls into the throttled time
+        # and no later request corrects it. So the section is refreshed until it says idle.
+        if self._in_flight or self._written.by_upstream:
+            self._arm()
+
+    def _arm(self) -> None:
+        self._timer = self._clock.call_later(PRESSURE_PERIOD_MS, self._write)
 
     def _measure(self, now: Millis) -> dict[str, UpstreamPressure]:
         in_flight = self._router.count_in_flight()
--- a/goldcreststair/components/online/recovery.py
+++ b/goldcreststair/components/online/recovery.py
@@ -4,7 +4,11 @@
 from enum import StrEnum
 
 from goldcreststair.components.online.budget import RetryBudget
-from goldcreststair.components.online.const import MAX_ATTEMPTS, MAX_RECONNECTS
+from goldcreststair.components.online.const import (
+    MAX_ATTEMPTS,
+    MAX_RECONNECTS,
+    MAX_WAITING_RECONNECTS,
+)
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
 RECONNECTABLE = (UpstreamFailure.SILENT, UpstreamFailure.INCOMPLETE, UpstreamFailure.CROSSED)
@@ -48,10 +52,19 @@
     # Shows as two grounds booked: the answer was lost, not the run, so it is never sent again.
     if not progress.repeatable:
         return NextStep.GIVE_UP
-    if error.failure in RECONNECTABLE and progress.reconnects < MAX_RECONNECTS:
+    if error.failure in RECONNECTABLE and progress.reconnects < _limit_reconnects(progress, error):
         return NextStep.SAME
     # A stream with tokens out goes on without the budget: to cut it would be the greater harm,
     # and it cannot storm, since the attempts of each stream are bounded.
     if progress.last_index >= 0 or budget.take():
         return NextStep.ELSEWHERE
     return NextStep.GIVE_UP
+
+
+def _limit_reconnects(progress: RunProgress, error: UpstreamError) -> int:
+    # A long queue at an upstream is silent too. Moved on after a few seconds, every waiting
+    # request would lose its place and join another queue, which makes an overload worse; a new
+    # connection by id keeps the place and still finds out whether the old one was dead.
+    if error.failure is UpstreamFailure.SILENT and progress.last_index < 0:
+        return MAX_WAITING_RECONNECTS
+    return MAX_RECONNECTS
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -56,6 +56,7 @@
     async def async_close(self) -> None:
         """Refuse who waits and end what runs."""
         self._gate.close()
+        self._meter.close()
         await self._claimed.async_close()
 
     def count_in_flight(self) -> int:
--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -35,6 +35,7 @@
 IDLE_TIMEOUT_MS: Final = 5000
 WHOLE_IDLE_TIMEOUT_MS: Final = 15_000
 """An answer that comes at once at its end may keep still for longer; asking again joins it."""
+WHOLE_IDLE_PARTS: Final = 8
 CONTROL_TIMEOUT_MS: Final = 2000
 STATUS_OK: Final = 200
 STATUS_FENCED: Final = 409
@@ -194,10 +195,15 @@
         timeout_ms=call.timeout_ms,
         headers={HEADER_REQUEST_ID: call.request_id, "Content-Type": "application/json"},
         body=body,
-        idle_timeout_ms=IDLE_TIMEOUT_MS if call.stream else WHOLE_IDLE_TIMEOUT_MS,
+        idle_timeout_ms=IDLE_TIMEOUT_MS if call.stream else _choose_whole_idle_ms(call),
     )
 
 
+def _choose_whole_idle_ms(call: GenerateCall) -> int:
+    """Return how long a whole answer may keep still; a long call may for longer."""
+    return max(WHOLE_IDLE_TIMEOUT_MS, call.timeout_ms // WHOLE_IDLE_PARTS)
+
+
 def _read_whole(answer: Answer) -> Result[GenerateEnd, UpstreamError]:
     try:
         parsed: dict[str, Any] = orjson.loads(answer.body)
--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -9,11 +9,11 @@
 from goldcreststair.components.membership.protocols import SET_QUARANTINE
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.fair_queue import FairQueue, Ticket
-from goldcreststair.components.online.models import ONLINE_PRESSURE
+from goldcreststair.components.online.models import ONLINE_PRESSURE, OnlinePressure
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.components.routing import loads
 from goldcreststair.platform.models import ListedState, ListedVm
-from goldcreststair.upstreams.models import GenerateCall, GenerateEnd
+from goldcreststair.upstreams.models import GenerateEnd
 from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
 from tests.helpers.shared_sets import FakeSharedSets
 from tests.helpers.virtual_time import run_virtual
@@ -167,7 +167,13 @@
     run_virtual(async_test())
 
 
-def test_burst_shows_at_once_in_the_pressure() -> None:
+def test_pressure_shows_a_burst_at_once_and_its_end() -> None:
+    """A burst of online requests comes and ends while a digest job waits.
+
+    The section must show its onset at once, so that batch yields, and its end soon after; left
+    at the last throttled word, it would hold the digest back for good.
+    """
+
     async def async_test() -> None:
         vm = OnlineVm()
         await vm.async_setup()
@@ -175,7 +181,8 @@
         await asyncio.sleep(0.001)
         assert vm.core.blackboard.read(ONLINE_PRESSURE).in_flight >= 10
         await asyncio.gather(*tasks)
-        assert any(isinstance(call, GenerateCall) for _, call in vm.upstreams.calls)
+        await asyncio.sleep(0.6)
+        assert vm.core.blackboard.read(ONLINE_PRESSURE) == OnlinePressure()
         await vm.async_close()
 
     run_virtual(async_test())
--- a/tests/components/online/test_stream_recorder.py
+++ b/tests/components/online/test_stream_recorder.py
@@ -67,3 +67,23 @@
     bucket = RetryBudget(capacity=float(budget))
     assert decide_next(progress, UpstreamError("x", failure), bucket, 1000) is step
     assert decide_next(progress, UpstreamError("x", failure), bucket, 0) is NextStep.GIVE_UP
+
+
+@pytest.mark.parametrize(
+    ("last_index", "reconnects", "step"),
+    [
+        (-1, 7, NextStep.SAME),
+        (-1, 8, NextStep.ELSEWHERE),
+        (5, 1, NextStep.SAME),
+        (5, 2, NextStep.ELSEWHERE),
+    ],
+)
+def test_waiting_request_keeps_its_place(last_index: int, reconnects: int, step: NextStep) -> None:
+    """An engine's queue is long, and a request in it hears nothing for many seconds.
+
+    Moved on as if its connection were dead, it would lose its place again and again; only
+    after its first token does silence soon mean that it must move.
+    """
+    progress = RunProgress(True, attempts=1, reconnects=reconnects, last_index=last_index)
+    error = UpstreamError("x", UpstreamFailure.SILENT)
+    assert decide_next(progress, error, RetryBudget(), 1000) is step
--- a/tests/components/online/test_streams.py
+++ b/tests/components/online/test_streams.py
@@ -25,16 +25,21 @@
     engine.faults.silent = True
 
 
-def drop_end_once(engine: EngineModel) -> None:
+def drop_end(engine: EngineModel) -> None:
     engine.faults.drop_end = True
 
 
-@pytest.mark.parametrize("fault", [go_silent, EngineModel.crash, drop_end_once])
+def go_away(engine: EngineModel) -> None:
+    engine.crash()
+    engine.faults.refuse = True
+
+
+@pytest.mark.parametrize("fault", [go_silent, EngineModel.crash, drop_end, go_away])
 def test_stream_goes_on_from_the_last_token(fault: Callable[[EngineModel], None]) -> None:
     """A designer reads a blurb as it is written; half-way its upstream fails.
 
     The connection goes silent but stays open, or breaks with all its work, or ends without
-    its end marker. The text must go on where it stopped, no word twice and none missing.
+    its end marker, or the upstream leaves for good. The text must go on where it stopped, no word twice and none missing.
     """
 
     async def async_test() -> None:
@@ -123,6 +128,27 @@
     run_virtual(async_test())
 
 
+def test_caller_that_goes_away_frees_its_upstream() -> None:
+    """A designer closes the page while a long blurb is written.
+
+    Nobody waits for it any more; left running, it would take the place of others.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup()
+        running = asyncio.create_task(vm.async_generate("r1", max_tokens=TOKENS))
+        await asyncio.sleep(0.5)
+        running.cancel()
+        await asyncio.sleep(0.1)
+        produced = find_busy(vm).tokens_produced
+        await asyncio.sleep(1)
+        assert find_busy(vm).tokens_produced == produced < TOKENS
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
 def test_resent_stream_is_answered_from_the_first_run() -> None:
     """A digest job's stream breaks off at the caller, which sends it again with the same key.
 
