Isolate a suspect in the step that places it; answer every error in the callers' format

Cause: suspects that waited were placed in one go before any was isolated, so two could share an upstream and an innocent be blamed; a wrong method was answered in HTML without `not_run`.

Result: the test of waiting suspects and the wrong method's fail with the change reverted; script/test passes.

--- a/goldcreststair/components/caller_api/handler.py
+++ b/goldcreststair/components/caller_api/handler.py
@@ -4,6 +4,7 @@
 import math
 import uuid
 from collections.abc import Coroutine
+from http import HTTPStatus
 from typing import Any
 
 from result import Err
@@ -12,7 +13,7 @@
 from goldcreststair.components.caller_api.const import BEARER
 from goldcreststair.components.caller_api.errors import encode_refusal, refuse_key
 from goldcreststair.components.keys.protocols import KEYS, Identity
-from goldcreststair.components.online.errors import Refusal
+from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.const import HEADER_REQUEST_ID, HEADER_RETRY_AFTER, MS_PER_SECOND
 from goldcreststair.core import Core
 
@@ -45,6 +46,15 @@
         if self._running is not None:
             self._running.cancel()
 
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Answer in the callers' format also where no handler did."""
+        # A fault of our own may have come after a run began; only a request that was bad from
+        # the start, as one with a wrong method, certainly did not run.
+        not_run = status_code < HTTPStatus.INTERNAL_SERVER_ERROR
+        code = RefusalCode.INVALID_REQUEST if not_run else RefusalCode.UPSTREAM_FAILED
+        message = HTTPStatus(status_code).phrase
+        self.refuse(Refusal(message, code, status_code, not_run))
+
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal as the whole answer."""
         self.set_status(refusal.status)
--- a/goldcreststair/components/online/calls.py
+++ b/goldcreststair/components/online/calls.py
@@ -73,7 +73,7 @@
             ok = isinstance(answered, Ok)
             return answered
         finally:
-            self._gate.leave(upstream.name, ok=ok)
+            self._gate.leave(upstream.name, request.request_id, ok=ok)
 
 
 def _refuse_placing(refusal: Refusal, progress: RunProgress) -> Refusal:
--- a/goldcreststair/components/online/gate.py
+++ b/goldcreststair/components/online/gate.py
@@ -63,7 +63,7 @@
         key = (query.model, query.service, query.alone)
         lane = self._lanes.setdefault(key, _Lane())
         if query.admitted or not lane.waiters:
-            chosen = self._place(lane, query)
+            chosen = self._place(lane, ticket, query)
             if isinstance(chosen, Ok):
                 return Ok(chosen.ok_value)
             if not chosen.err_value.known:
@@ -84,8 +84,9 @@
             self._drop(lane, ticket, waiter)
             raise
 
-    def leave(self, upstream: str, *, ok: bool) -> None:
+    def leave(self, upstream: str, request_id: str, *, ok: bool) -> None:
         """End a run and place whoever goes next."""
+        self._router.release(upstream, request_id)
         self._router.end(upstream, ok=ok)
         self.dispatch()
 
@@ -107,14 +108,20 @@
         waiter = lane.waiters.pop(ticket.request_id)
         if waiter.placed.done():
             return True
-        chosen = self._place(lane, waiter.query)
+        chosen = self._place(lane, ticket, waiter.query)
         _settle(waiter, chosen.map_err(refuse_route))
         return True
 
-    def _place(self, lane: _Lane, query: RouteQuery) -> Result[Upstream, NoUpstream]:
+    def _place(
+        self, lane: _Lane, ticket: Ticket, query: RouteQuery
+    ) -> Result[Upstream, NoUpstream]:
         chosen = self._router.choose(query)
         if isinstance(chosen, Ok):
             self._router.begin(chosen.ok_value.name)
+            if query.alone:
+                # In the same step as the choice: a moment later the next suspect would have
+                # been given the same upstream, and neither crash could be told from the other.
+                self._router.isolate(chosen.ok_value.name, ticket.request_id)
             lane.started.append(self._clock.now())
         return chosen
 
@@ -147,7 +154,7 @@
         if waiter.placed.done() and not waiter.placed.cancelled():
             placed = waiter.placed.result()
             if isinstance(placed, Ok):
-                self.leave(placed.ok_value.name, ok=False)
+                self.leave(placed.ok_value.name, ticket.request_id, ok=False)
 
     def _arm(self) -> None:
         if self._timer is None:
--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -1,7 +1,6 @@
 """Runs one generation over as many connections and upstreams as it takes."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -19,11 +18,10 @@
 from goldcreststair.components.quarantine.protocols import QUARANTINE, make_fingerprint
 from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
 from goldcreststair.core import Core
+from goldcreststair.journal import Subject
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, StreamChunk, Upstream
 
-_LOGGER = logging.getLogger(__name__)
-
 
 class _FirstTokenSink:
     """Passes chunks to the recorder and tells when the first of one run came."""
@@ -45,6 +43,7 @@
     def __init__(self, core: Core, gate: AdmissionGate, meter: PressureMeter) -> None:
         """Use the components set up before."""
         self._clock = core.clock
+        self._journal = core.journal
         self._engines = core.upstreams.engines
         self._router = core.get(ROUTER)
         self._quarantine = core.get(QUARANTINE)
@@ -53,6 +52,10 @@
         self._budget = RetryBudget()
         self._cancels: set[asyncio.Task[object]] = set()
 
+    async def async_close(self) -> None:
+        """Wait until upstreams know which runs nobody follows any more."""
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+
     async def async_run(
         self, request: GenerateRequest, recorder: StreamRecorder, deadline_at: Millis
     ) -> Result[GenerateEnd, Refusal]:
@@ -90,8 +93,6 @@
     ) -> Result[GenerateEnd, Refusal] | None:
         """Run at one upstream until it ends or moves; None to be placed again."""
         request_id = run.request.request_id
-        if run.alone:
-            self._router.isolate(upstream.name, request_id)
         self._quarantine.begin(upstream.name, request_id, run.fingerprint)
         ok, left_running = False, True
         try:
@@ -111,8 +112,7 @@
                     return None
         finally:
             self._quarantine.end(upstream.name, request_id, ok=ok)
-            self._router.release(upstream.name, request_id)
-            self._gate.leave(upstream.name, ok=ok)
+            self._gate.leave(upstream.name, request_id, ok=ok)
             if left_running:
                 self._cancel(upstream, request_id)
 
@@ -144,8 +144,14 @@
             self._quarantine.report_crash(upstream.name, run.request.request_id)
         remaining = run.deadline_at - self._clock.now()
         step = decide_next(progress, error, self._budget, remaining)
-        _LOGGER.info(
-            "Run of %s at %s: %s, %s", run.request.request_id, upstream.name, error.failure, step
+        self._journal.record(
+            Subject.REQUEST,
+            run.request.request_id,
+            step,
+            f"{error.failure}: {error.message}",
+            upstream=upstream.name,
+            last_index=progress.last_index,
+            attempts=progress.attempts,
         )
         progress.reconnects = progress.reconnects + 1 if step is NextStep.SAME else 0
         if step is NextStep.SAME and error.failure is UpstreamFailure.SILENT:
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -1,7 +1,6 @@
 """Online requests from admission to the whole answer."""
 
 import asyncio
-import logging
 from collections.abc import Awaitable
 from typing import Final, TypeVar
 
@@ -24,8 +23,6 @@
 from goldcreststair.upstreams.models import GenerateEnd, StreamChunk
 from goldcreststair.upstreams.protocols import StreamSink
 
-_LOGGER = logging.getLogger(__name__)
-
 T = TypeVar("T")
 
 CONTENT_JSON: Final = "application/json"
@@ -58,6 +55,7 @@
         self._gate.close()
         self._meter.close()
         await self._claimed.async_close()
+        await self._generations.async_close()
 
     def count_in_flight(self) -> int:
         """Return the requests that a stop must wait for, those without a caller included."""
--- a/tests/components/caller_api/test_over_http.py
+++ b/tests/components/caller_api/test_over_http.py
@@ -44,10 +44,18 @@
     assert KEY not in str(fleet.daemons[0].lines)
 
 
-def test_unknown_route_is_refused(fleet: Fleet) -> None:
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("POST", "/v1/services/grounds/other", 404),
+        ("PUT", "/v1/services/grounds/list", 404),
+        ("PUT", "/v1/completions", 405),
+    ],
+)
+def test_unknown_route_is_refused(fleet: Fleet, method: str, path: str, status: int) -> None:
     address = fleet.daemons[0].wait_listening()
-    refused = send_request(address, "POST", "/v1/services/grounds/other", {}, HEADERS)
-    assert (refused.status, refused.json()["error"]["not_run"]) == (404, True)
+    refused = send_request(address, method, path, {}, HEADERS)
+    assert (refused.status, refused.json()["error"]["not_run"]) == (status, True)
 
 
 def test_silent_stream_is_kept_alive_and_resumed(fleet: Fleet) -> None:
--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -9,9 +9,11 @@
 from goldcreststair.components.membership.protocols import SET_QUARANTINE
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.fair_queue import FairQueue, Ticket
+from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.models import ONLINE_PRESSURE, OnlinePressure
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.components.routing import loads
+from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
 from goldcreststair.platform.models import ListedState, ListedVm
 from goldcreststair.upstreams.models import GenerateEnd
 from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
@@ -129,6 +131,33 @@
     run_virtual(async_test())
 
 
+def test_waiting_suspects_are_placed_one_to_an_upstream() -> None:
+    """Three suspects wait, and two upstreams become free in the same moment.
+
+    Placed together, the innocent one would be blamed for the crash of the other.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=2)
+        gate = AdmissionGate(vm.core)
+        query = RouteQuery(model="small", alone=True)
+        vm.core.get(ROUTER).isolate("e0", "other")
+        vm.core.get(ROUTER).isolate("e1", "other")
+        tickets = [Ticket(f"r{n}", "acme", 1.0, Millis(10**9)) for n in range(3)]
+        waiting = [asyncio.create_task(gate.async_enter(ticket, query)) for ticket in tickets]
+        await asyncio.sleep(0.2)
+        vm.core.get(ROUTER).release("e0", "other")
+        vm.core.get(ROUTER).release("e1", "other")
+        await asyncio.sleep(0.2)
+        assert sum(task.done() for task in waiting) == 1
+        gate.close()
+        await asyncio.gather(*waiting)
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
 async def async_leave(vm: OnlineVm, how: str) -> None:
     if how == "configuration":
         vm.apply(leaving_upstreams={"e0": True})
