--- a/goldcreststair/components/online/calls.py
+++ b/goldcreststair/components/online/calls.py
@@ -73,11 +73,13 @@
             ok = isinstance(answered, Ok)
             return answered
         finally:
-            self._gate.leave(upstream.name, ok=ok)
+            self._gate.leave(upstream.name, request.request_id, ok=ok)
 
 
 def _refuse_placing(refusal: Refusal, progress: RunProgress) -> Refusal:
     if not progress.may_have_run:
+        if refusal.code is RefusalCode.UNKNOWN_MODEL:
+            return Refusal(refusal.message, RefusalCode.UNKNOWN_SERVICE, 404, True)
         return refusal
     return Refusal(refusal.message, RefusalCode.UPSTREAM_FAILED, 502, False, 1000)
 
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -1,7 +1,6 @@
 """Online requests from admission to the whole answer."""
 
 import asyncio
-import logging
 from collections.abc import Awaitable
 from typing import Final, TypeVar
 
@@ -24,8 +23,6 @@
 from goldcreststair.upstreams.models import GenerateEnd, StreamChunk
 from goldcreststair.upstreams.protocols import StreamSink
 
-_LOGGER = logging.getLogger(__name__)
-
 T = TypeVar("T")
 
 CONTENT_JSON: Final = "application/json"
@@ -38,6 +35,7 @@
     def __init__(self, core: Core) -> None:
         """Use the components set up before."""
         self._clock = core.clock
+        self._statistics = core.statistics
         self._limits = core.get(LIMITS)
         self._keys = core.get(KEYS)
         self._gate = AdmissionGate(core)
@@ -55,11 +53,13 @@
     async def async_close(self) -> None:
         """Refuse who waits and end what runs."""
         self._gate.close()
+        self._meter.close()
         await self._claimed.async_close()
+        await self._generations.async_close()
 
     def count_in_flight(self) -> int:
-        """Return the requests accepted and not yet answered."""
-        return self._in_flight
+        """Return the requests that a stop must wait for, those without a caller included."""
+        return self._in_flight + self._claimed.count_orphans()
 
     async def async_generate(
         self, request: GenerateRequest, sink: StreamSink
@@ -88,8 +88,11 @@
 
         unwatch = self._keys.watch(identity.key_hash, end)
         self._count(1)
+        began = self._clock.now()
         try:
-            return await task
+            outcome = await task
+            self._record(outcome, self._clock.now() - began)
+            return outcome
         except asyncio.CancelledError:
             if request_id not in self._withdrawn_runs:
                 raise
@@ -99,6 +102,12 @@
             unwatch()
             self._count(-1)
 
+    def _record(self, outcome: Result[T, Refusal], taken_ms: int) -> None:
+        if isinstance(outcome, Err):
+            self._statistics.count(f"online.refused.{outcome.err_value.code}")
+        else:
+            self._statistics.record_ms("online.answered_ms", taken_ms)
+
     def _count(self, change: int) -> None:
         self._in_flight += change
         self._meter.update(self._in_flight)
--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -9,11 +9,13 @@
 from goldcreststair.components.membership.protocols import SET_QUARANTINE
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.fair_queue import FairQueue, Ticket
-from goldcreststair.components.online.models import ONLINE_PRESSURE
+from goldcreststair.components.online.gate import AdmissionGate
+from goldcreststair.components.online.models import ONLINE_PRESSURE, OnlinePressure
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.components.routing import loads
+from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
 from goldcreststair.platform.models import ListedState, ListedVm
-from goldcreststair.upstreams.models import GenerateCall, GenerateEnd
+from goldcreststair.upstreams.models import GenerateEnd
 from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
 from tests.helpers.shared_sets import FakeSharedSets
 from tests.helpers.virtual_time import run_virtual
@@ -129,6 +131,33 @@
     run_virtual(async_test())
 
 
+def test_waiting_suspects_are_placed_one_to_an_upstream() -> None:
+    """Three suspects wait, and two upstreams become free in the same moment.
+
+    Placed together, the innocent one would be blamed for the crash of the other.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=2)
+        gate = AdmissionGate(vm.core)
+        query = RouteQuery(model="small", alone=True)
+        vm.core.get(ROUTER).isolate("e0", "other")
+        vm.core.get(ROUTER).isolate("e1", "other")
+        tickets = [Ticket(f"r{n}", "acme", 1.0, Millis(10**9)) for n in range(3)]
+        waiting = [asyncio.create_task(gate.async_enter(ticket, query)) for ticket in tickets]
+        await asyncio.sleep(0.2)
+        vm.core.get(ROUTER).release("e0", "other")
+        vm.core.get(ROUTER).release("e1", "other")
+        await asyncio.sleep(0.2)
+        assert sum(task.done() for task in waiting) == 1
+        gate.close()
+        await asyncio.gather(*waiting)
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
 async def async_leave(vm: OnlineVm, how: str) -> None:
     if how == "configuration":
         vm.apply(leaving_upstreams={"e0": True})
@@ -167,7 +196,13 @@
     run_virtual(async_test())
 
 
-def test_burst_shows_at_once_in_the_pressure() -> None:
+def test_pressure_shows_a_burst_at_once_and_its_end() -> None:
+    """A burst of online requests comes and ends while a digest job waits.
+
+    The section must show its onset at once, so that batch yields, and its end soon after; left
+    at the last throttled word, it would hold the digest back for good.
+    """
+
     async def async_test() -> None:
         vm = OnlineVm()
         await vm.async_setup()
@@ -175,7 +210,8 @@
         await asyncio.sleep(0.001)
         assert vm.core.blackboard.read(ONLINE_PRESSURE).in_flight >= 10
         await asyncio.gather(*tasks)
-        assert any(isinstance(call, GenerateCall) for _, call in vm.upstreams.calls)
+        await asyncio.sleep(0.6)
+        assert vm.core.blackboard.read(ONLINE_PRESSURE) == OnlinePressure()
         await vm.async_close()
 
     run_virtual(async_test())
