Leave the fleet without cutting a request

Cause: SIGTERM closed connections and cut running streams; the platform's list and operators could not take a VM out at all.

Change: a signal, the platform's list or leaving_vms begin one shutdown that never turns back: state LEAVING spreads at once, /health/ready says 503, answers carry Connection: close, old address answers run out (10 s, at most half the drain), then drainables end in reverse order, the first one (the ledger) with time kept back for it. DaemonServer follows each answer to its last byte through tornado's output transforms, write buffer included. A list entry that was LEAVING from the start is believed only after 60 s, as the list lags and addresses are reused. Ruled out: counting requests in each handler (many handlers, easily forgotten); draining all components together (a partition would be gone before the request that commits to it).

Fleets on loopback now drain for 500 ms unless told otherwise.

--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -8,9 +8,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
-from tornado.web import Application
 
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.clock import Clock, LoopClock
@@ -24,8 +22,11 @@
     operator_api,
     peers,
     routing,
+    shutdown,
 )
+from goldcreststair.components.shutdown.models import SHUTDOWN_SERVICE, LeaveReason
 from goldcreststair.core import Component, Core
+from goldcreststair.http_server import DaemonServer
 from goldcreststair.journal import Journal
 from goldcreststair.platform.http import create_platform
 from goldcreststair.settings import Settings
@@ -37,8 +38,6 @@
 
 Setup = Callable[[Core], Awaitable[Component]]
 
-MAX_BODY_BYTES: Final = 512 * 1024 * 1024
-
 COMPONENTS: Final[tuple[Setup, ...]] = (
     peers.async_setup,
     membership.async_setup,
@@ -49,6 +48,7 @@
     online.async_setup,
     caller_api.async_setup,
     operator_api.async_setup,
+    shutdown.async_setup,
 )
 """Set up and started in this order, closed in reverse; each may use those before it."""
 
@@ -77,7 +77,7 @@
         """Take the core; nothing runs yet."""
         self._core = core
         self._components: list[Component] = []
-        self._server: HTTPServer | None = None
+        self._server: DaemonServer | None = None
 
     async def async_start(self) -> None:
         """Bind, set up and start every component, then serve."""
@@ -88,29 +88,35 @@
             self._components.append(await setup(core))
         for component in self._components:
             await component.async_start()
-        self._server = HTTPServer(Application(core.routes), max_body_size=MAX_BODY_BYTES)
-        self._server.add_sockets(sockets)
+        self._server = DaemonServer(core)
+        self._server.start(sockets)
         address = f"{core.settings.address}:{core.http_port}"
         _LOGGER.info("Serving", extra={"listening": address, "session": core.session_id})
 
+    def leave(self) -> None:
+        """Begin a graceful shutdown; asking again changes nothing, so it cuts no request."""
+        self._core.get(SHUTDOWN_SERVICE).begin(LeaveReason.SIGNAL)
+
+    async def async_wait(self) -> None:
+        """Return when the daemon has left, for whatever reason."""
+        await self._core.get(SHUTDOWN_SERVICE).async_wait()
+
     async def async_close(self) -> None:
-        """Close every component in reverse, then the server."""
+        """Close the server, then every component in reverse."""
+        if self._server is not None:
+            await self._server.async_close()
+            self._server = None
         for component in reversed(self._components):
             await component.async_close()
         self._components.clear()
-        if self._server is not None:
-            self._server.stop()
-            await self._server.close_all_connections()
-            self._server = None
 
 
 async def async_run(settings: Settings) -> None:
-    """Run a daemon until SIGTERM or SIGINT."""
-    stopped = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    """Run a daemon until it has left the fleet, as SIGTERM and SIGINT ask it to."""
     daemon = Daemon(create_core(settings, LoopClock()))
     await daemon.async_start()
-    await stopped.wait()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, daemon.leave)
+    await daemon.async_wait()
     _LOGGER.info("Stopping")
     await daemon.async_close()
--- a/goldcreststair/components/caller_api/views.py
+++ b/goldcreststair/components/caller_api/views.py
@@ -16,6 +16,7 @@
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.models import GenerateRequest
 from goldcreststair.components.online.service import ONLINE
+from goldcreststair.components.shutdown.readiness import is_ready
 from goldcreststair.const import (
     HEADER_IDEMPOTENCY_KEY,
     HEADER_REQUEST_ID,
@@ -175,7 +176,8 @@
         self.core = core
 
     def get(self) -> None:
-        """Answer 200 once a configuration is in force."""
+        """Answer 200 while callers may be sent here."""
+        ready = is_ready(self.core)
         version = self.core.blackboard.read(CONFIGURATION).version
-        self.set_status(200 if version else 503)
-        self.finish({"ready": bool(version), "configuration_version": version})
+        self.set_status(200 if ready else 503)
+        self.finish({"ready": ready, "configuration_version": version})
--- /dev/null
+++ b/goldcreststair/components/shutdown/models.py
@@ -0,0 +1,44 @@
+"""Where this daemon stands in its shutdown."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final, Protocol
+
+from goldcreststair.blackboard import SectionKey
+from goldcreststair.core import ComponentKey
+
+
+class LeaveReason(StrEnum):
+    """Why this daemon leaves."""
+
+    SIGNAL = "signal"
+    LISTED = "listed as leaving by the platform"
+    CONFIGURED = "taken out of service by an operator"
+
+
+@dataclass(frozen=True, slots=True)
+class Shutdown:
+    """Whether this daemon leaves; once it does, it never comes back."""
+
+    reason: LeaveReason | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Return whether this daemon leaves."""
+        return self.reason is not None
+
+
+SHUTDOWN: Final = SectionKey[Shutdown]("shutdown")
+
+
+class GracefulShutdown(Protocol):
+    """Leaves the fleet."""
+
+    def begin(self, reason: LeaveReason) -> None:
+        """Begin to leave; does nothing if it has begun."""
+
+    async def async_wait(self) -> None:
+        """Return when all work has ended and the daemon may stop."""
+
+
+SHUTDOWN_SERVICE: Final = ComponentKey[GracefulShutdown]("shutdown")
--- /dev/null
+++ b/goldcreststair/components/shutdown/service.py
@@ -0,0 +1,107 @@
+"""Carries a graceful shutdown out."""
+
+import asyncio
+import logging
+from typing import Any
+
+from result import Err
+
+from goldcreststair.components.configuration.models import CONFIGURATION, Configuration
+from goldcreststair.components.membership.models import MemberState
+from goldcreststair.components.membership.protocols import MEMBERSHIP
+from goldcreststair.components.shutdown.const import (
+    ADDRESS_LIFETIME_MS,
+    HANDOVER_MS,
+    HANDOVER_SHARE,
+    LIST_POLL_MS,
+)
+from goldcreststair.components.shutdown.controller import ListedLeaving
+from goldcreststair.components.shutdown.models import SHUTDOWN, LeaveReason, Shutdown
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.core import Core, Drainable
+from goldcreststair.journal import Subject
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class ShutdownService:
+    """Implements `GracefulShutdown`."""
+
+    def __init__(self, core: Core) -> None:
+        """Open the section."""
+        self._core = core
+        self._judge = ListedLeaving(core.clock.now())
+        self._writer = core.blackboard.open_section(SHUTDOWN, Shutdown())
+        self._unsubscribe = core.blackboard.subscribe(CONFIGURATION, self._on_configuration)
+        self._left = asyncio.Event()
+        self._tasks: list[asyncio.Task[Any]] = []
+
+    async def async_start(self) -> None:
+        """Watch the platform's list and the configuration."""
+        self._tasks.append(asyncio.create_task(self._async_watch_list()))
+        configuration = self._core.blackboard.find(CONFIGURATION)
+        if configuration is not None:
+            self._on_configuration(configuration)
+
+    async def async_close(self) -> None:
+        """Stop watching."""
+        self._unsubscribe()
+        for task in self._tasks:
+            task.cancel()
+
+    def begin(self, reason: LeaveReason) -> None:
+        """Begin to leave."""
+        if self._core.blackboard.read(SHUTDOWN).leaving:
+            return
+        _LOGGER.info("Leaving: %s", reason)
+        self._core.journal.record(Subject.VM, self._core.session_id, "leave", reason)
+        self._writer.write(Shutdown(reason))
+        membership = self._core.find(MEMBERSHIP)
+        if membership is not None:
+            membership.set_state(MemberState.LEAVING)
+        self._tasks.append(asyncio.create_task(self._async_leave()))
+
+    async def async_wait(self) -> None:
+        """Return when all work has ended."""
+        await self._left.wait()
+
+    async def _async_leave(self) -> None:
+        drain_ms = self._core.settings.drain_ms
+        deadline = self._core.clock.now() + drain_ms
+        # Callers keep an answer that names this VM for a while and connect only then. A drain too
+        # short for both leaves half of its time to the work under way.
+        await self._core.clock.async_sleep(min(ADDRESS_LIFETIME_MS, drain_ms // 2))
+        handover_ms = min(HANDOVER_MS, int(drain_ms * HANDOVER_SHARE))
+        drainables = list(self._core.drainables)
+        # Later components use earlier ones: requests end before the claims and partitions that
+        # they commit to are given away, and that keeps a part of the time for itself.
+        for drainable in reversed(drainables[1:]):
+            await self._async_drain(drainable, deadline - handover_ms)
+        for drainable in drainables[:1]:
+            await self._async_drain(drainable, deadline)
+        self._left.set()
+
+    async def _async_drain(self, drainable: Drainable, deadline: int) -> None:
+        left_ms = max(0, deadline - self._core.clock.now())
+        # One component that fails or hangs must not keep the others from their drain.
+        try:
+            async with asyncio.timeout(left_ms / MS_PER_SECOND):
+                await drainable.async_drain(deadline)
+        except TimeoutError:
+            _LOGGER.warning("%s did not end in time", type(drainable).__name__)
+        except Exception:
+            _LOGGER.exception("%s failed to end", type(drainable).__name__)
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        if self._core.settings.address in configuration.leaving_vms:
+            self.begin(LeaveReason.CONFIGURED)
+
+    async def _async_watch_list(self) -> None:
+        address = self._core.settings.address
+        while True:
+            listed = await self._core.platform.vm_list.async_list()
+            if not isinstance(listed, Err):
+                state = next((vm.state for vm in listed.ok_value if vm.address == address), None)
+                if self._judge.observe(state, self._core.clock.now()):
+                    self.begin(LeaveReason.LISTED)
+            await self._core.clock.async_sleep(LIST_POLL_MS)
--- a/goldcreststair/core.py
+++ b/goldcreststair/core.py
@@ -77,7 +77,10 @@
     peer_port: int = 0
     """The peer port really bound, known once the peers component is set up."""
     drainables: list[Drainable] = field(default_factory=list)
-    """What must come to its end before a graceful shutdown, in the order of registration."""
+    """What must come to its end in a graceful shutdown; drained in reverse order of registration.
+
+    The first one (the ledger) comes last, and a part of the time is kept back for it.
+    """
     routes: list[Rule] = field(default_factory=list)
     """HTTP routes that components add while they are set up."""
     _components: dict[str, Any] = field(default_factory=dict)
--- a/standins/demo/fleet.py
+++ b/standins/demo/fleet.py
@@ -3,6 +3,7 @@
 import contextlib
 import hashlib
 import http.client
+import signal
 import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -15,6 +16,8 @@
 
 LOOPBACK = "127.0.0.1"
 OPERATOR_TOKEN = "demo-operator"
+DRAIN_MS = "500"
+"""Fleets on loopback end quickly; give `drain-ms` in `daemon_flags` for a real drain."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +108,8 @@
 
     def close(self) -> None:
         """Stop daemons first, then the stand-ins."""
+        for daemon in self.daemons:
+            daemon.send_signal(signal.SIGTERM)
         for process in reversed(self.processes.values()):
             process.close()
 
@@ -119,6 +124,7 @@
             "operator-token": OPERATOR_TOKEN,
             "http-port": "0",
             "peer-port": "0",
+            "drain-ms": DRAIN_MS,
             **self.plan.daemon_flags,
         }
         arguments = [part for name, value in flags.items() for part in (f"--{name}", value)]
--- /dev/null
+++ b/tests/components/shutdown/test_service.py
@@ -0,0 +1,166 @@
+"""A leaving VM is named to nobody, ends its work and goes."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from goldcreststair.components import shutdown
+from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
+from goldcreststair.components.membership.models import MemberState
+from goldcreststair.components.shutdown.const import ADDRESS_LIFETIME_MS, LIST_LAG_MS
+from goldcreststair.components.shutdown.models import SHUTDOWN, SHUTDOWN_SERVICE, LeaveReason
+from goldcreststair.components.shutdown.readiness import is_ready
+from goldcreststair.platform.models import ListedState, ListedVm
+from standins.daemons import CONTROL, FakeDaemon, FakeDaemons
+from tests.helpers.cores import make_document
+from tests.helpers.daemons import run_fleet
+
+
+@dataclass
+class Work:
+    """Work that takes some time to end, or fails to."""
+
+    name: str
+    ended: list[str]
+    takes_s: float = 0
+    fails: bool = False
+    deadlines: list[int] = field(default_factory=list)
+
+    async def async_drain(self, deadline_ms: int) -> None:
+        self.deadlines.append(deadline_ms)
+        if self.fails:
+            raise RuntimeError("broken")
+        await asyncio.sleep(self.takes_s)
+        self.ended.append(self.name)
+
+
+async def async_add_many(fleet: FakeDaemons, count: int) -> list[FakeDaemon]:
+    fleet.setups = (*CONTROL, shutdown.async_setup)
+    daemons = await fleet.async_add_many(count)
+    follower = daemons[0].core.get(CONFIGURATION_FOLLOWER)
+    patched = await follower.store.async_patch(0, "p1", make_document())
+    follower.apply(patched.unwrap().configuration, patched.unwrap().current.row)
+    await fleet.async_wait(lambda: all(is_ready(d.core) for d in daemons), 15_000)
+    return daemons
+
+
+def is_leaving(daemon: FakeDaemon) -> bool:
+    return daemon.core.blackboard.read(SHUTDOWN).leaving
+
+
+async def async_patch(daemon: FakeDaemon, addresses: list[str]) -> None:
+    follower = daemon.core.get(CONFIGURATION_FOLLOWER)
+    patch = {"leaving_vms": dict.fromkeys(addresses, True)}
+    applied = (await follower.store.async_patch(follower.version, "leave", patch)).unwrap()
+    follower.apply(applied.configuration, applied.current.row)
+
+
+def test_work_ends_in_reverse_order_after_the_addresses_ran_out() -> None:
+    """Callers still come for a while with old answers, then requests end, then partitions go.
+
+    Handed over earlier, a partition would be missing to the request that commits to it.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemon, *_ = await async_add_many(fleet, 2)
+        ended: list[str] = []
+        works = [Work(name, ended, 2) for name in ("ledger", "batch", "requests")]
+        daemon.core.drainables += works
+        service = daemon.core.get(SHUTDOWN_SERVICE)
+        began = fleet.clock.now()
+        service.begin(LeaveReason.SIGNAL)
+        assert not is_ready(daemon.core)
+        await asyncio.sleep(ADDRESS_LIFETIME_MS / 1000 - 0.1)
+        service.begin(LeaveReason.SIGNAL)
+        assert ended == []
+        await service.async_wait()
+        assert ended == ["requests", "batch", "ledger"]
+        assert fleet.clock.now() - began == pytest.approx(ADDRESS_LIFETIME_MS + 6000, abs=50)
+        await asyncio.sleep(ADDRESS_LIFETIME_MS / 1000)
+        assert [len(work.deadlines) for work in works] == [1, 1, 1]
+
+    run_fleet(async_test)
+
+
+def test_drain_is_bounded_and_leaves_time_for_the_handover() -> None:
+    """A request never ends and another component fails: the VM must still go, in time."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemon, *_ = await async_add_many(fleet, 2)
+        ended: list[str] = []
+        daemon.core.drainables += [
+            Work("ledger", ended, 1),
+            Work("broken", ended, fails=True),
+            Work("endless", ended, 10_000),
+        ]
+        began = fleet.clock.now()
+        daemon.core.get(SHUTDOWN_SERVICE).begin(LeaveReason.SIGNAL)
+        await daemon.core.get(SHUTDOWN_SERVICE).async_wait()
+        assert ended == ["ledger"]
+        assert fleet.clock.now() - began <= daemon.core.settings.drain_ms
+
+    run_fleet(async_test)
+
+
+@pytest.mark.parametrize("way", ["listed", "configured"])
+def test_a_data_centre_leaves_in_one_night(way: str) -> None:
+    """The landlord's maintenance takes three of nine VMs at once; all others must know at once."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemons = await async_add_many(fleet, 9)
+        leaving = [d for d in daemons if d.core.settings.data_centre == "dc0"]
+        addresses = [d.address for d in leaving]
+        if way == "configured":
+            await async_patch(daemons[0], addresses)
+        else:
+            fleet.platform.set_vms(
+                [
+                    ListedVm(
+                        d.address,
+                        d.core.settings.data_centre,
+                        ListedState.LEAVING if d in leaving else ListedState.LIVE,
+                    )
+                    for d in daemons
+                ]
+            )
+        await fleet.async_wait(lambda: all(is_leaving(d) for d in leaving), 11_000)
+        await asyncio.sleep(1)
+        for daemon in daemons:
+            named = {
+                m.address
+                for m in daemon.members.by_session.values()
+                if m.state is MemberState.SERVING
+            }
+            assert not named & set(addresses)
+        assert not any(is_leaving(d) for d in daemons if d not in leaving)
+        for daemon in leaving:
+            await daemon.core.get(SHUTDOWN_SERVICE).async_wait()
+            await daemon.async_close()
+            fleet.running.remove(daemon)
+        await fleet.async_wait(
+            lambda: all(len(d.members.by_session) == 6 for d in fleet.running), 10_000
+        )
+
+    run_fleet(async_test)
+
+
+def test_lagging_list_does_not_turn_a_new_vm_away() -> None:
+    """A VM left and its address went to a new one; the list still shows the old one's state."""
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemon, *_ = await async_add_many(fleet, 1)
+        address = "10.0.0.3"
+        fleet.platform.set_vms([ListedVm(address, "dc1", ListedState.LEAVING)])
+        newcomer = await fleet.async_add()
+        assert newcomer.address == address
+        await asyncio.sleep(20)
+        assert not is_leaving(newcomer)
+        fleet.platform.set_vms([ListedVm(address, "dc1", ListedState.LIVE)])
+        await asyncio.sleep(LIST_LAG_MS / 1000)
+        assert not is_leaving(newcomer)
+        fleet.platform.set_vms([ListedVm(address, "dc1", ListedState.LEAVING)])
+        await fleet.async_wait(lambda: is_leaving(newcomer), 6000)
+        assert not is_leaving(daemon)
+
+    run_fleet(async_test)
