Spread the configuration as patches

Change: a daemon polls the history row after its own version, which is missing or is the patch, and peers answer with the patches after a known version; the whole row goes only to who has none or is more than 100 versions behind. ConfigurationFollower.async_patch patches and puts in force. Ruled out: a row with just the number (one more read for the patch, and one more row in each write).

Result: 91 tests pass; a VM 5 versions behind takes no whole document, one 150 behind takes one.

--- a/goldcreststair/components/configuration/controller.py
+++ b/goldcreststair/components/configuration/controller.py
@@ -2,22 +2,30 @@
 
 import asyncio
 import logging
+from collections import deque
+from collections.abc import Sequence
 from typing import Any, Final
 
-from result import Err
+import orjson
+from result import Err, Ok, Result
 
 from goldcreststair.blackboard import SectionWriter
 from goldcreststair.components.configuration.const import (
     CATCH_UP_MS,
     DEFAULT_POLL_MS,
     FETCH_TIMEOUT_MS,
+    MAX_PATCHES,
 )
 from goldcreststair.components.configuration.document import decode_document
+from goldcreststair.components.configuration.errors import ConfigurationError
 from goldcreststair.components.configuration.models import CONFIGURATION, Configuration
 from goldcreststair.components.configuration.spread import Spread
 from goldcreststair.components.configuration.store import (
+    Applied,
     ConfigurationStore,
+    HistoryEntry,
     StoredVersion,
+    advance,
     decode_stored,
 )
 from goldcreststair.components.membership.models import HEARD_VERSION, HeardVersion
@@ -25,6 +33,7 @@
 from goldcreststair.core import ComponentKey, Core
 from goldcreststair.wire.generated.configuration.ttypes import (
     ConfigurationCopy,
+    ConfigurationPatch,
     FetchConfiguration,
 )
 
@@ -42,7 +51,8 @@
         self.store = ConfigurationStore(core.platform.table)
         self._core = core
         self._spread = Spread()
-        self._row = b""
+        self._stored: StoredVersion | None = None
+        self._log: deque[HistoryEntry] = deque(maxlen=MAX_PATCHES)
         self._writer: SectionWriter[Configuration] = core.blackboard.open_section(
             CONFIGURATION, Configuration()
         )
@@ -71,30 +81,65 @@
         """Return the version in force."""
         return self._spread.in_force
 
-    def apply(self, configuration: Configuration, row: bytes = b"") -> None:
-        """Put a configuration in force if it is newer; `row` is what peers that ask are given."""
+    def apply(self, configuration: Configuration) -> None:
+        """Put a configuration in force if it is newer."""
         # A restored store, a peer behind or an empty answer must not undo what is in force.
         if self._spread.is_newer(configuration.version):
-            self._row = row
             self._spread.advance(configuration.version)
             self._writer.write(configuration)
             _LOGGER.info("Configuration version %d in force", configuration.version)
 
-    def take(self, stored: StoredVersion) -> None:
-        """Check a stored version and put it in force if it is newer."""
-        decoded = decode_document(stored.version, stored.document)
-        if isinstance(decoded, Err):
-            _LOGGER.error("Configuration invalid: %s", decoded.err_value.message)
-            return
-        self.apply(decoded.ok_value, stored.row)
+    async def async_patch(
+        self, base_version: int, patch_id: str, patch: Any
+    ) -> Result[Applied, ConfigurationError]:
+        """Patch the stored version and put the outcome in force here."""
+        patched = await self.store.async_patch(base_version, patch_id, patch)
+        if isinstance(patched, Ok):
+            # By the history row, which holds what took effect: a patch sent again under the same
+            # id may differ from the one that did.
+            await self.async_poll()
+            self._take_whole(patched.ok_value.current)
+        return patched
 
     async def async_poll(self) -> None:
-        """Read the store once."""
+        """Read the store once: only what is new, which costs a small read if nothing is."""
+        if self._stored is not None:
+            entries = await self.store.async_read_history(self.version, MAX_PATCHES)
+            if isinstance(entries, Err):
+                _LOGGER.warning("Cannot read configuration: %s", entries.err_value.message)
+                return
+            if not entries.ok_value or self._take_entries(entries.ok_value):
+                return
         read = await self.store.async_read()
         if isinstance(read, Err):
             _LOGGER.warning("Cannot read configuration: %s", read.err_value.message)
             return
-        self.take(read.ok_value)
+        self._take_whole(read.ok_value)
+
+    def _take_whole(self, stored: StoredVersion) -> bool:
+        """Put a whole version in force if it is valid and newer; returns whether it was."""
+        if not self._spread.is_newer(stored.version):
+            return False
+        decoded = decode_document(stored.version, stored.document)
+        if isinstance(decoded, Err):
+            _LOGGER.error("Configuration invalid: %s", decoded.err_value.message)
+            return False
+        self._stored = stored
+        self.apply(decoded.ok_value)
+        return True
+
+    def _take_entries(self, entries: Sequence[HistoryEntry]) -> bool:
+        """Apply patches that follow the version in force; returns whether any did."""
+        stored, taken = self._stored, []
+        for entry in entries:
+            # A patch fits only the version it was made for: after a gap the whole row is read.
+            if stored is not None and entry.version == stored.version + 1:
+                stored = advance(stored, entry)
+                taken.append(entry)
+        if not taken or stored is None or not self._take_whole(stored):
+            return False
+        self._log.extend(taken)
+        return True
 
     async def _async_poll_forever(self) -> None:
         while True:
@@ -123,13 +168,32 @@
         answered = await self._peers.async_request(session_id, request, FETCH_TIMEOUT_MS)
         if isinstance(answered, Err):
             _LOGGER.info("No configuration from %s: %s", session_id, answered.err_value.message)
-        elif answered.ok_value is not None and answered.ok_value.version:
-            self.take(decode_stored(answered.ok_value.version, answered.ok_value.row))
+        elif answered.ok_value is not None:
+            self._take_copy(answered.ok_value)
+
+    def _take_copy(self, copy: Any) -> None:
+        if copy.row:
+            self._take_whole(decode_stored(copy.version, copy.row))
+        self._take_entries(
+            [
+                HistoryEntry(patch.version, patch.patch_id, orjson.loads(patch.patch))
+                for patch in copy.patches or ()
+            ]
+        )
 
     async def _async_on_fetch(self, session_id: str, message: Any) -> Any:
-        if self._spread.in_force <= message.known_version or not self._row:
-            return ConfigurationCopy(0, b"")
-        return ConfigurationCopy(self._spread.in_force, self._row)
+        known: int = message.known_version
+        if self._stored is None or self._stored.version <= known:
+            return ConfigurationCopy(self.version)
+        # Whole documents at every change would cost more than all other control traffic.
+        entries = [entry for entry in self._log if entry.version > known]
+        if not known or not entries or entries[0].version != known + 1:
+            return ConfigurationCopy(self._stored.version, self._stored.encode())
+        patches = [
+            ConfigurationPatch(entry.version, entry.patch_id, orjson.dumps(entry.patch))
+            for entry in entries
+        ]
+        return ConfigurationCopy(self._stored.version, None, patches)
 
 
 CONFIGURATION_FOLLOWER = ComponentKey[ConfigurationFollower]("configuration")
--- a/goldcreststair/components/configuration/store.py
+++ b/goldcreststair/components/configuration/store.py
@@ -35,8 +35,10 @@
     document: dict[str, Any]
     patches: Mapping[str, int]
     """The last patch ids and the versions they made."""
-    row: bytes
-    """The row's value as stored, empty if there is none."""
+
+    def encode(self) -> bytes:
+        """Return the row's value."""
+        return orjson.dumps({"patches": dict(self.patches), "document": self.document})
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,12 +64,19 @@
 def decode_stored(version: int, value: bytes) -> StoredVersion:
     """Return the version that a row's value holds."""
     raw = orjson.loads(value)
-    return StoredVersion(version, raw["document"], raw["patches"], value)
+    return StoredVersion(version, raw["document"], raw["patches"])
+
+
+def advance(stored: StoredVersion, entry: HistoryEntry) -> StoredVersion:
+    """Return the version that a patch makes of the one before it."""
+    patches = [*stored.patches.items(), (entry.patch_id, entry.version)][-RECENT_PATCHES:]
+    document = merge_patch(stored.document, entry.patch)
+    return StoredVersion(entry.version, document, dict(patches))
 
 
 def _decode_row(row: Row | None) -> StoredVersion:
     if row is None:
-        return StoredVersion(0, dict(EMPTY_DOCUMENT), {}, b"")
+        return StoredVersion(0, dict(EMPTY_DOCUMENT), {})
     return decode_stored(row.version, row.value)
 
 
@@ -158,9 +167,8 @@
     """Return the version that a patch makes, checked."""
     if not isinstance(patch, Mapping):
         return Err(DocumentInvalid("must be an object", "patch"))
-    version = current.version + 1
-    document = merge_patch(current.document, patch)
-    decoded = decode_document(version, document)
+    stored = advance(current, HistoryEntry(current.version + 1, patch_id, patch))
+    decoded = decode_document(stored.version, stored.document)
     if isinstance(decoded, Err):
         return decoded
     before = decode_document(current.version, current.document)
@@ -169,16 +177,14 @@
     for key_hash in sorted(known - decoded.ok_value.withdrawn):
         message = "a withdrawn key cannot be taken back"
         return Err(DocumentInvalid(message, f"withdrawn.{key_hash}"))
-    patches = dict([*current.patches.items(), (patch_id, version)][-RECENT_PATCHES:])
-    row = orjson.dumps({"patches": patches, "document": document})
-    return Ok(StoredVersion(version, document, patches, row))
+    return Ok(stored)
 
 
 def _list_writes(stored: StoredVersion, patch_id: str, patch: Any) -> list[RowWrite]:
     version = stored.version
     entry = orjson.dumps({"patch_id": patch_id, "patch": patch})
     writes = [
-        RowWrite(ROW_CURRENT, version - 1, stored.row),
+        RowWrite(ROW_CURRENT, version - 1, stored.encode()),
         RowWrite(_name_history(version), 0, entry),
     ]
     if version > HISTORY_VERSIONS:
--- a/goldcreststair/components/keys/withdrawal.py
+++ b/goldcreststair/components/keys/withdrawal.py
@@ -86,10 +86,8 @@
             patch = {"withdrawn": dict.fromkeys(missing, True)}
             base = self._follower.version
             patch_id = f"withdraw-{base}-{self._core.random.getrandbits(64):016x}"
-            patched = await self._follower.store.async_patch(base, patch_id, patch)
+            patched = await self._follower.async_patch(base, patch_id, patch)
             if not isinstance(patched, Err):
-                applied = patched.ok_value
-                self._follower.apply(applied.configuration, applied.current.row)
                 _LOGGER.info("%d withdrawn keys made durable", len(missing))
             elif isinstance(patched.err_value, VersionStale):
                 await self._follower.async_poll()
--- a/goldcreststair/components/operator_api/views.py
+++ b/goldcreststair/components/operator_api/views.py
@@ -62,12 +62,10 @@
             self.set_status(400)
             self.finish({"error": {"code": "invalid", "message": f"bad request: {error!r}"}})
             return
-        patched = await self.follower.store.async_patch(base_version, patch_id, patch)
+        patched = await self.follower.async_patch(base_version, patch_id, patch)
         if isinstance(patched, Err):
             self._refuse(patched.err_value)
             return
-        applied = patched.ok_value
-        self.follower.apply(applied.configuration, applied.current.row)
         self.finish({"version": patched.ok_value.version})
 
     def _refuse(self, error: ConfigurationError) -> None:
--- a/goldcreststair/wire/configuration.thrift
+++ b/goldcreststair/wire/configuration.thrift
@@ -1,12 +1,20 @@
 // Messages between daemons about the configuration.
 
-/** Asks for the version in force at the other side. */
+/** Asks for what came after a version. */
 struct FetchConfiguration {
   1: required i64 known_version
 }
 
-/** One version as the store holds it; version 0 if the other side has none newer. */
+/** The patch that made one version, as JSON. */
+struct ConfigurationPatch {
+  1: required i64 version
+  2: required string patch_id
+  3: required binary patch
+}
+
+/** The patches after the known version, or the whole row; neither if there is nothing newer. */
 struct ConfigurationCopy {
   1: required i64 version
-  2: required binary row
+  2: optional binary row
+  3: optional list<ConfigurationPatch> patches
 }
--- a/tests/components/configuration/test_spread.py
+++ b/tests/components/configuration/test_spread.py
@@ -4,7 +4,6 @@
 import dataclasses
 from typing import Any
 
-import orjson
 import pytest
 from result import Err, Ok
 
@@ -22,7 +21,7 @@
 from standins.daemons import FakeDaemon, FakeDaemons
 from standins.platform.store import FakePlatform
 from tests.helpers.cores import make_document
-from tests.helpers.daemons import run_fleet
+from tests.helpers.daemons import run_fleet, share_platform
 from tests.helpers.virtual_time import run_virtual
 
 HASH = "a" * 64
@@ -34,12 +33,7 @@
 
 async def async_patch(daemon: FakeDaemon, base: int, patch_id: str, patch: Any) -> Any:
     """Patch as the operators' call does."""
-    follower = daemon.core.get(CONFIGURATION_FOLLOWER)
-    patched = await follower.store.async_patch(base, patch_id, patch)
-    if isinstance(patched, Ok):
-        applied = patched.ok_value
-        follower.apply(applied.configuration, applied.current.row)
-    return patched
+    return await daemon.core.get(CONFIGURATION_FOLLOWER).async_patch(base, patch_id, patch)
 
 
 @pytest.mark.parametrize(("count", "store_down"), [(3, False), (40, False), (40, True)])
@@ -168,7 +162,7 @@
         assert sorted(type(outcome).__name__ for outcome in outcomes) == ["Err", "Ok"]
         stored = (await store.async_read()).unwrap()
         assert stored.version == 1
-        assert len(orjson.loads(stored.row)["patches"]) == 1
+        assert len(stored.patches) == 1
 
     run_virtual(async_test())
 
@@ -198,3 +192,39 @@
         assert refused.err_value.field == f"withdrawn.{HASH}"
 
     run_virtual(async_test())
+
+
+@pytest.mark.parametrize(("patches", "whole"), [(5, 0), (150, 1)])
+def test_vm_that_was_away_catches_up(patches: int, whole: int) -> None:
+    """A VM sees neither peers nor store while versions are made; then its peers come back.
+
+    It takes the patches it missed; only if they are more than its peers keep, the whole document.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemons = await fleet.async_add_many(2)
+        private = share_platform(fleet)
+        away = await fleet.async_add(private.as_platform())
+        await async_patch(daemons[0], 0, "p0", make_document())
+        await fleet.async_wait(lambda: read_version(away) == 1, 11_000)
+        private.faults.down = True
+        fleet.isolate(away)
+        for number in range(patches):
+            patch = {"models": {f"m{number}": "1"}}
+            await async_patch(daemons[0], number + 1, f"q{number}", patch)
+        seen: list[Any] = []
+        follower = away.core.get(CONFIGURATION_FOLLOWER)
+        take_copy = follower._take_copy
+
+        def spy(copy: Any) -> None:
+            seen.append(copy)
+            take_copy(copy)
+
+        follower._take_copy = spy  # type: ignore[method-assign]
+        fleet.network.heal()
+        await fleet.async_wait(lambda: read_version(away) == patches + 1, 11_000)
+        assert sum(copy.row is not None for copy in seen) == whole
+        expected = daemons[0].core.blackboard.read(CONFIGURATION)
+        assert away.core.blackboard.read(CONFIGURATION) == expected
+
+    run_fleet(async_test)
--- a/tests/components/keys/test_withdrawal.py
+++ b/tests/components/keys/test_withdrawal.py
@@ -25,8 +25,7 @@
 async def async_start_fleet(fleet: FakeDaemons, count: int) -> list[FakeDaemon]:
     daemons = await fleet.async_add_many(count)
     follower = daemons[0].core.get(CONFIGURATION_FOLLOWER)
-    applied = (await follower.store.async_patch(0, "p1", make_document())).unwrap()
-    follower.apply(applied.configuration, applied.current.row)
+    assert isinstance(await follower.async_patch(0, "p1", make_document()), Ok)
     await asyncio.sleep(20)
     return daemons
 
--- a/tests/components/shutdown/test_service.py
+++ b/tests/components/shutdown/test_service.py
@@ -39,8 +39,7 @@
     fleet.setups = (*CONTROL, shutdown.async_setup)
     daemons = await fleet.async_add_many(count)
     follower = daemons[0].core.get(CONFIGURATION_FOLLOWER)
-    patched = await follower.store.async_patch(0, "p1", make_document())
-    follower.apply(patched.unwrap().configuration, patched.unwrap().current.row)
+    (await follower.async_patch(0, "p1", make_document())).unwrap()
     await fleet.async_wait(lambda: all(is_ready(d.core) for d in daemons), 15_000)
     return daemons
 
@@ -52,8 +51,7 @@
 async def async_patch(daemon: FakeDaemon, addresses: list[str]) -> None:
     follower = daemon.core.get(CONFIGURATION_FOLLOWER)
     patch = {"leaving_vms": dict.fromkeys(addresses, True)}
-    applied = (await follower.store.async_patch(follower.version, "leave", patch)).unwrap()
-    follower.apply(applied.configuration, applied.current.row)
+    (await follower.async_patch(follower.version, "leave", patch)).unwrap()
 
 
 def test_work_ends_in_reverse_order_after_the_addresses_ran_out() -> None:
