--- /dev/null
+++ b/standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on stand-ins; each prints its figures."""
