--- /dev/null
+++ b/standins/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements in process on virtual time."""
--- a/tests/components/limits/worlds.py
+++ b/tests/components/limits/worlds.py
@@ -12,6 +12,7 @@
 from goldcreststair.components.limits.const import SUPPORTERS_RECORD
 from goldcreststair.components.limits.homes import Home, Homes
 from goldcreststair.components.limits.static_share import StaticShare
+from standins.measure.excess import find_excess
 from tests.helpers.ledgers import FakePartition
 
 DRIFT = 0.01
@@ -208,18 +209,4 @@
 
     def find_excess(self) -> float:
         """Return by how much the worst interval exceeds rate x time + burst."""
-        return find_excess(self.admitted, self.highest.rate_per_s, self.highest.burst)
-
-
-def find_excess(admitted: list[int], rate: float, burst: float) -> float:
-    """Return the worst excess over every interval in one pass.
-
-    With the k-th admission at t(k), an interval holds j - i + 1 of them: the excess is the running
-    maximum of (i - rate x t(i)) taken backwards. The rate is as fast as the fastest clock.
-    """
-    rate_per_ms = rate * (1 + DRIFT) / 1000
-    lowest, worst = float("inf"), 0.0
-    for index, time in enumerate(admitted):
-        lowest = min(lowest, index - rate_per_ms * time)
-        worst = max(worst, index + 1 - rate_per_ms * time - lowest - burst)
-    return worst - 0.01 - rate_per_ms * 2
+        return find_excess(self.admitted, self.highest.rate_per_s, self.highest.burst, DRIFT)
