Ask for tokens more often and prefetch less

Cause: a request could wait for the whole interval between asks and time out, and idle prefetched tokens were missing elsewhere.

Change: asks every 100 ms at most (was 150), prefetch for 200 ms of demand (was 400).

--- a/goldcreststair/components/limits/const.py
+++ b/goldcreststair/components/limits/const.py
@@ -20,11 +20,11 @@
 """Observers of another clock wait a fiftieth longer: two clocks drifting 1% apart each."""
 MARGIN_MS: Final = 100
 
-ASK_INTERVAL_MS: Final = 150
-ASK_TIMEOUT_MS: Final = 120
+ASK_INTERVAL_MS: Final = 100
+ASK_TIMEOUT_MS: Final = 100
 ADMIT_WAIT_MS: Final = 150
 UNREACHABLE_RETRY_MS: Final = 300
-PREFETCH_MS: Final = 400
+PREFETCH_MS: Final = 200
 DEMAND_WINDOW_MS: Final = 1_000
 REPORT_INTERVAL_MS: Final = 300
 IDLE_RETURN_MS: Final = 400
