Tell callers which VMs to use

Cause: callers had no way to learn addresses, and every VM asked a customer's home for tokens.

Change: GET /v1/addresses names a few VMs near the caller, the limit home first for a customer one VM can serve, one in another data centre, never a leaving one; rendezvous hashing keeps answers stable and loaded VMs rank last. Borrowers report spent tokens after 100 ms instead of 300, since refill waits for the report.

--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -22,6 +22,7 @@
     online,
     operator_api,
     routing,
+    steering,
 )
 from goldcreststair.core import Component, Core
 from goldcreststair.journal import Journal
@@ -43,6 +44,7 @@
     routing.async_setup,
     online.async_setup,
     caller_api.async_setup,
+    steering.async_setup,
     operator_api.async_setup,
 )
 """Set up and started in this order, closed in reverse; each may use those before it."""
--- a/goldcreststair/components/limits/borrowed.py
+++ b/goldcreststair/components/limits/borrowed.py
@@ -4,10 +4,12 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.limits.const import (
+    ASK_INTERVAL_MS,
     DEMAND_WINDOW_MS,
     IDLE_RETURN_MS,
     LOT_LIFETIME_MS,
     PREFETCH_MS,
+    REPORT_INTERVAL_MS,
 )
 from goldcreststair.components.limits.models import LotReport
 
@@ -30,6 +32,7 @@
         self._demand = 0.0
         self._demand_at = Millis(0)
         self._taken_at = Millis(0)
+        self._unreported = False
 
     def take(self, now: Millis) -> bool:
         """Take one token."""
@@ -39,6 +42,7 @@
                 lot.unspent -= 1
                 lot.spent += 1
                 self._taken_at = now
+                self._unreported = True
                 return True
         return False
 
@@ -62,6 +66,7 @@
         for lot in self._lots.values():
             lot.finished = lot.finished or lot.unspent == 0
         self._asked[number] = now
+        self._unreported = False
         return tuple(LotReport(key, lot.spent, lot.finished) for key, lot in self._lots.items())
 
     def accept(self, number: int, granted: int, now: Millis) -> None:
@@ -88,6 +93,11 @@
         self._drop_expired(now)
         return bool(self._lots)
 
+    def get_report_interval(self) -> int:
+        """Return how long after the last message the home should hear again."""
+        # While spent tokens count as lent, the home may not refill in their place.
+        return ASK_INTERVAL_MS if self._unreported else REPORT_INTERVAL_MS
+
     def _drop_expired(self, now: Millis) -> None:
         expired = [key for key, lot in self._lots.items() if lot.expires_at <= now]
         for key in expired:
--- a/goldcreststair/components/limits/fleet.py
+++ b/goldcreststair/components/limits/fleet.py
@@ -14,7 +14,6 @@
     ADMIT_WAIT_MS,
     ASK_INTERVAL_MS,
     ASK_TIMEOUT_MS,
-    REPORT_INTERVAL_MS,
     UNREACHABLE_RETRY_MS,
 )
 from goldcreststair.components.limits.homes import Homes, find_customer_index
@@ -100,7 +99,7 @@
             waiting = borrower.count_waiting()
             if not waiting and not borrower.bucket.has_news(now):
                 return
-            interval = ASK_INTERVAL_MS if waiting else REPORT_INTERVAL_MS
+            interval = ASK_INTERVAL_MS if waiting else borrower.bucket.get_report_interval()
             pause = borrower.asked_at + interval - now
             if pause > 0:
                 await self._clock.async_sleep(min(pause, ASK_INTERVAL_MS))
--- /dev/null
+++ b/goldcreststair/components/steering/__init__.py
@@ -0,0 +1,12 @@
+"""Which VMs callers should use."""
+
+from tornado.web import url
+
+from goldcreststair.components.steering.views import AddressesHandler
+from goldcreststair.core import Component, Core, PassiveComponent
+
+
+async def async_setup(core: Core) -> Component:
+    """Add the route."""
+    core.routes.append(url(r"/v1/addresses", AddressesHandler, {"core": core}))
+    return PassiveComponent()
--- /dev/null
+++ b/goldcreststair/components/steering/views.py
@@ -0,0 +1,69 @@
+"""The HTTP route that tells callers which VMs to use."""
+
+from goldcreststair.components.caller_api.views import CallerHandler
+from goldcreststair.components.configuration.models import CONFIGURATION
+from goldcreststair.components.ledger.protocols import LEDGER
+from goldcreststair.components.limits.homes import find_customer_index
+from goldcreststair.components.membership.models import (
+    MEMBER_LOADS,
+    MEMBERS,
+    Member,
+    MemberLoads,
+    Members,
+    MemberState,
+)
+from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.steering.controller import choose_addresses
+from goldcreststair.components.steering.models import SteeringFacts
+from goldcreststair.core import Core
+
+
+class AddressesHandler(CallerHandler):
+    """The addresses for one caller."""
+
+    def get(self) -> None:
+        """Return addresses and their lifetime."""
+        settings = self.core.settings
+        facts = SteeringFacts(
+            customer=self.identity.customer,
+            caller=self.request.remote_ip or "",
+            data_centre=self.get_query_argument("data_centre", settings.data_centre),
+            members=read_members(self.core),
+            loads=read_loads(self.core).by_session,
+            home=find_home(self.core, self.identity.customer.name),
+            leaving_vms=self.core.blackboard.read(CONFIGURATION).leaving_vms,
+        )
+        answer = choose_addresses(facts)
+        if not answer.addresses:
+            message = "no VM takes new callers"
+            self.refuse(Refusal(message, RefusalCode.NOT_READY, 503, True, 1000))
+            return
+        self.finish({"addresses": list(answer.addresses), "lifetime_s": answer.lifetime_s})
+
+
+def read_members(core: Core) -> tuple[Member, ...]:
+    """Return the fleet; only this VM where no membership runs."""
+    try:
+        members: Members = core.blackboard.read(MEMBERS)
+    except KeyError:
+        settings = core.settings
+        place = (settings.data_centre, settings.region, MemberState.SERVING)
+        return (Member(core.session_id, settings.address, core.http_port, 0, *place),)
+    return tuple(members.by_session.values())
+
+
+def read_loads(core: Core) -> MemberLoads:
+    """Return the loads; none where no membership runs."""
+    try:
+        return core.blackboard.read(MEMBER_LOADS)
+    except KeyError:
+        return MemberLoads()
+
+
+def find_home(core: Core, customer: str) -> str | None:
+    """Return the session of a customer's limit home, if known."""
+    try:
+        ledger = core.get(LEDGER)
+    except KeyError:
+        return None
+    return ledger.find_owner(find_customer_index(ledger, customer))
--- /dev/null
+++ b/tests/components/limits/test_fleet.py
@@ -0,0 +1,168 @@
+"""The limits of several VMs over links, on virtual time."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from result import Err, Ok
+
+from goldcreststair.components import limits
+from goldcreststair.components.configuration.models import Customer
+from goldcreststair.components.limits.controller import LocalLimits
+from goldcreststair.components.limits.protocols import LIMITS
+from goldcreststair.wire.generated.limits import ttypes
+from standins.measure.excess import find_excess
+from standins.measure.limit_fleet import LimitFleet
+from tests.helpers.cores import make_core
+from tests.helpers.virtual_time import run_virtual
+
+ACME = Customer("acme", 20.0, 40)
+
+
+class Callers:
+    """Sends requests through one fleet and keeps the times of those admitted."""
+
+    def __init__(self, fleet: LimitFleet) -> None:
+        self.fleet = fleet
+        self.home = fleet.find_home(ACME.name)
+        self.others = [name for name in fleet.vms if name != self.home]
+        self.admitted: list[int] = []
+        self.refused: list[int] = []
+
+    async def async_send(self, vm: str, requests: int) -> int:
+        """Send requests at once; returns how many were admitted."""
+        sent = [self.fleet.vms[vm].limits.async_admit(ACME) for _ in range(requests)]
+        outcomes = await asyncio.gather(*sent)
+        passed = sum(isinstance(outcome, Ok) for outcome in outcomes)
+        self.admitted += [self.fleet.get_now()] * passed
+        self.refused += [o.err_value.retry_after_ms for o in outcomes if isinstance(o, Err)]
+        return passed
+
+    async def async_stream(self, vm: str, seconds: int, per_s: int) -> float:
+        """Send evenly; returns the part that was admitted."""
+        running = []
+        for _ in range(seconds * per_s):
+            running.append(asyncio.create_task(self.async_send(vm, 1)))
+            await self.fleet.clock.async_sleep(1000 // per_s)
+        return sum(await asyncio.gather(*running)) / len(running)
+
+
+def run_fleet(test: Callable[[Callers], Awaitable[None]]) -> None:
+    """Run a test on four VMs and check the bound at its end."""
+
+    async def async_run() -> None:
+        fleet = LimitFleet(4, [ACME])
+        await fleet.async_start()
+        callers = Callers(fleet)
+        await test(callers)
+        await fleet.async_close()
+        assert find_excess(callers.admitted, ACME.rate_per_s, ACME.burst) <= 0
+        assert all(retry_after_ms > 0 for retry_after_ms in callers.refused)
+
+    run_virtual(async_run())
+
+
+def test_concurrent_requests_share_one_ask() -> None:
+    async def async_test(callers: Callers) -> None:
+        assert await callers.async_send(callers.others[0], 30) == 30
+        asks = [m for _, _, m in callers.fleet.network.sent if isinstance(m, ttypes.TokenAsk)]
+        assert len(asks) == 1
+        assert await callers.async_send(callers.others[1], 30) <= 11
+
+    run_fleet(async_test)
+
+
+def test_lost_answer_gives_its_tokens_back() -> None:
+    """The home lends all it has and the answer is lost.
+
+    Callers are refused at once. The borrower promises with its next ask never to use that lot, so
+    the tokens are there again before the lease would have lapsed.
+    """
+
+    async def async_test(callers: Callers) -> None:
+        callers.fleet.network.lose_answers = 1
+        assert await callers.async_send(callers.others[0], 40) == 0
+        await callers.fleet.clock.async_sleep(600)
+        assert await callers.async_send(callers.others[1], 40) == 40
+
+    run_fleet(async_test)
+
+
+def test_cut_link_to_the_home_refuses_within_the_bound() -> None:
+    """The link between a VM and a customer's home is cut.
+
+    Its callers get their refusal at once, with the time to come back, rather than a wait.
+    """
+
+    async def async_test(callers: Callers) -> None:
+        callers.fleet.network.cut(callers.home, callers.others[0])
+        before = callers.fleet.get_now()
+        assert await callers.async_send(callers.others[0], 5) == 0
+        assert callers.fleet.get_now() - before <= 150
+
+    run_fleet(async_test)
+
+
+def test_planned_change_of_home_keeps_the_level() -> None:
+    """A home leaves and hands its partition over.
+
+    A new home that waited for old rights would refuse everything for seconds: it takes the old
+    one's buckets instead, lent tokens included.
+    """
+
+    async def async_test(callers: Callers) -> None:
+        assert await callers.async_send(callers.others[0], 30) == 30
+        fleet = callers.fleet
+        index = fleet.vms[callers.home].ledger.find_index(f"customer/{ACME.name}")
+        fleet.vms[callers.others[1]].ledger.claim(index)
+        await fleet.clock.async_sleep(900)
+        assert await callers.async_send(callers.others[1], 40) >= 24
+
+    run_fleet(async_test)
+
+
+def test_store_outage_costs_a_tenth_at_most() -> None:
+    """The store is down for five minutes.
+
+    No home can confirm that it still owns its partition. Its supporters promise to tell any newer
+    owner, so it goes on with nine tenths; customers within that see nothing.
+    """
+
+    async def async_test(callers: Callers) -> None:
+        await callers.fleet.clock.async_sleep(5000)
+        callers.fleet.store.up = False
+        assert await callers.async_stream(callers.others[0], 300, 16) >= 0.99
+
+    run_fleet(async_test)
+
+
+@pytest.mark.parametrize("outage", [False, True])
+def test_lost_home_is_replaced_within_its_wait(outage: bool) -> None:
+    """A home is lost, perhaps while the store is down and it lived on its supporters.
+
+    Once the loss is noticed the successor waits until the old home's rights have ended, then
+    refills from nothing; callers never get more than the bound.
+    """
+
+    async def async_test(callers: Callers) -> None:
+        fleet = callers.fleet
+        await fleet.clock.async_sleep(5000)
+        fleet.store.up = not outage
+        await fleet.clock.async_sleep(30_000)
+        await callers.async_send(callers.others[0], 40)
+        await fleet.async_kill(callers.home)
+        fleet.store.up = True
+        assert await callers.async_stream(callers.others[0], 20, 10) < 0.1
+        await fleet.clock.async_sleep(9000)
+        assert await callers.async_stream(callers.others[0], 10, 16) >= 0.99
+
+    run_fleet(async_test)
+
+
+def test_without_other_components_limits_are_local() -> None:
+    async def async_test() -> None:
+        core = make_core()
+        await limits.async_setup(core)
+        assert isinstance(core.get(LIMITS), LocalLimits)
+
+    run_virtual(async_test())
