--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -29,6 +29,7 @@
     routing,
     service_level,
     shutdown,
+    steering,
 )
 from goldcreststair.components.shutdown.models import SHUTDOWN_SERVICE, LeaveReason
 from goldcreststair.core import Component, Core
@@ -59,6 +60,7 @@
     batch.async_setup,
     explain.async_setup,
     caller_api.async_setup,
+    steering.async_setup,
     operator_api.async_setup,
     shutdown.async_setup,
 )
