Blame a crash on a suspect only while nothing new runs beside it

Cause: with four poison items in a job of 200, 14 innocent items ended quarantined: a fresh poison item crashed the engine beside an innocent suspect, which was blamed twice. And a VM that still believed it owned a moved chunk took the results of the new owner's lots to itself, where every commit was refused: the chunk never finished (128 of 128 undone after 600 s).

Change: a suspect comes alone in its lot, every other pull and only once all running streams have a token; nothing starts until it ends. Crashes beside it are bounded at 12. Results and renewals go to the session that gave the lot, then by key. Ruled out: halving groups, which costs more crashes an item.

--- a/goldcreststair/components/batch/allowance.py
+++ b/goldcreststair/components/batch/allowance.py
@@ -18,8 +18,10 @@
 
     quiet_ms: int = 300
     """Time without a sign of pressure before the allowance rises."""
-    raise_share: float = 0.25
-    """Growth a tick, as a share of the allowance; at least one stream."""
+    raise_share: float = 0.3
+    """Growth a tick far below the upstream's room, as a share of the allowance."""
+    fast_below: float = 0.6
+    """Share of the upstream's room below which the allowance grows so fast."""
     cut_share: float = 0.5
     """What a hint leaves of the running streams."""
     cut_every_ms: int = 100
@@ -28,6 +30,8 @@
     """Share of KV memory kept free for online work."""
     slot_headroom: float = 0.2
     """Share of the streams at which a queue was seen that is kept free."""
+    full_share: float = 0.7
+    """A hint with this share of the peak running in batch means that the upstream was full."""
     report_lag_ms: int = 1000
     """Assumed age of a load report."""
     first_token_ms: int = 200
@@ -57,16 +61,21 @@
     @property
     def limit(self) -> int:
         """Streams that may run now."""
+        return max(0, int(min(self._allowance, self._room)))
+
+    @property
+    def _room(self) -> float:
         # Unbounded, the allowance would outrun reports that are a second old and fill the
         # upstream's queue, where online work then stands behind batch.
         free = self._peak * (1 - self._parameters.slot_headroom)
-        room = (free if self._queue_seen else self._peak + PROBE) - self._others
-        return max(0, int(min(self._allowance, room)))
+        return (free if self._queue_seen else self._peak + PROBE) - self._others
 
     def cut(self, running: int) -> None:
         """Take a yield hint; hints that come together cut once."""
         now = self._clock.now()
         self._pressed_at = now
+        if self._peak and running >= self._peak * self._parameters.full_share:
+            self._queue_seen = True
         # Every VM of a fleet hints at the same onset within milliseconds; were each to cut, one
         # burst would stop all batch work of the upstream however small the burst.
         if self._cut_at is None or now - self._cut_at >= self._parameters.cut_every_ms:
@@ -100,7 +109,10 @@
         if self._pressed_at is not None and now - self._pressed_at < parameters.quiet_ms:
             return
         if running + 1 >= self.limit:
-            step = max(1.0, self._allowance * parameters.raise_share)
+            # Fast while far below what the upstream takes, or each burst would cost seconds of
+            # idle slots after it; one stream a tick near it, where the next one may queue.
+            fast = self._allowance < self._room * parameters.fast_below
+            step = max(1.0, self._allowance * parameters.raise_share) if fast else 1.0
             self._allowance = min(self._allowance + step, float(self._peak + PROBE))
 
     def _learn_capacity(self, report: LoadReport, running: int) -> None:
--- a/goldcreststair/components/batch/chunks.py
+++ b/goldcreststair/components/batch/chunks.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass, field, replace
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.batch.const import LEASE_MS, MAX_CRASHES_ALONE, MAX_TRIES
+from goldcreststair.components.batch.const import (
+    LEASE_MS,
+    MAX_CRASHES_ALONE,
+    MAX_CRASHES_BESIDE,
+    MAX_TRIES,
+)
 from goldcreststair.components.batch.models import (
     STATE_NAMES,
     ChunkRecord,
@@ -31,6 +36,7 @@
     runs: int = 0
     suspect: bool = False
     crashes_alone: int = 0
+    crashes_beside: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +174,10 @@
             tries.suspect = True
             if tries.crashes_alone >= MAX_CRASHES_ALONE:
                 self._finish(index, ItemState.QUARANTINED, result, now)
+        elif result.verdict == Verdict.BYSTANDER:
+            tries.crashes_beside += 1
+            if tries.crashes_beside >= MAX_CRASHES_BESIDE:
+                self._finish(index, ItemState.FAILED, result, now)
         elif result.verdict == Verdict.FAILED:
             tries.runs += 1
             if tries.runs >= MAX_TRIES:
--- a/goldcreststair/components/batch/const.py
+++ b/goldcreststair/components/batch/const.py
@@ -28,6 +28,9 @@
 MAX_CRASHES_ALONE: Final = 2
 """Crashes with this item as the only suspect before it is quarantined."""
 
+MAX_CRASHES_BESIDE: Final = 12
+"""Crashes held to be another item's before an item is failed, so that its runs are bounded."""
+
 TICK_MS: Final = 100
 ADVERT_MS: Final = 500
 ADVERT_LIFETIME_MS: Final = 5_000
--- a/goldcreststair/components/batch/directory.py
+++ b/goldcreststair/components/batch/directory.py
@@ -47,14 +47,14 @@
         """Send a hint that may be lost."""
         self.peers.post(session, message)
 
-    async def async_ask(self, key: str, message: Any) -> Reply:
-        """Ask the owner of a key; REFUSED only if certainly nothing was written."""
+    async def async_ask(self, key: str, message: Any, first: str | None = None) -> Reply:
+        """Ask the owner of a key, `first` before others; REFUSED only if nothing was written."""
         refused = Reply(status=ReplyStatus.REFUSED)
-        target = self.find_owner(key)
+        target = first or self.find_owner(key)
         for attempt in range(ATTEMPTS):
             if attempt:
                 await self._core.clock.async_sleep(RETRY_DELAY_MS * attempt)
-            if self.owns(key):
+            if self.owns(key) and not (first and attempt == 0):
                 target = self._core.session_id
             if target is None:
                 target = self.find_owner(key)
--- a/goldcreststair/components/batch/keeper.py
+++ b/goldcreststair/components/batch/keeper.py
@@ -123,18 +123,24 @@
         items: list[LotItem] = []
         if self._is_full():
             return Lot(items, LEASE_MS)
-        for chunk in self._list_ranked():
-            # One suspect an upstream, so that a crash names its cause; it goes beside others.
-            if request.suspect_wanted and not any(item.suspect for item in items):
-                suspects = chunk.list_ready(request.model, suspects=True)[:1]
-                items += self._lease(chunk, suspects, holder, suspect=True)
-            free = max(0, request.limit - len(items))
+        if request.suspect_wanted:
+            items = self._give_suspect(holder, request.model)
+        for chunk in () if items else self._list_ranked():
+            free = request.limit - len(items)
             ready = chunk.list_ready(request.model, suspects=False)[:free]
             items += self._lease(chunk, ready, holder, suspect=False)
             if len(items) >= request.limit:
                 break
         return Lot(items, LEASE_MS)
 
+    def _give_suspect(self, holder: str, model: str) -> list[LotItem]:
+        """Give one suspect out, as a lot of its own, so that a crash names its cause."""
+        for chunk in self._list_ranked():
+            suspects = chunk.list_ready(model, suspects=True)[:1]
+            if suspects:
+                return self._lease(chunk, suspects, holder, suspect=True)
+        return []
+
     def accept(self, holder: str, key: str, results: list[ItemResult]) -> bool:
         """Take results of a chunk; False if it is not loaded here yet."""
         chunk = self.chunks.get(key)
--- a/goldcreststair/components/batch/outbox.py
+++ b/goldcreststair/components/batch/outbox.py
@@ -1,5 +1,6 @@
 """Results on their way to the owners of their chunks; offered until acknowledged."""
 
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from goldcreststair.clock import Clock, Millis
@@ -23,6 +24,8 @@
         self._clock = clock
         self._directory = directory
         self._parcels: dict[str, _Parcel] = {}
+        self.givers: dict[str, str] = {}
+        """Chunk to the session that gave its items out last."""
 
     def put(self, chunk: str, result: ItemResult) -> None:
         """Add a result."""
@@ -42,13 +45,20 @@
         """Return the chunks with results here."""
         return list(self._parcels)
 
+    def forget(self, held: Container[str]) -> None:
+        """Drop the givers of chunks no item of which is held here."""
+        self.givers = {chunk: giver for chunk, giver in self.givers.items() if chunk in held}
+
     async def async_send(self, chunk: str) -> None:
         """Offer the results of one chunk to its owner once."""
         parcel = self._parcels[chunk]
         parcel.sending = True
         sent = list(parcel.results)
         try:
-            reply = await self._directory.async_ask(chunk, LotResult(chunk, sent))
+            # The giver first: this VM may be a stale owner of the chunk that was not told yet,
+            # and would take the results to itself, where their commit is refused.
+            giver = self.givers.get(chunk)
+            reply = await self._directory.async_ask(chunk, LotResult(chunk, sent), giver)
         finally:
             parcel.sending = False
         # An owner that lost the answer gets all again and ignores what it has; one that changed
--- a/goldcreststair/components/batch/steward.py
+++ b/goldcreststair/components/batch/steward.py
@@ -63,6 +63,7 @@
         self.online_in_flight = 0
         """Online requests of this VM at the upstream."""
         self._pulling = False
+        self._suspect_turn = False
         self._blocked_until = Millis(0)
         self._suspect_lost_at: Millis | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -87,7 +88,11 @@
         self._enforce()
         if self._core.clock.now() < self._blocked_until:
             return
-        while self.paused and len(self.running) < self._limit:
+        # Nothing starts beside a suspect: a poison item among the new ones would crash the engine
+        # in its place, and an innocent would be quarantined (14 of 200 beside four poison items).
+        if self._is_proving():
+            return
+        while self.paused and len(self.running) < self._limit and not self._is_proving():
             self._start(self.paused.pop(0))
         if pull and not self._pulling and self._limit > len(self.running):
             self._pulling = True
@@ -110,6 +115,9 @@
     def _limit(self) -> int:
         return max(0, self.allowance.limit - self.online_in_flight)
 
+    def _is_proving(self) -> bool:
+        return any(stream.item.suspect for stream in self.running)
+
     def _enforce(self) -> None:
         # Youngest first: it has the least prefill and text to lose.
         while len(self.running) > self._limit:
@@ -127,7 +135,10 @@
 
     async def _async_pull(self, free: int) -> None:
         try:
-            suspect_wanted = not any(stream.item.suspect for stream in self.running)
+            # Every other pull, so that suspects never hold the rest up.
+            self._suspect_turn = not self._suspect_turn
+            started = all(stream.last_index >= 0 for stream in self.running)
+            suspect_wanted = self._suspect_turn and started
             for model in self.upstream.models:
                 limit = min(free, LOT_ITEMS)
                 request = LotRequest(model, limit, suspect_wanted)
@@ -135,7 +146,7 @@
                 for item in items:
                     self._start(ItemStream(item, self._core.clock, self._core.clock.now()))
                 free -= len(items)
-                if free <= 0:
+                if free <= 0 or self._is_proving():
                     return
         finally:
             self._pulling = False
@@ -177,8 +188,7 @@
         # A crash beside a known suspect is held to be the suspect's: the others run again
         # without a mark, or one poison item would put every neighbour under suspicion each time.
         recent = self._suspect_lost_at is not None and now - self._suspect_lost_at < CRASH_WINDOW_MS
-        beside = any(other.item.suspect for other in self.running)
-        return Verdict.BYSTANDER if recent or beside else Verdict.CRASHED
+        return Verdict.BYSTANDER if recent or self._is_proving() else Verdict.CRASHED
 
     def _report(self, item: LotItem, verdict: Verdict, status: int = 0, body: bytes = b"") -> None:
         self._outbox.put(item.chunk, ItemResult(item.index, verdict, status, body))
--- a/goldcreststair/components/batch/stewards.py
+++ b/goldcreststair/components/batch/stewards.py
@@ -134,6 +134,7 @@
             self._adverts.pop((request.model, owner), None)
             return []
         items: list[LotItem] = answer.ok_value.items
+        self._outbox.givers.update({item.chunk: owner for item in items})
         return items
 
     def _follow(self, wanted: dict[str, Upstream]) -> None:
@@ -163,11 +164,13 @@
         for steward in self.by_name.values():
             for chunk, indexes in steward.list_held().items():
                 held[chunk] = held.get(chunk, []) + indexes
+        self._outbox.forget(held)
         for chunk, indexes in held.items():
             self._spawn(self._async_renew(chunk, indexes))
 
     async def _async_renew(self, chunk: str, indexes: list[int]) -> None:
-        reply = await self._directory.async_ask(chunk, LotRenewal(chunk, indexes))
+        giver = self._outbox.givers.get(chunk)
+        reply = await self._directory.async_ask(chunk, LotRenewal(chunk, indexes), giver)
         if reply.status == ReplyStatus.MISSING:
             self.stop_chunk(chunk)
 
--- /dev/null
+++ b/tests/components/batch/test_controllers.py
@@ -0,0 +1,120 @@
+"""Decisions of single chunks, the order between jobs and the allowance."""
+
+from typing import Any, cast
+
+import pytest
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
+from goldcreststair.components.batch.chunks import Chunk
+from goldcreststair.components.batch.models import ChunkRecord, Item, ItemState
+from goldcreststair.components.batch.order import ChunkFacts, FairOrder
+from goldcreststair.upstreams.models import LoadReport
+from goldcreststair.wire.generated.batch.ttypes import ItemResult, Verdict
+from tests.helpers.virtual_time import ManualClock
+
+DONE, REJECTED, FAILED = Verdict.DONE, Verdict.REJECTED, Verdict.FAILED
+CRASHED, BYSTANDER, NOT_RUN = Verdict.CRASHED, Verdict.BYSTANDER, Verdict.NOT_RUN
+
+
+def make_chunk(count: int = 1) -> Chunk:
+    states = ItemState.UNDONE * count
+    record = ChunkRecord("j", "f", 0, "acme", "o", ("small",), 0, 0, states)
+    items = [Item(f"i{n}", "/v1/completions", "small", "{}") for n in range(count)]
+    return Chunk("chunk/j/f/0", cast(Any, None), record, active=True, items=items)
+
+
+@pytest.mark.parametrize(
+    ("verdicts", "state"),
+    [
+        ((DONE,), ItemState.DONE),
+        ((DONE, REJECTED), ItemState.DONE),
+        ((REJECTED, DONE), ItemState.FAILED),
+        ((FAILED, FAILED), None),
+        ((FAILED, FAILED, FAILED), ItemState.FAILED),
+        ((FAILED, FAILED, DONE), ItemState.DONE),
+        ((CRASHED, CRASHED), None),
+        ((CRASHED, CRASHED, CRASHED), ItemState.QUARANTINED),
+        ((CRASHED, BYSTANDER, CRASHED, BYSTANDER), None),
+        ((NOT_RUN,) * 10, None),
+    ],
+)
+def test_item_ends_in_one_state(verdicts: tuple[int, ...], state: ItemState | None) -> None:
+    chunk = make_chunk()
+    for verdict in verdicts:
+        chunk.lease([0], "vm1", Millis(0))
+        chunk.accept("vm1", ItemResult(0, verdict, 200, b""), Millis(0))
+    ended = chunk.finished[0].state if chunk.finished else None
+    assert ended is state
+
+
+def test_late_completion_after_cancel_changes_nothing() -> None:
+    chunk = make_chunk(2)
+    chunk.lease([0, 1], "vm1", Millis(0))
+    chunk.accept("vm1", ItemResult(0, DONE, 200, b""), Millis(0))
+    assert chunk.cancel() == ["vm1"]
+    chunk.accept("vm1", ItemResult(1, DONE, 200, b""), Millis(0))
+    assert chunk.make_record([0, 1], "").states == "dc"
+
+
+def test_failure_told_by_a_lapsed_holder_does_not_count() -> None:
+    chunk = make_chunk()
+    for _ in range(5):
+        chunk.lease([0], "vm1", Millis(0))
+        chunk.lapse(Millis(20_000))
+        chunk.accept("vm1", ItemResult(0, FAILED, 0, b""), Millis(20_000))
+    assert not chunk.finished and not chunk.tries
+
+
+def test_order_is_fair_between_customers_and_by_laxity_within_one() -> None:
+    order = FairOrder()
+    chunks = [
+        ChunkFacts("late", "acme", 1000, 100),
+        ChunkFacts("soon", "acme", 500, 100),
+        ChunkFacts("other", "small", 9000, 100),
+    ]
+    order.charge("acme", 10, 2.0)
+    order.charge("small", 4, 1.0)
+    assert [fact.key for fact in order.rank(chunks, 0)] == ["other", "soon", "late"]
+    order.charge("small", 4, 1.0)
+    assert [fact.key for fact in order.rank(chunks, 0)] == ["soon", "late", "other"]
+
+
+def test_absent_customer_saves_up_no_claim() -> None:
+    order = FairOrder()
+    acme, back = ChunkFacts("a", "acme", 0, 1), ChunkFacts("b", "back", 0, 1)
+    order.rank([acme], 0)
+    order.charge("acme", 1000, 1.0)
+    order.rank([acme, back], 0)
+    order.charge("back", 1, 1.0)
+    assert order.rank([acme, back], 0)[0].key == "a"
+
+
+def test_allowance_cuts_at_once_and_rises_after_quiet() -> None:
+    clock = ManualClock()
+    parameters = AllowanceParameters(quiet_ms=300, cut_share=0.5, cut_every_ms=100)
+    allowance = AllowanceController(clock, parameters)
+    for _ in range(10):
+        allowance.tick(allowance.limit)
+        clock.advance(100)
+    before = allowance.limit
+    for _ in range(5):
+        allowance.cut(before)
+    assert allowance.limit == before // 2
+    allowance.tick(allowance.limit)
+    assert allowance.limit == before // 2
+    clock.advance(300)
+    allowance.tick(allowance.limit)
+    assert allowance.limit > before // 2
+
+
+def test_allowance_leaves_room_once_a_queue_was_seen_twice() -> None:
+    clock = ManualClock()
+    allowance = AllowanceController(clock, AllowanceParameters(slot_headroom=0.25))
+    for sequence in range(1, 20):
+        report = LoadReport(sequence, 40, 0, 0, 1000, False, ())
+        allowance.observe_load(report, allowance.limit)
+        allowance.tick(allowance.limit)
+    for sequence in (20, 21):
+        allowance.observe_load(LoadReport(sequence, 40, 5, 0, 1000, False, ()), 40)
+    assert allowance.limit <= 30
