--- a/goldcreststair/components/batch/jobs.py
+++ b/goldcreststair/components/batch/jobs.py
@@ -13,6 +13,7 @@
 from goldcreststair.components.batch.models import (
     STATE_NAMES,
     ChunkRecord,
+    IndexEntry,
     ItemState,
     JobProgress,
     Manifest,
@@ -21,6 +22,7 @@
 from goldcreststair.components.batch.objects import async_get_object
 from goldcreststair.components.batch.records import (
     decode_chunk,
+    decode_index,
     decode_items,
     decode_results,
     list_chunk_keys,
@@ -87,8 +89,8 @@
         reply = await self._directory.async_ask(prefix, request)
         if reply.status != ReplyStatus.OK:
             return Err(BatchError("the list's owner cannot be reached"))
-        ids = [job for job in (reply.value or b"").decode().split("\n") if job]
-        found = await async_map(lambda job: async_read_manifest(self._directory, job), ids)
+        entries = [decode_index(value) for value in (reply.value or b"").split(b"\n") if value]
+        found = await async_map(self._async_read_entry, entries)
         manifests = []
         for outcome in found:
             if isinstance(outcome, Err):
@@ -153,6 +155,9 @@
         else:
             self._directory.post(owner, JobChanged(job))
 
+    async def _async_read_entry(self, entry: IndexEntry) -> Result[Manifest | None, BatchError]:
+        return await async_read_manifest(self._directory, entry.job)
+
     async def _async_read_chunk(self, key: str) -> Result[ChunkRecord, BatchError]:
         reply = await self._directory.async_ask(key, RecordGet(key, key))
         if reply.status == ReplyStatus.OK:
--- a/goldcreststair/components/batch/models.py
+++ b/goldcreststair/components/batch/models.py
@@ -35,6 +35,14 @@
     cancelled: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class IndexEntry:
+    """One job in its customer's list."""
+
+    job: str
+    due_s: int
+
+
 @dataclass(frozen=True, slots=True)
 class ChunkRecord:
     """A chunk as committed: its items' states and where its results are."""
--- a/goldcreststair/components/batch/records.py
+++ b/goldcreststair/components/batch/records.py
@@ -5,10 +5,17 @@
 
 import orjson
 
-from goldcreststair.components.batch.models import ChunkRecord, Item, Manifest, ResultLine
+from goldcreststair.components.batch.models import (
+    ChunkRecord,
+    IndexEntry,
+    Item,
+    Manifest,
+    ResultLine,
+)
 
 PREFIX_JOB = "job/"
 PREFIX_CHUNK = "chunk/"
+PREFIX_INDEX = "batch-index/"
 
 
 def make_job_key(job: str) -> str:
@@ -29,7 +36,7 @@
 
 def make_index_key(customer: str) -> str:
     """Return the key whose partition lists a customer's jobs."""
-    return f"batch-index/{customer}/"
+    return f"{PREFIX_INDEX}{customer}/"
 
 
 def list_chunk_keys(manifest: Manifest) -> list[str]:
@@ -40,7 +47,7 @@
     ]
 
 
-def encode_record(record: Manifest | ChunkRecord) -> bytes:
+def encode_record(record: Manifest | ChunkRecord | IndexEntry) -> bytes:
     """Return a record as JSON."""
     return orjson.dumps(record)
 
@@ -50,6 +57,11 @@
     return Manifest(**orjson.loads(value))
 
 
+def decode_index(value: bytes) -> IndexEntry:
+    """Return an entry of a customer's list from JSON."""
+    return IndexEntry(**orjson.loads(value))
+
+
 def decode_chunk(value: bytes) -> ChunkRecord:
     """Return a chunk record from JSON."""
     record = ChunkRecord(**orjson.loads(value))
--- a/goldcreststair/components/batch/service.py
+++ b/goldcreststair/components/batch/service.py
@@ -25,6 +25,7 @@
 )
 from goldcreststair.components.batch.stewards import MakeAllowance, Stewards, make_upstream_key
 from goldcreststair.components.batch.submission import Submission, SubmitOptions
+from goldcreststair.components.batch.sweeper import Sweeper
 from goldcreststair.components.configuration.models import CONFIGURATION
 from goldcreststair.components.ledger.protocols import (
     LEDGER,
@@ -73,11 +74,14 @@
         self.directory = Directory(core)
         self.keeper = ChunkKeeper(core, self.directory, self._calendar)
         self.stewards = Stewards(core, self.directory, make_allowance)
+        self._sweeper = Sweeper(core, self._calendar)
         self.jobs = Jobs(core, self.directory)
         self._ticking: asyncio.Task[None] | None = None
+        self._sweeping: asyncio.Task[None] | None = None
         self._advertised_at = 0
         self._register()
         self._ledger.watch(self.keeper.on_gained, self.keeper.on_lost)
+        self._ledger.watch(self._sweeper.on_gained, self._sweeper.on_lost)
         self._unsubscribe = core.blackboard.subscribe(ONLINE_PRESSURE, self.stewards.take_pressure)
 
     async def async_start(self) -> None:
@@ -91,6 +95,9 @@
             self._ticking.cancel()
             await asyncio.gather(self._ticking, return_exceptions=True)
             self._ticking = None
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+            await asyncio.gather(self._sweeping, return_exceptions=True)
         await self.stewards.async_close()
         await self.keeper.async_close()
 
@@ -122,10 +129,15 @@
                 self.keeper.tick()
                 self.stewards.tick()
                 self._advertise()
+                self._sweep()
             except Exception:
                 # One bad record must not stop all batch work of this VM.
                 _LOGGER.exception("Batch tick failed")
 
+    def _sweep(self) -> None:
+        if self._sweeping is None or self._sweeping.done():
+            self._sweeping = asyncio.ensure_future(self._sweeper.async_sweep())
+
     def _advertise(self) -> None:
         now = self._core.clock.now()
         if now - self._advertised_at < ADVERT_MS:
--- a/goldcreststair/components/batch/submission.py
+++ b/goldcreststair/components/batch/submission.py
@@ -11,7 +11,13 @@
 from goldcreststair.components.batch.directory import Directory
 from goldcreststair.components.batch.errors import BatchError, BatchProblem
 from goldcreststair.components.batch.fan_out import async_map
-from goldcreststair.components.batch.models import ChunkRecord, Item, ItemState, Manifest
+from goldcreststair.components.batch.models import (
+    ChunkRecord,
+    IndexEntry,
+    Item,
+    ItemState,
+    Manifest,
+)
 from goldcreststair.components.batch.objects import async_put_object
 from goldcreststair.components.batch.parsing import Defaults, LineSplitter, parse_line
 from goldcreststair.components.batch.records import (
@@ -162,7 +168,8 @@
 
     async def _async_commit_manifest(self, manifest: Manifest) -> Result[Manifest, BatchError]:
         partition = make_index_key(manifest.customer)
-        entry = RecordPut(partition, f"{partition}{self.job}", self.job.encode())
+        value = encode_record(IndexEntry(self.job, manifest.due_s))
+        entry = RecordPut(partition, f"{partition}{self.job}", value)
         indexed = await self._directory.async_ask(partition, entry)
         if indexed.status != ReplyStatus.OK:
             return Err(BatchError("the store cannot be reached", job=self.job))
--- a/tests/components/batch/test_failures.py
+++ b/tests/components/batch/test_failures.py
@@ -362,5 +362,8 @@
         await fleet.clock.async_sleep(30_000)
         assert not fleet.list_records(manifest.job)
         assert not fleet.platform.objects
+        fleet.calendar.seconds += 24 * 3600
+        await fleet.clock.async_sleep(70_000)
+        assert not any(fleet.world.records)
 
     run(story)
