Tell the onset of a burst before anything queues, and pull at each end

Change: VMs hint when requests in flight at an upstream grow by 10 past twice the least of the last second; only cuts cancel streams, the room merely stops new ones; a stream's end pulls at once.

--- a/goldcreststair/components/batch/allowance.py
+++ b/goldcreststair/components/batch/allowance.py
@@ -16,22 +16,24 @@
 class AllowanceParameters:
     """What shapes the rise and the cut; the defaults are measured (docs/measurements/batch.md)."""
 
-    quiet_ms: int = 300
+    quiet_ms: int = 100
     """Time without a sign of pressure before the allowance rises."""
-    raise_share: float = 0.3
+    raise_share: float = 1.0
     """Growth a tick far below the upstream's room, as a share of the allowance."""
-    fast_below: float = 0.6
+    fast_below: float = 0.8
     """Share of the upstream's room below which the allowance grows so fast."""
-    cut_share: float = 0.5
+    cut_share: float = 0.4
     """What a hint leaves of the running streams."""
-    cut_every_ms: int = 100
+    cut_every_ms: int = 400
     """Shortest time between two cuts."""
     kv_headroom: float = 0.15
     """Share of KV memory kept free for online work."""
-    slot_headroom: float = 0.2
+    slot_headroom: float = 0.1
     """Share of the streams at which a queue was seen that is kept free."""
     full_share: float = 0.7
     """A hint with this share of the peak running in batch means that the upstream was full."""
+    others_weight: float = 1.0
+    """Slots kept for each stream of others."""
     report_lag_ms: int = 1000
     """Assumed age of a load report."""
     first_token_ms: int = 200
@@ -60,15 +62,23 @@
 
     @property
     def limit(self) -> int:
-        """Streams that may run now."""
+        """Streams up to which new ones may start."""
         return max(0, int(min(self._allowance, self._room)))
 
+    @property
+    def bound(self) -> int:
+        """Streams that may go on; those above it are cancelled."""
+        # Without the room: it follows reports of others' streams that are a second old, and
+        # cancelling at each swing would prefill the same items over and over.
+        return int(self._allowance)
+
     @property
     def _room(self) -> float:
         # Unbounded, the allowance would outrun reports that are a second old and fill the
         # upstream's queue, where online work then stands behind batch.
         free = self._peak * (1 - self._parameters.slot_headroom)
-        return (free if self._queue_seen else self._peak + PROBE) - self._others
+        whole = free if self._queue_seen else self._peak + PROBE
+        return whole - self._others * self._parameters.others_weight
 
     def cut(self, running: int) -> None:
         """Take a yield hint; hints that come together cut once."""
--- a/goldcreststair/components/batch/steward.py
+++ b/goldcreststair/components/batch/steward.py
@@ -63,6 +63,7 @@
         self.online_in_flight = 0
         """Online requests of this VM at the upstream."""
         self._pulling = False
+        self._may_pull = False
         self._suspect_turn = False
         self._blocked_until = Millis(0)
         self._suspect_lost_at: Millis | None = None
@@ -94,7 +95,16 @@
             return
         while self.paused and len(self.running) < self._limit and not self._is_proving():
             self._start(self.paused.pop(0))
-        if pull and not self._pulling and self._limit > len(self.running):
+        self._may_pull = pull
+        self._pull()
+
+    def _pull(self) -> None:
+        """Ask for items if there is room and nothing forbids new ones."""
+        if not self._may_pull or self._core.clock.now() < self._blocked_until:
+            return
+        if self.paused or self._is_proving() or self._pulling:
+            return
+        if self._limit > len(self.running):
             self._pulling = True
             self._spawn(self._async_pull(self._limit - len(self.running)))
 
@@ -120,7 +130,7 @@
 
     def _enforce(self) -> None:
         # Youngest first: it has the least prefill and text to lose.
-        while len(self.running) > self._limit:
+        while len(self.running) > self.allowance.bound:
             self._pause(self.running[-1])
 
     def _pause(self, stream: ItemStream) -> None:
@@ -168,6 +178,7 @@
         else:
             error = outcome.err_value
             self._report(stream.item, verdict, error.status, error.body)
+        self._pull()
 
     def _observe_first_token(self, wait_ms: int) -> None:
         self.allowance.observe_first_token(wait_ms, len(self.running))
--- a/goldcreststair/components/batch/stewards.py
+++ b/goldcreststair/components/batch/stewards.py
@@ -10,6 +10,7 @@
 from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
 from goldcreststair.components.batch.const import ADVERT_LIFETIME_MS, LOAD_REPORT_MS, RENEW_MS
 from goldcreststair.components.batch.directory import Directory
+from goldcreststair.components.batch.onset import OnsetDetector
 from goldcreststair.components.batch.outbox import Outbox
 from goldcreststair.components.batch.steward import Steward
 from goldcreststair.components.configuration.models import CONFIGURATION
@@ -50,6 +51,7 @@
         self._adverts: dict[tuple[str, str], tuple[int, Millis]] = {}
         """(model, owner) to the items it has and when it said so."""
         self._next_load: dict[str, int] = {}
+        self._onsets: dict[str, OnsetDetector] = {}
         self._renewed_at = Millis(0)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -98,12 +100,13 @@
             steward.take_hint()
 
     def take_pressure(self, pressure: OnlinePressure) -> None:
-        """Hint the stewards of all upstreams where this VM's online work queues."""
+        """Hint the stewards of upstreams where this VM's online work queues or soon will."""
         for name, steward in self.by_name.items():
             own = pressure.by_upstream.get(name)
             steward.online_in_flight = own.in_flight if own else 0
         for name, met in pressure.by_upstream.items():
-            if met.queue_ms <= 0:
+            onset = self._onsets.setdefault(name, OnsetDetector(self._core.clock))
+            if not onset.observe(met.in_flight) and met.queue_ms <= 0:
                 continue
             hint = YieldHint(name, met.queue_ms)
             if name in self.by_name:
--- a/standins/measure/batch.py
+++ b/standins/measure/batch.py
@@ -58,6 +58,11 @@
         """The share."""
         return self._share
 
+    @property
+    def bound(self) -> int:
+        """The share."""
+        return self._share
+
 
 @dataclass(slots=True)
 class Online:
@@ -66,7 +71,8 @@
     fleet: BatchFleet
     seed: int
     waits_ms: list[int] = field(default_factory=list)
-    in_flight: int = 0
+    in_flight: dict[str, int] = field(default_factory=dict)
+    queue_ms: dict[str, int] = field(default_factory=dict)
     late: dict[str, int] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
     writers: dict[str, Callable[[OnlinePressure], None]] = field(default_factory=dict)
@@ -102,21 +108,30 @@
         wait = FirstTokenWait(self.fleet.clock)
         timer = self.fleet.clock.call_later(IDLE_FIRST_TOKEN_MS, lambda: self._press(vm))
         wait.on_first = timer.cancel
+        self._count(vm, 1)
         await core.upstreams.engines.async_generate(upstream, call, wait)
+        self._count(vm, -1)
         self.waits_ms.append(wait.wait_ms)
 
+    def _count(self, vm: str, change: int) -> None:
+        self.in_flight[vm] = self.in_flight.get(vm, 0) + change
+        self._write(vm)
+
     def _press(self, vm: str) -> None:
         self.late[vm] = self.late.get(vm, 0) + 1
         count = self.late[vm]
-        self._write(vm, UpstreamPressure(0, IDLE_FIRST_TOKEN_MS + count))
+        self.queue_ms[vm] = IDLE_FIRST_TOKEN_MS + count
+        self._write(vm)
         self.fleet.clock.call_later(PRESSURE_MS, lambda: self._relax(vm, count))
 
     def _relax(self, vm: str, count: int) -> None:
         if self.late[vm] == count:
-            self._write(vm, UpstreamPressure(0, 0))
+            self.queue_ms[vm] = 0
+            self._write(vm)
 
-    def _write(self, vm: str, pressure: UpstreamPressure) -> None:
-        self.writers[vm](OnlinePressure(0, {"e1": pressure}))
+    def _write(self, vm: str) -> None:
+        met = UpstreamPressure(self.in_flight.get(vm, 0), self.queue_ms.get(vm, 0))
+        self.writers[vm](OnlinePressure(met.in_flight, {"e1": met}))
 
 
 class FirstTokenWait:
@@ -146,12 +161,15 @@
     p50_ms: float
     p99_ms: float
     yield_ms: float
-    """Median time from a cut to the engine's last batch stream above the allowance stopping."""
+    """Median time from a burst's start to the last batch stream above the first cut stopping."""
     commits_per_1000: float
 
 
 async def async_measure(
-    policy: str, seconds: int, make_allowance: Callable[[Clock], AllowanceController] | None
+    policy: str,
+    seconds: int,
+    make_allowance: Callable[[Clock], AllowanceController] | None,
+    seed: int = 7,
 ) -> Figures:
     """Run one policy."""
     fleet = BatchFleet(vms=3)
@@ -159,7 +177,7 @@
         fleet.make_allowance = lambda: make_allowance(fleet.clock)
     await fleet.async_start()
     fleet.upstreams.unreachable.add(_upstream(fleet, "e2").address)
-    online = Online(fleet, seed=7)
+    online = Online(fleet, seed)
     online.open()
     job = ""
     if make_allowance is not None:
@@ -174,19 +192,23 @@
     done, committed = _count_done(fleet, job) - before, _count_commits(fleet) - commits
     await asyncio.gather(*online.tasks)
     await fleet.async_close()
-    waits = sorted(online.waits_ms)
-    return Figures(
-        policy,
-        done / seconds,
-        statistics.median(waits),
-        waits[int(len(waits) * 0.99)],
-        statistics.median(yields.delays_ms) if yields.delays_ms else 0.0,
-        committed * 1000 / done if done else 0.0,
+    return make_figures(
+        policy, online.waits_ms, yields.delays_ms, done / seconds, committed / done if done else 0.0
     )
 
 
+def make_figures(
+    policy: str, waits_ms: list[int], delays_ms: list[int], rate: float, commits: float
+) -> Figures:
+    """Return the figures of one run."""
+    waits = sorted(waits_ms)
+    p99 = waits[int(len(waits) * 0.99)]
+    delay = statistics.median(delays_ms) if delays_ms and rate else 0.0
+    return Figures(policy, rate, statistics.median(waits), p99, delay, commits * 1000)
+
+
 class YieldWatch:
-    """Times how long batch streams stay at the engine once the allowance was cut."""
+    """Times, for each burst, its start to the last batch stream above the first cut stopping."""
 
     def __init__(self, fleet: BatchFleet) -> None:
         """Watch a fleet's only engine."""
@@ -196,20 +218,29 @@
     async def async_run(self) -> None:
         """Poll each millisecond until cancelled."""
         clock = self._fleet.clock
-        engine = self._fleet.engines["e1"]
-        since: int | None = None
-        previous = 0
+        start, seen, cut, previous = clock.now(), -1, False, 0
         while True:
             await clock.async_sleep(1)
-            held = [s for service in self._fleet.services.values() for s in _stewards(service)]
-            limit = sum(steward.allowance.limit for steward in held)
-            batch = sum(1 for g in engine._running if g.request_id.startswith("batch-"))
-            if since is None and limit < previous // 2 and batch:
-                since = clock.now()
-            if since is not None and batch <= limit:
-                self.delays_ms.append(clock.now() - since)
-                since = None
-            previous = limit
+            elapsed = clock.now() - start
+            burst, phase = divmod(elapsed, BURST_EVERY_S * 1000)
+            into = phase - (BURST_EVERY_S - BURST_S) * 1000
+            bound = self._count_bound()
+            if into < 0 or burst == seen:
+                cut, previous = False, bound
+                continue
+            cut = cut or bound < previous * 2 // 3
+            previous = bound
+            if cut and self._count_streams() <= bound:
+                self.delays_ms.append(into)
+                seen = burst
+
+    def _count_bound(self) -> int:
+        held = [s for service in self._fleet.services.values() for s in _stewards(service)]
+        return sum(steward.allowance.bound for steward in held)
+
+    def _count_streams(self) -> int:
+        running = self._fleet.engines["e1"]._running
+        return sum(1 for one in running if one.request_id.startswith("batch-"))
 
 
 def _stewards(service: BatchService) -> list[Steward]:
@@ -235,7 +266,7 @@
 
 
 @app.default
-def run(seconds: int = 60) -> None:
+def run(seconds: int = 120, seed: int = 7) -> None:
     """Measure all policies over the same arrivals, `seconds` of virtual time each."""
     policies: dict[str, Callable[[Clock], AllowanceController] | None] = {
         "0 no batch": None,
@@ -244,7 +275,7 @@
         "c allowance": lambda clock: AllowanceController(clock, AllowanceParameters()),
     }
     for policy, make_allowance in policies.items():
-        figures = run_virtual(async_measure(policy, seconds, make_allowance))
+        figures = run_virtual(async_measure(policy, seconds, make_allowance, seed))
         print(
             f"{figures.policy:18} {figures.items_per_s:6.1f} items/s  "
             f"p50 {figures.p50_ms:4.0f} ms  p99 {figures.p99_ms:5.0f} ms  "
--- a/tests/components/batch/test_controllers.py
+++ b/tests/components/batch/test_controllers.py
@@ -8,6 +8,7 @@
 from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
 from goldcreststair.components.batch.chunks import Chunk
 from goldcreststair.components.batch.models import ChunkRecord, Item, ItemState
+from goldcreststair.components.batch.onset import OnsetDetector
 from goldcreststair.components.batch.order import ChunkFacts, FairOrder
 from goldcreststair.upstreams.models import LoadReport
 from goldcreststair.wire.generated.batch.ttypes import ItemResult, Verdict
@@ -118,3 +119,19 @@
     for sequence in (20, 21):
         allowance.observe_load(LoadReport(sequence, 40, 5, 0, 1000, False, ()), 40)
     assert allowance.limit <= 30
+
+
+@pytest.mark.parametrize(
+    ("counts", "told"),
+    [([0, 3, 6, 9], 0), ([2] * 5, 0), ([1, 4, 8, 12, 16], 1), ([20, 28, 36], 0)],
+)
+def test_onset_is_told_once_when_work_in_flight_grows(counts: list[int], told: int) -> None:
+    clock = ManualClock()
+    detector = OnsetDetector(clock)
+    detector.observe(counts[0])
+    clock.advance(2000)
+    answers = []
+    for count in counts:
+        answers.append(detector.observe(count))
+        clock.advance(20)
+    assert sum(answers) == told
--- a/tests/components/batch/test_failures.py
+++ b/tests/components/batch/test_failures.py
@@ -88,13 +88,18 @@
     """
 
     async def story(fleet: BatchFleet) -> None:
-        manifest = (await fleet.async_submit(make_lines(200, tokens=40))).unwrap()
+        manifest = (await fleet.async_submit(make_lines(700, tokens=40))).unwrap()
         await fleet.clock.async_sleep(1500)
         victim = fleet.find_steward("e1")
-        assert fleet.services[victim].stewards.by_name["e1"].running
         await fleet.async_kill(victim)
+        assert any(
+            lease.holder == victim
+            for service in fleet.services.values()
+            for chunk in service.keeper.chunks.values()
+            for lease in chunk.leases.values()
+        )
         await fleet.async_wait(manifest.job)
-        assert (await fleet.async_check(manifest.job))["done"] == 200
+        assert (await fleet.async_check(manifest.job))["done"] == 700
 
     run(story)
 
@@ -316,7 +321,7 @@
     async def story(fleet: BatchFleet) -> None:
         manifest = (await fleet.async_submit(make_lines(300))).unwrap()
         for _ in range(20):
-            fleet.network.lose_answers = 3
+            fleet.network.lose_answers = 1000
             await fleet.clock.async_sleep(200)
         fleet.network.lose_answers = 0
         await fleet.async_wait(manifest.job)
