--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -15,19 +15,28 @@
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.clock import Clock, LoopClock
 from goldcreststair.components import (
+    batch,
     caller_api,
+    claims,
     configuration,
+    explain,
     keys,
+    ledger,
     limits,
+    membership,
     online,
     operator_api,
+    peers,
+    quarantine,
     routing,
+    service_level,
 )
 from goldcreststair.core import Component, Core
 from goldcreststair.journal import Journal
 from goldcreststair.platform.http import create_platform
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import create_statistics
+from goldcreststair.transport import TcpTransport
 from goldcreststair.upstreams.http import create_upstream_clients
 
 _LOGGER = logging.getLogger(__name__)
@@ -37,11 +46,19 @@
 MAX_BODY_BYTES: Final = 512 * 1024 * 1024
 
 COMPONENTS: Final[tuple[Setup, ...]] = (
+    peers.async_setup,
+    membership.async_setup,
     configuration.async_setup,
     keys.async_setup,
+    ledger.async_setup,
+    claims.async_setup,
     limits.async_setup,
+    service_level.async_setup,
+    quarantine.async_setup,
     routing.async_setup,
     online.async_setup,
+    batch.async_setup,
+    explain.async_setup,
     caller_api.async_setup,
     operator_api.async_setup,
 )
@@ -60,6 +77,7 @@
         statistics=create_statistics(settings.statsd_address),
         platform=create_platform(settings.platform_url),
         upstreams=create_upstream_clients(),
+        transport=TcpTransport(),
         session_id=secrets.token_hex(8),
     )
 
--- a/goldcreststair/cli/__init__.py
+++ b/goldcreststair/cli/__init__.py
@@ -1,1 +1,1 @@
-"""The operators' and callers' command line."""
+"""The operators' and batch callers' command line: `goldcreststair`."""
--- a/standins/measure/__init__.py
+++ b/standins/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements on stand-ins, in process on virtual time."""
+"""Measurements; each module is one name of `script/measure`."""
