--- a/goldcreststair/components/ledger/controller.py
+++ b/goldcreststair/components/ledger/controller.py
@@ -19,7 +19,7 @@
 )
 from goldcreststair.components.ledger.heads import HeadTable, Swapped
 from goldcreststair.components.ledger.loader import Loaded, async_load
-from goldcreststair.components.ledger.models import Head, StoredHead
+from goldcreststair.components.ledger.models import LEDGER_STATE, Head, LedgerState, StoredHead
 from goldcreststair.components.ledger.pacing import Backoff, Pacer, elapsed
 from goldcreststair.components.ledger.partition import OwnedPartition, Tools
 from goldcreststair.components.ledger.protocols import Partition
@@ -55,6 +55,7 @@
         self._changing: set[asyncio.Task[None]] = set()
         self._unsubscribe: Callable[[], None] = lambda: None
         self._closing = False
+        self._state = core.blackboard.open_section(LEDGER_STATE, LedgerState())
 
     async def async_start(self) -> None:
         """Follow the members and begin to claim."""
@@ -144,6 +145,8 @@
             self._share_budget()
             self._release_unwanted()
             more = await self._async_claim_wanted()
+            if not more and not self._busy:
+                self._state.write(LedgerState(settled=True))
             await self._core.clock.async_sleep(CLAIM_PAUSE_MS if more else SWEEP_INTERVAL_MS)
 
     def _is_wanted(self, index: int) -> bool:
--- a/goldcreststair/components/ledger/models.py
+++ b/goldcreststair/components/ledger/models.py
@@ -1,7 +1,9 @@
 """What the ledger keeps."""
 
 from dataclasses import dataclass
+from typing import Final
 
+from goldcreststair.blackboard import SectionKey
 from goldcreststair.components.ledger.protocols import Change
 
 
@@ -30,3 +32,14 @@
 
     head: Head
     version: int
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerState:
+    """How far this VM has come with its partitions."""
+
+    settled: bool = False
+    """Whether it has once claimed all it may claim, or found that the store does not answer."""
+
+
+LEDGER_STATE: Final = SectionKey[LedgerState]("ledger_state")
--- a/standins/measure/limit_fleet.py
+++ b/standins/measure/limit_fleet.py
@@ -85,6 +85,13 @@
         """Return the last known owner."""
         return self._store.owners.get(index)
 
+    def learn_owner(self, index: int, session: str) -> None:
+        """Do nothing: the last known owner is always the right one here."""
+
+    async def async_read_owner(self, index: int) -> str | None:
+        """Return the owner."""
+        return self._store.owners.get(index)
+
     def watch(self, on_gained: Callable[[Partition], None], on_lost: Callable[[int], None]) -> None:
         """Call back at a gain."""
         self._on_gained.append(on_gained)
--- a/tests/components/shutdown/test_service.py
+++ b/tests/components/shutdown/test_service.py
@@ -4,9 +4,12 @@
 from dataclasses import dataclass, field
 
 import pytest
+from result import Ok
 
-from goldcreststair.components import shutdown
+from goldcreststair.components import ledger, limits, shutdown
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
+from goldcreststair.components.configuration.models import CONFIGURATION
+from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.membership.models import MemberState
 from goldcreststair.components.shutdown.const import ADDRESS_LIFETIME_MS, LIST_LAG_MS
 from goldcreststair.components.shutdown.models import SHUTDOWN, SHUTDOWN_SERVICE, LeaveReason
@@ -162,3 +165,22 @@
         assert not is_leaving(daemon)
 
     run_fleet(async_test)
+
+
+def test_vm_is_ready_only_once_its_partitions_are_claimed() -> None:
+    """A fleet starts; callers come as soon as it says that it is ready.
+
+    Its first requests were refused as rate limited: no VM was yet home of any customer's limits.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        fleet.setups = (*CONTROL, ledger.async_setup, limits.async_setup, shutdown.async_setup)
+        (daemon,) = await fleet.async_add_many(1)
+        core = daemon.core
+        follower = core.get(CONFIGURATION_FOLLOWER)
+        (await follower.async_patch(0, "p1", make_document())).unwrap()
+        await fleet.async_wait(lambda: is_ready(core), 15_000)
+        customer = core.blackboard.read(CONFIGURATION).customers["acme"]
+        assert isinstance(await core.get(LIMITS).async_admit(customer), Ok)
+
+    run_fleet(async_test)
