Count online requests against the customers' objectives

Cause: the burn report had no counts: nothing told service levels how requests fared. Change: each ended request is good, late, failed for our reasons, or the caller's own doing.

--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -15,6 +15,7 @@
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.generation import GenerationRunner
+from goldcreststair.components.online.levels import LevelObserver
 from goldcreststair.components.online.models import GenerateRequest, ServiceRequest
 from goldcreststair.components.online.pressure import PressureMeter
 from goldcreststair.components.online.stream import StreamRecorder
@@ -43,6 +44,7 @@
         self._generations = GenerationRunner(core, self._gate, self._meter)
         self._calls = ServiceRunner(core, self._gate)
         self._claimed = ClaimedRunner(core)
+        self._levels = LevelObserver(core)
         self._in_flight = 0
         self._withdrawn_runs: set[str] = set()
         self._generation_runs: dict[str, asyncio.Task[object]] = {}
@@ -123,14 +125,19 @@
     async def _async_generate(
         self, request: GenerateRequest, sink: StreamSink
     ) -> Result[GenerateEnd, Refusal]:
-        deadline_at = Millis(self._clock.now() + request.deadline_ms)
+        begun_at = self._clock.now()
+        deadline_at = Millis(begun_at + request.deadline_ms)
         admitted = await self._async_admit(request.identity)
         if isinstance(admitted, Err):
             return admitted
-        recorder = StreamRecorder(sink)
-        if not request.idempotency_key:
-            return await self._generations.async_run(request, recorder, deadline_at)
-        return await self._async_generate_claimed(request, recorder, sink, deadline_at)
+        recorder = StreamRecorder(sink, self._clock)
+        if request.idempotency_key:
+            ended = await self._async_generate_claimed(request, recorder, sink, deadline_at)
+        else:
+            ended = await self._generations.async_run(request, recorder, deadline_at)
+        customer = request.identity.customer.name
+        self._levels.observe(customer, begun_at, recorder.first_token_at, ended)
+        return ended
 
     async def _async_generate_claimed(
         self,
--- a/goldcreststair/components/online/stream.py
+++ b/goldcreststair/components/online/stream.py
@@ -2,6 +2,7 @@
 
 import orjson
 
+from goldcreststair.clock import Clock, Millis
 from goldcreststair.upstreams.models import StreamChunk
 from goldcreststair.upstreams.protocols import StreamSink
 
@@ -13,12 +14,13 @@
 class StreamRecorder:
     """Passes chunks on in order and remembers them for a resumption or a later resend."""
 
-    def __init__(self, sink: StreamSink) -> None:
+    def __init__(self, sink: StreamSink, clock: Clock) -> None:
         """Pass on to `sink`."""
+        self.first_token_at: Millis | None = None
+        self._clock = clock
         self.last_index = -1
         self.gap = False
         """Whether the present run left tokens out; nothing of it is passed on after that."""
-        self.first_token_seen = False
         self._sink = sink
         self._pieces: list[bytes] = []
 
@@ -37,10 +39,16 @@
             if not chunk.tokens:
                 return
         self.last_index = chunk.last_index
-        self.first_token_seen = True
+        if self.first_token_at is None:
+            self.first_token_at = self._clock.now()
         self._pieces.append(chunk.data)
         await self._sink.async_accept(chunk)
 
+    @property
+    def first_token_seen(self) -> bool:
+        """Whether any token was passed on."""
+        return self.first_token_at is not None
+
     def begin_run(self) -> None:
         """Forget a gap of the run before."""
         self.gap = False
--- a/tests/components/online/test_stream_recorder.py
+++ b/tests/components/online/test_stream_recorder.py
@@ -10,6 +10,7 @@
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.models import StreamChunk
 from tests.helpers.online import RecordingSink
+from tests.helpers.virtual_time import ManualClock
 
 
 def make_chunk(first: int, last: int) -> StreamChunk:
@@ -35,7 +36,7 @@
     What was already given out must not come twice; after a hole nothing may be given out.
     """
     sink = RecordingSink()
-    recorder = StreamRecorder(sink)
+    recorder = StreamRecorder(sink, ManualClock())
 
     async def async_test() -> None:
         for first, last in chunks:
