Keep the ledger's loops alive through one bad row or callback

Change: loops log and go on; watchers are called one by one behind a guard. A test of a renewed session.

--- a/goldcreststair/components/ledger/controller.py
+++ b/goldcreststair/components/ledger/controller.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import replace
-from typing import Any
+from typing import Any, TypeVar
 
 from result import Err, Ok
 
@@ -33,6 +33,17 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+T = TypeVar("T")
+
+
+def _notify(callback: Callable[[T], None], value: T) -> None:
+    # One faulty component must not hide a gain or a loss from the others.
+    try:
+        callback(value)
+    except Exception:
+        _LOGGER.exception("A watcher of the ledger failed")
+
+
 class LedgerKeeper:
     """Implements `Ledger` on the platform's table and objects."""
 
@@ -61,8 +72,8 @@
         board = self._core.blackboard
         self._unsubscribe = board.subscribe(MEMBERS, self._handle_members)
         self._handle_members(board.read(MEMBERS))
-        self._spawn(self._async_sweep_forever())
-        self._spawn(self._async_confirm_forever())
+        self._spawn(self._async_repeat(self._async_sweep))
+        self._spawn(self._async_repeat(self._async_confirm_stale))
 
     async def async_close(self) -> None:
         """Release every partition, within the drain time."""
@@ -139,12 +150,22 @@
         part = max(len(self._owned), len(self._mine), 1) / self._partitions
         self._pacer.share = self._handovers.share = part
 
-    async def _async_sweep_forever(self) -> None:
+    async def _async_repeat(self, async_step: Callable[[], Awaitable[int]]) -> None:
         while not self._closing:
-            self._share_budget()
-            self._release_unwanted()
-            more = await self._async_claim_wanted()
-            await self._core.clock.async_sleep(CLAIM_PAUSE_MS if more else SWEEP_INTERVAL_MS)
+            # A row that cannot be decoded, say of a newer version, must not end the loop: this VM
+            # would go on to serve and never again claim, release or confirm.
+            try:
+                delay_ms = await async_step()
+            except Exception:
+                _LOGGER.exception("Ledger step failed")
+                delay_ms = SWEEP_INTERVAL_MS
+            await self._core.clock.async_sleep(delay_ms)
+
+    async def _async_sweep(self) -> int:
+        self._share_budget()
+        self._release_unwanted()
+        more = await self._async_claim_wanted()
+        return CLAIM_PAUSE_MS if more else SWEEP_INTERVAL_MS
 
     def _is_wanted(self, index: int) -> bool:
         return self._wanted.find(index) == self._core.session_id
@@ -223,7 +244,7 @@
             Subject.PARTITION, str(index), "claim", "wanted here", epoch=head.epoch
         )
         for on_gained, _ in tuple(self._watchers):
-            on_gained(partition)
+            _notify(on_gained, partition)
 
     async def _async_load(self, index: int, stored: StoredHead) -> Loaded | None:
         backoff = Backoff(self._core.random)
@@ -240,10 +261,9 @@
             _LOGGER.warning("Partition %s not loaded: %s", index, loaded.err_value.message)
             await self._core.clock.async_sleep(backoff.next_ms())
 
-    async def _async_confirm_forever(self) -> None:
-        while not self._closing:
-            await self._core.clock.async_sleep(SWEEP_INTERVAL_MS)
-            await self._async_confirm(self._list_stale())
+    async def _async_confirm_stale(self) -> int:
+        await self._async_confirm(self._list_stale())
+        return SWEEP_INTERVAL_MS
 
     def _list_stale(self) -> list[OwnedPartition]:
         return [
@@ -268,7 +288,7 @@
         if self._owned.pop(index, None) is None:
             return
         for _, on_lost in tuple(self._watchers):
-            on_lost(index)
+            _notify(on_lost, index)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None], index: int | None = None) -> None:
         task = asyncio.ensure_future(coroutine)
--- a/goldcreststair/components/ledger/stage.py
+++ b/goldcreststair/components/ledger/stage.py
@@ -59,7 +59,7 @@
 
     def take_group(self, max_bytes: int, weigh: Callable[[Change], int]) -> list[Change]:
         """Mark the next commits as sent, about `max_bytes` of them, and return their changes."""
-        size = 0
+        size = self._sent = 0
         for commit in self._commits:
             if size >= max_bytes:
                 break
--- a/tests/components/ledger/test_ledger.py
+++ b/tests/components/ledger/test_ledger.py
@@ -312,3 +312,27 @@
         assert set(fleet.platform.objects) == set(decode_head(fleet.find_row(index)).head.segments)
 
     run_fleet(async_body)
+
+
+def test_a_vm_whose_session_was_renewed_goes_on() -> None:
+    """A VM was cut off so long that its session expired; it lives, and takes a new session.
+
+    Its partitions must be served by somebody all the same, with every record.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        index = find_owned(fleet, "a")
+        vm = fleet.vms["a"]
+        await vm.get_owned(index).async_commit([Change("k", b"v")], 1000)
+        vm.core.session_id = "a-1"
+        fleet.forget("a")
+        fleet.set_state("a-1", MemberState.SERVING)
+        await fleet.clock.async_sleep(20_000)
+        assert set(list_owners(fleet)) == {"a", "b"}
+        for owner, place in zip(list_owners(fleet), range(fleet.partitions), strict=True):
+            assert fleet.vms["b"].ledger.find_owner(place) == {"a": "a-1"}.get(owner, owner)
+        holder = fleet.vms[list_owners(fleet)[index]].get_owned(index)
+        assert holder.get("k") == b"v"
+        assert isinstance(await holder.async_commit([Change("k", b"w")], 1000), Ok)
+
+    run_fleet(async_body, 16)
