End what no upstream takes, and refuse models that none serves

Cause: an item of a model that nobody serves stayed undone for good, and its job's records could never be swept.

Change: refused at submit with its line; what is undone when the retention ends becomes failed. Ruled out: a bound on refusals, which a long outage of upstreams would use up.

--- a/goldcreststair/components/batch/chunks.py
+++ b/goldcreststair/components/batch/chunks.py
@@ -121,20 +121,27 @@
 
     def cancel(self) -> list[str]:
         """Stop the chunk; returns the holders to tell."""
+        return self._end_open(ItemState.CANCELLED)
+
+    def expire(self) -> list[str]:
+        """End items that were not done in all the time of the job; returns the holders to tell."""
+        return self._end_open(ItemState.FAILED)
+
+    def _end_open(self, end: ItemState) -> list[str]:
         holders = sorted({lease.holder for lease in self.leases.values()})
         self.cancelled, self.active = True, False
         self.leases.clear()
         for index, state in enumerate(self.record.states):
             if state == ItemState.UNDONE and index not in self.finished:
-                self.finished[index] = Finished(ItemState.CANCELLED, 0, b"")
+                self.finished[index] = Finished(end, 0, b"")
         return holders
 
     def make_lines(self, indexes: Sequence[int]) -> list[ResultLine]:
-        """Return the results of finished items for a result object; cancelled ones need none."""
+        """Return the results of finished items for a result object; ended ones need none."""
         return [
             self._make_line(index, self.finished[index])
             for index in indexes
-            if self.finished[index].state is not ItemState.CANCELLED
+            if self.finished[index].body or self.finished[index].status
         ]
 
     def make_record(self, indexes: Sequence[int], result_object: str) -> ChunkRecord:
--- a/goldcreststair/components/batch/jobs.py
+++ b/goldcreststair/components/batch/jobs.py
@@ -179,7 +179,7 @@
             if isinstance(content, Err):
                 return content
             by_index |= {line.index: line for line in decode_results(content.ok_value)}
-        if any(s == ItemState.CANCELLED or s == ItemState.QUARANTINED for s in record.states):
+        if len(by_index) < len(record.states) - record.undone:
             filled = await self._async_fill(record, by_index)
             if isinstance(filled, Err):
                 return filled
--- a/goldcreststair/components/batch/keeper.py
+++ b/goldcreststair/components/batch/keeper.py
@@ -261,17 +261,17 @@
                 )
                 if manifest is None or not accepted or self._is_expired(chunk):
                     await self._async_sweep(chunk, accepted=accepted)
-                elif manifest.cancelled:
-                    self._cancel(chunk)
+                elif manifest.cancelled or self._is_overdue(chunk):
+                    self._end(chunk, cancelled=manifest.cancelled)
                 else:
                     chunk.active = True
         finally:
             self._checking.discard(job)
 
-    def _cancel(self, chunk: Chunk) -> None:
+    def _end(self, chunk: Chunk, *, cancelled: bool) -> None:
         if chunk.cancelled or not chunk.record.undone:
             return
-        for holder in chunk.cancel():
+        for holder in chunk.cancel() if cancelled else chunk.expire():
             self._spawn(self._async_tell_stop(holder, chunk.key))
         if not chunk.committing:
             self._spawn_commit(chunk)
@@ -280,8 +280,12 @@
         await self._directory.async_send(holder, LotStop(key))
 
     def _is_expired(self, chunk: Chunk) -> bool:
+        return not chunk.record.undone and self._is_overdue(chunk)
+
+    def _is_overdue(self, chunk: Chunk) -> bool:
+        """Return whether a job's retention is over; what is undone then never will be done."""
         start = max(chunk.record.due_s, chunk.record.created_s)
-        return not chunk.record.undone and self._calendar.now_s() - start > RETENTION_S
+        return self._calendar.now_s() - start > RETENTION_S
 
     async def _async_sweep(self, chunk: Chunk, *, accepted: bool) -> None:
         """Remove a chunk past its retention, or one whose job was never accepted."""
--- a/goldcreststair/components/batch/submission.py
+++ b/goldcreststair/components/batch/submission.py
@@ -28,6 +28,7 @@
     make_index_key,
     make_job_key,
 )
+from goldcreststair.components.configuration.models import CONFIGURATION
 from goldcreststair.core import Core
 from goldcreststair.wire.generated.batch.ttypes import RecordGet, RecordPut, Reply, ReplyStatus
 
@@ -68,6 +69,8 @@
         self._calendar = calendar
         self._options = options
         self.job = make_job_id(options.customer, options.idempotency_key)
+        upstreams = core.blackboard.read(CONFIGURATION).upstreams.values()
+        self._models = frozenset(model for upstream in upstreams for model in upstream.models)
         self._splitter = LineSplitter()
         self._lines = 0
         self._items: list[Item] = []
@@ -111,6 +114,10 @@
             if isinstance(parsed, Err):
                 self._fail(parsed.err_value)
                 return
+            if parsed.ok_value.model not in self._models:
+                message = f"line {self._lines}: body.model: no upstream serves this model"
+                self._fail(BatchError(message, BatchProblem.BAD_LINE))
+                return
             self._items.append(parsed.ok_value)
             if len(self._items) >= CHUNK_ITEMS:
                 await self._async_store_chunk()
--- a/tests/components/batch/test_failures.py
+++ b/tests/components/batch/test_failures.py
@@ -358,6 +358,34 @@
     run(story)
 
 
+def test_items_no_upstream_takes_end_as_failed() -> None:
+    """Every engine refuses for as long as a job is kept.
+
+    Its items must not stay undone for good: they end as failed, and their records can be swept.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        for engine in fleet.engines.values():
+            engine.faults.refuse = True
+        manifest = (await fleet.async_submit(make_lines(10))).unwrap()
+        await fleet.clock.async_sleep(20_000)
+        assert [record.undone for record in fleet.list_records(manifest.job)] == [10]
+        fleet.calendar.seconds += 7 * 24 * 3600 + 3601
+        await fleet.async_wait(manifest.job, 6)
+        assert set(fleet.list_records(manifest.job)[0].states) == {"f"}
+
+    run(story)
+
+
+def test_unknown_model_is_refused_with_its_line() -> None:
+    async def story(fleet: BatchFleet) -> None:
+        line = b'{"custom_id": "x", "body": {"model": "huge", "prompt": "p"}}'
+        refused = (await fleet.async_submit([*make_lines(3), line])).unwrap_err()
+        assert refused.message.startswith("line 4: body.model:")
+
+    run(story)
+
+
 def test_results_are_swept_after_retention() -> None:
     async def story(fleet: BatchFleet) -> None:
         manifest = (await fleet.async_submit(make_lines(10))).unwrap()
