Tell a submit's refusal at once when the owner refuses

Cause: with the store down an owner waited up to 20 s for a commit, longer than its asker waits for an answer; the submit was then asked again up to three times and at last called unknown, though nothing had been written.

Change: commits that a caller waits for have 4 s, below the 5 s of the call, and an owner's refusal is final.

--- a/goldcreststair/components/batch/const.py
+++ b/goldcreststair/components/batch/const.py
@@ -13,6 +13,8 @@
 """Age at which chunks whose manifest never came are swept."""
 
 CALL_TIMEOUT_MS: Final = 5_000
+PUT_TIMEOUT_MS: Final = 4_000
+"""Of commits that a caller waits for; below `CALL_TIMEOUT_MS`, so that the owner's word arrives."""
 COMMIT_TIMEOUT_MS: Final = 20_000
 FAN_OUT: Final = 16
 """Messages of one job under way at once."""
--- a/goldcreststair/components/batch/directory.py
+++ b/goldcreststair/components/batch/directory.py
@@ -70,6 +70,9 @@
             reply: Reply = answer.ok_value
             if reply.status == ReplyStatus.OK or reply.status == ReplyStatus.MISSING:
                 return reply
+            if reply.status == ReplyStatus.REFUSED:
+                # The owner's final word: asking again would only keep the caller waiting.
+                return refused
             if reply.status == ReplyStatus.UNKNOWN:
                 refused = reply
             target = reply.owner or self.find_owner(key)
--- a/goldcreststair/components/batch/service.py
+++ b/goldcreststair/components/batch/service.py
@@ -11,7 +11,7 @@
 from goldcreststair.components.batch.const import (
     ADVERT_FAN_OUT,
     ADVERT_MS,
-    COMMIT_TIMEOUT_MS,
+    PUT_TIMEOUT_MS,
     TICK_MS,
 )
 from goldcreststair.components.batch.directory import Directory
@@ -173,7 +173,7 @@
         value = message.value if existing is None else existing
         # Committed again even if it is there: it may only be staged, and answering OK before it
         # is durable would accept a job that the loss of this VM takes away.
-        outcome = await partition.async_commit([Change(message.key, value)], COMMIT_TIMEOUT_MS)
+        outcome = await partition.async_commit([Change(message.key, value)], PUT_TIMEOUT_MS)
         if isinstance(outcome, Err):
             return _turn_error(outcome.err_value)
         if message.key.startswith(PREFIX_CHUNK):
@@ -205,7 +205,7 @@
         if value is None:
             return Reply(status=ReplyStatus.MISSING)
         cancelled = encode_record(replace(decode_manifest(value), cancelled=True))
-        outcome = await partition.async_commit([Change(key, cancelled)], COMMIT_TIMEOUT_MS)
+        outcome = await partition.async_commit([Change(key, cancelled)], PUT_TIMEOUT_MS)
         if isinstance(outcome, Err):
             return _turn_error(outcome.err_value)
         return Reply(status=ReplyStatus.OK, value=cancelled)
