Let a graceful stop wait for runs whose caller went away

Cause: the HTTP server's drain ends with the last connection; a claimed booking goes on without one and would be cut. Change: online work takes part in the drain until nothing is in flight. Measured: the new test failed first (no async_drain), and waits 2.5 s for a 3 s booking.

--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -28,6 +28,7 @@
 
 CONTENT_JSON: Final = "application/json"
 CONTENT_EVENTS: Final = "text/event-stream"
+DRAIN_POLL_MS: Final = 50
 
 
 class OnlineService:
@@ -45,12 +46,25 @@
         self._calls = ServiceRunner(core, self._gate)
         self._claimed = ClaimedRunner(core)
         self._levels = LevelObserver(core)
+        self._drainables = core.drainables
         self._in_flight = 0
         self._withdrawn_runs: set[str] = set()
         self._generation_runs: dict[str, asyncio.Task[object]] = {}
 
     async def async_start(self) -> None:
-        """Do nothing."""
+        """Take part in graceful shutdowns."""
+        self._drainables.append(self)
+
+    async def async_drain(self, deadline_ms: int) -> None:
+        """Return when nothing is in flight, runs whose caller has left included.
+
+        A claimed run goes on without its caller; a VM that went away in the middle of it would
+        leave a booking whose outcome nobody knows.
+        """
+        while self.count_in_flight():
+            if self._clock.now() >= deadline_ms:
+                return
+            await self._clock.async_sleep(DRAIN_POLL_MS)
 
     async def async_close(self) -> None:
         """Refuse who waits and end what runs."""
--- a/tests/components/online/test_service_calls.py
+++ b/tests/components/online/test_service_calls.py
@@ -115,3 +115,32 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+def test_drain_waits_for_a_run_whose_caller_went_away() -> None:
+    """A booking runs under a claim; its caller's connection breaks; then the VM is told to leave.
+
+    Stopping at once would cut the run: the ground may be booked, and nobody could say so.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(claims=FakeClaims())
+        record = vm.upstreams.services[SERVICE_ADDRESSES[0]]
+        other = vm.upstreams.services[SERVICE_ADDRESSES[1]]
+        record.delay_ms = other.delay_ms = 3000
+        service = vm.core.get(ONLINE)
+        call = vm.make_call("r1", repeatable=False, key="k1")
+        running = asyncio.create_task(service.async_call(call))
+        await asyncio.sleep(0.5)
+        running.cancel()
+        began = vm.core.clock.now()
+        await service.async_drain(began + 60_000)
+        assert 2000 <= vm.core.clock.now() - began <= 4000
+        assert len(record.runs) + len(other.runs) == 1
+        resent = await service.async_call(vm.make_call("r2", repeatable=False, key="k1"))
+        assert isinstance(resent, Ok)
+        assert service in vm.core.drainables
+        await vm.async_close()
+
+    run_virtual(async_test())
