Keep digests and isolation cheap, and a signal at the start

Cause: every request asked whether this VM is isolated, which sorted all members; the digest of shared sets hashed every item ever withdrawn twice a second; dead partners in an outage could make a VM believe it was cut off; a signal during the start ended the process half started.

Change: partners are computed once for each digest of the members, the sets' digest is kept as items come and expire, isolation counts all links that are heard, and a signal before the server runs is kept until it does.

--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -78,6 +78,7 @@
         self._core = core
         self._components: list[Component] = []
         self._server: DaemonServer | None = None
+        self._asked_to_leave = False
 
     async def async_start(self) -> None:
         """Bind, set up and start every component, then serve."""
@@ -92,9 +93,15 @@
         self._server.start(sockets)
         address = f"{core.settings.address}:{core.http_port}"
         _LOGGER.info("Serving", extra={"listening": address, "session": core.session_id})
+        if self._asked_to_leave:
+            self.leave()
 
     def leave(self) -> None:
         """Begin a graceful shutdown; asking again changes nothing, so it cuts no request."""
+        self._asked_to_leave = True
+        # A signal that comes while components start must not leave half of them behind.
+        if self._server is None:
+            return
         self._core.get(SHUTDOWN_SERVICE).begin(LeaveReason.SIGNAL)
 
     async def async_wait(self) -> None:
@@ -114,9 +121,9 @@
 async def async_run(settings: Settings) -> None:
     """Run a daemon until it has left the fleet, as SIGTERM and SIGINT ask it to."""
     daemon = Daemon(create_core(settings, LoopClock()))
-    await daemon.async_start()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, daemon.leave)
+    await daemon.async_start()
     await daemon.async_wait()
     _LOGGER.info("Stopping")
     await daemon.async_close()
--- a/goldcreststair/components/membership/gossip.py
+++ b/goldcreststair/components/membership/gossip.py
@@ -64,6 +64,8 @@
         self._items: list[Item] = []
         self._flush: Any = None
         self._turn = 0
+        self._basis = ("", 0)
+        self._partners: tuple[str, ...] = ()
         self._mismatches: dict[str, int] = {}
         self._fetched_at: Millis | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -80,7 +82,11 @@
 
     def choose_partners(self) -> tuple[str, ...]:
         """Return the sessions this VM gossips to."""
-        return choose_partners(self._core.session_id, self._state.table.live)
+        basis = (self._core.session_id, self._state.table.digest)
+        if basis != self._basis:
+            self._basis = basis
+            self._partners = choose_partners(self._core.session_id, self._state.table.live)
+        return self._partners
 
     def push_record(self, record: Record) -> None:
         """Pass news of a session on."""
@@ -165,8 +171,10 @@
             state.sets.digest,
         )
         # News under way make digests differ for a moment; only a lasting difference is a loss.
-        count = 0 if same else self._mismatches.get(session_id, 0) + 1
-        self._mismatches = {**self._mismatches, session_id: count}
+        if same:
+            self._mismatches.pop(session_id, None)
+            return
+        count = self._mismatches[session_id] = self._mismatches.get(session_id, 0) + 1
         if count >= 2:
             self._fetch_soon(session_id)
 
--- a/goldcreststair/components/membership/service.py
+++ b/goldcreststair/components/membership/service.py
@@ -92,12 +92,12 @@
         """Return whether this VM cannot know what was withdrawn lately."""
         if not self._synchronised:
             return True
-        partners = self._gossip.choose_partners()
         answered_at = self.watcher.answered_at or 0
-        if not partners or self._core.clock.now() - answered_at <= STORE_SILENT_MS:
+        if self._core.clock.now() - answered_at <= STORE_SILENT_MS:
             return False
-        heard = sum(self._peers.is_heard(partner) for partner in partners)
-        return heard * 2 < len(partners)
+        # Members that died in a store outage stay listed; links that others opened make up for
+        # partners among them.
+        return self._peers.count_heard() * 2 < len(self._gossip.choose_partners())
 
     def read_version(self) -> int:
         """Return the configuration version in force here."""
--- a/goldcreststair/components/membership/shared_sets.py
+++ b/goldcreststair/components/membership/shared_sets.py
@@ -25,15 +25,18 @@
         self._clock = clock
         self._on_news = on_news
         self._expires: dict[tuple[str, str], Millis | None] = {}
+        self._dated: dict[tuple[str, str], Millis] = {}
+        self._digest = 0
         self._watchers: dict[str, list[Callable[[str], None]]] = {}
 
     @property
     def digest(self) -> int:
         """Return a summary of all items in force."""
-        summary = 0
-        for name, text in self._iterate():
-            summary ^= hash_text(f"{name}:{text}")
-        return summary
+        now = self._clock.now()
+        for key in [key for key, expires in self._dated.items() if expires <= now]:
+            del self._dated[key]
+            self._digest ^= _hash_key(key)
+        return self._digest
 
     def add(self, name: str, item: str, lifetime_ms: int = 0) -> None:
         """Add an item here and pass it on."""
@@ -49,11 +52,15 @@
 
     def merge(self, items: Iterable[Item]) -> None:
         """Take items from here or elsewhere; new ones are announced and passed on."""
-        news = [item for item in items if (item.set_name, item.text) not in self._expires]
+        unique = {(item.set_name, item.text): item for item in items}
+        news = [item for key, item in unique.items() if key not in self._expires]
         now = self._clock.now()
         for item in news:
-            expires = Millis(now + item.lifetime_ms) if item.lifetime_ms else None
-            self._expires[(item.set_name, item.text)] = expires
+            key = (item.set_name, item.text)
+            self._expires[key] = Millis(now + item.lifetime_ms) if item.lifetime_ms else None
+            if item.lifetime_ms:
+                self._dated[key] = Millis(now + item.lifetime_ms)
+            self._digest ^= _hash_key(key)
         if news:
             self._on_news(news)
         for item in news:
@@ -81,3 +88,7 @@
 
     def _is_valid(self, expires: Millis | None) -> bool:
         return expires is None or expires > self._clock.now()
+
+
+def _hash_key(key: tuple[str, str]) -> int:
+    return hash_text(f"{key[0]}:{key[1]}")
--- a/goldcreststair/components/peers/protocols.py
+++ b/goldcreststair/components/peers/protocols.py
@@ -60,8 +60,8 @@
     ) -> Result[PeerMessage, PeerError]:
         """Send a message to where a daemon listens, known as a member or not."""
 
-    def is_heard(self, session_id: str) -> bool:
-        """Return whether an open link to a member is alive by its heartbeats."""
+    def count_heard(self) -> int:
+        """Return to how many sessions there is an open link, alive by its heartbeats."""
 
 
 PEER_REACH: Final = ComponentKey[PeerReach]("peer_reach")
--- a/goldcreststair/components/peers/service.py
+++ b/goldcreststair/components/peers/service.py
@@ -108,10 +108,9 @@
         if isinstance(found, Ok) and not self._closed:
             self._spawn(self._async_post(found.ok_value, message))
 
-    def is_heard(self, session_id: str) -> bool:
-        """Return whether an open link to a member is alive by its heartbeats."""
-        link = self._links.get(session_id)
-        return link is not None and link.usable
+    def count_heard(self) -> int:
+        """Return to how many sessions there is an open link, alive by its heartbeats."""
+        return sum(link.usable for link in self._links.values())
 
     async def async_serve(self, session_id: str, envelope: Any) -> tuple[int, bytes] | None:
         """Run the handler of an incoming message."""
--- a/tests/components/membership/test_service.py
+++ b/tests/components/membership/test_service.py
@@ -278,3 +278,31 @@
         assert not isinstance(deleted, Ok)
 
     run_fleet(async_test)
+
+
+def test_lost_rack_is_noticed_by_ring_neighbours_alone() -> None:
+    """Eight of forty VMs vanish at once, some of them each other's watchers.
+
+    No VM scans the whole fleet at this size; the watchers that are left must find one after the
+    other, and end nobody else.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        private = share_platform(fleet)
+        await fleet.async_add_many(32)
+        lost = [await fleet.async_add(private.as_platform()) for _ in range(8)]
+        await fleet.async_wait(
+            lambda: all(len(d.members.by_session) == 40 for d in fleet.running), 20_000
+        )
+        private.faults.down = True
+        for daemon in lost:
+            fleet.isolate(daemon)
+        left = [d for d in fleet.running if d not in lost]
+        ids = {d.core.session_id for d in left}
+        await fleet.async_wait(
+            lambda: all(set(d.members.by_session) == ids for d in left), 150_000, 1000
+        )
+        await asyncio.sleep(120)
+        assert all(set(d.members.by_session) == ids for d in left)
+
+    run_fleet(async_test)
