--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -13,16 +13,23 @@
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.clock import Clock, LoopClock
 from goldcreststair.components import (
+    batch,
     caller_api,
+    claims,
     configuration,
+    explain,
     keys,
+    ledger,
     limits,
     membership,
     online,
     operator_api,
     peers,
+    quarantine,
     routing,
+    service_level,
     shutdown,
+    steering,
 )
 from goldcreststair.components.shutdown.models import SHUTDOWN_SERVICE, LeaveReason
 from goldcreststair.core import Component, Core
@@ -43,10 +50,17 @@
     membership.async_setup,
     configuration.async_setup,
     keys.async_setup,
+    ledger.async_setup,
+    claims.async_setup,
     limits.async_setup,
+    service_level.async_setup,
+    quarantine.async_setup,
     routing.async_setup,
     online.async_setup,
+    batch.async_setup,
+    explain.async_setup,
     caller_api.async_setup,
+    steering.async_setup,
     operator_api.async_setup,
     shutdown.async_setup,
 )
--- a/standins/measure/__init__.py
+++ b/standins/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements on stand-ins; each prints its figures."""
+"""Measurements; each module is one name of `script/measure`."""
