Keep callers of a large customer off its home from other data centres

Change: only small customers, and callers near it, get the home. The home as address elsewhere was not tried.

--- a/goldcreststair/components/steering/controller.py
+++ b/goldcreststair/components/steering/controller.py
@@ -27,7 +27,7 @@
     ranked = _rank(facts.customer.name, near or far, loaded)
     pool = ranked[: count_vms(facts.customer, centres)]
     home = next((member for member in usable if member.session_id == facts.home), None)
-    if home is not None and home not in pool and home.session_id not in loaded:
+    if home is not None and home not in pool and _wants_home(facts, home, loaded):
         pool = [home, *pool]
     ordered = _order_pool(facts, pool, home, loaded)[: MAX_ADDRESSES - 1]
     ordered += _choose_elsewhere(facts, ordered, usable, loaded)
@@ -47,6 +47,12 @@
     return max(MIN_VMS, math.ceil(customer.rate_per_s * part / RATE_PER_VM))
 
 
+def _wants_home(facts: SteeringFacts, home: Member, loaded: set[str]) -> bool:
+    # Callers of a large customer from every data centre would overload its home.
+    small = facts.customer.rate_per_s <= RATE_PER_VM
+    return home.session_id not in loaded and (small or home.data_centre == facts.data_centre)
+
+
 def _find_usable(facts: SteeringFacts) -> list[Member]:
     serving = [
         member
@@ -76,7 +82,7 @@
 ) -> list[Member]:
     """Put the home first for a customer that one VM can serve; else spread its callers."""
     ranked = _rank(f"{facts.customer.name}/{facts.caller}", pool, loaded)
-    if facts.customer.rate_per_s <= RATE_PER_VM and home in ranked:
+    if home in ranked and facts.customer.rate_per_s <= RATE_PER_VM:
         ranked.sort(key=lambda member: (member.session_id in loaded, member is not home))
     return ranked
 
