--- a/goldcreststair/components/limits/__init__.py
+++ b/goldcreststair/components/limits/__init__.py
@@ -1,5 +1,7 @@
 """Rates and bursts that hold over all VMs together."""
 
+import logging
+
 from goldcreststair.components.ledger.protocols import LEDGER
 from goldcreststair.components.limits.controller import LocalLimits
 from goldcreststair.components.limits.fleet import FleetLimits
@@ -8,14 +10,26 @@
 from goldcreststair.components.peers.protocols import PEERS
 from goldcreststair.core import Component, Core
 
+_LOGGER = logging.getLogger(__name__)
+
 
 async def async_setup(core: Core) -> Component:
     """Set up the limits; without peers, ledger and members they hold on this VM alone."""
     limits: FleetLimits | LocalLimits
-    try:
-        core.get(PEERS), core.get(LEDGER), core.blackboard.read(MEMBERS)
+    if _knows_fleet(core):
         limits = FleetLimits(core)
-    except KeyError:
+    else:
+        _LOGGER.warning("Limits hold on this VM alone: no peers, ledger or members")
         limits = LocalLimits(core)
     core.offer(LIMITS, limits)
     return limits
+
+
+def _knows_fleet(core: Core) -> bool:
+    try:
+        core.get(PEERS)
+        core.get(LEDGER)
+        core.blackboard.read(MEMBERS)
+    except KeyError:
+        return False
+    return True
