--- a/standins/measure/__init__.py
+++ b/standins/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements in process on virtual time."""
+"""Measurements; each module is one name of `script/measure`."""
