--- a/goldcreststair/components/limits/borrower.py
+++ b/goldcreststair/components/limits/borrower.py
@@ -25,6 +25,8 @@
     task: "asyncio.Task[None] | None" = None
     asked_at: Millis = Millis(-ASK_INTERVAL_MS)
     denied_until: Millis = Millis(0)
+    home_moving: bool = False
+    """Whether no VM was home at the last ask, as between a release and the next claim."""
 
     def add_waiter(self) -> Waiter:
         """Queue one request."""
--- a/goldcreststair/components/limits/fleet.py
+++ b/goldcreststair/components/limits/fleet.py
@@ -14,6 +14,7 @@
     ADMIT_WAIT_MS,
     ASK_INTERVAL_MS,
     ASK_TIMEOUT_MS,
+    HOME_WAIT_MS,
     UNREACHABLE_RETRY_MS,
 )
 from goldcreststair.components.limits.homes import Homes, find_customer_index
@@ -22,7 +23,8 @@
 from goldcreststair.components.limits.static_share import StaticShare
 from goldcreststair.components.limits.takeover import HomeTasks
 from goldcreststair.components.membership.models import MEMBERS
-from goldcreststair.components.peers.protocols import PEERS, PeerMessage
+from goldcreststair.components.peers.protocols import PEERS, PeerError, PeerMessage
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
 from goldcreststair.wire.generated.limits import ttypes
 
@@ -85,11 +87,15 @@
         waiter = borrower.add_waiter()
         if borrower.task is None or borrower.task.done():
             borrower.task = asyncio.create_task(self._async_borrow(name, borrower))
-        try:
-            async with asyncio.timeout(ADMIT_WAIT_MS / 1000):
-                retry_after_ms = await waiter.future
-        except TimeoutError:
+        await asyncio.wait({waiter.future}, timeout=ADMIT_WAIT_MS / MS_PER_SECOND)
+        if borrower.home_moving and not waiter.future.done():
+            # A home changes its VM within a second or so. Refused meanwhile, every customer of the
+            # partition would see a planned stop of a VM that isn't theirs.
+            rest_ms = HOME_WAIT_MS - ADMIT_WAIT_MS
+            await asyncio.wait({waiter.future}, timeout=rest_ms / MS_PER_SECOND)
+        if waiter.future.cancel():
             return self._refuse(UNREACHABLE_RETRY_MS)
+        retry_after_ms = waiter.future.result()
         return Ok(None) if retry_after_ms == 0 else self._refuse(retry_after_ms)
 
     async def _async_borrow(self, name: str, borrower: Borrower) -> None:
@@ -97,6 +103,8 @@
         while True:
             now = self._clock.now()
             waiting = borrower.count_waiting()
+            if waiting and self._serve_at_home(name, borrower, now):
+                continue
             if not waiting and not borrower.bucket.has_news(now):
                 return
             interval = ASK_INTERVAL_MS if waiting else borrower.bucket.get_report_interval()
@@ -106,22 +114,35 @@
                 continue
             await self._async_ask(name, borrower)
 
+    def _serve_at_home(self, name: str, borrower: Borrower, now: Millis) -> bool:
+        """Serve those who wait if this VM has become the home; returns whether it has."""
+        customer = self._core.blackboard.read(CONFIGURATION).customers.get(name)
+        if customer is None:
+            return False
+        while borrower.count_waiting():
+            answer = self._homes.spend(customer, now)
+            if answer is None:
+                return False
+            if not answer.granted:
+                borrower.refuse_waiters(answer.retry_after_ms)
+                break
+            borrower.waiters.popleft().future.set_result(0)
+        return True
+
     async def _async_ask(self, name: str, borrower: Borrower) -> None:
         now = borrower.asked_at = self._clock.now()
         number = next(self._numbers)
         asked = borrower.count_waiting()
         want = borrower.bucket.get_want(asked, now)
         reports = messages.encode_reports(borrower.bucket.ask(number, now))
-        owner = self._ledger.find_owner(find_customer_index(self._ledger, name))
-        grant = None
-        if owner is not None and owner != self._core.session_id:
-            message = ttypes.TokenAsk(name, number, want, reports)
-            answer = await self._peers.async_request(owner, message, ASK_TIMEOUT_MS)
-            grant = answer.ok_value if isinstance(answer, Ok) else None
+        answer = await self._async_ask_owner(ttypes.TokenAsk(name, number, want, reports))
         now = self._clock.now()
+        grant = answer.ok_value if isinstance(answer, Ok) else None
+        borrower.home_moving = grant is not None and not grant.home
         if grant is None or not grant.home:
             borrower.bucket.give_up(number)
-            borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
+            if grant is None:
+                borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
             return
         borrower.bucket.accept(number, grant.granted, now)
         borrower.serve_waiters(now)
@@ -129,6 +150,12 @@
             borrower.refuse_waiters(grant.retry_after_ms)
             borrower.denied_until = Millis(now + min(grant.retry_after_ms, ASK_INTERVAL_MS))
 
+    async def _async_ask_owner(self, ask: PeerMessage) -> Result[PeerMessage, PeerError]:
+        owner = self._ledger.find_owner(find_customer_index(self._ledger, ask.customer))
+        if owner is None or owner == self._core.session_id:
+            return Ok(ttypes.TokenGrant(False, 0, UNREACHABLE_RETRY_MS))
+        return await self._peers.async_request(owner, ask, ASK_TIMEOUT_MS)
+
     async def _async_on_ask(self, sender: str, message: PeerMessage) -> PeerMessage:
         customer = self._core.blackboard.read(CONFIGURATION).customers.get(message.customer)
         answer: HomeAnswer | None = None
--- a/goldcreststair/components/steering/views.py
+++ b/goldcreststair/components/steering/views.py
@@ -1,6 +1,6 @@
 """The HTTP route that tells callers which VMs to use."""
 
-from goldcreststair.components.caller_api.views import CallerHandler
+from goldcreststair.components.caller_api.handler import CallerHandler
 from goldcreststair.components.configuration.models import CONFIGURATION
 from goldcreststair.components.ledger.protocols import LEDGER
 from goldcreststair.components.limits.homes import find_customer_index
