Read the home again when the believed one is not

Cause: a VM that took another one for a customer's home refused all of the customer's requests.

Change: an ask that no home answered starts one store read of the owner, at most one a second and customer, beside the asks; waiting requests go on. Ruled out: reading before each ask.

--- a/goldcreststair/components/limits/borrower.py
+++ b/goldcreststair/components/limits/borrower.py
@@ -6,7 +6,7 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.limits.borrowed import BorrowedBucket
-from goldcreststair.components.limits.const import ASK_INTERVAL_MS
+from goldcreststair.components.limits.const import ASK_INTERVAL_MS, OWNER_READ_INTERVAL_MS
 
 
 @dataclass(slots=True)
@@ -25,6 +25,7 @@
     task: "asyncio.Task[None] | None" = None
     asked_at: Millis = Millis(-ASK_INTERVAL_MS)
     denied_until: Millis = Millis(0)
+    owner_read_at: Millis = Millis(-OWNER_READ_INTERVAL_MS)
     home_moving: bool = False
     """Whether no VM was home at the last ask, as between a release and the next claim."""
 
--- a/goldcreststair/components/limits/const.py
+++ b/goldcreststair/components/limits/const.py
@@ -23,6 +23,8 @@
 ASK_INTERVAL_MS: Final = 100
 ASK_TIMEOUT_MS: Final = 100
 ADMIT_WAIT_MS: Final = 150
+OWNER_READ_INTERVAL_MS: Final = 1_000
+"""Shortest time between two store reads for one customer's home."""
 HOME_WAIT_MS: Final = 1_500
 """Longest wait of a request while its home is on its way from one VM to another."""
 UNREACHABLE_RETRY_MS: Final = 300
--- a/goldcreststair/components/limits/fleet.py
+++ b/goldcreststair/components/limits/fleet.py
@@ -15,6 +15,7 @@
     ASK_INTERVAL_MS,
     ASK_TIMEOUT_MS,
     HOME_WAIT_MS,
+    OWNER_READ_INTERVAL_MS,
     UNREACHABLE_RETRY_MS,
 )
 from goldcreststair.components.limits.homes import Homes, find_customer_index
@@ -43,6 +44,7 @@
         self._borrowers: dict[str, Borrower] = {}
         self._shares: dict[str, StaticShare] = {}
         self._numbers = count(1)
+        self._readings: set[asyncio.Task[str | None]] = set()
         self._peers.register(messages.NUMBER_TOKEN_ASK, ttypes.TokenAsk, self._async_on_ask)
         self._peers.register(messages.NUMBER_TOKEN_GRANT, ttypes.TokenGrant, None)
 
@@ -53,6 +55,8 @@
     async def async_close(self) -> None:
         """Stop asking; refuses all that wait."""
         await self._tasks.async_close()
+        for reading in tuple(self._readings):
+            reading.cancel()
         for borrower in self._borrowers.values():
             if borrower.task is not None:
                 borrower.task.cancel()
@@ -141,6 +145,7 @@
         borrower.home_moving = grant is not None and not grant.home
         if grant is None or not grant.home:
             borrower.bucket.give_up(number)
+            self._find_home_again(name, borrower, now)
             if grant is None:
                 borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
             return
@@ -150,6 +155,16 @@
             borrower.refuse_waiters(grant.retry_after_ms)
             borrower.denied_until = Millis(now + min(grant.retry_after_ms, ASK_INTERVAL_MS))
 
+    def _find_home_again(self, name: str, borrower: Borrower, now: Millis) -> None:
+        # A VM may believe in an old home for long, and would refuse all of the customer's requests:
+        # the head row knows. Read beside the asks, since the store may be slow.
+        if now - borrower.owner_read_at >= OWNER_READ_INTERVAL_MS:
+            borrower.owner_read_at = now
+            index = find_customer_index(self._ledger, name)
+            reading = asyncio.create_task(self._ledger.async_read_owner(index))
+            self._readings.add(reading)
+            reading.add_done_callback(self._readings.discard)
+
     async def _async_ask_owner(self, ask: PeerMessage) -> Result[PeerMessage, PeerError]:
         owner = self._ledger.find_owner(find_customer_index(self._ledger, ask.customer))
         if owner is None or owner == self._core.session_id:
--- a/standins/measure/limit_fleet.py
+++ b/standins/measure/limit_fleet.py
@@ -71,6 +71,7 @@
         self._store = store
         self._clock = clock
         self.owned: dict[int, StoredPartition] = {}
+        self.stale: dict[int, str] = {}
         self._on_gained: list[Callable[[Partition], None]] = []
 
     def find_index(self, key: str) -> int:
@@ -82,14 +83,15 @@
         return self.owned.get(index)
 
     def find_owner(self, index: int) -> str | None:
-        """Return the last known owner."""
-        return self._store.owners.get(index)
+        """Return the last known owner, which may be stale."""
+        return self.stale.get(index) or self._store.owners.get(index)
 
     def learn_owner(self, index: int, session: str) -> None:
-        """Do nothing: the last known owner is always the right one here."""
+        """Do nothing: only a read of the store corrects a stale owner here."""
 
     async def async_read_owner(self, index: int) -> str | None:
         """Return the owner."""
+        self.stale.pop(index, None)
         return self._store.owners.get(index)
 
     def watch(self, on_gained: Callable[[Partition], None], on_lost: Callable[[int], None]) -> None:
--- a/tests/components/limits/test_fleet.py
+++ b/tests/components/limits/test_fleet.py
@@ -103,6 +103,22 @@
     run_fleet(async_test)
 
 
+def test_stale_owner_is_corrected_while_requests_wait() -> None:
+    """A VM takes another one for the home than the store names.
+
+    Every ask is answered "not home", and all of the customer's requests there would be refused
+    although the home has tokens. The VM reads the owner and the waiting requests pass.
+    """
+
+    async def async_test(callers: Callers) -> None:
+        asking, other = callers.others[:2]
+        ledger = callers.fleet.vms[asking].ledger
+        ledger.stale[ledger.find_index(f"customer/{ACME.name}")] = other
+        assert await callers.async_send(asking, 5) == 5
+
+    run_fleet(async_test)
+
+
 def test_planned_change_of_home_keeps_the_level() -> None:
     """A home leaves and hands its partition over.
 
