--- a/goldcreststair/components/limits/fleet.py
+++ b/goldcreststair/components/limits/fleet.py
@@ -24,6 +24,7 @@
 from goldcreststair.components.limits.static_share import StaticShare
 from goldcreststair.components.limits.takeover import HomeTasks
 from goldcreststair.components.membership.models import MEMBERS
+from goldcreststair.components.membership.protocols import MEMBERSHIP
 from goldcreststair.components.peers.protocols import PEERS, PeerError, PeerMessage
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
@@ -79,10 +80,16 @@
         return await self._async_wait(customer.name, borrower)
 
     def _spend_static(self, customer: Customer, now: Millis) -> bool:
+        share = self._shares.setdefault(customer.name, StaticShare())
+        return share.spend(customer, self._find_slot(), now)
+
+    def _find_slot(self) -> int:
+        membership = self._core.find(MEMBERSHIP)
+        if membership is not None:
+            return membership.find_slot()
         members = self._core.blackboard.read(MEMBERS)
         own = members.by_session.get(members.own_session_id)
-        share = self._shares.setdefault(customer.name, StaticShare())
-        return share.spend(customer, own.slot if own else -1, now)
+        return own.slot if own else -1
 
     def _refuse(self, retry_after_ms: int) -> Result[None, LimitExceeded]:
         return Err(LimitExceeded("rate and burst are spent", max(1, retry_after_ms)))
--- a/goldcreststair/components/membership/const.py
+++ b/goldcreststair/components/membership/const.py
@@ -24,6 +24,9 @@
 
 SLOT_GRACE_MS: Final = 60_000
 """How long a slot stays taken after its session has gone, for leases given out to run out."""
+SLOT_RIGHT_MS: Final = 80_000
+"""How long a VM may use its slot after the store confirmed its session; expiry and grace together
+are 90 s, and the rest is for clock drift."""
 JANITOR_MS: Final = 30_000
 
 GOSSIP_MS: Final = 1000
--- a/goldcreststair/components/membership/protocols.py
+++ b/goldcreststair/components/membership/protocols.py
@@ -41,5 +41,8 @@
         15 s and from most of the VMs it talks to.
         """
 
+    def find_slot(self) -> int:
+        """Return this VM's slot, or -1 without one that is certainly its own at this moment."""
+
 
 MEMBERSHIP: Final = ComponentKey[Membership]("membership")
--- a/goldcreststair/components/membership/service.py
+++ b/goldcreststair/components/membership/service.py
@@ -99,6 +99,10 @@
         # partners among them.
         return self._peers.count_heard() * 2 < len(self._gossip.choose_partners())
 
+    def find_slot(self) -> int:
+        """Return this VM's slot, or -1 without one that is certainly its own at this moment."""
+        return self.session.find_slot()
+
     def read_version(self) -> int:
         """Return the configuration version in force here."""
         configuration = self._core.blackboard.find(CONFIGURATION)
--- a/goldcreststair/components/membership/session.py
+++ b/goldcreststair/components/membership/session.py
@@ -8,7 +8,13 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.membership.const import BEAT_MS, PAGE_ROWS, RETRY_MS, ROW_SLOT
+from goldcreststair.components.membership.const import (
+    BEAT_MS,
+    PAGE_ROWS,
+    RETRY_MS,
+    ROW_SLOT,
+    SLOT_RIGHT_MS,
+)
 from goldcreststair.components.membership.errors import MembershipError, SessionLost
 from goldcreststair.components.membership.models import Member, MemberState
 from goldcreststair.components.membership.rows import (
@@ -72,6 +78,18 @@
         """Return whether this session has a row, as far as known."""
         return self._row_version > 0
 
+    def find_slot(self) -> int:
+        """Return the slot while the last confirmation rules out that another VM has it.
+
+        A VM cut off from the store, or paused, is expired by the others after 30 s of their reads
+        and its slot given out 60 s later. Shows as two VMs that spend one static share. Asked at
+        every use, and by this VM's own clock, so that a pause that just ended counts as well.
+        """
+        if self.confirmed_at is None:
+            return -1
+        age_ms = self._core.clock.now() - self.confirmed_at
+        return self.member.slot if age_ms < SLOT_RIGHT_MS else -1
+
     @property
     def record(self) -> Record:
         """Return this session as others shall know it."""
--- a/tests/components/membership/test_service.py
+++ b/tests/components/membership/test_service.py
@@ -306,3 +306,33 @@
         assert all(set(d.members.by_session) == ids for d in left)
 
     run_fleet(async_test)
+
+
+def test_slot_is_not_used_once_others_may_have_it() -> None:
+    """One VM is cut off from the store for good; the others expire it and give its slot out.
+
+    It still serves callers. If it went on to spend the slot's share of every customer's limit
+    beside the slot's next holder, the fleet would admit more than rate and burst.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        own = share_platform(fleet)
+        first = await fleet.async_add(own.as_platform())
+        await fleet.async_add()
+        await asyncio.sleep(30)
+        membership = first.core.get(MEMBERSHIP)
+        assert membership.find_slot() == 0
+        own.faults.down = True
+        fleet.isolate(first)
+        used_at = given_at = 0
+        for _ in range(300):
+            await asyncio.sleep(1)
+            if membership.find_slot() == 0:
+                used_at = fleet.clock.now()
+            if not given_at and "slot/000000" not in fleet.platform.rows:
+                given_at = fleet.clock.now()
+        assert 0 < used_at < given_at
+        own.faults.down = False
+        await fleet.async_wait(lambda: membership.find_slot() >= 0, 30_000)
+
+    run_fleet(async_test)
