Read the platform's list of VMs at one rate for the whole fleet

Cause: every VM read the whole list once a second and again every 5 s. At 820 daemons and 3,100 engines the list is some 270 KB: ninety times the 3 KB/s that control may take. Change: each VM reads at random, members / 2 per second on average, and announces leaving addresses in a shared set that reaches all in well under a second; a VM judges itself by its own reading only, which an announcement hurries. Ruled out: a chosen reader (needs agreement, and its loss is noticed late).

--- a/goldcreststair/components/routing/const.py
+++ b/goldcreststair/components/routing/const.py
@@ -31,5 +31,4 @@
 MAX_POLLS_PER_S: Final = 20
 ASKED_LIFETIME_MS: Final = 60_000
 """Upstreams of a model are polled for so long after its last request."""
-VM_LIST_PERIOD_MS: Final = 1000
 EVENT_PERIOD_POLLS: Final = 2
--- a/goldcreststair/components/routing/poller.py
+++ b/goldcreststair/components/routing/poller.py
@@ -1,4 +1,4 @@
-"""Reads load reports, cache events and the platform's list of VMs, at a bounded rate."""
+"""Reads load reports and cache events at a bounded rate, and follows the list of VMs."""
 
 import asyncio
 import logging
@@ -6,16 +6,15 @@
 
 from result import Err
 
+from goldcreststair.components.listing.models import LEAVING_ADDRESSES, LeavingAddresses
 from goldcreststair.components.routing.const import (
     EVENT_PERIOD_POLLS,
     MAX_POLLS_PER_S,
     POLL_PERIOD_MS,
-    VM_LIST_PERIOD_MS,
 )
 from goldcreststair.components.routing.controller import AffinityRouter
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
-from goldcreststair.platform.models import ListedState
 from goldcreststair.upstreams.models import Upstream, UpstreamKind
 
 _LOGGER = logging.getLogger(__name__)
@@ -30,16 +29,22 @@
         self._router = router
         self._tasks: list[asyncio.Task[None]] = []
         self._polls = 0
+        self._unsubscribe: Callable[[], None] = lambda: None
 
     async def async_start(self) -> None:
-        """Begin polling."""
+        """Begin polling and follow the platform's list."""
+        board = self._core.blackboard
+        self._unsubscribe = board.subscribe(LEAVING_ADDRESSES, self._on_leaving)
+        known = board.find(LEAVING_ADDRESSES)
+        if known is not None:
+            self._on_leaving(known)
         self._tasks = [
             asyncio.create_task(self._async_repeat(self.async_poll_upstreams, POLL_PERIOD_MS)),
-            asyncio.create_task(self._async_repeat(self.async_poll_vms, VM_LIST_PERIOD_MS)),
         ]
 
     async def async_close(self) -> None:
         """End polling."""
+        self._unsubscribe()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -56,13 +61,8 @@
             batch = upstreams[start : start + size]
             await asyncio.gather(*(self._async_poll(upstream) for upstream in batch))
 
-    async def async_poll_vms(self) -> None:
-        """Ask the platform which VMs are leaving."""
-        listed = await self._core.platform.vm_list.async_list()
-        if isinstance(listed, Err):
-            return
-        leaving = (vm.address for vm in listed.ok_value if vm.state is ListedState.LEAVING)
-        self._router.set_leaving_addresses(frozenset(leaving))
+    def _on_leaving(self, leaving: LeavingAddresses) -> None:
+        self._router.set_leaving_addresses(leaving.addresses)
 
     async def _async_poll(self, upstream: Upstream) -> None:
         engines = self._core.upstreams.engines
--- a/goldcreststair/components/shutdown/const.py
+++ b/goldcreststair/components/shutdown/const.py
@@ -7,7 +7,6 @@
 
 ADDRESS_LIFETIME_MS: Final = ADDRESS_LIFETIME_S * MS_PER_SECOND + 1000
 """How long callers may use an address answer, and another second until no VM gives one out."""
-LIST_POLL_MS: Final = 5000
 LIST_LAG_MS: Final = 60_000
 """How long a daemon takes its VM's first state in the platform's list for that of a former one."""
 HANDOVER_MS: Final = 5000
--- a/goldcreststair/components/shutdown/service.py
+++ b/goldcreststair/components/shutdown/service.py
@@ -4,16 +4,14 @@
 import logging
 from typing import Any
 
-from result import Err
-
 from goldcreststair.components.configuration.models import CONFIGURATION, Configuration
+from goldcreststair.components.listing.models import OWN_LISTING, OwnListing
 from goldcreststair.components.membership.models import MemberState
 from goldcreststair.components.membership.protocols import MEMBERSHIP
 from goldcreststair.components.shutdown.const import (
     ADDRESS_LIFETIME_MS,
     HANDOVER_MS,
     HANDOVER_SHARE,
-    LIST_POLL_MS,
 )
 from goldcreststair.components.shutdown.controller import ListedLeaving
 from goldcreststair.components.shutdown.models import SHUTDOWN, LeaveReason, Shutdown
@@ -32,20 +30,23 @@
         self._core = core
         self._judge = ListedLeaving(core.clock.now())
         self._writer = core.blackboard.open_section(SHUTDOWN, Shutdown())
-        self._unsubscribe = core.blackboard.subscribe(CONFIGURATION, self._on_configuration)
+        self._unsubscribes = [core.blackboard.subscribe(CONFIGURATION, self._on_configuration)]
         self._left = asyncio.Event()
         self._tasks: list[asyncio.Task[Any]] = []
 
     async def async_start(self) -> None:
-        """Watch the platform's list and the configuration."""
-        self._tasks.append(asyncio.create_task(self._async_watch_list()))
-        configuration = self._core.blackboard.find(CONFIGURATION)
+        """Follow the platform's list and the configuration."""
+        board = self._core.blackboard
+        self._unsubscribes.append(board.subscribe(OWN_LISTING, self._on_listing))
+        self._on_listing(board.find(OWN_LISTING) or OwnListing())
+        configuration = board.find(CONFIGURATION)
         if configuration is not None:
             self._on_configuration(configuration)
 
     async def async_close(self) -> None:
-        """Stop watching."""
-        self._unsubscribe()
+        """Stop following."""
+        for unsubscribe in self._unsubscribes:
+            unsubscribe()
         for task in self._tasks:
             task.cancel()
 
@@ -96,12 +97,8 @@
         if self._core.settings.address in configuration.leaving_vms:
             self.begin(LeaveReason.CONFIGURED)
 
-    async def _async_watch_list(self) -> None:
-        address = self._core.settings.address
-        while True:
-            listed = await self._core.platform.vm_list.async_list()
-            if not isinstance(listed, Err):
-                state = next((vm.state for vm in listed.ok_value if vm.address == address), None)
-                if self._judge.observe(state, self._core.clock.now()):
-                    self.begin(LeaveReason.LISTED)
-            await self._core.clock.async_sleep(LIST_POLL_MS)
+    def _on_listing(self, listing: OwnListing) -> None:
+        if not listing.reads:
+            return
+        if self._judge.observe(listing.state, self._core.clock.now()):
+            self.begin(LeaveReason.LISTED)
--- a/standins/daemons.py
+++ b/standins/daemons.py
@@ -8,7 +8,7 @@
 
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.clock import Clock
-from goldcreststair.components import configuration, keys, membership, peers
+from goldcreststair.components import configuration, keys, listing, membership, peers
 from goldcreststair.components.membership.models import MEMBERS, Members
 from goldcreststair.core import Component, Core
 from goldcreststair.journal import Journal
@@ -26,6 +26,7 @@
     membership.async_setup,
     configuration.async_setup,
     keys.async_setup,
+    listing.async_setup,
 )
 PEER_PORT: Final = 8081
 
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -44,6 +44,7 @@
     writes: int = 0
     object_writes: int = 0
     object_reads: int = 0
+    list_reads: int = 0
 
 
 @dataclass(slots=True)
@@ -147,6 +148,7 @@
         refused = await self._async_enter()
         if refused is not None:
             return Err(refused)
+        self.counts.list_reads += 1
         horizon = self.clock.now() - self.faults.list_lag_ms
         known = [vms for at, vms in self._lists if at <= horizon]
         return Ok(known[-1] if known else ())
--- a/tests/helpers/online.py
+++ b/tests/helpers/online.py
@@ -6,7 +6,15 @@
 from result import Result
 
 from goldcreststair.clock import LoopClock
-from goldcreststair.components import configuration, keys, limits, online, quarantine, routing
+from goldcreststair.components import (
+    configuration,
+    keys,
+    limits,
+    listing,
+    online,
+    quarantine,
+    routing,
+)
 from goldcreststair.components.claims.protocols import CLAIMS, Claims
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
 from goldcreststair.components.keys.controller import hash_key
@@ -82,7 +90,7 @@
             self.core.offer(CLAIMS, claims)
         if shared_sets is not None:
             self.core.offer(SHARED_SETS, shared_sets)
-        for component in (configuration, keys, limits, quarantine, routing, online):
+        for component in (configuration, keys, listing, limits, quarantine, routing, online):
             self._components.append(await component.async_setup(self.core))
         for address in ADDRESSES[:engines]:
             if address not in self.upstreams.engines:
