Keep service levels in small records and report less often in large fleets

Change: one recent record and one an hour; the interval grows with the members; windows of 6 hours and more read hours. Ruled out: reporting rarely in small fleets too, where an operator waits for it.

--- a/goldcreststair/components/service_level/const.py
+++ b/goldcreststair/components/service_level/const.py
@@ -3,6 +3,8 @@
 from typing import Final
 
 REPORT_INTERVAL_MS: Final = 20_000
+REPORT_INTERVAL_PER_MEMBER_MS: Final = 100
+"""Makes the interval grow with the fleet, so that the owners' commits do not."""
 REPORT_TIMEOUT_MS: Final = 3000
 COMMIT_TIMEOUT_MS: Final = 2500
 QUERY_TIMEOUT_MS: Final = 2000
@@ -14,7 +16,7 @@
 
 SECONDS_PER_MINUTE: Final = 60
 SECONDS_PER_HOUR: Final = 3600
-KEPT_MINUTES: Final = 360
+KEPT_MINUTES: Final = 60
 KEPT_HOURS: Final = 24 * 30
 
 HISTOGRAM_LOWEST_MS: Final = 1
@@ -22,3 +24,5 @@
 HISTOGRAM_DIGITS: Final = 2
 
 KEY_PREFIX: Final = "level/"
+KEY_RECENT: Final = "recent"
+KEY_HOURS: Final = "hour/"
--- a/goldcreststair/components/service_level/history.py
+++ b/goldcreststair/components/service_level/history.py
@@ -1,5 +1,6 @@
 """One customer's counts by minute and hour, at the owner of its partition."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -64,17 +65,25 @@
         self.seen = {name: number for name, number in self.seen.items() if name in alive}
 
     def encode(self) -> bytes:
-        """Return the history as JSON."""
+        """Return the whole history as JSON, for another VM."""
+        recent = orjson.Fragment(self.encode_recent())
+        return orjson.dumps({"recent": recent, "hours": _encode(self.hours)})
+
+    def encode_recent(self) -> bytes:
+        """Return what every report changes, as JSON."""
         return orjson.dumps(
             {
                 "minutes": _encode(self.minutes),
-                "hours": _encode(self.hours),
                 "seen": self.seen,
                 "day": self.day,
                 "histogram": self.histogram.encode().decode(),
             }
         )
 
+    def encode_hour(self, hour: int) -> bytes:
+        """Return one hour's counts as JSON."""
+        return orjson.dumps(_encode_bucket(self.hours[hour]))
+
     def _merge_histogram(self, encoded: bytes, day: int) -> None:
         if day != self.day:
             self.day = day
@@ -85,13 +94,20 @@
 def decode_history(encoded: bytes) -> CustomerHistory:
     """Return a history from JSON."""
     raw = orjson.loads(encoded)
-    history = CustomerHistory(
-        minutes=_decode(raw["minutes"]),
-        hours=_decode(raw["hours"]),
-        seen=raw["seen"],
-        day=raw["day"],
-    )
-    history.histogram.decode_and_add(raw["histogram"].encode())
+    hours = {int(hour): _decode_bucket(bucket) for hour, bucket in raw["hours"].items()}
+    return _join(raw["recent"], hours)
+
+
+def decode_records(recent: bytes, hours: Mapping[int, bytes]) -> CustomerHistory:
+    """Return a history from its records."""
+    decoded = {hour: _decode_bucket(orjson.loads(bucket)) for hour, bucket in hours.items()}
+    return _join(orjson.loads(recent), decoded)
+
+
+def _join(recent: dict[str, Any], hours: Buckets) -> CustomerHistory:
+    minutes = {int(at): _decode_bucket(bucket) for at, bucket in recent["minutes"].items()}
+    history = CustomerHistory(minutes, hours, recent["seen"], recent["day"])
+    history.histogram.decode_and_add(recent["histogram"].encode())
     return history
 
 
@@ -106,14 +122,12 @@
 
 
 def _encode(buckets: Buckets) -> dict[str, Any]:
-    return {
-        str(at): {name: [counts.good, counts.total] for name, counts in bucket.items()}
-        for at, bucket in buckets.items()
-    }
+    return {str(at): _encode_bucket(bucket) for at, bucket in buckets.items()}
+
+
+def _encode_bucket(bucket: Mapping[str, Counts]) -> dict[str, list[int]]:
+    return {name: [counts.good, counts.total] for name, counts in bucket.items()}
 
 
-def _decode(raw: dict[str, Any]) -> Buckets:
-    return {
-        int(at): {name: Counts(*pair) for name, pair in bucket.items()}
-        for at, bucket in raw.items()
-    }
+def _decode_bucket(raw: Mapping[str, list[int]]) -> dict[str, Counts]:
+    return {name: Counts(*pair) for name, pair in raw.items()}
--- a/goldcreststair/components/service_level/service.py
+++ b/goldcreststair/components/service_level/service.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.components.configuration.models import CONFIGURATION, Objective
-from goldcreststair.components.ledger.protocols import LEDGER, Change, Partition
+from goldcreststair.components.ledger.protocols import LEDGER, Partition
 from goldcreststair.components.membership.models import MEMBERS
 from goldcreststair.components.peers.protocols import PEERS, PeerMessage
 from goldcreststair.components.service_level import const
@@ -16,6 +16,11 @@
 from goldcreststair.components.service_level.history import CustomerHistory, decode_history
 from goldcreststair.components.service_level.models import Burn, Counts
 from goldcreststair.components.service_level.recorder import LevelRecorder, Report
+from goldcreststair.components.service_level.records import (
+    load_history,
+    make_changes,
+    make_key,
+)
 from goldcreststair.core import Core
 from goldcreststair.wire.generated.service_level.ttypes import (
     LevelQuery,
@@ -91,12 +96,17 @@
     async def _async_report_forever(self) -> None:
         while True:
             # Spread over the interval, or all VMs of a fleet started together report at once.
-            jitter_ms = self._core.random.randrange(const.REPORT_INTERVAL_MS // 2)
-            await self._core.clock.async_sleep(const.REPORT_INTERVAL_MS // 2 + jitter_ms)
+            half_ms = self._find_interval() // 2
+            jitter_ms = self._core.random.randrange(half_ms)
+            await self._core.clock.async_sleep(half_ms + jitter_ms)
             await self.async_report()
 
+    def _find_interval(self) -> int:
+        members = len(self._core.blackboard.read(MEMBERS).by_session)
+        return max(const.REPORT_INTERVAL_MS, members * const.REPORT_INTERVAL_PER_MEMBER_MS)
+
     async def _async_send(self, report: Report) -> bool:
-        owner = self._ledger.find_owner(self._ledger.find_index(_make_key(report.customer)))
+        owner = self._ledger.find_owner(self._ledger.find_index(make_key(report.customer)))
         if owner is None:
             return False
         if owner == self._core.session_id:
@@ -115,12 +125,12 @@
         partition = self._find_owned(report.customer)
         if partition is None:
             return False
-        history = _load(partition, report.customer)
+        history = load_history(partition, report.customer)
         if not history.add(sender, report, self._core.clock.read_utc_s()):
             return True
         history.forget_sessions(frozenset(self._core.blackboard.read(MEMBERS).by_session))
-        change = Change(_make_key(report.customer), history.encode())
-        committed = await partition.async_commit([change], const.COMMIT_TIMEOUT_MS)
+        changes = make_changes(partition, report.customer, history)
+        committed = await partition.async_commit(changes, const.COMMIT_TIMEOUT_MS)
         if isinstance(committed, Err):
             _LOGGER.info("Report of %s not kept: %s", sender, committed.err_value.message)
         return isinstance(committed, Ok)
@@ -128,8 +138,8 @@
     async def _async_fetch(self, customer: str) -> CustomerHistory | None:
         partition = self._find_owned(customer)
         if partition is not None:
-            return _load(partition, customer)
-        owner = self._ledger.find_owner(self._ledger.find_index(_make_key(customer)))
+            return load_history(partition, customer)
+        owner = self._ledger.find_owner(self._ledger.find_index(make_key(customer)))
         if owner is None or owner == self._core.session_id:
             return None
         answer = await self._peers.async_request(
@@ -143,16 +153,7 @@
         partition = self._find_owned(message.customer)
         if partition is None:
             return LevelQueryAnswer(False, b"")
-        return LevelQueryAnswer(True, _load(partition, message.customer).encode())
+        return LevelQueryAnswer(True, load_history(partition, message.customer).encode())
 
     def _find_owned(self, customer: str) -> Partition | None:
-        return self._ledger.get_owned(self._ledger.find_index(_make_key(customer)))
-
-
-def _make_key(customer: str) -> str:
-    return const.KEY_PREFIX + customer
-
-
-def _load(partition: Partition, customer: str) -> CustomerHistory:
-    encoded = partition.get(_make_key(customer))
-    return CustomerHistory() if encoded is None else decode_history(encoded)
+        return self._ledger.get_owned(self._ledger.find_index(make_key(customer)))
