Claim a released partition at once, and ask the owner that still serves

Change: the releasing owner sends the wanted one the row it wrote (message 44), which claims over it without a read; the compare-and-set on its version fences late and racing notices. For 3 s after a change of members the former owner is asked first; a VM that is not the home names who is (TokenGrant .owner); asks that meet no home are repeated after 10 ms, doubled up to 100 ms; a new home lets requests wait up to 300 ms for its predecessor's buckets. The last VM to leave keeps its partitions until it closes, and no VM believes itself the owner of what it is releasing. Ruled out: a release that names its successor as owner, since nobody else may claim the row if that one does not want it.

--- a/goldcreststair/components/ledger/const.py
+++ b/goldcreststair/components/ledger/const.py
@@ -24,6 +24,8 @@
 """Pause between two looks for more to claim while there is more."""
 
 SWEEP_INTERVAL_MS: Final = 1000
+FORMER_OWNER_MS: Final = 3000
+"""How long the owner wanted before a change of members is asked first; it may not be done."""
 CONFIRM_INTERVAL_MS: Final = 5000
 """Age at which ownership is confirmed by a read; a commit confirms as well."""
 UNSEEN_GRACE_MS: Final = 30_000
--- a/goldcreststair/components/ledger/controller.py
+++ b/goldcreststair/components/ledger/controller.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable, Sequence
 from dataclasses import replace
 from typing import Any, TypeVar
 
 from result import Err, Ok
 
+from goldcreststair.components.ledger.beliefs import OwnerBeliefs
 from goldcreststair.components.ledger.const import (
     BURST_WRITES,
     CLAIM_PAUSE_MS,
@@ -20,6 +21,7 @@
 from goldcreststair.components.ledger.heads import HeadTable, Swapped
 from goldcreststair.components.ledger.loader import Loaded, async_load
 from goldcreststair.components.ledger.models import LEDGER_STATE, Head, LedgerState, StoredHead
+from goldcreststair.components.ledger.notices import ReleaseNotices
 from goldcreststair.components.ledger.pacing import Backoff, Pacer, elapsed
 from goldcreststair.components.ledger.partition import OwnedPartition, Tools
 from goldcreststair.components.ledger.protocols import Partition
@@ -60,7 +62,10 @@
         self._mine: tuple[int, ...] = ()
         self._owned: dict[int, OwnedPartition] = {}
         self._busy: set[int] = set()
-        self._hints: dict[int, str] = {}
+        self._beliefs = OwnerBeliefs(core.clock)
+        self._notices = ReleaseNotices(core, self._handle_released)
+        self._wake = asyncio.Event()
+        self._settled = False
         self._watchers: list[tuple[Callable[[Partition], None], Callable[[int], None]]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._changing: set[asyncio.Task[None]] = set()
@@ -73,7 +78,7 @@
         board = self._core.blackboard
         self._unsubscribe = board.subscribe(MEMBERS, self._handle_members)
         self._handle_members(board.read(MEMBERS))
-        self._spawn(self._async_repeat(self._async_sweep))
+        self._spawn(self._async_repeat(self._async_sweep_and_wait))
         self._spawn(self._async_repeat(self._async_confirm_stale))
 
     async def async_close(self) -> None:
@@ -84,7 +89,7 @@
         self._unsubscribe()
         self._sessions.close()
         for index, partition in tuple(self._owned.items()):
-            self._spawn(partition.async_hand_over(), index)
+            self._spawn(self._async_hand_over(partition), index)
         try:
             async with asyncio.timeout(self._core.settings.drain_ms / MS_PER_SECOND):
                 await asyncio.gather(*self._changing, return_exceptions=True)
@@ -108,12 +113,15 @@
         """Return the session believed to own a partition, else None."""
         if self.get_owned(index) is not None:
             return self._core.session_id
-        return self._hints.get(index) or self._wanted.find(index) or None
+        return self._beliefs.find(index) or self._wanted.find(index) or None
 
     def learn_owner(self, index: int, session: str) -> None:
         """Believe another VM's or the head row's word on the owner."""
-        if session in self._core.blackboard.read(MEMBERS).by_session:
-            self._hints[index] = session
+        # A row read while this VM's own release is under way still names it. Believed, it would send
+        # this VM's requests to itself until the next read, a second later.
+        others = self._core.blackboard.read(MEMBERS).by_session.keys() - {self._core.session_id}
+        if session in others:
+            self._beliefs.learn(index, session)
 
     async def async_read_owner(self, index: int) -> str | None:
         """Return the owner that the head row names, and believe it; None if there is none."""
@@ -132,16 +140,25 @@
                 on_gained(partition)
 
     def _handle_members(self, members: Members) -> None:
+        before = self._wanted.list_winners()
         self._wanted.update(
             member.session_id
             for member in members.by_session.values()
             if member.state is not MemberState.LEAVING
         )
-        self._mine = tuple(filter(self._is_wanted, range(self._partitions)))
+        mine = tuple(filter(self._is_wanted, range(self._partitions)))
+        if mine != self._mine:
+            self._mine = mine
+            self._wake.set()
         self._share_budget()
-        for index, session in tuple(self._hints.items()):
-            if session not in members.by_session:
-                del self._hints[index]
+        # A VM that has just started learns of the members one by one: none was an owner before.
+        self._note_former(before if self._settled else (), members)
+
+    def _note_former(self, before: Sequence[str], members: Members) -> None:
+        for index, session in enumerate(before):
+            if session != self._wanted.find(index):
+                self._beliefs.note_former(index, session)
+        self._beliefs.keep(members.by_session.keys() - {self._core.session_id})
 
     def _share_budget(self) -> None:
         """Take the part of the fleet's writes that this VM's part of the partitions comes to.
@@ -162,11 +179,23 @@
                 delay_ms = SWEEP_INTERVAL_MS
             await self._core.clock.async_sleep(delay_ms)
 
+    async def _async_sweep_and_wait(self) -> int:
+        """Sweep, then wait; a change in what is wanted here ends the wait."""
+        self._wake.clear()
+        delay_ms = await self._async_sweep()
+        waking = asyncio.ensure_future(self._wake.wait())
+        try:
+            await asyncio.wait({waking}, timeout=delay_ms / MS_PER_SECOND)
+        finally:
+            waking.cancel()
+        return 0
+
     async def _async_sweep(self) -> int:
         self._share_budget()
         self._release_unwanted()
         more = await self._async_claim_wanted()
         if not more and not self._busy:
+            self._settled = True
             self._state.write(LedgerState(settled=True))
         return CLAIM_PAUSE_MS if more else SWEEP_INTERVAL_MS
 
@@ -179,7 +208,9 @@
 
     def _release_unwanted(self) -> None:
         for index, partition in tuple(self._owned.items()):
-            if self._is_wanted(index) or not partition.is_owned:
+            # The last VM to leave has no heir: released at once, its partitions would be served
+            # nowhere while it still finishes its callers' requests. They go when it closes.
+            if self._wanted.find(index) in ("", self._core.session_id) or not partition.is_owned:
                 continue
             # With the store down a release cannot be written: the partition would refuse commits
             # here and be served nowhere. So an owner that nothing confirmed lately keeps it.
@@ -191,7 +222,24 @@
             self._core.journal.record(
                 Subject.PARTITION, str(index), "release", "another VM is wanted"
             )
-            self._spawn(partition.async_hand_over(), index)
+            self._spawn(self._async_hand_over(partition), index)
+
+    async def _async_hand_over(self, partition: OwnedPartition) -> None:
+        stored = await partition.async_hand_over()
+        index = partition.index
+        wanted = self._wanted.find(index)
+        if stored is not None and wanted not in ("", self._core.session_id):
+            self._beliefs.learn(index, wanted)
+            self._notices.tell(wanted, index, stored)
+
+    def _handle_released(self, index: int, stored: StoredHead) -> None:
+        """Claim over the row that the former owner has just written."""
+        # The notice may be late: a newer owner's row has a newer version, so the claim's
+        # compare-and-set fails and nothing is taken from it.
+        held = index in self._owned or index in self._busy
+        if index in self._mine and not held and not stored.head.owner and not self._closing:
+            self._pacer.reserve()
+            self._spawn(self._async_claim(index, stored), index)
 
     async def _async_claim_wanted(self) -> bool:
         """Begin to claim what may be claimed, some at once; returns whether any was."""
@@ -208,6 +256,9 @@
         read = await self._heads.async_read(missing)
         if isinstance(read, Err):
             return False
+        for index, stored in zip(missing, read.ok_value, strict=True):
+            if stored.head.owner not in ("", self._core.session_id):
+                self.learn_owner(index, stored.head.owner)
         claimable = [
             (index, stored)
             for index, stored in zip(missing, read.ok_value, strict=True)
@@ -224,6 +275,10 @@
         return owner in ("", self._core.session_id) or self._sessions.is_gone(owner)
 
     async def _async_acquire(self, index: int, stored: StoredHead) -> None:
+        await self._core.clock.async_sleep(self._pacer.reserve())
+        await self._async_claim(index, stored)
+
+    async def _async_claim(self, index: int, stored: StoredHead) -> None:
         head = replace(
             stored.head,
             owner=self._core.session_id,
@@ -231,7 +286,6 @@
             commit_id=self._tools.make_commit_id(),
             claim_sequence=stored.head.sequence,
         )
-        await self._core.clock.async_sleep(self._pacer.reserve())
         outcome = await self._heads.async_swap(index, stored.version, head, lambda: self._closing)
         if not isinstance(outcome, Swapped):
             return
@@ -240,7 +294,7 @@
             return
         partition = OwnedPartition(self._tools, index, loaded, outcome.begun_at)
         if self._closing:
-            await partition.async_hand_over()
+            await self._async_hand_over(partition)
             return
         self._owned[index] = partition
         self._core.journal.record(
--- a/goldcreststair/components/ledger/partition.py
+++ b/goldcreststair/components/ledger/partition.py
@@ -9,7 +9,13 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.ledger.garbage import Garbage
-from goldcreststair.components.ledger.heads import HeadTable, NotSwapped, Superseded, SwapOutcome
+from goldcreststair.components.ledger.heads import (
+    HeadTable,
+    NotSwapped,
+    Superseded,
+    SwapOutcome,
+    Swapped,
+)
 from goldcreststair.components.ledger.loader import Loaded
 from goldcreststair.components.ledger.models import Head, StoredHead
 from goldcreststair.components.ledger.pacing import Backoff, Pacer, elapsed
@@ -94,15 +100,15 @@
         elif head.epoch > self.epoch:
             self._lose(head, doubtful=True)
 
-    async def async_hand_over(self) -> None:
-        """Finish the staged commits, then release the head row."""
+    async def async_hand_over(self) -> StoredHead | None:
+        """Finish the staged commits, then release the head row; returns it if that took effect."""
         if not self.is_owned:
-            return
+            return None
         self._closing = True
         if self._writer is not None:
             await self._writer
         if self._lost:
-            return
+            return None
         # The components above stop acting as owner before the row says that another may begin.
         self._lost = True
         self._garbage.close()
@@ -110,8 +116,9 @@
         commit_id = self._tools.make_commit_id()
         released = replace(self._stored.head, owner="", commit_id=commit_id)
         backoff = Backoff(self._tools.core.random)
-        while isinstance(await self._async_swap(released, lambda: False), NotSwapped):
+        while isinstance(outcome := await self._async_swap(released, lambda: False), NotSwapped):
             await self._tools.clock.async_sleep(backoff.next_ms())
+        return outcome.stored if isinstance(outcome, Swapped) else None
 
     def abort(self) -> None:
         """Stop at once, without a release."""
--- a/goldcreststair/components/ledger/rendezvous.py
+++ b/goldcreststair/components/ledger/rendezvous.py
@@ -38,6 +38,10 @@
         """Return the wanted owner's session; empty if there are no sessions."""
         return self._winners[index]
 
+    def list_winners(self) -> tuple[str, ...]:
+        """Return the wanted owner of each partition."""
+        return tuple(self._winners)
+
     def update(self, sessions: Iterable[str]) -> None:
         """Replace the set of sessions."""
         current = set(sessions)
--- a/goldcreststair/components/limits/borrower.py
+++ b/goldcreststair/components/limits/borrower.py
@@ -6,7 +6,13 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.limits.borrowed import BorrowedBucket
-from goldcreststair.components.limits.const import ASK_INTERVAL_MS, OWNER_READ_INTERVAL_MS
+from goldcreststair.components.limits.const import (
+    ASK_INTERVAL_MS,
+    FIRST_MOVING_ASK_MS,
+    OWNER_READ_INTERVAL_MS,
+)
+
+MAX_DOUBLINGS = 8
 
 
 @dataclass(slots=True)
@@ -28,6 +34,23 @@
     owner_read_at: Millis = Millis(-OWNER_READ_INTERVAL_MS)
     home_moving: bool = False
     """Whether no VM was home at the last ask, as between a release and the next claim."""
+    moving_asks: int = 0
+    """Asks in a row that met no home."""
+
+    def note_home(self, found: bool) -> None:
+        """Take note of whether an ask met the home."""
+        self.moving_asks = 0 if found else self.moving_asks + 1
+        self.home_moving = not found
+
+    def get_interval(self) -> int:
+        """Return how long after the last ask the next one is due."""
+        if not self.count_waiting():
+            return self.bucket.get_report_interval()
+        if not self.home_moving:
+            return ASK_INTERVAL_MS
+        # A hand-over takes some 20 ms: asked only every 100 ms, most of the wait would be in vain.
+        doublings = min(self.moving_asks, MAX_DOUBLINGS) - 1
+        return min(ASK_INTERVAL_MS, FIRST_MOVING_ASK_MS << doublings)
 
     def add_waiter(self) -> Waiter:
         """Queue one request."""
--- a/goldcreststair/components/limits/const.py
+++ b/goldcreststair/components/limits/const.py
@@ -27,6 +27,10 @@
 """Shortest time between two store reads for one customer's home."""
 HOME_WAIT_MS: Final = 1_500
 """Longest wait of a request while its home is on its way from one VM to another."""
+FIRST_MOVING_ASK_MS: Final = 10
+"""Pause after the first ask that met no home; doubled up to `ASK_INTERVAL_MS`."""
+PREDECESSOR_WAIT_MS: Final = 300
+"""How long a new home lets requests wait for its predecessor's buckets before it refuses."""
 UNREACHABLE_RETRY_MS: Final = 300
 PREFETCH_MS: Final = 200
 DEMAND_WINDOW_MS: Final = 1_000
--- a/goldcreststair/components/limits/fleet.py
+++ b/goldcreststair/components/limits/fleet.py
@@ -111,8 +111,7 @@
                 continue
             if not waiting and not borrower.bucket.has_news(now):
                 return
-            interval = ASK_INTERVAL_MS if waiting else borrower.bucket.get_report_interval()
-            pause = borrower.asked_at + interval - now
+            pause = borrower.asked_at + borrower.get_interval() - now
             if pause > 0:
                 await self._clock.async_sleep(min(pause, ASK_INTERVAL_MS))
                 continue
@@ -142,12 +141,14 @@
         answer = await self._async_ask_owner(ttypes.TokenAsk(name, number, want, reports))
         now = self._clock.now()
         grant = answer.ok_value if isinstance(answer, Ok) else None
-        borrower.home_moving = grant is not None and not grant.home
+        borrower.note_home(found=grant is None or grant.home)
         if grant is None or not grant.home:
             borrower.bucket.give_up(number)
             self._find_home_again(name, borrower, now)
             if grant is None:
                 borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
+            elif grant.owner:
+                self._ledger.learn_owner(find_customer_index(self._ledger, name), grant.owner)
             return
         borrower.bucket.accept(number, grant.granted, now)
         borrower.serve_waiters(now)
@@ -179,5 +180,7 @@
             now = self._clock.now()
             answer = self._homes.lend(customer, sender, message.number, message.want, reports, now)
         if answer is None:
-            return ttypes.TokenGrant(False, 0, UNREACHABLE_RETRY_MS)
+            owner = self._ledger.find_owner(find_customer_index(self._ledger, message.customer))
+            other = owner if owner != self._core.session_id else None
+            return ttypes.TokenGrant(False, 0, UNREACHABLE_RETRY_MS, other)
         return ttypes.TokenGrant(True, answer.granted, answer.retry_after_ms)
--- a/goldcreststair/components/limits/homes.py
+++ b/goldcreststair/components/limits/homes.py
@@ -40,6 +40,14 @@
             self.take_over = None
         return self.take_over is None
 
+    def is_settling(self, now: Millis) -> bool:
+        """Return whether a request should wait for the predecessor's buckets."""
+        # In a planned change they come within milliseconds. Refused meanwhile, a caller would be
+        # told to come back after the whole wait for a lost home.
+        return (
+            not self.is_ready(now) and self.take_over is not None and self.take_over.is_asking(now)
+        )
+
     def get_bucket(self, customer: Customer, now: Millis) -> HomeBucket:
         """Return a customer's bucket with the rate and burst now in force."""
         allowance = find_home_allowance(customer)
@@ -109,7 +117,7 @@
     def spend(self, customer: Customer, now: Millis) -> HomeAnswer | None:
         """Take one token here; None if the home is elsewhere."""
         home = self.find(find_customer_index(self._ledger, customer.name))
-        if home is None:
+        if home is None or home.is_settling(now):
             return None
         refused = self._find_obstacle(home, now)
         if refused is not None:
@@ -130,7 +138,7 @@
     ) -> HomeAnswer | None:
         """Take in reports and lend tokens; None if the home is elsewhere."""
         home = self.find(find_customer_index(self._ledger, customer.name))
-        if home is None:
+        if home is None or home.is_settling(now):
             return None
         refused = self._find_obstacle(home, now)
         if refused is not None:
--- a/goldcreststair/components/limits/right.py
+++ b/goldcreststair/components/limits/right.py
@@ -5,6 +5,7 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.limits.const import (
     LOT_LIFETIME_MS,
+    PREDECESSOR_WAIT_MS,
     RESERVE,
     STORE_RIGHT_MS,
     SUPPORT_RIGHT_MS,
@@ -93,6 +94,10 @@
         ):
             self._fenced_at = now
 
+    def is_asking(self, now: Millis) -> bool:
+        """Return whether the predecessor's buckets may still come at any moment."""
+        return now - self._gained_at < PREDECESSOR_WAIT_MS
+
     def find_reserve_start(self) -> Millis:
         """Return from when the reserve is this home's, whatever the old one does."""
         return Millis(self._gained_at + wait_out(STORE_RIGHT_MS + LOT_LIFETIME_MS))
--- a/goldcreststair/wire/ledger.thrift
+++ b/goldcreststair/wire/ledger.thrift
@@ -24,6 +24,13 @@
   9: required list<string> garbage
 }
 
+/** 44: a partition was released; the head row and its version, for a claim without a read. */
+struct Released {
+  1: required i32 partition
+  2: required i64 version
+  3: required binary head
+}
+
 /** A claim as its partition's record. */
 struct ClaimRecord {
   1: required string fingerprint
--- a/goldcreststair/wire/limits.thrift
+++ b/goldcreststair/wire/limits.thrift
@@ -20,6 +20,8 @@
   1: required bool home
   2: required i32 granted
   3: required i32 retry_after_ms
+  /** Session believed to be the home, where the answering one is not. */
+  4: optional string owner
 }
 
 /** 22: a partition has a new owner; rights from older epochs end here. */
--- /dev/null
+++ b/tests/components/ledger/test_handover.py
@@ -0,0 +1,167 @@
+"""Planned changes of owner: notices of releases, and what becomes of them when they go astray."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from goldcreststair.components.ledger.codec import encode_head
+from goldcreststair.components.ledger.partition import OwnedPartition
+from goldcreststair.components.ledger.protocols import Change
+from goldcreststair.components.membership.models import Members, MemberState
+from goldcreststair.components.peers.protocols import PEERS
+from goldcreststair.wire.generated.ledger.ttypes import Released
+from tests.helpers.virtual_time import run_virtual
+from tests.helpers.vms import Fleet
+
+
+def run_fleet(body: Callable[[Fleet], Awaitable[None]], *names: str) -> None:
+    async def async_test() -> None:
+        fleet = Fleet(8)
+        await fleet.async_add(*names)
+        await body(fleet)
+        await fleet.async_close()
+
+    run_virtual(async_test())
+
+
+def list_owned(fleet: Fleet, session: str) -> list[int]:
+    ledger = fleet.vms[session].ledger
+    return [index for index in range(fleet.partitions) if ledger.get_owned(index) is not None]
+
+
+def let_want_all(fleet: Fleet, session: str) -> None:
+    """Let one VM see all others as leaving, so that it holds itself for the wanted owner."""
+    states = {name: MemberState.LEAVING for name in fleet.members} | {session: MemberState.SERVING}
+    members = {name: replace(fleet.members[name], state=states[name]) for name in states}
+    fleet.vms[session].members.write(Members(session, members))
+
+
+async def async_release(fleet: Fleet, index: int, owner: str) -> Released:
+    """Let an owner release a partition, and return the notice of it."""
+    partition = fleet.vms[owner].get_owned(index)
+    assert isinstance(partition, OwnedPartition)
+    stored = await partition.async_hand_over()
+    assert stored is not None
+    return Released(index, stored.version, encode_head(stored.head))
+
+
+def test_a_released_partition_is_claimed_at_once() -> None:
+    """A VM leaves; for up to a second its partitions have no owner.
+
+    Claims on them wait and customers homed there are refused, as the next owner only found out
+    that they were free at its next sweep.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        owned = list_owned(fleet, "a")
+        gaps: list[int] = []
+        lost_at: dict[int, int] = {}
+        fleet.vms["a"].ledger.watch(
+            lambda _: None, lambda index: lost_at.setdefault(index, fleet.clock.now())
+        )
+        fleet.vms["b"].ledger.watch(
+            lambda p: gaps.append(fleet.clock.now() - lost_at.get(p.index, fleet.clock.now())),
+            lambda _: None,
+        )
+        gaps.clear()
+        fleet.platform.faults.slow_ms = 5
+        fleet.set_state("a", MemberState.LEAVING)
+        await fleet.clock.async_sleep(5_000)
+        assert len(gaps) == len(owned) > 0
+        assert max(gaps) <= 50
+
+    run_fleet(async_body, "a", "b")
+
+
+def test_a_lost_notice_is_made_up_for_by_the_sweep() -> None:
+    """The link between the old and the new owner breaks just as a partition is released.
+
+    The notice is lost. The row is free in the store, and the next sweep has to find it.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        fleet.network.cut("a", "b")
+        fleet.set_state("a", MemberState.LEAVING)
+        await fleet.clock.async_sleep(2_500)
+        assert len(list_owned(fleet, "b")) == fleet.partitions
+
+    run_fleet(async_body, "a", "b")
+
+
+def test_one_of_two_wanted_owners_gets_a_released_partition() -> None:
+    """News of members reach two VMs in different order and each holds itself for the next owner.
+
+    Both hear that a partition is free and claim the same row. If both served it, each would admit
+    the customers' whole rate and grant the same claims.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        index = list_owned(fleet, "c")[0]
+        notice = await async_release(fleet, index, "c")
+        for name in ("a", "b"):
+            let_want_all(fleet, name)
+            fleet.vms["c"].core.get(PEERS).post(name, notice)
+        await fleet.clock.async_sleep(3_000)
+        owners = [name for name in ("a", "b") if index in list_owned(fleet, name)]
+        assert len(owners) == 1
+
+    run_fleet(async_body, "a", "b", "c")
+
+
+def test_a_late_notice_takes_nothing_from_a_newer_owner() -> None:
+    """A notice is held up while its receiver was unwanted, and comes after another VM has claimed.
+
+    Taken at its word it would displace the newer owner, whose commits would then be refused.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        index = list_owned(fleet, "a")[0]
+        notice = await async_release(fleet, index, "a")
+        await asyncio.sleep(2)
+        owner = next(name for name in ("a", "b") if index in list_owned(fleet, name))
+        other = "b" if owner == "a" else "a"
+        newest = fleet.vms[owner].get_owned(index)
+        let_want_all(fleet, other)
+        fleet.vms[owner].core.get(PEERS).post(other, notice)
+        await asyncio.sleep(0.1)
+        assert (await newest.async_commit([Change("k", b"v")], 1_000)).is_ok()
+        assert index not in list_owned(fleet, other)
+
+    run_fleet(async_body, "a", "b")
+
+
+def test_the_last_vm_to_leave_serves_until_it_closes() -> None:
+    """The only VM of a fleet leaves gracefully and callers come with addresses given out before.
+
+    Nobody else can own its partitions. Released at once, they would make it refuse these callers,
+    though it serves until the addresses have run out.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        fleet.set_state("a", MemberState.LEAVING)
+        await fleet.clock.async_sleep(5_000)
+        assert len(list_owned(fleet, "a")) == fleet.partitions
+        await fleet.vms["a"].ledger.async_close()
+        assert list_owned(fleet, "a") == []
+
+    run_fleet(async_body, "a")
+
+
+def test_an_owner_that_releases_does_not_refer_to_itself() -> None:
+    """A VM looks a partition's owner up in the store while its own release is on the way.
+
+    The row still names it. Believed, the VM sent its own customers' requests to itself for a
+    second, while the next owner already served.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        index = list_owned(fleet, "a")[0]
+        ledger = fleet.vms["a"].ledger
+        fleet.set_state("a", MemberState.LEAVING)
+        while ledger.get_owned(index) is not None:
+            await asyncio.sleep(0.001)
+        ledger.learn_owner(index, "a")
+        await asyncio.sleep(0.1)
+        assert ledger.find_owner(index) == "b"
+
+    run_fleet(async_body, "a", "b")
--- a/tests/helpers/vms.py
+++ b/tests/helpers/vms.py
@@ -69,9 +69,9 @@
         stores = self.core.platform
         self.core.platform = Platform(self.table, stores.objects, stores.vm_list, stores.weights)
         self.members: SectionWriter[Members] = self.core.blackboard.open_section(MEMBERS, Members())
+        self.core.offer(PEERS, fleet.network.join(session_id))
         self.ledger = LedgerKeeper(self.core)
         self.core.offer(LEDGER, self.ledger)
-        self.core.offer(PEERS, fleet.network.join(session_id))
         self.claims = ClaimService(self.core)
 
     @property
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,92 @@
+"""Customers and claims while VMs come and go: ledger, limits and claims together."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+from result import Ok
+
+from goldcreststair.clock import LoopClock
+from goldcreststair.components import claims, ledger, limits
+from goldcreststair.components.configuration.models import Customer
+from goldcreststair.components.ledger.protocols import LEDGER
+from goldcreststair.components.limits.homes import find_customer_index
+from goldcreststair.components.limits.protocols import LIMITS
+from goldcreststair.components.membership.models import MemberState
+from goldcreststair.components.membership.protocols import MEMBERSHIP
+from standins.daemons import CONTROL, FakeDaemon, FakeDaemons
+from standins.measure.control import async_patch
+from standins.network import FakeNetwork
+from standins.platform.store import FakePlatform
+from tests.helpers.virtual_time import run_virtual
+
+ACME = Customer("acme", 20.0, 40)
+PAUSE_MS = 80
+"""12.5 requests a second, within the rate of 20."""
+LONGEST_WAIT_MS = 150
+
+
+def find_home(fleet: FakeDaemons) -> FakeDaemon:
+    def is_home(daemon: FakeDaemon) -> bool:
+        known = daemon.core.get(LEDGER)
+        return known.get_owned(find_customer_index(known, ACME.name)) is not None
+
+    return next(daemon for daemon in fleet.running if is_home(daemon))
+
+
+async def async_leave(fleet: FakeDaemons) -> None:
+    find_home(fleet).core.get(MEMBERSHIP).set_state(MemberState.LEAVING)
+    await fleet.clock.async_sleep(5_000)
+
+
+async def async_join_until_home_moves(fleet: FakeDaemons) -> None:
+    home = find_home(fleet)
+    for _ in range(8):
+        await fleet.async_add()
+        await fleet.clock.async_sleep(4_000)
+        if find_home(fleet) is not home:
+            return
+    raise AssertionError("the home never moved")
+
+
+@pytest.mark.parametrize("async_change", [async_leave, async_join_until_home_moves])
+def test_a_customer_within_its_rate_is_served_while_its_home_moves(
+    async_change: Callable[[FakeDaemons], Awaitable[None]],
+) -> None:
+    """A customer sends two thirds of its rate over all VMs while its home leaves, or a VM joins.
+
+    Its partition changes owner. Until the next owner had claimed it, up to a second later, its
+    requests were refused or waited that long, though nobody had failed.
+    """
+
+    async def async_test() -> None:
+        clock = LoopClock()
+        platform = FakePlatform(clock)
+        platform.faults.slow_ms = 5
+        setups = (*CONTROL, ledger.async_setup, claims.async_setup, limits.async_setup)
+        fleet = FakeDaemons(clock, platform, FakeNetwork(clock), setups)
+        first, *_ = await fleet.async_add_many(4)
+        await async_patch(first, {"customers": {"acme": {"rate_per_s": 20, "burst": 40}}})
+        await clock.async_sleep(20_000)
+        changing = asyncio.create_task(async_change(fleet))
+        chosen = random.Random(1)
+        tasks = []
+        while not changing.done():
+            tasks.append(asyncio.create_task(async_admit(chosen.choice(fleet.running))))
+            await clock.async_sleep(PAUSE_MS)
+        await changing
+        waits = await asyncio.gather(*tasks)
+        assert len(waits) > 40
+        assert max(waits) <= LONGEST_WAIT_MS
+        await fleet.async_close()
+
+    run_virtual(async_test())
+
+
+async def async_admit(daemon: FakeDaemon) -> int:
+    """Return how long a request waited for its admission."""
+    begun_at = daemon.core.clock.now()
+    admitted = await daemon.core.get(LIMITS).async_admit(ACME)
+    assert isinstance(admitted, Ok), admitted
+    return daemon.core.clock.now() - begun_at
