Give orders to engines from the steward of each upstream

Cause: the controller of orders decided, but nothing ran it: an operator's patch of an engine's models, versions, adapters or role changed nothing.

Change: a component checks each engine whose partition this VM owns about once a second and gives one order at a time. A target without weights holds back nothing but unloading. The document gains `adapters` (MODEL:ADAPTER) and `role`; `checks_fencing` must now be a boolean, where any value was taken for its truth before.

--- a/goldcreststair/components/batch/service.py
+++ b/goldcreststair/components/batch/service.py
@@ -153,7 +153,7 @@
 
     def _choose_stewards(self, model: str) -> list[str]:
         upstreams = self._core.blackboard.read(CONFIGURATION).upstreams.values()
-        names = [upstream.name for upstream in upstreams if model in upstream.models]
+        names = [upstream.name for upstream in upstreams if model in upstream.served_names]
         owners = {self.directory.find_owner(make_upstream_key(name)) for name in names}
         known = sorted(owner for owner in owners if owner)
         return self._core.random.sample(known, min(ADVERT_FAN_OUT, len(known)))
--- a/goldcreststair/components/batch/steward.py
+++ b/goldcreststair/components/batch/steward.py
@@ -149,7 +149,7 @@
             self._suspect_turn = not self._suspect_turn
             started = all(stream.last_index >= 0 for stream in self.running)
             suspect_wanted = self._suspect_turn and started
-            for model in self.upstream.models:
+            for model in self.upstream.served_names:
                 limit = min(free, LOT_ITEMS)
                 request = LotRequest(model, limit, suspect_wanted)
                 items = await self._source.async_request(request)
--- a/goldcreststair/components/batch/submission.py
+++ b/goldcreststair/components/batch/submission.py
@@ -70,7 +70,7 @@
         self._options = options
         self.job = make_job_id(options.customer, options.idempotency_key)
         upstreams = core.blackboard.read(CONFIGURATION).upstreams.values()
-        self._models = frozenset(model for upstream in upstreams for model in upstream.models)
+        self._models = frozenset(model for upstream in upstreams for model in upstream.served_names)
         self._splitter = LineSplitter()
         self._lines = 0
         self._items: list[Item] = []
--- a/goldcreststair/components/caller_api/views.py
+++ b/goldcreststair/components/caller_api/views.py
@@ -109,7 +109,7 @@
         """Return the list of models."""
         upstreams = self.core.blackboard.read(CONFIGURATION).upstreams.values()
         engines = [u for u in upstreams if u.kind is UpstreamKind.ENGINE]
-        names = sorted({model for upstream in engines for model in upstream.models})
+        names = sorted({model for upstream in engines for model in upstream.served_names})
         data = [{"id": name, "object": "model", "owned_by": "goldcreststair"} for name in names]
         self.finish({"object": "list", "data": data})
 
--- a/goldcreststair/components/configuration/document.py
+++ b/goldcreststair/components/configuration/document.py
@@ -30,6 +30,17 @@
     "models",
 )
 KEY_HASH_LENGTH: Final = 64
+ROLES: Final = ("mixed", "prefill", "decode")
+UPSTREAM_FIELDS: Final = {
+    "address",
+    "data_centre",
+    "kind",
+    "models",
+    "service",
+    "checks_fencing",
+    "adapters",
+    "role",
+}
 
 
 class _FieldError(Exception):
@@ -110,9 +121,7 @@
 
 
 def _decode_upstream(name: str, raw: Any, field: str) -> Upstream:
-    _check_fields(
-        raw, field, {"address", "data_centre", "kind", "models", "service", "checks_fencing"}
-    )
+    _check_fields(raw, field, UPSTREAM_FIELDS)
     kind = raw.get("kind", UpstreamKind.ENGINE)
     if kind not in tuple(UpstreamKind):
         raise _FieldError(f"{field}.kind", "must be engine or service")
@@ -126,10 +135,35 @@
         kind=UpstreamKind(kind),
         models=_read_list(raw, "models", field),
         service=str(raw.get("service", "")),
-        checks_fencing=bool(raw.get("checks_fencing", True)),
+        checks_fencing=_read_flag(raw, "checks_fencing", field, default=True),
+        adapters=_read_adapters(raw, field),
+        role=_read_role(raw, field),
     )
 
 
+def _read_adapters(raw: Any, field: str) -> tuple[str, ...]:
+    adapters = _read_list(raw, "adapters", field)
+    for adapter in adapters:
+        model, mark, name = adapter.rpartition(":")
+        if not (mark and name and model in raw.get("models", [])):
+            raise _FieldError(f"{field}.adapters", "must name MODEL:ADAPTER of a model served here")
+    return adapters
+
+
+def _read_role(raw: Mapping[str, Any], field: str) -> str:
+    role = raw.get("role", "")
+    if role not in ("", *ROLES):
+        raise _FieldError(f"{field}.role", f"must be one of {', '.join(ROLES)}")
+    return str(role)
+
+
+def _read_flag(raw: Mapping[str, Any], name: str, field: str, *, default: bool) -> bool:
+    value = raw.get(name, default)
+    if not isinstance(value, bool):
+        raise _FieldError(f"{field}.{name}", "must be true or false")
+    return value
+
+
 def _decode_route(_: str, raw: Any, field: str) -> ServiceRoute:
     _check_fields(raw, field, {"service", "method", "path", "repeatable"})
     repeatable = raw.get("repeatable")
--- a/goldcreststair/components/orders/controller.py
+++ b/goldcreststair/components/orders/controller.py
@@ -1,6 +1,7 @@
 """Decides the next order to an engine from what is wanted and what it reports."""
 
 import dataclasses
+from collections.abc import Iterator, Set
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.orders import const
@@ -18,25 +19,38 @@
     return Progress(now, Millis(now + wait_ms))
 
 
-def choose_step(wanted: EngineState, reported: EngineState) -> Step | None:
+def choose_step(
+    wanted: EngineState, reported: EngineState, held: Set[str] = frozenset()
+) -> Step | None:
     """Return the one difference to mend next, or None if there is none.
 
-    Loads come before unloads, so that a model being replaced is served throughout.
+    Loads come before unloads, so that a model being replaced is served throughout. A target in
+    `held` is passed over, but nothing is unloaded while one of them is still to be loaded.
     """
+    mending = list(_list_loads(wanted, reported))
+    free = [step for step in mending if step.target not in held]
+    if free or mending:
+        return free[0] if free else None
+    return next(_list_unloads(wanted, reported), None)
+
+
+def _list_loads(wanted: EngineState, reported: EngineState) -> Iterator[Step]:
     if wanted.role and wanted.role != reported.role:
-        return Step(Action.SET_ROLE, "role", wanted.role)
+        yield Step(Action.SET_ROLE, "role", wanted.role)
     for model in sorted(wanted.models - reported.models):
-        return Step(Action.LOAD_MODEL, model, wanted.versions.get(model, ""))
+        yield Step(Action.LOAD_MODEL, model, wanted.versions.get(model, ""))
     for model, version in sorted(wanted.versions.items()):
-        if model in wanted.models and reported.versions.get(model) != version:
-            return Step(Action.SET_VERSION, model, version)
+        if model in wanted.models & reported.models and reported.versions.get(model) != version:
+            yield Step(Action.SET_VERSION, model, version)
     for adapter in sorted(wanted.adapters - reported.adapters):
-        return Step(Action.LOAD_ADAPTER, adapter)
+        yield Step(Action.LOAD_ADAPTER, adapter)
+
+
+def _list_unloads(wanted: EngineState, reported: EngineState) -> Iterator[Step]:
     for adapter in sorted(reported.adapters - wanted.adapters):
-        return Step(Action.UNLOAD_ADAPTER, adapter)
+        yield Step(Action.UNLOAD_ADAPTER, adapter)
     for model in sorted(reported.models - wanted.models):
-        return Step(Action.UNLOAD_MODEL, model)
-    return None
+        yield Step(Action.UNLOAD_MODEL, model)
 
 
 def record_success(progress: Progress, now: Millis) -> Progress:
--- a/goldcreststair/components/routing/controller.py
+++ b/goldcreststair/components/routing/controller.py
@@ -195,4 +195,4 @@
 def _fits(upstream: Upstream, query: RouteQuery) -> bool:
     if query.service:
         return upstream.service == query.service
-    return query.model in upstream.models
+    return query.model in upstream.served_names
--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -214,7 +214,8 @@
 
 
 def _decode_load(raw: dict[str, Any]) -> LoadReport:
-    return LoadReport(**{**raw, "models": tuple(raw["models"])})
+    lists = {name: tuple(raw.get(name, ())) for name in ("models", "adapters", "in_use")}
+    return LoadReport(**{**raw, **lists})
 
 
 async def _async_control(
--- a/goldcreststair/upstreams/models.py
+++ b/goldcreststair/upstreams/models.py
@@ -27,6 +27,15 @@
     """The service that a plain upstream serves."""
     checks_fencing: bool = True
     """Whether the engine refuses an order with an old fencing number."""
+    adapters: tuple[str, ...] = ()
+    """Adapters an engine shall serve, each as `MODEL:ADAPTER`; requests name them so as well."""
+    role: str = ""
+    """Role an engine shall have; empty wants no particular one."""
+
+    @property
+    def served_names(self) -> tuple[str, ...]:
+        """What a request's `model` may name to run here: models and adapters."""
+        return self.models + self.adapters
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +113,12 @@
     role: str = "mixed"
     fencing: int = 0
     """Highest fencing number the engine has seen."""
+    adapters: tuple[str, ...] = ()
+    """Adapters loaded, each as `MODEL:ADAPTER`."""
+    versions: Mapping[str, str] = field(default_factory=dict)
+    """Model to the version loaded."""
+    in_use: tuple[str, ...] = ()
+    """Models and adapters that running or waiting requests use."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +137,6 @@
     order_id: str
     fencing: int
     action: str
-    """`load_model`, `unload_model`, `load_adapter`, `set_version`, `set_role`."""
+    """`load_model`, `unload_model`, `load_adapter`, `unload_adapter`, `set_version`, `set_role`."""
     target: str
     value: str = ""
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -60,7 +60,7 @@
             self.set_status(400)
             self.finish({"error": {"message": f"bad request: {error}", "type": "invalid"}})
             return
-        if request.model not in self.engine.models:
+        if not self.engine.served.serves(request.model):
             self._refuse(f"model {request.model} is not loaded")
             return
         generation = self.engine.submit(request.generation)
@@ -161,19 +161,16 @@
 class KvHandler(EngineHandler):
     """Export and import of KV state."""
 
-    def get(self, request_id: str) -> None:
+    async def get(self, request_id: str) -> None:
         """Export a running request's state."""
-        generation = self.engine.find(request_id)
-        if generation is None or generation.state in ENDED:
+        state = await self.engine.kv.async_export(self.engine.find(request_id))
+        if state is None:
             self.set_status(404)
-            self.finish(b"null")
-            return
-        self.finish({"produced": generation.produced, "prompt": generation.prompt})
+        self.finish(state or b"null")
 
-    def put(self, request_id: str) -> None:
-        """Import a request's state: its prompt will not be prefilled again."""
-        state = orjson.loads(self.request.body)
-        self.engine.import_prefix(state["prompt"])
+    async def put(self, request_id: str) -> None:
+        """Import a request's state: its tokens will not be prefilled again."""
+        await self.engine.async_import_kv(request_id, self.request.body)
         self.finish(b"null")
 
 
--- a/standins/engine/client.py
+++ b/standins/engine/client.py
@@ -99,7 +99,7 @@
         except (ValueError, KeyError, TypeError) as error:
             body = orjson.dumps({"error": {"message": f"bad request: {error}"}})
             return Err(UpstreamError("rejected", UpstreamFailure.REJECTED, 400, body))
-        if request.model not in engine.models:
+        if not engine.served.serves(request.model):
             return Err(UpstreamError("model not loaded", UpstreamFailure.REFUSED, 503))
         generation = engine.submit(request.generation)
         if generation is request.generation:
@@ -140,24 +140,33 @@
         """Give an order."""
         if upstream.address in self.unreachable:
             return Err(UpstreamError("no route", UpstreamFailure.CONNECT))
-        if not await self.engines[upstream.address].async_apply_order(order):
+        engine = self.engines[upstream.address]
+        if not await engine.async_apply_order(order):
             return Err(UpstreamError("old fencing number", UpstreamFailure.FENCED, 409))
+        if engine.faults.lose_order_answers > 0:
+            engine.faults.lose_order_answers -= 1
+            return Err(UpstreamError("answer lost", UpstreamFailure.LOST))
         return Ok(None)
 
     async def async_export_kv(
         self, upstream: Upstream, request_id: str
     ) -> Result[bytes, UpstreamError]:
         """Return the KV state of a running request."""
-        generation = self.engines[upstream.address].find(request_id)
-        if generation is None or generation.state in ENDED:
+        engine = self.engines[upstream.address]
+        if upstream.address in self.unreachable or engine.faults.refuse_kv:
+            return Err(UpstreamError("no route", UpstreamFailure.CONNECT))
+        state = await engine.kv.async_export(engine.find(request_id))
+        if state is None:
             return Err(UpstreamError("unknown request", UpstreamFailure.REJECTED, 404))
-        return Ok(orjson.dumps({"produced": generation.produced, "prompt": generation.prompt}))
+        return Ok(state)
 
     async def async_import_kv(
         self, upstream: Upstream, request_id: str, state: bytes
     ) -> Result[None, UpstreamError]:
         """Give an engine the KV state of a request."""
-        self.engines[upstream.address].import_prefix(orjson.loads(state)["prompt"])
+        if upstream.address in self.unreachable:
+            return Err(UpstreamError("no route", UpstreamFailure.CONNECT))
+        await self.engines[upstream.address].async_import_kv(request_id, state)
         return Ok(None)
 
     async def async_call(
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -9,7 +9,9 @@
 
 from goldcreststair.clock import Clock
 from goldcreststair.upstreams.models import CacheEvent, LoadReport, Order
+from standins.engine.kv import KvTransfers
 from standins.engine.models import EngineFaults, EngineParameters, Generation, GenerationState
+from standins.engine.served import ServedState
 
 KEPT_GENERATIONS: Final = 2000
 KEPT_EVENTS: Final = 5000
@@ -42,9 +44,8 @@
         """Start with nothing running; `async_run` does the decoding."""
         self.parameters = parameters
         self.faults = EngineFaults()
-        self.models = set(models)
+        self.served = ServedState(models)
         self.draining = False
-        self.role = "mixed"
         self.fencing = 0
         self.applied_orders: list[Order] = []
         self.crashes = 0
@@ -61,6 +62,7 @@
         self._reports: deque[tuple[int, LoadReport]] = deque()
         self._report_sequence = 0
         self._work = asyncio.Event()
+        self.kv = KvTransfers(clock, parameters)
 
     def submit(self, generation: Generation) -> Generation:
         """Queue a request, or return the one already known by this id."""
@@ -95,11 +97,18 @@
             if generation.state in (GenerationState.WAITING, GenerationState.RUNNING):
                 self._end(generation, GenerationState.LOST)
         self._known.clear()
+        self.kv.clear()
         self._prefixes.clear()
         self._event_sequence += 1000
 
-    def import_prefix(self, prompt: str) -> None:
-        """Take a prompt's blocks into the cache without prefilling them."""
+    def restart_empty(self) -> None:
+        """Crash and come back without any model."""
+        self.crash()
+        self.served.clear()
+
+    async def async_import_kv(self, request_id: str, state: bytes) -> None:
+        """Take a request's state and its prompt's blocks in without prefilling them."""
+        prompt = await self.kv.async_import(request_id, state)
         for prefix in self._split_prefixes(prompt):
             self._prefixes[prefix] = None
 
@@ -110,9 +119,7 @@
             self._reports.popleft()
         if self._reports and self._reports[0][0] <= horizon:
             return self._reports[0][1]
-        return LoadReport(
-            0, 0, 0, 0, self.parameters.kv_tokens, self.draining, tuple(sorted(self.models))
-        )
+        return self._make_report()
 
     def read_events(self, after_sequence: int) -> tuple[CacheEvent, ...]:
         """Return published cache events after a sequence number."""
@@ -130,14 +137,16 @@
         if self.parameters.checks_fencing and order.fencing < self.fencing:
             return False
         self.applied_orders.append(order)
-        if order.action == "load_model":
-            self.models.add(order.target)
-        elif order.action == "unload_model":
-            self.models.discard(order.target)
-        elif order.action == "set_role":
-            self.role = order.value
+        self.served.apply(order)
+        self._drop_unserved()
         return True
 
+    def _drop_unserved(self) -> None:
+        """Lose the requests whose model was taken from under them."""
+        for generation in (*self._waiting, *self._running):
+            if not self.served.serves(generation.model):
+                self._end(generation, GenerationState.LOST)
+
     async def async_run(self) -> None:
         """Decode until cancelled."""
         while True:
@@ -182,6 +191,8 @@
     def _prefill(self, generation: Generation) -> int:
         """Put the prompt's blocks into the cache; returns how many tokens were not there."""
         missing = generation.prompt_tokens
+        generation.began_at = generation.produced
+        imported = self.kv.take(generation.request_id)
         size = self.parameters.prefix_block_tokens
         for prefix in self._split_prefixes(generation.prompt):
             if prefix in self._prefixes:
@@ -193,7 +204,7 @@
             while len(self._prefixes) > self.parameters.prefix_blocks:
                 evicted, _ = self._prefixes.popitem(last=False)
                 self._publish(evicted, stored=False)
-        return max(0, missing)
+        return max(0, min(missing, generation.prompt_tokens - imported))
 
     def _split_prefixes(self, prompt: str) -> Iterator[str]:
         words = prompt.split()
@@ -231,16 +242,21 @@
 
     def _record_report(self) -> None:
         self._report_sequence += 1
-        waiting = sum(1 for g in self._waiting if g.state is GenerationState.WAITING)
-        report = LoadReport(
+        self._reports.append((self._clock.now(), self._make_report()))
+
+    def _make_report(self) -> LoadReport:
+        waiting = [g for g in self._waiting if g.state is GenerationState.WAITING]
+        return LoadReport(
             self._report_sequence,
             len(self._running),
-            waiting,
+            len(waiting),
             self._count_kv(),
             self.parameters.kv_tokens,
             self.draining,
-            tuple(sorted(self.models)),
-            self.role,
+            tuple(sorted(self.served.versions)),
+            self.served.role,
             self.fencing,
+            tuple(sorted(self.served.adapters)),
+            dict(self.served.versions),
+            tuple(sorted({g.model for g in (*waiting, *self._running)})),
         )
-        self._reports.append((self._clock.now(), report))
--- a/standins/engine/models.py
+++ b/standins/engine/models.py
@@ -33,7 +33,10 @@
     """Time an order takes."""
     checks_fencing: bool = True
     """Whether an order with an old fencing number is refused."""
-    service_version: str = "1"
+    kv_base_ms: float = 15.0
+    """Time of one export or import of KV state, whatever its size, ms."""
+    kv_transfer_per_token_ms: float = 0.01
+    """Added to it by each token of the state, ms (320 KB a token at about 256 Gbit/s)."""
 
 
 @dataclass(slots=True)
@@ -52,6 +55,10 @@
     """Close streams before their end marker."""
     pause: bool = False
     """Stop decoding for all."""
+    refuse_kv: bool = False
+    """Export no KV state."""
+    lose_order_answers: int = 0
+    """So many next orders take effect but their answers are lost."""
 
 
 class GenerationState(StrEnum):
@@ -73,8 +80,11 @@
     prompt_tokens: int
     wanted_tokens: int
     seed: str
+    model: str = ""
     produced: int = 0
     """Tokens produced; the next one has this index."""
+    began_at: int = 0
+    """Index of the first token produced here; those before are part of `prompt_tokens`."""
     state: GenerationState = GenerationState.WAITING
     advanced: asyncio.Event = field(default_factory=asyncio.Event)
     """Set whenever a token was produced or the state changed."""
@@ -83,3 +93,8 @@
     def kv_need(self) -> int:
         """Tokens of KV memory it takes to its end."""
         return self.prompt_tokens + self.wanted_tokens
+
+    @property
+    def context_tokens(self) -> int:
+        """Tokens of KV memory in use now."""
+        return self.prompt_tokens + self.produced - self.began_at
--- a/standins/engine/requests.py
+++ b/standins/engine/requests.py
@@ -36,6 +36,7 @@
         prompt_tokens=max(1, len(prompt.split()) + len(prior.split())),
         wanted_tokens=wanted,
         seed=make_seed(prompt.encode()),
+        model=request["model"],
     )
     return ParsedRequest(request["model"], chat, bool(request.get("stream")), generation)
 
--- /dev/null
+++ b/standins/engine/served.py
@@ -0,0 +1,39 @@
+"""What the engine's stand-in serves, and how orders change it."""
+
+from goldcreststair.upstreams.models import Order
+
+FIRST_VERSION = "1"
+
+
+class ServedState:
+    """Models with their versions, adapters, and the role."""
+
+    def __init__(self, models: tuple[str, ...]) -> None:
+        """Start with some models at their first version."""
+        self.versions: dict[str, str] = dict.fromkeys(models, FIRST_VERSION)
+        self.adapters: set[str] = set()
+        self.role = "mixed"
+
+    def serves(self, name: str) -> bool:
+        """Return whether a model, or an adapter as `MODEL:ADAPTER`, is loaded."""
+        return name in self.versions or name in self.adapters
+
+    def clear(self) -> None:
+        """Unload everything, as a restart without its models does."""
+        self.versions.clear()
+        self.adapters.clear()
+        self.role = "mixed"
+
+    def apply(self, order: Order) -> None:
+        """Carry an order out; the same again changes nothing."""
+        match order.action:
+            case "load_model" | "set_version":
+                self.versions[order.target] = order.value or FIRST_VERSION
+            case "unload_model":
+                self.versions.pop(order.target, None)
+            case "load_adapter":
+                self.adapters.add(order.target)
+            case "unload_adapter":
+                self.adapters.discard(order.target)
+            case "set_role":
+                self.role = order.value
--- a/tests/components/configuration/test_document.py
+++ b/tests/components/configuration/test_document.py
@@ -8,6 +8,8 @@
 from goldcreststair.components.configuration.document import decode_document
 from tests.helpers.cores import make_document
 
+ENGINE: dict[str, Any] = {"address": "127.0.0.1:1", "data_centre": "dc1", "models": ["small"]}
+
 
 def test_decodes_a_valid_document() -> None:
     configuration = decode_document(3, make_document()).unwrap()
@@ -24,6 +26,11 @@
         ({"keys": {"not-a-hash": "acme"}}, "keys.not-a-hash"),
         ({"upstreams": {"e": {"address": "nowhere"}}}, "upstreams.e.address"),
         ({"nonsense": {}}, "nonsense"),
+        ({"models": {"small": 2}}, "models.small"),
+        ({"upstreams": {"e": ENGINE | {"adapters": ["other:legal"]}}}, "upstreams.e.adapters"),
+        ({"upstreams": {"e": ENGINE | {"adapters": "small:legal"}}}, "upstreams.e.adapters"),
+        ({"upstreams": {"e": ENGINE | {"role": "chef"}}}, "upstreams.e.role"),
+        ({"upstreams": {"e": ENGINE | {"checks_fencing": 0}}}, "upstreams.e.checks_fencing"),
     ],
 )
 def test_names_the_wrong_field(sections: dict[str, Any], field: str) -> None:
