Move long streams off upstreams that the platform takes away

Cause: streams at an upstream that the platform's list says is leaving ran on until it was gone. They were then resumed, but every one as a broken connection, which puts all requests there under suspicion, and all at once.

Change: 20 s after the list names it an upstream counts as gone. Streams that would end within 3 s of that, or later, are moved before, at an even pace over the time there is, at most eight at once in a VM; short ones end there. Long contexts go by KV export and import while the stream still runs at the old upstream, in at most 3 s; short ones, and those whose export fails, by the text so far. The run is ended between two chunks: cancelled in the middle of one, its words were lost (the test shows it). A move takes no attempt. Routing gives an engine no request of a model that its fresh report lacks; a refusal closes an engine for that model only. Ruled out: trusting old reports, since engines of idle models are not polled.

The in-process engine left out tokens when a caller took them slowly, and the HTTP one could end without its marker; both mended.

--- a/goldcreststair/components/online/const.py
+++ b/goldcreststair/components/online/const.py
@@ -23,5 +23,16 @@
 SETTLE_TIMEOUT_MS: Final = 5000
 CLAIM_TIMEOUT_MS: Final = 3000
 
+MOVE_TICK_MS: Final = 250
+END_MARGIN_MS: Final = 3000
+"""A stream that would end so short before its upstream's departure, or later, is moved."""
+MOVE_MARGIN_MS: Final = 8000
+"""So long before the departure the last of them shall be moved."""
+MAX_MOVES_AT_ONCE: Final = 8
+KV_MOVE_TIMEOUT_MS: Final = 3000
+KV_MOVE_MIN_TOKENS: Final = 1000
+"""From so many tokens on, KV transfer beats prefilling; see `docs/measurements/kv_move.md`."""
+BYTES_PER_TOKEN: Final = 4
+
 PRESSURE_PERIOD_MS: Final = 250
 EXPECTED_QUEUE_PER_WAITING_MS: Final = 20
--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -12,6 +12,7 @@
 from goldcreststair.components.online.fair_queue import Ticket
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.models import GenerateRequest
+from goldcreststair.components.online.mover import FollowedStream, StreamMover
 from goldcreststair.components.online.pressure import PressureMeter
 from goldcreststair.components.online.recovery import NextStep, RunProgress, decide_next
 from goldcreststair.components.online.stream import StreamRecorder
@@ -27,6 +28,7 @@
     """Passes chunks to the recorder and tells when the first of one run came."""
 
     def __init__(self, recorder: StreamRecorder, on_first: Callable[[], None]) -> None:
+        self.accepting = asyncio.Lock()
         self._recorder = recorder
         self._on_first: Callable[[], None] | None = on_first
 
@@ -34,7 +36,8 @@
         if self._on_first is not None:
             self._on_first()
             self._on_first = None
-        await self._recorder.async_accept(chunk)
+        async with self.accepting:
+            await self._recorder.async_accept(chunk)
 
 
 class GenerationRunner:
@@ -51,9 +54,11 @@
         self._meter = meter
         self._budget = RetryBudget()
         self._cancels: set[asyncio.Task[object]] = set()
+        self._mover = StreamMover(core)
 
     async def async_close(self) -> None:
         """Wait until upstreams know which runs nobody follows any more."""
+        await self._mover.async_close()
         await asyncio.gather(*self._cancels, return_exceptions=True)
 
     async def async_run(
@@ -78,7 +83,7 @@
         while True:
             placed = await self._gate.async_enter(ticket, run.make_query())
             waiting = isinstance(placed, Err) and placed.err_value.code is RefusalCode.NO_UPSTREAM
-            if not waiting or not run.progress.attempts:
+            if not waiting or not run.progress.has_begun:
                 return placed
             if self._clock.now() + RETRY_PAUSE_MS >= run.deadline_at or run.pauses <= 0:
                 return placed
@@ -127,7 +132,13 @@
             self._meter.note_first_token(upstream.name, self._clock.now() - began)
 
         sink = _FirstTokenSink(run.recorder, on_first)
-        outcome = await self._engines.async_generate(upstream, run.make_call(began), sink)
+        attempt = self._engines.async_generate(upstream, run.make_call(began), sink)
+        if run.request.stream:
+            stream = FollowedStream(upstream, run.request, run.recorder, sink.accepting)
+            outcome = await self._mover.async_follow(stream, attempt)
+            run.take_holder(stream)
+        else:
+            outcome = await attempt
         if isinstance(outcome, Ok) and run.recorder.gap:
             return Err(UpstreamError("tokens were left out", UpstreamFailure.INCOMPLETE))
         return outcome
@@ -138,8 +149,12 @@
             progress.reconnects = 0
         progress.last_index = run.recorder.last_index
         progress.may_have_run = progress.may_have_run or not error.not_run
+        if error.failure is UpstreamFailure.MOVED:
+            # Nothing failed: a stream that moves often must not run out of attempts.
+            progress.attempts -= 1
+            return NextStep.ELSEWHERE
         if error.failure is UpstreamFailure.REFUSED:
-            self._router.note_refused(upstream.name)
+            self._router.note_refused(upstream.name, run.request.model)
         if error.failure is UpstreamFailure.LOST and not error.status:
             self._quarantine.report_crash(upstream.name, run.request.request_id)
         remaining = run.deadline_at - self._clock.now()
@@ -178,6 +193,8 @@
         self.progress = RunProgress(repeatable=True)
         self.excluded: frozenset[str] = frozenset()
         self.alone = False
+        self.holder = ""
+        """Name of the upstream that holds the KV state, if one does."""
         self.pauses = 100
         self.fingerprint = make_fingerprint(request.identity.customer.name, request.body)
 
@@ -185,13 +202,19 @@
         customer = self.request.identity.customer
         return Ticket(self.request.request_id, customer.name, customer.weight, self.deadline_at)
 
+    def take_holder(self, stream: FollowedStream) -> None:
+        """Remember where a stream that moves shall go on."""
+        left = stream.leave.done() and not stream.leave.cancelled()
+        self.holder = stream.leave.result() if left else ""
+
     def make_query(self) -> RouteQuery:
         return RouteQuery(
             model=self.request.model,
             prefix=self.request.prefix,
             excluded=self.excluded,
             alone=self.alone,
-            admitted=self.progress.attempts > 0,
+            admitted=self.progress.has_begun,
+            preferred=self.holder,
         )
 
     def make_call(self, now: Millis) -> GenerateCall:
--- /dev/null
+++ b/goldcreststair/components/online/mover.py
@@ -0,0 +1,205 @@
+"""Moves running streams from departing upstreams to others, without a caller noticing."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+from result import Err, Result
+
+from goldcreststair.clock import Millis, TimerHandle
+from goldcreststair.components.online.const import (
+    BYTES_PER_TOKEN,
+    KV_MOVE_TIMEOUT_MS,
+    MOVE_TICK_MS,
+)
+from goldcreststair.components.online.departures import (
+    MoveMethod,
+    StreamState,
+    choose_method,
+    choose_movers,
+)
+from goldcreststair.components.online.models import GenerateRequest
+from goldcreststair.components.online.stream import StreamRecorder
+from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.core import Core
+from goldcreststair.journal import Subject
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.models import GenerateEnd, Upstream
+
+_LOGGER = logging.getLogger(__name__)
+
+Attempt = Coroutine[Any, Any, Result[GenerateEnd, UpstreamError]]
+
+
+@dataclass(eq=False, slots=True)
+class FollowedStream:
+    """One streamed run at one upstream."""
+
+    upstream: Upstream
+    request: GenerateRequest
+    recorder: StreamRecorder
+    accepting: asyncio.Lock
+    """Held while a chunk is passed to the caller."""
+    leave: "asyncio.Future[str]" = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+    """Done when the run shall end here; names the upstream that holds its KV state, or none."""
+    moving: bool = False
+
+    @property
+    def context_tokens(self) -> int:
+        """Tokens of prompt and answer; those of the prompt are estimated from its bytes."""
+        return len(self.request.body) // BYTES_PER_TOKEN + self.recorder.last_index + 1
+
+    def read_wanted(self) -> int:
+        """Return how many tokens the answer may come to, 0 if the caller does not say."""
+        wanted = orjson.loads(self.request.body).get("max_tokens")
+        return wanted if isinstance(wanted, int) else 0
+
+
+class StreamMover:
+    """Follows streamed runs and ends them early where their upstream departs."""
+
+    def __init__(self, core: Core) -> None:
+        """Follow none yet."""
+        self._clock = core.clock
+        self._journal = core.journal
+        self._statistics = core.statistics
+        self._engines = core.upstreams.engines
+        self._router = core.get(ROUTER)
+        self._streams: dict[str, dict[str, FollowedStream]] = {}
+        """By upstream and request id."""
+        self._moves: set[asyncio.Task[None]] = set()
+        self._timer: TimerHandle | None = None
+
+    async def async_close(self) -> None:
+        """Move nothing more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for task in tuple(self._moves):
+            task.cancel()
+        await asyncio.gather(*self._moves, return_exceptions=True)
+
+    async def async_follow(
+        self, stream: FollowedStream, attempt: Attempt
+    ) -> Result[GenerateEnd, UpstreamError]:
+        """Return how a run ended; `MOVED` if it shall go on elsewhere."""
+        task = asyncio.ensure_future(attempt)
+        at_upstream = self._streams.setdefault(stream.upstream.name, {})
+        at_upstream[stream.request.request_id] = stream
+        self._arm()
+        try:
+            either: set[asyncio.Future[Any]] = {task, stream.leave}
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            if not task.done():
+                await self._async_stop(stream, task)
+            if not task.cancelled():
+                return task.result()
+            message = f"{stream.upstream.name} departs"
+            return Err(UpstreamError(message, UpstreamFailure.MOVED))
+        finally:
+            del at_upstream[stream.request.request_id]
+            task.cancel()
+            stream.leave.cancel()
+
+    async def _async_stop(
+        self, stream: FollowedStream, task: "asyncio.Task[Result[GenerateEnd, UpstreamError]]"
+    ) -> None:
+        # Shows as words missing: a chunk already counted as passed on would be cut off on its way
+        # to the caller. Under the lock none is; one that waits for it was not counted yet.
+        async with stream.accepting:
+            task.cancel()
+        await asyncio.wait({task})
+
+    def _arm(self) -> None:
+        if self._timer is None:
+            self._timer = self._clock.call_later(MOVE_TICK_MS, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._streams = {name: streams for name, streams in self._streams.items() if streams}
+        departing = self._find_departing()
+        by_id = {stream.request.request_id: stream for stream, _ in departing}
+        states = [self._describe(stream, at) for stream, at in departing]
+        for chosen in choose_movers(states, len(self._moves), self._clock.now()):
+            stream = by_id[chosen.request_id]
+            stream.moving = True
+            task = asyncio.ensure_future(self._async_move(stream))
+            self._moves.add(task)
+            task.add_done_callback(self._moves.discard)
+        if self._streams:
+            self._arm()
+
+    def _find_departing(self) -> list[tuple[FollowedStream, Millis]]:
+        found = []
+        for streams in self._streams.values():
+            upstream = next(iter(streams.values())).upstream
+            departure_at = self._router.find_departure(upstream)
+            if departure_at is not None:
+                found += [(s, departure_at) for s in streams.values() if not s.moving]
+        return found
+
+    def _describe(self, stream: FollowedStream, departure_at: Millis) -> StreamState:
+        first_at = stream.recorder.first_token_at
+        return StreamState(
+            request_id=stream.request.request_id,
+            departure_at=departure_at,
+            produced=stream.recorder.last_index + 1,
+            wanted=stream.read_wanted(),
+            streaming_ms=0 if first_at is None else self._clock.now() - first_at,
+        )
+
+    async def _async_move(self, stream: FollowedStream) -> None:
+        try:
+            await self._async_prepare(stream)
+        finally:
+            stream.moving = False
+
+    async def _async_prepare(self, stream: FollowedStream) -> None:
+        """Prepare another upstream while the run goes on, then end it here."""
+        query = RouteQuery(
+            model=stream.request.model,
+            prefix=stream.request.prefix,
+            excluded=frozenset({stream.upstream.name}),
+            admitted=True,
+        )
+        target = self._router.choose(query)
+        if isinstance(target, Err) or stream.leave.done():
+            return
+        method = choose_method(stream.context_tokens)
+        holder = ""
+        if method is MoveMethod.KV and await self._async_transfer(stream, target.ok_value):
+            holder = target.ok_value.name
+        self._statistics.count(f"online.moves.{'kv' if holder else 'prefill'}")
+        self._journal.record(
+            Subject.REQUEST,
+            stream.request.request_id,
+            "move",
+            f"{stream.upstream.name} departs",
+            method=method,
+            holder=holder,
+            context_tokens=stream.context_tokens,
+        )
+        if not stream.leave.done():
+            stream.leave.set_result(holder)
+
+    async def _async_transfer(self, stream: FollowedStream, target: Upstream) -> bool:
+        """Carry the KV state over, in bounded time; returns whether it arrived."""
+        request_id = stream.request.request_id
+        try:
+            # A departing engine may be gone, or too slow, at any moment: the text so far is
+            # always enough to go on elsewhere.
+            async with asyncio.timeout(KV_MOVE_TIMEOUT_MS / MS_PER_SECOND):
+                exported = await self._engines.async_export_kv(stream.upstream, request_id)
+                if isinstance(exported, Err):
+                    return False
+                state = exported.ok_value
+                imported = await self._engines.async_import_kv(target, request_id, state)
+                return not isinstance(imported, Err)
+        except TimeoutError:
+            return False
--- a/goldcreststair/components/online/recovery.py
+++ b/goldcreststair/components/online/recovery.py
@@ -37,6 +37,11 @@
     may_have_run: bool = False
     """Whether any upstream may have run any part; "not run" is untrue from then on."""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether an upstream was asked before, so that the request was admitted then."""
+        return self.attempts > 0 or self.may_have_run
+
 
 def decide_next(
     progress: RunProgress, error: UpstreamError, budget: RetryBudget, remaining_ms: int
--- a/goldcreststair/components/routing/const.py
+++ b/goldcreststair/components/routing/const.py
@@ -27,6 +27,9 @@
 REFUSED_MS: Final = 1000
 """An upstream that refused gets no new work for so long."""
 
+DEPARTURE_GRACE_MS: Final = 20_000
+"""An upstream that the platform takes away serves for so long after its list says so."""
+
 POLL_PERIOD_MS: Final = 1000
 MAX_POLLS_PER_S: Final = 20
 ASKED_LIFETIME_MS: Final = 60_000
--- a/goldcreststair/components/routing/controller.py
+++ b/goldcreststair/components/routing/controller.py
@@ -14,6 +14,7 @@
     ASKED_LIFETIME_MS,
     BELIEVED_SLACK,
     BOUND_FACTOR,
+    DEPARTURE_GRACE_MS,
     OWN_SLACK,
     SUBSET_SIZE,
 )
@@ -51,7 +52,7 @@
         self._session_id = core.session_id
         self._data_centre = core.settings.data_centre
         self._own_address = core.settings.address
-        self._leaving_addresses: frozenset[str] = frozenset()
+        self._leaving_since: dict[str, Millis] = {}
         self._isolated: dict[str, set[str]] = {}
         self._subsets: dict[tuple[str, str], list[Upstream]] = {}
         self._subset_version = -1
@@ -78,7 +79,8 @@
         roomy = [u for u in free if query.admitted or self.loads.has_room(u.name)]
         if not roomy:
             return Err(NoUpstream("all upstreams are at their limit", saturated=True))
-        chosen = self._choose_among(self._prefer_near(roomy), query)
+        preferred = [u for u in roomy if u.name == query.preferred]
+        chosen = preferred[0] if preferred else self._choose_among(self._prefer_near(roomy), query)
         self.beliefs.record(chosen.name, query.prefix)
         return Ok(chosen)
 
@@ -101,9 +103,9 @@
         if not suspects:
             self._isolated.pop(upstream, None)
 
-    def note_refused(self, upstream: str) -> None:
-        """Note that an upstream said it takes no work: it is given none for a while."""
-        self.loads.note_refused(upstream)
+    def note_refused(self, upstream: str, model: str = "") -> None:
+        """Note that an upstream said it takes no work, of this model or at all, for a while."""
+        self.loads.note_refused(upstream, model)
 
     def count_in_flight(self) -> Mapping[str, int]:
         """Return this VM's requests in flight by upstream."""
@@ -115,7 +117,15 @@
 
     def set_leaving_addresses(self, addresses: frozenset[str]) -> None:
         """Take the addresses that the platform says are leaving."""
-        self._leaving_addresses = addresses
+        now = self._clock.now()
+        self._leaving_since = {
+            address: self._leaving_since.get(address, now) for address in addresses
+        }
+
+    def find_departure(self, upstream: Upstream) -> Millis | None:
+        """Return when an upstream that the platform takes away is gone, None if it stays."""
+        since = self._find_listed_leaving(upstream)
+        return None if since is None else Millis(since + DEPARTURE_GRACE_MS)
 
     def list_used(self) -> list[Upstream]:
         """Return this VM's upstreams of all models that were asked for lately."""
@@ -147,17 +157,17 @@
         return (
             upstream.name not in query.excluded
             and upstream.name not in configuration.leaving_upstreams
-            and not self._is_listed_leaving(upstream)
-            and self.loads.is_open(upstream.name)
+            and self._find_listed_leaving(upstream) is None
+            and self.loads.is_open(upstream.name, query.model)
         )
 
-    def _is_listed_leaving(self, upstream: Upstream) -> bool:
-        if upstream.address in self._leaving_addresses:
-            return True
+    def _find_listed_leaving(self, upstream: Upstream) -> Millis | None:
+        if upstream.address in self._leaving_since:
+            return self._leaving_since[upstream.address]
         host = upstream.address.rpartition(":")[0]
         # Nothing of ours runs on upstream VMs. Where an upstream shares our own IP number, the
         # whole fleet stands on one machine, and a leaving daemon must not take it along.
-        return host != self._own_address and host in self._leaving_addresses
+        return None if host == self._own_address else self._leaving_since.get(host)
 
     def _prefer_near(self, free: Sequence[Upstream]) -> Sequence[Upstream]:
         return [u for u in free if u.data_centre == self._data_centre] or free
--- a/goldcreststair/components/routing/loads.py
+++ b/goldcreststair/components/routing/loads.py
@@ -29,7 +29,8 @@
     report_at: Millis = Millis(0)
     others: float = 0.0
     """Requests of other VMs when the report was made."""
-    refused_until: Millis = Millis(0)
+    refused_until: dict[str, Millis] = field(default_factory=dict)
+    """By model; the empty one stands for all."""
 
 
 class LoadBook:
@@ -67,18 +68,25 @@
         if load is not None:
             load.report, load.others = None, 0.0
 
-    def note_refused(self, upstream: str) -> None:
-        """Give an upstream no new work for a while."""
+    def note_refused(self, upstream: str, model: str = "") -> None:
+        """Give an upstream no new work of a model for a while, or none at all without one."""
         load = self._loads.setdefault(upstream, _UpstreamLoad())
-        load.refused_until = Millis(self._clock.now() + REFUSED_MS)
+        now = self._clock.now()
+        load.refused_until = {name: at for name, at in load.refused_until.items() if at > now}
+        load.refused_until[model] = Millis(now + REFUSED_MS)
 
-    def is_open(self, upstream: str) -> bool:
-        """Return whether an upstream neither refused lately nor said that it is draining."""
+    def is_open(self, upstream: str, model: str = "") -> bool:
+        """Return whether an upstream may be given work of a model, by its answers and reports."""
         load = self._loads.get(upstream)
         if load is None:
             return True
-        draining = load.report is not None and load.report.draining
-        return not draining and load.refused_until <= self._clock.now()
+        now = self._clock.now()
+        if any(load.refused_until.get(name, now) > now for name in ("", model)):
+            return False
+        report = load.report
+        if report is None:
+            return True
+        return not report.draining and (not model or not self._lacks(load, report, model))
 
     def has_room(self, upstream: str) -> bool:
         """Return whether one more of this VM's requests may run at an upstream."""
@@ -108,6 +116,12 @@
             return 0
         return int(load.report.waiting * self._weigh(load))
 
+    def _lacks(self, load: _UpstreamLoad, report: LoadReport, model: str) -> bool:
+        # Shows as refusals although the model was loaded long ago: engines of idle models are not
+        # polled, so an old report says nothing. A request tried in vain is refused and repeated.
+        fresh = self._clock.now() - load.report_at < REPORT_LIFETIME_MS
+        return fresh and model not in report.models and model not in report.adapters
+
     def _weigh(self, load: _UpstreamLoad) -> float:
         age = self._clock.now() - load.report_at
         return max(0.0, 1.0 - age / REPORT_LIFETIME_MS)
--- a/goldcreststair/components/routing/protocols.py
+++ b/goldcreststair/components/routing/protocols.py
@@ -6,6 +6,7 @@
 
 from result import Result
 
+from goldcreststair.clock import Millis
 from goldcreststair.core import ComponentKey
 from goldcreststair.errors import GoldcreststairError
 from goldcreststair.upstreams.models import Upstream
@@ -36,6 +37,8 @@
     """Whether the request is suspected of crashing upstreams, and runs apart from others."""
     admitted: bool = False
     """Whether the request ran before and only moves, so that no limit holds it back."""
+    preferred: str = ""
+    """Name of the upstream that holds the request's KV state: taken if it is open."""
 
 
 class Router(Protocol):
@@ -56,8 +59,11 @@
     def release(self, upstream: str, request_id: str) -> None:
         """End an isolation."""
 
-    def note_refused(self, upstream: str) -> None:
-        """Note that an upstream said it takes no work: it is given none for a while."""
+    def note_refused(self, upstream: str, model: str = "") -> None:
+        """Note that an upstream said it takes no work, of this model or at all, for a while."""
+
+    def find_departure(self, upstream: Upstream) -> Millis | None:
+        """Return when an upstream that the platform takes away is gone, None if it stays."""
 
     def count_in_flight(self) -> Mapping[str, int]:
         """Return this VM's requests in flight by upstream."""
--- a/goldcreststair/upstreams/errors.py
+++ b/goldcreststair/upstreams/errors.py
@@ -27,6 +27,8 @@
     """The answer had no end marker."""
     FENCED = "fenced"
     """An order's fencing number was too old."""
+    MOVED = "moved"
+    """This side ended the run, to go on with it at another upstream."""
     CANCELLED = "cancelled"
     """This side gave the call up."""
 
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -113,13 +113,17 @@
                 text = make_token(generation.seed, index)
                 events.append(encode_event(request, index, text, last=last))
                 index += 1
+            ended = generation.state in ENDED
             if generation.state is GenerationState.DONE and not self.engine.faults.drop_end:
                 events.append(END_MARKER)
             if events:
                 self.write(b"".join(events))
                 await self.flush()
-            if generation.state in ENDED:
+            if ended:
                 break
+            if generation.state in ENDED:
+                # It ended while a slow caller took the last events.
+                continue
             await generation.advanced.wait()
         if generation.state is not GenerationState.DONE or self.engine.faults.drop_end:
             self._hang_up()
--- a/standins/engine/client.py
+++ b/standins/engine/client.py
@@ -213,8 +213,11 @@
             if silent and not await self._async_outlast_silence(engine, call):
                 return Err(UpstreamError("no progress", UpstreamFailure.SILENT))
             if call.stream and index < generation.produced:
-                await sink.async_accept(_make_chunk(request, index))
-                index = generation.produced
+                chunk = _make_chunk(request, index)
+                index = chunk.last_index + 1
+                # A slow caller: more may have been produced meanwhile, the end included.
+                await sink.async_accept(chunk)
+                continue
             if generation.state in ENDED:
                 break
             await generation.advanced.wait()
--- /dev/null
+++ b/tests/components/online/test_moves.py
@@ -0,0 +1,171 @@
+"""Streams at an upstream that the platform takes away go on elsewhere."""
+
+import asyncio
+
+import pytest
+from result import Ok
+
+from goldcreststair.components.routing.const import DEPARTURE_GRACE_MS
+from goldcreststair.journal import Subject
+from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.upstreams.models import GenerateCall
+from standins.engine.model import EngineModel, make_text
+from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
+from tests.helpers.virtual_time import run_virtual
+
+TOKENS = 3000
+SHORT = "a blurb"
+LONG = " ".join(f"word{number}" for number in range(2000))
+
+
+class Departure:
+    """A stream under way whose upstream the platform begins to take away."""
+
+    def __init__(self, vm: OnlineVm, prompt: str, tokens: int = TOKENS) -> None:
+        self.vm = vm
+        self.sink = RecordingSink()
+        self.text = make_text(prompt, tokens)
+        fields = {"prompt": prompt, "max_tokens": tokens}
+        self.running = asyncio.create_task(vm.async_generate("r1", self.sink, **fields))
+
+    async def async_begin(self) -> EngineModel:
+        await asyncio.sleep(2)
+        source = self.read_addresses()[0]
+        self.vm.platform.set_vms([ListedVm(source, "dc1", ListedState.LEAVING)])
+        return self.vm.upstreams.engines[source]
+
+    def read_addresses(self) -> list[str]:
+        return [address for address, call in self.vm.upstreams.calls if is_generation(call)]
+
+    def read_choices(self) -> list[str]:
+        return [event.choice for event in self.vm.core.journal.find(Subject.REQUEST, "r1")]
+
+    def read_holders(self) -> list[object]:
+        events = self.vm.core.journal.find(Subject.REQUEST, "r1")
+        return [event.seen["holder"] for event in events if event.choice == "move"]
+
+    async def async_check_whole(self) -> None:
+        assert isinstance(await self.running, Ok)
+        assert self.sink.read_text() == self.text
+        ids = [line for line in self.sink.data.split(b"\n") if line.startswith(b"id: ")]
+        assert ids == [b"id: %d" % index for index in range(len(ids))]
+        await self.vm.async_close()
+
+
+def is_generation(call: object) -> bool:
+    return isinstance(call, GenerateCall)
+
+
+@pytest.mark.parametrize(("prompt", "by_kv"), [(SHORT, False), (LONG, True)])
+def test_long_stream_is_moved_before_its_upstream_goes(prompt: str, by_kv: bool) -> None:
+    """The landlord takes an engine's VM away while a designer reads a long brief.
+
+    The platform's list says leaving; twenty seconds later the engine is gone. The stream must
+    have moved by then, with no token doubled or lost, and no crash to be blamed on anyone.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=2)
+        departure = Departure(vm, prompt)
+        source = await departure.async_begin()
+        await asyncio.sleep(DEPARTURE_GRACE_MS / 1000)
+        source.crash()
+        await departure.async_check_whole()
+        assert len(departure.read_addresses()) == 2
+        assert departure.read_choices() == ["move"]
+        other = next(a for a in ADDRESSES[:2] if a != departure.read_addresses()[0])
+        name = f"e{ADDRESSES.index(other)}"
+        assert departure.read_holders() == ([name] if by_kv else [""])
+
+    run_virtual(async_test())
+
+
+def test_failed_export_falls_back_to_the_text_so_far() -> None:
+    """The departing engine gives out no KV state; the stream must move all the same."""
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=2)
+        departure = Departure(vm, LONG)
+        source = await departure.async_begin()
+        source.faults.refuse_kv = True
+        await departure.async_check_whole()
+        assert departure.read_holders() == [""]
+
+    run_virtual(async_test())
+
+
+@pytest.mark.parametrize("delay_s", [1.0, 3.0, 3.4, 5.0])
+def test_engine_that_dies_during_the_move(delay_s: float) -> None:
+    """The engine is gone sooner than the platform said, in the middle of the export.
+
+    The caller must notice nothing but a pause, at whatever moment it dies.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=2)
+        for engine in vm.upstreams.engines.values():
+            object.__setattr__(engine.parameters, "kv_base_ms", 1000.0)
+        departure = Departure(vm, LONG)
+        source = await departure.async_begin()
+        await asyncio.sleep(delay_s)
+        vm.upstreams.unreachable.add(departure.read_addresses()[0])
+        source.crash()
+        await departure.async_check_whole()
+
+    run_virtual(async_test())
+
+
+def test_short_stream_ends_where_it_runs() -> None:
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=2)
+        departure = Departure(vm, SHORT, tokens=800)
+        await departure.async_begin()
+        await departure.async_check_whole()
+        assert len(departure.read_addresses()) == 1
+
+    run_virtual(async_test())
+
+
+def test_stream_with_nowhere_to_go_stays() -> None:
+    """Every engine that serves the model departs: a stream ended early would be a cut one."""
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=1)
+        departure = Departure(vm, SHORT, tokens=1400)
+        await departure.async_begin()
+        await departure.async_check_whole()
+        assert len(departure.read_addresses()) == 1
+
+    run_virtual(async_test())
+
+
+def test_slow_caller_loses_nothing_in_a_move() -> None:
+    """A caller reads slowly, so that a chunk is on its way to it when its stream moves.
+
+    The chunk counts as given out; cut off half-way, its words would be missing.
+    """
+
+    class SlowSink(RecordingSink):
+        async def async_accept(self, chunk: object) -> None:
+            await asyncio.sleep(0.3)
+            await super().async_accept(chunk)  # type: ignore[arg-type]
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=2)
+        departure = Departure(vm, SHORT)
+        departure.running.cancel()
+        departure.sink = SlowSink()
+        departure.running = asyncio.create_task(
+            vm.async_generate("r1", departure.sink, prompt=SHORT, max_tokens=TOKENS)
+        )
+        await departure.async_begin()
+        await departure.async_check_whole()
+        assert "move" in departure.read_choices()
+
+    run_virtual(async_test())
--- a/tests/components/routing/test_beliefs_and_loads.py
+++ b/tests/components/routing/test_beliefs_and_loads.py
@@ -44,3 +44,20 @@
     assert loads.estimate("e1") == pytest.approx(10 + 6 * 0.9)
     clock.advance(20_000)
     assert loads.estimate("e1") == 10
+
+
+def test_engine_without_the_model_gets_no_request_of_it() -> None:
+    """An engine reports that a model is not there, and requests for it go there to be refused.
+
+    Only that model is kept away, and only while the report is fresh: idle engines are not polled.
+    """
+    clock = ManualClock()
+    loads = LoadBook(clock)
+    report = LoadReport(1, 0, 0, 0, 1, False, ("small",), adapters=("small:legal",))
+    loads.take_report("e1", report)
+    models = ("small", "small:legal", "big", "small:other")
+    assert [loads.is_open("e1", model) for model in models] == [True, True, False, False]
+    clock.advance(20_000)
+    assert loads.is_open("e1", "big")
+    loads.note_refused("e1", "big")
+    assert [loads.is_open("e1", model) for model in ("big", "small")] == [False, True]
