Serve at a leaving VM as long as callers keep its address

Cause: callers keep an address answer for 20 s (steering), but a leaving VM stopped accepting after 10 s, so callers that held its address had their connections refused during a planned stop. Change: the shutdown's time is steering's lifetime and 5 s for the news to reach every VM. A shorter lifetime was ruled out, as it asks for addresses twice as often for nothing. Measured: the new test failed before (work ended within the 20 s) and passes now; 22 tests of shutdown and steering pass.

--- a/goldcreststair/components/shutdown/const.py
+++ b/goldcreststair/components/shutdown/const.py
@@ -2,7 +2,12 @@
 
 from typing import Final
 
-ADDRESS_LIFETIME_MS: Final = 10_000
+from goldcreststair.components.steering.const import ADDRESS_LIFETIME_S
+from goldcreststair.const import MS_PER_SECOND
+
+NEWS_MS: Final = 5000
+"""Time until every VM has heard that this one leaves, and names it no more."""
+ADDRESS_LIFETIME_MS: Final = ADDRESS_LIFETIME_S * MS_PER_SECOND + NEWS_MS
 """How long callers may use an address answer; a leaving VM serves at least this long."""
 LIST_POLL_MS: Final = 5000
 LIST_LAG_MS: Final = 60_000
--- a/tests/components/shutdown/test_service.py
+++ b/tests/components/shutdown/test_service.py
@@ -14,6 +14,7 @@
 from goldcreststair.components.shutdown.const import ADDRESS_LIFETIME_MS, LIST_LAG_MS
 from goldcreststair.components.shutdown.models import SHUTDOWN, SHUTDOWN_SERVICE, LeaveReason
 from goldcreststair.components.shutdown.readiness import is_ready
+from goldcreststair.components.steering.const import ADDRESS_LIFETIME_S
 from goldcreststair.platform.models import ListedState, ListedVm
 from standins.daemons import CONTROL, FakeDaemon, FakeDaemons
 from tests.helpers.cores import make_document
@@ -84,6 +85,24 @@
     run_fleet(async_test)
 
 
+def test_leaving_vm_serves_as_long_as_callers_keep_addresses() -> None:
+    """A caller asked for addresses just before a VM began to leave, and keeps the answer.
+
+    It connects again and again while the answer lasts. A VM that stops accepting earlier cuts its
+    requests although the stop was planned: its connection is refused.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemon, *_ = await async_add_many(fleet, 2)
+        ended: list[str] = []
+        daemon.core.drainables += [Work("ledger", ended), Work("requests", ended)]
+        daemon.core.get(SHUTDOWN_SERVICE).begin(LeaveReason.SIGNAL)
+        await asyncio.sleep(ADDRESS_LIFETIME_S)
+        assert ended == []
+
+    run_fleet(async_test)
+
+
 def test_drain_is_bounded_and_leaves_time_for_the_handover() -> None:
     """A request never ends and another component fails: the VM must still go, in time."""
 
