Move the invariants' checker to where tools can use it

Cause: the run of real processes under faults (standins/chaos) needs the record and the checker that the fault matrix uses; stand-ins do not import tests. Change: tests/faults/{record,checker}.py move to standins/checking/ as they are; two invariants are added, of withdrawn keys and of planned stops. The tests stay where they are.

--- /dev/null
+++ b/standins/checking/__init__.py
@@ -0,0 +1,1 @@
+"""Checks what a test saw from outside against the invariants."""
--- a/tests/faults/checker.py
+++ b/standins/checking/checker.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Final
 
-from tests.faults.record import Record
+from standins.checking.record import Record
 
 LEAVING_GRACE_MS: Final = 3000
 ROUNDING: Final = 1e-6
@@ -24,6 +24,8 @@
     KEY_HIDDEN = "no upstream sees a key"
     VERSION_MONOTONIC = "configuration never reverts"
     LEAVING_IS_LEFT = "no new work at a leaving upstream"
+    KEY_STOPS = "a withdrawn key stops within seconds"
+    NO_CUT = "a planned stop cuts no request"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/faults/test_checker.py
+++ b/tests/faults/test_checker.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tests.faults.checker import Invariant, Limit, find_violations
-from tests.faults.record import Answer, ItemState, Record, Refused, Run
+from standins.checking.checker import Invariant, Limit, find_violations
+from standins.checking.record import Answer, ItemState, Record, Refused, Run
 
 LIMITS = {"acme": Limit(10.0, 2)}
 
