Show failures, batch jobs and operators' reads as golden sessions

Cause: only two sessions (online, stale patch) were kept byte for byte. Change: sessions of a withdrawn key, a lost booking answer sent again, a leaving VM, a leaving upstream, a batch job from submit to results, its cancel, and operators' status and explanation. Ids, addresses, upstreams, batch runs, times and ports are named by patterns; a stream that is cut or that runs beside another step is shown as one line after its token indices were checked, so that no transcript depends on speed. Showing the addresses in the order of steering was ruled out: it follows random session ids.

--- a/tests/golden/session.py
+++ b/tests/golden/session.py
@@ -1,24 +1,34 @@
 """Drives real processes through one session and compares its transcript with a golden file."""
 
+import dataclasses
 import os
 import re
 from collections.abc import Mapping
+from difflib import unified_diff
 from pathlib import Path
 from typing import Any, Final
 
 import orjson
 
+from goldcreststair.const import HEADER_IDEMPOTENCY_KEY
 from standins.demo.fleet import Fleet, HttpAnswer, send_request
 
 GOLDEN: Final = Path(__file__).parent / "sessions"
 UPDATE: Final = "GOLDEN_UPDATE"
 SHOWN_HEADERS: Final = ("Content-Type", "Retry-After", "Connection", "X-Request-Id")
 KEEP_ALIVE: Final = re.compile(rb": keep-alive\n\n")
+TOKEN: Final = re.compile(r"id: (\d+)\ndata: .*\n\n")
 PATTERNS: Final = (
     ("id", re.compile(r"\b(?:batch-|job-)?[0-9a-f]{32}\b")),
     ("address", re.compile(r"127\.0\.0\.1:\d+")),
+    ("run", re.compile(r"\bbatch-[0-9a-f]{16}-\d+-\d+\b")),
     ("session", re.compile(r"\b[0-9a-f]{16}\b")),
+    ("upstream", re.compile(r"\bengine\d+\b")),
+    ("time", re.compile(r'(?<=_at": )\d+|(?<=_at":)\d+|(?<=utc_s":)[\d.]+')),
+    ("port", re.compile(r'(?<=_port":)\d+')),
 )
+"""What differs from run to run: each kind of name is numbered by its first appearance."""
+UNNUMBERED: Final = ("time", "port")
 
 
 class Session:
@@ -44,6 +54,8 @@
     ) -> HttpAnswer:
         """Send a request and add it and its answer to the transcript."""
         shown = "" if body is None else " " + _show(body)
+        if HEADER_IDEMPOTENCY_KEY in (headers or {}):
+            shown += f"  [{HEADER_IDEMPOTENCY_KEY}: {(headers or {})[HEADER_IDEMPOTENCY_KEY]}]"
         self._add(f"{who} > vm{daemon} {method} {path}{shown}")
         address = self.fleet.daemons[daemon].wait_listening()
         answer = send_request(address, method, path, body, headers)
@@ -60,13 +72,23 @@
         for line in text.splitlines():
             self._add(f"    {line}".rstrip())
 
+    def add_cut_answer(self, who: str, answer: HttpAnswer) -> None:
+        """Add a streamed answer whose count of tokens may vary; they must be whole and in order."""
+        text = KEEP_ALIVE.sub(b"", answer.body).decode()
+        indices = [int(index) for index in TOKEN.findall(text)]
+        assert indices == list(range(len(indices)))
+        shown = "<tokens from 0 on, each once>\n" + TOKEN.sub("", text)
+        self.add_answer(who, dataclasses.replace(answer, body=shown.encode()))
+
     def compare(self, name: str) -> None:
         """Compare the transcript with its golden file; `GOLDEN_UPDATE=1` writes it instead."""
         path = GOLDEN / f"{name}.txt"
         transcript = "\n".join(self._lines) + "\n"
         if os.environ.get(UPDATE):
             path.write_text(transcript)
-        assert transcript == path.read_text(), f"transcript differs from {path.name}"
+        golden = path.read_text()
+        changes = unified_diff(golden.splitlines(), transcript.splitlines(), path.name, lineterm="")
+        assert transcript == golden, "\n".join(changes)
 
     def _add(self, line: str) -> None:
         for kind, pattern in PATTERNS:
@@ -74,6 +96,8 @@
         self._lines.append(line)
 
     def _name(self, kind: str, text: str) -> str:
+        if kind in UNNUMBERED:
+            return f"<{kind}>"
         if text not in self._names:
             number = 1 + sum(1 for name in self._names.values() if name.startswith(f"<{kind} "))
             self._names[text] = f"<{kind} {number}>"
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -4,12 +4,10 @@
 
 import pytest
 
-from standins.demo.__main__ import CUSTOMERS, wait_ready
-from standins.demo.fleet import OPERATOR_TOKEN, Fleet, FleetPlan
+from standins.demo.fleet import Fleet
 from tests.golden.session import Session
+from tests.golden.worlds import DESIGNERS, OPERATOR, start_fleet
 
-DESIGNERS = {"Authorization": "Bearer key-designers"}
-OPERATOR = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
 BLURB = {
     "model": "small",
     "max_tokens": 4,
@@ -17,12 +15,9 @@
 }
 
 
-@pytest.fixture
-def fleet() -> Iterator[Fleet]:
-    with Fleet(FleetPlan(daemons=1, engines=2, step_base_ms=2.0)) as fleet:
-        patched = fleet.patch_configuration(0, fleet.describe_configuration(CUSTOMERS))
-        assert patched.status == 200
-        wait_ready(fleet.daemons[0].wait_listening())
+@pytest.fixture(name="fleet")
+def create_fleet() -> Iterator[Fleet]:
+    with start_fleet() as fleet:
         yield fleet
 
 
