--- a/goldcreststair/components/limits/fleet.py
+++ b/goldcreststair/components/limits/fleet.py
@@ -14,6 +14,8 @@
     ADMIT_WAIT_MS,
     ASK_INTERVAL_MS,
     ASK_TIMEOUT_MS,
+    HOME_WAIT_MS,
+    OWNER_READ_INTERVAL_MS,
     UNREACHABLE_RETRY_MS,
 )
 from goldcreststair.components.limits.homes import Homes, find_customer_index
@@ -22,7 +24,9 @@
 from goldcreststair.components.limits.static_share import StaticShare
 from goldcreststair.components.limits.takeover import HomeTasks
 from goldcreststair.components.membership.models import MEMBERS
-from goldcreststair.components.peers.protocols import PEERS, PeerMessage
+from goldcreststair.components.membership.protocols import MEMBERSHIP
+from goldcreststair.components.peers.protocols import PEERS, PeerError, PeerMessage
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
 from goldcreststair.wire.generated.limits import ttypes
 
@@ -41,6 +45,7 @@
         self._borrowers: dict[str, Borrower] = {}
         self._shares: dict[str, StaticShare] = {}
         self._numbers = count(1)
+        self._readings: set[asyncio.Task[str | None]] = set()
         self._peers.register(messages.NUMBER_TOKEN_ASK, ttypes.TokenAsk, self._async_on_ask)
         self._peers.register(messages.NUMBER_TOKEN_GRANT, ttypes.TokenGrant, None)
 
@@ -51,6 +56,8 @@
     async def async_close(self) -> None:
         """Stop asking; refuses all that wait."""
         await self._tasks.async_close()
+        for reading in tuple(self._readings):
+            reading.cancel()
         for borrower in self._borrowers.values():
             if borrower.task is not None:
                 borrower.task.cancel()
@@ -73,10 +80,16 @@
         return await self._async_wait(customer.name, borrower)
 
     def _spend_static(self, customer: Customer, now: Millis) -> bool:
+        share = self._shares.setdefault(customer.name, StaticShare())
+        return share.spend(customer, self._find_slot(), now)
+
+    def _find_slot(self) -> int:
+        membership = self._core.find(MEMBERSHIP)
+        if membership is not None:
+            return membership.find_slot()
         members = self._core.blackboard.read(MEMBERS)
         own = members.by_session.get(members.own_session_id)
-        share = self._shares.setdefault(customer.name, StaticShare())
-        return share.spend(customer, own.slot if own else -1, now)
+        return own.slot if own else -1
 
     def _refuse(self, retry_after_ms: int) -> Result[None, LimitExceeded]:
         return Err(LimitExceeded("rate and burst are spent", max(1, retry_after_ms)))
@@ -85,11 +98,15 @@
         waiter = borrower.add_waiter()
         if borrower.task is None or borrower.task.done():
             borrower.task = asyncio.create_task(self._async_borrow(name, borrower))
-        try:
-            async with asyncio.timeout(ADMIT_WAIT_MS / 1000):
-                retry_after_ms = await waiter.future
-        except TimeoutError:
+        await asyncio.wait({waiter.future}, timeout=ADMIT_WAIT_MS / MS_PER_SECOND)
+        if borrower.home_moving and not waiter.future.done():
+            # A home changes its VM within a second or so. Refused meanwhile, every customer of the
+            # partition would see a planned stop of a VM that isn't theirs.
+            rest_ms = HOME_WAIT_MS - ADMIT_WAIT_MS
+            await asyncio.wait({waiter.future}, timeout=rest_ms / MS_PER_SECOND)
+        if waiter.future.cancel():
             return self._refuse(UNREACHABLE_RETRY_MS)
+        retry_after_ms = waiter.future.result()
         return Ok(None) if retry_after_ms == 0 else self._refuse(retry_after_ms)
 
     async def _async_borrow(self, name: str, borrower: Borrower) -> None:
@@ -97,6 +114,8 @@
         while True:
             now = self._clock.now()
             waiting = borrower.count_waiting()
+            if waiting and self._serve_at_home(name, borrower, now):
+                continue
             if not waiting and not borrower.bucket.has_news(now):
                 return
             interval = ASK_INTERVAL_MS if waiting else borrower.bucket.get_report_interval()
@@ -106,22 +125,36 @@
                 continue
             await self._async_ask(name, borrower)
 
+    def _serve_at_home(self, name: str, borrower: Borrower, now: Millis) -> bool:
+        """Serve those who wait if this VM has become the home; returns whether it has."""
+        customer = self._core.blackboard.read(CONFIGURATION).customers.get(name)
+        if customer is None:
+            return False
+        while borrower.count_waiting():
+            answer = self._homes.spend(customer, now)
+            if answer is None:
+                return False
+            if not answer.granted:
+                borrower.refuse_waiters(answer.retry_after_ms)
+                break
+            borrower.waiters.popleft().future.set_result(0)
+        return True
+
     async def _async_ask(self, name: str, borrower: Borrower) -> None:
         now = borrower.asked_at = self._clock.now()
         number = next(self._numbers)
         asked = borrower.count_waiting()
         want = borrower.bucket.get_want(asked, now)
         reports = messages.encode_reports(borrower.bucket.ask(number, now))
-        owner = self._ledger.find_owner(find_customer_index(self._ledger, name))
-        grant = None
-        if owner is not None and owner != self._core.session_id:
-            message = ttypes.TokenAsk(name, number, want, reports)
-            answer = await self._peers.async_request(owner, message, ASK_TIMEOUT_MS)
-            grant = answer.ok_value if isinstance(answer, Ok) else None
+        answer = await self._async_ask_owner(ttypes.TokenAsk(name, number, want, reports))
         now = self._clock.now()
+        grant = answer.ok_value if isinstance(answer, Ok) else None
+        borrower.home_moving = grant is not None and not grant.home
         if grant is None or not grant.home:
             borrower.bucket.give_up(number)
-            borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
+            self._find_home_again(name, borrower, now)
+            if grant is None:
+                borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
             return
         borrower.bucket.accept(number, grant.granted, now)
         borrower.serve_waiters(now)
@@ -129,6 +162,22 @@
             borrower.refuse_waiters(grant.retry_after_ms)
             borrower.denied_until = Millis(now + min(grant.retry_after_ms, ASK_INTERVAL_MS))
 
+    def _find_home_again(self, name: str, borrower: Borrower, now: Millis) -> None:
+        # A VM may believe in an old home for long, and would refuse all of the customer's requests:
+        # the head row knows. Read beside the asks, since the store may be slow.
+        if now - borrower.owner_read_at >= OWNER_READ_INTERVAL_MS:
+            borrower.owner_read_at = now
+            index = find_customer_index(self._ledger, name)
+            reading = asyncio.create_task(self._ledger.async_read_owner(index))
+            self._readings.add(reading)
+            reading.add_done_callback(self._readings.discard)
+
+    async def _async_ask_owner(self, ask: PeerMessage) -> Result[PeerMessage, PeerError]:
+        owner = self._ledger.find_owner(find_customer_index(self._ledger, ask.customer))
+        if owner is None or owner == self._core.session_id:
+            return Ok(ttypes.TokenGrant(False, 0, UNREACHABLE_RETRY_MS))
+        return await self._peers.async_request(owner, ask, ASK_TIMEOUT_MS)
+
     async def _async_on_ask(self, sender: str, message: PeerMessage) -> PeerMessage:
         customer = self._core.blackboard.read(CONFIGURATION).customers.get(message.customer)
         answer: HomeAnswer | None = None
