Call back at once for a key that is already withdrawn

Cause: a withdrawal between identify and watch told nobody, so a request whose body was still being read ran on under a withdrawn key. Change: watch calls back before it returns if the key is gone. Ruled out: identifying again in the online service, which leaves other watchers open. Measured: the new test failed before ([] == [True]) and passes now; tests of keys, online and batch pass.

--- a/goldcreststair/components/keys/controller.py
+++ b/goldcreststair/components/keys/controller.py
@@ -65,7 +65,15 @@
         return Ok(Identity(configuration.customers[name], key_hash))
 
     def watch(self, key_hash: str, on_withdrawn: Callable[[], None]) -> Callable[[], None]:
-        """Call back once if the key is withdrawn; returns a function that ends the watch."""
+        """Call back once if the key is withdrawn; returns a function that ends the watch.
+
+        A key that is gone already calls back at once, before this returns.
+        """
+        # Withdrawn between `identify` and here, as while the body was read: no later event would
+        # tell the watcher, and its request would run to its end under a key that is gone.
+        if self._is_gone(key_hash):
+            on_withdrawn()
+            return lambda: None
         watchers = self._watchers.setdefault(key_hash, [])
         watchers.append(on_withdrawn)
 
@@ -77,6 +85,10 @@
 
         return unwatch
 
+    def _is_gone(self, key_hash: str) -> bool:
+        known = self._board.read(CONFIGURATION).keys
+        return key_hash in self._withdrawn or key_hash not in known
+
     def _on_withdrawn(self, key_hash: str) -> None:
         self._withdrawn.add(key_hash)
         self._stop(key_hash)
--- a/tests/components/keys/test_withdrawal.py
+++ b/tests/components/keys/test_withdrawal.py
@@ -136,3 +136,23 @@
         assert newcomer.core.blackboard.read(CONFIGURATION).version == 1
 
     run_fleet(async_test)
+
+
+def test_a_request_identified_just_before_the_withdrawal_ends_too() -> None:
+    """A caller's long request goes on for a minute under a key that was withdrawn.
+
+    The VM identifies the key, the withdrawal arrives while the body is still read, and only then
+    the request begins to watch its key: nothing calls back any more.
+    """
+
+    async def async_test(fleet: FakeDaemons) -> None:
+        (daemon,) = await async_start_fleet(fleet, 1)
+        keys = daemon.core.get(KEYS)
+        identity = keys.identify("key-acme").unwrap()
+        await daemon.core.get(WITHDRAWALS).async_withdraw(identity.key_hash)
+        ended: list[bool] = []
+        unwatch = keys.watch(identity.key_hash, lambda: ended.append(True))
+        unwatch()
+        assert ended == [True]
+
+    run_fleet(async_test)
