Put a gate before each in-process daemon's effects

Cause: fault tests could not pause or lose a whole daemon with all its tasks. Change: platform, transport, upstreams, clock and tasks of a daemon of FakeDaemons may pass a gate that is closed for a pause and for good at a loss. The engine stand-in left tokens out when a reader was slow to take a chunk, as more were produced meanwhile; it now goes on after the chunk that it gave out. Ruled out: a loop a daemon, since virtual time is one loop's.

--- a/standins/daemons.py
+++ b/standins/daemons.py
@@ -13,9 +13,10 @@
 from goldcreststair.core import Component, Core
 from goldcreststair.journal import Journal
 from goldcreststair.platform.protocols import Platform
-from goldcreststair.settings import Settings
+from goldcreststair.settings import DEFAULT_PARTITIONS, Settings
 from goldcreststair.statistics import NullStatistics
 from standins.engine.client import FakeUpstreams
+from standins.gate import GatedClock, GatedTransport, VmGate, gate_platform, gate_upstreams
 from standins.network import FakeNetwork
 from standins.platform.store import FakePlatform
 
@@ -37,12 +38,20 @@
     core: Core
     components: list[Component]
     address: str
+    gate: VmGate | None = None
+    """All its effects, if the fleet has gates."""
 
     @property
     def members(self) -> Members:
         """Return the fleet as this daemon sees it."""
         return self.core.blackboard.read(MEMBERS)
 
+    async def async_start(self, setups: Sequence[Setup]) -> None:
+        """Set all components up, then start them."""
+        self.components += [await setup(self.core) for setup in setups]
+        for component in self.components:
+            await component.async_start()
+
     async def async_close(self) -> None:
         """Stop in an orderly way."""
         for component in reversed(self.components):
@@ -58,6 +67,11 @@
     network: FakeNetwork
     setups: Sequence[Setup] = CONTROL
     running: list[FakeDaemon] = field(default_factory=list)
+    upstreams: FakeUpstreams | None = None
+    """Shared by all daemons; without it each has none to call."""
+    partitions: int = DEFAULT_PARTITIONS
+    gated: bool = False
+    """Whether daemons can be paused and lost; then tasks are followed by `follow_tasks`."""
     _started: int = 0
 
     async def async_add(self, platform: Platform | None = None) -> FakeDaemon:
@@ -65,27 +79,45 @@
         self._started += 1
         number = self._started
         address = f"10.0.{number // 250}.{number % 250 + 1}"
-        core = Core(
-            settings=Settings(
-                address, f"dc{number % 3}", "http://10.9.9.9:1", "token", peer_port=PEER_PORT
-            ),
+        core = self._make_core(number, address, platform or self.platform.as_platform())
+        gate = self._add_gate(core) if self.gated else None
+        daemon = FakeDaemon(core, [], address, gate)
+        starting = daemon.async_start(self.setups)
+        await (gate.spawn(starting) if gate else starting)
+        self.running.append(daemon)
+        return daemon
+
+    def _make_core(self, number: int, address: str, platform: Platform) -> Core:
+        settings = Settings(
+            address,
+            f"dc{number % 3}",
+            "http://10.9.9.9:1",
+            "token",
+            peer_port=PEER_PORT,
+            partitions=self.partitions,
+        )
+        upstreams = self.upstreams or FakeUpstreams(self.clock)
+        return Core(
+            settings=settings,
             clock=self.clock,
             random=random.Random(number),
             blackboard=Blackboard(),
             journal=Journal(self.clock),
             statistics=NullStatistics(),
-            platform=platform or self.platform.as_platform(),
-            upstreams=FakeUpstreams(self.clock).as_clients(),
+            platform=platform,
+            upstreams=upstreams.as_clients(),
             transport=self.network.join(address),
             session_id=f"{number:016x}",
             http_port=8080,
         )
-        components = [await setup(core) for setup in self.setups]
-        for component in components:
-            await component.async_start()
-        daemon = FakeDaemon(core, components, address)
-        self.running.append(daemon)
-        return daemon
+
+    def _add_gate(self, core: Core) -> VmGate:
+        gate = VmGate(core.settings.address, self.clock)
+        core.clock = GatedClock(gate, core.clock)
+        core.platform = gate_platform(gate, core.platform)
+        core.upstreams = gate_upstreams(gate, core.upstreams)
+        core.transport = GatedTransport(gate, core.transport)
+        return gate
 
     async def async_add_many(self, count: int) -> list[FakeDaemon]:
         """Start several daemons one after another."""
--- a/standins/engine/client.py
+++ b/standins/engine/client.py
@@ -204,8 +204,10 @@
             if silent and not await self._async_outlast_silence(engine, call):
                 return Err(UpstreamError("no progress", UpstreamFailure.SILENT))
             if call.stream and index < generation.produced:
-                await sink.async_accept(_make_chunk(request, index))
-                index = generation.produced
+                # More may be produced while a slow reader takes this chunk.
+                chunk = _make_chunk(request, index)
+                index = chunk.last_index + 1
+                await sink.async_accept(chunk)
             if generation.state in ENDED:
                 break
             await generation.advanced.wait()
