Measure batch yielding through the real online path

Cause: the bench wrote ONLINE_PRESSURE itself and so measured hints that no daemon sends. Change: callers go through each VM's own limits, gate, runner and PressureMeter; an oracle that knows the bursts bounds what is reachable; time in bursts, items in and out of them, mean streams, p95 and repeated prefills are told.

--- a/standins/measure/batch.py
+++ b/standins/measure/batch.py
@@ -1,254 +1,131 @@
 """Batch throughput against online time to first token: `python -m standins.measure.batch`.
 
-One engine, three VMs, a job larger than the engine can finish, and online bursts; the same
-arrivals for every policy. Run from the root of the source tree (it uses the tests' fakes).
+One engine, three VMs, a job larger than the engine can finish, and online bursts through the real
+online components; the same arrivals for every policy. Run from the root of the source tree (it
+uses the tests' fakes).
 """
 
 import asyncio
-import random
 import statistics
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final
 
-import orjson
 from cyclopts import App
 
-from goldcreststair.clock import Clock
-from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
+from goldcreststair.clock import Millis
+from goldcreststair.components.batch.allowance import AllowanceController
 from goldcreststair.components.batch.records import decode_chunk
-from goldcreststair.components.batch.service import BatchService
-from goldcreststair.components.batch.steward import Steward
-from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.online.models import (
-    ONLINE_PRESSURE,
-    OnlinePressure,
-    UpstreamPressure,
-)
-from goldcreststair.upstreams.models import GenerateCall, StreamChunk, Upstream
+from standins.measure.batch_online import Online
+from standins.measure.batch_policies import POLICIES, MakePolicy, Oracle
+from standins.measure.batch_watch import EngineWatch
 from tests.helpers.batch_fleet import BatchFleet, make_lines
 from tests.helpers.virtual_time import run_virtual
 
 WARM_UP_MS: Final = 3_000
-IDLE_FIRST_TOKEN_MS: Final = 70
-"""Time to first token above which the online path speaks of queueing."""
-PRESSURE_MS: Final = 200
-"""How long one late first token counts as pressure."""
-BURST_EVERY_S: Final = 15
-BURST_S: Final = 3
-BASE_RATE: Final = 5.0
-BURST_RATE: Final = 40.0
-ONLINE_TOKENS: Final = 40
-ONLINE_WORDS: Final = 100
 BATCH_TOKENS: Final = 60
 
 app = App(name="measure-batch", help="Measure batch throughput against online latency.")
 
 
-class FixedAllowance(AllowanceController):
-    """A share that neither rises nor yields."""
-
-    def __init__(self, clock: Clock, share: int) -> None:
-        """Hold `share` streams."""
-        super().__init__(clock, AllowanceParameters())
-        self._share = share
-
-    @property
-    def limit(self) -> int:
-        """The share."""
-        return self._share
-
-    @property
-    def bound(self) -> int:
-        """The share."""
-        return self._share
-
-
-@dataclass(slots=True)
-class Online:
-    """Online callers of one engine, spread over the VMs."""
-
-    fleet: BatchFleet
-    seed: int
-    waits_ms: list[int] = field(default_factory=list)
-    in_flight: dict[str, int] = field(default_factory=dict)
-    queue_ms: dict[str, int] = field(default_factory=dict)
-    late: dict[str, int] = field(default_factory=dict)
-    tasks: set[asyncio.Task[None]] = field(default_factory=set)
-    writers: dict[str, Callable[[OnlinePressure], None]] = field(default_factory=dict)
-
-    def open(self) -> None:
-        """Take the place of the online component as writer of the pressure."""
-        for name, core in self.fleet.cores.items():
-            writer = core.blackboard.open_section(ONLINE_PRESSURE, OnlinePressure())
-            self.writers[name] = writer.write
-
-    async def async_run(self, seconds: int) -> None:
-        """Send requests at the base rate, and in bursts."""
-        source = random.Random(self.seed)
-        clock = self.fleet.clock
-        start = clock.now()
-        number = 0
-        while (elapsed_s := (clock.now() - start) / 1000) < seconds:
-            in_burst = elapsed_s % BURST_EVERY_S >= BURST_EVERY_S - BURST_S
-            rate = BURST_RATE if in_burst else BASE_RATE
-            await clock.async_sleep(max(1, round(source.expovariate(rate) * 1000)))
-            number += 1
-            vm = source.choice(sorted(self.writers))
-            task = asyncio.ensure_future(self._async_send(vm, number))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def _async_send(self, vm: str, number: int) -> None:
-        core = self.fleet.cores[vm]
-        upstream = core.blackboard.read(CONFIGURATION).upstreams["e1"]
-        prompt = " ".join(f"w{number}x{word}" for word in range(ONLINE_WORDS))
-        body = {"model": "small", "prompt": prompt, "max_tokens": ONLINE_TOKENS, "stream": True}
-        call = GenerateCall(f"online-{number}", "/v1/completions", orjson.dumps(body), True, 60_000)
-        wait = FirstTokenWait(self.fleet.clock)
-        timer = self.fleet.clock.call_later(IDLE_FIRST_TOKEN_MS, lambda: self._press(vm))
-        wait.on_first = timer.cancel
-        self._count(vm, 1)
-        await core.upstreams.engines.async_generate(upstream, call, wait)
-        self._count(vm, -1)
-        self.waits_ms.append(wait.wait_ms)
-
-    def _count(self, vm: str, change: int) -> None:
-        self.in_flight[vm] = self.in_flight.get(vm, 0) + change
-        self._write(vm)
-
-    def _press(self, vm: str) -> None:
-        self.late[vm] = self.late.get(vm, 0) + 1
-        count = self.late[vm]
-        self.queue_ms[vm] = IDLE_FIRST_TOKEN_MS + count
-        self._write(vm)
-        self.fleet.clock.call_later(PRESSURE_MS, lambda: self._relax(vm, count))
-
-    def _relax(self, vm: str, count: int) -> None:
-        if self.late[vm] == count:
-            self.queue_ms[vm] = 0
-            self._write(vm)
-
-    def _write(self, vm: str) -> None:
-        met = UpstreamPressure(self.in_flight.get(vm, 0), self.queue_ms.get(vm, 0))
-        self.writers[vm](OnlinePressure(met.in_flight, {"e1": met}))
-
-
-class FirstTokenWait:
-    """Measures one request's time to first token."""
-
-    def __init__(self, clock: Clock) -> None:
-        """Start to wait."""
-        self._clock = clock
-        self._start = clock.now()
-        self.wait_ms = -1
-        self.on_first: Callable[[], None] | None = None
-
-    async def async_accept(self, chunk: StreamChunk) -> None:
-        """Take a chunk."""
-        if self.wait_ms < 0:
-            self.wait_ms = self._clock.now() - self._start
-            if self.on_first is not None:
-                self.on_first()
-
-
 @dataclass(frozen=True, slots=True)
 class Figures:
     """What one policy gave."""
 
     policy: str
     items_per_s: float
+    burst_per_s: float
+    """Batch items a second in bursts, by tokens."""
+    idle_per_s: float
+    """The same out of bursts."""
+    streams: float
+    """Batch streams running out of bursts, mean."""
+    burst_share: float
     p50_ms: float
+    p95_ms: float
     p99_ms: float
     yield_ms: float
     """Median time from a burst's start to the last batch stream above the first cut stopping."""
+    repeats: float
+    """Prefills repeated an item done, because streams were cut."""
+    repeated_tokens: float
     commits_per_1000: float
+    refused: int
+
+    def describe(self) -> str:
+        """Return one line."""
+        return (
+            f"{self.policy:15} {self.items_per_s:5.1f} items/s ({self.burst_per_s:4.1f} in bursts,"
+            f" {self.idle_per_s:4.1f} out, {self.streams:4.1f} streams; bursts"
+            f" {self.burst_share:.0%})  p50 {self.p50_ms:4.0f} p95 {self.p95_ms:4.0f}"
+            f" p99 {self.p99_ms:4.0f} ms  yield {self.yield_ms:4.0f} ms"
+            f"  prefilled again {self.repeats:.2f}/item {self.repeated_tokens:.1f} tokens/item"
+            f"  commits/1000 {self.commits_per_1000:3.0f}  refused {self.refused}"
+        )
 
 
 async def async_measure(
-    policy: str,
-    seconds: int,
-    make_allowance: Callable[[Clock], AllowanceController] | None,
-    seed: int = 7,
+    policy: str, seconds: int, make_policy: MakePolicy | None, seed: int = 7
 ) -> Figures:
     """Run one policy."""
     fleet = BatchFleet(vms=3)
-    if make_allowance is not None:
-        fleet.make_allowance = lambda: make_allowance(fleet.clock)
+    made: list[AllowanceController] = []
+
+    def make_allowance() -> AllowanceController:
+        assert make_policy is not None
+        made.append(make_policy(fleet.clock, fleet.engines["e1"]))
+        return made[-1]
+
+    fleet.make_allowance = make_allowance if make_policy is not None else None
     await fleet.async_start()
-    fleet.upstreams.unreachable.add(_upstream(fleet, "e2").address)
     online = Online(fleet, seed)
-    online.open()
+    await online.async_open()
+    watch = EngineWatch(fleet)
     job = ""
-    if make_allowance is not None:
+    if make_policy is not None:
         lines = make_lines(seconds * 60, BATCH_TOKENS)
         job = (await fleet.async_submit(lines)).unwrap().job
-        await fleet.clock.async_sleep(WARM_UP_MS)
+    await fleet.clock.async_sleep(WARM_UP_MS)
     before, commits = _count_done(fleet, job), _count_commits(fleet)
-    yields = YieldWatch(fleet)
-    watching = asyncio.ensure_future(yields.async_run())
-    await online.async_run(seconds)
-    watching.cancel()
+    watching: list[asyncio.Task[None]] = []
+
+    def on_start(start: Millis) -> None:
+        watching.append(asyncio.ensure_future(watch.async_run(start)))
+        for allowance in made:
+            if isinstance(allowance, Oracle):
+                allowance.start = start
+
+    await online.async_run(seconds, on_start)
+    watching[0].cancel()
     done, committed = _count_done(fleet, job) - before, _count_commits(fleet) - commits
     await asyncio.gather(*online.tasks)
+    await online.async_close()
     await fleet.async_close()
-    return make_figures(
-        policy, online.waits_ms, yields.delays_ms, done / seconds, committed / done if done else 0.0
-    )
+    return make_figures(policy, online, watch, done / seconds, committed / done if done else 0.0)
 
 
 def make_figures(
-    policy: str, waits_ms: list[int], delays_ms: list[int], rate: float, commits: float
+    policy: str, online: Online, watch: EngineWatch, rate: float, commits: float
 ) -> Figures:
     """Return the figures of one run."""
-    waits = sorted(waits_ms)
-    p99 = waits[int(len(waits) * 0.99)]
-    delay = statistics.median(delays_ms) if delays_ms and rate else 0.0
-    return Figures(policy, rate, statistics.median(waits), p99, delay, commits * 1000)
-
-
-class YieldWatch:
-    """Times, for each burst, its start to the last batch stream above the first cut stopping."""
-
-    def __init__(self, fleet: BatchFleet) -> None:
-        """Watch a fleet's only engine."""
-        self._fleet = fleet
-        self.delays_ms: list[int] = []
-
-    async def async_run(self) -> None:
-        """Poll each millisecond until cancelled."""
-        clock = self._fleet.clock
-        start, seen, cut, previous = clock.now(), -1, False, 0
-        while True:
-            await clock.async_sleep(1)
-            elapsed = clock.now() - start
-            burst, phase = divmod(elapsed, BURST_EVERY_S * 1000)
-            into = phase - (BURST_EVERY_S - BURST_S) * 1000
-            bound = self._count_bound()
-            if into < 0 or burst == seen:
-                cut, previous = False, bound
-                continue
-            cut = cut or bound < previous * 2 // 3
-            previous = bound
-            if cut and self._count_streams() <= bound:
-                self.delays_ms.append(into)
-                seen = burst
-
-    def _count_bound(self) -> int:
-        held = [s for service in self._fleet.services.values() for s in _stewards(service)]
-        return sum(steward.allowance.bound for steward in held)
-
-    def _count_streams(self) -> int:
-        running = self._fleet.engines["e1"]._running
-        return sum(1 for one in running if one.request_id.startswith("batch-"))
-
-
-def _stewards(service: BatchService) -> list[Steward]:
-    return [steward for name, steward in service.stewards.by_name.items() if name == "e1"]
-
-
-def _upstream(fleet: BatchFleet, name: str) -> Upstream:
-    return next(iter(fleet.cores.values())).blackboard.read(CONFIGURATION).upstreams[name]
+    waits = sorted(online.waits_ms)
+    shares = watch.shares
+    done = rate * (shares.burst_ms + shares.idle_ms) / 1000
+    return Figures(
+        policy=policy,
+        items_per_s=rate,
+        burst_per_s=shares.burst_tokens * 1000 / BATCH_TOKENS / max(1, shares.burst_ms),
+        idle_per_s=shares.idle_tokens * 1000 / BATCH_TOKENS / max(1, shares.idle_ms),
+        streams=shares.batch_ms / max(1, shares.idle_ms),
+        burst_share=shares.burst_ms / max(1, shares.burst_ms + shares.idle_ms),
+        p50_ms=statistics.median(waits),
+        p95_ms=waits[int(len(waits) * 0.95)],
+        p99_ms=waits[int(len(waits) * 0.99)],
+        yield_ms=statistics.median(watch.delays_ms) if watch.delays_ms and rate else 0.0,
+        repeats=watch.repeats / done if done else 0.0,
+        repeated_tokens=watch.repeated_tokens / done if done else 0.0,
+        commits_per_1000=commits * 1000,
+        refused=online.refused,
+    )
 
 
 def _count_done(fleet: BatchFleet, job: str) -> int:
@@ -266,22 +143,12 @@
 
 
 @app.default
-def run(seconds: int = 120, seed: int = 7) -> None:
-    """Measure all policies over the same arrivals, `seconds` of virtual time each."""
-    policies: dict[str, Callable[[Clock], AllowanceController] | None] = {
-        "0 no batch": None,
-        "a no yielding": lambda clock: FixedAllowance(clock, 64),
-        "b fixed share 16": lambda clock: FixedAllowance(clock, 16),
-        "c allowance": lambda clock: AllowanceController(clock, AllowanceParameters()),
-    }
-    for policy, make_allowance in policies.items():
-        figures = run_virtual(async_measure(policy, seconds, make_allowance, seed))
-        print(
-            f"{figures.policy:18} {figures.items_per_s:6.1f} items/s  "
-            f"p50 {figures.p50_ms:4.0f} ms  p99 {figures.p99_ms:5.0f} ms  "
-            f"yield {figures.yield_ms:4.0f} ms  commits/1000 {figures.commits_per_1000:5.1f}",
-            flush=True,
-        )
+def run(seconds: int = 120, seed: int = 7, policy: str = "") -> None:
+    """Measure all policies, or one, over the same arrivals, `seconds` of virtual time each."""
+    for name, make_policy in POLICIES.items():
+        if policy in ("", name):
+            figures = run_virtual(async_measure(name, seconds, make_policy, seed))
+            print(figures.describe(), flush=True)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/standins/measure/batch_policies.py
@@ -0,0 +1,71 @@
+"""The policies that the batch measurement compares."""
+
+from collections.abc import Callable
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
+from standins.engine.model import EngineModel
+from standins.measure.batch_online import is_burst
+
+MakePolicy = Callable[[Clock, EngineModel], AllowanceController]
+
+
+class FixedAllowance(AllowanceController):
+    """A share that neither rises nor yields."""
+
+    def __init__(self, clock: Clock, share: int) -> None:
+        """Hold `share` streams."""
+        super().__init__(clock, AllowanceParameters())
+        self._share = share
+
+    @property
+    def limit(self) -> int:
+        """The share."""
+        return self._share
+
+    @property
+    def bound(self) -> int:
+        """The share."""
+        return self._share
+
+
+class Oracle(AllowanceController):
+    """Knows the bursts before they come and each online request in the engine at once."""
+
+    def __init__(self, clock: Clock, engine: EngineModel, burst_share: int, reserve: int) -> None:
+        """Hold `burst_share` streams in bursts, else all but `reserve` of the free slots."""
+        super().__init__(clock, AllowanceParameters())
+        self._engine = engine
+        self._burst_share = burst_share
+        self._reserve = reserve
+        self.start: Millis | None = None
+
+    @property
+    def limit(self) -> int:
+        """Slots that online leaves, or the share of a burst."""
+        held = [*self._engine._running, *self._engine._waiting]
+        online = sum(1 for one in held if one.request_id.startswith("online-"))
+        free = max(0, self._engine.parameters.max_running - online - self._reserve)
+        now = self._clock.now()
+        if self.start is not None and is_burst(now - self.start):
+            return min(free, self._burst_share)
+        return free
+
+    @property
+    def bound(self) -> int:
+        """The same."""
+        return self.limit
+
+
+def make_adaptive(clock: Clock, _: EngineModel) -> AllowanceController:
+    """Return what the daemon uses."""
+    return AllowanceController(clock, AllowanceParameters())
+
+
+POLICIES: dict[str, MakePolicy | None] = {
+    "no batch": None,
+    "no yielding": lambda clock, _: FixedAllowance(clock, 64),
+    "fixed share 16": lambda clock, _: FixedAllowance(clock, 16),
+    "oracle": lambda clock, engine: Oracle(clock, engine, 16, 2),
+    "allowance": make_adaptive,
+}
