--- a/goldcreststair/components/caller_api/views.py
+++ b/goldcreststair/components/caller_api/views.py
@@ -14,7 +14,7 @@
 from goldcreststair.components.online.errors import Refusal
 from goldcreststair.components.online.models import GenerateRequest
 from goldcreststair.components.online.service import ONLINE
-from goldcreststair.components.shutdown.readiness import is_ready
+from goldcreststair.components.shutdown.readiness import list_obstacles
 from goldcreststair.const import HEADER_IDEMPOTENCY_KEY
 from goldcreststair.core import Core
 from goldcreststair.upstreams.models import StreamChunk, UpstreamKind
@@ -131,7 +131,8 @@
 
     def get(self) -> None:
         """Answer 200 while callers may be sent here."""
-        ready = is_ready(self.core)
+        obstacles = list_obstacles(self.core)
         version = self.core.blackboard.read(CONFIGURATION).version
-        self.set_status(200 if ready else 503)
-        self.finish({"ready": ready, "configuration_version": version})
+        self.set_status(503 if obstacles else 200)
+        body = {"ready": not obstacles, "configuration_version": version, "obstacles": obstacles}
+        self.finish(body)
--- a/goldcreststair/components/ledger/controller.py
+++ b/goldcreststair/components/ledger/controller.py
@@ -62,6 +62,7 @@
         self._mine: tuple[int, ...] = ()
         self._owned: dict[int, OwnedPartition] = {}
         self._busy: set[int] = set()
+        self._claiming: set[int] = set()
         self._beliefs = OwnerBeliefs(core.clock)
         self._notices = ReleaseNotices(core, self._handle_released)
         self._wake = asyncio.Event()
@@ -192,12 +193,14 @@
 
     async def _async_sweep(self) -> int:
         self._share_budget()
-        self._release_unwanted()
+        releasing = self._release_unwanted()
         more = await self._async_claim_wanted()
-        if not more and not self._busy:
+        # Releases do not count: while another VM joins there is always one under way, and this VM
+        # would not say that it is ready until the last of them is gone.
+        if not more and not self._claiming:
             self._settled = True
             self._state.write(LedgerState(settled=True))
-        return CLAIM_PAUSE_MS if more else SWEEP_INTERVAL_MS
+        return CLAIM_PAUSE_MS if more or releasing else SWEEP_INTERVAL_MS
 
     def _is_wanted(self, index: int) -> bool:
         return self._wanted.find(index) == self._core.session_id
@@ -206,7 +209,8 @@
         own = self._core.blackboard.read(MEMBERS).by_session.get(self._core.session_id)
         return own is not None and own.state is MemberState.LEAVING
 
-    def _release_unwanted(self) -> None:
+    def _release_unwanted(self) -> bool:
+        """Begin to release what the pace allows; returns whether there is more."""
         for index, partition in tuple(self._owned.items()):
             # The last VM to leave has no heir: released at once, its partitions would be served
             # nowhere while it still finishes its callers' requests. They go when it closes.
@@ -217,12 +221,13 @@
             if elapsed(self._core.clock, partition.confirmed_at) > 2 * CONFIRM_INTERVAL_MS:
                 continue
             if not (self._is_leaving() or self._handovers.is_free()):
-                return
+                return True
             self._handovers.reserve()
             self._core.journal.record(
                 Subject.PARTITION, str(index), "release", "another VM is wanted"
             )
             self._spawn(self._async_hand_over(partition), index)
+        return False
 
     async def _async_hand_over(self, partition: OwnedPartition) -> None:
         stored = await partition.async_hand_over()
@@ -239,6 +244,7 @@
         held = index in self._owned or index in self._busy
         if index in self._mine and not held and not stored.head.owner and not self._closing:
             self._pacer.reserve()
+            self._claiming.add(index)
             self._spawn(self._async_claim(index, stored), index)
 
     async def _async_claim_wanted(self) -> bool:
@@ -265,6 +271,7 @@
             if self._is_claimable(stored.head)
         ]
         for index, stored in claimable[:free]:
+            self._claiming.add(index)
             self._spawn(self._async_acquire(index, stored), index)
         return bool(claimable)
 
@@ -361,5 +368,6 @@
         self._changing.discard(task)
         if index is not None:
             self._busy.discard(index)
+            self._claiming.discard(index)
         if not task.cancelled() and task.exception() is not None:
             _LOGGER.error("Ledger task failed", exc_info=task.exception())
--- a/goldcreststair/components/shutdown/readiness.py
+++ b/goldcreststair/components/shutdown/readiness.py
@@ -8,18 +8,24 @@
 
 
 def is_ready(core: Core) -> bool:
-    """Return whether a configuration is in force and this VM neither leaves nor is cut off.
+    """Return whether nothing keeps callers from being sent here."""
+    return not list_obstacles(core)
 
-    A VM that has not yet claimed its partitions would refuse callers whose limits it is to keep:
-    in a fleet that has just started these are all of them.
-    """
-    shutdown = core.blackboard.find(SHUTDOWN)
-    if shutdown is not None and shutdown.leaving:
-        return False
+
+def list_obstacles(core: Core) -> list[str]:
+    """Return why callers may not be sent here; empty if they may."""
+    board = core.blackboard
+    shutdown = board.find(SHUTDOWN)
     membership = core.find(MEMBERSHIP)
-    if membership is not None and membership.is_isolated():
-        return False
-    ledger = core.blackboard.find(LEDGER_STATE)
-    if ledger is not None and not ledger.settled:
-        return False
-    return core.blackboard.read(CONFIGURATION).version > 0
+    ledger = board.find(LEDGER_STATE)
+    obstacles = {
+        "leaving": shutdown is not None and shutdown.leaving,
+        "cut off from the store and from other VMs": (
+            membership is not None and membership.is_isolated()
+        ),
+        # It would refuse callers whose limits it is to keep: in a fleet that has just started
+        # these are all of them.
+        "partitions not claimed yet": ledger is not None and not ledger.settled,
+        "no configuration yet": board.read(CONFIGURATION).version == 0,
+    }
+    return [name for name, holds in obstacles.items() if holds]
