--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,31 @@
+"""The list of tests passed over is short, and each has its reason."""
+
+from pathlib import Path
+
+import pytest
+
+from tests.helpers.known_red import FILE, read_known_red
+
+
+@pytest.mark.parametrize(
+    ("content", "known"),
+    [
+        (None, {}),
+        ("", {}),
+        (
+            "tests/a.py::test_b[c] | cause | issue 6\n\n",
+            {"tests/a.py::test_b[c]": "cause | issue 6"},
+        ),
+    ],
+)
+def test_reads_the_list(tmp_path: Path, content: str | None, known: dict[str, str]) -> None:
+    if content is not None:
+        (tmp_path / FILE).write_text(content)
+    assert read_known_red(tmp_path) == known
+
+
+@pytest.mark.parametrize("content", ["test without reason", "a | ", "a | x\nb | x\nc | x\nd | x"])
+def test_refuses_a_bad_list(tmp_path: Path, content: str) -> None:
+    (tmp_path / FILE).write_text(content)
+    with pytest.raises(ValueError, match=FILE):
+        read_known_red(tmp_path)
