Resume a stream whose end came before its last tokens

Cause: an end marker that names a later token than the last one received was taken as a whole answer; only holes between chunks were noticed. Found by the fault matrix (VM paused past its lease at the fifth chunk), where the stand-in of the engine also broke off at its end while its reader was slow. Change: such an end counts as incomplete and the run is resumed; the stand-in gives out all tokens before its end. Its idle poll became a parameter. Ruled out: trusting adapters to count, which each of them would have to.

--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -128,7 +128,9 @@
 
         sink = _FirstTokenSink(run.recorder, on_first)
         outcome = await self._engines.async_generate(upstream, run.make_call(began), sink)
-        if isinstance(outcome, Ok) and run.recorder.gap:
+        # An end that came although its last tokens did not would give out half an answer as whole.
+        short = isinstance(outcome, Ok) and run.lacks_tokens(outcome.ok_value)
+        if isinstance(outcome, Ok) and (run.recorder.gap or short):
             return Err(UpstreamError("tokens were left out", UpstreamFailure.INCOMPLETE))
         return outcome
 
@@ -194,6 +196,10 @@
             admitted=self.progress.attempts > 0,
         )
 
+    def lacks_tokens(self, end: GenerateEnd) -> bool:
+        """Return whether a stream ended before the last token that its end names."""
+        return self.request.stream and self.recorder.last_index < end.last_index
+
     def make_call(self, now: Millis) -> GenerateCall:
         resumed = self.recorder.last_index >= 0
         return GenerateCall(
--- a/standins/engine/client.py
+++ b/standins/engine/client.py
@@ -208,6 +208,7 @@
                 chunk = _make_chunk(request, index)
                 index = chunk.last_index + 1
                 await sink.async_accept(chunk)
+                continue
             if generation.state in ENDED:
                 break
             await generation.advanced.wait()
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -13,7 +13,6 @@
 
 KEPT_GENERATIONS: Final = 2000
 KEPT_EVENTS: Final = 5000
-IDLE_POLL_MS: Final = 20
 WORDS: Final = ("amber", "birch", "cedar", "delta", "ember", "fjord", "grove", "heron")
 
 
@@ -156,7 +155,7 @@
         self._work.clear()
         waiter = asyncio.ensure_future(self._work.wait())
         try:
-            await asyncio.wait({waiter}, timeout=IDLE_POLL_MS / 1000)
+            await asyncio.wait({waiter}, timeout=self.parameters.idle_poll_ms / 1000)
         finally:
             waiter.cancel()
 
--- a/standins/engine/models.py
+++ b/standins/engine/models.py
@@ -34,6 +34,8 @@
     checks_fencing: bool = True
     """Whether an order with an old fencing number is refused."""
     service_version: str = "1"
+    idle_poll_ms: int = 20
+    """Longest time between two load reports of an idle engine."""
 
 
 @dataclass(slots=True)
--- a/tests/components/online/test_streams.py
+++ b/tests/components/online/test_streams.py
@@ -4,10 +4,14 @@
 from collections.abc import Callable
 
 import pytest
-from result import Err, Ok
+from result import Err, Ok, Result
 
+from goldcreststair.clock import LoopClock
 from goldcreststair.components.online.errors import RefusalCode
-from goldcreststair.upstreams.models import GenerateCall
+from goldcreststair.upstreams.errors import UpstreamError
+from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, StreamChunk, Upstream
+from goldcreststair.upstreams.protocols import StreamSink
+from standins.engine.client import FakeUpstreams
 from standins.engine.model import EngineModel, make_text
 from tests.helpers.claims import FakeClaims
 from tests.helpers.online import OnlineVm, RecordingSink
@@ -170,3 +174,44 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+class ShortUpstreams(FakeUpstreams):
+    """Keeps the last chunk of the first stream back, yet sends its end."""
+
+    calls_seen = 0
+
+    async def async_generate(
+        self, upstream: Upstream, call: GenerateCall, sink: StreamSink
+    ) -> Result[GenerateEnd, UpstreamError]:
+        self.calls_seen += 1
+        first = self.calls_seen == 1
+        return await super().async_generate(upstream, call, LateSink(sink) if first else sink)
+
+
+class LateSink:
+    def __init__(self, sink: StreamSink) -> None:
+        self.sink = sink
+
+    async def async_accept(self, chunk: StreamChunk) -> None:
+        if chunk.last_index < TOKENS - 1:
+            await self.sink.async_accept(chunk)
+
+
+def test_an_end_without_the_last_tokens_is_no_whole_answer() -> None:
+    """A blurb stops in the middle of its last sentence, and yet counts as answered.
+
+    The upstream's end marker names the last token, but that token never arrived: no hole shows
+    between the chunks, only the end is too early. The run must be resumed for what is missing.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm(ShortUpstreams(LoopClock()))
+        await vm.async_setup()
+        sink = RecordingSink()
+        ended = await vm.async_generate("r1", sink, max_tokens=TOKENS)
+        assert isinstance(ended, Ok)
+        assert sink.read_text() == TEXT
+        await vm.async_close()
+
+    run_virtual(async_test())
