Do not call a resend 'not run' whose claim was not read

Cause: a resend under the caller's idempotency key, refused because the store was down or the rate was spent, said not_run although the first send had run. Found by the fault matrix (VM leaves while a booking runs, store down 60 s). Change: refusals given before the claim was read say not_run only where the caller gave no key. Ruled out: a problem of its own for claims whose record was found, as rate limits refuse before the claim is asked for at all. Measured: two cells of the new test failed before (not_run True) and pass now; tests of online, claims, caller_api and golden sessions pass.

--- a/goldcreststair/components/claims/protocols.py
+++ b/goldcreststair/components/claims/protocols.py
@@ -43,6 +43,11 @@
     repeatable: bool
     """Whether a run whose outcome was lost may be run again."""
 
+    @property
+    def is_caller_key(self) -> bool:
+        """Return whether the caller chose the key, so that earlier sends may have used it."""
+        return self.key != self.request_id
+
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
--- a/goldcreststair/components/online/claiming.py
+++ b/goldcreststair/components/online/claiming.py
@@ -4,6 +4,7 @@
 import hashlib
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from result import Err, Ok, Result
 
@@ -68,7 +69,8 @@
             request, min(CLAIM_TIMEOUT_MS, max(1, deadline_at - self._clock.now()))
         )
         if isinstance(claimed, Err):
-            return Err(refuse_claim(claimed.err_value))
+            refusal = refuse_claim(claimed.err_value)
+            return Err(doubt_earlier_sends(refusal) if request.is_caller_key else refusal)
         match claimed.ok_value:
             case Finished(outcome):
                 return Ok(outcome)
@@ -130,6 +132,17 @@
         return Err(Refusal(message, RefusalCode.OUTCOME_UNKNOWN, 409, False))
 
 
+def doubt_earlier_sends(refusal: Refusal) -> Refusal:
+    """Return a refusal, given before the claim was read, that is true of all sends of its key.
+
+    A caller whose first send ran and whose connection broke sends again under the same key. Were
+    this send refused as "not run", as it is for a rate limit or while the store is down, the caller
+    would take the booking for not made and make another one elsewhere. Only the claim tells whether
+    an earlier send ran, and it was not read.
+    """
+    return replace(refusal, not_run=False)
+
+
 def refuse_claim(error: ClaimError) -> Refusal:
     """Turn a claim that was not given into a refusal."""
     match error.problem:
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -11,7 +11,11 @@
 from goldcreststair.components.keys.protocols import KEYS, Identity
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.online.calls import ServiceRunner
-from goldcreststair.components.online.claiming import ClaimedRunner, make_request_fingerprint
+from goldcreststair.components.online.claiming import (
+    ClaimedRunner,
+    doubt_earlier_sends,
+    make_request_fingerprint,
+)
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.generation import GenerationRunner
@@ -114,20 +118,21 @@
         self._in_flight += change
         self._meter.update(self._in_flight)
 
-    async def _async_admit(self, identity: Identity) -> Result[None, Refusal]:
+    async def _async_admit(self, identity: Identity, idempotency_key: str) -> Result[None, Refusal]:
         admitted = await self._limits.async_admit(identity.customer)
         if isinstance(admitted, Ok):
             return Ok(None)
         error = admitted.err_value
         code = RefusalCode.RATE_LIMITED
-        return Err(Refusal(error.message, code, 429, True, error.retry_after_ms))
+        refusal = Refusal(error.message, code, 429, True, error.retry_after_ms)
+        return Err(doubt_earlier_sends(refusal) if idempotency_key else refusal)
 
     async def _async_generate(
         self, request: GenerateRequest, sink: StreamSink
     ) -> Result[GenerateEnd, Refusal]:
         begun_at = self._clock.now()
         deadline_at = Millis(begun_at + request.deadline_ms)
-        admitted = await self._async_admit(request.identity)
+        admitted = await self._async_admit(request.identity, request.idempotency_key)
         if isinstance(admitted, Err):
             return admitted
         recorder = StreamRecorder(sink, self._clock)
@@ -170,7 +175,7 @@
 
     async def _async_call(self, request: ServiceRequest) -> Result[Outcome, Refusal]:
         deadline_at = Millis(self._clock.now() + request.deadline_ms)
-        admitted = await self._async_admit(request.identity)
+        admitted = await self._async_admit(request.identity, request.idempotency_key)
         if isinstance(admitted, Err):
             return admitted
         if request.repeatable and not request.idempotency_key:
--- a/tests/components/online/test_service_calls.py
+++ b/tests/components/online/test_service_calls.py
@@ -5,6 +5,8 @@
 import pytest
 from result import Err, Ok
 
+from goldcreststair.components.configuration.models import CONFIGURATION, Customer
+from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.online.errors import RefusalCode
 from goldcreststair.components.online.service import ONLINE
 from tests.helpers.claims import FakeClaims
@@ -115,3 +117,38 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+@pytest.mark.parametrize("cause", ["claims cannot be read", "rate is spent"])
+@pytest.mark.parametrize("caller_key", ["k", ""])
+def test_resend_that_is_refused_unread_is_not_called_not_run(cause: str, caller_key: str) -> None:
+    """A ground is booked, the connection breaks, and the secretary sends again under the same key.
+
+    At that moment the store is down, or the customer's rate is spent, so the VM refuses without
+    having read what became of the first send. Told "not run", the secretary would book another
+    ground. Without a key of the caller's no earlier send can be meant.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        claims = FakeClaims()
+        await vm.async_setup(claims=claims)
+        online = vm.core.get(ONLINE)
+        first = await online.async_call(vm.make_call("r1", repeatable=False, key=caller_key))
+        assert isinstance(first, Ok)
+        claims.unavailable = cause == "claims cannot be read"
+        if cause == "rate is spent":
+            slow = {"rate_per_s": 0.001, "burst": 1}
+            vm.apply(customers={"acme": slow, "busy": slow})
+            while isinstance(await vm.core.get(LIMITS).async_admit(find_acme(vm)), Ok):
+                pass
+        refused = await online.async_call(vm.make_call("r2", repeatable=False, key=caller_key))
+        assert isinstance(refused, Err)
+        assert refused.err_value.not_run is (caller_key == "")
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+def find_acme(vm: OnlineVm) -> Customer:
+    return vm.core.blackboard.read(CONFIGURATION).customers["acme"]
