Refuse a claim message that its own release overtook

Cause: a claim message that waited in a link while its asker gave up and gave the claim back over another link was granted afterwards. Nobody ran it, and resends joined it until the asker's session ended. Change: the owner remembers releases by asker and request id for 10 minutes, at most 10,000 of them. Ruled out: a durable mark, a write for each release; an owner that lost the partition since refuses the message anyway. Measured: the new test failed before (granted) and passes now; tests of claims pass.

--- a/goldcreststair/components/claims/const.py
+++ b/goldcreststair/components/claims/const.py
@@ -25,3 +25,8 @@
 INSIST_MS: Final = 10 * 60 * 1000
 """How long an ending that got no answer is sent again behind the caller's back."""
 INSIST_DELAY_MS: Final = 2000
+
+RELEASED_KEEP_MS: Final = 10 * 60 * 1000
+"""How long a release is remembered, for claim messages that it overtook."""
+MAX_RELEASED: Final = 10_000
+"""Releases remembered at most, so that memory is bounded."""
--- a/goldcreststair/components/claims/keeper.py
+++ b/goldcreststair/components/claims/keeper.py
@@ -20,6 +20,7 @@
     decide_wait,
 )
 from goldcreststair.components.claims.models import AnswerCode, ClaimRecord, ClaimState, Ending
+from goldcreststair.components.claims.released import ReleasedRequests
 from goldcreststair.components.ledger import sessions
 from goldcreststair.components.ledger.protocols import (
     LEDGER,
@@ -46,6 +47,7 @@
         self._ledger = core.get(LEDGER)
         self._sessions = sessions.SessionWatch(core)
         self._changed: dict[str, asyncio.Event] = {}
+        self._released = ReleasedRequests(core.clock)
 
     def close(self) -> None:
         """Stop following the members."""
@@ -57,6 +59,11 @@
         partition = self._ledger.get_owned(self._ledger.find_index(key))
         if partition is None:
             return self._refer(key)
+        # The asker gave up and its release overtook this message, which had waited in a link that
+        # the asker has closed since: granted now, nobody would run it, and every resend would join
+        # a run that never ends for as long as the asker's session lives.
+        if self._released.contains(asker, message.request_id):
+            return _answer(AnswerCode.UNAVAILABLE, "released by its asker")
         wanted = ClaimRecord(
             message.fingerprint,
             message.request_id,
@@ -78,6 +85,8 @@
             return self._refer(key)
         holder = (asker, message.claim_id, message.request_id)
         outcome = from_wire(message.outcome)
+        if message.ending == Ending.RELEASED:
+            self._released.add(asker, message.request_id)
         found = _find(partition, key)
         decision = decide_ending(found, Ending(message.ending), holder, outcome)
         return await self._async_carry_out(partition, key, decision, message.timeout_ms)
--- a/tests/components/claims/test_claims.py
+++ b/tests/components/claims/test_claims.py
@@ -8,6 +8,7 @@
 
 from goldcreststair.components.claims import retention
 from goldcreststair.components.claims.const import TICK_MS
+from goldcreststair.components.claims.models import AnswerCode, Ending
 from goldcreststair.components.claims.protocols import (
     ClaimProblem,
     ClaimRequest,
@@ -17,6 +18,7 @@
     Outcome,
 )
 from goldcreststair.components.membership.models import MemberState
+from goldcreststair.wire.generated.ledger.ttypes import ClaimMessage, SettleMessage
 from tests.helpers.virtual_time import run_virtual
 from tests.helpers.vms import Fleet, Vm
 
@@ -224,3 +226,24 @@
         assert any(name.startswith("outcomes/") for name in fleet.platform.objects) is kept
 
     run_fleet(async_body)
+
+
+def test_a_claim_message_that_its_release_overtook_is_not_granted() -> None:
+    """A secretary sends a booking again and again, and hears "out of time" for as long as a VM lives.
+
+    The owner's VM is paused for seconds; the asker gives the link with its claim message up and
+    gives the claim back over a new one. The owner wakes and reads the release first, the message
+    then: granted, nobody would run the claim, and each resend would join a run that never ends.
+    """
+
+    async def async_body(fleet: Fleet) -> None:
+        owner, asker, other = split(fleet)
+        keeper = owner.claims._keeper
+        release = SettleMessage("acme", "k", "", "r1", int(Ending.RELEASED), 1000, None)
+        late = ClaimMessage("acme", "k", "f", "r1", False, 1000)
+        await keeper.async_end(asker.session_id, release)
+        answer = await keeper.async_claim(asker.session_id, late)
+        assert answer.code == AnswerCode.UNAVAILABLE
+        await async_grant(other, make_request("r2"))
+
+    run_fleet(async_body)
