Leave earlier sends in doubt where a key is refused

Cause: a VM that had just woken from a pause refused a resend's key as 'cut off from the fleet' and 'not run', although the first send under that idempotency key had booked. Found by the fault matrix (VM leaves, paused past its lease). Ruled out: identifying later, after the claim: no claim may be read for an unknown customer.

--- a/goldcreststair/components/caller_api/errors.py
+++ b/goldcreststair/components/caller_api/errors.py
@@ -6,7 +6,7 @@
 
 from goldcreststair.components.caller_api.parsing import BadField
 from goldcreststair.components.keys.protocols import KeyRefused
-from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
 
 DEFAULT_TYPE: Final = "server_error"
 _TYPES: Final = {
@@ -20,11 +20,12 @@
 }
 
 
-def refuse_key(error: KeyRefused) -> Refusal:
-    """Turn a refused key into a refusal."""
+def refuse_key(error: KeyRefused, idempotency_key: str = "") -> Refusal:
+    """Turn a refused key into a refusal; an earlier send may have run under an idempotency key."""
+    refusal = Refusal(error.message, RefusalCode.INVALID_KEY, 401, True)
     if error.temporary:
-        return Refusal(error.message, RefusalCode.NOT_READY, 503, True, 1000)
-    return Refusal(error.message, RefusalCode.INVALID_KEY, 401, True)
+        refusal = Refusal(error.message, RefusalCode.NOT_READY, 503, True, 1000)
+    return doubt_earlier_sends(refusal) if idempotency_key else refusal
 
 
 def refuse_field(error: BadField) -> Refusal:
--- a/goldcreststair/components/caller_api/handler.py
+++ b/goldcreststair/components/caller_api/handler.py
@@ -14,7 +14,12 @@
 from goldcreststair.components.caller_api.errors import encode_refusal, refuse_key
 from goldcreststair.components.keys.protocols import KEYS, Identity
 from goldcreststair.components.online.errors import Refusal, RefusalCode
-from goldcreststair.const import HEADER_REQUEST_ID, HEADER_RETRY_AFTER, MS_PER_SECOND
+from goldcreststair.const import (
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_REQUEST_ID,
+    HEADER_RETRY_AFTER,
+    MS_PER_SECOND,
+)
 from goldcreststair.core import Core
 
 
@@ -37,7 +42,8 @@
         self.key = shown[len(BEARER) :] if shown.startswith(BEARER) else ""
         found = self.core.get(KEYS).identify(self.key)
         if isinstance(found, Err):
-            self.refuse(refuse_key(found.err_value))
+            idempotency_key = self.request.headers.get(HEADER_IDEMPOTENCY_KEY, "")
+            self.refuse(refuse_key(found.err_value, idempotency_key))
             return
         self.identity = found.ok_value
 
--- a/goldcreststair/components/online/claiming.py
+++ b/goldcreststair/components/online/claiming.py
@@ -4,7 +4,6 @@
 import hashlib
 import logging
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 
 from result import Err, Ok, Result
 
@@ -25,7 +24,7 @@
     RETRY_PAUSE_MS,
     SETTLE_TIMEOUT_MS,
 )
-from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
 from goldcreststair.core import Core
 
 _LOGGER = logging.getLogger(__name__)
@@ -132,17 +131,6 @@
         return Err(Refusal(message, RefusalCode.OUTCOME_UNKNOWN, 409, False))
 
 
-def doubt_earlier_sends(refusal: Refusal) -> Refusal:
-    """Return a refusal, given before the claim was read, that is true of all sends of its key.
-
-    A caller whose first send ran and whose connection broke sends again under the same key. Were
-    this send refused as "not run", as it is for a rate limit or while the store is down, the caller
-    would take the booking for not made and make another one elsewhere. Only the claim tells whether
-    an earlier send ran, and it was not read.
-    """
-    return replace(refusal, not_run=False)
-
-
 def refuse_claim(error: ClaimError) -> Refusal:
     """Turn a claim that was not given into a refusal."""
     match error.problem:
--- a/goldcreststair/components/online/errors.py
+++ b/goldcreststair/components/online/errors.py
@@ -1,6 +1,6 @@
 """Errors of online requests, as callers see them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 
 from goldcreststair.errors import GoldcreststairError
@@ -37,3 +37,14 @@
     """When to come back; 0 if coming back does not help."""
     upstream_body: bytes = b""
     """The upstream's own error answer, passed on as it is."""
+
+
+def doubt_earlier_sends(refusal: Refusal) -> Refusal:
+    """Return a refusal, given before the claim was read, that is true of all sends of its key.
+
+    A caller whose first send ran and whose connection broke sends again under the same key. Were
+    this send refused as "not run", as it is for a rate limit or while the store is down, the caller
+    would take the booking for not made and make another one elsewhere. Only the claim tells whether
+    an earlier send ran, and it was not read.
+    """
+    return replace(refusal, not_run=False)
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -11,12 +11,8 @@
 from goldcreststair.components.keys.protocols import KEYS, Identity
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.online.calls import ServiceRunner
-from goldcreststair.components.online.claiming import (
-    ClaimedRunner,
-    doubt_earlier_sends,
-    make_request_fingerprint,
-)
-from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.online.claiming import ClaimedRunner, make_request_fingerprint
+from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.generation import GenerationRunner
 from goldcreststair.components.online.levels import LevelObserver
