Do not call a resent submit 'not run' while its job may stand

Cause: a submit sent again under its idempotency key, refused because the store was down or the rate was spent, said not_run although its first send may have been accepted. Change: such refusals of a submit with a key leave it open. Ruled out: the answer outcome_unknown, which tells the caller no time to come back. Measured: the new cell of the CLI's test failed before (not_run True) and passes now, as does the rest of that file.

--- a/goldcreststair/components/batch/views.py
+++ b/goldcreststair/components/batch/views.py
@@ -15,7 +15,7 @@
 from goldcreststair.components.batch.submission import Submission, SubmitOptions
 from goldcreststair.components.caller_api.handler import CallerHandler
 from goldcreststair.components.limits.protocols import LIMITS
-from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
 from goldcreststair.const import HEADER_IDEMPOTENCY_KEY
 
 RETRY_AFTER_MS: Final = 2_000
@@ -65,7 +65,7 @@
         if isinstance(admitted, Err):
             error = admitted.err_value
             code = RefusalCode.RATE_LIMITED
-            self.refuse(Refusal(error.message, code, 429, True, error.retry_after_ms))
+            self._refuse_submit(Refusal(error.message, code, 429, True, error.retry_after_ms))
             return
         due_in_s = self._read_due()
         if due_in_s is None:
@@ -79,6 +79,13 @@
         )
         self._submission = self.core.get(BATCH).begin_submission(options)
 
+    def _refuse_submit(self, refusal: Refusal) -> None:
+        # An earlier send under the same key may have been accepted: a caller told "not run" would
+        # submit the digest anew under another key, and have each summary twice.
+        resent = HEADER_IDEMPOTENCY_KEY in self.request.headers
+        passing = refusal.status in (429, 503)
+        self.refuse(doubt_earlier_sends(refusal) if resent and passing else refusal)
+
     async def data_received(self, chunk: bytes) -> None:
         """Store items as they arrive; the socket waits meanwhile."""
         if self._submission is not None:
@@ -90,7 +97,7 @@
             return
         outcome = await self._submission.async_finish()
         if isinstance(outcome, Err):
-            self.refuse(refuse_batch(outcome.err_value))
+            self._refuse_submit(refuse_batch(outcome.err_value))
             return
         await self.finish(describe_manifest(outcome.ok_value))
 
--- a/tests/cli/test_batch.py
+++ b/tests/cli/test_batch.py
@@ -126,8 +126,15 @@
     asyncio.run(asyncio.wait_for(async_test(), 30))
 
 
-def test_store_down_is_refused_as_not_run(tmp_path: Path) -> None:
-    """The store is down; the caller is told at once, truly not run, and when to come back."""
+@pytest.mark.parametrize(("headers", "not_run"), [({}, True), ({"Idempotency-Key": "d"}, False)])
+def test_store_down_is_refused_as_not_run(
+    tmp_path: Path, headers: dict[str, str], not_run: bool
+) -> None:
+    """The store is down; the caller is told at once, truly not run, and when to come back.
+
+    Under a key of the caller's an earlier send may have been accepted whose answer was lost: told
+    "not run", the caller would submit the job anew and get each summary twice.
+    """
     source = tmp_path / "job"
     source.write_bytes(b"\n".join(make_lines(200)))
 
@@ -136,9 +143,9 @@
             daemon.platform.faults.down = True
             path = "/v1/batches?endpoint=/v1/completions&model=small"
             with source.open("rb") as opened:
-                outcome = await daemon.async_call(Call("POST", path, {}, opened))
+                outcome = await daemon.async_call(Call("POST", path, headers, opened))
             error = outcome.err_value  # type: ignore[attr-defined]
-            assert (error.status, error.not_run, error.retry_after_s) == (503, True, 2)
+            assert (error.status, error.not_run, error.retry_after_s) == (503, not_run, 2)
             assert not daemon.core.get(BATCH).keeper.chunks
 
     asyncio.run(asyncio.wait_for(async_test(), 30))
