Keep a request running in the cells that withdraw its key

Cause: the cells showed that every VM refuses a withdrawn key, not that what runs under it ends. Change: a request of minutes runs at another VM meanwhile, and must have ended without its answer once the fault has healed.

--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -47,6 +47,7 @@
 CUSTOMERS = {"acme": Limit(20.0, 20), "busy": Limit(10.0, 10)}
 SETTLE_MS = 12_000
 TOKENS = 30
+DEADLINE_MS = 60_000
 POISON = "poison"
 
 
@@ -247,11 +248,19 @@
         return task.result()
 
     async def async_generate(
-        self, vm: int, request: str, prompt: str, *, key: str = "", customer: str = "acme"
+        self,
+        vm: int,
+        request: str,
+        prompt: str,
+        *,
+        key: str = "",
+        customer: str = "acme",
+        tokens: int = TOKENS,
+        deadline_ms: int = DEADLINE_MS,
     ) -> bool:
         """Send one streamed request; returns whether its whole answer came."""
         sink = TextSink()
-        body = {"model": "small", "prompt": prompt, "max_tokens": TOKENS, "stream": True}
+        body = {"model": "small", "prompt": prompt, "max_tokens": tokens, "stream": True}
 
         async def async_send(core: Any) -> Any:
             identified = core.get(KEYS).identify(f"key-{customer}")
@@ -265,13 +274,14 @@
                 orjson.dumps(body),
                 "small",
                 True,
+                deadline_ms=deadline_ms,
                 idempotency_key=key,
             )
             return await core.get(ONLINE).async_generate(wanted, sink)
 
         ended = await self.async_as_caller(vm, async_send)
         text = sink.read_text() if isinstance(ended, Ok) else ""
-        return self._observe(request, request, customer, ended, text, make_text(prompt, TOKENS))
+        return self._observe(request, request, customer, ended, text, make_text(prompt, tokens))
 
     async def async_book(
         self, vm: int, request: str, key: str, *, repeatable: bool = False, body: str = "a ground"
--- a/tests/faults/paths.py
+++ b/tests/faults/paths.py
@@ -22,6 +22,7 @@
     Fault,
     Scene,
     leave_vm,
+    outside,
 )
 from tests.faults.steps import Step, match_call, match_frame, match_put, match_write
 
@@ -29,6 +30,8 @@
 
 RETRY_MS: Final = 1000
 MAX_SENDS: Final = 150
+LONG_TOKENS: Final = 15_000
+LONG_MS: Final = 300_000
 SECONDS_MS: Final = 11_000
 """A configuration, a withdrawal or an end of service is in force everywhere within this."""
 
@@ -164,6 +167,13 @@
 async def async_withdraw_key(scene: Scene) -> None:
     fleet = scene.fleet
     key_hash = hash_key("key-busy")
+    # Takes minutes if nobody ends it, longer than any pause.
+    running = outside(
+        fleet.async_generate(
+            1, "running", "long", customer="busy", tokens=LONG_TOKENS, deadline_ms=LONG_MS
+        )
+    )
+    await fleet.clock.async_sleep(200)
 
     async def async_send(vm: int, _: str) -> bool:
         done = await fleet.async_as_caller(
@@ -174,6 +184,8 @@
     scene.resend = lambda vm: async_send(vm, "")
     assert await async_insist(fleet, 0, "withdraw", async_send)
     await scene.async_recover()
+    assert running.done(), "a request runs on under a withdrawn key"
+    assert not running.result()
     for daemon in fleet.live:
         assert daemon.core.get(KEYS).identify("key-busy").is_err()
         assert key_hash in daemon.core.blackboard.read(CONFIGURATION).withdrawn
