--- a/goldcreststair/components/online/claiming.py
+++ b/goldcreststair/components/online/claiming.py
@@ -24,7 +24,7 @@
     RETRY_PAUSE_MS,
     SETTLE_TIMEOUT_MS,
 )
-from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
 from goldcreststair.core import Core
 
 _LOGGER = logging.getLogger(__name__)
@@ -68,7 +68,8 @@
             request, min(CLAIM_TIMEOUT_MS, max(1, deadline_at - self._clock.now()))
         )
         if isinstance(claimed, Err):
-            return Err(refuse_claim(claimed.err_value))
+            refusal = refuse_claim(claimed.err_value)
+            return Err(doubt_earlier_sends(refusal) if request.is_caller_key else refusal)
         match claimed.ok_value:
             case Finished(outcome):
                 return Ok(outcome)
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -15,7 +15,6 @@
 
 KEPT_GENERATIONS: Final = 2000
 KEPT_EVENTS: Final = 5000
-IDLE_POLL_MS: Final = 20
 WORDS: Final = ("amber", "birch", "cedar", "delta", "ember", "fjord", "grove", "heron")
 
 
@@ -165,7 +164,7 @@
         self._work.clear()
         waiter = asyncio.ensure_future(self._work.wait())
         try:
-            await asyncio.wait({waiter}, timeout=IDLE_POLL_MS / 1000)
+            await asyncio.wait({waiter}, timeout=self.parameters.idle_poll_ms / 1000)
         finally:
             waiter.cancel()
 
--- a/standins/engine/models.py
+++ b/standins/engine/models.py
@@ -37,6 +37,8 @@
     """Time of one export or import of KV state, whatever its size, ms."""
     kv_transfer_per_token_ms: float = 0.01
     """Added to it by each token of the state, ms (320 KB a token at about 256 Gbit/s)."""
+    idle_poll_ms: int = 20
+    """Longest time between two load reports of an idle engine."""
 
 
 @dataclass(slots=True)
