--- a/goldcreststair/components/online/const.py
+++ b/goldcreststair/components/online/const.py
@@ -30,7 +30,7 @@
 """So long before the departure the last of them shall be moved."""
 MAX_MOVES_AT_ONCE: Final = 8
 KV_MOVE_TIMEOUT_MS: Final = 3000
-KV_MOVE_MIN_TOKENS: Final = 1000
+KV_MOVE_MIN_TOKENS: Final = 850
 """From so many tokens on, KV transfer beats prefilling; see `docs/measurements/kv_move.md`."""
 BYTES_PER_TOKEN: Final = 4
 
