--- a/goldcreststair/components/online/mover.py
+++ b/goldcreststair/components/online/mover.py
@@ -49,6 +49,7 @@
     )
     """Done when the run shall end here; names the upstream that holds its KV state, or none."""
     moving: bool = False
+    _wanted: int | None = None
 
     @property
     def context_tokens(self) -> int:
@@ -57,8 +58,11 @@
 
     def read_wanted(self) -> int:
         """Return how many tokens the answer may come to, 0 if the caller does not say."""
-        wanted = orjson.loads(self.request.body).get("max_tokens")
-        return wanted if isinstance(wanted, int) else 0
+        if self._wanted is None:
+            fields = orjson.loads(self.request.body)
+            wanted = fields.get("max_tokens") or fields.get("max_completion_tokens")
+            self._wanted = wanted if isinstance(wanted, int) else 0
+        return self._wanted
 
 
 class StreamMover:
--- a/tests/components/online/test_moves.py
+++ b/tests/components/online/test_moves.py
@@ -5,6 +5,7 @@
 import pytest
 from result import Ok
 
+from goldcreststair.components.online.const import MOVE_TICK_MS
 from goldcreststair.components.routing.const import DEPARTURE_GRACE_MS
 from goldcreststair.journal import Subject
 from goldcreststair.platform.models import ListedState, ListedVm
@@ -169,3 +170,45 @@
         assert "move" in departure.read_choices()
 
     run_virtual(async_test())
+
+
+def test_data_centre_departs_in_one_night() -> None:
+    """All engines of a data centre but one depart at once, with most of twenty long streams.
+
+    Every stream must have moved when they are gone, without a crash, at an even pace: moved in
+    one wave, the prefills would halt everyone at the engine that stays.
+    """
+    streams, tokens = 20, 1800
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=3)
+        prompts = [f"brief {number}" for number in range(streams)]
+        sinks = [RecordingSink() for _ in prompts]
+        running = [
+            asyncio.create_task(
+                vm.async_generate(f"r{number}", sink, prompt=prompt, max_tokens=tokens)
+            )
+            for number, (prompt, sink) in enumerate(zip(prompts, sinks, strict=True))
+        ]
+        await asyncio.sleep(2)
+        gone = ADDRESSES[:2]
+        vm.platform.set_vms([ListedVm(address, "dc1", ListedState.LEAVING) for address in gone])
+        await asyncio.sleep(DEPARTURE_GRACE_MS / 1000)
+        for address in gone:
+            vm.upstreams.engines[address].crash()
+        for task, sink, prompt in zip(running, sinks, prompts, strict=True):
+            assert isinstance(await task, Ok)
+            assert sink.read_text() == make_text(prompt, tokens)
+        events = [
+            event
+            for number in range(streams)
+            for event in vm.core.journal.find(Subject.REQUEST, f"r{number}")
+        ]
+        assert {event.choice for event in events} == {"move"}
+        times = sorted(event.at_ms for event in events)
+        assert len(times) > streams / 3
+        assert times[-1] - times[0] > (len(times) - 2) * MOVE_TICK_MS
+        await vm.async_close()
+
+    run_virtual(async_test())
