--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -82,6 +82,8 @@
     idle_timeout_ms: int = 0
     """Longest wait between two pieces of the answer; 0 for no such limit."""
     connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
+    max_answer_bytes: int = MAX_ANSWER_BYTES
+    """A longer body ends the exchange as broken."""
 
 
 class _AnswerReader(HTTPMessageDelegate):
@@ -159,7 +161,7 @@
     stream: IOStream, exchange: Exchange, reader: _AnswerReader
 ) -> Result[Answer, ExchangeError]:
     parameters = HTTP1ConnectionParameters(
-        no_keep_alive=True, max_body_size=MAX_ANSWER_BYTES, chunk_size=READ_BYTES
+        no_keep_alive=True, max_body_size=exchange.max_answer_bytes, chunk_size=READ_BYTES
     )
     connection = HTTP1Connection(stream, True, parameters)
     headers = HTTPHeaders(dict(exchange.headers))
--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -9,6 +9,7 @@
 
 from goldcreststair.const import HEADER_REQUEST_ID
 from goldcreststair.http_exchange import (
+    MAX_ANSWER_BYTES,
     Answer,
     Exchange,
     ExchangeError,
@@ -37,6 +38,7 @@
 """An answer that comes at once at its end may keep still for longer; asking again joins it."""
 WHOLE_IDLE_PARTS: Final = 8
 CONTROL_TIMEOUT_MS: Final = 2000
+MAX_KV_STATE_BYTES: Final = 2 * 1024 * 1024
 STATUS_OK: Final = 200
 STATUS_FENCED: Final = 409
 
@@ -165,7 +167,10 @@
         self, upstream: Upstream, request_id: str
     ) -> Result[bytes, UpstreamError]:
         """Return the KV state of a running request."""
-        outcome = await _async_control(upstream, "GET", f"/requests/{request_id}/kv")
+        # Moves run several at once: states of hundreds of megabytes would take all of a small
+        # VM's memory. An engine has to give out a reference to its state instead.
+        path = f"/requests/{request_id}/kv"
+        outcome = await _async_control(upstream, "GET", path, max_bytes=MAX_KV_STATE_BYTES)
         return outcome.map(lambda answer: answer.body)
 
     async def async_import_kv(
@@ -219,9 +224,15 @@
 
 
 async def _async_control(
-    upstream: Upstream, method: str, path: str, body: bytes = b""
+    upstream: Upstream,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    max_bytes: int = MAX_ANSWER_BYTES,
 ) -> Result[Answer, UpstreamError]:
-    exchange = Exchange(upstream.address, method, path, CONTROL_TIMEOUT_MS, body=body)
+    exchange = Exchange(
+        upstream.address, method, path, CONTROL_TIMEOUT_MS, body=body, max_answer_bytes=max_bytes
+    )
     outcome = await async_exchange(exchange)
     if isinstance(outcome, Err):
         return Err(turn_exchange_error(outcome.err_value))
--- /dev/null
+++ b/tests/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapters of upstreams."""
--- /dev/null
+++ b/tests/upstreams/test_http_engine.py
@@ -0,0 +1,40 @@
+"""The engines' HTTP adapter on a real connection."""
+
+import asyncio
+
+import pytest
+from result import Ok
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from goldcreststair.upstreams.http_engine import MAX_KV_STATE_BYTES, HttpEngineClient
+from goldcreststair.upstreams.models import Upstream
+
+
+class KvHandler(RequestHandler):
+    def initialize(self, size: int) -> None:
+        self.size = size
+
+    def get(self) -> None:
+        self.write(b"x" * self.size)
+
+
+@pytest.mark.parametrize(("size", "taken"), [(True), (MAX_KV_STATE_BYTES + 1, False)])
+def test_huge_kv_state_is_not_taken_into_memory(size: int, taken: bool) -> None:
+    """An engine gives out a stream's KV state itself, hundreds of megabytes of it.
+
+    Several moves at once would take all memory of a small VM, and every request of it with them.
+    """
+
+    async def async_test() -> None:
+        socket, port = bind_unused_port()
+        server = HTTPServer(Application([(r"/requests/r1/kv", KvHandler, {"size": size})]))
+        server.add_socket(socket)
+        upstream = Upstream("e1", f"127.0.0.1:{port}", "dc1")
+        exported = await HttpEngineClient().async_export_kv(upstream, "r1")
+        assert isinstance(exported, Ok) is taken
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(async_test())
