--- a/tests/upstreams/test_http_engine.py
+++ b/tests/upstreams/test_http_engine.py
@@ -20,7 +20,9 @@
         self.write(b"x" * self.size)
 
 
-@pytest.mark.parametrize(("size", "taken"), [(True), (MAX_KV_STATE_BYTES + 1, False)])
+@pytest.mark.parametrize(
+    ("size", "taken"), [(MAX_KV_STATE_BYTES, True), (MAX_KV_STATE_BYTES + 1, False)]
+)
 def test_huge_kv_state_is_not_taken_into_memory(size: int, taken: bool) -> None:
     """An engine gives out a stream's KV state itself, hundreds of megabytes of it.
 
