Read a patch from standard input, as the help says

Cause: `config patch VERSION -` ended with 'Unknown option: -.', for the parser takes a hyphen at the start of a value for an option. Change: the file's parameter allows a leading hyphen. A flag of its own was ruled out, as '-' is what the help names and operators expect. Measured: the new test failed before with that message; the 5 tests of tests/cli/test_operator.py pass.

--- a/goldcreststair/cli/operator.py
+++ b/goldcreststair/cli/operator.py
@@ -49,7 +49,7 @@
 @config.command
 def patch(
     version: int,
-    file: Path,
+    file: Annotated[Path, Parameter(allow_leading_hyphen=True)],
     *,
     patch_id: Annotated[str, Parameter(help="The same id again is applied once.")] = "",
     target: OperatorTarget = NO_OPERATOR_TARGET,
--- a/tests/cli/test_operator.py
+++ b/tests/cli/test_operator.py
@@ -22,12 +22,18 @@
         yield fleet
 
 
-def run_cli(fleet: Fleet, *arguments: str) -> subprocess.CompletedProcess[str]:
+def run_cli(fleet: Fleet, *arguments: str, text: str = "") -> subprocess.CompletedProcess[str]:
     url = "http://" + fleet.daemons[0].wait_listening()
     command = [sys.executable, "-m", "goldcreststair.cli", *arguments]
     target = ["--url", url, "--token", OPERATOR_TOKEN]
     return subprocess.run(
-        [*command, *target], cwd=ROOT, capture_output=True, text=True, timeout=60, check=False
+        [*command, *target],
+        cwd=ROOT,
+        input=text,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
     )
 
 
@@ -60,6 +66,15 @@
     assert json.loads(run_cli(fleet, "config", "get").stdout) == current
 
 
+def test_patch_from_standard_input(fleet: Fleet) -> None:
+    """An operator pipes a patch into the command, as its help says; it must not be an option."""
+    current = json.loads(run_cli(fleet, "config", "get").stdout)["version"]
+    patch = json.dumps({"customers": {"designers": {"weight": 2}}})
+    patched = run_cli(fleet, "config", "patch", str(current), "-", text=patch)
+    assert patched.returncode == 0, patched.stdout + patched.stderr
+    assert json.loads(patched.stdout) == {"version": current + 1}
+
+
 def test_stale_patch_is_refused_with_the_current_version(fleet: Fleet, tmp_path: Path) -> None:
     current = json.loads(run_cli(fleet, "config", "get").stdout)["version"]
     file = tmp_path / "patch.json"
