--- /dev/null
+++ b/standins/chaos/observations.py
@@ -0,0 +1,85 @@
+"""What callers, operators and the fault schedule saw; shared by threads."""
+
+import threading
+import time
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from standins.demo.fleet import HttpAnswer
+
+
+class Kind(StrEnum):
+    """What a caller wanted."""
+
+    ONLINE = "online"
+    STREAM = "stream"
+    BOOKING = "booking"
+    POISON = "poison"
+    SUBMIT = "submit"
+    VISITOR = "visitor"
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """One request as its caller saw it; `status` 0 if no whole answer came."""
+
+    kind: Kind
+    customer: str
+    subject: str
+    """What it was about, as a booking's name: the same for all its attempts."""
+    address: str
+    sent_ms: int
+    ended_ms: int
+    status: int
+    request_id: str = ""
+    code: str = ""
+    """Refusal code, or what broke if no whole answer came."""
+    not_run: bool = False
+    text: str = ""
+    expected: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class FaultSpan:
+    """One fault as it was put in force."""
+
+    name: str
+    begun_ms: int
+    ended_ms: int
+
+
+@dataclass(slots=True)
+class Observations:
+    """Everything seen; append-only."""
+
+    attempts: list[Attempt] = field(default_factory=list)
+    faults: list[FaultSpan] = field(default_factory=list)
+    versions: dict[str, list[int]] = field(default_factory=dict)
+    patches: list[tuple[str, int]] = field(default_factory=list)
+    """Id and version of each acknowledged patch."""
+    jobs: dict[str, list[str]] = field(default_factory=dict)
+    """Accepted job to the prompts of its items."""
+    withdrawn_ms: dict[str, int] = field(default_factory=dict)
+    """Visitor to the time at which the withdrawal of its key was acknowledged."""
+    planned_stops: set[str] = field(default_factory=set)
+    """Addresses of daemons that were only ever stopped gracefully."""
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def add(self, attempt: Attempt) -> None:
+        """Add one attempt."""
+        with self.lock:
+            self.attempts.append(attempt)
+
+
+def read_ms() -> int:
+    """Return this process's monotonic time in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+def read_refusal(answer: HttpAnswer) -> tuple[str, bool]:
+    """Return an error answer's code and `not_run`; empty and False if it has none."""
+    try:
+        error = answer.json()["error"]
+        return str(error["code"]), bool(error["not_run"])
+    except (ValueError, KeyError, TypeError):
+        return "", False
