Say in words what an unknown outcome means; tell each fault's last harm

Change: a sentence as the first answer has; the report adds the last refusal or loss of a customer within its rate after each fault began. Daemons are ended at once after the reading, as nothing is learned from their drain.

--- a/goldcreststair/components/online/claiming.py
+++ b/goldcreststair/components/online/claiming.py
@@ -139,7 +139,8 @@
             message = "Idempotency-Key: used before with another body"
             return Refusal(message, RefusalCode.INVALID_REQUEST, 422, True)
         case ClaimProblem.OUTCOME_UNKNOWN:
-            return Refusal(error.message, RefusalCode.OUTCOME_UNKNOWN, 409, False)
+            message = "it may have run; its outcome is not known and it is not run again"
+            return Refusal(message, RefusalCode.OUTCOME_UNKNOWN, 409, False)
         case ClaimProblem.TIMEOUT:
             return Refusal(error.message, RefusalCode.DEADLINE, 504, False, 1000)
 
--- a/standins/chaos/__main__.py
+++ b/standins/chaos/__main__.py
@@ -1,6 +1,7 @@
 """`python -m standins.chaos --seed N --seconds S`: exit status 1 if an invariant was broken."""
 
 import random
+import signal
 import sys
 import threading
 import time
@@ -63,7 +64,11 @@
         usable = saboteur.list_usable()
         for address in usable:
             wait_ready(address)
-        return seen, _find_all(Reader(fleet, seen, usable), seen)
+        violations = _find_all(Reader(fleet, seen, usable), seen)
+        # All is read: nothing is learned from another drain.
+        for daemon in fleet.daemons:
+            daemon.send_signal(signal.SIGKILL)
+        return seen, violations
 
 
 def _run_traffic(
--- a/standins/chaos/report.py
+++ b/standins/chaos/report.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from standins.chaos.caller import STATUS_OK
-from standins.chaos.observations import Kind, Observations
+from standins.chaos.observations import Attempt, Kind, Observations
 from standins.chaos.traffic import JOB_ITEMS
 from standins.checking.checker import Violation
 
@@ -41,15 +41,26 @@
 
 
 def _describe_faults(seen: Observations) -> list[str]:
-    """Return for each kind of fault how often it came and the worst time without an answer."""
+    """Return for each kind of fault its count and its worst gap and recovery."""
     ends = sorted(a.ended_ms for a in seen.attempts if a.status == STATUS_OK)
+    harmed = [a.ended_ms for a in seen.attempts if _is_harmed(a)]
     gaps: dict[str, list[int]] = {}
+    recoveries: dict[str, list[int]] = {}
     for fault in seen.faults:
-        inside = [at for at in ends if fault.begun_ms <= at <= fault.ended_ms + AFTER_MS]
-        times = [fault.begun_ms, *inside]
+        until_ms = fault.ended_ms + AFTER_MS
+        times = [fault.begun_ms, *(at for at in ends if fault.begun_ms <= at <= until_ms)]
         worst = max((later - at for at, later in zip(times, times[1:], strict=False)), default=-1)
+        last = max((at for at in harmed if fault.begun_ms <= at <= until_ms), default=0)
         gaps.setdefault(fault.name, []).append(worst)
+        recoveries.setdefault(fault.name, []).append(max(0, last - fault.begun_ms))
     return [
-        f"fault {name}: {len(worst)} times, longest without any answer {max(worst)} ms"
+        f"fault {name}: {len(worst)} times, longest without any answer {max(worst)} ms, "
+        f"last harm to a customer within its rate {max(recoveries[name])} ms after it began"
         for name, worst in sorted(gaps.items())
     ]
+
+
+def _is_harmed(attempt: Attempt) -> bool:
+    """Return whether a customer within its rate got no answer, for whichever fault in force."""
+    online = attempt.kind in (Kind.ONLINE, Kind.STREAM)
+    return attempt.customer in WITHIN_RATE and online and attempt.status != STATUS_OK
