--- a/goldcreststair/components/configuration/document.py
+++ b/goldcreststair/components/configuration/document.py
@@ -1,11 +1,12 @@
 """The configuration document: JSON as operators write it, checked field by field."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Any, Final, TypeVar
 
 from result import Err, Ok, Result
 
 from goldcreststair.components.configuration.errors import DocumentInvalid
+from goldcreststair.components.configuration.memory import Decode, DecodingMemory
 from goldcreststair.components.configuration.models import (
     Configuration,
     Customer,
@@ -30,6 +31,17 @@
     "models",
 )
 KEY_HASH_LENGTH: Final = 64
+ROLES: Final = ("mixed", "prefill", "decode")
+UPSTREAM_FIELDS: Final = {
+    "address",
+    "data_centre",
+    "kind",
+    "models",
+    "service",
+    "checks_fencing",
+    "adapters",
+    "role",
+}
 
 
 class _FieldError(Exception):
@@ -45,25 +57,30 @@
     return len(text) == KEY_HASH_LENGTH and set(text) <= set("0123456789abcdef")
 
 
-def decode_document(version: int, document: Document) -> Result[Configuration, DocumentInvalid]:
-    """Check a document and return it as a configuration; the error names the field."""
+def decode_document(
+    version: int, document: Document, memory: DecodingMemory | None = None
+) -> Result[Configuration, DocumentInvalid]:
+    """Check a document and return it as a configuration; the error names the field.
+
+    With `memory`, entries that the last document decoded with it held as well are reused.
+    """
     try:
-        return Ok(_decode(version, document))
+        return Ok(_decode(version, document, memory or DecodingMemory()))
     except _FieldError as error:
         return Err(DocumentInvalid(str(error), error.field))
 
 
-def _decode(version: int, document: Document) -> Configuration:
+def _decode(version: int, document: Document, memory: DecodingMemory) -> Configuration:
     if not isinstance(document, Mapping):
         raise _FieldError("", "must be an object")
     for section in document:
         if section not in SECTIONS:
             raise _FieldError(section, "unknown section")
-    customers = _decode_section(document, "customers", _decode_customer)
+    customers = _decode_section(memory, document, "customers", _decode_customer)
     withdrawn = frozenset(_read_names(document, "withdrawn"))
     for key_hash in withdrawn:
         _check_hash(key_hash, f"withdrawn.{key_hash}")
-    keys = _decode_section(document, "keys", _decode_key)
+    keys = _decode_section(memory, document, "keys", _decode_key)
     for key_hash, customer in keys.items():
         if customer not in customers:
             raise _FieldError(f"keys.{key_hash}", f"unknown customer {customer!r}")
@@ -72,22 +89,26 @@
         customers=customers,
         keys={key: customer for key, customer in keys.items() if key not in withdrawn},
         withdrawn=withdrawn,
-        upstreams=_decode_section(document, "upstreams", _decode_upstream),
+        upstreams=_decode_section(memory, document, "upstreams", _decode_upstream),
         leaving_upstreams=frozenset(_read_names(document, "leaving_upstreams")),
         leaving_vms=frozenset(_read_names(document, "leaving_vms")),
-        routes=tuple(_decode_section(document, "routes", _decode_route).values()),
-        objectives=tuple(_decode_section(document, "objectives", _decode_objective).values()),
-        models=_decode_section(document, "models", lambda _, raw, field: _read_text(raw, field)),
+        routes=tuple(_decode_section(memory, document, "routes", _decode_route).values()),
+        objectives=tuple(
+            _decode_section(memory, document, "objectives", _decode_objective).values()
+        ),
+        models=_decode_section(
+            memory, document, "models", lambda _, raw, field: _read_text(raw, field)
+        ),
     )
 
 
 def _decode_section(
-    document: Document, name: str, decode: Callable[[str, Any, str], T]
+    memory: DecodingMemory, document: Document, name: str, decode: Decode[T]
 ) -> dict[str, T]:
     section = document.get(name, {})
     if not isinstance(section, Mapping):
         raise _FieldError(name, "must be an object")
-    return {key: decode(key, raw, f"{name}.{key}") for key, raw in section.items()}
+    return memory.decode(name, section, decode)
 
 
 def _decode_customer(name: str, raw: Any, field: str) -> Customer:
@@ -110,9 +131,7 @@
 
 
 def _decode_upstream(name: str, raw: Any, field: str) -> Upstream:
-    _check_fields(
-        raw, field, {"address", "data_centre", "kind", "models", "service", "checks_fencing"}
-    )
+    _check_fields(raw, field, UPSTREAM_FIELDS)
     kind = raw.get("kind", UpstreamKind.ENGINE)
     if kind not in tuple(UpstreamKind):
         raise _FieldError(f"{field}.kind", "must be engine or service")
@@ -126,10 +145,35 @@
         kind=UpstreamKind(kind),
         models=_read_list(raw, "models", field),
         service=str(raw.get("service", "")),
-        checks_fencing=bool(raw.get("checks_fencing", True)),
+        checks_fencing=_read_flag(raw, "checks_fencing", field, default=True),
+        adapters=_read_adapters(raw, field),
+        role=_read_role(raw, field),
     )
 
 
+def _read_adapters(raw: Any, field: str) -> tuple[str, ...]:
+    adapters = _read_list(raw, "adapters", field)
+    for adapter in adapters:
+        model, mark, name = adapter.rpartition(":")
+        if not (mark and name and model in raw.get("models", [])):
+            raise _FieldError(f"{field}.adapters", "must name MODEL:ADAPTER of a model served here")
+    return adapters
+
+
+def _read_role(raw: Mapping[str, Any], field: str) -> str:
+    role = raw.get("role", "")
+    if role not in ("", *ROLES):
+        raise _FieldError(f"{field}.role", f"must be one of {', '.join(ROLES)}")
+    return str(role)
+
+
+def _read_flag(raw: Mapping[str, Any], name: str, field: str, *, default: bool) -> bool:
+    value = raw.get(name, default)
+    if not isinstance(value, bool):
+        raise _FieldError(f"{field}.{name}", "must be true or false")
+    return value
+
+
 def _decode_route(_: str, raw: Any, field: str) -> ServiceRoute:
     _check_fields(raw, field, {"service", "method", "path", "repeatable"})
     repeatable = raw.get("repeatable")
--- a/goldcreststair/components/routing/const.py
+++ b/goldcreststair/components/routing/const.py
@@ -27,9 +27,11 @@
 REFUSED_MS: Final = 1000
 """An upstream that refused gets no new work for so long."""
 
+DEPARTURE_GRACE_MS: Final = 20_000
+"""An upstream that the platform takes away serves for so long after its list says so."""
+
 POLL_PERIOD_MS: Final = 1000
 MAX_POLLS_PER_S: Final = 20
 ASKED_LIFETIME_MS: Final = 60_000
 """Upstreams of a model are polled for so long after its last request."""
-VM_LIST_PERIOD_MS: Final = 1000
 EVENT_PERIOD_POLLS: Final = 2
