--- a/goldcreststair/components/ledger/codec.py
+++ b/goldcreststair/components/ledger/codec.py
@@ -1,11 +1,14 @@
 """Thrift compact encoding of head rows and change lists."""
 
+import asyncio
 from collections.abc import Iterable
+from itertools import islice
 from typing import Any
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.transport.TTransport import TMemoryBuffer
 
+from goldcreststair.components.ledger.const import PIECE_RECORDS
 from goldcreststair.components.ledger.models import Head, StoredHead
 from goldcreststair.components.ledger.protocols import Change
 from goldcreststair.platform.models import Row
@@ -27,14 +30,28 @@
     return struct.read(_FACTORY.getProtocol(TMemoryBuffer(content))) or struct
 
 
-def encode_changes(changes: Iterable[Change]) -> bytes:
-    """Return the content of a segment or snapshot object."""
-    return encode_struct(ChangeList(_to_wire(changes)))
+async def async_encode_changes(changes: Iterable[Change]) -> bytes:
+    """Return the content of a segment or snapshot object: one list after another."""
+    # All at once, 50,000 records stop the loop for some 300 ms, and every online stream with it.
+    rest = iter(changes)
+    pieces: list[bytes] = []
+    while piece := list(islice(rest, PIECE_RECORDS)):
+        pieces.append(encode_struct(ChangeList(_to_wire(piece))))
+        await asyncio.sleep(0)
+    return b"".join(pieces)
 
 
-def decode_changes(content: bytes) -> tuple[Change, ...]:
+async def async_decode_changes(content: bytes) -> list[Change]:
     """Return the changes in a segment or snapshot object."""
-    return _from_wire(decode_struct(ChangeList(), content).changes)
+    changes: list[Change] = []
+    buffer = TMemoryBuffer(content)
+    protocol = _FACTORY.getProtocol(buffer)
+    while buffer.cstringio_buf.tell() < len(content):
+        struct = ChangeList()
+        struct.read(protocol)
+        changes += _from_wire(struct.changes)
+        await asyncio.sleep(0)
+    return changes
 
 
 def encode_head(head: Head) -> bytes:
--- a/goldcreststair/components/ledger/const.py
+++ b/goldcreststair/components/ledger/const.py
@@ -10,6 +10,10 @@
 MAX_SEGMENTS: Final = 24
 MIN_COMPACT_BYTES: Final = 512 * 1024
 """Segments are compacted when they outweigh the snapshot and this."""
+MAX_ORPHANS: Final = 4
+"""Attempts at one commit whose objects the owner after a killed one deletes."""
+PIECE_RECORDS: Final = 500
+"""Records that are encoded or decoded in one go on the loop."""
 GARBAGE_GRACE_MS: Final = 60_000
 """How long superseded objects stay for loaders that still read them."""
 
--- a/goldcreststair/components/ledger/controller.py
+++ b/goldcreststair/components/ledger/controller.py
@@ -24,6 +24,7 @@
 from goldcreststair.components.ledger.notices import ReleaseNotices
 from goldcreststair.components.ledger.pacing import Backoff, Pacer, elapsed
 from goldcreststair.components.ledger.partition import OwnedPartition, Tools
+from goldcreststair.components.ledger.plan import list_orphans
 from goldcreststair.components.ledger.protocols import Partition
 from goldcreststair.components.ledger.rendezvous import WantedOwners, find_index
 from goldcreststair.components.ledger.sessions import SessionWatch
@@ -285,6 +286,7 @@
             epoch=stored.head.epoch + 1,
             commit_id=self._tools.make_commit_id(),
             claim_sequence=stored.head.sequence,
+            garbage=stored.head.garbage + self._list_orphans(index, stored.head),
         )
         outcome = await self._heads.async_swap(index, stored.version, head, lambda: self._closing)
         if not isinstance(outcome, Swapped):
@@ -303,6 +305,12 @@
         for on_gained, _ in tuple(self._watchers):
             _notify(on_gained, partition)
 
+    def _list_orphans(self, index: int, head: Head) -> tuple[str, ...]:
+        # An owner that was killed between an object and the head row that names it leaves the
+        # object behind. Their names follow from the head, and go with the claim into its garbage,
+        # so that they are deleted even if this owner is killed too.
+        return list_orphans(index, head) if head.owner else ()
+
     async def _async_load(self, index: int, stored: StoredHead) -> Loaded | None:
         backoff = Backoff(self._core.random)
         while True:
--- a/goldcreststair/components/ledger/loader.py
+++ b/goldcreststair/components/ledger/loader.py
@@ -1,11 +1,12 @@
 """Loads the records of a claimed partition."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
-from goldcreststair.components.ledger.codec import decode_changes
+from goldcreststair.components.ledger.codec import async_decode_changes
 from goldcreststair.components.ledger.models import Head, StoredHead
 from goldcreststair.components.ledger.plan import Sizes, weigh
 from goldcreststair.components.ledger.protocols import Change
@@ -30,11 +31,11 @@
     head = stored.head
     names = [*([head.snapshot] if head.snapshot else []), *head.segments]
     contents = await asyncio.gather(*(objects.async_get(name) for name in names))
-    parts: list[tuple[Change, ...]] = []
+    parts: list[Sequence[Change]] = []
     for content in contents:
         if isinstance(content, Err):
             return content
-        parts.append(decode_changes(content.ok_value))
+        parts.append(await async_decode_changes(content.ok_value))
     lengths = [len(content.ok_value) for content in contents if isinstance(content, Ok)]
     values = replay([*parts, head.tail])
     return Ok(Loaded(stored, values, _measure(head, lengths)))
--- a/goldcreststair/components/ledger/partition.py
+++ b/goldcreststair/components/ledger/partition.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.ledger.codec import async_encode_changes
 from goldcreststair.components.ledger.garbage import Garbage
 from goldcreststair.components.ledger.heads import (
     HeadTable,
@@ -66,6 +67,7 @@
         self._garbage = Garbage(tools.core, loaded.stored.head.garbage)
         self._writer: asyncio.Task[None] | None = None
         self._pending: Plan | None = None
+        self._attempt = 0
         self._closing = False
         self._lost = False
 
@@ -148,10 +150,12 @@
         head = replace(self._stored.head, garbage=self._garbage.list_kept())
         export = self._records.export if self._stage.is_all_sent() else None
         commit_id = self._tools.make_commit_id()
-        plan = plan_commit(self.index, head, self._sizes, group, commit_id, export)
+        plan = plan_commit(self.index, head, self._sizes, group, commit_id, export, self._attempt)
         if plan.object_name:
-            objects = self._tools.core.platform.objects
-            put = await objects.async_put(plan.object_name, plan.content)
+            self._attempt += 1
+            content = await async_encode_changes(plan.changes)
+            plan = plan.measure(len(content))
+            put = await self._tools.core.platform.objects.async_put(plan.object_name, content)
             if isinstance(put, Err):
                 return False
         if self._lost:
@@ -180,6 +184,7 @@
 
     def _accept(self, stored: StoredHead, plan: Plan, begun_at: Millis) -> None:
         self._stored = stored
+        self._attempt = 0
         self._sizes = plan.sizes
         self.confirmed_at = max(self.confirmed_at, begun_at)
         self._garbage.add(stored.head.garbage)
--- a/goldcreststair/components/ledger/plan.py
+++ b/goldcreststair/components/ledger/plan.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, replace
 
-from goldcreststair.components.ledger.codec import encode_changes
 from goldcreststair.components.ledger.const import (
+    MAX_ORPHANS,
     MAX_SEGMENTS,
     MAX_TAIL_BYTES,
     MIN_COMPACT_BYTES,
@@ -33,7 +33,30 @@
     sizes: Sizes
     object_name: str = ""
     """An object to store before the head; empty for none."""
-    content: bytes = b""
+    changes: Iterable[Change] = ()
+    """The content of the object."""
+
+    def measure(self, length: int) -> "Plan":
+        """Return the plan with the length of its object in the sizes."""
+        if self.head.snapshot == self.object_name:
+            return replace(self, sizes=Sizes(snapshot=length))
+        segments = self.sizes.segments + length
+        return replace(self, sizes=replace(self.sizes, segments=segments))
+
+
+def name_object(index: int, epoch: int, sequence: int, attempt: int) -> str:
+    """Return the name of the object of one attempt at a commit.
+
+    It follows from the head row before, so that the next owner can name what a killed one left.
+    """
+    return f"{OBJECT_PREFIX}{index}/{epoch}-{sequence}-{attempt}"
+
+
+def list_orphans(index: int, head: Head) -> tuple[str, ...]:
+    """Return the objects that an owner killed before its next head write may have stored."""
+    return tuple(
+        name_object(index, head.epoch, head.sequence + 1, attempt) for attempt in range(MAX_ORPHANS)
+    )
 
 
 def weigh(change: Change) -> int:
@@ -48,6 +71,7 @@
     group: Sequence[Change],
     commit_id: str,
     export: Callable[[], Iterable[Change]] | None,
+    attempt: int = 0,
 ) -> Plan:
     """Return the cheapest commit of a group; `export` gives all records, if they may be compacted.
 
@@ -59,15 +83,14 @@
     if sizes.tail + added <= MAX_TAIL_BYTES:
         tail = head.tail + tuple(group)
         return Plan(replace(following, tail=tail), replace(sizes, tail=sizes.tail + added))
-    name = f"{OBJECT_PREFIX}{index}/{head.epoch}-{following.sequence}-{commit_id}"
+    name = name_object(index, head.epoch, following.sequence, attempt)
     spilled = sizes.segments + sizes.tail + added
     due = spilled > max(MIN_COMPACT_BYTES, sizes.snapshot) or len(head.segments) >= MAX_SEGMENTS
     if due and export is not None:
-        content = encode_changes(export())
         old = (*head.garbage, *head.segments, *((head.snapshot,) if head.snapshot else ()))
         fresh = replace(following, tail=(), segments=(), snapshot=name, garbage=old)
-        return Plan(fresh, Sizes(snapshot=len(content)), name, content)
-    content = encode_changes((*head.tail, *group))
+        return Plan(fresh, Sizes(), name, export())
     segments = (*head.segments, name)
-    moved = Sizes(0, sizes.segments + len(content), sizes.snapshot)
-    return Plan(replace(following, tail=(), segments=segments), moved, name, content)
+    moved = replace(sizes, tail=0)
+    spill = (*head.tail, *group)
+    return Plan(replace(following, tail=(), segments=segments), moved, name, spill)
--- a/goldcreststair/components/ledger/records.py
+++ b/goldcreststair/components/ledger/records.py
@@ -57,9 +57,10 @@
             del self._values[change.key]
             del self._keys[bisect_left(self._keys, change.key)]
 
-    def export(self) -> list[Change]:
-        """Return all records as changes."""
-        return [Change(key, self._values[key]) for key in self._keys]
+    def export(self) -> Iterator[Change]:
+        """Return all records as they are now, as changes made one by one."""
+        copied = dict(self._values)
+        return (Change(key, value) for key, value in copied.items())
 
 
 def replay(parts: Iterable[Sequence[Change]]) -> dict[str, bytes]:
--- /dev/null
+++ b/tests/components/ledger/test_objects.py
@@ -0,0 +1,67 @@
+"""Objects of the ledger: what a killed owner leaves behind, and pauses of the loop."""
+
+import asyncio
+from typing import Any
+
+from goldcreststair.components.ledger.codec import async_decode_changes, async_encode_changes
+from goldcreststair.components.ledger.const import GARBAGE_GRACE_MS, PIECE_RECORDS
+from goldcreststair.components.ledger.protocols import Change
+from tests.helpers.virtual_time import run_virtual
+from tests.helpers.vms import Fleet
+
+LARGE = b"x" * 40_000
+
+
+def test_objects_of_a_killed_owner_are_deleted() -> None:
+    """An owner stores a segment and is killed before the head row names it.
+
+    Nothing names the object any more. Operators would see the object store grow with every killed
+    VM, by objects that nobody can tell from live ones.
+    """
+
+    async def async_test() -> None:
+        fleet = Fleet(8)
+        await fleet.async_add("a", "b")
+        index = next(i for i in range(8) if fleet.vms["a"].ledger.get_owned(i))
+        partition = fleet.vms["a"].get_owned(index)
+        assert (await partition.async_commit([Change("kept", LARGE)], 5_000)).is_ok()
+        kept = set(fleet.platform.objects)
+        fleet.vms["a"].table.paused.clear()
+        committing = asyncio.ensure_future(partition.async_commit([Change("k", LARGE)], 5_000))
+        await asyncio.sleep(1)
+        assert len(fleet.platform.objects) == len(kept) + 1
+        fleet.kill("a")
+        fleet.forget("a")
+        await asyncio.sleep(GARBAGE_GRACE_MS / 1000 + 10)
+        assert set(fleet.platform.objects) == kept
+        assert fleet.vms["b"].get_owned(index).get("kept") == LARGE
+        await committing
+        await fleet.async_close()
+
+    run_virtual(async_test())
+
+
+def test_a_large_snapshot_lets_the_loop_go_on() -> None:
+    """A partition of many records is compacted or loaded while online streams run on the same loop.
+
+    Done in one go, every stream of the VM stood still for hundreds of milliseconds.
+    """
+
+    async def async_test() -> None:
+        changes = [Change(f"key{number}", b"value") for number in range(10 * PIECE_RECORDS)]
+        coding = asyncio.ensure_future(async_encode_changes(iter(changes)))
+        assert await async_count_turns(coding) >= 10
+        decoding = asyncio.ensure_future(async_decode_changes(await coding))
+        assert await async_count_turns(decoding) >= 10
+        assert await decoding == changes
+
+    run_virtual(async_test())
+
+
+async def async_count_turns(task: "asyncio.Future[Any]") -> int:
+    """Return how often others had the loop until a task ended."""
+    turns = 0
+    while not task.done():
+        turns += 1
+        await asyncio.sleep(0)
+    return turns
