--- a/goldcreststair/components/batch/service.py
+++ b/goldcreststair/components/batch/service.py
@@ -34,8 +34,8 @@
     LedgerError,
     Partition,
 )
-from goldcreststair.components.online.models import ONLINE_PRESSURE
 from goldcreststair.core import ComponentKey, Core
+from goldcreststair.online_pressure import ONLINE_PRESSURE
 from goldcreststair.wire.generated.batch.ttypes import (
     BacklogAdvert,
     JobCancel,
--- a/goldcreststair/components/batch/stewards.py
+++ b/goldcreststair/components/batch/stewards.py
@@ -14,8 +14,8 @@
 from goldcreststair.components.batch.outbox import Outbox
 from goldcreststair.components.batch.steward import Steward
 from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.online.models import OnlinePressure
 from goldcreststair.core import Core
+from goldcreststair.online_pressure import OnlinePressure
 from goldcreststair.upstreams.models import Upstream, UpstreamKind
 from goldcreststair.wire.generated.batch.ttypes import (
     BacklogAdvert,
--- a/goldcreststair/components/claims/codec.py
+++ b/goldcreststair/components/claims/codec.py
@@ -4,7 +4,7 @@
 
 from goldcreststair.components.claims.const import RECORD_PREFIX
 from goldcreststair.components.claims.models import ClaimRecord, ClaimState, StoredOutcome
-from goldcreststair.components.ledger.codec import decode_struct, encode_struct
+from goldcreststair.wire.codec import encode_struct, read_struct
 from goldcreststair.wire.generated.ledger import ttypes
 
 
@@ -31,7 +31,7 @@
 
 def decode_record(content: bytes) -> ClaimRecord:
     """Return the claim in bytes."""
-    raw = decode_struct(ttypes.ClaimRecord(), content)
+    raw = read_struct(ttypes.ClaimRecord, content)
     return ClaimRecord(
         raw.fingerprint,
         raw.request_id,
--- a/goldcreststair/components/claims/keeper.py
+++ b/goldcreststair/components/claims/keeper.py
@@ -20,7 +20,6 @@
     decide_wait,
 )
 from goldcreststair.components.claims.models import AnswerCode, ClaimRecord, ClaimState, Ending
-from goldcreststair.components.ledger import sessions
 from goldcreststair.components.ledger.protocols import (
     LEDGER,
     Change,
@@ -28,6 +27,7 @@
     LedgerError,
     Partition,
 )
+from goldcreststair.components.ledger.sessions import SessionWatch
 from goldcreststair.core import Core
 from goldcreststair.wire.generated.ledger.ttypes import (
     ClaimAnswer,
@@ -44,7 +44,7 @@
         """Use the ledger."""
         self._core = core
         self._ledger = core.get(LEDGER)
-        self._sessions = sessions.SessionWatch(core)
+        self._sessions = SessionWatch(core)
         self._changed: dict[str, asyncio.Event] = {}
 
     def close(self) -> None:
--- a/goldcreststair/components/ledger/codec.py
+++ b/goldcreststair/components/ledger/codec.py
@@ -5,30 +5,13 @@
 from itertools import islice
 from typing import Any
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.transport.TTransport import TMemoryBuffer
-
 from goldcreststair.components.ledger.const import PIECE_RECORDS
 from goldcreststair.components.ledger.models import Head, StoredHead
 from goldcreststair.components.ledger.protocols import Change
 from goldcreststair.platform.models import Row
+from goldcreststair.wire.codec import encode_struct, read_struct, read_structs
 from goldcreststair.wire.generated.ledger.ttypes import ChangeList, HeadRow, RecordChange
 
-_FACTORY = TCompactProtocolAcceleratedFactory()
-
-
-def encode_struct(struct: Any) -> bytes:
-    """Return a generated struct as bytes."""
-    buffer = TMemoryBuffer()
-    struct.write(_FACTORY.getProtocol(buffer))
-    content: bytes = buffer.getvalue()
-    return content
-
-
-def decode_struct(struct: Any, content: bytes) -> Any:
-    """Fill an empty generated struct from bytes and return it."""
-    return struct.read(_FACTORY.getProtocol(TMemoryBuffer(content))) or struct
-
 
 async def async_encode_changes(changes: Iterable[Change]) -> bytes:
     """Return the content of a segment or snapshot object: one list after another."""
@@ -44,11 +27,7 @@
 async def async_decode_changes(content: bytes) -> list[Change]:
     """Return the changes in a segment or snapshot object."""
     changes: list[Change] = []
-    buffer = TMemoryBuffer(content)
-    protocol = _FACTORY.getProtocol(buffer)
-    while buffer.cstringio_buf.tell() < len(content):
-        struct = ChangeList()
-        struct.read(protocol)
+    for struct in read_structs(ChangeList, content):
         changes += _from_wire(struct.changes)
         await asyncio.sleep(0)
     return changes
@@ -75,7 +54,7 @@
     """Return what a head row says; epoch 0 without owner if there is none."""
     if row is None:
         return StoredHead(Head(), 0)
-    raw = decode_struct(HeadRow(), row.value)
+    raw = read_struct(HeadRow, row.value)
     head = Head(
         raw.owner,
         raw.epoch,
--- a/goldcreststair/components/membership/__init__.py
+++ b/goldcreststair/components/membership/__init__.py
@@ -1,14 +1,12 @@
 """Which VMs are part of the fleet."""
 
+from goldcreststair.components.membership.protocols import MEMBERSHIP, SHARED_SETS
+from goldcreststair.components.membership.service import MembershipService
 from goldcreststair.core import Component, Core
 
 
 async def async_setup(core: Core) -> Component:
     """Set up the session, the watcher and gossip."""
-    # Imported here, as other components import this package's models while they are imported.
-    from goldcreststair.components.membership.protocols import MEMBERSHIP, SHARED_SETS
-    from goldcreststair.components.membership.service import MembershipService
-
     service = MembershipService(core)
     core.offer(MEMBERSHIP, service)
     core.offer(SHARED_SETS, service.sets)
--- a/goldcreststair/components/membership/service.py
+++ b/goldcreststair/components/membership/service.py
@@ -24,9 +24,9 @@
 from goldcreststair.components.membership.shared_sets import SharedSetTable
 from goldcreststair.components.membership.table import MemberTable, Record
 from goldcreststair.components.membership.watcher import Watcher
-from goldcreststair.components.online.models import ONLINE_PRESSURE
 from goldcreststair.components.peers.protocols import PEER_REACH, Endpoint
 from goldcreststair.core import Core
+from goldcreststair.online_pressure import ONLINE_PRESSURE
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/goldcreststair/components/online/pressure.py
+++ b/goldcreststair/components/online/pressure.py
@@ -6,12 +6,8 @@
     EXPECTED_QUEUE_PER_WAITING_MS,
     PRESSURE_PERIOD_MS,
 )
-from goldcreststair.components.online.models import (
-    ONLINE_PRESSURE,
-    OnlinePressure,
-    UpstreamPressure,
-)
 from goldcreststair.components.routing.protocols import Router
+from goldcreststair.online_pressure import ONLINE_PRESSURE, OnlinePressure, UpstreamPressure
 
 ONSET_FACTOR = 1.5
 ONSET_SLACK = 3
--- a/goldcreststair/components/peers/link.py
+++ b/goldcreststair/components/peers/link.py
@@ -7,7 +7,6 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Clock
-from goldcreststair.components.peers.codec import decode_struct, encode_struct
 from goldcreststair.components.peers.const import (
     HEARTBEAT_MS,
     IDLE_MS,
@@ -16,6 +15,7 @@
 )
 from goldcreststair.components.peers.protocols import PeerError
 from goldcreststair.transport import MAX_FRAME_BYTES, PeerChannel
+from goldcreststair.wire.codec import decode_struct, encode_struct
 from goldcreststair.wire.generated.peers.ttypes import Envelope, FrameKind
 
 _LOGGER = logging.getLogger(__name__)
--- a/goldcreststair/components/peers/service.py
+++ b/goldcreststair/components/peers/service.py
@@ -10,12 +10,12 @@
 from result import Err, Ok, Result
 
 from goldcreststair.components.membership.models import MEMBERS, Member, Members
-from goldcreststair.components.peers.codec import decode_struct, encode_struct
 from goldcreststair.components.peers.const import CONNECT_TIMEOUT_MS, SERVED_TO_ANYONE
 from goldcreststair.components.peers.link import Link
 from goldcreststair.components.peers.protocols import Endpoint, Handler, PeerError, PeerMessage
 from goldcreststair.core import Core
 from goldcreststair.transport import PeerChannel
+from goldcreststair.wire.codec import decode_struct, encode_struct
 from goldcreststair.wire.generated.peers.ttypes import Envelope, FrameKind, Hello
 
 _LOGGER = logging.getLogger(__name__)
--- a/standins/measure/batch.py
+++ b/standins/measure/batch.py
@@ -20,11 +20,7 @@
 from goldcreststair.components.batch.service import BatchService
 from goldcreststair.components.batch.steward import Steward
 from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.online.models import (
-    ONLINE_PRESSURE,
-    OnlinePressure,
-    UpstreamPressure,
-)
+from goldcreststair.online_pressure import ONLINE_PRESSURE, OnlinePressure, UpstreamPressure
 from goldcreststair.upstreams.models import GenerateCall, StreamChunk, Upstream
 from tests.helpers.batch_fleet import BatchFleet, make_lines
 from tests.helpers.virtual_time import run_virtual
--- a/standins/measure/control.py
+++ b/standins/measure/control.py
@@ -18,8 +18,8 @@
 from goldcreststair.components.configuration.models import CONFIGURATION
 from goldcreststair.components.keys.withdrawal import WITHDRAWALS
 from goldcreststair.components.membership.protocols import SET_WITHDRAWN_KEYS, SHARED_SETS
-from goldcreststair.components.online.models import ONLINE_PRESSURE, OnlinePressure
 from goldcreststair.core import Component, Core
+from goldcreststair.online_pressure import ONLINE_PRESSURE, OnlinePressure
 from standins.daemons import CONTROL, FakeDaemon, FakeDaemons
 from standins.network import FakeNetwork, Traffic
 from standins.platform.store import FakePlatform
--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -10,10 +10,10 @@
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.fair_queue import FairQueue, Ticket
 from goldcreststair.components.online.gate import AdmissionGate
-from goldcreststair.components.online.models import ONLINE_PRESSURE, OnlinePressure
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.components.routing import loads
 from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
+from goldcreststair.online_pressure import ONLINE_PRESSURE, OnlinePressure
 from goldcreststair.platform.models import ListedState, ListedVm
 from goldcreststair.upstreams.models import GenerateEnd
 from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
--- a/tests/components/peers/test_service.py
+++ b/tests/components/peers/test_service.py
@@ -11,11 +11,11 @@
 from goldcreststair.blackboard import SectionWriter
 from goldcreststair.clock import LoopClock
 from goldcreststair.components.membership.models import MEMBERS, Member, Members, MemberState
-from goldcreststair.components.peers.codec import encode_struct
 from goldcreststair.components.peers.const import IDLE_MS, SILENT_MS
 from goldcreststair.components.peers.service import PeerService
 from goldcreststair.core import Core
 from goldcreststair.transport import MAX_FRAME_BYTES, TcpTransport
+from goldcreststair.wire.codec import encode_struct
 from goldcreststair.wire.generated.online.ttypes import YieldHint
 from goldcreststair.wire.generated.peers.ttypes import Envelope, FrameKind
 from standins.network import FakeNetwork
