--- a/goldcreststair/components/ledger/partition.py
+++ b/goldcreststair/components/ledger/partition.py
@@ -116,7 +116,8 @@
         self._garbage.close()
         self._tools.on_lost(self.index)
         commit_id = self._tools.make_commit_id()
-        released = replace(self._stored.head, owner="", commit_id=commit_id)
+        kept = self._garbage.list_kept()
+        released = replace(self._stored.head, owner="", commit_id=commit_id, garbage=kept)
         backoff = Backoff(self._tools.core.random)
         while isinstance(outcome := await self._async_swap(released, lambda: False), NotSwapped):
             await self._tools.clock.async_sleep(backoff.next_ms())
