Yield to online work by counts that VMs tell

The meter took lagged reports of queues, batch's own starts among them, for online queueing; the steward knew online work from reports a second old, so it cut too late and rose too late. Change: the meter speaks of queues only from its own times to first token, for 0.3 s. A lot that ends together is pulled again at once.

--- a/goldcreststair/components/batch/onset.py
+++ b/goldcreststair/components/batch/onset.py
@@ -5,9 +5,10 @@
 
 from goldcreststair.clock import Clock, Millis
 
-WINDOW_MS: Final = 1_000
-GROWTH: Final = 10
+WINDOW_MS: Final = 600
+GROWTH: Final = 5
 """Requests in flight beyond twice the least of the window that make an onset."""
+FACTOR: Final = 1.5
 REPEAT_MS: Final = 300
 
 
@@ -28,7 +29,7 @@
             self._seen.popleft()
         least = min((count for _, count in self._seen), default=0)
         self._seen.append((now, in_flight))
-        if in_flight < 2 * least + GROWTH:
+        if in_flight < FACTOR * least + GROWTH:
             return False
         if self._told_at is not None and now - self._told_at < REPEAT_MS:
             return False
--- a/goldcreststair/components/batch/service.py
+++ b/goldcreststair/components/batch/service.py
@@ -239,8 +239,8 @@
         self.stewards.stop_chunk(message.chunk)
         return Reply(status=ReplyStatus.OK)
 
-    async def _async_on_hint(self, _: str, message: YieldHint) -> None:
-        self.stewards.take_hint(message)
+    async def _async_on_hint(self, sender: str, message: YieldHint) -> None:
+        self.stewards.take_hint(sender, message)
 
 
 def _turn_error(error: LedgerError) -> Reply:
--- a/goldcreststair/components/batch/steward.py
+++ b/goldcreststair/components/batch/steward.py
@@ -11,6 +11,8 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.batch.allowance import AllowanceController
 from goldcreststair.components.batch.const import LOT_ITEMS
+from goldcreststair.components.batch.online_load import OnlineLoad
+from goldcreststair.components.batch.onset import OnsetDetector
 from goldcreststair.components.batch.outbox import Outbox
 from goldcreststair.components.batch.streams import ItemStream
 from goldcreststair.core import Core
@@ -60,8 +62,8 @@
         self.running: list[ItemStream] = []
         """In the order of their starts."""
         self.paused: list[ItemStream] = []
-        self.online_in_flight = 0
-        """Online requests of this VM at the upstream."""
+        self._online = OnlineLoad(core.clock)
+        self._onset = OnsetDetector(core.clock)
         self._pulling = False
         self._may_pull = False
         self._suspect_turn = False
@@ -78,8 +80,16 @@
         self.paused.clear()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def take_hint(self) -> None:
-        """Yield at once."""
+    def take_online(self, session: str, in_flight: int) -> None:
+        """Make room for what a VM says that it has at the upstream."""
+        told = self._online.tell(session, in_flight)
+        self.allowance.observe_online(told)
+        if self._onset.observe(told):
+            self.allowance.begin_burst()
+        self._enforce()
+
+    def take_queue(self) -> None:
+        """Yield at once: online work waits."""
         self.allowance.cut(len(self.running))
         self._enforce()
 
@@ -93,9 +103,13 @@
         # in its place, and an innocent would be quarantined (14 of 200 beside four poison items).
         if self._is_proving():
             return
+        self._may_pull = pull
+        self._fill()
+
+    def _fill(self) -> None:
+        """Start what waits here, then ask for more."""
         while self.paused and len(self.running) < self._limit and not self._is_proving():
             self._start(self.paused.pop(0))
-        self._may_pull = pull
         self._pull()
 
     def _pull(self) -> None:
@@ -123,7 +137,7 @@
 
     @property
     def _limit(self) -> int:
-        return max(0, self.allowance.limit - self.online_in_flight)
+        return self.allowance.limit
 
     def _is_proving(self) -> bool:
         return any(stream.item.suspect for stream in self.running)
@@ -144,6 +158,7 @@
         await self._core.upstreams.engines.async_cancel(self.upstream, request_id)
 
     async def _async_pull(self, free: int) -> None:
+        found = False
         try:
             # Every other pull, so that suspects never hold the rest up.
             self._suspect_turn = not self._suspect_turn
@@ -155,11 +170,16 @@
                 items = await self._source.async_request(request)
                 for item in items:
                     self._start(ItemStream(item, self._core.clock, self._core.clock.now()))
+                found = found or bool(items)
                 free -= len(items)
                 if free <= 0 or self._is_proving():
                     return
         finally:
             self._pulling = False
+            # Streams of one lot end together: the first end asks for one item only, and the
+            # slots of the others would stand idle until the next tick.
+            if found:
+                self._pull()
 
     def _start(self, stream: ItemStream) -> None:
         self.running.append(stream)
@@ -178,7 +198,8 @@
         else:
             error = outcome.err_value
             self._report(stream.item, verdict, error.status, error.body)
-        self._pull()
+        if self._core.clock.now() >= self._blocked_until and not self._is_proving():
+            self._fill()
 
     def _observe_first_token(self, wait_ms: int) -> None:
         self.allowance.observe_first_token(wait_ms, len(self.running))
--- a/goldcreststair/components/batch/stewards.py
+++ b/goldcreststair/components/batch/stewards.py
@@ -10,11 +10,11 @@
 from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
 from goldcreststair.components.batch.const import ADVERT_LIFETIME_MS, LOAD_REPORT_MS, RENEW_MS
 from goldcreststair.components.batch.directory import Directory
-from goldcreststair.components.batch.onset import OnsetDetector
+from goldcreststair.components.batch.online_load import OnlineTeller
 from goldcreststair.components.batch.outbox import Outbox
 from goldcreststair.components.batch.steward import Steward
 from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.online.models import OnlinePressure
+from goldcreststair.components.online.models import OnlinePressure, UpstreamPressure
 from goldcreststair.core import Core
 from goldcreststair.upstreams.models import Upstream, UpstreamKind
 from goldcreststair.wire.generated.batch.ttypes import (
@@ -51,7 +51,7 @@
         self._adverts: dict[tuple[str, str], tuple[int, Millis]] = {}
         """(model, owner) to the items it has and when it said so."""
         self._next_load: dict[str, int] = {}
-        self._onsets: dict[str, OnsetDetector] = {}
+        self._tellers: dict[str, OnlineTeller] = {}
         self._renewed_at = Millis(0)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -93,27 +93,28 @@
         else:
             self._adverts.pop(key, None)
 
-    def take_hint(self, hint: YieldHint) -> None:
-        """Yield at an upstream."""
+    def take_hint(self, sender: str, hint: YieldHint) -> None:
+        """Make room at an upstream, or yield."""
         steward = self.by_name.get(hint.upstream)
-        if steward is not None:
-            steward.take_hint()
+        if steward is None:
+            return
+        if hint.in_flight is not None:
+            steward.take_online(sender, hint.in_flight)
+        if hint.queue_ms > 0 or hint.in_flight is None:
+            steward.take_queue()
 
     def take_pressure(self, pressure: OnlinePressure) -> None:
-        """Hint the stewards of upstreams where this VM's online work queues or soon will."""
-        for name, steward in self.by_name.items():
-            own = pressure.by_upstream.get(name)
-            steward.online_in_flight = own.in_flight if own else 0
-        for name, met in pressure.by_upstream.items():
-            onset = self._onsets.setdefault(name, OnsetDetector(self._core.clock))
-            if not onset.observe(met.in_flight) and met.queue_ms <= 0:
-                continue
-            hint = YieldHint(name, met.queue_ms)
+        """Tell the stewards of upstreams what this VM's online work has and meets there."""
+        for name in self._tellers.keys() | pressure.by_upstream.keys():
+            met = pressure.by_upstream.get(name, UpstreamPressure(0, 0))
+            teller = self._tellers.setdefault(name, OnlineTeller(self._core.clock))
+            tells = teller.observe(met)
+            hint = YieldHint(name, met.queue_ms, met.in_flight)
             if name in self.by_name:
-                self.take_hint(hint)
+                self.take_hint(self._core.session_id, hint)
                 continue
             owner = self._directory.find_owner(make_upstream_key(name))
-            if owner is not None and owner != self._core.session_id:
+            if tells and owner is not None and owner != self._core.session_id:
                 self._directory.post(owner, hint)
 
     def stop_chunk(self, chunk: str) -> None:
--- a/goldcreststair/components/online/pressure.py
+++ b/goldcreststair/components/online/pressure.py
@@ -2,10 +2,7 @@
 
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.clock import Clock, Millis, TimerHandle
-from goldcreststair.components.online.const import (
-    EXPECTED_QUEUE_PER_WAITING_MS,
-    PRESSURE_PERIOD_MS,
-)
+from goldcreststair.components.online.const import PRESSURE_PERIOD_MS
 from goldcreststair.components.online.models import (
     ONLINE_PRESSURE,
     OnlinePressure,
@@ -13,13 +10,14 @@
 )
 from goldcreststair.components.routing.protocols import Router
 
-ONSET_FACTOR = 1.5
-ONSET_SLACK = 3
+ONSET_SHARE = 0.125
+"""Growth of the requests in flight that is published at once, as a share of the published."""
+ONSET_SLACK = 2
 IDLE_FACTOR = 2.0
 IDLE_SLACK_MS = 100
 IDLE_DRIFT = 1.02
 """The idle expectation rises by so much a sample, so that an outdated minimum fades."""
-QUEUE_LIFETIME_MS = 2000
+QUEUE_LIFETIME_MS = 300
 
 
 class PressureMeter:
@@ -49,8 +47,9 @@
         """Publish if a burst began or the last word is old, else soon."""
         if in_flight is not None:
             self._in_flight = in_flight
-        onset = self._in_flight > self._written.in_flight * ONSET_FACTOR + ONSET_SLACK
-        if onset or self._clock.now() - self._written_at >= PRESSURE_PERIOD_MS:
+        written = self._written.in_flight
+        grown = self._in_flight - written >= max(ONSET_SLACK, written * ONSET_SHARE)
+        if grown or self._clock.now() - self._written_at >= PRESSURE_PERIOD_MS:
             self._write()
         elif self._timer is None:
             self._arm()
@@ -84,7 +83,6 @@
 
     def _measure_queue(self, upstream: str, now: Millis) -> int:
         at, queue_ms = self._queues.get(upstream, (now, 0))
-        if now - at > QUEUE_LIFETIME_MS:
-            queue_ms = 0
-        reported = self._router.read_waiting(upstream) * EXPECTED_QUEUE_PER_WAITING_MS
-        return max(queue_ms, reported)
+        # Without the reported queues: each request, a batch stream too, waits for one step, and a
+        # report of that is a second old; batch yielded to its own starts.
+        return queue_ms if now - at <= QUEUE_LIFETIME_MS else 0
