Keep batch parts whole over resends, owners and leaving VMs

Change: ChunksGet (72) and ChunksCount (73) count states at the owner; what moved is read by key. A repeated custom_id is refused with both lines. Tries of undone items are in the chunk record, committed with results or after 100 ms. Batch takes part in the drain: streams end or go back before the deadline.

--- a/goldcreststair/components/batch/chunks.py
+++ b/goldcreststair/components/batch/chunks.py
@@ -15,6 +15,7 @@
     ChunkRecord,
     Item,
     ItemState,
+    ItemTries,
     ResultLine,
 )
 from goldcreststair.components.ledger.protocols import Partition
@@ -29,16 +30,6 @@
     expires_at: Millis
 
 
-@dataclass(slots=True)
-class Tries:
-    """How often an item ended without an answer."""
-
-    runs: int = 0
-    suspect: bool = False
-    crashes_alone: int = 0
-    crashes_beside: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class Finished:
     """A terminal state that is not committed yet."""
@@ -60,11 +51,20 @@
     cancelled: bool = False
     items: list[Item] | None = None
     leases: dict[int, Lease] = field(default_factory=dict)
-    tries: dict[int, Tries] = field(default_factory=dict)
+    tries: dict[int, ItemTries] = field(default_factory=dict)
+    tried_at: Millis | None = None
+    """When tries changed first since they were committed."""
     finished: dict[int, Finished] = field(default_factory=dict)
     finished_at: Millis | None = None
     """When the oldest uncommitted result came."""
     committing: bool = False
+    touched_s: int = 0
+    """Calendar time at which a submit last committed the chunk here."""
+
+    def __post_init__(self) -> None:
+        """Take the tries that earlier owners committed."""
+        # Begun anew by each owner, they would let a poison item crash engines at each hand-over.
+        self.tries = {tries.index: tries for tries in self.record.tries}
 
     def is_open(self, index: int) -> bool:
         """Return whether an item has no terminal state, committed or not."""
@@ -150,14 +150,18 @@
         for index in indexes:
             states[index] = self.finished[index].state
         results = self.record.results + ((result_object,) if result_object else ())
-        return replace(self.record, states="".join(states), results=results)
+        tries = tuple(tries for index, tries in sorted(self.tries.items()) if states[index] == ".")
+        return replace(self.record, states="".join(states), results=results, tries=tries)
 
     def settle(self, indexes: Sequence[int], record: ChunkRecord) -> None:
         """Drop what is committed now."""
         self.record = record
         for index in indexes:
             del self.finished[index]
+            self.tries.pop(index, None)
         self.finished_at = None
+        if record.tries == tuple(tries for _, tries in sorted(self.tries.items())):
+            self.tried_at = None
         if not record.undone:
             self.items = None
             self.tries.clear()
@@ -173,25 +177,34 @@
         return tries is not None and tries.suspect
 
     def _judge(self, index: int, result: ItemResult, now: Millis) -> None:
-        tries = self.tries.setdefault(index, Tries())
         if result.verdict == Verdict.REJECTED:
             self._finish(index, ItemState.FAILED, result, now)
-        elif result.verdict == Verdict.CRASHED:
-            tries.crashes_alone += tries.suspect
-            tries.suspect = True
-            if tries.crashes_alone >= MAX_CRASHES_ALONE:
-                self._finish(index, ItemState.QUARANTINED, result, now)
-        elif result.verdict == Verdict.BYSTANDER:
-            tries.crashes_beside += 1
-            if tries.crashes_beside >= MAX_CRASHES_BESIDE:
-                self._finish(index, ItemState.FAILED, result, now)
-        elif result.verdict == Verdict.FAILED:
-            tries.runs += 1
-            if tries.runs >= MAX_TRIES:
-                self._finish(index, ItemState.FAILED, result, now)
+            return
+        tries = count_try(self.tries.get(index, ItemTries(index)), result.verdict)
+        if tries == self.tries.get(index, ItemTries(index)):
+            return
+        self.tries[index] = tries
+        if self.tried_at is None:
+            self.tried_at = now
+        if tries.crashes_alone >= MAX_CRASHES_ALONE:
+            self._finish(index, ItemState.QUARANTINED, result, now)
+        elif tries.crashes_beside >= MAX_CRASHES_BESIDE or tries.runs >= MAX_TRIES:
+            self._finish(index, ItemState.FAILED, result, now)
 
     def _finish(self, index: int, state: ItemState, result: ItemResult, now: Millis) -> None:
         self.leases.pop(index, None)
         self.finished[index] = Finished(state, result.status, result.body)
         if self.finished_at is None:
             self.finished_at = now
+
+
+def count_try(tries: ItemTries, verdict: int) -> ItemTries:
+    """Return an item's tries after one more run that ended without an answer."""
+    if verdict == Verdict.CRASHED:
+        alone = tries.crashes_alone + tries.suspect
+        return replace(tries, suspect=True, crashes_alone=alone)
+    if verdict == Verdict.BYSTANDER:
+        return replace(tries, crashes_beside=tries.crashes_beside + 1)
+    if verdict == Verdict.FAILED:
+        return replace(tries, runs=tries.runs + 1)
+    return tries
--- a/goldcreststair/components/batch/const.py
+++ b/goldcreststair/components/batch/const.py
@@ -34,12 +34,16 @@
 """Crashes held to be another item's before an item is failed, so that its runs are bounded."""
 
 TICK_MS: Final = 100
+HAND_BACK_MS: Final = 2_000
+"""Part of a drain kept for sending results and items back."""
 ADVERT_MS: Final = 500
 ADVERT_LIFETIME_MS: Final = 5_000
 ADVERT_FAN_OUT: Final = 4
 JOB_CHECK_MS: Final = 5_000
 FLUSH_MS: Final = 5_000
 """Longest wait of a finished result for others of its chunk before it is committed."""
+TRIES_FLUSH_MS: Final = 100
+"""Longest wait of a changed suspicion before it is committed; crashes are rare."""
 MAX_FINISHED_BYTES: Final = 8 * 1024 * 1024
 """Finished results kept while the store is down; no new lots are given out beyond it."""
 LOADED_CHUNKS: Final = 8
--- a/goldcreststair/components/batch/directory.py
+++ b/goldcreststair/components/batch/directory.py
@@ -37,6 +37,10 @@
         """Return the session believed to own a key's partition."""
         return self._ledger.find_owner(self._ledger.find_index(key))
 
+    def find_holder(self, key: str) -> str:
+        """Return this VM if it owns a key's partition, else the believed owner, or empty."""
+        return self._core.session_id if self.owns(key) else self.find_owner(key) or ""
+
     async def async_send(self, session: str, message: Any) -> Result[Any, PeerError]:
         """Send a message to a VM, this one included."""
         if session == self._core.session_id:
--- a/goldcreststair/components/batch/jobs.py
+++ b/goldcreststair/components/batch/jobs.py
@@ -1,6 +1,5 @@
 """Jobs as callers see them: progress, results, cancel, lists."""
 
-from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -20,8 +19,8 @@
     ResultLine,
 )
 from goldcreststair.components.batch.objects import async_get_object
+from goldcreststair.components.batch.progress import async_count_items, async_read_chunk
 from goldcreststair.components.batch.records import (
-    decode_chunk,
     decode_index,
     decode_items,
     decode_results,
@@ -34,7 +33,6 @@
 from goldcreststair.wire.generated.batch.ttypes import (
     JobCancel,
     JobChanged,
-    RecordGet,
     RecordList,
     ReplyStatus,
 )
@@ -72,13 +70,10 @@
         found = await self.async_find(customer, job)
         if isinstance(found, Err):
             return found
-        counts: Counter[str] = Counter()
-        for chunk in await async_map(self._async_read_chunk, list_chunk_keys(found.ok_value)):
-            if isinstance(chunk, Err):
-                return chunk
-            for state in ItemState:
-                counts[STATE_NAMES[state]] += chunk.ok_value.states.count(state)
-        return Ok(JobProgress(found.ok_value, dict(counts)))
+        counts = await async_count_items(self._directory, found.ok_value)
+        if isinstance(counts, Err):
+            return counts
+        return Ok(JobProgress(found.ok_value, counts.ok_value))
 
     async def async_list(
         self, customer: str, after: str, limit: int
@@ -158,17 +153,9 @@
     async def _async_read_entry(self, entry: IndexEntry) -> Result[Manifest | None, BatchError]:
         return await async_read_manifest(self._directory, entry.job)
 
-    async def _async_read_chunk(self, key: str) -> Result[ChunkRecord, BatchError]:
-        reply = await self._directory.async_ask(key, RecordGet(key, key))
-        if reply.status == ReplyStatus.OK:
-            return Ok(decode_chunk(reply.value))
-        if reply.status == ReplyStatus.MISSING:
-            return Err(BatchError("the job's results were swept", BatchProblem.MISSING))
-        return Err(BatchError("a chunk's owner cannot be reached"))
-
     async def _async_read_results(self, key: str) -> Result[list[ResultLine], BatchError]:
         """Return the results of a chunk with indexes of the whole job."""
-        found = await self._async_read_chunk(key)
+        found = await async_read_chunk(self._directory, key)
         if isinstance(found, Err):
             return found
         record = found.ok_value
--- a/goldcreststair/components/batch/keeper.py
+++ b/goldcreststair/components/batch/keeper.py
@@ -19,6 +19,7 @@
     MAX_FINISHED_BYTES,
     ORPHAN_S,
     RETENTION_S,
+    TRIES_FLUSH_MS,
 )
 from goldcreststair.components.batch.directory import Directory
 from goldcreststair.components.batch.models import ItemState
@@ -88,6 +89,11 @@
             self.chunks[key] = Chunk(key, partition, decode_chunk(value))
             self._checked.pop(self.chunks[key].record.job, None)
 
+    def touch(self, key: str) -> None:
+        """Note that a submit relies on a chunk."""
+        if key in self.chunks:
+            self.chunks[key].touched_s = self._calendar.now_s()
+
     def check_job(self, job: str) -> None:
         """Read a job's manifest again soon."""
         if any(chunk.record.job == job for chunk in self.chunks.values()):
@@ -199,7 +205,11 @@
         ]
 
     def _is_due_for_commit(self, chunk: Chunk, now: Millis) -> bool:
-        if not chunk.finished or chunk.committing or self.chunks.get(chunk.key) is not chunk:
+        if chunk.committing or self.chunks.get(chunk.key) is not chunk:
+            return False
+        if chunk.tried_at is not None and now - chunk.tried_at >= TRIES_FLUSH_MS:
+            return True
+        if not chunk.finished:
             return False
         if chunk.cancelled or len(chunk.finished) >= chunk.record.undone:
             return True
@@ -290,15 +300,19 @@
     async def _async_sweep(self, chunk: Chunk, *, accepted: bool) -> None:
         """Remove a chunk past its retention, or one whose job was never accepted."""
         age_s = self._calendar.now_s() - chunk.record.created_s
-        if not accepted and age_s < ORPHAN_S:
+        if not accepted and min(age_s, self._age_touch(chunk)) < ORPHAN_S:
             return
         gone = await chunk.partition.async_commit([Change(chunk.key, None)], COMMIT_TIMEOUT_MS)
         if isinstance(gone, Ok):
             self.chunks.pop(chunk.key, None)
-            names = chunk.record.results + ((chunk.record.items_object,) if accepted else ())
-            for name in names:
+            for name in (*chunk.record.results, chunk.record.items_object):
                 await self._core.platform.objects.async_delete(name)
 
+    def _age_touch(self, chunk: Chunk) -> int:
+        # A resend finds the chunks of a submit that failed long ago and commits its manifest a
+        # moment later; swept in between, an accepted job would lack items.
+        return self._calendar.now_s() - chunk.touched_s
+
     def _load_items(self) -> None:
         loaded = sum(1 for chunk in self.chunks.values() if chunk.items is not None)
         room = LOADED_CHUNKS - loaded - len(self._loading)
--- a/goldcreststair/components/batch/models.py
+++ b/goldcreststair/components/batch/models.py
@@ -43,6 +43,17 @@
     due_s: int
 
 
+@dataclass(frozen=True, slots=True)
+class ItemTries:
+    """How often an item of a chunk ended without an answer."""
+
+    index: int
+    runs: int = 0
+    suspect: bool = False
+    crashes_alone: int = 0
+    crashes_beside: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class ChunkRecord:
     """A chunk as committed: its items' states and where its results are."""
@@ -59,6 +70,8 @@
     """One `ItemState` letter an item."""
     results: tuple[str, ...] = ()
     """Names of result objects."""
+    tries: tuple[ItemTries, ...] = ()
+    """Of undone items that ended without an answer; most chunks have none."""
 
     @property
     def undone(self) -> int:
--- a/goldcreststair/components/batch/records.py
+++ b/goldcreststair/components/batch/records.py
@@ -9,6 +9,7 @@
     ChunkRecord,
     IndexEntry,
     Item,
+    ItemTries,
     Manifest,
     ResultLine,
 )
@@ -64,7 +65,9 @@
 
 def decode_chunk(value: bytes) -> ChunkRecord:
     """Return a chunk record from JSON."""
-    record = ChunkRecord(**orjson.loads(value))
+    fields = orjson.loads(value)
+    tries = tuple(ItemTries(**tries) for tries in fields.pop("tries", ()))
+    record = ChunkRecord(**fields, tries=tries)
     return replace(record, models=tuple(record.models), results=tuple(record.results))
 
 
--- a/goldcreststair/components/batch/service.py
+++ b/goldcreststair/components/batch/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import Counter
 from dataclasses import replace
 from typing import Final
 
@@ -19,8 +20,10 @@
 from goldcreststair.components.batch.keeper import ChunkKeeper
 from goldcreststair.components.batch.records import (
     PREFIX_CHUNK,
+    decode_chunk,
     decode_manifest,
     encode_record,
+    make_chunk_key,
     make_job_key,
 )
 from goldcreststair.components.batch.stewards import MakeAllowance, Stewards, make_upstream_key
@@ -38,6 +41,8 @@
 from goldcreststair.core import ComponentKey, Core
 from goldcreststair.wire.generated.batch.ttypes import (
     BacklogAdvert,
+    ChunksCount,
+    ChunksGet,
     JobCancel,
     JobChanged,
     Lot,
@@ -85,9 +90,14 @@
         self._unsubscribe = core.blackboard.subscribe(ONLINE_PRESSURE, self.stewards.take_pressure)
 
     async def async_start(self) -> None:
-        """Begin to tick."""
+        """Begin to tick, and take part in graceful shutdowns."""
+        self._core.drainables.append(self)
         self._ticking = asyncio.create_task(self._async_tick())
 
+    async def async_drain(self, deadline_ms: int) -> None:
+        """Take no items any more; return when those that run have ended or were given back."""
+        await self.stewards.async_drain(deadline_ms)
+
     async def async_close(self) -> None:
         """Give running items back and stop."""
         self._unsubscribe()
@@ -120,6 +130,8 @@
         peers = self.directory.peers
         peers.register(70, Reply, None)
         peers.register(71, Lot, None)
+        register(72, ChunksGet, self._async_count)
+        peers.register(73, ChunksCount, None)
         register(YIELD_HINT_NUMBER, YieldHint, self._async_on_hint)
 
     async def _async_tick(self) -> None:
@@ -170,6 +182,7 @@
         if isinstance(partition, Reply):
             return partition
         existing = partition.get(message.key)
+        self.keeper.touch(message.key)
         value = message.value if existing is None else existing
         # Committed again even if it is there: it may only be staged, and answering OK before it
         # is durable would accept a job that the loss of this VM takes away.
@@ -178,6 +191,7 @@
             return _turn_error(outcome.err_value)
         if message.key.startswith(PREFIX_CHUNK):
             self.keeper.add(partition, message.key, value)
+            self.keeper.touch(message.key)
         return Reply(status=ReplyStatus.OK, value=value)
 
     async def _async_get(self, _: str, message: RecordGet) -> Reply:
@@ -188,6 +202,19 @@
         status = ReplyStatus.MISSING if value is None else ReplyStatus.OK
         return Reply(status=status, value=value)
 
+    async def _async_count(self, _: str, message: ChunksGet) -> ChunksCount:
+        counts: Counter[str] = Counter()
+        left: list[int] = []
+        for number in message.numbers:
+            key = make_chunk_key(message.job, message.fingerprint, number)
+            partition = self._ledger.get_owned(self._ledger.find_index(key))
+            value = partition.get(key) if partition is not None else None
+            if value is None:
+                left.append(number)
+                continue
+            counts.update(decode_chunk(value).states)
+        return ChunksCount("".join(counts), list(counts.values()), left)
+
     async def _async_list(self, _: str, message: RecordList) -> Reply:
         partition = self._find_partition(message.partition_key)
         if isinstance(partition, Reply):
--- a/goldcreststair/components/batch/steward.py
+++ b/goldcreststair/components/batch/steward.py
@@ -22,6 +22,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+DRAIN_POLL_MS: Final = 50
 BACK_OFF_MS: Final = 1000
 """Pause of an upstream that did not take an item, or crashed."""
 CRASH_WINDOW_MS: Final = 1000
@@ -64,6 +65,7 @@
         self.paused: list[ItemStream] = []
         self._online = OnlineLoad(core.clock)
         self._onset = OnsetDetector(core.clock)
+        self.draining = False
         self._pulling = False
         self._may_pull = False
         self._suspect_turn = False
@@ -75,10 +77,23 @@
         """Cancel all streams and give their items back."""
         for stream in tuple(self.running):
             self._pause(stream)
+        self._give_back()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def async_drain(self, deadline_at: int) -> None:
+        """Take nothing more; let streams end, and give back what has not by the deadline."""
+        self.draining = True
+        self._give_back()
+        while self.running and self._core.clock.now() < deadline_at:
+            await self._core.clock.async_sleep(DRAIN_POLL_MS)
+        for stream in tuple(self.running):
+            self._pause(stream)
+        self._give_back()
+
+    def _give_back(self) -> None:
         for stream in self.paused:
             self._report(stream.item, Verdict.NOT_RUN)
         self.paused.clear()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def take_online(self, session: str, in_flight: int) -> None:
         """Make room for what a VM says that it has at the upstream."""
@@ -116,7 +131,7 @@
         """Ask for items if there is room and nothing forbids new ones."""
         if not self._may_pull or self._core.clock.now() < self._blocked_until:
             return
-        if self.paused or self._is_proving() or self._pulling:
+        if self.draining or self.paused or self._is_proving() or self._pulling:
             return
         if self._limit > len(self.running):
             self._pulling = True
@@ -151,7 +166,10 @@
         self.running.remove(stream)
         if stream.task is not None:
             stream.task.cancel()
-        self.paused.append(stream)
+        if self.draining:
+            self._report(stream.item, Verdict.NOT_RUN)
+        else:
+            self.paused.append(stream)
         self._spawn(self._async_cancel(stream.item.request_id))
 
     async def _async_cancel(self, request_id: str) -> None:
@@ -169,6 +187,10 @@
                 request = LotRequest(model, limit, suspect_wanted)
                 items = await self._source.async_request(request)
                 for item in items:
+                    if self.draining:
+                        # Asked for before the VM began to leave.
+                        self._report(item, Verdict.NOT_RUN)
+                        continue
                     self._start(ItemStream(item, self._core.clock, self._core.clock.now()))
                 found = found or bool(items)
                 free -= len(items)
--- a/goldcreststair/components/batch/stewards.py
+++ b/goldcreststair/components/batch/stewards.py
@@ -8,7 +8,13 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
-from goldcreststair.components.batch.const import ADVERT_LIFETIME_MS, LOAD_REPORT_MS, RENEW_MS
+from goldcreststair.components.batch.const import (
+    ADVERT_LIFETIME_MS,
+    HAND_BACK_MS,
+    LOAD_REPORT_MS,
+    RENEW_MS,
+    TICK_MS,
+)
 from goldcreststair.components.batch.directory import Directory
 from goldcreststair.components.batch.online_load import OnlineTeller
 from goldcreststair.components.batch.outbox import Outbox
@@ -53,6 +59,7 @@
         self._next_load: dict[str, int] = {}
         self._tellers: dict[str, OnlineTeller] = {}
         self._renewed_at = Millis(0)
+        self._draining = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def async_close(self) -> None:
@@ -65,6 +72,18 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def async_drain(self, deadline_ms: int) -> None:
+        """Let streams end and hand the others back in time for their results to be sent."""
+        # Kept until the leases lapse, the items of a leaving VM would stand still for ten seconds.
+        self._draining = True
+        now = self._core.clock.now()
+        stop_at = max(now, deadline_ms - min(HAND_BACK_MS, (deadline_ms - now) // 2))
+        await asyncio.gather(*(s.async_drain(stop_at) for s in self.by_name.values()))
+        self.by_name.clear()
+        while self._outbox.list_chunks() and self._core.clock.now() < deadline_ms:
+            await asyncio.gather(*(self._outbox.async_send(k) for k in self._outbox.list_unsent()))
+            await self._core.clock.async_sleep(TICK_MS)
+
     def tick(self) -> None:
         """Follow the configuration and the partitions, then let each steward work."""
         configuration = self._core.blackboard.read(CONFIGURATION)
@@ -74,7 +93,8 @@
             if upstream.kind is UpstreamKind.ENGINE
             and self._directory.owns(make_upstream_key(name))
         }
-        self._follow(wanted)
+        if not self._draining:
+            self._follow(wanted)
         for name, steward in self.by_name.items():
             steward.tick(pull=name not in configuration.leaving_upstreams)
             self._read_load(steward)
--- a/goldcreststair/components/batch/submission.py
+++ b/goldcreststair/components/batch/submission.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import uuid
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -21,6 +22,7 @@
 from goldcreststair.components.batch.objects import async_put_object
 from goldcreststair.components.batch.parsing import Defaults, LineSplitter, parse_line
 from goldcreststair.components.batch.records import (
+    decode_chunk,
     decode_manifest,
     encode_lines,
     encode_record,
@@ -57,6 +59,11 @@
     return hashlib.sha256(f"{customer}\0{idempotency_key}".encode()).hexdigest()[:32]
 
 
+def _digest_id(custom_id: str) -> bytes:
+    # A job of 140,000 items may have long ids; whole, they would take tens of megabytes.
+    return hashlib.blake2b(custom_id.encode(), digest_size=12).digest()
+
+
 class Submission:
     """One job on its way in; holds one chunk of items at a time."""
 
@@ -73,9 +80,14 @@
         self._models = frozenset(model for upstream in upstreams for model in upstream.models)
         self._splitter = LineSplitter()
         self._lines = 0
+        self._attempt = uuid.uuid4().hex[:8]
+        self._ids: dict[bytes, int] = {}
+        """Digest of each custom id to its line."""
         self._items: list[Item] = []
         self._chunks: list[_StoredChunk] = []
         self._digest = hashlib.sha256()
+        self._unused: list[int] = []
+        """Chunks that an earlier submit committed with objects of its own."""
         self._error: BatchError | None = None
 
     async def async_feed(self, data: bytes) -> None:
@@ -98,12 +110,16 @@
         existing = await self._async_find()
         if isinstance(existing, Err):
             return existing
-        if existing.ok_value is None:
-            stored = await self._async_commit_chunks(manifest)
-            if isinstance(stored, Err):
-                return stored
-            return await self._async_commit_manifest(manifest)
-        return self._compare(existing.ok_value, manifest.fingerprint)
+        if existing.ok_value is not None:
+            await self._async_delete(range(len(self._chunks)))
+            return self._compare(existing.ok_value, manifest.fingerprint)
+        stored = await self._async_commit_chunks(manifest)
+        if isinstance(stored, Err):
+            return stored
+        accepted = await self._async_commit_manifest(manifest)
+        if isinstance(accepted, Ok):
+            await self._async_delete(self._unused)
+        return accepted
 
     async def _async_take(self, lines: list[bytes]) -> None:
         for line in lines:
@@ -118,6 +134,11 @@
                 message = f"line {self._lines}: body.model: no upstream serves this model"
                 self._fail(BatchError(message, BatchProblem.BAD_LINE))
                 return
+            earlier = self._ids.setdefault(_digest_id(parsed.ok_value.custom_id), self._lines)
+            if earlier != self._lines:
+                message = f"line {self._lines}: custom_id: already in line {earlier}"
+                self._fail(BatchError(message, BatchProblem.BAD_LINE))
+                return
             self._items.append(parsed.ok_value)
             if len(self._items) >= CHUNK_ITEMS:
                 await self._async_store_chunk()
@@ -132,8 +153,10 @@
         content = encode_lines(self._items)
         digest = hashlib.sha256(content).hexdigest()
         self._digest.update(digest.encode())
-        # Named by content: two submits that race under one key cannot overwrite each other's.
-        name = f"batch/{self.job}/items/{len(self._chunks):05d}-{digest[:16]}"
+        # Each submit has objects of its own: the sweep of one that was never accepted cannot
+        # take the items of a resend away, however late it comes.
+        number = len(self._chunks)
+        name = f"batch/{self.job}/items/{number:05d}-{digest[:16]}-{self._attempt}"
         put = await async_put_object(self._core, name, content)
         if isinstance(put, Err):
             self._fail(put.err_value)
@@ -167,12 +190,21 @@
 
         for first in range(0, manifest.chunks, FAN_OUT):
             numbers = range(first, min(first + FAN_OUT, manifest.chunks))
-            for reply in await async_map(async_commit, numbers):
+            replies = await async_map(async_commit, numbers)
+            for number, reply in zip(numbers, replies, strict=True):
                 if reply.status != ReplyStatus.OK:
                     # Without its manifest the job does not exist, whatever became of chunks.
                     return Err(BatchError("the store cannot be reached", job=self.job))
+                if decode_chunk(reply.value).items_object != self._chunks[number].items_object:
+                    self._unused.append(number)
         return Ok(None)
 
+    async def _async_delete(self, numbers: Iterable[int]) -> None:
+        async def async_delete(number: int) -> None:
+            await self._core.platform.objects.async_delete(self._chunks[number].items_object)
+
+        await async_map(async_delete, numbers)
+
     async def _async_commit_manifest(self, manifest: Manifest) -> Result[Manifest, BatchError]:
         partition = make_index_key(manifest.customer)
         value = encode_record(IndexEntry(self.job, manifest.due_s))
--- a/goldcreststair/wire/batch.thrift
+++ b/goldcreststair/wire/batch.thrift
@@ -36,6 +36,20 @@
 }
 
 
+/** The states of some chunks of a job, counted by their owner. */
+struct ChunksGet {
+  1: required string job
+  2: required string fingerprint
+  3: required list<i32> numbers
+}
+
+/** Items by state letter, in the order of `letters`; `left` are the chunks not owned here. */
+struct ChunksCount {
+  1: required string letters
+  2: required list<i64> counts
+  3: required list<i32> left
+}
+
 struct JobCancel {
   1: required string job
 }
