--- a/tests/components/batch/test_handover.py
+++ b/tests/components/batch/test_handover.py
@@ -3,6 +3,8 @@
 from collections import Counter
 
 from goldcreststair.components.batch.errors import BatchProblem
+from goldcreststair.components.membership.protocols import SET_QUARANTINE
+from goldcreststair.components.quarantine.protocols import make_fingerprint
 from tests.components.batch.test_failures import run
 from tests.helpers.batch_fleet import BatchFleet, make_lines
 
@@ -156,3 +158,22 @@
         assert (await fleet.async_check(manifest.job))["done"] == 10
 
     run(story)
+
+
+def test_item_quarantined_in_batch_is_refused_online() -> None:
+    """A poison prompt of a job is quarantined; a member then sends the same prompt online.
+
+    Known under another fingerprint there, it would crash engines all over again.
+    """
+
+    async def story(fleet: BatchFleet) -> None:
+        for engine in fleet.engines.values():
+            engine.faults.crash_marker = '"poison '
+        manifest = (await fleet.async_submit(make_lines(1, tokens=40, word="poison"))).unwrap()
+        await fleet.async_wait(manifest.job)
+        body = b'{"model": "small",  "max_tokens": 40, "prompt": "poison 0"}'
+        names = {item for name, item in fleet.sets.items if name == SET_QUARANTINE}
+        assert names == {make_fingerprint("acme", body)}
+        assert make_fingerprint("other", body) not in names
+
+    run(story)
