--- a/goldcreststair/components/batch/keeper.py
+++ b/goldcreststair/components/batch/keeper.py
@@ -13,15 +13,13 @@
 from goldcreststair.components.batch.const import (
     COMMIT_TIMEOUT_MS,
     FLUSH_MS,
-    JOB_CHECK_MS,
     LEASE_MS,
     LOADED_CHUNKS,
     MAX_FINISHED_BYTES,
-    ORPHAN_S,
-    RETENTION_S,
     TRIES_FLUSH_MS,
 )
 from goldcreststair.components.batch.directory import Directory
+from goldcreststair.components.batch.job_watch import JobWatch
 from goldcreststair.components.batch.models import ItemState
 from goldcreststair.components.batch.objects import async_get_object, async_put_object
 from goldcreststair.components.batch.order import ChunkFacts, FairOrder
@@ -33,7 +31,6 @@
     encode_lines,
     encode_record,
 )
-from goldcreststair.components.batch.submission import async_read_manifest
 from goldcreststair.components.configuration.models import CONFIGURATION
 from goldcreststair.components.ledger.protocols import Change, CommitUnknown, Partition
 from goldcreststair.core import Core
@@ -61,13 +58,13 @@
         self.chunks: dict[str, Chunk] = {}
         self.commits = 0
         self._lots = 0
-        self._checked: dict[str, Millis] = {}
-        self._checking: set[str] = set()
+        self._jobs = JobWatch(core, directory, calendar, self.chunks, self._end)
         self._loading: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def async_close(self) -> None:
         """Stop what is under way; uncommitted results run again elsewhere."""
+        await self._jobs.async_close()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -87,7 +84,7 @@
         """Take a committed chunk into care; it runs once its manifest is seen."""
         if key not in self.chunks:
             self.chunks[key] = Chunk(key, partition, decode_chunk(value))
-            self._checked.pop(self.chunks[key].record.job, None)
+            self._jobs.forget(self.chunks[key].record.job)
 
     def touch(self, key: str) -> None:
         """Note that a submit relies on a chunk."""
@@ -96,9 +93,7 @@
 
     def check_job(self, job: str) -> None:
         """Read a job's manifest again soon."""
-        if any(chunk.record.job == job for chunk in self.chunks.values()):
-            self._checked.pop(job, None)
-            self._check_jobs()
+        self._jobs.check(job)
 
     def tick(self) -> None:
         """Do what time brings: lapsed lots, commits, loads, checks of jobs, sweeping."""
@@ -108,7 +103,7 @@
                 _LOGGER.info("A lot of chunk %s lapsed", chunk.key)
             if self._is_due_for_commit(chunk, now):
                 self._spawn_commit(chunk)
-        self._check_jobs()
+        self._jobs.tick()
         self._load_items()
 
     def count_backlog(self) -> dict[str, int]:
@@ -247,37 +242,6 @@
         finally:
             chunk.committing = False
 
-    def _check_jobs(self) -> None:
-        now = self._core.clock.now()
-        for chunk in tuple(self.chunks.values()):
-            job = chunk.record.job
-            last = self._checked.get(job)
-            if job in self._checking or (last is not None and now - last < JOB_CHECK_MS):
-                continue
-            if not chunk.cancelled and (chunk.record.undone or self._is_expired(chunk)):
-                self._checking.add(job)
-                self._spawn(self._async_check_job(job))
-
-    async def _async_check_job(self, job: str) -> None:
-        try:
-            found = await async_read_manifest(self._directory, job)
-            self._checked[job] = self._core.clock.now()
-            if isinstance(found, Err):
-                return
-            manifest = found.ok_value
-            for chunk in [c for c in self.chunks.values() if c.record.job == job]:
-                accepted = manifest is not None and (
-                    manifest.fingerprint == chunk.record.fingerprint
-                )
-                if manifest is None or not accepted or self._is_expired(chunk):
-                    await self._async_sweep(chunk, accepted=accepted)
-                elif manifest.cancelled or self._is_overdue(chunk):
-                    self._end(chunk, cancelled=manifest.cancelled)
-                else:
-                    chunk.active = True
-        finally:
-            self._checking.discard(job)
-
     def _end(self, chunk: Chunk, *, cancelled: bool) -> None:
         if chunk.cancelled or not chunk.record.undone:
             return
@@ -289,30 +253,6 @@
     async def _async_tell_stop(self, holder: str, key: str) -> None:
         await self._directory.async_send(holder, LotStop(key))
 
-    def _is_expired(self, chunk: Chunk) -> bool:
-        return not chunk.record.undone and self._is_overdue(chunk)
-
-    def _is_overdue(self, chunk: Chunk) -> bool:
-        """Return whether a job's retention is over; what is undone then never will be done."""
-        start = max(chunk.record.due_s, chunk.record.created_s)
-        return self._calendar.now_s() - start > RETENTION_S
-
-    async def _async_sweep(self, chunk: Chunk, *, accepted: bool) -> None:
-        """Remove a chunk past its retention, or one whose job was never accepted."""
-        age_s = self._calendar.now_s() - chunk.record.created_s
-        if not accepted and min(age_s, self._age_touch(chunk)) < ORPHAN_S:
-            return
-        gone = await chunk.partition.async_commit([Change(chunk.key, None)], COMMIT_TIMEOUT_MS)
-        if isinstance(gone, Ok):
-            self.chunks.pop(chunk.key, None)
-            for name in (*chunk.record.results, chunk.record.items_object):
-                await self._core.platform.objects.async_delete(name)
-
-    def _age_touch(self, chunk: Chunk) -> int:
-        # A resend finds the chunks of a submit that failed long ago and commits its manifest a
-        # moment later; swept in between, an accepted job would lack items.
-        return self._calendar.now_s() - chunk.touched_s
-
     def _load_items(self) -> None:
         loaded = sum(1 for chunk in self.chunks.values() if chunk.items is not None)
         room = LOADED_CHUNKS - loaded - len(self._loading)
--- a/tests/helpers/batch_fleet.py
+++ b/tests/helpers/batch_fleet.py
@@ -99,7 +99,9 @@
         self.network.kill(session_id)
         service = self.services.pop(session_id)
         self.world.ledgers.pop(session_id)
-        for task in [service._ticking, *service.keeper._tasks, *service.stewards._tasks]:
+        keeper, stewards = service.keeper, service.stewards
+        running = [*keeper._tasks, *keeper._jobs._tasks, *stewards._tasks]
+        for task in [service._ticking, *running]:
             if task is not None:
                 task.cancel()
         for steward in service.stewards.by_name.values():
