--- a/tests/faults/steps.py
+++ b/tests/faults/steps.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from goldcreststair.components.peers.codec import decode_struct
+from goldcreststair.wire.codec import decode_struct
 from goldcreststair.wire.generated.peers.ttypes import Envelope
 from standins.gate import Effect
 
