Wait for an order until the engine has ended it

Cause: an order over HTTP was given up after 2 s like any other call, so a longer load was ordered again while it ran, and paid for each time from this VM's share of the weight store's rate.

Change: an order is waited for up to 60 s, the longest it may take. Asking the weight store only once a target was ruled out: an engine that restarts in the middle of a load has to be paid for again.

Measured: the test of a load of 2.3 s failed before and passes now.

--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -38,6 +38,8 @@
 """An answer that comes at once at its end may keep still for longer; asking again joins it."""
 WHOLE_IDLE_PARTS: Final = 8
 CONTROL_TIMEOUT_MS: Final = 2000
+ORDER_TIMEOUT_MS: Final = 60_000
+"""A load takes long; it is answered when it has ended."""
 MAX_KV_STATE_BYTES: Final = 2 * 1024 * 1024
 STATUS_OK: Final = 200
 STATUS_FENCED: Final = 409
@@ -51,6 +53,17 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlLimits:
+    """Bounds of a call that is no generation."""
+
+    timeout_ms: int = CONTROL_TIMEOUT_MS
+    max_bytes: int = MAX_ANSWER_BYTES
+
+
+DEFAULT_LIMITS: Final = ControlLimits()
+
+
 def turn_exchange_error(error: ExchangeError) -> UpstreamError:
     """Turn an error of the HTTP layer into one of this layer."""
     return UpstreamError(error.message, _FAILURES[error.failure])
@@ -158,7 +171,8 @@
     ) -> Result[None, UpstreamError]:
         """Give an order."""
         body = orjson.dumps(dataclasses.asdict(order))
-        outcome = await _async_control(upstream, "POST", "/orders", body)
+        limits = ControlLimits(timeout_ms=ORDER_TIMEOUT_MS)
+        outcome = await _async_control(upstream, "POST", "/orders", body, limits)
         if isinstance(outcome, Err) and outcome.err_value.status == STATUS_FENCED:
             return Err(UpstreamError("old fencing number", UpstreamFailure.FENCED, STATUS_FENCED))
         return outcome.map(lambda _: None)
@@ -170,7 +184,8 @@
         # Moves run several at once: states of hundreds of megabytes would take all of a small
         # VM's memory. An engine has to give out a reference to its state instead.
         path = f"/requests/{request_id}/kv"
-        outcome = await _async_control(upstream, "GET", path, max_bytes=MAX_KV_STATE_BYTES)
+        limits = ControlLimits(max_bytes=MAX_KV_STATE_BYTES)
+        outcome = await _async_control(upstream, "GET", path, limits=limits)
         return outcome.map(lambda answer: answer.body)
 
     async def async_import_kv(
@@ -228,10 +243,15 @@
     method: str,
     path: str,
     body: bytes = b"",
-    max_bytes: int = MAX_ANSWER_BYTES,
+    limits: ControlLimits = DEFAULT_LIMITS,
 ) -> Result[Answer, UpstreamError]:
     exchange = Exchange(
-        upstream.address, method, path, CONTROL_TIMEOUT_MS, body=body, max_answer_bytes=max_bytes
+        upstream.address,
+        method,
+        path,
+        limits.timeout_ms,
+        body=body,
+        max_answer_bytes=limits.max_bytes,
     )
     outcome = await async_exchange(exchange)
     if isinstance(outcome, Err):
--- a/tests/upstreams/test_http_engine.py
+++ b/tests/upstreams/test_http_engine.py
@@ -8,8 +8,12 @@
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
-from goldcreststair.upstreams.http_engine import MAX_KV_STATE_BYTES, HttpEngineClient
-from goldcreststair.upstreams.models import Upstream
+from goldcreststair.upstreams.http_engine import (
+    CONTROL_TIMEOUT_MS,
+    MAX_KV_STATE_BYTES,
+    HttpEngineClient,
+)
+from goldcreststair.upstreams.models import Order, Upstream
 
 
 class KvHandler(RequestHandler):
@@ -40,3 +44,31 @@
         await server.close_all_connections()
 
     asyncio.run(async_test())
+
+
+class SlowOrderHandler(RequestHandler):
+    async def post(self) -> None:
+        await asyncio.sleep(CONTROL_TIMEOUT_MS / 1000 + 0.3)
+        self.finish(b"null")
+
+
+def test_load_that_takes_long_is_waited_for() -> None:
+    """A model takes longer to load than other calls may take.
+
+    Given up early, the load would be ordered again while it runs, and paid for at the weight
+    store's rate each time, so that other engines wait for theirs.
+    """
+
+    async def async_test() -> None:
+        socket, port = bind_unused_port()
+        server = HTTPServer(Application([(r"/orders", SlowOrderHandler)]))
+        server.add_socket(socket)
+        upstream = Upstream("e1", f"127.0.0.1:{port}", "dc1")
+        sent = await HttpEngineClient().async_send_order(
+            upstream, Order("o1", 1, "load_model", "a")
+        )
+        assert isinstance(sent, Ok)
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(async_test())
