--- a/goldcreststair/components/online/pressure.py
+++ b/goldcreststair/components/online/pressure.py
@@ -8,7 +8,7 @@
 
 ONSET_SHARE = 0.125
 """Growth of the requests in flight that is published at once, as a share of the published."""
-ONSET_SLACK = 2
+ONSET_SLACK = 1
 IDLE_FACTOR = 2.0
 IDLE_SLACK_MS = 100
 IDLE_DRIFT = 1.02
