Bring back the wait of the hand-over's pace

Cause: a merge kept the caller of Pacer.read_wait_ms and lost the method. Change: the method as it was.

--- a/goldcreststair/components/ledger/pacing.py
+++ b/goldcreststair/components/ledger/pacing.py
@@ -1,5 +1,6 @@
 """Keeps this VM to its part of the fleet's budget of store writes."""
 
+import math
 from random import Random
 
 from goldcreststair.clock import Clock, Millis
@@ -28,6 +29,10 @@
         self._next += interval
         return wait
 
+    def read_wait_ms(self) -> int:
+        """Return how many milliseconds away the next slot is, without taking it."""
+        return max(0, math.ceil(self._next - self._clock.now()))
+
     def is_free(self) -> bool:
         """Return whether a slot is to be had without waiting."""
         return self._next <= self._clock.now()
--- a/goldcreststair/components/online/claiming.py
+++ b/goldcreststair/components/online/claiming.py
@@ -69,7 +69,9 @@
         )
         if isinstance(claimed, Err):
             refusal = refuse_claim(claimed.err_value)
-            return Err(doubt_earlier_sends(refusal) if request.is_caller_key else refusal)
+            unread = claimed.err_value.problem is ClaimProblem.UNAVAILABLE
+            doubtful = unread and request.is_caller_key
+            return Err(doubt_earlier_sends(refusal) if doubtful else refusal)
         match claimed.ok_value:
             case Finished(outcome):
                 return Ok(outcome)
