Keep a home's right while its new supporters are being written

Traced by refusals: all customers were rate limited from 4 to 13 s of the outage. Each home tried to replace the leaving supporter, and had no supporters while that write was in doubt, until its last confirmation was 12 s old and it stopped trying. Change: while a write is in doubt a majority of the old and of the new set has to consent. Ruled out: not writing while the store is silent (its first seconds look like health), the old set alone (a successor may read the new one).

--- a/goldcreststair/components/limits/right.py
+++ b/goldcreststair/components/limits/right.py
@@ -28,40 +28,66 @@
 
     def __init__(self, recorded: bool = False) -> None:
         """Start without supporters; `recorded` if the partition's record names any."""
-        self._recorded = recorded
-        self._supporters: frozenset[str] = frozenset()
+        self._sets: tuple[frozenset[str] | None, ...] = (frozenset() if recorded else None,)
+        """Sets that the record may hold, newest last; None stands for a record without any."""
         self._asked: dict[str, Millis] = {}
 
     @property
     def supporters(self) -> frozenset[str]:
-        """The sessions written durably as supporters; empty while that is in doubt."""
-        return self._supporters
+        """All sessions whose consent may count."""
+        return frozenset().union(*(sessions or () for sessions in self._sets))
+
+    @property
+    def wanted(self) -> frozenset[str]:
+        """The newest set, durable or not."""
+        return self._sets[-1] or frozenset()
 
     def set_supporters(self, sessions: Iterable[str]) -> None:
-        """Take the set that is durable now; empty before a set is written."""
-        self._recorded = True
-        self._supporters = frozenset(sessions)
-        self._asked.clear()
+        """Take the set that is durable now."""
+        self._sets = (frozenset(sessions),)
+        self._forget_others()
+
+    def begin_change(self, sessions: Iterable[str]) -> None:
+        """Take a set whose write is on its way.
+
+        The record may hold the old or the new set until the write has ended, and a successor asks
+        those whom it reads there. With no set in force meanwhile, every home was without right for
+        seconds when a VM left just after the store went down; with either alone, home and successor
+        could both spend. So both have to consent.
+        """
+        self._sets = (self._sets[0], frozenset(sessions))
+
+    def end_change(self, *, written: bool) -> None:
+        """Take what became of the write."""
+        self._sets = (self._sets[-1] if written else self._sets[0],)
+        self._forget_others()
 
     def support(self, session_id: str, asked_at: Millis) -> None:
         """Take in a supporter's consent to a question sent at `asked_at`."""
-        if session_id in self._supporters:
+        if session_id in self.supporters:
             self._asked[session_id] = Millis(max(asked_at, self._asked.get(session_id, asked_at)))
 
     def find_end(self, confirmed_at: Millis) -> Millis:
         """Return when the right ends."""
+        return min(self._find_end(sessions, confirmed_at) for sessions in self._sets)
+
+    def _find_end(self, sessions: frozenset[str] | None, confirmed_at: Millis) -> Millis:
         # A paused or cut-off home can't see that it was replaced: it would spend beside its
         # successor. Both kinds of confirmation run from before the other side answered.
-        if not self._recorded:
+        if sessions is None:
             return Millis(confirmed_at + STORE_RIGHT_MS)
-        supported = sorted(self._asked.values(), reverse=True)
-        needed = count_majority(len(self._supporters))
+        asked = [at for session, at in self._asked.items() if session in sessions]
+        supported = sorted(asked, reverse=True)
+        needed = count_majority(len(sessions))
         end = confirmed_at
-        if self._supporters and len(supported) >= needed:
+        if sessions and len(supported) >= needed:
             limit = confirmed_at + SUPPORTED_LIMIT_MS - SUPPORT_RIGHT_MS
             end = Millis(max(end, min(supported[needed - 1], limit)))
         return Millis(end + SUPPORT_RIGHT_MS)
 
+    def _forget_others(self) -> None:
+        self._asked = {s: at for s, at in self._asked.items() if s in self.supporters}
+
     def find_part(self, confirmed_at: Millis, now: Millis) -> float:
         """Return the part of rate and burst that the home may use."""
         # If the supporters are lost too, a successor can't hear that the old home has ended: all
--- a/goldcreststair/components/limits/takeover.py
+++ b/goldcreststair/components/limits/takeover.py
@@ -121,10 +121,10 @@
 
     def _look_after(self, home: Home) -> None:
         age = self._clock.now() - home.partition.confirmed_at
-        supporters = home.right.supporters
         if age >= SUPPORT_AFTER_MS:
-            for session_id in supporters:
+            for session_id in home.right.supporters:
                 self._spawn(self._async_ask_support(home, session_id))
+        supporters = home.right.wanted
         serving = self._find_serving()
         wanted = min(SUPPORTERS, len(serving))
         stale = len(supporters) < wanted or not supporters <= set(serving)
@@ -148,21 +148,19 @@
             home.right.support(session_id, asked_at)
 
     async def _async_write_supporters(self, home: Home, serving: Mapping[str, str]) -> None:
-        index, before = home.partition.index, home.right.supporters
+        index = home.partition.index
         chosen = choose_supporters(index, serving, self._core.settings.data_centre)
-        # While the write is in doubt the record may hold the old or the new set, so a successor
-        # could ask the wrong one to renounce: until it is durable there are no supporters.
         home.writing = True
-        home.right.set_supporters(())
+        home.right.begin_change(chosen)
         change = Change(SUPPORTERS_RECORD, " ".join(chosen).encode())
         try:
             written = await home.partition.async_commit([change], COMMIT_TIMEOUT_MS)
         finally:
             home.writing = False
         if isinstance(written, Ok):
-            home.right.set_supporters(chosen)
+            home.right.end_change(written=True)
         elif isinstance(written.err_value, CommitRefused):
-            home.right.set_supporters(before)
+            home.right.end_change(written=False)
 
 
 def choose_supporters(index: int, members: Mapping[str, str], home_centre: str) -> tuple[str, ...]:
--- a/standins/measure/limit_fleet.py
+++ b/standins/measure/limit_fleet.py
@@ -56,6 +56,9 @@
         self, changes: Sequence[Change], timeout_ms: int
     ) -> Result[None, LedgerError]:
         """Write while the store is up and this owner the newest."""
+        if not self._store.up:
+            # It is tried again until the time is out.
+            await self._clock.async_sleep(timeout_ms)
         if not self._store.up or self._store.epochs[self.index] != self.epoch:
             return Err(CommitRefused("not written"))
         self.confirmed_at = self._clock.now()
@@ -129,7 +132,9 @@
         self.session_id = session_id
         clock = LoopClock()
         self.ledger = StoredLedger(session_id, store, clock)
-        core = make_core(session_id=session_id, clock=clock, data_centre=f"dc{number % 3}")
+        self.core = core = make_core(
+            session_id=session_id, clock=clock, data_centre=f"dc{number % 3}"
+        )
         core.offer(PEERS, network.join(session_id))
         core.offer(LEDGER, self.ledger)
         self.configuration = core.blackboard.open_section(CONFIGURATION, Configuration())
--- a/tests/components/limits/test_bound.py
+++ b/tests/components/limits/test_bound.py
@@ -11,6 +11,7 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.limits.borrowed import BorrowedBucket
+from goldcreststair.components.limits.const import SUPPORT_RIGHT_MS
 from goldcreststair.components.limits.home import HomeBucket, _Lot
 from goldcreststair.components.limits.homes import Home
 from goldcreststair.components.limits.models import HeldBucket, LotReport
@@ -26,7 +27,7 @@
 
     @initialize(seed=st.integers(0, 1000), burst=st.sampled_from([5, 40, 400]))
     def begin(self, seed: int, burst: int) -> None:
-        self.world = World(seed, burst=burst)
+        self.world = World(seed, burst=burst, doubt=0.3)
         self.world.claim(self.pick(0))
 
     def pick(self, index: int) -> Vm:
@@ -87,7 +88,7 @@
 def run_random(seed: int, steps: int = 250) -> float:
     """Run one seeded world that is hostile but lets things happen; returns the excess."""
     rng = random.Random(seed)
-    world = World(seed)
+    world = World(seed, doubt=0.3 if seed % 2 else 0.0)
     world.claim(next(iter(world.vms.values())))
     for _ in range(steps):
         vm = rng.choice(list(world.vms.values()))
@@ -266,3 +267,23 @@
     """The checker is worth something only if a known fault shows."""
     monkeypatch.setattr(owner, name, fault)
     assert find_worst(200) > 0
+
+
+def test_home_in_doubt_needs_both_sets_of_supporters() -> None:
+    """A home writes new supporters and does not hear whether the write took effect.
+
+    Its successor reads the old or the new set in the record and asks only those to renounce. With
+    the consent of the other set alone the home would spend on beside it.
+    """
+    right = HomeRight(recorded=True)
+    right.set_supporters(["a", "b", "c"])
+    right.begin_change(["c", "d", "e"])
+    for session_id in ("a", "b", "c"):
+        right.support(session_id, Millis(10_000))
+    assert right.find_end(Millis(0)) == SUPPORT_RIGHT_MS
+    right.support("d", Millis(9_000))
+    assert right.find_end(Millis(0)) == 9_000 + SUPPORT_RIGHT_MS
+    right.end_change(written=True)
+    right.support("a", Millis(20_000))
+    right.support("b", Millis(20_000))
+    assert right.find_end(Millis(0)) == 9_000 + SUPPORT_RIGHT_MS
--- a/tests/components/limits/test_fleet.py
+++ b/tests/components/limits/test_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import pytest
 from result import Err, Ok
@@ -10,6 +11,7 @@
 from goldcreststair.components.configuration.models import Customer
 from goldcreststair.components.limits.controller import LocalLimits
 from goldcreststair.components.limits.protocols import LIMITS
+from goldcreststair.components.membership.models import MEMBERS, MemberState
 from goldcreststair.wire.generated.limits import ttypes
 from standins.measure.excess import find_excess
 from standins.measure.limit_fleet import LimitFleet
@@ -182,3 +184,25 @@
         assert isinstance(core.get(LIMITS), LocalLimits)
 
     run_virtual(async_test())
+
+
+def test_outage_is_survived_while_a_supporter_leaves() -> None:
+    """The store goes down, and two seconds later another VM begins to leave.
+
+    Its home tried to write other supporters, and had none while that write was in doubt: every
+    customer of the fleet was refused for nine seconds, until the homes gave up writing.
+    """
+
+    async def async_test(callers: Callers) -> None:
+        fleet = callers.fleet
+        await fleet.clock.async_sleep(5000)
+        fleet.store.up = False
+        await fleet.clock.async_sleep(2000)
+        leaving = callers.others[-1]
+        for vm in fleet.vms.values():
+            members = vm.core.blackboard.read(MEMBERS)
+            gone = replace(members.by_session[leaving], state=MemberState.LEAVING)
+            vm.members.write(replace(members, by_session={**members.by_session, leaving: gone}))
+        assert await callers.async_stream(callers.others[0], 20, 16) >= 0.99
+
+    run_fleet(async_test)
--- a/tests/components/limits/worlds.py
+++ b/tests/components/limits/worlds.py
@@ -51,8 +51,15 @@
 class World:
     """One customer; every step may be called in any order."""
 
-    def __init__(self, seed: int, vms: int = 4, rate: float = 20, burst: int = 40) -> None:
+    def __init__(
+        self, seed: int, vms: int = 4, rate: float = 20, burst: int = 40, doubt: float = 0.0
+    ) -> None:
         rng = random.Random(seed)
+        self.doubts = random.Random(seed)
+        self.doubt = doubt
+        """Part of the writes of supporters whose outcome the home does not hear at once."""
+        self.in_doubt: bytes | None = None
+        """A set of supporters whose write's outcome the home does not know."""
         self.time = 0
         self.customer = Customer("acme", rate, burst)
         self.highest = self.customer
@@ -74,7 +81,7 @@
     def claim(self, vm: Vm) -> None:
         if not self.store_up:
             return
-        self.epoch, self.owner = self.epoch + 1, vm.name
+        self.epoch, self.owner, self.in_doubt = self.epoch + 1, vm.name, None
         partition = FakePartition(0)
         partition.epoch, partition.confirmed_at = self.epoch, self.now(vm)
         partition.records[SUPPORTERS_RECORD] = self.record
@@ -97,8 +104,20 @@
         self.confirm(vm)
         if vm.ledger.partition is not None:
             chosen = [name for name in self.vms if name != vm.name][:3]
-            self.record = " ".join(chosen).encode()
-            home.right.set_supporters(chosen)
+            encoded = " ".join(chosen).encode()
+            # What became of a write that was left in doubt is known before the next one begins.
+            if self.in_doubt is not None:
+                home.right.end_change(written=self.record == self.in_doubt)
+                self.in_doubt = None
+            home.right.begin_change(chosen)
+            in_doubt = self.doubts.random() < self.doubt
+            written = not in_doubt or self.doubts.random() < 0.5
+            if written:
+                self.record = encoded
+            if in_doubt:
+                self.in_doubt = encoded
+            else:
+                home.right.end_change(written=written)
 
     def change(self, rate: float, burst: int) -> None:
         self.customer = Customer("acme", rate, burst)
