--- a/goldcreststair/components/batch/jobs.py
+++ b/goldcreststair/components/batch/jobs.py
@@ -30,6 +30,7 @@
 )
 from goldcreststair.components.batch.submission import async_read_manifest
 from goldcreststair.core import Core
+from goldcreststair.journal import Subject
 from goldcreststair.wire.generated.batch.ttypes import (
     JobCancel,
     JobChanged,
@@ -105,6 +106,7 @@
             return Err(BatchError(message, BatchProblem.OUTCOME_UNKNOWN, job))
         if reply.status != ReplyStatus.OK:
             return Err(BatchError("the store cannot be reached", job=job))
+        self._core.journal.record(Subject.JOB, job, "cancel", "its customer asked for it")
         keys = list_chunk_keys(found.ok_value)
         owners = {self._directory.find_owner(key) for key in keys}
         for owner in owners - {None}:
--- a/goldcreststair/components/batch/submission.py
+++ b/goldcreststair/components/batch/submission.py
@@ -32,6 +32,7 @@
 )
 from goldcreststair.components.configuration.models import CONFIGURATION
 from goldcreststair.core import Core
+from goldcreststair.journal import Subject
 from goldcreststair.wire.generated.batch.ttypes import RecordGet, RecordPut, Reply, ReplyStatus
 
 
@@ -118,6 +119,11 @@
             return stored
         accepted = await self._async_commit_manifest(manifest)
         if isinstance(accepted, Ok):
+            reason = "its chunks and its manifest are kept"
+            items, chunks = manifest.items, manifest.chunks
+            self._core.journal.record(
+                Subject.JOB, self.job, "accept", reason, items=items, chunks=chunks
+            )
             await self._async_delete(self._unused)
         return accepted
 
--- a/goldcreststair/components/membership/watcher.py
+++ b/goldcreststair/components/membership/watcher.py
@@ -23,6 +23,7 @@
 from goldcreststair.components.membership.rows import decode_row, name_row
 from goldcreststair.components.membership.table import MemberTable, Record
 from goldcreststair.core import Core
+from goldcreststair.journal import Subject
 from goldcreststair.platform.errors import RowConflict
 from goldcreststair.platform.models import Row, RowWrite
 
@@ -119,6 +120,9 @@
         deleted = await self._core.platform.table.async_write([write])
         if isinstance(deleted, Ok):
             _LOGGER.info("Session %s has expired", session_id)
+            address = decode_row(row.value).member.address
+            reason = "its row did not move while this VM could read it"
+            self._core.journal.record(Subject.VM, address, "expire", reason, session=session_id)
             self._end(session_id)
         elif isinstance(deleted.err_value, RowConflict) and deleted.err_value.current is None:
             self._end(session_id)
--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -99,6 +99,15 @@
         """Run at one upstream until it ends or moves; None to be placed again."""
         request_id = run.request.request_id
         self._quarantine.begin(upstream.name, request_id, run.fingerprint)
+        self._journal.record(
+            Subject.REQUEST,
+            request_id,
+            "run",
+            "routing chose it",
+            upstream=upstream.name,
+            attempts=run.progress.attempts,
+            last_index=run.recorder.last_index,
+        )
         ok, left_running = False, True
         try:
             while True:
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -21,6 +21,7 @@
 from goldcreststair.components.online.stream import StreamRecorder
 from goldcreststair.components.routing.protocols import ROUTER
 from goldcreststair.core import ComponentKey, Core
+from goldcreststair.journal import Subject
 from goldcreststair.upstreams.models import GenerateEnd, StreamChunk
 from goldcreststair.upstreams.protocols import StreamSink
 
@@ -38,6 +39,7 @@
         """Use the components set up before."""
         self._clock = core.clock
         self._statistics = core.statistics
+        self._journal = core.journal
         self._limits = core.get(LIMITS)
         self._keys = core.get(KEYS)
         self._gate = AdmissionGate(core)
@@ -107,7 +109,7 @@
         began = self._clock.now()
         try:
             outcome = await task
-            self._record(outcome, self._clock.now() - began)
+            self._record(request_id, outcome, self._clock.now() - began)
             return outcome
         except asyncio.CancelledError:
             if request_id not in self._withdrawn_runs:
@@ -118,11 +120,17 @@
             unwatch()
             self._count(-1)
 
-    def _record(self, outcome: Result[T, Refusal], taken_ms: int) -> None:
+    def _record(self, request_id: str, outcome: Result[T, Refusal], taken_ms: int) -> None:
         if isinstance(outcome, Err):
-            self._statistics.count(f"online.refused.{outcome.err_value.code}")
+            error = outcome.err_value
+            self._statistics.count(f"online.refused.{error.code}")
+            choice, reason, not_run = "refused", f"{error.code}: {error.message}", error.not_run
         else:
             self._statistics.record_ms("online.answered_ms", taken_ms)
+            choice, reason, not_run = "answered", "the answer is whole", False
+        self._journal.record(
+            Subject.REQUEST, request_id, choice, reason, taken_ms=taken_ms, not_run=not_run
+        )
 
     def _count(self, change: int) -> None:
         self._in_flight += change
--- a/goldcreststair/components/shutdown/service.py
+++ b/goldcreststair/components/shutdown/service.py
@@ -55,7 +55,7 @@
         if self._core.blackboard.read(SHUTDOWN).leaving:
             return
         _LOGGER.info("Leaving: %s", reason)
-        self._core.journal.record(Subject.VM, self._core.session_id, "leave", reason)
+        self._core.journal.record(Subject.VM, self._core.settings.address, "leave", reason)
         self._writer.write(Shutdown(reason))
         membership = self._core.find(MEMBERSHIP)
         if membership is not None:
--- a/tests/components/shutdown/test_service.py
+++ b/tests/components/shutdown/test_service.py
@@ -15,6 +15,7 @@
 from goldcreststair.components.shutdown.models import SHUTDOWN, SHUTDOWN_SERVICE, LeaveReason
 from goldcreststair.components.shutdown.readiness import is_ready
 from goldcreststair.components.steering.const import ADDRESS_LIFETIME_S
+from goldcreststair.journal import Subject
 from goldcreststair.platform.models import ListedState, ListedVm
 from standins.daemons import CONTROL, FakeDaemon, FakeDaemons
 from tests.helpers.cores import make_document
@@ -203,3 +204,14 @@
         assert isinstance(await core.get(LIMITS).async_admit(customer), Ok)
 
     run_fleet(async_test)
+
+
+def test_journal_names_a_leaving_vm_by_its_address() -> None:
+    async def async_test(fleet: FakeDaemons) -> None:
+        daemons = await async_add_many(fleet, 2)
+        await async_patch(daemons[1], [daemons[0].address])
+        await fleet.async_wait(lambda: is_leaving(daemons[0]), 15_000)
+        events = daemons[0].core.journal.find(Subject.VM, daemons[0].address)
+        assert [event.choice for event in events] == ["leave"]
+
+    run_fleet(async_test)
