--- a/goldcreststair/components/routing/controller.py
+++ b/goldcreststair/components/routing/controller.py
@@ -111,10 +111,6 @@
         """Return this VM's requests in flight by upstream."""
         return self.loads.read_all_in_flight()
 
-    def read_waiting(self, upstream: str) -> int:
-        """Return the requests queued at an upstream as last reported, discounted by age."""
-        return self.loads.read_waiting(upstream)
-
     def set_leaving_addresses(self, addresses: frozenset[str]) -> None:
         """Take the addresses that the platform says are leaving."""
         now = self._clock.now()
--- a/goldcreststair/components/routing/protocols.py
+++ b/goldcreststair/components/routing/protocols.py
@@ -68,8 +68,5 @@
     def count_in_flight(self) -> Mapping[str, int]:
         """Return this VM's requests in flight by upstream."""
 
-    def read_waiting(self, upstream: str) -> int:
-        """Return the requests queued at an upstream as last reported, discounted by age."""
-
 
 ROUTER: Final = ComponentKey[Router]("routing")
