--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -37,7 +37,7 @@
 from goldcreststair.core import Component, Core
 from goldcreststair.http_server import DaemonServer
 from goldcreststair.journal import Journal
-from goldcreststair.platform.http import create_platform
+from goldcreststair.store.http import create_platform
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import create_statistics
 from goldcreststair.transport import TcpTransport
--- a/goldcreststair/components/batch/objects.py
+++ b/goldcreststair/components/batch/objects.py
@@ -5,7 +5,7 @@
 from goldcreststair.components.batch.const import ATTEMPTS, RETRY_DELAY_MS
 from goldcreststair.components.batch.errors import BatchError, BatchProblem
 from goldcreststair.core import Core
-from goldcreststair.platform.errors import ObjectMissing, PlatformUnavailable
+from goldcreststair.store.errors import ObjectMissing, PlatformUnavailable
 
 
 async def async_put_object(core: Core, name: str, content: bytes) -> Result[None, BatchError]:
--- a/goldcreststair/components/configuration/store.py
+++ b/goldcreststair/components/configuration/store.py
@@ -22,9 +22,9 @@
     VersionStale,
 )
 from goldcreststair.components.configuration.models import Configuration
-from goldcreststair.platform.errors import PlatformError, PlatformOutcomeUnknown, RowConflict
-from goldcreststair.platform.models import Row, RowWrite
-from goldcreststair.platform.protocols import TableService
+from goldcreststair.store.errors import PlatformError, PlatformOutcomeUnknown, RowConflict
+from goldcreststair.store.models import Row, RowWrite
+from goldcreststair.store.protocols import TableService
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/ledger/codec.py
+++ b/goldcreststair/components/ledger/codec.py
@@ -8,7 +8,7 @@
 from goldcreststair.components.ledger.const import PIECE_RECORDS
 from goldcreststair.components.ledger.models import Head, StoredHead
 from goldcreststair.components.ledger.protocols import Change
-from goldcreststair.platform.models import Row
+from goldcreststair.store.models import Row
 from goldcreststair.wire.codec import encode_struct, read_struct, read_structs
 from goldcreststair.wire.generated.ledger.ttypes import ChangeList, HeadRow, RecordChange
 
--- a/goldcreststair/components/ledger/heads.py
+++ b/goldcreststair/components/ledger/heads.py
@@ -11,9 +11,9 @@
 from goldcreststair.components.ledger.const import ROW_PREFIX
 from goldcreststair.components.ledger.models import Head, StoredHead
 from goldcreststair.components.ledger.pacing import Backoff
-from goldcreststair.platform.errors import PlatformError, PlatformOutcomeUnknown, RowConflict
-from goldcreststair.platform.models import RowWrite
-from goldcreststair.platform.protocols import TableService
+from goldcreststair.store.errors import PlatformError, PlatformOutcomeUnknown, RowConflict
+from goldcreststair.store.models import RowWrite
+from goldcreststair.store.protocols import TableService
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/ledger/loader.py
+++ b/goldcreststair/components/ledger/loader.py
@@ -11,8 +11,8 @@
 from goldcreststair.components.ledger.plan import Sizes, weigh
 from goldcreststair.components.ledger.protocols import Change
 from goldcreststair.components.ledger.records import replay
-from goldcreststair.platform.errors import ObjectMissing, PlatformError
-from goldcreststair.platform.protocols import ObjectStore
+from goldcreststair.store.errors import ObjectMissing, PlatformError
+from goldcreststair.store.protocols import ObjectStore
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/ledger/notices.py
+++ b/goldcreststair/components/ledger/notices.py
@@ -8,7 +8,7 @@
 from goldcreststair.components.ledger.models import StoredHead
 from goldcreststair.components.peers.protocols import PEERS, PeerMessage
 from goldcreststair.core import Core
-from goldcreststair.platform.models import Row
+from goldcreststair.store.models import Row
 from goldcreststair.wire.generated.ledger.ttypes import Released
 
 NUMBER_RELEASED: Final = 44
--- a/goldcreststair/components/listing/models.py
+++ b/goldcreststair/components/listing/models.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from goldcreststair.blackboard import SectionKey
-from goldcreststair.platform.models import ListedState
+from goldcreststair.store.models import ListedState
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/listing/service.py
+++ b/goldcreststair/components/listing/service.py
@@ -21,7 +21,7 @@
 from goldcreststair.components.membership.protocols import SHARED_SETS
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
-from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.store.models import ListedState, ListedVm
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/goldcreststair/components/membership/probe.py
+++ b/goldcreststair/components/membership/probe.py
@@ -20,7 +20,7 @@
 from goldcreststair.components.membership.table import MemberTable
 from goldcreststair.components.peers.protocols import PEER_REACH, Endpoint, PeerMessage
 from goldcreststair.core import Core
-from goldcreststair.platform.models import Row
+from goldcreststair.store.models import Row
 from goldcreststair.wire.generated.membership.ttypes import ProbeAnswer, ProbeAsk
 
 NUMBER_PROBE_ASK: Final = 4
--- a/goldcreststair/components/membership/session.py
+++ b/goldcreststair/components/membership/session.py
@@ -27,8 +27,8 @@
 from goldcreststair.components.membership.table import Record
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
-from goldcreststair.platform.errors import PlatformError, RowConflict
-from goldcreststair.platform.models import Row, RowWrite
+from goldcreststair.store.errors import PlatformError, RowConflict
+from goldcreststair.store.models import Row, RowWrite
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/goldcreststair/components/membership/watcher.py
+++ b/goldcreststair/components/membership/watcher.py
@@ -24,8 +24,8 @@
 from goldcreststair.components.membership.table import MemberTable, Record
 from goldcreststair.core import Core
 from goldcreststair.journal import Subject
-from goldcreststair.platform.errors import RowConflict
-from goldcreststair.platform.models import Row, RowWrite
+from goldcreststair.store.errors import RowConflict
+from goldcreststair.store.models import Row, RowWrite
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/goldcreststair/components/orders/steward.py
+++ b/goldcreststair/components/orders/steward.py
@@ -25,7 +25,7 @@
 )
 from goldcreststair.core import Core
 from goldcreststair.journal import Subject
-from goldcreststair.platform.errors import ObjectMissing
+from goldcreststair.store.errors import ObjectMissing
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.models import LoadReport, Order, Upstream
 
--- a/goldcreststair/components/shutdown/controller.py
+++ b/goldcreststair/components/shutdown/controller.py
@@ -2,7 +2,7 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.shutdown.const import LIST_LAG_MS
-from goldcreststair.platform.models import ListedState
+from goldcreststair.store.models import ListedState
 
 
 class ListedLeaving:
--- a/goldcreststair/core.py
+++ b/goldcreststair/core.py
@@ -11,7 +11,7 @@
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.clock import Clock
 from goldcreststair.journal import Journal
-from goldcreststair.platform.protocols import Platform
+from goldcreststair.store.protocols import Platform
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import Statistics
 from goldcreststair.transport import PeerTransport
--- a/goldcreststair/platform/errors.py
+++ b/goldcreststair/store/errors.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from goldcreststair.errors import GoldcreststairError
-from goldcreststair.platform.models import Row
+from goldcreststair.store.models import Row
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/platform/http.py
+++ b/goldcreststair/store/http.py
@@ -9,15 +9,15 @@
 from result import Err, Ok, Result
 
 from goldcreststair.http_exchange import Answer, Exchange, ExchangeFailure, async_exchange
-from goldcreststair.platform.errors import (
+from goldcreststair.store.errors import (
     ObjectMissing,
     PlatformError,
     PlatformOutcomeUnknown,
     PlatformUnavailable,
     RowConflict,
 )
-from goldcreststair.platform.models import ListedState, ListedVm, Row, RowWrite
-from goldcreststair.platform.protocols import Platform
+from goldcreststair.store.models import ListedState, ListedVm, Row, RowWrite
+from goldcreststair.store.protocols import Platform
 
 DEFAULT_TIMEOUT_MS: Final = 3000
 STATUS_OK: Final = 200
--- a/goldcreststair/platform/protocols.py
+++ b/goldcreststair/store/protocols.py
@@ -6,8 +6,8 @@
 
 from result import Result
 
-from goldcreststair.platform.errors import ObjectMissing, PlatformError, RowConflict
-from goldcreststair.platform.models import ListedVm, Row, RowWrite
+from goldcreststair.store.errors import ObjectMissing, PlatformError, RowConflict
+from goldcreststair.store.models import ListedVm, Row, RowWrite
 
 
 class TableService(Protocol):
--- a/standins/daemons.py
+++ b/standins/daemons.py
@@ -12,7 +12,7 @@
 from goldcreststair.components.membership.models import MEMBERS, Members
 from goldcreststair.core import Component, Core
 from goldcreststair.journal import Journal
-from goldcreststair.platform.protocols import Platform
+from goldcreststair.store.protocols import Platform
 from goldcreststair.settings import DEFAULT_PARTITIONS, Settings
 from goldcreststair.statistics import NullStatistics
 from standins.engine.client import FakeUpstreams
--- a/standins/gate.py
+++ b/standins/gate.py
@@ -10,7 +10,7 @@
 from result import Ok, Result
 
 from goldcreststair.clock import Clock, Millis, TimerHandle
-from goldcreststair.platform.protocols import Platform
+from goldcreststair.store.protocols import Platform
 from goldcreststair.transport import OnAccept, PeerChannel, PeerTransport, TransportError
 from goldcreststair.upstreams.protocols import UpstreamClients
 
--- a/standins/measure/handover.py
+++ b/standins/measure/handover.py
@@ -23,7 +23,7 @@
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.membership.models import MemberState
 from goldcreststair.components.membership.protocols import MEMBERSHIP
-from goldcreststair.platform.protocols import Platform
+from goldcreststair.store.protocols import Platform
 from standins.daemons import CONTROL, FakeDaemon, FakeDaemons
 from standins.measure.control import async_patch
 from standins.measure.excess import find_excess
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -11,13 +11,13 @@
 from tornado.web import Application, RequestHandler
 
 from goldcreststair.clock import LoopClock
-from goldcreststair.platform.errors import (
+from goldcreststair.store.errors import (
     ObjectMissing,
     PlatformError,
     PlatformOutcomeUnknown,
     RowConflict,
 )
-from goldcreststair.platform.models import ListedState, ListedVm, Row, RowWrite
+from goldcreststair.store.models import ListedState, ListedVm, Row, RowWrite
 from standins.platform.store import FakePlatform, PlatformFaults
 from standins.serving import run_standin
 
--- a/standins/platform/store.py
+++ b/standins/platform/store.py
@@ -9,15 +9,15 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Clock
-from goldcreststair.platform.errors import (
+from goldcreststair.store.errors import (
     ObjectMissing,
     PlatformError,
     PlatformOutcomeUnknown,
     PlatformUnavailable,
     RowConflict,
 )
-from goldcreststair.platform.models import ListedVm, Row, RowWrite
-from goldcreststair.platform.protocols import Platform
+from goldcreststair.store.models import ListedVm, Row, RowWrite
+from goldcreststair.store.protocols import Platform
 
 
 @dataclass(slots=True)
--- a/tests/components/configuration/test_spread.py
+++ b/tests/components/configuration/test_spread.py
@@ -17,7 +17,7 @@
 )
 from goldcreststair.components.configuration.models import CONFIGURATION
 from goldcreststair.components.configuration.store import ConfigurationStore
-from goldcreststair.platform.models import ListedState, ListedVm, Row
+from goldcreststair.store.models import ListedState, ListedVm, Row
 from standins.daemons import FakeDaemon, FakeDaemons
 from standins.platform.store import FakePlatform
 from tests.helpers.cores import make_document
--- a/tests/components/keys/test_withdrawal.py
+++ b/tests/components/keys/test_withdrawal.py
@@ -12,7 +12,7 @@
 from goldcreststair.components.keys.controller import hash_key
 from goldcreststair.components.keys.protocols import KEYS
 from goldcreststair.components.keys.withdrawal import WITHDRAWALS
-from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.store.models import ListedState, ListedVm
 from standins.daemons import FakeDaemon, FakeDaemons
 from standins.platform.store import FakePlatform
 from tests.helpers.cores import make_document
--- a/tests/components/ledger/test_histories.py
+++ b/tests/components/ledger/test_histories.py
@@ -16,7 +16,7 @@
 from goldcreststair.components.ledger.protocols import Change, CommitRefused, Partition
 from goldcreststair.components.ledger.stage import OK_RESULT, CommitResult, Stage
 from goldcreststair.components.membership.models import MemberState
-from goldcreststair.platform.models import Row, RowWrite
+from goldcreststair.store.models import Row, RowWrite
 from standins.platform.store import FakePlatform
 from tests.helpers.virtual_time import VirtualTimeLoop
 from tests.helpers.vms import Fleet, VmTable
--- a/tests/components/listing/test_service.py
+++ b/tests/components/listing/test_service.py
@@ -13,7 +13,7 @@
 from goldcreststair.components.listing.models import LEAVING_ADDRESSES
 from goldcreststair.components.membership.protocols import SHARED_SETS
 from goldcreststair.components.shutdown.models import SHUTDOWN
-from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.store.models import ListedState, ListedVm
 from standins.daemons import CONTROL, FakeDaemons
 from tests.helpers.daemons import run_fleet
 
--- a/tests/components/membership/test_service.py
+++ b/tests/components/membership/test_service.py
@@ -9,7 +9,7 @@
 from goldcreststair.components.membership.models import MEMBERS, Members, MemberState
 from goldcreststair.components.membership.protocols import MEMBERSHIP, SHARED_SETS
 from goldcreststair.components.membership.rows import name_row
-from goldcreststair.platform.models import ListedState, ListedVm, RowWrite
+from goldcreststair.store.models import ListedState, ListedVm, RowWrite
 from standins.daemons import FakeDaemons
 from standins.platform.store import FakePlatform
 from tests.helpers.daemons import run_fleet, share_platform
--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -14,7 +14,7 @@
 from goldcreststair.components.routing import loads
 from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
 from goldcreststair.online_pressure import ONLINE_PRESSURE, OnlinePressure
-from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.store.models import ListedState, ListedVm
 from goldcreststair.upstreams.models import GenerateEnd
 from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
 from tests.helpers.shared_sets import FakeSharedSets
--- a/tests/components/online/test_moves.py
+++ b/tests/components/online/test_moves.py
@@ -8,7 +8,7 @@
 from goldcreststair.components.online.const import MOVE_TICK_MS
 from goldcreststair.components.routing.const import DEPARTURE_GRACE_MS
 from goldcreststair.journal import Subject
-from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.store.models import ListedState, ListedVm
 from goldcreststair.upstreams.models import GenerateCall
 from standins.engine.model import EngineModel, make_text
 from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
--- a/tests/components/shutdown/test_service.py
+++ b/tests/components/shutdown/test_service.py
@@ -16,7 +16,7 @@
 from goldcreststair.components.shutdown.readiness import is_ready
 from goldcreststair.components.steering.const import ADDRESS_LIFETIME_S
 from goldcreststair.journal import Subject
-from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.store.models import ListedState, ListedVm
 from standins.daemons import CONTROL, FakeDaemon, FakeDaemons
 from tests.helpers.cores import make_document
 from tests.helpers.daemons import run_fleet
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -20,7 +20,7 @@
 from goldcreststair.components.online.errors import RefusalCode
 from goldcreststair.components.online.models import GenerateRequest, ServiceRequest
 from goldcreststair.components.online.service import ONLINE
-from goldcreststair.platform.models import ListedState, ListedVm
+from goldcreststair.store.models import ListedState, ListedVm
 from goldcreststair.upstreams.errors import UpstreamError
 from goldcreststair.upstreams.models import (
     GenerateCall,
--- a/tests/faults/injection.py
+++ b/tests/faults/injection.py
@@ -7,7 +7,7 @@
 
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
 from goldcreststair.components.shutdown.models import SHUTDOWN_SERVICE, LeaveReason
-from goldcreststair.platform.models import ListedState
+from goldcreststair.store.models import ListedState
 from standins.daemons import FakeDaemon
 from standins.gate import Effect
 from tests.faults.fleet import POISON, Fleet
--- a/tests/helpers/vms.py
+++ b/tests/helpers/vms.py
@@ -13,9 +13,9 @@
 from goldcreststair.components.ledger.protocols import LEDGER, Change, LedgerError, Partition
 from goldcreststair.components.membership.models import MEMBERS, Member, Members, MemberState
 from goldcreststair.components.peers.protocols import PEERS
-from goldcreststair.platform.errors import PlatformError, PlatformUnavailable
-from goldcreststair.platform.models import Row
-from goldcreststair.platform.protocols import Platform
+from goldcreststair.store.errors import PlatformError, PlatformUnavailable
+from goldcreststair.store.models import Row
+from goldcreststair.store.protocols import Platform
 from standins.platform.store import FakePlatform
 from tests.helpers.cores import make_core
 from tests.helpers.peers import FakePeerNetwork
