--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -37,9 +37,9 @@
 from goldcreststair.core import Component, Core
 from goldcreststair.http_server import DaemonServer
 from goldcreststair.journal import Journal
-from goldcreststair.store.http import create_platform
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import create_statistics
+from goldcreststair.store.http import create_platform
 from goldcreststair.transport import TcpTransport
 from goldcreststair.upstreams.http import create_upstream_clients
 
--- a/goldcreststair/clock.py
+++ b/goldcreststair/clock.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import NewType, Protocol
 
-from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.const import MS_PER_SECOND, NS_PER_MS
 
 Millis = NewType("Millis", int)
 """A point on a `Clock`, in milliseconds since an arbitrary start."""
@@ -57,3 +57,20 @@
     async def async_sleep(self, delay_ms: int) -> None:
         """Wait `delay_ms` of the loop's time."""
         await asyncio.sleep(delay_ms / MS_PER_SECOND)
+
+
+class BootClock(LoopClock):
+    """Time since the machine's boot, which goes on while a VM is suspended.
+
+    The loop's own time stands still in a suspension: a lease or a belief that ran out meanwhile would
+    seem young when the VM wakes. Waits still use the loop, so they end late after a suspension and
+    what follows them compares ages again.
+    """
+
+    def now(self) -> Millis:
+        """Return the time since boot."""
+        return Millis(time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS)
+
+    def read_utc_s(self) -> int:
+        """Return the seconds since 1970 by the machine's clock."""
+        return int(time.time())
--- /dev/null
+++ b/goldcreststair/components/catalogue/service.py
@@ -0,0 +1,161 @@
+"""Follows the catalogue's row, and peers where the store does not answer."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from typing import Any
+
+from result import Err
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.catalogue.controller import CatalogueController
+from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
+from goldcreststair.components.fleet.const import (
+    FETCH_RETRY_MS,
+    FETCH_TIMEOUT_MS,
+    STORE_FIRST_MS,
+)
+from goldcreststair.components.fleet.models import FLEET, FleetVm
+from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.store.feed import TableFeed
+from goldcreststair.store.rows import RowRange, StoredRow
+from goldcreststair.transport import PeerChannel
+from goldcreststair.wire.codec import decode_struct, encode_struct
+from goldcreststair.wire.generated.gateway.ttypes import Beacon, CatalogueAsk, CatalogueDocument
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class CatalogueService:
+    """Implements `CatalogueFollower`."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Start with no version in force."""
+        self._core = core
+        reader = core.adapter.catalogue_reader
+        section = core.blackboard.open_section(CATALOGUE, Catalogue())
+        self._row = reader.row
+        self._controller = CatalogueController(reader, section)
+        self._feed = TableFeed(core.adapter.store, core.clock, reader.row.table, self, whole=True)
+        self._links = core.get(FLEET_LINKS)
+        self._links.contribute(self._contribute)
+        self._links.watch(self._on_beacon, lambda _: None)
+        self._fetching: asyncio.Task[None] | None = None
+        self._fetched_at = Millis(-FETCH_RETRY_MS)
+        self._serving: set[asyncio.Task[None]] = set()
+
+    async def async_start(self) -> None:
+        """Follow, and serve peers."""
+        settings = self._core.settings
+        await self._core.transport.async_listen(
+            settings.address, settings.peer_port, self._on_accept
+        )
+        await self._feed.async_start()
+
+    async def async_close(self) -> None:
+        """Stop."""
+        await self._feed.async_close()
+        await self._core.transport.async_close()
+        tasks = [*self._serving, *([self._fetching] if self._fetching else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def read_document(self) -> tuple[int, bytes]:
+        """Return the version in force and its document."""
+        return self._controller.read_document()
+
+    def take_document(self, document: bytes, source: str) -> bool:
+        """Put a document in force if it is newer; returns whether it was."""
+        taken = self._controller.take_document(document, source)
+        if taken:
+            self._links.announce()
+        return taken
+
+    def take_all(self, rows: Sequence[StoredRow]) -> None:
+        """Take the newest version from the store's table."""
+        self.take_changes(rows)
+
+    def take_changes(self, rows: Sequence[StoredRow]) -> None:
+        """Take versions as the store brings them."""
+        for row in rows:
+            if row.key == self._row and not row.deleted:
+                self.take_document(row.value, "store")
+
+    def note_contact(self, *, reached: bool) -> None:
+        """Note whether the store answered."""
+        if reached:
+            self._links.note_store()
+
+    def _contribute(self, beacon: Beacon) -> None:
+        beacon.catalogue_version = self._controller.read_document()[0]
+
+    def _on_beacon(self, session: str, beacon: Beacon) -> None:
+        version = self._controller.read_document()[0]
+        now = self._core.clock.now()
+        idle = self._fetching is None or self._fetching.done()
+        if beacon.catalogue_version > version and idle and now >= self._fetched_at + FETCH_RETRY_MS:
+            self._fetched_at = now
+            self._fetching = asyncio.create_task(self._async_fetch(session, version))
+
+    async def _async_fetch(self, session: str, version: int) -> None:
+        """Get a newer version from the store if it answers, else from the peer that has it."""
+        await self._core.clock.async_sleep(STORE_FIRST_MS)
+        if self._controller.read_document()[0] > version:
+            return
+        # A feed that went silent looks the same as a store that turns this VM away: one read on
+        # a new connection tells them apart, and brings the version where the store answers.
+        read = await self._core.adapter.store.async_read(RowRange(self._row.table))
+        if not isinstance(read, Err):
+            self.take_all(read.ok_value.rows)
+        vm = self._core.blackboard.read(FLEET).vms.get(session)
+        if self._controller.read_document()[0] > version or vm is None:
+            return
+        document = await self._async_ask(vm, version)
+        if document:
+            self.take_document(document, f"vm {vm.address}")
+
+    async def _async_ask(self, vm: FleetVm, version: int) -> bytes:
+        opened = await self._core.transport.async_connect(
+            vm.address, vm.peer_port, FETCH_TIMEOUT_MS
+        )
+        if isinstance(opened, Err):
+            _LOGGER.warning("No catalogue from a peer: %s", opened.err_value.message)
+            return b""
+        channel = opened.ok_value
+        try:
+            channel.send(encode_struct(CatalogueAsk(version)))
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / MS_PER_SECOND):
+                frame = await channel.async_receive()
+        except TimeoutError:
+            _LOGGER.warning("No catalogue from a peer: %s is silent", vm.address)
+            return b""
+        finally:
+            channel.close()
+        answer = decode_struct(CatalogueDocument, frame or b"")
+        return b"" if isinstance(answer, Err) else answer.ok_value.document
+
+    def _on_accept(self, channel: PeerChannel) -> None:
+        task = asyncio.create_task(self._async_serve(channel))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    async def _async_serve(self, channel: PeerChannel) -> None:
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / MS_PER_SECOND):
+                frame = await channel.async_receive()
+            asked: Any = decode_struct(CatalogueAsk, frame or b"")
+            if isinstance(asked, Err):
+                return
+            version, document = self._controller.read_document()
+            newer = document if version > asked.ok_value.version else b""
+            channel.send(encode_struct(CatalogueDocument(version, newer)))
+            # The asker closes once it has the answer; closing here would cut it.
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / MS_PER_SECOND):
+                await channel.async_receive()
+        except TimeoutError:
+            _LOGGER.info("A peer asked for the catalogue and fell silent")
+        finally:
+            channel.close()
--- /dev/null
+++ b/goldcreststair/components/discovery/service.py
@@ -0,0 +1,109 @@
+"""Follows the list of upstreams in the store."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from typing import Final
+
+from result import Err
+
+from goldcreststair.components.discovery.controller import DiscoveryController
+from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
+from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.store.feed import TableFeed
+from goldcreststair.store.rows import StoredRow
+
+_LOGGER = logging.getLogger(__name__)
+
+TICK_MS: Final = 250
+
+
+class DiscoveryService:
+    """Writes the section of live upstreams."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Know no upstream."""
+        self._core = core
+        self._reader = core.adapter.upstream_reader
+        self._controller = DiscoveryController(core.clock)
+        self._section = core.blackboard.open_section(LIVE_UPSTREAMS, LiveUpstreams())
+        self._links = core.get(FLEET_LINKS)
+        self._feed = TableFeed(core.adapter.store, core.clock, self._reader.table, self, whole=True)
+        self._ticking: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Follow."""
+        await self._feed.async_start()
+        self._ticking = asyncio.create_task(self._async_tick())
+
+    async def async_close(self) -> None:
+        """Stop."""
+        await self._feed.async_close()
+        if self._ticking is not None:
+            self._ticking.cancel()
+            await asyncio.gather(self._ticking, return_exceptions=True)
+            self._ticking = None
+
+    def take_all(self, rows: Sequence[StoredRow]) -> None:
+        """Take every entry."""
+        entries = (self._decode(row) for row in rows)
+        self._controller.take_all(entry for entry in entries if entry is not None)
+        self._publish()
+
+    def take_changes(self, rows: Sequence[StoredRow]) -> None:
+        """Take entries that changed."""
+        for row in rows:
+            entry = None if row.deleted else self._decode(row)
+            if entry is not None:
+                self._controller.put(entry)
+            else:
+                self._controller.remove(row.key.key)
+        self._publish()
+
+    def note_contact(self, *, reached: bool) -> None:
+        """Note whether the store answered."""
+        self._controller.note_contact(reached=reached)
+        if reached:
+            self._links.note_store()
+
+    def _decode(self, row: StoredRow) -> UpstreamEntry | None:
+        decoded = self._reader.decode(row.key.key, row.value)
+        if isinstance(decoded, Err):
+            error = decoded.err_value
+            extra = {"upstream": row.key.key, "field": error.field, "row_version": row.version}
+            _LOGGER.warning("Entry names no upstream to use: %s", error.message, extra=extra)
+            return None
+        return decoded.ok_value
+
+    async def _async_tick(self) -> None:
+        while True:
+            await self._core.clock.async_sleep(TICK_MS)
+            self._controller.expire()
+            self._publish()
+
+    def _publish(self) -> None:
+        before = self._core.blackboard.read(LIVE_UPSTREAMS)
+        after = self._controller.read()
+        if after == before:
+            return
+        for name in after.by_name.keys() | before.by_name.keys():
+            _log_change(before, after, name)
+        self._section.write(after)
+
+
+def _log_change(before: LiveUpstreams, after: LiveUpstreams, name: str) -> None:
+    old, new = before.by_name.get(name), after.by_name.get(name)
+    if old == new and (name in before.lapsed) == (name in after.lapsed):
+        return
+    if new is None:
+        _LOGGER.info("Upstream gone", extra={"upstream": name})
+        return
+    extra = {
+        "upstream": name,
+        "service": new.service,
+        "address": new.address,
+        "draining": new.draining,
+        "lapsed": name in after.lapsed,
+    }
+    _LOGGER.info("Upstream changed", extra=extra)
--- /dev/null
+++ b/goldcreststair/components/entry/addresses.py
@@ -0,0 +1,36 @@
+"""Which addresses a caller gets; no I/O.
+
+Load it answers: callers keep an answer for seconds and choose among its addresses at random. A dead
+address costs a caller its first attempt, and a full second of it.
+"""
+
+import random
+from collections.abc import Sequence
+from typing import Final
+
+from goldcreststair.components.fleet.models import FleetVm
+
+MAX_ADDRESSES: Final = 64
+"""More are not read by callers."""
+MIN_NEAR: Final = 2
+"""With so many VMs in its own data centre a caller gets only those: the way is shorter, and bytes
+between data centres are paid for. A single one would have no other to turn to."""
+
+
+def choose_addresses(
+    ready: Sequence[FleetVm], data_centre: str, region: str, chance: random.Random
+) -> list[str]:
+    """Return the addresses for a caller, nearest first."""
+    near = [vm for vm in ready if vm.data_centre == data_centre]
+    if len(near) >= MIN_NEAR:
+        return _take(near, chance)
+    same_region = [vm for vm in ready if vm.region == region]
+    if len(same_region) >= MIN_NEAR:
+        return _take(same_region, chance)
+    return _take(ready, chance)
+
+
+def _take(vms: Sequence[FleetVm], chance: random.Random) -> list[str]:
+    if len(vms) > MAX_ADDRESSES:
+        vms = chance.sample(list(vms), MAX_ADDRESSES)
+    return sorted(vm.front_address for vm in vms)
--- /dev/null
+++ b/goldcreststair/components/fleet/const.py
@@ -0,0 +1,40 @@
+"""Times of the fleet. Beacons are cheap and show life; the store settles who is gone."""
+
+from typing import Final
+
+BEACON_INTERVAL_MS: Final = 250
+"""A daemon is heard at least so often; four lost datagrams in a row pass unnoticed."""
+BEACON_MIN_GAP_MS: Final = 20
+"""Changes within this time share a beacon: at 80 requests a second over 11 VMs two arrive in it."""
+BEACON_FAN_OUT: Final = 16
+"""Daemons that one daemon sends its beacons to."""
+HEARD_MS: Final = 1_200
+"""A daemon not heard for so long gets no callers: their first attempt would hang for a second."""
+RUNS_MS: Final = 1_500
+"""What a daemon said of its runs counts for so long; its streams end soon after it does."""
+
+HEARTBEAT_MS: Final = 2_000
+"""How often a daemon's heartbeat row is written: at 820 daemons 410 writes a second."""
+HEARTBEAT_READ_MS: Final = 1_500
+"""How often heartbeats are read while a daemon is not heard."""
+ISOLATED_MS: Final = 5_000
+"""A daemon that hears neither store nor peers for so long takes no requests: its keys may be
+withdrawn by now, and the others will soon count its share of quotas as theirs."""
+EXPIRE_MS: Final = 7_000
+"""A daemon whose heartbeat stands still and which is not heard for so long is gone. Longer than
+`ISOLATED_MS`, so that it has stopped by the time its share is used by others."""
+STAND_STILL_MS: Final = 600
+"""A tick so late means that the process stood still: far above the pauses of a busy VM."""
+TICK_MS: Final = 100
+
+LEAVE_TIMEOUT_MS: Final = 400
+"""A leaving daemon waits no longer for the store: its grace ends with a kill."""
+
+TABLE_SESSIONS: Final = "vms"
+TABLE_HEARTBEATS: Final = "vm_heartbeats"
+FETCH_TIMEOUT_MS: Final = 1_000
+"""For one catalogue from a peer."""
+FETCH_RETRY_MS: Final = 500
+"""Pause between two tries to get the same catalogue from peers."""
+STORE_FIRST_MS: Final = 300
+"""The store has so long to bring a version that a peer already has, before the peer is asked."""
--- /dev/null
+++ b/goldcreststair/components/fleet/controller.py
@@ -0,0 +1,138 @@
+"""Decides who is heard, who is gone, and whether this daemon is cut off; no I/O."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.fleet.const import EXPIRE_MS, HEARD_MS, ISOLATED_MS
+from goldcreststair.components.fleet.models import Fleet, FleetVm, VmState
+
+
+@dataclass(slots=True)
+class _Peer:
+    vm: FleetVm
+    known_at: Millis
+    state: VmState = VmState.STARTING
+    heard_at: Millis | None = None
+    heartbeat: bytes = b""
+    moved_at: Millis | None = None
+    """When its heartbeat row was last seen to change."""
+    reads: int = 0
+    """Reads since then that showed the same heartbeat."""
+
+    def last_sign_at(self) -> Millis:
+        """Return when the daemon last showed that it lives."""
+        return max(self.known_at, self.heard_at or 0, self.moved_at or 0)  # type: ignore[return-value]
+
+
+class FleetController:
+    """Keeps the list of daemons from the store's rows, beacons and heartbeats."""
+
+    def __init__(self, clock: Clock, own: FleetVm) -> None:
+        """Know only this daemon."""
+        self._clock = clock
+        self._own = own
+        self._own_state = VmState.STARTING
+        self._peers: dict[str, _Peer] = {}
+        self._known = False
+        self._store_at = clock.now()
+        self._peer_at = clock.now()
+
+    def set_own_state(self, state: VmState) -> None:
+        """Take this daemon's own state."""
+        self._own_state = state
+
+    def note_store(self) -> None:
+        """Note an answer of the store."""
+        self._store_at = self._clock.now()
+
+    def take_rows(self, vms: Iterable[FleetVm]) -> None:
+        """Take all sessions that stand in the store."""
+        listed = {vm.session: vm for vm in vms if vm.session != self._own.session}
+        for session in [session for session in self._peers if session not in listed]:
+            del self._peers[session]
+        for vm in listed.values():
+            self.add(vm)
+        self._known = True
+
+    def add(self, vm: FleetVm) -> None:
+        """Take one session."""
+        if vm.session == self._own.session:
+            return
+        # A process that started again at an address has ended the one before it: nothing waits
+        # for that one's heartbeat to stand still.
+        for session, peer in tuple(self._peers.items()):
+            same = (peer.vm.address, peer.vm.peer_port) == (vm.address, vm.peer_port)
+            if same and session != vm.session:
+                del self._peers[session]
+        if vm.session not in self._peers:
+            self._peers[vm.session] = _Peer(vm, self._clock.now())
+
+    def remove(self, session: str) -> None:
+        """Drop a session that is no longer in the store."""
+        self._peers.pop(session, None)
+
+    def hear(self, session: str, state: VmState) -> bool:
+        """Take a beacon; returns whether its sender is known."""
+        now = self._clock.now()
+        self._peer_at = now
+        peer = self._peers.get(session)
+        if peer is None:
+            return False
+        peer.heard_at = now
+        peer.state = state
+        return True
+
+    def take_heartbeats(self, heartbeats: Mapping[str, bytes]) -> None:
+        """Take one read of all heartbeat rows."""
+        now = self._clock.now()
+        for session, peer in self._peers.items():
+            found = heartbeats.get(session, b"")
+            if found != peer.heartbeat:
+                peer.heartbeat, peer.moved_at, peer.reads = found, now, 0
+            else:
+                peer.reads += 1
+
+    def void(self) -> None:
+        """Forget who was heard, as this process stood still."""
+        now = self._clock.now()
+        for peer in self._peers.values():
+            peer.heard_at = None
+            # Its silence is counted from now on: while this process stood still it heard nobody.
+            peer.known_at = now
+
+    def list_silent(self) -> list[str]:
+        """Return the sessions that are not heard."""
+        return [session for session, peer in self._peers.items() if not self._is_heard(peer)]
+
+    def list_expired(self) -> list[str]:
+        """Return the sessions that are gone by all signs.
+
+        A daemon is gone only if reads of the store have shown its heartbeat at a stand: while the
+        store is away a silent daemon may live behind a cut and serve its callers.
+        """
+        horizon = self._clock.now() - EXPIRE_MS
+        return [
+            session
+            for session, peer in self._peers.items()
+            if peer.last_sign_at() <= horizon and peer.reads >= 2
+        ]
+
+    def is_isolated(self) -> bool:
+        """Return whether this daemon hears neither the store nor any other daemon."""
+        if not self._peers:
+            return False
+        return self._clock.now() - max(self._store_at, self._peer_at) > ISOLATED_MS
+
+    def read_fleet(self) -> Fleet:
+        """Return the fleet as it stands now."""
+        vms = {self._own.session: self._own}
+        states = {self._own.session: self._own_state}
+        for session, peer in self._peers.items():
+            vms[session] = peer.vm
+            if self._is_heard(peer):
+                states[session] = peer.state
+        return Fleet(self._own.session, vms, states, self._known)
+
+    def _is_heard(self, peer: _Peer) -> bool:
+        return peer.heard_at is not None and self._clock.now() - peer.heard_at <= HEARD_MS
--- /dev/null
+++ b/goldcreststair/components/fleet/protocols.py
@@ -0,0 +1,62 @@
+"""What other components ask of the fleet."""
+
+from collections.abc import Callable
+from enum import IntEnum
+from typing import Any, Final, Protocol
+from zlib import crc32
+
+from goldcreststair.core import ComponentKey
+
+Contribute = Callable[[Any], None]
+"""Fills its fields of an outgoing `Beacon`."""
+OnBeacon = Callable[[str, Any], None]
+"""Takes the session and the `Beacon` of another daemon."""
+OnNotice = Callable[[str, bytes], None]
+"""Takes the session that sent a notice and its payload."""
+
+
+class DatagramKind(IntEnum):
+    """The first byte of each datagram."""
+
+    BEACON = 1
+    JOB_NOTICE = 2
+
+
+class FleetLinks(Protocol):
+    """Tells other daemons what this one knows, and the other way round."""
+
+    def contribute(self, contribute: Contribute) -> None:
+        """Add to every beacon from now on."""
+
+    def watch(self, on_beacon: OnBeacon, on_gone: Callable[[str], None]) -> None:
+        """Be told of every beacon that is news, and of each daemon that is gone."""
+
+    def announce(self) -> None:
+        """Send a beacon soon, as something changed that others act on."""
+
+    def notify(self, session: str, kind: DatagramKind, payload: bytes) -> None:
+        """Send one datagram, which may be lost."""
+
+    def on_notice(self, kind: DatagramKind, handler: OnNotice) -> None:
+        """Handle the datagrams of one kind."""
+
+    def is_isolated(self) -> bool:
+        """Return whether this daemon hears neither the store nor any other daemon."""
+
+    def note_store(self) -> None:
+        """Note an answer of the store."""
+
+    async def async_leave(self) -> None:
+        """Remove this daemon's session, so that nobody waits for its silence."""
+
+
+FLEET_LINKS: Final = ComponentKey[FleetLinks]("fleet")
+
+
+def hash_name(name: str) -> int:
+    """Return the short form of a name in beacons, a signed 32-bit number.
+
+    >>> hash_name("a") == hash_name("a"), -(2**31) <= hash_name("b") < 2**31
+    (True, True)
+    """
+    return crc32(name.encode()) - 2**31
--- /dev/null
+++ b/goldcreststair/components/forwarding/admission.py
@@ -0,0 +1,60 @@
+"""Which requests may run: route, key and quota; no I/O."""
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.catalogue.models import Catalogue, CatalogueCustomer, Route
+from goldcreststair.components.forwarding.const import DEFAULT_DEADLINE_MS
+from goldcreststair.components.forwarding.models import CallerRequest
+from goldcreststair.components.keys.controller import hash_key
+from goldcreststair.components.online.errors import Refusal, RefusalCode
+
+STATUS_UNAUTHORIZED = 401
+STATUS_NOT_FOUND = 404
+
+
+def find_route(catalogue: Catalogue, request: CallerRequest) -> Result[Route, Refusal]:
+    """Return the route of a request."""
+    route = catalogue.find_route(request.host, request.path)
+    if route is None:
+        code = RefusalCode.UNKNOWN_ROUTE
+        return Err(Refusal(f"no route {request.path}", code, STATUS_NOT_FOUND, True))
+    return Ok(route)
+
+
+def identify_customer(
+    catalogue: Catalogue, route: Route, key: str
+) -> Result[CatalogueCustomer | None, Refusal]:
+    """Return whose request it is; None on a route that asks for no key."""
+    if route.anonymous or not catalogue.customers:
+        return Ok(None)
+    # Keys are found by their hash, so the time of the look-up tells nothing about the key.
+    name = catalogue.keys.get(hash_key(key)) if key else None
+    customer = catalogue.customers.get(name) if name is not None else None
+    if customer is None:
+        message = "unknown or withdrawn key" if key else "a key is needed"
+        return Err(Refusal(message, RefusalCode.INVALID_KEY, STATUS_UNAUTHORIZED, True))
+    return Ok(customer)
+
+
+def choose_service(route: Route, chance: float) -> str:
+    """Return one of the route's services by weight; `chance` lies between 0 and 1.
+
+    >>> from goldcreststair.components.catalogue.models import CallKind, WeightedService
+    >>> services = (WeightedService("a", 90), WeightedService("b", 10))
+    >>> route = Route("r", "h", "/", CallKind.IDEMPOTENT, services, 1, 1, 1)
+    >>> choose_service(route, 0.5), choose_service(route, 0.95)
+    ('a', 'b')
+    """
+    left = chance * sum(service.weight for service in route.services)
+    for service in route.services:
+        left -= service.weight
+        if left < 0:
+            return service.service
+    return route.services[-1].service
+
+
+def find_end(request: CallerRequest, route: Route) -> Millis:
+    """Return when the answer must be whole."""
+    limits = [limit for limit in (request.deadline_ms, route.timeout_ms) if limit > 0]
+    return Millis(request.arrived_at + min(limits, default=DEFAULT_DEADLINE_MS))
--- /dev/null
+++ b/goldcreststair/components/forwarding/const.py
@@ -0,0 +1,28 @@
+"""Times of forwarding."""
+
+from typing import Final
+
+WATCH_MS: Final = 25
+"""How often a run is looked at; a fifth of the shortest patience."""
+LATE_TICK_MS: Final = 40
+"""A look that comes so late means that this process was kept from reading, not the upstream from
+sending: the silence is counted anew."""
+GAP_PATIENCE_MS: Final = 130
+"""Silence within a stream, while the upstream sends nothing else either, after which it goes on
+elsewhere. Events come every 30 ms; taking a stream up again takes 60 to 80 ms, and callers count a
+pause of 250 ms as good."""
+GAP_LONG_MS: Final = 600
+"""The same where the upstream goes on sending to others: it may have put this run aside for lack of
+memory, which moving would not better."""
+FIRST_PATIENCE_MS: Final = 150
+"""Silence beyond the expected time to the first event, while the upstream sends nothing at all."""
+FIRST_LONG_MS: Final = 1_000
+"""The same where the upstream sends to others: the request waits in its queue."""
+MIN_LEFT_MS: Final = 50
+"""A run with less time left than this cannot bring a first event."""
+DEFAULT_DEADLINE_MS: Final = 60_000
+"""For callers that name none, on routes without a timeout."""
+RETRY_NOW_MS: Final = 200
+"""When to come back after a failure that another VM or the next moment may not have."""
+READY_RETRY_MS: Final = 500
+"""When to come back to a VM that has no catalogue yet or is cut off."""
--- /dev/null
+++ b/goldcreststair/components/forwarding/recovery.py
@@ -0,0 +1,59 @@
+"""What follows a run that brought no whole answer; no I/O."""
+
+from enum import StrEnum
+from typing import Final
+
+from goldcreststair.components.catalogue.models import Route
+from goldcreststair.components.forwarding.const import MIN_LEFT_MS, RETRY_NOW_MS
+from goldcreststair.components.forwarding.models import RequestProgress
+from goldcreststair.components.online.budget import RetryBudget
+from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+
+MAX_NOT_RUN: Final = 6
+"""Upstreams that may turn one request away as not run before it is refused."""
+STATUS_BAD_GATEWAY: Final = 502
+STATUS_UNAVAILABLE: Final = 503
+STATUS_GATEWAY_TIMEOUT: Final = 504
+
+
+class NextRun(StrEnum):
+    """What follows."""
+
+    ELSEWHERE = "elsewhere"
+    GIVE_UP = "give_up"
+
+
+def decide_next_run(
+    progress: RequestProgress,
+    route: Route,
+    error: UpstreamError,
+    budget: RetryBudget,
+    left_ms: int,
+) -> NextRun:
+    """Return what follows `error`; `progress` already counts the failed run."""
+    if left_ms < MIN_LEFT_MS or error.failure is UpstreamFailure.TIMEOUT:
+        return NextRun.GIVE_UP
+    if error.not_run and not progress.may_have_run:
+        # A run that certainly did not happen is free to move, whether repeatable or not.
+        tried = len(progress.excluded)
+        return NextRun.ELSEWHERE if tried <= MAX_NOT_RUN else NextRun.GIVE_UP
+    # Shows as two grounds booked: the answer was lost, not the run, so it is never sent again.
+    if not route.repeatable or progress.attempts >= route.max_attempts:
+        return NextRun.GIVE_UP
+    # A stream with events out goes on without the budget: to cut it would be the greater harm, and
+    # it cannot storm, since the upstreams of one request are bounded.
+    if progress.last_event > 0 or error.not_run or budget.take():
+        return NextRun.ELSEWHERE
+    return NextRun.GIVE_UP
+
+
+def refuse_after(progress: RequestProgress, error: UpstreamError, retry_ms: int = 0) -> Refusal:
+    """Return the final answer after a failed run."""
+    if not progress.may_have_run:
+        wait_ms = max(retry_ms, RETRY_NOW_MS)
+        code = RefusalCode.NO_UPSTREAM
+        return Refusal(error.message, code, STATUS_UNAVAILABLE, True, wait_ms)
+    if error.failure is UpstreamFailure.TIMEOUT:
+        return Refusal(error.message, RefusalCode.DEADLINE, STATUS_GATEWAY_TIMEOUT)
+    return Refusal(error.message, RefusalCode.UPSTREAM_FAILED, STATUS_BAD_GATEWAY)
--- a/goldcreststair/components/online/errors.py
+++ b/goldcreststair/components/online/errors.py
@@ -22,6 +22,9 @@
     QUARANTINED = "quarantined"
     OUTCOME_UNKNOWN = "outcome_unknown"
     NOT_READY = "not_ready"
+    UNKNOWN_ROUTE = "unknown_route"
+    TOO_LARGE = "too_large"
+    QUOTA_FULL = "quota_full"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/goldcreststair/components/placement/const.py
@@ -0,0 +1,44 @@
+"""Weights and times of placement; all costs are in ms of a caller's wait."""
+
+from typing import Final
+
+DEFAULT_RUN_MS: Final = 800.0
+"""Time a run holds its slot, until runs have been seen."""
+DEFAULT_FIRST_MS: Final = 60.0
+"""Time to the first event where a slot is free, until runs have been seen."""
+SMOOTHING: Final = 0.1
+"""Weight of one more run in both means: about the last ten count."""
+
+YIELD_MS: Final = 20.0
+"""Wait for a slot that batch gives up: one beacon, one closed connection and one engine step."""
+OTHER_DATA_CENTRE_MS: Final = 2.0
+"""Cost of another data centre: a round trip, and bytes between data centres are paid for."""
+BUSY_MS: Final = 6.0
+"""Cost of a full upstream against an empty one, by share of slots taken: with free slots they are
+equally quick, but a full one is sooner overrun by requests that other VMs place meanwhile."""
+COLD_MS: Final = 3.0
+"""Cost of an upstream that is unlikely to cache the prompt's beginning: about 200 tokens read."""
+JITTER_MS: Final = 1.0
+"""Keeps VMs that know the same from choosing the same upstream at the same moment."""
+
+DOWN_MS: Final = 3_000
+"""An upstream that did not accept a connection gets no work for so long, unless one opens."""
+PROBE_MS: Final = 400
+"""Pause between connections tried to an upstream that is down."""
+SHED_MS: Final = 150
+"""An upstream that was full gets no work for so long: about one run ends there meanwhile."""
+DOUBT_MS: Final = 1_000
+"""Word of another VM that an upstream is down counts for so long."""
+
+BATCH_RESERVE: Final = 1
+"""Slots of each upstream that batch leaves free, so that an online request finds one at once."""
+BATCH_HOLD_MS: Final = 250
+"""After batch gave up a slot at an upstream, none is taken there for so long: a burst goes on, and
+each run that is taken up again reads its prompt and its output anew."""
+DEFAULT_SLOTS: Final = 64
+"""For upstreams that name none, such as plain services."""
+CONNECTION_SHARE: Final = 0.9
+"""Part of an upstream's connections that the daemons use together; the rest is for probes and for
+daemons that just started."""
+MIN_CONNECTIONS: Final = 2
+"""Connections that a daemon may open to an upstream, however many daemons there are."""
--- /dev/null
+++ b/goldcreststair/components/placement/controller.py
@@ -0,0 +1,268 @@
+"""Chooses the upstream that shall run a request; no I/O.
+
+Load it answers: bursts of 2 to 5 s that fill every slot, from callers whose requests reach every
+VM at random. All VMs know all runs within a beacon's gap, so that the request goes to a free slot as
+long as there is one anywhere, and else to the shortest queue.
+"""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.discovery.models import LiveUpstreams, UpstreamEntry
+from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.components.placement.const import (
+    BATCH_HOLD_MS,
+    BATCH_RESERVE,
+    BUSY_MS,
+    COLD_MS,
+    DEFAULT_FIRST_MS,
+    DEFAULT_RUN_MS,
+    DEFAULT_SLOTS,
+    DOUBT_MS,
+    DOWN_MS,
+    JITTER_MS,
+    OTHER_DATA_CENTRE_MS,
+    SHED_MS,
+    SMOOTHING,
+    YIELD_MS,
+)
+from goldcreststair.components.placement.loads import RunBook, Runs
+from goldcreststair.components.placement.models import (
+    NoPlace,
+    Placement,
+    PlacementQuery,
+    UpstreamTraits,
+)
+from goldcreststair.components.routing.rendezvous import score
+
+MIN_RETRY_MS: Final = 100
+
+
+@dataclass(slots=True)
+class _State:
+    """What this daemon believes of one upstream."""
+
+    entry: UpstreamEntry
+    key: int
+    down_until: Millis = Millis(0)
+    shed_until: Millis = Millis(0)
+    doubted_until: Millis = Millis(0)
+    no_batch_until: Millis = Millis(0)
+    progress_at: Millis = Millis(0)
+    """When it last sent anything to this daemon."""
+
+
+class PlacementController:
+    """Knows runs, failures and what runs take."""
+
+    def __init__(self, clock: Clock, chance: random.Random, data_centre: str) -> None:
+        """Know no upstream."""
+        self.runs = RunBook(clock)
+        self._clock = clock
+        self._random = chance
+        self._data_centre = data_centre
+        self._states: dict[str, _State] = {}
+        self._names: dict[int, str] = {}
+        self._lapsed: frozenset[str] = frozenset()
+        self._traits: dict[str, UpstreamTraits] = {}
+
+    def take_upstreams(self, live: LiveUpstreams) -> None:
+        """Take the upstreams that may get work."""
+        states: dict[str, _State] = {}
+        for name, entry in live.by_name.items():
+            known = self._states.get(name)
+            # A restarted upstream may keep its name: what was believed of it before is void.
+            if known is None or known.entry.started_ms != entry.started_ms:
+                states[name] = _State(entry, hash_name(name))
+            else:
+                known.entry = entry
+                states[name] = known
+        self._states = states
+        self._names = {state.key: name for name, state in states.items()}
+        self._lapsed = live.lapsed
+
+    def find(self, name: str) -> UpstreamEntry | None:
+        """Return an upstream, or None if it is gone."""
+        state = self._states.get(name)
+        return state.entry if state else None
+
+    def list_names(self, keys: Iterable[int]) -> list[str]:
+        """Return the names of the upstreams among these hashes that are known here."""
+        return [self._names[key] for key in keys if key in self._names]
+
+    def choose(self, query: PlacementQuery) -> Result[Placement, NoPlace]:
+        """Return where an online request had best go."""
+        fitting = [s for s in self._list(query.service) if s.entry.name not in query.excluded]
+        if not fitting:
+            return Err(NoPlace(f"no upstream of {query.service}", known=False))
+        open_ones = self._prefer_open(fitting)
+        if not open_ones:
+            until = min(max(s.down_until, s.shed_until) for s in fitting)
+            wait_ms = max(MIN_RETRY_MS, until - self._clock.now())
+            return Err(NoPlace("every upstream is down or full", retry_after_ms=wait_ms))
+        favourite = self._find_favourite(open_ones, query.affinity)
+        best = min(open_ones, key=lambda state: self._cost(state, favourite))
+        return Ok(self._place(best))
+
+    def choose_for_batch(self, service: str) -> UpstreamEntry | None:
+        """Return the upstream with most slots that batch may take, or None."""
+        now = self._clock.now()
+        best: tuple[float, UpstreamEntry] | None = None
+        for state in self._list(service):
+            shut = max(state.down_until, state.shed_until, state.no_batch_until) > now
+            free = self._count_slots(state) - BATCH_RESERVE - self._read(state).total
+            if shut or free < 1 or state.doubted_until > now or state.entry.name in self._lapsed:
+                continue
+            rank = free + self._random.random()
+            if best is None or rank > best[0]:
+                best = (rank, state.entry)
+        return best[1] if best else None
+
+    def count_yielding(self, name: str, own_session: str) -> int:
+        """Return how many of its batch runs this daemon shall give up at an upstream.
+
+        Every daemon holds the same book, so that each finds its own part of what is too much without
+        a word more: sessions give way in an order that differs from upstream to upstream.
+        """
+        state = self._states.get(name)
+        if state is None:
+            return 0
+        own = self.runs.read_own(state.key).batch
+        excess = self._read(state).total - (self._count_slots(state) - BATCH_RESERVE)
+        if own == 0 or excess <= 0:
+            return 0
+        held = self.runs.list_batch(state.key) | {own_session: own}
+        for session in sorted(held, key=lambda session: score(session, name)):
+            part = min(held[session], excess)
+            if session == own_session:
+                return part
+            excess -= part
+        return 0
+
+    def note_yielded(self, name: str) -> None:
+        """Take no more slots for batch at an upstream for a while."""
+        state = self._states.get(name)
+        if state is not None:
+            state.no_batch_until = Millis(self._clock.now() + BATCH_HOLD_MS)
+
+    def begin(self, name: str, *, batch: bool) -> None:
+        """Count a run."""
+        self.runs.add(hash_name(name), online=not batch, batch=batch)
+
+    def end(self, name: str, *, batch: bool) -> None:
+        """Count a run as ended."""
+        self.runs.add(hash_name(name), online=-(not batch), batch=-batch)
+
+    def note_progress(self, name: str) -> None:
+        """Note that an upstream sent something."""
+        state = self._states.get(name)
+        if state is not None:
+            state.progress_at = self._clock.now()
+            state.down_until = Millis(0)
+
+    def read_progress(self, name: str) -> Millis:
+        """Return when an upstream last sent anything to this daemon."""
+        state = self._states.get(name)
+        return state.progress_at if state else Millis(0)
+
+    def note_down(self, name: str) -> None:
+        """Note that an upstream accepts no connection, or is silent."""
+        state = self._states.get(name)
+        if state is not None:
+            state.down_until = Millis(self._clock.now() + DOWN_MS)
+
+    def note_up(self, name: str) -> None:
+        """Note that an upstream accepts connections."""
+        state = self._states.get(name)
+        if state is not None:
+            state.down_until = Millis(0)
+
+    def note_full(self, name: str) -> None:
+        """Note that an upstream said it has no room."""
+        state = self._states.get(name)
+        if state is not None:
+            state.shed_until = Millis(self._clock.now() + SHED_MS)
+
+    def note_doubts(self, upstreams: Iterable[int]) -> None:
+        """Take another daemon's word that upstreams are down."""
+        for key in upstreams:
+            state = self._states.get(self._names.get(key, ""))
+            if state is not None:
+                state.doubted_until = Millis(self._clock.now() + DOUBT_MS)
+
+    def list_down(self) -> list[UpstreamEntry]:
+        """Return the upstreams that this daemon believes down."""
+        now = self._clock.now()
+        return [state.entry for state in self._states.values() if state.down_until > now]
+
+    def note_run(self, service: str, first_ms: float | None, run_ms: float) -> None:
+        """Learn from a run that found a free slot (`first_ms`) or waited for one (None)."""
+        known = self.read_traits(service)
+        first = known.first_ms
+        if first_ms is not None:
+            first += SMOOTHING * (first_ms - known.first_ms)
+        run = known.run_ms + SMOOTHING * (run_ms - known.run_ms)
+        self._traits[service] = UpstreamTraits(run, first)
+
+    def read_traits(self, service: str) -> UpstreamTraits:
+        """Return what runs of a service take."""
+        return self._traits.get(service, UpstreamTraits(DEFAULT_RUN_MS, DEFAULT_FIRST_MS))
+
+    def read_idle(self, service: str) -> tuple[int, int]:
+        """Return the free slots and all slots of a service's upstreams that are up."""
+        now = self._clock.now()
+        states = [state for state in self._list(service) if state.down_until <= now]
+        slots = {state.key: self._count_slots(state) for state in states}
+        free = sum(max(0, slots[s.key] - self._read(s).total) for s in states)
+        return free, sum(slots.values())
+
+    def _list(self, service: str) -> list[_State]:
+        return [
+            state
+            for state in self._states.values()
+            if state.entry.service == service and not state.entry.draining
+        ]
+
+    def _prefer_open(self, states: list[_State]) -> list[_State]:
+        now = self._clock.now()
+        up = [s for s in states if s.down_until <= now and s.shed_until <= now]
+        sure = [s for s in up if s.doubted_until <= now and s.entry.name not in self._lapsed]
+        return sure or up
+
+    def _read(self, state: _State) -> Runs:
+        return self.runs.read_all(state.key)
+
+    def _count_slots(self, state: _State) -> int:
+        return state.entry.slots or DEFAULT_SLOTS
+
+    def _wait_ms(self, state: _State) -> float:
+        runs, slots = self._read(state), self._count_slots(state)
+        if runs.total < slots:
+            return 0.0
+        if runs.online < slots:
+            return YIELD_MS
+        ahead = runs.online - slots + 1
+        return ahead * self.read_traits(state.entry.service).run_ms / slots
+
+    def _cost(self, state: _State, favourite: str) -> float:
+        cost = self._wait_ms(state)
+        cost += BUSY_MS * min(1.0, self._read(state).total / self._count_slots(state))
+        if state.entry.data_centre != self._data_centre:
+            cost += OTHER_DATA_CENTRE_MS
+        if favourite and state.entry.name != favourite:
+            cost += COLD_MS
+        return cost + JITTER_MS * self._random.random()
+
+    def _find_favourite(self, states: list[_State], affinity: str) -> str:
+        if not affinity:
+            return ""
+        return max(states, key=lambda state: score(affinity, state.entry.name)).entry.name
+
+    def _place(self, state: _State) -> Placement:
+        traits = self.read_traits(state.entry.service)
+        return Placement(state.entry, self._wait_ms(state), traits.first_ms)
--- /dev/null
+++ b/goldcreststair/components/placement/service.py
@@ -0,0 +1,125 @@
+"""Connects placement to upstreams and beacons, and keeps upstreams that are down under watch."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+from goldcreststair.components.catalogue.models import CATALOGUE
+from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
+from goldcreststair.components.fleet.models import FLEET
+from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
+from goldcreststair.components.placement.const import (
+    CONNECTION_SHARE,
+    MIN_CONNECTIONS,
+    PROBE_MS,
+)
+from goldcreststair.components.placement.controller import PlacementController
+from goldcreststair.components.placement.loads import Runs
+from goldcreststair.core import ComponentKey
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.upstreams.runner import CONNECT_TIMEOUT_MS
+from goldcreststair.wire.generated.gateway.ttypes import Beacon, UpstreamRuns
+
+OnYield = Callable[[str, int], None]
+"""Takes an upstream's name and how many batch runs this daemon shall give up there."""
+
+
+class PlacementService:
+    """Chooses upstreams and tells batch when to give way."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Know no upstream."""
+        self._core = core
+        self.controller = PlacementController(core.clock, core.random, core.settings.data_centre)
+        self._links = core.get(FLEET_LINKS)
+        self._links.contribute(self._contribute)
+        self._links.watch(self._on_beacon, self.controller.runs.forget)
+        self._on_yield: OnYield = lambda name, count: None
+        self._unsubscribe: Callable[[], None] = lambda: None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def async_start(self) -> None:
+        """Follow the upstreams."""
+        board = self._core.blackboard
+        self._unsubscribe = board.subscribe(LIVE_UPSTREAMS, self._on_upstreams)
+        self._on_upstreams(board.read(LIVE_UPSTREAMS))
+        self._tasks = [asyncio.create_task(self._async_tick())]
+
+    async def async_close(self) -> None:
+        """Stop."""
+        self._unsubscribe()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks.clear()
+        self._core.runner.pool.close()
+
+    def on_yield(self, handler: OnYield) -> None:
+        """Call when batch runs have to give way."""
+        self._on_yield = handler
+
+    def begin(self, name: str, *, batch: bool = False) -> None:
+        """Count a run and let the other daemons know."""
+        self.controller.begin(name, batch=batch)
+        self._links.announce()
+        if not batch:
+            self._give_way(name)
+
+    def end(self, name: str, *, batch: bool = False) -> None:
+        """Count a run as ended and let the other daemons know."""
+        self.controller.end(name, batch=batch)
+        self._links.announce()
+
+    def note_down(self, entry: UpstreamEntry) -> None:
+        """Take it that an upstream accepts no connection, or is silent."""
+        self.controller.note_down(entry.name)
+        self._core.runner.pool.forget(entry.address)
+        self._links.announce()
+
+    def has_connections(self, entry: UpstreamEntry) -> bool:
+        """Return whether this daemon may open one more connection to an upstream."""
+        service = self._core.blackboard.read(CATALOGUE).services.get(entry.service)
+        if service is None or not service.max_connections:
+            return True
+        daemons = max(1, len(self._core.blackboard.read(FLEET).vms))
+        share = int(service.max_connections * CONNECTION_SHARE / daemons)
+        open_now = self._core.runner.pool.count_open(entry.address)
+        return open_now < max(MIN_CONNECTIONS, share)
+
+    def _on_upstreams(self, live: LiveUpstreams) -> None:
+        self.controller.take_upstreams(live)
+
+    def _contribute(self, beacon: Beacon) -> None:
+        own = self.controller.runs.list_own()
+        beacon.runs = [UpstreamRuns(key, runs.online, runs.batch) for key, runs in own.items()]
+        down = self.controller.list_down()
+        beacon.suspects = [hash_name(entry.name) for entry in down]
+
+    def _on_beacon(self, session: str, beacon: Beacon) -> None:
+        runs = {run.upstream: Runs(run.online, run.batch) for run in beacon.runs or ()}
+        self.controller.runs.take(session, runs)
+        self.controller.note_doubts(beacon.suspects or ())
+        for name in self.controller.list_names(runs):
+            self._give_way(name)
+
+    def _give_way(self, name: str) -> None:
+        count = self.controller.count_yielding(name, self._core.session_id)
+        if count:
+            self._on_yield(name, count)
+
+    async def _async_tick(self) -> None:
+        while True:
+            await self._core.clock.async_sleep(PROBE_MS)
+            self.controller.runs.expire()
+            down = self.controller.list_down()
+            await asyncio.gather(*(self._async_probe(entry) for entry in down))
+
+    async def _async_probe(self, entry: UpstreamEntry) -> None:
+        # A connection that opens costs an upstream nothing, and tells at once that it is back.
+        pool = self._core.runner.pool
+        if await pool.async_warm(entry.address, CONNECT_TIMEOUT_MS):
+            self.controller.note_up(entry.name)
+            self._links.announce()
+
+
+PLACEMENT: Final = ComponentKey[PlacementService]("placement")
--- /dev/null
+++ b/goldcreststair/components/quotas/service.py
@@ -0,0 +1,67 @@
+"""Connects the quotas to catalogue, fleet and beacons."""
+
+from collections.abc import Callable
+from typing import Final
+
+from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue, CatalogueCustomer
+from goldcreststair.components.fleet.models import FLEET, Fleet
+from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
+from goldcreststair.components.quotas.controller import FleetShare, QuotaController
+from goldcreststair.core import ComponentKey
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.wire.generated.gateway.ttypes import Beacon, CustomerCount
+
+
+class QuotaService:
+    """Admits requests within each customer's rate and burst."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Follow nothing yet."""
+        self._core = core
+        self._controller = QuotaController(core.clock)
+        self._links = core.get(FLEET_LINKS)
+        self._links.contribute(self._contribute)
+        self._links.watch(self._on_beacon, self._controller.forget)
+        core.on_awake.append(lambda _: self._controller.void())
+        self._unsubscribe: list[Callable[[], None]] = []
+
+    async def async_start(self) -> None:
+        """Follow the customers and the fleet."""
+        board = self._core.blackboard
+        self._unsubscribe = [
+            board.subscribe(CATALOGUE, self._on_catalogue),
+            board.subscribe(FLEET, self._on_fleet),
+        ]
+        self._on_catalogue(board.read(CATALOGUE))
+        self._on_fleet(board.read(FLEET))
+
+    async def async_close(self) -> None:
+        """Stop following."""
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+        self._unsubscribe.clear()
+
+    def admit(self, customer: CatalogueCustomer) -> int | None:
+        """Count a request; returns None, or after how many ms there will be room."""
+        refused = self._controller.admit(customer, hash_name(customer.name))
+        if refused is None and customer.rate_per_s > 0:
+            self._links.announce()
+        return refused
+
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        customers = catalogue.customers.values()
+        self._controller.take_customers({hash_name(c.name): c for c in customers})
+
+    def _on_fleet(self, fleet: Fleet) -> None:
+        self._controller.take_share(FleetShare(fleet.heard, len(fleet.vms)))
+
+    def _contribute(self, beacon: Beacon) -> None:
+        counts = self._controller.list_counts()
+        beacon.admitted = [CustomerCount(key, admitted) for key, admitted in counts.items()]
+
+    def _on_beacon(self, session: str, beacon: Beacon) -> None:
+        counts = ((count.customer, count.admitted) for count in beacon.admitted or ())
+        self._controller.take_counts(session, counts)
+
+
+QUOTAS: Final = ComponentKey[QuotaService]("quotas")
--- a/goldcreststair/core.py
+++ b/goldcreststair/core.py
@@ -11,9 +11,9 @@
 from goldcreststair.blackboard import Blackboard
 from goldcreststair.clock import Clock
 from goldcreststair.journal import Journal
-from goldcreststair.store.protocols import Platform
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import Statistics
+from goldcreststair.store.protocols import Platform
 from goldcreststair.transport import PeerTransport
 from goldcreststair.upstreams.protocols import UpstreamClients
 
@@ -57,8 +57,30 @@
         """
 
 
+class ComponentRegistry:
+    """What components offer to those that are set up after them."""
+
+    def __init__(self) -> None:
+        """Start without components."""
+        self._components: dict[str, Any] = {}
+
+    def offer(self, key: ComponentKey[T], component: T) -> None:
+        """Make a component known to those set up after it."""
+        self._components[key.name] = component
+
+    def get(self, key: ComponentKey[T]) -> T:
+        """Return a component set up earlier; raises `KeyError` if there is none."""
+        component: T = self._components[key.name]
+        return component
+
+    def find(self, key: ComponentKey[T]) -> T | None:
+        """Return a component, or None if it is not part of this daemon."""
+        component: T | None = self._components.get(key.name)
+        return component
+
+
 @dataclass(slots=True)
-class Core:
+class Core(ComponentRegistry):
     """The shared core of one daemon."""
 
     settings: Settings
@@ -84,17 +106,3 @@
     routes: list[Rule] = field(default_factory=list)
     """HTTP routes that components add while they are set up."""
     _components: dict[str, Any] = field(default_factory=dict)
-
-    def offer(self, key: ComponentKey[T], component: T) -> None:
-        """Make a component known to those set up after it."""
-        self._components[key.name] = component
-
-    def get(self, key: ComponentKey[T]) -> T:
-        """Return a component set up earlier; raises `KeyError` if there is none."""
-        component: T = self._components[key.name]
-        return component
-
-    def find(self, key: ComponentKey[T]) -> T | None:
-        """Return a component, or None if it is not part of this daemon."""
-        component: T | None = self._components.get(key.name)
-        return component
--- /dev/null
+++ b/goldcreststair/datagrams.py
@@ -0,0 +1,65 @@
+"""Datagrams between daemons: the protocol, and UDP behind it."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any, Protocol
+
+_LOGGER = logging.getLogger(__name__)
+
+OnDatagram = Callable[[bytes, str], None]
+"""Takes a datagram and the IP number it came from."""
+
+
+class DatagramTransport(Protocol):
+    """Sends and receives datagrams, which may be lost, doubled or late."""
+
+    async def async_listen(self, address: str, port: int, on_datagram: OnDatagram) -> int:
+        """Receive from now on; returns the port really bound."""
+
+    def send(self, address: str, port: int, datagram: bytes) -> None:
+        """Send one datagram; never waits and never raises."""
+
+    def close(self) -> None:
+        """Stop; safe to call twice."""
+
+
+class _Protocol(asyncio.DatagramProtocol):
+    def __init__(self, on_datagram: OnDatagram) -> None:
+        self._on_datagram = on_datagram
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        self._on_datagram(data, str(addr[0]))
+
+    def error_received(self, exc: Exception) -> None:
+        # Shows when a datagram met a port without listener: the other daemon has ended, which
+        # the silence that follows tells as well.
+        _LOGGER.debug("Datagram failed: %r", exc)
+
+
+class UdpTransport:
+    """Datagrams over UDP."""
+
+    def __init__(self) -> None:
+        """Start without a socket."""
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def async_listen(self, address: str, port: int, on_datagram: OnDatagram) -> int:
+        """Bind and receive."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Protocol(on_datagram), local_addr=(address, port)
+        )
+        bound: int = self._transport.get_extra_info("sockname")[1]
+        return bound
+
+    def send(self, address: str, port: int, datagram: bytes) -> None:
+        """Send one datagram."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(datagram, (address, port))
+
+    def close(self) -> None:
+        """Close the socket."""
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
--- /dev/null
+++ b/goldcreststair/gateway.py
@@ -0,0 +1,106 @@
+"""Builds one gateway daemon: the core, its components in order, and a clean stop."""
+
+import logging
+import random
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from goldcreststair.blackboard import Blackboard
+from goldcreststair.clock import Clock
+from goldcreststair.components import (
+    catalogue,
+    discovery,
+    entry,
+    fleet,
+    forwarding,
+    placement,
+    quotas,
+)
+from goldcreststair.components.entry.service import ENTRY
+from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.core import Component
+from goldcreststair.datagrams import UdpTransport
+from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
+from goldcreststair.gateway_settings import GatewaySettings
+from goldcreststair.transport import TcpTransport
+from goldcreststair.upstreams.runner import UpstreamRunner
+
+_LOGGER = logging.getLogger(__name__)
+
+Setup = Callable[[GatewayCore], Awaitable[Component]]
+
+GATEWAY_COMPONENTS: Final[tuple[Setup, ...]] = (
+    fleet.async_setup,
+    entry.async_setup,
+    catalogue.async_setup,
+    discovery.async_setup,
+    quotas.async_setup,
+    placement.async_setup,
+    forwarding.async_setup,
+)
+"""Set up and started in this order, closed in reverse; each may use those before it."""
+
+
+def create_gateway_core(
+    settings: GatewaySettings, clock: Clock, adapter: GatewayAdapter, runner: UpstreamRunner
+) -> GatewayCore:
+    """Return a core that talks to the real network."""
+    return GatewayCore(
+        settings=settings,
+        clock=clock,
+        random=random.Random(settings.seed or secrets.randbits(64)),
+        blackboard=Blackboard(),
+        adapter=adapter,
+        runner=runner,
+        datagrams=UdpTransport(),
+        transport=TcpTransport(),
+        session_id=secrets.token_hex(8),
+    )
+
+
+class Gateway:
+    """One running gateway daemon, without the servers that an adapter puts before it."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Take the core; nothing runs yet."""
+        self.core = core
+        self._components: list[Component] = []
+        self._asked_to_leave = False
+        self._started = False
+
+    async def async_start(self) -> None:
+        """Set up and start every component."""
+        for setup in GATEWAY_COMPONENTS:
+            self._components.append(await setup(self.core))
+        for component in self._components:
+            await component.async_start()
+        self._started = True
+        settings = self.core.settings
+        extra = {
+            "session": self.core.session_id,
+            "address": settings.address,
+            "data_centre": settings.data_centre,
+        }
+        _LOGGER.info("Started", extra=extra)
+        if self._asked_to_leave:
+            self.leave()
+
+    def leave(self) -> None:
+        """Begin a graceful shutdown; asking again changes nothing, so it cuts no request."""
+        self._asked_to_leave = True
+        # A signal that comes while components start must not leave half of them behind.
+        if self._started:
+            self.core.get(ENTRY).leave()
+
+    async def async_wait(self) -> None:
+        """Return when the daemon has left."""
+        await self.core.get(ENTRY).async_wait()
+
+    async def async_close(self) -> None:
+        """Take this daemon off the list and close every component in reverse."""
+        await self.core.get(FLEET_LINKS).async_leave()
+        for component in reversed(self._components):
+            await component.async_close()
+        self._components.clear()
+        _LOGGER.info("Stopped", extra={"session": self.core.session_id})
--- /dev/null
+++ b/goldcreststair/gateway_core.py
@@ -0,0 +1,50 @@
+"""What every component of a gateway daemon is given."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from goldcreststair.blackboard import Blackboard
+from goldcreststair.clock import Clock
+from goldcreststair.core import ComponentRegistry
+from goldcreststair.datagrams import DatagramTransport
+from goldcreststair.gateway_settings import GatewaySettings
+from goldcreststair.store.rows import RowStore
+from goldcreststair.transport import PeerTransport
+from goldcreststair.upstreams.runner import UpstreamRunner
+
+if TYPE_CHECKING:
+    # The components import this module while they are imported.
+    from goldcreststair.components.catalogue.protocols import CatalogueReader
+    from goldcreststair.components.discovery.protocols import UpstreamReader
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayAdapter:
+    """What a platform brings: its store, and how its documents read."""
+
+    store: RowStore
+    catalogue_reader: CatalogueReader
+    upstream_reader: UpstreamReader
+
+
+@dataclass(slots=True)
+class GatewayCore(ComponentRegistry):
+    """The shared core of one gateway daemon."""
+
+    settings: GatewaySettings
+    clock: Clock
+    random: random.Random
+    blackboard: Blackboard
+    adapter: GatewayAdapter
+    runner: UpstreamRunner
+    datagrams: DatagramTransport
+    transport: PeerTransport
+    session_id: str
+    """Names this run of the daemon, never used again after a restart."""
+    on_awake: list[Callable[[int], None]] = field(default_factory=list)
+    """Called with the ms that this process stood still, before it decides anything by age."""
+    _components: dict[str, Any] = field(default_factory=dict)
--- /dev/null
+++ b/goldcreststair/gateway_settings.py
@@ -0,0 +1,84 @@
+"""The gateway daemon's settings, from flags, environment variables and a file; checked at start."""
+
+from dataclasses import dataclass
+from typing import Annotated, Final
+
+from cyclopts import Parameter
+from result import Err, Ok, Result
+
+from goldcreststair.settings import (
+    LOG_LEVELS,
+    MAX_PORT,
+    SettingsError,
+    check_ip,
+    check_range,
+)
+
+DEFAULT_PEER_PORT: Final = 8081
+DEFAULT_MEMORY_MB: Final = 340
+
+
+@Parameter(name="*")
+@dataclass(frozen=True)
+class GatewaySettings:
+    """Everything a gateway daemon is told at its start; all else is in the store."""
+
+    address: Annotated[str, Parameter(help="IP number of this VM, as others reach it.")]
+    data_centre: Annotated[str, Parameter(help="Data centre this VM stands in.")]
+    store_address: Annotated[str, Parameter(help="HOST:PORT of the platform's store.")]
+    region: Annotated[str, Parameter(help="Region of the data centre.")] = "default"
+    front: Annotated[str, Parameter(help="HOST:PORT for callers.")] = ""
+    entry: Annotated[str, Parameter(help="HOST:PORT for address questions; empty for none.")] = ""
+    ready: Annotated[str, Parameter(help="HOST:PORT of the readiness check; empty for none.")] = ""
+    peer_port: Annotated[int, Parameter(help="Port for other daemons.")] = DEFAULT_PEER_PORT
+    metrics_port: Annotated[int, Parameter(help="Port of the metrics page; 0 for none.")] = 0
+    seeds: Annotated[str, Parameter(help="IP numbers of some daemons, joined by commas.")] = ""
+    memory_mb: Annotated[int, Parameter(help="Memory of this process.")] = DEFAULT_MEMORY_MB
+    log_level: Annotated[str, Parameter(help="debug, info, warning or error.")] = "info"
+    statsd_address: Annotated[str, Parameter(help="HOST:PORT of statsd; empty for none.")] = ""
+    seed: Annotated[int, Parameter(help="Seed of random choices; 0 takes a fresh one.")] = 0
+    answer_ttl_s: Annotated[int, Parameter(help="How long callers may keep addresses, s.")] = 1
+    grace_s: Annotated[float, Parameter(help="Time from SIGTERM to a kill, s.")] = 8.0
+    job_read_s: Annotated[
+        float, Parameter(help="A job stays readable so long after it was submitted, s.")
+    ] = 120.0
+
+    @property
+    def seed_addresses(self) -> tuple[str, ...]:
+        """The seeds, without this VM itself."""
+        seeds = (seed.strip() for seed in self.seeds.split(","))
+        return tuple(seed for seed in seeds if seed and seed != self.address)
+
+
+def check_gateway_settings(settings: GatewaySettings) -> Result[GatewaySettings, SettingsError]:
+    """Return the settings, or the first one that cannot be used."""
+    for name, problem in _find_problems(settings):
+        if problem:
+            return Err(SettingsError(problem, name))
+    return Ok(settings)
+
+
+def _find_problems(settings: GatewaySettings) -> list[tuple[str, str]]:
+    endpoints = ("front", "entry", "ready")
+    return [
+        ("address", check_ip(settings.address)),
+        ("data_centre", "" if settings.data_centre else "must not be empty"),
+        ("store_address", _check_endpoint(settings.store_address)),
+        ("front", "" if settings.front else "must not be empty"),
+        *((name, _check_endpoint(getattr(settings, name))) for name in endpoints),
+        ("peer_port", check_range(settings.peer_port, 1, MAX_PORT)),
+        ("metrics_port", check_range(settings.metrics_port, 0, MAX_PORT)),
+        ("answer_ttl_s", check_range(settings.answer_ttl_s, 1, 3_600)),
+        ("memory_mb", check_range(settings.memory_mb, 64, 1_000_000)),
+        ("grace_s", "" if settings.grace_s > 0 else "must be above 0"),
+        ("job_read_s", "" if settings.job_read_s > 0 else "must be above 0"),
+        ("log_level", "" if settings.log_level in LOG_LEVELS else f"must be one of {LOG_LEVELS}"),
+        *(("seeds", check_ip(seed)) for seed in settings.seed_addresses),
+    ]
+
+
+def _check_endpoint(text: str) -> str:
+    if not text:
+        return ""
+    host, _, port = text.rpartition(":")
+    return check_ip(host) if port.isdecimal() else f"{text!r} is not HOST:PORT"
--- a/goldcreststair/settings.py
+++ b/goldcreststair/settings.py
@@ -53,20 +53,21 @@
 
 def _find_problems(settings: Settings) -> list[tuple[str, str]]:
     return [
-        ("address", _check_ip(settings.address)),
+        ("address", check_ip(settings.address)),
         ("data_centre", "" if settings.data_centre else "must not be empty"),
         ("platform_url", _check_url(settings.platform_url)),
         ("operator_token", "" if settings.operator_token else "must not be empty"),
-        ("http_port", _check_range(settings.http_port, 0, MAX_PORT)),
-        ("peer_port", _check_range(settings.peer_port, 0, MAX_PORT)),
-        ("partitions", _check_range(settings.partitions, 1, 65536)),
+        ("http_port", check_range(settings.http_port, 0, MAX_PORT)),
+        ("peer_port", check_range(settings.peer_port, 0, MAX_PORT)),
+        ("partitions", check_range(settings.partitions, 1, 65536)),
         ("statsd_address", _check_statsd(settings.statsd_address)),
         ("log_level", "" if settings.log_level in LOG_LEVELS else f"must be one of {LOG_LEVELS}"),
-        ("drain_ms", _check_range(settings.drain_ms, 0, 3_600_000)),
+        ("drain_ms", check_range(settings.drain_ms, 0, 3_600_000)),
     ]
 
 
-def _check_ip(text: str) -> str:
+def check_ip(text: str) -> str:
+    """Return what is wrong with an IP number, or nothing."""
     try:
         ipaddress.ip_address(text)
     except ValueError:
@@ -79,7 +80,8 @@
     return "" if parts.scheme in ("http", "https") and parts.hostname else "must be an HTTP URL"
 
 
-def _check_range(value: int, low: int, high: int) -> str:
+def check_range(value: int, low: int, high: int) -> str:
+    """Return what is wrong with a number, or nothing."""
     return "" if low <= value <= high else f"{value} is not between {low} and {high}"
 
 
--- /dev/null
+++ b/goldcreststair/store/feed.py
@@ -0,0 +1,123 @@
+"""Follows the changes of one table, through outages and lost history."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from typing import Final, Protocol
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.store.errors import PlatformError
+from goldcreststair.store.rows import HistoryLost, RowPage, RowRange, RowStore, StoredRow
+
+_LOGGER = logging.getLogger(__name__)
+
+FEED_WAIT_MS: Final = 2_500
+"""A connection may go silent for good: the wait is short, so that a silent feed is noticed and
+replaced before a leaving upstream or a new catalogue must be known."""
+RETRY_MIN_MS: Final = 100
+RETRY_MAX_MS: Final = 500
+"""Longest pause between tries while the store is away; what it missed is then known soon after."""
+PAGE_ROWS: Final = 500
+
+
+class FeedListener(Protocol):
+    """Takes what a feed brings."""
+
+    def take_all(self, rows: Sequence[StoredRow]) -> None:
+        """Take every row of the table; any other is gone."""
+
+    def take_changes(self, rows: Sequence[StoredRow]) -> None:
+        """Take rows that changed, in order."""
+
+    def note_contact(self, *, reached: bool) -> None:
+        """Note whether the store answered."""
+
+
+class TableFeed:
+    """Reads a table whole, then follows it; its rows have an empty part."""
+
+    def __init__(
+        self, store: RowStore, clock: Clock, table: str, listener: FeedListener, *, whole: bool
+    ) -> None:
+        """Follow `table`; without `whole`, only what changes from now on is brought."""
+        self._store = store
+        self._clock = clock
+        self._table = table
+        self._listener = listener
+        self._whole = whole
+        self._version = -1
+        self._failing_since: Millis | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._async_follow())
+
+    async def async_close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+    async def _async_follow(self) -> None:
+        failures = 0
+        while True:
+            outcome = await (self._async_read_all() if self._version < 0 else self._async_step())
+            if isinstance(outcome, Ok):
+                failures = 0
+                self._note(reached=True)
+                continue
+            if isinstance(outcome.err_value, HistoryLost):
+                _LOGGER.info("History lost, reading all", extra={"table": self._table})
+                self._version = -1
+                continue
+            failures += 1
+            self._note(reached=False, why=outcome.err_value.message)
+            pause_ms = min(RETRY_MAX_MS, RETRY_MIN_MS << min(failures, 4))
+            await self._clock.async_sleep(pause_ms)
+
+    async def _async_step(self) -> Result[None, PlatformError]:
+        followed = await self._store.async_follow(self._table, self._version, FEED_WAIT_MS)
+        if isinstance(followed, Err):
+            return followed
+        page = followed.ok_value
+        self._version = max(self._version, page.version)
+        if page.rows:
+            self._listener.take_changes(page.rows)
+        return Ok(None)
+
+    async def _async_read_all(self) -> Result[None, PlatformError]:
+        rows: list[StoredRow] = []
+        version = -1
+        first = ""
+        while True:
+            read = await self._store.async_read(
+                RowRange(self._table, first=first, limit=PAGE_ROWS if self._whole else 1)
+            )
+            if isinstance(read, Err):
+                return read
+            page: RowPage = read.ok_value
+            # The feed goes on from the first page's moment: what changed while the others were
+            # read comes again, which does no harm.
+            version = page.version if version < 0 else version
+            rows += page.rows
+            if not page.truncated or not self._whole:
+                break
+            first = page.rows[-1].key.key + "\0"
+        self._version = version
+        if self._whole:
+            self._listener.take_all(rows)
+        return Ok(None)
+
+    def _note(self, *, reached: bool, why: str = "") -> None:
+        self._listener.note_contact(reached=reached)
+        if reached and self._failing_since is not None:
+            lost_ms = self._clock.now() - self._failing_since
+            _LOGGER.info("Store regained", extra={"table": self._table, "lost_ms": lost_ms})
+            self._failing_since = None
+        elif not reached and self._failing_since is None:
+            _LOGGER.warning("Store lost", extra={"table": self._table, "reason": why})
+            self._failing_since = self._clock.now()
--- a/standins/daemons.py
+++ b/standins/daemons.py
@@ -12,9 +12,9 @@
 from goldcreststair.components.membership.models import MEMBERS, Members
 from goldcreststair.core import Component, Core
 from goldcreststair.journal import Journal
-from goldcreststair.store.protocols import Platform
 from goldcreststair.settings import DEFAULT_PARTITIONS, Settings
 from goldcreststair.statistics import NullStatistics
+from goldcreststair.store.protocols import Platform
 from standins.engine.client import FakeUpstreams
 from standins.gate import GatedClock, GatedTransport, VmGate, gate_platform, gate_upstreams
 from standins.network import FakeNetwork
