--- a/goldcreststair/components/fleet/const.py
+++ b/goldcreststair/components/fleet/const.py
@@ -13,9 +13,11 @@
 RUNS_MS: Final = 1_500
 """What a daemon said of its runs counts for so long; its streams end soon after it does."""
 
-HEARTBEAT_MS: Final = 2_000
-"""How often a daemon's heartbeat row is written: at 820 daemons 410 writes a second."""
-HEARTBEAT_READ_MS: Final = 1_500
+HEARTBEAT_MS: Final = 1_000
+"""How often a daemon's heartbeat row is written, in a small fleet."""
+HEARTBEATS_PER_S: Final = 100
+"""Heartbeats of all daemons together, which beat less often in a large fleet."""
+HEARTBEAT_READ_MS: Final = 1_300
 """How often heartbeats are read while a daemon is not heard."""
 ISOLATED_MS: Final = 5_000
 """A daemon that hears neither store nor peers for so long takes no requests: its keys may be
--- a/goldcreststair/components/fleet/controller.py
+++ b/goldcreststair/components/fleet/controller.py
@@ -4,8 +4,16 @@
 from dataclasses import dataclass
 
 from goldcreststair.clock import Clock, Millis
-from goldcreststair.components.fleet.const import EXPIRE_MS, HEARD_MS, ISOLATED_MS
+from goldcreststair.components.fleet.const import (
+    EXPIRE_MS,
+    HEARD_MS,
+    HEARTBEAT_MS,
+    HEARTBEAT_READ_MS,
+    HEARTBEATS_PER_S,
+    ISOLATED_MS,
+)
 from goldcreststair.components.fleet.models import Fleet, FleetVm, VmState
+from goldcreststair.const import MS_PER_SECOND
 
 
 @dataclass(slots=True)
@@ -25,6 +33,15 @@
         return max(self.known_at, self.heard_at or 0, self.moved_at or 0)  # type: ignore[return-value]
 
 
+def choose_heartbeat_ms(daemons: int) -> int:
+    """Return how often each of so many daemons writes its heartbeat.
+
+    >>> choose_heartbeat_ms(11), choose_heartbeat_ms(820)
+    (1000, 8200)
+    """
+    return max(HEARTBEAT_MS, daemons * MS_PER_SECOND // HEARTBEATS_PER_S)
+
+
 class FleetController:
     """Keeps the list of daemons from the store's rows, beacons and heartbeats."""
 
@@ -105,24 +122,32 @@
         """Return the sessions that are not heard."""
         return [session for session, peer in self._peers.items() if not self._is_heard(peer)]
 
-    def list_expired(self) -> list[str]:
-        """Return the sessions that are gone by all signs.
+    def is_lost(self, session: str, after_ms: int) -> bool:
+        """Return whether a daemon has shown no sign of life for so long.
 
-        A daemon is gone only if reads of the store have shown its heartbeat at a stand: while the
-        store is away a silent daemon may live behind a cut and serve its callers.
+        Reads of the store must have shown its heartbeat at a stand: while the store is away a silent
+        daemon may live behind a cut and serve its callers.
         """
-        horizon = self._clock.now() - EXPIRE_MS
-        return [
-            session
-            for session, peer in self._peers.items()
-            if peer.last_sign_at() <= horizon and peer.reads >= 2
-        ]
+        peer = self._peers.get(session)
+        if peer is None:
+            return False
+        silent_ms = self._clock.now() - peer.last_sign_at()
+        standing_ms = peer.reads * HEARTBEAT_READ_MS
+        return silent_ms >= after_ms and standing_ms > choose_heartbeat_ms(len(self._peers) + 1)
+
+    def list_expired(self) -> list[str]:
+        """Return the sessions that are gone by all signs."""
+        return [session for session in self._peers if self.is_lost(session, EXPIRE_MS)]
+
+    def read_contact_age_ms(self) -> int:
+        """Return the ms since the store or another daemon was heard; 0 if there is no other."""
+        if not self._peers:
+            return 0
+        return self._clock.now() - max(self._store_at, self._peer_at)
 
     def is_isolated(self) -> bool:
         """Return whether this daemon hears neither the store nor any other daemon."""
-        if not self._peers:
-            return False
-        return self._clock.now() - max(self._store_at, self._peer_at) > ISOLATED_MS
+        return self.read_contact_age_ms() > ISOLATED_MS
 
     def read_fleet(self) -> Fleet:
         """Return the fleet as it stands now."""
--- a/goldcreststair/components/fleet/protocols.py
+++ b/goldcreststair/components/fleet/protocols.py
@@ -43,6 +43,12 @@
     def is_isolated(self) -> bool:
         """Return whether this daemon hears neither the store nor any other daemon."""
 
+    def read_contact_age_ms(self) -> int:
+        """Return the ms since the store or another daemon was heard; 0 if there is no other."""
+
+    def is_lost(self, session: str, after_ms: int) -> bool:
+        """Return whether a daemon has shown no sign of life for so long, the store included."""
+
     def note_store(self) -> None:
         """Note an answer of the store."""
 
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -11,7 +11,6 @@
     BEACON_FAN_OUT,
     BEACON_INTERVAL_MS,
     BEACON_MIN_GAP_MS,
-    HEARTBEAT_MS,
     HEARTBEAT_READ_MS,
     LEAVE_TIMEOUT_MS,
     STAND_STILL_MS,
@@ -19,7 +18,7 @@
     TABLE_SESSIONS,
     TICK_MS,
 )
-from goldcreststair.components.fleet.controller import FleetController
+from goldcreststair.components.fleet.controller import FleetController, choose_heartbeat_ms
 from goldcreststair.components.fleet.models import FLEET, OWN_STATE, Fleet, FleetVm, OwnState
 from goldcreststair.components.fleet.protocols import (
     Contribute,
@@ -63,6 +62,7 @@
         self._sequence = 0
         self._heard: dict[str, int] = {}
         self._sent_at = Millis(0)
+        self._expected_at = core.clock.now()
         self._timer: TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._unsubscribe: Callable[[], None] = lambda: None
@@ -71,6 +71,7 @@
 
     async def async_start(self) -> None:
         """Announce this daemon and follow the others."""
+        self._expected_at = self._core.clock.now()
         board = self._core.blackboard
         self._unsubscribe = board.subscribe(OWN_STATE, self._on_own_state)
         await self._core.datagrams.async_listen(
@@ -137,8 +138,18 @@
 
     def is_isolated(self) -> bool:
         """Return whether this daemon hears neither the store nor any other daemon."""
+        self._check_awake()
         return self._controller.is_isolated()
 
+    def read_contact_age_ms(self) -> int:
+        """Return the ms since the store or another daemon was heard; 0 if there is no other."""
+        self._check_awake()
+        return self._controller.read_contact_age_ms()
+
+    def is_lost(self, session: str, after_ms: int) -> bool:
+        """Return whether a daemon has shown no sign of life for so long, the store included."""
+        return self._controller.is_lost(session, after_ms)
+
     def note_store(self) -> None:
         """Note an answer of the store."""
         self._controller.note_store()
@@ -203,6 +214,7 @@
     def _on_datagram(self, datagram: bytes, _: str) -> None:
         if not datagram:
             return
+        self._check_awake()
         if datagram[0] == DatagramKind.BEACON:
             self._take_beacon(datagram[1:])
             return
@@ -235,25 +247,30 @@
 
     async def _async_tick(self) -> None:
         clock = self._core.clock
-        expected = clock.now()
         while True:
-            now = clock.now()
-            late_ms = now - expected
-            if late_ms > STAND_STILL_MS:
-                self._wake(late_ms)
-            if now - self._sent_at >= BEACON_INTERVAL_MS - TICK_MS // 2:
+            self._check_awake()
+            self._expected_at = Millis(clock.now() + TICK_MS)
+            if clock.now() - self._sent_at >= BEACON_INTERVAL_MS - TICK_MS // 2:
                 self.announce()
             self._publish()
-            expected = Millis(clock.now() + TICK_MS)
             await clock.async_sleep(TICK_MS)
 
-    def _wake(self, stood_ms: int) -> None:
-        # Frozen or suspended, this process has missed news: who lives, which keys were withdrawn,
-        # what others spent. Each belief counts again once it was heard again.
-        _LOGGER.warning("Stood still", extra={"stood_ms": stood_ms})
+    def _check_awake(self) -> None:
+        """Void what this daemon believes if it stood still; called before each decision by age.
+
+        The first thing that a woken process handles may be a caller's request, or a beacon that
+        waited in its socket and makes old beliefs look fresh, and not the tick.
+        """
+        late_ms = self._core.clock.now() - self._expected_at
+        if late_ms <= STAND_STILL_MS:
+            return
+        self._expected_at = Millis(self._core.clock.now() + TICK_MS)
+        _LOGGER.warning("Stood still", extra={"stood_ms": late_ms})
+        # It has missed news: who lives, which keys were withdrawn, what others spent. Each belief
+        # counts again once it was heard again.
         self._controller.void()
         for on_awake in self._core.on_awake:
-            on_awake(stood_ms)
+            on_awake(late_ms)
 
     async def _async_beat(self) -> None:
         store = self._core.adapter.store
@@ -266,7 +283,9 @@
                 written = await store.async_commit(Transaction(puts=(beat,)))
                 if isinstance(written, Ok):
                     self._controller.note_store()
-            pause_ms = HEARTBEAT_MS if self._registered else BEACON_INTERVAL_MS
+            pause_ms = BEACON_INTERVAL_MS
+            if self._registered:
+                pause_ms = choose_heartbeat_ms(len(self._core.blackboard.read(FLEET).vms))
             await self._core.clock.async_sleep(pause_ms)
 
     async def _async_register(self) -> bool:
--- a/goldcreststair/components/forwarding/admission.py
+++ b/goldcreststair/components/forwarding/admission.py
@@ -22,12 +22,13 @@
     return Ok(route)
 
 
-def identify_customer(
-    catalogue: Catalogue, route: Route, key: str
-) -> Result[CatalogueCustomer | None, Refusal]:
-    """Return whose request it is; None on a route that asks for no key."""
-    if route.anonymous or not catalogue.customers:
-        return Ok(None)
+def needs_key(catalogue: Catalogue, route: Route) -> bool:
+    """Return whether the requests of a route need a customer's key."""
+    return not route.anonymous and bool(catalogue.customers)
+
+
+def identify_customer(catalogue: Catalogue, key: str) -> Result[CatalogueCustomer, Refusal]:
+    """Return the customer whose key this is."""
     # Keys are found by their hash, so the time of the look-up tells nothing about the key.
     name = catalogue.keys.get(hash_key(key)) if key else None
     customer = catalogue.customers.get(name) if name is not None else None
--- a/goldcreststair/components/forwarding/protocols.py
+++ b/goldcreststair/components/forwarding/protocols.py
@@ -24,6 +24,9 @@
     def answer(self, head: RunHead, body: bytes) -> None:
         """Send a whole answer of an upstream."""
 
+    def accept(self) -> None:
+        """Say that a job was accepted."""
+
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal as the whole answer."""
 
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -5,13 +5,14 @@
 
 from result import Err, Ok, Result
 
-from goldcreststair.components.catalogue.models import CATALOGUE, CallKind
+from goldcreststair.components.catalogue.models import CATALOGUE, CallKind, CatalogueCustomer
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.forwarding.admission import (
     choose_service,
     find_end,
     find_route,
     identify_customer,
+    needs_key,
 )
 from goldcreststair.components.forwarding.const import READY_RETRY_MS
 from goldcreststair.components.forwarding.models import (
@@ -27,12 +28,14 @@
 )
 from goldcreststair.components.forwarding.relay import STATUS_OK, StreamRelay
 from goldcreststair.components.forwarding.watch import SilenceWatch, async_watch
+from goldcreststair.components.jobs.desk import JOB_DESK
 from goldcreststair.components.online.budget import RetryBudget
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.placement.admission import CallerTime, decide_return
 from goldcreststair.components.placement.models import Placement, PlacementQuery
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.upstreams.dialect import RunCall
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
@@ -56,9 +59,8 @@
         self._links = core.get(FLEET_LINKS)
         self._quotas = core.get(QUOTAS)
         self._placement = core.get(PLACEMENT)
+        self._desk = core.get(JOB_DESK)
         self._budget = RetryBudget()
-        self.running = 0
-        """Requests that have no whole answer yet."""
 
     async def async_start(self) -> None:
         """Do nothing; requests come from the caller's side."""
@@ -73,11 +75,26 @@
             _log_refusal(request, admitted.err_value)
             responder.refuse(admitted.err_value)
             return
-        self.running += 1
+        if admitted.ok_value.route.kind is CallKind.BATCH:
+            await self._async_submit(admitted.ok_value, responder)
+            return
+        await _Forwarded(self._core, admitted.ok_value, responder, self._budget).async_run()
+
+    async def _async_submit(self, admitted: AdmittedRequest, responder: Responder) -> None:
+        request = admitted.request
+        left_ms = max(1, admitted.ends_at - self._clock.now())
         try:
-            await _Forwarded(self._core, admitted.ok_value, responder, self._budget).async_run()
-        finally:
-            self.running -= 1
+            async with asyncio.timeout(left_ms / MS_PER_SECOND):
+                submitted = await self._desk.async_submit(admitted)
+        except TimeoutError:
+            # Its transaction may still be made: nothing can be promised.
+            message = "the store did not answer in time"
+            submitted = Err(Refusal(message, RefusalCode.OUTCOME_UNKNOWN))
+        if isinstance(submitted, Err):
+            _log_refusal(request, submitted.err_value)
+            responder.refuse(submitted.err_value)
+        else:
+            responder.accept()
 
     def admit(self, request: CallerRequest) -> Result[AdmittedRequest, Refusal]:
         """Return the request with its route and customer, or why it may not run."""
@@ -89,14 +106,13 @@
         if isinstance(found, Err):
             return found
         route = found.ok_value
-        identified = identify_customer(catalogue, route, request.key)
-        if isinstance(identified, Err):
-            return identified
-        customer = identified.ok_value
-        if route.kind is CallKind.BATCH:
-            message = "no batch jobs are taken here yet"
-            return Err(_refuse_for_now(message, RefusalCode.NOT_READY, READY_RETRY_MS))
-        if customer is not None:
+        customer: CatalogueCustomer | None = None
+        if needs_key(catalogue, route):
+            identified = identify_customer(catalogue, request.key)
+            if isinstance(identified, Err):
+                return identified
+            customer = identified.ok_value
+        if customer is not None and route.kind is not CallKind.BATCH:
             wait_ms = self._quotas.admit(customer)
             if wait_ms is not None:
                 message = f"rate and burst of {customer.name} are spent"
--- /dev/null
+++ b/goldcreststair/components/jobs/book.py
@@ -0,0 +1,115 @@
+"""The jobs that this daemon runs, which item goes next and which gives way; no I/O.
+
+Load it answers: jobs of some ten items arrive all day while online bursts take every slot for
+seconds. Items go by when their job is due, so that a job that was pushed back in one burst is first
+after it; those that are due last give way first, as they have most time to come back.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.jobs.models import ItemResult, JobItem, JobKey, JobRecord, OpenJob
+
+
+class ItemState(StrEnum):
+    """How far an item is."""
+
+    WAITING = "waiting"
+    RUNNING = "running"
+    FINISHED = "finished"
+    """Its result is known and not listed."""
+    LISTED = "listed"
+
+
+@dataclass(slots=True)
+class ItemProgress:
+    """One item of an owned job."""
+
+    item: JobItem
+    number: int
+    """Its place in the job."""
+    state: ItemState = ItemState.WAITING
+    failures: int = 0
+    """Runs that an upstream answered with a failure."""
+    lost: int = 0
+    """Runs in a row that brought nothing and no answer."""
+    not_before: Millis = Millis(0)
+    last_event: int = 0
+    data: list[bytes] = field(default_factory=list)
+    """Data of the events so far, kept when a run gives way or is lost."""
+
+
+@dataclass(slots=True)
+class OwnedJob:
+    """A job that this daemon runs."""
+
+    record: JobRecord
+    open: OpenJob
+    items: list[ItemProgress]
+    due_at: Millis
+    """When all results are due, on this daemon's clock."""
+    gives_up_at: Millis
+    """When items may be given up, on this daemon's clock."""
+    finished: list[tuple[ItemProgress, ItemResult]] = field(default_factory=list)
+    """Results in the order in which they will be listed."""
+    listed: list[ItemResult] = field(default_factory=list)
+    lost: bool = False
+    """Whether another daemon owns it, or it has ended."""
+
+    @property
+    def key(self) -> JobKey:
+        """Its name."""
+        return self.record.key
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every item is listed."""
+        return len(self.listed) == len(self.items)
+
+    def find(self, item: str) -> ItemProgress | None:
+        """Return one item."""
+        return next((found for found in self.items if found.item.item == item), None)
+
+
+class JobBook:
+    """All jobs that this daemon runs."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.jobs: dict[JobKey, OwnedJob] = {}
+
+    def list_startable(self, now: Millis) -> list[tuple[OwnedJob, ItemProgress]]:
+        """Return the items that may start, the most urgent first."""
+        found = [
+            (job, item)
+            for job in self.jobs.values()
+            if not job.lost
+            for item in job.items
+            if item.state is ItemState.WAITING and item.not_before <= now
+        ]
+        return sorted(found, key=lambda pair: (pair[0].due_at, pair[1].number))
+
+    def count_waiting(self) -> int:
+        """Return the items that wait for a slot."""
+        return sum(
+            item.state is ItemState.WAITING for job in self.jobs.values() for item in job.items
+        )
+
+    def list_given_up(self, now: Millis) -> Iterator[tuple[OwnedJob, ItemProgress]]:
+        """Yield the items whose time to wait is over and that do not run."""
+        for job in self.jobs.values():
+            if job.lost or now < job.gives_up_at:
+                continue
+            for item in job.items:
+                if item.state is ItemState.WAITING:
+                    yield job, item
+
+
+def choose_yielding(
+    running: Iterable[tuple[OwnedJob, ItemProgress]], count: int
+) -> list[ItemProgress]:
+    """Return the items whose runs give way: those due last, and of them those with least done."""
+    ranked = sorted(running, key=lambda pair: (pair[0].due_at, -pair[1].last_event), reverse=True)
+    return [item for _, item in ranked[:count]]
--- /dev/null
+++ b/goldcreststair/components/jobs/codec.py
@@ -0,0 +1,124 @@
+"""Rows and objects of jobs to bytes and back."""
+
+from collections.abc import Iterable, Sequence
+
+from goldcreststair.components.jobs.const import TEXT_PART_BYTES
+from goldcreststair.components.jobs.models import (
+    ItemResult,
+    JobItem,
+    JobKey,
+    JobRecord,
+    OpenJob,
+    name_result,
+)
+from goldcreststair.store.rows import RowKey, StoredRow
+from goldcreststair.wire.codec import encode_struct, read_struct
+from goldcreststair.wire.generated.gateway.ttypes import (
+    ItemBody,
+    JobBodies,
+    JobRow,
+    OpenRow,
+    ResultRow,
+)
+
+
+def encode_items(items: Iterable[JobItem]) -> bytes:
+    """Return the object of a job's items."""
+    bodies = [ItemBody(i.item, i.path, dict(i.headers), i.body, i.tokens) for i in items]
+    return encode_struct(JobBodies(bodies))
+
+
+def decode_items(encoded: bytes) -> tuple[JobItem, ...]:
+    """Return a job's items."""
+    bodies = read_struct(JobBodies, encoded).items
+    return tuple(
+        JobItem(b.item, b.path, tuple(b.headers.items()), b.body, b.tokens) for b in bodies
+    )
+
+
+def encode_record(record: JobRecord) -> bytes:
+    """Return the row of a job as it was accepted."""
+    return encode_struct(
+        JobRow(
+            record.key.job,
+            record.route_host,
+            record.route_prefix,
+            record.items,
+            record.submitted_at,
+            record.body_object,
+            record.ended,
+            record.max_wait_ms,
+        )
+    )
+
+
+def decode_record(row: StoredRow) -> JobRecord:
+    """Return a job as it was accepted."""
+    read = read_struct(JobRow, row.value)
+    return JobRecord(
+        JobKey(row.key.part, read.job),
+        read.route_host,
+        read.route_prefix,
+        read.items,
+        read.submitted_at,
+        read.body_object,
+        read.ended,
+        read.waiting_ms,
+    )
+
+
+def encode_open(job: OpenJob) -> bytes:
+    """Return the row of an open job."""
+    return encode_struct(
+        OpenRow(
+            job.key.job,
+            job.owner,
+            job.commit,
+            job.listed,
+            job.waiting_tokens,
+            job.route,
+            list(job.failures),
+        )
+    )
+
+
+def decode_open(row: StoredRow) -> OpenJob:
+    """Return an open job."""
+    read = read_struct(OpenRow, row.value)
+    return OpenJob(
+        JobKey(row.key.part, read.job),
+        read.owner,
+        read.commit,
+        read.listed,
+        read.waiting_tokens,
+        read.route,
+        tuple(read.failures),
+        row.version,
+    )
+
+
+def encode_result(key: JobKey, position: int, result: ItemResult) -> list[tuple[RowKey, bytes]]:
+    """Return the rows of one result."""
+    text = result.text
+    parts = [text[at : at + TEXT_PART_BYTES] for at in range(0, len(text), TEXT_PART_BYTES)]
+    parts = parts or [b""]
+    first = ResultRow(result.item, result.done, parts[0], len(parts))
+    rows = [(name_result(key, position), encode_struct(first))]
+    for number, part in enumerate(parts[1:], 1):
+        rows.append((name_result(key, position, number), part))
+    return rows
+
+
+def decode_results(rows: Sequence[StoredRow]) -> list[ItemResult]:
+    """Return whole results; a last one whose parts are not all there is left out."""
+    results: list[ItemResult] = []
+    at = 0
+    while at < len(rows):
+        first = read_struct(ResultRow, rows[at].value)
+        end = at + first.parts
+        if end > len(rows):
+            break
+        text = first.text + b"".join(row.value for row in rows[at + 1 : end])
+        results.append(ItemResult(first.item, first.done, text))
+        at = end
+    return results
--- /dev/null
+++ b/goldcreststair/components/jobs/const.py
@@ -0,0 +1,59 @@
+"""Times and sizes of batch jobs."""
+
+from typing import Final
+
+MAX_ITEMS: Final = 200
+"""Items of one job."""
+TEXT_PART_BYTES: Final = 45_000
+"""A row holds 64 KB, in a text encoding that is a third longer; longer results take several rows."""
+PAGE_BYTES: Final = 1_000_000
+"""Results of one answer to a reader."""
+MAX_COMMIT_ENTRIES: Final = 80
+"""Rows written at once; the store takes 100 in one transaction, of 1 MB together."""
+MAX_COMMIT_BYTES: Final = 600_000
+
+TICK_MS: Final = 20
+"""How often free slots are looked for; a start shows in other daemons' books after one beacon, so
+that two of them rarely take the same slot."""
+STARTS_PER_TICK: Final = 2
+"""Runs started at once, for the same reason."""
+COMMIT_RETRY_MS: Final = 150
+"""Pause after a commit that failed."""
+MAX_COMMIT_RETRY_MS: Final = 600
+RETRY_MIN_MS: Final = 100
+RETRY_MAX_MS: Final = 2_000
+"""Pauses before an item runs again after a failure: it may be what fails the upstreams."""
+GAP_MS: Final = 700
+"""Silence within a run after which it goes on elsewhere."""
+FIRST_MS: Final = 2_500
+"""Silence before a run's first event: it may wait in the upstream's queue."""
+RUN_TIMEOUT_MS: Final = 60_000
+
+LEASE_MS: Final = 2_000
+"""An owner that has heard neither store nor peers for so long answers readers from the store only:
+another daemon may have taken its jobs over and listed more."""
+ADOPT_MS: Final = 3_500
+"""A job whose owner shows no sign of life for so long gets another one. Longer than `LEASE_MS`;
+taken over too early, its items run twice."""
+SWEEP_MS: Final = 1_500
+"""How often the open jobs of a customer are read, by one daemon for each customer."""
+RETENTION_SWEEPS: Final = 20
+"""Every so many sweeps jobs past their time are removed."""
+RETENTION_MARGIN_MS: Final = 30_000
+GIVE_UP_MARGIN_MS: Final = 1_000
+"""An item is given up so long after it may be: the store's clock is read with a delay."""
+
+USAGE_STRICT_SHARE: Final = 0.6
+"""Above this share of a customer's limit of waiting tokens, submissions are put in one order, so that
+two at the same moment cannot both take the last room."""
+ACCEPT_TRIES: Final = 4
+READ_AGAIN_SHARE: Final = 0.85
+"""Part of a reader's wait after which the store is read once more."""
+CACHE_BYTES: Final = 24 * 1024 * 1024
+"""Results and bodies kept to answer readers; a quarter of the memory that a daemon may take."""
+
+TABLE_JOBS: Final = "jobs"
+TABLE_OPEN: Final = "jobs_open"
+TABLE_RESULTS: Final = "job_results"
+TABLE_ENDS: Final = "job_ends"
+TABLE_ORDER: Final = "job_order"
--- /dev/null
+++ b/goldcreststair/components/jobs/execution.py
@@ -0,0 +1,225 @@
+"""Runs items of owned jobs in slots that online work leaves free, and gives them back."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.catalogue.models import CATALOGUE, Route
+from goldcreststair.components.discovery.models import UpstreamEntry
+from goldcreststair.components.forwarding.admission import choose_service
+from goldcreststair.components.jobs.book import (
+    ItemProgress,
+    ItemState,
+    JobBook,
+    OwnedJob,
+    choose_yielding,
+)
+from goldcreststair.components.jobs.const import (
+    GIVE_UP_MARGIN_MS,
+    RUN_TIMEOUT_MS,
+    STARTS_PER_TICK,
+)
+from goldcreststair.components.jobs.lister import JobLister
+from goldcreststair.components.jobs.models import ItemResult, JobRecord
+from goldcreststair.components.jobs.outcome import Verdict, choose_pause, judge_run
+from goldcreststair.components.jobs.runner import ItemSink, async_run_item
+from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.upstreams.dialect import RunCall
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.runner import RunEnd
+
+_LOGGER = logging.getLogger(__name__)
+
+DEFAULT_ATTEMPTS = 3
+METHOD = "POST"
+
+
+@dataclass(slots=True)
+class _Run:
+    job: OwnedJob
+    item: ItemProgress
+    upstream: str
+    task: "asyncio.Task[None]"
+
+
+class ItemExecutor:
+    """Starts items, judges their runs, and stops them when online work needs their slots."""
+
+    def __init__(self, core: GatewayCore, book: JobBook, lister: JobLister) -> None:
+        """Run nothing yet."""
+        self._core = core
+        self._clock = core.clock
+        self._book = book
+        self._lister = lister
+        self._placement = core.get(PLACEMENT)
+        self._placement.on_yield(self._give_way)
+        self._runs: dict[int, _Run] = {}
+        """By the identity of the item's progress."""
+        self._stopped = False
+
+    async def async_close(self) -> None:
+        """End every run."""
+        self._stopped = True
+        tasks = [run.task for run in self._runs.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def stop(self) -> None:
+        """Start nothing more; what runs may come to its end."""
+        self._stopped = True
+
+    def stop_job(self, job: OwnedJob) -> None:
+        """End the runs of a job that is not this daemon's any more."""
+        for run in tuple(self._runs.values()):
+            if run.job is job:
+                run.task.cancel()
+
+    def is_idle(self, job: OwnedJob) -> bool:
+        """Return whether no item of a job runs."""
+        return all(run.job is not job for run in self._runs.values())
+
+    def find_route(self, record: JobRecord) -> Route | None:
+        """Return the route of a job, as it stands now."""
+        catalogue = self._core.blackboard.read(CATALOGUE)
+        return catalogue.find_route(record.route_host, record.route_prefix)
+
+    def tick(self) -> None:
+        """Give up what waited too long, and start what may."""
+        now = self._clock.now()
+        for job, item in tuple(self._book.list_given_up(Millis(now - GIVE_UP_MARGIN_MS))):
+            self._finish(job, item, ItemResult(item.item.item, done=False), "waited too long")
+        if self._stopped or not self._book.jobs:
+            return
+        for job, item in self._book.list_startable(now)[:STARTS_PER_TICK]:
+            if not self._start(job, item):
+                return
+
+    def _start(self, job: OwnedJob, item: ItemProgress) -> bool:
+        """Start an item; returns False if there is no slot for it."""
+        catalogue = self._core.blackboard.read(CATALOGUE)
+        route = catalogue.find_route(job.record.route_host, item.item.path)
+        if route is None:
+            if catalogue.version:
+                result = ItemResult(item.item.item, done=False)
+                self._finish(job, item, result, "its route is gone")
+            return True
+        service = choose_service(route, self._core.random.random())
+        entry = self._placement.controller.choose_for_batch(service)
+        if entry is None or not self._placement.has_connections(entry):
+            return False
+        item.state = ItemState.RUNNING
+        self._placement.begin(entry.name, batch=True)
+        task = asyncio.create_task(self._async_run(job, item, entry, route))
+        self._runs[id(item)] = _Run(job, item, entry.name, task)
+        return True
+
+    async def _async_run(
+        self, job: OwnedJob, item: ItemProgress, entry: UpstreamEntry, route: Route
+    ) -> None:
+        controller = self._placement.controller
+        sink = ItemSink(item, self._clock, lambda: controller.note_progress(entry.name))
+        call = self._make_call(job, item, entry)
+        try:
+            end = await async_run_item(self._core.runner, entry.address, call, sink, self._clock)
+        except asyncio.CancelledError:
+            item.state = ItemState.WAITING
+            raise
+        finally:
+            self._placement.end(entry.name, batch=True)
+            self._runs.pop(id(item), None)
+        if not job.lost:
+            self._judge(job, item, entry, end, route)
+
+    def _make_call(self, job: OwnedJob, item: ItemProgress, entry: UpstreamEntry) -> RunCall:
+        return RunCall(
+            request_id=item.item.item,
+            method=METHOD,
+            host=job.record.route_host,
+            path=item.item.path,
+            headers=item.item.headers,
+            body=item.item.body,
+            customer=job.key.customer,
+            upstream=entry.name,
+            deadline_ms=RUN_TIMEOUT_MS,
+            resume_after=item.last_event,
+        )
+
+    def _judge(
+        self,
+        job: OwnedJob,
+        item: ItemProgress,
+        entry: UpstreamEntry,
+        end: Result[RunEnd, UpstreamError],
+        route: Route,
+    ) -> None:
+        verdict = judge_run(end, item.failures, route.max_attempts)
+        item.failures += verdict.failed
+        item.lost = item.lost + 1 if verdict.lost else 0
+        if verdict.verdict is Verdict.AGAIN:
+            self._note_failure(entry, end)
+            pause_ms = choose_pause(item.lost + item.failures)
+            item.not_before = Millis(self._clock.now() + pause_ms)
+            item.state = ItemState.WAITING
+            self._log(job, item, "again", _describe(end), entry.name)
+            return
+        done = verdict.verdict is Verdict.DONE
+        text = b"\n".join(item.data) if done else b""
+        reason = "whole" if done else _describe(end)
+        self._finish(job, item, ItemResult(item.item.item, done, text), reason, entry.name)
+
+    def _note_failure(self, entry: UpstreamEntry, end: Result[RunEnd, UpstreamError]) -> None:
+        if isinstance(end, Ok):
+            return
+        failure = end.err_value.failure
+        if failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
+            self._placement.note_down(entry)
+        elif failure is UpstreamFailure.REFUSED:
+            self._placement.controller.note_full(entry.name)
+
+    def _finish(
+        self, job: OwnedJob, item: ItemProgress, result: ItemResult, reason: str, upstream: str = ""
+    ) -> None:
+        item.state = ItemState.FINISHED
+        item.data.clear()
+        job.finished.append((item, result))
+        self._log(job, item, "done" if result.done else "given_up", reason, upstream)
+        self._lister.list_soon(job)
+
+    def _give_way(self, upstream: str, count: int) -> None:
+        running = [(run.job, run.item) for run in self._runs.values() if run.upstream == upstream]
+        # Those that are being ended already still count in the book for a moment.
+        for item in choose_yielding(running, count):
+            run = self._runs.pop(id(item), None)
+            if run is not None:
+                run.task.cancel()
+                self._log(run.job, item, "yielded", "online work needs the slot", upstream)
+        self._placement.controller.note_yielded(upstream)
+
+    def _log(
+        self, job: OwnedJob, item: ItemProgress, choice: str, reason: str, upstream: str
+    ) -> None:
+        _LOGGER.info(
+            "Item %s",
+            choice,
+            extra={
+                "job": job.key.job,
+                "item": item.item.item,
+                "upstream": upstream,
+                "reason": reason,
+                "last_event": item.last_event,
+                "failures": item.failures,
+                "lost": item.lost,
+                "due_in_ms": job.due_at - self._clock.now(),
+            },
+        )
+
+
+def _describe(end: Result[RunEnd, UpstreamError]) -> str:
+    if isinstance(end, Err):
+        return end.err_value.message
+    return f"upstream answered {end.ok_value.head.status}"
--- /dev/null
+++ b/goldcreststair/components/jobs/lister.py
@@ -0,0 +1,117 @@
+"""Lists results in the store, one change after the other for each job."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from goldcreststair.components.jobs.book import ItemState, OwnedJob
+from goldcreststair.components.jobs.const import (
+    COMMIT_RETRY_MS,
+    MAX_COMMIT_BYTES,
+    MAX_COMMIT_ENTRIES,
+    MAX_COMMIT_RETRY_MS,
+    TEXT_PART_BYTES,
+)
+from goldcreststair.components.jobs.errors import JobLost
+from goldcreststair.components.jobs.models import ItemResult, JobKey
+from goldcreststair.components.jobs.records import JobRecords, Listing
+from goldcreststair.gateway_core import GatewayCore
+
+_LOGGER = logging.getLogger(__name__)
+
+OnLost = Callable[[OwnedJob, str], None]
+"""Takes a job that is not this daemon's any more, and why."""
+OnListed = Callable[[OwnedJob], None]
+"""Takes a job of which more is listed."""
+
+
+class JobLister:
+    """Goes on through outages of the store: what is finished is kept until it is listed."""
+
+    def __init__(
+        self, core: GatewayCore, records: JobRecords, on_listed: OnListed, on_lost: OnLost
+    ) -> None:
+        """List nothing yet."""
+        self._clock = core.clock
+        self._records = records
+        self._on_listed = on_listed
+        self._on_lost = on_lost
+        self._tasks: dict[JobKey, asyncio.Task[None]] = {}
+
+    async def async_close(self) -> None:
+        """Stop; what is not listed is run again by the next owner."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def list_soon(self, job: OwnedJob) -> None:
+        """List what a job has finished, and what it finishes meanwhile."""
+        if job.key not in self._tasks:
+            task = asyncio.create_task(self._async_list(job))
+            self._tasks[job.key] = task
+            task.add_done_callback(lambda _: self._tasks.pop(job.key, None))
+
+    def is_idle(self, job: OwnedJob) -> bool:
+        """Return whether everything finished is listed."""
+        return job.key not in self._tasks
+
+    async def _async_list(self, job: OwnedJob) -> None:
+        while job.finished and not job.lost:
+            listing, count = self._prepare(job)
+            if not await self._async_settle(job, listing):
+                return
+            done = job.finished[:count]
+            del job.finished[:count]
+            for item, result in done:
+                item.state = ItemState.LISTED
+                job.listed.append(result)
+            self._on_listed(job)
+        if job.is_whole and not job.lost:
+            await self._async_close_job(job)
+
+    def _prepare(self, job: OwnedJob) -> tuple[Listing, int]:
+        taken: list[tuple[int, ItemResult]] = []
+        entries = size = 0
+        for item, result in job.finished:
+            entries += 1 + len(result.text) // TEXT_PART_BYTES
+            size += len(result.text)
+            if taken and (entries > MAX_COMMIT_ENTRIES or size > MAX_COMMIT_BYTES):
+                break
+            taken.append((item.item.tokens, result))
+        failures = tuple(item.failures for item in job.items)
+        return self._records.prepare_listing(job.open, taken, failures), len(taken)
+
+    async def _async_settle(self, job: OwnedJob, listing: Listing) -> bool:
+        """Try one listing until it is made or the job is lost; returns whether it was made."""
+        pause_ms = COMMIT_RETRY_MS
+        while not job.lost:
+            listed = await self._records.async_list_results(listing)
+            if isinstance(listed, Ok):
+                job.open = listed.ok_value
+                return True
+            error = listed.err_value
+            if isinstance(error, JobLost):
+                self._on_lost(job, "ended" if error.ended else error.message)
+                return False
+            # The results stay here meanwhile: run again, they would cost their slots twice.
+            extra = {"job": job.key.job, "results": len(listing.puts), "reason": error.message}
+            _LOGGER.warning("Results not listed yet", extra=extra)
+            await self._clock.async_sleep(pause_ms)
+            pause_ms = min(MAX_COMMIT_RETRY_MS, pause_ms * 2)
+        return False
+
+    async def _async_close_job(self, job: OwnedJob) -> None:
+        pause_ms = COMMIT_RETRY_MS
+        while not job.lost:
+            closed = await self._records.async_close_job(job.open)
+            if isinstance(closed, Ok) or isinstance(closed.err_value, JobLost):
+                break
+            await self._clock.async_sleep(pause_ms)
+            pause_ms = min(MAX_COMMIT_RETRY_MS, pause_ms * 2)
+        self._on_lost(job, "finished")
+        dropped = await self._records.async_drop_object(job.record.body_object)
+        if isinstance(dropped, Err):
+            _LOGGER.warning("Object of a finished job stays: %s", dropped.err_value.message)
--- /dev/null
+++ b/goldcreststair/components/jobs/outcome.py
@@ -0,0 +1,63 @@
+"""What a run means for its item; no I/O."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from result import Err, Result
+
+from goldcreststair.components.jobs.const import RETRY_MAX_MS, RETRY_MIN_MS
+from goldcreststair.upstreams.errors import UpstreamError
+from goldcreststair.upstreams.runner import RunEnd
+
+STATUS_OK: Final = 200
+STATUS_IMPOSSIBLE: Final = 422
+"""The upstream says that this item can never be done."""
+STATUS_FAILED: Final = 500
+
+
+class Verdict(StrEnum):
+    """What becomes of an item after a run."""
+
+    DONE = "done"
+    GIVEN_UP = "given_up"
+    AGAIN = "again"
+
+
+@dataclass(frozen=True, slots=True)
+class ItemVerdict:
+    """What becomes of an item after a run, and how it counts."""
+
+    verdict: Verdict
+    failed: bool = False
+    """Whether the upstream answered with a failure of the item's own."""
+    lost: bool = False
+    """Whether the run ended without any answer."""
+
+
+def judge_run(end: Result[RunEnd, UpstreamError], failures: int, max_attempts: int) -> ItemVerdict:
+    """Return what a run means for an item that has failed `failures` times before."""
+    if isinstance(end, Err):
+        return ItemVerdict(Verdict.AGAIN, lost=not end.err_value.not_run)
+    status = end.ok_value.head.status
+    if status == STATUS_OK:
+        return ItemVerdict(Verdict.DONE)
+    if status == STATUS_IMPOSSIBLE:
+        return ItemVerdict(Verdict.GIVEN_UP, failed=True)
+    if status != STATUS_FAILED:
+        # A time-out of the upstream, or an answer that says nothing of the item itself.
+        return ItemVerdict(Verdict.AGAIN, lost=True)
+    if failures + 1 >= max_attempts:
+        return ItemVerdict(Verdict.GIVEN_UP, failed=True)
+    return ItemVerdict(Verdict.AGAIN, failed=True)
+
+
+def choose_pause(failures: int) -> int:
+    """Return the ms before an item runs again after so many failures in a row.
+
+    >>> choose_pause(0), choose_pause(1), choose_pause(3), choose_pause(30)
+    (0, 100, 400, 2000)
+    """
+    if failures <= 0:
+        return 0
+    return min(RETRY_MAX_MS, RETRY_MIN_MS << min(failures - 1, 10))
--- /dev/null
+++ b/goldcreststair/components/jobs/reading.py
@@ -0,0 +1,144 @@
+"""Answers readers of jobs, from memory where that is certain and else from the store."""
+
+import logging
+from collections import OrderedDict
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Clock
+from goldcreststair.components.jobs.codec import decode_items
+from goldcreststair.components.jobs.const import CACHE_BYTES, PAGE_BYTES, READ_AGAIN_SHARE
+from goldcreststair.components.jobs.errors import JobError, JobProblem
+from goldcreststair.components.jobs.models import (
+    ItemResult,
+    JobItem,
+    JobKey,
+    JobRecord,
+    ResultPage,
+)
+from goldcreststair.components.jobs.records import JobRecords
+from goldcreststair.store.errors import ObjectMissing
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class _Known:
+    """What this daemon has read of one job: none of it ever changes."""
+
+    def __init__(self, record: JobRecord) -> None:
+        self.record = record
+        self.results: list[ItemResult] = []
+        self.items: tuple[JobItem, ...] = ()
+
+    def size(self) -> int:
+        texts = sum(len(result.text) for result in self.results)
+        return texts + sum(len(item.body) for item in self.items) + 1000
+
+
+class JobReader:
+    """Keeps what it has read, the jobs read last, within a bound."""
+
+    def __init__(self, records: JobRecords, clock: Clock) -> None:
+        """Start with nothing."""
+        self._records = records
+        self._clock = clock
+        self._known: OrderedDict[JobKey, _Known] = OrderedDict()
+
+    def note_record(self, record: JobRecord) -> None:
+        """Remember a job that was just accepted or loaded."""
+        if record.key not in self._known:
+            self._known[record.key] = _Known(record)
+
+    def keep_results(self, record: JobRecord, results: list[ItemResult]) -> None:
+        """Remember the listed results of a job that this daemon ran."""
+        self.note_record(record)
+        known = self._known[record.key]
+        if len(results) > len(known.results):
+            known.results = list(results)
+        self._trim()
+
+    async def async_find(self, key: JobKey) -> Result[JobRecord, JobError]:
+        """Return a job as it was accepted."""
+        known = self._known.get(key)
+        if known is not None:
+            self._known.move_to_end(key)
+            return Ok(known.record)
+        found = await self._records.async_find(key)
+        if isinstance(found, Err):
+            return Err(JobError(found.err_value.message))
+        if found.ok_value is None:
+            return Err(JobError("no such job", JobProblem.MISSING))
+        self.note_record(found.ok_value)
+        return Ok(found.ok_value)
+
+    async def async_read(
+        self, key: JobKey, position: int, wait_ms: int
+    ) -> Result[ResultPage, JobError]:
+        """Return results from a position on, read from the store where they are not known."""
+        found = await self.async_find(key)
+        if isinstance(found, Err):
+            return found
+        record = found.ok_value
+        page = await self._async_read_page(record, position)
+        if isinstance(page, Err) or page.ok_value.results or position >= record.items:
+            return page
+        if wait_ms <= 0:
+            return page
+        await self._clock.async_sleep(int(wait_ms * READ_AGAIN_SHARE))
+        return await self._async_read_page(record, position)
+
+    async def async_read_items(self, key: JobKey) -> Result[tuple[JobItem, ...], JobError]:
+        """Return all items of a job."""
+        found = await self.async_find(key)
+        if isinstance(found, Err):
+            return found
+        known = self._known.get(key) or _Known(found.ok_value)
+        if known.items:
+            return Ok(known.items)
+        content = await self._records.async_read_object(found.ok_value.body_object)
+        if isinstance(content, Err):
+            # The object goes once all items are listed or the job has ended.
+            gone = isinstance(content.err_value, ObjectMissing)
+            problem = JobProblem.MISSING if gone else JobProblem.UNAVAILABLE
+            return Err(JobError(content.err_value.message, problem))
+        known.items = decode_items(content.ok_value)
+        self._trim()
+        return Ok(known.items)
+
+    def forget(self, key: JobKey) -> None:
+        """Drop a job whose record changed."""
+        self._known.pop(key, None)
+
+    async def _async_read_page(
+        self, record: JobRecord, position: int
+    ) -> Result[ResultPage, JobError]:
+        known = self._known.get(record.key) or _Known(record)
+        if position >= len(known.results) and len(known.results) < record.items:
+            first = len(known.results)
+            read = await self._records.async_read_results(record.key, first)
+            if isinstance(read, Err):
+                return Err(JobError(read.err_value.message))
+            # Two readers at once bring the same results: added twice, each would stand at two
+            # positions.
+            if len(known.results) == first:
+                known.results += read.ok_value
+            self._trim()
+        return Ok(cut_page(record.items, known.results, position))
+
+    def _trim(self) -> None:
+        size = sum(known.size() for known in self._known.values())
+        while size > CACHE_BYTES and len(self._known) > 1:
+            _, dropped = self._known.popitem(last=False)
+            size -= dropped.size()
+
+
+def cut_page(total: int, results: list[ItemResult], position: int) -> ResultPage:
+    """Return the results from a position on, as many as one answer may hold."""
+    page: list[ItemResult] = []
+    size = 0
+    for result in results[position:]:
+        size += len(result.text)
+        if page and size > PAGE_BYTES:
+            break
+        page.append(result)
+    return ResultPage(total, tuple(page), position + len(page))
--- /dev/null
+++ b/goldcreststair/components/jobs/records.py
@@ -0,0 +1,422 @@
+"""Jobs in the store: accepted, listed, ended and taken over by conditional transactions."""
+
+import logging
+import secrets
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Clock
+from goldcreststair.components.jobs.codec import (
+    decode_open,
+    decode_record,
+    decode_results,
+    encode_items,
+    encode_open,
+    encode_record,
+    encode_result,
+)
+from goldcreststair.components.jobs.const import (
+    ACCEPT_TRIES,
+    TABLE_ENDS,
+    TABLE_JOBS,
+    TABLE_OPEN,
+    TABLE_ORDER,
+    USAGE_STRICT_SHARE,
+)
+from goldcreststair.components.jobs.errors import JobError, JobLost, JobProblem
+from goldcreststair.components.jobs.models import (
+    ItemResult,
+    JobKey,
+    JobRecord,
+    OpenJob,
+    Submission,
+    Usage,
+    name_result,
+    name_row,
+)
+from goldcreststair.store.errors import ObjectMissing, PlatformError, PlatformOutcomeUnknown
+from goldcreststair.store.rows import (
+    Committed,
+    RowKey,
+    RowRange,
+    RowsConflict,
+    RowStore,
+    StoredRow,
+    Transaction,
+)
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """A change that lists results of a job."""
+
+    before: OpenJob
+    after: OpenJob
+    puts: tuple[tuple[RowKey, bytes], ...]
+
+
+class StoreTime:
+    """The store's clock, as far as its answers tell."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Know nothing."""
+        self._clock = clock
+        self._ahead_ms: int | None = None
+
+    def note(self, store_ms: int) -> None:
+        """Take the time that an answer carries; it was true when the answer left."""
+        ahead_ms = store_ms - self._clock.now()
+        # Answers come late and never early: the largest lead is the nearest to the truth.
+        if self._ahead_ms is None or ahead_ms > self._ahead_ms:
+            self._ahead_ms = ahead_ms
+
+    def turn(self, store_ms: int) -> int:
+        """Return a time of the store on this daemon's clock."""
+        return store_ms - (self._ahead_ms or 0)
+
+
+class JobRecords:
+    """The only reader and writer of the tables of jobs."""
+
+    def __init__(self, store: RowStore, clock: Clock) -> None:
+        """Use the store."""
+        self.time = StoreTime(clock)
+        self._store = store
+
+    async def async_accept(
+        self, submission: Submission, owner: str
+    ) -> Result[tuple[JobRecord, OpenJob] | None, JobError]:
+        """Accept a job, or return None if it was accepted before."""
+        stored: JobRecord | None = None
+        for _ in range(ACCEPT_TRIES):
+            found = await self._async_read_usage(submission)
+            if isinstance(found, Err):
+                return found
+            usage = found.ok_value
+            if submission.key.job in usage.jobs:
+                return Ok(None)
+            limit = submission.max_waiting_tokens
+            if limit and usage.tokens + submission.tokens > limit:
+                message = f"{usage.tokens} tokens wait, of at most {limit}"
+                return Err(JobError(message, JobProblem.NO_ROOM))
+            if stored is None:
+                put = await self._async_put_items(submission, usage.now_ms)
+                if isinstance(put, Err):
+                    return put
+                stored = put.ok_value
+            strict = usage.tokens + submission.tokens > limit * USAGE_STRICT_SHARE
+            order = usage.order if limit and strict else None
+            done = await self._async_commit_job(submission, stored, owner, order)
+            if isinstance(done, Ok) or done.err_value.problem is not JobProblem.MISSING:
+                return done
+        return Err(JobError("other submissions came first each time"))
+
+    async def async_list_open(self, customer: str) -> Result[dict[str, OpenJob], PlatformError]:
+        """Return the open jobs of a customer, by id."""
+        found: dict[str, OpenJob] = {}
+        first = ""
+        while True:
+            read = await self._store.async_read(RowRange(TABLE_OPEN, customer, first))
+            if isinstance(read, Err):
+                return read
+            page = read.ok_value
+            self.time.note(page.now_ms)
+            for row in page.rows:
+                found[row.key.key] = decode_open(row)
+            if not page.truncated:
+                return Ok(found)
+            first = page.rows[-1].key.key + "\0"
+
+    async def async_find(self, key: JobKey) -> Result[JobRecord | None, PlatformError]:
+        """Return a job as it was accepted."""
+        row = await self._async_read_row(name_row(TABLE_JOBS, key))
+        return row.map(lambda found: None if found is None else decode_record(found))
+
+    async def async_find_open(self, key: JobKey) -> Result[OpenJob | None, PlatformError]:
+        """Return an open job; None if it is finished, ended or unknown."""
+        row = await self._async_read_row(name_row(TABLE_OPEN, key))
+        return row.map(lambda found: None if found is None else decode_open(found))
+
+    async def async_read_results(
+        self, key: JobKey, position: int
+    ) -> Result[list[ItemResult], PlatformError]:
+        """Return the results listed from a position on, as many as one read brings."""
+        first = name_result(key, position)
+        end = name_row(first.table, key, "0").key
+        read = await self._store.async_read(RowRange(first.table, first.part, first.key, end))
+        if isinstance(read, Err):
+            return read
+        self.time.note(read.ok_value.now_ms)
+        return Ok(decode_results(read.ok_value.rows))
+
+    async def async_read_all_results(
+        self, key: JobKey, count: int
+    ) -> Result[list[ItemResult], PlatformError]:
+        """Return the first `count` results."""
+        results: list[ItemResult] = []
+        while len(results) < count:
+            read = await self.async_read_results(key, len(results))
+            if isinstance(read, Err):
+                return read
+            if not read.ok_value:
+                return Err(PlatformError(f"{len(results)} of {count} results of {key.job}"))
+            results += read.ok_value
+        return Ok(results)
+
+    async def async_read_object(self, name: str) -> Result[bytes, PlatformError]:
+        """Return the object of a job's items."""
+        return await self._store.async_get_object(name)
+
+    def prepare_listing(
+        self, job: OpenJob, results: Sequence[tuple[int, ItemResult]], failures: tuple[int, ...]
+    ) -> Listing:
+        """Return the change that lists results at the next positions.
+
+        `results` pairs the tokens of each item with its result.
+        """
+        puts = [
+            row
+            for at, (_, result) in enumerate(results)
+            for row in encode_result(job.key, job.listed + at, result)
+        ]
+        tokens = job.waiting_tokens - sum(tokens for tokens, _ in results)
+        after = replace(
+            job,
+            listed=job.listed + len(results),
+            waiting_tokens=max(0, tokens),
+            failures=failures,
+            commit=secrets.token_hex(4),
+        )
+        return Listing(job, after, tuple(puts))
+
+    async def async_list_results(
+        self, listing: Listing
+    ) -> Result[OpenJob, PlatformError | JobLost]:
+        """List results; returns the job as it stands then.
+
+        After an unknown outcome the same listing has to be tried again until it is settled. The job's
+        own row is written under its version, so that an owner that was paused and replaced cannot
+        list anything.
+        """
+        return await self._async_change(listing.before, listing.after, listing.puts)
+
+    async def async_close_job(self, job: OpenJob) -> Result[None, PlatformError | JobLost]:
+        """Take a job whose items are all listed off the open ones."""
+        row = name_row(TABLE_OPEN, job.key)
+        closing = Transaction(deletes=(row,), conditions=((row, job.version),))
+        closed = await self._store.async_commit(closing)
+        if isinstance(closed, Ok):
+            return Ok(None)
+        if isinstance(closed.err_value, RowsConflict):
+            gone = not closed.err_value.rows
+            return Ok(None) if gone else Err(JobLost("another daemon owns the job"))
+        return closed
+
+    async def async_assign(
+        self, job: OpenJob, owner: str
+    ) -> Result[OpenJob, PlatformError | JobLost]:
+        """Make a daemon the owner of a job."""
+        return await self._async_change(
+            job, replace(job, owner=owner, commit=secrets.token_hex(4)), ()
+        )
+
+    async def async_end(self, key: JobKey) -> Result[bool, JobError]:
+        """End a job; returns False if there is none."""
+        for _ in range(ACCEPT_TRIES):
+            record = await self.async_find(key)
+            if isinstance(record, Err):
+                return Err(JobError(record.err_value.message))
+            found = record.ok_value
+            if found is None:
+                return Ok(False)
+            opened = await self.async_find_open(key)
+            if isinstance(opened, Err):
+                return Err(JobError(opened.err_value.message))
+            if opened.ok_value is None:
+                return Ok(True)
+            ended = await self._async_commit_end(found, opened.ok_value)
+            if isinstance(ended, Ok):
+                return Ok(True)
+            # A conflict means that results were listed meanwhile; an unknown outcome is read again.
+            if not isinstance(ended.err_value, RowsConflict | PlatformOutcomeUnknown):
+                return Err(JobError(ended.err_value.message))
+        return Err(JobError("the job changes faster than it can be ended", JobProblem.UNKNOWN))
+
+    async def async_remove(self, record: JobRecord) -> Result[None, PlatformError]:
+        """Remove a finished job and its results for good."""
+        first = name_result(record.key, 0)
+        end = name_row(first.table, record.key, "0").key
+        while True:
+            wanted = RowRange(first.table, first.part, first.key, end, limit=90)
+            read = await self._store.async_read(wanted)
+            if isinstance(read, Err):
+                return read
+            rows = tuple(row.key for row in read.ok_value.rows)
+            last = not read.ok_value.truncated
+            rest = (
+                name_row(TABLE_JOBS, record.key),
+                name_row(TABLE_ENDS, record.key),
+            )
+            removed = await self._store.async_commit(
+                Transaction(deletes=rows + rest if last else rows)
+            )
+            if isinstance(removed, Err):
+                return removed
+            if last:
+                return await self.async_drop_object(record.body_object)
+
+    async def async_drop_object(self, name: str) -> Result[None, PlatformError]:
+        """Remove the object of a job's items."""
+        dropped = await self._store.async_drop_object(name)
+        if isinstance(dropped, Err) and not isinstance(dropped.err_value, ObjectMissing):
+            return dropped
+        return Ok(None)
+
+    async def async_list_records(self, customer: str) -> Result[list[JobRecord], PlatformError]:
+        """Return jobs of a customer, finished ones included, one page of them."""
+        read = await self._store.async_read(RowRange(TABLE_JOBS, customer))
+        if isinstance(read, Err):
+            return read
+        self.time.note(read.ok_value.now_ms)
+        return Ok([decode_record(row) for row in read.ok_value.rows])
+
+    async def _async_read_usage(self, submission: Submission) -> Result[Usage, JobError]:
+        customer, route = submission.key.customer, submission.route
+        order = await self._store.async_read(RowRange(TABLE_ORDER, customer, route, limit=1))
+        if isinstance(order, Err):
+            return Err(JobError(order.err_value.message))
+        listed = await self.async_list_open(customer)
+        if isinstance(listed, Err):
+            return Err(JobError(listed.err_value.message))
+        page = order.ok_value
+        self.time.note(page.now_ms)
+        version = next((row.version for row in page.rows if row.key.key == route), 0)
+        jobs = listed.ok_value
+        waiting = sum(job.waiting_tokens for job in jobs.values() if job.route == route)
+        return Ok(Usage(waiting, jobs, version, page.now_ms))
+
+    async def _async_put_items(
+        self, submission: Submission, now_ms: int
+    ) -> Result[JobRecord, JobError]:
+        # Each try has an object of its own: one that another daemon wrote for the same job may
+        # belong to a submission that was accepted, and must not be touched.
+        name = f"{submission.key.customer}.{submission.key.job}.{secrets.token_hex(4)}"
+        put = await self._store.async_put_object(name, encode_items(submission.items))
+        if isinstance(put, Err):
+            return Err(JobError(put.err_value.message))
+        return Ok(
+            JobRecord(
+                submission.key,
+                submission.route_host,
+                submission.route_prefix,
+                len(submission.items),
+                now_ms,
+                name,
+                max_wait_ms=submission.max_wait_ms,
+            )
+        )
+
+    async def _async_commit_job(
+        self, submission: Submission, record: JobRecord, owner: str, order: int | None
+    ) -> Result[tuple[JobRecord, OpenJob] | None, JobError]:
+        """Make a job exist; `MISSING` means that the usage has to be read again."""
+        key = submission.key
+        opened = OpenJob(
+            key,
+            owner,
+            secrets.token_hex(4),
+            0,
+            submission.tokens,
+            submission.route,
+            tuple(0 for _ in submission.items),
+        )
+        job_row, open_row = name_row(TABLE_JOBS, key), name_row(TABLE_OPEN, key)
+        order_row = RowKey(TABLE_ORDER, key.customer, submission.route)
+        conditions = [(job_row, 0)]
+        puts = [(job_row, encode_record(record)), (open_row, encode_open(opened))]
+        if submission.max_waiting_tokens:
+            puts.append((order_row, opened.commit.encode()))
+        if order is not None:
+            conditions.append((order_row, order))
+        transaction = Transaction(tuple(puts), conditions=tuple(conditions))
+        committed = await self._store.async_commit(transaction)
+        if isinstance(committed, Err) and isinstance(committed.err_value, PlatformOutcomeUnknown):
+            # The first try may still be made: the same one again either makes it or meets it.
+            committed = await self._store.async_commit(transaction)
+            if isinstance(committed, Err) and not isinstance(committed.err_value, RowsConflict):
+                return Err(JobError(committed.err_value.message, JobProblem.UNKNOWN))
+        if isinstance(committed, Ok):
+            self.time.note(committed.ok_value.now_ms)
+            return Ok((record, replace(opened, version=committed.ok_value.version)))
+        return await self._async_read_conflict(committed.err_value, record, opened)
+
+    async def _async_read_conflict(
+        self, error: PlatformError, record: JobRecord, opened: OpenJob
+    ) -> Result[tuple[JobRecord, OpenJob] | None, JobError]:
+        if not isinstance(error, RowsConflict):
+            return Err(JobError(error.message))
+        rows = [row for row in error.rows if row.key.table == TABLE_JOBS]
+        if not rows:
+            return Err(JobError("another submission came first", JobProblem.MISSING))
+        if decode_record(rows[0]).body_object != record.body_object:
+            await self._store.async_drop_object(record.body_object)
+            return Ok(None)
+        # Our own first try, whose answer was lost.
+        return Ok((record, replace(opened, version=rows[0].version)))
+
+    async def _async_change(
+        self, before: OpenJob, after: OpenJob, puts: tuple[tuple[RowKey, bytes], ...]
+    ) -> Result[OpenJob, PlatformError | JobLost]:
+        row = name_row(TABLE_OPEN, before.key)
+        transaction = Transaction(
+            (*puts, (row, encode_open(after))), conditions=((row, before.version),)
+        )
+        committed = await self._store.async_commit(transaction)
+        if isinstance(committed, Err) and isinstance(committed.err_value, PlatformOutcomeUnknown):
+            committed = await self._store.async_commit(transaction)
+        return self._read_change(committed, after)
+
+    def _read_change(
+        self, committed: Result[Committed, PlatformError | RowsConflict], after: OpenJob
+    ) -> Result[OpenJob, PlatformError | JobLost]:
+        if isinstance(committed, Ok):
+            self.time.note(committed.ok_value.now_ms)
+            return Ok(replace(after, version=committed.ok_value.version))
+        error = committed.err_value
+        if not isinstance(error, RowsConflict):
+            return Err(error)
+        if not error.rows:
+            return Err(JobLost("the job is not open any more", ended=True))
+        found = decode_open(error.rows[0])
+        # The row names its last change: where it is this one, only its answer was lost.
+        if found.commit == after.commit:
+            return Ok(found)
+        return Err(JobLost(f"owned by {found.owner}"))
+
+    async def _async_commit_end(
+        self, record: JobRecord, opened: OpenJob
+    ) -> Result[Committed, PlatformError | RowsConflict]:
+        open_row = name_row(TABLE_OPEN, record.key)
+        return await self._store.async_commit(
+            Transaction(
+                puts=(
+                    (name_row(TABLE_JOBS, record.key), encode_record(replace(record, ended=True))),
+                    (name_row(TABLE_ENDS, record.key), opened.owner.encode()),
+                ),
+                deletes=(open_row,),
+                conditions=((open_row, opened.version),),
+            )
+        )
+
+    async def _async_read_row(self, key: RowKey) -> Result[StoredRow | None, PlatformError]:
+        wanted = RowRange(key.table, key.part, key.key, key.key + "\0", limit=1)
+        read = await self._store.async_read(wanted)
+        if isinstance(read, Err):
+            return read
+        self.time.note(read.ok_value.now_ms)
+        rows = read.ok_value.rows
+        return Ok(rows[0] if rows else None)
--- /dev/null
+++ b/goldcreststair/components/jobs/service.py
@@ -0,0 +1,324 @@
+"""Accepts batch jobs, runs those that this daemon owns, and answers questions about all."""
+
+import asyncio
+import logging
+from typing import Final
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind
+from goldcreststair.components.jobs.book import ItemProgress, ItemState, JobBook, OwnedJob
+from goldcreststair.components.jobs.codec import decode_items
+from goldcreststair.components.jobs.const import LEASE_MS, TICK_MS
+from goldcreststair.components.jobs.errors import JobError, JobProblem
+from goldcreststair.components.jobs.execution import ItemExecutor
+from goldcreststair.components.jobs.lister import JobLister
+from goldcreststair.components.jobs.models import (
+    JobItem,
+    JobKey,
+    JobRecord,
+    OpenJob,
+    ResultPage,
+    Submission,
+)
+from goldcreststair.components.jobs.reading import JobReader, cut_page
+from goldcreststair.components.jobs.records import JobRecords
+from goldcreststair.components.jobs.sweeping import JobSweeper, choose_owner
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.wire.codec import decode_struct, encode_struct
+from goldcreststair.wire.generated.gateway.ttypes import JobNotice
+
+_LOGGER = logging.getLogger(__name__)
+
+DEFAULT_DUE_MS: Final = 60_000
+"""For jobs whose route is gone."""
+DOUBT_MS: Final = 250
+"""How often jobs in doubt are looked up."""
+
+
+class JobService:
+    """Implements `Jobs`."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Own no job."""
+        self._core = core
+        self._clock = core.clock
+        self._links = core.get(FLEET_LINKS)
+        self._records = JobRecords(core.adapter.store, core.clock)
+        self._reader = JobReader(self._records, core.clock)
+        self._book = JobBook()
+        self._lister = JobLister(core, self._records, self._on_listed, self._drop)
+        self._executor = ItemExecutor(core, self._book, self._lister)
+        self._sweeper = JobSweeper(core, self._records, self)
+        self._doubted: set[JobKey] = set()
+        """Jobs that may have another owner by now; the store is asked before readers are told."""
+        self._loading: dict[JobKey, asyncio.Task[None]] = {}
+        self._leaving = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._changed: dict[JobKey, asyncio.Event] = {}
+        self._links.on_notice(DatagramKind.JOB_NOTICE, self._on_notice)
+        core.on_awake.append(lambda _: self.doubt_all())
+
+    async def async_start(self) -> None:
+        """Begin to run and to look for jobs without an owner."""
+        self._tasks = [
+            asyncio.create_task(self._async_tick()),
+            asyncio.create_task(self._async_settle_doubts()),
+        ]
+        await self._sweeper.async_start()
+
+    async def async_close(self) -> None:
+        """Stop; what is not listed goes on elsewhere."""
+        await self._sweeper.async_close()
+        tasks = [*self._tasks, *self._loading.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._executor.async_close()
+        await self._lister.async_close()
+
+    async def async_submit(self, submission: Submission) -> Result[None, JobError]:
+        """Accept a job; a repeated one is accepted once."""
+        if self._leaving:
+            # Accepted here it would only be handed over at once.
+            return Err(JobError("this VM leaves"))
+        accepted = await self._records.async_accept(submission, self._core.session_id)
+        extra = {"job": submission.key.job, "customer": submission.key.customer}
+        if isinstance(accepted, Err):
+            error = accepted.err_value
+            outcome = {"problem": error.problem.value, "reason": error.message}
+            _LOGGER.info("Job not accepted", extra=extra | outcome)
+            return accepted
+        if accepted.ok_value is None:
+            _LOGGER.info("Job accepted before", extra=extra)
+            return Ok(None)
+        record, opened = accepted.ok_value
+        _LOGGER.info("Job accepted", extra=extra | {"items": record.items})
+        self._reader.note_record(record)
+        self._own(record, opened, submission.items)
+        return Ok(None)
+
+    async def async_read_results(
+        self, key: JobKey, position: int, wait_ms: int
+    ) -> Result[ResultPage, JobError]:
+        """Return the results from a position on; waits for one up to `wait_ms`."""
+        job = self._find_certain(key)
+        if job is None:
+            return await self._reader.async_read(key, position, wait_ms)
+        if position >= len(job.listed) and not job.is_whole and wait_ms > 0:
+            await self._async_wait_for(key, wait_ms)
+            if self._find_certain(key) is not job and not job.is_whole:
+                return await self._reader.async_read(key, position, 0)
+        return Ok(cut_page(job.record.items, job.listed, position))
+
+    async def async_read_body(self, key: JobKey, item: str) -> Result[bytes, JobError]:
+        """Return the body of an item."""
+        job = self._find_certain(key)
+        if job is not None:
+            items = tuple(progress.item for progress in job.items)
+        else:
+            read = await self._reader.async_read_items(key)
+            if isinstance(read, Err):
+                return read
+            items = read.ok_value
+        found = next((each for each in items if each.item == item), None)
+        if found is None:
+            return Err(JobError("no such item", JobProblem.MISSING))
+        return Ok(found.body)
+
+    async def async_end(self, key: JobKey) -> Result[None, JobError]:
+        """End a job; a repeated call is no error."""
+        ended = await self._records.async_end(key)
+        if isinstance(ended, Err):
+            _LOGGER.warning(
+                "Job not ended", extra={"job": key.job, "reason": ended.err_value.message}
+            )
+            return ended
+        if not ended.ok_value:
+            return Err(JobError("no such job", JobProblem.MISSING))
+        _LOGGER.info("Job ended", extra={"job": key.job, "customer": key.customer})
+        self._reader.forget(key)
+        self.drop_ended(key)
+        return Ok(None)
+
+    def begin_leave(self) -> None:
+        """Hand over what does not run, and start nothing."""
+        self._leaving = True
+        self._executor.stop()
+        self._tasks.append(asyncio.create_task(self._async_hand_over()))
+
+    def count_running(self) -> int:
+        """Return the jobs that are still here."""
+        return len(self._book.jobs)
+
+    def stop_accepting(self) -> None:
+        """Do nothing: submissions are refused from the start of a leave."""
+
+    def owns(self, key: JobKey) -> bool:
+        """Return whether this daemon runs a job."""
+        return key in self._book.jobs or key in self._loading
+
+    def load(self, key: JobKey) -> None:
+        """Take over a job that the store names as this daemon's."""
+        if self._leaving or self.owns(key):
+            return
+        task = asyncio.create_task(self._async_load(key))
+        self._loading[key] = task
+        task.add_done_callback(lambda _: self._loading.pop(key, None))
+
+    def drop_ended(self, key: JobKey) -> None:
+        """Stop a job that its caller ended."""
+        job = self._book.jobs.get(key)
+        if job is not None:
+            self._drop(job, "ended")
+
+    def notify(self, session: str, key: JobKey) -> None:
+        """Tell another daemon that a job is its own now, or has ended."""
+        payload = encode_struct(JobNotice(key.customer, key.job))
+        self._links.notify(session, DatagramKind.JOB_NOTICE, payload)
+
+    def _own(self, record: JobRecord, opened: OpenJob, items: tuple[JobItem, ...]) -> None:
+        turn = self._records.time.turn
+        route = self._executor.find_route(record)
+        due_ms = route.batch.due_ms if route is not None and route.batch else DEFAULT_DUE_MS
+        progress = [
+            ItemProgress(item, number, failures=failures)
+            for number, (item, failures) in enumerate(
+                zip(items, opened.failures or (0,) * len(items), strict=False)
+            )
+        ]
+        job = OwnedJob(
+            record,
+            opened,
+            progress,
+            Millis(turn(record.submitted_at + due_ms)),
+            Millis(turn(record.submitted_at + record.max_wait_ms)),
+        )
+        self._book.jobs[record.key] = job
+
+    async def _async_load(self, key: JobKey) -> None:
+        opened = await self._records.async_find_open(key)
+        if isinstance(opened, Err) or opened.ok_value is None:
+            return
+        if opened.ok_value.owner != self._core.session_id:
+            return
+        record = await self._records.async_find(key)
+        if isinstance(record, Err) or record.ok_value is None:
+            return
+        content = await self._records.async_read_object(record.ok_value.body_object)
+        listed = await self._records.async_read_all_results(key, opened.ok_value.listed)
+        if isinstance(content, Err) or isinstance(listed, Err):
+            _LOGGER.warning("Job not loaded", extra={"job": key.job})
+            return
+        items = decode_items(content.ok_value)
+        self._own(record.ok_value, opened.ok_value, items)
+        job = self._book.jobs[key]
+        job.listed = listed.ok_value
+        done = {result.item for result in job.listed}
+        for item in job.items:
+            if item.item.item in done:
+                item.state = ItemState.LISTED
+        self._reader.note_record(record.ok_value)
+        extra = {"job": key.job, "customer": key.customer, "listed": len(job.listed)}
+        _LOGGER.info("Job taken over", extra=extra)
+        if job.is_whole:
+            self._lister.list_soon(job)
+
+    def doubt_all(self) -> None:
+        """Ask the store again which jobs are this daemon's."""
+        self._doubted = set(self._book.jobs)
+
+    async def _async_settle_doubts(self) -> None:
+        """Keep the jobs whose rows still stand as this daemon wrote them."""
+        while True:
+            await self._clock.async_sleep(DOUBT_MS)
+            for key in tuple(self._doubted):
+                job = self._book.jobs.get(key)
+                if job is None or not self._lister.is_idle(job):
+                    # A commit under way settles it as well.
+                    self._doubted.discard(key)
+                    continue
+                opened = await self._records.async_find_open(key)
+                if isinstance(opened, Err):
+                    break
+                self._doubted.discard(key)
+                found = opened.ok_value
+                if found is None or found.owner != self._core.session_id:
+                    self._drop(job, "ended" if found is None else f"owned by {found.owner}")
+
+    def _on_listed(self, job: OwnedJob) -> None:
+        self._wake_readers(job.key)
+
+    def _drop(self, job: OwnedJob, why: str) -> None:
+        if self._book.jobs.get(job.key) is not job:
+            return
+        _LOGGER.info("Job left", extra={"job": job.key.job, "reason": why})
+        job.lost = True
+        del self._book.jobs[job.key]
+        self._reader.keep_results(job.record, job.listed)
+        self._executor.stop_job(job)
+        self._wake_readers(job.key)
+
+    def _find_certain(self, key: JobKey) -> OwnedJob | None:
+        """Return a job whose listed results this daemon certainly knows."""
+        job = self._book.jobs.get(key)
+        if job is None or job.lost:
+            return None
+        # Cut off or frozen for longer, this daemon may have been replaced, and what it takes for all
+        # results be an old part of them: a reader would miss positions that it has seen before.
+        if self._links.read_contact_age_ms() > LEASE_MS:
+            self.doubt_all()
+        return None if key in self._doubted else job
+
+    def _on_notice(self, sender: str, payload: bytes) -> None:
+        decoded = decode_struct(JobNotice, payload)
+        if isinstance(decoded, Err):
+            _LOGGER.warning("Notice unreadable: %s", decoded.err_value.message)
+            return
+        notice = decoded.ok_value
+        self.load(JobKey(notice.customer, notice.job))
+
+    async def _async_tick(self) -> None:
+        while True:
+            await self._clock.async_sleep(TICK_MS)
+            if self._links.read_contact_age_ms() > LEASE_MS:
+                self.doubt_all()
+            try:
+                self._executor.tick()
+            except Exception:
+                # One bad job must not stop the others.
+                _LOGGER.exception("Batch tick failed")
+
+    async def _async_wait_for(self, key: JobKey, wait_ms: int) -> None:
+        event = self._changed.setdefault(key, asyncio.Event())
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await event.wait()
+        except TimeoutError:
+            return
+
+    def _wake_readers(self, key: JobKey) -> None:
+        event = self._changed.pop(key, None)
+        if event is not None:
+            event.set()
+
+    async def _async_hand_over(self) -> None:
+        """Give each job away once none of its items runs and all results are listed."""
+        while self._book.jobs:
+            for job in tuple(self._book.jobs.values()):
+                if self._executor.is_idle(job) and self._lister.is_idle(job):
+                    await self._async_give(job)
+            await self._clock.async_sleep(TICK_MS)
+
+    async def _async_give(self, job: OwnedJob) -> None:
+        session = choose_owner(self._core, job.key)
+        if not session:
+            return
+        given = await self._records.async_assign(job.open, session)
+        if isinstance(given, Err):
+            _LOGGER.warning("Job not handed over: %s", given.err_value.message)
+            await self._clock.async_sleep(TICK_MS * 5)
+            return
+        self._drop(job, f"handed over to {session}")
+        self.notify(session, job.key)
--- /dev/null
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -0,0 +1,189 @@
+"""Finds open jobs whose owner is gone, and removes jobs past their time."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from typing import Protocol
+
+from result import Err
+
+from goldcreststair.components.catalogue.models import CATALOGUE
+from goldcreststair.components.fleet.models import FLEET, VmState
+from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.components.jobs.const import (
+    ADOPT_MS,
+    RETENTION_MARGIN_MS,
+    RETENTION_SWEEPS,
+    SWEEP_MS,
+    TABLE_ENDS,
+)
+from goldcreststair.components.jobs.models import JobKey, OpenJob
+from goldcreststair.components.jobs.records import JobRecords
+from goldcreststair.components.routing.rendezvous import score
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.store.feed import TableFeed
+from goldcreststair.store.rows import StoredRow
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class JobOwner(Protocol):
+    """The jobs of this daemon."""
+
+    def owns(self, key: JobKey) -> bool:
+        """Return whether this daemon runs a job."""
+
+    def load(self, key: JobKey) -> None:
+        """Take over a job that the store names as this daemon's."""
+
+    def drop_ended(self, key: JobKey) -> None:
+        """Stop a job that its caller ended."""
+
+    def doubt_all(self) -> None:
+        """Ask the store again which jobs are this daemon's."""
+
+    def notify(self, session: str, key: JobKey) -> None:
+        """Tell another daemon that a job is its own now."""
+
+
+class JobSweeper:
+    """Each customer's open jobs are looked at by one daemon, chosen by rendezvous."""
+
+    def __init__(self, core: GatewayCore, records: JobRecords, owner: JobOwner) -> None:
+        """Look at nothing yet."""
+        self._core = core
+        self._records = records
+        self._owner = owner
+        self._links = core.get(FLEET_LINKS)
+        self._feed = TableFeed(core.adapter.store, core.clock, TABLE_ENDS, self, whole=False)
+        self._unowned: set[JobKey] = set()
+        """Open jobs whose owner was unknown in the last sweep."""
+        self._seen: dict[JobKey, int] = {}
+        """Versions of the last sweep."""
+        self._sweeps = 0
+        self._task: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to look."""
+        await self._feed.async_start()
+        self._task = asyncio.create_task(self._async_repeat())
+
+    async def async_close(self) -> None:
+        """Stop."""
+        await self._feed.async_close()
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+    def take_all(self, rows: Sequence[StoredRow]) -> None:
+        """Take it that ends of jobs may have been missed."""
+        self._owner.doubt_all()
+
+    def take_changes(self, rows: Sequence[StoredRow]) -> None:
+        """Take jobs that their callers ended."""
+        for row in rows:
+            if not row.deleted:
+                self._owner.drop_ended(JobKey(row.key.part, row.key.key))
+
+    def note_contact(self, *, reached: bool) -> None:
+        """Note whether the store answered."""
+        if reached:
+            self._links.note_store()
+
+    async def _async_repeat(self) -> None:
+        while True:
+            await self._core.clock.async_sleep(SWEEP_MS)
+            try:
+                await self._async_sweep()
+            except Exception:
+                # One unreadable row must not leave all other jobs without an owner.
+                _LOGGER.exception("Sweep failed")
+
+    async def _async_sweep(self) -> None:
+        fleet = self._core.blackboard.read(FLEET)
+        if not fleet.known or self._links.is_isolated():
+            return
+        self._sweeps += 1
+        for customer in self._core.blackboard.read(CATALOGUE).customers:
+            if self._is_mine(customer):
+                await self._async_sweep_customer(customer)
+
+    def _is_mine(self, customer: str) -> bool:
+        fleet = self._core.blackboard.read(FLEET)
+        staying = [s for s, state in fleet.states.items() if state is VmState.READY]
+        chosen = max(staying, key=lambda session: score(session, customer), default="")
+        return chosen == fleet.own_session
+
+    async def _async_sweep_customer(self, customer: str) -> None:
+        listed = await self._records.async_list_open(customer)
+        if isinstance(listed, Err):
+            return
+        for job in listed.ok_value.values():
+            await self._async_look(job)
+        seen = {job.key: job.version for job in listed.ok_value.values()}
+        others = {key: v for key, v in self._seen.items() if key.customer != customer}
+        self._seen = others | seen
+        self._unowned = {key for key in self._unowned if key.customer != customer or key in seen}
+        if self._sweeps % RETENTION_SWEEPS == 0:
+            await self._async_remove_old(customer, listed.ok_value)
+
+    async def _async_look(self, job: OpenJob) -> None:
+        fleet = self._core.blackboard.read(FLEET)
+        if job.owner in fleet.vms:
+            self._unowned.discard(job.key)
+            if self._links.is_lost(job.owner, ADOPT_MS):
+                await self._async_adopt(job)
+            elif self._seen.get(job.key) == job.version:
+                self._remind(job)
+            return
+        # A daemon that has just started may have accepted a job before its session is known here.
+        if job.key in self._unowned:
+            self._unowned.discard(job.key)
+            await self._async_adopt(job)
+        else:
+            self._unowned.add(job.key)
+
+    def _remind(self, job: OpenJob) -> None:
+        # An owner whose accepting commit was answered too late does not know of its job, and one
+        # that a job was handed to may have missed the notice.
+        if job.owner != self._core.session_id:
+            self._owner.notify(job.owner, job.key)
+        elif not self._owner.owns(job.key):
+            self._owner.load(job.key)
+
+    async def _async_adopt(self, job: OpenJob) -> None:
+        session = choose_owner(self._core, job.key)
+        if not session:
+            return
+        extra = {"job": job.key.job, "before": job.owner, "owner": session}
+        assigned = await self._records.async_assign(job, session)
+        if isinstance(assigned, Err):
+            reason = {"reason": assigned.err_value.message}
+            _LOGGER.warning("Job without owner not taken over", extra=extra | reason)
+            return
+        _LOGGER.info("Job without owner taken over", extra=extra)
+        if session == self._core.session_id:
+            self._owner.load(job.key)
+        else:
+            self._owner.notify(session, job.key)
+
+    async def _async_remove_old(self, customer: str, opened: dict[str, OpenJob]) -> None:
+        listed = await self._records.async_list_records(customer)
+        if isinstance(listed, Err):
+            return
+        kept_ms = int(self._core.settings.job_read_s * MS_PER_SECOND) + RETENTION_MARGIN_MS
+        for record in listed.ok_value:
+            age_ms = self._core.clock.now() - self._records.time.turn(record.submitted_at)
+            if record.key.job not in opened and age_ms > kept_ms:
+                removed = await self._records.async_remove(record)
+                if isinstance(removed, Err):
+                    return
+
+
+def choose_owner(core: GatewayCore, key: JobKey) -> str:
+    """Return the session that shall run a job: the same on every daemon that knows the same."""
+    fleet = core.blackboard.read(FLEET)
+    ready = [s for s, state in fleet.states.items() if state is VmState.READY]
+    return max(ready, key=lambda session: score(session, key.customer, key.job), default="")
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -14,6 +14,7 @@
     entry,
     fleet,
     forwarding,
+    jobs,
     placement,
     quotas,
 )
@@ -37,6 +38,7 @@
     discovery.async_setup,
     quotas.async_setup,
     placement.async_setup,
+    jobs.async_setup,
     forwarding.async_setup,
 )
 """Set up and started in this order, closed in reverse; each may use those before it."""
--- a/goldcreststair/gateway_core.py
+++ b/goldcreststair/gateway_core.py
@@ -20,6 +20,7 @@
     # The components import this module while they are imported.
     from goldcreststair.components.catalogue.protocols import CatalogueReader
     from goldcreststair.components.discovery.protocols import UpstreamReader
+    from goldcreststair.components.jobs.protocols import SubmissionReader
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +30,7 @@
     store: RowStore
     catalogue_reader: CatalogueReader
     upstream_reader: UpstreamReader
+    submission_reader: SubmissionReader
 
 
 @dataclass(slots=True)
--- a/goldcreststair/store/feed.py
+++ b/goldcreststair/store/feed.py
@@ -26,7 +26,7 @@
     """Takes what a feed brings."""
 
     def take_all(self, rows: Sequence[StoredRow]) -> None:
-        """Take every row of the table; any other is gone."""
+        """Take every row of the table; of a feed that is not whole, that changes were missed."""
 
     def take_changes(self, rows: Sequence[StoredRow]) -> None:
         """Take rows that changed, in order."""
@@ -108,8 +108,7 @@
                 break
             first = page.rows[-1].key.key + "\0"
         self._version = version
-        if self._whole:
-            self._listener.take_all(rows)
+        self._listener.take_all(rows if self._whole else ())
         return Ok(None)
 
     def _note(self, *, reached: bool, why: str = "") -> None:
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -45,3 +45,54 @@
   1: required i64 version
   2: required binary document
 }
+
+/** A batch job as it was accepted; never changes but for `ended`. */
+struct JobRow {
+  1: required string job
+  2: required string route_host
+  3: required string route_prefix
+  4: required i32 items
+  5: required i64 submitted_at
+  6: required string body_object
+  7: required bool ended
+  8: required i64 waiting_ms
+}
+
+/** A batch job that is not finished: who runs it and how far it is. */
+struct OpenRow {
+  1: required string job
+  2: required string owner
+  3: required string commit
+  4: required i32 listed
+  5: required i64 waiting_tokens
+  6: required string route
+  7: required list<i16> failures
+}
+
+/** One listed result, or the first part of a long one. */
+struct ResultRow {
+  1: required string item
+  2: required bool done
+  3: required binary text
+  4: required i16 parts
+}
+
+/** One item of a job as its caller sent it. */
+struct ItemBody {
+  1: required string item
+  2: required string path
+  3: required map<string, string> headers
+  4: required binary body
+  5: required i64 tokens
+}
+
+/** All items of a job, in their order; the content of its object. */
+struct JobBodies {
+  1: required list<ItemBody> items
+}
+
+/** Tells a daemon that a job is its own now, or has ended. */
+struct JobNotice {
+  1: required string customer
+  2: required string job
+}
