--- a/goldcreststair/components/fleet/protocols.py
+++ b/goldcreststair/components/fleet/protocols.py
@@ -49,6 +49,12 @@
     def is_lost(self, session: str, after_ms: int) -> bool:
         """Return whether a daemon has shown no sign of life for so long, the store included."""
 
+    def is_registered(self) -> bool:
+        """Return whether this daemon's session stands in the store."""
+
+    async def async_list_sessions(self) -> frozenset[str] | None:
+        """Return the sessions that stand in the store now, or None if it does not answer."""
+
     def note_store(self) -> None:
         """Note an answer of the store."""
 
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -30,6 +30,7 @@
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.feed import TableFeed
+from goldcreststair.store.reading import async_read_all
 from goldcreststair.store.rows import RowKey, RowRange, StoredRow, Transaction
 from goldcreststair.wire.codec import decode_struct, encode_struct
 from goldcreststair.wire.generated.gateway.ttypes import Beacon
@@ -150,6 +151,17 @@
         """Return whether a daemon has shown no sign of life for so long, the store included."""
         return self._controller.is_lost(session, after_ms)
 
+    def is_registered(self) -> bool:
+        """Return whether this daemon's session stands in the store."""
+        return self._registered
+
+    async def async_list_sessions(self) -> frozenset[str] | None:
+        """Return the sessions that stand in the store now, or None if it does not answer."""
+        read = await async_read_all(self._core.adapter.store, RowRange(TABLE_SESSIONS))
+        if isinstance(read, Err):
+            return None
+        return frozenset(row.key.key for row in read.ok_value.rows)
+
     def note_store(self) -> None:
         """Note an answer of the store."""
         self._controller.note_store()
@@ -291,7 +303,7 @@
     async def _async_register(self) -> bool:
         """Write this daemon's session, in place of the one that its process had before."""
         store = self._core.adapter.store
-        read = await store.async_read(RowRange(TABLE_SESSIONS))
+        read = await async_read_all(store, RowRange(TABLE_SESSIONS))
         if isinstance(read, Err):
             return False
         stale = [row.key for row in read.ok_value.rows if self._is_stale(row)]
@@ -323,7 +335,7 @@
             await self._core.clock.async_sleep(HEARTBEAT_READ_MS)
             if not self._controller.list_silent():
                 continue
-            read = await self._core.adapter.store.async_read(RowRange(TABLE_HEARTBEATS))
+            read = await async_read_all(self._core.adapter.store, RowRange(TABLE_HEARTBEATS))
             if isinstance(read, Err):
                 continue
             self._controller.note_store()
--- a/goldcreststair/components/jobs/book.py
+++ b/goldcreststair/components/jobs/book.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Protocol, TypeVar
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.jobs.models import ItemResult, JobItem, JobKey, JobRecord, OpenJob
@@ -89,7 +90,7 @@
             for item in job.items
             if item.state is ItemState.WAITING and item.not_before <= now
         ]
-        return sorted(found, key=lambda pair: (pair[0].due_at, pair[1].number))
+        return sorted(found, key=lambda pair: rank_urgency(pair[0], pair[1], now))
 
     def count_waiting(self) -> int:
         """Return the items that wait for a slot."""
@@ -107,9 +108,29 @@
                     yield job, item
 
 
-def choose_yielding(
-    running: Iterable[tuple[OwnedJob, ItemProgress]], count: int
-) -> list[ItemProgress]:
-    """Return the items whose runs give way: those due last, and of them those with least done."""
-    ranked = sorted(running, key=lambda pair: (pair[0].due_at, -pair[1].last_event), reverse=True)
-    return [item for _, item in ranked[:count]]
+def rank_urgency(job: OwnedJob, item: ItemProgress, now: Millis) -> tuple[bool, int, int]:
+    """Return what items are ordered by, the most urgent first.
+
+    What is late already is worth little more now than later: it goes after all that can be in time.
+    """
+    return now >= job.due_at, job.due_at, item.number
+
+
+class RunningItem(Protocol):
+    """A run of an item."""
+
+    job: OwnedJob
+    item: ItemProgress
+
+
+R = TypeVar("R", bound=RunningItem)
+
+
+def choose_yielding(running: Iterable[R], count: int, now: Millis) -> list[R]:
+    """Return the runs that give way: the least urgent, and of a job those with least done."""
+
+    def rank(run: R) -> tuple[bool, int, int]:
+        late, due_at, _ = rank_urgency(run.job, run.item, now)
+        return late, due_at, -run.item.last_event
+
+    return sorted(running, key=rank, reverse=True)[:count]
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -38,12 +38,14 @@
 METHOD = "POST"
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Run:
     job: OwnedJob
     item: ItemProgress
-    upstream: str
-    task: "asyncio.Task[None]"
+    upstream: UpstreamEntry
+    route: Route
+    task: "asyncio.Task[Result[RunEnd, UpstreamError]] | None" = None
+    ended: bool = False
 
 
 class ItemExecutor:
@@ -57,16 +59,16 @@
         self._lister = lister
         self._placement = core.get(PLACEMENT)
         self._placement.on_yield(self._give_way)
-        self._runs: dict[int, _Run] = {}
-        """By the identity of the item's progress."""
+        self._runs: set[_Run] = set()
         self._stopped = False
 
     async def async_close(self) -> None:
         """End every run."""
         self._stopped = True
-        tasks = [run.task for run in self._runs.values()]
-        for task in tasks:
-            task.cancel()
+        runs = tuple(self._runs)
+        for run in runs:
+            self._stop_run(run)
+        tasks = [run.task for run in runs if run.task is not None]
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def stop(self) -> None:
@@ -75,13 +77,13 @@
 
     def stop_job(self, job: OwnedJob) -> None:
         """End the runs of a job that is not this daemon's any more."""
-        for run in tuple(self._runs.values()):
+        for run in tuple(self._runs):
             if run.job is job:
-                run.task.cancel()
+                self._stop_run(run)
 
     def is_idle(self, job: OwnedJob) -> bool:
         """Return whether no item of a job runs."""
-        return all(run.job is not job for run in self._runs.values())
+        return all(run.job is not job for run in self._runs)
 
     def find_route(self, record: JobRecord) -> Route | None:
         """Return the route of a job, as it stands now."""
@@ -112,28 +114,50 @@
         entry = self._placement.controller.choose_for_batch(service)
         if entry is None or not self._placement.has_connections(entry):
             return False
-        item.state = ItemState.RUNNING
-        self._placement.begin(entry.name, batch=True)
-        task = asyncio.create_task(self._async_run(job, item, entry, route))
-        self._runs[id(item)] = _Run(job, item, entry.name, task)
+        self._begin(_Run(job, item, entry, route))
         return True
 
-    async def _async_run(
-        self, job: OwnedJob, item: ItemProgress, entry: UpstreamEntry, route: Route
-    ) -> None:
+    def _begin(self, run: _Run) -> None:
+        name = run.upstream.name
+        run.item.state = ItemState.RUNNING
+        self._runs.add(run)
+        self._placement.begin(name, batch=True)
         controller = self._placement.controller
-        sink = ItemSink(item, self._clock, lambda: controller.note_progress(entry.name))
-        call = self._make_call(job, item, entry)
-        try:
-            end = await async_run_item(self._core.runner, entry.address, call, sink, self._clock)
-        except asyncio.CancelledError:
-            item.state = ItemState.WAITING
-            raise
-        finally:
-            self._placement.end(entry.name, batch=True)
-            self._runs.pop(id(item), None)
-        if not job.lost:
-            self._judge(job, item, entry, end, route)
+        sink = ItemSink(run.item, self._clock, lambda: controller.note_progress(name))
+        call = self._make_call(run.job, run.item, run.upstream)
+        run.task = asyncio.create_task(
+            async_run_item(self._core.runner, run.upstream.address, call, sink, self._clock)
+        )
+        run.task.add_done_callback(lambda task: self._on_ended(run, task))
+
+    def _on_ended(self, run: _Run, task: "asyncio.Task[Result[RunEnd, UpstreamError]]") -> None:
+        if run.ended or task.cancelled():
+            self._close_run(run)
+            return
+        self._close_run(run)
+        error = task.exception()
+        if error is not None:
+            _LOGGER.error("Item's run failed", exc_info=error)
+            run.item.state = ItemState.WAITING
+        elif not run.job.lost:
+            self._judge(run.job, run.item, run.upstream, task.result(), run.route)
+
+    def _stop_run(self, run: _Run) -> None:
+        """End a run; what it brought is kept."""
+        # A task that is cancelled before its first step never runs: its item would wait for ever as
+        # running, and its slot stay taken in every daemon's book. Both are settled here.
+        self._close_run(run)
+        if run.task is not None:
+            run.task.cancel()
+
+    def _close_run(self, run: _Run) -> None:
+        if run.ended:
+            return
+        run.ended = True
+        self._runs.discard(run)
+        self._placement.end(run.upstream.name, batch=True)
+        if run.item.state is ItemState.RUNNING:
+            run.item.state = ItemState.WAITING
 
     def _make_call(self, job: OwnedJob, item: ItemProgress, entry: UpstreamEntry) -> RunCall:
         return RunCall(
@@ -191,13 +215,10 @@
         self._lister.list_soon(job)
 
     def _give_way(self, upstream: str, count: int) -> None:
-        running = [(run.job, run.item) for run in self._runs.values() if run.upstream == upstream]
-        # Those that are being ended already still count in the book for a moment.
-        for item in choose_yielding(running, count):
-            run = self._runs.pop(id(item), None)
-            if run is not None:
-                run.task.cancel()
-                self._log(run.job, item, "yielded", "online work needs the slot", upstream)
+        there = [run for run in self._runs if run.upstream.name == upstream]
+        for run in choose_yielding(there, count, self._clock.now()):
+            self._stop_run(run)
+            self._log(run.job, run.item, "yielded", "online work needs the slot", upstream)
         self._placement.controller.note_yielded(upstream)
 
     def _log(
--- a/goldcreststair/components/jobs/records.py
+++ b/goldcreststair/components/jobs/records.py
@@ -37,6 +37,7 @@
     name_row,
 )
 from goldcreststair.store.errors import ObjectMissing, PlatformError, PlatformOutcomeUnknown
+from goldcreststair.store.reading import async_read_all
 from goldcreststair.store.rows import (
     Committed,
     RowKey,
@@ -117,19 +118,11 @@
 
     async def async_list_open(self, customer: str) -> Result[dict[str, OpenJob], PlatformError]:
         """Return the open jobs of a customer, by id."""
-        found: dict[str, OpenJob] = {}
-        first = ""
-        while True:
-            read = await self._store.async_read(RowRange(TABLE_OPEN, customer, first))
-            if isinstance(read, Err):
-                return read
-            page = read.ok_value
-            self.time.note(page.now_ms)
-            for row in page.rows:
-                found[row.key.key] = decode_open(row)
-            if not page.truncated:
-                return Ok(found)
-            first = page.rows[-1].key.key + "\0"
+        read = await async_read_all(self._store, RowRange(TABLE_OPEN, customer))
+        if isinstance(read, Err):
+            return read
+        self.time.note(read.ok_value.now_ms)
+        return Ok({row.key.key: decode_open(row) for row in read.ok_value.rows})
 
     async def async_find(self, key: JobKey) -> Result[JobRecord | None, PlatformError]:
         """Return a job as it was accepted."""
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -83,6 +83,9 @@
         if self._leaving:
             # Accepted here it would only be handed over at once.
             return Err(JobError("this VM leaves"))
+        # A job whose owner's session is not in the store counts as left behind by it.
+        if not self._links.is_registered():
+            return Err(JobError("this VM is not part of the fleet yet"))
         accepted = await self._records.async_accept(submission, self._core.session_id)
         extra = {"job": submission.key.job, "customer": submission.key.customer}
         if isinstance(accepted, Err):
--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -57,8 +57,7 @@
         self._owner = owner
         self._links = core.get(FLEET_LINKS)
         self._feed = TableFeed(core.adapter.store, core.clock, TABLE_ENDS, self, whole=False)
-        self._unowned: set[JobKey] = set()
-        """Open jobs whose owner was unknown in the last sweep."""
+
         self._seen: dict[JobKey, int] = {}
         """Versions of the last sweep."""
         self._sweeps = 0
@@ -125,25 +124,23 @@
         seen = {job.key: job.version for job in listed.ok_value.values()}
         others = {key: v for key, v in self._seen.items() if key.customer != customer}
         self._seen = others | seen
-        self._unowned = {key for key in self._unowned if key.customer != customer or key in seen}
+
         if self._sweeps % RETENTION_SWEEPS == 0:
             await self._async_remove_old(customer, listed.ok_value)
 
     async def _async_look(self, job: OpenJob) -> None:
         fleet = self._core.blackboard.read(FLEET)
         if job.owner in fleet.vms:
-            self._unowned.discard(job.key)
             if self._links.is_lost(job.owner, ADOPT_MS):
                 await self._async_adopt(job)
             elif self._seen.get(job.key) == job.version:
                 self._remind(job)
             return
-        # A daemon that has just started may have accepted a job before its session is known here.
-        if job.key in self._unowned:
-            self._unowned.discard(job.key)
+        # A daemon that has just started may have accepted a job before its session is known here,
+        # but never before it stands in the store.
+        sessions = await self._links.async_list_sessions()
+        if sessions is not None and job.owner not in sessions:
             await self._async_adopt(job)
-        else:
-            self._unowned.add(job.key)
 
     def _remind(self, job: OpenJob) -> None:
         # An owner whose accepting commit was answered too late does not know of its job, and one
--- a/goldcreststair/components/placement/const.py
+++ b/goldcreststair/components/placement/const.py
@@ -32,6 +32,10 @@
 
 BATCH_RESERVE: Final = 1
 """Slots of each upstream that batch leaves free, so that an online request finds one at once."""
+BATCH_FREE_SHARE: Final = 0.15
+"""Batch starts nothing while less than this share of a service's slots is free: in a burst the few
+slots that come free are taken by the next requests, and each run that gives way at once has read
+its prompt for nothing."""
 BATCH_HOLD_MS: Final = 250
 """After batch gave up a slot at an upstream, none is taken there for so long: a burst goes on, and
 each run that is taken up again reads its prompt and its output anew."""
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -113,6 +113,9 @@
         """Return the upstream with most slots that batch may take, or None."""
         now = self._clock.now()
         best: tuple[float, UpstreamEntry] | None = None
+        free_all, slots_all = self.read_idle(service)
+        if free_all < slots_all * BATCH_FREE_SHARE:
+            return None
         for state in self._list(service):
             shut = max(state.down_until, state.shed_until, state.no_batch_until) > now
             free = self._count_slots(state) - BATCH_RESERVE - self._read(state).total
--- a/goldcreststair/store/feed.py
+++ b/goldcreststair/store/feed.py
@@ -9,7 +9,8 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.store.errors import PlatformError
-from goldcreststair.store.rows import HistoryLost, RowPage, RowRange, RowStore, StoredRow
+from goldcreststair.store.reading import async_read_all
+from goldcreststair.store.rows import HistoryLost, RowRange, RowStore, StoredRow
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -90,25 +91,17 @@
         return Ok(None)
 
     async def _async_read_all(self) -> Result[None, PlatformError]:
-        rows: list[StoredRow] = []
-        version = -1
-        first = ""
-        while True:
-            read = await self._store.async_read(
-                RowRange(self._table, first=first, limit=PAGE_ROWS if self._whole else 1)
-            )
-            if isinstance(read, Err):
-                return read
-            page: RowPage = read.ok_value
-            # The feed goes on from the first page's moment: what changed while the others were
-            # read comes again, which does no harm.
-            version = page.version if version < 0 else version
-            rows += page.rows
-            if not page.truncated or not self._whole:
-                break
-            first = page.rows[-1].key.key + "\0"
-        self._version = version
-        self._listener.take_all(rows if self._whole else ())
+        wanted = RowRange(self._table, limit=PAGE_ROWS if self._whole else 1)
+        if self._whole:
+            read = await async_read_all(self._store, wanted)
+        else:
+            read = await self._store.async_read(wanted)
+        if isinstance(read, Err):
+            return read
+        # The feed goes on from the first page's moment: what changed while the others were read
+        # comes again, which does no harm.
+        self._version = read.ok_value.version
+        self._listener.take_all(read.ok_value.rows if self._whole else ())
         return Ok(None)
 
     def _note(self, *, reached: bool, why: str = "") -> None:
