--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -16,6 +16,7 @@
 from goldcreststair.components.discovery.models import LiveUpstreams, UpstreamEntry
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.placement.const import (
+    BATCH_FREE_SHARE,
     BATCH_HOLD_MS,
     BATCH_RESERVE,
     BUSY_MS,
