--- a/goldcreststair/components/forwarding/const.py
+++ b/goldcreststair/components/forwarding/const.py
@@ -20,9 +20,5 @@
 """The same where the upstream sends to others: the request waits in its queue."""
 MIN_LEFT_MS: Final = 50
 """A run with less time left than this cannot bring a first event."""
-DEFAULT_DEADLINE_MS: Final = 60_000
-"""For callers that name none, on routes without a timeout."""
 RETRY_NOW_MS: Final = 200
 """When to come back after a failure that another VM or the next moment may not have."""
-READY_RETRY_MS: Final = 500
-"""When to come back to a VM that has no catalogue yet or is cut off."""
--- a/goldcreststair/components/forwarding/protocols.py
+++ b/goldcreststair/components/forwarding/protocols.py
@@ -3,8 +3,8 @@
 from collections.abc import Awaitable
 from typing import Final, Protocol
 
-from goldcreststair.components.forwarding.models import CallerRequest
 from goldcreststair.components.online.errors import Refusal
+from goldcreststair.components.requests.models import CallerRequest
 from goldcreststair.core import ComponentKey
 from goldcreststair.upstreams.dialect import RunHead
 
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -7,19 +7,7 @@
 
 from goldcreststair.components.catalogue.models import CATALOGUE, CallKind, CatalogueCustomer
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
-from goldcreststair.components.forwarding.admission import (
-    choose_service,
-    find_end,
-    find_route,
-    identify_customer,
-    needs_key,
-)
-from goldcreststair.components.forwarding.const import READY_RETRY_MS
-from goldcreststair.components.forwarding.models import (
-    AdmittedRequest,
-    CallerRequest,
-    RequestProgress,
-)
+from goldcreststair.components.forwarding.models import RequestProgress
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.recovery import (
     NextRun,
@@ -35,6 +23,15 @@
 from goldcreststair.components.placement.models import Placement, PlacementQuery
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
+from goldcreststair.components.requests.admission import (
+    choose_service,
+    find_end,
+    find_route,
+    identify_customer,
+    needs_key,
+)
+from goldcreststair.components.requests.const import READY_RETRY_MS
+from goldcreststair.components.requests.models import AdmittedRequest, CallerRequest
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.upstreams.dialect import RunCall
--- a/goldcreststair/components/jobs/desk.py
+++ b/goldcreststair/components/jobs/desk.py
@@ -6,13 +6,13 @@
 
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
-from goldcreststair.components.forwarding.admission import identify_customer
-from goldcreststair.components.forwarding.const import READY_RETRY_MS
-from goldcreststair.components.forwarding.models import AdmittedRequest
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.models import JobKey, ResultPage, Submission
 from goldcreststair.components.jobs.protocols import JOBS
 from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.components.requests.admission import identify_customer
+from goldcreststair.components.requests.const import READY_RETRY_MS
+from goldcreststair.components.requests.models import AdmittedRequest
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -9,7 +9,6 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Route
 from goldcreststair.components.discovery.models import UpstreamEntry
-from goldcreststair.components.forwarding.admission import choose_service
 from goldcreststair.components.jobs.book import (
     ItemProgress,
     ItemState,
@@ -27,6 +26,7 @@
 from goldcreststair.components.jobs.outcome import Verdict, choose_pause, judge_run
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
 from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.components.requests.admission import choose_service
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.upstreams.dialect import RunCall
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
--- a/goldcreststair/components/jobs/protocols.py
+++ b/goldcreststair/components/jobs/protocols.py
@@ -33,5 +33,8 @@
     async def async_end(self, key: JobKey) -> Result[None, JobError]:
         """End a job; a repeated call is no error."""
 
+    def owns(self, key: JobKey) -> bool:
+        """Return whether this daemon runs a job."""
+
 
 JOBS: Final = ComponentKey[Jobs]("jobs")
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -12,7 +12,7 @@
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.events import EventSplitter
-from goldcreststair.upstreams.runner import RunEnd, UpstreamRunner
+from goldcreststair.upstreams.runner import RunEnd, Runner
 
 STATUS_OK = 200
 WATCH_MS = 200
@@ -57,7 +57,7 @@
 
 
 async def async_run_item(
-    runner: UpstreamRunner,
+    runner: Runner,
     address: str,
     call: RunCall,
     sink: ItemSink,
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 from typing import Final
 
 from result import Err, Ok, Result
@@ -33,6 +34,8 @@
 
 DEFAULT_DUE_MS: Final = 60_000
 """For jobs whose route is gone."""
+KEPT_ENDS: Final = 10_000
+"""More jobs than end while one is read from the store."""
 DOUBT_MS: Final = 250
 """How often jobs in doubt are looked up."""
 
@@ -54,6 +57,8 @@
         self._doubted: set[JobKey] = set()
         """Jobs that may have another owner by now; the store is asked before readers are told."""
         self._loading: dict[JobKey, asyncio.Task[None]] = {}
+        self._ended: OrderedDict[JobKey, None] = OrderedDict()
+        """Jobs whose end was heard of late, the last ones."""
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._changed: dict[JobKey, asyncio.Event] = {}
@@ -172,6 +177,11 @@
 
     def drop_ended(self, key: JobKey) -> None:
         """Stop a job that its caller ended."""
+        # The news may come while the job is being read from the store, and is remembered: else the
+        # daemon that takes it over would run what its caller was told has stopped.
+        self._ended[key] = None
+        if len(self._ended) > KEPT_ENDS:
+            self._ended.popitem(last=False)
         job = self._book.jobs.get(key)
         if job is not None:
             self._drop(job, "ended")
@@ -182,6 +192,8 @@
         self._links.notify(session, DatagramKind.JOB_NOTICE, payload)
 
     def _own(self, record: JobRecord, opened: OpenJob, items: tuple[JobItem, ...]) -> None:
+        if record.key in self._ended:
+            return
         turn = self._records.time.turn
         route = self._executor.find_route(record)
         due_ms = route.batch.due_ms if route is not None and route.batch else DEFAULT_DUE_MS
@@ -216,7 +228,9 @@
             return
         items = decode_items(content.ok_value)
         self._own(record.ok_value, opened.ok_value, items)
-        job = self._book.jobs[key]
+        job = self._book.jobs.get(key)
+        if job is None:
+            return
         job.listed = listed.ok_value
         done = {result.item for result in job.listed}
         for item in job.items:
--- /dev/null
+++ b/goldcreststair/components/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of callers, and which of them may run."""
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -25,7 +25,7 @@
 from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
 from goldcreststair.gateway_settings import GatewaySettings
 from goldcreststair.transport import TcpTransport
-from goldcreststair.upstreams.runner import UpstreamRunner
+from goldcreststair.upstreams.runner import Runner
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -45,7 +45,7 @@
 
 
 def create_gateway_core(
-    settings: GatewaySettings, clock: Clock, adapter: GatewayAdapter, runner: UpstreamRunner
+    settings: GatewaySettings, clock: Clock, adapter: GatewayAdapter, runner: Runner
 ) -> GatewayCore:
     """Return a core that talks to the real network."""
     return GatewayCore(
--- a/goldcreststair/gateway_core.py
+++ b/goldcreststair/gateway_core.py
@@ -14,7 +14,7 @@
 from goldcreststair.gateway_settings import GatewaySettings
 from goldcreststair.store.rows import RowStore
 from goldcreststair.transport import PeerTransport
-from goldcreststair.upstreams.runner import UpstreamRunner
+from goldcreststair.upstreams.runner import Runner
 
 if TYPE_CHECKING:
     # The components import this module while they are imported.
@@ -42,7 +42,7 @@
     random: random.Random
     blackboard: Blackboard
     adapter: GatewayAdapter
-    runner: UpstreamRunner
+    runner: Runner
     datagrams: DatagramTransport
     transport: PeerTransport
     session_id: str
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -47,9 +47,38 @@
     body: bytes
 
 
-class UpstreamRunner:
+class Connections(Protocol):
+    """The connections that are kept to upstreams."""
+
+    def count_open(self, address: str) -> int:
+        """Return the open connections to an address, idle and in use."""
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address, as its server is gone or suspect."""
+
+    async def async_warm(self, address: str, connect_timeout_ms: int) -> bool:
+        """Open one more connection for later use; returns whether it opened."""
+
+    def close(self) -> None:
+        """Close all idle connections."""
+
+
+class Runner(Protocol):
     """The only way by which requests reach upstreams."""
 
+    @property
+    def pool(self) -> Connections:
+        """The connections kept."""
+
+    async def async_run(
+        self, address: str, call: RunCall, sink: RunSink
+    ) -> Result[RunEnd, UpstreamError]:
+        """Run a request; cancelling closes its connection, which ends the run."""
+
+
+class UpstreamRunner:
+    """Implements `Runner` over HTTP."""
+
     def __init__(self, pool: ConnectionPool, dialect: UpstreamDialect) -> None:
         """Use a pool shared by all upstreams."""
         self.pool = pool
--- /dev/null
+++ b/standins/datagrams.py
@@ -0,0 +1,81 @@
+"""Datagrams in process, with delay, loss and cuts."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from goldcreststair.clock import Clock
+from goldcreststair.datagrams import OnDatagram
+
+
+@dataclass(slots=True)
+class FakeDatagramNetwork:
+    """All datagrams of a test; `join` gives each address its transport."""
+
+    clock: Clock
+    random: Random = field(default_factory=lambda: Random(1))
+    delay_ms: int = 1
+    loss: float = 0.0
+    """Share of datagrams that never arrive."""
+    sent: int = 0
+    sent_bytes: int = 0
+    _listeners: dict[tuple[str, int], OnDatagram] = field(default_factory=dict)
+    _cut: set[frozenset[str]] = field(default_factory=set)
+
+    def join(self, address: str) -> "FakeDatagrams":
+        """Return the transport of one address."""
+        return FakeDatagrams(self, address)
+
+    def cut(self, left: str, right: str) -> None:
+        """Lose everything between two addresses."""
+        self._cut.add(frozenset((left, right)))
+
+    def heal(self) -> None:
+        """Lose nothing more."""
+        self._cut.clear()
+
+    def listen(self, address: str, port: int, on_datagram: OnDatagram) -> None:
+        """Receive at an address."""
+        self._listeners[(address, port)] = on_datagram
+
+    def unlisten(self, address: str) -> None:
+        """Receive nothing more at an address."""
+        self._listeners = {at: on for at, on in self._listeners.items() if at[0] != address}
+
+    def send(self, source: str, target: str, port: int, datagram: bytes) -> None:
+        """Deliver a datagram after the delay."""
+        self.sent += 1
+        self.sent_bytes += len(datagram)
+        lost = self.random.random() < self.loss
+        if lost or frozenset((source, target)) in self._cut:
+            return
+
+        def deliver() -> None:
+            on_datagram = self._listeners.get((target, port))
+            if on_datagram is not None:
+                on_datagram(datagram, source)
+
+        self.clock.call_later(self.delay_ms, deliver)
+
+
+@dataclass(slots=True)
+class FakeDatagrams:
+    """The transport of one address; implements `DatagramTransport`."""
+
+    network: FakeDatagramNetwork
+    address: str
+    closed: bool = False
+
+    async def async_listen(self, address: str, port: int, on_datagram: OnDatagram) -> int:
+        """Receive from now on."""
+        self.network.listen(self.address, port, on_datagram)
+        return port
+
+    def send(self, address: str, port: int, datagram: bytes) -> None:
+        """Send one datagram."""
+        if not self.closed:
+            self.network.send(self.address, address, port, datagram)
+
+    def close(self) -> None:
+        """Stop."""
+        self.closed = True
+        self.network.unlisten(self.address)
--- /dev/null
+++ b/standins/gateways.py
@@ -0,0 +1,341 @@
+"""Several gateway daemons in one process, on a fake store, network and engines."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import orjson
+from result import Err, Ok, Result
+
+from goldcreststair.blackboard import Blackboard
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.catalogue.models import (
+    BatchTerms,
+    CallKind,
+    Catalogue,
+    CatalogueCustomer,
+    Route,
+    Service,
+    WeightedService,
+    index_routes,
+)
+from goldcreststair.components.catalogue.protocols import CatalogueUnreadable
+from goldcreststair.components.discovery.models import UpstreamEntry
+from goldcreststair.components.discovery.protocols import EntryUnreadable
+from goldcreststair.components.jobs.errors import JobError, JobProblem
+from goldcreststair.components.jobs.models import JobItem
+from goldcreststair.components.keys.controller import hash_key
+from goldcreststair.components.online.errors import Refusal
+from goldcreststair.components.requests.models import CallerRequest
+from goldcreststair.gateway import Gateway
+from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
+from goldcreststair.gateway_settings import GatewaySettings
+from goldcreststair.store.rows import RowKey
+from goldcreststair.upstreams.dialect import RunHead
+from standins.datagrams import FakeDatagramNetwork, FakeDatagrams
+from standins.network import FakeNetwork
+from standins.rows import FakeRowStore, StoreView
+from standins.run_engines import RunEngine, RunEngines
+
+CATALOGUE_ROW: Final = RowKey("operators", "", "catalogue")
+TABLE_ENGINES: Final = "engines"
+HOST: Final = "host.example"
+PEER_PORT: Final = 7000
+
+
+class PlainCatalogueReader:
+    """Reads catalogues written as JSON by `write_catalogue`."""
+
+    row = CATALOGUE_ROW
+
+    def decode(self, document: bytes) -> Result[Catalogue, CatalogueUnreadable]:
+        """Return a version."""
+        try:
+            raw = orjson.loads(document)
+            routes = tuple(_read_route(route) for route in raw["routes"])
+            customers = [CatalogueCustomer(**customer) for customer in raw["customers"]]
+            return Ok(
+                Catalogue(
+                    raw["version"],
+                    routes,
+                    {name: Service(name, 180, 8) for name in raw["services"]},
+                    {customer.name: customer for customer in customers},
+                    {hash_key(key): name for key, name in raw["keys"].items()},
+                    by_host=index_routes(routes),
+                )
+            )
+        except (ValueError, KeyError, TypeError) as error:
+            return Err(CatalogueUnreadable(repr(error), "document"))
+
+
+def _read_route(raw: Mapping[str, Any]) -> Route:
+    batch = raw.get("batch")
+    return Route(
+        name=raw["prefix"],
+        host=HOST,
+        prefix=raw["prefix"],
+        kind=CallKind(raw["kind"]),
+        services=(WeightedService(raw.get("service", "engine"), 1.0),),
+        timeout_ms=raw.get("timeout_ms", 5_000),
+        objective_ms=300,
+        max_attempts=raw.get("max_attempts", 2),
+        resumable=raw.get("resumable", False),
+        batch=BatchTerms(**batch) if batch else None,
+    )
+
+
+DEFAULT_ROUTES: Final[tuple[Mapping[str, Any], ...]] = (
+    {"prefix": "/stream/", "kind": "streaming", "resumable": True},
+    {"prefix": "/once/", "kind": "streaming", "max_attempts": 1},
+    {"prefix": "/call/", "kind": "idempotent"},
+    {"prefix": "/book/", "kind": "non_idempotent"},
+    {
+        "prefix": "/batch/",
+        "kind": "batch",
+        "max_attempts": 3,
+        "batch": {"due_ms": 18_000, "max_wait_ms": 60_000, "max_waiting_tokens": 0},
+    },
+)
+
+
+class PlainUpstreamReader:
+    """Reads engines' entries written as JSON by `GatewayFleet.register`."""
+
+    table = TABLE_ENGINES
+
+    def decode(self, name: str, value: bytes) -> Result[UpstreamEntry, EntryUnreadable]:
+        """Return an entry."""
+        try:
+            return Ok(UpstreamEntry(name, **orjson.loads(value)))
+        except (ValueError, TypeError) as error:
+            return Err(EntryUnreadable(repr(error), "entry"))
+
+
+class PlainSubmissionReader:
+    """Reads a submission of items, one id and number of tokens a line."""
+
+    def decode(self, body: bytes) -> Result[tuple[JobItem, ...], JobError]:
+        """Return the items."""
+        items = []
+        for line in body.decode().splitlines():
+            name, _, tokens = line.partition(" ")
+            if not tokens.isdecimal():
+                return Err(JobError("no tokens", JobProblem.INVALID, name))
+            items.append(JobItem(name, f"/batch/{name}", (), name.encode(), int(tokens)))
+        return Ok(tuple(items))
+
+
+@dataclass(slots=True)
+class FakeResponder:
+    """A caller that records what it gets; implements `Responder`."""
+
+    clock: Clock
+    head: RunHead | None = None
+    body: bytes = b""
+    whole: bool = False
+    refusal: Refusal | None = None
+    aborted: bool = False
+    accepted: bool = False
+    ended_at: Millis = Millis(0)
+    event_times: list[Millis] = field(default_factory=list)
+
+    def begin(self, head: RunHead) -> None:
+        """Take the head of a stream."""
+        assert self.head is None, "a stream has one head"
+        self.head = head
+
+    def write(self, data: bytes) -> None:
+        """Take a piece."""
+        self.event_times.append(self.clock.now())
+        self.body += data
+
+    def finish(self) -> None:
+        """Take the end."""
+        self.whole = True
+        self.ended_at = self.clock.now()
+
+    def answer(self, head: RunHead, body: bytes) -> None:
+        """Take a whole answer."""
+        self.head, self.body, self.whole = head, body, True
+        self.ended_at = self.clock.now()
+
+    def accept(self) -> None:
+        """Take an acceptance."""
+        self.accepted = True
+        self.ended_at = self.clock.now()
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Take a refusal."""
+        self.refusal = refusal
+        self.ended_at = self.clock.now()
+
+    def abort(self) -> None:
+        """Take a closed connection."""
+        self.aborted = True
+        self.ended_at = self.clock.now()
+
+
+@dataclass(slots=True)
+class FleetMember:
+    """One gateway daemon of a fleet."""
+
+    gateway: Gateway
+    view: StoreView
+    datagrams: FakeDatagrams
+
+    @property
+    def core(self) -> GatewayCore:
+        """Its core."""
+        return self.gateway.core
+
+    @property
+    def address(self) -> str:
+        """Its IP number."""
+        return self.core.settings.address
+
+    def read(self, section: Any) -> Any:
+        """Return a section of its blackboard."""
+        return self.core.blackboard.read(section)
+
+
+@dataclass(slots=True)
+class GatewayFleet:
+    """Daemons that share a store, a network and engines."""
+
+    clock: Clock
+    store: FakeRowStore
+    network: FakeNetwork
+    datagrams: FakeDatagramNetwork
+    engines: RunEngines
+    members: list[FleetMember] = field(default_factory=list)
+    _started: int = 0
+    _requests: int = 0
+
+    def write_catalogue(
+        self,
+        version: int = 1,
+        routes: tuple[Mapping[str, Any], ...] = DEFAULT_ROUTES,
+        customers: tuple[Mapping[str, Any], ...] = ({"name": "club"},),
+        keys: Mapping[str, str] | None = None,
+    ) -> None:
+        """Write a version as operators do."""
+        keys = {"key-club": "club"} if keys is None else keys
+        document = {
+            "version": version,
+            "routes": routes,
+            "services": ["engine"],
+            "customers": customers,
+            "keys": keys,
+        }
+        self.store.put(CATALOGUE_ROW, orjson.dumps(document))
+
+    def register(self, engine: RunEngine, *, draining: bool = False) -> None:
+        """Write an engine's entry."""
+        entry = {
+            "service": engine.service,
+            "address": engine.address,
+            "data_centre": engine.data_centre,
+            "slots": engine.slots,
+            "draining": draining,
+            "started_ms": 1,
+        }
+        self.store.put(RowKey(TABLE_ENGINES, "", engine.name), orjson.dumps(entry))
+
+    def add_engines(self, count: int) -> list[RunEngine]:
+        """Add engines and register them."""
+        first = len(self.engines.by_address)
+        engines = [
+            RunEngine(f"e{n}", f"10.9.0.{n + 1}:80", data_centre=f"dc{n % 3}")
+            for n in range(first, first + count)
+        ]
+        for engine in engines:
+            self.engines.add(engine)
+            self.register(engine)
+        return engines
+
+    async def async_add(self, address: str = "") -> FleetMember:
+        """Start one more daemon, at an address of its own or at a given one."""
+        self._started += 1
+        number = self._started
+        address = address or f"10.0.0.{number}"
+        view, datagrams = self.store.view(), self.datagrams.join(address)
+        settings = GatewaySettings(
+            address, f"dc{number % 3}", "10.8.0.1:1", front=f"{address}:80", peer_port=PEER_PORT
+        )
+        adapter = GatewayAdapter(
+            view, PlainCatalogueReader(), PlainUpstreamReader(), PlainSubmissionReader()
+        )
+        core = GatewayCore(
+            settings=settings,
+            clock=self.clock,
+            random=random.Random(number),
+            blackboard=Blackboard(),
+            adapter=adapter,
+            runner=self.engines,
+            datagrams=datagrams,
+            transport=self.network.join(address),
+            session_id=f"{number:016x}",
+        )
+        member = FleetMember(Gateway(core), view, datagrams)
+        await member.gateway.async_start()
+        self.members.append(member)
+        return member
+
+    async def async_add_many(self, count: int) -> list[FleetMember]:
+        """Start several daemons."""
+        return [await self.async_add() for _ in range(count)]
+
+    async def async_kill(self, member: FleetMember) -> None:
+        """End a daemon without a word: nothing of it reaches anyone any more."""
+        self.members.remove(member)
+        member.view.cut = True
+        member.datagrams.closed = True
+        self.datagrams.unlisten(member.address)
+        await member.gateway.async_close()
+
+    async def async_wait(self, condition: Callable[[], bool], limit_ms: int) -> int:
+        """Wait until the condition holds; returns the time it took, or raises `TimeoutError`."""
+        began = self.clock.now()
+        while not condition():
+            if self.clock.now() - began > limit_ms:
+                raise TimeoutError(f"not within {limit_ms} ms")
+            await self.clock.async_sleep(5)
+        return self.clock.now() - began
+
+    async def async_close(self) -> None:
+        """Stop all daemons."""
+        await asyncio.gather(*(member.gateway.async_close() for member in self.members))
+        self.members.clear()
+
+    def make_request(
+        self, path: str, body: bytes = b"", deadline_ms: int = 5_000, request_id: str = ""
+    ) -> CallerRequest:
+        """Return a caller's request."""
+        self._requests += 1
+        return CallerRequest(
+            request_id=request_id or f"r{self._requests}",
+            method="POST",
+            host=HOST,
+            path=path,
+            target=path,
+            headers=(),
+            body=body,
+            key="key-club",
+            deadline_ms=deadline_ms,
+            arrived_at=self.clock.now(),
+        )
+
+
+def make_fleet(clock: Clock) -> GatewayFleet:
+    """Return a fleet without daemons or engines, and with a catalogue."""
+    fleet = GatewayFleet(
+        clock,
+        FakeRowStore(clock),
+        FakeNetwork(clock),
+        FakeDatagramNetwork(clock),
+        RunEngines(clock),
+    )
+    fleet.write_catalogue()
+    return fleet
--- /dev/null
+++ b/standins/run_engines.py
@@ -0,0 +1,165 @@
+"""Engines behind the `Runner` protocol: slots, a first-come queue, events, and faults."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Clock
+from goldcreststair.upstreams.dialect import RunCall, RunHead, UpstreamLoad
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.runner import RunEnd, RunSink
+
+
+@dataclass(slots=True)
+class RunEngine:
+    """One engine."""
+
+    name: str
+    address: str
+    service: str = "engine"
+    data_centre: str = "dc0"
+    slots: int = 8
+    first_ms: int = 40
+    event_ms: int = 30
+    queue: int = 24
+    up: bool = True
+    silent: bool = False
+    """Whether it accepts connections and sends nothing more."""
+    refuse: bool = False
+    """Whether it says that it has no room."""
+    fail_status: int = 0
+    """Answers every run with this status, if any."""
+    running: int = 0
+    waiting: int = 0
+    ran: list[RunCall] = field(default_factory=list)
+    """Every run that began, in order."""
+    freed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(slots=True)
+class RunEngines:
+    """All engines of a test; implements `Runner` and `Connections`."""
+
+    clock: Clock
+    by_address: dict[str, RunEngine] = field(default_factory=dict)
+    events: int = 20
+    """Events of each answer, unless `events_of` says otherwise."""
+    events_of: dict[str, int] = field(default_factory=dict)
+    """By request id."""
+    statuses: dict[str, int] = field(default_factory=dict)
+    """Status of the answer to a request id, where it is no success."""
+    at_work: Counter[str] = field(default_factory=Counter)
+    """Runs under way, by request id."""
+
+    @property
+    def pool(self) -> "RunEngines":
+        """The connections kept: none needs keeping here."""
+        return self
+
+    def add(self, engine: RunEngine) -> RunEngine:
+        """Add an engine."""
+        self.by_address[engine.address] = engine
+        return engine
+
+    def count_open(self, address: str) -> int:
+        """Return no connections."""
+        return 0
+
+    def forget(self, address: str) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    async def async_warm(self, address: str, connect_timeout_ms: int) -> bool:
+        """Return whether a connection opens."""
+        await self.clock.async_sleep(1)
+        engine = self.by_address.get(address)
+        return engine is not None and engine.up
+
+    async def async_run(
+        self, address: str, call: RunCall, sink: RunSink
+    ) -> Result[RunEnd, UpstreamError]:
+        """Run a request."""
+        await self.clock.async_sleep(1)
+        engine = self.by_address.get(address)
+        if engine is None or not engine.up:
+            return Err(UpstreamError("cannot connect", UpstreamFailure.CONNECT))
+        full = engine.waiting >= engine.queue
+        if engine.refuse or full or call.upstream != engine.name:
+            return Err(UpstreamError("not run", UpstreamFailure.REFUSED, 503))
+        try:
+            async with asyncio.timeout(call.deadline_ms / 1000):
+                return await self._async_serve(engine, call, sink)
+        except TimeoutError:
+            return Err(UpstreamError("no whole answer in time", UpstreamFailure.TIMEOUT))
+
+    async def _async_serve(
+        self, engine: RunEngine, call: RunCall, sink: RunSink
+    ) -> Result[RunEnd, UpstreamError]:
+        await self._async_enter(engine)
+        engine.running += 1
+        engine.ran.append(call)
+        self.at_work[call.request_id] += 1
+        try:
+            return await self._async_answer(engine, call, sink)
+        finally:
+            engine.running -= 1
+            self.at_work[call.request_id] -= 1
+            engine.freed.set()
+
+    async def _async_enter(self, engine: RunEngine) -> None:
+        engine.waiting += 1
+        try:
+            while engine.running >= engine.slots:
+                engine.freed.clear()
+                await engine.freed.wait()
+        finally:
+            engine.waiting -= 1
+
+    async def _async_answer(
+        self, engine: RunEngine, call: RunCall, sink: RunSink
+    ) -> Result[RunEnd, UpstreamError]:
+        status = engine.fail_status or self.statuses.get(call.request_id, 200)
+        load = UpstreamLoad(engine.running, engine.waiting, engine.slots)
+        head = RunHead(status, (("Stamp", engine.name),), False, False, load)
+        await self.clock.async_sleep(engine.first_ms)
+        lost = await self._async_check(engine)
+        if lost is not None:
+            return Err(lost)
+        sink.take_head(head)
+        if status != 200:
+            return Ok(RunEnd(head, b"failed"))
+        if not sink.streams:
+            return Ok(RunEnd(head, b"whole"))
+        for number in range(
+            call.resume_after + 1, self.events_of.get(call.request_id, self.events) + 1
+        ):
+            lost = await self._async_check(engine)
+            if lost is not None:
+                return Err(lost)
+            taken: Awaitable[None] | None = sink.take_data(make_event(call.request_id, number))
+            if taken is not None:
+                await taken
+            await self.clock.async_sleep(engine.event_ms)
+        return Ok(RunEnd(head, b""))
+
+    async def _async_check(self, engine: RunEngine) -> UpstreamError | None:
+        while engine.silent:
+            await self.clock.async_sleep(1_000)
+        if not engine.up:
+            return UpstreamError("connection reset", UpstreamFailure.LOST)
+        return None
+
+
+def make_event(request_id: str, number: int) -> bytes:
+    """Return event `number` of a request's answer; any engine agrees."""
+    return f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+
+
+def make_text(request_id: str, events: int) -> bytes:
+    """Return the data of a whole answer."""
+    return "\n".join(f"{request_id}.{number}" for number in range(1, events + 1)).encode()
--- /dev/null
+++ b/tests/components/jobs/test_execution.py
@@ -0,0 +1,112 @@
+"""Runs of items: started in free slots, given up to online work, and started again."""
+
+import asyncio
+
+import pytest
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.jobs.book import (
+    ItemProgress,
+    JobBook,
+    OwnedJob,
+    choose_yielding,
+)
+from goldcreststair.components.jobs.models import JobItem, JobKey, JobRecord, OpenJob
+from goldcreststair.components.placement.service import PLACEMENT
+from standins.gateways import GatewayFleet
+from standins.run_engines import make_text
+from tests.helpers.gateways import async_read, async_send, async_submit, run_fleet
+
+
+def make_job(name: str, items: int, due_at: int) -> OwnedJob:
+    """Return a job that this daemon runs."""
+    key = JobKey("club", name)
+    record = JobRecord(key, "host", "/batch/", items, 0, "object")
+    progress = [ItemProgress(JobItem(f"{name}{n}", "/", (), b"", 1), n) for n in range(items)]
+    opened = OpenJob(key, "me", "", 0, items, "route")
+    return OwnedJob(record, opened, progress, Millis(due_at), Millis(100_000))
+
+
+@pytest.mark.parametrize(
+    ("now", "expected"),
+    [
+        (0, ["soon0", "soon1", "later0"]),
+        # What is late already waits for what can still be in time.
+        (600, ["later0", "soon0", "soon1"]),
+    ],
+)
+def test_items_go_by_when_they_are_due(now: int, expected: list[str]) -> None:
+    book = JobBook()
+    for job in (make_job("later", 1, 1_000), make_job("soon", 2, 500)):
+        book.jobs[job.key] = job
+    names = [item.item.item for _, item in book.list_startable(Millis(now))]
+    assert names == expected
+
+
+def test_the_least_urgent_run_with_least_done_gives_way() -> None:
+    soon, later = make_job("soon", 1, 500), make_job("later", 2, 1_000)
+    later.items[0].last_event = 7
+
+    class Run:
+        def __init__(self, job: OwnedJob, item: ItemProgress) -> None:
+            self.job, self.item = job, item
+
+    runs = [Run(soon, soon.items[0]), *(Run(later, item) for item in later.items)]
+    chosen = choose_yielding(runs, 2, Millis(0))
+    assert [run.item.item.item for run in chosen] == ["later1", "later0"]
+
+
+def test_a_run_that_gives_way_before_it_began_is_started_again() -> None:
+    """An item of an accepted job was never finished, although slots were free for the rest of the day.
+
+    Its run was started and given up in the same turn of the loop, as an online request came at that
+    moment: a task that is cancelled before its first step runs none of its code, so that the item stayed
+    marked as running and its slot as taken.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (engine,) = fleet.add_engines(1)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        placement = member.core.get(PLACEMENT)
+        assert (await async_submit(fleet, member, "digest", 1)).accepted
+        await fleet.async_wait(lambda: placement.controller.runs.list_own() != {}, 1_000)
+        for _ in range(engine.slots):
+            placement.begin(engine.name)
+        for _ in range(engine.slots):
+            placement.end(engine.name)
+        await fleet.clock.async_sleep(5_000)
+        assert len((await async_read(member, "digest")).results) == 1
+        assert placement.controller.runs.list_own() == {}
+
+    run_fleet(scenario)
+
+
+def test_batch_gives_way_to_a_burst_and_goes_on_after_it() -> None:
+    """Members' requests met engines full of digest items and waited behind them.
+
+    Engines know no priority. A burst that needs every slot finds a free one within the time of a beacon
+    and of a closed connection; each item then goes on after its last event and is whole once.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        fleet.engines.events_of = {f"digest-{n}": 150 for n in range(14)}
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, first, "digest", 14)).accepted
+        await fleet.clock.async_sleep(2_000)
+        assert sum(engine.running for engine in engines) == 14
+        began = fleet.clock.now()
+        burst = [async_send(fleet, second, f"/stream/{n}") for n in range(16)]
+        answers = await asyncio.gather(*burst)
+        firsts = sorted(answer.event_times[0] - began for answer in answers)
+        assert firsts[-1] < 150, firsts
+        await fleet.clock.async_sleep(20_000)
+        page = await async_read(second, "digest")
+        texts = {result.item: result.text for result in page.results}
+        assert texts == {f"digest-{n}": make_text(f"digest-{n}", 150) for n in range(14)}
+        resumed = [call for engine in engines for call in engine.ran if call.resume_after]
+        assert resumed, "items went on where they had been stopped"
+
+    run_fleet(scenario)
