--- a/goldcreststair/components/forwarding/watch.py
+++ b/goldcreststair/components/forwarding/watch.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from goldcreststair.clock import Clock
+from goldcreststair.clock import Clock, TimerHandle
 from goldcreststair.components.forwarding.const import (
     FIRST_LONG_MS,
     FIRST_PATIENCE_MS,
@@ -52,13 +52,43 @@
         return self._expected_ms + FIRST_PATIENCE_MS, self._expected_ms + FIRST_LONG_MS
 
 
-async def async_watch(task: "asyncio.Task[T]", watch: SilenceWatch, clock: Clock) -> T | None:
-    """Return the task's result, or None after ending it for its silence."""
-    while True:
-        done, _ = await asyncio.wait({task}, timeout=WATCH_MS / 1000)
-        if done:
+class SilenceWatcher:
+    """Looks at all runs of this daemon at once, with one timer while there are any."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Watch nothing."""
+        self._clock = clock
+        self._watched: dict[asyncio.Future[bool], SilenceWatch] = {}
+        self._timer: TimerHandle | None = None
+
+    async def async_follow(self, task: "asyncio.Task[T]", watch: SilenceWatch) -> T | None:
+        """Return the task's result, or None after ending it for its silence."""
+        ended: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        task.add_done_callback(lambda _: _settle(ended, silent=False))
+        self._watched[ended] = watch
+        self._arm()
+        try:
+            silent = await ended
+        finally:
+            del self._watched[ended]
+        if not silent:
             return task.result()
-        if watch.is_silent():
-            task.cancel()
-            await asyncio.wait({task})
-            return None
+        task.cancel()
+        await asyncio.wait({task})
+        return None
+
+    def _arm(self) -> None:
+        if self._timer is None and self._watched:
+            self._timer = self._clock.call_later(WATCH_MS, self._look)
+
+    def _look(self) -> None:
+        self._timer = None
+        for ended, watch in tuple(self._watched.items()):
+            if watch.is_silent():
+                _settle(ended, silent=True)
+        self._arm()
+
+
+def _settle(ended: "asyncio.Future[bool]", *, silent: bool) -> None:
+    if not ended.done():
+        ended.set_result(silent)
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -15,6 +15,8 @@
 TICK_MS: Final = 20
 """How often free slots are looked for; a start shows in other daemons' books after one beacon, so
 that two of them rarely take the same slot."""
+IDLE_TICK_MS: Final = 100
+"""The same while this daemon has no job."""
 STARTS_PER_TICK: Final = 2
 """Runs started at once, for the same reason."""
 COMMIT_RETRY_MS: Final = 150
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -11,7 +11,7 @@
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind
 from goldcreststair.components.jobs.book import ItemProgress, ItemState, JobBook, OwnedJob
 from goldcreststair.components.jobs.codec import decode_items
-from goldcreststair.components.jobs.const import LEASE_MS, TICK_MS
+from goldcreststair.components.jobs.const import IDLE_TICK_MS, LEASE_MS, TICK_MS
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.execution import ItemExecutor
 from goldcreststair.components.jobs.lister import JobLister
@@ -298,7 +298,7 @@
 
     async def _async_tick(self) -> None:
         while True:
-            await self._clock.async_sleep(TICK_MS)
+            await self._clock.async_sleep(TICK_MS if self._book.jobs else IDLE_TICK_MS)
             if self._links.read_contact_age_ms() > LEASE_MS:
                 self.doubt_all()
             try:
--- /dev/null
+++ b/tests/components/forwarding/test_streams.py
@@ -0,0 +1,185 @@
+"""Streams through a fleet: whole, in order, taken up elsewhere, ended with their callers."""
+
+import asyncio
+from itertools import pairwise
+
+import pytest
+
+from goldcreststair.components.online.errors import RefusalCode
+from standins.gateways import GatewayFleet
+from standins.run_engines import RunEngine, make_event
+from tests.helpers.gateways import async_send, run_fleet
+
+
+def make_stream(request_id: str, events: int) -> bytes:
+    """Return a whole stream."""
+    return b"".join(make_event(request_id, number) for number in range(1, events + 1))
+
+
+def find_running(engines: list[RunEngine]) -> RunEngine:
+    """Return the engine that runs something."""
+    return next(engine for engine in engines if engine.running)
+
+
+@pytest.mark.parametrize("path", ["/stream/a", "/once/a"])
+def test_a_stream_arrives_whole_with_its_engines_head(path: str) -> None:
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.add_engines(3)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        answer = await async_send(fleet, member, path, request_id="r")
+        assert answer.whole and answer.body == make_stream("r", 20)
+        assert answer.head is not None and answer.head.headers[0][0] == "Stamp"
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("crash_after_ms", [0, 20, 100, 400])
+def test_a_resumable_stream_goes_on_after_its_engine_crashed(crash_after_ms: int) -> None:
+    """A designer's draft stopped in the middle of a sentence.
+
+    The engine crashed while it wrote. Another one goes on after the last event that the caller has: no
+    event is missing or doubled, the head is the first engine's, and the pause stays below what callers
+    count as good.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(3)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
+        await fleet.clock.async_sleep(5 + crash_after_ms)
+        crashed = find_running(engines)
+        crashed.up = False
+        answer = await sending
+        assert answer.whole and answer.body == make_stream("r", 20)
+        gaps = [after - at for at, after in pairwise(answer.event_times)]
+        assert max(gaps) < 250
+        others = [engine for engine in engines if engine is not crashed]
+        assert sum(len(engine.ran) for engine in others) == 1
+
+    run_fleet(scenario)
+
+
+def test_a_silent_engine_is_left_within_the_pause_that_is_still_good() -> None:
+    """A stream stood still until its caller gave up after two seconds, with its connection open.
+
+    The engine had gone dark: no reset tells of it, only silence of all it does.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
+        await fleet.clock.async_sleep(200)
+        find_running(engines).silent = True
+        answer = await sending
+        assert answer.whole and answer.body == make_stream("r", 20)
+        gaps = [after - at for at, after in pairwise(answer.event_times)]
+        assert max(gaps) < 250
+
+    run_fleet(scenario)
+
+
+def test_a_stream_that_may_run_once_is_cut_and_not_run_again() -> None:
+    """A ground was booked twice.
+
+    The engine crashed after it had begun a call that must not be repeated. What was sent of it is cut,
+    so that it cannot pass for whole, and no other engine runs it.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(3)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, "/once/a"))
+        await fleet.clock.async_sleep(200)
+        find_running(engines).up = False
+        answer = await sending
+        assert answer.aborted and not answer.whole
+        assert sum(len(engine.ran) for engine in engines) == 1
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("path", ["/book/a", "/once/a", "/stream/a", "/call/a"])
+def test_a_request_that_no_engine_ran_moves_to_one_that_does(path: str) -> None:
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(3)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        engines[0].refuse = engines[1].refuse = True
+        answer = await async_send(fleet, member, path)
+        assert answer.whole
+        assert [len(engine.ran) for engine in engines] == [0, 0, 1]
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "code"),
+    [("/book/a", RefusalCode.UPSTREAM_FAILED), ("/call/a", RefusalCode.UPSTREAM_FAILED)],
+)
+def test_a_refusal_after_a_run_promises_nothing(path: str, code: RefusalCode) -> None:
+    """A caller was told that its booking had not run, booked again, and had two.
+
+    The engine ran the call and was lost with the answer: the refusal must not say "not run".
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        for engine in engines:
+            engine.first_ms = 200
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, path))
+        await fleet.clock.async_sleep(50)
+        for engine in engines:
+            engine.up = False
+        answer = await sending
+        assert answer.refusal is not None
+        assert answer.refusal.code is code and not answer.refusal.not_run
+
+    run_fleet(scenario)
+
+
+def test_a_caller_that_goes_away_ends_its_run() -> None:
+    """Engines went on writing for callers that had closed their connections, while others waited."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
+        await fleet.clock.async_sleep(200)
+        sending.cancel()
+        await asyncio.gather(sending, return_exceptions=True)
+        await fleet.clock.async_sleep(20)
+        assert fleet.engines.at_work["r"] == 0
+        assert sum(engine.running for engine in engines) == 0
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    ("silent_after_ms", "deadline_ms"),
+    [(10, 400), (200, 400)],
+)
+def test_the_final_answer_comes_by_the_callers_deadline(
+    silent_after_ms: int, deadline_ms: int
+) -> None:
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(1)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        began = fleet.clock.now()
+        sending = asyncio.create_task(async_send(fleet, member, "/once/a", deadline_ms=deadline_ms))
+        await fleet.clock.async_sleep(silent_after_ms)
+        engines[0].silent = True
+        answer = await sending
+        assert answer.ended_at - began <= deadline_ms + 50
+        refused = answer.refusal
+        assert answer.aborted or (refused is not None and refused.code is RefusalCode.DEADLINE)
+
+    run_fleet(scenario)
