Meet the wire in tests: an engine and a store that answer wrongly

Found and mended: an answer that an engine gave before it had read a long body was passed on only once the whole body was read; the connection is given up instead. A run whose engine answers twice, crossed, cut, unframed, reset, with garbage or for another instance has its test; so has every fault of the store's answers.

--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Any, Final
 
 from result import Err, Ok, Result
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -230,6 +230,7 @@
         self.pieces: list[bytes] = []
         self.whole = False
         self.foreign = False
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._hooks = hooks
 
     def headers_received(
@@ -255,6 +256,8 @@
 
     def finish(self) -> None:
         self.whole = True
+        if not self.ended.done():
+            self.ended.set_result(None)
 
 
 class _Talk:
@@ -303,10 +306,14 @@
         """Read until the answer is whole; returns whether the connection may be used again."""
         reading = asyncio.ensure_future(connection.read_response(reader))
         try:
-            return await reading
+            either: set[asyncio.Future[Any]] = {reading, reader.ended}
+            await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+            # An upstream may answer before it has read a long body: the answer does not wait for
+            # that, and the connection is given up, as the upstream still expects the body's rest.
+            await asyncio.sleep(0)
+            return reading.result() if reading.done() else False
         finally:
-            if not reading.done():
-                reading.cancel()
+            reading.cancel()
 
     def _judge(self, reader: _Reader, alive: bool) -> Result[Answer, ExchangeError]:
         # An answer without a length ends with its connection; a reset there is no end.
@@ -314,7 +321,6 @@
             return Err(ExchangeError("connection closed early", ExchangeFailure.BROKEN))
         self.idle_ms = _read_idle_ms(reader.headers)
         closes = reader.headers.get("Connection", "").lower() == "close"
-        # An upstream that answered before it had read the request's body still expects it.
         self.reusable = alive and not closes and not self._stream.writing()
         return Ok(Answer(reader.status, reader.headers, b"".join(reader.pieces)))
 
--- /dev/null
+++ b/tests/platform_adapter/test_documents.py
@@ -0,0 +1,155 @@
+"""The operators' document and the upstreams' entries, good and bad."""
+
+import copy
+from typing import Any
+
+import orjson
+import pytest
+from result import Err, Ok
+from users_platform.documents import OperatorDocuments, UpstreamEntries
+
+from goldcreststair.components.catalogue.models import (
+    BatchTerms,
+    CallKind,
+    CatalogueCustomer,
+    Service,
+    WeightedService,
+)
+from goldcreststair.components.keys.controller import hash_key
+
+DOCUMENT: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-a",
+            "host": "nony24.example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeout_ms": 5000,
+            "slo_ms": 300,
+            "priority": 0,
+            "split": [{"service": "x", "weight": 90}, {"service": "y", "weight": 0}],
+            "max_attempts": 2,
+            "anonymous": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_target_ms": 250,
+        },
+        {
+            "name": "r-b",
+            "host": "nony24.example",
+            "prefix": "/a/b/",
+            "kind": "batch",
+            "timeout_ms": 15000,
+            "slo_ms": 400,
+            "service": "x",
+            "max_wait_s": 60.0,
+            "completion_target_ms": 18000,
+            "cap": 1200000,
+        },
+    ],
+    "services": [{"name": "x", "max_conns": 180, "engine": {"slots": 8, "kv_capacity": 9}}],
+    "limits": {"max_header_bytes": 1, "max_body_bytes": 2, "header_timeout_ms": 3},
+    "tenants": [
+        {"name": "kaje80", "api_keys": ["k1", "k2"], "priority": 1, "rate_per_s": 34, "burst": 5}
+    ],
+    "something_new": {"a": 1},
+}
+
+
+def test_a_document_is_decoded_once_into_named_fields() -> None:
+    catalogue = OperatorDocuments().decode(orjson.dumps(DOCUMENT)).unwrap()
+    assert catalogue.version == 7
+    stream, batch = catalogue.routes
+    assert stream.kind is CallKind.STREAMING and stream.repeatable
+    assert stream.services == (WeightedService("x", 90.0),)
+    assert (stream.objective_ms, stream.gap_objective_ms, stream.affinity) == (300, 250, True)
+    assert batch.batch == BatchTerms(18_000, 60_000, 1_200_000)
+    assert catalogue.services == {"x": Service("x", 180, 8, 9)}
+    assert catalogue.customers == {"kaje80": CatalogueCustomer("kaje80", 34.0, 5.0, 1)}
+    assert catalogue.keys == {hash_key("k1"): "kaje80", hash_key("k2"): "kaje80"}
+    assert catalogue.limits.idle_timeout_ms == 15_000
+
+
+@pytest.mark.parametrize(
+    ("path", "route"),
+    [
+        ("/a/x", "r-a"),
+        ("/a/b/x", "r-b"),
+        ("/a/b/", "r-b"),
+        ("/a/b", "r-a"),
+        ("/a", None),
+        ("/c/a/", None),
+    ],
+)
+def test_the_longest_prefix_wins(path: str, route: str | None) -> None:
+    catalogue = OperatorDocuments().decode(orjson.dumps(DOCUMENT)).unwrap()
+    found = catalogue.find_route("NONY24.example", path)
+    assert (found.name if found else None) == route
+    assert catalogue.find_route("other.example", path) is None
+
+
+@pytest.mark.parametrize(
+    ("where", "value", "field"),
+    [
+        (("version",), "7", "version"),
+        (("routes",), {}, "routes"),
+        (("routes", 0, "kind"), "magic", "kind"),
+        (("routes", 0, "timeout_ms"), None, "timeout_ms"),
+        (("routes", 0, "split"), [{"service": "x", "weight": 0}], "split"),
+        (("routes", 1, "service"), 5, "service"),
+        (("services", 0, "max_conns"), True, "max_conns"),
+        (("tenants", 0, "name"), None, "name"),
+    ],
+)
+def test_a_bad_field_is_named(where: tuple[Any, ...], value: Any, field: str) -> None:
+    document = copy.deepcopy(DOCUMENT)
+    holder: Any = document
+    for step in where[:-1]:
+        holder = holder[step]
+    holder[where[-1]] = value
+    decoded = OperatorDocuments().decode(orjson.dumps(document))
+    assert isinstance(decoded, Err) and decoded.err_value.field == field
+
+
+def test_bytes_that_are_no_document_are_an_error() -> None:
+    assert isinstance(OperatorDocuments().decode(b"\xff{"), Err)
+
+
+ENTRY: dict[str, Any] = {
+    "service": "x",
+    "address": "10.1.0.9:8080",
+    "zone": "stred-a",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "sequence": 4,
+    "born": 1771709276618,
+}
+
+
+@pytest.mark.parametrize(("state", "draining"), [("ready", False), ("draining", True)])
+def test_an_entry_names_an_upstream(state: str, draining: bool) -> None:
+    decoded = UpstreamEntries().decode("i-1", orjson.dumps(ENTRY | {"state": state}))
+    assert isinstance(decoded, Ok)
+    entry = decoded.ok_value
+    assert (entry.name, entry.service, entry.address) == ("i-1", "x", "10.1.0.9:8080")
+    assert (entry.data_centre, entry.slots, entry.draining) == ("stred-a", 8, draining)
+    assert entry.started_ms == 1771709276618
+
+
+@pytest.mark.parametrize(
+    ("value", "field"),
+    [
+        (ENTRY | {"state": "odd"}, "state"),
+        (ENTRY | {"slots": "8"}, "slots"),
+        (ENTRY | {"address": "10.1.0.9"}, "address"),
+        (ENTRY | {"address": 7}, "address"),
+        ({key: value for key, value in ENTRY.items() if key != "zone"}, "zone"),
+        ([], "state"),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_upstream(value: Any, field: str) -> None:
+    decoded = UpstreamEntries().decode("i-1", orjson.dumps(value))
+    assert isinstance(decoded, Err) and decoded.err_value.field == field
--- /dev/null
+++ b/tests/platform_adapter/test_runner.py
@@ -0,0 +1,201 @@
+"""Runs over kept connections against an engine that answers wrongly."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from result import Err, Ok, Result
+from users_platform.dialect import PlatformDialect
+
+from goldcreststair.clock import LoopClock
+from goldcreststair.http_pool import ConnectionPool
+from goldcreststair.upstreams.dialect import RunCall, RunHead
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.runner import RunEnd, UpstreamRunner
+from tests.platform_adapter.wire_engine import Misdeed, WireEngine, make_event
+
+
+class Sink:
+    """Keeps what comes."""
+
+    def __init__(self, streams: bool = True) -> None:
+        self.streams = streams
+        self.head: RunHead | None = None
+        self.data = b""
+
+    def take_head(self, head: RunHead) -> None:
+        self.head = head
+
+    def take_data(self, chunk: bytes) -> None:
+        self.data += chunk
+
+
+def make_call(request_id: str = "r1", **changes: object) -> RunCall:
+    """Return a call."""
+    fields: dict[str, object] = {
+        "request_id": request_id,
+        "method": "POST",
+        "host": "host.example",
+        "path": "/a/b?c=d",
+        "headers": (("Model", "m"),),
+        "body": b"body",
+        "customer": "club",
+        "upstream": "i-1",
+        "deadline_ms": 2_000,
+    }
+    return RunCall(**(fields | changes))  # type: ignore[arg-type]
+
+
+def run_engine(scenario: Callable[[WireEngine, UpstreamRunner], Awaitable[None]]) -> None:
+    """Run a scenario against an engine on loopback."""
+
+    async def async_run() -> None:
+        engine = WireEngine()
+        await engine.async_start()
+        pool = ConnectionPool(LoopClock())
+        try:
+            async with asyncio.timeout(20):
+                await scenario(engine, UpstreamRunner(pool, PlatformDialect()))
+        finally:
+            pool.close()
+            await engine.async_close()
+
+    asyncio.run(async_run())
+
+
+async def async_run_call(
+    engine: WireEngine, runner: UpstreamRunner, call: RunCall
+) -> tuple[Result[RunEnd, UpstreamError], Sink]:
+    """Run one call."""
+    sink = Sink()
+    return await runner.async_run(engine.address, call, sink), sink
+
+
+WHOLE = b"".join(make_event(number) for number in (1, 2, 3))
+
+
+def test_a_run_carries_what_the_engine_needs_and_no_more() -> None:
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        end, sink = await async_run_call(engine, runner, make_call(resume_after=1))
+        assert isinstance(end, Ok) and sink.data == make_event(2) + make_event(3)
+        (seen,) = engine.seen
+        assert seen.start_line == "POST /a/b?c=d HTTP/1.1"
+        assert seen.body == b"body"
+        assert seen.headers == {
+            "Host": "host.example",
+            "Model": "m",
+            "Request-Id": "r1",
+            "Tenant": "club",
+            "Deadline-Ms": "2000",
+            "Target-Instance": "i-1",
+            "Last-Event-Id": "1",
+            "Content-Length": "4",
+        }
+        assert sink.head is not None
+        names = [name for name, _ in sink.head.headers]
+        assert "Response-Stamp" in names and "Request-Id" in names
+        assert not {"Transfer-Encoding", "Keep-Alive", "Server-Load"} & set(names)
+
+    run_engine(scenario)
+
+
+def test_connections_are_used_again() -> None:
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        for number in range(5):
+            end, _ = await async_run_call(engine, runner, make_call(f"r{number}"))
+            assert isinstance(end, Ok)
+        assert engine.connections == 1
+
+    run_engine(scenario)
+
+
+@pytest.mark.parametrize("misdeed", [Misdeed.EXTRA, Misdeed.EXTRA_LATE])
+def test_an_answer_to_another_request_is_never_passed_on(misdeed: Misdeed) -> None:
+    """A designer got the draft of another one.
+
+    An engine sent one answer twice; the second stood where the answer to the next request on that
+    connection was due. The id tells it apart, whether it is there before the next request or after.
+    """
+
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        engine.misdeeds = [misdeed]
+        await async_run_call(engine, runner, make_call("r1"))
+        await asyncio.sleep(0.05)
+        end, sink = await async_run_call(engine, runner, make_call("r2"))
+        assert isinstance(end, Ok) and sink.data == WHOLE
+        assert dict(sink.head.headers)["Request-Id"] == "r2"  # type: ignore[union-attr]
+
+    run_engine(scenario)
+
+
+@pytest.mark.parametrize(
+    ("misdeed", "failure"),
+    [
+        (Misdeed.CUT, UpstreamFailure.LOST),
+        (Misdeed.UNFRAMED_RESET, UpstreamFailure.LOST),
+        (Misdeed.GARBAGE, UpstreamFailure.LOST),
+        (Misdeed.NOT_RUN, UpstreamFailure.REFUSED),
+        (Misdeed.MISDIRECTED, UpstreamFailure.REFUSED),
+        (Misdeed.SILENT, UpstreamFailure.TIMEOUT),
+    ],
+)
+def test_what_went_wrong_is_told_apart(misdeed: Misdeed, failure: UpstreamFailure) -> None:
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        engine.misdeeds = [misdeed]
+        end, _ = await async_run_call(engine, runner, make_call(deadline_ms=300))
+        assert isinstance(end, Err) and end.err_value.failure is failure
+        again, sink = await async_run_call(engine, runner, make_call("r2"))
+        assert isinstance(again, Ok) and sink.data == WHOLE
+
+    run_engine(scenario)
+
+
+@pytest.mark.parametrize("misdeed", [Misdeed.UNFRAMED, Misdeed.CLOSES])
+def test_an_answer_that_ends_with_its_connection_is_whole(misdeed: Misdeed) -> None:
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        engine.misdeeds = [misdeed]
+        end, sink = await async_run_call(engine, runner, make_call("r1"))
+        assert isinstance(end, Ok) and sink.data == WHOLE
+        await async_run_call(engine, runner, make_call("r2"))
+        assert engine.connections == 2
+
+    run_engine(scenario)
+
+
+def test_a_connection_whose_engine_answered_before_it_read_the_body_is_not_used_again() -> None:
+    """An engine took the head of the next request for the rest of a body.
+
+    It had answered a failure before the long body was read, and read on. Another request on that
+    connection would have been taken for the body's rest.
+    """
+
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        engine.misdeeds = [Misdeed.EARLY]
+        end, _ = await async_run_call(engine, runner, make_call("r1", body=b"x" * 8_000_000))
+        assert isinstance(end, Ok) and end.ok_value.head.status == 500
+        again, sink = await async_run_call(engine, runner, make_call("r2"))
+        assert isinstance(again, Ok) and sink.data == WHOLE
+        assert engine.seen[-1].connection == 2
+
+    run_engine(scenario)
+
+
+def test_a_cancelled_run_closes_its_connection() -> None:
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        engine.misdeeds = [Misdeed.SILENT]
+        run = asyncio.create_task(async_run_call(engine, runner, make_call("r1")))
+        await asyncio.sleep(0.1)
+        run.cancel()
+        await asyncio.gather(run, return_exceptions=True)
+        assert runner.pool.count_open(engine.address) == 0
+
+    run_engine(scenario)
+
+
+def test_nobody_listens() -> None:
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        await engine.async_close()
+        end, _ = await async_run_call(engine, runner, make_call())
+        assert isinstance(end, Err) and end.err_value.not_run
+
+    run_engine(scenario)
--- /dev/null
+++ b/tests/platform_adapter/wire_engine.py
@@ -0,0 +1,191 @@
+"""An engine on the wire, byte by byte, so that it can answer wrongly in every way that engines do."""
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class Misdeed(StrEnum):
+    """What an engine does wrong with one answer."""
+
+    NONE = "none"
+    EXTRA = "extra"
+    """Sends a whole second answer, which belongs to no request."""
+    EXTRA_LATE = "extra_late"
+    """The same, where the next answer is due."""
+    CUT = "cut"
+    """Closes in the middle of an event."""
+    UNFRAMED = "unframed"
+    """Gives no length; the answer ends with its connection."""
+    UNFRAMED_RESET = "unframed_reset"
+    """The same, and the connection is reset before its end."""
+    GARBAGE = "garbage"
+    """Sends bytes that are no answer."""
+    NOT_RUN = "not_run"
+    MISDIRECTED = "misdirected"
+    CLOSES = "closes"
+    """Answers well and closes the connection with it."""
+    EARLY = "early"
+    """Answers a failure before it has read the body, and reads on."""
+    SILENT = "silent"
+    """Answers nothing."""
+
+
+@dataclass(slots=True)
+class SeenRequest:
+    """One request as it arrived."""
+
+    start_line: str
+    headers: dict[str, str]
+    body: bytes
+    connection: int
+
+
+@dataclass(slots=True)
+class WireEngine:
+    """One engine behind one port."""
+
+    name: str = "i-1"
+    events: int = 3
+    misdeeds: list[Misdeed] = field(default_factory=list)
+    """What to do with the next answers, in order; then nothing wrong."""
+    seen: list[SeenRequest] = field(default_factory=list)
+    address: str = ""
+    connections: int = 0
+    _server: asyncio.Server | None = None
+    _late: bytes = b""
+
+    async def async_start(self) -> None:
+        """Listen on any free port."""
+        self._server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def async_close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        number = self.connections
+        try:
+            while await self._async_answer(reader, writer, number):
+                pass
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _async_answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int
+    ) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        headers = dict(line.split(": ", 1) for line in head[1:] if line)
+        misdeed = self.misdeeds.pop(0) if self.misdeeds else Misdeed.NONE
+        request_id = headers.get("Request-Id", "")
+        if misdeed is Misdeed.EARLY:
+            writer.write(make_head(500, request_id, "Content-Length: 3") + b"bad")
+            await writer.drain()
+        body = await reader.readexactly(int(headers.get("Content-Length", "0")))
+        self.seen.append(SeenRequest(head[0], headers, body, number))
+        if misdeed is Misdeed.EARLY:
+            return True
+        if self._late:
+            writer.write(self._late)
+            self._late = b""
+        answers: dict[Misdeed, Callable[..., Awaitable[bool]]] = {
+            Misdeed.CUT: self._async_cut,
+            Misdeed.UNFRAMED: self._async_unframed,
+            Misdeed.UNFRAMED_RESET: self._async_unframed_reset,
+            Misdeed.GARBAGE: self._async_garbage,
+            Misdeed.NOT_RUN: self._async_not_run,
+            Misdeed.MISDIRECTED: self._async_misdirected,
+            Misdeed.SILENT: self._async_silent,
+        }
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        wrong = answers.get(misdeed)
+        if wrong is not None:
+            return await wrong(writer, request_id, first)
+        closes = "Connection: close\r\n" if misdeed is Misdeed.CLOSES else ""
+        writer.write(make_stream(request_id, first, self.events, closes))
+        if misdeed is Misdeed.EXTRA:
+            writer.write(make_stream("other", 1, 2))
+        if misdeed is Misdeed.EXTRA_LATE:
+            self._late = make_stream("other", 1, 2)
+        await writer.drain()
+        return misdeed is not Misdeed.CLOSES
+
+    async def _async_cut(self, writer: asyncio.StreamWriter, request_id: str, first: int) -> bool:
+        writer.write(make_stream(request_id, first, self.events)[:-30])
+        await writer.drain()
+        return False
+
+    async def _async_unframed(
+        self, writer: asyncio.StreamWriter, request_id: str, first: int
+    ) -> bool:
+        writer.write(make_head(200, request_id, "Connection: close"))
+        for event in range(first, self.events + 1):
+            writer.write(make_event(event))
+        await writer.drain()
+        return False
+
+    async def _async_unframed_reset(
+        self, writer: asyncio.StreamWriter, request_id: str, first: int
+    ) -> bool:
+        writer.write(make_head(200, request_id, "Connection: close") + make_event(first))
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        return False
+
+    async def _async_garbage(self, writer: asyncio.StreamWriter, *_: object) -> bool:
+        writer.write(b"\x00\x01 this is no answer\r\n\r\n")
+        await writer.drain()
+        return False
+
+    async def _async_not_run(self, writer: asyncio.StreamWriter, request_id: str, _: int) -> bool:
+        writer.write(make_head(503, request_id, "Not-Run: 1\r\nContent-Length: 0"))
+        await writer.drain()
+        return True
+
+    async def _async_misdirected(
+        self, writer: asyncio.StreamWriter, request_id: str, _: int
+    ) -> bool:
+        writer.write(make_head(421, request_id, "Instance-Id: i-9\r\nContent-Length: 0"))
+        await writer.drain()
+        return True
+
+    async def _async_silent(self, *_: object) -> bool:
+        await asyncio.sleep(30)
+        return False
+
+
+def make_event(number: int) -> bytes:
+    """Return one event."""
+    return f"id: {number}\ndata: word{number}\n\n".encode()
+
+
+def make_head(status: int, request_id: str, more: str) -> bytes:
+    """Return the head of an answer."""
+    return (
+        f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\nResponse-Stamp: s\r\n"
+        f"Server-Load: 3,1,8\r\nKeep-Alive: timeout=10\r\n{more}\r\n\r\n"
+    ).encode()
+
+
+def make_stream(request_id: str, first: int, events: int, more: str = "") -> bytes:
+    """Return a whole streamed answer."""
+    head = make_head(200, request_id, f"{more}Transfer-Encoding: chunked")
+    chunks = b""
+    for number in range(first, events + 1):
+        event = make_event(number)
+        chunks += f"{len(event):x}\r\n".encode() + event + b"\r\n"
+    return head + chunks + b"0\r\n\r\n"
