--- /dev/null
+++ b/standins/measure/quotas.py
@@ -0,0 +1,142 @@
+"""Measures quotas over a fleet of gateway daemons: wrongful refusals and the most in one window.
+
+The demand of a customer is spread evenly over all VMs, in bursts, as callers cannot be steered. The
+ideal is one bucket that sees every request at once.
+"""
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from cyclopts import App
+
+from goldcreststair.clock import LoopClock
+from goldcreststair.components.catalogue.models import CATALOGUE
+from goldcreststair.components.quotas.service import QUOTAS
+from standins.gateways import GatewayFleet, make_fleet
+from standins.virtual_time import run_virtual
+
+app = App(help=__doc__)
+
+WINDOW_MS = 5_000
+BURST_PERIOD_MS = 5_200
+BURST_MS = 2_200
+BURST_SHARE = 1.85
+LULL_SHARE = 0.378
+"""The shape of the users' days: bursts of 2.2 s at 1.85 times the mean, 3 s at 0.378 times between."""
+CUSTOMER = "club"
+
+
+@dataclass(slots=True)
+class IdealBucket:
+    """One bucket for the whole fleet."""
+
+    rate_per_s: float
+    burst: float
+    level: float = 0.0
+    at: int = 0
+
+    def admit(self, now: int) -> bool:
+        """Take one token."""
+        earned = (now - self.at) * self.rate_per_s / 1000
+        self.level, self.at = min(self.burst, self.level + earned), now
+        if self.level < 1:
+            return False
+        self.level -= 1
+        return True
+
+
+@dataclass(slots=True)
+class QuotaFigures:
+    """What a run came to."""
+
+    asked: int = 0
+    admitted: int = 0
+    ideal: int = 0
+    """Requests that one bucket would have admitted."""
+    wrongly_refused: int = 0
+    """Requests refused that one bucket admits at that moment."""
+    most_in_window: int = 0
+    _window: deque[int] = field(default_factory=deque)
+
+    def take(self, now: int, *, admitted: bool, ideal: bool) -> None:
+        """Count one request."""
+        self.asked += 1
+        self.admitted += admitted
+        self.ideal += ideal
+        self.wrongly_refused += ideal and not admitted
+        if not admitted:
+            return
+        self._window.append(now)
+        while self._window[0] <= now - WINDOW_MS:
+            self._window.popleft()
+        self.most_in_window = max(self.most_in_window, len(self._window))
+
+
+def choose_load(now: int, demand: float) -> float:
+    """Return requests a second at a moment."""
+    in_burst = now % BURST_PERIOD_MS < BURST_MS
+    return demand * (BURST_SHARE if in_burst else LULL_SHARE)
+
+
+async def async_drive(
+    fleet: GatewayFleet, rate_per_s: float, burst: float, demand: float, seconds: float, seed: int
+) -> QuotaFigures:
+    """Send a customer's requests to the running members and count."""
+    chance = random.Random(seed)
+    figures = QuotaFigures()
+    start = fleet.clock.now()
+    ideal = IdealBucket(rate_per_s, burst, at=start)
+    while fleet.clock.now() - start < seconds * 1000:
+        now = fleet.clock.now()
+        gap_ms = chance.expovariate(choose_load(now - start, demand)) * 1000
+        await fleet.clock.async_sleep(max(1, round(gap_ms)))
+        now = fleet.clock.now()
+        if not fleet.members:
+            continue
+        member = chance.choice(fleet.members)
+        customer = member.read(CATALOGUE).customers.get(CUSTOMER)
+        if customer is None:
+            continue
+        admitted = member.core.get(QUOTAS).admit(customer) is None
+        figures.take(now, admitted=admitted, ideal=ideal.admit(now))
+    return figures
+
+
+def measure(
+    vms: int, rate_per_s: float, burst: float, demand: float, seconds: float, seed: int
+) -> QuotaFigures:
+    """Run one fleet."""
+
+    async def async_run() -> QuotaFigures:
+        fleet = make_fleet(LoopClock())
+        limits = {"name": CUSTOMER, "rate_per_s": rate_per_s, "burst": burst}
+        fleet.write_catalogue(customers=(limits,))
+        await fleet.async_add_many(vms)
+        await fleet.clock.async_sleep(2_000)
+        try:
+            return await async_drive(fleet, rate_per_s, burst, demand, seconds, seed)
+        finally:
+            await fleet.async_close()
+
+    return run_virtual(async_run())
+
+
+@app.default
+def main(vms: int = 11, seconds: float = 60, seeds: int = 3) -> None:
+    """Print a row for each demand, as a multiple of the rate."""
+    print("demand  asked  admitted  one bucket  wrongly refused  most in 5 s  bound")
+    for share in (0.62, 0.9, 1.5, 4.6):
+        for seed in range(seeds):
+            rate, burst = 34.0, 34.0
+            found = measure(vms, rate, burst, rate * share, seconds, seed)
+            bound = (rate * WINDOW_MS / 1000 + burst) * 1.1 + 20
+            wrong = found.wrongly_refused / max(1, found.asked)
+            print(
+                f"{share:6.2f} {found.asked:6d} {found.admitted:9d} {found.ideal:11d} "
+                f"{found.wrongly_refused:6d} ({wrong:6.2%}) {found.most_in_window:12d} {bound:6.0f}"
+            )
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/tests/components/quotas/test_controller.py
@@ -0,0 +1,83 @@
+"""One customer's bucket on one daemon."""
+
+from goldcreststair.components.catalogue.models import CatalogueCustomer
+from goldcreststair.components.quotas.controller import FleetShare, QuotaController
+from standins.virtual_time import ManualClock
+
+CLUB = CatalogueCustomer("club", 10.0, 20.0)
+KEY = 7
+
+
+def make_controller(clock: ManualClock) -> QuotaController:
+    """Return a controller whose bucket is full."""
+    controller = QuotaController(clock)
+    controller.take_customers({KEY: CLUB})
+    clock.advance(10_000)
+    return controller
+
+
+def drain(controller: QuotaController) -> int:
+    """Admit until refused; returns how many were."""
+    admitted = 0
+    while controller.admit(CLUB, KEY) is None:
+        admitted += 1
+    return admitted
+
+
+def test_a_full_bucket_admits_its_burst_and_tells_when_there_is_room() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock)
+    assert drain(controller) == 20
+    wait_ms = controller.admit(CLUB, KEY)
+    assert wait_ms is not None and 0 < wait_ms <= 101
+    clock.advance(wait_ms)
+    assert controller.admit(CLUB, KEY) is None
+
+
+def test_what_others_admitted_is_spent_here_too() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.take_counts("other", [(KEY, 100)])
+    controller.take_counts("other", [(KEY, 115)])
+    assert drain(controller) == 5
+
+
+def test_what_was_admitted_unheard_is_not_paid_for_twice() -> None:
+    """After a cut healed, a customer was refused for seconds on both of its sides.
+
+    Each side had used only its own part meanwhile, and then took the other's for spent as well.
+    """
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.take_counts("other", [(KEY, 100)])
+    clock.advance(5_000)
+    controller.take_counts("other", [(KEY, 180)])
+    assert drain(controller) == 20
+
+
+def test_a_daemon_that_is_not_heard_keeps_its_part() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.take_share(FleetShare(heard=1, members=4))
+    assert drain(controller) == 5
+    clock.advance(1_000)
+    assert drain(controller) == 2
+
+
+def test_a_daemon_that_stood_still_starts_empty() -> None:
+    """A VM woke after a freeze and let a hot customer's whole burst in.
+
+    Its bucket had filled by the clock, while the other daemons had spent what flowed in.
+    """
+    clock = ManualClock()
+    controller = make_controller(clock)
+    drain(controller)
+    clock.advance(8_000)
+    controller.void()
+    assert drain(controller) == 0
+
+
+def test_a_customer_without_a_rate_is_not_limited() -> None:
+    controller = make_controller(ManualClock())
+    free = CatalogueCustomer("free")
+    assert all(controller.admit(free, 9) is None for _ in range(1_000))
--- /dev/null
+++ b/tests/components/quotas/test_fleet.py
@@ -0,0 +1,144 @@
+"""Quotas over a fleet: one bucket's worth for each customer, also when daemons come, go and are cut."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from standins.gateways import GatewayFleet
+from standins.measure.quotas import QuotaFigures, async_drive
+from tests.helpers.gateways import run_fleet
+
+RATE = 34.0
+BURST = 34.0
+WINDOW_S = 5
+BOUND = (RATE * WINDOW_S + BURST) * 1.1 + 20
+"""The most that the users let a customer have in any window."""
+
+Event = Callable[[GatewayFleet], Coroutine[Any, Any, None]]
+
+
+async def async_nothing(fleet: GatewayFleet) -> None:
+    """Let the fleet be."""
+
+
+async def async_cut_two(fleet: GatewayFleet) -> None:
+    """Cut two daemons off from all others for longer than it takes to expire them."""
+    await fleet.clock.async_sleep(3_000)
+    lonely, others = fleet.members[:2], fleet.members[2:]
+    for member in lonely:
+        for other in (*others, *lonely):
+            fleet.datagrams.cut(member.address, other.address)
+    await fleet.clock.async_sleep(12_000)
+    fleet.datagrams.heal()
+
+
+async def async_halve(fleet: GatewayFleet) -> None:
+    """Cut the fleet into two halves."""
+    await fleet.clock.async_sleep(3_000)
+    middle = len(fleet.members) // 2
+    for left in fleet.members[:middle]:
+        for right in fleet.members[middle:]:
+            fleet.datagrams.cut(left.address, right.address)
+    await fleet.clock.async_sleep(9_000)
+    fleet.datagrams.heal()
+
+
+async def async_restart_some(fleet: GatewayFleet) -> None:
+    """Kill three daemons one after another and start each again at its address."""
+    for _ in range(3):
+        await fleet.clock.async_sleep(2_500)
+        member = fleet.members[0]
+        await fleet.async_kill(member)
+        await fleet.async_add(member.address)
+
+
+async def async_restart_all(fleet: GatewayFleet) -> None:
+    """Kill all daemons at once and start them again."""
+    await fleet.clock.async_sleep(6_000)
+    members = list(fleet.members)
+    await asyncio.gather(*(fleet.async_kill(member) for member in members))
+    await asyncio.gather(*(fleet.async_add(member.address) for member in members))
+
+
+async def async_store_outage(fleet: GatewayFleet) -> None:
+    """Take the store away while a daemon is cut off."""
+    await fleet.clock.async_sleep(3_000)
+    fleet.store.faults.down = True
+    lonely = fleet.members[0]
+    for other in fleet.members[1:]:
+        fleet.datagrams.cut(lonely.address, other.address)
+    await fleet.clock.async_sleep(9_000)
+    fleet.store.faults.down = False
+    fleet.datagrams.heal()
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        async_nothing,
+        async_cut_two,
+        async_halve,
+        async_restart_some,
+        async_restart_all,
+        async_store_outage,
+    ],
+)
+def test_a_hot_customer_never_gets_more_than_its_quota(event: Event) -> None:
+    """One customer sent several times its rate and got it, at the others' cost.
+
+    Each VM kept the quota by itself while some could not hear each other, had just started, or counted
+    a silent daemon's part as their own. Whatever happens, all VMs together stay within the bound.
+    """
+    found: list[QuotaFigures] = []
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        limits = {"name": "club", "rate_per_s": RATE, "burst": BURST}
+        fleet.write_catalogue(customers=(limits,))
+        await fleet.async_add_many(6)
+        await fleet.clock.async_sleep(2_000)
+        events = asyncio.create_task(event(fleet))
+        found.append(await async_drive(fleet, RATE, BURST, RATE * 4, 22, seed=1))
+        await events
+
+    run_fleet(scenario)
+    assert found[0].most_in_window <= BOUND
+    assert found[0].admitted >= 0.5 * found[0].ideal
+
+
+def test_within_its_rate_a_customer_is_not_refused() -> None:
+    """A customer that kept to its rate was refused one request in ten.
+
+    Its requests reached VMs unevenly, and each VM had an even part of the quota. Here all VMs share one
+    bucket: bursts at 1.85 times the mean demand, which is 0.62 of the rate, all pass.
+    """
+    found: list[QuotaFigures] = []
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        limits = {"name": "club", "rate_per_s": RATE, "burst": BURST}
+        fleet.write_catalogue(customers=(limits,))
+        await fleet.async_add_many(6)
+        await fleet.clock.async_sleep(2_000)
+        found.append(await async_drive(fleet, RATE, BURST, RATE * 0.62, 20, seed=2))
+
+    run_fleet(scenario)
+    assert found[0].asked > 300
+    assert found[0].admitted == found[0].asked
+
+
+def test_a_lowered_quota_holds_from_the_next_window_on() -> None:
+    found: list[QuotaFigures] = []
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        limits = {"name": "club", "rate_per_s": RATE, "burst": BURST}
+        fleet.write_catalogue(customers=(limits,))
+        await fleet.async_add_many(4)
+        await fleet.clock.async_sleep(2_000)
+        await async_drive(fleet, RATE, BURST, RATE * 2, 6, seed=3)
+        fleet.write_catalogue(2, customers=(limits | {"rate_per_s": 5.0, "burst": 5.0},))
+        await fleet.clock.async_sleep(500)
+        found.append(await async_drive(fleet, 5.0, 5.0, RATE * 2, 15, seed=4))
+
+    run_fleet(scenario)
+    assert found[0].most_in_window <= (5 * WINDOW_S + 5) * 1.1 + 20
