--- /dev/null
+++ b/tests/platform_adapter/test_callers.py
@@ -0,0 +1,162 @@
+"""Callers' connections: good and bad messages, streams, leaving."""
+
+import asyncio
+
+import pytest
+
+from goldcreststair.components.entry.service import ENTRY
+from tests.platform_adapter.local import (
+    LocalGateway,
+    async_read_answer,
+    make_request,
+    run_local,
+)
+from tests.platform_adapter.wire_engine import Misdeed, make_event
+
+WHOLE = b"".join(make_event(number) for number in (1, 2, 3))
+
+
+def test_a_stream_reaches_the_caller_with_its_engines_receipt() -> None:
+    async def scenario(local: LocalGateway) -> None:
+        headers = {"Prompt-Prefix": "a:10,b:20", "X-Other": "kept", "Tenant": "forged"}
+        answer = await local.async_call("POST", "/stream/x?y=z", b"prompt", headers)
+        assert (answer.status, answer.body, answer.whole) == (200, WHOLE, True)
+        assert answer.headers["Response-Stamp"] == "s"
+        assert answer.headers["Request-Id"] == "r1"
+        (seen,) = local.engine.seen
+        assert seen.start_line == "POST /stream/x?y=z HTTP/1.1" and seen.body == b"prompt"
+        assert seen.headers["Tenant"] == "club" and seen.headers["X-Other"] == "kept"
+        assert seen.headers["Host"] == "host.example"
+        assert "X-Api-Key" not in seen.headers
+        assert int(seen.headers["Deadline-Ms"]) <= 3000
+
+    run_local(scenario)
+
+
+def test_a_kept_connection_serves_many_requests() -> None:
+    async def scenario(local: LocalGateway) -> None:
+        reader, writer = await local.async_open()
+        for number in range(3):
+            writer.write(make_request("POST", "/stream/x", headers={"Request-Id": f"r{number}"}))
+            answer = await async_read_answer(reader)
+            assert answer.whole and answer.headers["Request-Id"] == f"r{number}"
+
+    run_local(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "headers", "status"),
+    [
+        ("/nowhere/x", b"", {}, 404),
+        ("/stream/x", b"", {"Host": "other.example"}, 404),
+        ("/stream/x", b"", {"X-Api-Key": "wrong"}, 401),
+        ("/stream/x", b"", {"X-Api-Key": ""}, 401),
+        ("/stream/x", b"", {"Request-Id": ""}, 400),
+        ("/stream/x", b"", {"Deadline-Ms": "soon"}, 400),
+        ("/stream/x", b"", {"Last-Event-Id": "-1"}, 400),
+        ("/stream/x", b"", {"X-Long": "x" * 5_000}, 413),
+        ("/stream/x", b"x" * 100_001, {}, 413),
+    ],
+)
+def test_a_bad_message_gets_a_clear_answer_and_harms_nobody(
+    path: str, body: bytes, headers: dict[str, str], status: int
+) -> None:
+    async def scenario(local: LocalGateway) -> None:
+        answer = await local.async_call("POST", path, body, headers)
+        assert answer.status == status
+        assert answer.read_json()["error"]["message"]
+        assert local.engine.seen == []
+        assert (await local.async_call("POST", "/stream/x")).status == 200
+
+    run_local(scenario)
+
+
+@pytest.mark.parametrize("bad", [b"GARBAGE\r\n\r\n", b"POST /stream/x HTTP/1.1\r\nHo"])
+def test_a_broken_head_ends_only_its_own_connection(bad: bytes) -> None:
+    async def scenario(local: LocalGateway) -> None:
+        _, writer = await local.async_open()
+        writer.write(bad)
+        writer.close()
+        assert (await local.async_call("POST", "/stream/x")).status == 200
+
+    run_local(scenario)
+
+
+@pytest.mark.parametrize(
+    ("misdeeds", "path", "status", "whole"),
+    [
+        ([Misdeed.CUT], "/once/x", 200, False),
+        ([Misdeed.GARBAGE], "/once/x", 502, True),
+        ([Misdeed.NOT_RUN], "/once/x", 503, True),
+        ([Misdeed.MISDIRECTED], "/once/x", 503, True),
+    ],
+)
+def test_what_is_not_whole_never_looks_whole(
+    misdeeds: list[Misdeed], path: str, status: int, whole: bool
+) -> None:
+    """A secretary read half a confirmation and took it for the whole.
+
+    The engine broke off. What may have run is answered 502 or cut; only what certainly has not run is
+    answered 503 with a time to come back.
+    """
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.misdeeds = misdeeds
+        answer = await local.async_call("POST", path)
+        assert (answer.status, answer.whole) == (status, whole)
+        assert ("Retry-After" in answer.headers) == (status == 503)
+
+    run_local(scenario)
+
+
+def test_a_caller_that_closes_ends_the_run() -> None:
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.misdeeds = [Misdeed.SILENT]
+        _, writer = await local.async_open()
+        writer.write(make_request("POST", "/once/x"))
+        await asyncio.sleep(0.2)
+        pool = local.gateway.core.runner.pool
+        assert pool.count_open(local.engine.address) == 1
+        writer.close()
+        await asyncio.sleep(0.2)
+        assert pool.count_open(local.engine.address) == 0
+
+    run_local(scenario)
+
+
+def test_addresses_and_readiness() -> None:
+    async def scenario(local: LocalGateway) -> None:
+        path = "/-/resolve?name=host.example&region=default&zone=dc-a"
+        answer = await local.async_call("GET", path, address=local.entry_address)
+        assert answer.read_json() == {"addresses": [local.front], "ttl_s": 1}
+        ready = await local.async_call("GET", "/-/ready", address=local.entry_address)
+        assert ready.status == 200
+        local.gateway.core.get(ENTRY).leave()
+        ready = await local.async_call("GET", "/-/ready", address=local.entry_address)
+        assert ready.status == 503
+        gone = await local.async_call("GET", path, address=local.entry_address)
+        assert gone.status == 503
+
+    run_local(scenario)
+
+
+def test_a_leaving_daemon_serves_on_and_asks_callers_to_close() -> None:
+    """Planned maintenance cut members' requests.
+
+    A leaving VM goes on serving those that still come, ends its connections with an answer, and is
+    gone within its grace.
+    """
+
+    async def scenario(local: LocalGateway) -> None:
+        reader, writer = await local.async_open()
+        entry = local.gateway.core.get(ENTRY)
+        began = asyncio.get_running_loop().time()
+        entry.leave()
+        writer.write(make_request("POST", "/stream/x"))
+        answer = await async_read_answer(reader)
+        assert answer.status == 200 and answer.whole
+        assert answer.headers.get("Connection") == "close"
+        await entry.async_wait()
+        assert asyncio.get_running_loop().time() - began <= 1.0
+
+    run_local(scenario)
--- /dev/null
+++ b/tests/platform_adapter/test_jobs.py
@@ -0,0 +1,180 @@
+"""Calls about batch jobs on the wire."""
+
+import asyncio
+import base64
+import copy
+from typing import Any
+
+import orjson
+import pytest
+
+from tests.platform_adapter.local import CONFIG, OTHER_KEY, LocalGateway, register, run_local
+
+ITEM: dict[str, Any] = {
+    "id": "i1",
+    "path": "/batch/1/a",
+    "headers": {"Model": "m", "Token-Count": "5,5", "X-Api-Key": "smuggled"},
+    "body": base64.b64encode(b"\x00bytes").decode(),
+    "tokens": 100,
+}
+
+
+def make_job(*items: dict[str, Any]) -> bytes:
+    """Return a submission's body."""
+    return orjson.dumps({"requests": list(items or (ITEM,))})
+
+
+async def async_read_done(local: LocalGateway, job: str, count: int) -> Any:
+    """Read a job until so many results are there."""
+    for _ in range(100):
+        answer = await local.async_call("GET", f"/-/lots/{job}?after=0")
+        if answer.status == 200 and len(answer.read_json()["results"]) >= count:
+            return answer.read_json()
+        await asyncio.sleep(0.05)
+    raise AssertionError("no results")
+
+
+def test_a_job_is_accepted_run_and_read() -> None:
+    async def scenario(local: LocalGateway) -> None:
+        second = ITEM | {"id": "i2"}
+        for _ in range(2):
+            answer = await local.async_call(
+                "POST", "/batch/job", make_job(ITEM, second), {"Request-Id": "j1"}
+            )
+            assert answer.status == 202
+        page = await async_read_done(local, "j1", 2)
+        assert (page["total"], page["next"]) == (2, 2)
+        assert {result["id"] for result in page["results"]} == {"i1", "i2"}
+        assert {result["state"] for result in page["results"]} == {"succeeded"}
+        assert {result["text"] for result in page["results"]} == {"word1\nword2\nword3"}
+        assert sorted(seen.headers["Request-Id"] for seen in local.engine.seen) == ["i1", "i2"]
+        seen = local.engine.seen[0]
+        assert seen.start_line == "POST /batch/1/a HTTP/1.1" and seen.body == b"\x00bytes"
+        assert (seen.headers["Host"], seen.headers["Tenant"]) == ("host.example", "club")
+        assert "X-Api-Key" not in seen.headers
+        last = (await local.async_call("GET", "/-/lots/j1?after=1")).read_json()
+        assert last["next"] == 2 and last["results"] == page["results"][1:]
+
+    run_local(scenario)
+
+
+def change(**fields: Any) -> bytes:
+    """Return a submission whose item has other fields."""
+    return make_job(copy.deepcopy(ITEM) | fields)
+
+
+@pytest.mark.parametrize(
+    ("body", "field"),
+    [
+        (b"{", "body"),
+        (b"[]", "requests"),
+        (orjson.dumps({"requests": []}), "requests"),
+        (make_job(*[ITEM | {"id": str(n)} for n in range(201)]), "requests"),
+        (make_job(ITEM, ITEM), "requests"),
+        (orjson.dumps({"requests": [5]}), "requests[0]"),
+        (change(id=5), "requests[0].id"),
+        (change(path="x"), "requests[0].path"),
+        (change(body="not base64!"), "requests[0].body"),
+        (change(tokens="9"), "requests[0].tokens"),
+        (change(headers=[]), "requests[0].headers"),
+        (change(headers={"A": "b\r\nC: d"}), "requests[0].headers"),
+    ],
+)
+def test_a_malformed_job_is_refused_by_field(body: bytes, field: str) -> None:
+    async def scenario(local: LocalGateway) -> None:
+        answer = await local.async_call("POST", "/batch/job", body, {"Request-Id": "j1"})
+        assert answer.status == 400
+        assert answer.read_json()["error"]["message"].startswith(f"{field}: ")
+        assert (await local.async_call("GET", "/-/lots/j1?after=0")).status == 404
+
+    run_local(scenario)
+
+
+def test_a_job_beyond_the_customers_tokens_is_refused_for_now() -> None:
+    async def scenario(local: LocalGateway) -> None:
+        answer = await local.async_call(
+            "POST", "/batch/job", change(tokens=2_001), {"Request-Id": "j1"}
+        )
+        assert answer.status == 429 and float(answer.headers["Retry-After"]) > 0
+        assert local.engine.seen == []
+
+    run_local(scenario)
+
+
+def test_other_customers_do_not_see_a_job() -> None:
+    async def scenario(local: LocalGateway) -> None:
+        await local.async_call("POST", "/batch/job", make_job(), {"Request-Id": "j1"})
+        other = {"X-Api-Key": OTHER_KEY}
+        assert (await local.async_call("GET", "/-/lots/j1?after=0", headers=other)).status == 404
+        assert (await local.async_call("GET", "/-/items/j1?id=i1", headers=other)).status == 404
+        assert (await local.async_call("DELETE", "/-/lots/j1", headers=other)).status == 404
+        wrong = {"X-Api-Key": "wrong"}
+        assert (await local.async_call("GET", "/-/lots/j1?after=0", headers=wrong)).status == 401
+
+    run_local(scenario)
+
+
+@pytest.mark.parametrize(
+    "path", ["/-/lots/j1?after=x", "/-/lots/j1?after=-1", "/-/lots/j1?after=99999999"]
+)
+def test_a_bad_position_is_refused(path: str) -> None:
+    async def scenario(local: LocalGateway) -> None:
+        assert (await local.async_call("GET", path)).status == 400
+
+    run_local(scenario)
+
+
+def test_an_ended_job_stops_and_keeps_what_is_listed() -> None:
+    async def scenario(local: LocalGateway) -> None:
+        register_no_engine(local)
+        await local.async_call("POST", "/batch/job", make_job(), {"Request-Id": "j1"})
+        body = await local.async_call("GET", "/-/items/j1?id=i1")
+        assert (body.status, body.body) == (200, b"\x00bytes")
+        for _ in range(2):
+            assert (await local.async_call("DELETE", "/-/lots/j1")).status == 200
+        answer = await local.async_call("GET", "/-/lots/j1?after=0")
+        assert answer.status == 200 and answer.read_json()["total"] == 1
+        await asyncio.sleep(0.2)
+        assert local.engine.seen == []
+        assert (await local.async_call("DELETE", "/-/lots/other")).status == 404
+
+    run_local(scenario)
+
+
+def register_no_engine(local: LocalGateway) -> None:
+    """Take the engine off the list."""
+    register(local.store, local.engine, state="draining")
+
+
+def test_while_the_store_is_away_nothing_is_accepted() -> None:
+    """A digest job was accepted and lost.
+
+    The store was away. A job that cannot be kept is refused as not run, with a time to come back.
+    """
+
+    async def scenario(local: LocalGateway) -> None:
+        local.store.faults.status = 503
+        answer = await local.async_call("POST", "/batch/job", make_job(), {"Request-Id": "j1"})
+        assert answer.status == 503 and float(answer.headers["Retry-After"]) > 0
+        assert (await local.async_call("GET", "/-/lots/j1?after=0")).status == 503
+        local.store.faults.status = 0
+        assert (await local.async_call("GET", "/-/lots/j1?after=0")).status == 404
+
+    run_local(scenario)
+
+
+def test_an_acceptance_in_doubt_promises_nothing() -> None:
+    """A job ran although its caller was told "not run", and had been sent again under another id.
+
+    The store made the transaction and its answers were lost.
+    """
+
+    async def scenario(local: LocalGateway) -> None:
+        local.store.faults.reset_commits = True
+        answer = await local.async_call("POST", "/batch/job", make_job(), {"Request-Id": "j1"})
+        assert answer.status == 502
+        local.store.faults.reset_commits = False
+        answer = await local.async_call("POST", "/batch/job", make_job(), {"Request-Id": "j1"})
+        assert answer.status == 202
+
+    run_local(scenario, CONFIG)
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -122,7 +122,11 @@
         return misdeed is not Misdeed.CLOSES
 
     async def _async_cut(self, writer: asyncio.StreamWriter, request_id: str, first: int) -> bool:
-        writer.write(make_stream(request_id, first, self.events)[:-30])
+        whole = make_stream(request_id, first, self.events)
+        writer.write(whole[:-40])
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(whole[-40:-20])
         await writer.drain()
         return False
 
--- a/tests/platform_adapter/wire_store.py
+++ b/tests/platform_adapter/wire_store.py
@@ -23,6 +23,8 @@
     """Answer every call with this status, if any."""
     reset: bool = False
     """Close every connection without an answer, after the call took effect."""
+    reset_commits: bool = False
+    """The same for transactions only."""
     silent: bool = False
     """Answer nothing and keep the connection open."""
 
@@ -121,6 +123,9 @@
             tuple((read_key(row), row["ver"]) for row in raw["precondition"]),
         )
         done = self.view.store.apply(transaction)
+        if self.wire.faults.reset_commits:
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
         if isinstance(done, Err):
             rows = [encode_row(row) for row in done.err_value.rows]
             await self.answer(412, {"rows": rows, "ver": 0, "now_ms": 0})
