--- a/goldcreststair/components/fleet/const.py
+++ b/goldcreststair/components/fleet/const.py
@@ -17,14 +17,18 @@
 """How often a daemon's heartbeat row is written, in a small fleet."""
 HEARTBEATS_PER_S: Final = 100
 """Heartbeats of all daemons together, which beat less often in a large fleet."""
-HEARTBEAT_READ_MS: Final = 1_300
+HEARTBEAT_READ_MS: Final = 600
 """How often heartbeats are read while a daemon is not heard."""
-ISOLATED_MS: Final = 5_000
+QUIET_MS: Final = 600
+"""A daemon not heard for so long has its heartbeat looked at, before callers must not get it."""
+ISOLATED_MS: Final = 1_500
 """A daemon that hears neither store nor peers for so long takes no requests: its keys may be
 withdrawn by now, and the others will soon count its share of quotas as theirs."""
+LOST_MS: Final = 2_000
+"""A daemon that is not heard and whose heartbeat stands still for so long admits nothing any more:
+longer than `ISOLATED_MS`, so that it has stopped by the time its share is used by others."""
 EXPIRE_MS: Final = 7_000
-"""A daemon whose heartbeat stands still and which is not heard for so long is gone. Longer than
-`ISOLATED_MS`, so that it has stopped by the time its share is used by others."""
+"""Such a daemon is taken off the list after so long."""
 STAND_STILL_MS: Final = 600
 """A tick so late means that the process stood still: far above the pauses of a busy VM."""
 TICK_MS: Final = 100
--- a/goldcreststair/components/fleet/controller.py
+++ b/goldcreststair/components/fleet/controller.py
@@ -8,9 +8,10 @@
     EXPIRE_MS,
     HEARD_MS,
     HEARTBEAT_MS,
-    HEARTBEAT_READ_MS,
     HEARTBEATS_PER_S,
     ISOLATED_MS,
+    LOST_MS,
+    QUIET_MS,
 )
 from goldcreststair.components.fleet.models import Fleet, FleetVm, VmState
 from goldcreststair.const import MS_PER_SECOND
@@ -25,8 +26,8 @@
     heartbeat: bytes = b""
     moved_at: Millis | None = None
     """When its heartbeat row was last seen to change."""
-    reads: int = 0
-    """Reads since then that showed the same heartbeat."""
+    standing_ms: int = 0
+    """How long reads since then have shown the same heartbeat."""
 
     def last_sign_at(self) -> Millis:
         """Return when the daemon last showed that it lives."""
@@ -106,9 +107,9 @@
         for session, peer in self._peers.items():
             found = heartbeats.get(session, b"")
             if found != peer.heartbeat:
-                peer.heartbeat, peer.moved_at, peer.reads = found, now, 0
+                peer.heartbeat, peer.moved_at, peer.standing_ms = found, now, 0
             else:
-                peer.reads += 1
+                peer.standing_ms = now - (peer.moved_at or now)
 
     def void(self) -> None:
         """Forget who was heard, as this process stood still."""
@@ -117,10 +118,11 @@
             peer.heard_at = None
             # Its silence is counted from now on: while this process stood still it heard nobody.
             peer.known_at = now
+            peer.standing_ms = 0
 
-    def list_silent(self) -> list[str]:
-        """Return the sessions that are not heard."""
-        return [session for session, peer in self._peers.items() if not self._is_heard(peer)]
+    def has_quiet(self) -> bool:
+        """Return whether a daemon is not heard, so that heartbeats are worth reading."""
+        return any(not self._is_heard(peer, QUIET_MS) for peer in self._peers.values())
 
     def is_lost(self, session: str, after_ms: int) -> bool:
         """Return whether a daemon has shown no sign of life for so long.
@@ -132,8 +134,8 @@
         if peer is None:
             return False
         silent_ms = self._clock.now() - peer.last_sign_at()
-        standing_ms = peer.reads * HEARTBEAT_READ_MS
-        return silent_ms >= after_ms and standing_ms > choose_heartbeat_ms(len(self._peers) + 1)
+        beat_ms = choose_heartbeat_ms(len(self._peers) + 1)
+        return silent_ms >= after_ms and peer.standing_ms > beat_ms
 
     def list_expired(self) -> list[str]:
         """Return the sessions that are gone by all signs."""
@@ -157,7 +159,8 @@
             vms[session] = peer.vm
             if self._is_heard(peer):
                 states[session] = peer.state
-        return Fleet(self._own.session, vms, states, self._known)
+        lost = frozenset(s for s in self._peers if s not in states and self.is_lost(s, LOST_MS))
+        return Fleet(self._own.session, vms, states, lost, self._known)
 
-    def _is_heard(self, peer: _Peer) -> bool:
-        return peer.heard_at is not None and self._clock.now() - peer.heard_at <= HEARD_MS
+    def _is_heard(self, peer: _Peer, within_ms: int = HEARD_MS) -> bool:
+        return peer.heard_at is not None and self._clock.now() - peer.heard_at <= within_ms
--- a/goldcreststair/components/fleet/models.py
+++ b/goldcreststair/components/fleet/models.py
@@ -39,6 +39,8 @@
     """By session; those that are silent but not yet known to be gone included."""
     states: Mapping[str, VmState] = field(default_factory=dict)
     """By session, of those heard of late."""
+    lost: frozenset[str] = frozenset()
+    """Sessions that show no sign of life, in the store either: they admit nothing any more."""
     known: bool = False
     """Whether the store's list of sessions has been read."""
 
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -333,7 +333,7 @@
         """Read heartbeats while a daemon is silent, and remove those that are gone."""
         while True:
             await self._core.clock.async_sleep(HEARTBEAT_READ_MS)
-            if not self._controller.list_silent():
+            if not self._controller.has_quiet():
                 continue
             read = await async_read_all(self._core.adapter.store, RowRange(TABLE_HEARTBEATS))
             if isinstance(read, Err):
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -62,6 +62,8 @@
         self._progress = RequestProgress(last_event=admitted.request.resume_after)
         self._at = ""
         """Name of the upstream of the present run."""
+        self._expected_ms = 0.0
+        """Time to the first event that placement expected of it."""
         self._relay = StreamRelay(responder, core.clock, self._progress.last_event, self._on_data)
         self._relay.streams = admitted.route.kind is CallKind.STREAMING
 
@@ -112,6 +114,7 @@
         entry = placement.upstream
         call = self._make_call(entry.name)
         self._at = entry.name
+        self._expected_ms = placement.expected_ms
         self._relay.begin_run()
         self._placement.begin(entry.name)
         began_at = self._clock.now()
@@ -193,6 +196,10 @@
             self._responder.refuse(refusal)
         log_refusal(self._request, refusal, cut=self._relay.has_begun)
 
+    def _read_first_ms(self) -> int | None:
+        first_at = self._relay.first_event_at
+        return None if first_at is None else first_at - self._request.arrived_at
+
     def _left_ms(self) -> int:
         return self._admitted.ends_at - self._clock.now()
 
@@ -210,6 +217,9 @@
                 "attempts": self._progress.attempts,
                 "last_event": self._relay.last_event,
                 "age_ms": self._clock.now() - self._request.arrived_at,
+                "first_ms": self._read_first_ms(),
+                "expected_ms": round(self._expected_ms),
+                "left_ms": self._left_ms(),
             },
         )
 
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -31,7 +31,7 @@
 """Silence before a run's first event: it may wait in the upstream's queue."""
 RUN_TIMEOUT_MS: Final = 60_000
 
-LEASE_MS: Final = 2_000
+LEASE_MS: Final = 1_500
 """An owner that has heard neither store nor peers for so long answers readers from the store only:
 another daemon may have taken its jobs over and listed more."""
 ADOPT_MS: Final = 3_500
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -5,14 +5,23 @@
 what a single bucket would; an even split would refuse what another VM has left.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.catalogue.models import CatalogueCustomer
 from goldcreststair.components.fleet.const import HEARD_MS
 from goldcreststair.const import MS_PER_SECOND
 
+START_LEVEL: Final = 8.0
+"""Requests that a customer may send at once to a fleet that has just started: what it used before is
+not known, and a full burst on top of it could be twice the bound of one window."""
+UNSURE_MS: Final = 1_000
+"""A daemon that has just started takes another one's word for a level within this time."""
+ACTIVE_MS: Final = 3_000
+"""Counters of customers that have been quiet for longer are not sent again."""
+
 
 @dataclass(frozen=True, slots=True)
 class FleetShare:
@@ -31,18 +40,33 @@
         return self.heard / max(self.heard, self.members)
 
 
+@dataclass(frozen=True, slots=True)
+class AdmittedCount:
+    """What one daemon says of one customer."""
+
+    admitted: int
+    """Requests that it admitted since it started."""
+    level: int | None = None
+    """The customer's bucket as it knows it; None while it does not know."""
+
+
 @dataclass(slots=True)
 class _Bucket:
     level: float
     at: Millis
+    since: Millis
+    """When this daemon began to keep it."""
     admitted: int = 0
     """Admitted by this daemon since it started."""
+    admitted_at: Millis = Millis(0)
+    unsure: bool = True
+    """Whether the level is a guess that the word of another daemon replaces."""
 
 
 @dataclass(slots=True)
 class _PeerCounts:
     at: Millis
-    by_customer: dict[int, int] = field(default_factory=dict)
+    by_customer: Mapping[int, AdmittedCount] = field(default_factory=dict)
 
 
 class QuotaController:
@@ -60,10 +84,8 @@
         """Take the customers in force, by the hash that beacons carry."""
         self._refill_all()
         self._customers = customers
-        now = self._clock.now()
         kept = {key: b for key, b in self._buckets.items() if key in customers}
-        # An empty start is the only safe one: what others admitted before is not known here.
-        self._buckets = {key: kept.get(key) or _Bucket(0.0, now) for key in customers}
+        self._buckets = {key: kept.get(key) or self._make_bucket(key) for key in customers}
         self._refill_all()
 
     def take_share(self, share: FleetShare) -> None:
@@ -76,17 +98,26 @@
             for bucket in self._buckets.values():
                 bucket.level = min(bucket.level, bucket.level * share.fraction / before)
 
-    def take_counts(self, session: str, counts: Iterable[tuple[int, int]]) -> None:
+    def take_counts(self, session: str, counts: Mapping[int, AdmittedCount]) -> None:
         """Take what another daemon has admitted since it started."""
         known = self._peers.get(session)
-        found = dict(counts)
         now = self._clock.now()
         # What a daemon admitted before it was heard, or while it was not, only sets the mark: its
         # part of the quota was not used here meanwhile, and would be paid for twice.
-        if known is not None and now - known.at <= HEARD_MS:
-            for customer, admitted in found.items():
-                self._charge(customer, admitted - known.by_customer.get(customer, 0))
-        self._peers[session] = _PeerCounts(now, (known.by_customer if known else {}) | found)
+        fresh = known is not None and now - known.at <= HEARD_MS
+        before = known.by_customer if known else {}
+        for key, count in counts.items():
+            bucket = self._buckets.get(key)
+            if bucket is None:
+                continue
+            if count.level is not None and self._is_unsure(bucket):
+                self._refill(key, bucket)
+                bucket.level, bucket.unsure = float(count.level), False
+            elif fresh and key in before:
+                self._charge(key, count.admitted - before[key].admitted)
+            elif fresh:
+                self._charge(key, count.admitted)
+        self._peers[session] = _PeerCounts(now, {**before, **counts})
 
     def forget(self, session: str) -> None:
         """Drop a daemon that is gone."""
@@ -97,7 +128,8 @@
         now = self._clock.now()
         for bucket in self._buckets.values():
             bucket.level = min(bucket.level, 0.0)
-            bucket.at = now
+            bucket.at = bucket.since = now
+            bucket.unsure = True
 
     def admit(self, customer: CatalogueCustomer, key: int) -> int | None:
         """Count a request; returns None, or after how many ms there will be room."""
@@ -105,18 +137,35 @@
             return None
         bucket = self._buckets.get(key)
         if bucket is None:
-            bucket = self._buckets[key] = _Bucket(0.0, self._clock.now())
+            bucket = self._buckets[key] = self._make_bucket(key)
         self._refill(key, bucket)
         if bucket.level < 1:
             rate = customer.rate_per_s * self._share.fraction
             return int((1 - bucket.level) / rate * MS_PER_SECOND) + 1
         bucket.level -= 1
         bucket.admitted += 1
+        bucket.admitted_at = self._clock.now()
         return None
 
-    def list_counts(self) -> dict[int, int]:
-        """Return what this daemon has admitted since it started."""
-        return {key: b.admitted for key, b in self._buckets.items() if b.admitted}
+    def list_counts(self) -> dict[int, AdmittedCount]:
+        """Return what this daemon has admitted since it started, of the customers active here."""
+        horizon = self._clock.now() - ACTIVE_MS
+        counts: dict[int, AdmittedCount] = {}
+        for key, bucket in self._buckets.items():
+            if bucket.admitted and bucket.admitted_at >= horizon:
+                self._refill(key, bucket)
+                level = None if self._is_unsure(bucket) else int(bucket.level)
+                counts[key] = AdmittedCount(bucket.admitted, level)
+        return counts
+
+    def _make_bucket(self, key: int) -> _Bucket:
+        now = self._clock.now()
+        customer = self._customers.get(key)
+        burst = customer.burst if customer is not None else 0.0
+        return _Bucket(min(START_LEVEL, burst) * self._share.fraction, now, now)
+
+    def _is_unsure(self, bucket: _Bucket) -> bool:
+        return bucket.unsure and self._clock.now() - bucket.since <= UNSURE_MS
 
     def _charge(self, key: int, admitted: int) -> None:
         bucket = self._buckets.get(key)
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -6,7 +6,11 @@
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue, CatalogueCustomer
 from goldcreststair.components.fleet.models import FLEET, Fleet
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
-from goldcreststair.components.quotas.controller import FleetShare, QuotaController
+from goldcreststair.components.quotas.controller import (
+    AdmittedCount,
+    FleetShare,
+    QuotaController,
+)
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, CustomerCount
@@ -53,14 +57,16 @@
         self._controller.take_customers({hash_name(c.name): c for c in customers})
 
     def _on_fleet(self, fleet: Fleet) -> None:
-        self._controller.take_share(FleetShare(fleet.heard, len(fleet.vms)))
+        self._controller.take_share(FleetShare(fleet.heard, len(fleet.vms) - len(fleet.lost)))
 
     def _contribute(self, beacon: Beacon) -> None:
-        counts = self._controller.list_counts()
-        beacon.admitted = [CustomerCount(key, admitted) for key, admitted in counts.items()]
+        beacon.admitted = [
+            CustomerCount(key, count.admitted, count.level)
+            for key, count in self._controller.list_counts().items()
+        ]
 
     def _on_beacon(self, session: str, beacon: Beacon) -> None:
-        counts = ((count.customer, count.admitted) for count in beacon.admitted or ())
+        counts = {c.customer: AdmittedCount(c.admitted, c.level) for c in beacon.admitted or ()}
         self._controller.take_counts(session, counts)
 
 
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -11,6 +11,7 @@
 struct CustomerCount {
   1: required i32 customer
   2: required i64 admitted
+  3: optional i32 level
 }
 
 /** What a daemon says of itself to others, whole in each datagram. */
--- a/tests/components/forwarding/test_admission.py
+++ b/tests/components/forwarding/test_admission.py
@@ -67,7 +67,7 @@
         for other in (second, third):
             fleet.datagrams.cut(first.address, other.address)
         first.view.cut = True
-        await fleet.clock.async_sleep(2_000)
+        await fleet.clock.async_sleep(ISOLATED_MS // 2)
         assert (await async_send(fleet, first, "/stream/a")).whole
         await fleet.clock.async_sleep(ISOLATED_MS)
         answer = await async_send(fleet, first, "/stream/a")
--- a/tests/components/quotas/test_controller.py
+++ b/tests/components/quotas/test_controller.py
@@ -1,7 +1,11 @@
 """One customer's bucket on one daemon."""
 
 from goldcreststair.components.catalogue.models import CatalogueCustomer
-from goldcreststair.components.quotas.controller import FleetShare, QuotaController
+from goldcreststair.components.quotas.controller import (
+    AdmittedCount,
+    FleetShare,
+    QuotaController,
+)
 from standins.virtual_time import ManualClock
 
 CLUB = CatalogueCustomer("club", 10.0, 20.0)
@@ -37,8 +41,8 @@
 def test_what_others_admitted_is_spent_here_too() -> None:
     clock = ManualClock()
     controller = make_controller(clock)
-    controller.take_counts("other", [(KEY, 100)])
-    controller.take_counts("other", [(KEY, 115)])
+    controller.take_counts("other", {KEY: AdmittedCount(100)})
+    controller.take_counts("other", {KEY: AdmittedCount(115)})
     assert drain(controller) == 5
 
 
@@ -49,9 +53,9 @@
     """
     clock = ManualClock()
     controller = make_controller(clock)
-    controller.take_counts("other", [(KEY, 100)])
+    controller.take_counts("other", {KEY: AdmittedCount(100)})
     clock.advance(5_000)
-    controller.take_counts("other", [(KEY, 180)])
+    controller.take_counts("other", {KEY: AdmittedCount(180)})
     assert drain(controller) == 20
 
 
@@ -81,3 +85,21 @@
     controller = make_controller(ManualClock())
     free = CatalogueCustomer("free")
     assert all(controller.admit(free, 9) is None for _ in range(1_000))
+
+
+def test_a_daemon_that_has_just_started_takes_anothers_word_for_the_level() -> None:
+    """After each restart of a VM its callers were refused, although their customer had used little.
+
+    Its buckets began empty; the daemons that ran on know how full they are.
+    """
+    clock = ManualClock()
+    controller = QuotaController(clock)
+    controller.take_customers({KEY: CLUB})
+    controller.take_counts("other", {KEY: AdmittedCount(300, 17)})
+    assert drain(controller) == 17
+
+
+def test_a_fleet_that_has_just_started_lets_a_little_in() -> None:
+    controller = QuotaController(ManualClock())
+    controller.take_customers({KEY: CLUB})
+    assert 1 <= drain(controller) <= 8
