--- a/goldcreststair/components/jobs/book.py
+++ b/goldcreststair/components/jobs/book.py
@@ -1,11 +1,11 @@
 """The jobs that this daemon runs, which item goes next and which gives way; no I/O.
 
 Load it answers: jobs of some ten items arrive all day while online bursts take every slot for
-seconds. Items go by when their job is due, so that a job that was pushed back in one burst is first
-after it; those that are due last give way first, as they have most time to come back.
+seconds. What has begun goes on first, and the rest by when its job is due: taken in turns, all items of
+an overload would be late together. What cannot be in time any more goes after all that can.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol, TypeVar
@@ -74,6 +74,20 @@
         return next((found for found in self.items if found.item.item == item), None)
 
 
+ReadLeft = Callable[[ItemProgress], float]
+"""Returns how many ms an item takes from a start now to its end."""
+
+
+@dataclass(frozen=True, slots=True)
+class RankedItem:
+    """An item that may start."""
+
+    job: OwnedJob
+    item: ItemProgress
+    hopeless: bool
+    """Whether it cannot be in time any more."""
+
+
 class JobBook:
     """All jobs that this daemon runs."""
 
@@ -81,22 +95,16 @@
         """Start with none."""
         self.jobs: dict[JobKey, OwnedJob] = {}
 
-    def list_startable(self, now: Millis) -> list[tuple[OwnedJob, ItemProgress]]:
+    def list_startable(self, now: Millis, read_left_ms: ReadLeft) -> list[RankedItem]:
         """Return the items that may start, the most urgent first."""
         found = [
-            (job, item)
+            RankedItem(job, item, is_hopeless(job, now, read_left_ms(item)))
             for job in self.jobs.values()
             if not job.lost
             for item in job.items
             if item.state is ItemState.WAITING and item.not_before <= now
         ]
-        return sorted(found, key=lambda pair: rank_urgency(pair[0], pair[1], now))
-
-    def count_waiting(self) -> int:
-        """Return the items that wait for a slot."""
-        return sum(
-            item.state is ItemState.WAITING for job in self.jobs.values() for item in job.items
-        )
+        return sorted(found, key=_rank)
 
     def list_given_up(self, now: Millis) -> Iterator[tuple[OwnedJob, ItemProgress]]:
         """Yield the items whose time to wait is over and that do not run."""
@@ -108,12 +116,14 @@
                     yield job, item
 
 
-def rank_urgency(job: OwnedJob, item: ItemProgress, now: Millis) -> tuple[bool, int, int]:
-    """Return what items are ordered by, the most urgent first.
+def is_hopeless(job: OwnedJob, now: Millis, left_ms: float) -> bool:
+    """Return whether an item that takes so long cannot be in time."""
+    return now + left_ms > job.due_at
+
 
-    What is late already is worth little more now than later: it goes after all that can be in time.
-    """
-    return now >= job.due_at, job.due_at, item.number
+def _rank(ranked: RankedItem) -> tuple[bool, bool, int, int]:
+    item = ranked.item
+    return ranked.hopeless, item.last_event == 0, ranked.job.due_at, item.number
 
 
 class RunningItem(Protocol):
@@ -126,11 +136,13 @@
 R = TypeVar("R", bound=RunningItem)
 
 
-def choose_yielding(running: Iterable[R], count: int, now: Millis) -> list[R]:
-    """Return the runs that give way: the least urgent, and of a job those with least done."""
+def choose_yielding(
+    running: Iterable[R], count: int, now: Millis, read_left_ms: ReadLeft
+) -> list[R]:
+    """Return the runs that give way: what is hopeless first, then what has most left to do."""
 
-    def rank(run: R) -> tuple[bool, int, int]:
-        late, due_at, _ = rank_urgency(run.job, run.item, now)
-        return late, due_at, -run.item.last_event
+    def rank(run: R) -> tuple[bool, float]:
+        left_ms = read_left_ms(run.item)
+        return is_hopeless(run.job, now, left_ms), left_ms
 
     return sorted(running, key=rank, reverse=True)[:count]
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -19,6 +19,11 @@
 """The same while this daemon has no job."""
 STARTS_PER_TICK: Final = 2
 """Runs started at once, for the same reason."""
+LATE_FREE_SHARE: Final = 0.5
+"""With more than this share of a service's slots free, late items start although others could be in
+time: there is room for both."""
+URGENT_NEWS_MS: Final = 1_000
+"""What another daemon says of its waiting items counts for so long."""
 COMMIT_RETRY_MS: Final = 150
 """Pause after a commit that failed."""
 MAX_COMMIT_RETRY_MS: Final = 600
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -14,17 +15,21 @@
     ItemState,
     JobBook,
     OwnedJob,
+    RankedItem,
     choose_yielding,
 )
 from goldcreststair.components.jobs.const import (
     GIVE_UP_MARGIN_MS,
+    LATE_FREE_SHARE,
     RUN_TIMEOUT_MS,
     STARTS_PER_TICK,
 )
+from goldcreststair.components.jobs.estimate import WorkEstimate
 from goldcreststair.components.jobs.lister import JobLister
 from goldcreststair.components.jobs.models import ItemResult, JobRecord
 from goldcreststair.components.jobs.outcome import Verdict, choose_pause, judge_run
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
+from goldcreststair.components.placement.loads import Runs
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.requests.admission import choose_service
 from goldcreststair.gateway_core import GatewayCore
@@ -44,6 +49,10 @@
     item: ItemProgress
     upstream: UpstreamEntry
     route: Route
+    runs: Runs
+    began_at: Millis
+    first_event: int
+    """Events that it had when this run began."""
     task: "asyncio.Task[Result[RunEnd, UpstreamError]] | None" = None
     ended: bool = False
 
@@ -51,8 +60,18 @@
 class ItemExecutor:
     """Starts items, judges their runs, and stops them when online work needs their slots."""
 
-    def __init__(self, core: GatewayCore, book: JobBook, lister: JobLister) -> None:
-        """Run nothing yet."""
+    def __init__(
+        self,
+        core: GatewayCore,
+        book: JobBook,
+        lister: JobLister,
+        read_others_urgent: Callable[[], int],
+    ) -> None:
+        """Run nothing yet; `read_others_urgent` counts what waits at other daemons in time."""
+        self.urgent_waiting = 0
+        """Items that wait here and can be in time."""
+        self._read_others_urgent = read_others_urgent
+        self._estimate = WorkEstimate()
         self._core = core
         self._clock = core.clock
         self._book = book
@@ -95,14 +114,18 @@
         now = self._clock.now()
         for job, item in tuple(self._book.list_given_up(Millis(now - GIVE_UP_MARGIN_MS))):
             self._finish(job, item, ItemResult(item.item.item, done=False), "waited too long")
+        self.urgent_waiting = 0
         if self._stopped or not self._book.jobs:
             return
-        for job, item in self._book.list_startable(now)[:STARTS_PER_TICK]:
-            if not self._start(job, item):
+        startable = self._book.list_startable(now, self._estimate.read_left_ms)
+        self.urgent_waiting = sum(not ranked.hopeless for ranked in startable)
+        for ranked in startable[:STARTS_PER_TICK]:
+            if not self._start(ranked):
                 return
 
-    def _start(self, job: OwnedJob, item: ItemProgress) -> bool:
+    def _start(self, ranked: RankedItem) -> bool:
         """Start an item; returns False if there is no slot for it."""
+        job, item = ranked.job, ranked.item
         catalogue = self._core.blackboard.read(CATALOGUE)
         route = catalogue.find_route(job.record.route_host, item.item.path)
         if route is None:
@@ -114,14 +137,25 @@
         entry = self._placement.controller.choose_for_batch(service)
         if entry is None or not self._placement.has_connections(entry):
             return False
-        self._begin(_Run(job, item, entry, route))
+        if ranked.hopeless and not self._may_start_late(service):
+            return False
+        runs = Runs(batch=1, late=int(ranked.hopeless))
+        self._begin(_Run(job, item, entry, route, runs, self._clock.now(), item.last_event))
         return True
 
+    def _may_start_late(self, service: str) -> bool:
+        """Return whether an item that is late anyway may take a slot.
+
+        Other daemons' items that can be in time go first, unless there is room for all.
+        """
+        free, slots = self._placement.controller.read_idle(service)
+        return free > slots * LATE_FREE_SHARE or not self._read_others_urgent()
+
     def _begin(self, run: _Run) -> None:
         name = run.upstream.name
         run.item.state = ItemState.RUNNING
         self._runs.add(run)
-        self._placement.begin(name, batch=True)
+        self._placement.begin(name, run.runs)
         controller = self._placement.controller
         sink = ItemSink(run.item, self._clock, lambda: controller.note_progress(name))
         call = self._make_call(run.job, run.item, run.upstream)
@@ -140,7 +174,7 @@
             _LOGGER.error("Item's run failed", exc_info=error)
             run.item.state = ItemState.WAITING
         elif not run.job.lost:
-            self._judge(run.job, run.item, run.upstream, task.result(), run.route)
+            self._judge(run, task.result())
 
     def _stop_run(self, run: _Run) -> None:
         """End a run; what it brought is kept."""
@@ -155,7 +189,7 @@
             return
         run.ended = True
         self._runs.discard(run)
-        self._placement.end(run.upstream.name, batch=True)
+        self._placement.end(run.upstream.name, run.runs)
         if run.item.state is ItemState.RUNNING:
             run.item.state = ItemState.WAITING
 
@@ -173,28 +207,25 @@
             resume_after=item.last_event,
         )
 
-    def _judge(
-        self,
-        job: OwnedJob,
-        item: ItemProgress,
-        entry: UpstreamEntry,
-        end: Result[RunEnd, UpstreamError],
-        route: Route,
-    ) -> None:
-        verdict = judge_run(end, item.failures, route.max_attempts)
+    def _judge(self, run: _Run, end: Result[RunEnd, UpstreamError]) -> None:
+        job, item, name = run.job, run.item, run.upstream.name
+        verdict = judge_run(end, item.failures, run.route.max_attempts)
         item.failures += verdict.failed
         item.lost = item.lost + 1 if verdict.lost else 0
         if verdict.verdict is Verdict.AGAIN:
-            self._note_failure(entry, end)
+            self._note_failure(run.upstream, end)
             pause_ms = choose_pause(item.lost + item.failures)
             item.not_before = Millis(self._clock.now() + pause_ms)
             item.state = ItemState.WAITING
-            self._log(job, item, "again", _describe(end), entry.name)
+            self._log(job, item, "again", _describe(end), name)
             return
         done = verdict.verdict is Verdict.DONE
+        if done:
+            run_ms = self._clock.now() - run.began_at
+            self._estimate.learn(item, item.last_event - run.first_event, run_ms)
         text = b"\n".join(item.data) if done else b""
         reason = "whole" if done else _describe(end)
-        self._finish(job, item, ItemResult(item.item.item, done, text), reason, entry.name)
+        self._finish(job, item, ItemResult(item.item.item, done, text), reason, name)
 
     def _note_failure(self, entry: UpstreamEntry, end: Result[RunEnd, UpstreamError]) -> None:
         if isinstance(end, Ok):
@@ -216,7 +247,7 @@
 
     def _give_way(self, upstream: str, count: int) -> None:
         there = [run for run in self._runs if run.upstream.name == upstream]
-        for run in choose_yielding(there, count, self._clock.now()):
+        for run in choose_yielding(there, count, self._clock.now(), self._estimate.read_left_ms):
             self._stop_run(run)
             self._log(run.job, run.item, "yielded", "online work needs the slot", upstream)
         self._placement.controller.note_yielded(upstream)
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -11,7 +11,12 @@
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind
 from goldcreststair.components.jobs.book import ItemProgress, ItemState, JobBook, OwnedJob
 from goldcreststair.components.jobs.codec import decode_items
-from goldcreststair.components.jobs.const import IDLE_TICK_MS, LEASE_MS, TICK_MS
+from goldcreststair.components.jobs.const import (
+    IDLE_TICK_MS,
+    LEASE_MS,
+    TICK_MS,
+    URGENT_NEWS_MS,
+)
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.execution import ItemExecutor
 from goldcreststair.components.jobs.lister import JobLister
@@ -28,7 +33,7 @@
 from goldcreststair.components.jobs.sweeping import JobSweeper, choose_owner
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.wire.codec import decode_struct, encode_struct
-from goldcreststair.wire.generated.gateway.ttypes import JobNotice
+from goldcreststair.wire.generated.gateway.ttypes import Beacon, JobNotice
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -52,7 +57,9 @@
         self._reader = JobReader(self._records, core.clock)
         self._book = JobBook()
         self._lister = JobLister(core, self._records, self._on_listed, self._drop)
-        self._executor = ItemExecutor(core, self._book, self._lister)
+        self._executor = ItemExecutor(core, self._book, self._lister, self._count_others_urgent)
+        self._others_urgent: dict[str, tuple[Millis, int]] = {}
+        """By session: when it was heard, and how many of its items wait that can be in time."""
         self._sweeper = JobSweeper(core, self._records, self)
         self._doubted: set[JobKey] = set()
         """Jobs that may have another owner by now; the store is asked before readers are told."""
@@ -62,6 +69,8 @@
         self._leaving = False
         self._tasks: list[asyncio.Task[None]] = []
         self._changed: dict[JobKey, asyncio.Event] = {}
+        self._links.contribute(self._contribute)
+        self._links.watch(self._on_beacon, self._forget)
         self._links.on_notice(DatagramKind.JOB_NOTICE, self._on_notice)
         core.on_awake.append(lambda _: self.doubt_all())
 
@@ -288,6 +297,19 @@
             self.doubt_all()
         return None if key in self._doubted else job
 
+    def _contribute(self, beacon: Beacon) -> None:
+        beacon.batch_waiting = self._executor.urgent_waiting or None
+
+    def _on_beacon(self, session: str, beacon: Beacon) -> None:
+        self._others_urgent[session] = (self._clock.now(), beacon.batch_waiting or 0)
+
+    def _forget(self, session: str) -> None:
+        self._others_urgent.pop(session, None)
+
+    def _count_others_urgent(self) -> int:
+        horizon = self._clock.now() - URGENT_NEWS_MS
+        return sum(count for at, count in self._others_urgent.values() if at >= horizon)
+
     def _on_notice(self, sender: str, payload: bytes) -> None:
         decoded = decode_struct(JobNotice, payload)
         if isinstance(decoded, Err):
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -131,22 +131,21 @@
         """Return how many of its batch runs this daemon shall give up at an upstream.
 
         Every daemon holds the same book, so that each finds its own part of what is too much without
-        a word more: sessions give way in an order that differs from upstream to upstream.
+        a word more: late items give way before those that can be in time, and sessions in an order
+        that differs from upstream to upstream.
         """
         state = self._states.get(name)
         if state is None:
             return 0
-        own = self.runs.read_own(state.key).batch
-        excess = self._read(state).total - (self._count_slots(state) - BATCH_RESERVE)
-        if own == 0 or excess <= 0:
+        own = self.runs.read_own(state.key)
+        excess = self._read(state).total - self._count_slots(state)
+        if own.batch == 0 or excess <= 0:
             return 0
         held = self.runs.list_batch(state.key) | {own_session: own}
-        for session in sorted(held, key=lambda session: score(session, name)):
-            part = min(held[session], excess)
-            if session == own_session:
-                return part
-            excess -= part
-        return 0
+        order = sorted(held, key=lambda session: score(session, name))
+        late, excess = _find_part([(s, held[s].late) for s in order], own_session, excess)
+        urgent, _ = _find_part([(s, held[s].urgent) for s in order], own_session, excess)
+        return late + urgent
 
     def note_yielded(self, name: str) -> None:
         """Take no more slots for batch at an upstream for a while."""
@@ -154,13 +153,13 @@
         if state is not None:
             state.no_batch_until = Millis(self._clock.now() + BATCH_HOLD_MS)
 
-    def begin(self, name: str, *, batch: bool) -> None:
-        """Count a run."""
-        self.runs.add(hash_name(name), online=not batch, batch=batch)
+    def begin(self, name: str, runs: Runs) -> None:
+        """Count runs."""
+        self.runs.add(hash_name(name), runs)
 
-    def end(self, name: str, *, batch: bool) -> None:
-        """Count a run as ended."""
-        self.runs.add(hash_name(name), online=-(not batch), batch=-batch)
+    def end(self, name: str, runs: Runs) -> None:
+        """Count runs as ended."""
+        self.runs.add(hash_name(name), Runs(-runs.online, -runs.batch, -runs.late))
 
     def note_progress(self, name: str) -> None:
         """Note that an upstream sent something."""
@@ -270,3 +269,14 @@
     def _place(self, state: _State) -> Placement:
         traits = self.read_traits(state.entry.service)
         return Placement(state.entry, self._wait_ms(state), traits.first_ms)
+
+
+def _find_part(held: Sequence[tuple[str, int]], own_session: str, excess: int) -> tuple[int, int]:
+    """Return the own part of what gives way, and what is left for others to give."""
+    own = 0
+    for session, count in held:
+        part = min(count, excess)
+        excess -= part
+        if session == own_session:
+            own = part
+    return own, excess
--- a/goldcreststair/components/placement/loads.py
+++ b/goldcreststair/components/placement/loads.py
@@ -1,8 +1,8 @@
 """Runs at each upstream: this daemon's own, exact, and the others' from their beacons; no I/O."""
 
-from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.fleet.const import RUNS_MS
@@ -14,12 +14,22 @@
 
     online: int = 0
     batch: int = 0
+    late: int = 0
+    """Those of the batch runs whose item cannot be in time any more."""
 
     @property
     def total(self) -> int:
         """All of them."""
         return self.online + self.batch
 
+    @property
+    def urgent(self) -> int:
+        """Batch runs whose item can still be in time."""
+        return self.batch - self.late
+
+
+NO_RUNS: Final = Runs()
+
 
 @dataclass(slots=True)
 class _PeerRuns:
@@ -33,31 +43,26 @@
     def __init__(self, clock: Clock) -> None:
         """Start without runs."""
         self._clock = clock
-        self._own_online: Counter[int] = Counter()
-        self._own_batch: Counter[int] = Counter()
-        self._online: Counter[int] = Counter()
-        self._batch: Counter[int] = Counter()
+        self._own: dict[int, Runs] = {}
+        self._others: dict[int, Runs] = {}
         self._peers: dict[str, _PeerRuns] = {}
 
-    def add(self, upstream: int, online: int = 0, batch: int = 0) -> None:
+    def add(self, upstream: int, change: Runs) -> None:
         """Change this daemon's runs at an upstream."""
-        self._own_online[upstream] += online
-        self._own_batch[upstream] += batch
+        _add(self._own, upstream, change)
 
     def take(self, session: str, by_upstream: Mapping[int, Runs]) -> None:
         """Take another daemon's runs, all of them."""
         self.forget(session)
         self._peers[session] = _PeerRuns(self._clock.now(), by_upstream)
         for upstream, runs in by_upstream.items():
-            self._online[upstream] += runs.online
-            self._batch[upstream] += runs.batch
+            _add(self._others, upstream, runs)
 
     def forget(self, session: str) -> None:
         """Drop another daemon's runs."""
         known = self._peers.pop(session, None)
         for upstream, runs in known.by_upstream.items() if known else ():
-            self._online[upstream] -= runs.online
-            self._batch[upstream] -= runs.batch
+            _add(self._others, upstream, Runs(-runs.online, -runs.batch, -runs.late))
 
     def expire(self) -> None:
         """Drop the runs of daemons that have been silent: their streams have ended by now."""
@@ -67,26 +72,33 @@
 
     def read_own(self, upstream: int) -> Runs:
         """Return this daemon's runs at an upstream."""
-        return Runs(self._own_online[upstream], self._own_batch[upstream])
+        return self._own.get(upstream, NO_RUNS)
 
     def read_all(self, upstream: int) -> Runs:
         """Return the runs of all daemons at an upstream."""
-        return Runs(
-            self._own_online[upstream] + self._online[upstream],
-            self._own_batch[upstream] + self._batch[upstream],
-        )
+        return _sum(self.read_own(upstream), self._others.get(upstream, NO_RUNS))
 
     def list_own(self) -> dict[int, Runs]:
         """Return this daemon's runs, upstreams without any left out."""
-        names = {name for name, count in self._own_online.items() if count}
-        names |= {name for name, count in self._own_batch.items() if count}
-        return {name: self.read_own(name) for name in names}
+        return dict(self._own)
 
-    def list_batch(self, upstream: int) -> dict[str, int]:
-        """Return the batch runs of every other daemon at an upstream, by session."""
+    def list_batch(self, upstream: int) -> dict[str, Runs]:
+        """Return the runs of every other daemon that has batch runs at an upstream, by session."""
         held = {
-            session: peer.by_upstream[upstream].batch
+            session: peer.by_upstream[upstream]
             for session, peer in self._peers.items()
             if upstream in peer.by_upstream
         }
-        return {session: count for session, count in held.items() if count}
+        return {session: runs for session, runs in held.items() if runs.batch}
+
+
+def _sum(left: Runs, right: Runs) -> Runs:
+    return Runs(left.online + right.online, left.batch + right.batch, left.late + right.late)
+
+
+def _add(book: dict[int, Runs], upstream: int, change: Runs) -> None:
+    after = _sum(book.get(upstream, NO_RUNS), change)
+    if after == NO_RUNS:
+        book.pop(upstream, None)
+    else:
+        book[upstream] = after
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -20,6 +20,7 @@
 from goldcreststair.upstreams.runner import CONNECT_TIMEOUT_MS
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, UpstreamRuns
 
+ONLINE_RUN: Final = Runs(online=1)
 OnYield = Callable[[str, int], None]
 """Takes an upstream's name and how many batch runs this daemon shall give up there."""
 
@@ -58,16 +59,16 @@
         """Call when batch runs have to give way."""
         self._on_yield = handler
 
-    def begin(self, name: str, *, batch: bool = False) -> None:
+    def begin(self, name: str, runs: Runs = ONLINE_RUN) -> None:
         """Count a run and let the other daemons know."""
-        self.controller.begin(name, batch=batch)
+        self.controller.begin(name, runs)
         self._links.announce()
-        if not batch:
+        if runs.online:
             self._give_way(name)
 
-    def end(self, name: str, *, batch: bool = False) -> None:
+    def end(self, name: str, runs: Runs = ONLINE_RUN) -> None:
         """Count a run as ended and let the other daemons know."""
-        self.controller.end(name, batch=batch)
+        self.controller.end(name, runs)
         self._links.announce()
 
     def note_down(self, entry: UpstreamEntry) -> None:
@@ -91,12 +92,17 @@
 
     def _contribute(self, beacon: Beacon) -> None:
         own = self.controller.runs.list_own()
-        beacon.runs = [UpstreamRuns(key, runs.online, runs.batch) for key, runs in own.items()]
+        beacon.runs = [
+            UpstreamRuns(key, runs.online, runs.batch, runs.late or None)
+            for key, runs in own.items()
+        ]
         down = self.controller.list_down()
         beacon.suspects = [hash_name(entry.name) for entry in down]
 
     def _on_beacon(self, session: str, beacon: Beacon) -> None:
-        runs = {run.upstream: Runs(run.online, run.batch) for run in beacon.runs or ()}
+        runs = {
+            run.upstream: Runs(run.online, run.batch, run.late or 0) for run in beacon.runs or ()
+        }
         self.controller.runs.take(session, runs)
         self.controller.note_doubts(beacon.suspects or ())
         for name in self.controller.list_names(runs):
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -14,9 +14,10 @@
 from goldcreststair.components.fleet.const import HEARD_MS
 from goldcreststair.const import MS_PER_SECOND
 
-START_LEVEL: Final = 8.0
-"""Requests that a customer may send at once to a fleet that has just started: what it used before is
-not known, and a full burst on top of it could be twice the bound of one window."""
+START_LEVEL: Final = 20.0
+"""Requests that a customer may send at once to a fleet that has just started, over all VMs together.
+What it used before is not known, but nothing was admitted while the fleet was down; callers that waited
+for it come back at once."""
 UNSURE_MS: Final = 1_000
 """A daemon that has just started takes another one's word for a level within this time."""
 ACTIVE_MS: Final = 3_000
@@ -94,9 +95,13 @@
             return
         self._refill_all()
         before, self._share = self._share.fraction, share
-        if share.fraction < before:
-            for bucket in self._buckets.values():
+        for key, bucket in self._buckets.items():
+            if share.fraction < before:
                 bucket.level = min(bucket.level, bucket.level * share.fraction / before)
+            elif self._is_unsure(bucket):
+                # While a fleet starts, each daemon hears one after the other of those that share the
+                # start's level with it.
+                bucket.level += (share.fraction - before) * self._find_start_level(key)
 
     def take_counts(self, session: str, counts: Mapping[int, AdmittedCount]) -> None:
         """Take what another daemon has admitted since it started."""
@@ -160,9 +165,11 @@
 
     def _make_bucket(self, key: int) -> _Bucket:
         now = self._clock.now()
+        return _Bucket(self._find_start_level(key) * self._share.fraction, now, now)
+
+    def _find_start_level(self, key: int) -> float:
         customer = self._customers.get(key)
-        burst = customer.burst if customer is not None else 0.0
-        return _Bucket(min(START_LEVEL, burst) * self._share.fraction, now, now)
+        return min(START_LEVEL, customer.burst) if customer is not None else 0.0
 
     def _is_unsure(self, bucket: _Bucket) -> bool:
         return bucket.unsure and self._clock.now() - bucket.since <= UNSURE_MS
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -5,6 +5,7 @@
   1: required i32 upstream
   2: required i32 online
   3: required i32 batch
+  4: optional i32 late
 }
 
 /** Requests of one customer that one daemon has admitted since it started, by a hash of its name. */
--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -27,33 +27,49 @@
     return OwnedJob(record, opened, progress, Millis(due_at), Millis(100_000))
 
 
+def read_left_ms(item: ItemProgress) -> float:
+    """Return 10 ms for each of 20 events that are still to come."""
+    return (20 - item.last_event) * 10.0
+
+
 @pytest.mark.parametrize(
-    ("now", "expected"),
+    ("now", "begun", "expected"),
     [
-        (0, ["soon0", "soon1", "later0"]),
-        # What is late already waits for what can still be in time.
-        (600, ["later0", "soon0", "soon1"]),
+        (0, [], ["soon0", "soon1", "later0"]),
+        # What has begun goes on first, so that in an overload some items are in time and not none.
+        (0, ["later0"], ["later0", "soon0", "soon1"]),
+        # What cannot be in time any more waits for what can, begun or not.
+        (400, [], ["later0", "soon0", "soon1"]),
+        (400, ["soon1"], ["soon1", "later0", "soon0"]),
+        (600, ["soon1"], ["later0", "soon1", "soon0"]),
     ],
 )
-def test_items_go_by_when_they_are_due(now: int, expected: list[str]) -> None:
+def test_items_go_by_what_can_be_in_time(now: int, begun: list[str], expected: list[str]) -> None:
     book = JobBook()
     for job in (make_job("later", 1, 1_000), make_job("soon", 2, 500)):
         book.jobs[job.key] = job
-    names = [item.item.item for _, item in book.list_startable(Millis(now))]
-    assert names == expected
+        for item in job.items:
+            item.last_event = 15 if item.item.item in begun else 0
+    ranked = book.list_startable(Millis(now), read_left_ms)
+    assert [each.item.item.item for each in ranked] == expected
 
 
-def test_the_least_urgent_run_with_least_done_gives_way() -> None:
+@pytest.mark.parametrize(
+    ("now", "expected"),
+    [(0, ["soon0", "later1", "later0"]), (450, ["soon0", "later1", "later0"])],
+)
+def test_the_run_with_most_left_to_do_gives_way(now: int, expected: list[str]) -> None:
     soon, later = make_job("soon", 1, 500), make_job("later", 2, 1_000)
-    later.items[0].last_event = 7
+    later.items[0].last_event, later.items[1].last_event = 7, 5
+    soon.items[0].last_event = 3
 
     class Run:
         def __init__(self, job: OwnedJob, item: ItemProgress) -> None:
             self.job, self.item = job, item
 
     runs = [Run(soon, soon.items[0]), *(Run(later, item) for item in later.items)]
-    chosen = choose_yielding(runs, 2, Millis(0))
-    assert [run.item.item.item for run in chosen] == ["later1", "later0"]
+    chosen = choose_yielding(runs, 3, Millis(now), read_left_ms)
+    assert [run.item.item.item for run in chosen] == expected
 
 
 def test_a_run_that_gives_way_before_it_began_is_started_again() -> None:
--- a/tests/components/quotas/test_controller.py
+++ b/tests/components/quotas/test_controller.py
@@ -100,6 +100,20 @@
 
 
 def test_a_fleet_that_has_just_started_lets_a_little_in() -> None:
+    """All VMs had lost power; the callers that had waited were refused for their customer's quota.
+
+    Nobody knows what was used before, but nothing was while the fleet was down. Each daemon has its part
+    of a small level, and more of it as it hears the others.
+    """
     controller = QuotaController(ManualClock())
-    controller.take_customers({KEY: CLUB})
-    assert 1 <= drain(controller) <= 8
+    large = CatalogueCustomer("large", 50.0, 60.0)
+    controller.take_share(FleetShare(heard=1, members=4))
+    controller.take_customers({KEY: large})
+    admitted = 0
+    while controller.admit(large, KEY) is None:
+        admitted += 1
+    assert admitted == 5
+    controller.take_share(FleetShare(heard=4, members=4))
+    while controller.admit(large, KEY) is None:
+        admitted += 1
+    assert admitted == 20
