Write bounded logs on standard output and serve metrics

One line for each decision, sampled by kind with the count of what was left out, queued within 256 KB and written only when the descriptor takes it; lines of failures and changes of belief push ordinary ones out. Counters, gauges and histograms on the metrics address in the OpenMetrics format, mirrored to statsd.

--- a/goldcreststair/__main__.py
+++ b/goldcreststair/__main__.py
@@ -30,8 +30,11 @@
         error = checked.err_value
         print(f"goldcreststaird: setting {error.setting}: {error.message}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    configure_logging(settings.log_level)
-    asyncio.run(async_run(settings))
+    writer = configure_logging(settings.log_level)
+    try:
+        asyncio.run(async_run(settings))
+    finally:
+        writer.close()
 
 
 def main() -> None:
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -62,8 +62,6 @@
         self._progress = RequestProgress(last_event=admitted.request.resume_after)
         self._at = ""
         """Name of the upstream of the present run."""
-        self._expected_ms = 0.0
-        """Time to the first event that placement expected of it."""
         self._relay = StreamRelay(responder, core.clock, self._progress.last_event, self._on_data)
         self._relay.streams = admitted.route.kind is CallKind.STREAMING
 
@@ -83,7 +81,11 @@
             self._note_failure(placed.ok_value, error)
             left_ms = self._left_ms()
             following = decide_next_run(self._progress, self._route, error, self._budget, left_ms)
-            self._log("retry" if following is NextRun.ELSEWHERE else "give_up", error.message)
+            elsewhere = following is NextRun.ELSEWHERE
+            event = "Request runs elsewhere" if elsewhere else "Request given up"
+            self._log(event, error.message, failure=error.failure.value)
+            if elsewhere:
+                self._core.meters.count_retry(error.failure.value)
             if following is NextRun.GIVE_UP:
                 if isinstance(end, Ok) and not self._relay.has_begun:
                     self._end_answered(end.ok_value)
@@ -114,7 +116,15 @@
         entry = placement.upstream
         call = self._make_call(entry.name)
         self._at = entry.name
-        self._expected_ms = placement.expected_ms
+        self._core.meters.observe_expected(placement.expected_ms)
+        self._log(
+            "Request placed",
+            "least expected wait",
+            customer=call.customer,
+            runs_there=placement.runs_there,
+            wait_ms=round(placement.wait_ms),
+            expected_ms=round(placement.expected_ms),
+        )
         self._relay.begin_run()
         self._placement.begin(entry.name)
         began_at = self._clock.now()
@@ -186,7 +196,12 @@
         else:
             self._relay.begin()
             self._responder.finish()
-        self._log("answered", f"status {end.head.status}")
+        first_ms = self._read_first_ms()
+        kind = self._route.kind.value
+        if first_ms is not None:
+            self._core.meters.observe_first_event(kind, first_ms)
+        self._core.meters.count_request(kind, "answered")
+        self._log("Request answered", f"status {end.head.status}", first_ms=first_ms)
 
     def _end_refused(self, refusal: Refusal) -> None:
         if self._relay.has_begun:
@@ -194,6 +209,8 @@
             self._responder.abort()
         else:
             self._responder.refuse(refusal)
+        outcome = "cut" if self._relay.has_begun else refusal.code.value
+        self._core.meters.count_request(self._route.kind.value, outcome)
         log_refusal(self._request, refusal, cut=self._relay.has_begun)
 
     def _read_first_ms(self) -> int | None:
@@ -206,10 +223,9 @@
     def _on_data(self) -> None:
         self._placement.controller.note_progress(self._at)
 
-    def _log(self, choice: str, reason: str) -> None:
+    def _log(self, event: str, reason: str, **seen: object) -> None:
         _LOGGER.info(
-            "Request %s",
-            choice,
+            event,
             extra={
                 "request": self._request.request_id,
                 "upstream": self._at,
@@ -217,9 +233,8 @@
                 "attempts": self._progress.attempts,
                 "last_event": self._relay.last_event,
                 "age_ms": self._clock.now() - self._request.arrived_at,
-                "first_ms": self._read_first_ms(),
-                "expected_ms": round(self._expected_ms),
                 "left_ms": self._left_ms(),
+                **seen,
             },
         )
 
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -59,6 +59,7 @@
         """Serve one request to its end; cancel it when the caller goes away."""
         admitted = self.admit(request)
         if isinstance(admitted, Err):
+            self._core.meters.count_request("none", admitted.err_value.code.value)
             log_refusal(request, admitted.err_value)
             responder.refuse(admitted.err_value)
             return
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Final
 
 from result import Err, Ok, Result
 
@@ -41,6 +42,14 @@
 
 DEFAULT_ATTEMPTS = 3
 METHOD = "POST"
+LINES: Final = {
+    "started": "Item started",
+    "again": "Item runs again",
+    "done": "Item done",
+    "given_up": "Item given up",
+    "yielded": "Item yielded",
+}
+"""One kind of line for each choice, so that each is sampled by itself."""
 
 
 @dataclass(slots=True, eq=False)
@@ -141,6 +150,8 @@
             return False
         runs = Runs(batch=1, late=int(ranked.hopeless))
         self._begin(_Run(job, item, entry, route, runs, self._clock.now(), item.last_event))
+        reason = "late, a slot is free" if ranked.hopeless else "a slot is free"
+        self._log(job, item, "started", reason, entry.name)
         return True
 
     def _may_start_late(self, service: str) -> bool:
@@ -255,9 +266,9 @@
     def _log(
         self, job: OwnedJob, item: ItemProgress, choice: str, reason: str, upstream: str
     ) -> None:
+        self._core.meters.count_item(choice)
         _LOGGER.info(
-            "Item %s",
-            choice,
+            LINES[choice],
             extra={
                 "job": job.key.job,
                 "item": item.item.item,
--- a/goldcreststair/components/jobs/protocols.py
+++ b/goldcreststair/components/jobs/protocols.py
@@ -36,5 +36,11 @@
     def owns(self, key: JobKey) -> bool:
         """Return whether this daemon runs a job."""
 
+    def count_owned(self) -> int:
+        """Return the jobs that this daemon runs."""
+
+    def count_waiting(self) -> int:
+        """Return the items that wait for a slot here and can be in time."""
+
 
 JOBS: Final = ComponentKey[Jobs]("jobs")
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -106,12 +106,14 @@
             error = accepted.err_value
             outcome = {"problem": error.problem.value, "reason": error.message}
             _LOGGER.info("Job not accepted", extra=extra | outcome)
+            self._core.meters.count_job(f"refused_{error.problem.value}")
             return accepted
         if accepted.ok_value is None:
             _LOGGER.info("Job accepted before", extra=extra)
             return Ok(None)
         record, opened = accepted.ok_value
         _LOGGER.info("Job accepted", extra=extra | {"items": record.items})
+        self._core.meters.count_job("accepted")
         self._reader.note_record(record)
         self._own(record, opened, submission.items)
         return Ok(None)
@@ -176,6 +178,14 @@
         """Return whether this daemon runs a job."""
         return key in self._book.jobs or key in self._loading
 
+    def count_owned(self) -> int:
+        """Return the jobs that this daemon runs."""
+        return len(self._book.jobs)
+
+    def count_waiting(self) -> int:
+        """Return the items that wait for a slot here and can be in time."""
+        return self._executor.urgent_waiting
+
     def load(self, key: JobKey) -> None:
         """Take over a job that the store names as this daemon's."""
         if self._leaving or self.owns(key):
@@ -248,6 +258,7 @@
         self._reader.note_record(record.ok_value)
         extra = {"job": key.job, "customer": key.customer, "listed": len(job.listed)}
         _LOGGER.info("Job taken over", extra=extra)
+        self._core.meters.count_job("taken_over")
         if job.is_whole:
             self._lister.list_soon(job)
 
@@ -280,6 +291,7 @@
         if self._book.jobs.get(job.key) is not job:
             return
         _LOGGER.info("Job left", extra={"job": job.key.job, "reason": why})
+        self._core.meters.count_job("left")
         job.lost = True
         del self._book.jobs[job.key]
         self._reader.keep_results(job.record, job.listed)
--- /dev/null
+++ b/goldcreststair/components/metrics/service.py
@@ -0,0 +1,98 @@
+"""Sets the gauges, times the loop and serves the page."""
+
+import asyncio
+import logging
+from typing import Final
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from goldcreststair.components.catalogue.models import CATALOGUE
+from goldcreststair.components.discovery.models import LIVE_UPSTREAMS
+from goldcreststair.components.fleet.models import FLEET, OWN_STATE, VmState
+from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.components.jobs.protocols import JOBS
+from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.meters import CONTENT_TYPE
+
+_LOGGER = logging.getLogger(__name__)
+
+PERIOD_MS: Final = 1_000
+"""How often gauges are set; the page is read every few seconds."""
+LONG_PAUSE_MS: Final = 250
+"""A pause of the loop that is worth a line: callers count that much between events as late."""
+PATH: Final = "/metrics"
+
+
+class MetricsHandler(RequestHandler):
+    """The page."""
+
+    def initialize(self, service: "MetricsService") -> None:
+        """Keep the service."""
+        self.service = service
+
+    def get(self) -> None:
+        """Return all series."""
+        self.service.update()
+        self.set_header("Content-Type", CONTENT_TYPE)
+        self.finish(self.service.core.meters.render())
+
+
+class MetricsService:
+    """Reads the blackboard for the gauges."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Use the components set up before."""
+        self.core = core
+        self._server: HTTPServer | None = None
+        self._ticking: asyncio.Task[None] | None = None
+
+    async def async_start(self) -> None:
+        """Begin to time the loop, and serve the page if a port is set."""
+        settings = self.core.settings
+        if settings.metrics_port:
+            application = Application([(PATH, MetricsHandler, {"service": self})])
+            self._server = HTTPServer(application)
+            self._server.listen(settings.metrics_port, settings.address)
+        self._ticking = asyncio.create_task(self._async_tick())
+
+    async def async_close(self) -> None:
+        """Stop."""
+        if self._server is not None:
+            self._server.stop()
+        if self._ticking is not None:
+            self._ticking.cancel()
+            await asyncio.gather(self._ticking, return_exceptions=True)
+
+    def update(self) -> None:
+        """Set all gauges."""
+        board, meters = self.core.blackboard, self.core.meters
+        fleet, jobs = board.read(FLEET), self.core.get(JOBS)
+        controller = self.core.get(PLACEMENT).controller
+        runs = controller.runs.list_own().values()
+        gauges = {
+            "catalogue_version": board.read(CATALOGUE).version,
+            "daemons_known": len(fleet.vms),
+            "daemons_heard": fleet.heard,
+            "upstreams": len(board.read(LIVE_UPSTREAMS).by_name),
+            "upstreams_down": len(controller.list_down()),
+            "runs_online": sum(run.online for run in runs),
+            "runs_batch": sum(run.batch for run in runs),
+            "jobs_owned": jobs.count_owned(),
+            "items_waiting": jobs.count_waiting(),
+            "ready": board.read(OWN_STATE).state is VmState.READY,
+            "isolated": self.core.get(FLEET_LINKS).is_isolated(),
+        }
+        for name, value in gauges.items():
+            meters.set_gauge(name, float(value))
+
+    async def _async_tick(self) -> None:
+        clock = self.core.clock
+        while True:
+            due_at = clock.now() + PERIOD_MS
+            await clock.async_sleep(PERIOD_MS)
+            late_ms = max(0, clock.now() - due_at)
+            self.core.meters.observe_pause(late_ms)
+            if late_ms > LONG_PAUSE_MS:
+                _LOGGER.warning("Loop paused", extra={"late_ms": late_ms})
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -268,7 +268,8 @@
 
     def _place(self, state: _State) -> Placement:
         traits = self.read_traits(state.entry.service)
-        return Placement(state.entry, self._wait_ms(state), traits.first_ms)
+        runs = self._read(state).total
+        return Placement(state.entry, self._wait_ms(state), traits.first_ms, runs)
 
 
 def _find_part(held: Sequence[tuple[str, int]], own_session: str, excess: int) -> tuple[int, int]:
--- a/goldcreststair/components/placement/models.py
+++ b/goldcreststair/components/placement/models.py
@@ -26,6 +26,8 @@
     """Expected wait for a slot."""
     first_ms: float
     """Expected time from a free slot to the first event."""
+    runs_there: int = 0
+    """Runs of all daemons there, as far as this one knows."""
 
     @property
     def expected_ms(self) -> float:
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Final
 
 from goldcreststair.blackboard import Blackboard
@@ -15,6 +16,7 @@
     fleet,
     forwarding,
     jobs,
+    metrics,
     placement,
     quotas,
 )
@@ -24,6 +26,9 @@
 from goldcreststair.datagrams import UdpTransport
 from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
 from goldcreststair.gateway_settings import GatewaySettings
+from goldcreststair.meters import Meters
+from goldcreststair.statistics import create_statistics
+from goldcreststair.store.metered import MeteredStore
 from goldcreststair.transport import TcpTransport
 from goldcreststair.upstreams.runner import Runner
 
@@ -40,6 +45,7 @@
     placement.async_setup,
     jobs.async_setup,
     forwarding.async_setup,
+    metrics.async_setup,
 )
 """Set up and started in this order, closed in reverse; each may use those before it."""
 
@@ -48,13 +54,15 @@
     settings: GatewaySettings, clock: Clock, adapter: GatewayAdapter, runner: Runner
 ) -> GatewayCore:
     """Return a core that talks to the real network."""
+    meters = Meters(create_statistics(settings.statsd_address))
     return GatewayCore(
         settings=settings,
         clock=clock,
         random=random.Random(settings.seed or secrets.randbits(64)),
         blackboard=Blackboard(),
-        adapter=adapter,
+        adapter=replace(adapter, store=MeteredStore(adapter.store, meters)),
         runner=runner,
+        meters=meters,
         datagrams=UdpTransport(),
         transport=TcpTransport(),
         session_id=secrets.token_hex(8),
--- a/goldcreststair/gateway_core.py
+++ b/goldcreststair/gateway_core.py
@@ -12,6 +12,7 @@
 from goldcreststair.core import ComponentRegistry
 from goldcreststair.datagrams import DatagramTransport
 from goldcreststair.gateway_settings import GatewaySettings
+from goldcreststair.meters import Meters
 from goldcreststair.store.rows import RowStore
 from goldcreststair.transport import PeerTransport
 from goldcreststair.upstreams.runner import Runner
@@ -43,6 +44,7 @@
     blackboard: Blackboard
     adapter: GatewayAdapter
     runner: Runner
+    meters: Meters
     datagrams: DatagramTransport
     transport: PeerTransport
     session_id: str
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -32,6 +32,7 @@
 from goldcreststair.gateway import Gateway
 from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
 from goldcreststair.gateway_settings import GatewaySettings
+from goldcreststair.meters import Meters
 from goldcreststair.store.rows import RowKey
 from goldcreststair.upstreams.dialect import RunHead
 from standins.datagrams import FakeDatagramNetwork, FakeDatagrams
@@ -274,6 +275,7 @@
             blackboard=Blackboard(),
             adapter=adapter,
             runner=self.engines,
+            meters=Meters(),
             datagrams=datagrams,
             transport=self.network.join(address),
             session_id=f"{number:016x}",
