--- a/goldcreststair/cli/operator.py
+++ b/goldcreststair/cli/operator.py
@@ -18,6 +18,7 @@
 
 from goldcreststair.cli.burn import render_svg, render_text
 from goldcreststair.cli.client import Call, Client, ClientError
+from goldcreststair.cli.stories import FIELDS, LogLine, read_lines, tell_story
 from goldcreststair.cli.target import (
     EXIT_FAILED,
     NO_OPERATOR_TARGET,
@@ -138,8 +139,20 @@
     print_answer(target.create_client().send(Call("GET", "/operator/status")))
 
 
-def explain(subject: str, subject_id: str, *, target: OperatorTarget = NO_OPERATOR_TARGET) -> None:
-    """Print what the fleet decided about SUBJECT (request, job, vm, upstream...) and why."""
+def explain(
+    subject: str,
+    subject_id: str,
+    *,
+    logs: Annotated[
+        list[Path] | None,
+        Parameter(help="Read these logs (- for standard input), and ask no daemon."),
+    ] = None,
+    target: OperatorTarget = NO_OPERATOR_TARGET,
+) -> None:
+    """Print what the fleet decided about SUBJECT (request, job, item, upstream...) and why."""
+    if logs:
+        _explain_logs(subject, subject_id, logs)
+        return
     path = f"/operator/explain/{quote(subject)}/{quote(subject_id, safe='')}"
     answer = unwrap_answer(target.create_client().send(Call("GET", path)))
     for step in answer["steps"]:
@@ -153,6 +166,27 @@
         sys.exit(EXIT_FAILED)
 
 
+def _explain_logs(subject: str, subject_id: str, logs: list[Path]) -> None:
+    if subject not in FIELDS:
+        fail(ClientError(f"subject: must be one of {', '.join(FIELDS)}"))
+    lines: list[LogLine] = []
+    for log in logs:
+        try:
+            text = sys.stdin.read() if str(log) == "-" else log.read_text(errors="replace")
+        except OSError as error:
+            fail(ClientError(f"{log}: {error.strerror}"))
+        lines += read_lines(text.splitlines())
+    story = tell_story(lines, subject, subject_id)
+    for line in sorted((*story.context, *story.lines), key=lambda line: line.at_ms):
+        mark = "|" if line in story.context else "*"
+        print(f"{mark} {line.describe()}")
+    print(f"cause: {story.name_cause()}")
+    if story.left_out:
+        print(f"sampling left out {story.left_out} lines of these kinds before")
+    if not story.lines:
+        sys.exit(EXIT_FAILED)
+
+
 def _read_configuration(client: Client) -> Any:
     return client.send(Call("GET", PATH_CONFIGURATION))
 
--- /dev/null
+++ b/goldcreststair/cli/stories.py
@@ -0,0 +1,146 @@
+"""Tells from log lines what became of one thing, and names the cause."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from datetime import datetime
+from typing import Any, Final
+
+import orjson
+
+CONTEXT_MS: Final = 3_000
+"""Lines of the same VM or upstream so long before are shown as what led to it."""
+
+CONTEXT_EVENTS: Final = frozenset(
+    {
+        "Stood still",
+        "Loop paused",
+        "Store lost",
+        "Store regained",
+        "Leaving",
+        "Left",
+        "Started",
+        "Stopped",
+        "Readiness changed",
+        "Daemon silent",
+        "Daemon gone",
+        "Catalogue in force",
+        "Catalogue unreadable",
+        "Upstream changed",
+        "Upstream gone",
+        "Upstream down",
+        "Upstream up",
+        "Lines dropped",
+    }
+)
+"""Changes of what a daemon believes."""
+
+CAUSES: Final[Mapping[str, str]] = {
+    "rate_limited": "its customer had spent rate and burst over all VMs",
+    "quota_full": "its customer had too many tokens waiting on the route",
+    "overloaded": "every slot was taken and its first event would have been late",
+    "no_upstream": "no upstream took it; it has not run",
+    "not_ready": "this VM could not know what is allowed, or the store did not answer",
+    "invalid_key": "its key is unknown or was withdrawn",
+    "unknown_route": "no route of the catalogue in force has its host and path, or there is no such job",
+    "invalid_request": "it could not be read",
+    "too_large": "it was longer than the catalogue allows",
+    "deadline": "its time ran out at an upstream",
+    "upstream_failed": "an upstream failed after it may have run it, and it must not or may not run again",
+    "outcome_unknown": "it may have taken effect; the answer of the store was lost",
+    "quarantined": "it crashed the upstreams that ran it",
+}
+"""What each refusal's code means to a caller."""
+
+FIELDS: Final = ("request", "job", "item", "upstream", "session", "customer", "vm")
+"""What a story can be about."""
+HIDDEN: Final = frozenset({"time", "level", "vm", "logger", "event", "reason", "exception"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a daemon's log."""
+
+    at_ms: int
+    vm: str
+    event: str
+    seen: Mapping[str, Any]
+
+    def describe(self) -> str:
+        """Return the line for people."""
+        at = datetime.fromtimestamp(self.at_ms / 1000).strftime("%H:%M:%S.%f")[:-3]
+        reason = self.seen.get("reason", "")
+        facts = " ".join(f"{k}={v}" for k, v in self.seen.items() if k not in HIDDEN)
+        text = f"{self.event}: {reason}" if reason else self.event
+        return f"{at} {self.vm:15s} {text} {facts}".rstrip()
+
+
+@dataclass(slots=True)
+class Story:
+    """What the logs say of one thing."""
+
+    lines: list[LogLine] = field(default_factory=list)
+    context: list[LogLine] = field(default_factory=list)
+    left_out: int = 0
+    """Lines of the kinds seen that sampling left out."""
+
+    def name_cause(self) -> str:
+        """Return why it ended as it did."""
+        if not self.lines:
+            return "nothing known: no line names it, or sampling left its lines out"
+        last = self.lines[-1]
+        code = str(last.seen.get("code", ""))
+        if last.event == "Request refused":
+            cause = CAUSES.get(code, code)
+            if last.seen.get("cut"):
+                cause = f"its stream was cut: {last.seen.get('reason', '')}"
+            return f"{cause}{self._name_trigger(last)}"
+        if last.event in ("Item given up", "Job not accepted", "Request given up"):
+            return f"{last.seen.get('reason', '')}{self._name_trigger(last)}"
+        moved = sum(
+            line.event in ("Request runs elsewhere", "Item runs again") for line in self.lines
+        )
+        again = f" after {moved} runs that failed" if moved else ""
+        return f"{last.event.lower()}{again}{self._name_trigger(last)}"
+
+    def _name_trigger(self, last: LogLine) -> str:
+        before = [line for line in self.context if line.at_ms <= last.at_ms]
+        if not before:
+            return ""
+        names = list(dict.fromkeys(f"{line.event.lower()} ({line.vm})" for line in before[-4:]))
+        return "; shortly before: " + ", ".join(names)
+
+
+def read_lines(text: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the log lines in a text; whatever stands before the JSON of a line is left out."""
+    for raw in text:
+        start = raw.find("{")
+        if start < 0:
+            continue
+        try:
+            seen = orjson.loads(raw[start:])
+            at = datetime.fromisoformat(seen["time"])
+            yield LogLine(int(at.timestamp() * 1000), seen.get("vm", ""), seen["event"], seen)
+        except (ValueError, KeyError, TypeError):
+            # Other programs write to the same files.
+            continue
+
+
+def tell_story(lines: Iterable[LogLine], subject: str, subject_id: str) -> Story:
+    """Return the lines about one thing in order of time, and what led to them."""
+    known = sorted(lines, key=lambda line: line.at_ms)
+    story = Story([line for line in known if str(line.seen.get(subject)) == subject_id])
+    if not story.lines:
+        return story
+    begin, end = story.lines[0].at_ms - CONTEXT_MS, story.lines[-1].at_ms
+    vms = {line.vm for line in story.lines}
+    upstreams = {line.seen["upstream"] for line in story.lines if line.seen.get("upstream")}
+    story.left_out = sum(int(line.seen.get("left_out", 0)) for line in story.lines)
+    for line in known:
+        near = begin <= line.at_ms <= end and line.event in CONTEXT_EVENTS
+        if near and (line.seen.get("upstream") in upstreams or _is_own(line, vms)):
+            story.context.append(line)
+    return story
+
+
+def _is_own(line: LogLine, vms: set[str]) -> bool:
+    return line.vm in vms and "upstream" not in line.seen
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -186,7 +186,7 @@
             progress.may_have_run = True
             progress.attempts += 1
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
-            self._placement.note_down(entry)
+            self._placement.note_down(entry, error.message, self._request.request_id)
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.note_full(entry.name)
 
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -103,7 +103,8 @@
         if customer is not None and route.kind is not CallKind.BATCH:
             wait_ms = self._quotas.admit(customer)
             if wait_ms is not None:
-                message = f"rate and burst of {customer.name} are spent"
+                seen = self._quotas.describe(customer)
+                message = f"rate and burst of {customer.name} are spent: {seen}"
                 code = RefusalCode.RATE_LIMITED
                 return Err(Refusal(message, code, STATUS_TOO_MANY, True, wait_ms))
         service = choose_service(route, self._core.random.random())
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -224,7 +224,7 @@
         item.failures += verdict.failed
         item.lost = item.lost + 1 if verdict.lost else 0
         if verdict.verdict is Verdict.AGAIN:
-            self._note_failure(run.upstream, end)
+            self._note_failure(run, end)
             pause_ms = choose_pause(item.lost + item.failures)
             item.not_before = Millis(self._clock.now() + pause_ms)
             item.state = ItemState.WAITING
@@ -238,14 +238,14 @@
         reason = "whole" if done else _describe(end)
         self._finish(job, item, ItemResult(item.item.item, done, text), reason, name)
 
-    def _note_failure(self, entry: UpstreamEntry, end: Result[RunEnd, UpstreamError]) -> None:
+    def _note_failure(self, run: _Run, end: Result[RunEnd, UpstreamError]) -> None:
         if isinstance(end, Ok):
             return
-        failure = end.err_value.failure
-        if failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
-            self._placement.note_down(entry)
-        elif failure is UpstreamFailure.REFUSED:
-            self._placement.controller.note_full(entry.name)
+        error = end.err_value
+        if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
+            self._placement.note_down(run.upstream, error.message, run.item.item.item)
+        elif error.failure is UpstreamFailure.REFUSED:
+            self._placement.controller.note_full(run.upstream.name)
 
     def _finish(
         self, job: OwnedJob, item: ItemProgress, result: ItemResult, reason: str, upstream: str = ""
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -198,6 +198,11 @@
             if state is not None:
                 state.doubted_until = Millis(self._clock.now() + DOUBT_MS)
 
+    def is_down(self, name: str) -> bool:
+        """Return whether this daemon believes an upstream down."""
+        state = self._states.get(name)
+        return state is not None and state.down_until > self._clock.now()
+
     def list_down(self) -> list[UpstreamEntry]:
         """Return the upstreams that this daemon believes down."""
         now = self._clock.now()
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -1,6 +1,7 @@
 """Connects placement to upstreams and beacons, and keeps upstreams that are down under watch."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Final
 
@@ -20,6 +21,8 @@
 from goldcreststair.upstreams.runner import CONNECT_TIMEOUT_MS
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, UpstreamRuns
 
+_LOGGER = logging.getLogger(__name__)
+
 ONLINE_RUN: Final = Runs(online=1)
 OnYield = Callable[[str, int], None]
 """Takes an upstream's name and how many batch runs this daemon shall give up there."""
@@ -71,8 +74,11 @@
         self.controller.end(name, runs)
         self._links.announce()
 
-    def note_down(self, entry: UpstreamEntry) -> None:
-        """Take it that an upstream accepts no connection, or is silent."""
+    def note_down(self, entry: UpstreamEntry, reason: str, subject: str) -> None:
+        """Take it that an upstream accepts no connection, or is silent; `subject` met it so."""
+        if not self.controller.is_down(entry.name):
+            extra = {"upstream": entry.name, "address": entry.address, "met_by": subject}
+            _LOGGER.warning("Upstream down", extra=extra | {"reason": reason})
         self.controller.note_down(entry.name)
         self._core.runner.pool.forget(entry.address)
         self._links.announce()
@@ -124,6 +130,7 @@
         # A connection that opens costs an upstream nothing, and tells at once that it is back.
         pool = self._core.runner.pool
         if await pool.async_warm(entry.address, CONNECT_TIMEOUT_MS):
+            _LOGGER.info("Upstream up", extra={"upstream": entry.name, "address": entry.address})
             self.controller.note_up(entry.name)
             self._links.announce()
 
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -152,6 +152,12 @@
         bucket.admitted_at = self._clock.now()
         return None
 
+    def describe(self, key: int) -> str:
+        """Return what a decision about a customer rests on, for the log."""
+        bucket, share = self._buckets.get(key), self._share
+        level = f"{bucket.level:.1f}" if bucket is not None else "unknown"
+        return f"level {level}, {share.heard} of {share.members} daemons heard"
+
     def list_counts(self) -> dict[int, AdmittedCount]:
         """Return what this daemon has admitted since it started, of the customers active here."""
         horizon = self._clock.now() - ACTIVE_MS
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -52,6 +52,10 @@
             self._links.announce()
         return refused
 
+    def describe(self, customer: CatalogueCustomer) -> str:
+        """Return what a decision about a customer rests on, for the log."""
+        return self._controller.describe(hash_name(customer.name))
+
     def _on_catalogue(self, catalogue: Catalogue) -> None:
         customers = catalogue.customers.values()
         self._controller.take_customers({hash_name(c.name): c for c in customers})
--- /dev/null
+++ b/tests/cli/test_stories.py
@@ -0,0 +1,65 @@
+"""Stories of failed requests from log lines alone."""
+
+import orjson
+import pytest
+
+from goldcreststair.cli.stories import read_lines, tell_story
+
+
+def make_line(ms: int, vm: str, event: str, **seen: object) -> str:
+    """Return a log line as a collector may keep it, behind the name of its VM."""
+    at = f"2026-03-01T10:00:{ms // 1000:02d}.{ms % 1000:03d}Z"
+    line = {"time": at, "level": "info", "vm": vm, "logger": "x", "event": event, **seen}
+    return f"  12.3 front-1 {orjson.dumps(line).decode()}"
+
+
+LINES = [
+    "not a line of ours",
+    make_line(5_300, "10.0.0.1", "Request refused", request="r1", code="no_upstream", reason="no"),
+    make_line(5_000, "10.0.0.1", "Request placed", request="r1", upstream="e1", reason="least"),
+    make_line(4_000, "10.0.0.2", "Upstream down", upstream="e1", reason="cannot connect"),
+    make_line(4_500, "10.0.0.1", "Store lost", table="vms"),
+    make_line(4_600, "10.0.0.3", "Store lost", table="vms"),
+    make_line(1_000, "10.0.0.1", "Leaving"),
+    make_line(5_200, "10.0.0.1", "Request placed", request="r2", upstream="e1", reason="least"),
+]
+
+
+def test_a_story_is_told_in_order_with_what_led_to_it() -> None:
+    story = tell_story(read_lines(LINES), "request", "r1")
+    assert [line.event for line in story.lines] == ["Request placed", "Request refused"]
+    assert [(line.vm, line.event) for line in story.context] == [
+        ("10.0.0.2", "Upstream down"),
+        ("10.0.0.1", "Store lost"),
+    ]
+    cause = story.name_cause()
+    assert cause.startswith("no upstream took it; it has not run")
+    assert "upstream down (10.0.0.2)" in cause
+
+
+@pytest.mark.parametrize(
+    ("last", "words"),
+    [
+        ({"event": "Request refused", "code": "rate_limited"}, "rate and burst over all VMs"),
+        ({"event": "Request refused", "code": "x", "cut": True, "reason": "reset"}, "cut: reset"),
+        ({"event": "Request answered", "reason": "status 200"}, "request answered"),
+        ({"event": "Item given up", "reason": "upstream answered 422"}, "answered 422"),
+        ({"event": "Job not accepted", "reason": "store"}, "store"),
+    ],
+)
+def test_the_cause_is_named(last: dict[str, object], words: str) -> None:
+    event = str(last.pop("event"))
+    lines = [make_line(1, "a", event, request="r1", **last)]
+    assert words in tell_story(read_lines(lines), "request", "r1").name_cause()
+
+
+def test_a_run_that_moved_is_counted() -> None:
+    lines = [
+        make_line(1, "a", "Request runs elsewhere", request="r1", reason="silent"),
+        make_line(2, "a", "Request answered", request="r1"),
+    ]
+    assert "after 1 runs that failed" in tell_story(read_lines(lines), "request", "r1").name_cause()
+
+
+def test_nothing_known_is_said() -> None:
+    assert "nothing known" in tell_story(read_lines(LINES), "request", "r9").name_cause()
