--- a/goldcreststair/cli/operator.py
+++ b/goldcreststair/cli/operator.py
@@ -145,7 +145,10 @@
     *,
     logs: Annotated[
         list[Path] | None,
-        Parameter(help="Read these logs (- for standard input), and ask no daemon."),
+        Parameter(
+            help="Read these logs (- for standard input), and ask no daemon.",
+            allow_leading_hyphen=True,
+        ),
     ] = None,
     target: OperatorTarget = NO_OPERATOR_TARGET,
 ) -> None:
