--- a/goldcreststair/cli/stories.py
+++ b/goldcreststair/cli/stories.py
@@ -135,9 +135,7 @@
     vms = {line.vm for line in story.lines}
     upstreams = {line.seen["upstream"] for line in story.lines if line.seen.get("upstream")}
     story.left_out = sum(int(line.seen.get("left_out", 0)) for line in story.lines)
-    near = [
-        line for line in known if begin <= line.at_ms <= end and line.event in CONTEXT_EVENTS
-    ]
+    near = [line for line in known if begin <= line.at_ms <= end and line.event in CONTEXT_EVENTS]
     # All VMs see an upstream change at the same moment: one line tells it.
     told: set[tuple[str, object, bool]] = set()
     for line in sorted(near, key=lambda line: (line.vm not in vms, line.at_ms)):
--- a/goldcreststair/components/catalogue/service.py
+++ b/goldcreststair/components/catalogue/service.py
@@ -3,25 +3,22 @@
 import asyncio
 import logging
 from collections.abc import Sequence
-from typing import Any
 
 from result import Err
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.controller import CatalogueController
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
+from goldcreststair.components.fleet.asks import AskKind
 from goldcreststair.components.fleet.const import (
     FETCH_RETRY_MS,
     FETCH_TIMEOUT_MS,
     STORE_FIRST_MS,
 )
-from goldcreststair.components.fleet.models import FLEET, FleetVm
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
-from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.feed import TableFeed
 from goldcreststair.store.rows import RowRange, StoredRow
-from goldcreststair.transport import PeerChannel
 from goldcreststair.wire.codec import decode_struct, encode_struct
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, CatalogueAsk, CatalogueDocument
 
@@ -44,24 +41,18 @@
         self._links.watch(self._on_beacon, lambda _: None)
         self._fetching: asyncio.Task[None] | None = None
         self._fetched_at = Millis(-FETCH_RETRY_MS)
-        self._serving: set[asyncio.Task[None]] = set()
 
     async def async_start(self) -> None:
         """Follow, and serve peers."""
-        settings = self._core.settings
-        await self._core.transport.async_listen(
-            settings.address, settings.peer_port, self._on_accept
-        )
+        self._links.on_ask(AskKind.CATALOGUE, self._async_answer)
         await self._feed.async_start()
 
     async def async_close(self) -> None:
         """Stop."""
         await self._feed.async_close()
-        await self._core.transport.async_close()
-        tasks = [*self._serving, *([self._fetching] if self._fetching else [])]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._fetching is not None:
+            self._fetching.cancel()
+            await asyncio.gather(self._fetching, return_exceptions=True)
 
     def read_document(self) -> tuple[int, bytes]:
         """Return the version in force and its document."""
@@ -110,52 +101,24 @@
         read = await self._core.adapter.store.async_read(RowRange(self._row.table))
         if not isinstance(read, Err):
             self.take_all(read.ok_value.rows)
-        vm = self._core.blackboard.read(FLEET).vms.get(session)
-        if self._controller.read_document()[0] > version or vm is None:
+        if self._controller.read_document()[0] > version:
             return
-        document = await self._async_ask(vm, version)
+        document = await self._async_ask(session, version)
         if document:
-            self.take_document(document, f"vm {vm.address}")
-
-    async def _async_ask(self, vm: FleetVm, version: int) -> bytes:
-        opened = await self._core.transport.async_connect(
-            vm.address, vm.peer_port, FETCH_TIMEOUT_MS
-        )
-        if isinstance(opened, Err):
-            _LOGGER.warning("No catalogue from a peer: %s", opened.err_value.message)
-            return b""
-        channel = opened.ok_value
-        try:
-            channel.send(encode_struct(CatalogueAsk(version)))
-            async with asyncio.timeout(FETCH_TIMEOUT_MS / MS_PER_SECOND):
-                frame = await channel.async_receive()
-        except TimeoutError:
-            _LOGGER.warning("No catalogue from a peer: %s is silent", vm.address)
+            self.take_document(document, f"daemon {session}")
+
+    async def _async_ask(self, session: str, version: int) -> bytes:
+        question = encode_struct(CatalogueAsk(version))
+        asked = await self._links.async_ask(session, AskKind.CATALOGUE, question, FETCH_TIMEOUT_MS)
+        if isinstance(asked, Err):
+            _LOGGER.warning("No catalogue from a peer: %s", asked.err_value.message)
             return b""
-        finally:
-            channel.close()
-        answer = decode_struct(CatalogueDocument, frame or b"")
+        answer = decode_struct(CatalogueDocument, asked.ok_value)
         return b"" if isinstance(answer, Err) else answer.ok_value.document
 
-    def _on_accept(self, channel: PeerChannel) -> None:
-        task = asyncio.create_task(self._async_serve(channel))
-        self._serving.add(task)
-        task.add_done_callback(self._serving.discard)
-
-    async def _async_serve(self, channel: PeerChannel) -> None:
-        try:
-            async with asyncio.timeout(FETCH_TIMEOUT_MS / MS_PER_SECOND):
-                frame = await channel.async_receive()
-            asked: Any = decode_struct(CatalogueAsk, frame or b"")
-            if isinstance(asked, Err):
-                return
-            version, document = self._controller.read_document()
-            newer = document if version > asked.ok_value.version else b""
-            channel.send(encode_struct(CatalogueDocument(version, newer)))
-            # The asker closes once it has the answer; closing here would cut it.
-            async with asyncio.timeout(FETCH_TIMEOUT_MS / MS_PER_SECOND):
-                await channel.async_receive()
-        except TimeoutError:
-            _LOGGER.info("A peer asked for the catalogue and fell silent")
-        finally:
-            channel.close()
+    async def _async_answer(self, question: bytes) -> bytes:
+        asked = decode_struct(CatalogueAsk, question)
+        version, document = self._controller.read_document()
+        if isinstance(asked, Err) or version <= asked.ok_value.version:
+            document = b""
+        return encode_struct(CatalogueDocument(version, document))
--- a/goldcreststair/components/fleet/protocols.py
+++ b/goldcreststair/components/fleet/protocols.py
@@ -5,6 +5,9 @@
 from typing import Any, Final, Protocol
 from zlib import crc32
 
+from result import Result
+
+from goldcreststair.components.fleet.asks import AskError, AskKind, OnAsk
 from goldcreststair.core import ComponentKey
 
 Contribute = Callable[[Any], None]
@@ -37,6 +40,17 @@
     def notify(self, session: str, kind: DatagramKind, payload: bytes) -> None:
         """Send one datagram, which may be lost."""
 
+    def on_ask(self, kind: AskKind, handler: OnAsk) -> None:
+        """Answer the questions of one kind."""
+
+    async def async_ask(
+        self, session: str, kind: AskKind, question: bytes, timeout_ms: int
+    ) -> Result[bytes, AskError]:
+        """Ask one daemon over a connection of its own."""
+
+    def list_with_store(self) -> list[str]:
+        """Return the other daemons that are heard and whose store answers."""
+
     def on_notice(self, kind: DatagramKind, handler: OnNotice) -> None:
         """Handle the datagrams of one kind."""
 
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -4,9 +4,10 @@
 import logging
 from collections.abc import Callable, Sequence
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from goldcreststair.clock import Millis, TimerHandle
+from goldcreststair.components.fleet.asks import AskError, AskKind, OnAsk, PeerAsks
 from goldcreststair.components.fleet.const import (
     BEACON_FAN_OUT,
     BEACON_INTERVAL_MS,
@@ -19,7 +20,14 @@
     TICK_MS,
 )
 from goldcreststair.components.fleet.controller import FleetController, choose_heartbeat_ms
-from goldcreststair.components.fleet.models import FLEET, OWN_STATE, Fleet, FleetVm, OwnState
+from goldcreststair.components.fleet.models import (
+    FLEET,
+    OWN_STATE,
+    Fleet,
+    FleetVm,
+    OwnState,
+    VmState,
+)
 from goldcreststair.components.fleet.protocols import (
     Contribute,
     DatagramKind,
@@ -68,6 +76,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._unsubscribe: Callable[[], None] = lambda: None
         self._heartbeat = 0
+        self._asks = PeerAsks(core)
+        self._with_store: set[str] = set()
+        """Sessions whose last beacon said that the store answers them."""
         self._registered = False
 
     async def async_start(self) -> None:
@@ -78,6 +89,7 @@
         await self._core.datagrams.async_listen(
             self._own.address, self._own.peer_port, self._on_datagram
         )
+        await self._asks.async_start()
         await self._feed.async_start()
         self._tasks = [
             asyncio.create_task(self._async_beat()),
@@ -93,6 +105,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._tasks.clear()
         await self._feed.async_close()
+        await self._asks.async_close()
         if self._timer is not None:
             self._timer.cancel()
         self._core.datagrams.close()
@@ -133,6 +146,21 @@
             datagram = bytes((kind, len(sender))) + sender + payload
             self._core.datagrams.send(vm.address, vm.peer_port, datagram)
 
+    def on_ask(self, kind: AskKind, handler: OnAsk) -> None:
+        """Answer the questions of one kind."""
+        self._asks.on_ask(kind, handler)
+
+    async def async_ask(
+        self, session: str, kind: AskKind, question: bytes, timeout_ms: int
+    ) -> Result[bytes, AskError]:
+        """Ask one daemon over a connection of its own."""
+        return await self._asks.async_ask(session, kind, question, timeout_ms)
+
+    def list_with_store(self) -> list[str]:
+        """Return the other daemons that are heard and whose store answers."""
+        states = self._core.blackboard.read(FLEET).states
+        return [s for s in states if s in self._with_store and states[s] is VmState.READY]
+
     def on_notice(self, kind: DatagramKind, handler: OnNotice) -> None:
         """Handle the datagrams of one kind."""
         self._handlers[kind] = handler
@@ -201,6 +229,7 @@
         _log_changes(before, fleet)
         for session in before.vms.keys() - fleet.vms.keys():
             self._heard.pop(session, None)
+            self._with_store.discard(session)
             for on_gone in self._gone_watchers:
                 on_gone(session)
 
@@ -210,6 +239,7 @@
         self._sequence += 1
         state = self._core.blackboard.read(OWN_STATE).state
         beacon = Beacon(self._own.session, self._sequence, int(state), 0)
+        beacon.store_away = self._core.store_contact.is_away() or None
         for contribute in self._contributors:
             contribute(beacon)
         datagram = bytes((DatagramKind.BEACON,)) + encode_struct(beacon)
@@ -245,13 +275,17 @@
         if beacon.sequence <= self._heard.get(beacon.session, 0):
             return
         try:
-            state = type(OwnState().state)(beacon.state)
+            state = VmState(beacon.state)
         except ValueError:
             return
         before = self._core.blackboard.read(FLEET).states.get(beacon.session)
         if not self._controller.hear(beacon.session, state):
             return
         self._heard[beacon.session] = beacon.sequence
+        if beacon.store_away:
+            self._with_store.discard(beacon.session)
+        else:
+            self._with_store.add(beacon.session)
         if before is not state:
             self._publish()
         for on_beacon in self._watchers:
--- a/goldcreststair/components/jobs/desk.py
+++ b/goldcreststair/components/jobs/desk.py
@@ -8,7 +8,7 @@
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.models import JobKey, ResultPage, Submission
-from goldcreststair.components.jobs.protocols import JOBS
+from goldcreststair.components.jobs.protocols import JOB_FRONT
 from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.requests.admission import identify_customer
 from goldcreststair.components.requests.const import READY_RETRY_MS
@@ -44,7 +44,7 @@
     def __init__(self, core: GatewayCore) -> None:
         """Use the jobs of this daemon."""
         self._core = core
-        self._jobs = core.get(JOBS)
+        self._jobs = core.get(JOB_FRONT)
         self._links = core.get(FLEET_LINKS)
 
     async def async_submit(self, admitted: AdmittedRequest) -> Result[None, Refusal]:
--- a/goldcreststair/components/jobs/protocols.py
+++ b/goldcreststair/components/jobs/protocols.py
@@ -33,6 +33,20 @@
     async def async_end(self, key: JobKey) -> Result[None, JobError]:
         """End a job; a repeated call is no error."""
 
+
+class LocalJobs(Jobs, Protocol):
+    """The jobs of this daemon."""
+
+    @property
+    def can_accept(self) -> bool:
+        """Whether a submission can be accepted here now."""
+
+    def knows_results(self, key: JobKey, position: int) -> bool:
+        """Return whether results from a position on can be told here now."""
+
+    def knows_items(self, key: JobKey) -> bool:
+        """Return whether a job's items can be told here now."""
+
     def owns(self, key: JobKey) -> bool:
         """Return whether this daemon runs a job."""
 
@@ -43,4 +57,6 @@
         """Return the items that wait for a slot here and can be in time."""
 
 
-JOBS: Final = ComponentKey[Jobs]("jobs")
+JOBS: Final = ComponentKey[LocalJobs]("jobs")
+JOB_FRONT: Final = ComponentKey[Jobs]("job_front")
+"""The way for callers."""
--- a/goldcreststair/components/jobs/reading.py
+++ b/goldcreststair/components/jobs/reading.py
@@ -49,6 +49,13 @@
         if record.key not in self._known:
             self._known[record.key] = _Known(record)
 
+    def knows(self, key: JobKey, position: int) -> bool:
+        """Return whether results from a position on are known without the store."""
+        known = self._known.get(key)
+        if known is None:
+            return False
+        return position < len(known.results) or len(known.results) == known.record.items
+
     def keep_results(self, record: JobRecord, results: list[ItemResult]) -> None:
         """Remember the listed results of a job that this daemon ran."""
         self.note_record(record)
--- /dev/null
+++ b/goldcreststair/components/jobs/remote.py
@@ -0,0 +1,146 @@
+"""Calls about jobs that another daemon makes for this one, as the store turns this VM away."""
+
+import logging
+from collections.abc import Callable
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from goldcreststair.components.fleet.asks import AskKind
+from goldcreststair.components.fleet.protocols import FleetLinks
+from goldcreststair.components.jobs.codec import decode_items, encode_items
+from goldcreststair.components.jobs.errors import JobError, JobProblem
+from goldcreststair.components.jobs.models import ItemResult, JobKey, ResultPage, Submission
+from goldcreststair.components.jobs.protocols import Jobs
+from goldcreststair.wire.codec import decode_struct, encode_struct
+from goldcreststair.wire.generated.gateway.ttypes import JobCall, JobReply, JobVerb, ResultRow
+
+_LOGGER = logging.getLogger(__name__)
+
+ASK_TIMEOUT_MS: Final = 2_500
+"""For one call: the other daemon's store answers within 300 ms where it is slow, and a reader may
+wait a second for a result."""
+MAX_TRIES: Final = 2
+"""Daemons that are asked, where the first one certainly did not get the call."""
+
+
+class RemoteJobs:
+    """Implements `Jobs` by asking daemons whose store answers."""
+
+    def __init__(self, links: FleetLinks, choose: Callable[[list[str]], str]) -> None:
+        """Ask over `links`; `choose` picks one of several sessions."""
+        self._links = links
+        self._choose = choose
+
+    @property
+    def is_there(self) -> bool:
+        """Whether there is a daemon to ask."""
+        return bool(self._links.list_with_store())
+
+    async def async_submit(self, submission: Submission) -> Result[None, JobError]:
+        """Have a job accepted."""
+        call = JobCall(
+            JobVerb.SUBMIT,
+            submission.key.customer,
+            submission.key.job,
+            submission.route_host,
+            submission.route_prefix,
+            submission.route,
+            encode_items(submission.items),
+            submission.max_wait_ms,
+            submission.max_waiting_tokens,
+        )
+        return (await self._async_ask(call)).map(lambda _: None)
+
+    async def async_read_results(
+        self, key: JobKey, position: int, wait_ms: int
+    ) -> Result[ResultPage, JobError]:
+        """Have results read."""
+        call = JobCall(JobVerb.READ, key.customer, key.job, position=position, wait_ms=wait_ms)
+        asked = await self._async_ask(call)
+        if isinstance(asked, Err):
+            return asked
+        reply = asked.ok_value
+        results = tuple(ItemResult(r.item, r.done, r.text) for r in reply.results or ())
+        return Ok(ResultPage(reply.total or 0, results, position + len(results)))
+
+    async def async_read_body(self, key: JobKey, item: str) -> Result[bytes, JobError]:
+        """Have a body read."""
+        call = JobCall(JobVerb.BODY, key.customer, key.job, item=item)
+        return (await self._async_ask(call)).map(lambda reply: reply.body or b"")
+
+    async def async_end(self, key: JobKey) -> Result[None, JobError]:
+        """Have a job ended."""
+        return (await self._async_ask(JobCall(JobVerb.END, key.customer, key.job))).map(
+            lambda _: None
+        )
+
+    async def _async_ask(self, call: JobCall) -> Result[Any, JobError]:
+        error = JobError("the store answers no daemon that is heard")
+        for _ in range(MAX_TRIES):
+            sessions = self._links.list_with_store()
+            if not sessions:
+                break
+            asked = await self._links.async_ask(
+                self._choose(sessions), AskKind.JOB, encode_struct(call), ASK_TIMEOUT_MS
+            )
+            if isinstance(asked, Ok):
+                return _read_reply(asked.ok_value)
+            message, not_sent = asked.err_value.message, asked.err_value.not_sent
+            problem = JobProblem.UNAVAILABLE if not_sent else JobProblem.UNKNOWN
+            error = JobError(message, problem)
+            if not not_sent:
+                break
+        return Err(error)
+
+
+def _read_reply(encoded: bytes) -> Result[Any, JobError]:
+    decoded = decode_struct(JobReply, encoded)
+    if isinstance(decoded, Err):
+        return Err(JobError(decoded.err_value.message, JobProblem.UNKNOWN))
+    reply = decoded.ok_value
+    if reply.problem:
+        return Err(JobError(reply.message, JobProblem(reply.problem)))
+    return Ok(reply)
+
+
+async def async_answer(jobs: Jobs, question: bytes) -> bytes:
+    """Make a call for another daemon; returns the encoded reply."""
+    decoded = decode_struct(JobCall, question)
+    if isinstance(decoded, Err):
+        reply = JobReply(JobProblem.UNAVAILABLE.value, decoded.err_value.message)
+    else:
+        reply = await _async_make(jobs, decoded.ok_value)
+    return encode_struct(reply)
+
+
+async def _async_make(jobs: Jobs, call: Any) -> JobReply:
+    key = JobKey(call.customer, call.job)
+    if call.verb == JobVerb.SUBMIT:
+        submission = Submission(
+            key,
+            call.route_host,
+            call.route_prefix,
+            call.route,
+            decode_items(call.items),
+            call.max_wait_ms,
+            call.max_waiting_tokens,
+        )
+        return _make_reply(await jobs.async_submit(submission))
+    if call.verb == JobVerb.READ:
+        read = await jobs.async_read_results(key, call.position, call.wait_ms)
+        if isinstance(read, Err):
+            return _make_reply(read)
+        page = read.ok_value
+        rows = [ResultRow(r.item, r.done, r.text, 1) for r in page.results]
+        return JobReply("", "", page.total, rows)
+    if call.verb == JobVerb.BODY:
+        body = await jobs.async_read_body(key, call.item)
+        return JobReply("", "", body=body.ok_value) if isinstance(body, Ok) else _make_reply(body)
+    return _make_reply(await jobs.async_end(key))
+
+
+def _make_reply(outcome: Result[Any, JobError]) -> JobReply:
+    if isinstance(outcome, Err):
+        return JobReply(outcome.err_value.problem.value, outcome.err_value.message)
+    return JobReply("", "")
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Millis
+from goldcreststair.components.fleet.asks import AskKind
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind
 from goldcreststair.components.jobs.book import ItemProgress, ItemState, JobBook, OwnedJob
 from goldcreststair.components.jobs.codec import decode_items
@@ -30,6 +31,7 @@
 )
 from goldcreststair.components.jobs.reading import JobReader, cut_page
 from goldcreststair.components.jobs.records import JobRecords
+from goldcreststair.components.jobs.remote import async_answer
 from goldcreststair.components.jobs.sweeping import JobSweeper, choose_owner
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.wire.codec import decode_struct, encode_struct
@@ -72,6 +74,7 @@
         self._links.contribute(self._contribute)
         self._links.watch(self._on_beacon, self._forget)
         self._links.on_notice(DatagramKind.JOB_NOTICE, self._on_notice)
+        self._links.on_ask(AskKind.JOB, lambda question: async_answer(self, question))
         core.on_awake.append(lambda _: self.doubt_all())
 
     async def async_start(self) -> None:
@@ -161,6 +164,22 @@
         self.drop_ended(key)
         return Ok(None)
 
+    @property
+    def can_accept(self) -> bool:
+        """Whether a submission can be accepted here now."""
+        away = self._core.store_contact.is_away()
+        return not (self._leaving or away) and self._links.is_registered()
+
+    def knows_results(self, key: JobKey, position: int) -> bool:
+        """Return whether results from a position on can be told here now."""
+        if not self._core.store_contact.is_away() or self._find_certain(key) is not None:
+            return True
+        return self._reader.knows(key, position)
+
+    def knows_items(self, key: JobKey) -> bool:
+        """Return whether a job's items can be told here now."""
+        return not self._core.store_contact.is_away() or self._find_certain(key) is not None
+
     def begin_leave(self) -> None:
         """Hand over what does not run, and start nothing."""
         self._leaving = True
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -28,6 +28,7 @@
 from goldcreststair.gateway_settings import GatewaySettings
 from goldcreststair.meters import Meters
 from goldcreststair.statistics import create_statistics
+from goldcreststair.store.contact import StoreContact
 from goldcreststair.store.metered import MeteredStore
 from goldcreststair.transport import TcpTransport
 from goldcreststair.upstreams.runner import Runner
@@ -55,14 +56,16 @@
 ) -> GatewayCore:
     """Return a core that talks to the real network."""
     meters = Meters(create_statistics(settings.statsd_address))
+    contact = StoreContact(clock)
     return GatewayCore(
         settings=settings,
         clock=clock,
         random=random.Random(settings.seed or secrets.randbits(64)),
         blackboard=Blackboard(),
-        adapter=replace(adapter, store=MeteredStore(adapter.store, meters)),
+        adapter=replace(adapter, store=MeteredStore(adapter.store, meters, contact)),
         runner=runner,
         meters=meters,
+        store_contact=contact,
         datagrams=UdpTransport(),
         transport=TcpTransport(),
         session_id=secrets.token_hex(8),
--- a/goldcreststair/gateway_core.py
+++ b/goldcreststair/gateway_core.py
@@ -13,6 +13,7 @@
 from goldcreststair.datagrams import DatagramTransport
 from goldcreststair.gateway_settings import GatewaySettings
 from goldcreststair.meters import Meters
+from goldcreststair.store.contact import StoreContact
 from goldcreststair.store.rows import RowStore
 from goldcreststair.transport import PeerTransport
 from goldcreststair.upstreams.runner import Runner
@@ -45,6 +46,7 @@
     adapter: GatewayAdapter
     runner: Runner
     meters: Meters
+    store_contact: StoreContact
     datagrams: DatagramTransport
     transport: PeerTransport
     session_id: str
--- a/goldcreststair/store/feed.py
+++ b/goldcreststair/store/feed.py
@@ -17,6 +17,8 @@
 FEED_WAIT_MS: Final = 2_500
 """A connection may go silent for good: the wait is short, so that a silent feed is noticed and
 replaced before a leaving upstream or a new catalogue must be known."""
+PROBE_WAIT_MS: Final = 50
+"""The wait of the first call after a failure."""
 RETRY_MIN_MS: Final = 100
 RETRY_MAX_MS: Final = 500
 """Longest pause between tries while the store is away; what it missed is then known soon after."""
@@ -81,7 +83,10 @@
             await self._clock.async_sleep(pause_ms)
 
     async def _async_step(self) -> Result[None, PlatformError]:
-        followed = await self._store.async_follow(self._table, self._version, FEED_WAIT_MS)
+        # After a failure one short wait shows whether the store is back; a full one would keep the
+        # news for seconds.
+        wait_ms = FEED_WAIT_MS if self._failing_since is None else PROBE_WAIT_MS
+        followed = await self._store.async_follow(self._table, self._version, wait_ms)
         if isinstance(followed, Err):
             return followed
         page = followed.ok_value
--- a/goldcreststair/store/metered.py
+++ b/goldcreststair/store/metered.py
@@ -1,4 +1,4 @@
-"""The store, with every call timed."""
+"""The store, with every call timed and its outcome noted."""
 
 import time
 from collections.abc import Awaitable, Sequence
@@ -8,6 +8,7 @@
 
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.meters import Meters
+from goldcreststair.store.contact import StoreContact
 from goldcreststair.store.errors import (
     PlatformError,
     PlatformOutcomeUnknown,
@@ -31,8 +32,9 @@
 class MeteredStore:
     """Implements `RowStore` by another one."""
 
-    def __init__(self, store: RowStore, meters: Meters) -> None:
-        """Time the calls of `store`."""
+    def __init__(self, store: RowStore, meters: Meters, contact: StoreContact) -> None:
+        """Time the calls of `store` and tell `contact` of each."""
+        self._contact = contact
         self._store = store
         self._meters = meters
 
@@ -77,6 +79,10 @@
         outcome = await work
         spent_ms = (time.monotonic() - began) * MS_PER_SECOND
         self._meters.observe_store(call, _name_outcome(outcome), spent_ms)
+        error = outcome.err_value if isinstance(outcome, Err) else None
+        self._contact.note(
+            reached=not isinstance(error, PlatformUnavailable | PlatformOutcomeUnknown)
+        )
         return outcome
 
 
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -25,6 +25,7 @@
   6: optional list<CustomerCount> admitted
   7: optional list<i32> suspects
   8: optional i32 batch_waiting
+  9: optional bool store_away
 }
 
 /** A daemon's session as it stands in the store. */
@@ -98,3 +99,36 @@
   1: required string customer
   2: required string job
 }
+
+/** What a daemon that the store turns away asks another one to do with a job. */
+enum JobVerb {
+  SUBMIT = 1
+  READ = 2
+  BODY = 3
+  END = 4
+}
+
+/** A call about a job, passed on for its caller. */
+struct JobCall {
+  1: required JobVerb verb
+  2: required string customer
+  3: required string job
+  4: optional string route_host
+  5: optional string route_prefix
+  6: optional string route
+  7: optional binary items
+  8: optional i64 max_wait_ms
+  9: optional i64 max_waiting_tokens
+  10: optional i32 position
+  11: optional i32 wait_ms
+  12: optional string item
+}
+
+/** The answer to a call about a job; `problem` is empty if it succeeded. */
+struct JobReply {
+  1: required string problem
+  2: required string message
+  3: optional i32 total
+  4: optional list<ResultRow> results
+  5: optional binary body
+}
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -33,6 +33,8 @@
 from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
 from goldcreststair.gateway_settings import GatewaySettings
 from goldcreststair.meters import Meters
+from goldcreststair.store.contact import StoreContact
+from goldcreststair.store.metered import MeteredStore
 from goldcreststair.store.rows import RowKey
 from goldcreststair.upstreams.dialect import RunHead
 from standins.datagrams import FakeDatagramNetwork, FakeDatagrams
@@ -265,8 +267,12 @@
         settings = GatewaySettings(
             address, f"dc{number % 3}", "10.8.0.1:1", front=f"{address}:80", peer_port=PEER_PORT
         )
+        meters, contact = Meters(), StoreContact(self.clock)
         adapter = GatewayAdapter(
-            view, PlainCatalogueReader(), PlainUpstreamReader(), PlainSubmissionReader()
+            MeteredStore(view, meters, contact),
+            PlainCatalogueReader(),
+            PlainUpstreamReader(),
+            PlainSubmissionReader(),
         )
         core = GatewayCore(
             settings=settings,
@@ -275,7 +281,8 @@
             blackboard=Blackboard(),
             adapter=adapter,
             runner=self.engines,
-            meters=Meters(),
+            meters=meters,
+            store_contact=contact,
             datagrams=datagrams,
             transport=self.network.join(address),
             session_id=f"{number:016x}",
