--- /dev/null
+++ b/tests/components/placement/test_controller.py
@@ -0,0 +1,178 @@
+"""Where requests go, and which batch runs give way."""
+
+import random
+
+import pytest
+from result import Err
+
+from goldcreststair.components.discovery.models import LiveUpstreams, UpstreamEntry
+from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.components.placement.admission import CallerTime, decide_return
+from goldcreststair.components.placement.const import BATCH_RESERVE, DOWN_MS, SHED_MS
+from goldcreststair.components.placement.controller import PlacementController
+from goldcreststair.components.placement.loads import Runs
+from goldcreststair.components.placement.models import Placement, PlacementQuery
+from standins.virtual_time import ManualClock
+
+QUERY = PlacementQuery("s")
+
+
+def make_entry(name: str, data_centre: str = "dc0", draining: bool = False) -> UpstreamEntry:
+    """Return an upstream with eight slots."""
+    return UpstreamEntry(name, "s", f"{name}:80", data_centre, 8, draining, 1)
+
+
+def make_controller(
+    clock: ManualClock, *entries: UpstreamEntry, lapsed: frozenset[str] = frozenset()
+) -> PlacementController:
+    """Return a controller in data centre dc0."""
+    controller = PlacementController(clock, random.Random(1), "dc0")
+    controller.take_upstreams(LiveUpstreams({e.name: e for e in entries}, lapsed, True))
+    return controller
+
+
+def choose(controller: PlacementController, query: PlacementQuery = QUERY) -> str:
+    """Return where a request goes."""
+    return controller.choose(query).unwrap().upstream.name
+
+
+def test_the_data_centre_of_the_vm_goes_first_while_slots_are_free() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, make_entry("near"), make_entry("far", "dc1"))
+    assert choose(controller) == "near"
+    controller.begin("near", Runs(online=8))
+    assert choose(controller) == "far"
+
+
+def test_other_daemons_runs_count() -> None:
+    """A burst filled one engine eight times over while others had free slots.
+
+    Each VM saw only its own requests there.
+    """
+    clock = ManualClock()
+    controller = make_controller(clock, make_entry("a"), make_entry("b"))
+    controller.runs.take("other", {hash_name("a"): Runs(online=8)})
+    assert choose(controller) == "b"
+    controller.runs.take("other", {})
+    controller.runs.take("third", {hash_name("b"): Runs(online=8)})
+    assert choose(controller) == "a"
+    controller.runs.forget("third")
+    assert controller.runs.read_all(hash_name("b")) == Runs()
+
+
+def test_runs_of_a_silent_daemon_are_forgotten() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, make_entry("a"))
+    controller.runs.take("other", {hash_name("a"): Runs(online=8)})
+    clock.advance(5_000)
+    controller.runs.expire()
+    assert controller.runs.read_all(hash_name("a")) == Runs()
+
+
+def test_draining_tried_and_unknown_upstreams_get_nothing() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, make_entry("a"), make_entry("b", draining=True))
+    assert isinstance(controller.choose(PlacementQuery("s", frozenset({"a"}))), Err)
+    assert isinstance(controller.choose(PlacementQuery("other")), Err)
+
+
+@pytest.mark.parametrize(("note", "ms"), [("note_down", DOWN_MS), ("note_full", SHED_MS)])
+def test_an_upstream_that_failed_rests_and_comes_back(note: str, ms: int) -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, make_entry("a"))
+    getattr(controller, note)("a")
+    refused = controller.choose(QUERY)
+    assert isinstance(refused, Err) and 0 < refused.err_value.retry_after_ms <= ms
+    clock.advance(ms)
+    assert choose(controller) == "a"
+
+
+def test_anothers_doubt_and_a_lapsed_entry_count_only_against_better_ones() -> None:
+    clock = ManualClock()
+    entries = (make_entry("a"), make_entry("b", "dc1"), make_entry("c"))
+    controller = make_controller(clock, *entries, lapsed=frozenset({"c"}))
+    controller.note_doubts([hash_name("a")])
+    assert choose(controller) == "b"
+    assert choose(controller, PlacementQuery("s", frozenset({"b"}))) in ("a", "c")
+
+
+def test_prompts_with_the_same_beginning_go_to_the_same_upstream() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, *(make_entry(f"e{n}") for n in range(5)))
+    chosen = {choose(controller, PlacementQuery("s", affinity="part-7")) for _ in range(20)}
+    assert len(chosen) == 1
+
+
+def test_batch_leaves_a_slot_and_starts_nothing_in_a_burst() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, make_entry("a"), make_entry("b"))
+    started = 0
+    while (entry := controller.choose_for_batch("s")) is not None:
+        controller.begin(entry.name, Runs(batch=1))
+        started += 1
+    assert started == 2 * (8 - BATCH_RESERVE)
+    controller = make_controller(clock, make_entry("a"), make_entry("b"))
+    controller.begin("a", Runs(online=8))
+    controller.begin("b", Runs(online=6))
+    assert controller.choose_for_batch("s") is None
+
+
+def test_all_daemons_together_give_way_by_just_what_is_too_much() -> None:
+    """Batch runs gave way on every VM for the same request, and half an engine stood empty.
+
+    Each daemon finds its own part from the book that all of them hold; late runs go first.
+    """
+    clock = ManualClock()
+    held = {"v1": Runs(batch=3), "v2": Runs(batch=3, late=1), "v3": Runs(batch=1)}
+    parts: dict[str, int] = {}
+    for own in held:
+        controller = make_controller(clock, make_entry("a"))
+        controller.begin("a", held[own])
+        for other, runs in held.items():
+            if other != own:
+                controller.runs.take(other, {hash_name("a"): runs})
+        controller.runs.take("v4", {hash_name("a"): Runs(online=4)})
+        parts[own] = controller.count_yielding("a", own)
+    assert sum(parts.values()) == 3
+    assert parts["v2"] >= 1
+
+
+def test_nothing_gives_way_while_a_slot_is_free() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, make_entry("a"))
+    controller.begin("a", Runs(online=2, batch=6))
+    assert controller.count_yielding("a", "me") == 0
+
+
+def test_expected_waits_follow_what_runs_take() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, make_entry("a"))
+    for _ in range(200):
+        controller.note_run("s", 30.0, 1_600.0)
+    controller.begin("a", Runs(online=9))
+    placement = controller.choose(QUERY).unwrap()
+    assert placement.wait_ms == pytest.approx(2 * 1_600 / 8, rel=0.01)
+    assert placement.first_ms == pytest.approx(30, rel=0.01)
+
+
+def make_placement(wait_ms: float) -> Placement:
+    """Return a placement with an expected wait."""
+    return Placement(make_entry("a"), wait_ms, 50.0)
+
+
+@pytest.mark.parametrize(
+    ("wait_ms", "left_ms", "returns"),
+    [
+        (0, 5_000, False),
+        (200, 5_000, False),
+        # It would be late: sent away, it can be in time after the burst.
+        (400, 5_000, True),
+        # It has been sent away before: a late answer is better than none.
+        (400, 4_000, False),
+    ],
+)
+def test_who_is_sent_away(wait_ms: float, left_ms: int, returns: bool) -> None:
+    time = CallerTime(objective_ms=300, timeout_ms=5_000, left_ms=left_ms)
+    return_ms = decide_return(make_placement(wait_ms), time, random.Random(1))
+    assert (return_ms is not None) == returns
+    assert return_ms is None or 300 <= return_ms <= left_ms * 0.3
--- /dev/null
+++ b/tests/store/test_feed.py
@@ -0,0 +1,118 @@
+"""A feed through outages, lost history and silence."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+from goldcreststair.clock import LoopClock
+from goldcreststair.store.feed import FEED_WAIT_MS, TableFeed
+from goldcreststair.store.rows import RowKey, StoredRow
+from standins.rows import FakeRowStore
+from standins.virtual_time import run_virtual
+
+KEY = RowKey("t", "", "k")
+
+
+class Listener:
+    """Keeps what a feed brings."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, bytes] = {}
+        self.wholes = 0
+        self.contacts: list[bool] = []
+
+    def take_all(self, rows: Sequence[StoredRow]) -> None:
+        self.wholes += 1
+        self.rows = {row.key.key: row.value for row in rows}
+
+    def take_changes(self, rows: Sequence[StoredRow]) -> None:
+        for row in rows:
+            if row.deleted:
+                self.rows.pop(row.key.key, None)
+            else:
+                self.rows[row.key.key] = row.value
+
+    def note_contact(self, *, reached: bool) -> None:
+        self.contacts.append(reached)
+
+
+def run_feed(
+    scenario: Callable[[FakeRowStore, Listener, LoopClock], Awaitable[None]], whole: bool = True
+) -> None:
+    """Run a scenario with a feed that has read the table."""
+
+    async def async_run() -> None:
+        clock = LoopClock()
+        store, listener = FakeRowStore(clock), Listener()
+        store.put(KEY, b"0")
+        feed = TableFeed(store.view(), clock, "t", listener, whole=whole)
+        await feed.async_start()
+        await clock.async_sleep(50)
+        try:
+            await scenario(store, listener, clock)
+        finally:
+            await feed.async_close()
+
+    run_virtual(async_run())
+
+
+def test_changes_arrive_within_a_call() -> None:
+    async def scenario(store: FakeRowStore, listener: Listener, clock: LoopClock) -> None:
+        assert listener.rows == {"k": b"0"}
+        store.put(KEY, b"1")
+        await clock.async_sleep(10)
+        assert listener.rows == {"k": b"1"}
+        store.drop(KEY)
+        await clock.async_sleep(10)
+        assert listener.rows == {}
+
+    run_feed(scenario)
+
+
+def test_what_changed_during_an_outage_is_known_soon_after_it() -> None:
+    async def scenario(store: FakeRowStore, listener: Listener, clock: LoopClock) -> None:
+        store.faults.down = True
+        store.put(KEY, b"1")
+        await clock.async_sleep(8_000)
+        assert listener.contacts[-1] is False
+        store.faults.down = False
+        await clock.async_sleep(600)
+        assert listener.rows == {"k": b"1"} and listener.contacts[-1] is True
+
+    run_feed(scenario)
+
+
+def test_after_lost_history_all_is_read_again() -> None:
+    """An upstream that had left during a compaction went on getting requests.
+
+    The feed could not go on, and the rows removed meanwhile are in no later change.
+    """
+
+    async def scenario(store: FakeRowStore, listener: Listener, clock: LoopClock) -> None:
+        store.drop(KEY)
+        store.put(RowKey("t", "", "new"), b"2")
+        store.forget_history()
+        await clock.async_sleep(FEED_WAIT_MS + 1_000)
+        assert listener.rows == {"new": b"2"}
+
+    run_feed(scenario)
+
+
+def test_a_feed_that_fell_silent_is_replaced() -> None:
+    async def scenario(store: FakeRowStore, listener: Listener, clock: LoopClock) -> None:
+        store.faults.silent_feeds = True
+        await clock.async_sleep(FEED_WAIT_MS)
+        store.put(KEY, b"1")
+        store.faults.silent_feeds = False
+        await clock.async_sleep(4_500)
+        assert listener.rows == {"k": b"1"}
+
+    run_feed(scenario)
+
+
+def test_a_feed_that_is_not_whole_brings_only_what_changes() -> None:
+    async def scenario(store: FakeRowStore, listener: Listener, clock: LoopClock) -> None:
+        assert listener.rows == {}
+        store.put(RowKey("t", "club", "job"), b"1")
+        await clock.async_sleep(10)
+        assert listener.rows == {"job": b"1"}
+
+    run_feed(scenario, whole=False)
