Refuse requests that crash the upstreams that run them, at every VM

Cause: a request that crashes whatever runs it was sent on at each of its caller's attempts, by any VM; each crash ends all runs of an upstream. Only the number of attempts bounded it. Change: runs that one upstream loses within 60 ms are one crash if it takes no connection then; marks stand in the store, three crashes refuse the request at all VMs, told by beacons. Ruled out: counting lost connections alone (an upstream that resets one would blame what ran there; test). Stand-in: 3 crashes where 6 attempts would have made 6.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -22,6 +22,7 @@
 from goldcreststair.components.placement.admission import CallerTime, decide_return
 from goldcreststair.components.placement.models import Placement, PlacementQuery
 from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.components.quarantine.marks import CRASH_MARKS
 from goldcreststair.components.requests.models import AdmittedRequest
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.upstreams.dialect import RunCall
@@ -187,6 +188,8 @@
             progress.attempts += 1
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
             self._placement.note_down(entry, error.message, self._request.request_id)
+        elif error.failure is UpstreamFailure.LOST and not error.status:
+            self._core.get(CRASH_MARKS).report_lost(entry, self._admitted.fingerprint)
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.note_full(entry.name)
 
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -14,7 +14,8 @@
 from goldcreststair.components.jobs.desk import JOB_DESK
 from goldcreststair.components.online.budget import RetryBudget
 from goldcreststair.components.online.errors import Refusal, RefusalCode
-from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.components.quarantine.fingerprints import make_call_fingerprint
+from goldcreststair.components.quarantine.marks import CRASH_MARKS
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.admission import (
     choose_service,
@@ -45,7 +46,7 @@
         self._board = core.blackboard
         self._links = core.get(FLEET_LINKS)
         self._quotas = core.get(QUOTAS)
-        self._placement = core.get(PLACEMENT)
+        self._marks = core.get(CRASH_MARKS)
         self._desk = core.get(JOB_DESK)
         self._tools = ForwardingTools(core, RetryBudget(), SilenceWatcher(core.clock))
 
@@ -107,6 +108,12 @@
                 message = f"rate and burst of {customer.name} are spent: {seen}"
                 code = RefusalCode.RATE_LIMITED
                 return Err(Refusal(message, code, STATUS_TOO_MANY, True, wait_ms))
+        name = customer.name if customer is not None else ""
+        fingerprint = make_call_fingerprint(name, request.method, request.target, request.body)
+        if self._marks.is_refused(fingerprint):
+            message = f"fingerprint {fingerprint} crashed the upstreams that ran it"
+            code = RefusalCode.QUARANTINED
+            return Err(Refusal(message, code, STATUS_UNAVAILABLE, True))
         service = choose_service(route, self._core.random.random())
         ends_at = find_end(request, route)
-        return Ok(AdmittedRequest(request, route, customer, service, ends_at))
+        return Ok(AdmittedRequest(request, route, customer, service, ends_at, fingerprint))
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -30,6 +30,8 @@
 RETRY_MIN_MS: Final = 100
 RETRY_MAX_MS: Final = 2_000
 """Pauses before an item runs again after a failure: it may be what fails the upstreams."""
+POISON_PAUSE_MS: Final = 5_000
+"""How often an item that crashes upstreams is looked at again."""
 GAP_MS: Final = 700
 """Silence within a run after which it goes on elsewhere."""
 FIRST_MS: Final = 2_500
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -22,6 +22,7 @@
 from goldcreststair.components.jobs.const import (
     GIVE_UP_MARGIN_MS,
     LATE_FREE_SHARE,
+    POISON_PAUSE_MS,
     RUN_TIMEOUT_MS,
     STARTS_PER_TICK,
 )
@@ -32,6 +33,8 @@
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
 from goldcreststair.components.placement.loads import Runs
 from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.components.quarantine.fingerprints import make_call_fingerprint
+from goldcreststair.components.quarantine.marks import CRASH_MARKS
 from goldcreststair.components.requests.admission import choose_service
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.upstreams.dialect import RunCall
@@ -135,6 +138,10 @@
     def _start(self, ranked: RankedItem) -> bool:
         """Start an item; returns False if there is no slot for it."""
         job, item = ranked.job, ranked.item
+        if self._core.get(CRASH_MARKS).is_refused(_mark_item(job, item)):
+            # It waits until it may be given up: upstreams that it crashes run others' items as well.
+            item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
+            return True
         catalogue = self._core.blackboard.read(CATALOGUE)
         route = catalogue.find_route(job.record.route_host, item.item.path)
         if route is None:
@@ -244,6 +251,8 @@
         error = end.err_value
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
             self._placement.note_down(run.upstream, error.message, run.item.item.item)
+        elif error.failure is UpstreamFailure.LOST:
+            self._core.get(CRASH_MARKS).report_lost(run.upstream, _mark_item(run.job, run.item))
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.note_full(run.upstream.name)
 
@@ -282,6 +291,10 @@
         )
 
 
+def _mark_item(job: OwnedJob, item: ItemProgress) -> str:
+    return make_call_fingerprint(job.key.customer, METHOD, item.item.path, item.item.body)
+
+
 def _describe(end: Result[RunEnd, UpstreamError]) -> str:
     if isinstance(end, Err):
         return end.err_value.message
--- a/goldcreststair/components/requests/models.py
+++ b/goldcreststair/components/requests/models.py
@@ -43,6 +43,8 @@
     service: str
     ends_at: Millis
     """When its answer must be whole."""
+    fingerprint: str = ""
+    """Recognises it when its caller sends it again."""
 
     @property
     def affinity(self) -> str:
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -22,6 +22,7 @@
 )
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.components.quarantine.marks import async_setup_marks
 from goldcreststair.core import Component
 from goldcreststair.datagrams import UdpTransport
 from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
@@ -44,6 +45,7 @@
     discovery.async_setup,
     quotas.async_setup,
     placement.async_setup,
+    async_setup_marks,
     jobs.async_setup,
     forwarding.async_setup,
     metrics.async_setup,
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -26,6 +26,7 @@
   7: optional list<i32> suspects
   8: optional i32 batch_waiting
   9: optional bool store_away
+  10: optional list<string> refused
 }
 
 /** A daemon's session as it stands in the store. */
--- a/standins/chaos/__main__.py
+++ b/standins/chaos/__main__.py
@@ -91,9 +91,11 @@
     for lane in lanes:
         lane.start()
     time.sleep(seconds)
-    saboteur.heal()
+    saboteur.stop()
     for lane in lanes:
         lane.join(120)
+    # An engine that a lane has killed and not yet started again takes no call.
+    saboteur.heal()
     time.sleep(SETTLE_S)
     traffic.stop()
     stopped.set()
--- a/standins/chaos/faults.py
+++ b/standins/chaos/faults.py
@@ -183,9 +183,12 @@
         for thread in racing:
             thread.join(3 * OPERATOR_TIMEOUT_S)
 
-    def heal(self) -> None:
-        """Take every fault back."""
+    def stop(self) -> None:
+        """Begin no more faults, and cut short those under way."""
         self._stopped.set()
+
+    def heal(self) -> None:
+        """Take every fault back, once the lanes that apply them have ended."""
         self._fleet.set_faults("platform", {})
         for name in self._fleet.engines:
             self.set_poison(name)
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -242,10 +242,17 @@
             "data_centre": engine.data_centre,
             "slots": engine.slots,
             "draining": draining,
-            "started_ms": 1,
+            "started_ms": 1 + engine.restarts,
         }
         self.store.put(RowKey(TABLE_ENGINES, "", engine.name), orjson.dumps(entry))
 
+    def restart_engines(self) -> None:
+        """Start all engines that are down; they register as new ones."""
+        for engine in self.engines.by_address.values():
+            if not engine.up:
+                engine.up, engine.restarts = True, engine.restarts + 1
+                self.register(engine)
+
     def add_engines(self, count: int) -> list[RunEngine]:
         """Add engines and register them."""
         first = len(self.engines.by_address)
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -26,6 +26,7 @@
     event_ms: int = 30
     queue: int = 24
     up: bool = True
+    restarts: int = 0
     silent: bool = False
     """Whether it accepts connections and sends nothing more."""
     refuse: bool = False
@@ -51,6 +52,9 @@
     """By request id."""
     statuses: dict[str, int] = field(default_factory=dict)
     """Status of the answer to a request id, where it is no success."""
+    poison: bytes = b""
+    """A body that crashes each engine that runs it."""
+    crashes: int = 0
     at_work: Counter[str] = field(default_factory=Counter)
     """Runs under way, by request id."""
 
@@ -126,6 +130,9 @@
         status = engine.fail_status or self.statuses.get(call.request_id, 200)
         load = UpstreamLoad(engine.running, engine.waiting, engine.slots)
         head = RunHead(status, (("Stamp", engine.name),), False, False, load)
+        if self.poison and call.body == self.poison:
+            self.crashes += 1
+            engine.up = False
         await self.clock.async_sleep(engine.first_ms)
         lost = await self._async_check(engine)
         if lost is not None:
