Keep quotas when VMs lose only some of the others

Cause: a daemon that did not hear k of N others took (N-k)/N of each quota for the daemons it heard. Change: beacons say whom a daemon hears; only daemons that all hear the same set speak for the set's part, others keep to one part. Daemons not heard for 600 ms instead of 1,200 keep their part; what was spent twice until then is paid back once they are heard again. Ruled out: 1/N for all who miss anyone (a single lost VM would cost nine tenths of every quota); a shorter limit for all of HEARD_MS (callers' addresses would flap). Test replaced: "not paid for twice" let the other side spend 80 in 5 s of a quota of 10 a second without the share ever falling; now the share falls as in a fleet, the other side spends its part and nothing is charged.

--- a/goldcreststair/components/fleet/const.py
+++ b/goldcreststair/components/fleet/const.py
@@ -20,13 +20,17 @@
 HEARTBEAT_READ_MS: Final = 600
 """How often heartbeats are read while a daemon is not heard."""
 QUIET_MS: Final = 600
-"""A daemon not heard for so long has its heartbeat looked at, before callers must not get it."""
+"""A daemon not heard for so long has its heartbeat looked at, before callers must not get it, and its
+part of quotas is left to it: until then two daemons that lose each other both spend it."""
 ISOLATED_MS: Final = 1_500
 """A daemon that hears neither store nor peers for so long takes no requests: its keys may be
 withdrawn by now, and the others will soon count its share of quotas as theirs."""
 LOST_MS: Final = 2_000
 """A daemon that is not heard and whose heartbeat stands still for so long admits nothing any more:
 longer than `ISOLATED_MS`, so that it has stopped by the time its share is used by others."""
+SETTLE_MS: Final = 400
+"""Daemons may differ so long in whom they hear: they notice a daemon that falls silent one after
+the other, within a beacon's interval, and tell each other with the next one."""
 EXPIRE_MS: Final = 7_000
 """Such a daemon is taken off the list after so long."""
 STAND_STILL_MS: Final = 600
--- a/goldcreststair/components/fleet/controller.py
+++ b/goldcreststair/components/fleet/controller.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import reduce
+from operator import xor
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.fleet.const import (
@@ -12,8 +14,10 @@
     ISOLATED_MS,
     LOST_MS,
     QUIET_MS,
+    SETTLE_MS,
 )
 from goldcreststair.components.fleet.models import Fleet, FleetVm, VmState
+from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.const import MS_PER_SECOND
 
 
@@ -28,6 +32,8 @@
     """When its heartbeat row was last seen to change."""
     standing_ms: int = 0
     """How long reads since then have shown the same heartbeat."""
+    hears: int | None = None
+    """Whom it hears, by its last beacon; None if it does not say."""
 
     def last_sign_at(self) -> Millis:
         """Return when the daemon last showed that it lives."""
@@ -55,6 +61,7 @@
         self._known = False
         self._store_at = clock.now()
         self._peer_at = clock.now()
+        self._differs_since: Millis | None = None
 
     def set_own_state(self, state: VmState) -> None:
         """Take this daemon's own state."""
@@ -90,7 +97,7 @@
         """Drop a session that is no longer in the store."""
         self._peers.pop(session, None)
 
-    def hear(self, session: str, state: VmState) -> bool:
+    def hear(self, session: str, state: VmState, hears: int | None = None) -> bool:
         """Take a beacon; returns whether its sender is known."""
         now = self._clock.now()
         self._peer_at = now
@@ -99,6 +106,7 @@
             return False
         peer.heard_at = now
         peer.state = state
+        peer.hears = hears
         return True
 
     def take_heartbeats(self, heartbeats: Mapping[str, bytes]) -> None:
@@ -160,7 +168,26 @@
             if self._is_heard(peer):
                 states[session] = peer.state
         lost = frozenset(s for s in self._peers if s not in states and self.is_lost(s, LOST_MS))
-        return Fleet(self._own.session, vms, states, lost, self._known)
+        close = 1 + len(self._list_close())
+        agreed = self._check_agreed()
+        return Fleet(self._own.session, vms, states, lost, close, self._known, agreed)
+
+    def read_hears(self) -> int:
+        """Return whom this daemon hears, itself included, as one number for the beacon."""
+        return reduce(xor, map(hash_name, self._list_close()), hash_name(self._own.session))
+
+    def _list_close(self) -> list[str]:
+        return [s for s, peer in self._peers.items() if self._is_heard(peer, QUIET_MS)]
+
+    def _check_agreed(self) -> bool:
+        own = self.read_hears()
+        differs = any(self._peers[s].hears not in (None, own) for s in self._list_close())
+        now = self._clock.now()
+        if not differs:
+            self._differs_since = None
+            return True
+        self._differs_since = self._differs_since or now
+        return now - self._differs_since < SETTLE_MS
 
     def _is_heard(self, peer: _Peer, within_ms: int = HEARD_MS) -> bool:
         return peer.heard_at is not None and self._clock.now() - peer.heard_at <= within_ms
--- a/goldcreststair/components/fleet/models.py
+++ b/goldcreststair/components/fleet/models.py
@@ -41,8 +41,12 @@
     """By session, of those heard of late."""
     lost: frozenset[str] = frozenset()
     """Sessions that show no sign of life, in the store either: they admit nothing any more."""
+    close: int = 1
+    """How many daemons were heard just now, within a few beacons, this one included."""
     known: bool = False
     """Whether the store's list of sessions has been read."""
+    agreed: bool = True
+    """Whether the daemons heard just now say that they hear the same ones as this one does."""
 
     @property
     def heard(self) -> int:
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -227,6 +227,9 @@
             return
         self._section.write(fleet)
         _log_changes(before, fleet)
+        if fleet.close != before.close:
+            # Until the others know whom this daemon hears, their sets differ.
+            self.announce()
         for session in before.vms.keys() - fleet.vms.keys():
             self._heard.pop(session, None)
             self._with_store.discard(session)
@@ -240,10 +243,14 @@
         state = self._core.blackboard.read(OWN_STATE).state
         beacon = Beacon(self._own.session, self._sequence, int(state), 0)
         beacon.store_away = self._core.store_contact.is_away() or None
+        targets = self._choose_targets()
+        if len(targets) == len(self._core.blackboard.read(FLEET).vms) - 1:
+            # Where beacons go to a part of the fleet each time, no two daemons hear the same ones.
+            beacon.hears = self._controller.read_hears()
         for contribute in self._contributors:
             contribute(beacon)
         datagram = bytes((DatagramKind.BEACON,)) + encode_struct(beacon)
-        for vm in self._choose_targets():
+        for vm in targets:
             self._core.datagrams.send(vm.address, vm.peer_port, datagram)
 
     def _choose_targets(self) -> list[FleetVm]:
@@ -279,7 +286,7 @@
         except ValueError:
             return
         before = self._core.blackboard.read(FLEET).states.get(beacon.session)
-        if not self._controller.hear(beacon.session, state):
+        if not self._controller.hear(beacon.session, state, beacon.hears):
             return
         self._heard[beacon.session] = beacon.sequence
         if beacon.store_away:
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -11,7 +11,7 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.catalogue.models import CatalogueCustomer
-from goldcreststair.components.fleet.const import HEARD_MS
+from goldcreststair.components.fleet.const import QUIET_MS
 from goldcreststair.const import MS_PER_SECOND
 
 START_LEVEL: Final = 20.0
@@ -32,13 +32,25 @@
     """Daemons heard of late, this one included."""
     members: int = 1
     """Daemons that may be admitting requests, heard or not."""
+    agreed: bool = True
+    """Whether all daemons heard hear the same ones as this one."""
+
+    @property
+    def alone(self) -> bool:
+        """Whether this daemon can speak for no part but its own."""
+        # Shows as half as much again as the quota when two VMs lose each other while the rest hear
+        # both: each of the two counts the part of all others as its own and the other's, and all
+        # others give way. Sets of daemons that all hear exactly their own set cannot overlap, so
+        # that the parts of such sets add up to the whole; whoever is in none keeps to one part.
+        # A daemon that hears all counts what each of them spends, whatever they hear.
+        return self.heard < self.members and not self.agreed
 
     @property
     def fraction(self) -> float:
         """The part of each quota that the daemons heard may use."""
         # A daemon behind a cut goes on with its part: it is counted as spent here, so that both
         # sides of a cut together stay within the quota.
-        return self.heard / max(self.heard, self.members)
+        return (1 if self.alone else self.heard) / max(self.heard, self.members)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +74,8 @@
     admitted_at: Millis = Millis(0)
     unsure: bool = True
     """Whether the level is a guess that the word of another daemon replaces."""
+    withheld: float = 0.0
+    """Left to daemons that are not heard, and not yet known to be spent by them."""
 
 
 @dataclass(slots=True)
@@ -79,6 +93,8 @@
         self._buckets: dict[int, _Bucket] = {}
         self._peers: dict[str, _PeerCounts] = {}
         self._share = FleetShare()
+        self._whole_since: Millis | None = clock.now()
+        """Since when this daemon hears all others; None while it does not."""
         self._customers: Mapping[int, CatalogueCustomer] = {}
 
     def take_customers(self, customers: Mapping[int, CatalogueCustomer]) -> None:
@@ -95,9 +111,15 @@
             return
         self._refill_all()
         before, self._share = self._share.fraction, share
+        if share.fraction < 1:
+            self._whole_since = None
+        else:
+            self._whole_since = self._whole_since or self._clock.now()
         for key, bucket in self._buckets.items():
             if share.fraction < before:
-                bucket.level = min(bucket.level, bucket.level * share.fraction / before)
+                kept = min(bucket.level, bucket.level * share.fraction / before)
+                bucket.withheld += bucket.level - kept
+                bucket.level = kept
             elif self._is_unsure(bucket):
                 # While a fleet starts, each daemon hears one after the other of those that share the
                 # start's level with it.
@@ -107,9 +129,9 @@
         """Take what another daemon has admitted since it started."""
         known = self._peers.get(session)
         now = self._clock.now()
-        # What a daemon admitted before it was heard, or while it was not, only sets the mark: its
-        # part of the quota was not used here meanwhile, and would be paid for twice.
-        fresh = known is not None and now - known.at <= HEARD_MS
+        # What a daemon admitted before it was heard only sets the mark. What it admitted while it was
+        # silent is paid from the part that was withheld for it, and would else be paid for twice.
+        fresh = known is not None and now - known.at <= QUIET_MS
         before = known.by_customer if known else {}
         for key, count in counts.items():
             bucket = self._buckets.get(key)
@@ -122,6 +144,8 @@
                 self._charge(key, count.admitted - before[key].admitted)
             elif fresh:
                 self._charge(key, count.admitted)
+            elif key in before:
+                self._settle(key, count.admitted - before[key].admitted)
         self._peers[session] = _PeerCounts(now, {**before, **counts})
 
     def forget(self, session: str) -> None:
@@ -135,6 +159,8 @@
             bucket.level = min(bucket.level, 0.0)
             bucket.at = bucket.since = now
             bucket.unsure = True
+        # What the others admitted meanwhile was theirs to admit.
+        self._peers.clear()
 
     def admit(self, customer: CatalogueCustomer, key: int) -> int | None:
         """Count a request; returns None, or after how many ms there will be room."""
@@ -156,7 +182,8 @@
         """Return what a decision about a customer rests on, for the log."""
         bucket, share = self._buckets.get(key), self._share
         level = f"{bucket.level:.1f}" if bucket is not None else "unknown"
-        return f"level {level}, {share.heard} of {share.members} daemons heard"
+        alone = ", each keeps to its own part" if share.alone else ""
+        return f"level {level}, {share.heard} of {share.members} daemons heard{alone}"
 
     def list_counts(self) -> dict[int, AdmittedCount]:
         """Return what this daemon has admitted since it started, of the customers active here."""
@@ -180,9 +207,19 @@
     def _is_unsure(self, bucket: _Bucket) -> bool:
         return bucket.unsure and self._clock.now() - bucket.since <= UNSURE_MS
 
+    def _settle(self, key: int, admitted: int) -> None:
+        """Charge what a daemon admitted while it was silent beyond what was withheld for it."""
+        bucket = self._buckets[key]
+        self._refill(key, bucket)
+        # Shows as two bursts within one second: until two daemons notice that they do not hear each
+        # other, both spend the whole bucket. What was spent twice is paid back as soon as it shows.
+        paid = min(bucket.withheld, max(0, admitted))
+        bucket.withheld -= paid
+        self._charge(key, admitted - int(paid))
+
     def _charge(self, key: int, admitted: int) -> None:
         bucket = self._buckets.get(key)
-        if bucket is None or admitted <= 0:
+        if bucket is None or admitted <= 0 or self._share.alone:
             return
         self._refill(key, bucket)
         # VMs that admit at the same moment overdraw the bucket; a deep hole would refuse a
@@ -198,6 +235,9 @@
         customer = self._customers.get(key)
         if customer is not None:
             part = self._share.fraction
-            earned = (now - bucket.at) * customer.rate_per_s * part / MS_PER_SECOND
-            bucket.level = min(customer.burst * part, bucket.level + earned)
+            earned = (now - bucket.at) * customer.rate_per_s / MS_PER_SECOND
+            bucket.level = min(customer.burst * part, bucket.level + earned * part)
+            bucket.withheld += earned * (1 - part)
+        if self._whole_since is not None and now - self._whole_since > QUIET_MS:
+            bucket.withheld = 0.0
         bucket.at = now
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -61,7 +61,8 @@
         self._controller.take_customers({hash_name(c.name): c for c in customers})
 
     def _on_fleet(self, fleet: Fleet) -> None:
-        self._controller.take_share(FleetShare(fleet.heard, len(fleet.vms) - len(fleet.lost)))
+        members = len(fleet.vms) - len(fleet.lost)
+        self._controller.take_share(FleetShare(fleet.close, members, fleet.agreed))
 
     def _contribute(self, beacon: Beacon) -> None:
         beacon.admitted = [
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -27,6 +27,8 @@
   8: optional i32 batch_waiting
   9: optional bool store_away
   10: optional list<string> refused
+  /** Which daemons it hears, itself included; one number, equal for equal sets. */
+  11: optional i32 hears
 }
 
 /** A daemon's session as it stands in the store. */
--- a/tests/components/fleet/test_controller.py
+++ b/tests/components/fleet/test_controller.py
@@ -5,6 +5,7 @@
     HEARD_MS,
     ISOLATED_MS,
     LOST_MS,
+    SETTLE_MS,
 )
 from goldcreststair.components.fleet.controller import FleetController
 from goldcreststair.components.fleet.models import FleetVm, VmState
@@ -107,3 +108,25 @@
     controller.take_heartbeats({"a": b"1"})
     assert controller.list_expired() == [] and controller.read_fleet().lost == frozenset()
     assert controller.read_fleet().heard == 1
+
+
+def test_daemons_that_hear_different_ones_do_not_agree_for_long() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, "a", "b")
+    same = controller.read_hears()
+    controller.hear("a", VmState.READY, same)
+    controller.hear("b", VmState.READY, same)
+    assert controller.read_fleet().agreed
+    controller.hear("b", VmState.READY, same + 1)
+    assert controller.read_fleet().agreed
+    clock.advance(SETTLE_MS)
+    assert not controller.read_fleet().agreed
+    controller.hear("b", VmState.READY, same)
+    assert controller.read_fleet().agreed
+
+
+def test_a_daemon_that_does_not_say_whom_it_hears_differs_from_nobody() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, "a")
+    clock.advance(SETTLE_MS)
+    assert controller.read_fleet().agreed
--- a/tests/components/quotas/test_controller.py
+++ b/tests/components/quotas/test_controller.py
@@ -1,6 +1,7 @@
 """One customer's bucket on one daemon."""
 
 from goldcreststair.components.catalogue.models import CatalogueCustomer
+from goldcreststair.components.fleet.const import QUIET_MS
 from goldcreststair.components.quotas.controller import (
     AdmittedCount,
     FleetShare,
@@ -54,8 +55,54 @@
     clock = ManualClock()
     controller = make_controller(clock)
     controller.take_counts("other", {KEY: AdmittedCount(100)})
+    controller.take_share(FleetShare(heard=1, members=2))
     clock.advance(5_000)
-    controller.take_counts("other", {KEY: AdmittedCount(180)})
+    controller.take_counts("other", {KEY: AdmittedCount(130)})
+    controller.take_share(FleetShare(heard=2, members=2))
+    assert drain(controller) == 10
+    clock.advance(1_000)
+    assert drain(controller) == 10
+
+
+def test_what_was_spent_twice_before_a_cut_was_noticed_is_paid_back() -> None:
+    """Two VMs lost each other, and a hot customer got its burst from both of them within a second.
+
+    Each took the whole bucket for its own until it noticed the cut. When they hear each other again,
+    what the other one spent beyond its part is charged here.
+    """
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.take_counts("other", {KEY: AdmittedCount(100)})
+    clock.advance(QUIET_MS + 1)
+    controller.take_share(FleetShare(heard=1, members=2))
+    clock.advance(600)
+    controller.take_counts("other", {KEY: AdmittedCount(125)})
+    controller.take_share(FleetShare(heard=2, members=2))
+    # Its own 10 of the burst, less the 25 spent there, of which 10 + 3 had been withheld.
+    assert drain(controller) == 0
+    clock.advance(400)
+    assert drain(controller) in (1, 2)
+
+
+def test_a_daemon_without_a_common_set_of_others_keeps_to_one_part() -> None:
+    """Two VMs lost each other while the rest heard both; each spent all but the other's part.
+
+    Together they let half as much again through as the customer's quota, and the rest nothing.
+    """
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.take_counts("other", {KEY: AdmittedCount(0)})
+    controller.take_share(FleetShare(heard=3, members=4, agreed=False))
+    controller.take_counts("other", {KEY: AdmittedCount(3)})
+    assert drain(controller) == 5
+    clock.advance(1_000)
+    assert drain(controller) == 2
+
+
+def test_a_daemon_that_hears_all_is_not_bound_by_their_cuts() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.take_share(FleetShare(heard=4, members=4, agreed=False))
     assert drain(controller) == 20
 
 
--- a/tests/components/quotas/test_fleet.py
+++ b/tests/components/quotas/test_fleet.py
@@ -45,6 +45,25 @@
     fleet.datagrams.heal()
 
 
+async def async_cut_from_other_centres(fleet: GatewayFleet) -> None:
+    """Cut one daemon off from those of other data centres; its neighbours hear everyone."""
+    await fleet.clock.async_sleep(3_000)
+    lonely = fleet.members[0]
+    for other in fleet.members[1:]:
+        if other.core.settings.data_centre != lonely.core.settings.data_centre:
+            fleet.datagrams.cut(lonely.address, other.address)
+    await fleet.clock.async_sleep(9_000)
+    fleet.datagrams.heal()
+
+
+async def async_cut_pair(fleet: GatewayFleet) -> None:
+    """Cut two daemons off from each other; the rest hear both."""
+    await fleet.clock.async_sleep(3_000)
+    fleet.datagrams.cut(fleet.members[0].address, fleet.members[1].address)
+    await fleet.clock.async_sleep(9_000)
+    fleet.datagrams.heal()
+
+
 async def async_restart_some(fleet: GatewayFleet) -> None:
     """Kill three daemons one after another and start each again at its address."""
     for _ in range(3):
@@ -80,6 +99,7 @@
         async_nothing,
         async_cut_two,
         async_halve,
+        async_cut_from_other_centres,
         async_restart_some,
         async_restart_all,
         async_store_outage,
@@ -107,6 +127,26 @@
     assert found[0].admitted >= 0.5 * found[0].ideal
 
 
+def test_two_daemons_that_lose_each_other_do_not_each_spend_the_rest() -> None:
+    """Two VMs lost each other while all others heard both, and a hot customer got 1.6 times its rate.
+
+    Each of the two took all but the other's part for its own; the rest saw both and gave way.
+    """
+    found: list[QuotaFigures] = []
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        limits = {"name": "club", "rate_per_s": RATE, "burst": BURST}
+        fleet.write_catalogue(customers=(limits,))
+        await fleet.async_add_many(4)
+        await fleet.clock.async_sleep(2_000)
+        cutting = asyncio.create_task(async_cut_pair(fleet))
+        found.append(await async_drive(fleet, RATE, BURST, RATE * 8, 14, seed=1))
+        await cutting
+
+    run_fleet(scenario)
+    assert found[0].most_in_window <= BOUND
+
+
 def test_within_its_rate_a_customer_is_not_refused() -> None:
     """A customer that kept to its rate was refused one request in ten.
 
--- /dev/null
+++ b/tests/components/quotas/test_histories.py
@@ -0,0 +1,139 @@
+"""Quotas over histories of cuts, stops, freezes, restarts and outages that hypothesis draws."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from standins.gateways import FleetMember, GatewayFleet
+from standins.measure.quotas import QuotaFigures, async_drive
+from tests.helpers.gateways import run_fleet
+
+RATE = 30.0
+BURST = 30.0
+WINDOW_S = 5
+BOUND = (RATE * WINDOW_S + BURST) * 1.1 + 20
+"""The most that the users let a customer have in any window."""
+VMS = 4
+EXAMPLES = 12
+LONGEST_FREEZE_MS = 8_000
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One event, what it strikes, and how long the next one waits."""
+
+    kind: str
+    first: int
+    second: int
+    pause_ms: int
+
+
+STEPS = st.builds(
+    Step,
+    st.sampled_from(
+        ("cut", "isolate", "heal", "kill", "kill", "stop", "freeze", "add", "store", "turn_away")
+    ),
+    st.integers(0, VMS - 1),
+    st.integers(0, VMS - 1),
+    st.integers(50, 4_000),
+)
+
+
+class History:
+    """Plays steps on a fleet."""
+
+    def __init__(self, fleet: GatewayFleet) -> None:
+        """Nothing has happened."""
+        self._fleet = fleet
+        self._freezing: set[asyncio.Task[None]] = set()
+
+    async def async_play(self, steps: Sequence[Step]) -> None:
+        """Play all steps; at the end nothing is cut, and all that stood still go on."""
+        for step in steps:
+            await self._async_play_one(step)
+            await self._fleet.clock.async_sleep(step.pause_ms)
+        await asyncio.gather(*self._freezing)
+        self._fleet.datagrams.heal()
+        self._fleet.store.faults.down = False
+
+    async def _async_play_one(self, step: Step) -> None:
+        fleet = self._fleet
+        if step.kind == "heal":
+            fleet.datagrams.heal()
+        elif step.kind == "store":
+            fleet.store.faults.down = not fleet.store.faults.down
+        elif step.kind == "add":
+            if len(fleet.members) < VMS + 2:
+                await fleet.async_add()
+        elif len(fleet.members) > 1:
+            first = fleet.members[step.first % len(fleet.members)]
+            second = fleet.members[step.second % len(fleet.members)]
+            await self._async_strike(step, first, second)
+
+    async def _async_strike(self, step: Step, first: FleetMember, second: FleetMember) -> None:
+        fleet = self._fleet
+        if step.kind == "cut":
+            fleet.datagrams.cut(first.address, second.address)
+        elif step.kind == "isolate":
+            self._cut_off(first)
+        elif step.kind == "turn_away":
+            first.view.cut = not first.view.cut
+        elif step.kind == "kill":
+            await fleet.async_kill(first)
+            await fleet.async_add(first.address)
+        elif step.kind == "stop":
+            fleet.members.remove(first)
+            await first.gateway.async_close()
+        elif step.kind == "freeze":
+            gap_ms = min(LONGEST_FREEZE_MS, 1_000 + 2 * step.pause_ms)
+            self._freezing.add(asyncio.create_task(self._async_freeze(first, gap_ms)))
+
+    def _cut_off(self, member: FleetMember) -> None:
+        for other in self._fleet.members:
+            if other is not member:
+                self._fleet.datagrams.cut(member.address, other.address)
+
+    async def _async_freeze(self, member: FleetMember, gap_ms: int) -> None:
+        """Let a VM serve and say nothing for a while; then it learns how long it stood still."""
+        fleet = self._fleet
+        fleet.members.remove(member)
+        self._cut_off(member)
+        await fleet.clock.async_sleep(gap_ms)
+        for on_awake in member.core.on_awake:
+            on_awake(gap_ms)
+        fleet.datagrams.heal()
+        fleet.members.append(member)
+
+
+@settings(
+    max_examples=EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(st.lists(STEPS, min_size=3, max_size=9), st.integers(0, 1_000))
+def test_no_history_gives_a_hot_customer_more_than_its_quota(
+    steps: list[Step], seed: int
+) -> None:
+    """One customer sends four times its rate while VMs come, go, stand still and are cut off.
+
+    Each VM decides by what it last heard of the others. Whoever was heard when, all of them together let
+    no more through in any five seconds than the users allow.
+    """
+    found: list[QuotaFigures] = []
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        limits = {"name": "club", "rate_per_s": RATE, "burst": BURST}
+        fleet.write_catalogue(customers=(limits,))
+        await fleet.async_add_many(VMS)
+        await fleet.clock.async_sleep(2_000)
+        history = asyncio.create_task(History(fleet).async_play(steps))
+        length_s = sum(step.pause_ms for step in steps) / 1_000 + 6
+        found.append(await async_drive(fleet, RATE, BURST, RATE * 4, length_s, seed))
+        await history
+
+    run_fleet(scenario)
+    assert found[0].most_in_window <= BOUND
