--- a/tests/components/quotas/test_histories.py
+++ b/tests/components/quotas/test_histories.py
@@ -115,9 +115,7 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 @given(st.lists(STEPS, min_size=3, max_size=9), st.integers(0, 1_000))
-def test_no_history_gives_a_hot_customer_more_than_its_quota(
-    steps: list[Step], seed: int
-) -> None:
+def test_no_history_gives_a_hot_customer_more_than_its_quota(steps: list[Step], seed: int) -> None:
     """One customer sends four times its rate while VMs come, go, stand still and are cut off.
 
     Each VM decides by what it last heard of the others. Whoever was heard when, all of them together let
