--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -23,6 +23,7 @@
 from goldcreststair.components.placement.models import Placement, PlacementQuery
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quarantine.marks import CRASH_MARKS
+from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.upstreams.dialect import RunCall
@@ -55,6 +56,7 @@
         self._watcher = tools.watcher
         self._clock = core.clock
         self._placement = core.get(PLACEMENT)
+        self._quotas = core.get(QUOTAS)
         self._admitted = admitted
         self._request = admitted.request
         self._route = admitted.route
@@ -212,6 +214,8 @@
             self._responder.abort()
         else:
             self._responder.refuse(refusal)
+        if refusal.not_run and self._admitted.customer is not None:
+            self._quotas.refund(self._admitted.customer)
         outcome = "cut" if self._relay.has_begun else refusal.code.value
         self._core.meters.count_request(self._route.kind.value, outcome)
         log_refusal(self._request, refusal, cut=self._relay.has_begun)
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -101,6 +101,12 @@
             if isinstance(identified, Err):
                 return identified
             customer = identified.ok_value
+        name = customer.name if customer is not None else ""
+        fingerprint = make_call_fingerprint(name, request.method, request.target, request.body)
+        if self._marks.is_refused(fingerprint):
+            message = f"fingerprint {fingerprint} crashed the upstreams that ran it"
+            code = RefusalCode.QUARANTINED
+            return Err(Refusal(message, code, STATUS_UNAVAILABLE, True))
         if customer is not None and route.kind is not CallKind.BATCH:
             wait_ms = self._quotas.admit(customer)
             if wait_ms is not None:
@@ -108,12 +114,6 @@
                 message = f"rate and burst of {customer.name} are spent: {seen}"
                 code = RefusalCode.RATE_LIMITED
                 return Err(Refusal(message, code, STATUS_TOO_MANY, True, wait_ms))
-        name = customer.name if customer is not None else ""
-        fingerprint = make_call_fingerprint(name, request.method, request.target, request.body)
-        if self._marks.is_refused(fingerprint):
-            message = f"fingerprint {fingerprint} crashed the upstreams that ran it"
-            code = RefusalCode.QUARANTINED
-            return Err(Refusal(message, code, STATUS_UNAVAILABLE, True))
         service = choose_service(route, self._core.random.random())
         ends_at = find_end(request, route)
         return Ok(AdmittedRequest(request, route, customer, service, ends_at, fingerprint))
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -212,6 +212,14 @@
         bucket.admitted_at = self._clock.now()
         return None
 
+    def refund(self, key: int) -> None:
+        """Take back the count of a request that was refused and never ran."""
+        bucket = self._buckets.get(key)
+        # Shows as callers who were sent away in an overload and are then refused for their quota.
+        if bucket is not None and bucket.admitted:
+            bucket.admitted -= 1
+            bucket.level += 1
+
     def describe(self, key: int) -> str:
         """Return what a decision about a customer rests on, for the log."""
         bucket, share = self._buckets.get(key), self._share
@@ -260,14 +268,17 @@
         # other, both spend the whole bucket. What was spent twice is paid back as soon as it shows.
         paid = min(bucket.withheld, max(0, admitted))
         bucket.withheld -= paid
-        self._charge(key, admitted - int(paid))
+        self._take(key, bucket, admitted - paid)
 
     def _charge(self, key: int, admitted: int) -> None:
         bucket = self._buckets.get(key)
-        if bucket is None or admitted <= 0 or self._share.alone:
+        if bucket is None or not admitted or self._share.alone:
             return
         self._refill(key, bucket)
-        # VMs that admit at the same moment overdraw the bucket; a deep hole would refuse a
+        self._take(key, bucket, admitted)
+
+    def _take(self, key: int, bucket: _Bucket, admitted: float) -> None:
+        # VMs that admit at the same moment overdraw the bucket; a deeper hole would refuse a
         # customer for seconds for what may also be a counter gone wrong.
         bucket.level = max(-self._customers[key].burst, bucket.level - admitted)
 
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -57,6 +57,10 @@
             self._links.announce()
         return refused
 
+    def refund(self, customer: CatalogueCustomer) -> None:
+        """Take back the count of a request that was refused and never ran."""
+        self._controller.refund(hash_name(customer.name))
+
     def describe(self, customer: CatalogueCustomer) -> str:
         """Return what a decision about a customer rests on, for the log."""
         return self._controller.describe(hash_name(customer.name))
--- a/tests/components/quotas/test_fleet.py
+++ b/tests/components/quotas/test_fleet.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from standins.gateways import GatewayFleet
+from standins.gateways import FakeResponder, GatewayFleet
 from standins.measure.quotas import QuotaFigures, async_drive
-from tests.helpers.gateways import run_fleet
+from tests.helpers.gateways import async_send, run_fleet
 
 RATE = 34.0
 BURST = 34.0
@@ -182,3 +182,28 @@
 
     run_fleet(scenario)
     assert found[0].most_in_window <= (5 * WINDOW_S + 5) * 1.1 + 20
+
+
+def test_a_request_that_was_refused_unrun_costs_no_quota() -> None:
+    """In an overload callers were sent away with a time to come back, and then refused for their quota.
+
+    Each try had been counted before it was known that no upstream had room for it; none of them ran.
+    """
+    refused: list[FakeResponder] = []
+    answered: list[FakeResponder] = []
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        limits = {"name": "club", "rate_per_s": 1.0, "burst": 5.0}
+        fleet.write_catalogue(customers=(limits,))
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(6_000)
+        for _ in range(5):
+            refused.append(await async_send(fleet, first, "/stream/x"))
+        fleet.add_engines(1)
+        await fleet.clock.async_sleep(300)
+        for member in (first, second, first, second, first):
+            answered.append(await async_send(fleet, member, "/stream/x"))
+
+    run_fleet(scenario)
+    assert all(r.refusal is not None and r.refusal.not_run for r in refused)
+    assert [responder.refusal for responder in answered] == [None] * 5
