--- a/goldcreststair/components/fleet/controller.py
+++ b/goldcreststair/components/fleet/controller.py
@@ -63,6 +63,8 @@
         self._store_at = clock.now()
         self._peer_at = clock.now()
         self._differs_since: Millis | None = None
+        self._strangers: dict[str, Millis] = {}
+        """Sessions heard that are not known, and when."""
 
     def set_own_state(self, state: VmState) -> None:
         """Take this daemon's own state."""
@@ -104,6 +106,7 @@
         self._peer_at = now
         peer = self._peers.get(session)
         if peer is None:
+            self._strangers[session] = now
             return False
         peer.heard_at = now
         peer.state = state
@@ -170,8 +173,16 @@
                 states[session] = peer.state
         lost = frozenset(s for s in self._peers if s not in states and self.is_lost(s, LOST_MS))
         close = 1 + len(self._list_close())
-        agreed = self._check_agreed()
-        return Fleet(self._own.session, vms, states, lost, close, self._known, agreed)
+        strangers, agreed = self._count_strangers(), self._check_agreed()
+        return Fleet(self._own.session, vms, states, lost, close, strangers, self._known, agreed)
+
+    def _count_strangers(self) -> int:
+        # Shows as more than a quota while the store turns a VM away: a daemon that was added meanwhile
+        # has its part, and this one shares the whole among those that it knows.
+        horizon = self._clock.now() - HEARD_MS
+        heard = {s: at for s, at in self._strangers.items() if at >= horizon}
+        self._strangers = {s: at for s, at in heard.items() if s not in self._peers}
+        return len(self._strangers)
 
     def read_hears(self) -> int:
         """Return whom this daemon hears, itself included, as one number for the beacon."""
--- a/goldcreststair/components/fleet/models.py
+++ b/goldcreststair/components/fleet/models.py
@@ -43,6 +43,8 @@
     """Sessions that show no sign of life, in the store either: they admit nothing any more."""
     close: int = 1
     """How many daemons were heard just now, within a few beacons, this one included."""
+    strangers: int = 0
+    """Daemons heard whose session this daemon does not know: it cannot read the store's list."""
     known: bool = False
     """Whether the store's list of sessions has been read."""
     agreed: bool = True
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -24,32 +24,6 @@
 """Counters of customers that have been quiet for longer are not sent again."""
 
 
-TOLERANCE_SHARE: Final = 0.15
-"""Part of the operators' tolerance that stands in for daemons that are not heard. The rest is for what
-two daemons both spend until they notice that they lost each other."""
-
-
-@dataclass(frozen=True, slots=True)
-class QuotaTolerance:
-    """How far a customer may go beyond its quota while daemons do not hear each other."""
-
-    window_s: float = 5.0
-    """Quotas are judged over spans of this length."""
-    overrun: float = 0.1
-    """Share of the quota of one span."""
-    slack: float = 20.0
-    """Requests in one span, beside the share."""
-
-    def read_spare(self, customer: CatalogueCustomer) -> float:
-        """Return what a customer's quota may grow by meanwhile, as a share of itself.
-
-        >>> QuotaTolerance().read_spare(CatalogueCustomer("club", 10.0, 10.0))
-        0.065
-        """
-        quota = customer.rate_per_s * self.window_s + customer.burst
-        return TOLERANCE_SHARE * (self.overrun + self.slack / max(1.0, quota))
-
-
 @dataclass(frozen=True, slots=True)
 class FleetShare:
     """How much of the fleet this daemon can speak for."""
@@ -78,11 +52,6 @@
         # sides of a cut together stay within the quota.
         return (1 if self.alone else self.heard) / max(self.heard, self.members)
 
-    def read_part(self, spare: float) -> float:
-        """Return the part of one quota that may grow by `spare`."""
-        # Each side of a cut takes its part of the tolerance only: all sides together take it once.
-        return min(1.0, self.fraction * (1 + spare))
-
 
 @dataclass(frozen=True, slots=True)
 class AdmittedCount:
@@ -118,10 +87,9 @@
 class QuotaController:
     """One bucket for each customer, from all daemons' counters."""
 
-    def __init__(self, clock: Clock, tolerance: QuotaTolerance | None = None) -> None:
+    def __init__(self, clock: Clock) -> None:
         """Start with empty buckets."""
         self._clock = clock
-        self._tolerance = tolerance or QuotaTolerance()
         self._buckets: dict[int, _Bucket] = {}
         self._peers: dict[str, _PeerCounts] = {}
         self._share = FleetShare()
@@ -142,22 +110,20 @@
         if share == self._share:
             return
         self._refill_all()
-        before, self._share = self._share, share
+        before, self._share = self._share.fraction, share
         if share.fraction < 1:
             self._whole_since = None
         else:
             self._whole_since = self._whole_since or self._clock.now()
         for key, bucket in self._buckets.items():
-            spare = self._read_spare(key)
-            part, part_before = share.read_part(spare), before.read_part(spare)
-            if part < part_before:
-                kept = min(bucket.level, bucket.level * part / part_before)
+            if share.fraction < before:
+                kept = min(bucket.level, bucket.level * share.fraction / before)
                 bucket.withheld += bucket.level - kept
                 bucket.level = kept
             elif self._is_unsure(bucket):
                 # While a fleet starts, each daemon hears one after the other of those that share the
                 # start's level with it.
-                bucket.level += (part - part_before) * self._find_start_level(key)
+                bucket.level += (share.fraction - before) * self._find_start_level(key)
 
     def take_counts(self, session: str, counts: Mapping[int, AdmittedCount]) -> None:
         """Take what another daemon has admitted since it started."""
@@ -205,7 +171,7 @@
             bucket = self._buckets[key] = self._make_bucket(key)
         self._refill(key, bucket)
         if bucket.level < 1:
-            rate = customer.rate_per_s * self._read_part(key)
+            rate = customer.rate_per_s * self._share.fraction
             return int((1 - bucket.level) / rate * MS_PER_SECOND) + 1
         bucket.level -= 1
         bucket.admitted += 1
@@ -246,13 +212,6 @@
         now = self._clock.now()
         return _Bucket(self._find_start_level(key) * self._share.fraction, now, now)
 
-    def _read_spare(self, key: int) -> float:
-        customer = self._customers.get(key)
-        return self._tolerance.read_spare(customer) if customer is not None else 0.0
-
-    def _read_part(self, key: int) -> float:
-        return self._share.read_part(self._read_spare(key))
-
     def _find_start_level(self, key: int) -> float:
         customer = self._customers.get(key)
         return min(START_LEVEL, customer.burst) if customer is not None else 0.0
@@ -290,7 +249,7 @@
         now = self._clock.now()
         customer = self._customers.get(key)
         if customer is not None:
-            part = self._read_part(key)
+            part = self._share.fraction
             earned = (now - bucket.at) * customer.rate_per_s / MS_PER_SECOND
             bucket.level = min(customer.burst * part, bucket.level + earned * part)
             bucket.withheld += earned * (1 - part)
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -10,7 +10,6 @@
     AdmittedCount,
     FleetShare,
     QuotaController,
-    QuotaTolerance,
 )
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
@@ -23,11 +22,7 @@
     def __init__(self, core: GatewayCore) -> None:
         """Follow nothing yet."""
         self._core = core
-        settings = core.settings
-        tolerance = QuotaTolerance(
-            settings.quota_window_s, settings.quota_overrun, settings.quota_slack
-        )
-        self._controller = QuotaController(core.clock, tolerance)
+        self._controller = QuotaController(core.clock)
         self._links = core.get(FLEET_LINKS)
         self._links.contribute(self._contribute)
         self._links.watch(self._on_beacon, self._controller.forget)
@@ -70,7 +65,7 @@
         self._controller.take_customers({hash_name(c.name): c for c in customers})
 
     def _on_fleet(self, fleet: Fleet) -> None:
-        members = len(fleet.vms) - len(fleet.lost)
+        members = len(fleet.vms) - len(fleet.lost) + fleet.strangers
         self._controller.take_share(FleetShare(fleet.close, members, fleet.agreed))
 
     def _contribute(self, beacon: Beacon) -> None:
--- a/goldcreststair/gateway_settings.py
+++ b/goldcreststair/gateway_settings.py
@@ -43,14 +43,6 @@
         float, Parameter(help="A job stays readable so long after it was submitted, s.")
     ] = 120.0
 
-    quota_window_s: Annotated[float, Parameter(help="Span over which quotas hold, s.")] = 5.0
-    quota_overrun: Annotated[
-        float, Parameter(help="Tolerated beyond a quota while VMs are cut off, as a share of it.")
-    ] = 0.1
-    quota_slack: Annotated[
-        float, Parameter(help="Tolerated beside the share, requests in one span.")
-    ] = 20.0
-
     @property
     def seed_addresses(self) -> tuple[str, ...]:
         """The seeds, without this VM itself."""
@@ -80,9 +72,6 @@
         ("memory_mb", check_range(settings.memory_mb, 64, 1_000_000)),
         ("grace_s", "" if settings.grace_s > 0 else "must be above 0"),
         ("job_read_s", "" if settings.job_read_s > 0 else "must be above 0"),
-        ("quota_window_s", "" if settings.quota_window_s > 0 else "must be above 0"),
-        ("quota_overrun", "" if settings.quota_overrun >= 0 else "must not be negative"),
-        ("quota_slack", "" if settings.quota_slack >= 0 else "must not be negative"),
         ("log_level", "" if settings.log_level in LOG_LEVELS else f"must be one of {LOG_LEVELS}"),
         *(("seeds", check_ip(seed)) for seed in settings.seed_addresses),
     ]
--- a/tests/components/fleet/test_controller.py
+++ b/tests/components/fleet/test_controller.py
@@ -130,3 +130,15 @@
     controller = make_controller(clock, "a")
     clock.advance(SETTLE_MS)
     assert controller.read_fleet().agreed
+
+
+def test_a_daemon_that_is_heard_but_not_known_counts_as_a_stranger() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock, "a")
+    assert not controller.hear("new", VmState.READY)
+    assert controller.read_fleet().strangers == 1
+    controller.add(make_vm("new"))
+    assert controller.read_fleet().strangers == 0
+    controller.hear("other", VmState.READY)
+    clock.advance(HEARD_MS + 1)
+    assert controller.read_fleet().strangers == 0
