Bound what a VM admits before it hears the others

Cause: two VMs that lose everyone within a second, and the rest, each spent the whole bucket. A trace of the history shows that of 53 requests admitted in the first 250 ms the VM that was cut off admitted 14 to 27: the burst is gone before any silence can show, so that no shorter time of notice mends it. Change: until all other daemons have been heard again, a daemon admits at most twice its even part of a burst (a fifth at least, three requests in any case).

--- a/goldcreststair/components/fleet/controller.py
+++ b/goldcreststair/components/fleet/controller.py
@@ -188,6 +188,11 @@
         """Return whom this daemon hears, itself included, as one number for the beacon."""
         return reduce(xor, map(hash_name, self._list_close()), hash_name(self._own.session))
 
+    def read_all_heard_at(self) -> Millis:
+        """Return since when every daemon that counts as heard has been heard; now if there is none."""
+        times = [self._peers[session].heard_at or Millis(0) for session in self._list_close()]
+        return min(times, default=self._clock.now())
+
     def has_mesh(self) -> bool:
         """Return whether each beacon goes to every other daemon."""
         return len(self._peers) <= BEACON_FAN_OUT
--- a/goldcreststair/components/fleet/protocols.py
+++ b/goldcreststair/components/fleet/protocols.py
@@ -7,6 +7,7 @@
 
 from result import Result
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.fleet.asks import AskError, AskKind, OnAsk
 from goldcreststair.core import ComponentKey
 
@@ -60,6 +61,9 @@
     def read_contact_age_ms(self) -> int:
         """Return the ms since the store or another daemon was heard; 0 if there is no other."""
 
+    def read_all_heard_at(self) -> Millis:
+        """Return since when every daemon that counts as heard has been heard; now if there is none."""
+
     def is_lost(self, session: str, after_ms: int) -> bool:
         """Return whether a daemon has shown no sign of life for so long, the store included."""
 
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -175,6 +175,10 @@
         self._check_awake()
         return self._controller.read_contact_age_ms()
 
+    def read_all_heard_at(self) -> Millis:
+        """Return since when every daemon that counts as heard has been heard; now if there is none."""
+        return self._controller.read_all_heard_at()
+
     def is_lost(self, session: str, after_ms: int) -> bool:
         """Return whether a daemon has shown no sign of life for so long, the store included."""
         return self._controller.is_lost(session, after_ms)
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -11,7 +11,7 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.catalogue.models import CatalogueCustomer
-from goldcreststair.components.fleet.const import QUIET_MS
+from goldcreststair.components.fleet.const import BEACON_INTERVAL_MS, QUIET_MS
 from goldcreststair.const import MS_PER_SECOND
 
 START_LEVEL: Final = 20.0
@@ -20,6 +20,12 @@
 for it come back at once."""
 UNSURE_MS: Final = 1_000
 """A daemon that has just started takes another one's word for a level within this time."""
+UNHEARD_EVEN_SHARES: Final = 2.0
+"""A daemon may admit so many times its even part of a burst before it has heard all others again."""
+MIN_UNHEARD_SHARE: Final = 0.2
+"""The same as a part of the burst, in a fleet of many daemons."""
+MIN_UNHEARD: Final = 3
+"""Requests that it may admit so in any case."""
 ACTIVE_MS: Final = 3_000
 """Counters of customers that have been quiet for longer are not sent again."""
 
@@ -74,6 +80,10 @@
     admitted_at: Millis = Millis(0)
     unsure: bool = True
     """Whether the level is a guess that the word of another daemon replaces."""
+    unheard: int = 0
+    """Admitted by this daemon since `unheard_since`."""
+    unheard_since: Millis = Millis(0)
+    """Not all other daemons have been heard since."""
     withheld: float = 0.0
     """Left to daemons that are not heard, and not yet known to be spent by them."""
 
@@ -162,8 +172,13 @@
         # What the others admitted meanwhile was theirs to admit.
         self._peers.clear()
 
-    def admit(self, customer: CatalogueCustomer, key: int) -> int | None:
-        """Count a request; returns None, or after how many ms there will be room."""
+    def admit(
+        self, customer: CatalogueCustomer, key: int, all_heard_at: Millis | None = None
+    ) -> int | None:
+        """Count a request; returns None, or after how many ms there will be room.
+
+        `all_heard_at` is since when all other daemons have been heard; None if there is no other.
+        """
         if customer.rate_per_s <= 0:
             return None
         bucket = self._buckets.get(key)
@@ -173,11 +188,28 @@
         if bucket.level < 1:
             rate = customer.rate_per_s * self._share.fraction
             return int((1 - bucket.level) / rate * MS_PER_SECOND) + 1
+        if all_heard_at is not None and not self._may_go_on_unheard(customer, bucket, all_heard_at):
+            return BEACON_INTERVAL_MS
         bucket.level -= 1
         bucket.admitted += 1
         bucket.admitted_at = self._clock.now()
         return None
 
+    def _may_go_on_unheard(
+        self, customer: CatalogueCustomer, bucket: _Bucket, all_heard_at: Millis
+    ) -> bool:
+        """Return whether the burst may be spent further before all other daemons are heard again."""
+        # Until a cut is noticed, both its sides spend the whole bucket: shows as a burst more than the
+        # quota for each VM that loses everyone at a full bucket. Callers reach all VMs alike, so that
+        # a VM which spends far more than its part before the others' next beacons is likely cut off.
+        if all_heard_at > bucket.unheard_since:
+            bucket.unheard, bucket.unheard_since = 0, self._clock.now()
+        share = max(UNHEARD_EVEN_SHARES / max(1, self._share.members), MIN_UNHEARD_SHARE)
+        if bucket.unheard >= max(MIN_UNHEARD, customer.burst * share):
+            return False
+        bucket.unheard += 1
+        return True
+
     def refund(self, key: int) -> None:
         """Take back the count of a request that was refused and never ran."""
         bucket = self._buckets.get(key)
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -47,7 +47,8 @@
 
     def admit(self, customer: CatalogueCustomer) -> int | None:
         """Count a request; returns None, or after how many ms there will be room."""
-        refused = self._controller.admit(customer, hash_name(customer.name))
+        heard_at = self._links.read_all_heard_at()
+        refused = self._controller.admit(customer, hash_name(customer.name), heard_at)
         if refused is None and customer.rate_per_s > 0:
             self._links.announce()
         return refused
--- a/tests/components/quotas/test_controller.py
+++ b/tests/components/quotas/test_controller.py
@@ -1,5 +1,7 @@
 """One customer's bucket on one daemon."""
 
+import pytest
+
 from goldcreststair.components.catalogue.models import CatalogueCustomer
 from goldcreststair.components.fleet.const import QUIET_MS
 from goldcreststair.components.quotas.controller import (
@@ -164,3 +166,41 @@
     while controller.admit(large, KEY) is None:
         admitted += 1
     assert admitted == 20
+
+
+@pytest.mark.parametrize(
+    ("members", "heard_ms_after", "admitted"),
+    [
+        # Alone in the fleet, nobody else can spend the burst.
+        (1, None, 20),
+        # Twice its even part of a burst of 20, until the others are heard again.
+        (4, 0, 10),
+        (12, 0, 4),
+        # Heard since the burst began, the others have told what they spent.
+        (4, 50, 20),
+    ],
+)
+def test_a_vm_spends_its_part_of_a_burst_before_it_hears_the_others(
+    members: int, heard_ms_after: int | None, admitted: int
+) -> None:
+    """A hot customer got three bursts within a second when two VMs lost everyone.
+
+    The callers reach all VMs alike. Each of the two, and the rest, spent the whole bucket in the time
+    that it takes to notice a silence.
+    """
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.take_share(FleetShare(heard=members, members=members))
+    heard_at = None if heard_ms_after is None else clock.now()
+    count = 0
+    while controller.admit(CLUB, KEY, heard_at) is None:
+        count += 1
+        if heard_ms_after:
+            clock.advance(heard_ms_after)
+            heard_at = clock.now()
+        if count == 20:
+            break
+    assert count == admitted
+    if admitted < 20:
+        clock.advance(1)
+        assert controller.admit(CLUB, KEY, clock.now()) is None
