Save items' progress in the store and hand jobs over with it

VMs that were stopped in turn kept each job until its last run had ended, started nothing more meanwhile, and the next owner began every item anew; so it did after a loss of all VMs. Change: each second the owner saves the whole events of its begun items in rows of their own, under the version of the job's row; the next owner goes on after the last one. A leaving daemon lets runs end for 800 ms, then gives its jobs away with what they have brought, in the same transaction. Progress goes with the result. Ruled out: copies at a second daemon, which the loss of all VMs takes as well, and which is state of our own where the store is.

--- a/goldcreststair/components/jobs/book.py
+++ b/goldcreststair/components/jobs/book.py
@@ -40,6 +40,13 @@
     last_event: int = 0
     data: list[bytes] = field(default_factory=list)
     """Data of the events so far, kept when a run gives way or is lost."""
+    saved_event: int = 0
+    """Events so far that stand in the store as well."""
+
+    def resume(self, last_event: int, text: bytes) -> None:
+        """Go on after what an earlier owner's runs had brought."""
+        self.last_event = self.saved_event = last_event
+        self.data = [text]
 
 
 @dataclass(slots=True)
--- a/goldcreststair/components/jobs/codec.py
+++ b/goldcreststair/components/jobs/codec.py
@@ -9,6 +9,8 @@
     JobKey,
     JobRecord,
     OpenJob,
+    SavedProgress,
+    name_progress,
     name_result,
 )
 from goldcreststair.store.rows import RowKey, StoredRow
@@ -18,6 +20,7 @@
     JobBodies,
     JobRow,
     OpenRow,
+    ProgressRow,
     ResultRow,
 )
 
@@ -122,3 +125,19 @@
         results.append(ItemResult(first.item, first.done, text))
         at = end
     return results
+
+
+def encode_progress(key: JobKey, progress: SavedProgress) -> tuple[RowKey, bytes]:
+    """Return the row of an item's progress."""
+    encoded = encode_struct(ProgressRow(progress.last_event, progress.text))
+    return name_progress(key, progress.number), encoded
+
+
+def decode_progress(rows: Iterable[StoredRow]) -> list[SavedProgress]:
+    """Return the progress of items; the row's key says whose each is."""
+    found = []
+    for row in rows:
+        read = read_struct(ProgressRow, row.value)
+        number = int(row.key.key.rpartition("/")[2])
+        found.append(SavedProgress(number, read.last_event, read.text))
+    return found
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -38,6 +38,21 @@
 """Silence before a run's first event: it may wait in the upstream's queue."""
 RUN_TIMEOUT_MS: Final = 60_000
 
+CHECKPOINT_MS: Final = 1_000
+"""How often the progress of a job's items is saved, in a small fleet: what a lost VM's runs had brought
+is then run again for half a second on average, of some four that an item takes."""
+CHECKPOINTS_PER_S: Final = 100
+"""Saves of all daemons together, an eighth of the transactions that the store takes; a large fleet saves
+less often."""
+CHECKPOINT_EVENTS: Final = 20
+"""Fewer new events than this are not worth a row: they are run again in less than half a second."""
+CHECKPOINT_GROWTH: Final = 1.2
+"""An answer is saved again once it has grown by so much, so that the bytes written for a long one stay
+within a few times its length."""
+HAND_OVER_MS: Final = 800
+"""A leaving daemon's runs may end for so long before their jobs go to another one with what they have
+brought: a run that moves loses some 150 ms, and a job that stays keeps its waiting items from starting."""
+
 LEASE_MS: Final = 1_500
 """An owner that has heard neither store nor peers for so long answers readers from the store only:
 another daemon may have taken its jobs over and listed more."""
@@ -64,5 +79,6 @@
 TABLE_JOBS: Final = "jobs"
 TABLE_OPEN: Final = "jobs_open"
 TABLE_RESULTS: Final = "job_results"
+TABLE_PROGRESS: Final = "job_progress"
 TABLE_ENDS: Final = "job_ends"
 TABLE_ORDER: Final = "job_order"
--- a/goldcreststair/components/jobs/lister.py
+++ b/goldcreststair/components/jobs/lister.py
@@ -74,15 +74,18 @@
 
     def _prepare(self, job: OwnedJob) -> tuple[Listing, int]:
         taken: list[tuple[int, ItemResult]] = []
+        saved: list[int] = []
         entries = size = 0
         for item, result in job.finished:
-            entries += 1 + len(result.text) // TEXT_PART_BYTES
+            entries += 1 + len(result.text) // TEXT_PART_BYTES + bool(item.saved_event)
             size += len(result.text)
             if taken and (entries > MAX_COMMIT_ENTRIES or size > MAX_COMMIT_BYTES):
                 break
             taken.append((item.item.tokens, result))
+            if item.saved_event:
+                saved.append(item.number)
         failures = tuple(item.failures for item in job.items)
-        return self._records.prepare_listing(job.open, taken, failures), len(taken)
+        return self._records.prepare_listing(job.open, taken, failures, saved), len(taken)
 
     async def _async_settle(self, job: OwnedJob, listing: Listing) -> bool:
         """Try one listing until it is made or the job is lost; returns whether it was made."""
--- a/goldcreststair/components/jobs/models.py
+++ b/goldcreststair/components/jobs/models.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from goldcreststair.components.jobs.const import TABLE_RESULTS
+from goldcreststair.components.jobs.const import TABLE_PROGRESS, TABLE_RESULTS
 from goldcreststair.store.rows import RowKey
 
 
@@ -78,6 +78,17 @@
     """The data of all events, joined by line feeds."""
 
 
+@dataclass(frozen=True, slots=True)
+class SavedProgress:
+    """What an item that is not listed has brought so far."""
+
+    number: int
+    """Place of the item in its job."""
+    last_event: int
+    text: bytes
+    """The data of its events from the first to `last_event`, joined by line feeds."""
+
+
 @dataclass(frozen=True, slots=True)
 class ResultPage:
     """Results from one position on."""
@@ -133,3 +144,12 @@
     """
     suffix = f"/{position:06d}" + (f"/{part:02d}" if part else "")
     return name_row(TABLE_RESULTS, key, suffix)
+
+
+def name_progress(key: JobKey, number: int) -> RowKey:
+    """Return where the progress of an item stands.
+
+    >>> name_progress(JobKey("c", "j"), 3).key
+    'j/000003'
+    """
+    return name_row(TABLE_PROGRESS, key, f"/{number:06d}")
--- a/goldcreststair/components/jobs/records.py
+++ b/goldcreststair/components/jobs/records.py
@@ -10,19 +10,24 @@
 from goldcreststair.clock import Clock
 from goldcreststair.components.jobs.codec import (
     decode_open,
+    decode_progress,
     decode_record,
     decode_results,
     encode_items,
     encode_open,
+    encode_progress,
     encode_record,
     encode_result,
 )
 from goldcreststair.components.jobs.const import (
     ACCEPT_TRIES,
+    MAX_COMMIT_ENTRIES,
     TABLE_ENDS,
     TABLE_JOBS,
     TABLE_OPEN,
     TABLE_ORDER,
+    TABLE_PROGRESS,
+    TABLE_RESULTS,
     USAGE_STRICT_SHARE,
 )
 from goldcreststair.components.jobs.errors import JobError, JobLost, JobProblem
@@ -31,8 +36,10 @@
     JobKey,
     JobRecord,
     OpenJob,
+    SavedProgress,
     Submission,
     Usage,
+    name_progress,
     name_result,
     name_row,
 )
@@ -58,6 +65,8 @@
     before: OpenJob
     after: OpenJob
     puts: tuple[tuple[RowKey, bytes], ...]
+    deletes: tuple[RowKey, ...] = ()
+    """Rows of progress that the results make needless."""
 
 
 class StoreTime:
@@ -165,11 +174,16 @@
         return await self._store.async_get_object(name)
 
     def prepare_listing(
-        self, job: OpenJob, results: Sequence[tuple[int, ItemResult]], failures: tuple[int, ...]
+        self,
+        job: OpenJob,
+        results: Sequence[tuple[int, ItemResult]],
+        failures: tuple[int, ...],
+        saved: Sequence[int] = (),
     ) -> Listing:
         """Return the change that lists results at the next positions.
 
-        `results` pairs the tokens of each item with its result.
+        `results` pairs the tokens of each item with its result; `saved` numbers those of the items
+        whose progress stands in the store.
         """
         puts = [
             row
@@ -184,7 +198,8 @@
             failures=failures,
             commit=secrets.token_hex(4),
         )
-        return Listing(job, after, tuple(puts))
+        deletes = tuple(name_progress(job.key, number) for number in saved)
+        return Listing(job, after, tuple(puts), deletes)
 
     async def async_list_results(
         self, listing: Listing
@@ -195,7 +210,9 @@
         own row is written under its version, so that an owner that was paused and replaced cannot
         list anything.
         """
-        return await self._async_change(listing.before, listing.after, listing.puts)
+        return await self._async_change(
+            listing.before, listing.after, listing.puts, listing.deletes
+        )
 
     async def async_close_job(self, job: OpenJob) -> Result[None, PlatformError | JobLost]:
         """Take a job whose items are all listed off the open ones."""
@@ -210,12 +227,33 @@
         return closed
 
     async def async_assign(
-        self, job: OpenJob, owner: str
+        self, job: OpenJob, owner: str, progress: Sequence[SavedProgress] = ()
     ) -> Result[OpenJob, PlatformError | JobLost]:
-        """Make a daemon the owner of a job."""
-        return await self._async_change(
-            job, replace(job, owner=owner, commit=secrets.token_hex(4)), ()
-        )
+        """Make a daemon the owner of a job, and leave it what its items have brought."""
+        puts = tuple(encode_progress(job.key, saved) for saved in progress)
+        after = replace(job, owner=owner, commit=secrets.token_hex(4))
+        return await self._async_change(job, after, puts)
+
+    async def async_save_progress(
+        self, job: OpenJob, progress: Sequence[SavedProgress]
+    ) -> Result[None, PlatformError | RowsConflict]:
+        """Save what items have brought; a conflict means that the job's own row has changed.
+
+        Rows of a job that is finished, ended or another daemon's must not come back: nothing would
+        remove them.
+        """
+        open_row = name_row(TABLE_OPEN, job.key)
+        puts = tuple(encode_progress(job.key, saved) for saved in progress)
+        saving = Transaction(puts, conditions=((open_row, job.version),))
+        committed = await self._store.async_commit(saving)
+        return committed.map(lambda _: None)
+
+    async def async_read_progress(self, key: JobKey) -> Result[list[SavedProgress], PlatformError]:
+        """Return what the items that are not listed have brought, as far as it was saved."""
+        first = name_progress(key, 0)
+        end = name_row(first.table, key, "0").key
+        read = await async_read_all(self._store, RowRange(first.table, first.part, first.key, end))
+        return read.map(lambda page: decode_progress(page.rows))
 
     async def async_end(self, key: JobKey) -> Result[bool, JobError]:
         """End a job; returns False if there is none."""
@@ -241,26 +279,32 @@
 
     async def async_remove(self, record: JobRecord) -> Result[None, PlatformError]:
         """Remove a finished job and its results for good."""
-        first = name_result(record.key, 0)
-        end = name_row(first.table, record.key, "0").key
+        for table in (TABLE_PROGRESS, TABLE_RESULTS):
+            cleared = await self._async_clear(table, record.key)
+            if isinstance(cleared, Err):
+                return cleared
+        rows = (name_row(TABLE_JOBS, record.key), name_row(TABLE_ENDS, record.key))
+        removed = await self._store.async_commit(Transaction(deletes=rows))
+        if isinstance(removed, Err):
+            return removed
+        return await self.async_drop_object(record.body_object)
+
+    async def _async_clear(self, table: str, key: JobKey) -> Result[None, PlatformError]:
+        """Remove all rows of a job's items from one table."""
+        first, end = name_row(table, key, "/"), name_row(table, key, "0").key
         while True:
-            wanted = RowRange(first.table, first.part, first.key, end, limit=90)
+            wanted = RowRange(table, first.part, first.key, end, limit=MAX_COMMIT_ENTRIES)
             read = await self._store.async_read(wanted)
             if isinstance(read, Err):
                 return read
             rows = tuple(row.key for row in read.ok_value.rows)
-            last = not read.ok_value.truncated
-            rest = (
-                name_row(TABLE_JOBS, record.key),
-                name_row(TABLE_ENDS, record.key),
-            )
-            removed = await self._store.async_commit(
-                Transaction(deletes=rows + rest if last else rows)
+            removed = (
+                await self._store.async_commit(Transaction(deletes=rows)) if rows else Ok(None)
             )
             if isinstance(removed, Err):
                 return removed
-            if last:
-                return await self.async_drop_object(record.body_object)
+            if not read.ok_value.truncated:
+                return Ok(None)
 
     async def async_drop_object(self, name: str) -> Result[None, PlatformError]:
         """Remove the object of a job's items."""
@@ -362,11 +406,15 @@
         return Ok((record, replace(opened, version=rows[0].version)))
 
     async def _async_change(
-        self, before: OpenJob, after: OpenJob, puts: tuple[tuple[RowKey, bytes], ...]
+        self,
+        before: OpenJob,
+        after: OpenJob,
+        puts: tuple[tuple[RowKey, bytes], ...],
+        deletes: tuple[RowKey, ...] = (),
     ) -> Result[OpenJob, PlatformError | JobLost]:
         row = name_row(TABLE_OPEN, before.key)
         transaction = Transaction(
-            (*puts, (row, encode_open(after))), conditions=((row, before.version),)
+            (*puts, (row, encode_open(after))), deletes, ((row, before.version),)
         )
         committed = await self._store.async_commit(transaction)
         if isinstance(committed, Err) and isinstance(committed.err_value, PlatformOutcomeUnknown):
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -11,8 +11,10 @@
 from goldcreststair.components.fleet.asks import AskKind
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind
 from goldcreststair.components.jobs.book import ItemProgress, ItemState, JobBook, OwnedJob
+from goldcreststair.components.jobs.checkpoints import CheckpointWriter, list_unsaved
 from goldcreststair.components.jobs.codec import decode_items
 from goldcreststair.components.jobs.const import (
+    HAND_OVER_MS,
     IDLE_TICK_MS,
     LEASE_MS,
     TICK_MS,
@@ -60,6 +62,9 @@
         self._book = JobBook()
         self._lister = JobLister(core, self._records, self._on_listed, self._drop)
         self._executor = ItemExecutor(core, self._book, self._lister, self._count_others_urgent)
+        self._checkpoints = CheckpointWriter(
+            core, self._book, self._records, self._lister, lambda job: self._doubted.add(job.key)
+        )
         self._others_urgent: dict[str, tuple[Millis, int]] = {}
         """By session: when it was heard, and how many of its items wait that can be in time."""
         self._sweeper = JobSweeper(core, self._records, self)
@@ -84,9 +89,11 @@
             asyncio.create_task(self._async_settle_doubts()),
         ]
         await self._sweeper.async_start()
+        await self._checkpoints.async_start()
 
     async def async_close(self) -> None:
         """Stop; what is not listed goes on elsewhere."""
+        await self._checkpoints.async_close()
         await self._sweeper.async_close()
         tasks = [*self._tasks, *self._loading.values()]
         for task in tasks:
@@ -261,7 +268,8 @@
             return
         content = await self._records.async_read_object(record.ok_value.body_object)
         listed = await self._records.async_read_all_results(key, opened.ok_value.listed)
-        if isinstance(content, Err) or isinstance(listed, Err):
+        progress = await self._records.async_read_progress(key)
+        if isinstance(content, Err) or isinstance(listed, Err) or isinstance(progress, Err):
             _LOGGER.warning("Job not loaded", extra={"job": key.job})
             return
         items = decode_items(content.ok_value)
@@ -274,8 +282,15 @@
         for item in job.items:
             if item.item.item in done:
                 item.state = ItemState.LISTED
+        for saved in progress.ok_value:
+            job.items[saved.number].resume(saved.last_event, saved.text)
         self._reader.note_record(record.ok_value)
-        extra = {"job": key.job, "customer": key.customer, "listed": len(job.listed)}
+        extra = {
+            "job": key.job,
+            "customer": key.customer,
+            "listed": len(job.listed),
+            "begun": len(progress.ok_value),
+        }
         _LOGGER.info("Job taken over", extra=extra)
         self._core.meters.count_job("taken_over")
         if job.is_whole:
@@ -374,18 +389,22 @@
             event.set()
 
     async def _async_hand_over(self) -> None:
-        """Give each job away once none of its items runs and all results are listed."""
+        """Give each job away once all results are listed, and its runs have had time to end."""
+        began_at = self._clock.now()
         while self._book.jobs:
+            waited = self._clock.now() - began_at >= HAND_OVER_MS
             for job in tuple(self._book.jobs.values()):
-                if self._executor.is_idle(job) and self._lister.is_idle(job):
+                if self._lister.is_idle(job) and (waited or self._executor.is_idle(job)):
                     await self._async_give(job)
             await self._clock.async_sleep(TICK_MS)
 
     async def _async_give(self, job: OwnedJob) -> None:
+        """Make another daemon the owner; runs go on until the store has agreed."""
         session = choose_owner(self._core, job.key)
         if not session:
             return
-        given = await self._records.async_assign(job.open, session)
+        unsaved = list_unsaved(job, all_of_it=True)
+        given = await self._records.async_assign(job.open, session, unsaved)
         if isinstance(given, Err):
             _LOGGER.warning("Job not handed over: %s", given.err_value.message)
             await self._clock.async_sleep(TICK_MS * 5)
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -15,6 +15,13 @@
   3: optional i32 level
 }
 
+/** How long the answers of one route's items are, and how fast they come, by a hash of its name. */
+struct WorkPace {
+  1: required i32 route
+  2: required double events_per_token
+  3: required double event_ms
+}
+
 /** What a daemon says of itself to others, whole in each datagram. */
 struct Beacon {
   1: required string session
@@ -29,6 +36,9 @@
   10: optional list<string> refused
   /** Which daemons it hears, itself included; one number, equal for equal sets. */
   11: optional i32 hears
+  12: optional list<WorkPace> paces
+  /** Time to spare, in ms, of the most urgent items that wait for a slot, the smallest first. */
+  13: optional list<i32> spare_ms
 }
 
 /** A daemon's session as it stands in the store. */
@@ -83,6 +93,12 @@
   4: required i16 parts
 }
 
+/** What an item that is not listed has brought so far: whole events from the first one on. */
+struct ProgressRow {
+  1: required i32 last_event
+  2: required binary text
+}
+
 /** One item of a job as its caller sent it. */
 struct ItemBody {
   1: required string item
--- /dev/null
+++ b/tests/components/jobs/test_checkpoints.py
@@ -0,0 +1,50 @@
+"""Which progress of items is saved."""
+
+import pytest
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.jobs.book import ItemProgress, ItemState, OwnedJob
+from goldcreststair.components.jobs.checkpoints import list_unsaved
+from goldcreststair.components.jobs.const import TEXT_PART_BYTES
+from goldcreststair.components.jobs.models import JobItem, JobKey, JobRecord, OpenJob
+
+
+def make_job(item: ItemProgress) -> OwnedJob:
+    """Return a job of one item."""
+    key = JobKey("club", "digest")
+    record = JobRecord(key, "host", "/batch/", 1, 0, "object")
+    opened = OpenJob(key, "me", "", 0, 1, "route")
+    return OwnedJob(record, opened, [item], Millis(1_000), Millis(2_000))
+
+
+@pytest.mark.parametrize(
+    ("state", "last_event", "saved_event", "all_of_it", "saved"),
+    [
+        (ItemState.RUNNING, 20, 0, False, True),
+        (ItemState.WAITING, 20, 0, False, True),
+        # Too few new events to be worth a row, unless the job moves.
+        (ItemState.RUNNING, 19, 0, False, False),
+        (ItemState.RUNNING, 19, 0, True, True),
+        # A long answer is written whole each time, so it has to have grown by a fifth.
+        (ItemState.RUNNING, 1_030, 1_000, False, False),
+        (ItemState.RUNNING, 1_200, 1_000, False, True),
+        (ItemState.RUNNING, 1_030, 1_000, True, True),
+        (ItemState.RUNNING, 1_000, 1_000, True, False),
+        # Its result is on its way to the store.
+        (ItemState.FINISHED, 100, 0, True, False),
+        (ItemState.LISTED, 100, 0, True, False),
+    ],
+)
+def test_progress_worth_saving(
+    state: ItemState, last_event: int, saved_event: int, all_of_it: bool, saved: bool
+) -> None:
+    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, state)
+    item.last_event, item.saved_event, item.data = last_event, saved_event, [b"one", b"two"]
+    found = list_unsaved(make_job(item), all_of_it=all_of_it)
+    assert [(each.last_event, each.text) for each in found] == [(last_event, b"one\ntwo")] * saved
+
+
+def test_an_answer_too_long_for_a_row_keeps_what_was_saved_before() -> None:
+    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, ItemState.RUNNING)
+    item.last_event, item.data = 50, [b"x" * (TEXT_PART_BYTES + 1)]
+    assert list_unsaved(make_job(item), all_of_it=True) == []
--- a/tests/components/jobs/test_ownership.py
+++ b/tests/components/jobs/test_ownership.py
@@ -3,9 +3,13 @@
 import asyncio
 
 from goldcreststair.components.entry.service import ENTRY
-from goldcreststair.components.jobs.models import JobKey
+from goldcreststair.components.jobs.const import TABLE_PROGRESS
+from goldcreststair.components.jobs.models import JobKey, SavedProgress
 from goldcreststair.components.jobs.protocols import JOBS
+from goldcreststair.components.jobs.records import JobRecords
+from goldcreststair.store.rows import RowsConflict
 from standins.gateways import GatewayFleet
+from standins.run_engines import make_text
 from tests.helpers.gateways import CUSTOMER, async_read, async_submit, run_fleet
 
 
@@ -82,3 +86,96 @@
         assert sorted(set(ran)) == sorted(ran), "no item ran twice"
 
     run_fleet(scenario)
+
+
+def list_first_events(fleet: GatewayFleet, since: int) -> dict[str, int]:
+    """Return after which event each item's last run went on, for runs begun after `since` calls."""
+    calls = [call for engine in fleet.engines.by_address.values() for call in engine.ran[since:]]
+    return {call.request_id: call.resume_after for call in calls}
+
+
+def test_a_killed_owners_items_go_on_where_they_were() -> None:
+    """All items of a job were late: their VM lost power when each had four of its five seconds done.
+
+    What a run had brought was known to its owner only. The next owner ran every item from its first
+    event on, in slots that other jobs needed to be in time.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (engine,) = fleet.add_engines(1)
+        fleet.engines.events_of = {f"digest-{n}": 150 for n in range(5)}
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, first, "digest", 5)).accepted
+        await fleet.clock.async_sleep(4_000)
+        before = len(engine.ran)
+        await fleet.async_kill(first)
+        await fleet.clock.async_sleep(9_000)
+        resumed = list_first_events(fleet, before)
+        assert len(resumed) == 5
+        # 30 ms an event, and a save each second: of some 130 events 40 at most are run again.
+        assert min(resumed.values()) >= 90, resumed
+        page = await async_read(second, "digest")
+        texts = {result.item: result.text for result in page.results}
+        assert texts == {f"digest-{n}": make_text(f"digest-{n}", 150) for n in range(5)}
+        assert not [key for key in fleet.store.rows if key.table == TABLE_PROGRESS]
+
+    run_fleet(scenario)
+
+
+def test_a_leaving_owners_items_go_on_where_they_were() -> None:
+    """VMs were replaced in turn, and jobs whose owner left were late although slots were free.
+
+    A burst took the slots of the leaving VM's runs; it starts nothing more, and the job stayed there
+    until its last run had ended. Then its items began anew at the next owner.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (engine,) = fleet.add_engines(1)
+        fleet.engines.events_of = {f"digest-{n}": 150 for n in range(5)}
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, first, "digest", 5)).accepted
+        await fleet.clock.async_sleep(2_500)
+        before = len(engine.ran)
+        first.core.get(ENTRY).leave()
+        await fleet.clock.async_sleep(1_500)
+        resumed = list_first_events(fleet, before)
+        assert len(resumed) == 5
+        assert min(resumed.values()) >= 90, resumed
+        await fleet.clock.async_sleep(4_000)
+        page = await async_read(second, "digest")
+        texts = {result.item: result.text for result in page.results}
+        assert texts == {f"digest-{n}": make_text(f"digest-{n}", 150) for n in range(5)}
+
+    run_fleet(scenario)
+
+
+def test_progress_of_a_job_that_ended_is_not_saved_any_more() -> None:
+    """Rows of a job that its caller had ended stayed in the store for good.
+
+    Its owner was about to save the progress of its items when the end came: a save that is made after the
+    end, or after the job went to another owner, would write rows that nobody removes any more.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, member, "digest", 3)).accepted
+        key = JobKey(CUSTOMER, "digest")
+        records = JobRecords(fleet.store.view(), fleet.clock)
+        opened = (await records.async_find_open(key)).unwrap()
+        assert opened is not None
+        progress = [SavedProgress(0, 20, b"text")]
+        assert (await records.async_save_progress(opened, progress)).is_ok()
+        saved = (await records.async_read_progress(key)).unwrap()
+        assert saved == progress
+        assert (await records.async_end(key)).is_ok()
+        late = await records.async_save_progress(opened, [SavedProgress(1, 20, b"text")])
+        assert isinstance(late.unwrap_err(), RowsConflict)
+        record = (await records.async_find(key)).unwrap()
+        assert record is not None
+        assert (await records.async_remove(record)).is_ok()
+        assert not [row for row in fleet.store.rows if row.table == TABLE_PROGRESS]
+
+    run_fleet(scenario)
