Learn how long items take by route and from all daemons

Change: length and pace are learned by route; the first answer counts in full; beacons carry what was learned, and a daemon without answers of its own takes it. Where nobody has seen an answer an item is not known to be late. The tests of a daemon that just started, and of one that heard another, are new with it; the former failed with the old estimate (13.7 s of 12 s left).

--- a/goldcreststair/components/jobs/book.py
+++ b/goldcreststair/components/jobs/book.py
@@ -31,6 +31,8 @@
     item: JobItem
     number: int
     """Its place in the job."""
+    route: int = 0
+    """Names the route of its job, by the hash that beacons carry."""
     state: ItemState = ItemState.WAITING
     failures: int = 0
     """Runs that an upstream answered with a failure."""
--- a/goldcreststair/components/jobs/estimate.py
+++ b/goldcreststair/components/jobs/estimate.py
@@ -1,39 +1,76 @@
-"""How long an item still takes, learned from those that ended; no I/O."""
+"""How long an item still takes, learned from those that ended here or at other daemons; no I/O.
 
+Load it answers: VMs that are replaced in turn or return all at once while jobs wait. A daemon that has
+just started has seen no answer; a guess of its own made it count items as late that had three times the
+time they needed, and they were never started.
+"""
+
+from collections import Counter, OrderedDict
+from dataclasses import dataclass
 from typing import Final
 
 from goldcreststair.components.jobs.book import ItemProgress
 
-DEFAULT_EVENTS_PER_TOKEN: Final = 0.12
-"""Events of an answer for each token that its request may take, until answers have been seen."""
 DEFAULT_EVENT_MS: Final = 30.0
 """Time between two events, until runs have been seen."""
 START_MS: Final = 60.0
 """Time to a run's first event."""
 SMOOTHING: Final = 0.1
-"""Weight of one more answer in both means: about the last ten count."""
+"""Least weight of one more answer in both means: about the last ten count."""
 MIN_LEFT_EVENTS: Final = 5
-"""An answer that is longer than usual is taken to end after so many more."""
+"""An answer that is longer than usual is taken to end after so many more; so is one of a route whose
+answers nobody has seen: whether it can be in time is not known, so that it may start."""
+MAX_PACES: Final = 4
+"""Routes whose paces a beacon carries, those learned last: 20 bytes each."""
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """What the answers of one route's items are like."""
+
+    events_per_token: float
+    """Events of an answer for each token that its request may take."""
+    event_ms: float
+    """Time between two events."""
 
 
 class WorkEstimate:
-    """Learns the length of answers against their requests' tokens, and the pace of events."""
+    """Learns, by route, the length of answers against their requests' tokens, and the pace of events."""
 
     def __init__(self) -> None:
-        """Start from the defaults."""
-        self._events_per_token = DEFAULT_EVENTS_PER_TOKEN
-        self._event_ms = DEFAULT_EVENT_MS
+        """Know nothing."""
+        self._paces: OrderedDict[int, Pace] = OrderedDict()
+        self._seen: Counter[int] = Counter()
+        """Whole answers seen here, by route."""
 
     def learn(self, item: ItemProgress, run_events: int, run_ms: int) -> None:
         """Take a whole answer, and the events and time of its last run."""
-        if item.item.tokens > 0:
-            found = item.last_event / item.item.tokens
-            self._events_per_token += SMOOTHING * (found - self._events_per_token)
+        if item.item.tokens <= 0:
+            return
+        self._seen[item.route] += 1
+        # The first answers count in full: what the guess before them said is no evidence.
+        weight = max(SMOOTHING, 1 / self._seen[item.route])
+        length = item.last_event / item.item.tokens
+        known = self._paces.get(item.route, Pace(length, DEFAULT_EVENT_MS))
+        event_ms = known.event_ms
         if run_events > MIN_LEFT_EVENTS:
-            pace = max(0.0, run_ms - START_MS) / run_events
-            self._event_ms += SMOOTHING * (pace - self._event_ms)
+            event_ms += weight * (max(0.0, run_ms - START_MS) / run_events - event_ms)
+        length = known.events_per_token + weight * (length - known.events_per_token)
+        self._paces[item.route] = Pace(length, event_ms)
+        self._paces.move_to_end(item.route)
+
+    def hear(self, route: int, pace: Pace) -> None:
+        """Take another daemon's word for a route of which no answer was seen here."""
+        if not self._seen[route]:
+            self._paces[route] = pace
+
+    def list_learned(self) -> dict[int, Pace]:
+        """Return what was learned here, of the routes learned last."""
+        learned = [route for route in reversed(self._paces) if self._seen[route]]
+        return {route: self._paces[route] for route in learned[:MAX_PACES]}
 
     def read_left_ms(self, item: ItemProgress) -> float:
         """Return how long an item takes from a start now to its end."""
-        expected = item.item.tokens * self._events_per_token
-        return START_MS + max(MIN_LEFT_EVENTS, expected - item.last_event) * self._event_ms
+        pace = self._paces.get(item.route, Pace(0.0, DEFAULT_EVENT_MS))
+        expected = item.item.tokens * pace.events_per_token
+        return START_MS + max(MIN_LEFT_EVENTS, expected - item.last_event) * pace.event_ms
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -77,13 +77,14 @@
         core: GatewayCore,
         book: JobBook,
         lister: JobLister,
+        estimate: WorkEstimate,
         read_others_urgent: Callable[[], int],
     ) -> None:
         """Run nothing yet; `read_others_urgent` counts what waits at other daemons in time."""
         self.urgent_waiting = 0
         """Items that wait here and can be in time."""
         self._read_others_urgent = read_others_urgent
-        self._estimate = WorkEstimate()
+        self._estimate = estimate
         self._core = core
         self._clock = core.clock
         self._book = book
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -9,7 +9,7 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.fleet.asks import AskKind
-from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind
+from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind, hash_name
 from goldcreststair.components.jobs.book import ItemProgress, ItemState, JobBook, OwnedJob
 from goldcreststair.components.jobs.checkpoints import CheckpointWriter, list_unsaved
 from goldcreststair.components.jobs.codec import decode_items
@@ -21,6 +21,7 @@
     URGENT_NEWS_MS,
 )
 from goldcreststair.components.jobs.errors import JobError, JobProblem
+from goldcreststair.components.jobs.estimate import Pace, WorkEstimate
 from goldcreststair.components.jobs.execution import ItemExecutor
 from goldcreststair.components.jobs.lister import JobLister
 from goldcreststair.components.jobs.models import (
@@ -37,7 +38,7 @@
 from goldcreststair.components.jobs.sweeping import JobSweeper, choose_owner
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.wire.codec import decode_struct, encode_struct
-from goldcreststair.wire.generated.gateway.ttypes import Beacon, JobNotice
+from goldcreststair.wire.generated.gateway.ttypes import Beacon, JobNotice, WorkPace
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -61,7 +62,11 @@
         self._reader = JobReader(self._records, core.clock)
         self._book = JobBook()
         self._lister = JobLister(core, self._records, self._on_listed, self._drop)
-        self._executor = ItemExecutor(core, self._book, self._lister, self._count_others_urgent)
+        self.estimate = WorkEstimate()
+        """What items of each route take, as far as it is known here."""
+        self._executor = ItemExecutor(
+            core, self._book, self._lister, self.estimate, self._count_others_urgent
+        )
         self._checkpoints = CheckpointWriter(
             core, self._book, self._records, self._lister, lambda job: self._doubted.add(job.key)
         )
@@ -240,10 +245,11 @@
         if record.key in self._ended:
             return
         turn = self._records.time.turn
-        route = self._executor.find_route(record)
-        due_ms = route.batch.due_ms if route is not None and route.batch else DEFAULT_DUE_MS
+        found = self._executor.find_route(record)
+        due_ms = found.batch.due_ms if found is not None and found.batch else DEFAULT_DUE_MS
+        route = hash_name(opened.route)
         progress = [
-            ItemProgress(item, number, failures=failures)
+            ItemProgress(item, number, route, failures=failures)
             for number, (item, failures) in enumerate(
                 zip(items, opened.failures or (0,) * len(items), strict=False)
             )
@@ -345,8 +351,15 @@
 
     def _contribute(self, beacon: Beacon) -> None:
         beacon.batch_waiting = self._executor.urgent_waiting or None
+        learned = self.estimate.list_learned()
+        beacon.paces = [
+            WorkPace(route, pace.events_per_token, pace.event_ms) for route, pace in learned.items()
+        ] or None
 
     def _on_beacon(self, session: str, beacon: Beacon) -> None:
+        for heard in beacon.paces or ():
+            pace = Pace(heard.events_per_token, heard.event_ms)
+            self.estimate.hear(heard.route, pace)
         self._others_urgent[session] = (self._clock.now(), beacon.batch_waiting or 0)
 
     def _forget(self, session: str) -> None:
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -22,6 +22,13 @@
   3: required double event_ms
 }
 
+/** The most urgent items that wait for a slot of one service, by a hash of its name. */
+struct WaitingItems {
+  1: required i32 service_hash
+  /** In how many ms each of them ranks, the most urgent first. */
+  2: required list<i32> ranks_ms
+}
+
 /** What a daemon says of itself to others, whole in each datagram. */
 struct Beacon {
   1: required string session
@@ -37,8 +44,7 @@
   /** Which daemons it hears, itself included; one number, equal for equal sets. */
   11: optional i32 hears
   12: optional list<WorkPace> paces
-  /** Time to spare, in ms, of the most urgent items that wait for a slot, the smallest first. */
-  13: optional list<i32> spare_ms
+  13: optional list<WaitingItems> waiting
 }
 
 /** A daemon's session as it stands in the store. */
--- a/tests/components/jobs/test_checkpoints.py
+++ b/tests/components/jobs/test_checkpoints.py
@@ -38,13 +38,13 @@
 def test_progress_worth_saving(
     state: ItemState, last_event: int, saved_event: int, all_of_it: bool, saved: bool
 ) -> None:
-    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, state)
+    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, state=state)
     item.last_event, item.saved_event, item.data = last_event, saved_event, [b"one", b"two"]
     found = list_unsaved(make_job(item), all_of_it=all_of_it)
     assert [(each.last_event, each.text) for each in found] == [(last_event, b"one\ntwo")] * saved
 
 
 def test_an_answer_too_long_for_a_row_keeps_what_was_saved_before() -> None:
-    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, ItemState.RUNNING)
+    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, state=ItemState.RUNNING)
     item.last_event, item.data = 50, [b"x" * (TEXT_PART_BYTES + 1)]
     assert list_unsaved(make_job(item), all_of_it=True) == []
--- /dev/null
+++ b/tests/components/jobs/test_estimate.py
@@ -0,0 +1,83 @@
+"""How long items are expected to take."""
+
+import pytest
+
+from goldcreststair.clock import Millis
+from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.components.jobs.book import ItemProgress, is_hopeless
+from goldcreststair.components.jobs.estimate import START_MS, Pace, WorkEstimate
+from goldcreststair.components.jobs.models import JobItem
+from goldcreststair.components.jobs.protocols import JOBS
+from goldcreststair.components.jobs.service import JobService
+from standins.gateways import GatewayFleet
+from tests.components.jobs.test_execution import make_job
+from tests.helpers.gateways import async_read, async_submit, run_fleet
+
+ROUTE, OTHER = 1, 2
+
+
+def make_item(tokens: int, last_event: int = 0, route: int = ROUTE) -> ItemProgress:
+    """Return an item."""
+    item = ItemProgress(JobItem("i", "/", (), b"", tokens), 0, route)
+    item.last_event = last_event
+    return item
+
+
+@pytest.mark.parametrize(
+    ("learned", "heard", "left_ms"),
+    [
+        # Nobody has seen an answer: not known to take long, so that it may start.
+        ([], None, START_MS + 5 * 30),
+        # The first answer counts in full, however far it is from the guess before it.
+        ([(200, 20)], None, START_MS + 200 * 20),
+        ([(200, 20), (100, 10)], None, START_MS + 150 * 15),
+        # A daemon that has just started takes another one's word.
+        ([], Pace(0.1, 20), START_MS + 200 * 20),
+        # What was seen here goes before it.
+        ([(200, 20)], Pace(0.5, 90), START_MS + 200 * 20),
+    ],
+)
+def test_what_an_item_takes_is_learned_by_route(
+    learned: list[tuple[int, int]], heard: Pace | None, left_ms: float
+) -> None:
+    estimate = WorkEstimate()
+    for events, event_ms in learned:
+        estimate.learn(make_item(2_000, events), events, int(START_MS) + events * event_ms)
+    if heard is not None:
+        estimate.hear(ROUTE, heard)
+    assert estimate.read_left_ms(make_item(2_000)) == pytest.approx(left_ms)
+    assert estimate.read_left_ms(make_item(2_000, route=OTHER)) == START_MS + 5 * 30
+
+
+def test_a_vm_that_just_started_does_not_take_jobs_for_late() -> None:
+    """A job lay for ten seconds at a VM that had slots for it, and was late.
+
+    The VM had been replaced and took over the job. It had seen no answer yet, and by the guess that it
+    started from the items took three times as long as they do: too long for the time left.
+    """
+    job = make_job("digest", 1, due_at=12_000)
+    job.items[0] = make_item(3_800)
+    estimate = WorkEstimate()
+    assert not is_hopeless(job, Millis(0), estimate.read_left_ms(job.items[0]))
+
+
+def test_daemons_tell_each_other_how_long_items_take() -> None:
+    """VMs were replaced in turn, and each new one learned anew how long items take.
+
+    Until it had seen some end, it started items that could not be in time in place of others that could.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.add_engines(1)
+        fleet.engines.events_of = {f"digest-{n}": 150 for n in range(4)}
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, first, "digest", 4, tokens=1_500)).accepted
+        await fleet.clock.async_sleep(6_000)
+        assert len((await async_read(second, "digest")).results) == 4
+        jobs = second.core.get(JOBS)
+        assert isinstance(jobs, JobService)
+        item = make_item(1_500, route=hash_name("/batch/"))
+        assert jobs.estimate.read_left_ms(item) == pytest.approx(START_MS + 150 * 30, rel=0.05)
+
+    run_fleet(scenario)
