--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -103,6 +103,7 @@
         "upstream": name,
         "service": new.service,
         "address": new.address,
+        "slots": new.slots,
         "draining": new.draining,
         "lapsed": name in after.lapsed,
     }
--- /dev/null
+++ b/standins/worth/refusals.py
@@ -0,0 +1,37 @@
+"""Who was turned away, why, and when they were told to come back."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from statistics import median
+
+from goldcreststair.cli.stories import LogLine
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalGroup:
+    """Refusals of one code."""
+
+    code: str
+    count: int
+    cut: int
+    """Streams that broke off, among them."""
+    retry_ms: float
+    """Median of the times to come back."""
+
+
+def group_refusals(lines: Iterable[LogLine]) -> list[RefusalGroup]:
+    """Return the refusals by code, the most frequent first."""
+    by_code: dict[str, list[LogLine]] = {}
+    for line in lines:
+        if line.event == "Request refused":
+            by_code.setdefault(str(line.seen.get("code", "")), []).append(line)
+    groups = [
+        RefusalGroup(
+            code,
+            len(found),
+            sum(bool(line.seen.get("cut")) for line in found),
+            median(int(line.seen.get("retry_after_ms", 0)) for line in found),
+        )
+        for code, found in by_code.items()
+    ]
+    return sorted(groups, key=lambda group: -group.count)
--- /dev/null
+++ b/standins/worth/slots.py
@@ -0,0 +1,93 @@
+"""How many slots the upstreams had, second by second, and what held them."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from goldcreststair.cli.stories import LogLine
+from goldcreststair.const import MS_PER_SECOND
+from standins.worth.runs import Run, Use
+
+DEFAULT_SLOTS: Final = 8
+"""For upstreams whose lines name none."""
+
+
+@dataclass(frozen=True, slots=True)
+class SlotSecond:
+    """One second of all upstreams."""
+
+    at_s: int
+    """Since the first run."""
+    slots: int
+    """Of the upstreams that could take work at its begin."""
+    held: Counter[Use]
+    """Slot-milliseconds by use."""
+    waiting: int = 0
+    """Items of accepted jobs that were neither done nor running at its begin."""
+
+    def read_held(self, *uses: Use) -> float:
+        """Return the mean of the slots held for these uses."""
+        return sum(self.held[use] for use in uses) / MS_PER_SECOND
+
+
+def count_seconds(lines: Sequence[LogLine], runs: Sequence[Run]) -> list[SlotSecond]:
+    """Return every second from the first run to the last."""
+    if not runs:
+        return []
+    first, last = min(r.began_ms for r in runs), max(r.ended_ms for r in runs)
+    seconds = []
+    for begin in range(first, last, MS_PER_SECOND):
+        held: Counter[Use] = Counter()
+        for run in runs:
+            held[run.use] += run.overlap_ms(begin, begin + MS_PER_SECOND)
+        number = (begin - first) // MS_PER_SECOND
+        slots = _count_slots(lines, begin)
+        seconds.append(SlotSecond(number, slots, held, _count_waiting(lines, runs, begin)))
+    return seconds
+
+
+def sum_uses(runs: Iterable[Run]) -> Counter[Use]:
+    """Return slot-milliseconds by use over the whole day."""
+    total: Counter[Use] = Counter()
+    for run in runs:
+        total[run.use] += run.ended_ms - run.began_ms
+    return total
+
+
+def _count_slots(lines: Sequence[LogLine], at_ms: int) -> int:
+    slots: dict[str, int] = {}
+    for line in lines:
+        name = str(line.seen.get("upstream", ""))
+        if line.at_ms > at_ms or not name:
+            continue
+        if line.event == "Upstream gone" or (
+            line.event == "Upstream changed" and line.seen.get("draining")
+        ):
+            slots[name] = 0
+        elif line.event == "Upstream changed":
+            slots[name] = int(line.seen.get("slots") or DEFAULT_SLOTS)
+    return sum(slots.values())
+
+
+def _count_waiting(lines: Sequence[LogLine], runs: Sequence[Run], at_ms: int) -> int:
+    accepted = done = 0
+    ended: set[str] = set()
+    sizes: dict[str, int] = {}
+    finished: Counter[str] = Counter()
+    for line in lines:
+        if line.at_ms > at_ms:
+            continue
+        job = str(line.seen.get("job", ""))
+        if line.event == "Job accepted":
+            sizes[job] = int(line.seen.get("items", 0))
+        elif line.event == "Job ended":
+            ended.add(job)
+        elif line.event in ("Item done", "Item given up"):
+            finished[job] += 1
+    for job, size in sizes.items():
+        if job not in ended:
+            accepted, done = accepted + size, done + min(size, finished[job])
+    batch = (Use.ONLINE, Use.ONLINE_AGAIN)
+    running = sum(r.began_ms <= at_ms < r.ended_ms and r.use not in batch for r in runs)
+    return max(0, accepted - done - running)
