--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -51,6 +51,7 @@
     "done": "Item done",
     "given_up": "Item given up",
     "yielded": "Item yielded",
+    "stopped": "Item stopped",
 }
 """One kind of line for each choice, so that each is sampled by itself."""
 
@@ -107,11 +108,12 @@
         """Start nothing more; what runs may come to its end."""
         self._stopped = True
 
-    def stop_job(self, job: OwnedJob) -> None:
-        """End the runs of a job that is not this daemon's any more."""
+    def stop_job(self, job: OwnedJob, why: str) -> None:
+        """End the runs of a job that is not this daemon's any more; `why` is for the log."""
         for run in tuple(self._runs):
             if run.job is job:
                 self._stop_run(run)
+                self._log(job, run.item, "stopped", why, run.upstream.name)
 
     def is_idle(self, job: OwnedJob) -> bool:
         """Return whether no item of a job runs."""
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -335,7 +335,7 @@
         job.lost = True
         del self._book.jobs[job.key]
         self._reader.keep_results(job.record, job.listed)
-        self._executor.stop_job(job)
+        self._executor.stop_job(job, why)
         self._wake_readers(job.key)
 
     def _find_certain(self, key: JobKey) -> OwnedJob | None:
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -22,13 +22,6 @@
   3: required double event_ms
 }
 
-/** The most urgent items that wait for a slot of one service, by a hash of its name. */
-struct WaitingItems {
-  1: required i32 service_hash
-  /** In how many ms each of them ranks, the most urgent first. */
-  2: required list<i32> ranks_ms
-}
-
 /** What a daemon says of itself to others, whole in each datagram. */
 struct Beacon {
   1: required string session
@@ -44,7 +37,6 @@
   /** Which daemons it hears, itself included; one number, equal for equal sets. */
   11: optional i32 hears
   12: optional list<WorkPace> paces
-  13: optional list<WaitingItems> waiting
 }
 
 /** A daemon's session as it stands in the store. */
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -57,6 +57,8 @@
     crashes: int = 0
     at_work: Counter[str] = field(default_factory=Counter)
     """Runs under way, by request id."""
+    made: Counter[str] = field(default_factory=Counter)
+    """Events made for each request whose length stands in `events_of`."""
 
     @property
     def pool(self) -> "RunEngines":
@@ -148,6 +150,8 @@
             lost = await self._async_check(engine)
             if lost is not None:
                 return Err(lost)
+            if call.request_id in self.events_of:
+                self.made[call.request_id] += 1
             taken: Awaitable[None] | None = sink.take_data(make_event(call.request_id, number))
             if taken is not None:
                 await taken
--- a/standins/worth/runs.py
+++ b/standins/worth/runs.py
@@ -84,4 +84,7 @@
 
 
 def _close(began: LogLine, ended_ms: int, use: Use) -> Run:
+    # The end of a request may be missing, left out by sampling: it lasted no longer than its time.
+    if "left_ms" in began.seen:
+        ended_ms = min(ended_ms, began.at_ms + int(began.seen["left_ms"]))
     return Run(began.at_ms, ended_ms, str(began.seen.get("upstream", "")), use)
