--- a/goldcreststair/components/batch/views.py
+++ b/goldcreststair/components/batch/views.py
@@ -15,8 +15,8 @@
 from goldcreststair.components.batch.submission import Submission, SubmitOptions
 from goldcreststair.components.caller_api.handler import CallerHandler
 from goldcreststair.components.limits.protocols import LIMITS
-from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
 from goldcreststair.const import HEADER_IDEMPOTENCY_KEY
+from goldcreststair.helpers.refusals import Refusal, RefusalCode, doubt_earlier_sends
 
 RETRY_AFTER_MS: Final = 2_000
 MAX_PAGE: Final = 1_000
--- a/goldcreststair/components/caller_api/errors.py
+++ b/goldcreststair/components/caller_api/errors.py
@@ -6,7 +6,7 @@
 
 from goldcreststair.components.caller_api.parsing import BadField
 from goldcreststair.components.keys.protocols import KeyRefused
-from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
+from goldcreststair.helpers.refusals import Refusal, RefusalCode, doubt_earlier_sends
 
 DEFAULT_TYPE: Final = "server_error"
 _TYPES: Final = {
--- a/goldcreststair/components/caller_api/handler.py
+++ b/goldcreststair/components/caller_api/handler.py
@@ -13,7 +13,6 @@
 from goldcreststair.components.caller_api.const import BEARER
 from goldcreststair.components.caller_api.errors import encode_refusal, refuse_key
 from goldcreststair.components.keys.protocols import KEYS, Identity
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.const import (
     HEADER_IDEMPOTENCY_KEY,
     HEADER_REQUEST_ID,
@@ -21,6 +20,7 @@
     MS_PER_SECOND,
 )
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 
 
 class CallerHandler(RequestHandler):
--- a/goldcreststair/components/caller_api/service_views.py
+++ b/goldcreststair/components/caller_api/service_views.py
@@ -12,10 +12,10 @@
     select_headers,
 )
 from goldcreststair.components.configuration.models import CONFIGURATION, ServiceRoute
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.models import ServiceRequest
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.const import HEADER_IDEMPOTENCY_KEY
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 
 
 class ServiceHandler(CallerHandler):
--- a/goldcreststair/components/caller_api/views.py
+++ b/goldcreststair/components/caller_api/views.py
@@ -11,12 +11,12 @@
 from goldcreststair.components.caller_api.handler import CallerHandler
 from goldcreststair.components.caller_api.parsing import parse_body, parse_deadline
 from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.online.errors import Refusal
 from goldcreststair.components.online.models import GenerateRequest
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.components.shutdown.readiness import list_obstacles
 from goldcreststair.const import HEADER_IDEMPOTENCY_KEY
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.upstreams.models import StreamChunk, UpstreamKind
 
 
--- a/goldcreststair/components/forwarding/protocols.py
+++ b/goldcreststair/components/forwarding/protocols.py
@@ -3,9 +3,9 @@
 from collections.abc import Awaitable
 from typing import Final, Protocol
 
-from goldcreststair.components.online.errors import Refusal
 from goldcreststair.components.requests.models import CallerRequest
 from goldcreststair.core import ComponentKey
+from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.upstreams.dialect import RunHead
 
 
--- a/goldcreststair/components/forwarding/recovery.py
+++ b/goldcreststair/components/forwarding/recovery.py
@@ -6,8 +6,8 @@
 from goldcreststair.components.catalogue.models import Route
 from goldcreststair.components.forwarding.const import MIN_LEFT_MS, RETRY_NOW_MS
 from goldcreststair.components.forwarding.models import RequestProgress
-from goldcreststair.components.online.budget import RetryBudget
-from goldcreststair.components.online.errors import Refusal, RefusalCode
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
 MAX_NOT_RUN: Final = 6
--- a/goldcreststair/components/forwarding/refusals.py
+++ b/goldcreststair/components/forwarding/refusals.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.requests.models import CallerRequest
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -17,8 +17,6 @@
 from goldcreststair.components.forwarding.refusals import log_refusal, refuse_for_now
 from goldcreststair.components.forwarding.relay import STATUS_OK, StreamRelay
 from goldcreststair.components.forwarding.watch import SilenceWatch, SilenceWatcher
-from goldcreststair.components.online.budget import RetryBudget
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.placement.admission import CallerTime, decide_return
 from goldcreststair.components.placement.models import Placement, PlacementQuery
 from goldcreststair.components.placement.service import PLACEMENT
@@ -26,6 +24,8 @@
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.dialect import RunCall
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -12,8 +12,6 @@
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingTools
 from goldcreststair.components.forwarding.watch import SilenceWatcher
 from goldcreststair.components.jobs.desk import JOB_DESK
-from goldcreststair.components.online.budget import RetryBudget
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.quarantine.fingerprints import make_call_fingerprint
 from goldcreststair.components.quarantine.marks import CRASH_MARKS
 from goldcreststair.components.quotas.service import QUOTAS
@@ -28,6 +26,8 @@
 from goldcreststair.components.requests.models import AdmittedRequest, CallerRequest
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.retry_budget import RetryBudget
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/goldcreststair/components/jobs/desk.py
+++ b/goldcreststair/components/jobs/desk.py
@@ -9,13 +9,13 @@
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.models import JobKey, ResultPage, Submission
 from goldcreststair.components.jobs.protocols import JOB_FRONT
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.requests.admission import identify_customer
 from goldcreststair.components.requests.const import READY_RETRY_MS
 from goldcreststair.components.requests.models import AdmittedRequest
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 
 RETRY_MS: Final = 1_000
 """When to come back to a store that does not answer: its outages last seconds."""
--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -20,9 +20,9 @@
 )
 from goldcreststair.components.jobs.models import JobKey, OpenJob
 from goldcreststair.components.jobs.records import JobRecords
-from goldcreststair.components.routing.rendezvous import score
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.rendezvous import score
 from goldcreststair.store.feed import TableFeed
 from goldcreststair.store.rows import StoredRow
 
--- a/goldcreststair/components/keys/controller.py
+++ b/goldcreststair/components/keys/controller.py
@@ -1,6 +1,5 @@
 """Turns keys into identities from the configuration in force and the withdrawals heard."""
 
-import hashlib
 import logging
 from collections.abc import Callable
 
@@ -14,15 +13,11 @@
     SHARED_SETS,
 )
 from goldcreststair.core import Core
+from goldcreststair.helpers.api_keys import hash_key
 
 _LOGGER = logging.getLogger(__name__)
 
 
-def hash_key(key: str) -> str:
-    """Return the only form in which a key is kept: its SHA-256 in hex."""
-    return hashlib.sha256(key.encode()).hexdigest()
-
-
 class KeyController:
     """Knows the keys in force and tells watchers when theirs is withdrawn."""
 
--- a/goldcreststair/components/online/calls.py
+++ b/goldcreststair/components/online/calls.py
@@ -4,14 +4,14 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.claims.protocols import Outcome
-from goldcreststair.components.online.budget import RetryBudget
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.fair_queue import Ticket
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.models import ServiceRequest
 from goldcreststair.components.online.recovery import NextStep, RunProgress, decide_next
 from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.models import ServiceAnswer, ServiceCall, Upstream
 
--- a/goldcreststair/components/online/claiming.py
+++ b/goldcreststair/components/online/claiming.py
@@ -24,8 +24,8 @@
     RETRY_PAUSE_MS,
     SETTLE_TIMEOUT_MS,
 )
-from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal, RefusalCode, doubt_earlier_sends
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/goldcreststair/components/online/const.py
+++ b/goldcreststair/components/online/const.py
@@ -13,10 +13,6 @@
 """The same before the first token, when silence is more likely a queue than a dead connection."""
 RETRY_PAUSE_MS: Final = 100
 
-BUDGET_FRACTION: Final = 0.2
-"""Repeated runs earned by each request."""
-BUDGET_CAPACITY: Final = 128.0
-"""Repeated runs that may come at once: the requests of one VM at one crashed upstream."""
 
 MAX_QUEUED: Final = 2000
 """Requests of one customer that may wait on one VM."""
--- a/goldcreststair/components/online/gate.py
+++ b/goldcreststair/components/online/gate.py
@@ -7,11 +7,11 @@
 
 from goldcreststair.clock import Millis, TimerHandle
 from goldcreststair.components.online.const import MAX_QUEUED
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.fair_queue import FairQueue, Ticket
 from goldcreststair.components.routing.protocols import ROUTER, NoUpstream, RouteQuery
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 from goldcreststair.upstreams.models import Upstream
 
 TICK_MS = 50
--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -6,9 +6,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.online.budget import RetryBudget
 from goldcreststair.components.online.const import RETRY_PAUSE_MS
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.fair_queue import Ticket
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.models import GenerateRequest
@@ -19,6 +17,8 @@
 from goldcreststair.components.quarantine.protocols import QUARANTINE, make_fingerprint
 from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.journal import Subject
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, StreamChunk, Upstream
--- a/goldcreststair/components/online/levels.py
+++ b/goldcreststair/components/online/levels.py
@@ -5,9 +5,9 @@
 from result import Err, Result
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.service_level.protocols import SERVICE_LEVELS
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 from goldcreststair.upstreams.models import GenerateEnd
 
 FAILURES: Final = frozenset(
--- a/goldcreststair/components/online/recovery.py
+++ b/goldcreststair/components/online/recovery.py
@@ -3,12 +3,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from goldcreststair.components.online.budget import RetryBudget
 from goldcreststair.components.online.const import (
     MAX_ATTEMPTS,
     MAX_RECONNECTS,
     MAX_WAITING_RECONNECTS,
 )
+from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
 RECONNECTABLE = (UpstreamFailure.SILENT, UpstreamFailure.INCOMPLETE, UpstreamFailure.CROSSED)
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -12,7 +12,6 @@
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.online.calls import ServiceRunner
 from goldcreststair.components.online.claiming import ClaimedRunner, make_request_fingerprint
-from goldcreststair.components.online.errors import Refusal, RefusalCode, doubt_earlier_sends
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.generation import GenerationRunner
 from goldcreststair.components.online.levels import LevelObserver
@@ -21,6 +20,7 @@
 from goldcreststair.components.online.stream import StreamRecorder
 from goldcreststair.components.routing.protocols import ROUTER
 from goldcreststair.core import ComponentKey, Core
+from goldcreststair.helpers.refusals import Refusal, RefusalCode, doubt_earlier_sends
 from goldcreststair.journal import Subject
 from goldcreststair.upstreams.models import GenerateEnd, StreamChunk
 from goldcreststair.upstreams.protocols import StreamSink
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -39,7 +39,7 @@
     PlacementQuery,
     UpstreamTraits,
 )
-from goldcreststair.components.routing.rendezvous import score
+from goldcreststair.helpers.rendezvous import score
 
 MIN_RETRY_MS: Final = 100
 
--- a/goldcreststair/components/requests/admission.py
+++ b/goldcreststair/components/requests/admission.py
@@ -4,10 +4,10 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import Catalogue, CatalogueCustomer, Route
-from goldcreststair.components.keys.controller import hash_key
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.requests.const import DEFAULT_DEADLINE_MS
 from goldcreststair.components.requests.models import CallerRequest
+from goldcreststair.helpers.api_keys import hash_key
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
--- a/goldcreststair/components/routing/controller.py
+++ b/goldcreststair/components/routing/controller.py
@@ -20,8 +20,9 @@
 )
 from goldcreststair.components.routing.loads import LoadBook
 from goldcreststair.components.routing.protocols import NoUpstream, RouteQuery
-from goldcreststair.components.routing.rendezvous import score, select_subset
+from goldcreststair.components.routing.rendezvous import select_subset
 from goldcreststair.core import Core
+from goldcreststair.helpers.rendezvous import score
 from goldcreststair.upstreams.models import Upstream
 
 
--- a/goldcreststair/components/routing/rendezvous.py
+++ b/goldcreststair/components/routing/rendezvous.py
@@ -1,17 +1,11 @@
-"""Rendezvous hashing: a ranking that barely changes when upstreams come and go."""
+"""Which upstreams one VM uses."""
 
-import hashlib
 from collections.abc import Iterable
 
+from goldcreststair.helpers.rendezvous import score
 from goldcreststair.upstreams.models import Upstream
 
 
-def score(*parts: str) -> int:
-    """Return the weight of one combination; higher ranks first."""
-    digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
 def select_subset(
     upstreams: Iterable[Upstream], session_id: str, data_centre: str, size: int
 ) -> list[Upstream]:
--- a/goldcreststair/components/steering/views.py
+++ b/goldcreststair/components/steering/views.py
@@ -12,10 +12,10 @@
     Members,
     MemberState,
 )
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.steering.controller import choose_addresses
 from goldcreststair.components.steering.models import SteeringFacts
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 
 
 class AddressesHandler(CallerHandler):
--- /dev/null
+++ b/goldcreststair/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""What components of both daemons use."""
--- a/goldcreststair/components/online/errors.py
+++ b/goldcreststair/helpers/refusals.py
@@ -1,4 +1,4 @@
-"""Errors of online requests, as callers see them."""
+"""Final answers that are not the wanted ones, as callers see them."""
 
 from dataclasses import dataclass, replace
 from enum import StrEnum
--- a/goldcreststair/components/online/budget.py
+++ b/goldcreststair/helpers/retry_budget.py
@@ -1,6 +1,11 @@
 """How many repeated runs this VM may cause."""
 
-from goldcreststair.components.online.const import BUDGET_CAPACITY, BUDGET_FRACTION
+from typing import Final
+
+BUDGET_FRACTION: Final = 0.2
+"""Repeated runs earned by each request."""
+BUDGET_CAPACITY: Final = 128.0
+"""Repeated runs that may come at once: the requests of one VM at one crashed upstream."""
 
 
 class RetryBudget:
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -26,12 +26,12 @@
 from goldcreststair.components.discovery.protocols import EntryUnreadable
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.models import JobItem
-from goldcreststair.components.keys.controller import hash_key
-from goldcreststair.components.online.errors import Refusal
 from goldcreststair.components.requests.models import CallerRequest
 from goldcreststair.gateway import Gateway
 from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
 from goldcreststair.gateway_settings import GatewaySettings
+from goldcreststair.helpers.api_keys import hash_key
+from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.meters import Meters
 from goldcreststair.store.contact import StoreContact
 from goldcreststair.store.metered import MeteredStore
--- a/standins/measure/batch_online.py
+++ b/standins/measure/batch_online.py
@@ -13,11 +13,11 @@
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components import limits, online, quarantine, routing
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
-from goldcreststair.components.keys.controller import hash_key
 from goldcreststair.components.keys.protocols import KEYS
 from goldcreststair.components.online.models import GenerateRequest
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.core import Component, Core
+from goldcreststair.helpers.api_keys import hash_key
 from goldcreststair.upstreams.models import StreamChunk
 from tests.helpers.batch_fleet import ADDRESSES, BatchFleet
 from tests.helpers.cores import make_configuration
--- a/tests/components/forwarding/test_admission.py
+++ b/tests/components/forwarding/test_admission.py
@@ -7,7 +7,7 @@
 
 from goldcreststair.components.fleet.const import ISOLATED_MS
 from goldcreststair.components.forwarding.protocols import FORWARDING
-from goldcreststair.components.online.errors import RefusalCode
+from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import FakeResponder, GatewayFleet
 from tests.helpers.gateways import async_send, run_fleet
 
--- a/tests/components/forwarding/test_streams.py
+++ b/tests/components/forwarding/test_streams.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from goldcreststair.components.online.errors import RefusalCode
+from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import GatewayFleet
 from standins.run_engines import RunEngine, make_event
 from tests.helpers.gateways import async_send, run_fleet
--- a/tests/components/jobs/test_front.py
+++ b/tests/components/jobs/test_front.py
@@ -5,7 +5,7 @@
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.jobs.models import JobKey
 from goldcreststair.components.jobs.protocols import JOB_FRONT
-from goldcreststair.components.online.errors import RefusalCode
+from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import FleetMember, GatewayFleet
 from tests.helpers.gateways import CUSTOMER, async_submit, run_fleet
 
--- a/tests/components/keys/test_withdrawal.py
+++ b/tests/components/keys/test_withdrawal.py
@@ -9,9 +9,9 @@
 
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
 from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.keys.controller import hash_key
 from goldcreststair.components.keys.protocols import KEYS
 from goldcreststair.components.keys.withdrawal import WITHDRAWALS
+from goldcreststair.helpers.api_keys import hash_key
 from goldcreststair.store.models import ListedState, ListedVm
 from standins.daemons import FakeDaemon, FakeDaemons
 from standins.platform.store import FakePlatform
--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -7,12 +7,12 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.membership.protocols import SET_QUARANTINE
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.fair_queue import FairQueue, Ticket
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.components.routing import loads
 from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 from goldcreststair.online_pressure import ONLINE_PRESSURE, OnlinePressure
 from goldcreststair.store.models import ListedState, ListedVm
 from goldcreststair.upstreams.models import GenerateEnd
--- a/tests/components/online/test_levels.py
+++ b/tests/components/online/test_levels.py
@@ -4,9 +4,9 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.online.errors import Refusal, RefusalCode
 from goldcreststair.components.online.levels import LevelObserver
 from goldcreststair.components.service_level.protocols import SERVICE_LEVELS
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
 from goldcreststair.upstreams.models import GenerateEnd
 from tests.helpers.cores import make_core
 from tests.helpers.virtual_time import ManualClock
--- a/tests/components/online/test_service.py
+++ b/tests/components/online/test_service.py
@@ -6,10 +6,10 @@
 from goldcreststair.components import configuration, keys, limits, online, quarantine, routing
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
 from goldcreststair.components.keys.protocols import KEYS
-from goldcreststair.components.online.errors import Refusal
 from goldcreststair.components.online.models import GenerateRequest
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.core import Core
+from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.upstreams.models import GenerateEnd, StreamChunk
 from standins.engine.client import FakeUpstreams
 from tests.helpers.cores import make_configuration, make_core
--- a/tests/components/online/test_service_calls.py
+++ b/tests/components/online/test_service_calls.py
@@ -7,8 +7,8 @@
 
 from goldcreststair.components.configuration.models import CONFIGURATION, Customer
 from goldcreststair.components.limits.protocols import LIMITS
-from goldcreststair.components.online.errors import RefusalCode
 from goldcreststair.components.online.service import ONLINE
+from goldcreststair.helpers.refusals import RefusalCode
 from tests.helpers.claims import FakeClaims
 from tests.helpers.online import SERVICE_ADDRESSES, OnlineVm
 from tests.helpers.virtual_time import run_virtual
--- a/tests/components/online/test_stream_recorder.py
+++ b/tests/components/online/test_stream_recorder.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from goldcreststair.components.online.budget import RetryBudget
 from goldcreststair.components.online.recovery import NextStep, RunProgress, decide_next
 from goldcreststair.components.online.stream import StreamRecorder
+from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.models import StreamChunk
 from tests.helpers.online import RecordingSink
--- a/tests/components/online/test_streams.py
+++ b/tests/components/online/test_streams.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import LoopClock
-from goldcreststair.components.online.errors import RefusalCode
+from goldcreststair.helpers.refusals import RefusalCode
 from goldcreststair.upstreams.errors import UpstreamError
 from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, StreamChunk, Upstream
 from goldcreststair.upstreams.protocols import StreamSink
--- a/tests/components/quarantine/test_marks.py
+++ b/tests/components/quarantine/test_marks.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from goldcreststair.components.online.errors import RefusalCode
 from goldcreststair.components.quarantine.marks import CRASHES_TO_REFUSE
+from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import GatewayFleet
 from tests.helpers.gateways import async_read, async_send, async_submit, run_fleet
 
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -15,11 +15,11 @@
 from goldcreststair.components.caller_api.errors import refuse_key
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
 from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.keys.controller import hash_key
 from goldcreststair.components.keys.protocols import KEYS
-from goldcreststair.components.online.errors import RefusalCode
 from goldcreststair.components.online.models import GenerateRequest, ServiceRequest
 from goldcreststair.components.online.service import ONLINE
+from goldcreststair.helpers.api_keys import hash_key
+from goldcreststair.helpers.refusals import RefusalCode
 from goldcreststair.store.models import ListedState, ListedVm
 from goldcreststair.upstreams.errors import UpstreamError
 from goldcreststair.upstreams.models import (
--- a/tests/faults/paths.py
+++ b/tests/faults/paths.py
@@ -8,10 +8,10 @@
 
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
 from goldcreststair.components.configuration.models import CONFIGURATION
-from goldcreststair.components.keys.controller import hash_key
 from goldcreststair.components.keys.protocols import KEYS
 from goldcreststair.components.keys.withdrawal import WITHDRAWALS
-from goldcreststair.components.online.errors import RefusalCode
+from goldcreststair.helpers.api_keys import hash_key
+from goldcreststair.helpers.refusals import RefusalCode
 from tests.faults.fleet import Fleet
 from tests.faults.injection import (
     CALLER_FAULTS,
--- a/tests/helpers/cores.py
+++ b/tests/helpers/cores.py
@@ -7,8 +7,8 @@
 from goldcreststair.clock import Clock, LoopClock
 from goldcreststair.components.configuration.document import decode_document
 from goldcreststair.components.configuration.models import Configuration
-from goldcreststair.components.keys.controller import hash_key
 from goldcreststair.core import Core
+from goldcreststair.helpers.api_keys import hash_key
 from goldcreststair.journal import Journal
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import NullStatistics
--- a/tests/helpers/online.py
+++ b/tests/helpers/online.py
@@ -17,13 +17,13 @@
 )
 from goldcreststair.components.claims.protocols import CLAIMS, Claims
 from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
-from goldcreststair.components.keys.controller import hash_key
 from goldcreststair.components.keys.protocols import KEYS
 from goldcreststair.components.membership.protocols import SHARED_SETS, SharedSets
-from goldcreststair.components.online.errors import Refusal
 from goldcreststair.components.online.models import GenerateRequest, ServiceRequest
 from goldcreststair.components.online.service import ONLINE
 from goldcreststair.core import Component, Core
+from goldcreststair.helpers.api_keys import hash_key
+from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.upstreams.models import GenerateEnd, StreamChunk
 from standins.engine.client import FakeUpstreams
 from standins.platform.store import FakePlatform
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -15,7 +15,7 @@
     Service,
     WeightedService,
 )
-from goldcreststair.components.keys.controller import hash_key
+from goldcreststair.helpers.api_keys import hash_key
 
 DOCUMENT: dict[str, Any] = {
     "version": 7,
