--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -289,7 +289,8 @@
             if item.item.item in done:
                 item.state = ItemState.LISTED
         for saved in progress.ok_value:
-            job.items[saved.number].resume(saved.last_event, saved.text)
+            if saved.number < len(job.items):
+                job.items[saved.number].resume(saved.last_event, saved.text)
         self._reader.note_record(record.ok_value)
         extra = {
             "job": key.job,
