--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -11,10 +11,9 @@
 from goldcreststair.components.fleet.asks import AskKind
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind, hash_name
 from goldcreststair.components.jobs.book import ItemProgress, ItemState, JobBook, OwnedJob
-from goldcreststair.components.jobs.checkpoints import CheckpointWriter, list_unsaved
+from goldcreststair.components.jobs.checkpoints import CheckpointWriter
 from goldcreststair.components.jobs.codec import decode_items
 from goldcreststair.components.jobs.const import (
-    HAND_OVER_MS,
     IDLE_TICK_MS,
     LEASE_MS,
     TICK_MS,
@@ -23,19 +22,22 @@
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.estimate import Pace, WorkEstimate
 from goldcreststair.components.jobs.execution import ItemExecutor
+from goldcreststair.components.jobs.handover import JobHandover
 from goldcreststair.components.jobs.lister import JobLister
 from goldcreststair.components.jobs.models import (
+    ItemResult,
     JobItem,
     JobKey,
     JobRecord,
     OpenJob,
     ResultPage,
+    SavedProgress,
     Submission,
 )
 from goldcreststair.components.jobs.reading import JobReader, cut_page
 from goldcreststair.components.jobs.records import JobRecords
 from goldcreststair.components.jobs.remote import async_answer
-from goldcreststair.components.jobs.sweeping import JobSweeper, choose_owner
+from goldcreststair.components.jobs.sweeping import JobSweeper
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.wire.codec import decode_struct, encode_struct
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, JobNotice, WorkPace
@@ -72,6 +74,7 @@
         )
         self._others_urgent: dict[str, tuple[Millis, int]] = {}
         """By session: when it was heard, and how many of its items wait that can be in time."""
+        self._handover = JobHandover(core, self._book, self._records, self._lister, self)
         self._sweeper = JobSweeper(core, self._records, self)
         self._doubted: set[JobKey] = set()
         """Jobs that may have another owner by now; the store is asked before readers are told."""
@@ -196,7 +199,7 @@
         """Hand over what does not run, and start nothing."""
         self._leaving = True
         self._executor.stop()
-        self._tasks.append(asyncio.create_task(self._async_hand_over()))
+        self._tasks.append(asyncio.create_task(self._handover.async_run()))
 
     def count_running(self) -> int:
         """Return the jobs that are still here."""
@@ -236,6 +239,15 @@
         if job is not None:
             self._drop(job, "ended")
 
+    def is_idle(self, job: OwnedJob) -> bool:
+        """Return whether no item of a job runs."""
+        return self._executor.is_idle(job)
+
+    def give_up(self, job: OwnedJob, session: str) -> None:
+        """Stop a job that is another daemon's now, and tell that one."""
+        self._drop(job, f"handed over to {session}")
+        self.notify(session, job.key)
+
     def notify(self, session: str, key: JobKey) -> None:
         """Tell another daemon that a job is its own now, or has ended."""
         payload = encode_struct(JobNotice(key.customer, key.job))
@@ -283,14 +295,7 @@
         job = self._book.jobs.get(key)
         if job is None:
             return
-        job.listed = listed.ok_value
-        done = {result.item for result in job.listed}
-        for item in job.items:
-            if item.item.item in done:
-                item.state = ItemState.LISTED
-        for saved in progress.ok_value:
-            if saved.number < len(job.items):
-                job.items[saved.number].resume(saved.last_event, saved.text)
+        _restore(job, listed.ok_value, progress.ok_value)
         self._reader.note_record(record.ok_value)
         extra = {
             "job": key.job,
@@ -402,26 +407,14 @@
         if event is not None:
             event.set()
 
-    async def _async_hand_over(self) -> None:
-        """Give each job away once all results are listed, and its runs have had time to end."""
-        began_at = self._clock.now()
-        while self._book.jobs:
-            waited = self._clock.now() - began_at >= HAND_OVER_MS
-            for job in tuple(self._book.jobs.values()):
-                if self._lister.is_idle(job) and (waited or self._executor.is_idle(job)):
-                    await self._async_give(job)
-            await self._clock.async_sleep(TICK_MS)
-
-    async def _async_give(self, job: OwnedJob) -> None:
-        """Make another daemon the owner; runs go on until the store has agreed."""
-        session = choose_owner(self._core, job.key)
-        if not session:
-            return
-        unsaved = list_unsaved(job, all_of_it=True)
-        given = await self._records.async_assign(job.open, session, unsaved)
-        if isinstance(given, Err):
-            _LOGGER.warning("Job not handed over: %s", given.err_value.message)
-            await self._clock.async_sleep(TICK_MS * 5)
-            return
-        self._drop(job, f"handed over to {session}")
-        self.notify(session, job.key)
+
+def _restore(job: OwnedJob, listed: list[ItemResult], progress: list[SavedProgress]) -> None:
+    """Put a job as far as its owners before had brought it."""
+    job.listed = listed
+    done = {result.item for result in listed}
+    for item in job.items:
+        if item.item.item in done:
+            item.state = ItemState.LISTED
+    for saved in progress:
+        if saved.number < len(job.items):
+            job.items[saved.number].resume(saved.last_event, saved.text)
--- a/standins/measure/overload.py
+++ b/standins/measure/overload.py
@@ -20,7 +20,7 @@
 from goldcreststair.clock import Clock, LoopClock
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.forwarding.protocols import FORWARDING
-from goldcreststair.components.jobs import checkpoints, execution, service, sweeping
+from goldcreststair.components.jobs import checkpoints, execution, handover, sweeping
 from goldcreststair.components.placement import admission, controller
 from goldcreststair.const import MS_PER_SECOND
 from standins.gateways import FakeResponder, FleetMember, GatewayFleet, make_fleet
@@ -76,7 +76,7 @@
 
 SWITCHES: Final = (
     Switch("progress saved", checkpoints, "CHECKPOINT_MS", 10**9),
-    Switch("jobs handed over with their runs", service, "HAND_OVER_MS", 10**9),
+    Switch("jobs handed over with their runs", handover, "HAND_OVER_MS", 10**9),
     Switch("jobs taken over soon", sweeping, "SWEEP_SOON_MS", 1_490),
     Switch("late items last", execution, "LATE_FREE_SHARE", -1.0),
     Switch("batch stays out of bursts", controller, "BATCH_FREE_SHARE", 0.0),
