Send callers back later while a VM without a catalogue has no store

Callers were told to come back after half a second, met the same outage with the return that they had, and got no answer although the store was back in their time. Change: while the store does not answer, the time to come back is three tenths of what the caller has; else half a second as before.

--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -16,13 +16,13 @@
 from goldcreststair.components.quarantine.marks import CRASH_MARKS
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.admission import (
+    choose_ready_retry_ms,
     choose_service,
     find_end,
     find_route,
     identify_customer,
     needs_key,
 )
-from goldcreststair.components.requests.const import READY_RETRY_MS
 from goldcreststair.components.requests.models import AdmittedRequest, CallerRequest
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
@@ -90,7 +90,9 @@
         catalogue = self._board.read(CATALOGUE)
         if not catalogue.version or self._links.is_isolated():
             message = "cut off from the fleet" if catalogue.version else "no catalogue yet"
-            return Err(refuse_for_now(message, RefusalCode.NOT_READY, READY_RETRY_MS))
+            away = self._core.store_contact.is_away()
+            retry_ms = choose_ready_retry_ms(request.deadline_ms, store_away=away)
+            return Err(refuse_for_now(message, RefusalCode.NOT_READY, retry_ms))
         found = find_route(catalogue, request)
         if isinstance(found, Err):
             return found
--- a/goldcreststair/components/requests/admission.py
+++ b/goldcreststair/components/requests/admission.py
@@ -4,7 +4,11 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import Catalogue, CatalogueCustomer, Route
-from goldcreststair.components.requests.const import DEFAULT_DEADLINE_MS
+from goldcreststair.components.requests.const import (
+    AWAY_RETRY_SHARE,
+    DEFAULT_DEADLINE_MS,
+    READY_RETRY_MS,
+)
 from goldcreststair.components.requests.models import CallerRequest
 from goldcreststair.helpers.api_keys import hash_key
 from goldcreststair.helpers.refusals import Refusal, RefusalCode
@@ -59,3 +63,17 @@
     """Return when the answer must be whole."""
     limits = [limit for limit in (request.deadline_ms, route.timeout_ms) if limit > 0]
     return Millis(request.arrived_at + min(limits, default=DEFAULT_DEADLINE_MS))
+
+
+def choose_ready_retry_ms(deadline_ms: int, *, store_away: bool) -> int:
+    """Return when to come back to a VM that cannot know yet what is allowed.
+
+    Load it answers: all VMs return while the store is silent. A caller has one or two returns; told to
+    come back after half a second it spends them within the same outage.
+
+    >>> choose_ready_retry_ms(5_000, store_away=False), choose_ready_retry_ms(5_000, store_away=True)
+    (500, 1500)
+    """
+    if not store_away:
+        return READY_RETRY_MS
+    return max(READY_RETRY_MS, int(deadline_ms * AWAY_RETRY_SHARE))
--- a/tests/components/forwarding/test_admission.py
+++ b/tests/components/forwarding/test_admission.py
@@ -36,6 +36,24 @@
     run_fleet(scenario)
 
 
+def test_callers_of_a_daemon_whose_store_is_silent_come_back_later() -> None:
+    """All VMs had restarted while the store was silent, and callers used up their returns within a second.
+
+    Each was told to come back after half a second, met the same outage, and got no answer at all although
+    the store was back before its time was over.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.store.faults.down = True
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_500)
+        answer = await async_send(fleet, member, "/stream/a", deadline_ms=5_000)
+        assert answer.refusal is not None and answer.refusal.not_run
+        assert answer.refusal.retry_after_ms == 1_500
+
+    run_fleet(scenario)
+
+
 def test_a_daemon_without_a_catalogue_refuses_for_now() -> None:
     """Callers with good keys were told 401 by a VM that had just started while the store was away.
 
