--- a/standins/measure/overload.py
+++ b/standins/measure/overload.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -61,7 +61,8 @@
     engines: int = 6
     vms: int = 6
     seconds: int = 36
-    trouble: Callable[["Play"], Awaitable[None]] | None = None
+    trouble: Callable[["Play"], Coroutine[Any, Any, None]] | None = None
+    """What happens meanwhile."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,16 +161,13 @@
         ends = self.clock.now() + self.load.seconds * MS_PER_SECOND
         tasks = [asyncio.create_task(self._async_jobs(ends))]
         if self.load.trouble is not None:
-            tasks.append(asyncio.create_task(self._async_trouble(self.load.trouble)))
+            tasks.append(asyncio.create_task(self.load.trouble(self)))
         await self._async_requests(ends, tasks)
         await self.clock.async_sleep(REST_MS)
         for task in tasks:
             task.cancel()
         self._count_events()
 
-    async def _async_trouble(self, trouble: Callable[["Play"], Awaitable[None]]) -> None:
-        await trouble(self)
-
     async def _async_requests(self, ends: int, tasks: list[asyncio.Task[None]]) -> None:
         began = self.clock.now()
         while self.clock.now() < ends:
