Name what is online in the slot count; log progress that names no item

Cause: read once more, the count of waiting items held its online uses in a variable called batch, and saved progress with a number beyond its job's items was passed over without a line. Change: the variable's name; a warning. Left: the desk of job calls keeps its own half second, as its callers name no deadline; the save and the hand-over have constructors of the same shape.

--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -416,5 +416,8 @@
         if item.item.item in done:
             item.state = ItemState.LISTED
     for saved in progress:
-        if saved.number < len(job.items):
-            job.items[saved.number].resume(saved.last_event, saved.text)
+        if saved.number >= len(job.items):
+            extra = {"job": job.key.job, "number": saved.number}
+            _LOGGER.warning("Saved progress names no item of its job", extra=extra)
+            continue
+        job.items[saved.number].resume(saved.last_event, saved.text)
--- a/standins/worth/slots.py
+++ b/standins/worth/slots.py
@@ -88,6 +88,6 @@
     for job, size in sizes.items():
         if job not in ended:
             accepted, done = accepted + size, done + min(size, finished[job])
-    batch = (Use.ONLINE, Use.ONLINE_AGAIN)
-    running = sum(r.began_ms <= at_ms < r.ended_ms and r.use not in batch for r in runs)
+    online = (Use.ONLINE, Use.ONLINE_AGAIN)
+    running = sum(r.began_ms <= at_ms < r.ended_ms and r.use not in online for r in runs)
     return max(0, accepted - done - running)
