Say what a silence went by, and count requests by their last failure

The hypotheses of the incident differ in what ended the last run of a cut stream. The log named the failure (silent, lost, incomplete), but of a silence neither how long the run and its upstream had been quiet nor what was allowed, so a run left too early looked like one whose upstream was gone. The metrics counted runs that another one followed, but not the last ones.

Change: the reason of a run left for its silence has the figures; the counter given_up_total has the last failures. The service shows its retry budget, for tests. No decision changes.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -90,6 +90,8 @@
             self._log(event, error.message, failure=error.failure.value)
             if elsewhere:
                 self._core.meters.count_retry(error.failure.value)
+            else:
+                self._core.meters.count_given_up(error.failure.value)
             if following is NextRun.GIVE_UP:
                 if isinstance(end, Ok) and not self._relay.has_begun:
                     self._end_answered(end.ok_value)
@@ -159,7 +161,8 @@
         watch = SilenceWatch(self._clock, self._relay, placement.expected_ms, evidence)
         ended = await self._watcher.async_follow(run, watch)
         if ended is None:
-            return Err(UpstreamError("upstream fell silent", UpstreamFailure.SILENT))
+            message = f"upstream fell silent: {watch.describe()}"
+            return Err(UpstreamError(message, UpstreamFailure.SILENT))
         return ended
 
     def _make_call(self, upstream: str) -> RunCall:
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -53,7 +53,8 @@
         self._quotas = core.get(QUOTAS)
         self._marks = core.get(CRASH_MARKS)
         self._desk = core.get(JOB_DESK)
-        self._tools = ForwardingTools(core, RetryBudget(), SilenceWatcher(core.clock))
+        self.budget = RetryBudget()
+        self._tools = ForwardingTools(core, self.budget, SilenceWatcher(core.clock))
 
     async def async_start(self) -> None:
         """Do nothing; requests come from the caller's side."""
--- a/goldcreststair/components/forwarding/watch.py
+++ b/goldcreststair/components/forwarding/watch.py
@@ -55,6 +55,17 @@
         self._looked_at = clock.now()
         self._counted_from = clock.now()
         self._accepted_at: Millis | None = None
+        self._quiet_ms = 0
+        self._upstream_quiet_ms = 0
+
+    def describe(self) -> str:
+        """Return what the last judgement went by, for the log."""
+        patience_ms, long_ms = self._read_patience()
+        return (
+            f"run {self._quiet_ms} of {long_ms:.0f} ms, "
+            f"upstream {self._upstream_quiet_ms} of {patience_ms:.0f} ms, "
+            f"{self._relay.run_events} events"
+        )
 
     def note_check(self, *, accepted: bool) -> Silence:
         """Take whether the upstream accepts connections; returns what follows."""
@@ -72,12 +83,12 @@
         # stream of this VM would be run again at the same moment.
         if late_ms > LATE_TICK_MS:
             self._counted_from = now
-        quiet_ms = now - max(self._counted_from, self._relay.progress_at)
-        upstream_quiet_ms = now - max(self._counted_from, self.evidence.read_progress())
+        self._quiet_ms = now - max(self._counted_from, self._relay.progress_at)
+        self._upstream_quiet_ms = now - max(self._counted_from, self.evidence.read_progress())
         patience_ms, long_ms = self._read_patience()
-        if quiet_ms > long_ms:
+        if self._quiet_ms > long_ms:
             return Silence.CERTAIN
-        if min(quiet_ms, upstream_quiet_ms) <= patience_ms:
+        if min(self._quiet_ms, self._upstream_quiet_ms) <= patience_ms:
             return Silence.NONE
         if self.evidence.has_witness():
             return Silence.CERTAIN
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -52,6 +52,12 @@
             ["failure"],
             registry=registry,
         )
+        self._given_up = Counter(
+            f"{PREFIX}_given_up",
+            "Requests whose last run failed, by failure.",
+            ["failure"],
+            registry=registry,
+        )
         self._items = Counter(
             f"{PREFIX}_batch_items",
             "Batch items by what became of a run.",
@@ -106,6 +112,11 @@
         self._retries.labels(failure).inc()
         self._statistics.count(f"retries.{failure}")
 
+    def count_given_up(self, failure: str) -> None:
+        """Count a request that no run follows."""
+        self._given_up.labels(failure).inc()
+        self._statistics.count(f"given_up.{failure}")
+
     def count_item(self, outcome: str) -> None:
         """Count what became of a run of a batch item."""
         self._items.labels(outcome).inc()
--- /dev/null
+++ b/tests/components/forwarding/test_reports.py
@@ -0,0 +1,43 @@
+"""What is logged and counted of runs that failed."""
+
+import asyncio
+import logging
+
+import pytest
+
+from standins.gateways import GatewayFleet
+from tests.helpers.gateways import async_send, run_fleet
+
+
+def test_a_request_whose_last_run_failed_is_counted_by_its_failure() -> None:
+    async def scenario(fleet: GatewayFleet) -> None:
+        (engine,) = fleet.add_engines(1)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, "/once/a"))
+        await fleet.clock.async_sleep(200)
+        engine.up = False
+        answer = await sending
+        assert answer.aborted
+        page = member.core.meters.render().decode()
+        assert 'goldcreststair_given_up_total{failure="lost"} 1.0' in page
+
+    run_fleet(scenario)
+
+
+def test_the_log_says_what_a_silence_went_by(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a"))
+        await fleet.clock.async_sleep(200)
+        next(engine for engine in engines if engine.running).silent = True
+        answer = await sending
+        assert answer.whole
+
+    with caplog.at_level(logging.INFO):
+        run_fleet(scenario)
+    (line,) = [r for r in caplog.records if r.getMessage() == "Request runs elsewhere"]
+    reason = line.__dict__["reason"]
+    assert reason.startswith("upstream fell silent: run ") and " of 600 ms" in reason
