Leave a silent run only for another one that may follow it

Cause: the silence watch ended a run by its own timeouts (130 ms, 600 ms), and only then the policy was asked what follows. Where nothing may follow (attempts spent, as the first upstream had reset the request; no other upstream open; no retry budget), the answer was cut, or refused with 502. A timeout that is right for a failover was used where there was nothing to fail over to.

Change: the watch asks first whether the request could go on elsewhere, by the same policy that decides afterwards (`may_leave_run`) and by whether placement has an open upstream. If not, the run goes on until its connection breaks (TCP_USER_TIMEOUT ends one to a dead upstream after 2 s) or the deadline passes.

Why it works: a run is now ended for its silence only at a moment when a following one is allowed and has a place; a slow upstream's answer is passed on. What it costs: with the last allowed upstream dark, the caller's stream ends after 2 s instead of 0.2 s.

--- a/goldcreststair/components/forwarding/recovery.py
+++ b/goldcreststair/components/forwarding/recovery.py
@@ -48,6 +48,20 @@
     return NextRun.GIVE_UP
 
 
+def may_leave_run(
+    progress: RequestProgress, route: Route, budget: RetryBudget, left_ms: int
+) -> bool:
+    """Return whether a run that is under way may be left for another one.
+
+    `progress` does not count the run yet, but has the last event that it brought.
+    """
+    if left_ms < MIN_LEFT_MS or not route.repeatable:
+        return False
+    if progress.attempts + 1 >= route.max_attempts:
+        return False
+    return progress.last_event > 0 or not budget.is_spent
+
+
 def refuse_after(progress: RequestProgress, error: UpstreamError, retry_ms: int = 0) -> Refusal:
     """Return the final answer after a failed run."""
     if not progress.may_have_run:
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -14,6 +15,7 @@
 from goldcreststair.components.forwarding.recovery import (
     NextRun,
     decide_next_run,
+    may_leave_run,
     refuse_after,
 )
 from goldcreststair.components.forwarding.refusals import log_refusal, refuse_for_now
@@ -100,11 +102,7 @@
                 return
 
     def _place(self) -> Result[Placement, Refusal]:
-        query = PlacementQuery(
-            self._admitted.service, frozenset(self._progress.excluded), self._admitted.affinity
-        )
-        controller = self._placement.controller
-        chosen = controller.choose(query)
+        chosen = self._placement.controller.choose(self._make_query(self._progress.excluded))
         if isinstance(chosen, Err):
             error = UpstreamError(chosen.err_value.message, UpstreamFailure.CONNECT)
             return Err(refuse_after(self._progress, error, chosen.err_value.retry_after_ms))
@@ -118,6 +116,9 @@
         message = f"first event expected after {placement.expected_ms:.0f} ms"
         return Err(refuse_for_now(message, RefusalCode.OVERLOADED, return_ms))
 
+    def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
+        return PlacementQuery(self._admitted.service, frozenset(excluded), self._admitted.affinity)
+
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
         entry = placement.upstream
         call = self._make_call(entry.name)
@@ -157,6 +158,7 @@
             lambda: controller.read_progress(entry.name),
             lambda: controller.has_witness(entry.name),
             lambda: self._core.runner.pool.async_warm(entry.address, CHECK_TIMEOUT_MS),
+            self._may_leave_run,
         )
         watch = SilenceWatch(self._clock, self._relay, placement.expected_ms, evidence)
         ended = await self._watcher.async_follow(run, watch)
@@ -165,6 +167,13 @@
             return Err(UpstreamError(message, UpstreamFailure.SILENT))
         return ended
 
+    def _may_leave_run(self) -> bool:
+        progress = replace(self._progress, last_event=self._relay.last_event)
+        if not may_leave_run(progress, self._route, self._budget, self._left_ms()):
+            return False
+        elsewhere = self._make_query(progress.excluded | {self._at})
+        return self._placement.controller.has_place(elsewhere)
+
     def _make_call(self, upstream: str) -> RunCall:
         request = self._request
         return RunCall(
--- a/goldcreststair/components/forwarding/watch.py
+++ b/goldcreststair/components/forwarding/watch.py
@@ -39,6 +39,8 @@
     """Returns whether other runs of this daemon would have heard from it."""
     async_check: Callable[[], Awaitable[bool]]
     """Returns whether it still accepts connections."""
+    may_leave: Callable[[], bool]
+    """Returns whether the request could go on at another upstream."""
 
 
 class SilenceWatch:
@@ -70,12 +72,22 @@
     def note_check(self, *, accepted: bool) -> Silence:
         """Take whether the upstream accepts connections; returns what follows."""
         if not accepted:
-            return Silence.CERTAIN
+            return self._weigh(Silence.CERTAIN)
         self._accepted_at = self._clock.now()
         return Silence.NONE
 
     def judge(self) -> Silence:
-        """Return whether the upstream seems gone."""
+        """Return whether the upstream seems gone, and its run had better be left."""
+        return self._weigh(self._judge_silence())
+
+    def _weigh(self, silence: Silence) -> Silence:
+        # Silence is a reason to move a request, not to end it: a caller whose last run is left gets
+        # nothing, where a slow upstream would have gone on. A dead one shows in its connection.
+        if silence is not Silence.NONE and not self.evidence.may_leave():
+            return Silence.NONE
+        return silence
+
+    def _judge_silence(self) -> Silence:
         now = self._clock.now()
         late_ms = now - self._looked_at - WATCH_MS
         self._looked_at = now
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -115,6 +115,11 @@
         best = min(open_ones, key=lambda state: self._cost(state, favourite))
         return Ok(self._place(best))
 
+    def has_place(self, query: PlacementQuery) -> bool:
+        """Return whether `choose` would find an upstream."""
+        fitting = [s for s in self._list(query.service) if s.entry.name not in query.excluded]
+        return bool(self._prefer_open(fitting))
+
     def _draw(self, states: list[_State], favourite: str) -> _State:
         rooms = [self._read_room(state, favourite) for state in states]
         return draw(list(zip(states, weigh_rooms(rooms), strict=True)), self._random)
--- a/goldcreststair/helpers/retry_budget.py
+++ b/goldcreststair/helpers/retry_budget.py
@@ -30,9 +30,14 @@
         """Count one request."""
         self._level = min(self._capacity, self._level + self._fraction)
 
+    @property
+    def is_spent(self) -> bool:
+        """Whether no repeated run is left."""
+        return self._level < 1
+
     def take(self) -> bool:
         """Spend one repeated run if there is one."""
-        if self._level < 1:
+        if self.is_spent:
             return False
         self._level -= 1
         return True
--- a/tests/components/forwarding/test_silence.py
+++ b/tests/components/forwarding/test_silence.py
@@ -2,6 +2,11 @@
 
 import asyncio
 
+import pytest
+
+from goldcreststair.components.forwarding.protocols import FORWARDING
+from goldcreststair.components.forwarding.service import ForwardingService
+from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import FleetMember, GatewayFleet
 from standins.run_engines import RunEngine, make_event
 from tests.helpers.gateways import async_send, run_fleet
@@ -36,21 +41,86 @@
     engine.silent = False
 
 
-def test_a_stream_on_its_last_attempt_outlasts_a_pause() -> None:
+@pytest.mark.parametrize("vms", [SMALL, LARGE])
+@pytest.mark.parametrize("pause_after_ms", [5, 300])
+def test_a_stream_on_its_last_attempt_outlasts_a_pause(vms: int, pause_after_ms: int) -> None:
     """Guards against cutting a stream for its silence when no other upstream may run it."""
 
     async def scenario(fleet: GatewayFleet) -> None:
         engines = fleet.add_engines(3)
-        member = await async_start(fleet, LARGE)
+        member = await async_start(fleet, vms)
         sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
         lost = await async_find_running(fleet, engines)
         lost.up = False
         others = [engine for engine in engines if engine is not lost]
         last = await async_find_running(fleet, others)
-        await fleet.clock.async_sleep(300)
+        await fleet.clock.async_sleep(pause_after_ms)
         await async_pause(fleet, last)
         answer = await sending
         assert answer.whole and answer.body == make_stream("r")
         assert sum(len(engine.ran) for engine in engines) == 2
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("vms", [SMALL, LARGE])
+@pytest.mark.parametrize("others", ["none", "down", "draining"])
+def test_a_stream_without_another_upstream_outlasts_a_pause(vms: int, others: str) -> None:
+    """Guards against cutting a stream for its silence when no other upstream can take it."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (only,) = fleet.add_engines(1)
+        member = await async_start(fleet, vms)
+        if others != "none":
+            for engine in fleet.add_engines(2):
+                engine.up = others != "down"
+                fleet.register(engine, draining=others == "draining")
+        await fleet.clock.async_sleep(100)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
+        await fleet.async_wait(lambda: only.running > 0, 2_000)
+        await fleet.clock.async_sleep(300)
+        await async_pause(fleet, only)
+        answer = await sending
+        assert answer.whole and answer.body == make_stream("r")
+
+    run_fleet(scenario)
+
+
+def test_a_request_without_retry_budget_outlasts_a_pause() -> None:
+    """Guards against refusing a request for its upstream's silence when no retry is left."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        member = await async_start(fleet, SMALL)
+        forwarding = member.core.get(FORWARDING)
+        assert isinstance(forwarding, ForwardingService)
+        while forwarding.budget.take():
+            pass
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
+        await async_pause(fleet, await async_find_running(fleet, engines))
+        answer = await sending
+        assert answer.whole and answer.body == make_stream("r")
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("silent_after_ms", [5, 300])
+def test_a_silent_last_upstream_is_waited_for_until_the_deadline(silent_after_ms: int) -> None:
+    """Guards against holding a caller longer than its deadline for an upstream that stays silent."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (engine,) = fleet.add_engines(1)
+        member = await async_start(fleet, SMALL)
+        began_at = fleet.clock.now()
+        deadline_ms = 2_000
+        sending = asyncio.create_task(
+            async_send(fleet, member, "/stream/a", deadline_ms=deadline_ms)
+        )
+        await fleet.clock.async_sleep(silent_after_ms)
+        engine.silent = True
+        answer = await sending
+        assert deadline_ms <= answer.ended_at - began_at <= deadline_ms + 50
+        refused = answer.refusal
+        assert answer.aborted or (refused is not None and refused.code is RefusalCode.DEADLINE)
+
+    run_fleet(scenario)
