Do not take a caller that reads slowly for a silent upstream

A caller on a full link whose connection took nothing for a moment had its stream taken up at a second upstream, or, on the last attempt, cut.

Cause: while a write to the caller waits, nothing is read from the upstream, and the silence watch counted that as the upstream's silence. Evidence: the test holds the caller's connection for 1.5 s; on the code before, two upstreams ran the request (assert 2 == 1).

Change: the relay says while it waits for its caller, and silence is counted anew from the end of it. The test and the other 49 of forwarding pass.

--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -26,6 +26,8 @@
         """Whether the caller has the head of a stream."""
         self.run_events = 0
         """Events of the present run."""
+        self.waits_for_caller = False
+        """Whether the caller's connection takes nothing more, so that nothing is read either."""
         self._responder = responder
         self._clock = clock
         self._on_data = on_data
@@ -38,6 +40,7 @@
         self._splitter = EventSplitter()
         self._gap = False
         self.run_events = 0
+        self.waits_for_caller = False
         self.progress_at = self._clock.now()
 
     @property
@@ -62,7 +65,16 @@
         if self.first_event_at is None:
             self.first_event_at = self._clock.now()
         self.begin()
-        return self._responder.write(b"".join(passed))
+        written = self._responder.write(b"".join(passed))
+        return None if written is None else self._async_wait_for_caller(written)
+
+    async def _async_wait_for_caller(self, written: Awaitable[None]) -> None:
+        self.waits_for_caller = True
+        try:
+            await written
+        finally:
+            self.waits_for_caller = False
+            self.progress_at = self._clock.now()
 
     def begin(self) -> None:
         """Send the head, once."""
--- a/goldcreststair/components/forwarding/watch.py
+++ b/goldcreststair/components/forwarding/watch.py
@@ -93,7 +93,7 @@
         self._looked_at = now
         # A process that was kept from reading sees silence everywhere. Moved on for that, every
         # stream of this VM would be run again at the same moment.
-        if late_ms > LATE_TICK_MS:
+        if late_ms > LATE_TICK_MS or self._relay.waits_for_caller:
             self._counted_from = now
         self._quiet_ms = now - max(self._counted_from, self._relay.progress_at)
         self._upstream_quiet_ms = now - max(self._counted_from, self.evidence.read_progress())
--- a/tests/components/forwarding/test_silence.py
+++ b/tests/components/forwarding/test_silence.py
@@ -1,13 +1,14 @@
 """Requests whose last upstream falls silent for a while and then goes on."""
 
 import asyncio
+from dataclasses import dataclass
 
 import pytest
 
 from goldcreststair.components.forwarding.protocols import FORWARDING
 from goldcreststair.components.forwarding.service import ForwardingService
 from goldcreststair.helpers.refusals import RefusalCode
-from standins.gateways import FleetMember, GatewayFleet
+from standins.gateways import FakeResponder, FleetMember, GatewayFleet
 from standins.run_engines import RunEngine, make_event
 from tests.helpers.gateways import async_send, run_fleet
 
@@ -104,6 +105,38 @@
     run_fleet(scenario)
 
 
+@dataclass(slots=True)
+class SlowResponder(FakeResponder):
+    """A caller whose connection takes nothing more for a while, once."""
+
+    stalls_at: int = 5
+
+    def write(self, data: bytes) -> asyncio.Future[None] | None:  # type: ignore[override]
+        """Take a piece, late."""
+        FakeResponder.write(self, data)
+        if len(self.event_times) != self.stalls_at:
+            return None
+        return asyncio.ensure_future(self._async_stall())
+
+    async def _async_stall(self) -> None:
+        await self.clock.async_sleep(PAUSE_MS)
+
+
+def test_a_caller_that_reads_slowly_is_not_taken_for_a_silent_upstream() -> None:
+    """Guards against moving or cutting a stream that waits for its own caller."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(3)
+        member = await async_start(fleet, SMALL)
+        responder = SlowResponder(fleet.clock)
+        request = fleet.make_request("/stream/a", request_id="r")
+        await member.core.get(FORWARDING).async_forward(request, responder)
+        assert responder.whole and responder.body == make_stream("r")
+        assert sum(len(engine.ran) for engine in engines) == 1
+
+    run_fleet(scenario)
+
+
 @pytest.mark.parametrize("silent_after_ms", [5, 300])
 def test_a_silent_last_upstream_is_waited_for_until_the_deadline(silent_after_ms: int) -> None:
     """Guards against holding a caller longer than its deadline for an upstream that stays silent."""
