Let a begun stream wait for upstreams that are full for a moment

A stream whose upstream had crashed, or had been left for its silence, was cut if all others said in that moment that they had no room.

Where nothing could take the stream now, its answer was ended, although time was left and an upstream turns work away for as long as one run takes. Upstreams that had only turned it away were never asked again.

Change: a begun stream looks for a place every 50 ms until its deadline, as long as the service has an upstream that has not run it; those that only turned it away may be asked again. A request of which nothing is out is answered at once, as before. The names of the upstreams that may have run it replace their count.

--- a/goldcreststair/components/forwarding/const.py
+++ b/goldcreststair/components/forwarding/const.py
@@ -22,6 +22,8 @@
 """An upstream that accepts no connection within this time is gone: one that is full accepts in a few ms."""
 SETTLE_LOOK_MS: Final = 25
 """How often a request is looked at whose daemon has just started and does not hear the others yet."""
+PLACE_LOOK_MS: Final = 50
+"""How often a begun stream that no upstream can take at this moment is placed again."""
 MIN_LEFT_MS: Final = 50
 """A run with less time left than this cannot bring a first event."""
 RETRY_NOW_MS: Final = 200
--- a/goldcreststair/components/forwarding/models.py
+++ b/goldcreststair/components/forwarding/models.py
@@ -7,10 +7,19 @@
 class RequestProgress:
     """How far one request has come over all its runs."""
 
-    attempts: int = 0
-    """Upstreams that may have run it."""
+    ran: set[str] = field(default_factory=set)
+    """Names of the upstreams that may have run it."""
     excluded: set[str] = field(default_factory=set)
-    may_have_run: bool = False
-    """Whether any upstream may have run any part; "not run" is untrue from then on."""
+    """Names of the upstreams that it is not sent to: those, and those that turned it away."""
     last_event: int = 0
     """Number of the last event passed on."""
+
+    @property
+    def attempts(self) -> int:
+        """Return how many upstreams may have run it."""
+        return len(self.ran)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any upstream may have run any part; "not run" is untrue from then on."""
+        return bool(self.ran)
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -9,7 +9,11 @@
 
 from goldcreststair.components.catalogue.models import CallKind
 from goldcreststair.components.crash_marks.service import CRASH_MARKS
-from goldcreststair.components.forwarding.const import CHECK_TIMEOUT_MS
+from goldcreststair.components.forwarding.const import (
+    CHECK_TIMEOUT_MS,
+    MIN_LEFT_MS,
+    PLACE_LOOK_MS,
+)
 from goldcreststair.components.forwarding.models import RequestProgress
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.recovery import (
@@ -75,7 +79,7 @@
         """Run until there is a final answer."""
         self._budget.earn()
         while True:
-            placed = self._place()
+            placed = await self._async_place()
             if isinstance(placed, Err):
                 self._end_refused(placed.err_value)
                 return
@@ -101,6 +105,20 @@
                     self._end_refused(refuse_after(self._progress, error))
                 return
 
+    async def _async_place(self) -> Result[Placement, Refusal]:
+        placed = self._place()
+        # Cut now, the caller would lose what it has for upstreams that are full for a moment.
+        while isinstance(placed, Err) and self._may_wait_for_place():
+            self._progress.excluded = set(self._progress.ran)
+            await self._clock.async_sleep(PLACE_LOOK_MS)
+            placed = self._place()
+        return placed
+
+    def _may_wait_for_place(self) -> bool:
+        if not self._relay.has_begun or self._left_ms() < MIN_LEFT_MS:
+            return False
+        return self._placement.controller.has_upstream(self._make_query(self._progress.ran))
+
     def _place(self) -> Result[Placement, Refusal]:
         chosen = self._placement.controller.choose(self._make_query(self._progress.excluded))
         if isinstance(chosen, Err):
@@ -200,8 +218,7 @@
         progress.excluded.add(entry.name)
         progress.last_event = self._relay.last_event
         if not error.not_run:
-            progress.may_have_run = True
-            progress.attempts += 1
+            progress.ran.add(entry.name)
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
             self._placement.note_down(entry, error.message, self._request.request_id)
         elif error.failure is UpstreamFailure.LOST and not error.status:
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -101,7 +101,7 @@
 
     def choose(self, query: PlacementQuery) -> Result[Placement, NoPlace]:
         """Return where an online request had best go."""
-        fitting = [s for s in self._list(query.service) if s.entry.name not in query.excluded]
+        fitting = self._list_fitting(query)
         if not fitting:
             return Err(NoPlace(f"no upstream of {query.service}", known=False))
         open_ones = self._prefer_open(fitting)
@@ -117,8 +117,14 @@
 
     def has_place(self, query: PlacementQuery) -> bool:
         """Return whether `choose` would find an upstream."""
-        fitting = [s for s in self._list(query.service) if s.entry.name not in query.excluded]
-        return bool(self._prefer_open(fitting))
+        return bool(self._prefer_open(self._list_fitting(query)))
+
+    def has_upstream(self, query: PlacementQuery) -> bool:
+        """Return whether there is an upstream that `choose` may find later, if not now."""
+        return bool(self._list_fitting(query))
+
+    def _list_fitting(self, query: PlacementQuery) -> list[_State]:
+        return [s for s in self._list(query.service) if s.entry.name not in query.excluded]
 
     def _draw(self, states: list[_State], favourite: str) -> _State:
         rooms = [self._read_room(state, favourite) for state in states]
--- a/tests/components/forwarding/test_streams.py
+++ b/tests/components/forwarding/test_streams.py
@@ -61,6 +61,31 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("engines_left", [1, 3])
+def test_a_begun_stream_waits_for_upstreams_that_are_full(engines_left: int) -> None:
+    """Guards against cutting a begun stream while the upstreams left are full for a moment."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(1 + engines_left)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
+        await fleet.clock.async_sleep(200)
+        crashed = find_running(engines)
+        others = [engine for engine in engines if engine is not crashed]
+        for engine in others:
+            engine.refuse = True
+        crashed.up = False
+        await fleet.clock.async_sleep(400)
+        for engine in others:
+            engine.refuse = False
+        answer = await sending
+        assert answer.whole and answer.body == make_stream("r", 20)
+        assert sum(len(engine.ran) for engine in others) == 1
+
+    run_fleet(scenario)
+
+
 def test_a_silent_engine_is_left_within_the_pause_that_is_still_good() -> None:
     """A stream stood still until its caller gave up after two seconds, with its connection open.
 
