--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -93,7 +93,8 @@
         self._lister = lister
         self._placement = core.get(PLACEMENT)
         self._placement.on_yield(self._give_way)
-        self._runs: set[_Run] = set()
+        self._runs: dict[_Run, None] = {}
+        """In the order of their begin, which decides between equal ones; a set has no order."""
         self._stopped = False
         self._picture: int | None = None
         self._starts = 0
@@ -195,7 +196,7 @@
     def _begin(self, run: _Run) -> None:
         name = run.upstream.name
         run.item.state = ItemState.RUNNING
-        self._runs.add(run)
+        self._runs[run] = None
         self._placement.begin(name, run.runs)
         controller = self._placement.controller
         sink = ItemSink(run.item, self._clock, lambda: controller.note_progress(name))
@@ -229,7 +230,7 @@
         if run.ended:
             return
         run.ended = True
-        self._runs.discard(run)
+        self._runs.pop(run, None)
         self._placement.end(run.upstream.name, run.runs)
         if run.item.state is ItemState.RUNNING:
             run.item.state = ItemState.WAITING
--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -98,6 +98,29 @@
     run_fleet(scenario)
 
 
+def test_of_equal_runs_those_that_began_first_give_way() -> None:
+    """Of runs with as much left to do, where they lay in memory chose who gave way."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (engine,) = fleet.add_engines(1)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        fleet.engines.events_of = {f"digest-{n}": 150 for n in range(engine.slots)}
+        assert (await async_submit(fleet, member, "digest", engine.slots)).accepted
+        await fleet.clock.async_sleep(1_000)
+        began = [call.request_id for call in engine.ran]
+        placement = member.core.get(PLACEMENT)
+        for _ in range(4):
+            placement.begin(engine.name)
+        await fleet.clock.async_sleep(100)
+        at_work = [name for name, count in fleet.engines.at_work.items() if count]
+        yielded = len(began) - len(at_work)
+        assert yielded >= 3
+        assert sorted(at_work) == sorted(began[yielded:])
+
+    run_fleet(scenario)
+
+
 def test_batch_gives_way_to_a_burst_and_goes_on_after_it() -> None:
     """Members' requests met engines full of digest items and waited behind them.
 
