Wait for a home that is slow, and tell it from one that is lost

Callers within their rate got 429 rate_limited, retry 300 ms, when the VM that is home of their customer's limits answered one ask late, as it does when its processor is busy.

Cause: the time of an ask and the wait of the requests behind it were one thing. After 100 ms without an answer the ask was dropped, the late answer with it, and all that waited were refused; a home that always took 150 ms could never be heard again. A request that came while another's ask was under way had 150 ms for the pause between asks and for its own answer.

Change: an ask lives 500 ms, whoever still waits for it. A request waits for the ask's verdict, up to 1.5 s or its deadline, unless this home left the last ask unanswered: then 150 ms as before. So a lost home holds the requests of a VM and customer once, and a late answer, which is taken in even if nobody waits, clears a home again. An error of the link still refuses at once: that is what the checks of a lost answer and of a cut link demand, both unchanged, since there the peer links report the failure. Requests whose owner has changed during a silent ask are not refused for the old one's silence but ask the new one.

Why the bound holds: a lot's lease still runs from the ask (2 s), an ask given up is still reported as finished, and home and borrower count as before.

Ruled out: a second ask behind a silent one. A link keeps its order, so the second answer cannot come before the first.

The two fakes of async_admit in tests/faults take the deadline that the online service now passes on; what they check is unchanged.

--- a/goldcreststair/components/limits/borrower.py
+++ b/goldcreststair/components/limits/borrower.py
@@ -36,6 +36,8 @@
     """Whether no VM was home at the last ask, as between a release and the next claim."""
     moving_asks: int = 0
     """Asks in a row that met no home."""
+    silent_home: str | None = None
+    """The session that left the last ask unanswered."""
 
     def note_home(self, found: bool) -> None:
         """Take note of whether an ask met the home."""
--- a/goldcreststair/components/limits/const.py
+++ b/goldcreststair/components/limits/const.py
@@ -21,12 +21,14 @@
 MARGIN_MS: Final = 100
 
 ASK_INTERVAL_MS: Final = 100
-ASK_TIMEOUT_MS: Final = 100
+ASK_TIMEOUT_MS: Final = 500
+"""How long a home may be silent before an ask counts as unanswered."""
 ADMIT_WAIT_MS: Final = 150
+"""Longest wait of a request for a home that left the last ask unanswered."""
 OWNER_READ_INTERVAL_MS: Final = 1_000
 """Shortest time between two store reads for one customer's home."""
 HOME_WAIT_MS: Final = 1_500
-"""Longest wait of a request while its home is on its way from one VM to another."""
+"""Longest wait of a request for a home that is slow, or on its way from one VM to another."""
 FIRST_MOVING_ASK_MS: Final = 10
 """Pause after the first ask that met no home; doubled up to `ASK_INTERVAL_MS`."""
 PREDECESSOR_WAIT_MS: Final = 300
--- a/goldcreststair/components/limits/controller.py
+++ b/goldcreststair/components/limits/controller.py
@@ -31,7 +31,9 @@
     async def async_close(self) -> None:
         """Do nothing."""
 
-    async def async_admit(self, customer: Customer) -> Result[None, LimitExceeded]:
+    async def async_admit(
+        self, customer: Customer, deadline_at: Millis | None = None
+    ) -> Result[None, LimitExceeded]:
         """Take one token."""
         now = self._clock.now()
         bucket = self._buckets.setdefault(customer.name, _Bucket(customer.burst, now))
--- a/goldcreststair/components/limits/fleet.py
+++ b/goldcreststair/components/limits/fleet.py
@@ -63,7 +63,9 @@
                 borrower.task.cancel()
             borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
 
-    async def async_admit(self, customer: Customer) -> Result[None, LimitExceeded]:
+    async def async_admit(
+        self, customer: Customer, deadline_at: Millis | None = None
+    ) -> Result[None, LimitExceeded]:
         """Take one token, asking the customer's home VM for more if need be."""
         now = self._clock.now()
         if self._spend_static(customer, now):
@@ -77,7 +79,8 @@
             return Ok(None)
         if now < borrower.denied_until:
             return self._refuse(borrower.denied_until - now)
-        return await self._async_wait(customer.name, borrower)
+        wait_ms = HOME_WAIT_MS if deadline_at is None else min(HOME_WAIT_MS, deadline_at - now)
+        return await self._async_wait(customer.name, borrower, max(0, wait_ms))
 
     def _spend_static(self, customer: Customer, now: Millis) -> bool:
         share = self._shares.setdefault(customer.name, StaticShare())
@@ -94,21 +97,35 @@
     def _refuse(self, retry_after_ms: int) -> Result[None, LimitExceeded]:
         return Err(LimitExceeded("rate and burst are spent", max(1, retry_after_ms)))
 
-    async def _async_wait(self, name: str, borrower: Borrower) -> Result[None, LimitExceeded]:
+    async def _async_wait(
+        self, name: str, borrower: Borrower, wait_ms: int
+    ) -> Result[None, LimitExceeded]:
         waiter = borrower.add_waiter()
         if borrower.task is None or borrower.task.done():
             borrower.task = asyncio.create_task(self._async_borrow(name, borrower))
-        await asyncio.wait({waiter.future}, timeout=ADMIT_WAIT_MS / MS_PER_SECOND)
-        if borrower.home_moving and not waiter.future.done():
-            # A home changes its VM within a second or so. Refused meanwhile, every customer of the
-            # partition would see a planned stop of a VM that isn't theirs.
-            rest_ms = HOME_WAIT_MS - ADMIT_WAIT_MS
+        first_ms = min(ADMIT_WAIT_MS, wait_ms)
+        await asyncio.wait({waiter.future}, timeout=first_ms / MS_PER_SECOND)
+        if not waiter.future.done() and self._may_answer(name, borrower):
+            rest_ms = wait_ms - first_ms
             await asyncio.wait({waiter.future}, timeout=rest_ms / MS_PER_SECOND)
         if waiter.future.cancel():
             return self._refuse(UNREACHABLE_RETRY_MS)
         retry_after_ms = waiter.future.result()
         return Ok(None) if retry_after_ms == 0 else self._refuse(retry_after_ms)
 
+    def _may_answer(self, name: str, borrower: Borrower) -> bool:
+        """Return whether a request should wait on for the home."""
+        # A home changes its VM within a second or so. Refused meanwhile, every customer of the
+        # partition would see a planned stop of a VM that isn't theirs.
+        if borrower.home_moving:
+            return True
+        # One late answer says nothing: a busy VM isn't a lost one. Held at a lost one, though,
+        # every request would learn late that it has to come back.
+        return borrower.silent_home is None or borrower.silent_home != self._find_owner(name)
+
+    def _find_owner(self, name: str) -> str | None:
+        return self._ledger.find_owner(find_customer_index(self._ledger, name))
+
     async def _async_borrow(self, name: str, borrower: Borrower) -> None:
         """Ask while requests wait; then report until the home knows all."""
         while True:
@@ -145,15 +162,19 @@
         asked = borrower.count_waiting()
         want = borrower.bucket.get_want(asked, now)
         reports = messages.encode_reports(borrower.bucket.ask(number, now))
-        answer = await self._async_ask_owner(ttypes.TokenAsk(name, number, want, reports))
+        owner = self._find_owner(name)
+        answer = await self._async_ask_owner(owner, ttypes.TokenAsk(name, number, want, reports))
         now = self._clock.now()
+        borrower.silent_home = owner if isinstance(answer, Err) else None
         grant = answer.ok_value if isinstance(answer, Ok) else None
         borrower.note_home(found=grant is None or grant.home)
         if grant is None or not grant.home:
             borrower.bucket.give_up(number)
             self._find_home_again(name, borrower, now)
             if grant is None:
-                borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
+                # Another home may have taken over meanwhile: the next ask goes there.
+                if owner == self._find_owner(name):
+                    borrower.refuse_waiters(UNREACHABLE_RETRY_MS)
             elif grant.owner:
                 self._ledger.learn_owner(find_customer_index(self._ledger, name), grant.owner)
             return
@@ -173,8 +194,9 @@
             self._readings.add(reading)
             reading.add_done_callback(self._readings.discard)
 
-    async def _async_ask_owner(self, ask: PeerMessage) -> Result[PeerMessage, PeerError]:
-        owner = self._ledger.find_owner(find_customer_index(self._ledger, ask.customer))
+    async def _async_ask_owner(
+        self, owner: str | None, ask: PeerMessage
+    ) -> Result[PeerMessage, PeerError]:
         if owner is None or owner == self._core.session_id:
             return Ok(ttypes.TokenGrant(False, 0, UNREACHABLE_RETRY_MS))
         return await self._peers.async_request(owner, ask, ASK_TIMEOUT_MS)
@@ -187,7 +209,7 @@
             now = self._clock.now()
             answer = self._homes.lend(customer, sender, message.number, message.want, reports, now)
         if answer is None:
-            owner = self._ledger.find_owner(find_customer_index(self._ledger, message.customer))
+            owner = self._find_owner(message.customer)
             other = owner if owner != self._core.session_id else None
             return ttypes.TokenGrant(False, 0, UNREACHABLE_RETRY_MS, other)
         return ttypes.TokenGrant(True, answer.granted, answer.retry_after_ms)
--- a/goldcreststair/components/limits/protocols.py
+++ b/goldcreststair/components/limits/protocols.py
@@ -5,6 +5,7 @@
 
 from result import Result
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.configuration.models import Customer
 from goldcreststair.core import ComponentKey
 from goldcreststair.errors import GoldcreststairError
@@ -20,7 +21,9 @@
 class Limits(Protocol):
     """Admits requests so that rate and burst hold over all VMs together."""
 
-    async def async_admit(self, customer: Customer) -> Result[None, LimitExceeded]:
+    async def async_admit(
+        self, customer: Customer, deadline_at: Millis | None = None
+    ) -> Result[None, LimitExceeded]:
         """Take one token, asking the customer's home VM for more if need be."""
 
 
--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -136,8 +136,10 @@
         self._in_flight += change
         self._meter.update(self._in_flight)
 
-    async def _async_admit(self, identity: Identity, idempotency_key: str) -> Result[None, Refusal]:
-        admitted = await self._limits.async_admit(identity.customer)
+    async def _async_admit(
+        self, identity: Identity, idempotency_key: str, deadline_at: Millis
+    ) -> Result[None, Refusal]:
+        admitted = await self._limits.async_admit(identity.customer, deadline_at)
         if isinstance(admitted, Ok):
             return Ok(None)
         error = admitted.err_value
@@ -150,7 +152,7 @@
     ) -> Result[GenerateEnd, Refusal]:
         begun_at = self._clock.now()
         deadline_at = Millis(begun_at + request.deadline_ms)
-        admitted = await self._async_admit(request.identity, request.idempotency_key)
+        admitted = await self._async_admit(request.identity, request.idempotency_key, deadline_at)
         if isinstance(admitted, Err):
             return admitted
         recorder = StreamRecorder(sink, self._clock)
@@ -193,7 +195,7 @@
 
     async def _async_call(self, request: ServiceRequest) -> Result[Outcome, Refusal]:
         deadline_at = Millis(self._clock.now() + request.deadline_ms)
-        admitted = await self._async_admit(request.identity, request.idempotency_key)
+        admitted = await self._async_admit(request.identity, request.idempotency_key, deadline_at)
         if isinstance(admitted, Err):
             return admitted
         if request.repeatable and not request.idempotency_key:
--- a/tests/components/limits/test_slow_home.py
+++ b/tests/components/limits/test_slow_home.py
@@ -1,10 +1,18 @@
 """Asks that are answered late, by a home that is alive, on virtual time."""
 
 import asyncio
+import random
 
 import pytest
+from result import Err
 
-from tests.components.limits.test_fleet import Callers, run_fleet
+from goldcreststair.clock import Millis
+from goldcreststair.components.limits.const import (
+    ADMIT_WAIT_MS,
+    ASK_TIMEOUT_MS,
+    UNREACHABLE_RETRY_MS,
+)
+from tests.components.limits.test_fleet import ACME, Callers, run_fleet
 
 
 @pytest.mark.parametrize("one_way_ms", [75, 125, 200])
@@ -30,3 +38,85 @@
         assert await first == 1
 
     run_fleet(async_test)
+
+
+def test_lost_home_is_waited_for_once() -> None:
+    """A home is gone without a word: every request would be held for the answer that never comes."""
+
+    async def async_test(callers: Callers) -> None:
+        fleet, asking = callers.fleet, callers.others[0]
+        fleet.network.delay_ms = 60_000
+        for longest_ms in (ASK_TIMEOUT_MS, ADMIT_WAIT_MS, ADMIT_WAIT_MS):
+            before = fleet.get_now()
+            assert await callers.async_send(asking, 5) == 0
+            assert fleet.get_now() - before <= longest_ms
+            await fleet.clock.async_sleep(UNREACHABLE_RETRY_MS)
+        fleet.network.delay_ms = 1
+        await fleet.clock.async_sleep(ASK_TIMEOUT_MS)
+        assert await callers.async_send(asking, 5) == 5
+
+    run_fleet(async_test)
+
+
+def test_home_that_was_silent_once_is_trusted_after_a_late_answer() -> None:
+    """A home is silent once and slow from then on: each of its answers would come too late."""
+
+    async def async_test(callers: Callers) -> None:
+        fleet, asking = callers.fleet, callers.others[0]
+        fleet.network.delay_ms = 300
+        assert await callers.async_send(asking, 1) == 0
+        fleet.network.delay_ms = 100
+        assert await callers.async_send(asking, 1) == 0
+        await fleet.clock.async_sleep(UNREACHABLE_RETRY_MS)
+        for _ in range(5):
+            assert await callers.async_send(asking, 2) == 2
+
+    run_fleet(async_test)
+
+
+def test_new_home_is_not_blamed_for_the_silence_of_the_old_one() -> None:
+    """A lost home has a successor that is slow at first: its callers would be refused once more."""
+
+    async def async_test(callers: Callers) -> None:
+        fleet, (asking, other) = callers.fleet, callers.others[:2]
+        ledger = fleet.vms[asking].ledger
+        ledger.stale[ledger.find_index(f"customer/{ACME.name}")] = other
+        fleet.network.delay_ms = 60_000
+        assert await callers.async_send(asking, 5) == 0
+        fleet.network.delay_ms = 100
+        await fleet.clock.async_sleep(UNREACHABLE_RETRY_MS)
+        assert await callers.async_send(asking, 5) == 5
+
+    run_fleet(async_test)
+
+
+@pytest.mark.parametrize("deadline_ms", [0, 100, 300])
+def test_caller_is_answered_before_its_deadline(deadline_ms: int) -> None:
+    """A caller with little time left waits for a slow home beyond its deadline."""
+
+    async def async_test(callers: Callers) -> None:
+        fleet = callers.fleet
+        fleet.network.delay_ms = 60_000
+        before = fleet.get_now()
+        deadline_at = Millis(before + deadline_ms)
+        admitted = await fleet.vms[callers.others[0]].limits.async_admit(ACME, deadline_at)
+        assert isinstance(admitted, Err)
+        assert fleet.get_now() - before <= deadline_ms
+
+    run_fleet(async_test)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_bound_holds_while_answers_are_late(seed: int) -> None:
+    """Late answers are used beside new asks, and the fleet admits more than rate and burst."""
+
+    async def async_test(callers: Callers) -> None:
+        rng = random.Random(seed)
+        streams = [
+            asyncio.create_task(callers.async_stream(vm, 20, 15)) for vm in callers.fleet.vms
+        ]
+        while not all(stream.done() for stream in streams):
+            callers.fleet.network.delay_ms = rng.choice([1, 40, 100, 200, 260, 400])
+            await callers.fleet.clock.async_sleep(rng.choice([50, 300, 1000]))
+
+    run_fleet(async_test)
--- a/tests/faults/fleet.py
+++ b/tests/faults/fleet.py
@@ -200,8 +200,8 @@
         limits: Any = daemon.core.get(ONLINE)._limits
         admit = limits.async_admit
 
-        async def async_admit(customer: Any) -> Any:
-            admitted = await admit(customer)
+        async def async_admit(customer: Any, deadline_at: Any) -> Any:
+            admitted = await admit(customer, deadline_at)
             if isinstance(admitted, Ok):
                 times = self.record.admitted_ms.setdefault(customer.name, [])
                 times.append(self.clock.now())
--- a/tests/faults/test_planted.py
+++ b/tests/faults/test_planted.py
@@ -24,7 +24,7 @@
 
 
 def admit_everything(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def async_admit(_self: Any, _customer: Any) -> Any:
+    async def async_admit(_self: Any, _customer: Any, _deadline_at: Any) -> Any:
         return Ok(None)
 
     monkeypatch.setattr(FleetLimits, "async_admit", async_admit)
