Show that a pause of the own process counts as silence of the home

A VM that stands still longer than an ask lives finds the timer due together with the answer that lies unread, drops the answer, takes the home for silent and refuses callers within their rate. A longer time of the ask doesn't mend that. A pause also moves a request's wait beyond its caller's deadline, as the second part of the wait is counted from a late timer.

Virtual time gets a pause in which nothing of the loop runs. The test of deadlines has its old cases with a pause of 0.

--- a/standins/virtual_time.py
+++ b/standins/virtual_time.py
@@ -37,6 +37,10 @@
         """Return the virtual time in seconds."""
         return self._jumping.now
 
+    def stand_still(self, duration_s: float) -> None:
+        """Let time pass in which nothing runs, as in a process that gets no processor."""
+        self._jumping.now += duration_s
+
 
 def run_virtual(coroutine: Coroutine[Any, Any, T], limit_s: float = 86_400.0) -> T:
     """Run a coroutine on virtual time; fails if it takes more than `limit_s` of it."""
--- a/tests/components/limits/test_slow_home.py
+++ b/tests/components/limits/test_slow_home.py
@@ -9,10 +9,19 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.limits.const import (
     ADMIT_WAIT_MS,
+    ASK_INTERVAL_MS,
     ASK_TIMEOUT_MS,
     UNREACHABLE_RETRY_MS,
 )
 from tests.components.limits.test_fleet import ACME, Callers, run_fleet
+from tests.helpers.virtual_time import VirtualTimeLoop
+
+
+def stand_still(duration_ms: int) -> None:
+    """Let time pass in which nothing of the running loop goes on."""
+    loop = asyncio.get_running_loop()
+    assert isinstance(loop, VirtualTimeLoop)
+    loop.stand_still(duration_ms / 1000)
 
 
 @pytest.mark.parametrize("one_way_ms", [75, 125, 200])
@@ -26,6 +35,35 @@
     run_fleet(async_test)
 
 
+@pytest.mark.parametrize("stood_ms", [160, 520, 700, 1200])
+def test_pause_of_this_process_is_no_silence_of_the_home(stood_ms: int) -> None:
+    """This VM stands still with an answer on its way: what it did not read counts as silence."""
+
+    async def async_test(callers: Callers) -> None:
+        sending = asyncio.create_task(callers.async_send(callers.others[0], 5))
+        await callers.fleet.clock.async_sleep(1)
+        stand_still(stood_ms)
+        assert await sending == 5
+
+    run_fleet(async_test)
+
+
+@pytest.mark.parametrize("stood_ms", [160, 700])
+def test_lost_home_is_noticed_after_a_pause_of_this_process(stood_ms: int) -> None:
+    """This VM stands still while its home is gone: a pause that excuses any silence holds callers."""
+
+    async def async_test(callers: Callers) -> None:
+        callers.fleet.network.delay_ms = 60_000
+        sending = asyncio.create_task(callers.async_send(callers.others[0], 5))
+        await callers.fleet.clock.async_sleep(1)
+        stand_still(stood_ms)
+        before = callers.fleet.get_now()
+        assert await sending == 0
+        assert callers.fleet.get_now() - before <= ASK_TIMEOUT_MS + ASK_INTERVAL_MS
+
+    run_fleet(async_test)
+
+
 @pytest.mark.parametrize("after_ms", [5, 20])
 def test_request_waits_for_the_ask_after_the_one_under_way(after_ms: int) -> None:
     """A request that comes while another's ask is under way runs out of time before its own ask."""
@@ -90,17 +128,21 @@
     run_fleet(async_test)
 
 
-@pytest.mark.parametrize("deadline_ms", [0, 100, 300])
-def test_caller_is_answered_before_its_deadline(deadline_ms: int) -> None:
+@pytest.mark.parametrize(
+    ("deadline_ms", "stood_ms"), [(0, 0), (100, 0), (300, 0), (300, 160), (300, 290)]
+)
+def test_caller_is_answered_before_its_deadline(deadline_ms: int, stood_ms: int) -> None:
     """A caller with little time left waits for a slow home beyond its deadline."""
 
     async def async_test(callers: Callers) -> None:
         fleet = callers.fleet
         fleet.network.delay_ms = 60_000
         before = fleet.get_now()
-        deadline_at = Millis(before + deadline_ms)
-        admitted = await fleet.vms[callers.others[0]].limits.async_admit(ACME, deadline_at)
-        assert isinstance(admitted, Err)
+        limits = fleet.vms[callers.others[0]].limits
+        admitting = asyncio.create_task(limits.async_admit(ACME, Millis(before + deadline_ms)))
+        await asyncio.sleep(0)
+        stand_still(stood_ms)
+        assert isinstance(await admitting, Err)
         assert fleet.get_now() - before <= deadline_ms
 
     run_fleet(async_test)
