Count a home's silence only while this process listens

A VM that stood still for half a second with an ask on its way refused callers within their rate with 429, and callers with a deadline heard from it too late.

Cause: after a pause the timer of the ask is due in the same turn of the loop as the answer that lies unread in the socket, and wins. The second part of a request's wait was counted from a late timer, not by the clock.

Change: an ask is looked at every 50 ms; a look more than 40 ms late begins the 500 ms of silence anew, as the silence watch of runs does. The decision stands apart in limits/silence.py. The ask itself may be answered as long as its lot lives, 2 s. A wait ends at the caller's deadline by the clock. The bound's rules are untouched: an ask given up is given up as before.

--- a/goldcreststair/components/limits/const.py
+++ b/goldcreststair/components/limits/const.py
@@ -23,6 +23,10 @@
 ASK_INTERVAL_MS: Final = 100
 ASK_TIMEOUT_MS: Final = 500
 """How long a home may be silent before an ask counts as unanswered."""
+LOOK_MS: Final = 50
+"""How often an ask without an answer is looked at."""
+LATE_LOOK_MS: Final = 40
+"""A look that comes so late means that this process stood still: silence is counted anew."""
 ADMIT_WAIT_MS: Final = 150
 """Longest wait of a request for a home that left the last ask unanswered."""
 OWNER_READ_INTERVAL_MS: Final = 1_000
--- a/goldcreststair/components/limits/fleet.py
+++ b/goldcreststair/components/limits/fleet.py
@@ -9,18 +9,20 @@
 from goldcreststair.components.configuration.models import CONFIGURATION, Customer
 from goldcreststair.components.ledger.protocols import LEDGER
 from goldcreststair.components.limits import messages
-from goldcreststair.components.limits.borrower import Borrower
+from goldcreststair.components.limits.borrower import Borrower, Waiter
 from goldcreststair.components.limits.const import (
     ADMIT_WAIT_MS,
     ASK_INTERVAL_MS,
     ASK_TIMEOUT_MS,
     HOME_WAIT_MS,
+    LOT_LIFETIME_MS,
     OWNER_READ_INTERVAL_MS,
     UNREACHABLE_RETRY_MS,
 )
 from goldcreststair.components.limits.homes import Homes, find_customer_index
 from goldcreststair.components.limits.models import HomeAnswer
 from goldcreststair.components.limits.protocols import LimitExceeded
+from goldcreststair.components.limits.silence import AskSilence
 from goldcreststair.components.limits.static_share import StaticShare
 from goldcreststair.components.limits.takeover import HomeTasks
 from goldcreststair.components.membership.models import MEMBERS
@@ -79,8 +81,7 @@
             return Ok(None)
         if now < borrower.denied_until:
             return self._refuse(borrower.denied_until - now)
-        wait_ms = HOME_WAIT_MS if deadline_at is None else min(HOME_WAIT_MS, deadline_at - now)
-        return await self._async_wait(customer.name, borrower, max(0, wait_ms))
+        return await self._async_wait(customer.name, borrower, deadline_at)
 
     def _spend_static(self, customer: Customer, now: Millis) -> bool:
         share = self._shares.setdefault(customer.name, StaticShare())
@@ -98,21 +99,26 @@
         return Err(LimitExceeded("rate and burst are spent", max(1, retry_after_ms)))
 
     async def _async_wait(
-        self, name: str, borrower: Borrower, wait_ms: int
+        self, name: str, borrower: Borrower, deadline_at: Millis | None
     ) -> Result[None, LimitExceeded]:
         waiter = borrower.add_waiter()
         if borrower.task is None or borrower.task.done():
             borrower.task = asyncio.create_task(self._async_borrow(name, borrower))
-        first_ms = min(ADMIT_WAIT_MS, wait_ms)
-        await asyncio.wait({waiter.future}, timeout=first_ms / MS_PER_SECOND)
+        await self._async_wait_for(waiter, ADMIT_WAIT_MS, deadline_at)
         if not waiter.future.done() and self._may_answer(name, borrower):
-            rest_ms = wait_ms - first_ms
-            await asyncio.wait({waiter.future}, timeout=rest_ms / MS_PER_SECOND)
+            await self._async_wait_for(waiter, HOME_WAIT_MS - ADMIT_WAIT_MS, deadline_at)
         if waiter.future.cancel():
             return self._refuse(UNREACHABLE_RETRY_MS)
         retry_after_ms = waiter.future.result()
         return Ok(None) if retry_after_ms == 0 else self._refuse(retry_after_ms)
 
+    async def _async_wait_for(
+        self, waiter: Waiter, longest_ms: int, deadline_at: Millis | None
+    ) -> None:
+        if deadline_at is not None:
+            longest_ms = max(0, min(longest_ms, deadline_at - self._clock.now()))
+        await asyncio.wait({waiter.future}, timeout=longest_ms / MS_PER_SECOND)
+
     def _may_answer(self, name: str, borrower: Borrower) -> bool:
         """Return whether a request should wait on for the home."""
         # A home changes its VM within a second or so. Refused meanwhile, every customer of the
@@ -199,7 +205,18 @@
     ) -> Result[PeerMessage, PeerError]:
         if owner is None or owner == self._core.session_id:
             return Ok(ttypes.TokenGrant(False, 0, UNREACHABLE_RETRY_MS))
-        return await self._peers.async_request(owner, ask, ASK_TIMEOUT_MS)
+        # A lot that came later would have lapsed.
+        request = self._peers.async_request(owner, ask, LOT_LIFETIME_MS)
+        asking = asyncio.create_task(request)
+        silence = AskSilence(self._clock.now())
+        try:
+            while pause_ms := silence.find_pause(self._clock.now()):
+                await asyncio.wait({asking}, timeout=pause_ms / MS_PER_SECOND)
+                if asking.done():
+                    return asking.result()
+            return Err(PeerError(f"no answer from {owner} in {ASK_TIMEOUT_MS} ms"))
+        finally:
+            asking.cancel()
 
     async def _async_on_ask(self, sender: str, message: PeerMessage) -> PeerMessage:
         customer = self._core.blackboard.read(CONFIGURATION).customers.get(message.customer)
--- a/tests/components/limits/test_slow_home.py
+++ b/tests/components/limits/test_slow_home.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from itertools import count
 
 import pytest
 from result import Err
@@ -13,6 +14,7 @@
     ASK_TIMEOUT_MS,
     UNREACHABLE_RETRY_MS,
 )
+from goldcreststair.components.limits.silence import AskSilence
 from tests.components.limits.test_fleet import ACME, Callers, run_fleet
 from tests.helpers.virtual_time import VirtualTimeLoop
 
@@ -24,6 +26,25 @@
     loop.stand_still(duration_ms / 1000)
 
 
+@pytest.mark.parametrize(
+    ("late_looks", "silent_ms"),
+    [({}, 500), ({3: 40}, 500), ({3: 41}, 691), ({3: 41, 10: 2000}, 3041)],
+    ids=["no pause", "look hardly late", "a pause", "two pauses"],
+)
+def test_silence_is_counted_anew_after_a_late_look(
+    late_looks: dict[int, int], silent_ms: int
+) -> None:
+    """A pause of this process counts as silence, or a look that is hardly late excuses a home."""
+    now = 0
+    silence = AskSilence(Millis(now))
+    for look in count(1):
+        pause_ms = silence.find_pause(Millis(now))
+        if pause_ms == 0:
+            break
+        now += pause_ms + late_looks.get(look, 0)
+    assert now == silent_ms
+
+
 @pytest.mark.parametrize("one_way_ms", [75, 125, 200])
 def test_late_answer_of_the_home_is_waited_for(one_way_ms: int) -> None:
     """A home on a busy VM answers late and is taken for dead: callers within their rate get 429."""
