Show that kept connections stop batch for good

tests/platform_adapter/test_jobs.py::test_an_item_starts_on_a_connection_that_is_kept AssertionError: no results (five online answers first, each of which leaves an idle connection; the daemon's part of the upstream's connections is MIN_CONNECTIONS; the item does not start for 5 s beside eight free slots)

--- a/tests/platform_adapter/test_jobs.py
+++ b/tests/platform_adapter/test_jobs.py
@@ -8,6 +8,7 @@
 import orjson
 import pytest
 
+from goldcreststair.components.placement.const import MIN_CONNECTIONS
 from tests.platform_adapter.local import CONFIG, OTHER_KEY, LocalGateway, register, run_local
 
 ITEM: dict[str, Any] = {
@@ -141,6 +142,26 @@
     run_local(scenario)
 
 
+def test_an_item_starts_on_a_connection_that_is_kept() -> None:
+    """Items lay beside free slots while idle connections took the daemon's part of the upstream's."""
+    config = copy.deepcopy(CONFIG)
+    config["services"][0]["max_conns"] = 1
+
+    async def scenario(local: LocalGateway) -> None:
+        calls = (
+            local.async_call("POST", "/stream/a", b"x", {"Request-Id": f"r{number}"})
+            for number in range(5)
+        )
+        assert {answer.status for answer in await asyncio.gather(*calls)} == {200}
+        pool = local.gateway.core.runner.pool
+        assert pool.count_open(local.engine.address) >= MIN_CONNECTIONS
+        answer = await local.async_call("POST", "/batch/job", make_job(), {"Request-Id": "j1"})
+        assert answer.status == 202
+        await async_read_done(local, "j1", 1)
+
+    run_local(scenario, config)
+
+
 def register_no_engine(local: LocalGateway) -> None:
     """Take the engine off the list."""
     register(local.store, local.engine, state="draining")
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -12,6 +12,7 @@
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, UpstreamRunner
+from tests.helpers.virtual_time import ManualClock
 from tests.platform_adapter.wire_engine import Misdeed, WireEngine, make_event
 
 
@@ -192,6 +193,21 @@
     run_engine(scenario)
 
 
+def test_a_kept_connection_past_its_time_does_not_count() -> None:
+    """Items lay beside free slots: connections that nobody could use any more counted as open."""
+
+    async def scenario(engine: WireEngine, _: UpstreamRunner) -> None:
+        clock = ManualClock()
+        runner = UpstreamRunner(ConnectionPool(clock), PlatformDialect())
+        calls = (async_run_call(engine, runner, make_call(f"r{number}")) for number in range(2))
+        await asyncio.gather(*calls)
+        assert runner.pool.count_open(engine.address) == 2
+        clock.advance(10_000)
+        assert runner.pool.count_open(engine.address) == 0
+
+    run_engine(scenario)
+
+
 def test_nobody_listens() -> None:
     async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
         await engine.async_close()
