Run items over connections that are kept

What callers saw: an accepted item could stay unlisted although its upstreams had free slots.

Cause: a daemon may have its part of an upstream's max_conns open before batch starts nothing more there, two at least in a large fleet. Idle connections counted, although a run takes one of them and opens none; and those past their time, or closed by the upstream, counted until something else used that address. A burst of online requests leaves several idle at each upstream; after it no item of that daemon started, and as no run began, nothing ever cleared them away.

Why it works: a kept connection that can be used admits the run that will use it, and what cannot be used is closed when the connections are counted, so that nothing idle can hold a run back.

Checked: tests/platform_adapter test_runner, test_jobs, test_callers and tests/components/placement passed; lint clean.

--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -94,14 +94,16 @@
         self._links.announce()
 
     def has_connections(self, entry: UpstreamEntry) -> bool:
-        """Return whether this daemon may open one more connection to an upstream."""
+        """Return whether this daemon may have one more run at an upstream by its connections."""
+        pool = self._core.runner.pool
+        if pool.has_idle(entry.address):
+            return True
         service = self._core.blackboard.read(CATALOGUE).services.get(entry.service)
         if service is None or not service.max_connections:
             return True
         daemons = max(1, len(self._core.blackboard.read(FLEET).vms))
         share = int(service.max_connections * CONNECTION_SHARE / daemons)
-        open_now = self._core.runner.pool.count_open(entry.address)
-        return open_now < max(MIN_CONNECTIONS, share)
+        return pool.count_open(entry.address) < max(MIN_CONNECTIONS, share)
 
     def _on_upstreams(self, live: LiveUpstreams) -> None:
         self.controller.take_upstreams(live)
--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -110,9 +110,16 @@
 
     def count_open(self, address: str) -> int:
         """Return the open connections to an address, idle and in use."""
+        self._drop_spent(address)
         site = self._sites.get(address)
         return site.open if site else 0
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether the next request to an address needs no new connection."""
+        self._drop_spent(address)
+        site = self._sites.get(address)
+        return site is not None and bool(site.idle)
+
     def close(self) -> None:
         """Close all idle connections."""
         for address in tuple(self._sites):
@@ -165,15 +172,29 @@
 
     def _take_idle(self, address: str) -> PooledStream | None:
         site = self._sites.get(address)
-        now = self._clock.now()
         while site is not None and site.idle:
             kept = site.idle.pop()
-            # Bytes after a complete answer belong to no request, and an end means a closed server.
-            if kept.idle_until > now and kept.stream.is_quiet():
+            if self._is_usable(kept):
                 return kept.stream
             self._close(address, kept.stream)
         return None
 
+    def _is_usable(self, kept: _Kept) -> bool:
+        # Bytes after a complete answer belong to no request, and an end means a closed server.
+        return kept.idle_until > self._clock.now() and kept.stream.is_quiet()
+
+    def _drop_spent(self, address: str) -> None:
+        """Close the idle connections to an address that cannot be used any more."""
+        site = self._sites.get(address)
+        if site is None:
+            return
+        kept_before, site.idle = site.idle, []
+        for kept in kept_before:
+            if self._is_usable(kept):
+                site.idle.append(kept)
+            else:
+                self._close(address, kept.stream)
+
     def _keep(self, address: str, stream: PooledStream, idle_ms: int) -> None:
         if stream.closed() or idle_ms <= 0:
             self._close(address, stream)
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -53,6 +53,9 @@
     def count_open(self, address: str) -> int:
         """Return the open connections to an address, idle and in use."""
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether the next request to an address needs no new connection."""
+
     def forget(self, address: str) -> None:
         """Close the idle connections to an address, as its server is gone or suspect."""
 
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -76,6 +76,10 @@
         """Return no connections."""
         return 0
 
+    def has_idle(self, address: str) -> bool:
+        """Return that none is kept."""
+        return False
+
     def forget(self, address: str) -> None:
         """Do nothing."""
 
