--- a/tests/components/jobs/test_ownership.py
+++ b/tests/components/jobs/test_ownership.py
@@ -7,8 +7,9 @@
 from goldcreststair.components.jobs.models import JobKey, SavedProgress
 from goldcreststair.components.jobs.protocols import JOBS
 from goldcreststair.components.jobs.records import JobRecords
+from goldcreststair.helpers.rendezvous import score
 from goldcreststair.store.rows import RowsConflict
-from standins.gateways import GatewayFleet
+from standins.gateways import FleetMember, GatewayFleet
 from standins.run_engines import make_text
 from tests.helpers.gateways import CUSTOMER, async_read, async_submit, run_fleet
 
@@ -88,6 +89,67 @@
     run_fleet(scenario)
 
 
+def find_owners(fleet: GatewayFleet, job: str) -> list[FleetMember]:
+    """Return the daemons that run a job, or read it from the store to run it."""
+    key = JobKey(CUSTOMER, job)
+    return [member for member in fleet.members if member.core.get(JOBS).owns(key)]
+
+
+def test_a_job_accepted_while_its_daemon_begins_to_leave_is_handed_over() -> None:
+    """A job that was being accepted when SIGTERM came lay at its daemon until that ended."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        fleet.store.faults.slow_ms = 50
+        submitting = asyncio.create_task(async_submit(fleet, first, "digest", 3))
+        await fleet.clock.async_sleep(120)
+        first.core.get(ENTRY).leave()
+        assert (await submitting).accepted
+        fleet.store.faults.slow_ms = 0
+        await fleet.async_wait(lambda: find_owners(fleet, "digest") == [second], 1_000)
+
+    run_fleet(scenario)
+
+
+def test_a_job_taken_over_while_its_daemon_begins_to_leave_is_handed_over() -> None:
+    """A job that was being read from the store when SIGTERM came lay at its daemon until that ended."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        first, *others = await fleet.async_add_many(3)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, first, "digest", 3)).accepted
+        fleet.store.faults.slow_objects_ms = 300
+        first.core.get(ENTRY).leave()
+        await fleet.async_wait(lambda: find_owners(fleet, "digest") not in ([], [first]), 1_000)
+        (next_owner,) = find_owners(fleet, "digest")
+        next_owner.core.get(ENTRY).leave()
+        (last,) = [member for member in others if member is not next_owner]
+        await fleet.async_wait(lambda: find_owners(fleet, "digest") == [last], 1_500)
+
+    run_fleet(scenario)
+
+
+def test_a_job_handed_to_a_daemon_that_leaves_as_well_is_handed_on() -> None:
+    """A job lay for seconds with a daemon that was sent SIGTERM in the same moment as its owner."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        first, second, third = await fleet.async_add_many(3)
+        await fleet.clock.async_sleep(1_000)
+        ranks = [member.core.session_id for member in (second, third)]
+        job = next(
+            name
+            for name in map(str, range(100))
+            if max(ranks, key=lambda session: score(session, CUSTOMER, name)) == ranks[0]
+        )
+        assert (await async_submit(fleet, first, job, 3)).accepted
+        for member in (first, second):
+            member.core.get(ENTRY).leave()
+        await fleet.async_wait(lambda: find_owners(fleet, job) == [third], 1_500)
+
+    run_fleet(scenario)
+
+
 def list_first_events(fleet: GatewayFleet, since: int) -> dict[str, int]:
     """Return after which event each item's last run went on, for runs begun after `since` calls."""
     calls = [call for engine in fleet.engines.by_address.values() for call in engine.ran[since:]]
