Hand over the jobs that arrive during a leave

What callers saw: nothing of a job ran for up to the rest of its daemon's grace, 4 to 7 s after SIGTERM, beside free slots.

Cause: the hand-over ended as soon as the leaving daemon had no job. One whose acceptance or take-over was under way came after that, was never given away, and a leaving daemon starts nothing. One that another leaving daemon had handed to it was not taken at all; the store named it as the owner, so nobody else took the job before its session was gone.

Why it works: the hand-over goes on until the daemon ends, and a leaving daemon reads what the store names as its own and passes it on like the rest. Its leave waits for jobs that it still reads.

--- a/goldcreststair/components/jobs/handover.py
+++ b/goldcreststair/components/jobs/handover.py
@@ -35,7 +35,7 @@
 
 
 class JobHandover:
-    """Runs once, from the begin of a leave until this daemon owns no job."""
+    """Runs from the begin of a leave until this daemon ends."""
 
     def __init__(
         self,
@@ -56,7 +56,8 @@
         """Give each job away once all results are listed, and its runs have had time to end."""
         clock = self._core.clock
         began_at = clock.now()
-        while self._book.jobs:
+        # Jobs that were being accepted or taken over when the leave began arrive after it.
+        while True:
             waited = clock.now() - began_at >= HAND_OVER_MS
             for job in tuple(self._book.jobs.values()):
                 if self._lister.is_idle(job) and (waited or self._giver.is_idle(job)):
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -204,7 +204,7 @@
 
     def count_running(self) -> int:
         """Return the jobs that are still here."""
-        return len(self._book.jobs)
+        return len(self._book.jobs) + len(self._loading)
 
     def stop_accepting(self) -> None:
         """Do nothing: submissions are refused from the start of a leave."""
@@ -222,8 +222,8 @@
         return self._executor.urgent_waiting
 
     def load(self, key: JobKey) -> None:
-        """Take over a job that the store names as this daemon's."""
-        if self._leaving or self.owns(key):
+        """Take over a job that the store names as this daemon's; a leaving daemon hands it on."""
+        if self.owns(key):
             return
         task = asyncio.create_task(self._async_load(key))
         self._loading[key] = task
