Show that a full service keeps items of others from starting

tests/components/jobs/test_execution.py::test_items_start_beside_those_whose_service_is_full[0] and [1]: assert 0 == 5 (no result after 5 s beside eight free slots)

--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -13,7 +13,7 @@
 )
 from goldcreststair.components.jobs.models import JobItem, JobKey, JobRecord, OpenJob
 from goldcreststair.components.placement.service import PLACEMENT
-from standins.gateways import GatewayFleet
+from standins.gateways import DEFAULT_ROUTES, GatewayFleet
 from standins.run_engines import make_text
 from tests.helpers.gateways import async_read, async_send, async_submit, run_fleet
 
@@ -98,6 +98,30 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("engines_of_other", [0, 1])
+def test_items_start_beside_those_whose_service_is_full(engines_of_other: int) -> None:
+    """A job lay beside free slots: an older one, of a service without any, stood before it."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        batch = next(route for route in DEFAULT_ROUTES if route["prefix"] == "/batch/")
+        other = {**batch, "prefix": "/batch/other/", "service": "other"}
+        fleet.write_catalogue(routes=(*DEFAULT_ROUTES, other))
+        fleet.add_engines(1)
+        for engine in fleet.add_engines(engines_of_other):
+            engine.service, engine.slots = "other", 2
+            fleet.register(engine)
+        fleet.engines.events_of = {f"other/job-{n}": 1_000 for n in range(5)}
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, member, "other/job", 5)).accepted
+        await fleet.clock.async_sleep(200)
+        assert (await async_submit(fleet, member, "digest", 5)).accepted
+        await fleet.clock.async_sleep(5_000)
+        assert len((await async_read(member, "digest")).results) == 5
+
+    run_fleet(scenario)
+
+
 def test_batch_gives_way_to_a_burst_and_goes_on_after_it() -> None:
     """Members' requests met engines full of digest items and waited behind them.
 
