Start items beside those whose service has no slot

What callers saw: accepted items lay unlisted beside free slots of their service, as long as the daemon that owned them also had a more urgent item of a service without a free slot (or without an upstream).

Cause: each tick looked at the first two items only and stopped at the first that found no slot, whatever the next ones' service. In a fleet that shares one picture, the part of the free slots was besides worked out for whichever service was asked first, and held for all.

Why it works: an item without a slot holds back only its own service for this tick, and its own job, so that the cost of a tick grows with jobs and services that wait and not with items. Two items at most start in a tick as before. Each service has its own part of a shared picture.

Checked: tests/components/jobs, tests/components/placement and forwarding/test_large_fleet passed; lint clean. The cost for a daemon with many waiting jobs was not measured.

--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -29,7 +29,7 @@
 )
 from goldcreststair.components.jobs.estimate import WorkEstimate
 from goldcreststair.components.jobs.lister import JobLister
-from goldcreststair.components.jobs.models import ItemResult, JobRecord
+from goldcreststair.components.jobs.models import ItemResult, JobKey, JobRecord
 from goldcreststair.components.jobs.outcome import Verdict, choose_pause, judge_run
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
 from goldcreststair.components.placement.loads import Runs
@@ -96,8 +96,8 @@
         self._runs: set[_Run] = set()
         self._stopped = False
         self._picture: int | None = None
-        self._starts = 0
-        """Items that may still start by `_picture`, where all daemons share one."""
+        self._starts: dict[str, int] = {}
+        """Items of each service that may still start by `_picture`, where all daemons share one."""
 
     async def async_close(self) -> None:
         """End every run."""
@@ -138,8 +138,21 @@
             return
         startable = self._book.list_startable(now, self._estimate.read_left_ms)
         self.urgent_waiting = sum(not ranked.hopeless for ranked in startable)
-        for ranked in startable[:STARTS_PER_TICK]:
-            if not self._start(ranked):
+        self._start_some(startable)
+
+    def _start_some(self, startable: Sequence[RankedItem]) -> None:
+        left = STARTS_PER_TICK
+        full: set[str] = set()
+        stuck: set[JobKey] = set()
+        for ranked in startable:
+            # A job's items share their service: one that finds no slot speaks for the rest.
+            if ranked.job.key in stuck:
+                continue
+            if not self._start(ranked, full):
+                stuck.add(ranked.job.key)
+                continue
+            left -= 1
+            if not left:
                 return
 
     def _has_part(self, service: str) -> bool:
@@ -149,14 +162,17 @@
         if picture is None:
             return True
         if picture != self._picture:
+            self._picture = picture
+            self._starts.clear()
+        if service not in self._starts:
             free = controller.count_free_for_batch(service)
             others = self._read_others_urgent()
-            self._picture = picture
-            self._starts = allot_starts(free, self.urgent_waiting, others, self._core.random)
-        return self._starts > 0
+            part = allot_starts(free, self.urgent_waiting, others, self._core.random)
+            self._starts[service] = part
+        return self._starts[service] > 0
 
-    def _start(self, ranked: RankedItem) -> bool:
-        """Start an item; returns False if there is no slot for it."""
+    def _start(self, ranked: RankedItem, full: set[str]) -> bool:
+        """Start an item; returns False if its service is in `full`, or has no slot and comes there."""
         job, item = ranked.job, ranked.item
         if self._core.get(CRASH_MARKS).is_refused(_mark_item(job, item)):
             # It waits until it may be given up: upstreams that it crashes run others' items as well.
@@ -170,20 +186,29 @@
                 self._finish(job, item, result, "its route is gone")
             return True
         service = choose_service(route, self._core.random.random())
-        if not self._has_part(service):
-            return False
-        entry = self._placement.controller.choose_for_batch(service)
-        if entry is None or not self._placement.has_connections(entry):
+        if service in full:
             return False
-        if ranked.hopeless and not self._may_start_late(service):
+        entry = self._find_slot(service, late=ranked.hopeless)
+        if entry is None:
+            full.add(service)
             return False
         runs = Runs(batch=1, late=int(ranked.hopeless))
-        self._starts -= 1
+        if service in self._starts:
+            self._starts[service] -= 1
         self._begin(_Run(job, item, entry, route, runs, self._clock.now(), item.last_event))
         reason = "late, a slot is free" if ranked.hopeless else "a slot is free"
         self._log(job, item, "started", reason, entry.name)
         return True
 
+    def _find_slot(self, service: str, *, late: bool) -> UpstreamEntry | None:
+        """Return the upstream whose slot an item may take now."""
+        if not self._has_part(service):
+            return None
+        entry = self._placement.controller.choose_for_batch(service)
+        if entry is None or not self._placement.has_connections(entry):
+            return None
+        return None if late and not self._may_start_late(service) else entry
+
     def _may_start_late(self, service: str) -> bool:
         """Return whether an item that is late anyway may take a slot.
 
--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -98,8 +98,14 @@
     run_fleet(scenario)
 
 
-@pytest.mark.parametrize("engines_of_other", [0, 1])
-def test_items_start_beside_those_whose_service_is_full(engines_of_other: int) -> None:
+@pytest.mark.parametrize(
+    ("engines_of_other", "picture"),
+    # With a picture that all share, each service has a part of its own.
+    [(0, None), (1, None), (0, 1)],
+)
+def test_items_start_beside_those_whose_service_is_full(
+    engines_of_other: int, picture: int | None
+) -> None:
     """A job lay beside free slots: an older one, of a service without any, stood before it."""
 
     async def scenario(fleet: GatewayFleet) -> None:
@@ -113,6 +119,7 @@
         fleet.engines.events_of = {f"other/job-{n}": 1_000 for n in range(5)}
         (member,) = await fleet.async_add_many(1)
         await fleet.clock.async_sleep(1_000)
+        member.core.get(PLACEMENT).controller.picture = picture
         assert (await async_submit(fleet, member, "other/job", 5)).accepted
         await fleet.clock.async_sleep(200)
         assert (await async_submit(fleet, member, "digest", 5)).accepted
