Show that an item of a slow upstream is given up in each run

test_an_item_of_a_slow_upstream_ends[3000-30]: AssertionError: [0, 0, 0, 0, 0, 0, ...] assert 0 == 1 (no event after 25 s: each run ended 2.5 s after its start, its first event was due after 3 s) test_an_item_of_a_slow_upstream_ends[40-1000]: AssertionError: [0, 2, 3, 1, 4, 5] (six runs for five events, one event a second: each run ended before its second event)

--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -157,3 +157,27 @@
         assert resumed, "items went on where they had been stopped"
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    ("first_ms", "event_ms"),
+    # Upstreams that are slow to begin, and upstreams that are slow all the while.
+    [(3_000, 30), (40, 1_000)],
+)
+def test_an_item_of_a_slow_upstream_ends(first_ms: int, event_ms: int) -> None:
+    """Each run of an item was given up as silent, and the next one at an upstream that was as slow."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        for engine in engines:
+            engine.first_ms, engine.event_ms = first_ms, event_ms
+        fleet.engines.events = 5
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, member, "digest", 1)).accepted
+        await fleet.clock.async_sleep(25_000)
+        runs = [call.resume_after for engine in engines for call in engine.ran]
+        assert len((await async_read(member, "digest")).results) == 1, runs
+        assert len(runs) <= 2, runs
+
+    run_fleet(scenario)
