Wait longer for an item whose runs fell silent

What callers saw: an item could go round for ever. Under upstreams that take longer to their first event than 2.5 s, or pause for longer than 700 ms, each run was given up as silent and followed by one that was as slow, up to the end of the item's time to wait; where a run brings an event before its pause, by one event a run, with a pause of up to 2 s between them.

Cause: a run was given up on suspicion alone, after the same silence each time, whether or not another upstream was any quicker.

Why it works: the patience with an item doubles with each silent run in a row, sixteen times at most. One silent upstream is left as soon as before; where all are slow, some run is waited for. A run that did not begin counts neither way, and any answer or broken connection starts the count anew.

--- a/goldcreststair/components/jobs/book.py
+++ b/goldcreststair/components/jobs/book.py
@@ -38,6 +38,8 @@
     """Runs that an upstream answered with a failure."""
     lost: int = 0
     """Runs in a row that brought nothing and no answer."""
+    silent: int = 0
+    """Runs in a row that were given up as silent."""
     not_before: Millis = Millis(0)
     last_event: int = 0
     data: list[bytes] = field(default_factory=list)
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -37,6 +37,9 @@
 """Silence within a run after which it goes on elsewhere."""
 FIRST_MS: Final = 2_500
 """Silence before a run's first event: it may wait in the upstream's queue."""
+MAX_PATIENCE_DOUBLINGS: Final = 4
+"""Each silent run of an item in a row doubles both for its next one, so often at most: where all upstreams
+are slow none takes the place of a run that is given up."""
 RUN_TIMEOUT_MS: Final = 60_000
 
 CHECKPOINT_MS: Final = 1_000
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -30,7 +30,7 @@
 from goldcreststair.components.jobs.estimate import WorkEstimate
 from goldcreststair.components.jobs.lister import JobLister
 from goldcreststair.components.jobs.models import ItemResult, JobKey, JobRecord
-from goldcreststair.components.jobs.outcome import Verdict, choose_pause, judge_run
+from goldcreststair.components.jobs.outcome import Verdict, choose_pause, count_silent, judge_run
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
 from goldcreststair.components.placement.loads import Runs
 from goldcreststair.components.placement.service import PLACEMENT
@@ -278,6 +278,7 @@
         verdict = judge_run(end, item.failures, run.route.max_attempts)
         item.failures += verdict.failed
         item.lost = item.lost + 1 if verdict.lost else 0
+        item.silent = count_silent(end, item.silent)
         if verdict.verdict is Verdict.AGAIN:
             self._note_failure(run, end)
             pause_ms = choose_pause(item.lost + item.failures)
--- a/goldcreststair/components/jobs/outcome.py
+++ b/goldcreststair/components/jobs/outcome.py
@@ -4,10 +4,10 @@
 from enum import StrEnum
 from typing import Final
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from goldcreststair.components.jobs.const import RETRY_MAX_MS, RETRY_MIN_MS
-from goldcreststair.upstreams.errors import UpstreamError
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd
 
 STATUS_OK: Final = 200
@@ -52,6 +52,15 @@
     return ItemVerdict(Verdict.AGAIN, failed=True)
 
 
+def count_silent(end: Result[RunEnd, UpstreamError], before: int) -> int:
+    """Return how many runs in a row were silent; one that did not run tells nothing."""
+    if isinstance(end, Ok):
+        return 0
+    if end.err_value.not_run:
+        return before
+    return before + 1 if end.err_value.failure is UpstreamFailure.SILENT else 0
+
+
 def choose_pause(failures: int) -> int:
     """Return the ms before an item runs again after so many failures in a row.
 
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -7,7 +7,7 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.jobs.book import ItemProgress
-from goldcreststair.components.jobs.const import FIRST_MS, GAP_MS
+from goldcreststair.components.jobs.const import FIRST_MS, GAP_MS, MAX_PATIENCE_DOUBLINGS
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
@@ -26,6 +26,7 @@
         self.streams = True
         self.progress_at = clock.now()
         self.events = 0
+        self.patience = 1 << min(item.silent, MAX_PATIENCE_DOUBLINGS)
         self._item = item
         self._clock = clock
         self._on_data = on_data
@@ -83,7 +84,7 @@
 
 
 def _is_silent(sink: ItemSink, now: Millis, counted_from: Millis) -> bool:
-    patience_ms = GAP_MS if sink.events else FIRST_MS
+    patience_ms = (GAP_MS if sink.events else FIRST_MS) * sink.patience
     return now - max(sink.progress_at, counted_from) > patience_ms
 
 
