--- a/tests/components/crash_marks/test_service.py
+++ b/tests/components/crash_marks/test_service.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from goldcreststair.components.crash_marks.const import CRASHES_TO_REFUSE
+from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import GatewayFleet
 from tests.helpers.gateways import async_read, async_send, async_submit, run_fleet
@@ -60,6 +63,54 @@
     run_fleet(scenario)
 
 
+def test_an_item_that_was_beside_crashes_ends() -> None:
+    """An item lay to the end of its job beside free upstreams: it had run where others crashed three."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(6)
+        fleet.engines.events = 100
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, member, "digest", 1)).accepted
+        for _ in range(CRASHES_TO_REFUSE):
+            await fleet.async_wait(lambda: any(engine.running for engine in engines), 3_000)
+            await fleet.clock.async_sleep(100)
+            for engine in engines:
+                engine.up = engine.up and not engine.running
+            await fleet.clock.async_sleep(300)
+            fleet.restart_engines()
+        await fleet.clock.async_sleep(25_000)
+        assert len((await async_read(member, "digest")).results) == 1
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_an_item_that_crashes_upstreams_is_tried_again_three_times_at_most(leaves: bool) -> None:
+    """An item that crashes each upstream that runs it was sent to one after the other all day."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(4)
+        fleet.engines.poison = b"digest-0"
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, first, "digest", 1)).accepted
+        for number in range(116):
+            await fleet.clock.async_sleep(500)
+            if not any(engine.running for engine in engines):
+                fleet.restart_engines()
+            if leaves and number == 60:
+                first.core.get(ENTRY).leave()
+        assert fleet.engines.crashes <= CRASHES_TO_REFUSE + 3
+        page = await async_read(second, "digest")
+        assert not page.results
+        await fleet.clock.async_sleep(6_000)
+        page = await async_read(second, "digest")
+        assert [result.done for result in page.results] == [False]
+
+    run_fleet(scenario)
+
+
 def test_a_connection_that_broke_is_no_crash() -> None:
     async def scenario(fleet: GatewayFleet) -> None:
         (engine,) = fleet.add_engines(1)
