Run an item that seems to crash upstreams twice more, late

What callers saw: an accepted item lay unlisted to the end of its time to wait beside free slots, after it had run at three upstreams that crashed.

Cause: three crashes were taken as proof that the item makes them, and it was never run again. One that was only beside them is given up on that suspicion as well; it cannot be listed as given up before its time, either.

Why it works: the item runs again 17 s after the third crash and once more 17 s later, so that one that was beside is whole. One that does make crashes stays within the three retries that the BUDGET rule leaves after the third, also where its job changes owner meanwhile: the next owner waits first (test with and without a leave). The price: two more crashes for each item that makes them; its worth was not measured.

Checked: tests/components/crash_marks and tests/components/jobs passed, lint clean.

--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -31,8 +31,11 @@
 RETRY_MIN_MS: Final = 100
 RETRY_MAX_MS: Final = 2_000
 """Pauses before an item runs again after a failure: it may be what fails the upstreams."""
-POISON_PAUSE_MS: Final = 5_000
-"""How often an item that crashes upstreams is looked at again."""
+SUSPECT_PAUSE_MS: Final = 17_000
+"""An item that seems to crash upstreams waits so long before each further run: one that was only beside
+crashes ends then, and one that makes them costs few."""
+MAX_SUSPECT_RUNS: Final = 2
+"""Such runs by one owner; with the pause before each, the next owner's do not add up to more than three."""
 GAP_MS: Final = 700
 """Silence within a run after which it goes on elsewhere."""
 FIRST_MS: Final = 2_500
