--- a/tests/components/jobs/test_ownership.py
+++ b/tests/components/jobs/test_ownership.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.jobs.const import TABLE_PROGRESS
 from goldcreststair.components.jobs.models import JobKey, SavedProgress
@@ -9,7 +10,7 @@
 from goldcreststair.components.jobs.records import JobRecords
 from goldcreststair.helpers.rendezvous import score
 from goldcreststair.store.rows import RowsConflict
-from standins.gateways import FleetMember, GatewayFleet
+from standins.gateways import DEFAULT_ROUTES, FleetMember, GatewayFleet
 from standins.run_engines import make_text
 from tests.helpers.gateways import CUSTOMER, async_read, async_submit, run_fleet
 
@@ -150,6 +151,30 @@
     run_fleet(scenario)
 
 
+def test_a_job_of_a_new_route_outlives_an_owner_that_does_not_know_it_yet() -> None:
+    """Items were given up: their next owner had not heard of the version that brought their route."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.add_engines(1)
+        fleet.write_catalogue(1, DEFAULT_ROUTES[:-1])
+        first, behind = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        behind.view.cut = True
+        fleet.write_catalogue(2)
+        await fleet.async_wait(lambda: bool(first.read(CATALOGUE).version == 2), 1_000)
+        assert (await async_submit(fleet, first, "digest", 2)).accepted
+        behind.view.cut = False
+        first.core.get(ENTRY).leave()
+        await fleet.async_wait(lambda: find_owners(fleet, "digest") == [behind], 1_000)
+        assert behind.read(CATALOGUE).version == 1
+        await fleet.clock.async_sleep(10_000)
+        assert [result.done for result in (await async_read(behind, "digest")).results] == [
+            True
+        ] * 2
+
+    run_fleet(scenario)
+
+
 def list_first_events(fleet: GatewayFleet, since: int) -> dict[str, int]:
     """Return after which event each item's last run went on, for runs begun after `since` calls."""
     calls = [call for engine in fleet.engines.by_address.values() for call in engine.ran[since:]]
