Give items up for a missing route only once it stays away

What callers saw: items of a job that had just been accepted were listed as dead_lettered within moments, although their route was there.

Cause: a daemon that took a job over gave all its items up if its own catalogue had no such route. The version that brought the route may still be on its way: a peer that hears of a newer version leaves the store 300 ms first, and a store that answers slowly or turns the daemon away takes longer.

Why it works: a route has to be missing at the owner for 5 s, two and a half times config_apply_ms, before its job's items are given up; until then the job holds nobody else up. Items of a route that is gone for good are given up as before, 5 s later (test).

Checked: tests/components/jobs test_execution and test_ownership passed, lint clean.

--- a/goldcreststair/components/jobs/book.py
+++ b/goldcreststair/components/jobs/book.py
@@ -71,6 +71,8 @@
     finished: list[tuple[ItemProgress, ItemResult]] = field(default_factory=list)
     """Results in the order in which they will be listed."""
     listed: list[ItemResult] = field(default_factory=list)
+    routeless_at: Millis | None = None
+    """Since when its route is missing here."""
     lost: bool = False
     """Whether another daemon owns it, or it has ended."""
 
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -31,6 +31,9 @@
 RETRY_MIN_MS: Final = 100
 RETRY_MAX_MS: Final = 2_000
 """Pauses before an item runs again after a failure: it may be what fails the upstreams."""
+ROUTE_GONE_MS: Final = 5_000
+"""A job whose route has been missing here for so long has lost it; before, the version that brought it may
+be on its way to this daemon."""
 SUSPECT_PAUSE_MS: Final = 17_000
 """An item that seems to crash upstreams waits so long before each further run: one that was only beside
 crashes ends then, and one that makes them costs few."""
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -24,6 +24,7 @@
     GIVE_UP_MARGIN_MS,
     LATE_FREE_SHARE,
     MAX_SUSPECT_RUNS,
+    ROUTE_GONE_MS,
     RUN_TIMEOUT_MS,
     STARTS_PER_TICK,
     SUSPECT_PAUSE_MS,
@@ -173,7 +174,10 @@
         return self._starts[service] > 0
 
     def _start(self, ranked: RankedItem, full: set[str]) -> bool:
-        """Start an item; returns False if its service is in `full`, or has no slot and comes there."""
+        """Start an item or judge it; returns False if it waits for its route or its service.
+
+        A service without a slot is added to `full`.
+        """
         job, item = ranked.job, ranked.item
         suspect = self._core.get(CRASH_MARKS).is_refused(_mark_item(job, item))
         if suspect and self._hold(item):
@@ -181,10 +185,11 @@
         catalogue = self._core.blackboard.read(CATALOGUE)
         route = catalogue.find_route(job.record.route_host, item.item.path)
         if route is None:
-            if catalogue.version:
-                result = ItemResult(item.item.item, done=False)
-                self._finish(job, item, result, "its route is gone")
+            if not self._has_lost_route(job):
+                return False
+            self._finish(job, item, ItemResult(item.item.item, done=False), "its route is gone")
             return True
+        job.routeless_at = None
         service = choose_service(route, self._core.random.random())
         if service in full:
             return False
@@ -202,6 +207,14 @@
         self._log(job, item, "started", reason, entry.name)
         return True
 
+    def _has_lost_route(self, job: OwnedJob) -> bool:
+        """Return whether a job whose route is missing has lost it for good."""
+        if not self._core.blackboard.read(CATALOGUE).version:
+            return False
+        now = self._clock.now()
+        job.routeless_at = now if job.routeless_at is None else job.routeless_at
+        return now - job.routeless_at >= ROUTE_GONE_MS
+
     def _hold(self, item: ItemProgress) -> bool:
         """Return whether an item that seems to crash upstreams has to wait."""
         if item.held and item.suspect_runs < MAX_SUSPECT_RUNS:
--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -181,3 +181,18 @@
         assert len(runs) <= 2, runs
 
     run_fleet(scenario)
+
+
+def test_items_of_a_route_that_is_gone_are_given_up() -> None:
+    async def scenario(fleet: GatewayFleet) -> None:
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, member, "digest", 2)).accepted
+        fleet.add_engines(1)
+        fleet.write_catalogue(2, DEFAULT_ROUTES[:-1])
+        await fleet.clock.async_sleep(6_000)
+        assert [result.done for result in (await async_read(member, "digest")).results] == [
+            False
+        ] * 2
+
+    run_fleet(scenario)
