Look at an item's body once its service has a slot

Jobs whose service is known to be full are passed over before it.

Checked: tests/components/jobs and tests/components/crash_marks passed, lint clean. The cost was not measured.

--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -179,9 +179,6 @@
         A service without a slot is added to `full`.
         """
         job, item = ranked.job, ranked.item
-        suspect = self._core.get(CRASH_MARKS).is_refused(_mark_item(job, item))
-        if suspect and self._hold(item):
-            return True
         catalogue = self._core.blackboard.read(CATALOGUE)
         route = catalogue.find_route(job.record.route_host, item.item.path)
         if route is None:
@@ -193,6 +190,9 @@
         service = choose_service(route, self._core.random.random())
         if service in full:
             return False
+        suspect = self._core.get(CRASH_MARKS).is_refused(_mark_item(job, item))
+        if suspect and self._hold(item):
+            return True
         entry = self._find_slot(service, late=ranked.hopeless)
         if entry is None:
             full.add(service)
