--- a/tests/components/jobs/test_ownership.py
+++ b/tests/components/jobs/test_ownership.py
@@ -151,6 +151,20 @@
     run_fleet(scenario)
 
 
+def test_a_job_handed_over_by_a_change_whose_answer_was_lost_runs_on() -> None:
+    """A leaving owner kept a job that the store had given to another, who was not told of it."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, first, "digest", 3)).accepted
+        fleet.store.faults.lose_answers = 2
+        first.core.get(ENTRY).leave()
+        await fleet.async_wait(lambda: find_owners(fleet, "digest") == [second], 1_000)
+
+    run_fleet(scenario)
+
+
 def test_a_job_of_a_new_route_outlives_an_owner_that_does_not_know_it_yet() -> None:
     """Items were given up: their next owner had not heard of the version that brought their route."""
 
