Ask the store when a hand-over meets another owner

What callers saw: nothing of a job ran for seconds after its daemon's SIGTERM, while the store's answers were lost.

Why it works: a conflict puts the job in doubt; the store is asked within 250 ms who owns it, and a new owner is told. A conflict with the daemon's own listing leaves the job where it is.

Checked: tests/components/jobs passed, lint clean.

--- a/goldcreststair/components/jobs/handover.py
+++ b/goldcreststair/components/jobs/handover.py
@@ -13,6 +13,7 @@
 from goldcreststair.components.jobs.book import JobBook, OwnedJob
 from goldcreststair.components.jobs.checkpoints import list_unsaved
 from goldcreststair.components.jobs.const import HAND_OVER_MS, TICK_MS
+from goldcreststair.components.jobs.errors import JobLost
 from goldcreststair.components.jobs.lister import JobLister
 from goldcreststair.components.jobs.records import JobRecords
 from goldcreststair.components.jobs.sweeping import choose_owner
@@ -33,6 +34,9 @@
     def give_up(self, job: OwnedJob, session: str) -> None:
         """Stop a job that is another daemon's now, and tell that one."""
 
+    def doubt(self, job: OwnedJob) -> None:
+        """Ask the store again whether a job is this daemon's."""
+
 
 class JobHandover:
     """Runs from the begin of a leave until this daemon ends."""
@@ -73,6 +77,9 @@
         given = await self._records.async_assign(job.open, session, unsaved)
         if isinstance(given, Err):
             _LOGGER.warning("Job not handed over: %s", given.err_value.message)
+            # An earlier change may have been made although its answer was lost.
+            if isinstance(given.err_value, JobLost):
+                self._giver.doubt(job)
             await self._core.clock.async_sleep(RETRY_MS)
             return
         self._giver.give_up(job, session)
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -70,7 +70,7 @@
             core, self._book, self._lister, self.estimate, self._count_others_urgent
         )
         self._checkpoints = CheckpointWriter(
-            core, self._book, self._records, self._lister, lambda job: self._doubted.add(job.key)
+            core, self._book, self._records, self._lister, self.doubt
         )
         self._others_urgent: dict[str, tuple[Millis, int]] = {}
         """By session: when it was heard, and how many of its items wait that can be in time."""
@@ -310,6 +310,10 @@
         if job.is_whole:
             self._lister.list_soon(job)
 
+    def doubt(self, job: OwnedJob) -> None:
+        """Ask the store again whether a job is this daemon's."""
+        self._doubted.add(job.key)
+
     def doubt_all(self) -> None:
         """Ask the store again which jobs are this daemon's."""
         self._doubted = set(self._book.jobs)
@@ -329,8 +333,10 @@
                     break
                 self._doubted.discard(key)
                 found = opened.ok_value
-                if found is None or found.owner != self._core.session_id:
-                    self._drop(job, "ended" if found is None else f"owned by {found.owner}")
+                if found is None:
+                    self._drop(job, "ended")
+                elif found.owner != self._core.session_id:
+                    self.give_up(job, found.owner)
 
     def _on_listed(self, job: OwnedJob) -> None:
         self._wake_readers(job.key)
