--- /dev/null
+++ b/tests/components/jobs/test_lister.py
@@ -0,0 +1,61 @@
+"""Results on their way into the store."""
+
+import asyncio
+from typing import Any
+
+from result import Ok
+
+from goldcreststair.components.jobs.book import ItemState, OwnedJob
+from goldcreststair.components.jobs.lister import JobLister
+from goldcreststair.components.jobs.models import ItemResult
+from goldcreststair.components.jobs.records import JobRecords, Listing
+from standins.gateways import GatewayFleet
+from tests.components.jobs.test_execution import make_job
+from tests.helpers.gateways import run_fleet
+
+
+class SlowRecords(JobRecords):
+    """Lists results when the test says so."""
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.answers: list[asyncio.Future[None]] = []
+
+    async def async_list_results(self, listing: Listing) -> Any:
+        answer: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.answers.append(answer)
+        await answer
+        return Ok(listing.after)
+
+
+def test_a_result_that_comes_as_a_listing_ends_is_listed() -> None:
+    """The last item of a job was whole and never listed: it ended in the turn in which a listing did."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (member,) = await fleet.async_add_many(1)
+        records = SlowRecords(fleet.store.view(), fleet.clock)
+        lister = JobLister(member.core, records, lambda _: None, lambda *_: None)
+        job = make_job("digest", 3, 10_000)
+
+        def finish(number: int) -> None:
+            item = job.items[number]
+            item.state = ItemState.FINISHED
+            job.finished.append((item, ItemResult(item.item.item, done=True)))
+            lister.list_soon(job)
+
+        finish(0)
+        await fleet.async_wait(lambda: len(records.answers) == 1, 100)
+        records.answers[0].set_result(None)
+        # It runs right after the step in which the listing goes on to its end.
+        asyncio.get_running_loop().call_soon(finish, 1)
+        await fleet.async_wait(lambda: len(records.answers) == 2, 100)
+        records.answers[1].set_result(None)
+        await fleet.async_wait(lambda: list_states(job)[:2] == [ItemState.LISTED] * 2, 100)
+        assert lister.is_idle(job)
+
+    run_fleet(scenario)
+
+
+def list_states(job: OwnedJob) -> list[ItemState]:
+    """Return how far the items of a job are."""
+    return [item.state for item in job.items]
