List a result that comes as a listing ends

Cause: a job's listing was marked as over by a callback of its task, one turn of the loop after the task's last step. A run that ended between the two found a listing under way, left its result to it, and nobody listed it. A later result of the same job took it along; the job's last one stayed, its job open. The turns of a busy daemon are long, so that a run's end and an answer of the store often share one.

Why it works: the mark goes in the listing's own last step, after which it has looked for results for the last time; whatever ends later starts a listing of its own.

--- a/goldcreststair/components/jobs/lister.py
+++ b/goldcreststair/components/jobs/lister.py
@@ -50,14 +50,19 @@
     def list_soon(self, job: OwnedJob) -> None:
         """List what a job has finished, and what it finishes meanwhile."""
         if job.key not in self._tasks:
-            task = asyncio.create_task(self._async_list(job))
-            self._tasks[job.key] = task
-            task.add_done_callback(lambda _: self._tasks.pop(job.key, None))
+            self._tasks[job.key] = asyncio.create_task(self._async_run(job))
 
     def is_idle(self, job: OwnedJob) -> bool:
         """Return whether everything finished is listed."""
         return job.key not in self._tasks
 
+    async def _async_run(self, job: OwnedJob) -> None:
+        try:
+            await self._async_list(job)
+        finally:
+            # Within its last step: a result that comes before a callback of its end would be left.
+            del self._tasks[job.key]
+
     async def _async_list(self, job: OwnedJob) -> None:
         while job.finished and not job.lost:
             listing, count = self._prepare(job)
