--- a/tests/components/jobs/test_lister.py
+++ b/tests/components/jobs/test_lister.py
@@ -37,17 +37,11 @@
         lister = JobLister(member.core, records, lambda _: None, lambda *_: None)
         job = make_job("digest", 3, 10_000)
 
-        def finish(number: int) -> None:
-            item = job.items[number]
-            item.state = ItemState.FINISHED
-            job.finished.append((item, ItemResult(item.item.item, done=True)))
-            lister.list_soon(job)
-
-        finish(0)
+        finish(lister, job, 0)
         await fleet.async_wait(lambda: len(records.answers) == 1, 100)
         records.answers[0].set_result(None)
         # It runs right after the step in which the listing goes on to its end.
-        asyncio.get_running_loop().call_soon(finish, 1)
+        asyncio.get_running_loop().call_soon(finish, lister, job, 1)
         await fleet.async_wait(lambda: len(records.answers) == 2, 100)
         records.answers[1].set_result(None)
         await fleet.async_wait(lambda: list_states(job)[:2] == [ItemState.LISTED] * 2, 100)
@@ -56,6 +50,35 @@
     run_fleet(scenario)
 
 
+def test_a_job_that_comes_back_is_listed_beside_its_former_self() -> None:
+    """A job was taken over again while a listing of its first stay hung: its last result was left to that."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (member,) = await fleet.async_add_many(1)
+        records = SlowRecords(fleet.store.view(), fleet.clock)
+        lister = JobLister(member.core, records, lambda _: None, lambda *_: None)
+        before, again = make_job("digest", 2, 10_000), make_job("digest", 2, 10_000)
+        finish(lister, before, 0)
+        await fleet.async_wait(lambda: len(records.answers) == 1, 100)
+        before.lost = True
+        finish(lister, again, 1)
+        await fleet.async_wait(lambda: len(records.answers) == 2, 100)
+        for answer in records.answers:
+            answer.set_result(None)
+        await fleet.async_wait(lambda: list_states(again)[1] is ItemState.LISTED, 100)
+        assert lister.is_idle(again)
+
+    run_fleet(scenario)
+
+
+def finish(lister: JobLister, job: OwnedJob, number: int) -> None:
+    """End an item of a job."""
+    item = job.items[number]
+    item.state = ItemState.FINISHED
+    job.finished.append((item, ItemResult(item.item.item, done=True)))
+    lister.list_soon(job)
+
+
 def list_states(job: OwnedJob) -> list[ItemState]:
     """Return how far the items of a job are."""
     return [item.state for item in job.items]
