Keep a job's listings by its stay with a daemon

What callers saw: the last result of a job could stay unlisted for as long as its owner kept it.

Cause: listings were kept by the job's name. A job that left a daemon while a listing of it hung in the store, and came back before that call had ended, left its new results to the listing of its former stay, which ends without a look at them.

Checked: tests/components/jobs, tests/components/crash_marks and tests/platform_adapter/test_jobs.py passed, lint clean.

--- a/goldcreststair/components/jobs/book.py
+++ b/goldcreststair/components/jobs/book.py
@@ -57,9 +57,9 @@
         self.data = [text]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class OwnedJob:
-    """A job that this daemon runs."""
+    """A job that this daemon runs; one that comes back is another."""
 
     record: JobRecord
     open: OpenJob
--- a/goldcreststair/components/jobs/lister.py
+++ b/goldcreststair/components/jobs/lister.py
@@ -15,7 +15,7 @@
     TEXT_PART_BYTES,
 )
 from goldcreststair.components.jobs.errors import JobLost
-from goldcreststair.components.jobs.models import ItemResult, JobKey
+from goldcreststair.components.jobs.models import ItemResult
 from goldcreststair.components.jobs.records import JobRecords, Listing
 from goldcreststair.gateway_core import GatewayCore
 
@@ -38,7 +38,8 @@
         self._records = records
         self._on_listed = on_listed
         self._on_lost = on_lost
-        self._tasks: dict[JobKey, asyncio.Task[None]] = {}
+        self._tasks: dict[OwnedJob, asyncio.Task[None]] = {}
+        """By stay of a job with this daemon: one that comes back has nothing to do with its former listing."""
 
     async def async_close(self) -> None:
         """Stop; what is not listed is run again by the next owner."""
@@ -49,19 +50,19 @@
 
     def list_soon(self, job: OwnedJob) -> None:
         """List what a job has finished, and what it finishes meanwhile."""
-        if job.key not in self._tasks:
-            self._tasks[job.key] = asyncio.create_task(self._async_run(job))
+        if job not in self._tasks:
+            self._tasks[job] = asyncio.create_task(self._async_run(job))
 
     def is_idle(self, job: OwnedJob) -> bool:
         """Return whether everything finished is listed."""
-        return job.key not in self._tasks
+        return job not in self._tasks
 
     async def _async_run(self, job: OwnedJob) -> None:
         try:
             await self._async_list(job)
         finally:
             # Within its last step: a result that comes before a callback of its end would be left.
-            del self._tasks[job.key]
+            del self._tasks[job]
 
     async def _async_list(self, job: OwnedJob) -> None:
         while job.finished and not job.lost:
