--- a/tests/components/jobs/test_ownership.py
+++ b/tests/components/jobs/test_ownership.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.jobs.const import TABLE_PROGRESS
@@ -137,12 +139,7 @@
     async def scenario(fleet: GatewayFleet) -> None:
         first, second, third = await fleet.async_add_many(3)
         await fleet.clock.async_sleep(1_000)
-        ranks = [member.core.session_id for member in (second, third)]
-        job = next(
-            name
-            for name in map(str, range(100))
-            if max(ranks, key=lambda session: score(session, CUSTOMER, name)) == ranks[0]
-        )
+        job = name_job(second, third)
         assert (await async_submit(fleet, first, job, 3)).accepted
         for member in (first, second):
             member.core.get(ENTRY).leave()
@@ -151,6 +148,38 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("planned", [True, False])
+def test_a_job_goes_to_an_owner_that_the_store_answers(planned: bool) -> None:
+    """Jobs lay for seconds with daemons that the store turned away: none of them could read its items."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        first, second, third = await fleet.async_add_many(3)
+        await fleet.clock.async_sleep(1_000)
+        job = name_job(second, third)
+        assert (await async_submit(fleet, first, job, 3)).accepted
+        second.view.cut = True
+        await fleet.clock.async_sleep(1_500)
+        if planned:
+            first.core.get(ENTRY).leave()
+        else:
+            await fleet.async_kill(first)
+        await fleet.async_wait(
+            lambda: find_owners(fleet, job) == [third], 1_000 if planned else 6_000
+        )
+
+    run_fleet(scenario)
+
+
+def name_job(wanted: FleetMember, other: FleetMember) -> str:
+    """Return the name of a job that one daemon would own sooner than another."""
+
+    def rank(member: FleetMember, job: str) -> int:
+        return score(member.core.session_id, CUSTOMER, job)
+
+    names = map(str, range(100))
+    return next(name for name in names if rank(wanted, name) > rank(other, name))
+
+
 def test_a_job_handed_over_by_a_change_whose_answer_was_lost_runs_on() -> None:
     """A leaving owner kept a job that the store had given to another, who was not told of it."""
 
