Give jobs to daemons that the store answers

What callers saw: nothing of a job ran for as long as the store turned its new owner away, up to 9 s, while other daemons were served and slots were free.

Cause: the owner of a job that is handed over or taken over was chosen among all daemons that are ready. One that the store turns away can neither read the job's items nor list a result. Nobody looked at the jobs of a customer whose keeper it was, either.

Why it works: daemons already say in their beacons whether the store answers them; owners and keepers are chosen among those. Daemons that differ in this for a moment look twice at the same rows, and the row's version lets one of them win, as before.

--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -138,7 +138,7 @@
 
     def _find_mine(self, fleet: Fleet) -> list[str]:
         """Return the customers whose jobs this daemon looks at."""
-        staying = frozenset(s for s, state in fleet.states.items() if state is VmState.READY)
+        staying = list_able(self._core)
         customers = frozenset(self._core.blackboard.read(CATALOGUE).customers)
         if (staying, customers) != self._ranked:
             self._ranked = (staying, customers)
@@ -212,6 +212,16 @@
 
 def choose_owner(core: GatewayCore, key: JobKey) -> str:
     """Return the session that shall run a job: the same on every daemon that knows the same."""
-    fleet = core.blackboard.read(FLEET)
-    ready = [s for s, state in fleet.states.items() if state is VmState.READY]
-    return max(ready, key=lambda session: score(session, key.customer, key.job), default="")
+    return max(
+        list_able(core), key=lambda session: score(session, key.customer, key.job), default=""
+    )
+
+
+def list_able(core: GatewayCore) -> frozenset[str]:
+    """Return the sessions that stay and that the store answers: others could read nothing of a job."""
+    own = core.session_id
+    able = set(core.get(FLEET_LINKS).list_with_store())
+    ready = core.blackboard.read(FLEET).states.get(own) is VmState.READY
+    if ready and not core.store_contact.is_away():
+        able.add(own)
+    return frozenset(able)
