Revert "Run an item that seems to crash upstreams twice more, late"

It cost two more crashes for each item that really makes them, each with the streams of all that run there, its pause of 17 s has no reason of its own, and its bound over several owners rests on it; what it costs callers was not measured.

--- a/goldcreststair/components/jobs/book.py
+++ b/goldcreststair/components/jobs/book.py
@@ -40,10 +40,6 @@
     """Runs in a row that brought nothing and no answer."""
     silent: int = 0
     """Runs in a row that were given up as silent."""
-    suspect_runs: int = 0
-    """Runs although it seems to crash upstreams."""
-    held: bool = False
-    """Whether `not_before` is the pause before such a run."""
     not_before: Millis = Millis(0)
     last_event: int = 0
     data: list[bytes] = field(default_factory=list)
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -34,11 +34,8 @@
 ROUTE_GONE_MS: Final = 5_000
 """A job whose route has been missing here for so long has lost it; before, the version that brought it may
 be on its way to this daemon."""
-SUSPECT_PAUSE_MS: Final = 17_000
-"""An item that seems to crash upstreams waits so long before each further run: one that was only beside
-crashes ends then, and one that makes them costs few."""
-MAX_SUSPECT_RUNS: Final = 2
-"""Such runs by one owner; with the pause before each, the next owner's do not add up to more than three."""
+POISON_PAUSE_MS: Final = 5_000
+"""How often an item that crashes upstreams is looked at again."""
 GAP_MS: Final = 700
 """Silence within a run after which it goes on elsewhere."""
 FIRST_MS: Final = 2_500
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -23,11 +23,10 @@
 from goldcreststair.components.jobs.const import (
     GIVE_UP_MARGIN_MS,
     LATE_FREE_SHARE,
-    MAX_SUSPECT_RUNS,
+    POISON_PAUSE_MS,
     ROUTE_GONE_MS,
     RUN_TIMEOUT_MS,
     STARTS_PER_TICK,
-    SUSPECT_PAUSE_MS,
 )
 from goldcreststair.components.jobs.estimate import WorkEstimate
 from goldcreststair.components.jobs.lister import JobLister
@@ -191,8 +190,9 @@
         service = choose_service(route, self._core.random.random())
         if service in full:
             return False
-        suspect = self._core.get(CRASH_MARKS).is_refused(_mark_item(job, item))
-        if suspect and self._hold(item):
+        if self._core.get(CRASH_MARKS).is_refused(_mark_item(job, item)):
+            # It waits until it may be given up: upstreams that it crashes run others' items as well.
+            item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
             return True
         entry = self._find_slot(service, late=ranked.hopeless)
         if entry is None:
@@ -201,8 +201,6 @@
         runs = Runs(batch=1, late=int(ranked.hopeless))
         if service in self._starts:
             self._starts[service] -= 1
-        item.suspect_runs += suspect
-        item.held = False
         self._begin(_Run(job, item, entry, route, runs, self._clock.now(), item.last_event))
         reason = "late, a slot is free" if ranked.hopeless else "a slot is free"
         self._log(job, item, "started", reason, entry.name)
@@ -216,15 +214,6 @@
         job.routeless_at = now if job.routeless_at is None else job.routeless_at
         return now - job.routeless_at >= ROUTE_GONE_MS
 
-    def _hold(self, item: ItemProgress) -> bool:
-        """Return whether an item that seems to crash upstreams has to wait."""
-        if item.held and item.suspect_runs < MAX_SUSPECT_RUNS:
-            return False
-        # Upstreams that it crashes run others' items as well; but it may only have been beside.
-        item.held = True
-        item.not_before = Millis(self._clock.now() + SUSPECT_PAUSE_MS)
-        return True
-
     def _find_slot(self, service: str, *, late: bool) -> UpstreamEntry | None:
         """Return the upstream whose slot an item may take now."""
         if not self._has_part(service):
