Tell who was beside a crash by what its run had brought

What callers saw: an accepted item was never run again, and never listed, after its run had been at three upstreams that crashed; likewise requests were refused as crashing upstreams that had only been there.

Cause: whatever ran at three crashes was taken for what makes them, and kept for ten minutes. The longer a run, and the more upstreams go up and down, the more of the innocent come to three. Evidence: test_an_item_that_was_beside_crashes_ends, assert 0 == 1 after 25 s.

Change: a crash counts towards the three only for runs that had brought nothing, as a request that crashes an upstream does so when it begins. All its crashes count towards eight, so that one that crashes them later is found as well. Rows of older daemons are read as before.

--- a/goldcreststair/components/crash_marks/const.py
+++ b/goldcreststair/components/crash_marks/const.py
@@ -6,6 +6,11 @@
 CRASHES_TO_REFUSE: Final = 3
 """A request that ran at so many crashes is not run any more. One that was beside two crashes by chance
 goes on: at nine upstreams of eight slots that is one request in several hundred."""
+BEGUN_CRASHES_TO_REFUSE: Final = 8
+"""The same for all its crashes, also those before which its run had brought something: what crashes an
+upstream does so as it begins, and a long run is beside many crashes of others."""
+BEGUN: Final = ":begun"
+"""Ends the name of such a crash."""
 GATHER_MS: Final = 60
 """Runs that one crash ends are reported within this time."""
 MAX_SHARED: Final = 32
--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -15,6 +15,8 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.crash_marks.const import (
+    BEGUN,
+    BEGUN_CRASHES_TO_REFUSE,
     CRASHES_TO_REFUSE,
     GATHER_MS,
     MAX_MARKS,
@@ -45,8 +47,8 @@
         self._links = core.get(FLEET_LINKS)
         self._links.contribute(self._contribute)
         self._links.watch(self._on_beacon, lambda _: None)
-        self._lost: dict[str, set[str]] = {}
-        """Fingerprints by upstream, of runs that were lost a moment ago."""
+        self._lost: dict[str, dict[str, bool]] = {}
+        """By upstream, the runs that were lost a moment ago: fingerprint, and whether it had begun."""
         self._refused: dict[str, Millis] = {}
         """Fingerprint to the time until which it is refused."""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -65,12 +67,12 @@
         until = self._refused.get(fingerprint)
         return until is not None and until > self._clock.now()
 
-    def report_lost(self, entry: UpstreamEntry, fingerprint: str) -> None:
-        """Note that a run's connection broke."""
+    def report_lost(self, entry: UpstreamEntry, fingerprint: str, *, begun: bool) -> None:
+        """Note that a run's connection broke; `begun` says that the run had brought something."""
         if entry.name in self._lost:
-            self._lost[entry.name].add(fingerprint)
+            self._lost[entry.name][fingerprint] = begun
             return
-        self._lost[entry.name] = {fingerprint}
+        self._lost[entry.name] = {fingerprint: begun}
         task = asyncio.create_task(self._async_look(entry))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -84,8 +86,10 @@
         extra = {"upstream": entry.name, "runs": len(lost)}
         _LOGGER.warning("Upstream crashed with runs of this daemon", extra=extra)
         crash = f"{entry.name}:{entry.started_ms}"
-        for part in _cut(sorted(lost)):
-            await self._async_mark(part, crash)
+        for begun in (False, True):
+            names = sorted(name for name, had_begun in lost.items() if had_begun is begun)
+            for part in _cut(names):
+                await self._async_mark(part, crash + BEGUN if begun else crash)
 
     async def _async_mark(self, fingerprints: list[str], crash: str) -> None:
         """Add a crash to the rows of some fingerprints."""
@@ -138,8 +142,11 @@
 
     >>> is_poison(["a:1", "b:1"]), is_poison(["a:1", "b:1", "a:2"])
     (False, True)
+    >>> is_poison(["a:1", "b:1", "a:2:begun"])
+    False
     """
-    return len(crashes) >= CRASHES_TO_REFUSE
+    at_begin = sum(not crash.endswith(BEGUN) for crash in crashes)
+    return at_begin >= CRASHES_TO_REFUSE or len(crashes) >= BEGUN_CRASHES_TO_REFUSE
 
 
 def _add_crash(row: StoredRow | None, crash: str) -> list[str]:
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -222,7 +222,9 @@
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
             self._placement.note_down(entry, error.message, self._request.request_id)
         elif error.failure is UpstreamFailure.LOST and not error.status:
-            self._core.get(CRASH_MARKS).report_lost(entry, self._admitted.fingerprint)
+            begun = self._relay.run_events > 0
+            marks = self._core.get(CRASH_MARKS)
+            marks.report_lost(entry, self._admitted.fingerprint, begun=begun)
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.note_full(entry.name)
 
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -315,7 +315,9 @@
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
             self._placement.note_down(run.upstream, error.message, run.item.item.item)
         elif error.failure is UpstreamFailure.LOST:
-            self._core.get(CRASH_MARKS).report_lost(run.upstream, _mark_item(run.job, run.item))
+            mark = _mark_item(run.job, run.item)
+            begun = run.item.last_event > run.first_event
+            self._core.get(CRASH_MARKS).report_lost(run.upstream, mark, begun=begun)
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.note_full(run.upstream.name)
 
