--- /dev/null
+++ b/tests/components/entry/test_leaving.py
@@ -0,0 +1,58 @@
+"""Which requests a leaving daemon serves, and which it sends away at once."""
+
+import pytest
+
+from goldcreststair.components.entry.service import END_SHARE, ENTRY
+from standins.gateways import GatewayFleet
+from tests.helpers.gateways import async_send, run_fleet
+
+GRACE_MS = 8_000
+AT_ONCE_MS = 5
+SHORT_EVENTS = 20
+"""Takes about 640 ms."""
+LONG_EVENTS = 120
+"""Takes about 3,640 ms."""
+
+
+@pytest.mark.parametrize("path", ["/stream/a", "/once/a"])
+@pytest.mark.parametrize(
+    ("seen_events", "events", "arrives_ms", "deadline_ms", "served"),
+    [
+        (SHORT_EVENTS, SHORT_EVENTS, 0, 5_000, True),
+        (LONG_EVENTS, LONG_EVENTS, 0, 5_000, True),
+        (LONG_EVENTS, LONG_EVENTS, 3_000, 5_000, True),
+        (LONG_EVENTS, LONG_EVENTS, 4_000, 5_000, False),
+        (LONG_EVENTS, SHORT_EVENTS, 4_400, 5_000, False),
+        (LONG_EVENTS, SHORT_EVENTS, 4_400, 2_000, True),
+        (SHORT_EVENTS, SHORT_EVENTS, 5_000, 5_000, True),
+        (SHORT_EVENTS, SHORT_EVENTS, 6_800, 5_000, False),
+        (SHORT_EVENTS, SHORT_EVENTS, 7_300, 5_000, False),
+    ],
+)
+def test_a_late_request_is_served_to_its_end_or_sent_away_at_once(
+    path: str, seen_events: int, events: int, arrives_ms: int, deadline_ms: int, served: bool
+) -> None:
+    """A request that came late to a leaving VM was run for seconds, and then cut."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.add_engines(1)
+        leaving, _ = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        fleet.engines.events = seen_events
+        for _ in range(5):
+            assert (await async_send(fleet, leaving, path)).whole
+        fleet.engines.events = events
+        leaving.core.get(ENTRY).leave()
+        began_at = fleet.clock.now()
+        await fleet.clock.async_sleep(arrives_ms)
+        sent_at = fleet.clock.now()
+        answer = await async_send(fleet, leaving, path, deadline_ms=deadline_ms)
+        assert answer.whole == served
+        if served:
+            assert answer.ended_at <= began_at + GRACE_MS * END_SHARE
+            return
+        assert answer.refusal is not None and answer.refusal.not_run
+        assert answer.refusal.status == 503 and answer.refusal.retry_after_ms > 0
+        assert answer.ended_at - sent_at <= AT_ONCE_MS
+
+    run_fleet(scenario)
--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -51,6 +51,16 @@
             "max_attempts": 1,
             "resumable": False,
         },
+        {
+            "name": "r-call",
+            "host": HOST,
+            "prefix": "/call/",
+            "kind": "idempotent",
+            "timeout_ms": 5000,
+            "slo_ms": 300,
+            "service": "engine",
+            "max_attempts": 1,
+        },
         {
             "name": "r-batch",
             "host": HOST,
--- /dev/null
+++ b/tests/platform_adapter/test_leaving.py
@@ -0,0 +1,112 @@
+"""What callers' connections see of a planned stop."""
+
+import asyncio
+
+import pytest
+
+from goldcreststair.components.entry.service import ENTRY
+from tests.platform_adapter.local import (
+    HttpAnswer,
+    LocalGateway,
+    async_read_answer,
+    make_request,
+    run_local,
+)
+from tests.platform_adapter.wire_engine import Misdeed, make_event
+
+KEPT_CONNECTIONS = 100
+LARGE_BYTES = 12_000_000
+"""More than the kernel keeps of one connection."""
+GRACE_MS = 1_000
+
+
+async def async_leave(local: LocalGateway) -> None:
+    """Stop as the daemon does after SIGTERM."""
+    entry = local.gateway.core.get(ENTRY)
+    entry.leave()
+    await entry.async_wait()
+    await local.callers.async_close()
+
+
+async def async_read_or_none(reader: asyncio.StreamReader) -> HttpAnswer | None:
+    """Return the answer, or None if the connection ends without one."""
+    try:
+        return await async_read_answer(reader)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/call/x"])
+def test_a_request_that_waits_at_the_end_of_a_leave_is_answered(path: str) -> None:
+    """A caller whose upstream had sent nothing yet lost its connection when the VM was replaced."""
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.misdeeds = [Misdeed.SILENT]
+        reader, writer = await local.async_open()
+        writer.write(make_request("POST", path))
+        await asyncio.sleep(0.1)
+        leaving = asyncio.create_task(async_leave(local))
+        answer = await async_read_or_none(reader)
+        assert answer is not None and answer.whole and answer.status == 502
+        assert answer.headers["Connection"] == "close"
+        assert "Retry-After" not in answer.headers
+        await leaving
+
+    run_local(scenario)
+
+
+def test_a_large_answer_is_written_whole_before_its_connection_ends() -> None:
+    """A caller behind a slow link lost the rest of an answer that was still in this process."""
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.events, local.engine.padding = 1, LARGE_BYTES
+        reader, writer = await local.async_open()
+        writer.write(make_request("POST", "/call/x"))
+        await asyncio.sleep(0.5)
+        leaving = asyncio.create_task(async_leave(local))
+        await asyncio.sleep(0.65 * GRACE_MS / 1_000)
+        answer = await async_read_or_none(reader)
+        assert answer is not None and answer.whole
+        assert answer.body == make_event(1, LARGE_BYTES)
+        await leaving
+
+    run_local(scenario)
+
+
+def test_a_request_that_crosses_the_close_runs_whole_or_not_at_all() -> None:
+    """Requests on kept connections were passed on while others were closed, and then cut."""
+
+    async def scenario(local: LocalGateway) -> None:
+        kept = [await local.async_open() for _ in range(KEPT_CONNECTIONS)]
+        entry = local.gateway.core.get(ENTRY)
+        entry.leave()
+        await entry.async_wait()
+        for number, (_, writer) in enumerate(kept):
+            writer.write(make_request("POST", "/once/x", headers={"Request-Id": f"r{number}"}))
+        await local.callers.async_close()
+        answers = [await async_read_or_none(reader) for reader, _ in kept]
+        whole = {a.headers["Request-Id"] for a in answers if a is not None and a.whole}
+        assert {seen.headers["Request-Id"] for seen in local.engine.seen} <= whole
+
+    run_local(scenario)
+
+
+def test_a_request_on_a_kept_connection_late_in_a_leave_is_not_begun_and_cut() -> None:
+    """A stream that came on a kept connection late in a leave was begun, and cut in the middle."""
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.pause_s = 0.2
+        _, early = await local.async_open()
+        reader, late = await local.async_open()
+        early.write(make_request("POST", "/once/x", headers={"Request-Id": "early"}))
+        await asyncio.sleep(0.05)
+        leaving = asyncio.create_task(async_leave(local))
+        await asyncio.sleep(0.4 * GRACE_MS / 1_000)
+        late.write(make_request("POST", "/once/x", headers={"Request-Id": "late"}))
+        answer = await async_read_or_none(reader)
+        assert answer is not None and answer.whole and answer.status == 503
+        assert answer.headers["Connection"] == "close" and "Retry-After" in answer.headers
+        assert [seen.headers["Request-Id"] for seen in local.engine.seen] == ["early"]
+        await leaving
+
+    run_local(scenario)
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -50,6 +50,10 @@
 
     name: str = "i-1"
     events: int = 3
+    padding: int = 0
+    """Bytes added to each event."""
+    pause_s: float = 0.0
+    """Time from one event to the next; none sends the whole answer at once."""
     misdeeds: list[Misdeed] = field(default_factory=list)
     """What to do with the next answers, in order; then nothing wrong."""
     seen: list[SeenRequest] = field(default_factory=list)
@@ -112,8 +116,10 @@
         wrong = answers.get(misdeed)
         if wrong is not None:
             return await wrong(writer, request_id, first)
+        if self.pause_s:
+            return await self._async_slow(writer, request_id, first)
         closes = "Connection: close\r\n" if misdeed is Misdeed.CLOSES else ""
-        writer.write(make_stream(request_id, first, self.events, closes))
+        writer.write(make_stream(request_id, first, self.events, closes, self.padding))
         if misdeed is Misdeed.EXTRA:
             writer.write(make_stream("other", 1, 2))
         if misdeed is Misdeed.EXTRA_LATE:
@@ -121,6 +127,15 @@
         await writer.drain()
         return misdeed is not Misdeed.CLOSES
 
+    async def _async_slow(self, writer: asyncio.StreamWriter, request_id: str, first: int) -> bool:
+        whole = make_stream(request_id, first, self.events)
+        for piece in whole.splitlines(keepends=True):
+            if piece.startswith(b"id: "):
+                await asyncio.sleep(self.pause_s)
+            writer.write(piece)
+            await writer.drain()
+        return True
+
     async def _async_cut(self, writer: asyncio.StreamWriter, request_id: str, first: int) -> bool:
         whole = make_stream(request_id, first, self.events)
         writer.write(whole[:-40])
@@ -172,9 +187,9 @@
         return False
 
 
-def make_event(number: int) -> bytes:
+def make_event(number: int, padding: int = 0) -> bytes:
     """Return one event."""
-    return f"id: {number}\ndata: word{number}\n\n".encode()
+    return f"id: {number}\ndata: word{number}{'x' * padding}\n\n".encode()
 
 
 def make_head(status: int, request_id: str, more: str) -> bytes:
@@ -185,11 +200,13 @@
     ).encode()
 
 
-def make_stream(request_id: str, first: int, events: int, more: str = "") -> bytes:
+def make_stream(
+    request_id: str, first: int, events: int, more: str = "", padding: int = 0
+) -> bytes:
     """Return a whole streamed answer."""
     head = make_head(200, request_id, f"{more}Transfer-Encoding: chunked")
     chunks = b""
     for number in range(first, events + 1):
-        event = make_event(number)
+        event = make_event(number, padding)
         chunks += f"{len(event):x}\r\n".encode() + event + b"\r\n"
     return head + chunks + b"0\r\n\r\n"
