Send a late request away at once where a leaving daemon cannot bring it to its end

Callers saw streams that came on a kept connection late in a leave begun and then cut when the daemon ended, up to 2.8 s after the port had closed: a leaving daemon placed whatever it read, with no look at the time that it had left itself. Each such request counts as lost, and one that may run once only cannot be sent again.

The end of the leave now stands in the daemon's own state, and admission compares: a request is placed if its own time ends before the leave, or if the longest request of its route in the last 10 to 20 s would still end in time (at least the time that placement expects of a run of its services, which also serves where none was seen). Else it is refused as not run, before its quota is charged, with a time to come back; its connection closes with that answer, as all do in a leave. A refusal costs the caller one more connection, a cut the whole request, so the longest counts and not the mean.

--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -94,22 +94,25 @@
         if self.leaving:
             return
         _LOGGER.info("Leaving", extra={"session": self._core.session_id})
-        self._section.write(OwnState(VmState.LEAVING))
-        self._tasks.append(asyncio.create_task(self._async_leave()))
+        began_at = self._core.clock.now()
+        ends_at = Millis(began_at + int(self._grace_ms * END_SHARE))
+        self._section.write(OwnState(VmState.LEAVING, ends_at))
+        self._tasks.append(asyncio.create_task(self._async_leave(began_at, ends_at)))
 
     async def async_wait(self) -> None:
         """Return when this daemon has left."""
         await self._left.wait()
 
-    async def _async_leave(self) -> None:
-        grace_ms = self._core.settings.grace_s * MS_PER_SECOND
-        began_at = self._core.clock.now()
+    @property
+    def _grace_ms(self) -> float:
+        return self._core.settings.grace_s * MS_PER_SECOND
+
+    async def _async_leave(self, began_at: Millis, ends_at: Millis) -> None:
         for leaver in self._leavers:
             leaver.begin_leave()
-        await self._core.clock.async_sleep(int(grace_ms * ACCEPT_SHARE))
+        await self._core.clock.async_sleep(int(self._grace_ms * ACCEPT_SHARE))
         for leaver in self._leavers:
             leaver.stop_accepting()
-        ends_at = Millis(began_at + int(grace_ms * END_SHARE))
         while self._count_running() and self._core.clock.now() < ends_at:
             await self._core.clock.async_sleep(DRAIN_CHECK_MS)
         cut = self._count_running()
--- a/goldcreststair/components/fleet/models.py
+++ b/goldcreststair/components/fleet/models.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from goldcreststair.blackboard import SectionKey
+from goldcreststair.clock import Millis
 
 
 class VmState(IntEnum):
@@ -68,6 +69,8 @@
     """What this daemon says of itself."""
 
     state: VmState = VmState.STARTING
+    ends_at: Millis | None = None
+    """When a leaving daemon ends what still runs."""
 
 
 OWN_STATE: Final = SectionKey[OwnState]("own_state")
--- a/goldcreststair/components/forwarding/const.py
+++ b/goldcreststair/components/forwarding/const.py
@@ -24,5 +24,7 @@
 """How often a request is looked at whose daemon has just started and does not hear the others yet."""
 MIN_LEFT_MS: Final = 50
 """A run with less time left than this cannot bring a first event."""
+DURATION_WINDOW_MS: Final = 10_000
+"""The longest requests of this window of time and the one before are remembered."""
 RETRY_NOW_MS: Final = 200
 """When to come back after a failure that another VM or the next moment may not have."""
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -5,15 +5,24 @@
 
 from result import Err, Ok, Result
 
-from goldcreststair.components.catalogue.models import CATALOGUE, CallKind, CatalogueCustomer
+from goldcreststair.clock import Millis
+from goldcreststair.components.catalogue.models import (
+    CATALOGUE,
+    CallKind,
+    CatalogueCustomer,
+    Route,
+)
 from goldcreststair.components.crash_marks.service import CRASH_MARKS
+from goldcreststair.components.fleet.models import OWN_STATE
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
-from goldcreststair.components.forwarding.const import SETTLE_LOOK_MS
+from goldcreststair.components.forwarding.const import RETRY_NOW_MS, SETTLE_LOOK_MS
+from goldcreststair.components.forwarding.durations import RequestDurations
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.refusals import log_refusal, refuse_for_now
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingTools
 from goldcreststair.components.forwarding.watch import SilenceWatcher
 from goldcreststair.components.jobs.desk import JOB_DESK
+from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.admission import (
     choose_ready_retry_ms,
@@ -53,6 +62,8 @@
         self._quotas = core.get(QUOTAS)
         self._marks = core.get(CRASH_MARKS)
         self._desk = core.get(JOB_DESK)
+        self._placement = core.get(PLACEMENT)
+        self._durations = RequestDurations(core.clock)
         self._tools = ForwardingTools(core, RetryBudget(), SilenceWatcher(core.clock))
 
     async def async_start(self) -> None:
@@ -72,7 +83,9 @@
         if admitted.ok_value.route.kind is CallKind.BATCH:
             await self._async_submit(admitted.ok_value, responder)
             return
+        began_at = self._clock.now()
         await ForwardedRequest(self._tools, admitted.ok_value, responder).async_run()
+        self._durations.note(admitted.ok_value.route.name, began_at)
 
     async def _async_admit(self, request: CallerRequest) -> Result[AdmittedRequest, Refusal]:
         """Return what `admit` does, once this daemon knows enough to tell."""
@@ -124,6 +137,10 @@
             message = f"fingerprint {fingerprint} crashed the upstreams that ran it"
             code = RefusalCode.QUARANTINED
             return Err(Refusal(message, code, STATUS_UNAVAILABLE, True))
+        ends_at = find_end(request, route)
+        if not self._can_end(route, ends_at):
+            message = "this VM leaves before the answer would be whole"
+            return Err(refuse_for_now(message, RefusalCode.NOT_READY, RETRY_NOW_MS))
         if customer is not None and route.kind is not CallKind.BATCH:
             wait_ms = self._quotas.admit(customer)
             if wait_ms is not None:
@@ -132,5 +149,17 @@
                 code = RefusalCode.RATE_LIMITED
                 return Err(Refusal(message, code, STATUS_TOO_MANY, True, wait_ms))
         service = choose_service(route, self._core.random.random())
-        ends_at = find_end(request, route)
         return Ok(AdmittedRequest(request, route, customer, service, ends_at, fingerprint))
+
+    def _can_end(self, route: Route, ends_at: Millis) -> bool:
+        """Return whether a request that is placed now ends before this daemon does."""
+        leave_ends_at = self._board.read(OWN_STATE).ends_at
+        if leave_ends_at is None or ends_at <= leave_ends_at:
+            return True
+        # A request sent away at once is served elsewhere; one that is cut is lost, or run twice.
+        return self._clock.now() + self._expect_ms(route) <= leave_ends_at
+
+    def _expect_ms(self, route: Route) -> float:
+        read_traits = self._placement.controller.read_traits
+        runs = [read_traits(weighted.service).run_ms for weighted in route.services]
+        return max(self._durations.read_longest_ms(route.name), *runs)
