Close all callers' connections at one moment when a leave is over

Callers on kept connections had requests passed on to an upstream and cut in the same moment: the connections were closed one after the other, each with a turn of the loop, and in these turns the others were still read. Also between the last look at what runs and the close a request could be placed.

The leave now ends its parts in the same step in which it has looked: every open connection is closed at once, and one that is accepted but not yet read is closed as it comes to be read. A request that crosses this is not read, so its caller may send it again. The server tells of connections that ended (tornado's own does not pass that on), so that none is kept.

--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -39,6 +39,9 @@
     def stop_accepting(self) -> None:
         """Accept no new connections."""
 
+    def end(self) -> None:
+        """Begin nothing more, and end what still runs; the leave is over."""
+
 
 class EntryService:
     """The daemon's face towards callers that look for a VM."""
@@ -116,6 +119,8 @@
         while self._count_running() and self._core.clock.now() < ends_at:
             await self._core.clock.async_sleep(DRAIN_CHECK_MS)
         cut = self._count_running()
+        for leaver in self._leavers:
+            leaver.end()
         level = logging.WARNING if cut else logging.INFO
         _LOGGER.log(
             level, "Left", extra={"cut": cut, "after_ms": self._core.clock.now() - began_at}
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -209,6 +209,9 @@
     def stop_accepting(self) -> None:
         """Do nothing: submissions are refused from the start of a leave."""
 
+    def end(self) -> None:
+        """Do nothing: what is not handed over is found by others."""
+
     def owns(self, key: JobKey) -> bool:
         """Return whether this daemon runs a job."""
         return key in self._book.jobs or key in self._loading
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -33,6 +33,24 @@
     run_local(scenario)
 
 
+def test_connections_that_ended_are_forgotten() -> None:
+    """Memory of a daemon grew with every connection that a caller had ever opened."""
+
+    async def scenario(local: LocalGateway) -> None:
+        for _ in range(3):
+            _, writer = await local.async_open()
+            writer.write(make_request("POST", "/stream/x"))
+        await asyncio.sleep(0.2)
+        assert len(local.callers.connections) == 3
+        for writer in local.connections:
+            writer.close()
+        await asyncio.sleep(0.2)
+        assert len(local.callers.connections) == 0
+        assert local.callers.count_running() == 0
+
+    run_local(scenario)
+
+
 def test_a_kept_connection_serves_many_requests() -> None:
     async def scenario(local: LocalGateway) -> None:
         reader, writer = await local.async_open()
