--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -25,6 +25,8 @@
 END_SHARE: Final = 0.9
 """Part of the grace after which a leaving daemon ends, whatever still runs."""
 DRAIN_CHECK_MS: Final = 50
+KEPT_LIFETIMES: Final = 3
+"""Callers keep an answer for up to so many of its lifetimes."""
 
 
 class Leaver(Protocol):
@@ -39,6 +41,9 @@
     def stop_accepting(self) -> None:
         """Accept no new connections."""
 
+    def end(self) -> None:
+        """Begin nothing more, and end what still runs; the leave is over."""
+
 
 class EntryService:
     """The daemon's face towards callers that look for a VM."""
@@ -94,25 +99,31 @@
         if self.leaving:
             return
         _LOGGER.info("Leaving", extra={"session": self._core.session_id})
-        self._section.write(OwnState(VmState.LEAVING))
-        self._tasks.append(asyncio.create_task(self._async_leave()))
+        began_at = self._core.clock.now()
+        ends_at = Millis(began_at + int(self._grace_ms * END_SHARE))
+        kept_ms = self._core.settings.answer_ttl_s * MS_PER_SECOND * KEPT_LIFETIMES
+        self._section.write(OwnState(VmState.LEAVING, ends_at, Millis(began_at + kept_ms)))
+        self._tasks.append(asyncio.create_task(self._async_leave(began_at, ends_at)))
 
     async def async_wait(self) -> None:
         """Return when this daemon has left."""
         await self._left.wait()
 
-    async def _async_leave(self) -> None:
-        grace_ms = self._core.settings.grace_s * MS_PER_SECOND
-        began_at = self._core.clock.now()
+    @property
+    def _grace_ms(self) -> float:
+        return self._core.settings.grace_s * MS_PER_SECOND
+
+    async def _async_leave(self, began_at: Millis, ends_at: Millis) -> None:
         for leaver in self._leavers:
             leaver.begin_leave()
-        await self._core.clock.async_sleep(int(grace_ms * ACCEPT_SHARE))
+        await self._core.clock.async_sleep(int(self._grace_ms * ACCEPT_SHARE))
         for leaver in self._leavers:
             leaver.stop_accepting()
-        ends_at = Millis(began_at + int(grace_ms * END_SHARE))
         while self._count_running() and self._core.clock.now() < ends_at:
             await self._core.clock.async_sleep(DRAIN_CHECK_MS)
         cut = self._count_running()
+        for leaver in self._leavers:
+            leaver.end()
         level = logging.WARNING if cut else logging.INFO
         _LOGGER.log(
             level, "Left", extra={"cut": cut, "after_ms": self._core.clock.now() - began_at}
