Go back to an upstream that was left for its silence rather than cut

What callers saw: a stream was cut, or refused with 502, although the upstream that it had been left at went on a moment later.

A run was left because placement believed in another upstream; whether that one takes it shows only afterwards. If it reset the request, the attempts were spent; if it was full or down, it was asked again and again to the deadline. Two upstreams that were silent at once lost requests to each other, and requests left together took the one retry that each had seen.

Change: an upstream whose run was left for its silence is remembered, and asked once more when nobody else may or does take the request; it is one of the upstreams that the route allows, so that there are no more of these. After six that turned a request away, the next ones are asked with pauses of 50 to 400 ms; nothing is sent with less than 50 ms left. A silent run that has nowhere to go is looked at ten times a second, and upstreams are kept by service. What ended a request is logged and counted where it ends, also for want of a place.

--- a/goldcreststair/components/forwarding/const.py
+++ b/goldcreststair/components/forwarding/const.py
@@ -24,6 +24,10 @@
 """How often a request is looked at whose daemon has just started and does not hear the others yet."""
 PLACE_LOOK_MS: Final = 50
 """How often a begun stream that no upstream can take at this moment is placed again."""
+MAX_PLACE_PAUSE_MS: Final = 400
+"""Longest pause between two upstreams that a begun stream asks, when many have turned it away."""
+STAY_MS: Final = 100
+"""A silent run that has nowhere to go is not asked for so long whether it has."""
 MIN_LEFT_MS: Final = 50
 """A run with less time left than this cannot bring a first event."""
 DURATION_WINDOW_MS: Final = 10_000
--- a/goldcreststair/components/forwarding/models.py
+++ b/goldcreststair/components/forwarding/models.py
@@ -9,8 +9,13 @@
 
     ran: set[str] = field(default_factory=set)
     """Names of the upstreams that may have run it."""
+    left: list[str] = field(default_factory=list)
+    """Names of those whose run was left for its silence, and that may go on with it; first left first."""
     excluded: set[str] = field(default_factory=set)
-    """Names of the upstreams that it is not sent to: those, and those that turned it away."""
+    """Names of the upstreams that it is not placed at: those that may have run it, and those that turned
+    it away since it last waited for a place."""
+    turned_away: int = 0
+    """Runs that certainly did not happen."""
     last_event: int = 0
     """Number of the last event passed on."""
 
--- a/goldcreststair/components/forwarding/recovery.py
+++ b/goldcreststair/components/forwarding/recovery.py
@@ -4,7 +4,12 @@
 from typing import Final
 
 from goldcreststair.components.catalogue.models import Route
-from goldcreststair.components.forwarding.const import MIN_LEFT_MS, RETRY_NOW_MS
+from goldcreststair.components.forwarding.const import (
+    MAX_PLACE_PAUSE_MS,
+    MIN_LEFT_MS,
+    PLACE_LOOK_MS,
+    RETRY_NOW_MS,
+)
 from goldcreststair.components.forwarding.models import RequestProgress
 from goldcreststair.helpers.refusals import Refusal, RefusalCode
 from goldcreststair.helpers.retry_budget import RetryBudget
@@ -21,6 +26,8 @@
     """What follows."""
 
     ELSEWHERE = "elsewhere"
+    BACK = "back"
+    """At an upstream whose run was left for its silence."""
     GIVE_UP = "give_up"
 
 
@@ -34,6 +41,16 @@
     """Return what follows `error`; `progress` already counts the failed run."""
     if left_ms < MIN_LEFT_MS or error.failure is UpstreamFailure.TIMEOUT:
         return NextRun.GIVE_UP
+    following = _decide_elsewhere(progress, route, error, budget)
+    # The run that was left may have been a good one: its upstream is asked again rather than nobody.
+    if following is NextRun.GIVE_UP and progress.left:
+        return NextRun.BACK
+    return following
+
+
+def _decide_elsewhere(
+    progress: RequestProgress, route: Route, error: UpstreamError, budget: RetryBudget
+) -> NextRun:
     if error.not_run and not progress.may_have_run:
         # A run that certainly did not happen is free to move, whether repeatable or not.
         tried = len(progress.excluded)
@@ -62,6 +79,16 @@
     return progress.last_event > 0 or not budget.is_spent
 
 
+def choose_place_pause(progress: RequestProgress) -> int:
+    """Return the ms before a request is placed again, after so many upstreams turned it away.
+
+    >>> [choose_place_pause(RequestProgress(turned_away=times)) for times in (0, 6, 7, 8, 30)]
+    [0, 0, 50, 100, 400]
+    """
+    over = progress.turned_away - MAX_NOT_RUN
+    return min(MAX_PLACE_PAUSE_MS, PLACE_LOOK_MS << min(over - 1, 8)) if over > 0 else 0
+
+
 def refuse_after(progress: RequestProgress, error: UpstreamError, retry_ms: int = 0) -> Refusal:
     """Return the final answer after a failed run."""
     if not progress.may_have_run:
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from typing import Final
 
 from result import Err, Ok, Result
 
@@ -18,6 +19,7 @@
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.recovery import (
     NextRun,
+    choose_place_pause,
     decide_next_run,
     may_leave_run,
     refuse_after,
@@ -40,6 +42,10 @@
 _LOGGER = logging.getLogger(__name__)
 
 STATUS_FAILED = 500
+LINES: Final = {
+    NextRun.ELSEWHERE: "Request runs elsewhere",
+    NextRun.BACK: "Request goes back",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,14 +78,17 @@
         self._progress = RequestProgress(last_event=admitted.request.resume_after)
         self._at = ""
         """Name of the upstream of the present run."""
+        self._failure: UpstreamError | None = None
+        """Of the last run that failed."""
         self._relay = StreamRelay(responder, core.clock, self._progress.last_event, self._on_data)
         self._relay.streams = admitted.route.kind is CallKind.STREAMING
 
     async def async_run(self) -> None:
         """Run until there is a final answer."""
         self._budget.earn()
+        following = NextRun.ELSEWHERE
         while True:
-            placed = await self._async_place()
+            placed = await self._async_place(following)
             if isinstance(placed, Err):
                 self._end_refused(placed.err_value)
                 return
@@ -91,23 +100,23 @@
             self._note_failure(placed.ok_value, error)
             left_ms = self._left_ms()
             following = decide_next_run(self._progress, self._route, error, self._budget, left_ms)
-            elsewhere = following is NextRun.ELSEWHERE
-            event = "Request runs elsewhere" if elsewhere else "Request given up"
-            self._log(event, error.message, failure=error.failure.value)
-            if elsewhere:
-                self._core.meters.count_retry(error.failure.value)
-            else:
-                self._core.meters.count_given_up(error.failure.value)
             if following is NextRun.GIVE_UP:
                 if isinstance(end, Ok) and not self._relay.has_begun:
                     self._end_answered(end.ok_value)
                 else:
                     self._end_refused(refuse_after(self._progress, error))
                 return
+            self._log(LINES[following], error.message, failure=error.failure.value)
+            self._core.meters.count_retry(error.failure.value)
 
-    async def _async_place(self) -> Result[Placement, Refusal]:
-        placed = self._place()
-        # Cut now, the caller would lose what it has for upstreams that are full for a moment.
+    async def _async_place(self, following: NextRun) -> Result[Placement, Refusal]:
+        """Return where the next run goes, once there is a place."""
+        pause_ms = choose_place_pause(self._progress)
+        if pause_ms:
+            await self._clock.async_sleep(pause_ms)
+        placed = self._place_back() if following is NextRun.BACK else self._place()
+        # To cut a begun stream now would lose what the caller has for upstreams that are only full, or
+        # down, for a moment.
         while isinstance(placed, Err) and self._may_wait_for_place():
             self._progress.excluded = set(self._progress.ran)
             await self._clock.async_sleep(PLACE_LOOK_MS)
@@ -115,12 +124,25 @@
         return placed
 
     def _may_wait_for_place(self) -> bool:
-        if not self._relay.has_begun or self._left_ms() < MIN_LEFT_MS:
+        if not self._relay.has_begun or self._has_run_out():
             return False
         return self._placement.controller.has_upstream(self._make_query(self._progress.ran))
 
+    def _place_back(self) -> Result[Placement, Refusal]:
+        while self._progress.left:
+            placement = self._placement.controller.place_at(self._progress.left.pop(0))
+            if placement is not None:
+                return Ok(placement)
+        error = UpstreamError("no upstream is left", UpstreamFailure.CONNECT)
+        return Err(refuse_after(self._progress, error))
+
     def _place(self) -> Result[Placement, Refusal]:
+        if self._has_run_out():
+            error = UpstreamError("no time for another run", UpstreamFailure.TIMEOUT)
+            return Err(refuse_after(self._progress, error))
         chosen = self._placement.controller.choose(self._make_query(self._progress.excluded))
+        if isinstance(chosen, Err) and self._progress.left:
+            return self._place_back()
         if isinstance(chosen, Err):
             error = UpstreamError(chosen.err_value.message, UpstreamFailure.CONNECT)
             return Err(refuse_after(self._progress, error, chosen.err_value.retry_after_ms))
@@ -134,6 +156,10 @@
         message = f"first event expected after {placement.expected_ms:.0f} ms"
         return Err(refuse_for_now(message, RefusalCode.OVERLOADED, return_ms))
 
+    def _has_run_out(self) -> bool:
+        """Return whether a request that was sent before has no time for one more run."""
+        return bool(self._progress.excluded) and self._left_ms() < MIN_LEFT_MS
+
     def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
         return PlacementQuery(self._admitted.service, frozenset(excluded), self._admitted.affinity)
 
@@ -215,9 +241,14 @@
     def _note_failure(self, placement: Placement, error: UpstreamError) -> None:
         progress = self._progress
         entry = placement.upstream
+        self._failure = error
         progress.excluded.add(entry.name)
         progress.last_event = self._relay.last_event
-        if not error.not_run:
+        if error.failure is UpstreamFailure.SILENT and entry.name not in progress.ran:
+            progress.left.append(entry.name)
+        if error.not_run:
+            progress.turned_away += 1
+        else:
             progress.ran.add(entry.name)
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
             self._placement.note_down(entry, error.message, self._request.request_id)
@@ -242,6 +273,10 @@
         self._log("Request answered", f"status {end.head.status}", first_ms=first_ms)
 
     def _end_refused(self, refusal: Refusal) -> None:
+        if self._failure is not None:
+            failure = self._failure.failure.value
+            self._core.meters.count_given_up(failure)
+            self._log("Request given up", self._failure.message, failure=failure)
         if self._relay.has_begun:
             # Part of the answer is out: only a closed connection shows that it is not whole.
             self._responder.abort()
--- a/goldcreststair/components/forwarding/watch.py
+++ b/goldcreststair/components/forwarding/watch.py
@@ -13,6 +13,7 @@
     GAP_LONG_MS,
     GAP_PATIENCE_MS,
     LATE_TICK_MS,
+    STAY_MS,
     WATCH_MS,
 )
 from goldcreststair.components.forwarding.relay import StreamRelay
@@ -57,6 +58,7 @@
         self._looked_at = clock.now()
         self._counted_from = clock.now()
         self._accepted_at: Millis | None = None
+        self._stays_until = Millis(0)
         self._quiet_ms = 0
         self._upstream_quiet_ms = 0
 
@@ -82,8 +84,11 @@
 
     def _weigh(self, silence: Silence) -> Silence:
         # Silence is a reason to move a request, not to end it: a caller whose last run is left gets
-        # nothing, where a slow upstream would have gone on. A dead one shows in its connection.
-        if silence is not Silence.NONE and not self.evidence.may_leave():
+        # nothing, where a slow upstream would have gone on.
+        if silence is Silence.NONE or self._clock.now() < self._stays_until:
+            return Silence.NONE
+        if not self.evidence.may_leave():
+            self._stays_until = Millis(self._clock.now() + STAY_MS)
             return Silence.NONE
         return silence
 
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -69,6 +69,8 @@
         self._random = chance
         self._data_centre = data_centre
         self._states: dict[str, _State] = {}
+        self._by_service: dict[str, list[_State]] = {}
+        """Those that may get new work."""
         self._names: dict[int, str] = {}
         self._lapsed: frozenset[str] = frozenset()
         self._traits: dict[str, UpstreamTraits] = {}
@@ -87,6 +89,10 @@
                 known.entry = entry
                 states[name] = known
         self._states = states
+        self._by_service = {}
+        for state in states.values():
+            if not state.entry.draining:
+                self._by_service.setdefault(state.entry.service, []).append(state)
         self._names = {state.key: name for name, state in states.items()}
         self._lapsed = live.lapsed
 
@@ -119,6 +125,11 @@
         """Return whether `choose` would find an upstream."""
         return bool(self._prefer_open(self._list_fitting(query)))
 
+    def place_at(self, name: str) -> Placement | None:
+        """Return a placement at one upstream, or None if it may get no new work."""
+        state = self._states.get(name)
+        return None if state is None or state.entry.draining else self._place(state)
+
     def has_upstream(self, query: PlacementQuery) -> bool:
         """Return whether there is an upstream that `choose` may find later, if not now."""
         return bool(self._list_fitting(query))
@@ -237,6 +248,8 @@
 
         In a large fleet a daemon has one run at an upstream, seldom two.
         """
+        if name not in self._states:
+            return False
         return self.picture is None or self.runs.read_own(hash_name(name)).total > 1
 
     def note_down(self, name: str) -> None:
@@ -296,11 +309,7 @@
         return free, sum(slots.values())
 
     def _list(self, service: str) -> list[_State]:
-        return [
-            state
-            for state in self._states.values()
-            if state.entry.service == service and not state.entry.draining
-        ]
+        return self._by_service.get(service, [])
 
     def _prefer_open(self, states: list[_State]) -> list[_State]:
         now = self._clock.now()
--- a/goldcreststair/components/placement/models.py
+++ b/goldcreststair/components/placement/models.py
@@ -12,7 +12,7 @@
 
     service: str
     excluded: frozenset[str] = frozenset()
-    """Names of upstreams that it was sent to before."""
+    """Names of upstreams that it is not placed at."""
     affinity: str = ""
     """Names the beginning of its prompt; empty if nothing is cached for it."""
 
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any, Final
 
@@ -149,10 +149,11 @@
         assert self.head is None, "a stream has one head"
         self.head = head
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes) -> Awaitable[None] | None:
         """Take a piece."""
         self.event_times.append(self.clock.now())
         self.body += data
+        return None
 
     def finish(self) -> None:
         """Take the end."""
@@ -246,6 +247,10 @@
         }
         self.store.put(RowKey(TABLE_ENGINES, "", engine.name), orjson.dumps(entry))
 
+    def unregister(self, engine: RunEngine) -> None:
+        """Remove an engine's entry."""
+        self.store.drop(RowKey(TABLE_ENGINES, "", engine.name))
+
     def restart_engines(self) -> None:
         """Start all engines that are down; they register as new ones."""
         for engine in self.engines.by_address.values():
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Awaitable
 from dataclasses import dataclass, field
+from typing import Final
 
 from result import Err, Ok, Result
 
@@ -12,6 +13,9 @@
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, RunSink
 
+SILENCE_LOOK_MS: Final = 100
+"""How often a silent engine looks whether it may go on."""
+
 
 @dataclass(slots=True)
 class RunEngine:
@@ -33,6 +37,8 @@
     """Whether it sends nothing more and accepts no connection, as behind a cut."""
     refuse: bool = False
     """Whether it says that it has no room."""
+    reset: bool = False
+    """Whether it resets each request that reaches it, and runs none."""
     fail_status: int = 0
     """Answers every run with this status, if any."""
     running: int = 0
@@ -57,6 +63,8 @@
     poison: bytes = b""
     """A body that crashes each engine that runs it."""
     crashes: int = 0
+    deadlines: list[int] = field(default_factory=list)
+    """Time left of each request that reached any engine, run or not, ms."""
     at_work: Counter[str] = field(default_factory=Counter)
     """Runs under way, by request id."""
     made: Counter[str] = field(default_factory=Counter)
@@ -100,6 +108,9 @@
         engine = self.by_address.get(address)
         if engine is None or not engine.up:
             return Err(UpstreamError("cannot connect", UpstreamFailure.CONNECT))
+        self.deadlines.append(call.deadline_ms)
+        if engine.reset:
+            return Err(UpstreamError("connection reset", UpstreamFailure.LOST))
         full = engine.waiting >= engine.queue
         if engine.refuse or full or call.upstream != engine.name:
             return Err(UpstreamError("not run", UpstreamFailure.REFUSED, 503))
@@ -166,7 +177,7 @@
 
     async def _async_check(self, engine: RunEngine) -> UpstreamError | None:
         while engine.silent or engine.dark:
-            await self.clock.async_sleep(1_000)
+            await self.clock.async_sleep(SILENCE_LOOK_MS)
         if not engine.up:
             return UpstreamError("connection reset", UpstreamFailure.LOST)
         return None
--- a/tests/components/forwarding/test_silence.py
+++ b/tests/components/forwarding/test_silence.py
@@ -1,4 +1,4 @@
-"""Requests whose last upstream falls silent for a while and then goes on."""
+"""Requests whose upstream, or whose caller, falls silent for a while and then goes on."""
 
 import asyncio
 from dataclasses import dataclass
@@ -7,6 +7,7 @@
 
 from goldcreststair.components.forwarding.protocols import FORWARDING
 from goldcreststair.components.forwarding.service import ForwardingService
+from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import FakeResponder, FleetMember, GatewayFleet
 from standins.run_engines import RunEngine, make_event
@@ -111,8 +112,9 @@
 
     stalls_at: int = 5
 
-    def write(self, data: bytes) -> asyncio.Future[None] | None:  # type: ignore[override]
+    def write(self, data: bytes) -> asyncio.Future[None] | None:
         """Take a piece, late."""
+        # A class with slots is made anew by its decorator, which `super()` does not know.
         FakeResponder.write(self, data)
         if len(self.event_times) != self.stalls_at:
             return None
@@ -157,3 +159,93 @@
         assert answer.aborted or (refused is not None and refused.code is RefusalCode.DEADLINE)
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("fault", ["reset", "refuse", "down"])
+@pytest.mark.parametrize("pause_after_ms", [5, 300])
+def test_a_stream_goes_back_where_no_other_upstream_takes_it(
+    fault: str, pause_after_ms: int
+) -> None:
+    """Guards against losing a request that left a silent upstream for one that does not take it."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        member = await async_start(fleet, SMALL)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
+        left = await async_find_running(fleet, engines)
+        await fleet.clock.async_sleep(pause_after_ms)
+        (other,) = [engine for engine in engines if engine is not left]
+        other.reset, other.refuse, other.up = fault == "reset", fault == "refuse", fault != "down"
+        await async_pause(fleet, left)
+        answer = await sending
+        assert answer.whole and answer.body == make_stream("r")
+        assert [call.resume_after for call in left.ran][0] == 0 and len(left.ran) == 2
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("pause_after_ms", [5, 300])
+def test_upstreams_that_are_silent_at_once_lose_no_request(pause_after_ms: int) -> None:
+    """Guards against requests that leave two silent upstreams for each other and find both down."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        member = await async_start(fleet, SMALL)
+        sending = [
+            asyncio.create_task(async_send(fleet, member, "/stream/a", request_id=f"r{number}"))
+            for number in range(4)
+        ]
+        await fleet.clock.async_sleep(pause_after_ms)
+        await asyncio.gather(*(async_pause(fleet, engine) for engine in engines))
+        answers = await asyncio.gather(*sending)
+        assert [answer.body for answer in answers] == [make_stream(f"r{n}") for n in range(4)]
+
+    run_fleet(scenario)
+
+
+def test_requests_that_share_the_last_retry_are_all_answered() -> None:
+    """Guards against runs left together for a retry budget that has room for one of them."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        silent, other = fleet.add_engines(2)
+        member = await async_start(fleet, SMALL)
+        placement = member.core.get(PLACEMENT).controller
+        placement.note_down(other.name)
+        silent.silent = True
+        sending = [
+            asyncio.create_task(async_send(fleet, member, "/stream/a", request_id=f"r{number}"))
+            for number in range(3)
+        ]
+        await fleet.clock.async_sleep(20)
+        placement.note_up(other.name)
+        forwarding = member.core.get(FORWARDING)
+        assert isinstance(forwarding, ForwardingService)
+        while forwarding.budget.take():
+            pass
+        for _ in range(5):
+            forwarding.budget.earn()
+        await fleet.clock.async_sleep(PAUSE_MS)
+        silent.silent = False
+        assert all(answer.whole for answer in await asyncio.gather(*sending))
+
+    run_fleet(scenario)
+
+
+def test_a_run_at_an_upstream_that_left_the_list_is_not_left_early() -> None:
+    """Guards against taking a pause for the end of an upstream that is not listed any more."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        member = await async_start(fleet, SMALL)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
+        running = await async_find_running(fleet, engines)
+        await fleet.clock.async_sleep(300)
+        fleet.unregister(running)
+        await fleet.clock.async_sleep(100)
+        running.silent = True
+        await fleet.clock.async_sleep(300)
+        running.silent = False
+        answer = await sending
+        assert answer.whole and sum(len(engine.ran) for engine in engines) == 1
+
+    run_fleet(scenario)
--- a/tests/components/forwarding/test_streams.py
+++ b/tests/components/forwarding/test_streams.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from goldcreststair.components.forwarding.const import MIN_LEFT_MS
 from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import GatewayFleet
 from standins.run_engines import RunEngine, make_event
@@ -86,6 +87,33 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("deadline_ms", [2_000, 2_010, 2_020, 2_030, 2_040])
+def test_full_upstreams_are_not_asked_without_end(deadline_ms: int) -> None:
+    """Guards against a begun stream that storms full upstreams, to the last ms of its deadline."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(60)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(
+            async_send(fleet, member, "/stream/a", deadline_ms=deadline_ms)
+        )
+        await fleet.clock.async_sleep(200)
+        crashed = find_running(engines)
+        for engine in engines:
+            engine.refuse = True
+        crashed.up = False
+        sent_before = len(fleet.engines.deadlines)
+        answer = await sending
+        assert answer.aborted
+        assert len(fleet.engines.deadlines) - sent_before <= 20
+        assert min(fleet.engines.deadlines) >= MIN_LEFT_MS
+        page = member.core.meters.render().decode()
+        assert 'goldcreststair_given_up_total{failure="refused"} 1.0' in page
+
+    run_fleet(scenario)
+
+
 def test_a_silent_engine_is_left_within_the_pause_that_is_still_good() -> None:
     """A stream stood still until its caller gave up after two seconds, with its connection open.
 
