Show that silence ends an online run that may not move

`decide_next` gives up on a silent run whose attempts are spent, and on one that waits for its first token when the VM's retry budget is empty, although its upstream may only be slow. It also leaves a slow upstream for the last run that is allowed, and a refusal there then cuts the answer.

--- /dev/null
+++ b/tests/components/online/test_silence.py
@@ -0,0 +1,89 @@
+"""Upstreams that are slow, and send nothing for long, end no answer that they still work on."""
+
+import asyncio
+
+import pytest
+from result import Err, Ok, Result
+
+from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.helpers.refusals import Refusal
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.http_engine import IDLE_TIMEOUT_MS
+from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, StreamChunk, Upstream
+from goldcreststair.upstreams.protocols import StreamSink
+from standins.engine.client import FakeUpstreams
+from standins.engine.model import make_text
+from tests.helpers.cores import make_core
+from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
+from tests.helpers.virtual_time import run_virtual
+
+TOKENS = 200
+
+Running = asyncio.Task[Result[GenerateEnd, Refusal]]
+
+
+class _CountingSink:
+    def __init__(self, sink: StreamSink) -> None:
+        self.chunks = 0
+        self._sink = sink
+
+    async def async_accept(self, chunk: StreamChunk) -> None:
+        self.chunks += 1
+        await self._sink.async_accept(chunk)
+
+
+class IdleUpstreams(FakeUpstreams):
+    """Ends a connection on which nothing comes for the idle time, as over HTTP."""
+
+    async def async_generate(
+        self, upstream: Upstream, call: GenerateCall, sink: StreamSink
+    ) -> Result[GenerateEnd, UpstreamError]:
+        counting = _CountingSink(sink)
+        running = asyncio.ensure_future(super().async_generate(upstream, call, counting))
+        try:
+            while not running.done():
+                seen = counting.chunks
+                await asyncio.wait({running}, timeout=IDLE_TIMEOUT_MS / MS_PER_SECOND)
+                if not running.done() and counting.chunks == seen:
+                    return Err(UpstreamError("no progress", UpstreamFailure.SILENT))
+            return running.result()
+        finally:
+            running.cancel()
+
+
+async def async_start_slow(vm: OnlineVm, sink: RecordingSink, *, begun: bool) -> Running:
+    """Start an answer at an upstream that makes no progress from its start or from 1 s on."""
+    set_pause(vm, paused=not begun)
+    fields = {"max_tokens": TOKENS, "deadline_ms": 600_000}
+    running = asyncio.create_task(vm.async_generate("r1", sink, **fields))
+    await asyncio.sleep(1)
+    set_pause(vm, paused=True)
+    return running
+
+
+def set_pause(vm: OnlineVm, *, paused: bool) -> None:
+    for engine in vm.upstreams.engines.values():
+        engine.faults.pause = paused
+
+
+@pytest.mark.parametrize("begun", [False, True])
+@pytest.mark.parametrize("other", ["none", "unreachable", "refusing"])
+def test_slow_answer_is_not_cut(other: str, begun: bool) -> None:
+    """An answer is cut for its upstream's silence although no other upstream can serve it."""
+
+    async def async_test() -> None:
+        vm = OnlineVm(IdleUpstreams(make_core().clock))
+        await vm.async_setup(engines=1 if other == "none" else 2)
+        if other == "unreachable":
+            vm.upstreams.unreachable.add(ADDRESSES[1])
+        elif other == "refusing":
+            vm.upstreams.engines[ADDRESSES[1]].faults.refuse = True
+        sink = RecordingSink()
+        running = await async_start_slow(vm, sink, begun=begun)
+        await asyncio.sleep(300)
+        set_pause(vm, paused=False)
+        assert isinstance(await running, Ok)
+        assert sink.read_text() == make_text("a blurb", TOKENS)
+        await vm.async_close()
+
+    run_virtual(async_test())
--- a/tests/components/online/test_stream_recorder.py
+++ b/tests/components/online/test_stream_recorder.py
@@ -4,6 +4,11 @@
 
 import pytest
 
+from goldcreststair.components.online.const import (
+    MAX_ATTEMPTS,
+    MAX_RECONNECTS,
+    MAX_WAITING_RECONNECTS,
+)
 from goldcreststair.components.online.recovery import NextStep, RunProgress, decide_next
 from goldcreststair.components.online.stream import StreamRecorder
 from goldcreststair.helpers.retry_budget import RetryBudget
@@ -88,3 +93,24 @@
     progress = RunProgress(True, attempts=1, reconnects=reconnects, last_index=last_index)
     error = UpstreamError("x", UpstreamFailure.SILENT)
     assert decide_next(progress, error, RetryBudget(), 1000) is step
+
+
+@pytest.mark.parametrize(
+    ("attempts", "reconnects", "last_index", "budget"),
+    [
+        (MAX_ATTEMPTS, 0, -1, 9),
+        (MAX_ATTEMPTS, 0, 5, 9),
+        (MAX_ATTEMPTS, MAX_WAITING_RECONNECTS, -1, 9),
+        (MAX_ATTEMPTS, MAX_RECONNECTS, 5, 9),
+        (MAX_ATTEMPTS - 1, MAX_RECONNECTS, 5, 9),
+        (1, MAX_WAITING_RECONNECTS, -1, 0),
+    ],
+)
+def test_silence_does_not_end_what_may_not_move(
+    attempts: int, reconnects: int, last_index: int, budget: int
+) -> None:
+    """A slow answer is cut because it is quiet and its runs, or the VM's budget, are spent."""
+    progress = RunProgress(True, attempts, reconnects, last_index)
+    error = UpstreamError("x", UpstreamFailure.SILENT)
+    step = decide_next(progress, error, RetryBudget(capacity=float(budget)), 1000)
+    assert step is NextStep.SAME
