Keep a silent online run that may not move

Callers of the daemon saw a stream end in an error event, or a request refused with 502 "no progress", while its upstream still worked on it: in the tests when it sent nothing for 300 s, from the start or after the first tokens, with a deadline of 600 s.

Cause: `decide_next` read silence like a lost connection. With the attempts spent, or without retry budget before the first token, it gave up, although nothing showed that the run was lost; and it left a slow upstream even for the last run, where a refusal is the end.

Silence now only moves a request. Where it may not move, a new connection joins the run by its id, until the connection breaks or the deadline passes. Silence leaves at most five runs, so that the sixth is there for a connection that breaks. What follows a lost connection, a refusal or an answer that is not whole is unchanged, as is a run that may not be repeated.

--- a/goldcreststair/components/online/const.py
+++ b/goldcreststair/components/online/const.py
@@ -7,6 +7,8 @@
 
 MAX_ATTEMPTS: Final = 6
 """Runs of one request, on all upstreams together."""
+MAX_LEFT_RUNS: Final = MAX_ATTEMPTS - 1
+"""Runs after which silence moves a request no more; the last is for a connection that broke."""
 MAX_RECONNECTS: Final = 2
 """New connections to the same upstream that brought no token, before another is tried."""
 MAX_WAITING_RECONNECTS: Final = 8
--- a/goldcreststair/components/online/recovery.py
+++ b/goldcreststair/components/online/recovery.py
@@ -5,13 +5,14 @@
 
 from goldcreststair.components.online.const import (
     MAX_ATTEMPTS,
+    MAX_LEFT_RUNS,
     MAX_RECONNECTS,
     MAX_WAITING_RECONNECTS,
 )
 from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
-RECONNECTABLE = (UpstreamFailure.SILENT, UpstreamFailure.INCOMPLETE, UpstreamFailure.CROSSED)
+RECONNECTABLE = (UpstreamFailure.INCOMPLETE, UpstreamFailure.CROSSED)
 
 
 class NextStep(StrEnum):
@@ -47,7 +48,11 @@
     progress: RunProgress, error: UpstreamError, budget: RetryBudget, remaining_ms: int
 ) -> NextStep:
     """Return what follows `error`; `progress` already counts the failed run."""
-    if remaining_ms <= 0 or progress.attempts >= MAX_ATTEMPTS:
+    if remaining_ms <= 0:
+        return NextStep.GIVE_UP
+    if error.failure is UpstreamFailure.SILENT and progress.repeatable:
+        return _follow_silence(progress, budget)
+    if progress.attempts >= MAX_ATTEMPTS:
         return NextStep.GIVE_UP
     if error.failure in (UpstreamFailure.REJECTED, UpstreamFailure.TIMEOUT):
         return NextStep.GIVE_UP
@@ -57,19 +62,27 @@
     # Shows as two grounds booked: the answer was lost, not the run, so it is never sent again.
     if not progress.repeatable:
         return NextStep.GIVE_UP
-    if error.failure in RECONNECTABLE and progress.reconnects < _limit_reconnects(progress, error):
+    if error.failure in RECONNECTABLE and progress.reconnects < MAX_RECONNECTS:
+        return NextStep.SAME
+    return NextStep.ELSEWHERE if _may_run_again(progress, budget) else NextStep.GIVE_UP
+
+
+def _follow_silence(progress: RunProgress, budget: RetryBudget) -> NextStep:
+    # Shows as healthy answers cut: a slow upstream is silent too, and a run that may not move
+    # is served by waiting or not at all. A connection that breaks ends it, or its deadline.
+    if progress.attempts >= MAX_LEFT_RUNS or progress.reconnects < _limit_waits(progress):
         return NextStep.SAME
+    return NextStep.ELSEWHERE if _may_run_again(progress, budget) else NextStep.SAME
+
+
+def _may_run_again(progress: RunProgress, budget: RetryBudget) -> bool:
     # A stream with tokens out goes on without the budget: to cut it would be the greater harm,
     # and it cannot storm, since the attempts of each stream are bounded.
-    if progress.last_index >= 0 or budget.take():
-        return NextStep.ELSEWHERE
-    return NextStep.GIVE_UP
+    return progress.last_index >= 0 or budget.take()
 
 
-def _limit_reconnects(progress: RunProgress, error: UpstreamError) -> int:
+def _limit_waits(progress: RunProgress) -> int:
     # A long queue at an upstream is silent too. Moved on after a few seconds, every waiting
     # request would lose its place and join another queue, which makes an overload worse; a new
     # connection by id keeps the place and still finds out whether the old one was dead.
-    if error.failure is UpstreamFailure.SILENT and progress.last_index < 0:
-        return MAX_WAITING_RECONNECTS
-    return MAX_RECONNECTS
+    return MAX_RECONNECTS if progress.last_index >= 0 else MAX_WAITING_RECONNECTS
