Show that a silent run is thrown away although it has nowhere to go

After some silence a run is ended to go elsewhere, and only then is an upstream chosen. With one upstream it is queued anew where it was. With one that leaves by a patch of the configuration, or is taken out of it, the answer is cut. On this code 6 of 6 cases fail:

test_slow_answer_keeps_its_place[{}-False], [{}-True]: assert Generation('r1', ..., state=<DONE>) is Generation('r1', ..., state=<CANCELLED>) [{'leaving_upstreams': {'e0': True}}-False], [...-True]: isinstance(Err(Refusal(message='no upstream can take this now', code=NO_UPSTREAM, status=502, not_run=False, ...)), Ok) [{'upstreams': {}}-False], [{'upstreams': {}}-True]: isinstance(Err(Refusal(message='no upstream serves this', code=UNKNOWN_MODEL, status=502, not_run=False, ...)), Ok)

--- a/tests/components/online/test_silence.py
+++ b/tests/components/online/test_silence.py
@@ -1,6 +1,7 @@
 """Upstreams that are slow, and send nothing for long, end no answer that they still work on."""
 
 import asyncio
+from typing import Any
 
 import pytest
 from result import Err, Ok, Result
@@ -87,3 +88,29 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+@pytest.mark.parametrize("begun", [False, True])
+@pytest.mark.parametrize(
+    "patch", [{}, {"leaving_upstreams": {"e0": True}}, {"upstreams": {}}], ids=repr
+)
+def test_slow_answer_keeps_its_place(patch: dict[str, Any], begun: bool) -> None:
+    """A run that has nowhere to go, perhaps by a patch, is thrown away for its silence."""
+
+    async def async_test() -> None:
+        vm = OnlineVm(IdleUpstreams(make_core().clock))
+        await vm.async_setup(engines=1)
+        sink = RecordingSink()
+        running = await async_start_slow(vm, sink, begun=begun)
+        engine = vm.upstreams.engines[ADDRESSES[0]]
+        run = engine.find("r1")
+        vm.apply(**patch)
+        await asyncio.sleep(60)
+        set_pause(vm, paused=False)
+        assert isinstance(await running, Ok)
+        assert sink.read_text() == make_text("a blurb", TOKENS)
+        assert engine.find("r1") is run
+        assert engine.tokens_produced == TOKENS
+        await vm.async_close()
+
+    run_virtual(async_test())
