End a silent online run only for an upstream that would take it

Callers saw a healthy answer of a slow upstream cut, or refused, when that upstream was the only one of its model and was leaving by a patch of the configuration ("no upstream can take this now") or had been taken out of it ("no upstream serves this"). Where it was neither, the run was thrown away and queued anew at the same upstream, behind others, with its prompt and text to be computed again.

Cause: a silent run was ended, and its upstream told to stop, before anything looked for another one.

`decide_next` now asks whether another upstream would take the request, as the router sees it and without those that failed it before; if none would, a new connection joins the run. Upstreams that only refused are asked again once the router has them open: left out for good, as they were until nothing else was left, they would keep a request at an upstream that hangs.

--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -1,6 +1,7 @@
 """Runs one generation over as many connections and upstreams as it takes."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
 from result import Err, Ok, Result
@@ -122,7 +123,9 @@
                 if self._quarantine.is_quarantined(run.fingerprint):
                     return Err(_refuse_quarantined(run))
                 if step is NextStep.ELSEWHERE:
-                    run.excluded |= {upstream.name}
+                    # A refusal passes, and the router knows for how long it holds.
+                    if outcome.err_value.failure is not UpstreamFailure.REFUSED:
+                        run.excluded |= {upstream.name}
                     return None
         finally:
             self._quarantine.end(upstream.name, request_id, ok=ok)
@@ -169,7 +172,9 @@
         if error.failure is UpstreamFailure.LOST and not error.status:
             self._quarantine.report_crash(upstream.name, run.request.request_id)
         remaining = run.deadline_at - self._clock.now()
-        step = decide_next(progress, error, self._budget, remaining)
+        step = decide_next(
+            progress, error, self._budget, remaining, lambda: self._has_other(run, upstream)
+        )
         self._journal.record(
             Subject.REQUEST,
             run.request.request_id,
@@ -185,6 +190,11 @@
             progress.attempts -= 1
         return step
 
+    def _has_other(self, run: "_GenerationRun", upstream: Upstream) -> bool:
+        excluded = run.excluded | {upstream.name}
+        query = dataclasses.replace(run.make_query(), prefix="", excluded=excluded)
+        return isinstance(self._router.choose(query), Ok)
+
     def _cancel(self, upstream: Upstream, request_id: str) -> None:
         """Free the upstream of a run that nobody follows any more."""
         task = asyncio.ensure_future(self._engines.async_cancel(upstream, request_id))
--- a/goldcreststair/components/online/recovery.py
+++ b/goldcreststair/components/online/recovery.py
@@ -1,5 +1,6 @@
 """Decides what follows a failed run; no I/O."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -45,13 +46,20 @@
 
 
 def decide_next(
-    progress: RunProgress, error: UpstreamError, budget: RetryBudget, remaining_ms: int
+    progress: RunProgress,
+    error: UpstreamError,
+    budget: RetryBudget,
+    remaining_ms: int,
+    has_other: Callable[[], bool] = lambda: True,
 ) -> NextStep:
-    """Return what follows `error`; `progress` already counts the failed run."""
+    """Return what follows `error`; `progress` already counts the failed run.
+
+    `has_other` tells whether another upstream would take the request now.
+    """
     if remaining_ms <= 0:
         return NextStep.GIVE_UP
     if error.failure is UpstreamFailure.SILENT and progress.repeatable:
-        return _follow_silence(progress, budget)
+        return _follow_silence(progress, budget, has_other)
     if progress.attempts >= MAX_ATTEMPTS:
         return NextStep.GIVE_UP
     if error.failure in (UpstreamFailure.REJECTED, UpstreamFailure.TIMEOUT):
@@ -67,12 +75,15 @@
     return NextStep.ELSEWHERE if _may_run_again(progress, budget) else NextStep.GIVE_UP
 
 
-def _follow_silence(progress: RunProgress, budget: RetryBudget) -> NextStep:
+def _follow_silence(
+    progress: RunProgress, budget: RetryBudget, has_other: Callable[[], bool]
+) -> NextStep:
     # Shows as healthy answers cut: a slow upstream is silent too, and a run that may not move
     # is served by waiting or not at all. A connection that breaks ends it, or its deadline.
     if progress.attempts >= MAX_LEFT_RUNS or progress.reconnects < _limit_waits(progress):
         return NextStep.SAME
-    return NextStep.ELSEWHERE if _may_run_again(progress, budget) else NextStep.SAME
+    moves = has_other() and _may_run_again(progress, budget)
+    return NextStep.ELSEWHERE if moves else NextStep.SAME
 
 
 def _may_run_again(progress: RunProgress, budget: RetryBudget) -> bool:
--- a/tests/components/online/test_silence.py
+++ b/tests/components/online/test_silence.py
@@ -6,6 +6,7 @@
 import pytest
 from result import Err, Ok, Result
 
+from goldcreststair.components.routing.protocols import ROUTER
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
@@ -114,3 +115,25 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+@pytest.mark.parametrize("begun", [False, True])
+def test_silent_run_moves_to_an_upstream_that_refused_it_before(begun: bool) -> None:
+    """A request stays at an upstream that hangs, as another one refused it for a moment."""
+
+    async def async_test() -> None:
+        vm = OnlineVm(IdleUpstreams(make_core().clock))
+        await vm.async_setup()
+        first, second = (vm.upstreams.engines[address] for address in ADDRESSES[:2])
+        second.faults.refuse = True
+        vm.core.get(ROUTER).begin("e0")
+        sink = RecordingSink()
+        running = await async_start_slow(vm, sink, begun=begun)
+        assert [address for address, _ in vm.upstreams.calls] == [ADDRESSES[1], ADDRESSES[0]]
+        second.faults.refuse = second.faults.pause = False
+        assert isinstance(await running, Ok)
+        assert sink.read_text() == make_text("a blurb", TOKENS)
+        assert first.faults.pause
+        await vm.async_close()
+
+    run_virtual(async_test())
