Show that batch items end as failed because their engines are slow

A batch stream that brings nothing for the idle time counts as a run that failed, and the third such run ends its item.

--- a/tests/components/batch/test_failures.py
+++ b/tests/components/batch/test_failures.py
@@ -8,20 +8,23 @@
 import pytest
 from result import Err, Ok
 
+from goldcreststair.clock import LoopClock
+from goldcreststair.components.batch.allowance import AllowanceController, AllowanceParameters
 from goldcreststair.components.batch.errors import BatchProblem
 from goldcreststair.components.batch.records import make_job_key
 from goldcreststair.components.batch.submission import make_job_id
 from goldcreststair.components.peers.protocols import PEERS, Handler
 from goldcreststair.wire.generated.batch.ttypes import RecordPut
 from tests.helpers.batch_fleet import BatchFleet, make_lines
+from tests.helpers.idle_upstreams import IdleUpstreams
 from tests.helpers.virtual_time import run_virtual
 
 Story = Callable[[BatchFleet], Awaitable[None]]
 
 
-def run(story: Story, **options: int) -> None:
+def run(story: Story, **options: Any) -> None:
     async def async_test() -> None:
-        fleet = BatchFleet(**options)  # type: ignore[arg-type]
+        fleet = BatchFleet(**options)
         await fleet.async_start()
         try:
             await story(fleet)
@@ -230,6 +233,34 @@
     run(story)
 
 
+class SteadyAllowance(AllowanceController):
+    """Lets batch run whatever the reports say."""
+
+    limit = bound = 64
+
+
+@pytest.mark.parametrize("begun", [False, True])
+@pytest.mark.parametrize("quiet_s", [20, 120])
+def test_slow_engines_lose_no_item(quiet_s: int, begun: bool) -> None:
+    """Items are run again, and end as failed, because their engines were slow for a while."""
+
+    async def story(fleet: BatchFleet) -> None:
+        fleet.set_pause(paused=not begun)
+        manifest = (await fleet.async_submit(make_lines(20, tokens=200))).unwrap()
+        await fleet.clock.async_sleep(1500)
+        fleet.set_pause(paused=True)
+        await fleet.clock.async_sleep(quiet_s * 1000)
+        fleet.set_pause(paused=False)
+        await fleet.async_wait(manifest.job)
+        assert (await fleet.async_check(manifest.job))["done"] == 20
+        assert sum(engine.tokens_produced for engine in fleet.engines.values()) == 20 * 200
+
+    def make_allowance() -> SteadyAllowance:
+        return SteadyAllowance(LoopClock(), AllowanceParameters())
+
+    run(story, make_allowance=make_allowance, make_upstreams=IdleUpstreams)
+
+
 @pytest.mark.parametrize("wait_ms", [0, 400, 900, 1500, 2500])
 def test_cancel_racing_completion(wait_ms: int) -> None:
     """A job is cancelled while its items complete.
--- a/tests/components/online/test_silence.py
+++ b/tests/components/online/test_silence.py
@@ -4,18 +4,14 @@
 from typing import Any
 
 import pytest
-from result import Err, Ok, Result
+from result import Ok, Result
 
 from goldcreststair.components.routing.protocols import ROUTER
-from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.helpers.refusals import Refusal
-from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
-from goldcreststair.upstreams.http_engine import IDLE_TIMEOUT_MS
-from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, StreamChunk, Upstream
-from goldcreststair.upstreams.protocols import StreamSink
-from standins.engine.client import FakeUpstreams
+from goldcreststair.upstreams.models import GenerateEnd
 from standins.engine.model import make_text
 from tests.helpers.cores import make_core
+from tests.helpers.idle_upstreams import IdleUpstreams
 from tests.helpers.online import ADDRESSES, OnlineVm, RecordingSink
 from tests.helpers.virtual_time import run_virtual
 
@@ -24,35 +20,6 @@
 Running = asyncio.Task[Result[GenerateEnd, Refusal]]
 
 
-class _CountingSink:
-    def __init__(self, sink: StreamSink) -> None:
-        self.chunks = 0
-        self._sink = sink
-
-    async def async_accept(self, chunk: StreamChunk) -> None:
-        self.chunks += 1
-        await self._sink.async_accept(chunk)
-
-
-class IdleUpstreams(FakeUpstreams):
-    """Ends a connection on which nothing comes for the idle time, as over HTTP."""
-
-    async def async_generate(
-        self, upstream: Upstream, call: GenerateCall, sink: StreamSink
-    ) -> Result[GenerateEnd, UpstreamError]:
-        counting = _CountingSink(sink)
-        running = asyncio.ensure_future(super().async_generate(upstream, call, counting))
-        try:
-            while not running.done():
-                seen = counting.chunks
-                await asyncio.wait({running}, timeout=IDLE_TIMEOUT_MS / MS_PER_SECOND)
-                if not running.done() and counting.chunks == seen:
-                    return Err(UpstreamError("no progress", UpstreamFailure.SILENT))
-            return running.result()
-        finally:
-            running.cancel()
-
-
 async def async_start_slow(vm: OnlineVm, sink: RecordingSink, *, begun: bool) -> Running:
     """Start an answer at an upstream that makes no progress from its start or from 1 s on."""
     set_pause(vm, paused=not begun)
--- a/tests/helpers/batch_fleet.py
+++ b/tests/helpers/batch_fleet.py
@@ -1,12 +1,13 @@
 """Several VMs with batch in process, and the checker every batch failure test ends with."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
 from result import Result
 
+from goldcreststair.clock import Clock
 from goldcreststair.components import configuration, keys
 from goldcreststair.components.batch.errors import BatchError
 from goldcreststair.components.batch.models import Manifest
@@ -48,12 +49,13 @@
     vms: int = 3
     parameters: EngineParameters = field(default_factory=EngineParameters)
     make_allowance: MakeAllowance | None = None
+    make_upstreams: Callable[[Clock], FakeUpstreams] = FakeUpstreams
 
     async def async_start(self) -> None:
         clock = make_core().clock
         self.clock = clock
         self.platform = FakePlatform(clock)
-        self.upstreams = FakeUpstreams(clock)
+        self.upstreams = self.make_upstreams(clock)
         self.engines = {
             name: self.upstreams.add_engine(address, parameters=self.parameters)
             for name, address in ADDRESSES.items()
@@ -113,6 +115,11 @@
             if owner == session_id:
                 self.world.move(index, survivors[index % len(survivors)])
 
+    def set_pause(self, *, paused: bool) -> None:
+        """Let all engines make no progress, or go on."""
+        for engine in self.engines.values():
+            engine.faults.pause = paused
+
     def find_steward(self, upstream: str) -> str:
         ledger = next(iter(self.world.ledgers.values()))
         return str(ledger.find_owner(ledger.find_index(make_upstream_key(upstream))))
