Let batch items outlast an engine that is slow

Callers found items of batch jobs failed that nothing was wrong with, and engines did the same items up to three times: a stream without progress for the idle time (5 s) was reported as a failed run, and its item ended at the third. An engine that is slow, or busy with online work, is silent as well.

A silent connection of a batch stream is now opened anew and joins the run by its id, as online ones do, until the time of the item (300 s) is over; that is one try, as before. A lost connection, one that cannot be opened, and a refusal are judged as before. The wait for the first token counts from the start of the run, so that a joined one does not look quick to the allowance.

An engine that hangs for good, with its connections open, now keeps an item for the 300 s and not for 5 s.

--- a/goldcreststair/components/batch/steward.py
+++ b/goldcreststair/components/batch/steward.py
@@ -209,8 +209,7 @@
         stream.task = asyncio.ensure_future(self._async_run(stream))
 
     async def _async_run(self, stream: ItemStream) -> None:
-        engines = self._core.upstreams.engines
-        outcome = await engines.async_generate(self.upstream, stream.begin(), stream)
+        outcome = await self._async_follow(stream)
         if stream not in self.running:
             return
         verdict = self._judge(stream, outcome)
@@ -223,6 +222,19 @@
         if self._core.clock.now() >= self._blocked_until and not self._is_proving():
             self._fill()
 
+    async def _async_follow(self, stream: ItemStream) -> Result[GenerateEnd, UpstreamError]:
+        """Return how a run ended; a silent connection is opened anew and joins it."""
+        stream.begin()
+        while True:
+            call = stream.make_call()
+            outcome = await self._core.upstreams.engines.async_generate(self.upstream, call, stream)
+            if isinstance(outcome, Ok) or outcome.err_value.failure is not UpstreamFailure.SILENT:
+                return outcome
+            # Shows as items failed that nothing is wrong with: an engine that is slow, or kept by
+            # online work, is silent too, and each run given up for that counts as a try.
+            if not stream.left_ms:
+                return outcome
+
     def _observe_first_token(self, wait_ms: int) -> None:
         self.allowance.observe_first_token(wait_ms, len(self.running))
         self._enforce()
--- a/goldcreststair/components/batch/streams.py
+++ b/goldcreststair/components/batch/streams.py
@@ -24,7 +24,7 @@
     clock: Clock
     started_at: Millis
     first_token_ms: int = -1
-    """Wait from the start of the current call to its first token; -1 before it."""
+    """Wait from the start of the present run to its first token; -1 before it."""
     last_index: int = -1
     parts: list[str] = field(default_factory=list)
     finish_reason: str | None = None
@@ -42,16 +42,24 @@
                 self._take(orjson.loads(line[len(DATA_FIELD) :]))
         self.last_index = chunk.last_index
 
-    def begin(self) -> GenerateCall:
-        """Return the call that starts the item, or goes on after what came already."""
+    @property
+    def left_ms(self) -> int:
+        """Time that is left to the present run."""
+        return max(0, self.started_at + ITEM_TIMEOUT_MS - self.clock.now())
+
+    def begin(self) -> None:
+        """Start a run, or go on after a pause."""
         self.started_at = self.clock.now()
         self.first_token_ms = -1
+
+    def make_call(self) -> GenerateCall:
+        """Return the call that starts the item, or goes on after what came already."""
         return GenerateCall(
             request_id=self.item.request_id,
             path=self.item.path,
             body=self.item.body,
             stream=True,
-            timeout_ms=ITEM_TIMEOUT_MS,
+            timeout_ms=max(1, self.left_ms),
             resume_after=self.last_index,
             prior="".join(self.parts) if self.last_index >= 0 else "",
         )
