Let batch run where little ran when a queue was seen

Callers saw jobs stand still at engines that were healthy again, or that take one request at a time: what ran was cancelled and nothing was started until another VM took the upstream over.

Cause: once a queue was seen, the allowance keeps a part free of the most that ever ran. When that was none, as at an engine that was slow from the start, or one, nothing was left, and what ran could never become more.

A queue now says that an upstream is full only if anything ran there, and at least one stream is left of what it takes. From two streams on nothing changes.

--- a/goldcreststair/components/batch/allowance.py
+++ b/goldcreststair/components/batch/allowance.py
@@ -88,7 +88,7 @@
         """Streams that may go on; those above it are cancelled."""
         bound = min(self._allowance, self._burst.bound)
         if self._queue_seen:
-            bound = min(bound, self._peak * (1 - self._parameters.kept_share) - self._online)
+            bound = min(bound, self._keep_free(self._parameters.kept_share) - self._online)
         return max(0, int(bound))
 
     @property
@@ -101,10 +101,18 @@
     def _room(self) -> float:
         # Unbounded, the allowance would outrun reports that are a second old and fill the
         # upstream's queue, where online work then stands behind batch.
-        free = self._peak * (1 - self._parameters.slot_headroom)
+        free = self._keep_free(self._parameters.slot_headroom)
         whole = free if self._queue_seen else self._peak + PROBE
         return whole - self._online
 
+    def _keep_free(self, share: float) -> float:
+        # An upstream that takes one request at a time has no part of it to keep free.
+        return max(1.0, self._peak * (1 - share))
+
+    def _note_queue(self) -> None:
+        # Shows as jobs that stand still: an upstream that ran nothing yet is slow and not full.
+        self._queue_seen = self._peak > 0
+
     def cut(self, running: int) -> None:
         """Take a yield hint; hints that come together cut once."""
         now = self._clock.now()
@@ -133,7 +141,7 @@
     def observe_first_token(self, wait_ms: int, running: int) -> None:
         """Take the time a batch stream waited for its first token."""
         if wait_ms > self._parameters.first_token_ms:
-            self._queue_seen = True
+            self._note_queue()
             self._lower(running * (1 - self._parameters.slot_headroom))
 
     def observe_load(self, report: LoadReport, running: int) -> None:
@@ -173,7 +181,7 @@
         # alone; two in a row do, if no more than before ran meanwhile.
         queued = report.waiting > 0 and report.running >= self._peak * FULL
         if queued and self._queued:
-            self._queue_seen = True
+            self._note_queue()
             self._lower(max(0.0, running - report.waiting))
         self._queued = queued
 
