Show that a waiting request hangs when its model is withdrawn

The gate drops the lane of a model that no upstream serves, with those who wait in it, when a request that moves asks for it before the next tick. On this code it waits past its deadline; the test ends it after 120 s:

test_waiting_requests_are_answered_when_their_model_is_withdrawn: TimeoutError

--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -1,6 +1,7 @@
 """Fair queues, deadlines, poison and leaving upstreams."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from result import Err, Ok, Result
@@ -158,6 +159,30 @@
     run_virtual(async_test())
 
 
+def test_waiting_requests_are_answered_when_their_model_is_withdrawn() -> None:
+    """A waiting request hangs for good: a patch withdrew its model, and another one came first."""
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=1)
+        gate = AdmissionGate(vm.core)
+        query = RouteQuery(model="small", alone=True)
+        vm.core.get(ROUTER).isolate("e0", "other")
+        ticket = Ticket("waits", "acme", 1.0, Millis(vm.core.clock.now() + 60_000))
+        waiting = asyncio.create_task(gate.async_enter(ticket, query))
+        await asyncio.sleep(0.2)
+        vm.apply(upstreams={})
+        moving = Ticket("moves", "acme", 1.0, ticket.deadline_at)
+        moved = await gate.async_enter(moving, replace(query, admitted=True))
+        assert moved.unwrap_err().code is RefusalCode.UNKNOWN_MODEL
+        refused = await asyncio.wait_for(waiting, 120)
+        assert refused.unwrap_err().not_run
+        gate.close()
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
 async def async_leave(vm: OnlineVm, how: str) -> None:
     if how == "configuration":
         vm.apply(leaving_upstreams={"e0": True})
