Keep the lane of a withdrawn model while requests wait in it

Requests in a queue could hang, unanswered past their deadline: a patch of the configuration withdrew their model, and before the next tick of the gate a request that moves asked for the same model. The gate then dropped the lane to keep callers from growing the table of lanes, with all who waited in it.

A lane is dropped only when nobody waits in it; the next tick refuses those who do, as it does without a request that moves.

--- a/goldcreststair/components/online/gate.py
+++ b/goldcreststair/components/online/gate.py
@@ -66,7 +66,7 @@
             chosen = self._place(lane, ticket, query)
             if isinstance(chosen, Ok):
                 return Ok(chosen.ok_value)
-            if not chosen.err_value.known:
+            if not chosen.err_value.known and not lane.waiters:
                 # Callers may name any model; a lane for each name would grow without bound.
                 del self._lanes[key]
             if query.admitted or not chosen.err_value.saturated:
