Keep one piece of a stream on its way to a caller at a time

Callers that read slowly for longer than the keep-alive time (3 s) could get a whole answer and no end of it, only comments: for a resend that is answered from the first run for good; for a running stream until its connection was taken for silent and opened anew.

Cause: a keep-alive comment was flushed while a chunk was still on its way. tornado keeps the wait of one write; the second took its place, and the first was never over.

Flushes now follow one another. A piece is taken into the answer before the wait, as before, so that a run that is ended meanwhile loses nothing that it has counted as given out.

--- a/goldcreststair/components/caller_api/views.py
+++ b/goldcreststair/components/caller_api/views.py
@@ -25,6 +25,11 @@
 
     _last_write_ms = 0
 
+    def initialize(self, core: Core) -> None:
+        """Keep the core; one piece is on its way at a time."""
+        super().initialize(core)
+        self._writing = asyncio.Lock()
+
     async def post(self) -> None:
         """Run one request."""
         deadline = parse_deadline(self.request.headers)
@@ -58,13 +63,17 @@
             self.set_header("Content-Type", "text/event-stream")
             self.set_header("Cache-Control", "no-store")
         self._last_write_ms = self.core.clock.now()
+        # Taken before any wait: a run that is ended while it waits has counted this as given out.
         self.write(data)
-        try:
-            await self.flush()
-        except StreamClosedError:
-            # A run under a claim goes on without its caller; others are cancelled when the
-            # connection's end is noticed.
-            return
+        # Shows as answers without an end: a connection knows the wait of one write only, and a
+        # chunk still on its way when a comment is written would wait for good.
+        async with self._writing:
+            try:
+                await self.flush()
+            except StreamClosedError:
+                # A run under a claim goes on without its caller; others are cancelled when the
+                # connection's end is noticed.
+                return
 
     async def _async_keep_alive(self) -> None:
         """Write comments while no token comes, so that silence means a dead connection."""
