Show that a slow caller is taken for a silent engine

While a piece of an answer waits for a caller that reads slowly, nothing more is read of the engine's connection. After the idle time it is ended as silent, although bytes of the engine wait in it. On this code:

test_slow_caller_is_not_taken_for_a_silent_engine: AssertionError: assert Err(UpstreamError(...)) == Ok(GenerateEnd(...))

--- a/tests/upstreams/test_http_engine.py
+++ b/tests/upstreams/test_http_engine.py
@@ -8,12 +8,14 @@
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
+from goldcreststair.const import HEADER_REQUEST_ID
+from goldcreststair.upstreams import http_engine
 from goldcreststair.upstreams.http_engine import (
     CONTROL_TIMEOUT_MS,
     MAX_KV_STATE_BYTES,
     HttpEngineClient,
 )
-from goldcreststair.upstreams.models import Order, Upstream
+from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, Order, Upstream
 
 
 class KvHandler(RequestHandler):
@@ -72,3 +74,32 @@
         await server.close_all_connections()
 
     asyncio.run(async_test())
+
+
+class StreamHandler(RequestHandler):
+    def post(self) -> None:
+        self.set_header(HEADER_REQUEST_ID, "r1")
+        self.finish(b'id: 0\ndata: {"choices": []}\n\ndata: [DONE]\n\n')
+
+
+class SlowSink:
+    async def async_accept(self, _: object) -> None:
+        await asyncio.sleep(0.5)
+
+
+def test_slow_caller_is_not_taken_for_a_silent_engine(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A run is ended for its silence while the daemon itself keeps its next bytes waiting."""
+    monkeypatch.setattr(http_engine, "IDLE_TIMEOUT_MS", 100)
+
+    async def async_test() -> None:
+        socket, port = bind_unused_port()
+        server = HTTPServer(Application([(r"/v1/completions", StreamHandler)]))
+        server.add_socket(socket)
+        upstream = Upstream("e1", f"127.0.0.1:{port}", "dc1")
+        call = GenerateCall("r1", "/v1/completions", b"{}", stream=True, timeout_ms=5000)
+        outcome = await HttpEngineClient().async_generate(upstream, call, SlowSink())
+        assert outcome == Ok(GenerateEnd(b"", 1, 0))
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(async_test())
