Tell a slow caller from a silent engine

A caller that did not read for 5 s made the daemon end its healthy connection to the engine as silent and open another one, again and again. The engine saw its client go away; one that is taken out for maintenance refuses the new connection.

Cause: the idle time of an exchange counted what was read, and nothing is read while a piece waits for its taker.

The idle time now does not run while a piece is held. The whole time of the call bounds it as before.

--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -93,6 +93,8 @@
         self.pieces: list[bytes] = []
         self.whole = False
         self.progress = 0
+        self.held = False
+        """Whether a piece waits for who takes it, so that nothing more is read meanwhile."""
         self._on_head = on_head
         self._on_data = on_data
 
@@ -108,14 +110,23 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self.progress += 1
-        if self._on_data is not None and self.status == 200:
-            return self._on_data(chunk)
-        self.pieces.append(chunk)
-        return None
+        if self._on_data is None or self.status != 200:
+            self.pieces.append(chunk)
+            return None
+        taking = self._on_data(chunk)
+        return None if taking is None else self._async_hold(taking)
 
     def finish(self) -> None:
         self.whole = True
 
+    async def _async_hold(self, taking: Awaitable[None]) -> None:
+        self.held = True
+        try:
+            await taking
+        finally:
+            self.held = False
+            self.progress += 1
+
 
 async def async_exchange(
     exchange: Exchange, on_head: OnHead | None = None, on_data: OnData | None = None
@@ -194,7 +205,8 @@
         while not reading.done():
             seen = reader.progress
             await asyncio.wait({reading}, timeout=idle_timeout_ms / MS_PER_SECOND)
-            if not reading.done() and reader.progress == seen:
+            # Silence while a piece is held is ours: the server's next bytes wait unread.
+            if not reading.done() and reader.progress == seen and not reader.held:
                 return True
         reading.result()
         return False
