Show that a stream is cut while its upstreams restart

Attempts that no upstream took count as runs, so a stream that broke in the middle uses up its six in a moment, and the pauses that shall let an upstream come back are never made. On this code 4 of 4 cases fail, all upstreams being gone for 8 s of 60:

test_stream_waits_for_an_upstream_that_comes_back[False-1], [False-2]: isinstance(Err(Refusal(message='no route', code=UPSTREAM_FAILED, status=502, not_run=False, ...)), Ok) [True-1], [True-2]: the same, message='not accepting requests'

--- a/tests/components/online/test_streams.py
+++ b/tests/components/online/test_streams.py
@@ -215,3 +215,35 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+@pytest.mark.parametrize("engines", [1, 2])
+@pytest.mark.parametrize("refuses", [False, True])
+def test_stream_waits_for_an_upstream_that_comes_back(refuses: bool, engines: int) -> None:
+    """A stream is cut as every upstream is gone, or refuses, for the seconds of a restart."""
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=engines)
+        sink = RecordingSink()
+        running = asyncio.create_task(vm.async_generate("r1", sink, max_tokens=TOKENS))
+        await asyncio.sleep(1)
+        assert 0 < sink.chunks < TOKENS
+        set_gone(vm, refuses=refuses, gone=True)
+        for engine in vm.upstreams.engines.values():
+            engine.crash()
+        await asyncio.sleep(8)
+        set_gone(vm, refuses=refuses, gone=False)
+        assert isinstance(await running, Ok)
+        assert sink.read_text() == TEXT
+        await vm.async_close()
+
+    run_virtual(async_test())
+
+
+def set_gone(vm: OnlineVm, *, refuses: bool, gone: bool) -> None:
+    if refuses:
+        for engine in vm.upstreams.engines.values():
+            engine.faults.refuse = gone
+    else:
+        vm.upstreams.unreachable = set(vm.upstreams.engines) if gone else set()
