Count no run for a begun answer that no upstream took

Callers saw a stream cut in the middle when its upstream crashed and came back in seconds: the attempts in between, each refused or without a connection, used up the six runs that a request may have, within a moment.

Attempts that certainly did not run are not counted any more once a part of the request may have run. A request of which nothing can have run is refused after six, as before: its caller may ask another VM.

--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.online.const import RETRY_PAUSE_MS
+from goldcreststair.components.online.const import MAX_ATTEMPTS, RETRY_PAUSE_MS
 from goldcreststair.components.online.fair_queue import Ticket
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.models import GenerateRequest
@@ -81,18 +81,25 @@
     async def _async_place(self, run: "_GenerationRun") -> Result[Upstream, Refusal]:
         run.alone = self._quarantine.is_suspect(run.fingerprint)
         ticket = run.make_ticket()
+        # Where all upstreams refuse, or are gone, the next attempts are made slowly.
+        if run.progress.vain >= MAX_ATTEMPTS and not await self._async_pause(run):
+            return Err(Refusal("no upstream took it", RefusalCode.NO_UPSTREAM, 503, True, 1000))
         while True:
             placed = await self._gate.async_enter(ticket, run.make_query())
             waiting = isinstance(placed, Err) and placed.err_value.code is RefusalCode.NO_UPSTREAM
-            if not waiting or not run.progress.has_begun:
+            if not waiting or not run.progress.has_begun or not await self._async_pause(run):
                 return placed
-            if self._clock.now() + RETRY_PAUSE_MS >= run.deadline_at or run.pauses <= 0:
-                return placed
-            # Every other upstream is busy with a suspect or failed just now: come back soon,
-            # and to any, for the one left first may serve again.
-            run.pauses -= 1
-            run.excluded = frozenset()
-            await self._clock.async_sleep(RETRY_PAUSE_MS)
+
+    async def _async_pause(self, run: "_GenerationRun") -> bool:
+        """Give upstreams time to come back; returns False if there is none left."""
+        if self._clock.now() + RETRY_PAUSE_MS >= run.deadline_at or run.pauses <= 0:
+            return False
+        # Every other upstream is busy with a suspect or failed just now: come back soon,
+        # and to any, for the one left first may serve again.
+        run.pauses -= 1
+        run.excluded = frozenset()
+        await self._clock.async_sleep(RETRY_PAUSE_MS)
+        return True
 
     async def _async_run_placed(
         self, run: "_GenerationRun", upstream: Upstream
@@ -163,6 +170,10 @@
             progress.reconnects = 0
         progress.last_index = run.recorder.last_index
         progress.may_have_run = progress.may_have_run or not error.not_run
+        progress.vain = progress.vain + 1 if error.not_run else 0
+        if error.not_run and progress.may_have_run:
+            # No run: a stream that has begun must not be cut for upstreams that restart.
+            progress.attempts -= 1
         if error.failure is UpstreamFailure.MOVED:
             # Nothing failed: a stream that moves often must not run out of attempts.
             progress.attempts -= 1
--- a/goldcreststair/components/online/recovery.py
+++ b/goldcreststair/components/online/recovery.py
@@ -36,6 +36,8 @@
     """New connections to the present upstream since the last token."""
     last_index: int = -1
     """Index of the last token received."""
+    vain: int = 0
+    """Attempts that no upstream took since the last one that may have run."""
     may_have_run: bool = False
     """Whether any upstream may have run any part; "not run" is untrue from then on."""
 
