Read numbers from outside in one place, and of a bounded length

What callers saw: a stream was run again, or cut, when an event's number had more than 4,300 digits: Python's int() raises, the connection to the upstream is closed for it, and the log says "connection closed early", as if the upstream had broken off.

Seen to fail before (ValueError).

--- a/goldcreststair/components/caller_api/parsing.py
+++ b/goldcreststair/components/caller_api/parsing.py
@@ -16,6 +16,7 @@
 )
 from goldcreststair.components.online.const import DEFAULT_DEADLINE_MS, MAX_DEADLINE_MS
 from goldcreststair.errors import GoldcreststairError
+from goldcreststair.helpers.numbers import read_whole
 
 PATH_CHAT: Final = "/v1/chat/completions"
 PREFIX_CHARACTERS: Final = 256
@@ -73,10 +74,11 @@
     text = headers.get(HEADER_DEADLINE, "")
     if not text:
         return Ok(DEFAULT_DEADLINE_MS)
-    if not (text.isascii() and text.isdecimal()) or not 1 <= int(text) <= MAX_DEADLINE_MS:
+    number = read_whole(text)
+    if number is None or not 1 <= number <= MAX_DEADLINE_MS:
         message = f"must be a whole number from 1 to {MAX_DEADLINE_MS}"
         return Err(BadField(message, HEADER_DEADLINE))
-    return Ok(int(text))
+    return Ok(number)
 
 
 def select_headers(headers: Mapping[str, str], key: str) -> dict[str, str]:
--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -21,6 +21,7 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.helpers.numbers import read_whole
 from goldcreststair.http_exchange import (
     MAX_ANSWER_BYTES,
     READ_BYTES,
@@ -354,6 +355,7 @@
     """
     for parameter in headers.get("Keep-Alive", "").split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            return int(value) * MS_PER_SECOND - IDLE_MARGIN_MS
+        seconds = read_whole(value) if name.lower() == "timeout" else None
+        if seconds is not None:
+            return seconds * MS_PER_SECOND - IDLE_MARGIN_MS
     return DEFAULT_IDLE_MS
--- a/goldcreststair/upstreams/events.py
+++ b/goldcreststair/upstreams/events.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from goldcreststair.helpers.numbers import read_whole
+
 FIELD_ID: Final = b"id:"
 FIELD_DATA: Final = b"data:"
 EVENT_END: Final = b"\n\n"
@@ -62,7 +64,7 @@
             data.append(_read_value(line, FIELD_DATA))
         elif line.startswith(FIELD_ID):
             value = _read_value(line, FIELD_ID)
-            number = int(value) if value.isdigit() else 0
+            number = read_whole(value) or 0
     return StreamEvent(raw + EVENT_END, number, b"\n".join(data))
 
 
