Answer with 502 when a fault of our own ends a request

What callers saw: a connection closed without a word when the task that served a request ended with an exception, also before anything had been sent; a division by zero once closed 471 of them. Found by looking for each place where an answer can end early.

Change: where nothing is out, the caller gets a whole 502, which promises nothing; a begun stream is cut as before. Seen to fail before on both paths of calls (IncompleteReadError, 0 bytes read).

--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -3,8 +3,10 @@
 import asyncio
 
 import pytest
+from users_platform.jobs import JobCalls
 
 from goldcreststair.components.entry.service import ENTRY
+from goldcreststair.components.forwarding.service import ForwardingService
 from tests.platform_adapter.local import (
     LocalGateway,
     async_read_answer,
@@ -51,6 +53,22 @@
     run_local(scenario)
 
 
+@pytest.mark.parametrize("path", ["/stream/x", "/-/lots/j1"])
+def test_a_fault_of_our_own_is_answered(monkeypatch: pytest.MonkeyPatch, path: str) -> None:
+    """Guards against closing a connection without an answer for an exception in the daemon."""
+
+    async def async_fail(*_: object) -> None:
+        raise ZeroDivisionError
+
+    async def scenario(local: LocalGateway) -> None:
+        monkeypatch.setattr(ForwardingService, "async_forward", async_fail)
+        monkeypatch.setattr(JobCalls, "async_answer", async_fail)
+        answer = await local.async_call("POST", path)
+        assert (answer.status, answer.whole) == (502, True)
+
+    run_local(scenario)
+
+
 def test_a_kept_connection_serves_many_requests() -> None:
     async def scenario(local: LocalGateway) -> None:
         reader, writer = await local.async_open()
