Let explain and worth know runs that go back

Both tools took the line `Request goes back` for none of theirs: explain counted one failed run too few, and worth left the run open until the next line of its request. Two tests, seen to fail without the change in what they name.

--- a/goldcreststair/cli/stories.py
+++ b/goldcreststair/cli/stories.py
@@ -35,6 +35,9 @@
 )
 """Changes of what a daemon believes."""
 
+MOVES: Final = ("Request runs elsewhere", "Request goes back", "Item runs again")
+"""Runs that another one followed."""
+
 CAUSES: Final[Mapping[str, str]] = {
     "rate_limited": "its customer had spent rate and burst over all VMs",
     "quota_full": "its customer had too many tokens waiting on the route",
@@ -97,9 +100,7 @@
             return f"{cause}{self._name_trigger(last)}"
         if last.event in ("Item given up", "Job not accepted", "Request given up"):
             return f"{last.seen.get('reason', '')}{self._name_trigger(last)}"
-        moved = sum(
-            line.event in ("Request runs elsewhere", "Item runs again") for line in self.lines
-        )
+        moved = sum(line.event in MOVES for line in self.lines)
         again = f" after {moved} runs that failed" if moved else ""
         return f"{last.event.lower()}{again}{self._name_trigger(last)}"
 
--- a/standins/worth/runs.py
+++ b/standins/worth/runs.py
@@ -29,6 +29,7 @@
     "Request refused": Use.ONLINE,
     "Request given up": Use.ONLINE,
     "Request runs elsewhere": Use.ONLINE_AGAIN,
+    "Request goes back": Use.ONLINE_AGAIN,
     "Item yielded": Use.BATCH_KEPT,
     "Item stopped": Use.BATCH_KEPT,
     "Item runs again": Use.BATCH_FAILED,
--- a/tests/cli/test_stories.py
+++ b/tests/cli/test_stories.py
@@ -56,9 +56,10 @@
 def test_a_run_that_moved_is_counted() -> None:
     lines = [
         make_line(1, "a", "Request runs elsewhere", request="r1", reason="silent"),
+        make_line(1, "a", "Request goes back", request="r1", reason="not run"),
         make_line(2, "a", "Request answered", request="r1"),
     ]
-    assert "after 1 runs that failed" in tell_story(read_lines(lines), "request", "r1").name_cause()
+    assert "after 2 runs that failed" in tell_story(read_lines(lines), "request", "r1").name_cause()
 
 
 def test_nothing_known_is_said() -> None:
--- a/tests/worth/test_worth.py
+++ b/tests/worth/test_worth.py
@@ -62,6 +62,17 @@
     assert [second.waiting for second in seconds] == [3, 2, 2]
 
 
+def test_a_run_that_goes_back_ends_the_one_before() -> None:
+    lines = [
+        make_line(0, "Request placed", request="r", upstream="e"),
+        make_line(500, "Request goes back", request="r"),
+        make_line(500, "Request placed", request="r", upstream="f"),
+        make_line(1_500, "Request answered", request="r"),
+    ]
+    uses = [(run.upstream, run.use) for run in collect_runs(lines)]
+    assert uses == [("e", Use.ONLINE_AGAIN), ("f", Use.ONLINE)]
+
+
 def test_slots_known_at_a_start_are_counted_once() -> None:
     """Each daemon lists all upstreams when it starts, one that starts late some that have left since."""
     lines = [
