--- /dev/null
+++ b/standins/measure/overload_loads.py
@@ -0,0 +1,163 @@
+"""The loads of the measure of overloads, and what of each comes when.
+
+All of a load is drawn before it is played, so that every policy meets the same callers, items and faults.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from goldcreststair.const import MS_PER_SECOND
+
+PERIOD_MS: Final = 6_000
+BURST_MS: Final = 2_400
+BURST_SHARE: Final = 1.91
+LULL_SHARE: Final = 0.39
+"""The shape of the users' days: bursts of 2.4 s at 1.91 times the mean, 3.6 s at 0.39 times between."""
+ITEM_EVENTS: Final = 200
+LEAST_EVENTS: Final = 50
+JOB_ITEMS: Final = 10
+ITEMS_SPREAD: Final = 4
+LEAST_ITEMS: Final = 2
+TRIES: Final = 2
+"""How often a caller asks."""
+LOSS_MS: Final = PERIOD_MS + 3_700
+"""At the begin of a burst."""
+UNLIST_MS: Final = 3_000
+SLOW_MS: Final = 8_000
+TURN_MS: Final = 2_000
+POWER_MS: Final = 2 * PERIOD_MS + 4_600
+"""In the middle of a burst."""
+DARK_MS: Final = 1_000
+
+
+class FaultKind(StrEnum):
+    """What happens to an engine or a VM."""
+
+    ENGINE_LOST = "engine lost"
+    ENGINE_UNLISTED = "engine unlisted"
+    """The entry of a lost engine is removed."""
+    ENGINE_SLOW = "engine slow"
+    ENGINE_QUICK = "engine quick again"
+    VM_REPLACED = "VM replaced"
+    VM_LOST = "VM lost"
+    VM_BACK = "VM back"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing that happens to an engine or a VM."""
+
+    at_ms: int
+    kind: FaultKind
+    number: int = 0
+    """Which engine or VM."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """One load: how much comes, and what happens meanwhile."""
+
+    name: str
+    requests_per_s: float = 27.0
+    jobs_per_s: float = 0.34
+    engines: int = 6
+    vms: int = 6
+    seconds: int = 36
+    faults: tuple[Fault, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One caller who wants a stream."""
+
+    name: str
+    at_ms: int
+    entries: tuple[float, ...]
+    """Where each try goes: a share of the list of VMs that are up."""
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """One caller who submits a job."""
+
+    name: str
+    at_ms: int
+    entries: tuple[float, ...]
+    """As of a request."""
+    events: tuple[int, ...]
+    """Of each item."""
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """All of a load, in ms from its begin."""
+
+    requests: tuple[Request, ...]
+    jobs: tuple[Job, ...]
+    faults: tuple[Fault, ...]
+
+
+def draw_record(load: Load, seed: int) -> Record:
+    """Draw a load; requests and jobs come from generators of their own."""
+    requests = _draw_requests(load, random.Random(f"requests {seed}"))
+    jobs = _draw_jobs(load, random.Random(f"jobs {seed}"))
+    return Record(tuple(requests), tuple(jobs), load.faults)
+
+
+def _draw_requests(load: Load, chance: random.Random) -> Iterator[Request]:
+    at_ms, number = 0, 0
+    while at_ms < load.seconds * MS_PER_SECOND:
+        in_burst = at_ms % PERIOD_MS >= PERIOD_MS - BURST_MS
+        rate = load.requests_per_s * (BURST_SHARE if in_burst else LULL_SHARE)
+        at_ms += round(chance.expovariate(rate) * MS_PER_SECOND)
+        number += 1
+        yield Request(f"r{number}", at_ms, _draw_entries(chance))
+
+
+def _draw_jobs(load: Load, chance: random.Random) -> Iterator[Job]:
+    at_ms, number = 0, 0
+    while True:
+        at_ms += round(chance.expovariate(load.jobs_per_s) * MS_PER_SECOND)
+        if at_ms >= load.seconds * MS_PER_SECOND:
+            return
+        number += 1
+        count = max(LEAST_ITEMS, round(chance.gauss(JOB_ITEMS, ITEMS_SPREAD)))
+        events = tuple(_draw_events(chance) for _ in range(count))
+        yield Job(f"job{number}", at_ms, _draw_entries(chance), events)
+
+
+def _draw_entries(chance: random.Random) -> tuple[float, ...]:
+    return tuple(chance.random() for _ in range(TRIES))
+
+
+def _draw_events(chance: random.Random) -> int:
+    return max(LEAST_EVENTS, round(chance.gauss(ITEM_EVENTS, ITEM_EVENTS / 4)))
+
+
+ENGINE_LOST: Final = (
+    Fault(LOSS_MS, FaultKind.ENGINE_LOST),
+    Fault(LOSS_MS + UNLIST_MS, FaultKind.ENGINE_UNLISTED),
+)
+ENGINE_SLOW: Final = (
+    Fault(PERIOD_MS, FaultKind.ENGINE_SLOW),
+    Fault(PERIOD_MS + SLOW_MS, FaultKind.ENGINE_QUICK),
+)
+VMS_REPLACED: Final = tuple(
+    Fault((number + 1) * TURN_MS, FaultKind.VM_REPLACED, number) for number in range(6)
+)
+VMS_LOST: Final = (
+    *(Fault(POWER_MS, FaultKind.VM_LOST, number) for number in range(6)),
+    *(Fault(POWER_MS + DARK_MS, FaultKind.VM_BACK, number) for number in range(6)),
+)
+LOADS: Final = (
+    Load("bursts within capacity"),
+    Load("bursts beyond capacity", engines=4, jobs_per_s=0.7),
+    Load("an engine lost in a burst", engines=5, jobs_per_s=0.8, faults=ENGINE_LOST),
+    Load("one engine of six slow", jobs_per_s=0.6, faults=ENGINE_SLOW),
+    Load("VMs replaced in turn", engines=4, jobs_per_s=0.7, faults=VMS_REPLACED),
+    Load("all VMs lost at once", engines=5, jobs_per_s=0.8, faults=VMS_LOST),
+    Load("six times the jobs", jobs_per_s=2.0, seconds=18),
+)
--- /dev/null
+++ b/standins/measure/overload_play.py
@@ -0,0 +1,269 @@
+"""Plays one load of the measure of overloads before a fleet of real gateway daemons."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+from goldcreststair.clock import Clock, LoopClock
+from goldcreststair.components.entry.service import ENTRY
+from goldcreststair.components.forwarding.protocols import FORWARDING
+from goldcreststair.components.requests.models import CallerRequest
+from goldcreststair.const import MS_PER_SECOND
+from standins.gateways import FakeResponder, FleetMember, GatewayFleet, make_fleet
+from standins.measure.overload_figures import Came, Figures, Listed, Outcome
+from standins.measure.overload_loads import (
+    Fault,
+    FaultKind,
+    Job,
+    Load,
+    Record,
+    Request,
+    draw_record,
+)
+from standins.measure.overload_policies import Policy, play_by
+from standins.run_engines import RunEngine
+from standins.virtual_time import run_virtual
+
+OBJECTIVE_MS: Final = 300
+DEADLINE_MS: Final = 5_000
+DUE_MS: Final = 18_000
+REQUEST_EVENTS: Final = 35
+EVENT_MS: Final = 20
+FIRST_MS: Final = 60
+SLOWNESS: Final = 2.6
+"""How many times as long a slow engine takes."""
+ITEM_TOKENS: Final = 2_000
+START_MS: Final = 1_500
+HALF_MS_S: Final = 0.000_5
+REST_MS: Final = 22_000
+"""Time for the last jobs to come to their end."""
+REPLACE_MS: Final = 500
+"""From the end of a VM to the start of the next at its address."""
+
+
+@dataclass(slots=True)
+class Play:
+    """One load being played."""
+
+    load: Load
+    record: Record
+    fleet: GatewayFleet
+    figures: Figures = field(default_factory=Figures)
+    engines: list[RunEngine] = field(default_factory=list)
+    addresses: list[str] = field(default_factory=list)
+    """Of the VMs."""
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    began: int = 0
+
+    @property
+    def clock(self) -> Clock:
+        """Its time."""
+        return self.fleet.clock
+
+    async def async_run(self) -> None:
+        """Play the load to its end."""
+        self._add_engines()
+        members = await self.fleet.async_add_many(self.load.vms)
+        self.addresses = [member.address for member in members]
+        await self.clock.async_sleep(START_MS)
+        # Timers fire a rounding error early: at the edge of a ms, one play would read another than the
+        # next.
+        await asyncio.sleep(HALF_MS_S)
+        self.began = self.clock.now()
+        for played in (self._async_jobs(), self._async_faults()):
+            self.tasks.append(asyncio.create_task(played))
+        await self._async_requests()
+        await self.clock.async_sleep(REST_MS)
+        self._end_tasks()
+        self._count_events()
+
+    def _end_tasks(self) -> None:
+        for task in self.tasks:
+            if task.done():
+                task.result()
+            task.cancel()
+
+    def _add_engines(self) -> None:
+        self.fleet.engines.events = REQUEST_EVENTS
+        for number in range(self.load.engines):
+            engine = self.fleet.add_engines(1)[0]
+            engine.first_ms, engine.event_ms = FIRST_MS, EVENT_MS
+            engine.data_centre = f"dc{number % 3}"
+            self.engines.append(engine)
+
+    async def _async_await(self, at_ms: int) -> None:
+        await self.clock.async_sleep(max(0, self.began + at_ms - self.clock.now()))
+
+    def _note(self, name: str, events: tuple[int, ...] = ()) -> None:
+        self.figures.came.append(Came(self.clock.now() - self.began, name, events))
+
+    async def _async_requests(self) -> None:
+        for request in self.record.requests:
+            await self._async_await(request.at_ms)
+            self._note(request.name)
+            self.tasks.append(asyncio.create_task(self._async_request(request)))
+
+    async def _async_request(self, request: Request) -> None:
+        figures, asked = self.figures, self.clock.now()
+        figures.requests += 1
+        for attempt, place in enumerate(request.entries):
+            left_ms = asked + DEADLINE_MS - self.clock.now()
+            name = f"{request.name}.{attempt}"
+            answer = await self._async_send("/stream/x", b"", left_ms, name, place)
+            if answer is not None and answer.whole:
+                first_ms = answer.event_times[0] - asked
+                figures.firsts_ms.append(first_ms)
+                figures.in_time += first_ms <= OBJECTIVE_MS
+                figures.late += first_ms > OBJECTIVE_MS
+                return
+            refusal = answer.refusal if answer is not None else None
+            if attempt or (refusal is not None and not refusal.not_run):
+                return
+            pause_ms = refusal.retry_after_ms if refusal is not None else 50
+            await self.clock.async_sleep(min(pause_ms, max(0, left_ms // 3)))
+
+    async def _async_send(
+        self, path: str, body: bytes, left_ms: int, request_id: str, place: float
+    ) -> FakeResponder | None:
+        """Send a request to a VM; None if there is none or it ended before its answer."""
+        if not self.fleet.members or left_ms <= 0:
+            return None
+        asked = self.clock.now()
+        request = self.fleet.make_request(path, body, left_ms, request_id)
+        responder = await self._async_serve(request, _pick(self.fleet.members, place))
+        outcome = Outcome(request.request_id, "none", asked, self.clock.now())
+        if responder is not None:
+            events = tuple(responder.event_times)
+            outcome = replace(outcome, answer=_describe(responder), event_times=events)
+        self.figures.outcomes.append(outcome)
+        return responder
+
+    async def _async_serve(
+        self, request: CallerRequest, member: FleetMember
+    ) -> FakeResponder | None:
+        responder = FakeResponder(self.clock)
+        served = asyncio.ensure_future(
+            member.core.get(FORWARDING).async_forward(request, responder)
+        )
+        while not served.done():
+            await asyncio.wait({served}, timeout=0.02)
+            if member not in self.fleet.members and not served.done():
+                served.cancel()
+                return None
+        return responder
+
+    async def _async_jobs(self) -> None:
+        for job in self.record.jobs:
+            await self._async_await(job.at_ms)
+            self._note(job.name, job.events)
+            self.tasks.append(asyncio.create_task(self._async_job(job)))
+
+    async def _async_job(self, job: Job) -> None:
+        asked = self.clock.now()
+        self.figures.items += len(job.events)
+        names = [f"{job.name}-{number}" for number in range(len(job.events))]
+        self.fleet.engines.events_of.update(zip(names, job.events, strict=True))
+        lines = "\n".join(f"{name} {ITEM_TOKENS}" for name in names).encode()
+        for place in job.entries:
+            answer = await self._async_send(
+                f"/batch/{job.name}", lines, DEADLINE_MS, job.name, place
+            )
+            if answer is not None and answer.accepted:
+                break
+            await self.clock.async_sleep(MS_PER_SECOND)
+        await self._async_watch(job.name, len(job.events), asked)
+
+    async def _async_watch(self, name: str, count: int, asked: int) -> None:
+        listed = 0
+        while listed < count:
+            await self.clock.async_sleep(200)
+            rows = [row for row in self.fleet.store.rows if row.table == "job_results"]
+            found = sum(row.key.startswith(f"{name}/") for row in rows)
+            age_ms = self.clock.now() - asked
+            in_time = found - listed if age_ms <= DUE_MS else 0
+            self.figures.items_in_time += in_time
+            self.figures.items_late += found - listed - in_time
+            if found != listed:
+                self.figures.listed.append(Listed(self.clock.now(), name, found))
+            listed = found
+
+    async def _async_faults(self) -> None:
+        for fault in self.record.faults:
+            await self._async_await(fault.at_ms)
+            self._note(f"{fault.kind} {fault.number}")
+            self.tasks.append(asyncio.create_task(self._async_apply(fault)))
+
+    async def _async_apply(self, fault: Fault) -> None:
+        match fault.kind:
+            case FaultKind.VM_REPLACED:
+                await self._async_replace(self._find(fault.number))
+            case FaultKind.VM_LOST:
+                await self.fleet.async_kill(self._find(fault.number))
+            case FaultKind.VM_BACK:
+                await self.fleet.async_add(self.addresses[fault.number])
+            case _:
+                self._apply_to_engine(fault.kind, self.engines[fault.number])
+
+    def _apply_to_engine(self, kind: FaultKind, engine: RunEngine) -> None:
+        match kind:
+            case FaultKind.ENGINE_LOST:
+                engine.up = False
+            case FaultKind.ENGINE_UNLISTED:
+                self.fleet.unregister(engine)
+            case FaultKind.ENGINE_SLOW:
+                engine.first_ms = round(FIRST_MS * SLOWNESS)
+                engine.event_ms = round(EVENT_MS * SLOWNESS)
+            case FaultKind.ENGINE_QUICK:
+                engine.first_ms, engine.event_ms = FIRST_MS, EVENT_MS
+
+    def _find(self, number: int) -> FleetMember:
+        address = self.addresses[number]
+        return next(member for member in self.fleet.members if member.address == address)
+
+    async def _async_replace(self, member: FleetMember) -> None:
+        """Stop a VM gracefully and start it again."""
+        entry = member.core.get(ENTRY)
+        entry.leave()
+        await entry.async_wait()
+        await self.fleet.async_kill(member)
+        await self.clock.async_sleep(REPLACE_MS)
+        await self.fleet.async_add(member.address)
+
+    def _count_events(self) -> None:
+        engines = self.fleet.engines
+        self.figures.events_made = sum(engines.made.values())
+        for row in self.fleet.store.rows.values():
+            if row.key.table == "job_results":
+                self.figures.events_kept += row.value.count(b"\n") + 1
+        self.figures.ran = {
+            engine.name: [f"{call.request_id} after {call.resume_after}" for call in engine.ran]
+            for engine in engines.by_address.values()
+        }
+
+
+def _pick(members: Sequence[FleetMember], place: float) -> FleetMember:
+    return members[int(place * len(members))]
+
+
+def _describe(responder: FakeResponder) -> str:
+    if responder.refusal is not None:
+        return responder.refusal.code
+    if responder.accepted:
+        return "accepted"
+    return "whole" if responder.whole else "broken"
+
+
+def measure(load: Load, seed: int, policy: Policy) -> Figures:
+    """Play a load once."""
+
+    async def async_run() -> Figures:
+        play = Play(load, draw_record(load, seed), make_fleet(LoopClock()))
+        try:
+            await play.async_run()
+            return play.figures
+        finally:
+            await play.fleet.async_close()
+
+    with play_by(policy):
+        return run_virtual(async_run())
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,12 +5,34 @@
 
 import pytest
 
-from standins.measure.overload import LOADS, SWITCHES, Figures, measure
+from standins.measure.overload_figures import Came, Figures
+from standins.measure.overload_loads import LOADS, Load, Record, draw_record
+from standins.measure.overload_play import measure
+from standins.measure.overload_policies import (
+    POLICIES,
+    SWITCHES,
+    WHOLE,
+    Policy,
+    Switch,
+    play_by,
+)
+
+ALL_VMS_LOST = next(load for load in LOADS if load.name == "all VMs lost at once")
+SHORT = replace(ALL_VMS_LOST, requests_per_s=12.0, seconds=9)
+
+
+@pytest.mark.parametrize("switch", SWITCHES, ids=lambda switch: switch.name)
+def test_every_switch_names_a_constant(switch: Switch) -> None:
+    assert getattr(switch.owner, switch.attribute) != switch.off
 
 
-def test_every_switch_names_a_constant() -> None:
-    for switch in SWITCHES:
-        assert getattr(switch.module, switch.constant) != switch.off, switch.name
+@pytest.mark.parametrize("policy", POLICIES, ids=lambda policy: policy.name)
+def test_what_a_policy_turns_off_is_on_again_after_it(policy: Policy) -> None:
+    """A mechanism that stays off would be off for all later rows."""
+    before = [getattr(switch.owner, switch.attribute) for switch in policy.off]
+    with play_by(policy):
+        assert all(getattr(s.owner, s.attribute) == s.off for s in policy.off)
+    assert [getattr(switch.owner, switch.attribute) for switch in policy.off] == before
 
 
 @pytest.mark.parametrize(
@@ -28,20 +50,19 @@
 
 def test_saved_progress_is_worth_something_when_all_vms_are_lost() -> None:
     """All VMs lost power for a second: what items had brought was run again, beside new jobs."""
-    load = next(load for load in LOADS if load.name == "all VMs lost at once")
     switch = next(switch for switch in SWITCHES if switch.name == "progress saved")
-    kept, lost = measure(load, 1), measure(load, 1, switch)
+    kept = measure(ALL_VMS_LOST, 1, WHOLE)
+    lost = measure(ALL_VMS_LOST, 1, Policy("without", (switch,)))
     assert kept.wasted < lost.wasted
     assert kept.requests > 500 and kept.items > 100
 
 
 def test_plays_of_one_seed_agree_to_the_last_event() -> None:
     """Which items gave way went by where in memory their runs lay: no two plays were the same."""
-    load = next(load for load in LOADS if load.name == "all VMs lost at once")
-    load = replace(load, seconds=20)
-    first = measure(load, 1)
+    load = replace(ALL_VMS_LOST, seconds=20)
+    first = measure(load, 1, WHOLE)
     garbage = _scatter_memory()
-    again = measure(load, 1)
+    again = measure(load, 1, WHOLE)
     del garbage
     assert len(first.outcomes) > 300 and len(first.listed) > 20
     assert again.outcomes == first.outcomes
@@ -50,6 +71,34 @@
     assert again == first
 
 
+@pytest.mark.parametrize("policy", POLICIES, ids=lambda policy: policy.name)
+def test_every_policy_meets_the_same_callers_items_and_faults(policy: Policy) -> None:
+    """Drawn as the play went, later callers and items hung on how long earlier ones were served."""
+    figures = measure(SHORT, 3, policy)
+    assert sorted(figures.came) == _expect(draw_record(SHORT, 3))
+    assert {"r1", "job1", "VM lost 5", "VM back 5"} <= {came.name for came in figures.came}
+
+
+def _expect(record: Record) -> list[Came]:
+    requests = [Came(request.at_ms, request.name) for request in record.requests]
+    jobs = [Came(job.at_ms, job.name, job.events) for job in record.jobs]
+    faults = [Came(fault.at_ms, f"{fault.kind} {fault.number}") for fault in record.faults]
+    return sorted([*requests, *jobs, *faults])
+
+
+@pytest.mark.parametrize(
+    "other", [replace(SHORT, jobs_per_s=3.0), replace(SHORT, vms=2, engines=2)], ids=str
+)
+def test_requests_do_not_hang_on_jobs_or_the_fleet(other: Load) -> None:
+    """One generator for all would give other requests with each job more."""
+    assert draw_record(other, 1).requests == draw_record(SHORT, 1).requests
+
+
+def test_each_seed_is_another_load() -> None:
+    assert draw_record(SHORT, 1).requests != draw_record(SHORT, 2).requests
+    assert draw_record(SHORT, 1).jobs != draw_record(SHORT, 2).jobs
+
+
 def _scatter_memory() -> list[object]:
     """Return garbage with gaps of all sizes, so that new objects lie in another order."""
     chance = random.Random(1)
