Print what a mechanism is worth with an interval

Cause: the ablation printed means beside means, and whoever read them had to guess which differences were chance.

--- a/standins/measure/overload.py
+++ b/standins/measure/overload.py
@@ -18,6 +18,7 @@
 from standins.measure.overload_loads import LOADS, Load
 from standins.measure.overload_play import measure
 from standins.measure.overload_policies import POLICIES, WHOLE, Policy
+from standins.measure.paired import compare
 
 app = App(help=__doc__)
 
@@ -38,8 +39,8 @@
     return measure(load, plan.seed, policy)
 
 
-def print_figures(name: str, found: Sequence[Figures]) -> None:
-    """Print one row: the means over all seeds."""
+def print_figures(name: str, found: Sequence[Figures], whole: Sequence[Figures]) -> None:
+    """Print one row: the means over all seeds, and what the policy loses against all mechanisms."""
 
     def mean(read: Callable[[Figures], float]) -> float:
         return sum(read(each) for each in found) / len(found)
@@ -47,11 +48,19 @@
     print(
         f"{name:41s} {mean(lambda f: f.worth):6.3f} {mean(lambda f: f.online_worth):6.3f} "
         f"{mean(lambda f: f.batch_worth):6.3f} {mean(lambda f: f.wasted):7.1%} "
-        f"{mean(lambda f: f.read_first_ms(0.5)):6.0f} {mean(lambda f: f.read_first_ms(0.99)):6.0f}",
+        f"{mean(lambda f: f.read_first_ms(0.5)):6.0f} {mean(lambda f: f.read_first_ms(0.99)):6.0f}"
+        f"  {describe_loss(found, whole) if found is not whole else ''}".rstrip(),
         flush=True,
     )
 
 
+def describe_loss(found: Sequence[Figures], whole: Sequence[Figures]) -> str:
+    """Return how much more worth all mechanisms earned on the same seeds, with its interval."""
+    loss = compare([f.worth for f in whole], [f.worth for f in found])
+    mark = " *" if loss.is_clear else ""
+    return f"{loss.mean:+.3f} [{loss.low:+.3f}, {loss.high:+.3f}]{mark}"
+
+
 def draw(rows: dict[str, list[float]], loads: Sequence[Load], path: Path) -> None:
     """Write a picture (SVG) of the worth by load, for each policy."""
     chart = pygal.Bar(title="Share of the worth that was earned", x_label_rotation=30)
@@ -65,13 +74,15 @@
     load: Load, policies: Sequence[Policy], seeds: Sequence[int], pool: ProcessPoolExecutor
 ) -> dict[str, float]:
     """Play a load by each policy and print it; returns the mean worths."""
-    print(f"\n{load.name}\n{'policy':41s}  worth online  batch  wasted p50 ms p99 ms")
+    print(f"\n{load.name}\n{'policy':41s}  worth online  batch  wasted p50 ms p99 ms  loss [95%]")
     plans = [Plan(policy.name, load.name, seed) for policy in policies for seed in seeds]
     played = pool.map(play_plan, plans)
     worths: dict[str, float] = {}
+    whole: list[Figures] = []
     for policy in policies:
         found = [next(played) for _ in seeds]
-        print_figures(policy.name, found)
+        whole = whole or found
+        print_figures(policy.name, found, whole)
         worths[policy.name] = sum(figures.worth for figures in found) / len(found)
     return worths
 
@@ -87,7 +98,9 @@
 ) -> None:
     """Print worth by load and policy.
 
-    `--load` keeps loads whose names hold it. `--ablation` also turns off one mechanism after the other.
+    `--load` keeps loads whose names hold it. `--ablation` also turns off one mechanism after the other:
+    `loss` is what all mechanisms earned more, in the mean of the
+    seeds, with a 95% interval by bootstrap; an asterisk marks those that leave out zero.
     """
     chosen = [each for each in LOADS if load in each.name]
     policies = POLICIES if ablation else (WHOLE,)
