Set the ablation between plain first come first served and a bound

Cause: the measure compared the fleet with itself only. It said neither what the mechanisms bring together nor how much is left to win.

Change: a policy row of real daemons whose requests and items queue at the engines, first come, first served: nothing gives way, nobody is sent away, items go in the order of their jobs' arrival. The last row is a bound: the most worth that slot time can earn if everything is known and work is divisible (claims by density, earliest due first for each); the module says what it assumes.

--- a/standins/measure/overload.py
+++ b/standins/measure/overload.py
@@ -14,8 +14,9 @@
 import pygal
 from cyclopts import App
 
+from standins.measure.overload_bound import find_bound
 from standins.measure.overload_figures import Figures
-from standins.measure.overload_loads import LOADS, Load
+from standins.measure.overload_loads import LOADS, Load, draw_record
 from standins.measure.overload_play import measure
 from standins.measure.overload_policies import POLICIES, WHOLE, Policy
 from standins.measure.paired import compare
@@ -61,6 +62,14 @@
     return f"{loss.mean:+.3f} [{loss.low:+.3f}, {loss.high:+.3f}]{mark}"
 
 
+def print_bound(load: Load, seeds: Sequence[int]) -> float:
+    """Print the row of the bound; returns it."""
+    bounds = [find_bound(draw_record(load, seed), load.engines) for seed in seeds]
+    bound = sum(bounds) / len(bounds)
+    print(f"{'no policy can exceed':41s} {bound:6.3f}", flush=True)
+    return bound
+
+
 def draw(rows: dict[str, list[float]], loads: Sequence[Load], path: Path) -> None:
     """Write a picture (SVG) of the worth by load, for each policy."""
     chart = pygal.Bar(title="Share of the worth that was earned", x_label_rotation=30)
@@ -84,6 +93,7 @@
         whole = whole or found
         print_figures(policy.name, found, whole)
         worths[policy.name] = sum(figures.worth for figures in found) / len(found)
+    worths["bound"] = print_bound(load, seeds)
     return worths
 
 
@@ -98,9 +108,10 @@
 ) -> None:
     """Print worth by load and policy.
 
-    `--load` keeps loads whose names hold it. `--ablation` also turns off one mechanism after the other:
-    `loss` is what all mechanisms earned more, in the mean of the
-    seeds, with a 95% interval by bootstrap; an asterisk marks those that leave out zero.
+    `--load` keeps loads whose names hold it. `--ablation` also turns off one mechanism after the other
+    and plays first come, first served: `loss` is what all mechanisms earned more, in the mean of the
+    seeds, with a 95% interval by bootstrap; an asterisk marks those that leave out zero. The last row
+    is a bound, see `overload_bound`.
     """
     chosen = [each for each in LOADS if load in each.name]
     policies = POLICIES if ablation else (WHOLE,)
--- a/standins/measure/overload_policies.py
+++ b/standins/measure/overload_policies.py
@@ -6,9 +6,20 @@
 from types import ModuleType
 from typing import Any, Final
 
-from goldcreststair.components.jobs import checkpoints, execution, handover, sweeping
+from goldcreststair.components.forwarding import watch
+from goldcreststair.components.jobs import (
+    book,
+    checkpoints,
+    execution,
+    handover,
+    runner,
+    sweeping,
+)
 from goldcreststair.components.placement import admission, controller
 
+QUEUED_ITEMS: Final = 8
+"""Items that may wait at each engine for its slots, where they queue as requests do."""
+
 
 @dataclass(frozen=True, slots=True)
 class Switch:
@@ -32,6 +43,44 @@
 )
 
 
+def rank_by_arrival(ranked: book.RankedItem) -> tuple[int, int]:
+    """Rank an item by when its job came; all jobs have the same time."""
+    return ranked.job.due_at, ranked.item.number
+
+
+def yield_none(_: controller.PlacementController, name: str, session: str) -> int:
+    """Let no run give way."""
+    return 0
+
+
+def choose_none(_: controller.PlacementController, name: str) -> None:
+    """Let nobody give way."""
+
+
+def hear_no_silence(_: watch.SilenceWatch, silence: watch.Silence) -> watch.Silence:
+    """Take no wait for silence: where everything queues, many are longer than any silence."""
+    return watch.Silence.NONE
+
+
+def find_none_silent(sink: runner.ItemSink, now: int, counted_from: int) -> bool:
+    """Take no wait of an item for silence."""
+    return False
+
+
+FIRST_COME: Final = (
+    Switch("late items last", execution, "LATE_FREE_SHARE", -1.0),
+    Switch("order of items", book, "_rank", rank_by_arrival),
+    Switch("batch stays out of bursts", controller, "BATCH_FREE_SHARE", 0.0),
+    Switch("slots kept from batch", controller, "BATCH_RESERVE", -QUEUED_ITEMS),
+    Switch("giving way", controller.PlacementController, "count_yielding", yield_none),
+    Switch("giving way at once", controller.PlacementController, "choose_yielder", choose_none),
+    Switch("late callers sent away", admission, "FRESH_SHARE", 2.0),
+    Switch("leaving silent requests", watch.SilenceWatch, "_weigh", hear_no_silence),
+    Switch("leaving silent items", runner, "_is_silent", find_none_silent),
+)
+"""Requests and items queue at the engines, first come, first served, and nothing gives way."""
+
+
 @dataclass(frozen=True, slots=True)
 class Policy:
     """A way to run the fleet: what is turned off."""
@@ -44,6 +93,7 @@
 POLICIES: Final = (
     WHOLE,
     *(Policy(f"without: {switch.name}", (switch,)) for switch in SWITCHES),
+    Policy("first come, first served", FIRST_COME),
 )
 
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,10 +5,12 @@
 
 import pytest
 
+from standins.measure.overload_bound import find_bound
 from standins.measure.overload_figures import Came, Figures
 from standins.measure.overload_loads import LOADS, Load, Record, draw_record
 from standins.measure.overload_play import measure
 from standins.measure.overload_policies import (
+    FIRST_COME,
     POLICIES,
     SWITCHES,
     WHOLE,
@@ -21,7 +23,7 @@
 SHORT = replace(ALL_VMS_LOST, requests_per_s=12.0, seconds=9)
 
 
-@pytest.mark.parametrize("switch", SWITCHES, ids=lambda switch: switch.name)
+@pytest.mark.parametrize("switch", [*SWITCHES, *FIRST_COME], ids=lambda switch: switch.name)
 def test_every_switch_names_a_constant(switch: Switch) -> None:
     assert getattr(switch.owner, switch.attribute) != switch.off
 
@@ -55,6 +57,8 @@
     lost = measure(ALL_VMS_LOST, 1, Policy("without", (switch,)))
     assert kept.wasted < lost.wasted
     assert kept.requests > 500 and kept.items > 100
+    bound = find_bound(draw_record(ALL_VMS_LOST, 1), ALL_VMS_LOST.engines)
+    assert lost.worth < kept.worth < bound
 
 
 def test_plays_of_one_seed_agree_to_the_last_event() -> None:
