Soak the gateway daemon under overlapping faults

Change: script/soak runs three gateway daemons as processes behind proxies to upstreams, the store and callers, under seeded series of faults and signals. A checker judges from outside that answers, streams, runs and accepted items keep their promises. A short seed runs with the tests.

--- /dev/null
+++ b/tests/platform_adapter/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Gateway daemons as processes under seeded faults of connections and signals."""
--- /dev/null
+++ b/tests/platform_adapter/soak/__main__.py
@@ -0,0 +1,152 @@
+"""`script/soak --seed N --seconds S`: exit status 1 if a promise was broken."""
+
+import asyncio
+import contextlib
+import copy
+import logging
+import random
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Final
+
+import orjson
+from cyclopts import App
+
+from goldcreststair.clock import BootClock
+from goldcreststair.store.rows import RowKey
+from standins.rows import FakeRowStore
+from tests.platform_adapter.local import CONFIG, find_port, register
+from tests.platform_adapter.soak.callers import Caller, async_read_jobs
+from tests.platform_adapter.soak.checker import Violation, find_violations, list_unanswered
+from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
+from tests.platform_adapter.soak.engine import SoakEngine
+from tests.platform_adapter.soak.faults import Fault, Saboteur, plan_faults
+from tests.platform_adapter.soak.proxy import Proxy
+from tests.platform_adapter.soak.record import Record
+from tests.platform_adapter.wire_store import WireStore
+
+app = App(help="Gateway daemons as processes under seeded faults of connections and signals.")
+
+ADDRESSES: Final = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+ENGINES: Final = 3
+CALLERS: Final = 20
+LISTED_WITHIN_S: Final = 30.0
+
+
+@dataclass(slots=True)
+class Site:
+    """Daemons, upstreams and a store, with a proxy on each path between them and to callers."""
+
+    folder: Path
+    record: Record = field(default_factory=Record)
+    store: WireStore = field(default_factory=lambda: WireStore(FakeRowStore(BootClock())))
+    engines: list[SoakEngine] = field(default_factory=list)
+    daemons: list[Daemon] = field(default_factory=list)
+    proxies: list[Proxy] = field(default_factory=list)
+
+    async def async_start(self) -> None:
+        """Start everything and wait until all daemons take callers."""
+        self.store.start()
+        config = copy.deepcopy(CONFIG)
+        self.store.store.put(RowKey("op", "", "config"), orjson.dumps(config))
+        for number in range(ENGINES):
+            await self._async_add_engine(f"i-{number}")
+        peer_port = find_port()
+        for address in ADDRESSES:
+            await self._async_add_daemon(address, peer_port)
+        await asyncio.gather(*(daemon.async_start() for daemon in self.daemons))
+
+    async def async_close(self) -> None:
+        """End everything."""
+        await asyncio.gather(*(daemon.async_close() for daemon in self.daemons))
+        for proxy in self.proxies:
+            proxy.close()
+        for engine in self.engines:
+            await engine.async_close()
+        self.store.stop()
+
+    async def _async_add_engine(self, name: str) -> None:
+        engine = SoakEngine(name, runs=self.record.runs)
+        await engine.async_start()
+        proxy = await self._async_add_proxy(name, engine.address, keeps=True)
+        engine.address = proxy.address
+        register(self.store, engine)
+        self.engines.append(engine)
+
+    async def _async_add_daemon(self, address: str, peer_port: int) -> None:
+        store = await self._async_add_proxy(f"store-{address}", self.store.address)
+        plan = DaemonPlan(
+            address, find_port(), find_port(), peer_port, store.address, ADDRESSES[:2]
+        )
+        front = await self._async_add_proxy(f"front-{address}", plan.front)
+        self.daemons.append(Daemon(plan, front, self.record, self.folder / f"{address}.log"))
+
+    async def _async_add_proxy(self, name: str, target: str, keeps: bool = False) -> Proxy:
+        proxy = Proxy(name, target, self.record.attempts if keeps else [])
+        await proxy.async_start()
+        self.proxies.append(proxy)
+        return proxy
+
+
+@contextlib.asynccontextmanager
+async def async_open_site(folder: Path) -> AsyncIterator[Site]:
+    """Start a site, and end it in any case."""
+    site = Site(folder)
+    try:
+        await site.async_start()
+        yield site
+    finally:
+        await site.async_close()
+
+
+async def async_soak(seed: int, seconds: float, folder: Path) -> tuple[Record, list[Fault]]:
+    """Play a seed and return what was seen."""
+    chooser = random.Random(seed)
+    faults = plan_faults(seed, seconds)
+    async with async_open_site(folder) as site:
+        saboteur = Saboteur(site.daemons, site.engines, site.proxies, chooser)
+        ended = asyncio.Event()
+        callers = [
+            Caller(f"c{n}", site.daemons, site.record, random.Random(f"{seed}-{n}"))
+            for n in range(CALLERS)
+        ]
+        async with asyncio.TaskGroup() as tasks:
+            for caller in callers:
+                tasks.create_task(caller.async_run(ended))
+            await saboteur.async_run(faults)
+            ended.set()
+        await async_read_jobs(site.daemons, site.record, time.monotonic() + LISTED_WITHIN_S)
+    return site.record, faults
+
+
+def print_report(record: Record, faults: list[Fault], violations: list[Violation]) -> None:
+    """Print what was played, seen and broken."""
+    print(f"faults: {dict(Counter(fault.kind.value for fault in faults))}")
+    print(f"answers: {dict(Counter((x.route, x.status, x.whole) for x in record.exchanges))}")
+    excuses = Counter(str(excuse) for _, _, excuse in list_unanswered(record))
+    print(f"without a whole answer: {dict(excuses)}")
+    print(f"runs: {len(record.runs)}, items: {len(record.accepted)}")
+    for violation in violations:
+        print(f"BROKEN {violation.promise}: {violation.subject}: {violation.detail}")
+
+
+@app.default
+def main(seed: int = 1, seconds: float = 30.0) -> None:
+    """Play a seed, print what was seen, and end with status 1 if a promise was broken."""
+    # The store's own server tells of each connection that a fault broke.
+    logging.getLogger("tornado").setLevel(logging.CRITICAL)
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    print(f"seed {seed}, {seconds} s, logs in {folder}")
+    record, faults = asyncio.run(async_soak(seed, seconds, folder))
+    violations = find_violations(record)
+    print_report(record, faults, violations)
+    sys.exit(1 if violations else 0)
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/tests/platform_adapter/soak/callers.py
@@ -0,0 +1,154 @@
+"""Callers that keep their connections open until these end."""
+
+import asyncio
+import base64
+import itertools
+import random
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+import orjson
+
+from tests.platform_adapter.local import HttpAnswer, async_read_answer, make_request
+from tests.platform_adapter.soak.daemons import Daemon
+from tests.platform_adapter.soak.engine import EVENTS_HEADER, PAUSE_HEADER, make_text
+from tests.platform_adapter.soak.record import Exchange, Item, Record
+
+PATHS: Final = {"stream": "/stream/x", "once": "/once/x", "call": "/call/x", "batch": "/batch/x"}
+ROUTES: Final = ("stream", "stream", "stream", "once", "once", "call", "batch")
+DEADLINE_S: Final = 5.0
+WAIT_AFTER_DEADLINE_S: Final = 2.0
+PAUSE_S: Final = 0.1
+RECONNECT_S: Final = 0.1
+JOB_ITEMS: Final = 3
+READ_PAUSE_S: Final = 0.2
+READ_TIMEOUT_S: Final = 2.0
+
+
+@dataclass(slots=True)
+class Caller:
+    """Sends one request after the other on one connection."""
+
+    name: str
+    daemons: Sequence[Daemon]
+    record: Record
+    chooser: random.Random
+    _numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
+
+    async def async_run(self, ended: asyncio.Event) -> None:
+        """Send until this is set."""
+        while not ended.is_set():
+            daemon = self.chooser.choice(self.daemons)
+            try:
+                reader, writer = await async_open(daemon.front.address)
+            except OSError:
+                await asyncio.sleep(RECONNECT_S)
+                continue
+            try:
+                while await self._async_exchange(daemon, reader, writer):
+                    if ended.is_set():
+                        break
+                    await asyncio.sleep(self.chooser.random() * 2 * PAUSE_S)
+            finally:
+                writer.close()
+            await asyncio.sleep(RECONNECT_S)
+
+    async def _async_exchange(
+        self, daemon: Daemon, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Send one request; returns whether the connection serves another."""
+        request, route = f"{self.name}-{next(self._numbers)}", self.chooser.choice(ROUTES)
+        headers = self._choose_work()
+        body = make_job(request, headers) if route == "batch" else b"x"
+        fields = headers | {"Request-Id": request, "Deadline-Ms": str(int(DEADLINE_S * 1000))}
+        port = writer.get_extra_info("sockname")[1]
+        sent_at = time.monotonic()
+        writer.write(make_request("POST", PATHS[route], body, fields))
+        wait_s = DEADLINE_S + WAIT_AFTER_DEADLINE_S
+        answer = await async_read_or_none(reader, wait_s) or HttpAnswer(0, {}, b"", False)
+        self.record.exchanges.append(
+            Exchange(
+                request,
+                route,
+                daemon.name,
+                sent_at,
+                time.monotonic(),
+                sent_at + DEADLINE_S,
+                answer.status,
+                answer.whole,
+                answer.body,
+                make_text(request, int(headers[EVENTS_HEADER])),
+                daemon.front.was_disturbed(port),
+            )
+        )
+        if route == "batch" and answer.status == 202 and answer.whole:
+            self.record.accepted += list_items(request, headers)
+        return answer.whole and answer.headers.get("Connection") != "close"
+
+    def _choose_work(self) -> dict[str, str]:
+        events = self.chooser.choice((1, 5, 20))
+        pause_ms = self.chooser.choice((0, 10, 50, 100, 180))
+        return {EVENTS_HEADER: str(events), PAUSE_HEADER: str(pause_ms)}
+
+
+def make_job(job: str, headers: dict[str, str]) -> bytes:
+    """Return a submission."""
+    fields: dict[str, Any] = {"Model": "m", "Token-Count": "5,5"} | headers
+    body = base64.b64encode(b"x").decode()
+    items = [
+        {"id": f"{job}.{n}", "path": PATHS["batch"], "headers": fields, "body": body, "tokens": 1}
+        for n in range(JOB_ITEMS)
+    ]
+    return orjson.dumps({"requests": items})
+
+
+def list_items(job: str, headers: dict[str, str]) -> list[Item]:
+    """Return the items of a submission with the text that each is to have."""
+    names = [f"{job}.{number}" for number in range(JOB_ITEMS)]
+    events = int(headers[EVENTS_HEADER])
+    texts = ["\n".join(f"{name} {n}" for n in range(1, events + 1)) for name in names]
+    return [Item(job, name, text) for name, text in zip(names, texts, strict=True)]
+
+
+async def async_open(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection."""
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def async_read_or_none(reader: asyncio.StreamReader, wait_s: float) -> HttpAnswer | None:
+    """Return the answer, or None without a readable one."""
+    try:
+        return await asyncio.wait_for(async_read_answer(reader), wait_s)
+    except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, ValueError):
+        return None
+
+
+async def async_read_jobs(daemons: Sequence[Daemon], record: Record, until: float) -> None:
+    """Read each accepted job until all its items are listed, at the latest until this time."""
+    jobs = sorted({item.job for item in record.accepted})
+    for job in jobs:
+        items: list[Item] = []
+        for daemon in itertools.cycle(daemons):
+            items = await _async_read_job(daemon, job) or items
+            if len(items) >= JOB_ITEMS or time.monotonic() >= until:
+                break
+            await asyncio.sleep(READ_PAUSE_S)
+        record.listed += items
+
+
+async def _async_read_job(daemon: Daemon, job: str) -> list[Item]:
+    try:
+        reader, writer = await async_open(daemon.front.address)
+    except OSError:
+        return []
+    headers = {"Request-Id": f"read-{job}"}
+    writer.write(make_request("GET", f"/-/lots/{job}?after=0", headers=headers))
+    answer = await async_read_or_none(reader, READ_TIMEOUT_S)
+    writer.close()
+    if answer is None or not answer.whole or answer.status != 200:
+        return []
+    results = answer.read_json()["results"]
+    return [Item(job, row["id"], row["text"], row["state"] == "succeeded") for row in results]
--- /dev/null
+++ b/tests/platform_adapter/soak/checker.py
@@ -0,0 +1,161 @@
+"""Finds broken promises in what was seen from outside."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from tests.platform_adapter.soak.record import (
+    GRACE_S,
+    MAX_ATTEMPTS,
+    REPEATABLE,
+    Attempt,
+    Exchange,
+    Item,
+    Record,
+)
+
+NOT_RUN: Final = frozenset((429, 503))
+DEADLINE_SLACK_S: Final = 0.1
+CLOSING_S: Final = 0.6
+"""A request that is sent so long before a process ends may cross the close of its connection."""
+LATE_IN_LEAVE_S: Final = 3.0
+LAST_PART_S: Final = GRACE_S * 5 / 6
+
+
+class Promise(StrEnum):
+    """What callers may rely on."""
+
+    ANSWERED = "answered"
+    WHOLE = "whole"
+    ONCE = "once"
+    NOT_RUN = "not run"
+    LISTED = "listed"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken promise."""
+
+    promise: Promise
+    subject: str
+    detail: str
+
+
+def find_violations(record: Record) -> list[Violation]:
+    """Return every broken promise."""
+    return [
+        *find_unanswered(record),
+        *find_wrong_texts(record),
+        *find_wrong_runs(record),
+        *find_wrong_listings(record),
+    ]
+
+
+class Excuse(StrEnum):
+    """Why a request may be without a whole answer."""
+
+    CUT = "its own connection was disturbed"
+    DEADLINE = "its deadline passed"
+    KILLED = "its daemon was killed"
+    SPENT = "its last attempt was broken"
+    UNREAD = "its daemon was gone or closing"
+    LATE = "its run went on late in a leave"
+
+
+def find_unanswered(record: Record) -> Iterator[Violation]:
+    """Yield requests that have no whole answer, and no reason for it."""
+    for seen, tried, excuse in list_unanswered(record):
+        if excuse is None:
+            detail = f"{_describe(seen)}, attempts {tried}"
+            yield Violation(Promise.ANSWERED, seen.request, detail)
+
+
+def list_unanswered(record: Record) -> Iterator[tuple[Exchange, list[Attempt], Excuse | None]]:
+    """Yield requests without a whole answer, their attempts in order, and the reason, if any."""
+    attempts: dict[str, list[Attempt]] = defaultdict(list)
+    for attempt in sorted(record.attempts, key=lambda attempt: attempt.at):
+        attempts[attempt.request].append(attempt)
+    for seen in record.exchanges:
+        if not seen.whole:
+            tried = attempts[seen.request]
+            yield seen, tried, _find_excuse(seen, tried, record)
+
+
+def _find_excuse(seen: Exchange, tried: list[Attempt], record: Record) -> Excuse | None:
+    reasons = {
+        Excuse.CUT: seen.cut,
+        Excuse.DEADLINE: seen.ended_at >= seen.deadline_at - DEADLINE_SLACK_S,
+        Excuse.KILLED: any(
+            kill.daemon == seen.daemon and seen.sent_at <= kill.at <= seen.ended_at
+            for kill in record.kills
+        ),
+        Excuse.SPENT: len(tried) >= MAX_ATTEMPTS[seen.route] and tried[-1].broken,
+        Excuse.UNREAD: not tried and _may_have_crossed(seen, record),
+        Excuse.LATE: _is_late_in_leave(seen, record),
+    }
+    return next((excuse for excuse, holds in reasons.items() if holds), None)
+
+
+def _may_have_crossed(seen: Exchange, record: Record) -> bool:
+    """Return whether the daemon may have closed the connection before it read the request."""
+    return not seen.status and any(
+        absence.daemon == seen.daemon and absence.since - CLOSING_S <= seen.sent_at <= absence.until
+        for absence in record.absences
+    )
+
+
+def _is_late_in_leave(seen: Exchange, record: Record) -> bool:
+    ends = [run.ended_at for run in record.runs if run.request == seen.request]
+    return any(
+        abs(seen.sent_at - stop.at) <= LATE_IN_LEAVE_S
+        and any(ended_at >= stop.at + LAST_PART_S for ended_at in ends)
+        for stop in record.stops
+        if stop.daemon == seen.daemon
+    )
+
+
+def find_wrong_texts(record: Record) -> Iterator[Violation]:
+    """Yield streams with events that are missing, doubled or out of order."""
+    for seen in record.exchanges:
+        if seen.status != 200 or seen.route == "batch":
+            continue
+        right = seen.body == seen.expected if seen.whole else seen.expected.startswith(seen.body)
+        if not right:
+            detail = f"{_describe(seen)}, got {seen.body!r} of {seen.expected!r}"
+            yield Violation(Promise.WHOLE, seen.request, detail)
+
+
+def find_wrong_runs(record: Record) -> Iterator[Violation]:
+    """Yield requests that ran more often than their answer or their route allows."""
+    runs = Counter(run.request for run in record.runs)
+    for seen in record.exchanges:
+        count = runs[seen.request]
+        if seen.route not in REPEATABLE and count > 1:
+            yield Violation(Promise.ONCE, seen.request, f"{_describe(seen)}, ran {count} times")
+        if seen.status in NOT_RUN and count:
+            yield Violation(Promise.NOT_RUN, seen.request, f"{_describe(seen)}, ran {count} times")
+
+
+def find_wrong_listings(record: Record) -> Iterator[Violation]:
+    """Yield accepted items that are not listed exactly once with their whole text."""
+    listed: dict[tuple[str, str], list[Item]] = defaultdict(list)
+    for item in record.listed:
+        listed[(item.job, item.item)].append(item)
+    broken = Counter(attempt.request for attempt in record.attempts if attempt.broken)
+    for item in record.accepted:
+        found = listed[(item.job, item.item)]
+        if len(found) != 1:
+            yield Violation(Promise.LISTED, item.item, f"{item.job}: listed {len(found)} times")
+        elif not found[0].done and broken[item.item] < MAX_ATTEMPTS["batch"]:
+            yield Violation(Promise.LISTED, item.item, f"{item.job}: failed without three breaks")
+        elif found[0].done and found[0].text != item.text:
+            yield Violation(Promise.LISTED, item.item, f"{item.job}: text {found[0].text!r}")
+
+
+def _describe(seen: Exchange) -> str:
+    return (
+        f"{seen.route} at {seen.daemon}, sent {seen.sent_at:.3f}, ended {seen.ended_at:.3f}, "
+        f"status {seen.status}, whole {seen.whole}"
+    )
--- /dev/null
+++ b/tests/platform_adapter/soak/daemons.py
@@ -0,0 +1,155 @@
+"""Gateway daemons as processes, and the signals that they get."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Final
+
+from tests.platform_adapter.soak.proxy import Proxy
+from tests.platform_adapter.soak.record import GRACE_S, Absence, Record, Signal
+
+ROOT: Final = Path(__file__).resolve().parents[3]
+KILL_AFTER_S: Final = GRACE_S + 0.5
+READY_LOOKS: Final = 400
+READY_LOOK_S: Final = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonPlan:
+    """Where one daemon listens, and through what it reaches the store."""
+
+    address: str
+    front_port: int
+    ready_port: int
+    peer_port: int
+    store_address: str
+    seeds: tuple[str, ...]
+
+    @property
+    def front(self) -> str:
+        """Return HOST:PORT for callers."""
+        return f"{self.address}:{self.front_port}"
+
+    def list_arguments(self) -> list[str]:
+        """Return the command line."""
+        flags = {
+            "address": self.address,
+            "data-centre": "dc-a",
+            "store-address": self.store_address,
+            "front": self.front,
+            "ready": f"{self.address}:{self.ready_port}",
+            "peer-port": str(self.peer_port),
+            "seeds": ",".join(self.seeds),
+            "grace-s": str(GRACE_S),
+        }
+        pairs = [f"--{name}={value}" for name, value in flags.items()]
+        return [sys.executable, str(ROOT / "platform" / "serve.py"), *pairs]
+
+
+@dataclass(slots=True)
+class Daemon:
+    """One daemon, started again after each end."""
+
+    plan: DaemonPlan
+    front: Proxy
+    record: Record
+    log: Path
+    _process: asyncio.subprocess.Process | None = None
+    _absence: Absence | None = None
+    _signals: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    @property
+    def name(self) -> str:
+        """Return the VM's address."""
+        return self.plan.address
+
+    @property
+    def busy(self) -> bool:
+        """Return whether an earlier signal is still being followed."""
+        return self._signals.locked()
+
+    async def async_start(self) -> None:
+        """Start the process and wait until it takes callers."""
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *self.plan.list_arguments(), stdout=log, stderr=log, env=_make_environment()
+            )
+        await self._async_wait_ready()
+        if self._absence is not None:
+            self._absence.until = time.monotonic()
+
+    async def async_stop(self) -> None:
+        """Follow SIGTERM to its end, as the platform does, and start again."""
+        async with self._signals:
+            self._send(signal.SIGTERM)
+            await self._async_end()
+            await self.async_start()
+
+    async def async_kill(self, away_s: float) -> None:
+        """Kill the process and start it again later."""
+        async with self._signals:
+            self._send(signal.SIGKILL)
+            await self._async_end()
+            await asyncio.sleep(away_s)
+            await self.async_start()
+
+    async def async_pause(self, paused_s: float) -> None:
+        """Stop the process for a while, its connections stay open."""
+        async with self._signals:
+            self._send(signal.SIGSTOP)
+            try:
+                await asyncio.sleep(paused_s)
+            finally:
+                self._send(signal.SIGCONT)
+
+    async def async_close(self) -> None:
+        """End the process at once; all has been read."""
+        self._send(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+
+    def _send(self, number: signal.Signals) -> None:
+        signals = {signal.SIGTERM: self.record.stops, signal.SIGKILL: self.record.kills}
+        if number in signals:
+            signals[number].append(Signal(self.name, time.monotonic()))
+        if self._process is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def _async_end(self) -> None:
+        assert self._process is not None
+        try:
+            await asyncio.wait_for(self._process.wait(), KILL_AFTER_S)
+        except TimeoutError:
+            # No fault of ours: what is lost by this kill is the daemon's.
+            self._process.kill()
+            await self._process.wait()
+        self._absence = Absence(self.name, time.monotonic())
+        self.record.absences.append(self._absence)
+
+    async def _async_wait_ready(self) -> None:
+        for _ in range(READY_LOOKS):
+            if await self._async_is_ready():
+                return
+            await asyncio.sleep(READY_LOOK_S)
+        raise TimeoutError(f"{self.name} is not ready, see {self.log}")
+
+    async def _async_is_ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(self.name, self.plan.ready_port)
+            writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            head = await reader.readline()
+            writer.close()
+        except OSError:
+            return False
+        return b" 200 " in head
+
+
+def _make_environment() -> dict[str, str]:
+    kept = {name: value for name, value in os.environ.items() if not name.startswith("GOLDCREST")}
+    return kept | {"PYTHONPATH": str(ROOT)}
--- /dev/null
+++ b/tests/platform_adapter/soak/faults.py
@@ -0,0 +1,146 @@
+"""Seeded series of faults that overlap."""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from tests.platform_adapter.soak.daemons import Daemon
+from tests.platform_adapter.soak.engine import SoakEngine
+from tests.platform_adapter.soak.proxy import Link, Proxy
+
+SERIES: Final = 3
+MEAN_PAUSE_S: Final = 1.0
+SHORTEST_S: Final = 0.1
+LONGEST_S: Final = 2.0
+LONGEST_DELAY_S: Final = 0.3
+SHARE: Final = 0.5
+"""Part of the open connections that a fault of connections meets."""
+
+
+class Kind(StrEnum):
+    """What a fault does."""
+
+    DELAY = "delay"
+    RESET = "reset"
+    HOLD_TO = "hold to"
+    HOLD_FROM = "hold from"
+    SILENCE = "silence"
+    REFUSE = "refuse"
+    STOP = "stop"
+    KILL = "kill"
+    PAUSE = "pause"
+
+
+LINK_KINDS: Final = (Kind.DELAY, Kind.RESET, Kind.HOLD_TO, Kind.HOLD_FROM, Kind.SILENCE)
+DAEMON_KINDS: Final = (Kind.STOP, Kind.STOP, Kind.KILL, Kind.PAUSE)
+LINK_SHARE: Final = 0.75
+REFUSE_SHARE: Final = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a series; `target` counts within what its kind meets."""
+
+    at_s: float
+    kind: Kind
+    target: int
+    lasts_s: float
+
+
+def plan_faults(seed: int, seconds: float) -> list[Fault]:
+    """Return the faults of a seed, which are the same each time.
+
+    >>> plan_faults(1, 10) == plan_faults(1, 10) != plan_faults(2, 10)
+    True
+    """
+    chooser = random.Random(seed)
+    series = (list(_plan_series(chooser, seconds)) for _ in range(SERIES))
+    return sorted((fault for faults in series for fault in faults), key=lambda fault: fault.at_s)
+
+
+def _plan_series(chooser: random.Random, seconds: float) -> Iterator[Fault]:
+    at_s = chooser.uniform(0, MEAN_PAUSE_S)
+    while at_s < seconds:
+        share = chooser.random()
+        kinds = LINK_KINDS if share < LINK_SHARE else DAEMON_KINDS
+        kind = Kind.REFUSE if share < REFUSE_SHARE else chooser.choice(kinds)
+        target = chooser.randrange(1 << 16)
+        yield Fault(at_s, kind, target, chooser.uniform(SHORTEST_S, LONGEST_S))
+        at_s += chooser.uniform(0, 2 * MEAN_PAUSE_S)
+
+
+@dataclass(slots=True)
+class Saboteur:
+    """Plays planned faults."""
+
+    daemons: Sequence[Daemon]
+    engines: Sequence[SoakEngine]
+    proxies: Sequence[Proxy]
+    chooser: random.Random
+
+    async def async_run(self, faults: Sequence[Fault]) -> None:
+        """Play all faults and return when the last one is over."""
+        started = time.monotonic()
+        async with asyncio.TaskGroup() as tasks:
+            for fault in faults:
+                await asyncio.sleep(started + fault.at_s - time.monotonic())
+                tasks.create_task(self._async_play(fault))
+
+    async def _async_play(self, fault: Fault) -> None:
+        players: dict[Kind, Callable[[Fault], Awaitable[None]]] = {
+            Kind.DELAY: self._async_delay,
+            Kind.RESET: self._async_reset,
+            Kind.REFUSE: self._async_refuse,
+        }
+        if fault.kind in players:
+            await players[fault.kind](fault)
+        elif fault.kind in DAEMON_KINDS:
+            await self._async_signal(fault)
+        else:
+            await self._async_hold(fault)
+
+    async def _async_signal(self, fault: Fault) -> None:
+        daemon = self.daemons[fault.target % len(self.daemons)]
+        if daemon.busy:
+            return
+        if fault.kind is Kind.STOP:
+            await daemon.async_stop()
+        elif fault.kind is Kind.KILL:
+            await daemon.async_kill(fault.lasts_s)
+        else:
+            await daemon.async_pause(fault.lasts_s)
+
+    async def _async_refuse(self, fault: Fault) -> None:
+        engine = self.engines[fault.target % len(self.engines)]
+        engine.refuses = True
+        await asyncio.sleep(fault.lasts_s)
+        engine.refuses = False
+
+    async def _async_delay(self, fault: Fault) -> None:
+        proxy = self._find_proxy(fault)
+        proxy.delay_s = fault.lasts_s / LONGEST_S * LONGEST_DELAY_S
+        await asyncio.sleep(fault.lasts_s)
+        proxy.delay_s = 0.0
+
+    async def _async_reset(self, fault: Fault) -> None:
+        for link in self._choose_links(fault):
+            link.reset()
+
+    async def _async_hold(self, fault: Fault) -> None:
+        links = self._choose_links(fault)
+        for link in links:
+            link.hold(fault.kind is not Kind.HOLD_FROM, fault.kind is not Kind.HOLD_TO)
+        await asyncio.sleep(fault.lasts_s)
+        for link in links:
+            link.release()
+
+    def _find_proxy(self, fault: Fault) -> Proxy:
+        return self.proxies[fault.target % len(self.proxies)]
+
+    def _choose_links(self, fault: Fault) -> list[Link]:
+        links = self._find_proxy(fault).list_open()
+        return [link for link in links if self.chooser.random() < SHARE]
--- /dev/null
+++ b/tests/platform_adapter/soak/record.py
@@ -0,0 +1,90 @@
+"""What callers, upstreams and the proxies saw of one soak; times are seconds of one clock."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+GRACE_S: Final = 8.0
+MAX_ATTEMPTS: Final = {"stream": 2, "once": 1, "call": 1, "batch": 3}
+REPEATABLE: Final = frozenset(("stream", "call", "batch"))
+
+
+@dataclass(frozen=True, slots=True)
+class Exchange:
+    """One request as its caller saw it."""
+
+    request: str
+    route: str
+    daemon: str
+    sent_at: float
+    ended_at: float
+    deadline_at: float
+    status: int = 0
+    """0 without a readable head."""
+    whole: bool = False
+    """Whether the framing says that the answer ended."""
+    body: bytes = b""
+    expected: bytes = b""
+    cut: bool = False
+    """Whether a proxy disturbed the caller's own connection."""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request that a daemon wrote to an upstream's connection."""
+
+    request: str
+    upstream: str
+    at: float
+    broken: bool = False
+    """Whether the proxy reset the connection meanwhile."""
+
+
+@dataclass(slots=True)
+class Run:
+    """One request that an upstream read whole and began."""
+
+    request: str
+    upstream: str
+    at: float
+    ended_at: float = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """One batch item, accepted or listed, with its text."""
+
+    job: str
+    item: str
+    text: str
+    done: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Signal:
+    """A SIGTERM, or a SIGKILL that was part of the faults."""
+
+    daemon: str
+    at: float
+
+
+@dataclass(slots=True)
+class Absence:
+    """A time in which a daemon's process was gone or not ready."""
+
+    daemon: str
+    since: float
+    until: float = float("inf")
+
+
+@dataclass(slots=True)
+class Record:
+    """All observations of one soak."""
+
+    exchanges: list[Exchange] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    runs: list[Run] = field(default_factory=list)
+    accepted: list[Item] = field(default_factory=list)
+    listed: list[Item] = field(default_factory=list)
+    kills: list[Signal] = field(default_factory=list)
+    stops: list[Signal] = field(default_factory=list)
+    absences: list[Absence] = field(default_factory=list)
--- /dev/null
+++ b/tests/platform_adapter/soak/test_soak.py
@@ -0,0 +1,17 @@
+"""A short run of real daemons under a seeded series of faults."""
+
+import asyncio
+from pathlib import Path
+
+from tests.platform_adapter.soak.__main__ import async_soak
+from tests.platform_adapter.soak.checker import find_violations
+
+SEED = 1
+SECONDS = 8.0
+
+
+def test_promises_hold_under_overlapping_faults(tmp_path: Path) -> None:
+    """Answers, runs or accepted items are lost when faults of paths and signals overlap."""
+    record, faults = asyncio.run(async_soak(SEED, SECONDS, tmp_path))
+    assert find_violations(record) == []
+    assert faults and record.runs and record.accepted and record.stops
