--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -15,6 +15,8 @@
 
 ROOT: Final = Path(__file__).resolve().parents[3]
 KILL_AFTER_S: Final = GRACE_S + 0.5
+NAMED_S: Final = 3.0
+"""Callers keep an answer with addresses so long."""
 READY_LOOKS: Final = 400
 READY_LOOK_S: Final = 0.05
 
@@ -61,6 +63,7 @@
     log: Path
     _process: asyncio.subprocess.Process | None = None
     _absence: Absence | None = None
+    _named_until: float = float("inf")
     _signals: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     @property
@@ -68,6 +71,11 @@
         """Return the VM's address."""
         return self.plan.address
 
+    @property
+    def named(self) -> bool:
+        """Return whether callers may still hold an answer that leads here."""
+        return time.monotonic() < self._named_until
+
     @property
     def busy(self) -> bool:
         """Return whether an earlier signal is still being followed."""
@@ -80,12 +88,14 @@
                 *self.plan.list_arguments(), stdout=log, stderr=log, env=_make_environment()
             )
         await self._async_wait_ready()
+        self._named_until = float("inf")
         if self._absence is not None:
             self._absence.until = time.monotonic()
 
     async def async_stop(self) -> None:
         """Follow SIGTERM to its end, as the platform does, and start again."""
         async with self._signals:
+            self._named_until = time.monotonic() + NAMED_S
             self._send(signal.SIGTERM)
             await self._async_end()
             await self.async_start()
