Send late requests away from a leaving VM that has seen none of their route

What callers saw: a stream that came 4.2 s after SIGTERM, with 3.0 s left to the leave, was begun and cut at its end.

Cause: such a request is placed if the longest one of its route of late would end in time; where none had ended, the longest was 0, and the usual run of the service, a guess then, was taken.

Evidence: two new cases of test_leaving fail on the code before (a stream of 3.6 s, 4.2 s after SIGTERM, at a VM that has answered none). In the soak's run some shorter answers had ended before; whether they were of that route is not known, so that this case may not be all of it.

Change: without any length to go by, only requests whose own time ends before the leave are placed; the others are refused at once as not run, and served elsewhere. 31 tests of entry pass.

--- a/goldcreststair/components/forwarding/durations.py
+++ b/goldcreststair/components/forwarding/durations.py
@@ -27,10 +27,10 @@
         longest = self._turn(route)
         longest.now_ms = max(longest.now_ms, self._clock.now() - began_at)
 
-    def read_longest_ms(self, route: str) -> int:
-        """Return the longest of late; 0 if none ended."""
+    def read_longest_ms(self, route: str) -> int | None:
+        """Return the longest of late; None if none ended."""
         longest = self._turn(route)
-        return max(longest.now_ms, longest.before_ms)
+        return max(longest.now_ms, longest.before_ms) or None
 
     def _turn(self, route: str) -> _Longest:
         window = self._clock.now() // DURATION_WINDOW_MS
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -163,5 +163,9 @@
         # A request sent away at once is served elsewhere; one that is cut is lost, or run twice. While
         # callers may still be led here, sent away they could come back: then the usual run counts.
         if own.named_until is None or now >= own.named_until:
-            run_ms = max(run_ms, self._durations.read_longest_ms(route.name))
+            longest_ms = self._durations.read_longest_ms(route.name)
+            # A VM that has just started knows no length: the request may take all of its time.
+            if longest_ms is None:
+                return False
+            run_ms = max(run_ms, longest_ms)
         return now + run_ms <= own.ends_at
--- a/tests/components/entry/test_leaving.py
+++ b/tests/components/entry/test_leaving.py
@@ -30,6 +30,8 @@
         (LONG_EVENTS, SHORT_EVENTS, 4_400, 2_000, True),
         (SHORT_EVENTS, SHORT_EVENTS, 5_000, 5_000, True),
         (SHORT_EVENTS, SHORT_EVENTS, 6_800, 5_000, False),
+        (0, LONG_EVENTS, 4_200, 5_000, False),
+        (0, SHORT_EVENTS, 4_200, 2_000, True),
         (SHORT_EVENTS, SHORT_EVENTS, 7_300, 5_000, False),
     ],
 )
@@ -43,7 +45,7 @@
         leaving, _ = await fleet.async_add_many(2)
         await fleet.clock.async_sleep(1_000)
         fleet.engines.events = seen_events
-        for _ in range(5):
+        for _ in range(5 if seen_events else 0):
             assert (await async_send(fleet, leaving, path)).whole
         fleet.engines.events = events
         leaving.core.get(ENTRY).leave()
