Make whole streams of the stand-in engine in one place

test_silence and test_streams each had a make_stream; it stands beside make_event now. No assertion changes. 132 tests of forwarding and jobs pass, lint is clean; the whole suite was not run again on this commit.

--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -188,6 +188,11 @@
     return f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
 
 
+def make_stream(request_id: str, events: int) -> bytes:
+    """Return a whole stream."""
+    return b"".join(make_event(request_id, number) for number in range(1, events + 1))
+
+
 def make_text(request_id: str, events: int) -> bytes:
     """Return the data of a whole answer."""
     return "\n".join(f"{request_id}.{number}" for number in range(1, events + 1)).encode()
--- a/tests/components/forwarding/test_silence.py
+++ b/tests/components/forwarding/test_silence.py
@@ -10,7 +10,7 @@
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import FakeResponder, FleetMember, GatewayFleet
-from standins.run_engines import RunEngine, make_event
+from standins.run_engines import RunEngine, make_stream
 from tests.helpers.gateways import async_send, run_fleet
 
 EVENTS = 20
@@ -18,11 +18,6 @@
 SMALL, LARGE = 1, 30
 
 
-def make_stream(request_id: str) -> bytes:
-    """Return a whole stream."""
-    return b"".join(make_event(request_id, number) for number in range(1, EVENTS + 1))
-
-
 async def async_start(fleet: GatewayFleet, vms: int) -> FleetMember:
     """Start a fleet and return one daemon that knows the others and the upstreams."""
     members = await fleet.async_add_many(vms)
@@ -59,7 +54,7 @@
         await fleet.clock.async_sleep(pause_after_ms)
         await async_pause(fleet, last)
         answer = await sending
-        assert answer.whole and answer.body == make_stream("r")
+        assert answer.whole and answer.body == make_stream("r", EVENTS)
         assert sum(len(engine.ran) for engine in engines) == 2
 
     run_fleet(scenario)
@@ -83,7 +78,7 @@
         await fleet.clock.async_sleep(300)
         await async_pause(fleet, only)
         answer = await sending
-        assert answer.whole and answer.body == make_stream("r")
+        assert answer.whole and answer.body == make_stream("r", EVENTS)
 
     run_fleet(scenario)
 
@@ -101,7 +96,7 @@
         sending = asyncio.create_task(async_send(fleet, member, "/stream/a", request_id="r"))
         await async_pause(fleet, await async_find_running(fleet, engines))
         answer = await sending
-        assert answer.whole and answer.body == make_stream("r")
+        assert answer.whole and answer.body == make_stream("r", EVENTS)
 
     run_fleet(scenario)
 
@@ -133,7 +128,7 @@
         responder = SlowResponder(fleet.clock)
         request = fleet.make_request("/stream/a", request_id="r")
         await member.core.get(FORWARDING).async_forward(request, responder)
-        assert responder.whole and responder.body == make_stream("r")
+        assert responder.whole and responder.body == make_stream("r", EVENTS)
         assert sum(len(engine.ran) for engine in engines) == 1
 
     run_fleet(scenario)
@@ -178,7 +173,7 @@
         other.reset, other.refuse, other.up = fault == "reset", fault == "refuse", fault != "down"
         await async_pause(fleet, left)
         answer = await sending
-        assert answer.whole and answer.body == make_stream("r")
+        assert answer.whole and answer.body == make_stream("r", EVENTS)
         assert [call.resume_after for call in left.ran][0] == 0 and len(left.ran) == 2
 
     run_fleet(scenario)
@@ -198,7 +193,9 @@
         await fleet.clock.async_sleep(pause_after_ms)
         await asyncio.gather(*(async_pause(fleet, engine) for engine in engines))
         answers = await asyncio.gather(*sending)
-        assert [answer.body for answer in answers] == [make_stream(f"r{n}") for n in range(4)]
+        assert [answer.body for answer in answers] == [
+            make_stream(f"r{n}", EVENTS) for n in range(4)
+        ]
 
     run_fleet(scenario)
 
--- a/tests/components/forwarding/test_streams.py
+++ b/tests/components/forwarding/test_streams.py
@@ -8,15 +8,10 @@
 from goldcreststair.components.forwarding.const import MIN_LEFT_MS
 from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import GatewayFleet
-from standins.run_engines import RunEngine, make_event
+from standins.run_engines import RunEngine, make_stream
 from tests.helpers.gateways import async_send, run_fleet
 
 
-def make_stream(request_id: str, events: int) -> bytes:
-    """Return a whole stream."""
-    return b"".join(make_event(request_id, number) for number in range(1, events + 1))
-
-
 def find_running(engines: list[RunEngine]) -> RunEngine:
     """Return the engine that runs something."""
     return next(engine for engine in engines if engine.running)
