Send nothing more to the upstreams of an evacuated data centre

Cause: operators may ask that the upstreams of a data centre get nothing more until they allow it again. No part of the gateway daemon read that request, so that all VMs went on sending there.

Change: the operators' table is followed once for all that read it (operator_rows). A component of its own keeps which data centres are evacuated, by the version of the store at which that came to hold; beacons and digests carry it, so that VMs that the store turns away, that start or whose feed is silent know it as well. Placement leaves the upstreams of these data centres out for online and batch work, also where a run begins again or goes back; what runs there goes on. Where all upstreams of a service are evacuated a request is refused at once as not run.

Weighed: a second feed for the rows (one more call of the store each 2.5 s and VM, and calls are priced); asking peers for the list as for the catalogue (it is a few names: a datagram carries it whole).

--- a/goldcreststair/components/catalogue/service.py
+++ b/goldcreststair/components/catalogue/service.py
@@ -16,9 +16,9 @@
     STORE_FIRST_MS,
 )
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.components.operator_rows.service import OPERATOR_ROWS
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.store.feed import TableFeed
-from goldcreststair.store.rows import RowRange, StoredRow
+from goldcreststair.store.rows import RowRange, StoredRow, Version
 from goldcreststair.wire.codec import decode_struct, encode_struct
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, CatalogueAsk, CatalogueDocument
 
@@ -35,21 +35,19 @@
         section = core.blackboard.open_section(CATALOGUE, Catalogue())
         self._row = reader.row
         self._controller = CatalogueController(reader, section)
-        self._feed = TableFeed(core.adapter.store, core.clock, reader.row.table, self, whole=True)
         self._links = core.get(FLEET_LINKS)
         self._links.contribute(self._contribute)
         self._links.watch(self._on_beacon, lambda _: None)
+        core.get(OPERATOR_ROWS).add_listener(self)
         self._fetching: asyncio.Task[None] | None = None
         self._fetched_at = Millis(-FETCH_RETRY_MS)
 
     async def async_start(self) -> None:
-        """Follow, and serve peers."""
+        """Serve peers."""
         self._links.on_ask(AskKind.CATALOGUE, self._async_answer)
-        await self._feed.async_start()
 
     async def async_close(self) -> None:
         """Stop."""
-        await self._feed.async_close()
         if self._fetching is not None:
             self._fetching.cancel()
             await asyncio.gather(self._fetching, return_exceptions=True)
@@ -65,7 +63,7 @@
             self._links.announce()
         return taken
 
-    def take_all(self, rows: Sequence[StoredRow]) -> None:
+    def take_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Take the newest version from the store's table."""
         self.take_changes(rows)
 
@@ -75,11 +73,6 @@
             if row.key == self._row and not row.deleted:
                 self.take_document(row.value, "store")
 
-    def note_contact(self, *, reached: bool) -> None:
-        """Note whether the store answered."""
-        if reached:
-            self._links.note_store()
-
     def _contribute(self, beacon: Beacon) -> None:
         beacon.catalogue_version = self._controller.read_document()[0]
 
@@ -100,7 +93,7 @@
         # a new connection tells them apart, and brings the version where the store answers.
         read = await self._core.adapter.store.async_read(RowRange(self._row.table))
         if not isinstance(read, Err):
-            self.take_all(read.ok_value.rows)
+            self.take_changes(read.ok_value.rows)
         if self._controller.read_document()[0] > version:
             return
         document = await self._async_ask(session, version)
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -12,7 +12,7 @@
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.feed import TableFeed
-from goldcreststair.store.rows import StoredRow
+from goldcreststair.store.rows import StoredRow, Version
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -46,7 +46,7 @@
             await asyncio.gather(self._ticking, return_exceptions=True)
             self._ticking = None
 
-    def take_all(self, rows: Sequence[StoredRow]) -> None:
+    def take_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Take every entry."""
         entries = (self._decode(row) for row in rows)
         self._controller.take_all(entry for entry in entries if entry is not None)
--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -125,6 +125,8 @@
     heard: list[HeardDaemon] = field(default_factory=list)
     version: int = 0
     newest_at: str = ""
+    evacuation_version: int = 0
+    evacuated: list[str] | None = None
 
     def note_version(self, version: int, session: str) -> None:
         """Take which version of the catalogue a daemon has in force."""
@@ -147,6 +149,8 @@
         self.waiting += word.batch_waiting or 0
         self.refused.update(dict.fromkeys(word.refused or ()))
         self.paces.update({pace.route: pace for pace in word.paces or ()})
+        if (word.evacuation_version or 0) > self.evacuation_version:
+            self.evacuation_version, self.evacuated = word.evacuation_version, word.evacuated
 
     def make(
         self, relay: str, sequence: int, data_centre: str, counts: Mapping[int, int]
@@ -170,6 +174,8 @@
             list(self.refused)[-MAX_REFUSED:] or None,
             list(self.paces.values()) or None,
             newest_at=self.newest_at or None,
+            evacuation_version=self.evacuation_version or None,
+            evacuated=self.evacuated,
         )
 
 
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -363,6 +363,8 @@
     beacon.batch_waiting = max(0, (digest.batch_waiting or 0) - waiting)
     beacon.refused = digest.refused
     beacon.paces = digest.paces
+    beacon.evacuation_version = digest.evacuation_version
+    beacon.evacuated = digest.evacuated
     return beacon
 
 
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -43,7 +43,7 @@
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.feed import TableFeed
 from goldcreststair.store.reading import async_read_all
-from goldcreststair.store.rows import RowRange, StoredRow
+from goldcreststair.store.rows import RowRange, StoredRow, Version
 from goldcreststair.wire.codec import decode_struct, encode_struct
 from goldcreststair.wire.generated.gateway.ttypes import Beacon
 
@@ -219,7 +219,7 @@
         """Note an answer of the store."""
         self._controller.note_store()
 
-    def take_all(self, rows: Sequence[StoredRow]) -> None:
+    def take_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Take every session in the store."""
         self._controller.take_rows(vm for row in rows if (vm := decode_session(row.value)))
         self.publish()
--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -25,7 +25,7 @@
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.rendezvous import score
 from goldcreststair.store.feed import TableFeed
-from goldcreststair.store.rows import StoredRow
+from goldcreststair.store.rows import StoredRow, Version
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -87,7 +87,7 @@
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
 
-    def take_all(self, rows: Sequence[StoredRow]) -> None:
+    def take_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Take it that ends of jobs may have been missed."""
         self._owner.doubt_all()
 
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -9,6 +9,7 @@
 
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS
+from goldcreststair.components.evacuation.models import EVACUATIONS
 from goldcreststair.components.fleet.models import FLEET, OWN_STATE, VmState
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.jobs.protocols import JOBS
@@ -77,6 +78,7 @@
             "daemons_heard": fleet.heard,
             "upstreams": len(board.read(LIVE_UPSTREAMS).by_name),
             "upstreams_down": len(controller.list_down()),
+            "data_centres_evacuated": len(board.read(EVACUATIONS).data_centres),
             "runs_online": sum(run.online for run in runs),
             "runs_batch": sum(run.batch for run in runs),
             "jobs_owned": jobs.count_owned(),
--- /dev/null
+++ b/goldcreststair/components/operator_rows/__init__.py
@@ -0,0 +1,12 @@
+"""The rows that operators write, followed once for all components that read them."""
+
+from goldcreststair.components.operator_rows.service import OPERATOR_ROWS, OperatorRowsService
+from goldcreststair.core import Component
+from goldcreststair.gateway_core import GatewayCore
+
+
+async def async_setup(core: GatewayCore) -> Component:
+    """Set up the feed."""
+    service = OperatorRowsService(core)
+    core.offer(OPERATOR_ROWS, service)
+    return service
--- a/goldcreststair/components/placement/const.py
+++ b/goldcreststair/components/placement/const.py
@@ -30,6 +30,9 @@
 DOUBT_MS: Final = 1_000
 """Word of another VM that an upstream is down counts for so long."""
 
+EVACUATED_RETRY_MS: Final = 1_500
+"""When to come back while every upstream of a service is evacuated: that lasts seconds at least."""
+
 BATCH_RESERVE: Final = 1
 """Slots of each upstream that batch leaves free, so that an online request finds one at once."""
 BATCH_FREE_SHARE: Final = 0.15
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Iterable, Sequence
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from typing import Final
 
@@ -26,6 +27,7 @@
     DEFAULT_SLOTS,
     DOUBT_MS,
     DOWN_MS,
+    EVACUATED_RETRY_MS,
     JITTER_MS,
     OTHER_DATA_CENTRE_MS,
     SHED_MS,
@@ -73,6 +75,8 @@
         """Those that may get new work."""
         self._names: dict[int, str] = {}
         self._lapsed: frozenset[str] = frozenset()
+        self._evacuated: AbstractSet[str] = frozenset()
+        """Data centres whose upstreams get no new work."""
         self._traits: dict[str, UpstreamTraits] = {}
         self.picture: int | None = None
         """Number of the digest that tells all others' runs; None where they speak for themselves."""
@@ -89,12 +93,23 @@
                 known.entry = entry
                 states[name] = known
         self._states = states
-        self._by_service = {}
-        for state in states.values():
-            if not state.entry.draining:
-                self._by_service.setdefault(state.entry.service, []).append(state)
         self._names = {state.key: name for name, state in states.items()}
         self._lapsed = live.lapsed
+        self._group()
+
+    def take_evacuated(self, data_centres: AbstractSet[str]) -> None:
+        """Take the data centres whose upstreams get no new work."""
+        self._evacuated = data_centres
+        self._group()
+
+    def _group(self) -> None:
+        self._by_service = {}
+        for state in self._states.values():
+            if self._takes_work(state):
+                self._by_service.setdefault(state.entry.service, []).append(state)
+
+    def _takes_work(self, state: _State) -> bool:
+        return not state.entry.draining and state.entry.data_centre not in self._evacuated
 
     def find(self, name: str) -> UpstreamEntry | None:
         """Return an upstream, or None if it is gone."""
@@ -109,7 +124,7 @@
         """Return where an online request had best go."""
         fitting = self._list_fitting(query)
         if not fitting:
-            return Err(NoPlace(f"no upstream of {query.service}", known=False))
+            return Err(self._explain_none(query.service))
         open_ones = self._prefer_open(fitting)
         if not open_ones:
             until = min(max(s.down_until, s.shed_until) for s in fitting)
@@ -121,6 +136,13 @@
         best = min(open_ones, key=lambda state: self._cost(state, favourite))
         return Ok(self._place(best))
 
+    def _explain_none(self, service: str) -> NoPlace:
+        others = (s for s in self._states.values() if s.entry.service == service)
+        if any(state.entry.data_centre in self._evacuated for state in others):
+            message = f"every data centre with an upstream of {service} is evacuated"
+            return NoPlace(message, retry_after_ms=EVACUATED_RETRY_MS)
+        return NoPlace(f"no upstream of {service}", known=False)
+
     def has_place(self, query: PlacementQuery) -> bool:
         """Return whether `choose` would find an upstream."""
         return bool(self._prefer_open(self._list_fitting(query)))
@@ -128,7 +150,7 @@
     def place_at(self, name: str) -> Placement | None:
         """Return a placement at one upstream, or None if it may get no new work."""
         state = self._states.get(name)
-        return None if state is None or state.entry.draining else self._place(state)
+        return self._place(state) if state is not None and self._takes_work(state) else None
 
     def has_upstream(self, query: PlacementQuery) -> bool:
         """Return whether there is an upstream that `choose` may find later, if not now."""
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -9,6 +9,7 @@
 
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
+from goldcreststair.components.evacuation.models import EVACUATIONS, Evacuations
 from goldcreststair.components.fleet.models import FLEET
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind, hash_name
 from goldcreststair.components.placement.const import (
@@ -49,19 +50,25 @@
         self._links.watch_batch(self._on_batch)
         self._links.on_notice(DatagramKind.YIELD_NOTICE, self._on_yield_notice)
         self._on_yield: OnYield = lambda name, count: None
-        self._unsubscribe: Callable[[], None] = lambda: None
+        self._unsubscribe: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def async_start(self) -> None:
-        """Follow the upstreams."""
+        """Follow the upstreams and the evacuations."""
         board = self._core.blackboard
-        self._unsubscribe = board.subscribe(LIVE_UPSTREAMS, self._on_upstreams)
+        self._unsubscribe = [
+            board.subscribe(LIVE_UPSTREAMS, self._on_upstreams),
+            board.subscribe(EVACUATIONS, self._on_evacuations),
+        ]
         self._on_upstreams(board.read(LIVE_UPSTREAMS))
+        self._on_evacuations(board.read(EVACUATIONS))
         self._tasks = [asyncio.create_task(self._async_tick())]
 
     async def async_close(self) -> None:
         """Stop."""
-        self._unsubscribe()
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+        self._unsubscribe.clear()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -108,6 +115,9 @@
     def _on_upstreams(self, live: LiveUpstreams) -> None:
         self.controller.take_upstreams(live)
 
+    def _on_evacuations(self, evacuations: Evacuations) -> None:
+        self.controller.take_evacuated(evacuations.data_centres)
+
     def _contribute(self, beacon: Beacon) -> None:
         own = self.controller.runs.list_own()
         beacon.runs = [
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -14,10 +14,12 @@
     crash_marks,
     discovery,
     entry,
+    evacuation,
     fleet,
     forwarding,
     jobs,
     metrics,
+    operator_rows,
     placement,
     quotas,
 )
@@ -41,6 +43,8 @@
 GATEWAY_COMPONENTS: Final[tuple[Setup, ...]] = (
     fleet.async_setup,
     entry.async_setup,
+    operator_rows.async_setup,
+    evacuation.async_setup,
     catalogue.async_setup,
     discovery.async_setup,
     quotas.async_setup,
--- a/goldcreststair/gateway_core.py
+++ b/goldcreststair/gateway_core.py
@@ -22,6 +22,7 @@
     # The components import this module while they are imported.
     from goldcreststair.components.catalogue.protocols import CatalogueReader
     from goldcreststair.components.discovery.protocols import UpstreamReader
+    from goldcreststair.components.evacuation.protocols import EvacuationReader
     from goldcreststair.components.jobs.protocols import SubmissionReader
 
 
@@ -31,6 +32,7 @@
 
     store: RowStore
     catalogue_reader: CatalogueReader
+    evacuation_reader: EvacuationReader
     upstream_reader: UpstreamReader
     submission_reader: SubmissionReader
 
--- a/goldcreststair/store/feed.py
+++ b/goldcreststair/store/feed.py
@@ -10,7 +10,7 @@
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.store.errors import PlatformError
 from goldcreststair.store.reading import async_read_all
-from goldcreststair.store.rows import HistoryLost, RowRange, RowStore, StoredRow
+from goldcreststair.store.rows import HistoryLost, RowRange, RowStore, StoredRow, Version
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -25,15 +25,22 @@
 PAGE_ROWS: Final = 500
 
 
-class FeedListener(Protocol):
-    """Takes what a feed brings."""
+class RowListener(Protocol):
+    """Takes the rows of a table."""
+
+    def take_all(self, rows: Sequence[StoredRow], version: Version) -> None:
+        """Take every row of the table as of a version of the store.
 
-    def take_all(self, rows: Sequence[StoredRow]) -> None:
-        """Take every row of the table; of a feed that is not whole, that changes were missed."""
+        Of a feed that is not whole, take it that changes were missed.
+        """
 
     def take_changes(self, rows: Sequence[StoredRow]) -> None:
         """Take rows that changed, in order."""
 
+
+class FeedListener(RowListener, Protocol):
+    """Takes what a feed brings."""
+
     def note_contact(self, *, reached: bool) -> None:
         """Note whether the store answered."""
 
@@ -118,7 +125,8 @@
         # The feed goes on from the first page's moment: what changed while the others were read
         # comes again, which does no harm.
         self._version = read.ok_value.version
-        self._listener.take_all(read.ok_value.rows if self._whole else ())
+        rows = read.ok_value.rows if self._whole else ()
+        self._listener.take_all(rows, self._version)
         return Ok(None)
 
     def _note(self, *, reached: bool, why: str = "") -> None:
--- a/goldcreststair/store/rows.py
+++ b/goldcreststair/store/rows.py
@@ -8,6 +8,9 @@
 
 from goldcreststair.store.errors import PlatformError
 
+Version = int
+"""Grows over all rows together with each transaction."""
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class RowKey:
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -41,6 +41,10 @@
   13: optional bool follows
   /** Whether it needs a whole one, as it has none of this relay yet. */
   14: optional bool needs_whole
+  /** Version of the store at which `evacuated` came to hold; left out until the first evacuation. */
+  15: optional i64 evacuation_version
+  /** Data centres whose upstreams get no new work. */
+  16: optional list<string> evacuated
 }
 
 /** Batch runs of one daemon at one upstream, both by a hash of their names. */
@@ -84,6 +88,9 @@
   13: optional bool whole
   /** Session of a daemon that has `catalogue_version` in force. */
   14: optional string newest_at
+  /** As in a beacon; the newest that any daemon knows. */
+  15: optional i64 evacuation_version
+  16: optional list<string> evacuated
 }
 
 /** A daemon's session as it stands in the store. */
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -24,6 +24,7 @@
 from goldcreststair.components.catalogue.protocols import CatalogueUnreadable
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.discovery.protocols import EntryUnreadable
+from goldcreststair.components.evacuation.errors import EvacuationUnreadable
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.models import JobItem
 from goldcreststair.components.requests.models import CallerRequest
@@ -43,6 +44,7 @@
 from standins.run_engines import RunEngine, RunEngines
 
 CATALOGUE_ROW: Final = RowKey("operators", "", "catalogue")
+EVACUATION_PREFIX: Final = "evacuation "
 TABLE_ENGINES: Final = "engines"
 HOST: Final = "host.example"
 PEER_PORT: Final = 7000
@@ -103,6 +105,19 @@
 )
 
 
+class PlainEvacuationReader:
+    """Reads the rows that `GatewayFleet.evacuate` writes."""
+
+    def is_evacuation(self, key: RowKey) -> bool:
+        """Return whether a row of the operators' table is about an evacuation."""
+        return key.key.startswith(EVACUATION_PREFIX)
+
+    def decode(self, key: RowKey) -> Result[str, EvacuationUnreadable]:
+        """Return the name of the data centre."""
+        name = key.key.removeprefix(EVACUATION_PREFIX)
+        return Ok(name) if name else Err(EvacuationUnreadable("no name", "key"))
+
+
 class PlainUpstreamReader:
     """Reads engines' entries written as JSON by `GatewayFleet.register`."""
 
@@ -235,6 +250,14 @@
         }
         self.store.put(CATALOGUE_ROW, orjson.dumps(document))
 
+    def evacuate(self, data_centre: str) -> None:
+        """Ask that the engines of a data centre get nothing more, as operators do."""
+        self.store.put(RowKey(CATALOGUE_ROW.table, "", EVACUATION_PREFIX + data_centre), b"{}")
+
+    def take_back(self, data_centre: str) -> None:
+        """End an evacuation."""
+        self.store.drop(RowKey(CATALOGUE_ROW.table, "", EVACUATION_PREFIX + data_centre))
+
     def register(self, engine: RunEngine, *, draining: bool = False) -> None:
         """Write an engine's entry."""
         entry = {
@@ -283,6 +306,7 @@
         adapter = GatewayAdapter(
             MeteredStore(view, meters, contact),
             PlainCatalogueReader(),
+            PlainEvacuationReader(),
             PlainUpstreamReader(),
             PlainSubmissionReader(),
         )
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -6,7 +6,7 @@
 import orjson
 import pytest
 from result import Err, Ok
-from users_platform.documents import OperatorDocuments, UpstreamEntries
+from users_platform.documents import EvacuationRows, OperatorDocuments, UpstreamEntries
 
 from goldcreststair.components.catalogue.models import (
     BatchTerms,
@@ -16,6 +16,7 @@
     WeightedService,
 )
 from goldcreststair.helpers.api_keys import hash_key
+from goldcreststair.store.rows import RowKey
 
 DOCUMENT: dict[str, Any] = {
     "version": 7,
@@ -153,3 +154,20 @@
 def test_an_entry_of_another_writer_names_no_upstream(value: Any, field: str) -> None:
     decoded = UpstreamEntries().decode("i-1", orjson.dumps(value))
     assert isinstance(decoded, Err) and decoded.err_value.field == field
+
+
+@pytest.mark.parametrize(
+    ("table", "key", "data_centre"),
+    [
+        ("op", "evacuate/stred-eu-a", "stred-eu-a"),
+        ("op", "evacuate/", None),
+        ("op", "config", None),
+        ("servers", "evacuate/stred-eu-a", None),
+    ],
+)
+def test_the_key_of_a_row_names_the_evacuated_data_centre(
+    table: str, key: str, data_centre: str | None
+) -> None:
+    reader, row = EvacuationRows(), RowKey(table, "", key)
+    named = reader.decode(row).ok() if reader.is_evacuation(row) else None
+    assert named == data_centre
--- a/tests/store/test_feed.py
+++ b/tests/store/test_feed.py
@@ -4,7 +4,7 @@
 
 from goldcreststair.clock import LoopClock
 from goldcreststair.store.feed import FEED_WAIT_MS, TableFeed
-from goldcreststair.store.rows import RowKey, StoredRow
+from goldcreststair.store.rows import RowKey, StoredRow, Version
 from standins.rows import FakeRowStore
 from standins.virtual_time import run_virtual
 
@@ -19,7 +19,7 @@
         self.wholes = 0
         self.contacts: list[bool] = []
 
-    def take_all(self, rows: Sequence[StoredRow]) -> None:
+    def take_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         self.wholes += 1
         self.rows = {row.key.key: row.value for row in rows}
 
