Keep what a cold upstream gets from all daemons within what it bears

Cause: an upstream that has just started, or whose data centre was given back, bears a bounded rate of requests and crashes beyond it. Neither that rate nor an upstream's word that it is cold was read; daemons that find it empty by the same digest all send it what waits elsewhere.

Change: the catalogue gives a service's rate, the upstream's entry how long it is cold; its answers may say so before. Cold upstreams are left alone while others have room, also by batch. Beyond that a few daemons are named for each of them by rendezvous over the sessions in the store, 11 of 80 at a rate of 22, and each keeps to its part in a sliding window: no word between them is needed, and two or three that name themselves by an old list stay within the bound. Who has just started or stood still sends them nothing for 2 s. Upstreams of a data centre that is taken back count as cold for the service's time. A field that is missing or wrong leaves what was known, or counts as cold for 3 s at a new upstream; a service whose rate cannot be read counts as one request a second; each is logged once.

Weighed: a part of the rate for each VM (0.28 requests a second at 80: next to nothing) and counters of what all have sent, as for quotas (the first 200 to 300 ms each VM sees the whole rate: 80 requests where 38 are allowed).

--- a/goldcreststair/components/catalogue/models.py
+++ b/goldcreststair/components/catalogue/models.py
@@ -88,6 +88,10 @@
     """Requests that one of its upstreams runs at once; 0 if unknown."""
     kv_tokens: int = 0
     """Tokens that one of its upstreams keeps in memory; 0 if unknown."""
+    cold_per_s: float = 0.0
+    """Requests a second that one of its upstreams bears while it is cold; 0 for no bound."""
+    cold_start_ms: int = 0
+    """How long one of its upstreams is cold after its start."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/discovery/controller.py
+++ b/goldcreststair/components/discovery/controller.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterable
 
 from goldcreststair.clock import Clock, Millis
-from goldcreststair.components.discovery.const import LAPSE_GRACE_MS, OUTAGE_MEMORY_MS
+from goldcreststair.components.discovery.const import (
+    LAPSE_GRACE_MS,
+    OUTAGE_MEMORY_MS,
+    UNREADABLE_COLD_MS,
+)
 from goldcreststair.components.discovery.models import LiveUpstreams, UpstreamEntry
 
 
@@ -16,6 +20,7 @@
         self._entries: dict[str, UpstreamEntry] = {}
         self._lapsed: dict[str, Millis] = {}
         """Name to the time until which an entry that ran out is kept."""
+        self._cold_until: dict[str, Millis] = {}
         self._known = False
         self._away_since: Millis | None = None
         self._back_at: Millis | None = None
@@ -47,6 +52,7 @@
                 if other.started_ms > entry.started_ms:
                     return
                 self._drop(name)
+        self._note_cold(entry)
         self._entries[entry.name] = entry
 
     def remove(self, name: str) -> None:
@@ -73,10 +79,25 @@
 
     def read(self) -> LiveUpstreams:
         """Return the upstreams as they stand."""
-        return LiveUpstreams(dict(self._entries), frozenset(self._lapsed), self._known)
+        return LiveUpstreams(
+            dict(self._entries), frozenset(self._lapsed), self._known, dict(self._cold_until)
+        )
+
+    def _note_cold(self, entry: UpstreamEntry) -> None:
+        if entry.cold_ms is None:
+            # What was known of it holds: neither opened nor shut by a field that cannot be read.
+            known = self._entries.get(entry.name)
+            if known is not None and known.started_ms == entry.started_ms:
+                return
+        cold_ms = UNREADABLE_COLD_MS if entry.cold_ms is None else entry.cold_ms
+        if cold_ms > 0:
+            self._cold_until[entry.name] = Millis(self._clock.now() + cold_ms)
+        else:
+            self._cold_until.pop(entry.name, None)
 
     def _drop(self, name: str) -> None:
         self._entries.pop(name, None)
+        self._cold_until.pop(name, None)
         self._lapsed.pop(name, None)
 
     def _was_away(self) -> bool:
--- a/goldcreststair/components/discovery/models.py
+++ b/goldcreststair/components/discovery/models.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from goldcreststair.blackboard import SectionKey
+from goldcreststair.clock import Millis
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +23,8 @@
     """Whether it leaves and must get no new work."""
     started_ms: int
     """Unix time at which it started; tells a restarted one from itself."""
+    cold_ms: int | None = 0
+    """How much longer it bears few requests, as of its writing; None if that cannot be read."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +36,8 @@
     """Those whose entry ran out while the store was away: used only where no other is free."""
     known: bool = False
     """Whether the store's list has been read."""
+    cold_until: Mapping[str, Millis] = field(default_factory=dict)
+    """Until when an upstream counts as cold, of those that said they are."""
 
 
 LIVE_UPSTREAMS: Final = SectionKey[LiveUpstreams]("live_upstreams")
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -118,5 +118,6 @@
         "slots": new.slots,
         "draining": new.draining,
         "lapsed": name in after.lapsed,
+        "cold_ms": new.cold_ms,
     }
     _LOGGER.info("Upstream changed", extra=extra)
--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -14,9 +14,14 @@
     """Takes the runs of one request one after another; implements `RunSink`."""
 
     def __init__(
-        self, responder: Responder, clock: Clock, last_event: int, on_data: Callable[[], None]
+        self,
+        responder: Responder,
+        clock: Clock,
+        last_event: int,
+        on_head: Callable[[RunHead], None],
+        on_data: Callable[[], None],
     ) -> None:
-        """Go on after `last_event`; `on_data` is called whenever the upstream sent something."""
+        """Go on after `last_event`; the calls tell what the upstream sent."""
         self.streams = True
         self.last_event = last_event
         self.first_event_at: Millis | None = None
@@ -30,6 +35,7 @@
         """Whether the caller's connection takes nothing more, so that nothing is read either."""
         self._responder = responder
         self._clock = clock
+        self._on_head = on_head
         self._on_data = on_data
         self._splitter = EventSplitter()
         self._head: RunHead | None = None
@@ -51,7 +57,7 @@
     def take_head(self, head: RunHead) -> None:
         """Keep the head of the first success: the caller gets one, whichever run goes on."""
         self.progress_at = self._clock.now()
-        self._on_data()
+        self._on_head(head)
         if head.status == STATUS_OK and self._head is None:
             self._head = head
 
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -35,7 +35,7 @@
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.refusals import Refusal, RefusalCode
 from goldcreststair.helpers.retry_budget import RetryBudget
-from goldcreststair.upstreams.dialect import RunCall
+from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd
 
@@ -80,7 +80,9 @@
         """Name of the upstream of the present run."""
         self._failure: UpstreamError | None = None
         """Of the last run that failed."""
-        self._relay = StreamRelay(responder, core.clock, self._progress.last_event, self._on_data)
+        self._relay = StreamRelay(
+            responder, core.clock, self._progress.last_event, self._on_head, self._on_data
+        )
         self._relay.streams = admitted.route.kind is CallKind.STREAMING
 
     async def async_run(self) -> None:
@@ -295,6 +297,9 @@
     def _left_ms(self) -> int:
         return self._admitted.ends_at - self._clock.now()
 
+    def _on_head(self, head: RunHead) -> None:
+        self._placement.note_head(self._at, head)
+
     def _on_data(self) -> None:
         self._placement.controller.note_progress(self._at)
 
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -237,7 +237,12 @@
         self._runs[run] = None
         self._placement.begin(name, run.runs)
         controller = self._placement.controller
-        sink = ItemSink(run.item, self._clock, lambda: controller.note_progress(name))
+        sink = ItemSink(
+            run.item,
+            self._clock,
+            lambda head: self._placement.note_head(name, head),
+            lambda: controller.note_progress(name),
+        )
         call = self._make_call(run.job, run.item, run.upstream)
         run.task = asyncio.create_task(
             async_run_item(self._core.runner, run.upstream.address, call, sink, self._clock)
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -21,7 +21,13 @@
 class ItemSink:
     """Collects the events of one run; implements `RunSink`."""
 
-    def __init__(self, item: ItemProgress, clock: Clock, on_data: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        item: ItemProgress,
+        clock: Clock,
+        on_head: Callable[[RunHead], None],
+        on_data: Callable[[], None],
+    ) -> None:
         """Go on after the item's last event."""
         self.streams = True
         self.progress_at = clock.now()
@@ -29,6 +35,7 @@
         self.patience = 1 << min(item.silent, MAX_PATIENCE_DOUBLINGS)
         self._item = item
         self._clock = clock
+        self._on_head = on_head
         self._on_data = on_data
         self._splitter = EventSplitter()
         self._gap = False
@@ -41,7 +48,7 @@
     def take_head(self, head: RunHead) -> None:
         """Note a sign of life."""
         self.progress_at = self._clock.now()
-        self._on_data()
+        self._on_head(head)
 
     def take_data(self, chunk: bytes) -> None:
         """Keep the events that this piece completes."""
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -78,6 +78,7 @@
             "daemons_heard": fleet.heard,
             "upstreams": len(board.read(LIVE_UPSTREAMS).by_name),
             "upstreams_down": len(controller.list_down()),
+            "upstreams_cold": len(controller.list_cold()),
             "data_centres_evacuated": len(board.read(EVACUATIONS).data_centres),
             "runs_online": sum(run.online for run in runs),
             "runs_batch": sum(run.batch for run in runs),
--- a/goldcreststair/components/placement/const.py
+++ b/goldcreststair/components/placement/const.py
@@ -30,6 +30,13 @@
 DOUBT_MS: Final = 1_000
 """Word of another VM that an upstream is down counts for so long."""
 
+HOLDER_REQUESTS: Final = 2
+"""Requests a second that each daemon named for a cold upstream may send it, where there are enough daemons: two
+more daemons that name themselves by an old list stay within what the upstream bears."""
+COLD_SETTLE_MS: Final = 2_000
+"""A daemon that has just started, or stood still, sends nothing to cold upstreams for so long."""
+COLD_RETRY_MS: Final = 300
+"""When to come back while only cold upstreams are left that others are named for."""
 EVACUATED_RETRY_MS: Final = 1_500
 """When to come back while every upstream of a service is evacuated: that lasts seconds at least."""
 
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from collections.abc import Set as AbstractSet
 from dataclasses import dataclass
 from typing import Final
@@ -14,14 +14,17 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.catalogue.models import Service
 from goldcreststair.components.discovery.models import LiveUpstreams, UpstreamEntry
 from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.components.placement.cold import ColdGate
 from goldcreststair.components.placement.const import (
     BATCH_FREE_SHARE,
     BATCH_HOLD_MS,
     BATCH_RESERVE,
     BUSY_MS,
     COLD_MS,
+    COLD_RETRY_MS,
     DEFAULT_FIRST_MS,
     DEFAULT_RUN_MS,
     DEFAULT_SLOTS,
@@ -59,6 +62,12 @@
     no_batch_until: Millis = Millis(0)
     progress_at: Millis = Millis(0)
     """When it last sent anything to this daemon."""
+    cold_until: Millis = Millis(0)
+    """By its own word in the store."""
+    answered_cold_until: Millis = Millis(0)
+    """By its answers, which may tell of it before the store does."""
+    returned_cold_until: Millis = Millis(0)
+    """As its data centre was evacuated before."""
 
 
 class PlacementController:
@@ -77,6 +86,8 @@
         self._lapsed: frozenset[str] = frozenset()
         self._evacuated: AbstractSet[str] = frozenset()
         """Data centres whose upstreams get no new work."""
+        self._services: Mapping[str, Service] = {}
+        self.cold = ColdGate(clock)
         self._traits: dict[str, UpstreamTraits] = {}
         self.picture: int | None = None
         """Number of the digest that tells all others' runs; None where they speak for themselves."""
@@ -92,6 +103,9 @@
             else:
                 known.entry = entry
                 states[name] = known
+            states[name].cold_until = live.cold_until.get(name, Millis(0))
+        for name in self._states.keys() - states.keys():
+            self.cold.forget(name)
         self._states = states
         self._names = {state.key: name for name, state in states.items()}
         self._lapsed = live.lapsed
@@ -99,9 +113,18 @@
 
     def take_evacuated(self, data_centres: AbstractSet[str]) -> None:
         """Take the data centres whose upstreams get no new work."""
+        returned = self._evacuated - data_centres
+        for state in self._states.values():
+            if state.entry.data_centre in returned:
+                cold_ms = self._find_service(state).cold_start_ms
+                state.returned_cold_until = Millis(self._clock.now() + cold_ms)
         self._evacuated = data_centres
         self._group()
 
+    def take_services(self, services: Mapping[str, Service]) -> None:
+        """Take the services that upstreams belong to."""
+        self._services = services
+
     def _group(self) -> None:
         self._by_service = {}
         for state in self._states.values():
@@ -130,6 +153,10 @@
             until = min(max(s.down_until, s.shed_until) for s in fitting)
             wait_ms = max(MIN_RETRY_MS, until - self._clock.now())
             return Err(NoPlace("every upstream is down or full", retry_after_ms=wait_ms))
+        open_ones = self._spare_cold(open_ones)
+        if not open_ones:
+            message = "every upstream is cold, and has got what it bears from here"
+            return Err(NoPlace(message, retry_after_ms=COLD_RETRY_MS))
         favourite = self._find_favourite(open_ones, query.affinity)
         if self.picture is not None:
             return Ok(self._place(self._draw(open_ones, favourite)))
@@ -145,17 +172,48 @@
 
     def has_place(self, query: PlacementQuery) -> bool:
         """Return whether `choose` would find an upstream."""
-        return bool(self._prefer_open(self._list_fitting(query)))
+        return bool(self._spare_cold(self._prefer_open(self._list_fitting(query))))
 
     def place_at(self, name: str) -> Placement | None:
         """Return a placement at one upstream, or None if it may get no new work."""
         state = self._states.get(name)
-        return self._place(state) if state is not None and self._takes_work(state) else None
+        if state is None or not self._takes_work(state) or not self._bears_more(state):
+            return None
+        return self._place(state)
 
     def has_upstream(self, query: PlacementQuery) -> bool:
         """Return whether there is an upstream that `choose` may find later, if not now."""
         return bool(self._list_fitting(query))
 
+    def _spare_cold(self, states: list[_State]) -> list[_State]:
+        """Leave cold upstreams alone while others have room, and within what they bear otherwise."""
+        cold = [state for state in states if self._is_cold(state)]
+        if not cold:
+            return states
+        warm = [state for state in states if not self._is_cold(state)]
+        if any(self._has_room(state) for state in warm):
+            return warm
+        bearing = [state for state in cold if self._bears_more(state)]
+        roomy = [state for state in bearing if self._has_room(state)]
+        return roomy or warm or bearing
+
+    def _has_room(self, state: _State) -> bool:
+        return self._read(state).online < self._count_slots(state)
+
+    def _find_service(self, state: _State) -> Service:
+        name = state.entry.service
+        return self._services.get(name) or Service(name, 0)
+
+    def _is_cold(self, state: _State) -> bool:
+        until = max(state.cold_until, state.answered_cold_until, state.returned_cold_until)
+        return until > self._clock.now() and self._find_service(state).cold_per_s > 0
+
+    def _bears_more(self, state: _State) -> bool:
+        """Return whether an upstream is warm, or this daemon may send it one more request."""
+        if not self._is_cold(state):
+            return True
+        return self.cold.may_send(state.entry.name, self._find_service(state).cold_per_s)
+
     def _list_fitting(self, query: PlacementQuery) -> list[_State]:
         return [s for s in self._list(query.service) if s.entry.name not in query.excluded]
 
@@ -189,7 +247,9 @@
     def _list_free_for_batch(self, service: str) -> list[tuple[UpstreamEntry, int]]:
         now = self._clock.now()
         found = []
-        for state in self._list(service):
+        states = self._list(service)
+        warm = [state for state in states if not self._is_cold(state)]
+        for state in warm or [state for state in states if self._bears_more(state)]:
             shut = max(state.down_until, state.shed_until, state.no_batch_until) > now
             free = self._count_slots(state) - BATCH_RESERVE - self._read(state).total
             doubted = state.doubted_until > now or state.entry.name in self._lapsed
@@ -248,6 +308,11 @@
     def begin(self, name: str, runs: Runs) -> None:
         """Count runs."""
         self.runs.add(hash_name(name), runs)
+        state = self._states.get(name)
+        if state is not None and self._is_cold(state):
+            self.cold.note_sent(name)
+        else:
+            self.cold.forget(name)
 
     def end(self, name: str, runs: Runs) -> None:
         """Count runs as ended."""
@@ -260,6 +325,19 @@
             state.progress_at = self._clock.now()
             state.down_until = Millis(0)
 
+    def note_cold(self, name: str, cold_ms: int) -> bool:
+        """Take an upstream's word in an answer that it is cold; returns whether that is news."""
+        state = self._states.get(name)
+        if state is None or cold_ms <= 0:
+            return False
+        news = not self._is_cold(state)
+        state.answered_cold_until = Millis(self._clock.now() + cold_ms)
+        return news
+
+    def list_cold(self) -> list[UpstreamEntry]:
+        """Return the upstreams that bear few requests at present."""
+        return [state.entry for state in self._states.values() if self._is_cold(state)]
+
     def read_progress(self, name: str) -> Millis:
         """Return when an upstream last sent anything to this daemon."""
         state = self._states.get(name)
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -7,10 +7,10 @@
 
 from result import Err
 
-from goldcreststair.components.catalogue.models import CATALOGUE
+from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
 from goldcreststair.components.evacuation.models import EVACUATIONS, Evacuations
-from goldcreststair.components.fleet.models import FLEET
+from goldcreststair.components.fleet.models import FLEET, Fleet
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind, hash_name
 from goldcreststair.components.placement.const import (
     CONNECTION_SHARE,
@@ -21,6 +21,7 @@
 from goldcreststair.components.placement.loads import Runs
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.upstreams.dialect import RunHead
 from goldcreststair.upstreams.runner import CONNECT_TIMEOUT_MS
 from goldcreststair.wire.codec import decode_struct, encode_struct
 from goldcreststair.wire.generated.gateway.ttypes import (
@@ -49,6 +50,7 @@
         self._links.watch(self._on_beacon, self.controller.runs.forget)
         self._links.watch_batch(self._on_batch)
         self._links.on_notice(DatagramKind.YIELD_NOTICE, self._on_yield_notice)
+        core.on_awake.append(lambda _: self.controller.cold.void())
         self._on_yield: OnYield = lambda name, count: None
         self._unsubscribe: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -59,7 +61,11 @@
         self._unsubscribe = [
             board.subscribe(LIVE_UPSTREAMS, self._on_upstreams),
             board.subscribe(EVACUATIONS, self._on_evacuations),
+            board.subscribe(CATALOGUE, self._on_catalogue),
+            board.subscribe(FLEET, self._on_fleet),
         ]
+        self._on_catalogue(board.read(CATALOGUE))
+        self._on_fleet(board.read(FLEET))
         self._on_upstreams(board.read(LIVE_UPSTREAMS))
         self._on_evacuations(board.read(EVACUATIONS))
         self._tasks = [asyncio.create_task(self._async_tick())]
@@ -100,6 +106,13 @@
         self._core.runner.pool.forget(entry.address)
         self._links.announce()
 
+    def note_head(self, name: str, head: RunHead) -> None:
+        """Take what the head of an answer says of its upstream."""
+        self.controller.note_progress(name)
+        if self.controller.note_cold(name, head.cold_ms):
+            extra = {"upstream": name, "cold_ms": head.cold_ms}
+            _LOGGER.info("Upstream cold by its answer", extra=extra)
+
     def has_connections(self, entry: UpstreamEntry) -> bool:
         """Return whether this daemon may have one more run at an upstream by its connections."""
         pool = self._core.runner.pool
@@ -115,6 +128,13 @@
     def _on_upstreams(self, live: LiveUpstreams) -> None:
         self.controller.take_upstreams(live)
 
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        self.controller.take_services(catalogue.services)
+
+    def _on_fleet(self, fleet: Fleet) -> None:
+        if fleet.known:
+            self.controller.cold.take_sessions(fleet.own_session, fleet.vms.keys() - fleet.lost)
+
     def _on_evacuations(self, evacuations: Evacuations) -> None:
         self.controller.take_evacuated(evacuations.data_centres)
 
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -157,6 +157,7 @@
     "daemons_heard": "Daemons heard of late, this one included.",
     "upstreams": "Upstreams that may get work.",
     "upstreams_down": "Upstreams that this daemon believes down.",
+    "upstreams_cold": "Upstreams that bear few requests at present.",
     "data_centres_evacuated": "Data centres whose upstreams get no new work.",
     "runs_online": "Online runs of this daemon.",
     "runs_batch": "Batch runs of this daemon.",
--- a/goldcreststair/upstreams/dialect.py
+++ b/goldcreststair/upstreams/dialect.py
@@ -50,6 +50,8 @@
     misdirected: bool
     """Whether another upstream than the named one has the address now."""
     load: UpstreamLoad | None
+    cold_ms: int = 0
+    """How much longer the upstream bears few requests, if it says so."""
 
 
 class UpstreamDialect(Protocol):
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -65,7 +65,10 @@
                 Catalogue(
                     raw["version"],
                     routes,
-                    {name: Service(name, 180, 8) for name in raw["services"]},
+                    {
+                        name: Service(name, 180, 8, **terms)
+                        for name, terms in raw["services"].items()
+                    },
                     {customer.name: customer for customer in customers},
                     {hash_key(key): name for key, name in raw["keys"].items()},
                     by_host=index_routes(routes),
@@ -238,13 +241,14 @@
         routes: tuple[Mapping[str, Any], ...] = DEFAULT_ROUTES,
         customers: tuple[Mapping[str, Any], ...] = ({"name": "club"},),
         keys: Mapping[str, str] | None = None,
+        cold: Mapping[str, float] | None = None,
     ) -> None:
         """Write a version as operators do."""
         keys = {"key-club": "club"} if keys is None else keys
         document = {
             "version": version,
             "routes": routes,
-            "services": ["engine"],
+            "services": {"engine": cold or {}},
             "customers": customers,
             "keys": keys,
         }
@@ -267,6 +271,7 @@
             "slots": engine.slots,
             "draining": draining,
             "started_ms": 1 + engine.restarts,
+            "cold_ms": max(0, engine.cold_until - self.clock.now()),
         }
         self.store.put(RowKey(TABLE_ENGINES, "", engine.name), orjson.dumps(entry))
 
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from goldcreststair.clock import Clock
+from goldcreststair.clock import Clock, Millis
 from goldcreststair.upstreams.dialect import RunCall, RunHead, UpstreamLoad
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, RunSink
@@ -39,6 +39,10 @@
     """Whether it says that it has no room."""
     reset: bool = False
     """Whether it resets each request that reaches it, and runs none."""
+    cold_until: Millis = Millis(0)
+    """Until when it bears few requests; it says so in its answers."""
+    cold_arrivals: list[Millis] = field(default_factory=list)
+    """When requests arrived while it was cold."""
     fail_status: int = 0
     """Answers every run with this status, if any."""
     running: int = 0
@@ -109,6 +113,8 @@
         if engine is None or not engine.up:
             return Err(UpstreamError("cannot connect", UpstreamFailure.CONNECT))
         self.deadlines.append(call.deadline_ms)
+        if engine.cold_until > self.clock.now():
+            engine.cold_arrivals.append(self.clock.now())
         if engine.reset:
             return Err(UpstreamError("connection reset", UpstreamFailure.LOST))
         full = engine.waiting >= engine.queue
@@ -148,7 +154,8 @@
     ) -> Result[RunEnd, UpstreamError]:
         status = engine.fail_status or self.statuses.get(call.request_id, 200)
         load = UpstreamLoad(engine.running, engine.waiting, engine.slots)
-        head = RunHead(status, (("Stamp", engine.name),), False, False, load)
+        cold_ms = max(0, engine.cold_until - self.clock.now())
+        head = RunHead(status, (("Stamp", engine.name),), False, False, load, cold_ms)
         if self.poison and call.body == self.poison:
             self.crashes += 1
             engine.up = False
--- a/tests/components/discovery/test_controller.py
+++ b/tests/components/discovery/test_controller.py
@@ -1,5 +1,7 @@
 """Which upstreams may get work while the store comes and goes."""
 
+import pytest
+
 from goldcreststair.components.discovery.const import LAPSE_GRACE_MS, OUTAGE_MEMORY_MS
 from goldcreststair.components.discovery.controller import DiscoveryController
 from goldcreststair.components.discovery.models import UpstreamEntry
@@ -76,3 +78,25 @@
     assert list_names(controller) == ["new"]
     controller.put(make_entry("old", "x:80", 1))
     assert list_names(controller) == ["new"]
+
+
+@pytest.mark.parametrize(
+    ("words", "cold"),
+    [
+        ([3_000], True),
+        ([3_000, 0], False),
+        ([0, None], False),
+        ([3_000, None], True),
+        ([None], True),
+    ],
+)
+def test_an_upstream_is_cold_by_its_last_word_that_can_be_read(
+    words: list[int | None], cold: bool
+) -> None:
+    """Guards against a field that cannot be read and opens an upstream, or shuts it for good."""
+    clock = ManualClock()
+    controller = DiscoveryController(clock)
+    for word in words:
+        controller.put(UpstreamEntry("u", "s", "u:80", "dc0", 8, False, 1, word))
+    assert ("u" in controller.read().cold_until) == cold
+    assert all(until <= clock.now() + 3_000 for until in controller.read().cold_until.values())
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -171,3 +171,59 @@
     reader, row = EvacuationRows(), RowKey(table, "", key)
     named = reader.decode(row).ok() if reader.is_evacuation(row) else None
     assert named == data_centre
+
+
+BAD_NUMBERS = [-1, "22", True, None, [], float("nan")]
+
+
+def make_entry(**changes: Any) -> bytes:
+    """Return the entry of an upstream, with fields changed; None leaves one out."""
+    entry = {
+        "service": "x",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 0,
+    }
+    return orjson.dumps({k: v for k, v in (entry | changes).items() if v is not None})
+
+
+@pytest.mark.parametrize(
+    ("cold_left_ms", "cold_ms"),
+    [(0, 0), (2500, 2500), (2500.7, 2500), (1e12, 60_000)] + [(bad, None) for bad in BAD_NUMBERS],
+)
+def test_how_long_an_upstream_is_cold(cold_left_ms: Any, cold_ms: int | None) -> None:
+    """Guards against an upstream that is taken for gone, or for warm, by one field that is wrong."""
+    decoded = UpstreamEntries().decode("u", make_entry(cold_left_ms=cold_left_ms)).unwrap()
+    assert decoded.cold_ms == cold_ms
+
+
+@pytest.mark.parametrize(
+    ("fields", "terms"),
+    [
+        ({}, (0.0, 0)),
+        ({"cold_per_s": 22.0, "cold_start_s": 3.0}, (22.0, 3_000)),
+        ({"cold_start_s": 3.0}, (1.0, 3_000)),
+        ({"cold_per_s": 22.0}, (22.0, 10_000)),
+        ({"cold_per_s": 22.0, "cold_start_s": 1e9}, (22.0, 60_000)),
+    ]
+    + [({"cold_per_s": bad, "cold_start_s": 3.0}, (1.0, 3_000)) for bad in BAD_NUMBERS]
+    + [({"cold_per_s": 22.0, "cold_start_s": bad}, (22.0, 10_000)) for bad in BAD_NUMBERS],
+)
+def test_what_cold_upstreams_of_a_service_bear(
+    fields: dict[str, Any], terms: tuple[float, int]
+) -> None:
+    """Guards against a catalogue that is refused whole, or cold upstreams left unbounded, by one wrong field."""
+    document = copy.deepcopy(DOCUMENT)
+    document["services"][0].update(fields)
+    service = OperatorDocuments().decode(orjson.dumps(document)).unwrap().services["x"]
+    assert (service.cold_per_s, service.cold_start_ms) == terms
+
+
+def test_a_wrong_field_is_logged_once(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a line for each heartbeat of an upstream."""
+    reader = UpstreamEntries()
+    for _ in range(3):
+        reader.decode("u", make_entry(cold_left_ms="soon"))
+    assert [record.message for record in caplog.records] == ["Field is no number of at least 0"]
