Keep requests in the regions that their route and customer allow

Cause: routes and customers may name the regions in which their requests may be handled. Nothing read them: an overflow, a retry, a job taken over or passed on, and a caller's address question went wherever there was room.

Change: routes and customers carry their regions; where both name some, both bind. Placement, also for batch, leaves other regions' upstreams out; jobs are taken over and submissions passed on only inside; addresses are those of the caller's own region or of the regions that all routes of the host allow, and none where there is no such VM. What has no upstream inside is refused at once as not run. The region of each data centre comes with the settings.

--- a/goldcreststair/components/catalogue/models.py
+++ b/goldcreststair/components/catalogue/models.py
@@ -68,6 +68,8 @@
     priority: int = 0
     """0 is the most urgent."""
     batch: BatchTerms | None = None
+    regions: frozenset[str] = frozenset()
+    """Where its requests may be handled; empty for everywhere."""
 
     @property
     def repeatable(self) -> bool:
@@ -105,6 +107,8 @@
     """Requests that may come at once on top of the rate."""
     priority: int | None = None
     """Goes before the priority of a route; None if the customer has none."""
+    regions: frozenset[str] = frozenset()
+    """Where its requests may be handled; empty for everywhere."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/entry/addresses.py
+++ b/goldcreststair/components/entry/addresses.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 from typing import Final
 
+from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.fleet.models import FleetVm
 
 MAX_ADDRESSES: Final = 64
@@ -18,9 +19,18 @@
 
 
 def choose_addresses(
-    ready: Sequence[FleetVm], data_centre: str, region: str, chance: random.Random
+    ready: Sequence[FleetVm],
+    data_centre: str,
+    region: str,
+    chance: random.Random,
+    allowed: Regions = None,
 ) -> list[str]:
-    """Return the addresses for a caller, nearest first."""
+    """Return the addresses for a caller in a data centre and region, the nearest that leave a choice.
+
+    Only VMs of the caller's own region and of those `allowed` may be named.
+    """
+    if allowed is not None:
+        ready = [vm for vm in ready if vm.region == region or vm.region in allowed]
     near = [vm for vm in ready if vm.data_centre == data_centre]
     if len(near) >= MIN_NEAR:
         return _take(near, chance)
--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -7,6 +7,7 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE
+from goldcreststair.components.catalogue.regions import find_host_regions
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS
 from goldcreststair.components.entry.addresses import choose_addresses
 from goldcreststair.components.fleet.models import FLEET, OWN_STATE, OwnState, VmState
@@ -89,10 +90,11 @@
         """Return whether callers may be sent here."""
         return self._core.blackboard.read(OWN_STATE).state is VmState.READY
 
-    def list_addresses(self, data_centre: str, region: str) -> list[str]:
-        """Return the addresses for a caller; empty if no VM is known to be ready."""
+    def list_addresses(self, data_centre: str, region: str, host: str = "") -> list[str]:
+        """Return the addresses for a caller of a host; empty if no VM is known to be ready."""
         ready = self._core.blackboard.read(FLEET).list_ready()
-        return choose_addresses(ready, data_centre, region, self._core.random)
+        allowed = find_host_regions(self._core.blackboard.read(CATALOGUE), host)
+        return choose_addresses(ready, data_centre, region, self._core.random, allowed)
 
     def leave(self) -> None:
         """Begin a graceful shutdown; asking again changes nothing."""
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.components.catalogue.models import CallKind
+from goldcreststair.components.catalogue.regions import find_request_regions
 from goldcreststair.components.crash_marks.service import CRASH_MARKS
 from goldcreststair.components.forwarding.const import (
     CHECK_TIMEOUT_MS,
@@ -163,7 +164,9 @@
         return bool(self._progress.excluded) and self._left_ms() < MIN_LEFT_MS
 
     def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
-        return PlacementQuery(self._admitted.service, frozenset(excluded), self._admitted.affinity)
+        admitted = self._admitted
+        regions = find_request_regions(admitted.route, admitted.customer)
+        return PlacementQuery(admitted.service, frozenset(excluded), admitted.affinity, regions)
 
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
         entry = placement.upstream
--- a/goldcreststair/components/jobs/desk.py
+++ b/goldcreststair/components/jobs/desk.py
@@ -5,6 +5,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.components.catalogue.models import CATALOGUE
+from goldcreststair.components.catalogue.regions import find_request_regions
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.models import JobKey, ResultPage, Submission
@@ -64,6 +65,7 @@
             items=items.ok_value,
             max_wait_ms=route.batch.max_wait_ms,
             max_waiting_tokens=route.batch.max_waiting_tokens,
+            regions=find_request_regions(route, admitted.customer),
         )
         submitted = await self._jobs.async_submit(submission)
         return submitted.map_err(refuse_job)
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -10,6 +10,7 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Route
+from goldcreststair.components.catalogue.regions import Regions, find_request_regions
 from goldcreststair.components.crash_marks.service import CRASH_MARKS
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.jobs.book import (
@@ -194,9 +195,12 @@
             # It waits until it may be given up: upstreams that it crashes run others' items as well.
             item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
             return True
-        entry = self._find_slot(service, late=ranked.hopeless)
+        customer = catalogue.customers.get(job.key.customer)
+        regions = find_request_regions(route, customer)
+        entry = self._find_slot(service, regions, late=ranked.hopeless)
         if entry is None:
-            full.add(service)
+            if regions is None:
+                full.add(service)
             return False
         runs = Runs(batch=1, late=int(ranked.hopeless))
         if service in self._starts:
@@ -214,11 +218,11 @@
         job.routeless_at = now if job.routeless_at is None else job.routeless_at
         return now - job.routeless_at >= ROUTE_GONE_MS
 
-    def _find_slot(self, service: str, *, late: bool) -> UpstreamEntry | None:
+    def _find_slot(self, service: str, regions: Regions, *, late: bool) -> UpstreamEntry | None:
         """Return the upstream whose slot an item may take now."""
         if not self._has_part(service):
             return None
-        entry = self._placement.controller.choose_for_batch(service)
+        entry = self._placement.controller.choose_for_batch(service, regions)
         if entry is None or not self._placement.has_connections(entry):
             return None
         return None if late and not self._may_start_late(service) else entry
--- a/goldcreststair/components/jobs/handover.py
+++ b/goldcreststair/components/jobs/handover.py
@@ -70,7 +70,7 @@
 
     async def _async_give(self, job: OwnedJob) -> None:
         """Make another daemon the owner; runs go on until the store has agreed."""
-        session = choose_owner(self._core, job.key)
+        session = choose_owner(self._core, job.key, job.open.route)
         if not session:
             return
         unsaved = list_unsaved(job, all_of_it=True)
--- a/goldcreststair/components/jobs/models.py
+++ b/goldcreststair/components/jobs/models.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.jobs.const import TABLE_PROGRESS, TABLE_RESULTS
 from goldcreststair.store.rows import RowKey
 
@@ -111,6 +112,8 @@
     max_wait_ms: int
     max_waiting_tokens: int
     """The customer's limit on this route; 0 for none."""
+    regions: Regions = None
+    """Where it may be handled."""
 
     @property
     def tokens(self) -> int:
--- a/goldcreststair/components/jobs/remote.py
+++ b/goldcreststair/components/jobs/remote.py
@@ -1,11 +1,12 @@
 """Calls about jobs that another daemon makes for this one, as the store turns this VM away."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Final
 
 from result import Err, Ok, Result
 
+from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.fleet.asks import AskKind
 from goldcreststair.components.fleet.protocols import FleetLinks
 from goldcreststair.components.jobs.codec import decode_items, encode_items
@@ -27,10 +28,16 @@
 class RemoteJobs:
     """Implements `Jobs` by asking daemons whose store answers."""
 
-    def __init__(self, links: FleetLinks, choose: Callable[[list[str]], str]) -> None:
-        """Ask over `links`; `choose` picks one of several sessions."""
+    def __init__(
+        self,
+        links: FleetLinks,
+        choose: Callable[[list[str]], str],
+        keep_inside: Callable[[Iterable[str], Regions], list[str]],
+    ) -> None:
+        """Ask over `links`; `choose` picks one of the sessions that `keep_inside` finds in some regions."""
         self._links = links
         self._choose = choose
+        self._keep_inside = keep_inside
 
     @property
     def is_there(self) -> bool:
@@ -50,7 +57,7 @@
             submission.max_wait_ms,
             submission.max_waiting_tokens,
         )
-        return (await self._async_ask(call)).map(lambda _: None)
+        return (await self._async_ask(call, submission.regions)).map(lambda _: None)
 
     async def async_read_results(
         self, key: JobKey, position: int, wait_ms: int
@@ -75,10 +82,10 @@
             lambda _: None
         )
 
-    async def _async_ask(self, call: JobCall) -> Result[Any, JobError]:
+    async def _async_ask(self, call: JobCall, regions: Regions = None) -> Result[Any, JobError]:
         error = JobError("the store answers no daemon that is heard")
         for _ in range(MAX_TRIES):
-            sessions = self._links.list_with_store()
+            sessions = self._keep_inside(self._links.list_with_store(), regions)
             if not sessions:
                 break
             asked = await self._links.async_ask(
--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from result import Err
 
 from goldcreststair.components.catalogue.models import CATALOGUE
+from goldcreststair.components.catalogue.regions import Regions, find_job_regions
 from goldcreststair.components.fleet.models import FLEET, Fleet, VmState
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.jobs.const import (
@@ -182,7 +183,7 @@
             self._owner.load(job.key)
 
     async def _async_adopt(self, job: OpenJob) -> None:
-        session = choose_owner(self._core, job.key)
+        session = choose_owner(self._core, job.key, job.route)
         if not session:
             return
         extra = {"job": job.key.job, "before": job.owner, "owner": session}
@@ -210,11 +211,19 @@
                     return
 
 
-def choose_owner(core: GatewayCore, key: JobKey) -> str:
+def choose_owner(core: GatewayCore, key: JobKey, route: str) -> str:
     """Return the session that shall run a job: the same on every daemon that knows the same."""
-    return max(
-        list_able(core), key=lambda session: score(session, key.customer, key.job), default=""
-    )
+    regions = find_job_regions(core.blackboard.read(CATALOGUE), key.customer, route)
+    able = keep_inside(core, list_able(core), regions)
+    return max(able, key=lambda session: score(session, key.customer, key.job), default="")
+
+
+def keep_inside(core: GatewayCore, sessions: Iterable[str], regions: Regions) -> list[str]:
+    """Return the sessions that stand in some regions."""
+    if regions is None:
+        return list(sessions)
+    vms = core.blackboard.read(FLEET).vms
+    return [session for session in sessions if session in vms and vms[session].region in regions]
 
 
 def list_able(core: GatewayCore) -> frozenset[str]:
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -15,6 +15,7 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.catalogue.models import Service
+from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.discovery.models import LiveUpstreams, UpstreamEntry
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.placement.cold import ColdGate
@@ -87,6 +88,8 @@
         self._evacuated: AbstractSet[str] = frozenset()
         """Data centres whose upstreams get no new work."""
         self._services: Mapping[str, Service] = {}
+        self._regions: Mapping[str, str] = {}
+        """Region of each data centre."""
         self.cold = ColdGate(clock)
         self._traits: dict[str, UpstreamTraits] = {}
         self.picture: int | None = None
@@ -121,6 +124,10 @@
         self._evacuated = data_centres
         self._group()
 
+    def take_regions(self, regions: Mapping[str, str]) -> None:
+        """Take the region of each data centre."""
+        self._regions = regions
+
     def take_services(self, services: Mapping[str, Service]) -> None:
         """Take the services that upstreams belong to."""
         self._services = services
@@ -147,7 +154,7 @@
         """Return where an online request had best go."""
         fitting = self._list_fitting(query)
         if not fitting:
-            return Err(self._explain_none(query.service))
+            return Err(self._explain_none(query))
         open_ones = self._prefer_open(fitting)
         if not open_ones:
             until = min(max(s.down_until, s.shed_until) for s in fitting)
@@ -163,9 +170,14 @@
         best = min(open_ones, key=lambda state: self._cost(state, favourite))
         return Ok(self._place(best))
 
-    def _explain_none(self, service: str) -> NoPlace:
-        others = (s for s in self._states.values() if s.entry.service == service)
-        if any(state.entry.data_centre in self._evacuated for state in others):
+    def _explain_none(self, query: PlacementQuery) -> NoPlace:
+        service = query.service
+        others = [s for s in self._states.values() if s.entry.service == service]
+        inside = [state for state in others if self._is_inside(state, query.regions)]
+        if others and not inside:
+            message = f"no upstream of {service} stands in a region that is allowed"
+            return NoPlace(message, retry_after_ms=EVACUATED_RETRY_MS)
+        if any(state.entry.data_centre in self._evacuated for state in inside):
             message = f"every data centre with an upstream of {service} is evacuated"
             return NoPlace(message, retry_after_ms=EVACUATED_RETRY_MS)
         return NoPlace(f"no upstream of {service}", known=False)
@@ -215,7 +227,11 @@
         return self.cold.may_send(state.entry.name, self._find_service(state).cold_per_s)
 
     def _list_fitting(self, query: PlacementQuery) -> list[_State]:
-        return [s for s in self._list(query.service) if s.entry.name not in query.excluded]
+        fitting = [s for s in self._list(query.service) if s.entry.name not in query.excluded]
+        return [state for state in fitting if self._is_inside(state, query.regions)]
+
+    def _is_inside(self, state: _State, regions: Regions) -> bool:
+        return regions is None or self._regions.get(state.entry.data_centre) in regions
 
     def _draw(self, states: list[_State], favourite: str) -> _State:
         rooms = [self._read_room(state, favourite) for state in states]
@@ -227,12 +243,12 @@
         slots = self._count_slots(state)
         return Room(slots, runs.online, runs.batch, near, entry.name == favourite)
 
-    def choose_for_batch(self, service: str) -> UpstreamEntry | None:
-        """Return the upstream with most slots that batch may take, or None."""
+    def choose_for_batch(self, service: str, regions: Regions = None) -> UpstreamEntry | None:
+        """Return the upstream in some regions with most slots that batch may take, or None."""
         free_all, slots_all = self.read_idle(service)
         if free_all < slots_all * BATCH_FREE_SHARE:
             return None
-        free = self._list_free_for_batch(service)
+        free = self._list_free_for_batch(service, regions)
         if not free:
             return None
         if self.picture is not None:
@@ -244,10 +260,12 @@
         """Return the slots that batch may take now."""
         return sum(free for _, free in self._list_free_for_batch(service))
 
-    def _list_free_for_batch(self, service: str) -> list[tuple[UpstreamEntry, int]]:
+    def _list_free_for_batch(
+        self, service: str, regions: Regions = None
+    ) -> list[tuple[UpstreamEntry, int]]:
         now = self._clock.now()
         found = []
-        states = self._list(service)
+        states = [state for state in self._list(service) if self._is_inside(state, regions)]
         warm = [state for state in states if not self._is_cold(state)]
         for state in warm or [state for state in states if self._bears_more(state)]:
             shut = max(state.down_until, state.shed_until, state.no_batch_until) > now
--- a/goldcreststair/components/placement/models.py
+++ b/goldcreststair/components/placement/models.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.errors import GoldcreststairError
 
@@ -15,6 +16,8 @@
     """Names of upstreams that it is not placed at."""
     affinity: str = ""
     """Names the beginning of its prompt; empty if nothing is cached for it."""
+    regions: Regions = None
+    """Where its upstream may stand."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -134,6 +134,8 @@
     def _on_fleet(self, fleet: Fleet) -> None:
         if fleet.known:
             self.controller.cold.take_sessions(fleet.own_session, fleet.vms.keys() - fleet.lost)
+        known = {vm.data_centre: vm.region for vm in fleet.vms.values()}
+        self.controller.take_regions(known | self._core.settings.regions)
 
     def _on_evacuations(self, evacuations: Evacuations) -> None:
         self.controller.take_evacuated(evacuations.data_centres)
--- a/goldcreststair/gateway_settings.py
+++ b/goldcreststair/gateway_settings.py
@@ -27,6 +27,9 @@
     data_centre: Annotated[str, Parameter(help="Data centre this VM stands in.")]
     store_address: Annotated[str, Parameter(help="HOST:PORT of the platform's store.")]
     region: Annotated[str, Parameter(help="Region of the data centre.")] = "default"
+    data_centre_regions: Annotated[
+        str, Parameter(help="DATA_CENTRE=REGION of all data centres, joined by commas.")
+    ] = ""
     front: Annotated[str, Parameter(help="HOST:PORT for callers.")] = ""
     entry: Annotated[str, Parameter(help="HOST:PORT for address questions; empty for none.")] = ""
     ready: Annotated[str, Parameter(help="HOST:PORT of the readiness check; empty for none.")] = ""
@@ -43,6 +46,16 @@
         float, Parameter(help="A job stays readable so long after it was submitted, s.")
     ] = 120.0
 
+    @property
+    def regions(self) -> dict[str, str]:
+        """Region of each data centre that is known at the start.
+
+        >>> GatewaySettings("1.2.3.4", "a", "", region="r", data_centre_regions="b=q").regions
+        {'a': 'r', 'b': 'q'}
+        """
+        pairs = (pair.partition("=") for pair in self.data_centre_regions.split(",") if pair)
+        return {self.data_centre: self.region} | {name: region for name, _, region in pairs}
+
     @property
     def seed_addresses(self) -> tuple[str, ...]:
         """The seeds, without this VM itself."""
@@ -73,10 +86,17 @@
         ("grace_s", "" if settings.grace_s > 0 else "must be above 0"),
         ("job_read_s", "" if settings.job_read_s > 0 else "must be above 0"),
         ("log_level", "" if settings.log_level in LOG_LEVELS else f"must be one of {LOG_LEVELS}"),
+        ("data_centre_regions", _check_pairs(settings.data_centre_regions)),
         *(("seeds", check_ip(seed)) for seed in settings.seed_addresses),
     ]
 
 
+def _check_pairs(text: str) -> str:
+    pairs = (pair.split("=") for pair in text.split(",") if pair)
+    wrong = ["=".join(pair) for pair in pairs if len(pair) != 2 or not all(pair)]
+    return f"{wrong[0]!r} is not DATA_CENTRE=REGION" if wrong else ""
+
+
 def _check_endpoint(text: str) -> str:
     if not text:
         return ""
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -60,7 +60,7 @@
         try:
             raw = orjson.loads(document)
             routes = tuple(_read_route(route) for route in raw["routes"])
-            customers = [CatalogueCustomer(**customer) for customer in raw["customers"]]
+            customers = [_read_customer(customer) for customer in raw["customers"]]
             return Ok(
                 Catalogue(
                     raw["version"],
@@ -91,9 +91,14 @@
         max_attempts=raw.get("max_attempts", 2),
         resumable=raw.get("resumable", False),
         batch=BatchTerms(**batch) if batch else None,
+        regions=frozenset(raw.get("regions", ())),
     )
 
 
+def _read_customer(raw: Mapping[str, Any]) -> CatalogueCustomer:
+    return CatalogueCustomer(**{**raw, "regions": frozenset(raw.get("regions", ()))})
+
+
 DEFAULT_ROUTES: Final[tuple[Mapping[str, Any], ...]] = (
     {"prefix": "/stream/", "kind": "streaming", "resumable": True},
     {"prefix": "/once/", "kind": "streaming", "max_attempts": 1},
@@ -231,6 +236,8 @@
     network: FakeNetwork
     datagrams: FakeDatagramNetwork
     engines: RunEngines
+    regions: Mapping[str, str] = field(default_factory=dict)
+    """Region of each data centre; all stand in one if it is empty."""
     members: list[FleetMember] = field(default_factory=list)
     _started: int = 0
     _requests: int = 0
@@ -304,8 +311,15 @@
         number = self._started
         address = address or f"10.0.0.{number}"
         view, datagrams = self.store.view(), self.datagrams.join(address)
+        data_centre = f"dc{number % 3}"
         settings = GatewaySettings(
-            address, f"dc{number % 3}", "10.8.0.1:1", front=f"{address}:80", peer_port=PEER_PORT
+            address,
+            data_centre,
+            "10.8.0.1:1",
+            region=self.regions.get(data_centre, "default"),
+            data_centre_regions=",".join(f"{dc}={name}" for dc, name in self.regions.items()),
+            front=f"{address}:80",
+            peer_port=PEER_PORT,
         )
         meters, contact = Meters(), StoreContact(self.clock)
         adapter = GatewayAdapter(
