Measure overloads of a fleet of many small VMs

Two loads of the shape of 80 VMs before 30 engines: a third of the engines lost in a burst, and all VMs lost at once.

--- a/standins/measure/overload_loads.py
+++ b/standins/measure/overload_loads.py
@@ -4,7 +4,7 @@
 """
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
@@ -137,10 +137,8 @@
     return max(LEAST_EVENTS, round(chance.gauss(ITEM_EVENTS, ITEM_EVENTS / 4)))
 
 
-ENGINE_LOST: Final = (
-    Fault(LOSS_MS, FaultKind.ENGINE_LOST),
-    Fault(LOSS_MS + UNLIST_MS, FaultKind.ENGINE_UNLISTED),
-)
+WIDE_VMS: Final = 80
+WIDE_ENGINES: Final = 30
 ENGINE_SLOW: Final = (
     Fault(PERIOD_MS, FaultKind.ENGINE_SLOW),
     Fault(PERIOD_MS + SLOW_MS, FaultKind.ENGINE_QUICK),
@@ -148,16 +146,41 @@
 VMS_REPLACED: Final = tuple(
     Fault((number + 1) * TURN_MS, FaultKind.VM_REPLACED, number) for number in range(6)
 )
-VMS_LOST: Final = (
-    *(Fault(POWER_MS, FaultKind.VM_LOST, number) for number in range(6)),
-    *(Fault(POWER_MS + DARK_MS, FaultKind.VM_BACK, number) for number in range(6)),
-)
+
+
+def lose_vms(vms: int) -> tuple[Fault, ...]:
+    """Return the faults of a loss of all VMs at once."""
+    return (
+        *(Fault(POWER_MS, FaultKind.VM_LOST, number) for number in range(vms)),
+        *(Fault(POWER_MS + DARK_MS, FaultKind.VM_BACK, number) for number in range(vms)),
+    )
+
+
+def lose_engines(numbers: Iterable[int]) -> tuple[Fault, ...]:
+    """Return the faults of a loss of several engines in a burst."""
+    return tuple(
+        fault
+        for number in numbers
+        for fault in (
+            Fault(LOSS_MS, FaultKind.ENGINE_LOST, number),
+            Fault(LOSS_MS + UNLIST_MS, FaultKind.ENGINE_UNLISTED, number),
+        )
+    )
+
+
+def make_wide_load(name: str, faults: tuple[Fault, ...]) -> Load:
+    """Return a load of a fleet of many small VMs."""
+    return Load(name, 111.0, 1.28, engines=WIDE_ENGINES, vms=WIDE_VMS, seconds=24, faults=faults)
+
+
 LOADS: Final = (
     Load("bursts within capacity"),
     Load("bursts beyond capacity", engines=4, jobs_per_s=0.7),
-    Load("an engine lost in a burst", engines=5, jobs_per_s=0.8, faults=ENGINE_LOST),
+    Load("an engine lost in a burst", engines=5, jobs_per_s=0.8, faults=lose_engines([0])),
     Load("one engine of six slow", jobs_per_s=0.6, faults=ENGINE_SLOW),
     Load("VMs replaced in turn", engines=4, jobs_per_s=0.7, faults=VMS_REPLACED),
-    Load("all VMs lost at once", engines=5, jobs_per_s=0.8, faults=VMS_LOST),
+    Load("all VMs lost at once", engines=5, jobs_per_s=0.8, faults=lose_vms(6)),
     Load("six times the jobs", jobs_per_s=2.0, seconds=18),
+    make_wide_load("80 VMs, a third of the engines lost", lose_engines(range(0, WIDE_ENGINES, 3))),
+    make_wide_load("80 VMs, all lost at once", lose_vms(WIDE_VMS)),
 )
