Take callers' connections while a daemon is loaded

Callers saw, after a loss of all VMs: attempts refused for as long as the daemons load their modules, and with one attempt more at most, no answer at all.

Cause: the address of the callers was opened after all modules were loaded (0.5 s of processor time on this machine, with other work beside it) and the first components were set up.

Change: the address of the settings file is opened before anything else is loaded; connections wait there and are read once the daemon is ready, or 300 ms after it could serve. Flags and variables go before the file, as before.

Evidence: tests/platform_adapter/test_reception.py holds a daemon's loading and sends it a request; before, its connection was refused until the daemon had been loaded.

Weighed: the address questions' port as well: refused there, a caller asks the next VM at once; taken, it waits.

--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -26,6 +26,9 @@
 END_SHARE: Final = 0.9
 """Part of the grace after which a leaving daemon ends, whatever still runs."""
 DRAIN_CHECK_MS: Final = 50
+START_WAIT_MS: Final = 300
+"""Longest time that a daemon which has just started leaves its first callers waiting."""
+START_LOOK_MS: Final = 5
 KEPT_LIFETIMES: Final = 3
 """Callers keep an answer for up to so many of its lifetimes."""
 
@@ -90,6 +93,16 @@
         """Return whether callers may be sent here."""
         return self._core.blackboard.read(OWN_STATE).state is VmState.READY
 
+    async def async_await_ready(self) -> None:
+        """Return once callers may be sent here, or after a short while.
+
+        Callers who came while the daemon was loaded would else be refused for the few ms that its
+        first reads of the store take.
+        """
+        ends_at = self._core.clock.now() + START_WAIT_MS
+        while not (self.is_ready() or self.leaving) and self._core.clock.now() < ends_at:
+            await self._core.clock.async_sleep(START_LOOK_MS)
+
     def list_addresses(self, data_centre: str, region: str, host: str = "") -> list[str]:
         """Return the addresses for a caller of a host; empty if no VM is known to be ready."""
         ready = self._core.blackboard.read(FLEET).list_ready()
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -3,20 +3,61 @@
 The number of series is bounded: labels are kinds, outcomes and codes, never customers or ids.
 """
 
-from typing import Final
-
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.openmetrics.exposition import CONTENT_TYPE_LATEST, generate_latest
+from bisect import bisect_left
+from collections import defaultdict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
 
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.statistics import NullStatistics, Statistics
 
+if TYPE_CHECKING:
+    from prometheus_client import Metric
+
 PREFIX: Final = "goldcreststair"
 SECONDS: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0)
 """Bounds of times that callers wait; 0.3 s is the objective of the first event in use today."""
 SHORT_SECONDS: Final = (0.001, 0.002, 0.005, 0.01, 0.025, 0.1, 0.5, 2.0)
 """Bounds of calls of the store and of pauses of the loop."""
-CONTENT_TYPE: Final = CONTENT_TYPE_LATEST
+CONTENT_TYPE: Final = "application/openmetrics-text; version=1.0.0; charset=utf-8"
+
+Labels = tuple[str, ...]
+
+
+@dataclass(slots=True)
+class _Counts:
+    """Counters of one name."""
+
+    text: str
+    labels: Labels = ()
+    values: dict[Labels, float] = field(default_factory=lambda: defaultdict(float))
+
+
+@dataclass(slots=True)
+class _Times:
+    """Histograms of one name, in seconds."""
+
+    text: str
+    bounds: tuple[float, ...]
+    labels: Labels = ()
+    sums: dict[Labels, float] = field(default_factory=lambda: defaultdict(float))
+    counts: dict[Labels, list[int]] = field(default_factory=dict)
+    """By labels: how many lie up to each bound and above the one before; the last ones lie above all."""
+
+    def observe(self, labels: Labels, value_s: float) -> None:
+        """Record one time."""
+        counts = self.counts.setdefault(labels, [0] * (len(self.bounds) + 1))
+        counts[bisect_left(self.bounds, value_s)] += 1
+        self.sums[labels] += value_s
+
+    def list_buckets(self, labels: Labels) -> list[tuple[str, int]]:
+        """Return how many times lie up to each bound."""
+        total, buckets = 0, []
+        for bound, count in zip((*self.bounds, "+Inf"), self.counts[labels], strict=True):
+            total += count
+            buckets.append((str(bound), total))
+        return buckets
 
 
 class Meters:
@@ -25,131 +66,114 @@
     def __init__(self, statistics: Statistics | None = None) -> None:
         """Start at zero; counts go to `statistics` as well."""
         self._statistics = statistics or NullStatistics()
-        registry = CollectorRegistry()
-        self._registry = registry
-        self._requests = Counter(
-            f"{PREFIX}_requests",
-            "Requests by route kind and outcome.",
-            ["kind", "outcome"],
-            registry=registry,
-        )
-        self._first = Histogram(
-            f"{PREFIX}_first_event_seconds",
-            "From a request's arrival to its first event.",
-            ["kind"],
-            buckets=SECONDS,
-            registry=registry,
-        )
-        self._expected = Histogram(
-            f"{PREFIX}_expected_first_event_seconds",
-            "The same, as placement expected it.",
-            buckets=SECONDS,
-            registry=registry,
-        )
-        self._retries = Counter(
-            f"{PREFIX}_retries",
-            "Runs that another one followed, by failure.",
-            ["failure"],
-            registry=registry,
-        )
-        self._given_up = Counter(
-            f"{PREFIX}_given_up",
-            "Requests whose last run failed, by failure.",
-            ["failure"],
-            registry=registry,
-        )
-        self._items = Counter(
-            f"{PREFIX}_batch_items",
-            "Batch items by what became of a run.",
-            ["outcome"],
-            registry=registry,
-        )
-        self._jobs = Counter(
-            f"{PREFIX}_batch_jobs",
-            "Batch jobs by what became of them here.",
-            ["outcome"],
-            registry=registry,
-        )
-        self._store = Histogram(
-            f"{PREFIX}_store_call_seconds",
-            "Calls of the platform's store.",
-            ["call", "outcome"],
-            buckets=SHORT_SECONDS,
-            registry=registry,
-        )
-        self._pauses = Histogram(
-            f"{PREFIX}_loop_pause_seconds",
-            "How late the loop's ticks came.",
-            buckets=SHORT_SECONDS,
-            registry=registry,
-        )
-        self._gauges = {
-            name: Gauge(f"{PREFIX}_{name}", text, registry=registry)
-            for name, text in GAUGES.items()
+        self._counts = {
+            "requests": _Counts("Requests by route kind and outcome.", ("kind", "outcome")),
+            "retries": _Counts("Runs that another one followed, by failure.", ("failure",)),
+            "given_up": _Counts("Requests whose last run failed, by failure.", ("failure",)),
+            "batch_items": _Counts("Batch items by what became of a run.", ("outcome",)),
+            "batch_jobs": _Counts("Batch jobs by what became of them here.", ("outcome",)),
+            "log_lines_dropped": _Counts("Log lines dropped for a slow reader."),
         }
-        self._lines = Counter(
-            f"{PREFIX}_log_lines_dropped",
-            "Log lines dropped for a slow reader.",
-            registry=registry,
-        )
+        self._times = {
+            "first_event_seconds": _Times(
+                "From a request's arrival to its first event.", SECONDS, ("kind",)
+            ),
+            "expected_first_event_seconds": _Times("The same, as placement expected it.", SECONDS),
+            "store_call_seconds": _Times(
+                "Calls of the platform's store.", SHORT_SECONDS, ("call", "outcome")
+            ),
+            "loop_pause_seconds": _Times("How late the loop's ticks came.", SHORT_SECONDS),
+        }
+        self._gauges = dict.fromkeys(GAUGES, 0.0)
+        # Series without labels are shown from the start, as monitoring expects.
+        self._counts["log_lines_dropped"].values[()] = 0.0
 
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request's final answer."""
-        self._requests.labels(kind, outcome).inc()
+        self._counts["requests"].values[kind, outcome] += 1
         self._statistics.count(f"requests.{kind}.{outcome}")
 
     def observe_first_event(self, kind: str, value_ms: int) -> None:
         """Record a request's time to its first event, ms."""
-        self._first.labels(kind).observe(value_ms / MS_PER_SECOND)
+        self._times["first_event_seconds"].observe((kind,), value_ms / MS_PER_SECOND)
         self._statistics.record_ms(f"first_event.{kind}", value_ms)
 
     def observe_expected(self, value_ms: float) -> None:
         """Record the time to the first event that placement expected, ms."""
-        self._expected.observe(value_ms / MS_PER_SECOND)
+        self._times["expected_first_event_seconds"].observe((), value_ms / MS_PER_SECOND)
 
     def count_retry(self, failure: str) -> None:
         """Count a run that another one follows."""
-        self._retries.labels(failure).inc()
+        self._counts["retries"].values[(failure,)] += 1
         self._statistics.count(f"retries.{failure}")
 
     def count_given_up(self, failure: str) -> None:
         """Count a request that no run follows."""
-        self._given_up.labels(failure).inc()
+        self._counts["given_up"].values[(failure,)] += 1
         self._statistics.count(f"given_up.{failure}")
 
     def count_item(self, outcome: str) -> None:
         """Count what became of a run of a batch item."""
-        self._items.labels(outcome).inc()
+        self._counts["batch_items"].values[(outcome,)] += 1
         self._statistics.count(f"batch_items.{outcome}")
 
     def count_job(self, outcome: str) -> None:
         """Count what became of a batch job here."""
-        self._jobs.labels(outcome).inc()
+        self._counts["batch_jobs"].values[(outcome,)] += 1
         self._statistics.count(f"batch_jobs.{outcome}")
 
     def observe_store(self, call: str, outcome: str, value_ms: float) -> None:
         """Record a call of the store, ms."""
-        self._store.labels(call, outcome).observe(value_ms / MS_PER_SECOND)
+        self._times["store_call_seconds"].observe((call, outcome), value_ms / MS_PER_SECOND)
         self._statistics.record_ms(f"store.{call}.{outcome}", value_ms)
 
     def observe_pause(self, value_ms: float) -> None:
         """Record how late a tick of the loop came, ms."""
-        self._pauses.observe(value_ms / MS_PER_SECOND)
+        self._times["loop_pause_seconds"].observe((), value_ms / MS_PER_SECOND)
 
     def set_gauge(self, name: str, value: float) -> None:
-        """Set one of `GAUGES`."""
-        self._gauges[name].set(value)
+        """Set one of `GAUGES`; raises `KeyError` for another name."""
+        if name not in self._gauges:
+            raise KeyError(name)
+        self._gauges[name] = value
         self._statistics.set_gauge(name, value)
 
     def count_dropped_lines(self, lines: int) -> None:
         """Count log lines that were dropped."""
-        self._lines.inc(lines)
+        self._counts["log_lines_dropped"].values[()] += lines
 
     def render(self) -> bytes:
         """Return the page in the OpenMetrics format."""
-        page: bytes = generate_latest(self._registry)  # type: ignore[no-untyped-call]
+        # Imported with the first page: a daemon that starts again is awaited by callers.
+        from prometheus_client import CollectorRegistry
+        from prometheus_client.openmetrics.exposition import generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        page: bytes = generate_latest(registry)  # type: ignore[no-untyped-call]
         return page
 
+    def collect(self) -> "Iterator[Metric]":
+        """Yield all series, as the library's collectors do."""
+        from prometheus_client import metrics_core as core
+
+        for name, counts in self._counts.items():
+            counter = core.CounterMetricFamily(
+                f"{PREFIX}_{name}", counts.text, labels=counts.labels
+            )
+            for labels, value in counts.values.items():
+                counter.add_metric(labels, value)
+            yield counter
+        for name, times in self._times.items():
+            histogram = core.HistogramMetricFamily(
+                f"{PREFIX}_{name}", times.text, labels=times.labels
+            )
+            for labels in times.counts:
+                histogram.add_metric(labels, times.list_buckets(labels), times.sums[labels])
+            yield histogram
+        for name, value in self._gauges.items():
+            yield core.GaugeMetricFamily(f"{PREFIX}_{name}", GAUGES[name], value=value)
+
 
 GAUGES: Final = {
     "catalogue_version": "Version of the catalogue in force.",
--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -11,6 +11,7 @@
 from tornado.httpserver import HTTPServer
 from users_platform.callers import CallerServer
 from users_platform.entry import create_entry_application
+from users_platform.reception import listen
 
 from goldcreststair.clock import BootClock
 from goldcreststair.components.entry.service import ENTRY
@@ -221,7 +222,7 @@
     await gateway.async_start()
     callers = CallerServer(gateway.core)
     gateway.core.get(ENTRY).add_leaver(callers)
-    callers.start("127.0.0.1", int(front.rpartition(":")[2]))
+    callers.start(listen("127.0.0.1", int(front.rpartition(":")[2])))
     entry = HTTPServer(create_entry_application(gateway.core))
     entry.listen(int(entry_address.rpartition(":")[2]), "127.0.0.1")
     await async_wait_ready(gateway)
--- /dev/null
+++ b/tests/platform_adapter/test_reception.py
@@ -0,0 +1,92 @@
+"""Connections that come while a daemon is loaded."""
+
+import http.client
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from users_platform.reception import choose_reception, listen, open_reception
+
+from tests.platform_adapter.local import find_port
+
+ROOT = Path(__file__).parents[2]
+HELD = """
+import pathlib, runpy, sys, time
+GATE = pathlib.Path(sys.argv.pop())
+class Gate:
+    def find_spec(self, name, path=None, target=None):
+        while name == "cyclopts" and not GATE.exists():
+            time.sleep(0.01)
+sys.meta_path.insert(0, Gate())
+sys.argv = ["serve.py"]
+runpy.run_path("platform/serve.py", run_name="__main__")
+"""
+"""Runs the daemon, but loads no further than its first library until a file exists."""
+LIMIT_S = 30.0
+
+
+def write_settings(path: Path, front: str) -> Path:
+    """Write the settings of a daemon whose store does not answer."""
+    values = {
+        "address": "127.0.0.1",
+        "data_centre": "a",
+        "store_address": f"127.0.0.1:{find_port()}",
+        "front": front,
+    }
+    lines = [f'{name} = "{value}"' for name, value in values.items()]
+    path.write_text("\n".join([*lines, f"peer_port = {find_port()}"]))
+    return path
+
+
+def test_a_caller_who_comes_while_the_daemon_is_loaded_is_answered(tmp_path: Path) -> None:
+    """Guards against callers whose attempts are all refused in the moment all VMs start again."""
+    port, gate = find_port(), tmp_path / "gate"
+    settings = write_settings(tmp_path / "settings.toml", f"127.0.0.1:{port}")
+    command = [sys.executable, "-c", HELD, str(gate)]
+    variables = os.environ | {"GOLDCRESTSTAIR_BOOT": str(settings), "PYTHONPATH": "platform"}
+    process = subprocess.Popen(command, cwd=ROOT, env=variables, stdout=subprocess.DEVNULL)
+    try:
+        caller = http.client.HTTPConnection("127.0.0.1", port, timeout=LIMIT_S)
+        ends_at = time.monotonic() + LIMIT_S
+        while caller.sock is None and time.monotonic() < ends_at:
+            try:
+                caller.connect()
+            except ConnectionRefusedError:
+                time.sleep(0.01)
+        caller.request("POST", "/x/", b"", {"Request-Id": "r", "Deadline-Ms": "20000"})
+        gate.touch()
+        assert caller.getresponse().status == 503
+    finally:
+        process.kill()
+        process.wait()
+
+
+@pytest.mark.parametrize(
+    "text", ["", "front = 7", 'front = "127.0.0.1"', 'front = "127.0.0.1:x"', "front = [", None]
+)
+def test_settings_that_name_no_address_open_nothing(tmp_path: Path, text: str | None) -> None:
+    """Guards against a daemon that ends before its settings' check can say what is wrong."""
+    path = tmp_path / "settings.toml"
+    if text is not None:
+        path.write_text(text)
+    assert open_reception(str(path)) is None
+
+
+@pytest.mark.parametrize("same", [True, False])
+def test_flags_go_before_the_settings_file(tmp_path: Path, same: bool) -> None:
+    port, other = find_port(), find_port()
+    early = open_reception(str(write_settings(tmp_path / "s", f"127.0.0.1:{port}")))
+    assert early is not None
+    chosen = choose_reception(early, "127.0.0.1", port if same else other)
+    assert (chosen is early) == same and (early.fileno() < 0) != same
+    chosen.close()
+
+
+def test_an_address_in_use_is_an_error() -> None:
+    taken = listen("127.0.0.1", find_port())
+    with pytest.raises(OSError):
+        listen(*taken.getsockname())
+    taken.close()
