--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -7,8 +7,9 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 
+from goldcreststair.http_connection import AnswerHooks
 from goldcreststair.http_exchange import Exchange, ExchangeError, ExchangeFailure
-from goldcreststair.http_pool import AnswerHooks, ConnectionPool
+from goldcreststair.http_pool import ConnectionPool
 from goldcreststair.upstreams.dialect import RunCall, RunHead, UpstreamDialect
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
