Load less before a daemon serves

Change: the settings file is read without the command line's library where it alone gives the settings; flags, variables and whatever is doubtful go the old way and are told in the old words.

--- a/goldcreststair/core.py
+++ b/goldcreststair/core.py
@@ -4,18 +4,20 @@
 
 import random
 from dataclasses import dataclass, field
-from typing import Any, Generic, Protocol, TypeVar
-
-from tornado.routing import Rule
-
-from goldcreststair.blackboard import Blackboard
-from goldcreststair.clock import Clock
-from goldcreststair.journal import Journal
-from goldcreststair.settings import Settings
-from goldcreststair.statistics import Statistics
-from goldcreststair.store.protocols import Platform
-from goldcreststair.transport import PeerTransport
-from goldcreststair.upstreams.protocols import UpstreamClients
+from typing import TYPE_CHECKING, Any, Generic, Protocol, TypeVar
+
+if TYPE_CHECKING:
+    # The gateway daemon uses only the registry, and has to start quickly.
+    from tornado.routing import Rule
+
+    from goldcreststair.blackboard import Blackboard
+    from goldcreststair.clock import Clock
+    from goldcreststair.journal import Journal
+    from goldcreststair.settings import Settings
+    from goldcreststair.statistics import Statistics
+    from goldcreststair.store.protocols import Platform
+    from goldcreststair.transport import PeerTransport
+    from goldcreststair.upstreams.protocols import UpstreamClients
 
 T = TypeVar("T")
 
--- a/goldcreststair/gateway_settings.py
+++ b/goldcreststair/gateway_settings.py
@@ -1,12 +1,12 @@
 """The gateway daemon's settings, from flags, environment variables and a file; checked at start."""
 
-from dataclasses import dataclass
-from typing import Annotated, Final
+import tomllib
+from dataclasses import dataclass, fields
+from typing import Any, Final
 
-from cyclopts import Parameter
 from result import Err, Ok, Result
 
-from goldcreststair.settings import (
+from goldcreststair.helpers.settings import (
     LOG_LEVELS,
     MAX_PORT,
     SettingsError,
@@ -16,35 +16,49 @@
 
 DEFAULT_PEER_PORT: Final = 8081
 DEFAULT_MEMORY_MB: Final = 340
+REQUIRED: Final = frozenset(("address", "data_centre", "store_address"))
 
 
-@Parameter(name="*")
 @dataclass(frozen=True)
 class GatewaySettings:
     """Everything a gateway daemon is told at its start; all else is in the store."""
 
-    address: Annotated[str, Parameter(help="IP number of this VM, as others reach it.")]
-    data_centre: Annotated[str, Parameter(help="Data centre this VM stands in.")]
-    store_address: Annotated[str, Parameter(help="HOST:PORT of the platform's store.")]
-    region: Annotated[str, Parameter(help="Region of the data centre.")] = "default"
-    data_centre_regions: Annotated[
-        str, Parameter(help="DATA_CENTRE=REGION of all data centres, joined by commas.")
-    ] = ""
-    front: Annotated[str, Parameter(help="HOST:PORT for callers.")] = ""
-    entry: Annotated[str, Parameter(help="HOST:PORT for address questions; empty for none.")] = ""
-    ready: Annotated[str, Parameter(help="HOST:PORT of the readiness check; empty for none.")] = ""
-    peer_port: Annotated[int, Parameter(help="Port for other daemons.")] = DEFAULT_PEER_PORT
-    metrics_port: Annotated[int, Parameter(help="Port of the metrics page; 0 for none.")] = 0
-    seeds: Annotated[str, Parameter(help="IP numbers of some daemons, joined by commas.")] = ""
-    memory_mb: Annotated[int, Parameter(help="Memory of this process.")] = DEFAULT_MEMORY_MB
-    log_level: Annotated[str, Parameter(help="debug, info, warning or error.")] = "info"
-    statsd_address: Annotated[str, Parameter(help="HOST:PORT of statsd; empty for none.")] = ""
-    seed: Annotated[int, Parameter(help="Seed of random choices; 0 takes a fresh one.")] = 0
-    answer_ttl_s: Annotated[int, Parameter(help="How long callers may keep addresses, s.")] = 1
-    grace_s: Annotated[float, Parameter(help="Time from SIGTERM to a kill, s.")] = 8.0
-    job_read_s: Annotated[
-        float, Parameter(help="A job stays readable so long after it was submitted, s.")
-    ] = 120.0
+    address: str
+    """IP number of this VM, as others reach it."""
+    data_centre: str
+    """Data centre this VM stands in."""
+    store_address: str
+    """HOST:PORT of the platform's store."""
+    region: str = "default"
+    """Region of the data centre."""
+    data_centre_regions: str = ""
+    """DATA_CENTRE=REGION of all data centres, joined by commas."""
+    front: str = ""
+    """HOST:PORT for callers."""
+    entry: str = ""
+    """HOST:PORT for address questions; empty for none."""
+    ready: str = ""
+    """HOST:PORT of the readiness check; empty for none."""
+    peer_port: int = DEFAULT_PEER_PORT
+    """Port for other daemons."""
+    metrics_port: int = 0
+    """Port of the metrics page; 0 for none."""
+    seeds: str = ""
+    """IP numbers of some daemons, joined by commas."""
+    memory_mb: int = DEFAULT_MEMORY_MB
+    """Memory of this process."""
+    log_level: str = "info"
+    """debug, info, warning or error."""
+    statsd_address: str = ""
+    """HOST:PORT of statsd; empty for none."""
+    seed: int = 0
+    """Seed of random choices; 0 takes a fresh one."""
+    answer_ttl_s: int = 1
+    """How long callers may keep addresses, s."""
+    grace_s: float = 8.0
+    """Time from SIGTERM to a kill, s."""
+    job_read_s: float = 120.0
+    """A job stays readable so long after it was submitted, s."""
 
     @property
     def regions(self) -> dict[str, str]:
@@ -63,6 +77,21 @@
         return tuple(seed for seed in seeds if seed and seed != self.address)
 
 
+def read_settings_text(text: str) -> GatewaySettings | None:
+    """Return the settings that a TOML text gives in full, or None where the command line has to judge."""
+    try:
+        values: dict[str, Any] = tomllib.loads(text)
+    except tomllib.TOMLDecodeError:
+        return None
+    types = {field.name: field.type for field in fields(GatewaySettings)}
+    for name, value in values.items():
+        if types.get(name) is float and type(value) is int:
+            values[name] = float(value)
+        elif type(value) is not types.get(name):
+            return None
+    return GatewaySettings(**values) if values.keys() >= REQUIRED else None
+
+
 def check_gateway_settings(settings: GatewaySettings) -> Result[GatewaySettings, SettingsError]:
     """Return the settings, or the first one that cannot be used."""
     for name, problem in _find_problems(settings):
--- a/goldcreststair/settings.py
+++ b/goldcreststair/settings.py
@@ -1,6 +1,5 @@
 """The daemon's settings, from flags and environment variables, checked before anything starts."""
 
-import ipaddress
 from dataclasses import dataclass
 from typing import Annotated, Final
 from urllib.parse import urlsplit
@@ -8,18 +7,15 @@
 from cyclopts import Parameter
 from result import Err, Ok, Result
 
-from goldcreststair.errors import GoldcreststairError
+from goldcreststair.helpers.settings import (
+    LOG_LEVELS,
+    MAX_PORT,
+    SettingsError,
+    check_ip,
+    check_range,
+)
 
 DEFAULT_PARTITIONS: Final = 64
-MAX_PORT: Final = 65535
-LOG_LEVELS: Final = ("debug", "info", "warning", "error")
-
-
-@dataclass(frozen=True, slots=True)
-class SettingsError(GoldcreststairError):
-    """A setting that cannot be used."""
-
-    setting: str = ""
 
 
 @Parameter(name="*")
@@ -66,25 +62,11 @@
     ]
 
 
-def check_ip(text: str) -> str:
-    """Return what is wrong with an IP number, or nothing."""
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return f"{text!r} is not an IP number"
-    return ""
-
-
 def _check_url(text: str) -> str:
     parts = urlsplit(text)
     return "" if parts.scheme in ("http", "https") and parts.hostname else "must be an HTTP URL"
 
 
-def check_range(value: int, low: int, high: int) -> str:
-    """Return what is wrong with a number, or nothing."""
-    return "" if low <= value <= high else f"{value} is not between {low} and {high}"
-
-
 def _check_statsd(text: str) -> str:
     if not text:
         return ""
--- a/tests/platform_adapter/test_reception.py
+++ b/tests/platform_adapter/test_reception.py
@@ -18,7 +18,7 @@
 GATE = pathlib.Path(sys.argv.pop())
 class Gate:
     def find_spec(self, name, path=None, target=None):
-        while name == "cyclopts" and not GATE.exists():
+        while name == "tornado" and not GATE.exists():
             time.sleep(0.01)
 sys.meta_path.insert(0, Gate())
 sys.argv = ["serve.py"]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,11 @@
 import pytest
 from result import Err, Ok
 
+from goldcreststair.gateway_settings import (
+    GatewaySettings,
+    check_gateway_settings,
+    read_settings_text,
+)
 from goldcreststair.settings import Settings, check_settings
 
 GOOD = Settings("127.0.0.1", "dc1", "http://127.0.0.1:8000", "token")
@@ -34,3 +39,42 @@
     checked = check_settings(dataclasses.replace(GOOD, **{setting: value}))
     assert isinstance(checked, Err)
     assert checked.err_value.setting == setting
+
+
+GATEWAY_FILE = """
+address = "127.0.0.1"
+data_centre = "dc1"
+store_address = "127.0.0.1:1"
+front = "127.0.0.1:2"
+grace_s = 8
+"""
+
+
+def test_a_whole_settings_file_is_read_without_the_command_line() -> None:
+    settings = read_settings_text(GATEWAY_FILE)
+    assert settings == GatewaySettings(
+        "127.0.0.1", "dc1", "127.0.0.1:1", front="127.0.0.1:2", grace_s=8.0
+    )
+    assert isinstance(check_gateway_settings(settings), Ok)
+
+
+@pytest.mark.parametrize(
+    "line",
+    ["unknown = 1", "memory_mb = 'much'", "seed = true", "peer_port = 1.5", "region = 7", "["],
+)
+def test_the_command_line_judges_a_settings_file_with_a_doubtful_line(line: str) -> None:
+    """Guards against a wrong setting that is passed over, or told in other words than before."""
+    assert read_settings_text(GATEWAY_FILE + line) is None
+    assert read_settings_text("address = '127.0.0.1'") is None
+
+
+@pytest.mark.parametrize(
+    ("pairs", "good"),
+    [("", True), ("a=r,b=r", True), ("a", False), ("a=", False), ("a=b=c", False)],
+)
+def test_regions_are_pairs(pairs: str, good: bool) -> None:
+    settings = read_settings_text(f'{GATEWAY_FILE}data_centre_regions = "{pairs}"')
+    assert settings is not None
+    checked = check_gateway_settings(settings)
+    assert isinstance(checked, Ok) == good
+    assert good or checked.unwrap_err().setting == "data_centre_regions"
