Tell other data centres' first relays beside the one that spoke

Callers saw, after a loss of all VMs: requests refused within their quota for seconds, as two of three data centres heard nothing of each other.

Cause: as a fleet starts, some daemons follow a relay that ranks first among the few they know. Such a one speaks for its data centre first, so that others tell it, and only it; whom most follow by then is told by nobody. Both ends kept to such a relay until the last one that followed it had turned away and its word had aged.

Change: those that rank first are told as well. Where they are the ones that spoke nothing changes.

--- a/goldcreststair/components/fleet/relays.py
+++ b/goldcreststair/components/fleet/relays.py
@@ -96,7 +96,9 @@
         ranked = self._rank(data_centre)
         if spoke:
             known = [s for s in ranked if s in heard and heard[s] is not VmState.LEAVING]
-            return list(dict.fromkeys([spoke, *known[:RELAYS]]))
+            # Those who spoke first as a fleet starts may be followed by a few for a moment: told alone, they
+            # would keep the word of one data centre from the other's relay.
+            return list(dict.fromkeys([spoke, *known[:RELAYS], *ranked[:RELAYS]]))
         if not ranked:
             return []
         # Nobody speaks for it: its first ones may all be gone. Others are tried in turn.
--- a/tests/components/fleet/test_relays.py
+++ b/tests/components/fleet/test_relays.py
@@ -87,3 +87,14 @@
     assert choice.followed == RANKED[0]
     choice.choose(heard | {RANKED[0]: VmState.LEAVING})
     assert choice.followed == RANKED[1]
+
+
+def test_another_data_centres_first_relays_are_told_beside_one_that_spoke() -> None:
+    """Guards against two data centres that keep each other's word with those whom nobody follows any more."""
+    others = rank_relays([vm for vm in VMS.values() if vm.data_centre != OWN.data_centre])
+    choice = make_choice(ManualClock())
+    transient = others[-1]
+    told = choice.list_remote("dc1", transient, {transient: HEARD})
+    assert told == [transient, *others[:2]]
+    everyone = dict.fromkeys(VMS, HEARD)
+    assert choice.list_remote("dc1", others[0], everyone) == others[:2]
