Evacuate data centres in the soak

Checked: nothing begins there from 5 s after the store's acknowledgement until it is taken back; a planted run is found. One of placement's costs is renamed, as its name read like one of cold upstreams.

--- a/goldcreststair/components/placement/const.py
+++ b/goldcreststair/components/placement/const.py
@@ -16,7 +16,7 @@
 BUSY_MS: Final = 6.0
 """Cost of a full upstream against an empty one, by share of slots taken: with free slots they are
 equally quick, but a full one is sooner overrun by requests that other VMs place meanwhile."""
-COLD_MS: Final = 3.0
+UNCACHED_MS: Final = 3.0
 """Cost of an upstream that is unlikely to cache the prompt's beginning: about 200 tokens read."""
 JITTER_MS: Final = 1.0
 """Keeps VMs that know the same from choosing the same upstream at the same moment."""
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -24,7 +24,6 @@
     BATCH_HOLD_MS,
     BATCH_RESERVE,
     BUSY_MS,
-    COLD_MS,
     COLD_RETRY_MS,
     DEFAULT_FIRST_MS,
     DEFAULT_RUN_MS,
@@ -36,6 +35,7 @@
     OTHER_DATA_CENTRE_MS,
     SHED_MS,
     SMOOTHING,
+    UNCACHED_MS,
     YIELD_MS,
 )
 from goldcreststair.components.placement.loads import RunBook, Runs
@@ -456,7 +456,7 @@
         if state.entry.data_centre != self._data_centre:
             cost += OTHER_DATA_CENTRE_MS
         if favourite and state.entry.name != favourite:
-            cost += COLD_MS
+            cost += UNCACHED_MS
         return cost + JITTER_MS * self._random.random()
 
     def _find_favourite(self, states: list[_State], affinity: str) -> str:
--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -239,13 +239,16 @@
     raise TimeoutError("not ready")
 
 
-def register(store: WireStore, engine: WireEngine, state: str = "ready") -> None:
+def register(
+    store: WireStore, engine: WireEngine, state: str = "ready", zone: str = "dc-a"
+) -> None:
     """Write an engine's entry."""
     entry = {
         "service": "engine",
         "address": engine.address,
-        "zone": "dc-a",
+        "zone": zone,
         "slots": 8,
+        "cold_left_ms": 0,
         "state": state,
         "sequence": 1,
         "born": 1,
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -25,9 +25,15 @@
 from tests.platform_adapter.soak.checker import Violation, find_violations, list_unanswered
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
 from tests.platform_adapter.soak.engine import SoakEngine
-from tests.platform_adapter.soak.faults import Fault, Saboteur, plan_faults
+from tests.platform_adapter.soak.faults import (
+    Fault,
+    PlannedEvacuation,
+    Saboteur,
+    plan_evacuations,
+    plan_faults,
+)
 from tests.platform_adapter.soak.proxy import Proxy
-from tests.platform_adapter.soak.record import Record
+from tests.platform_adapter.soak.record import Evacuation, Record
 from tests.platform_adapter.wire_store import WireStore
 
 app = App(help="Gateway daemons as processes under seeded faults of connections and signals.")
@@ -72,12 +78,26 @@
             await engine.async_close()
         self.store.stop()
 
+    async def async_evacuate(self, planned: Sequence[PlannedEvacuation]) -> None:
+        """Evacuate one data centre after the other, as operators do."""
+        began = time.monotonic()
+        for each in planned:
+            await asyncio.sleep(max(0.0, began + each.at_s - time.monotonic()))
+            number = each.target % len(self.engines)
+            row = RowKey("op", "", f"evacuate/{_name_zone(number)}")
+            self.store.store.put(row, b"{}")
+            seen = Evacuation(self.engines[number].name, time.monotonic())
+            self.record.evacuations.append(seen)
+            await asyncio.sleep(each.lasts_s)
+            seen.until = time.monotonic()
+            self.store.store.drop(row)
+
     async def _async_add_engine(self, name: str) -> None:
         engine = SoakEngine(name, runs=self.record.runs)
         await engine.async_start()
         proxy = await self._async_add_proxy(name, engine.address, keeps=True)
         engine.address = proxy.address
-        register(self.store, engine)
+        register(self.store, engine, zone=_name_zone(len(self.engines)))
         self.engines.append(engine)
 
     async def _async_add_daemon(self, address: str, peer_port: int) -> None:
@@ -95,6 +115,10 @@
         return proxy
 
 
+def _name_zone(number: int) -> str:
+    return f"dc-{'abc'[number % ENGINES]}"
+
+
 @contextlib.asynccontextmanager
 async def async_open_site(folder: Path) -> AsyncIterator[Site]:
     """Start a site, and end it in any case."""
@@ -123,8 +147,10 @@
         async with asyncio.TaskGroup() as tasks:
             for caller in callers:
                 tasks.create_task(caller.async_run(ended))
+            evacuating = tasks.create_task(site.async_evacuate(plan_evacuations(seed, seconds)))
             await saboteur.async_run(faults)
             ended.set()
+            evacuating.cancel()
         await async_read_jobs(site.daemons, site.record, time.monotonic() + LISTED_WITHIN_S)
     return site.record, faults
 
@@ -136,6 +162,7 @@
     excuses = Counter(str(excuse) for _, _, excuse in list_unanswered(record))
     print(f"without a whole answer: {dict(excuses)}")
     print(f"runs: {len(record.runs)}, items: {len(record.accepted)}")
+    print(f"evacuations: {len(record.evacuations)}")
     for violation in violations:
         print(f"BROKEN {violation.promise}: {violation.subject}: {violation.detail}")
 
--- a/tests/platform_adapter/soak/checker.py
+++ b/tests/platform_adapter/soak/checker.py
@@ -21,6 +21,8 @@
 CLOSING_S: Final = 0.6
 """A request that is sent so long before a process ends may cross the close of its connection."""
 LATE_IN_LEAVE_S: Final = 3.0
+EVACUATED_S: Final = 5.0
+"""By when nothing more may reach an upstream of an evacuated data centre."""
 LAST_PART_S: Final = GRACE_S * 5 / 6
 
 
@@ -32,6 +34,7 @@
     ONCE = "once"
     NOT_RUN = "not run"
     LISTED = "listed"
+    EVACUATED = "evacuated"
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +53,7 @@
         *find_wrong_texts(record),
         *find_wrong_runs(record),
         *find_wrong_listings(record),
+        *find_runs_in_evacuations(record),
     ]
 
 
@@ -154,6 +158,19 @@
             yield Violation(Promise.LISTED, item.item, f"{item.job}: text {found[0].text!r}")
 
 
+def find_runs_in_evacuations(record: Record) -> Iterator[Violation]:
+    """Yield runs that began at an upstream after its data centre had been evacuated."""
+    for evacuation in record.evacuations:
+        for run in record.runs:
+            late_s = run.at - evacuation.since
+            if (
+                run.upstream == evacuation.upstream
+                and late_s > EVACUATED_S
+                and run.at < evacuation.until
+            ):
+                yield Violation(Promise.EVACUATED, run.request, f"{run.upstream}, {late_s:.3f} s")
+
+
 def _describe(seen: Exchange) -> str:
     return (
         f"{seen.route} at {seen.daemon}, sent {seen.sent_at:.3f}, ended {seen.ended_at:.3f}, "
--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -17,6 +17,8 @@
 SHORTEST_S: Final = 0.1
 LONGEST_S: Final = 2.0
 LONGEST_DELAY_S: Final = 0.3
+EVACUATION_S: Final = (6.0, 12.0)
+"""Shortest and longest: beyond the time in which all daemons have to know."""
 SHARE: Final = 0.5
 """Part of the open connections that a fault of connections meets."""
 
@@ -62,6 +64,30 @@
     return sorted((fault for faults in series for fault in faults), key=lambda fault: fault.at_s)
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedEvacuation:
+    """One data centre that is evacuated; `target` counts within the upstreams, one in each."""
+
+    at_s: float
+    target: int
+    lasts_s: float
+
+
+def plan_evacuations(seed: int, seconds: float) -> list[PlannedEvacuation]:
+    """Return the evacuations of a seed, one after the other; its other faults are the same with them.
+
+    >>> plan_evacuations(1, 60) == plan_evacuations(1, 60) != plan_evacuations(2, 60)
+    True
+    """
+    chooser, planned = random.Random(f"evacuations {seed}"), []
+    at_s = chooser.uniform(0, MEAN_PAUSE_S)
+    while at_s < seconds:
+        lasts_s = chooser.uniform(*EVACUATION_S)
+        planned.append(PlannedEvacuation(at_s, chooser.randrange(1 << 16), lasts_s))
+        at_s += lasts_s + chooser.uniform(0, 2 * MEAN_PAUSE_S)
+    return planned
+
+
 def _plan_series(chooser: random.Random, seconds: float) -> Iterator[Fault]:
     at_s = chooser.uniform(0, MEAN_PAUSE_S)
     while at_s < seconds:
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -76,6 +76,15 @@
     until: float = float("inf")
 
 
+@dataclass(slots=True)
+class Evacuation:
+    """A time in which an upstream's data centre was evacuated, from the store's acknowledgement on."""
+
+    upstream: str
+    since: float
+    until: float = float("inf")
+
+
 @dataclass(slots=True)
 class Record:
     """All observations of one soak."""
@@ -88,3 +97,4 @@
     kills: list[Signal] = field(default_factory=list)
     stops: list[Signal] = field(default_factory=list)
     absences: list[Absence] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -9,6 +9,7 @@
 from tests.platform_adapter.soak.record import (
     Absence,
     Attempt,
+    Evacuation,
     Exchange,
     Item,
     Record,
@@ -135,3 +136,13 @@
     """An item that was accepted and lost, doubled, shortened or given up would pass."""
     record = Record(attempts=[BROKEN_FIRST] * breaks, accepted=[ITEM], listed=listed)
     assert find_promises(record) == promises
+
+
+@pytest.mark.parametrize(
+    ("at", "promises"),
+    [(9.0, []), (14.9, []), (15.1, [Promise.EVACUATED]), (19.9, [Promise.EVACUATED]), (20.1, [])],
+)
+def test_a_run_in_an_evacuated_data_centre_is_found(at: float, promises: list[Promise]) -> None:
+    """A request that reaches an upstream which operators are about to take away would pass."""
+    record = Record(runs=[Run("r", "i-1", at)], evacuations=[Evacuation("i-1", 10.0, 20.0)])
+    assert find_promises(record) == promises
