Drop what comes of a run after it was given up

Cause: since answers are read by the connection's protocol, and no longer in the asker's task, a piece that lay in the same turn of the loop was still taken after its run had been stopped. The next run had been made by then, with the event before it.

Two tests failed: a piece handled behind a cancellation in one turn was passed on; a piece after an item had given way moved the event after which its next run asked (13 in place of 12).

Change: a connection drops what comes once its asker has an answer, an error or was cancelled; an item's sink is closed in the moment its run is stopped. Looked for elsewhere: streams of callers wait for the end of a run that is left before they ask again.

--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -69,6 +69,7 @@
     began_at: Millis
     first_event: int
     """Events that it had when this run began."""
+    sink: ItemSink | None = None
     task: "asyncio.Task[Result[RunEnd, UpstreamError]] | None" = None
     ended: bool = False
 
@@ -241,7 +242,7 @@
         self._runs[run] = None
         self._placement.begin(name, run.runs)
         controller = self._placement.controller
-        sink = ItemSink(
+        sink = run.sink = ItemSink(
             run.item,
             self._clock,
             lambda head: self._placement.note_head(name, head),
@@ -277,6 +278,8 @@
         if run.ended:
             return
         run.ended = True
+        if run.sink is not None:
+            run.sink.close()
         self._runs.pop(run, None)
         self._placement.end(run.upstream.name, run.runs)
         if run.item.state is ItemState.RUNNING:
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -39,6 +39,11 @@
         self._on_data = on_data
         self._splitter = EventSplitter()
         self._gap = False
+        self._closed = False
+
+    def close(self) -> None:
+        """Take nothing more: the item may go on in another run from here."""
+        self._closed = True
 
     @property
     def is_whole(self) -> bool:
@@ -52,6 +57,8 @@
 
     def take_data(self, chunk: bytes) -> None:
         """Keep the events that this piece completes."""
+        if self._closed:
+            return
         self.progress_at = self._clock.now()
         self._on_data()
         for event in self._splitter.feed(chunk):
--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -178,7 +178,9 @@
     def buffer_updated(self, count: int) -> None:
         """Take what has arrived."""
         reading = self._reading
-        if reading is None or reading.whole:
+        # An asker that was cancelled, or has its error, may have asked elsewhere by now; the connection
+        # is closed only in the next turn of the loop.
+        if reading is None or reading.whole or reading.done.done():
             self._spoiled = True
             return
         try:
--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -1,10 +1,13 @@
 """Runs of items: started in free slots, given up to online work, and started again."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
+from result import Result
 
 from goldcreststair.clock import Millis
+from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.jobs.book import (
     ItemProgress,
     JobBook,
@@ -13,8 +16,11 @@
 )
 from goldcreststair.components.jobs.models import JobItem, JobKey, JobRecord, OpenJob
 from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.upstreams.dialect import RunCall
+from goldcreststair.upstreams.errors import UpstreamError
+from goldcreststair.upstreams.runner import RunEnd, RunSink
 from standins.gateways import DEFAULT_ROUTES, GatewayFleet
-from standins.run_engines import make_text
+from standins.run_engines import make_event, make_text
 from tests.helpers.gateways import async_read, async_send, async_submit, run_fleet
 
 
@@ -219,3 +225,36 @@
         ] * 2
 
     run_fleet(scenario)
+
+
+def test_a_piece_that_comes_after_its_run_gave_way_is_dropped() -> None:
+    """Guards against a text that goes on after an event which the next run was not asked to follow."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (engine,) = fleet.add_engines(1)
+        (member,) = await fleet.async_add_many(1)
+        sinks: list[RunSink] = []
+        run = fleet.engines.async_run
+
+        async def async_run(
+            address: str, call: RunCall, sink: RunSink
+        ) -> Result[RunEnd, UpstreamError]:
+            sinks.append(sink)
+            return await run(address, call, sink)
+
+        member.core.runner = SimpleNamespace(pool=fleet.engines, async_run=async_run)  # type: ignore[assignment]
+        await fleet.clock.async_sleep(1_000)
+        await async_submit(fleet, member, "j", 1)
+        await fleet.clock.async_sleep(400)
+        controller = member.core.get(PLACEMENT).controller
+        before = controller.runs.read_own(hash_name(engine.name)).batch
+        member.core.get(PLACEMENT)._on_yield(engine.name, 1)
+        made = round(sinks[0].events)  # type: ignore[attr-defined]
+        sinks[0].take_data(make_event("j-0", made + 1))
+        await fleet.clock.async_sleep(5_000)
+        assert before == 1 and made > 0
+        assert [call.resume_after for call in engine.ran] == [0, made]
+        (result,) = (await async_read(member, "j")).results
+        assert result.text == make_text("j-0", 20)
+
+    run_fleet(scenario)
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -1,13 +1,14 @@
 """Answers on kept connections, as a server may send them."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
 from result import Err, Ok, Result
 
 from goldcreststair.clock import LoopClock
-from goldcreststair.http_connection import AnswerHooks
+from goldcreststair.http_connection import AnswerHooks, KeptConnection
 from goldcreststair.http_exchange import Answer, Exchange, ExchangeError, ExchangeFailure
 from goldcreststair.http_pool import ConnectionPool
 
@@ -174,3 +175,30 @@
             await ask(AnswerHooks(on_data=take))
 
     run_server(Server(ANSWER), scenario)
+
+
+def test_a_piece_that_comes_after_its_asker_was_cancelled_is_dropped() -> None:
+    """Guards against the last piece of a run that was given up, in a text that goes on elsewhere by then."""
+
+    async def async_run() -> None:
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        connection = KeptConnection(ours)
+        loop = asyncio.get_running_loop()
+        await loop.create_connection(lambda: connection, sock=ours)
+        taken: list[bytes] = []
+        hooks = AnswerHooks(on_data=taken.append)
+        asking = asyncio.ensure_future(connection.async_ask(Exchange("", "GET", "/", 1), hooks))
+        await asyncio.sleep(0)
+        theirs.sendall(HEAD + b"1\r\na\r\n")
+        await asyncio.sleep(0.02)
+        # What has arrived already is handled after the cancellation, in the same turn of the loop.
+        theirs.sendall(b"1\r\nb\r\n")
+        asking.cancel()
+        connection.buffer_updated(ours.recv_into(connection.get_buffer(0)))
+        await asyncio.gather(asking, return_exceptions=True)
+        connection.close()
+        theirs.close()
+        assert taken == [b"a"]
+
+    asyncio.run(async_run())
