--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -242,7 +242,7 @@
             sinks.append(sink)
             return await run(address, call, sink)
 
-        member.core.runner = SimpleNamespace(pool=fleet.engines, async_run=async_run)  # type: ignore[assignment]
+        member.core.runner = SimpleNamespace(pool=fleet.engines, async_run=async_run)
         await fleet.clock.async_sleep(1_000)
         await async_submit(fleet, member, "j", 1)
         await fleet.clock.async_sleep(400)
