--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -255,6 +255,7 @@
         log_changes(before, fleet)
         if fleet.vms.keys() != before.vms.keys():
             self._relayed.take_vms(fleet.vms)
+            # Callers of a daemon that has just started wait until a relay tells it of the others.
             if not (self._controller.has_mesh() or self._relayed.is_served()):
                 self._relayed.tick()
                 self.announce()
