Split the placement controller into upstreams, batch slots and the choice

Change: `upstream_table.py` keeps the state of each upstream and lists candidates, `batch_slots.py` chooses for batch and preempts, `controller.py` chooses for online requests; callers use `controller.upstreams` and `controller.batch`. `digest_sequence` moves to the run tracker. No decision changes.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -210,7 +210,7 @@
         entry = placement.upstream
         controller = self._placement.controller
         probes = UpstreamProbes(
-            lambda: controller.read_progress(entry.name),
+            lambda: controller.upstreams.read_progress(entry.name),
             lambda: controller.is_silence_conclusive(entry.name),
             lambda: self._core.runner.pool.async_warm(entry.address, CONNECT_CHECK_TIMEOUT_MS),
             self._may_abandon_run,
@@ -268,7 +268,7 @@
             crash_tracker = self._core.get(CRASH_TRACKER)
             crash_tracker.report_lost_run(entry, self._admitted.fingerprint, begun=begun)
         elif error.failure is UpstreamFailure.REFUSED:
-            self._placement.controller.mark_full(entry.name)
+            self._placement.controller.upstreams.mark_full(entry.name)
 
     def _finish_answered(self, end: RunEnd) -> None:
         if end.head.status != STATUS_OK or self._route.kind is not CallKind.STREAMING:
@@ -310,7 +310,7 @@
         self._placement.record_head(self._upstream, head)
 
     def _on_data(self) -> None:
-        self._placement.controller.record_progress(self._upstream)
+        self._placement.controller.upstreams.record_progress(self._upstream)
 
     def _log(self, event: str, reason: str, **details: object) -> None:
         _LOGGER.info(
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -175,14 +175,14 @@
         free slots once per digest.
         """
         controller = self._placement.controller
-        sequence = controller.digest_sequence
+        sequence = controller.runs.digest_sequence
         if sequence is None:
             return True
         if sequence != self._digest_sequence:
             self._digest_sequence = sequence
             self._starts_left.clear()
         if service not in self._starts_left:
-            free = controller.count_free_for_batch(service)
+            free = controller.batch.count_free(service)
             others = self._count_waiting_elsewhere()
             part = allot_starts(free, self.waiting_in_time, others, self._core.random)
             self._starts_left[service] = part
@@ -238,7 +238,7 @@
         """Return an upstream with a slot that an item may take now, or None."""
         if not self._may_start_another(service):
             return None
-        entry = self._placement.controller.choose_for_batch(service, regions)
+        entry = self._placement.controller.batch.choose(service, regions)
         if entry is None or not self._placement.has_connections(entry):
             return None
         return None if late and not self._may_start_late(service) else entry
@@ -248,7 +248,7 @@
 
         Items at other daemons that can be in time have priority, unless there is room for all.
         """
-        free, slots = self._placement.controller.read_idle(service)
+        free, slots = self._placement.controller.upstreams.read_idle(service)
         return free > slots * LATE_FREE_SHARE or not self._count_waiting_elsewhere()
 
     def _begin(self, run: _Run) -> None:
@@ -261,7 +261,7 @@
             run.item,
             self._clock,
             lambda head: self._placement.record_head(name, head),
-            lambda: controller.record_progress(name),
+            lambda: controller.upstreams.record_progress(name),
         )
         call = self._make_call(run.job, run.item, run.upstream)
         run.task = asyncio.create_task(
@@ -347,7 +347,7 @@
             begun = run.item.last_event > run.first_event
             self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, fingerprint, begun=begun)
         elif error.failure is UpstreamFailure.REFUSED:
-            self._placement.controller.mark_full(run.upstream.name)
+            self._placement.controller.upstreams.mark_full(run.upstream.name)
 
     def _finish(
         self, job: OwnedJob, item: ItemProgress, result: ItemResult, reason: str, upstream: str = ""
@@ -365,7 +365,7 @@
         ):
             self._stop_run(run)
             self._log(run.job, run.item, "yielded", "online work needs the slot", upstream)
-        self._placement.controller.mark_preempted(upstream)
+        self._placement.controller.batch.mark_preempted(upstream)
 
     def _log(
         self, job: OwnedJob, item: ItemProgress, choice: str, reason: str, upstream: str
--- a/goldcreststair/components/placement/loads.py
+++ b/goldcreststair/components/placement/loads.py
@@ -50,6 +50,9 @@
         self._batch_by_daemon: dict[int, dict[int, Runs]] | None = None
         """Batch runs of other daemons by upstream and daemon; None unless a relay reports for all
         daemons."""
+        self.digest_sequence: int | None = None
+        """Sequence number of the last digest of a relay; None if daemons send their beacons to each
+        other."""
 
     def add(self, upstream: int, change: Runs) -> None:
         """Add to this daemon's runs at an upstream; counts in `change` may be negative."""
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -51,7 +51,9 @@
         self._links.subscribe_beacons(self._on_beacon, self.controller.runs.forget)
         self._links.subscribe_batch_runs(self._on_batch)
         self._links.register_notice_handler(DatagramKind.YIELD_NOTICE, self._on_preempt_notice)
-        core.on_process_resumed.append(lambda _: self.controller.cold_limiter.reset_after_pause())
+        core.on_process_resumed.append(
+            lambda _: self.controller.upstreams.cold_limiter.reset_after_pause()
+        )
         self._preempt_handler: OnPreempt = lambda name, count: None
         self._unsubscribe: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -103,17 +105,17 @@
 
         `subject` is the request or item that detected it.
         """
-        if not self.controller.is_down(entry.name):
+        if not self.controller.upstreams.is_down(entry.name):
             extra = {"upstream": entry.name, "address": entry.address, "met_by": subject}
             _LOGGER.warning("Upstream down", extra=extra | {"reason": reason})
-        self.controller.mark_down(entry.name)
+        self.controller.upstreams.mark_down(entry.name)
         self._core.runner.pool.close_idle(entry.address)
         self._links.schedule_beacon()
 
     def record_head(self, name: str, head: RunHead) -> None:
         """Record progress, and the cold state reported in the head of an answer."""
-        self.controller.record_progress(name)
-        if self.controller.mark_cold(name, head.cold_ms):
+        self.controller.upstreams.record_progress(name)
+        if self.controller.upstreams.mark_cold(name, head.cold_ms):
             extra = {"upstream": name, "cold_ms": head.cold_ms}
             _LOGGER.info("Upstream reports in an answer that it is cold", extra=extra)
 
@@ -130,21 +132,21 @@
         return pool.count_open(entry.address) < max(MIN_CONNECTIONS, share)
 
     def _on_upstreams(self, live: LiveUpstreams) -> None:
-        self.controller.apply_upstreams(live)
+        self.controller.upstreams.apply_upstreams(live)
 
     def _on_catalogue(self, catalogue: Catalogue) -> None:
-        self.controller.apply_services(catalogue.services)
+        self.controller.upstreams.apply_services(catalogue.services)
 
     def _on_fleet(self, fleet: Fleet) -> None:
         if fleet.loaded:
-            self.controller.cold_limiter.apply_sessions(
+            self.controller.upstreams.cold_limiter.apply_sessions(
                 fleet.own_session, fleet.vms.keys() - fleet.lost
             )
         known = {vm.data_centre: vm.region for vm in fleet.vms.values()}
-        self.controller.apply_regions(known | self._core.settings.regions)
+        self.controller.upstreams.apply_regions(known | self._core.settings.regions)
 
     def _on_evacuations(self, evacuations: Evacuations) -> None:
-        self.controller.apply_evacuations(evacuations.data_centres)
+        self.controller.upstreams.apply_evacuations(evacuations.data_centres)
 
     def _contribute(self, beacon: Beacon) -> None:
         own = self.controller.runs.list_own()
@@ -152,7 +154,7 @@
             UpstreamRuns(key, runs.online, runs.batch, runs.late or None)
             for key, runs in own.items()
         ]
-        down = self.controller.list_down()
+        down = self.controller.upstreams.list_down()
         beacon.suspects = [hash_name(entry.name) for entry in down]
 
     def _on_beacon(self, session: str, beacon: Beacon) -> None:
@@ -161,12 +163,12 @@
         }
         self.controller.runs.apply_peer_runs(session, runs)
         if self._links.has_mesh():
-            self.controller.digest_sequence = None
+            self.controller.runs.digest_sequence = None
             self.controller.runs.apply_batch_runs(None)
         else:
-            self.controller.digest_sequence = beacon.sequence
-        self.controller.mark_suspected(beacon.suspects or ())
-        for name in self.controller.list_names(runs):
+            self.controller.runs.digest_sequence = beacon.sequence
+        self.controller.upstreams.mark_suspected(beacon.suspects or ())
+        for name in self.controller.upstreams.list_names(runs):
             self._preempt_own(name)
 
     def _on_batch(self, batch: Sequence[BatchRuns]) -> None:
@@ -177,13 +179,13 @@
         self.controller.runs.apply_batch_runs(by_upstream)
 
     def _preempt_own(self, name: str) -> bool:
-        count = self.controller.count_runs_to_preempt(name, self._core.session_id)
+        count = self.controller.batch.count_runs_to_preempt(name, self._core.session_id)
         if count:
             self._preempt_handler(name, count)
         return bool(count)
 
     def _request_preemption(self, name: str) -> None:
-        daemon = self.controller.choose_daemon_to_preempt(name)
+        daemon = self.controller.batch.choose_daemon_to_preempt(name)
         if daemon is not None:
             notice = encode_struct(YieldNotice(hash_name(name)))
             self._links.notify_by_hash(daemon, DatagramKind.YIELD_NOTICE, notice)
@@ -194,7 +196,7 @@
             _LOGGER.warning("Preemption notice unreadable: %s", decoded.err_value.message)
             return
         key = decoded.ok_value.upstream
-        for name in self.controller.list_names([key]):
+        for name in self.controller.upstreams.list_names([key]):
             if self.controller.runs.read_own(key).batch:
                 self._preempt_handler(name, 1)
 
@@ -202,7 +204,7 @@
         while True:
             await self._core.clock.async_sleep(PROBE_MS)
             self.controller.runs.expire()
-            down = self.controller.list_down()
+            down = self.controller.upstreams.list_down()
             await asyncio.gather(*(self._async_probe(entry) for entry in down))
 
     async def _async_probe(self, entry: UpstreamEntry) -> None:
@@ -210,7 +212,7 @@
         pool = self._core.runner.pool
         if await pool.async_warm(entry.address, CONNECT_TIMEOUT_MS):
             _LOGGER.info("Upstream up", extra={"upstream": entry.name, "address": entry.address})
-            self.controller.mark_up(entry.name)
+            self.controller.upstreams.mark_up(entry.name)
             self._links.schedule_beacon()
 
 
--- a/standins/measure/overload_policies.py
+++ b/standins/measure/overload_policies.py
@@ -15,7 +15,7 @@
     runner,
     sweeping,
 )
-from goldcreststair.components.placement import admission, controller
+from goldcreststair.components.placement import admission, batch_slots
 
 QUEUED_ITEMS: Final = 8
 """Items that may wait at each engine for a slot when they queue like requests."""
@@ -36,9 +36,9 @@
     Switch("jobs handed over with their runs", handover, "HANDOVER_GRACE_MS", 10**9),
     Switch("jobs taken over soon", sweeping, "SWEEP_SOON_MS", 1_490),
     Switch("late items last", execution, "LATE_FREE_SHARE", -1.0),
-    Switch("batch stays out of bursts", controller, "BATCH_FREE_SHARE", 0.0),
-    Switch("slots kept from batch", controller, "BATCH_RESERVE", 0),
-    Switch("pause after giving way", controller, "BATCH_HOLD_MS", 0),
+    Switch("batch stays out of bursts", batch_slots, "BATCH_FREE_SHARE", 0.0),
+    Switch("slots kept from batch", batch_slots, "BATCH_RESERVE", 0),
+    Switch("pause after giving way", batch_slots, "BATCH_HOLD_MS", 0),
     Switch("late callers sent away", admission, "FIRST_ATTEMPT_SHARE", 2.0),
 )
 
@@ -48,12 +48,12 @@
     return ranked.job.due_at, ranked.item.number
 
 
-def count_none_to_preempt(_: controller.PlacementController, name: str, session: str) -> int:
+def count_none_to_preempt(_: batch_slots.BatchSlots, name: str, session: str) -> int:
     """Preempt no run."""
     return 0
 
 
-def choose_no_daemon(_: controller.PlacementController, name: str) -> None:
+def choose_no_daemon(_: batch_slots.BatchSlots, name: str) -> None:
     """Choose no daemon to preempt."""
 
 
@@ -72,14 +72,12 @@
 FIRST_COME: Final = (
     Switch("late items last", execution, "LATE_FREE_SHARE", -1.0),
     Switch("order of items", registry, "_rank", rank_by_arrival),
-    Switch("batch stays out of bursts", controller, "BATCH_FREE_SHARE", 0.0),
-    Switch("slots kept from batch", controller, "BATCH_RESERVE", -QUEUED_ITEMS),
-    Switch(
-        "giving way", controller.PlacementController, "count_runs_to_preempt", count_none_to_preempt
-    ),
+    Switch("batch stays out of bursts", batch_slots, "BATCH_FREE_SHARE", 0.0),
+    Switch("slots kept from batch", batch_slots, "BATCH_RESERVE", -QUEUED_ITEMS),
+    Switch("giving way", batch_slots.BatchSlots, "count_runs_to_preempt", count_none_to_preempt),
     Switch(
         "giving way at once",
-        controller.PlacementController,
+        batch_slots.BatchSlots,
         "choose_daemon_to_preempt",
         choose_no_daemon,
     ),
--- a/tests/components/forwarding/test_large_fleet.py
+++ b/tests/components/forwarding/test_large_fleet.py
@@ -40,7 +40,7 @@
         assert all(answer.whole for answer in served)
         assert sum(len(engine.ran) for engine in engines) == len(served)
         for member in members:
-            assert not member.core.get(PLACEMENT).controller.list_down()
+            assert not member.core.get(PLACEMENT).controller.upstreams.list_down()
 
     run_fleet(scenario)
 
--- a/tests/components/forwarding/test_silence.py
+++ b/tests/components/forwarding/test_silence.py
@@ -207,14 +207,14 @@
         silent, other = fleet.add_engines(2)
         member = await async_start(fleet, SMALL)
         placement = member.core.get(PLACEMENT).controller
-        placement.mark_down(other.name)
+        placement.upstreams.mark_down(other.name)
         silent.silent = True
         sending = [
             asyncio.create_task(async_send(fleet, member, "/stream/a", request_id=f"r{number}"))
             for number in range(3)
         ]
         await fleet.clock.async_sleep(20)
-        placement.mark_up(other.name)
+        placement.upstreams.mark_up(other.name)
         forwarding = member.core.get(FORWARDING)
         assert isinstance(forwarding, ForwardingService)
         while forwarding.budget.try_spend():
--- a/tests/components/jobs/test_execution.py
+++ b/tests/components/jobs/test_execution.py
@@ -151,7 +151,7 @@
         fleet.engines.events_by_request = {f"other/job-{n}": 1_000 for n in range(5)}
         (member,) = await fleet.async_add_many(1)
         await fleet.clock.async_sleep(1_000)
-        member.core.get(PLACEMENT).controller.digest_sequence = sequence
+        member.core.get(PLACEMENT).controller.runs.digest_sequence = sequence
         assert (await async_submit(fleet, member, "other/job", 5)).accepted
         await fleet.clock.async_sleep(200)
         assert (await async_submit(fleet, member, "digest", 5)).accepted
--- a/tests/components/placement/test_cold.py
+++ b/tests/components/placement/test_cold.py
@@ -32,12 +32,12 @@
 ) -> PlacementController:
     """Return the controller of a single daemon that has finished starting."""
     controller = PlacementController(clock, random.Random(1), "dc0")
-    controller.cold_limiter.apply_sessions("me", frozenset({"me"}))
-    controller.apply_services({"s": SERVICE})
+    controller.upstreams.cold_limiter.apply_sessions("me", frozenset({"me"}))
+    controller.upstreams.apply_services({"s": SERVICE})
     entries = {n: UpstreamEntry(n, "s", f"{n}:80", f"dc-{n}", 8, False, 1) for n in names}
     clock.advance(COLD_SETTLE_MS)
     until = Millis(clock.now() + COLD_MS)
-    controller.apply_upstreams(
+    controller.upstreams.apply_upstreams(
         LiveUpstreams(entries, known=True, cold_until=dict.fromkeys(cold, until))
     )
     return controller
@@ -75,8 +75,8 @@
 
 def test_batch_avoids_cold_upstreams_while_one_is_warm() -> None:
     controller = make_controller(ManualClock(), ("a",))
-    assert controller.count_free_for_batch("s") == 7
-    chosen = controller.choose_for_batch("s")
+    assert controller.batch.count_free("s") == 7
+    chosen = controller.batch.choose("s")
     assert chosen is not None and chosen.name == "b"
 
 
@@ -84,17 +84,19 @@
     """Guards against a crash of all upstreams of a data centre when its evacuation ends."""
     clock = ManualClock()
     controller = make_controller(clock, ())
-    controller.apply_evacuations(frozenset({"dc-a"}))
-    controller.apply_evacuations(frozenset())
-    assert [entry.name for entry in controller.list_cold()] == ["a"]
+    controller.upstreams.apply_evacuations(frozenset({"dc-a"}))
+    controller.upstreams.apply_evacuations(frozenset())
+    assert [entry.name for entry in controller.upstreams.list_cold()] == ["a"]
     clock.advance(COLD_MS)
-    assert not controller.list_cold()
+    assert not controller.upstreams.list_cold()
 
 
 def test_answer_marks_upstream_as_cold() -> None:
     controller = make_controller(ManualClock(), ())
-    assert controller.mark_cold("a", 2_000) and not controller.mark_cold("a", 1_900)
-    assert [entry.name for entry in controller.list_cold()] == ["a"]
+    assert controller.upstreams.mark_cold("a", 2_000) and not controller.upstreams.mark_cold(
+        "a", 1_900
+    )
+    assert [entry.name for entry in controller.upstreams.list_cold()] == ["a"]
 
 
 @pytest.mark.parametrize("count", [1, 2, 4, 11, 80, 820])
--- a/tests/components/placement/test_controller.py
+++ b/tests/components/placement/test_controller.py
@@ -27,7 +27,7 @@
 ) -> PlacementController:
     """Return a controller in data centre dc0."""
     controller = PlacementController(clock, random.Random(1), "dc0")
-    controller.apply_upstreams(LiveUpstreams({e.name: e for e in entries}, expired, True))
+    controller.upstreams.apply_upstreams(LiveUpstreams({e.name: e for e in entries}, expired, True))
     return controller
 
 
@@ -80,7 +80,7 @@
 def test_failed_upstream_is_skipped_for_a_while(method: str, ms: int) -> None:
     clock = ManualClock()
     controller = make_controller(clock, make_entry("a"))
-    getattr(controller, method)("a")
+    getattr(controller.upstreams, method)("a")
     refused = controller.choose(QUERY)
     assert isinstance(refused, Err) and 0 < refused.err_value.retry_after_ms <= ms
     clock.advance(ms)
@@ -91,7 +91,7 @@
     clock = ManualClock()
     entries = (make_entry("a"), make_entry("b", "dc1"), make_entry("c"))
     controller = make_controller(clock, *entries, expired=frozenset({"c"}))
-    controller.mark_suspected([hash_name("a")])
+    controller.upstreams.mark_suspected([hash_name("a")])
     assert choose(controller) == "b"
     assert choose(controller, PlacementQuery("s", frozenset({"b"}))) in ("a", "c")
 
@@ -107,14 +107,14 @@
     clock = ManualClock()
     controller = make_controller(clock, make_entry("a"), make_entry("b"))
     started = 0
-    while (entry := controller.choose_for_batch("s")) is not None:
+    while (entry := controller.batch.choose("s")) is not None:
         controller.begin(entry.name, Runs(batch=1))
         started += 1
     assert started == 2 * (8 - BATCH_RESERVE)
     controller = make_controller(clock, make_entry("a"), make_entry("b"))
     controller.begin("a", Runs(online=8))
     controller.begin("b", Runs(online=6))
-    assert controller.choose_for_batch("s") is None
+    assert controller.batch.choose("s") is None
 
 
 def test_daemons_together_preempt_exactly_the_excess() -> None:
@@ -132,7 +132,7 @@
             if other != own:
                 controller.runs.apply_peer_runs(other, {hash_name("a"): runs})
         controller.runs.apply_peer_runs("v4", {hash_name("a"): Runs(online=4)})
-        preempted[own] = controller.count_runs_to_preempt("a", own)
+        preempted[own] = controller.batch.count_runs_to_preempt("a", own)
     assert sum(preempted.values()) == 3
     assert preempted["v2"] >= 1
 
@@ -141,7 +141,7 @@
     clock = ManualClock()
     controller = make_controller(clock, make_entry("a"))
     controller.begin("a", Runs(online=2, batch=6))
-    assert controller.count_runs_to_preempt("a", "me") == 0
+    assert controller.batch.count_runs_to_preempt("a", "me") == 0
 
 
 def test_expected_waits_follow_measured_run_times() -> None:
--- a/tests/components/placement/test_spreading.py
+++ b/tests/components/placement/test_spreading.py
@@ -32,10 +32,12 @@
     for number in range(count):
         rng = random.Random(number)
         gateway = PlacementController(clock, rng, f"dc{number % data_centres}")
-        gateway.apply_upstreams(LiveUpstreams({e.name: e for e in entries}, frozenset(), True))
+        gateway.upstreams.apply_upstreams(
+            LiveUpstreams({e.name: e for e in entries}, frozenset(), True)
+        )
         runs = {hash_name(f"e{n}"): Runs(online=SLOTS - free.get(n, 0)) for n in range(UPSTREAMS)}
         gateway.runs.apply_peer_runs("relay", runs)
-        gateway.digest_sequence = 1
+        gateway.runs.digest_sequence = 1
         gateways.append(gateway)
     return gateways
 
