Add optional features and the messages that contended services need

Cause: two further customers call for decisions that earlier deployments do not need, and these must be served as before. Change: `components/features` says for which services an optional feature is active: where `features` names it, or, by `shared_machine_features`, where upstreams report the pace of the machines that they share. Beacons and digests get fields for the pace and the outcomes of upstreams, for waiting requests and for the tokens of runs; relays sum them up, and each daemon subtracts its own report. Nothing fills or reads them yet.

--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -29,7 +29,10 @@
     CustomerCount,
     Digest,
     HeardDaemon,
+    UpstreamOutcomes,
+    UpstreamPace,
     UpstreamRuns,
+    WaitingRequests,
     WorkPace,
 )
 
@@ -128,6 +131,11 @@
     newest_at: str = ""
     evacuation_version: int = 0
     evacuated: list[str] | None = None
+    upstream_paces: dict[int, UpstreamPace] = field(default_factory=dict)
+    outcomes: dict[int, list[int]] = field(default_factory=dict)
+    """Succeeded and failed requests by upstream."""
+    queued: dict[tuple[int, int], int] = field(default_factory=dict)
+    """Waiting requests by service and priority."""
 
     def update_version(self, version: int, session: str) -> None:
         """Keep the newest catalogue version and a daemon that has it in force."""
@@ -137,10 +145,11 @@
     def add(self, message: Beacon | Digest) -> None:
         """Add the fields that beacons and digests share."""
         for run in message.runs or ():
-            known = self.runs.setdefault(run.upstream, [0, 0, 0])
+            known = self.runs.setdefault(run.upstream, [0, 0, 0, 0])
             known[0] += run.online
             known[1] += run.batch
             known[2] += run.late or 0
+            known[3] += run.tokens or 0
         for count in message.admitted or ():
             if count.level is not None:
                 self.levels[count.customer] = min(
@@ -152,15 +161,31 @@
         self.paces.update({pace.route: pace for pace in message.paces or ()})
         if (message.evacuation_version or 0) > self.evacuation_version:
             self.evacuation_version, self.evacuated = message.evacuation_version, message.evacuated
+        self._add_contention(message)
+
+    def _add_contention(self, message: Beacon | Digest) -> None:
+        for pace in message.upstream_paces or ():
+            known = self.upstream_paces.get(pace.upstream)
+            if known is None or pace.age_ms < known.age_ms:
+                self.upstream_paces[pace.upstream] = pace
+        for outcomes in message.outcomes or ():
+            sums = self.outcomes.setdefault(outcomes.upstream, [0, 0])
+            sums[0] += outcomes.succeeded
+            sums[1] += outcomes.failed
+        for waiting in message.waiting or ():
+            key = (waiting.upstream_service, waiting.priority)
+            self.queued[key] = self.queued.get(key, 0) + waiting.count
 
     def build(
         self, relay: str, sequence: int, data_centre: str, counts: Mapping[int, int]
     ) -> Digest:
         """Return the digest."""
         runs = [
-            UpstreamRuns(key, online, batch, late or None)
-            for key, (online, batch, late) in self.runs.items()
+            UpstreamRuns(key, online, batch, late or None, tokens or None)
+            for key, (online, batch, late, tokens) in self.runs.items()
         ]
+        outcomes = [UpstreamOutcomes(key, *sums) for key, sums in self.outcomes.items()]
+        waiting = [WaitingRequests(*key, count) for key, count in self.queued.items()]
         admitted = [CustomerCount(key, n, self.levels.get(key)) for key, n in counts.items()]
         return Digest(
             relay,
@@ -177,6 +202,9 @@
             newest_at=self.newest_at or None,
             evacuation_version=self.evacuation_version or None,
             evacuated=self.evacuated,
+            upstream_paces=list(self.upstream_paces.values()) or None,
+            outcomes=outcomes or None,
+            waiting=waiting or None,
         )
 
 
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -31,7 +31,9 @@
     Beacon,
     CustomerCount,
     Digest,
+    UpstreamOutcomes,
     UpstreamRuns,
+    WaitingRequests,
 )
 
 _LOGGER = logging.getLogger(__name__)
@@ -88,6 +90,9 @@
     runs: dict[int, UpstreamRuns] = field(default_factory=dict)
     counts: dict[int, int] = field(default_factory=dict)
     waiting: int = 0
+    outcomes: dict[int, UpstreamOutcomes] = field(default_factory=dict)
+    queued: dict[tuple[int, int], int] = field(default_factory=dict)
+    """Waiting requests by service and priority."""
 
 
 class RelayedLinks:
@@ -209,7 +214,11 @@
             counts = counts | {count.customer: count.admitted for count in beacon.admitted}
         runs = {run.upstream: run for run in beacon.runs or ()}
         now, waiting = self._clock.now(), beacon.batch_waiting or 0
-        return _OwnReport(beacon.sequence, now, runs, counts, waiting)
+        outcomes = {outcome.upstream: outcome for outcome in beacon.outcomes or ()}
+        queued = {
+            (each.upstream_service, each.priority): each.count for each in beacon.waiting or ()
+        }
+        return _OwnReport(beacon.sequence, now, runs, counts, waiting, outcomes, queued)
 
     def apply_beacon(self, session: str, beacon: Beacon) -> None:
         """Apply another daemon's beacon, as a relay."""
@@ -379,6 +388,15 @@
     beacon.paces = digest.paces
     beacon.evacuation_version = digest.evacuation_version
     beacon.evacuated = digest.evacuated
+    beacon.upstream_paces = digest.upstream_paces
+    outcomes, queued = (own.outcomes, own.queued) if own else ({}, {})
+    beacon.outcomes = [
+        _subtract_outcomes(each, outcomes.get(each.upstream)) for each in digest.outcomes or ()
+    ]
+    beacon.waiting = [
+        _subtract_waiting(each, queued.get((each.upstream_service, each.priority), 0))
+        for each in digest.waiting or ()
+    ]
     return beacon
 
 
@@ -387,4 +405,16 @@
         return run
     late = max(0, (run.late or 0) - (own.late or 0))
     online, batch = run.online - own.online, run.batch - own.batch
-    return UpstreamRuns(run.upstream, max(0, online), max(0, batch), late)
+    tokens = max(0, (run.tokens or 0) - (own.tokens or 0))
+    return UpstreamRuns(run.upstream, max(0, online), max(0, batch), late, tokens or None)
+
+
+def _subtract_outcomes(total: UpstreamOutcomes, own: UpstreamOutcomes | None) -> UpstreamOutcomes:
+    if own is None:
+        return total
+    succeeded, failed = total.succeeded - own.succeeded, total.failed - own.failed
+    return UpstreamOutcomes(total.upstream, max(0, succeeded), max(0, failed))
+
+
+def _subtract_waiting(total: WaitingRequests, own: int) -> WaitingRequests:
+    return WaitingRequests(total.upstream_service, total.priority, max(0, total.count - own))
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -15,6 +15,7 @@
     discovery,
     entry,
     evacuation,
+    features,
     fleet,
     forwarding,
     jobs,
@@ -41,6 +42,7 @@
 Setup = Callable[[GatewayCore], Awaitable[Component]]
 
 GATEWAY_COMPONENTS: Final[tuple[Setup, ...]] = (
+    features.async_setup,
     fleet.async_setup,
     entry.async_setup,
     operator_rows.async_setup,
--- a/goldcreststair/gateway_settings.py
+++ b/goldcreststair/gateway_settings.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from goldcreststair.features import Feature
 from goldcreststair.helpers.settings import (
     LOG_LEVELS,
     MAX_PORT,
@@ -16,6 +17,8 @@
 
 DEFAULT_PEER_PORT: Final = 8081
 DEFAULT_MEMORY_MB: Final = 340
+FEATURE_NAMES: Final = tuple(feature.value for feature in Feature)
+DEFAULT_SHARED_FEATURES: Final = ",".join(FEATURE_NAMES)
 REQUIRED: Final = frozenset(("address", "data_centre", "store_address"))
 
 
@@ -59,6 +62,11 @@
     """Time from SIGTERM to SIGKILL, s."""
     job_read_s: float = 120.0
     """How long a job can be read after its submission, s."""
+    features: str = ""
+    """Optional features that are active for all services, separated by commas; see `Feature`."""
+    shared_machine_features: str = DEFAULT_SHARED_FEATURES
+    """Optional features of services whose upstreams report the pace of the machines that they
+    share, separated by commas."""
 
     @property
     def regions(self) -> dict[str, str]:
@@ -70,6 +78,20 @@
         pairs = (pair.partition("=") for pair in self.data_centre_regions.split(",") if pair)
         return {self.data_centre: self.region} | {name: region for name, _, region in pairs}
 
+    @property
+    def feature_set(self) -> frozenset[Feature]:
+        """Optional features that are active for all services.
+
+        >>> GatewaySettings("1.2.3.4", "a", "", features="waiting-queue").feature_set
+        frozenset({<Feature.WAITING_QUEUE: 'waiting-queue'>})
+        """
+        return frozenset(Feature(name) for name in _split(self.features))
+
+    @property
+    def shared_feature_set(self) -> frozenset[Feature]:
+        """Optional features of services whose upstreams share machines."""
+        return frozenset(Feature(name) for name in _split(self.shared_machine_features))
+
     @property
     def seed_addresses(self) -> tuple[str, ...]:
         """Addresses of the seeds, without this VM's own."""
@@ -118,6 +140,8 @@
         ("grace_s", "" if settings.grace_s > 0 else "must be above 0"),
         ("job_read_s", "" if settings.job_read_s > 0 else "must be above 0"),
         ("log_level", "" if settings.log_level in LOG_LEVELS else f"must be one of {LOG_LEVELS}"),
+        ("features", _check_features(settings.features)),
+        ("shared_machine_features", _check_features(settings.shared_machine_features)),
         ("data_centre_regions", _check_pairs(settings.data_centre_regions)),
         *(("seeds", check_ip(seed)) for seed in settings.seed_addresses),
     ]
@@ -129,6 +153,15 @@
     return f"{invalid[0]!r} is not DATA_CENTRE=REGION" if invalid else ""
 
 
+def _split(text: str) -> list[str]:
+    return [name.strip() for name in text.split(",") if name.strip()]
+
+
+def _check_features(text: str) -> str:
+    unknown = [name for name in _split(text) if name not in FEATURE_NAMES]
+    return f"{unknown[0]!r} is not one of {FEATURE_NAMES}" if unknown else ""
+
+
 def _check_endpoint(text: str) -> str:
     if not text:
         return ""
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -6,6 +6,31 @@
   2: required i32 online
   3: required i32 batch
   4: optional i32 late
+  /** Prompt and expected output tokens of these runs; left out where upstreams' memory is not budgeted. */
+  5: optional i32 tokens
+}
+
+/** How long work takes at one upstream, by a hash of its name. */
+struct UpstreamPace {
+  1: required i32 upstream
+  /** 100 is usual, 200 twice as long. */
+  2: required i32 percent
+  /** How long ago the figure was reported. */
+  3: required i32 age_ms
+}
+
+/** Results of the recent requests at one upstream, by a hash of its name. */
+struct UpstreamOutcomes {
+  1: required i32 upstream
+  2: required i32 succeeded
+  3: required i32 failed
+}
+
+/** Requests of one priority that wait for a slot of one service of upstreams, by a hash of its name. */
+struct WaitingRequests {
+  1: required i32 upstream_service
+  2: required i32 priority
+  3: required i32 count
 }
 
 /** Requests of one customer that one daemon has admitted since it started, by a hash of its name. */
@@ -45,6 +70,9 @@
   15: optional i64 evacuation_version
   /** Data centres whose upstreams get no new work. */
   16: optional list<string> evacuated
+  17: optional list<UpstreamPace> upstream_paces
+  18: optional list<UpstreamOutcomes> outcomes
+  19: optional list<WaitingRequests> waiting
 }
 
 /** Batch runs of one daemon at one upstream, both by a hash of their names. */
@@ -91,6 +119,11 @@
   /** As in a beacon; the newest that any daemon knows. */
   15: optional i64 evacuation_version
   16: optional list<string> evacuated
+  /** As in a beacon; the youngest figure of each upstream. */
+  17: optional list<UpstreamPace> upstream_paces
+  /** As in a beacon; the sums. */
+  18: optional list<UpstreamOutcomes> outcomes
+  19: optional list<WaitingRequests> waiting
 }
 
 /** A daemon's session as it stands in the store. */
--- a/tests/components/fleet/test_relayed_fleet.py
+++ b/tests/components/fleet/test_relayed_fleet.py
@@ -16,6 +16,12 @@
 from goldcreststair.components.placement.loads import Runs
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
+from goldcreststair.wire.generated.gateway.ttypes import (
+    Beacon,
+    UpstreamOutcomes,
+    UpstreamPace,
+    WaitingRequests,
+)
 from standins.gateways import FleetMember, GatewayFleet
 from tests.helpers.gateways import run_fleet
 
@@ -274,3 +280,35 @@
         assert members[0].read(FLEET).reachable == 30
 
     run_fleet(scenario)
+
+
+def test_contention_reports_reach_all_daemons_without_their_own() -> None:
+    """Guards against waiting requests and failures that count twice, or that a relay drops."""
+    service, upstream = hash_name("engine"), hash_name("e0")
+    received: dict[str, Beacon] = {}
+
+    def contribute(beacon: Beacon) -> None:
+        beacon.waiting = [WaitingRequests(service, 1, 2)]
+        beacon.outcomes = [UpstreamOutcomes(upstream, 3, 1)]
+        beacon.upstream_paces = [UpstreamPace(upstream, 250, 10)]
+
+    def record(member: FleetMember) -> None:
+        session = member.core.session_id
+        links = member.core.get(FLEET_LINKS)
+        links.add_beacon_contributor(contribute)
+        links.subscribe_beacons(
+            lambda _, beacon: received.update({session: beacon}), lambda _: None
+        )
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        members = await async_start(fleet, 30)
+        for member in members:
+            record(member)
+        await fleet.clock.async_sleep(SETTLE_MS)
+        assert len(received) == 30
+        for beacon in received.values():
+            assert beacon.waiting == [WaitingRequests(service, 1, 2 * 29)]
+            assert beacon.outcomes == [UpstreamOutcomes(upstream, 3 * 29, 29)]
+            assert beacon.upstream_paces == [UpstreamPace(upstream, 250, 10)]
+
+    run_fleet(scenario)
--- a/tests/test_component_separation.py
+++ b/tests/test_component_separation.py
@@ -18,6 +18,7 @@
         "discovery",
         "entry",
         "evacuation",
+        "features",
         "fleet",
         "forwarding",
         "jobs",
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -78,3 +78,14 @@
     checked = check_gateway_settings(settings)
     assert isinstance(checked, Ok) == good
     assert good or checked.unwrap_err().setting == "data_centre_regions"
+
+
+@pytest.mark.parametrize("setting", ["features", "shared_machine_features"])
+@pytest.mark.parametrize(("value", "good"), [("", True), ("waiting-queue", True), ("queue", False)])
+def test_unknown_features_are_refused(setting: str, value: str, good: bool) -> None:
+    """Guards against a misspelt feature that stays inactive unnoticed."""
+    settings = read_settings_text(f'{GATEWAY_FILE}{setting} = "{value}"')
+    assert settings is not None
+    checked = check_gateway_settings(settings)
+    assert isinstance(checked, Ok) == good
+    assert good or checked.unwrap_err().setting == setting
