Place requests by the pace that upstreams report

The adapter discarded a load header of four figures, and placement used no reported load. The fourth figure is decoded; the new component upstream_pace derives a bounded and damped factor for each upstream from answers, from the beacons of other daemons or, where none is reported, from the times of own runs. Placement multiplies its expected wait and time to the first event by the factor and divides the random weights by it, where the feature is active. A relay keeps the paces of a beacon until a digest has passed them on, because the next beacon leaves them out.

--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -14,6 +14,7 @@
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.fleet.const import (
     COUNTER_RESEND_MS,
+    DIGEST_IDLE_MS,
     FOLLOWER_TIMEOUT_MS,
     MEMBER_TIMEOUT_MS,
     RELAY_TIMEOUT_MS,
@@ -104,6 +105,8 @@
     at: Millis
     follows_at: Millis | None = None
     """When it last asked for this daemon's digests."""
+    paces_at: Millis = Millis(0)
+    """When it last reported the pace of upstreams."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,6 +225,8 @@
         self._data_centre_counts = CounterSum(clock)
         self._fleet_counts = CounterSum(clock)
         self._sequence = 0
+        self._built_at = Millis(0)
+        """When the last digest of the fleet was built."""
 
     def apply_beacon(self, session: str, beacon: Beacon) -> bool:
         """Apply a member's beacon; returns whether its reachability or its state changed."""
@@ -234,6 +239,11 @@
         )
         if member is None:
             member = self._members[session] = _Member(beacon, now)
+        # Most beacons leave out paces. Those that no digest has passed on yet would be lost here.
+        if beacon.upstream_paces is not None:
+            member.paces_at = now
+        elif member.paces_at >= max(self._built_at, now - DIGEST_IDLE_MS):
+            beacon.upstream_paces = member.beacon.upstream_paces
         member.beacon, member.at = beacon, now
         member.follows_at = now if beacon.follows else None
         counts = {count.customer: count.admitted for count in beacon.admitted or ()}
@@ -301,6 +311,7 @@
     def build_fleet_digest(self, lost_ms: Mapping[str, int], *, whole: bool) -> Digest:
         """Return the digest of the whole fleet, as far as other relays have sent theirs."""
         total = self._add_members(lost_ms)
+        self._built_at = self._clock.now()
         for data_centre in self._remotes:
             remote = self._find_best(data_centre)
             if remote is not None:
--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -31,6 +31,10 @@
         """Whether the head of the stream was sent to the caller."""
         self.run_events = 0
         """Number of events of the current run."""
+        self.run_first_at: Millis | None = None
+        """When the current run sent its first event."""
+        self.run_gap_ms: float | None = None
+        """Mean time between the events of the current run; None if too few or delayed by the caller."""
         self.waits_for_caller = False
         """Whether the caller's connection is congested, so that the upstream is not read either."""
         self._responder = responder
@@ -40,12 +44,16 @@
         self._splitter = EventSplitter()
         self._head: RunHead | None = None
         self._gap = False
+        self._delayed = False
+        """Whether the caller has delayed the current run."""
 
     def begin_run(self) -> None:
         """Prepare for the next run; an incomplete event of the previous run is dropped."""
         self._splitter = EventSplitter()
         self._gap = False
         self.run_events = 0
+        self.run_first_at = self.run_gap_ms = None
+        self._delayed = False
         self.waits_for_caller = False
         self.progress_at = self._clock.now()
 
@@ -72,12 +80,21 @@
             return None
         if self.first_event_at is None:
             self.first_event_at = self._clock.now()
+        self._measure_gap()
         self.begin()
         written = self._responder.write(b"".join(accepted))
         return None if written is None else self._async_wait_for_caller(written)
 
+    def _measure_gap(self) -> None:
+        if self.run_first_at is None:
+            self.run_first_at = self.progress_at
+        elif self._delayed:
+            self.run_gap_ms = None
+        elif self.run_events > 1:
+            self.run_gap_ms = (self.progress_at - self.run_first_at) / (self.run_events - 1)
+
     async def _async_wait_for_caller(self, written: Awaitable[None]) -> None:
-        self.waits_for_caller = True
+        self.waits_for_caller = self._delayed = True
         try:
             await written
         finally:
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -199,7 +199,13 @@
         if isinstance(end, Ok) and not placement.wait_ms and self._relay.first_event_at:
             first_ms = self._relay.first_event_at - began_at
             service = self._admitted.service
-            self._placement.controller.record_run(service, first_ms, self._clock.now() - began_at)
+            # Times are recorded as at an upstream of usual pace: placement multiplies them again.
+            run_ms = (self._clock.now() - began_at) / placement.factor
+            self._placement.controller.record_run(service, first_ms / placement.factor, run_ms)
+        if isinstance(end, Ok) and self._relay.run_first_at is not None:
+            waited = placement.wait_ms > 0
+            run_first_ms = None if waited else self._relay.run_first_at - began_at
+            self._placement.record_events(entry, run_first_ms, self._relay.run_gap_ms)
         return end
 
     async def _async_monitor(
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Mapping
 from typing import Final
 
 from result import Err, Ok, Result
@@ -37,6 +38,7 @@
     compute_weights,
 )
 from goldcreststair.components.placement.upstream_table import UpstreamState, UpstreamTable
+from goldcreststair.components.upstream_pace.protocols import USUAL_PACE, PaceReader
 from goldcreststair.helpers.rendezvous import score
 
 MIN_RETRY_MS: Final = 100
@@ -45,13 +47,20 @@
 class PlacementController:
     """Chooses upstreams by their runs, failures and measured run times."""
 
-    def __init__(self, clock: Clock, rng: random.Random, data_centre: str) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        data_centre: str,
+        pace: PaceReader = USUAL_PACE,
+    ) -> None:
         """Create a controller without upstreams; `data_centre` is this daemon's own."""
         self.upstreams = UpstreamTable(clock)
         self.batch = BatchSlots(clock, rng, self.upstreams)
         self._clock = clock
         self._random = rng
         self._data_centre = data_centre
+        self._pace = pace
         self._run_times: dict[str, RunTimes] = {}
 
     @property
@@ -76,10 +85,12 @@
             message = "every upstream is cold, and this VM may not send it more requests now"
             return Err(NoUpstreamAvailable(message, retry_after_ms=COLD_RETRY_MS))
         preferred = self._find_preferred(available, query.affinity)
+        factors = self._pace.read_factors(query.service)
         if self.runs.digest_sequence is not None:
-            return Ok(self._place(self._choose_spread(available, preferred)))
-        best = min(available, key=lambda state: self._estimate_cost(state, preferred))
-        return Ok(self._place(best))
+            chosen = self._choose_spread(available, preferred, factors)
+            return Ok(self._place(chosen, factors))
+        best = min(available, key=lambda state: self._estimate_cost(state, preferred, factors))
+        return Ok(self._place(best, factors))
 
     def can_place(self, query: PlacementQuery) -> bool:
         """Return whether `choose` would find an upstream now."""
@@ -98,23 +109,29 @@
             or not self.upstreams.accepts_more(state)
         ):
             return None
-        return self._place(state)
+        return self._place(state, self._pace.read_factors(state.entry.service))
 
     def has_upstream(self, query: PlacementQuery) -> bool:
         """Return whether there is an upstream that `choose` may find now or later."""
         return bool(self.upstreams.list_candidates(query))
 
-    def _choose_spread(self, states: list[UpstreamState], preferred: str) -> UpstreamState:
-        usages = [self._read_slot_usage(state, preferred) for state in states]
+    def _choose_spread(
+        self, states: list[UpstreamState], preferred: str, factors: Mapping[str, float]
+    ) -> UpstreamState:
+        usages = [self._read_slot_usage(state, preferred, factors) for state in states]
         return choose_weighted(
             list(zip(states, compute_weights(usages), strict=True)), self._random
         )
 
-    def _read_slot_usage(self, state: UpstreamState, preferred: str) -> SlotUsage:
+    def _read_slot_usage(
+        self, state: UpstreamState, preferred: str, factors: Mapping[str, float]
+    ) -> SlotUsage:
         runs, entry = self.upstreams.count_runs(state), state.entry
         same_data_centre = entry.data_centre == self._data_centre
         slots = self.upstreams.count_slots(state)
-        return SlotUsage(slots, runs.online, runs.batch, same_data_centre, entry.name == preferred)
+        factor = factors.get(entry.name, 1.0) if factors else 1.0
+        is_preferred = entry.name == preferred
+        return SlotUsage(slots, runs.online, runs.batch, same_data_centre, is_preferred, factor)
 
     def begin(self, name: str, runs: Runs) -> None:
         """Record that runs of this daemon begin at an upstream."""
@@ -161,8 +178,15 @@
         ahead = runs.online - slots + 1
         return ahead * self.read_run_times(state.entry.service).run_ms / slots
 
-    def _estimate_cost(self, state: UpstreamState, preferred: str) -> float:
+    def _estimate_cost(
+        self, state: UpstreamState, preferred: str, factors: Mapping[str, float]
+    ) -> float:
         cost = self._estimate_wait_ms(state)
+        if factors:
+            factor = factors.get(state.entry.name, 1.0)
+            # The time to the first event is added relative to the usual one, which all have.
+            first_ms = self.read_run_times(state.entry.service).first_ms
+            cost = cost * factor + first_ms * (factor - 1.0)
         cost += BUSY_MS * min(
             1.0, self.upstreams.count_runs(state).total / self.upstreams.count_slots(state)
         )
@@ -177,7 +201,9 @@
             return ""
         return max(states, key=lambda state: score(affinity, state.entry.name)).entry.name
 
-    def _place(self, state: UpstreamState) -> Placement:
+    def _place(self, state: UpstreamState, factors: Mapping[str, float]) -> Placement:
         times = self.read_run_times(state.entry.service)
         runs = self.upstreams.count_runs(state).total
-        return Placement(state.entry, self._estimate_wait_ms(state), times.first_ms, runs)
+        factor = factors.get(state.entry.name, 1.0)
+        wait_ms = self._estimate_wait_ms(state) * factor
+        return Placement(state.entry, wait_ms, times.first_ms * factor, runs, factor)
--- a/goldcreststair/components/placement/models.py
+++ b/goldcreststair/components/placement/models.py
@@ -31,6 +31,8 @@
     """Expected time from a free slot to the first event."""
     runs_there: int = 0
     """Runs of all daemons at the upstream, as known to this one."""
+    factor: float = 1.0
+    """How much longer than usual work takes there; part of both times."""
 
     @property
     def expected_ms(self) -> float:
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -19,6 +19,7 @@
 )
 from goldcreststair.components.placement.controller import PlacementController
 from goldcreststair.components.placement.loads import Runs
+from goldcreststair.components.upstream_pace.protocols import UPSTREAM_PACE
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.upstreams.dialect import RunHead
@@ -45,7 +46,10 @@
     def __init__(self, core: GatewayCore) -> None:
         """Create the service and register for beacons and notices."""
         self._core = core
-        self.controller = PlacementController(core.clock, core.random, core.settings.data_centre)
+        self._pace = core.get(UPSTREAM_PACE)
+        self.controller = PlacementController(
+            core.clock, core.random, core.settings.data_centre, self._pace
+        )
         self._links = core.get(FLEET_LINKS)
         self._links.add_beacon_contributor(self._contribute)
         self._links.subscribe_beacons(self._on_beacon, self.controller.runs.forget)
@@ -113,12 +117,22 @@
         self._links.schedule_beacon()
 
     def record_head(self, name: str, head: RunHead) -> None:
-        """Record progress, and the cold state reported in the head of an answer."""
+        """Record progress, and the load and the cold state reported in the head of an answer."""
         self.controller.upstreams.record_progress(name)
+        self._pace.record_head(name, head)
         if self.controller.upstreams.mark_cold(name, head.cold_ms):
             extra = {"upstream": name, "cold_ms": head.cold_ms}
             _LOGGER.info("Upstream reports in an answer that it is cold", extra=extra)
 
+    def record_events(
+        self, entry: UpstreamEntry, first_ms: float | None, gap_ms: float | None
+    ) -> None:
+        """Record the times of a run: to its first event, and between two events.
+
+        None for a time that was not measured, or not by the upstream alone.
+        """
+        self._pace.record_events(entry, first_ms, gap_ms)
+
     def has_connections(self, entry: UpstreamEntry) -> bool:
         """Return whether the connection limit of an upstream allows one more run."""
         pool = self._core.runner.pool
--- a/goldcreststair/components/placement/spreading.py
+++ b/goldcreststair/components/placement/spreading.py
@@ -35,6 +35,8 @@
     same_data_centre: bool = False
     preferred: bool = False
     """Whether it probably has the prompt prefix cached."""
+    factor: float = 1.0
+    """How much longer than usual work takes there."""
 
 
 def compute_weights(usages: Sequence[SlotUsage]) -> list[float]:
@@ -51,6 +53,8 @@
     [1.0, 0.25]
     >>> compute_weights([SlotUsage(8, 7, 0), SlotUsage(8, 8, 0)])
     [1.0, 0.0]
+    >>> compute_weights([SlotUsage(8, 2, 0), SlotUsage(8, 2, 0, factor=2.0)])
+    [6.0, 3.0]
     """
     stages = (
         [max(0.0, usage.slots - usage.online - usage.batch) for usage in usages],
@@ -64,9 +68,10 @@
 
 
 def _weigh_preference(usage: SlotUsage) -> float:
-    return (SAME_DATA_CENTRE_WEIGHT if usage.same_data_centre else 1.0) * (
+    weight = (SAME_DATA_CENTRE_WEIGHT if usage.same_data_centre else 1.0) * (
         AFFINITY_WEIGHT if usage.preferred else 1.0
     )
+    return weight / usage.factor
 
 
 def choose_weighted(options: Sequence[tuple[T, float]], rng: random.Random) -> T:
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -23,6 +23,7 @@
     operator_rows,
     placement,
     quotas,
+    upstream_pace,
 )
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
@@ -50,6 +51,7 @@
     catalogue.async_setup,
     discovery.async_setup,
     quotas.async_setup,
+    upstream_pace.async_setup,
     placement.async_setup,
     crash_marks.async_setup,
     jobs.async_setup,
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -74,6 +74,7 @@
             "batch_items": _Counter("Batch items by what became of a run.", ("outcome",)),
             "batch_jobs": _Counter("Batch jobs by what became of them here.", ("outcome",)),
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
+            "upstream_load_invalid": _Counter("Invalid or impossible loads of upstreams."),
         }
         self._histograms = {
             "first_event_seconds": _Histogram(
@@ -90,6 +91,7 @@
         self._gauges = dict.fromkeys(GAUGES, 0.0)
         # Series without labels are exported from the start, as monitoring expects.
         self._counters["log_lines_dropped"].values[()] = 0.0
+        self._counters["upstream_load_invalid"].values[()] = 0.0
 
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request's final answer."""
@@ -145,6 +147,11 @@
         """Count log lines that were dropped."""
         self._counters["log_lines_dropped"].values[()] += lines
 
+    def count_invalid_load(self) -> None:
+        """Count a load of an upstream that is malformed or out of bounds."""
+        self._counters["upstream_load_invalid"].values[()] += 1
+        self._statistics.count("upstream_load_invalid")
+
     def render(self) -> bytes:
         """Return the metrics page in the OpenMetrics format."""
         # Imported with the first page: callers wait while a daemon restarts.
@@ -187,6 +194,7 @@
     "upstreams": "Upstreams that may get work.",
     "upstreams_down": "Upstreams that this daemon believes down.",
     "upstreams_cold": "Upstreams that bear few requests at present.",
+    "upstreams_slow": "Upstreams at which work takes at least 1.5 times as long as usual.",
     "data_centres_evacuated": "Data centres whose upstreams get no new work.",
     "runs_online": "Online runs of this daemon.",
     "runs_batch": "Batch runs of this daemon.",
--- a/goldcreststair/upstreams/dialect.py
+++ b/goldcreststair/upstreams/dialect.py
@@ -36,6 +36,8 @@
     running: int
     waiting: int
     slots: int
+    pace_percent: int | None = None
+    """How long work takes at the upstream now; 100 is usual. None if it does not report it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,8 @@
     load: UpstreamLoad | None
     cold_ms: int = 0
     """For how much longer the upstream tolerates only few requests, if it reports so."""
+    load_text: str = ""
+    """The beginning of the header that reports the load, as sent; empty if there was none."""
 
 
 class UpstreamDialect(Protocol):
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -30,7 +30,7 @@
 from goldcreststair.components.requests.models import CallerRequest
 from goldcreststair.gateway import Gateway
 from goldcreststair.gateway_core import GatewayAdapter, GatewayCore
-from goldcreststair.gateway_settings import GatewaySettings
+from goldcreststair.gateway_settings import DEFAULT_SHARED_FEATURES, GatewaySettings
 from goldcreststair.helpers.api_keys import hash_key
 from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.meters import Meters
@@ -238,6 +238,9 @@
     engines: RunEngines
     regions: Mapping[str, str] = field(default_factory=dict)
     """Region of each data centre; if empty, all are in one region."""
+    features: str = ""
+    shared_machine_features: str = DEFAULT_SHARED_FEATURES
+    """Settings of the daemons about optional features."""
     members: list[FleetMember] = field(default_factory=list)
     _started: int = 0
     _requests: int = 0
@@ -320,6 +323,8 @@
             data_centre_regions=",".join(f"{dc}={name}" for dc, name in self.regions.items()),
             front=f"{address}:80",
             peer_port=PEER_PORT,
+            features=self.features,
+            shared_machine_features=self.shared_machine_features,
         )
         meters, contact = Meters(), StoreContact(self.clock)
         adapter = GatewayAdapter(
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -45,12 +45,20 @@
     """Arrival times of requests while it was cold."""
     fail_status: int = 0
     """Status of the answer to every run; 0 for none."""
+    pace_percent: int | None = None
+    """How long its work takes now, as its answers report it; 100 is usual, None reports nothing."""
     running: int = 0
     waiting: int = 0
     ran: list[RunCall] = field(default_factory=list)
     """All runs in the order of their starts."""
     freed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def scale(self, duration_ms: int) -> int:
+        """Return how long a step takes at its current pace."""
+        if self.pace_percent is None:
+            return duration_ms
+        return round(duration_ms * self.pace_percent / 100)
+
 
 @dataclass(slots=True)
 class RunEngines:
@@ -153,13 +161,13 @@
         self, engine: RunEngine, call: RunCall, sink: RunSink
     ) -> Result[RunEnd, UpstreamError]:
         status = engine.fail_status or self.statuses.get(call.request_id, 200)
-        load = UpstreamLoad(engine.running, engine.waiting, engine.slots)
+        load = UpstreamLoad(engine.running, engine.waiting, engine.slots, engine.pace_percent)
         cold_ms = max(0, engine.cold_until - self.clock.now())
         head = RunHead(status, (("Stamp", engine.name),), False, False, load, cold_ms)
         if self.poison and call.body == self.poison:
             self.crashes += 1
             engine.up = False
-        await self.clock.async_sleep(engine.first_ms)
+        await self.clock.async_sleep(engine.scale(engine.first_ms))
         lost = await self._async_check(engine)
         if lost is not None:
             return Err(lost)
@@ -179,7 +187,7 @@
             taken: Awaitable[None] | None = sink.on_data(make_event(call.request_id, number))
             if taken is not None:
                 await taken
-            await self.clock.async_sleep(engine.event_ms)
+            await self.clock.async_sleep(engine.scale(engine.event_ms))
         return Ok(RunEnd(head, b""))
 
     async def _async_check(self, engine: RunEngine) -> UpstreamError | None:
