Eject upstreams that fail more often than the others of their service

Cause: an upstream that fails a part of its requests, hangs, is slow or flaps while it accepts connections keeps its full share of requests.

Forwarding and jobs report the end of each run through PlacementService.record_outcome; placement leaves out ejected and half-open upstreams. Active only for services with the feature outlier-ejection.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CallKind
 from goldcreststair.components.catalogue.regions import find_request_regions
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
@@ -33,7 +34,8 @@
     UpstreamProbes,
 )
 from goldcreststair.components.placement.admission import TimeBudget, decide_retry_after
-from goldcreststair.components.placement.models import Placement, PlacementQuery
+from goldcreststair.components.placement.models import Placement, PlacementQuery, RunOutcome
+from goldcreststair.components.placement.outcomes import classify_run_end
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
@@ -172,7 +174,10 @@
     def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
         admitted = self._admitted
         regions = find_request_regions(admitted.route, admitted.customer)
-        return PlacementQuery(admitted.service, frozenset(excluded), admitted.affinity, regions)
+        is_retry = self._progress.may_have_run
+        return PlacementQuery(
+            admitted.service, frozenset(excluded), admitted.affinity, regions, is_retry
+        )
 
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
         entry = placement.upstream
@@ -191,17 +196,31 @@
         self._placement.begin(entry.name)
         began_at = self._clock.now()
         run = asyncio.ensure_future(self._core.runner.async_run(entry.address, call, self._relay))
+        end: Result[RunEnd, UpstreamError] | None = None
         try:
             end = await self._async_monitor(run, placement)
         finally:
             run.cancel()
             self._placement.end(entry.name)
+            self._report_outcome(placement, end, began_at)
         if isinstance(end, Ok) and not placement.wait_ms and self._relay.first_event_at:
             first_ms = self._relay.first_event_at - began_at
             service = self._admitted.service
             self._placement.controller.record_run(service, first_ms, self._clock.now() - began_at)
         return end
 
+    def _report_outcome(
+        self, placement: Placement, end: Result[RunEnd, UpstreamError] | None, began_at: Millis
+    ) -> None:
+        outcome, first_ms = RunOutcome.ABORTED, None
+        if end is not None:
+            complete, has_answered = self._relay.is_complete, self._relay.progress_at > began_at
+            outcome = classify_run_end(end, complete=complete, has_answered=has_answered)
+        first_at = self._relay.first_event_at
+        if first_at is not None and first_at >= began_at and not placement.wait_ms:
+            first_ms = first_at - began_at
+        self._placement.record_outcome(placement.upstream, outcome, first_ms)
+
     async def _async_monitor(
         self, run: "asyncio.Task[Result[RunEnd, UpstreamError]]", placement: Placement
     ) -> Result[RunEnd, UpstreamError]:
@@ -227,6 +246,7 @@
         if not may_abandon_run(progress, self._route, self._budget, self._remaining_ms()):
             return False
         elsewhere = self._make_query(progress.excluded | {self._upstream})
+        elsewhere = replace(elsewhere, is_retry=True)
         return self._placement.controller.can_place(elsewhere)
 
     def _make_call(self, upstream: str) -> RunCall:
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -40,6 +40,8 @@
 from goldcreststair.components.jobs.result_writer import ResultWriter
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
 from goldcreststair.components.placement.loads import Runs
+from goldcreststair.components.placement.models import RunOutcome
+from goldcreststair.components.placement.outcomes import classify_run_end
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.placement.spreading import allot_starts
 from goldcreststair.components.requests.admission import choose_service
@@ -273,7 +275,7 @@
         if run.ended or task.cancelled():
             self._close_run(run)
             return
-        self._close_run(run)
+        self._close_run(run, _classify_outcome(run, task))
         error = task.exception()
         if error is not None:
             _LOGGER.error("Run of an item raised an exception", exc_info=error)
@@ -290,7 +292,7 @@
         if run.task is not None:
             run.task.cancel()
 
-    def _close_run(self, run: _Run) -> None:
+    def _close_run(self, run: _Run, outcome: RunOutcome = RunOutcome.ABORTED) -> None:
         if run.ended:
             return
         run.ended = True
@@ -298,6 +300,8 @@
             run.sink.close()
         self._runs.pop(run, None)
         self._placement.end(run.upstream.name, run.runs)
+        # The time to the first event of an item says little: its prompts are longer than those online.
+        self._placement.record_outcome(run.upstream, outcome, None)
         if run.item.state is ItemState.RUNNING:
             run.item.state = ItemState.WAITING
 
@@ -386,6 +390,13 @@
         )
 
 
+def _classify_outcome(run: _Run, task: "asyncio.Task[Result[RunEnd, UpstreamError]]") -> RunOutcome:
+    if task.exception() is not None:
+        return RunOutcome.ABORTED
+    has_answered = run.item.last_event > run.first_event
+    return classify_run_end(task.result(), complete=True, has_answered=has_answered)
+
+
 def _make_fingerprint(job: OwnedJob, item: ItemProgress) -> str:
     return make_call_fingerprint(job.key.customer, METHOD, item.spec.path, item.spec.body)
 
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -13,6 +13,7 @@
 from goldcreststair.components.fleet.models import FLEET, OWN_STATE, VmState
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.jobs.protocols import JOBS
+from goldcreststair.components.outliers.protocols import OUTLIERS
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.meters import CONTENT_TYPE
@@ -79,6 +80,7 @@
             "upstreams": len(board.read(LIVE_UPSTREAMS).by_name),
             "upstreams_down": len(controller.upstreams.list_down()),
             "upstreams_cold": len(controller.upstreams.list_cold()),
+            "upstreams_ejected": self.core.get(OUTLIERS).count_ejected(),
             "data_centres_evacuated": len(board.read(EVACUATIONS).data_centres),
             "runs_online": sum(run.online for run in runs),
             "runs_batch": sum(run.batch for run in runs),
--- /dev/null
+++ b/goldcreststair/components/outliers/protocols.py
@@ -0,0 +1,61 @@
+"""Interface that the outliers component offers to other components."""
+
+from typing import Final, Protocol
+
+from goldcreststair.components.discovery.models import UpstreamEntry
+from goldcreststair.components.placement.models import RunOutcome
+from goldcreststair.core import ComponentKey
+
+
+class OutlierReader(Protocol):
+    """Tells which upstreams get no requests, or only trial requests."""
+
+    def is_ejected(self, upstream: str) -> bool:
+        """Return whether an upstream is ejected."""
+
+    def is_excluded(self, upstream: str) -> bool:
+        """Return whether an upstream is ejected or half-open; batch runs are not sent there."""
+
+    def may_send(self, upstream: str) -> bool:
+        """Return whether this daemon may send a request to an upstream now.
+
+        False while it is ejected, and while it is half-open unless this daemon sends a trial request.
+        """
+
+
+class Outliers(OutlierReader, Protocol):
+    """Receives the outcomes of all runs of this daemon."""
+
+    def is_active(self, service: str) -> bool:
+        """Return whether the feature is active for a service."""
+
+    def count_ejected(self) -> int:
+        """Return the number of upstreams that are ejected."""
+
+    def record_begin(self, upstream: str) -> None:
+        """Record that an online run begins at an upstream."""
+
+    def record_outcome(
+        self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
+    ) -> None:
+        """Record the end of a run."""
+
+
+class NoOutliers:
+    """Implements `OutlierReader` without any ejected upstream."""
+
+    def is_ejected(self, upstream: str) -> bool:
+        """Return False."""
+        return False
+
+    def is_excluded(self, upstream: str) -> bool:
+        """Return False."""
+        return False
+
+    def may_send(self, upstream: str) -> bool:
+        """Return True."""
+        return True
+
+
+NO_OUTLIERS: Final = NoOutliers()
+OUTLIERS: Final = ComponentKey[Outliers]("outliers")
--- a/goldcreststair/components/placement/batch_slots.py
+++ b/goldcreststair/components/placement/batch_slots.py
@@ -11,6 +11,7 @@
 from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.components.outliers.protocols import NO_OUTLIERS, OutlierReader
 from goldcreststair.components.placement.const import (
     BATCH_FREE_SHARE,
     BATCH_HOLD_MS,
@@ -24,11 +25,18 @@
 class BatchSlots:
     """Chooses upstreams for batch runs, and the batch runs to preempt."""
 
-    def __init__(self, clock: Clock, rng: random.Random, upstreams: UpstreamTable) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        upstreams: UpstreamTable,
+        outliers: OutlierReader = NO_OUTLIERS,
+    ) -> None:
         """Initialise with the upstreams that online requests use as well."""
         self._clock = clock
         self._random = rng
         self._upstreams = upstreams
+        self._outliers = outliers
 
     def choose(self, service: str, regions: Regions = None) -> UpstreamEntry | None:
         """Return the upstream in these regions with the most free slots for batch, or None."""
@@ -55,6 +63,7 @@
             for state in self._upstreams.list_by_service(service)
             if self._upstreams.is_in_regions(state, regions)
         ]
+        states = [s for s in states if not self._outliers.is_excluded(s.entry.name)] or states
         warm = [state for state in states if not self._upstreams.is_cold(state)]
         for state in warm or [state for state in states if self._upstreams.accepts_more(state)]:
             blocked = max(state.down_until, state.full_until, state.no_batch_until) > now
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -12,6 +12,7 @@
 
 from goldcreststair.clock import Clock
 from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.components.outliers.protocols import NO_OUTLIERS, OutlierReader
 from goldcreststair.components.placement.batch_slots import BatchSlots
 from goldcreststair.components.placement.const import (
     BUSY_MS,
@@ -40,15 +41,25 @@
 from goldcreststair.helpers.rendezvous import score
 
 MIN_RETRY_MS: Final = 100
+EJECTED_RETRY_MS: Final = 300
+"""Retry time of a request whose only other upstreams are ejected: those that refused it may have a free
+slot by then."""
 
 
 class PlacementController:
     """Chooses upstreams by their runs, failures and measured run times."""
 
-    def __init__(self, clock: Clock, rng: random.Random, data_centre: str) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        rng: random.Random,
+        data_centre: str,
+        outliers: OutlierReader = NO_OUTLIERS,
+    ) -> None:
         """Create a controller without upstreams; `data_centre` is this daemon's own."""
         self.upstreams = UpstreamTable(clock)
-        self.batch = BatchSlots(clock, rng, self.upstreams)
+        self.batch = BatchSlots(clock, rng, self.upstreams, outliers)
+        self._outliers = outliers
         self._clock = clock
         self._random = rng
         self._data_centre = data_centre
@@ -71,6 +82,10 @@
             return Err(
                 NoUpstreamAvailable("every upstream is down or full", retry_after_ms=wait_ms)
             )
+        available = self._exclude_outliers(query, available)
+        if not available:
+            message = "every upstream left for another run is ejected"
+            return Err(NoUpstreamAvailable(message, retry_after_ms=EJECTED_RETRY_MS))
         available = self.upstreams.prefer_warm(available)
         if not available:
             message = "every upstream is cold, and this VM may not send it more requests now"
@@ -83,11 +98,15 @@
 
     def can_place(self, query: PlacementQuery) -> bool:
         """Return whether `choose` would find an upstream now."""
-        return bool(
-            self.upstreams.prefer_warm(
-                self.upstreams.list_available(self.upstreams.list_candidates(query))
-            )
-        )
+        available = self.upstreams.list_available(self.upstreams.list_candidates(query))
+        return bool(self.upstreams.prefer_warm(self._exclude_outliers(query, available)))
+
+    def _exclude_outliers(
+        self, query: PlacementQuery, states: list[UpstreamState]
+    ) -> list[UpstreamState]:
+        """Exclude ejected and half-open upstreams; a first run may use them if there are no others."""
+        allowed = [state for state in states if self._outliers.may_send(state.entry.name)]
+        return allowed if allowed or query.is_retry else states
 
     def place_at(self, name: str) -> Placement | None:
         """Return a placement at the named upstream, or None if it may get no new work."""
--- a/goldcreststair/components/placement/models.py
+++ b/goldcreststair/components/placement/models.py
@@ -1,6 +1,7 @@
 """Placement queries and their results."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.discovery.models import UpstreamEntry
@@ -18,6 +19,8 @@
     """Identifies the prompt prefix, for cache affinity; empty if the prefix is not cached."""
     regions: Regions = None
     """Regions in which the upstream may be; None for all."""
+    is_retry: bool = False
+    """Whether an upstream may have run the request before; retries go to no ejected upstream."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +50,19 @@
     retry_after_ms: int = 0
 
 
+class RunOutcome(StrEnum):
+    """What the end of a run shows about its upstream."""
+
+    SUCCESS = "success"
+    """A whole answer, or one that says that the request is at fault."""
+    FAILED = "failed"
+    """No connection, a server error, an incomplete or foreign answer, or silence."""
+    REFUSED = "refused"
+    """It refused the request as not run, for lack of capacity."""
+    ABORTED = "aborted"
+    """This daemon or the caller ended the run."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunTimes:
     """Moving averages of the measured times of runs of one service."""
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -7,18 +7,22 @@
 
 from result import Err
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
 from goldcreststair.components.evacuation.models import EVACUATIONS, Evacuations
 from goldcreststair.components.fleet.models import FLEET, Fleet
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind, hash_name
+from goldcreststair.components.outliers.protocols import OUTLIERS
 from goldcreststair.components.placement.const import (
     CONNECTION_SHARE,
+    FULL_MS,
     MIN_CONNECTIONS,
     PROBE_MS,
 )
 from goldcreststair.components.placement.controller import PlacementController
 from goldcreststair.components.placement.loads import Runs
+from goldcreststair.components.placement.models import RunOutcome
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.upstreams.dialect import RunHead
@@ -45,7 +49,12 @@
     def __init__(self, core: GatewayCore) -> None:
         """Create the service and register for beacons and notices."""
         self._core = core
-        self.controller = PlacementController(core.clock, core.random, core.settings.data_centre)
+        self._outliers = core.get(OUTLIERS)
+        self.controller = PlacementController(
+            core.clock, core.random, core.settings.data_centre, self._outliers
+        )
+        self._refused_until: dict[str, Millis] = {}
+        """Upstreams that refused a request of this daemon as full, and until when this counts."""
         self._links = core.get(FLEET_LINKS)
         self._links.add_beacon_contributor(self._contribute)
         self._links.subscribe_beacons(self._on_beacon, self.controller.runs.forget)
@@ -91,6 +100,8 @@
     def begin(self, name: str, runs: Runs = ONLINE_RUN) -> None:
         """Record that a run begins, announce it, and preempt batch runs if needed."""
         self.controller.begin(name, runs)
+        if runs.online:
+            self._outliers.record_begin(name)
         self._links.schedule_beacon()
         if runs.online and not self._preempt_own(name):
             self._request_preemption(name)
@@ -100,6 +111,19 @@
         self.controller.end(name, runs)
         self._links.schedule_beacon()
 
+    def record_outcome(
+        self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
+    ) -> None:
+        """Record the end of a run.
+
+        `first_ms` is the time to its first event, or None where it had to wait for a slot or had none.
+        """
+        self._outliers.record_outcome(entry, outcome, first_ms)
+        if outcome is RunOutcome.REFUSED and self._outliers.is_active(entry.service):
+            self._refused_until[entry.name] = Millis(self._core.clock.now() + FULL_MS)
+            self._links.schedule_beacon()
+            self._core.clock.call_later(FULL_MS, self._links.schedule_beacon)
+
     def mark_down(self, entry: UpstreamEntry, reason: str, subject: str) -> None:
         """Mark an upstream as down: it does not accept connections, or is silent.
 
@@ -150,6 +174,7 @@
 
     def _contribute(self, beacon: Beacon) -> None:
         own = self.controller.runs.list_own()
+        self._fill_refusing(own)
         beacon.runs = [
             UpstreamRuns(key, runs.online, runs.batch, runs.late or None)
             for key, runs in own.items()
@@ -157,6 +182,22 @@
         down = self.controller.upstreams.list_down()
         beacon.suspects = [hash_name(entry.name) for entry in down]
 
+    def _fill_refusing(self, own: dict[int, Runs]) -> None:
+        """Raise the online runs at upstreams that refused as full, so that other daemons see it."""
+        now = self._core.clock.now()
+        for name in [name for name, until in self._refused_until.items() if until <= now]:
+            del self._refused_until[name]
+        for name in self._refused_until:
+            state = self.controller.upstreams.find_state(name)
+            if state is None:
+                continue
+            # The sum of all daemons fills the slots and no more: above, batch would be preempted.
+            upstreams = self.controller.upstreams
+            free = upstreams.count_slots(state) - upstreams.count_runs(state).total
+            known = own.get(state.key, Runs())
+            if free > 0:
+                own[state.key] = Runs(known.online + free, known.batch, known.late)
+
     def _on_beacon(self, session: str, beacon: Beacon) -> None:
         runs = {
             run.upstream: Runs(run.online, run.batch, run.late or 0) for run in beacon.runs or ()
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -21,6 +21,7 @@
     jobs,
     metrics,
     operator_rows,
+    outliers,
     placement,
     quotas,
 )
@@ -50,6 +51,7 @@
     catalogue.async_setup,
     discovery.async_setup,
     quotas.async_setup,
+    outliers.async_setup,
     placement.async_setup,
     crash_marks.async_setup,
     jobs.async_setup,
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -71,6 +71,7 @@
             "requests": _Counter("Requests by route kind and outcome.", ("kind", "outcome")),
             "retries": _Counter("Runs that another one followed, by failure.", ("failure",)),
             "given_up": _Counter("Requests whose last run failed, by failure.", ("failure",)),
+            "ejections": _Counter("Ejections of upstreams by this daemon.", ("reason",)),
             "batch_items": _Counter("Batch items by what became of a run.", ("outcome",)),
             "batch_jobs": _Counter("Batch jobs by what became of them here.", ("outcome",)),
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
@@ -115,6 +116,11 @@
         self._counters["given_up"].values[(failure,)] += 1
         self._statistics.count(f"given_up.{failure}")
 
+    def count_ejection(self, reason: str) -> None:
+        """Count an ejection of an upstream."""
+        self._counters["ejections"].values[(reason,)] += 1
+        self._statistics.count(f"ejections.{reason}")
+
     def count_item(self, outcome: str) -> None:
         """Count a run of a batch item by its outcome."""
         self._counters["batch_items"].values[(outcome,)] += 1
@@ -187,6 +193,7 @@
     "upstreams": "Upstreams that may get work.",
     "upstreams_down": "Upstreams that this daemon believes down.",
     "upstreams_cold": "Upstreams that bear few requests at present.",
+    "upstreams_ejected": "Upstreams that this daemon has ejected.",
     "data_centres_evacuated": "Data centres whose upstreams get no new work.",
     "runs_online": "Online runs of this daemon.",
     "runs_batch": "Batch runs of this daemon.",
--- a/goldcreststair/upstreams/errors.py
+++ b/goldcreststair/upstreams/errors.py
@@ -42,6 +42,8 @@
     """HTTP status, or 0 without one."""
     body: bytes = b""
     """The upstream's error response, for `REJECTED`."""
+    misdirected: bool = False
+    """Whether the address now belongs to another upstream, which did not run the request."""
 
     @property
     def not_run(self) -> bool:
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -118,7 +118,8 @@
             return Err(UpstreamError("answer has no head", UpstreamFailure.LOST))
         if head.misdirected or head.not_run:
             message = "the address belongs to another upstream" if head.misdirected else "not run"
-            return Err(UpstreamError(message, UpstreamFailure.REFUSED, head.status))
+            refused = UpstreamFailure.REFUSED
+            return Err(UpstreamError(message, refused, head.status, misdirected=head.misdirected))
         return Ok(RunEnd(head, outcome.ok_value.body))
 
 
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -45,6 +45,10 @@
     """Arrival times of requests while it was cold."""
     fail_status: int = 0
     """Status of the answer to every run; 0 for none."""
+    fail_share: float = 0.0
+    """Share of runs that are answered with status 500, evenly spread over the runs."""
+    slowdown: float = 1.0
+    """Factor of the times to the first event and between events."""
     running: int = 0
     waiting: int = 0
     ran: list[RunCall] = field(default_factory=list)
@@ -118,8 +122,10 @@
         if engine.reset:
             return Err(UpstreamError("connection reset", UpstreamFailure.LOST))
         full = engine.waiting >= engine.queue
-        if engine.refuse or full or call.upstream != engine.name:
-            return Err(UpstreamError("not run", UpstreamFailure.REFUSED, 503))
+        misdirected = call.upstream != engine.name
+        if engine.refuse or full or misdirected:
+            refused = UpstreamFailure.REFUSED
+            return Err(UpstreamError("not run", refused, 503, misdirected=misdirected))
         try:
             async with asyncio.timeout(call.deadline_ms / 1000):
                 return await self._async_serve(engine, call, sink)
@@ -153,13 +159,17 @@
         self, engine: RunEngine, call: RunCall, sink: RunSink
     ) -> Result[RunEnd, UpstreamError]:
         status = engine.fail_status or self.statuses.get(call.request_id, 200)
+        if int(len(engine.ran) * engine.fail_share) > int(
+            (len(engine.ran) - 1) * engine.fail_share
+        ):
+            status = 500
         load = UpstreamLoad(engine.running, engine.waiting, engine.slots)
         cold_ms = max(0, engine.cold_until - self.clock.now())
         head = RunHead(status, (("Stamp", engine.name),), False, False, load, cold_ms)
         if self.poison and call.body == self.poison:
             self.crashes += 1
             engine.up = False
-        await self.clock.async_sleep(engine.first_ms)
+        await self.clock.async_sleep(int(engine.first_ms * engine.slowdown))
         lost = await self._async_check(engine)
         if lost is not None:
             return Err(lost)
@@ -179,7 +189,7 @@
             taken: Awaitable[None] | None = sink.on_data(make_event(call.request_id, number))
             if taken is not None:
                 await taken
-            await self.clock.async_sleep(engine.event_ms)
+            await self.clock.async_sleep(int(engine.event_ms * engine.slowdown))
         return Ok(RunEnd(head, b""))
 
     async def _async_check(self, engine: RunEngine) -> UpstreamError | None:
--- a/tests/test_component_separation.py
+++ b/tests/test_component_separation.py
@@ -24,6 +24,7 @@
         "jobs",
         "metrics",
         "operator_rows",
+        "outliers",
         "placement",
         "quotas",
         "requests",
