Test outlier ejection in tables, in a replay and for each failure

Cause: an upstream must be ejected for its own failures only, not for those of the whole service or of one daemon's network.

Change: a row of failures counts only if the other upstreams of the service do not fail alike, and is judged at the next check, so that failures of all upstreams at once have arrived. A first event that is late is reported before the run ends. Requests that could not run elsewhere are no trial requests. `explain upstream` names ejected and half-open upstreams.

--- a/goldcreststair/cli/log_timeline.py
+++ b/goldcreststair/cli/log_timeline.py
@@ -30,11 +30,20 @@
         "Upstream gone",
         "Upstream down",
         "Upstream up",
+        "Upstream ejected",
+        "Upstream half open",
+        "Upstream restored",
         "Lines dropped",
     }
 )
 """Events that change the state or the view of a daemon."""
 
+EXCLUDING_EVENTS: Final[Mapping[str, str]] = {
+    "Upstream ejected": "ejected",
+    "Upstream half open": "half open",
+}
+"""Events after which a VM sends an upstream no requests, or trial requests only."""
+
 RERUN_EVENTS: Final = ("Request runs elsewhere", "Request goes back", "Item runs again")
 """Events after which a request or item is run again."""
 
@@ -127,6 +136,25 @@
             continue
 
 
+def describe_excluded(lines: Iterable[LogLine]) -> list[str]:
+    """Return the upstreams that are ejected or half-open after the last of the lines, and where."""
+    states: dict[tuple[str, str], str] = {}
+    for line in sorted(lines, key=lambda line: line.at_ms):
+        upstream = str(line.fields.get("upstream", ""))
+        if line.event in EXCLUDING_EVENTS:
+            states[upstream, line.vm] = EXCLUDING_EVENTS[line.event]
+        elif line.event == "Upstream restored":
+            states.pop((upstream, line.vm), None)
+        elif line.event == "Upstream gone":
+            states = {key: state for key, state in states.items() if key[0] != upstream}
+        elif line.event in ("Started", "Stopped"):
+            states = {key: state for key, state in states.items() if key[1] != line.vm}
+    vms: dict[tuple[str, str], list[str]] = {}
+    for (upstream, vm), state in sorted(states.items()):
+        vms.setdefault((upstream, state), []).append(vm)
+    return [f"{upstream} {state} at {', '.join(each)}" for (upstream, state), each in vms.items()]
+
+
 def build_timeline(lines: Iterable[LogLine], subject: str, subject_id: str) -> Timeline:
     """Return the lines about one subject in order of time, with the events that led to them."""
     known = sorted(lines, key=lambda line: line.at_ms)
--- a/goldcreststair/cli/operator.py
+++ b/goldcreststair/cli/operator.py
@@ -18,7 +18,13 @@
 
 from goldcreststair.cli.burn import render_svg, render_text
 from goldcreststair.cli.client import Call, Client, ClientError
-from goldcreststair.cli.log_timeline import FIELDS, LogLine, build_timeline, read_lines
+from goldcreststair.cli.log_timeline import (
+    FIELDS,
+    LogLine,
+    build_timeline,
+    describe_excluded,
+    read_lines,
+)
 from goldcreststair.cli.target import (
     EXIT_FAILED,
     NO_OPERATOR_TARGET,
@@ -186,6 +192,9 @@
         mark = "|" if line in timeline.context else "*"
         print(f"{mark} {line.describe()}")
     print(f"cause: {timeline.describe_cause()}")
+    if subject == "upstream":
+        for description in describe_excluded(lines):
+            print(f"upstream {description}")
     if timeline.left_out:
         print(f"sampling dropped {timeline.left_out} earlier lines of these kinds")
     if not timeline.lines:
--- /dev/null
+++ b/goldcreststair/components/forwarding/outcome_report.py
@@ -0,0 +1,87 @@
+"""Reports what one run shows about its upstream, at its end or when its first event is late."""
+
+from typing import Protocol
+
+from result import Result
+
+from goldcreststair.clock import Clock, Millis, TimerHandle
+from goldcreststair.components.discovery.models import UpstreamEntry
+from goldcreststair.components.forwarding.const import LATE_CHECK_MS
+from goldcreststair.components.forwarding.relay import StreamRelay
+from goldcreststair.components.placement.models import Placement, RunOutcome
+from goldcreststair.components.placement.outcomes import classify_run_end
+from goldcreststair.upstreams.errors import UpstreamError
+from goldcreststair.upstreams.runner import RunEnd
+
+
+class OutcomeRecorder(Protocol):
+    """Receives the outcomes of runs; part of `PlacementService`."""
+
+    def record_outcome(
+        self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
+    ) -> None:
+        """Record the end of a run."""
+
+    def read_slow_ms(self, service: str) -> int | None:
+        """Return the time after which a first event counts as a failure, or None."""
+
+
+class OutcomeReport:
+    """Reports one run, and a late first event as soon as it is late.
+
+    A run at an upstream that hangs may end seconds later, at the caller's timeout. Until then other
+    requests would be sent there.
+    """
+
+    def __init__(
+        self, recorder: OutcomeRecorder, clock: Clock, relay: StreamRelay, placement: Placement
+    ) -> None:
+        """Begin with the run behind `relay`, which starts now."""
+        self._recorder = recorder
+        self._clock = clock
+        self._relay = relay
+        self._entry = placement.upstream
+        self._finds_slot = not placement.wait_ms
+        self._began_at = clock.now()
+        self._due_at = Millis(0)
+        self._timer: TimerHandle | None = None
+        self._reported = False
+        # The first event of a run that waits for a slot, or of an answer that is not streamed, says
+        # nothing about the upstream.
+        if self._finds_slot and relay.wants_chunks:
+            self._arm()
+
+    def finish(self, end: Result[RunEnd, UpstreamError] | None) -> None:
+        """Report the end of the run; None if this daemon or the caller ended it."""
+        if self._timer is not None:
+            self._timer.cancel()
+        outcome = RunOutcome.ABORTED
+        if end is not None and not self._reported:
+            outcome = classify_run_end(
+                end, complete=self._relay.is_complete, has_answered=self._has_answered
+            )
+        first_at, first_ms = self._relay.first_event_at, None
+        if first_at is not None and first_at >= self._began_at and self._finds_slot:
+            first_ms = first_at - self._began_at
+        self._recorder.record_outcome(self._entry, outcome, first_ms)
+
+    @property
+    def _has_answered(self) -> bool:
+        return self._relay.progress_at > self._began_at
+
+    def _arm(self) -> None:
+        slow_ms = self._recorder.read_slow_ms(self._entry.service)
+        if slow_ms is not None:
+            self._due_at = Millis(self._clock.now() + slow_ms + 1)
+            self._timer = self._clock.call_later(slow_ms + 1, self._check)
+
+    def _check(self) -> None:
+        self._timer = None
+        if self._has_answered:
+            return
+        # A process that was delayed in reading sees no first event anywhere.
+        if self._clock.now() - self._due_at > LATE_CHECK_MS:
+            self._arm()
+            return
+        self._reported = True
+        self._recorder.record_outcome(self._entry, RunOutcome.FAILED, None)
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -8,7 +8,6 @@
 
 from result import Err, Ok, Result
 
-from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CallKind
 from goldcreststair.components.catalogue.regions import find_request_regions
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
@@ -18,6 +17,7 @@
     PLACEMENT_RETRY_MS,
 )
 from goldcreststair.components.forwarding.models import RequestProgress
+from goldcreststair.components.forwarding.outcome_report import OutcomeReport
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.recovery import (
     NextStep,
@@ -34,8 +34,7 @@
     UpstreamProbes,
 )
 from goldcreststair.components.placement.admission import TimeBudget, decide_retry_after
-from goldcreststair.components.placement.models import Placement, PlacementQuery, RunOutcome
-from goldcreststair.components.placement.outcomes import classify_run_end
+from goldcreststair.components.placement.models import Placement, PlacementQuery
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
@@ -174,9 +173,14 @@
     def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
         admitted = self._admitted
         regions = find_request_regions(admitted.route, admitted.customer)
-        is_retry = self._progress.may_have_run
+        progress, route = self._progress, admitted.route
         return PlacementQuery(
-            admitted.service, frozenset(excluded), admitted.affinity, regions, is_retry
+            admitted.service,
+            frozenset(excluded),
+            admitted.affinity,
+            regions,
+            is_retry=progress.may_have_run,
+            may_try=route.repeatable and progress.attempts + 1 < route.max_attempts,
         )
 
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
@@ -196,31 +200,20 @@
         self._placement.begin(entry.name)
         began_at = self._clock.now()
         run = asyncio.ensure_future(self._core.runner.async_run(entry.address, call, self._relay))
+        report = OutcomeReport(self._placement, self._clock, self._relay, placement)
         end: Result[RunEnd, UpstreamError] | None = None
         try:
             end = await self._async_monitor(run, placement)
         finally:
             run.cancel()
             self._placement.end(entry.name)
-            self._report_outcome(placement, end, began_at)
+            report.finish(end)
         if isinstance(end, Ok) and not placement.wait_ms and self._relay.first_event_at:
             first_ms = self._relay.first_event_at - began_at
             service = self._admitted.service
             self._placement.controller.record_run(service, first_ms, self._clock.now() - began_at)
         return end
 
-    def _report_outcome(
-        self, placement: Placement, end: Result[RunEnd, UpstreamError] | None, began_at: Millis
-    ) -> None:
-        outcome, first_ms = RunOutcome.ABORTED, None
-        if end is not None:
-            complete, has_answered = self._relay.is_complete, self._relay.progress_at > began_at
-            outcome = classify_run_end(end, complete=complete, has_answered=has_answered)
-        first_at = self._relay.first_event_at
-        if first_at is not None and first_at >= began_at and not placement.wait_ms:
-            first_ms = first_at - began_at
-        self._placement.record_outcome(placement.upstream, outcome, first_ms)
-
     async def _async_monitor(
         self, run: "asyncio.Task[Result[RunEnd, UpstreamError]]", placement: Placement
     ) -> Result[RunEnd, UpstreamError]:
--- a/goldcreststair/components/outliers/controller.py
+++ b/goldcreststair/components/outliers/controller.py
@@ -98,6 +98,8 @@
         for name, entry in by_name.items():
             upstream = known.get(name)
             if upstream is None or upstream.entry.started_ms != entry.started_ms:
+                if upstream is not None and upstream.state is not OutlierState.CLOSED:
+                    self._changes.append(OutlierChange(name, OutlierState.CLOSED))
                 upstream = _Upstream(entry, hash_name(name))
             upstream.entry = entry
             self._upstreams[name] = upstream
@@ -163,7 +165,16 @@
         if not counts or self.is_ejected(entry.name):
             return
         upstream.window.add(self._clock.now(), failed=failed, slow=slow)
-        self._advance(upstream)
+        # Otherwise decided by `advance`: failures of all upstreams at once arrive one after the other.
+        if upstream.state is OutlierState.HALF_OPEN:
+            self._advance(upstream)
+
+    def read_slow_ms(self, service: str) -> int | None:
+        """Return the time after which a first event is late; None until enough are known."""
+        times = self._first_ms.get(service, ())
+        if len(times) < MIN_SAMPLES:
+            return None
+        return max(SLOW_MIN_MS, int(SLOW_FACTOR * median(times)))
 
     def advance(self) -> None:
         """Apply what other daemons have reported, and end ejections whose time is up."""
@@ -190,7 +201,7 @@
             for upstream in upstreams:
                 own = upstream.window.read(now)
                 asks = upstream.state is OutlierState.HALF_OPEN
-                answers = own != NO_OUTCOMES and self.peers.is_suspected(upstream.key)
+                answers = bool(own) and self.peers.is_suspected(upstream.key)
                 if own.failed or asks or answers:
                     found.append((upstream.key, own))
         return sorted(found, key=lambda each: -each[1].failed)[:MAX_REPORTED]
@@ -201,17 +212,15 @@
         Its own network is the likely cause, and reports of it would mislead the other daemons.
         """
         now = self._clock.now()
-        used = [each.window for each in upstreams if each.window.read(now) != NO_OUTCOMES]
+        used = [each.window for each in upstreams if each.window.read(now)]
         failing = sum(window.last_failed for window in used)
         return failing >= 2 and failing * 2 > len(used)
 
     def _record_first(self, service: str, first_ms: int) -> bool:
         """Add a time to the first event; returns whether it is late compared with the others."""
-        times = self._first_ms.setdefault(service, deque(maxlen=FIRST_EVENT_SAMPLES))
-        times.append(first_ms)
-        if first_ms <= SLOW_MIN_MS or len(times) < MIN_SAMPLES:
-            return False
-        return first_ms > SLOW_FACTOR * median(times)
+        self._first_ms.setdefault(service, deque(maxlen=FIRST_EVENT_SAMPLES)).append(first_ms)
+        slow_ms = self.read_slow_ms(service)
+        return slow_ms is not None and first_ms > slow_ms
 
     def _advance(self, upstream: _Upstream) -> None:
         now = self._clock.now()
@@ -254,8 +263,7 @@
 
     def _find_reason(self, upstream: _Upstream, others: Outcomes) -> EjectionReason | None:
         now = self._clock.now()
-        own = upstream.window.read(now)
-        total = own + others
+        total = upstream.window.read(now) + others
         if not total.failed or not self._is_active(upstream.entry.service):
             upstream.suspected_at = None
             return None
@@ -264,7 +272,7 @@
         if len(self._by_service[upstream.entry.service]) < 2:
             return None
         reason = EjectionReason.SHARE if self._fails_by_share(upstream, total) else None
-        if reason is None and self._fails_in_row(upstream, own):
+        if reason is None and self._fails_in_row(upstream):
             reason = EjectionReason.ROW
         return EjectionReason.SLOW if reason and upstream.window.is_mostly_slow else reason
 
@@ -272,24 +280,31 @@
         settled_at = (upstream.suspected_at or Millis(0)) + SETTLE_MS
         if self._clock.now() < settled_at or total.failed < MIN_FAILURES:
             return False
-        least = max(MIN_FAILURE_SHARE, RELATIVE_SHARE * self._read_other_upstreams(upstream).share)
-        return total.share >= least
+        if total.share < MIN_FAILURE_SHARE:
+            return False
+        return _is_outlier(total, self._read_other_upstreams(upstream))
 
-    def _fails_in_row(self, upstream: _Upstream, own: Outcomes) -> bool:
-        if upstream.window.count_row(self._clock.now()) < ROW_FAILURES:
+    def _fails_in_row(self, upstream: _Upstream) -> bool:
+        row, started_at = upstream.window.find_row(self._clock.now())
+        if row < ROW_FAILURES:
             return False
-        # The daemon's own outcomes only: where its own network fails, all upstreams fail.
-        rest = self._read_other_upstreams(upstream, own_only=True)
-        return own.share >= RELATIVE_SHARE * rest.share
+        # Only this daemon's outcomes count. Those since the row began show whether its own network or
+        # the whole service begins to fail; those of the window whether failures are frequent anyway.
+        now, others = self._clock.now(), [each.window for each in self._list_others(upstream)]
+        rest = _add_up(window.read(now) for window in others)
+        recent = _add_up(window.read_since(started_at) for window in others)
+        own = upstream.window.read(now)
+        return _is_outlier(own, rest) and _is_outlier(Outcomes(0, row), recent or rest)
+
+    def _list_others(self, upstream: _Upstream) -> list[_Upstream]:
+        return [each for each in self._by_service[upstream.entry.service] if each is not upstream]
 
-    def _read_other_upstreams(self, upstream: _Upstream, *, own_only: bool = False) -> Outcomes:
+    def _read_other_upstreams(self, upstream: _Upstream) -> Outcomes:
         now = self._clock.now()
-        total = NO_OUTCOMES
-        for each in self._by_service[upstream.entry.service]:
-            if each is not upstream:
-                total += each.window.read(now)
-                total += NO_OUTCOMES if own_only else self.peers.read(each.key)
-        return total
+        return _add_up(
+            each.window.read(now) + self.peers.read(each.key)
+            for each in self._list_others(upstream)
+        )
 
     def _eject(self, upstream: _Upstream, reason: EjectionReason, others: Outcomes) -> None:
         now = self._clock.now()
@@ -340,3 +355,13 @@
             out.sort(key=lambda each: -each.severity)
             excluded.update(each.entry.name for each in out[:limit])
         self._excluded = frozenset(excluded)
+
+
+def _add_up(each: Iterable[Outcomes]) -> Outcomes:
+    return sum(each, NO_OUTCOMES)
+
+
+def _is_outlier(outcomes: Outcomes, others: Outcomes) -> bool:
+    """Return whether an upstream fails several times as often as the others of its service."""
+    # Without any outcome elsewhere, it is unknown whether the upstream or all of them fail.
+    return bool(others) and outcomes.share >= RELATIVE_SHARE * others.share
--- a/goldcreststair/components/outliers/models.py
+++ b/goldcreststair/components/outliers/models.py
@@ -33,6 +33,10 @@
     succeeded: int = 0
     failed: int = 0
 
+    def __bool__(self) -> bool:
+        """Return whether there is any outcome."""
+        return bool(self.succeeded or self.failed)
+
     def __add__(self, other: "Outcomes") -> "Outcomes":
         """Return the sums."""
         return Outcomes(self.succeeded + other.succeeded, self.failed + other.failed)
--- a/goldcreststair/components/outliers/protocols.py
+++ b/goldcreststair/components/outliers/protocols.py
@@ -32,6 +32,9 @@
     def count_ejected(self) -> int:
         """Return the number of upstreams that are ejected."""
 
+    def read_slow_ms(self, service: str) -> int | None:
+        """Return the time after which a first event is late; None if unknown or inactive."""
+
     def record_begin(self, upstream: str) -> None:
         """Record that an online run begins at an upstream."""
 
--- a/goldcreststair/components/outliers/service.py
+++ b/goldcreststair/components/outliers/service.py
@@ -80,6 +80,10 @@
         """Return whether this daemon may send a request to an upstream now."""
         return self.controller.may_send(upstream)
 
+    def read_slow_ms(self, service: str) -> int | None:
+        """Return the time after which a first event is late; None if unknown or inactive."""
+        return self.controller.read_slow_ms(service) if self.is_active(service) else None
+
     def record_begin(self, upstream: str) -> None:
         """Record that an online run begins at an upstream."""
         self.controller.record_begin(upstream)
--- a/goldcreststair/components/outliers/window.py
+++ b/goldcreststair/components/outliers/window.py
@@ -33,14 +33,19 @@
             self._failed -= self._entries.popleft()[1]
         return Outcomes(len(self._entries) - self._failed, self._failed)
 
-    def count_row(self, now: Millis) -> int:
-        """Return the number of the last consecutive failures within `ROW_MS`."""
-        row = 0
+    def read_since(self, at: Millis) -> Outcomes:
+        """Return the outcomes since a point in time within the window."""
+        recent = [failed for since, failed, _ in self._entries if since >= at]
+        return Outcomes(len(recent) - sum(recent), sum(recent))
+
+    def find_row(self, now: Millis) -> tuple[int, Millis]:
+        """Return the number of the last consecutive failures within `ROW_MS`, and their start."""
+        row, started_at = 0, now
         for at, failed, _ in reversed(self._entries):
             if not failed or at <= now - ROW_MS:
                 break
-            row += 1
-        return row
+            row, started_at = row + 1, at
+        return row, started_at
 
     @property
     def is_mostly_slow(self) -> bool:
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -105,7 +105,10 @@
         self, query: PlacementQuery, states: list[UpstreamState]
     ) -> list[UpstreamState]:
         """Exclude ejected and half-open upstreams; a first run may use them if there are no others."""
-        allowed = [state for state in states if self._outliers.may_send(state.entry.name)]
+        outliers = self._outliers
+        allowed = [state for state in states if outliers.may_send(state.entry.name)]
+        if not query.may_try:
+            allowed = [state for state in allowed if not outliers.is_excluded(state.entry.name)]
         return allowed if allowed or query.is_retry else states
 
     def place_at(self, name: str) -> Placement | None:
--- a/goldcreststair/components/placement/models.py
+++ b/goldcreststair/components/placement/models.py
@@ -21,6 +21,9 @@
     """Regions in which the upstream may be; None for all."""
     is_retry: bool = False
     """Whether an upstream may have run the request before; retries go to no ejected upstream."""
+    may_try: bool = True
+    """Whether the request could run elsewhere if it failed, so that it may be sent as a trial request
+    to a half-open upstream."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -124,6 +124,10 @@
             self._links.schedule_beacon()
             self._core.clock.call_later(FULL_MS, self._links.schedule_beacon)
 
+    def read_slow_ms(self, service: str) -> int | None:
+        """Return the time after which a first event counts as a failure, or None."""
+        return self._outliers.read_slow_ms(service)
+
     def mark_down(self, entry: UpstreamEntry, reason: str, subject: str) -> None:
         """Mark an upstream as down: it does not accept connections, or is silent.
 
--- a/tests/cli/test_log_timeline.py
+++ b/tests/cli/test_log_timeline.py
@@ -3,7 +3,7 @@
 import orjson
 import pytest
 
-from goldcreststair.cli.log_timeline import build_timeline, read_lines
+from goldcreststair.cli.log_timeline import build_timeline, describe_excluded, read_lines
 
 
 def make_line(ms: int, vm: str, event: str, **seen: object) -> str:
@@ -67,3 +67,17 @@
 
 def test_unknown_subject_is_reported() -> None:
     assert "nothing known" in build_timeline(read_lines(LINES), "request", "r9").describe_cause()
+
+
+def test_ejected_and_half_open_upstreams_are_named() -> None:
+    """Guards against naming an upstream that was restored, restarted or is gone."""
+    lines = [
+        make_line(1, "v1", "Upstream ejected", upstream="e1"),
+        make_line(2, "v2", "Upstream ejected", upstream="e1"),
+        make_line(3, "v2", "Upstream half open", upstream="e1"),
+        make_line(4, "v1", "Upstream ejected", upstream="e2"),
+        make_line(5, "v1", "Upstream restored", upstream="e2"),
+        make_line(6, "v1", "Upstream ejected", upstream="e3"),
+        make_line(7, "v1", "Upstream gone", upstream="e3"),
+    ]
+    assert describe_excluded(read_lines(lines)) == ["e1 ejected at v1", "e1 half open at v2"]
--- /dev/null
+++ b/tests/components/outliers/test_fleet.py
@@ -0,0 +1,230 @@
+"""Fleets of daemons with one failing upstream of seven, with the feature on and off."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import pytest
+from result import Err, Result
+
+from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.components.outliers.const import WINDOW_MS
+from goldcreststair.components.outliers.protocols import OUTLIERS
+from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.features import Feature
+from goldcreststair.upstreams.dialect import RunCall
+from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.runner import RunEnd, RunSink
+from standins.gateways import FleetMember, GatewayFleet
+from standins.run_engines import RunEngine
+from tests.components.outliers.replay import Replay, async_flap, async_play, async_start
+from tests.helpers.gateways import async_send, async_submit, run_fleet
+
+
+def fail(engine: RunEngine) -> None:
+    """Answer 45% of the requests with a server error."""
+    engine.fail_share = 0.45
+
+
+def hang(engine: RunEngine) -> None:
+    """Accept requests and send nothing."""
+    engine.silent = True
+
+
+def slow_down(engine: RunEngine) -> None:
+    """Take 7.5 times as long."""
+    engine.slowdown = 7.5
+
+
+def do_nothing(engine: RunEngine) -> None:
+    """Keep the upstream healthy."""
+
+
+def play(fault: Callable[[RunEngine], None], path: str, *, active: bool) -> Replay:
+    """Return the replay of a fault at one upstream; `do_nothing` lets it flap."""
+    replays: list[Replay] = []
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        replay = await async_start(fleet, active=active)
+        replays.append(replay)
+        fault(replay.bad)
+        flapping = asyncio.create_task(async_flap(fleet, replay.bad))
+        if fault is not do_nothing:
+            flapping.cancel()
+        await async_play(replay, path=path)
+        flapping.cancel()
+
+    run_fleet(scenario)
+    return replays[0]
+
+
+FAULTS = [
+    pytest.param(fail, 0.5, id="failing"),
+    pytest.param(hang, 0.7, id="hanging"),
+    pytest.param(slow_down, 0.75, id="slow"),
+    pytest.param(do_nothing, 0.6, id="flapping"),
+]
+
+
+@pytest.mark.parametrize("path", ["/stream/a", "/once/a"])
+@pytest.mark.parametrize(("fault", "factor"), FAULTS)
+def test_failing_upstream_gets_fewer_requests(
+    fault: Callable[[RunEngine], None], factor: float, path: str
+) -> None:
+    """An upstream that flapped got 12 of 42 requests, and one that fails kept its full share."""
+    off, on = play(fault, path, active=False), play(fault, path, active=True)
+    assert on.share_at_bad <= factor * off.share_at_bad
+    assert on.failed + on.late <= factor * (off.failed + off.late)
+
+
+def read_excluded(member: FleetMember, engine: RunEngine) -> bool:
+    """Return whether a daemon has ejected an upstream or holds it half-open."""
+    return member.core.get(OUTLIERS).is_excluded(engine.name)
+
+
+def test_daemons_agree_after_the_loss_of_one() -> None:
+    """A daemon that ejected an upstream is killed; the others go on, and restore it later."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        replay = await async_start(fleet, active=True)
+        replay.bad.fail_share = 1.0
+        await async_play(replay, 100)
+        assert all(read_excluded(member, replay.bad) for member in fleet.members)
+        await fleet.async_kill(fleet.members[0])
+        replay.bad.fail_share = 0.0
+        await async_play(replay, 600)
+        assert not any(read_excluded(member, replay.bad) for member in fleet.members)
+
+    run_fleet(scenario)
+
+
+def test_daemon_that_is_cut_off_uses_its_own_outcomes() -> None:
+    """Guards against a daemon without beacons that goes on sending to a failing upstream."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        replay = await async_start(fleet, active=True)
+        alone = fleet.members[0]
+        alone.datagrams.closed = True
+        fleet.datagrams.stop_listening(alone.address)
+        await fleet.clock.async_sleep(WINDOW_MS)
+        replay.bad.fail_share = 1.0
+        others, fleet.members = fleet.members[1:], [alone]
+        await async_play(replay, 200)
+        fleet.members += others
+        assert read_excluded(alone, replay.bad)
+        assert not any(read_excluded(member, replay.bad) for member in others)
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("share", [0.45, 1.0])
+def test_service_that_fails_as_a_whole_is_not_excluded(share: float) -> None:
+    """Guards against sending all requests of a failing service to the few upstreams left."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        replay = await async_start(fleet, active=True)
+        engines = fleet.engines.by_address.values()
+        for engine in engines:
+            engine.fail_share = share
+        await async_play(replay, 300)
+        for member in fleet.members:
+            assert not any(read_excluded(member, engine) for engine in engines)
+
+    run_fleet(scenario)
+
+
+class UnreliablePath:
+    """A daemon's runner whose network loses the connection of most runs."""
+
+    def __init__(self, member: FleetMember, fleet: GatewayFleet) -> None:
+        """Wrap the engines for one daemon."""
+        self._inner = fleet.engines
+        self.pool = fleet.engines.pool
+        member.core.runner = self
+        self._runs = 0
+
+    async def async_run(
+        self, address: str, call: RunCall, sink: RunSink
+    ) -> Result[RunEnd, UpstreamError]:
+        """Run a request, and lose two connections of three."""
+        self._runs += 1
+        if self._runs % 3:
+            return Err(UpstreamError("reset", UpstreamFailure.LOST))
+        return await self._inner.async_run(address, call, sink)
+
+
+def test_daemon_whose_own_network_is_bad_ejects_nothing_elsewhere() -> None:
+    """A false alarm: the failures of one daemon concern all upstreams alike."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        replay = await async_start(fleet, active=True)
+        UnreliablePath(fleet.members[0], fleet)
+        others = fleet.members[1:]
+        for _ in range(10):
+            await async_play(replay, 40)
+            for engine in fleet.engines.by_address.values():
+                assert not any(read_excluded(member, engine) for member in others)
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("active", [False, True])
+def test_refusal_as_full_is_known_to_other_daemons(active: bool) -> None:
+    """Each daemon used to send a request of its own to an upstream that had refused others."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.features = Feature.OUTLIER_EJECTION.value if active else ""
+        _, full = fleet.add_engines(2)
+        full.refuse = True
+        sender, observer = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(2_000)
+        runs = observer.core.get(PLACEMENT).controller.runs
+        seen = []
+
+        async def async_observe() -> None:
+            for _ in range(100):
+                seen.append(runs.read_all(hash_name(full.name)).online)
+                await fleet.clock.async_sleep(5)
+
+        observing = asyncio.create_task(async_observe())
+        for _ in range(6):
+            assert (await async_send(fleet, sender, "/call/a")).whole
+        await observing
+        assert (full.slots in seen) == active
+        assert seen[-1] == 0 and max(seen) <= full.slots
+
+    run_fleet(scenario)
+
+
+def test_batch_leaves_out_an_ejected_upstream() -> None:
+    """Guards against batch items that are sent to an upstream which online requests avoid."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        replay = await async_start(fleet, active=True)
+        replay.bad.fail_share = 1.0
+        await async_play(replay, 100)
+        member = fleet.members[0]
+        assert read_excluded(member, replay.bad)
+        before = len(replay.bad.ran)
+        await async_submit(fleet, member, "j", 6)
+        await fleet.clock.async_sleep(700)
+        assert len(replay.bad.ran) == before
+
+    run_fleet(scenario)
+
+
+def test_decisions_are_logged_and_counted(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario(fleet: GatewayFleet) -> None:
+        replay = await async_start(fleet, active=True)
+        replay.bad.fail_share = 1.0
+        with caplog.at_level(logging.INFO, "goldcreststair.components.outliers"):
+            await async_play(replay, 100)
+            replay.bad.fail_share = 0.0
+            await async_play(replay, 400)
+        events = {record.getMessage() for record in caplog.records}
+        assert events == {"Upstream ejected", "Upstream half open", "Upstream restored"}
+        page = fleet.members[0].core.meters.render().decode()
+        assert "goldcreststair_ejections_total{reason=" in page
+        assert "goldcreststair_upstreams_ejected" in page
+
+    run_fleet(scenario)
