--- a/goldcreststair/components/outliers/controller.py
+++ b/goldcreststair/components/outliers/controller.py
@@ -86,6 +86,11 @@
         self._sessions: frozenset[str] = frozenset((session,))
         self._upstreams: dict[str, _Upstream] = {}
         self._by_service: dict[str, list[_Upstream]] = {}
+        self._by_key: dict[int, _Upstream] = {}
+        self._suspects: set[int] = set()
+        """Upstreams with known failures or an exclusion."""
+        self._unreliable: set[str] = set()
+        """Services at which this daemon's own network probably fails."""
         self._first_ms: dict[str, deque[int]] = {}
         """Recent times to the first event by service."""
         self._excluded: frozenset[str] = frozenset()
@@ -104,6 +109,8 @@
             upstream.entry = entry
             self._upstreams[name] = upstream
             self._by_service.setdefault(entry.service, []).append(upstream)
+        self._by_key = {upstream.key: upstream for upstream in self._upstreams.values()}
+        self._suspects &= self._by_key.keys()
         self._apply_limit()
 
     def apply_sessions(self, sessions: Iterable[str]) -> None:
@@ -165,6 +172,8 @@
         if not counts or self.is_ejected(entry.name):
             return
         upstream.window.add(self._clock.now(), failed=failed, slow=slow)
+        if failed:
+            self._suspects.add(upstream.key)
         # Otherwise decided by `advance`: failures of all upstreams at once arrive one after the other.
         if upstream.state is OutlierState.HALF_OPEN:
             self._advance(upstream)
@@ -179,8 +188,12 @@
     def advance(self) -> None:
         """Apply what other daemons have reported, and end ejections whose time is up."""
         self.peers.expire()
-        for upstream in self._upstreams.values():
+        suspects = self._list_suspects()
+        services = {upstream.entry.service for upstream in suspects}
+        self._unreliable = {s for s in services if self._is_own_path_suspect(self._by_service[s])}
+        for upstream in suspects:
             self._advance(upstream)
+        self._drop_cleared()
 
     def take_changes(self) -> list[OutlierChange]:
         """Return the changes since the last call."""
@@ -195,17 +208,31 @@
         """
         now = self._clock.now()
         found = []
-        for service, upstreams in self._by_service.items():
-            if not self._is_active(service) or self._is_own_path_suspect(upstreams):
+        for upstream in self._list_suspects():
+            service = upstream.entry.service
+            if service in self._unreliable or not self._is_active(service):
                 continue
-            for upstream in upstreams:
-                own = upstream.window.read(now)
-                asks = upstream.state is OutlierState.HALF_OPEN
-                answers = bool(own) and self.peers.is_suspected(upstream.key)
-                if own.failed or asks or answers:
-                    found.append((upstream.key, own))
+            own = upstream.window.read(now)
+            asks = upstream.state is OutlierState.HALF_OPEN
+            answers = bool(own) and self.peers.is_suspected(upstream.key)
+            if own.failed or asks or answers:
+                found.append((upstream.key, own))
         return sorted(found, key=lambda each: -each[1].failed)[:MAX_REPORTED]
 
+    def _list_suspects(self) -> list[_Upstream]:
+        """Return the upstreams with known failures, the only ones about which there is to decide."""
+        self._suspects.update(self.peers.list_suspected())
+        return [self._by_key[key] for key in sorted(self._suspects) if key in self._by_key]
+
+    def _drop_cleared(self) -> None:
+        now = self._clock.now()
+        for upstream in self._list_suspects():
+            failed = upstream.window.read(now).failed or self.peers.is_suspected(upstream.key)
+            waits = upstream.state is not OutlierState.CLOSED or upstream.baseline is not None
+            if not failed and not waits:
+                upstream.suspected_at = None
+                self._suspects.discard(upstream.key)
+
     def _is_own_path_suspect(self, upstreams: list[_Upstream]) -> bool:
         """Return whether most upstreams that this daemon uses failed its last request.
 
--- a/goldcreststair/components/outliers/protocols.py
+++ b/goldcreststair/components/outliers/protocols.py
@@ -1,11 +1,14 @@
 """Interface that the outliers component offers to other components."""
 
-from typing import Final, Protocol
+from typing import TYPE_CHECKING, Final, Protocol
 
 from goldcreststair.components.discovery.models import UpstreamEntry
-from goldcreststair.components.placement.models import RunOutcome
 from goldcreststair.core import ComponentKey
 
+if TYPE_CHECKING:
+    # The placement component imports this module.
+    from goldcreststair.components.placement.models import RunOutcome
+
 
 class OutlierReader(Protocol):
     """Tells which upstreams get no requests, or only trial requests."""
@@ -39,7 +42,7 @@
         """Record that an online run begins at an upstream."""
 
     def record_outcome(
-        self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
+        self, entry: UpstreamEntry, outcome: "RunOutcome", first_ms: int | None
     ) -> None:
         """Record the end of a run."""
 
--- a/goldcreststair/components/outliers/window.py
+++ b/goldcreststair/components/outliers/window.py
@@ -95,6 +95,10 @@
         """Return whether another daemon reports failures, or asks for outcomes by reporting none."""
         return upstream in self._suspected
 
+    def list_suspected(self) -> frozenset[int]:
+        """Return the upstreams for which `is_suspected` holds."""
+        return frozenset(self._suspected)
+
     def _add_up(self) -> None:
         self._totals, self._suspected = {}, set()
         for _, report in self._reports.values():
--- a/tests/components/outliers/test_controller.py
+++ b/tests/components/outliers/test_controller.py
@@ -312,6 +312,9 @@
     assert read_report(bench) == {BAD: (2, 1)}
     bench.report("p", b=(0, 1), c=(4, 0))
     assert read_report(bench) == {BAD: (2, 1), "b": (2, 0)}
+    bench.report("p")
+    bench.wait(WINDOW_MS)
+    assert not read_report(bench)
 
 
 @pytest.mark.parametrize(("failing", "reported"), [(1, True), (2, False), (5, False)])
--- a/tests/components/outliers/test_fleet.py
+++ b/tests/components/outliers/test_fleet.py
@@ -228,3 +228,23 @@
         assert "goldcreststair_upstreams_ejected" in page
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("path", ["/book/a", "/once/a", "/stream/a"])
+@pytest.mark.parametrize("fault", ["down", "readdressed"])
+def test_send_that_was_not_run_is_tried_elsewhere_at_once(fault: str, path: str) -> None:
+    """Guards against a refusal, or a pause, after a send that no upstream has run."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.features = Feature.OUTLIER_EJECTION.value
+        other, near = fleet.add_engines(2)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        near.up = fault != "down"
+        near.name = "another" if fault == "readdressed" else near.name
+        sent_at = fleet.clock.now()
+        answer = await async_send(fleet, member, path)
+        assert answer.whole and len(other.ran) == 1 and not near.ran
+        assert (answer.event_times or [answer.ended_at])[0] - sent_at < 60
+
+    run_fleet(scenario)
