--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -17,6 +17,7 @@
     PLACEMENT_RETRY_MS,
 )
 from goldcreststair.components.forwarding.models import RequestProgress
+from goldcreststair.components.forwarding.outcome_report import OutcomeReport
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.recovery import (
     NextStep,
@@ -172,7 +173,15 @@
     def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
         admitted = self._admitted
         regions = find_request_regions(admitted.route, admitted.customer)
-        return PlacementQuery(admitted.service, frozenset(excluded), admitted.affinity, regions)
+        progress, route = self._progress, admitted.route
+        return PlacementQuery(
+            admitted.service,
+            frozenset(excluded),
+            admitted.affinity,
+            regions,
+            is_retry=progress.may_have_run,
+            may_try=route.repeatable and progress.attempts + 1 < route.max_attempts,
+        )
 
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
         entry = placement.upstream
@@ -191,11 +200,14 @@
         self._placement.begin(entry.name)
         began_at = self._clock.now()
         run = asyncio.ensure_future(self._core.runner.async_run(entry.address, call, self._relay))
+        report = OutcomeReport(self._placement, self._clock, self._relay, placement)
+        end: Result[RunEnd, UpstreamError] | None = None
         try:
             end = await self._async_monitor(run, placement)
         finally:
             run.cancel()
             self._placement.end(entry.name)
+            report.finish(end)
         if isinstance(end, Ok) and not placement.wait_ms and self._relay.first_event_at:
             first_ms = self._relay.first_event_at - began_at
             service = self._admitted.service
@@ -233,6 +245,7 @@
         if not may_abandon_run(progress, self._route, self._budget, self._remaining_ms()):
             return False
         elsewhere = self._make_query(progress.excluded | {self._upstream})
+        elsewhere = replace(elsewhere, is_retry=True)
         return self._placement.controller.can_place(elsewhere)
 
     def _make_call(self, upstream: str) -> RunCall:
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -13,6 +13,7 @@
 
 from goldcreststair.clock import Clock
 from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.components.outliers.protocols import NO_OUTLIERS, OutlierReader
 from goldcreststair.components.placement.batch_slots import BatchSlots
 from goldcreststair.components.placement.const import (
     BUSY_MS,
@@ -43,6 +44,9 @@
 from goldcreststair.helpers.rendezvous import score
 
 MIN_RETRY_MS: Final = 100
+EJECTED_RETRY_MS: Final = 300
+"""Retry time of a request whose only other upstreams are ejected: those that refused it may have a free
+slot by then."""
 
 
 class PlacementController:
@@ -54,10 +58,12 @@
         rng: random.Random,
         data_centre: str,
         pace: PaceReader = USUAL_PACE,
+        outliers: OutlierReader = NO_OUTLIERS,
     ) -> None:
         """Create a controller without upstreams; `data_centre` is this daemon's own."""
         self.upstreams = UpstreamTable(clock)
-        self.batch = BatchSlots(clock, rng, self.upstreams)
+        self.batch = BatchSlots(clock, rng, self.upstreams, outliers)
+        self._outliers = outliers
         self._clock = clock
         self._random = rng
         self._data_centre = data_centre
@@ -81,6 +87,10 @@
             return Err(
                 NoUpstreamAvailable("every upstream is down or full", retry_after_ms=wait_ms)
             )
+        available = self._exclude_outliers(query, available)
+        if not available:
+            message = "every upstream left for another run is ejected"
+            return Err(NoUpstreamAvailable(message, retry_after_ms=EJECTED_RETRY_MS))
         available = self.upstreams.prefer_warm(available)
         if not available:
             message = "every upstream is cold, and this VM may not send it more requests now"
@@ -95,11 +105,18 @@
 
     def can_place(self, query: PlacementQuery) -> bool:
         """Return whether `choose` would find an upstream now."""
-        return bool(
-            self.upstreams.prefer_warm(
-                self.upstreams.list_available(self.upstreams.list_candidates(query))
-            )
-        )
+        available = self.upstreams.list_available(self.upstreams.list_candidates(query))
+        return bool(self.upstreams.prefer_warm(self._exclude_outliers(query, available)))
+
+    def _exclude_outliers(
+        self, query: PlacementQuery, states: list[UpstreamState]
+    ) -> list[UpstreamState]:
+        """Exclude ejected and half-open upstreams; a first run may use them if there are no others."""
+        outliers = self._outliers
+        allowed = [state for state in states if outliers.may_send(state.entry.name)]
+        if not query.may_try:
+            allowed = [state for state in allowed if not outliers.is_excluded(state.entry.name)]
+        return allowed if allowed or query.is_retry else states
 
     def place_at(self, name: str) -> Placement | None:
         """Return a placement at the named upstream, or None if it may get no new work."""
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -49,6 +49,8 @@
     """How long its work takes now; 100 is usual, as is None."""
     reports_pace: bool = True
     """Whether its answers report `pace_percent`, if it is not None."""
+    fail_share: float = 0.0
+    """Share of runs that are answered with status 500, evenly spread over the runs."""
     running: int = 0
     waiting: int = 0
     ran: list[RunCall] = field(default_factory=list)
@@ -128,8 +130,10 @@
         if engine.reset:
             return Err(UpstreamError("connection reset", UpstreamFailure.LOST))
         full = engine.waiting >= engine.queue
-        if engine.refuse or full or call.upstream != engine.name:
-            return Err(UpstreamError("not run", UpstreamFailure.REFUSED, 503))
+        misdirected = call.upstream != engine.name
+        if engine.refuse or full or misdirected:
+            refused = UpstreamFailure.REFUSED
+            return Err(UpstreamError("not run", refused, 503, misdirected=misdirected))
         try:
             async with asyncio.timeout(call.deadline_ms / 1000):
                 return await self._async_serve(engine, call, sink)
@@ -163,6 +167,10 @@
         self, engine: RunEngine, call: RunCall, sink: RunSink
     ) -> Result[RunEnd, UpstreamError]:
         status = engine.fail_status or self.statuses.get(call.request_id, 200)
+        if int(len(engine.ran) * engine.fail_share) > int(
+            (len(engine.ran) - 1) * engine.fail_share
+        ):
+            status = 500
         pace = engine.pace_percent if engine.reports_pace else None
         load = UpstreamLoad(engine.running, engine.waiting, engine.slots, pace)
         cold_ms = max(0, engine.cold_until - self.clock.now())
