Let requests wait for a slot in a queue by rank and customer

Cause: in bursts above the capacity of all slots, requests were placed or refused in order of arrival; the priority of routes and customers was not used. Change: the component waiting (feature waiting-queue) keeps a short queue per service and daemon, ordered by rank, weighted fair shares and deadline. Forwarding asks it where it decided on refusals before; with the feature inactive it decides as before. The customer at many times the others' rate is not held back yet.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -25,20 +25,20 @@
     make_final_refusal,
     may_abandon_run,
 )
-from goldcreststair.components.forwarding.refusals import log_refusal, make_retryable_refusal
+from goldcreststair.components.forwarding.refusals import log_refusal
 from goldcreststair.components.forwarding.relay import STATUS_OK, StreamRelay
 from goldcreststair.components.forwarding.silence_detector import (
     SilenceDetector,
     SilenceMonitor,
     UpstreamProbes,
 )
-from goldcreststair.components.placement.admission import TimeBudget, decide_retry_after
 from goldcreststair.components.placement.models import Placement, PlacementQuery
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
+from goldcreststair.components.waiting.protocols import WAITING
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
@@ -123,7 +123,10 @@
         pause_ms = choose_placement_delay(self._progress)
         if pause_ms:
             await self._clock.async_sleep(pause_ms)
-        placed = self._place_at_abandoned() if next_step is NextStep.BACK else self._place()
+        if next_step is NextStep.BACK:
+            placed = self._place_at_abandoned()
+        else:
+            placed = await self._async_place_or_wait()
         # Cutting a begun stream now would waste what the caller has received, although the upstreams
         # may be full or down for a moment only.
         while isinstance(placed, Err) and self._may_wait_for_place():
@@ -145,6 +148,12 @@
         error = UpstreamError("no upstream is left to retry", UpstreamFailure.CONNECT)
         return Err(make_final_refusal(self._progress, error))
 
+    async def _async_place_or_wait(self) -> Result[Placement, Refusal]:
+        placed = self._place()
+        if isinstance(placed, Err) or self._progress.attempts or self._progress.excluded:
+            return placed
+        return await self._core.get(WAITING).async_admit(self._admitted, placed.ok_value)
+
     def _place(self) -> Result[Placement, Refusal]:
         if self._is_out_of_time():
             error = UpstreamError("no time for another run", UpstreamFailure.TIMEOUT)
@@ -155,15 +164,7 @@
         if isinstance(chosen, Err):
             error = UpstreamError(chosen.err_value.message, UpstreamFailure.CONNECT)
             return Err(make_final_refusal(self._progress, error, chosen.err_value.retry_after_ms))
-        placement = chosen.ok_value
-        time = TimeBudget(self._route.objective_ms, self._route.timeout_ms, self._remaining_ms())
-        retry_after_ms = None
-        if not self._progress.attempts and not self._progress.excluded:
-            retry_after_ms = decide_retry_after(placement, time, self._core.random)
-        if retry_after_ms is None:
-            return Ok(placement)
-        message = f"first event expected after {placement.expected_ms:.0f} ms"
-        return Err(make_retryable_refusal(message, RefusalCode.OVERLOADED, retry_after_ms))
+        return Ok(chosen.ok_value)
 
     def _is_out_of_time(self) -> bool:
         """Return whether a request that was already sent to an upstream has no time to be sent again."""
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -14,6 +14,7 @@
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.jobs.protocols import JOBS
 from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.components.waiting.protocols import WAITING
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.meters import CONTENT_TYPE
 
@@ -84,6 +85,7 @@
             "runs_batch": sum(run.batch for run in runs),
             "jobs_owned": jobs.count_owned(),
             "items_waiting": jobs.count_waiting(),
+            "requests_waiting": self.core.get(WAITING).count_waiting(),
             "ready": board.read(OWN_STATE).state is VmState.READY,
             "isolated": self.core.get(FLEET_LINKS).is_isolated(),
         }
--- a/goldcreststair/components/placement/admission.py
+++ b/goldcreststair/components/placement/admission.py
@@ -45,5 +45,10 @@
     # After a second refusal the request would time out; a late answer is better than none.
     if time.left_ms < time.timeout_ms * FIRST_ATTEMPT_SHARE:
         return None
-    retry_ms = max(MIN_RETRY_MS, placement.wait_ms) + rng.random() * RETRY_SPREAD_MS
-    return int(min(retry_ms, time.left_ms * MAX_RETRY_SHARE))
+    return choose_retry_ms(placement.wait_ms, time.left_ms, rng)
+
+
+def choose_retry_ms(wait_ms: float, left_ms: int, rng: random.Random) -> int:
+    """Return the retry time of a caller that would wait this long and has this time left."""
+    retry_ms = max(MIN_RETRY_MS, wait_ms) + rng.random() * RETRY_SPREAD_MS
+    return int(min(retry_ms, left_ms * MAX_RETRY_SHARE))
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -55,6 +55,7 @@
             lambda _: self.controller.upstreams.cold_limiter.reset_after_pause()
         )
         self._preempt_handler: OnPreempt = lambda name, count: None
+        self._run_end_handlers: list[Callable[[], None]] = []
         self._unsubscribe: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -88,6 +89,10 @@
         """Set the handler that is called when batch runs have to be preempted."""
         self._preempt_handler = handler
 
+    def on_run_end(self, handler: Callable[[], None]) -> None:
+        """Add a handler that is called after each run of this daemon has ended."""
+        self._run_end_handlers.append(handler)
+
     def begin(self, name: str, runs: Runs = ONLINE_RUN) -> None:
         """Record that a run begins, announce it, and preempt batch runs if needed."""
         self.controller.begin(name, runs)
@@ -99,6 +104,8 @@
         """Record that a run has ended, and announce it to the other daemons."""
         self.controller.end(name, runs)
         self._links.schedule_beacon()
+        for handler in self._run_end_handlers:
+            handler()
 
     def mark_down(self, entry: UpstreamEntry, reason: str, subject: str) -> None:
         """Mark an upstream as down: it does not accept connections, or is silent.
--- /dev/null
+++ b/goldcreststair/components/waiting/const.py
@@ -0,0 +1,23 @@
+"""Bounds and intervals of the queue of waiting requests."""
+
+from typing import Final
+
+MAX_WAITING: Final = 64
+"""Requests that wait for one service at one daemon."""
+MAX_WAITING_BYTES: Final = 4_000_000
+"""Bytes of the bodies of these requests."""
+CHECK_MS: Final = 25
+"""Interval at which waiting requests are checked for their deadlines and for free slots; about a
+tenth of the time that a request may wait."""
+REALLOT_MS: Final = 100
+"""Without a newer view of the fleet, a daemon takes its share of the free slots again after this time:
+what other daemons took has reached it by then in a fleet without relays."""
+COUNT_VALID_MS: Final = 1_000
+"""How long another daemon's count of waiting requests is used; a beacon comes every 250 ms."""
+CONTENTION_MEMORY_MS: Final = 1_000
+"""What customers were served is forgotten once no request has lacked a slot for this time: a customer
+that used idle slots owes nothing."""
+LEAVING_RETRY_MS: Final = 200
+"""Retry time of requests refused by a daemon that shuts down; another daemon may serve them."""
+MAX_RANK: Final = 2**31 - 1
+"""Worst rank; ranks are 32-bit numbers in beacons."""
--- /dev/null
+++ b/goldcreststair/components/waiting/room.py
@@ -0,0 +1,63 @@
+"""Finds upstreams with room for a waiting request, and the capacity of a service; no I/O."""
+
+from dataclasses import replace
+
+from result import Ok
+
+from goldcreststair.components.placement.const import DEFAULT_SLOTS
+from goldcreststair.components.placement.controller import PlacementController
+from goldcreststair.components.placement.models import Placement, PlacementQuery
+from goldcreststair.components.placement.upstream_table import UpstreamState
+from goldcreststair.components.waiting.models import Capacity
+
+MAX_QUEUED: int = 1
+"""Requests beyond its slots that an upstream may hold. One keeps each slot busy while the report of a
+freed slot is under way; more would be served in order of arrival there."""
+
+
+class RoomFinder:
+    """Reads from placement which upstreams have room."""
+
+    def __init__(self, placement: PlacementController) -> None:
+        """Store the controller that chooses upstreams."""
+        self._placement = placement
+        self._table = placement.upstreams
+
+    def has_free_slot(self, placement: Placement) -> bool:
+        """Return whether a placement needs no wait, except for a batch run to be preempted."""
+        state = self._table.find_state(placement.upstream.name)
+        return state is not None and self._table.has_free_slot(state)
+
+    def read_capacity(self, service: str) -> Capacity:
+        """Return the capacity of a service."""
+        states = self._table.list_available(self._table.list_by_service(service))
+        slots = sum(self._table.count_slots(state) for state in states)
+        times = self._placement.read_run_times(service)
+        per_upstream = slots / len(states) if states else DEFAULT_SLOTS
+        return Capacity(slots, times.run_ms, times.first_ms, times.run_ms / per_upstream)
+
+    def count_room(self, query: PlacementQuery, left_ms: float) -> int:
+        """Return how many requests with this time to their first event the upstreams have room for."""
+        return sum(self._count_room(state, left_ms) for state in self._list_available(query))
+
+    def choose(self, query: PlacementQuery, left_ms: float) -> Placement | None:
+        """Return a placement at an upstream with room, or None if there is none."""
+        available = self._list_available(query)
+        crowded = [s.entry.name for s in available if self._count_room(s, left_ms) <= 0]
+        if len(crowded) == len(available):
+            return None
+        chosen = self._placement.choose(replace(query, excluded=query.excluded.union(crowded)))
+        return chosen.ok_value if isinstance(chosen, Ok) else None
+
+    def _list_available(self, query: PlacementQuery) -> list[UpstreamState]:
+        table = self._table
+        return table.prefer_warm(table.list_available(table.list_candidates(query)))
+
+    def _count_room(self, state: UpstreamState, left_ms: float) -> int:
+        """Return how many more requests may be placed at an upstream that can be in time there."""
+        times = self._placement.read_run_times(state.entry.service)
+        slots = self._table.count_slots(state)
+        limit = slots
+        if MAX_QUEUED * times.run_ms / slots + times.first_ms <= left_ms:
+            limit += MAX_QUEUED
+        return max(0, limit - self._table.count_runs(state).online)
--- /dev/null
+++ b/goldcreststair/components/waiting/service.py
@@ -0,0 +1,355 @@
+"""Lets requests wait for a slot, and connects their queue to placement, beacons and the catalogue."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from itertools import count
+
+from result import Err, Ok, Result
+
+from goldcreststair.clock import Millis, TimerHandle
+from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
+from goldcreststair.components.catalogue.regions import find_request_regions
+from goldcreststair.components.features.protocols import FEATURES
+from goldcreststair.components.fleet.models import FLEET, OWN_STATE, OwnState, VmState
+from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
+from goldcreststair.components.placement.admission import (
+    FIRST_ATTEMPT_SHARE,
+    TimeBudget,
+    choose_retry_ms,
+    decide_retry_after,
+)
+from goldcreststair.components.placement.models import Placement, PlacementQuery
+from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.components.placement.spreading import allot_starts
+from goldcreststair.components.requests.admission import identify_customer
+from goldcreststair.components.requests.models import AdmittedRequest
+from goldcreststair.components.waiting.const import (
+    CHECK_MS,
+    LEAVING_RETRY_MS,
+    MAX_RANK,
+    REALLOT_MS,
+)
+from goldcreststair.components.waiting.controller import WaitingQueue
+from goldcreststair.components.waiting.models import Evicted, RefusalReason, WaitingRequest
+from goldcreststair.components.waiting.other_daemons import OtherDaemons
+from goldcreststair.components.waiting.room import RoomFinder
+from goldcreststair.features import Feature
+from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.wire.generated.gateway.ttypes import Beacon, WaitingRequests
+
+_LOGGER = logging.getLogger(__name__)
+
+STATUS_UNAVAILABLE = 503
+
+
+@dataclass(slots=True)
+class _Waiter:
+    """The coroutine of a waiting request."""
+
+    admitted: AdmittedRequest
+    decided: "asyncio.Future[Result[Placement, Refusal]]"
+
+
+@dataclass(slots=True)
+class _ServiceQueue:
+    """The queue of one service, and what it may take of the free slots."""
+
+    name: str
+    queue: WaitingQueue
+    waiters: dict[int, _Waiter] = field(default_factory=dict)
+    starts: int = 0
+    """Requests that may still start by this daemon's share of the free slots."""
+    allotted_at: Millis = Millis(0)
+    is_starting: bool = False
+    """Whether a request got its placement and its run has not begun; the runs do not count it yet."""
+
+
+class WaitingService:
+    """Implements `Waiting`."""
+
+    def __init__(self, core: GatewayCore) -> None:
+        """Create the service and register for beacons and freed slots."""
+        self._core = core
+        self._clock = core.clock
+        self._features = core.get(FEATURES)
+        self._room = RoomFinder(core.get(PLACEMENT).controller)
+        self._links = core.get(FLEET_LINKS)
+        self._others = OtherDaemons(core.clock)
+        self._numbers = count(1)
+        self._queues: dict[str, _ServiceQueue] = {}
+        self._unsubscribe: list[Callable[[], None]] = []
+        self._timer: TimerHandle | None = None
+        self._links.add_beacon_contributor(self._contribute)
+        self._links.subscribe_beacons(self._on_beacon, self._others.forget)
+        core.get(PLACEMENT).on_run_end(self._on_run_end)
+
+    async def async_start(self) -> None:
+        """Subscribe to the catalogue and to this daemon's state."""
+        board = self._core.blackboard
+        self._unsubscribe = [
+            board.subscribe(CATALOGUE, self._on_catalogue),
+            board.subscribe(OWN_STATE, self._on_own_state),
+        ]
+
+    async def async_close(self) -> None:
+        """Refuse the waiting requests as not run."""
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+        self._unsubscribe.clear()
+        self._refuse_all()
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait for a slot."""
+        return sum(len(each.queue) for each in self._queues.values())
+
+    async def async_admit(
+        self, request: AdmittedRequest, placement: Placement
+    ) -> Result[Placement, Refusal]:
+        """Return the placement of a request that no upstream has had yet, or its refusal."""
+        if not self._features.is_active(Feature.WAITING_QUEUE, request.service) or self._is_leaving:
+            return self._decide_without_queue(request, placement)
+        queue = self._find_queue(request.service)
+        waiting = _make_waiting(request, next(self._numbers))
+        decided = self._decide_at_once(queue, request, waiting, placement)
+        if decided is None:
+            return await self._async_wait(queue, request, waiting)
+        if isinstance(decided, Ok):
+            queue.queue.shares.record_served(waiting.customer, waiting.weight)
+        return decided
+
+    @property
+    def _is_leaving(self) -> bool:
+        return self._core.blackboard.read(OWN_STATE).state is VmState.LEAVING
+
+    def _decide_without_queue(
+        self, request: AdmittedRequest, placement: Placement
+    ) -> Result[Placement, Refusal]:
+        retry_ms = decide_retry_after(placement, self._make_budget(request), self._core.random)
+        if retry_ms is None:
+            return Ok(placement)
+        message = f"first event expected after {placement.expected_ms:.0f} ms"
+        return Err(_make_refusal(message, RefusalCode.OVERLOADED, retry_ms))
+
+    def _decide_at_once(
+        self,
+        queue: _ServiceQueue,
+        request: AdmittedRequest,
+        waiting: WaitingRequest,
+        placement: Placement,
+    ) -> Result[Placement, Refusal] | None:
+        """Return the placement or refusal of a request that does not wait; None if it does."""
+        if self._room.has_free_slot(placement):
+            return Ok(placement)
+        queue.queue.shares.note_contention()
+        time = self._make_budget(request)
+        if time.left_ms < time.timeout_ms * FIRST_ATTEMPT_SHARE:
+            # After a second refusal the request would time out; a late answer is better than none.
+            if placement.expected_ms <= time.left_ms:
+                return Ok(placement)
+            return Err(self._refuse(queue, request, RefusalReason.LATE))
+        if len(queue.queue):
+            return None
+        chosen = self._room.choose(waiting.query, waiting.due_at - self._clock.now())
+        return None if chosen is None else Ok(chosen)
+
+    async def _async_wait(
+        self, queue: _ServiceQueue, request: AdmittedRequest, waiting: WaitingRequest
+    ) -> Result[Placement, Refusal]:
+        began_at = self._clock.now()
+        waiter = _Waiter(request, asyncio.get_running_loop().create_future())
+        queue.waiters[waiting.number] = waiter
+        self._refuse_evicted(queue, queue.queue.add(waiting))
+        queue.starts = max(1, queue.starts)
+        self._advance(queue)
+        if not waiter.decided.done():
+            self._announce_wait(queue, request, waiting)
+        try:
+            decided = await waiter.decided
+        finally:
+            self._end_wait(queue, waiting, waiter)
+            self._core.meters.observe_queue_wait(self._clock.now() - began_at)
+        return decided
+
+    def _announce_wait(
+        self, queue: _ServiceQueue, request: AdmittedRequest, waiting: WaitingRequest
+    ) -> None:
+        extra = {
+            "request": request.request.request_id,
+            "customer": waiting.customer,
+            "rank": waiting.rank,
+            "waiting_here": len(queue.queue),
+            "waiting_elsewhere": self._count_others(queue, waiting.rank),
+            "left_ms": waiting.due_at - self._clock.now(),
+        }
+        _LOGGER.info("Request waits", extra=extra)
+        self._links.schedule_beacon()
+        if self._timer is None:
+            self._timer = self._clock.call_later(CHECK_MS, self._on_timer)
+
+    def _end_wait(self, queue: _ServiceQueue, waiting: WaitingRequest, waiter: _Waiter) -> None:
+        queue.queue.remove(waiting.number)
+        del queue.waiters[waiting.number]
+        if not waiter.decided.cancelled() and isinstance(waiter.decided.result(), Ok):
+            # The run begins before the next callback of the event loop.
+            self._clock.call_later(0, lambda: self._on_started(queue))
+
+    def _on_started(self, queue: _ServiceQueue) -> None:
+        queue.is_starting = False
+        self._advance(queue)
+
+    def _advance(self, queue: _ServiceQueue) -> None:
+        """Start the next request if there is room, and refuse those that cannot be in time."""
+        if queue.starts > 0 and not queue.is_starting:
+            self._start_next(queue)
+        capacity = self._room.read_capacity(queue.name)
+        late = queue.queue.evict_late(capacity, lambda rank: self._count_others(queue, rank))
+        self._refuse_evicted(queue, late)
+
+    def _start_next(self, queue: _ServiceQueue) -> None:
+        crowded = set()
+        for waiting in queue.queue.list_order():
+            waiter = queue.waiters[waiting.number]
+            if waiting.query.regions in crowded or waiter.decided.done():
+                continue
+            placement = self._room.choose(waiting.query, waiting.due_at - self._clock.now())
+            if placement is not None:
+                queue.queue.serve(waiting)
+                queue.starts -= 1
+                queue.is_starting = True
+                waiter.decided.set_result(Ok(placement))
+                return
+            crowded.add(waiting.query.regions)
+
+    def _allot(self, queue: _ServiceQueue) -> None:
+        """Set how many requests may start by the share of this daemon in all waiting requests."""
+        queue.allotted_at = self._clock.now()
+        order = queue.queue.list_order()
+        if order:
+            left_ms = order[0].due_at - self._clock.now()
+            room = self._room.count_room(PlacementQuery(queue.name), left_ms)
+            queue.starts = self._take_share(queue, order[0].rank, room)
+
+    def _take_share(self, queue: _ServiceQueue, rank: int, room: int) -> int:
+        own = sum(n for each, n in queue.queue.count_by_rank().items() if each <= rank)
+        return allot_starts(room, own, self._count_others(queue, rank), self._core.random)
+
+    def _count_others(self, queue: _ServiceQueue, rank: int) -> int:
+        """Return how many requests of a rank or a better one wait at other daemons."""
+        if self._others.is_known():
+            return self._others.count(hash_name(queue.name), rank)
+        reachable = self._core.blackboard.read(FLEET).reachable
+        own = sum(n for each, n in queue.queue.count_by_rank().items() if each <= rank)
+        return own * max(0, reachable - 1)
+
+    def _refuse_evicted(self, queue: _ServiceQueue, evicted: Iterable[Evicted]) -> None:
+        for each in evicted:
+            waiter = queue.waiters[each.request.number]
+            self._end(waiter, self._refuse(queue, waiter.admitted, each.reason))
+
+    def _refuse(
+        self, queue: _ServiceQueue, request: AdmittedRequest, reason: RefusalReason
+    ) -> Refusal:
+        self._core.meters.count_queue_refusal(reason.value)
+        capacity = self._room.read_capacity(queue.name)
+        ahead = len(queue.queue) + self._count_others(queue, MAX_RANK)
+        wait_ms = capacity.queued_ms + (ahead + 1) * capacity.slot_interval_ms
+        left_ms = self._make_budget(request).left_ms
+        retry_ms = choose_retry_ms(wait_ms, left_ms, self._core.random)
+        message = f"{ahead} requests wait, first event expected after {wait_ms:.0f} ms: {reason}"
+        return _make_refusal(message, RefusalCode.OVERLOADED, retry_ms)
+
+    def _end(self, waiter: _Waiter, refusal: Refusal) -> None:
+        if not waiter.decided.done():
+            waiter.decided.set_result(Err(refusal))
+
+    def _refuse_all(self) -> None:
+        message = "this VM shuts down"
+        refusal = _make_refusal(message, RefusalCode.NOT_READY, LEAVING_RETRY_MS)
+        for queue in self._queues.values():
+            for waiter in queue.waiters.values():
+                self._end(waiter, refusal)
+
+    def _find_queue(self, service: str) -> _ServiceQueue:
+        if service not in self._queues:
+            self._queues[service] = _ServiceQueue(service, WaitingQueue(self._clock))
+        return self._queues[service]
+
+    def _make_budget(self, request: AdmittedRequest) -> TimeBudget:
+        route = request.route
+        left_ms = request.ends_at - self._clock.now()
+        return TimeBudget(route.objective_ms, route.timeout_ms, left_ms)
+
+    def _contribute(self, beacon: Beacon) -> None:
+        waiting = [
+            WaitingRequests(hash_name(queue.name), rank, number)
+            for queue in self._queues.values()
+            for rank, number in queue.queue.count_by_rank().items()
+        ]
+        if waiting:
+            beacon.waiting = waiting
+
+    def _on_beacon(self, session: str, beacon: Beacon) -> None:
+        counts = {(w.upstream_service, w.priority): w.count for w in beacon.waiting or ()}
+        self._others.apply(session, counts)
+        for queue in self._list_occupied():
+            self._allot(queue)
+            self._advance(queue)
+
+    def _on_run_end(self) -> None:
+        for queue in self._list_occupied():
+            rank = min(queue.queue.count_by_rank())
+            queue.starts += self._take_share(queue, rank, 1)
+            self._advance(queue)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        for queue in self._list_occupied():
+            if self._clock.now() - queue.allotted_at >= REALLOT_MS:
+                self._allot(queue)
+            self._advance(queue)
+        if self._list_occupied():
+            self._timer = self._clock.call_later(CHECK_MS, self._on_timer)
+
+    def _list_occupied(self) -> list[_ServiceQueue]:
+        return [queue for queue in self._queues.values() if len(queue.queue)]
+
+    def _on_own_state(self, own: OwnState) -> None:
+        if own.state is VmState.LEAVING:
+            self._refuse_all()
+
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        """Refuse the waiting requests whose key was withdrawn."""
+        for queue in self._queues.values():
+            for waiter in queue.waiters.values():
+                if waiter.admitted.customer is None:
+                    continue
+                identified = identify_customer(catalogue, waiter.admitted.request.key)
+                if isinstance(identified, Err):
+                    self._end(waiter, identified.err_value)
+
+
+def _make_waiting(request: AdmittedRequest, number: int) -> WaitingRequest:
+    customer, route = request.customer, request.route
+    regions = find_request_regions(route, customer)
+    rank = route.priority
+    if customer is not None and customer.priority is not None:
+        rank = customer.priority
+    return WaitingRequest(
+        number,
+        PlacementQuery(request.service, affinity=request.affinity, regions=regions),
+        rank,
+        customer.name if customer is not None else "",
+        (customer.rate_per_s if customer is not None else 0.0) or 1.0,
+        Millis(request.request.arrived_at + route.objective_ms),
+        len(request.request.body),
+    )
+
+
+def _make_refusal(message: str, code: RefusalCode, retry_ms: int) -> Refusal:
+    return Refusal(message, code, STATUS_UNAVAILABLE, True, retry_ms)
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -23,6 +23,7 @@
     operator_rows,
     placement,
     quotas,
+    waiting,
 )
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
@@ -51,6 +52,7 @@
     discovery.async_setup,
     quotas.async_setup,
     placement.async_setup,
+    waiting.async_setup,
     crash_marks.async_setup,
     jobs.async_setup,
     forwarding.async_setup,
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -73,6 +73,7 @@
             "given_up": _Counter("Requests whose last run failed, by failure.", ("failure",)),
             "batch_items": _Counter("Batch items by what became of a run.", ("outcome",)),
             "batch_jobs": _Counter("Batch jobs by what became of them here.", ("outcome",)),
+            "queue_refusals": _Counter("Requests refused for lack of slots.", ("reason",)),
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
         }
         self._histograms = {
@@ -82,6 +83,7 @@
             "expected_first_event_seconds": _Histogram(
                 "The same, as placement expected it.", SECONDS
             ),
+            "queue_wait_seconds": _Histogram("How long requests waited for a slot.", SECONDS),
             "store_call_seconds": _Histogram(
                 "Calls of the platform's store.", SHORT_SECONDS, ("call", "outcome")
             ),
@@ -105,6 +107,15 @@
         """Record the time to the first event that placement expected, ms."""
         self._histograms["expected_first_event_seconds"].observe((), value_ms / MS_PER_SECOND)
 
+    def observe_queue_wait(self, value_ms: int) -> None:
+        """Record how long a request waited for a slot, served or not, ms."""
+        self._histograms["queue_wait_seconds"].observe((), value_ms / MS_PER_SECOND)
+
+    def count_queue_refusal(self, reason: str) -> None:
+        """Count a request that was refused for lack of slots."""
+        self._counters["queue_refusals"].values[(reason,)] += 1
+        self._statistics.count(f"queue_refusals.{reason}")
+
     def count_retry(self, failure: str) -> None:
         """Count a failed run that is followed by another one."""
         self._counters["retries"].values[(failure,)] += 1
@@ -192,6 +203,7 @@
     "runs_batch": "Batch runs of this daemon.",
     "jobs_owned": "Batch jobs that this daemon runs.",
     "items_waiting": "Items of these jobs that wait for a slot and can be in time.",
+    "requests_waiting": "Requests that wait here for a slot.",
     "ready": "1 while callers may be sent here.",
     "isolated": "1 while neither store nor other daemons are heard.",
 }
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -236,6 +236,8 @@
     network: FakeNetwork
     datagrams: FakeDatagramNetwork
     engines: RunEngines
+    features: str = ""
+    """Optional features of daemons that start from now on, as in the settings."""
     regions: Mapping[str, str] = field(default_factory=dict)
     """Region of each data centre; if empty, all are in one region."""
     members: list[FleetMember] = field(default_factory=list)
@@ -320,6 +322,7 @@
             data_centre_regions=",".join(f"{dc}={name}" for dc, name in self.regions.items()),
             front=f"{address}:80",
             peer_port=PEER_PORT,
+            features=self.features,
         )
         meters, contact = Meters(), StoreContact(self.clock)
         adapter = GatewayAdapter(
--- a/standins/measure/overload_loads.py
+++ b/standins/measure/overload_loads.py
@@ -5,8 +5,8 @@
 """
 
 import random
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Final
 
@@ -25,6 +25,7 @@
 ITEMS_SPREAD: Final = 4
 """Standard deviation of the number of items of a job."""
 LEAST_ITEMS: Final = 2
+DEFAULT_CUSTOMER: Final = "club"
 TRIES: Final = 2
 """How often a caller sends a request or submits a job, the first attempt included."""
 LOSS_MS: Final = PERIOD_MS + 3_700
@@ -65,6 +66,16 @@
     """Index of the engine or VM."""
 
 
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer with its rank and its part of the requests."""
+
+    name: str
+    priority: int
+    share: float
+    """Of all requests, relative to the other customers."""
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """Rates of requests and jobs, the size of the fleet, and the faults that occur."""
@@ -76,6 +87,8 @@
     vms: int = 6
     seconds: int = 36
     faults: tuple[Fault, ...] = ()
+    customers: tuple[Customer, ...] = ()
+    """Customers of the requests; if empty, all are of one customer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +99,7 @@
     at_ms: int
     entries: tuple[float, ...]
     """The VM of each attempt, as a fraction from 0 to 1 of the list of VMs that are up."""
+    customer: str = DEFAULT_CUSTOMER
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,6 +126,8 @@
 def draw_record(load: Load, seed: int) -> Record:
     """Draw a load; requests and jobs use separate random generators."""
     requests = _draw_requests(load, random.Random(f"requests {seed}"))
+    if load.customers:
+        requests = _draw_customers(requests, load.customers, random.Random(f"customers {seed}"))
     jobs = _draw_jobs(load, random.Random(f"jobs {seed}"))
     return Record(tuple(requests), tuple(jobs), load.faults)
 
@@ -126,6 +142,15 @@
         yield Request(f"r{number}", at_ms, _draw_entries(rng))
 
 
+def _draw_customers(
+    requests: Iterable[Request], customers: Sequence[Customer], rng: random.Random
+) -> Iterator[Request]:
+    names = [customer.name for customer in customers]
+    shares = [customer.share for customer in customers]
+    for request in requests:
+        yield replace(request, customer=rng.choices(names, shares)[0])
+
+
 def _draw_jobs(load: Load, rng: random.Random) -> Iterator[Job]:
     at_ms, number = 0, 0
     while True:
--- a/standins/measure/overload_play.py
+++ b/standins/measure/overload_play.py
@@ -1,9 +1,9 @@
 """Runs a load of the overload measurement against a fleet of real gateway daemons."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
-from typing import Final
+from typing import Any, Final
 
 from goldcreststair.clock import Clock, LoopClock
 from goldcreststair.components.entry.service import ENTRY
@@ -13,6 +13,7 @@
 from standins.gateways import FakeResponder, FleetMember, GatewayFleet, make_fleet
 from standins.measure.overload_figures import Came, Figures, Listed, Outcome
 from standins.measure.overload_loads import (
+    DEFAULT_CUSTOMER,
     Fault,
     FaultKind,
     Job,
@@ -71,6 +72,7 @@
     async def async_run(self) -> None:
         """Run the load until its last jobs have had time to finish."""
         self._add_engines()
+        self._write_customers()
         members = await self.fleet.async_add_many(self.load.vms)
         self.addresses = [member.address for member in members]
         await self.clock.async_sleep(START_MS)
@@ -99,6 +101,16 @@
             engine.data_centre = f"dc{number % 3}"
             self.engines.append(engine)
 
+    def _write_customers(self) -> None:
+        if self.load.customers:
+            raw: list[Mapping[str, Any]] = [
+                {"name": each.name, "priority": each.priority} for each in self.load.customers
+            ]
+            names = [DEFAULT_CUSTOMER, *(each.name for each in self.load.customers)]
+            keys = {f"key-{name}": name for name in names}
+            customers = ({"name": DEFAULT_CUSTOMER}, *raw)
+            self.fleet.write_catalogue(2, customers=customers, keys=keys)
+
     async def _async_sleep_until(self, at_ms: int) -> None:
         await self.clock.async_sleep(max(0, self.began + at_ms - self.clock.now()))
 
@@ -117,7 +129,9 @@
         for attempt, entry in enumerate(request.entries):
             left_ms = sent_at + DEADLINE_MS - self.clock.now()
             name = f"{request.name}.{attempt}"
-            answer = await self._async_send("/stream/x", b"", left_ms, name, entry)
+            answer = await self._async_send(
+                "/stream/x", b"", left_ms, name, entry, request.customer
+            )
             if answer is not None and answer.whole:
                 first_ms = answer.event_times[0] - sent_at
                 figures.firsts_ms.append(first_ms)
@@ -131,7 +145,13 @@
             await self.clock.async_sleep(min(delay_ms, max(0, left_ms // 3)))
 
     async def _async_send(
-        self, path: str, body: bytes, left_ms: int, request_id: str, entry: float
+        self,
+        path: str,
+        body: bytes,
+        left_ms: int,
+        request_id: str,
+        entry: float,
+        customer: str = DEFAULT_CUSTOMER,
     ) -> FakeResponder | None:
         """Send a request to a VM; return None if there is none or it was lost before its answer.
 
@@ -140,7 +160,9 @@
         if not self.fleet.members or left_ms <= 0:
             return None
         sent_at = self.clock.now()
-        request = self.fleet.make_request(path, body, left_ms, request_id)
+        request = replace(
+            self.fleet.make_request(path, body, left_ms, request_id), key=f"key-{customer}"
+        )
         responder = await self._async_serve(request, _choose_member(self.fleet.members, entry))
         outcome = Outcome(request.request_id, "none", sent_at, self.clock.now())
         if responder is not None:
@@ -264,11 +286,12 @@
     return "whole" if responder.whole else "broken"
 
 
-def measure(load: Load, seed: int, policy: Policy) -> Figures:
+def measure(load: Load, seed: int, policy: Policy, features: str = "") -> Figures:
     """Run a load once with a policy in virtual time and return its figures."""
 
     async def async_run() -> Figures:
         play = Play(load, draw_record(load, seed), make_fleet(LoopClock()))
+        play.fleet.features = features
         try:
             await play.async_run()
             return play.figures
--- a/tests/test_component_separation.py
+++ b/tests/test_component_separation.py
@@ -27,6 +27,7 @@
         "placement",
         "quotas",
         "requests",
+        "waiting",
     )
 )
 
