Count requests of customers above their share behind the others of their rank

Cause: weighted fair queueing by what was served does not hold back a customer at many times the others' rate: each daemon holds one or two waiting requests, so their order tells little. Change: each arrival moves the virtual time of its customer. Requests of a customer that is ahead by 1.5 requests take only free slots, and count behind the others in the reports to other daemons.

--- a/goldcreststair/components/waiting/const.py
+++ b/goldcreststair/components/waiting/const.py
@@ -15,9 +15,14 @@
 COUNT_VALID_MS: Final = 1_000
 """How long another daemon's count of waiting requests is used; a beacon comes every 250 ms."""
 CONTENTION_MEMORY_MS: Final = 1_000
-"""What customers were served is forgotten once no request has lacked a slot for this time: a customer
+"""What customers asked for is forgotten once no request has lacked a slot for this time: a customer
 that used idle slots owes nothing."""
+AHEAD_REQUESTS: Final = 1.5
+"""A customer is above its share if it is ahead of it by so many requests; two that happen to arrive
+together put a customer ahead by one."""
+MAX_AHEAD_REQUESTS: Final = 8.0
+"""A customer is at most so far ahead, so that it has its share again soon after it sends less."""
 LEAVING_RETRY_MS: Final = 200
 """Retry time of requests refused by a daemon that shuts down; another daemon may serve them."""
-MAX_RANK: Final = 2**31 - 1
-"""Worst rank; ranks are 32-bit numbers in beacons."""
+MAX_LEVEL: Final = 2**31 - 1
+"""Worst level; levels are 32-bit numbers in beacons."""
--- a/goldcreststair/components/waiting/controller.py
+++ b/goldcreststair/components/waiting/controller.py
@@ -5,7 +5,7 @@
 to become free, so that the queue is short and its order decides mostly who is refused.
 """
 
-from collections import defaultdict
+from collections import Counter
 from collections.abc import Callable
 from itertools import accumulate
 
@@ -20,7 +20,7 @@
 )
 
 CountOthers = Callable[[int], float]
-"""Returns how many requests of a rank or a better one wait at other daemons."""
+"""Returns how many requests of a level or a better one wait at other daemons."""
 
 
 class WaitingQueue:
@@ -59,20 +59,14 @@
     def serve(self, request: WaitingRequest) -> None:
         """Remove a request that gets a place at an upstream."""
         self.remove(request.number)
-        self.shares.record_served(request.customer, request.weight)
+        self.shares.record_served()
 
     def list_order(self) -> list[WaitingRequest]:
-        """Return the requests: by rank, then by virtual start of their customers, then by deadline."""
-        by_customer: dict[str, list[WaitingRequest]] = defaultdict(list)
-        for request in sorted(self._requests.values(), key=_rank_deadline):
-            by_customer[request.customer].append(request)
-        keyed = []
-        for customer, requests in by_customer.items():
-            start = self.shares.read_start(customer)
-            for position, request in enumerate(requests):
-                keyed.append((request.rank, start + position / request.weight, request))
-        keyed.sort(key=lambda item: (item[0], item[1], item[2].due_at, item[2].number))
-        return [request for _, _, request in keyed]
+        """Return the requests: by rank, then by virtual start, then by deadline."""
+        return sorted(
+            self._requests.values(),
+            key=lambda request: (request.rank, request.start, request.due_at, request.number),
+        )
 
     def evict_late(self, capacity: Capacity, count_others: CountOthers) -> list[Evicted]:
         """Remove and return the requests that no slot can serve in time.
@@ -81,9 +75,10 @@
         """
         evicted = []
         ahead = 0
-        counts = self._count_up_to_rank()
+        counts = self._count_up_to_level()
         for request in self.list_order():
-            share = 1.0 + count_others(request.rank) / counts[request.rank]
+            level = self.read_level(request)
+            share = 1.0 + count_others(level) / counts[level]
             wait_ms = (ahead + 1) * share * capacity.slot_interval_ms + capacity.queued_ms
             if self._clock.now() + wait_ms + capacity.first_ms > request.due_at:
                 self.remove(request.number)
@@ -92,22 +87,26 @@
                 ahead += 1
         return evicted
 
-    def count_by_rank(self) -> dict[int, int]:
-        """Return the number of waiting requests of each rank."""
-        counts: dict[int, int] = defaultdict(int)
-        for request in self._requests.values():
-            counts[request.rank] += 1
-        return dict(counts)
+    def read_level(self, request: WaitingRequest) -> int:
+        """Return the rank of a request as other daemons see it.
 
-    def list_requests(self) -> list[WaitingRequest]:
-        """Return the requests in the order of their arrival."""
-        return list(self._requests.values())
+        Requests of customers above their share are behind all others of their rank.
+        """
+        return 2 * request.rank + self.is_ahead(request)
 
-    def _count_up_to_rank(self) -> dict[int, int]:
-        counts = sorted(self.count_by_rank().items())
-        totals = accumulate(count for _, count in counts)
-        return dict(zip((rank for rank, _ in counts), totals, strict=True))
+    def is_ahead(self, request: WaitingRequest) -> bool:
+        """Return whether the customer of a request is above its share."""
+        return self.shares.is_ahead(request.start, request.weight)
 
+    def count_by_level(self) -> dict[int, int]:
+        """Return the number of waiting requests of each level."""
+        return dict(Counter(self.read_level(request) for request in self._requests.values()))
 
-def _rank_deadline(request: WaitingRequest) -> tuple[int, int, int]:
-    return request.rank, request.due_at, request.number
+    def count_up_to(self, level: int) -> int:
+        """Return the number of waiting requests of a level or a better one."""
+        return sum(count for each, count in self.count_by_level().items() if each <= level)
+
+    def _count_up_to_level(self) -> dict[int, int]:
+        counts = sorted(self.count_by_level().items())
+        totals = accumulate(count for _, count in counts)
+        return dict(zip((level for level, _ in counts), totals, strict=True))
--- a/goldcreststair/components/waiting/fair_shares.py
+++ b/goldcreststair/components/waiting/fair_shares.py
@@ -1,23 +1,28 @@
 """Virtual time of weighted fair queueing between customers; no I/O.
 
-Designed for a few customers that send at many times their rate among dozens that do not. Virtual time
-advances by one request divided by the weights of all customers that are ahead of it, so that a customer
-is ahead exactly if it got more than its weighted share since slots became short.
+Designed for a few customers that send at many times their rate among dozens that do not. Each arrival
+moves its customer's virtual finish time, also if it is refused: a daemon holds too few waiting requests
+for their order alone to tell who asks for more than its share. Virtual time advances with each request
+that is served, by one request divided by the weights of all customers that are ahead of it.
 """
 
 from goldcreststair.clock import Clock, Millis
-from goldcreststair.components.waiting.const import CONTENTION_MEMORY_MS
+from goldcreststair.components.waiting.const import (
+    AHEAD_REQUESTS,
+    CONTENTION_MEMORY_MS,
+    MAX_AHEAD_REQUESTS,
+)
 
 
 class FairShares:
-    """Remembers what each customer got while slots were short."""
+    """Remembers what each customer asked for while slots were short."""
 
     def __init__(self, clock: Clock) -> None:
-        """Create shares of customers that all got nothing yet."""
+        """Create shares of customers that asked for nothing yet."""
         self._clock = clock
         self._now = 0.0
         """Virtual time."""
-        self._finished: dict[str, tuple[float, float]] = {}
+        self._finishes: dict[str, tuple[float, float]] = {}
         """Virtual finish time and weight of each customer that is ahead of virtual time."""
         self._contended_at = Millis(0)
 
@@ -26,23 +31,26 @@
         self._forget_if_idle()
         self._contended_at = self._clock.now()
 
-    def read_start(self, customer: str) -> float:
-        """Return the virtual time at which the next request of a customer starts."""
-        return max(self._now, self._finished.get(customer, (0.0, 0.0))[0])
-
-    def is_ahead(self, customer: str) -> bool:
-        """Return whether a customer got more than its share."""
-        return customer in self._finished
-
-    def record_served(self, customer: str, weight: float) -> None:
-        """Record that a request of a customer got a place at an upstream."""
+    def record_arrival(self, customer: str, weight: float) -> float:
+        """Record a request of a customer; returns its virtual start time."""
         self._forget_if_idle()
-        finish = self.read_start(customer) + 1.0 / weight
-        self._finished[customer] = (finish, weight)
-        self._now += 1.0 / sum(each for _, each in self._finished.values())
-        for name in [name for name, (at, _) in self._finished.items() if at <= self._now]:
-            del self._finished[name]
+        start = max(self._now, self._finishes.get(customer, (0.0, weight))[0])
+        limit = self._now + MAX_AHEAD_REQUESTS / weight
+        self._finishes[customer] = (min(start + 1.0 / weight, limit), weight)
+        return start
+
+    def is_ahead(self, start: float, weight: float) -> bool:
+        """Return whether the customer of a request with this start is above its share."""
+        return (start - self._now) * weight >= AHEAD_REQUESTS
+
+    def record_served(self) -> None:
+        """Record that a request got a place at an upstream."""
+        weights = sum(weight for _, weight in self._finishes.values())
+        if weights:
+            self._now += 1.0 / weights
+        for name in [name for name, (at, _) in self._finishes.items() if at <= self._now]:
+            del self._finishes[name]
 
     def _forget_if_idle(self) -> None:
         if self._clock.now() - self._contended_at > CONTENTION_MEMORY_MS:
-            self._finished.clear()
+            self._finishes.clear()
--- a/goldcreststair/components/waiting/models.py
+++ b/goldcreststair/components/waiting/models.py
@@ -31,6 +31,8 @@
     """Empty on a route that needs no key."""
     weight: float
     """Of the customer, relative to others."""
+    start: float
+    """Its virtual start time in weighted fair queueing."""
     due_at: Millis
     """When its first event has to be sent."""
     size: int
--- a/goldcreststair/components/waiting/other_daemons.py
+++ b/goldcreststair/components/waiting/other_daemons.py
@@ -6,7 +6,7 @@
 from goldcreststair.components.waiting.const import COUNT_VALID_MS
 
 Counts = Mapping[tuple[int, int], int]
-"""By the hash of the service and by rank."""
+"""By the hash of the service and by level."""
 
 
 class OtherDaemons:
@@ -30,13 +30,13 @@
         horizon = self._clock.now() - COUNT_VALID_MS
         return any(at >= horizon for at, _ in self._reports.values())
 
-    def count(self, service: int, rank: int) -> int:
-        """Return how many requests of a rank or a better one wait elsewhere for a service."""
+    def count(self, service: int, level: int) -> int:
+        """Return how many requests of a level or a better one wait elsewhere for a service."""
         horizon = self._clock.now() - COUNT_VALID_MS
         return sum(
             count
             for at, counts in self._reports.values()
             if at >= horizon
-            for (each, other_rank), count in counts.items()
-            if each == service and other_rank <= rank
+            for (each, other_level), count in counts.items()
+            if each == service and other_level <= level
         )
--- a/goldcreststair/components/waiting/room.py
+++ b/goldcreststair/components/waiting/room.py
@@ -1,6 +1,7 @@
 """Finds upstreams with room for a waiting request, and the capacity of a service; no I/O."""
 
 from dataclasses import replace
+from typing import Final
 
 from result import Ok
 
@@ -10,7 +11,7 @@
 from goldcreststair.components.placement.upstream_table import UpstreamState
 from goldcreststair.components.waiting.models import Capacity
 
-MAX_QUEUED: int = 1
+MAX_QUEUED: Final = 1
 """Requests beyond its slots that an upstream may hold. One keeps each slot busy while the report of a
 freed slot is under way; more would be served in order of arrival there."""
 
@@ -36,14 +37,19 @@
         per_upstream = slots / len(states) if states else DEFAULT_SLOTS
         return Capacity(slots, times.run_ms, times.first_ms, times.run_ms / per_upstream)
 
-    def count_room(self, query: PlacementQuery, left_ms: float) -> int:
+    def count_room(self, query: PlacementQuery, left_ms: float, queued: int) -> int:
         """Return how many requests with this time to their first event the upstreams have room for."""
-        return sum(self._count_room(state, left_ms) for state in self._list_available(query))
+        return sum(
+            self._count_room(state, left_ms, queued) for state in self._list_available(query)
+        )
 
-    def choose(self, query: PlacementQuery, left_ms: float) -> Placement | None:
-        """Return a placement at an upstream with room, or None if there is none."""
+    def choose(self, query: PlacementQuery, left_ms: float, queued: int) -> Placement | None:
+        """Return a placement at an upstream with room, or None if there is none.
+
+        The upstream may hold `queued` requests beyond its slots.
+        """
         available = self._list_available(query)
-        crowded = [s.entry.name for s in available if self._count_room(s, left_ms) <= 0]
+        crowded = [s.entry.name for s in available if self._count_room(s, left_ms, queued) <= 0]
         if len(crowded) == len(available):
             return None
         chosen = self._placement.choose(replace(query, excluded=query.excluded.union(crowded)))
@@ -53,11 +59,11 @@
         table = self._table
         return table.prefer_warm(table.list_available(table.list_candidates(query)))
 
-    def _count_room(self, state: UpstreamState, left_ms: float) -> int:
+    def _count_room(self, state: UpstreamState, left_ms: float, queued: int) -> int:
         """Return how many more requests may be placed at an upstream that can be in time there."""
         times = self._placement.read_run_times(state.entry.service)
         slots = self._table.count_slots(state)
         limit = slots
-        if MAX_QUEUED * times.run_ms / slots + times.first_ms <= left_ms:
-            limit += MAX_QUEUED
+        if queued * times.run_ms / slots + times.first_ms <= left_ms:
+            limit += queued
         return max(0, limit - self._table.count_runs(state).online)
--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -10,7 +10,7 @@
 
 from goldcreststair.clock import Millis, TimerHandle
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
-from goldcreststair.components.catalogue.regions import find_request_regions
+from goldcreststair.components.catalogue.regions import Regions, find_request_regions
 from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.fleet.models import FLEET, OWN_STATE, OwnState, VmState
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
@@ -28,13 +28,13 @@
 from goldcreststair.components.waiting.const import (
     CHECK_MS,
     LEAVING_RETRY_MS,
-    MAX_RANK,
+    MAX_LEVEL,
     REALLOT_MS,
 )
 from goldcreststair.components.waiting.controller import WaitingQueue
 from goldcreststair.components.waiting.models import Evicted, RefusalReason, WaitingRequest
 from goldcreststair.components.waiting.other_daemons import OtherDaemons
-from goldcreststair.components.waiting.room import RoomFinder
+from goldcreststair.components.waiting.room import MAX_QUEUED, RoomFinder
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.refusals import Refusal, RefusalCode
@@ -43,6 +43,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 STATUS_UNAVAILABLE = 503
+DEFAULT_WEIGHT = 1.0
+"""Weight of customers without a rate."""
 
 
 @dataclass(slots=True)
@@ -115,12 +117,12 @@
         if not self._features.is_active(Feature.WAITING_QUEUE, request.service) or self._is_leaving:
             return self._decide_without_queue(request, placement)
         queue = self._find_queue(request.service)
-        waiting = _make_waiting(request, next(self._numbers))
+        waiting = self._make_waiting(queue, request)
         decided = self._decide_at_once(queue, request, waiting, placement)
         if decided is None:
             return await self._async_wait(queue, request, waiting)
         if isinstance(decided, Ok):
-            queue.queue.shares.record_served(waiting.customer, waiting.weight)
+            queue.queue.shares.record_served()
         return decided
 
     @property
@@ -148,16 +150,24 @@
             return Ok(placement)
         queue.queue.shares.note_contention()
         time = self._make_budget(request)
-        if time.left_ms < time.timeout_ms * FIRST_ATTEMPT_SHARE:
+        if _is_return(time):
             # After a second refusal the request would time out; a late answer is better than none.
             if placement.expected_ms <= time.left_ms:
                 return Ok(placement)
             return Err(self._refuse(queue, request, RefusalReason.LATE))
         if len(queue.queue):
             return None
-        chosen = self._room.choose(waiting.query, waiting.due_at - self._clock.now())
+        chosen = self._choose(queue, waiting)
         return None if chosen is None else Ok(chosen)
 
+    def _choose(self, queue: _ServiceQueue, waiting: WaitingRequest) -> Placement | None:
+        """Return a placement at an upstream with room for a request, or None if there is none."""
+        left_ms = waiting.due_at - self._clock.now()
+        # Places beyond the slots are left to customers that are not above their share, so that these
+        # find one without a wait while the others take the slots that are left.
+        queued = 0 if queue.queue.is_ahead(waiting) else MAX_QUEUED
+        return self._room.choose(waiting.query, left_ms, queued)
+
     async def _async_wait(
         self, queue: _ServiceQueue, request: AdmittedRequest, waiting: WaitingRequest
     ) -> Result[Placement, Refusal]:
@@ -184,7 +194,7 @@
             "customer": waiting.customer,
             "rank": waiting.rank,
             "waiting_here": len(queue.queue),
-            "waiting_elsewhere": self._count_others(queue, waiting.rank),
+            "waiting_elsewhere": self._count_others(queue, queue.queue.read_level(waiting)),
             "left_ms": waiting.due_at - self._clock.now(),
         }
         _LOGGER.info("Request waits", extra=extra)
@@ -208,23 +218,24 @@
         if queue.starts > 0 and not queue.is_starting:
             self._start_next(queue)
         capacity = self._room.read_capacity(queue.name)
-        late = queue.queue.evict_late(capacity, lambda rank: self._count_others(queue, rank))
+        late = queue.queue.evict_late(capacity, lambda level: self._count_others(queue, level))
         self._refuse_evicted(queue, late)
 
     def _start_next(self, queue: _ServiceQueue) -> None:
-        crowded = set()
+        crowded: set[tuple[Regions, bool]] = set()
         for waiting in queue.queue.list_order():
             waiter = queue.waiters[waiting.number]
-            if waiting.query.regions in crowded or waiter.decided.done():
+            kind = waiting.query.regions, queue.queue.is_ahead(waiting)
+            if kind in crowded or waiter.decided.done():
                 continue
-            placement = self._room.choose(waiting.query, waiting.due_at - self._clock.now())
+            placement = self._choose(queue, waiting)
             if placement is not None:
                 queue.queue.serve(waiting)
                 queue.starts -= 1
                 queue.is_starting = True
                 waiter.decided.set_result(Ok(placement))
                 return
-            crowded.add(waiting.query.regions)
+            crowded.add(kind)
 
     def _allot(self, queue: _ServiceQueue) -> None:
         """Set how many requests may start by the share of this daemon in all waiting requests."""
@@ -232,20 +243,19 @@
         order = queue.queue.list_order()
         if order:
             left_ms = order[0].due_at - self._clock.now()
-            room = self._room.count_room(PlacementQuery(queue.name), left_ms)
-            queue.starts = self._take_share(queue, order[0].rank, room)
+            room = self._room.count_room(PlacementQuery(queue.name), left_ms, MAX_QUEUED)
+            queue.starts = self._take_share(queue, queue.queue.read_level(order[0]), room)
 
-    def _take_share(self, queue: _ServiceQueue, rank: int, room: int) -> int:
-        own = sum(n for each, n in queue.queue.count_by_rank().items() if each <= rank)
-        return allot_starts(room, own, self._count_others(queue, rank), self._core.random)
+    def _take_share(self, queue: _ServiceQueue, level: int, room: int) -> int:
+        own, others = queue.queue.count_up_to(level), self._count_others(queue, level)
+        return allot_starts(room, own, others, self._core.random)
 
-    def _count_others(self, queue: _ServiceQueue, rank: int) -> int:
-        """Return how many requests of a rank or a better one wait at other daemons."""
+    def _count_others(self, queue: _ServiceQueue, level: int) -> int:
+        """Return how many requests of a level or a better one wait at other daemons."""
         if self._others.is_known():
-            return self._others.count(hash_name(queue.name), rank)
+            return self._others.count(hash_name(queue.name), level)
         reachable = self._core.blackboard.read(FLEET).reachable
-        own = sum(n for each, n in queue.queue.count_by_rank().items() if each <= rank)
-        return own * max(0, reachable - 1)
+        return queue.queue.count_up_to(level) * max(0, reachable - 1)
 
     def _refuse_evicted(self, queue: _ServiceQueue, evicted: Iterable[Evicted]) -> None:
         for each in evicted:
@@ -257,7 +267,7 @@
     ) -> Refusal:
         self._core.meters.count_queue_refusal(reason.value)
         capacity = self._room.read_capacity(queue.name)
-        ahead = len(queue.queue) + self._count_others(queue, MAX_RANK)
+        ahead = len(queue.queue) + self._count_others(queue, MAX_LEVEL)
         wait_ms = capacity.queued_ms + (ahead + 1) * capacity.slot_interval_ms
         left_ms = self._make_budget(request).left_ms
         retry_ms = choose_retry_ms(wait_ms, left_ms, self._core.random)
@@ -280,6 +290,28 @@
             self._queues[service] = _ServiceQueue(service, WaitingQueue(self._clock))
         return self._queues[service]
 
+    def _make_waiting(self, queue: _ServiceQueue, request: AdmittedRequest) -> WaitingRequest:
+        customer, route = request.customer, request.route
+        name, weight = (customer.name, customer.rate_per_s) if customer else ("", 0.0)
+        # Callers that return were counted when they came first.
+        is_return = _is_return(self._make_budget(request))
+        shares = queue.queue.shares
+        start = 0.0 if is_return else shares.record_arrival(name, weight or DEFAULT_WEIGHT)
+        return WaitingRequest(
+            number=next(self._numbers),
+            query=PlacementQuery(
+                request.service,
+                affinity=request.affinity,
+                regions=find_request_regions(route, customer),
+            ),
+            rank=_find_rank(request),
+            customer=name,
+            weight=weight or DEFAULT_WEIGHT,
+            start=start,
+            due_at=Millis(request.request.arrived_at + route.objective_ms),
+            size=len(request.request.body),
+        )
+
     def _make_budget(self, request: AdmittedRequest) -> TimeBudget:
         route = request.route
         left_ms = request.ends_at - self._clock.now()
@@ -287,9 +319,9 @@
 
     def _contribute(self, beacon: Beacon) -> None:
         waiting = [
-            WaitingRequests(hash_name(queue.name), rank, number)
+            WaitingRequests(hash_name(queue.name), level, number)
             for queue in self._queues.values()
-            for rank, number in queue.queue.count_by_rank().items()
+            for level, number in queue.queue.count_by_level().items()
         ]
         if waiting:
             beacon.waiting = waiting
@@ -303,8 +335,7 @@
 
     def _on_run_end(self) -> None:
         for queue in self._list_occupied():
-            rank = min(queue.queue.count_by_rank())
-            queue.starts += self._take_share(queue, rank, 1)
+            queue.starts += self._take_share(queue, min(queue.queue.count_by_level()), 1)
             self._advance(queue)
 
     def _on_timer(self) -> None:
@@ -334,21 +365,16 @@
                     self._end(waiter, identified.err_value)
 
 
-def _make_waiting(request: AdmittedRequest, number: int) -> WaitingRequest:
-    customer, route = request.customer, request.route
-    regions = find_request_regions(route, customer)
-    rank = route.priority
+def _find_rank(request: AdmittedRequest) -> int:
+    customer = request.customer
     if customer is not None and customer.priority is not None:
-        rank = customer.priority
-    return WaitingRequest(
-        number,
-        PlacementQuery(request.service, affinity=request.affinity, regions=regions),
-        rank,
-        customer.name if customer is not None else "",
-        (customer.rate_per_s if customer is not None else 0.0) or 1.0,
-        Millis(request.request.arrived_at + route.objective_ms),
-        len(request.request.body),
-    )
+        return customer.priority
+    return request.route.priority
+
+
+def _is_return(time: TimeBudget) -> bool:
+    """Return whether a caller was refused before and returned."""
+    return time.left_ms < time.timeout_ms * FIRST_ATTEMPT_SHARE
 
 
 def _make_refusal(message: str, code: RefusalCode, retry_ms: int) -> Refusal:
--- a/standins/measure/overload_ranked.py
+++ b/standins/measure/overload_ranked.py
@@ -36,6 +36,12 @@
     Customer(GREEDY, 1, 7.5),
 )
 """Two of the first rank, and one that sends 7.5 times as much as each of the others."""
+RANKED_LOADS: Final = (
+    *(load for load in LOADS if load.name == "bursts beyond capacity"),
+    Load("34 VMs beyond capacity", 120.0, 1.2, engines=20, vms=34, seconds=18),
+    Load("80 VMs beyond capacity", 170.0, 1.6, engines=28, vms=80, seconds=12),
+)
+"""The second and third load have fleet views that are up to 300 ms old."""
 
 
 @dataclass(slots=True)
@@ -59,7 +65,7 @@
 
 def select_loads(name: str) -> list[Load]:
     """Return the loads whose names contain `name`, with customers of several ranks."""
-    return [replace(load, customers=CUSTOMERS) for load in LOADS if name in load.name]
+    return [replace(load, customers=CUSTOMERS) for load in RANKED_LOADS if name in load.name]
 
 
 def tally(load: Load, seed: int, figures: Figures) -> dict[str, Tally]:
@@ -129,14 +135,11 @@
     feature: Feature = Feature.WAITING_QUEUE,
     first_seed: int = 1,
     processes: int = 1,
-    requests_per_s: float = 0.0,
 ) -> None:
     """Print what became of the requests of each class of customers, without and with a feature."""
     seed_range = range(first_seed, first_seed + seeds)
     with ProcessPoolExecutor(processes) as pool:
         for candidate in select_loads(load):
-            if requests_per_s:
-                candidate = replace(candidate, requests_per_s=requests_per_s)
             credits, batch = [], []
             for features in ("", feature.value):
                 plans = [RankedPlan(candidate, seed, features) for seed in seed_range]
