--- a/goldcreststair/components/placement/loads.py
+++ b/goldcreststair/components/placement/loads.py
@@ -92,6 +92,11 @@
         """Return the runs of all daemons at an upstream."""
         return _sum(self.read_own(upstream), self._others.get(upstream, NO_RUNS))
 
+    def read_online(self, upstream: int) -> int:
+        """Return the online runs of all daemons at an upstream, without building a `Runs`."""
+        own = self._own.get(upstream, NO_RUNS)
+        return own.online + self._others.get(upstream, NO_RUNS).online
+
     def list_own(self) -> dict[int, Runs]:
         """Return this daemon's runs by upstream, without upstreams that have none."""
         return dict(self._own)
--- a/goldcreststair/components/waiting/const.py
+++ b/goldcreststair/components/waiting/const.py
@@ -9,6 +9,9 @@
 CHECK_MS: Final = 25
 """Interval at which waiting requests are checked for their deadlines and for free slots; about a
 tenth of the time that a request may wait."""
+MIN_ALLOT_MS: Final = 10
+"""Shortest time between two computations of the share of the free slots: 24 other daemons may send 600
+beacons a second."""
 REALLOT_MS: Final = 100
 """Without a newer view of the fleet, a daemon takes its share of the free slots again after this time:
 what other daemons took has reached it by then in a fleet without relays."""
--- a/goldcreststair/components/waiting/room.py
+++ b/goldcreststair/components/waiting/room.py
@@ -1,14 +1,15 @@
 """Finds upstreams with room for a waiting request, and the capacity of a service; no I/O."""
 
 import random
-from dataclasses import replace
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
 from typing import Final
 
 from result import Ok
 
 from goldcreststair.components.placement.const import DEFAULT_SLOTS
 from goldcreststair.components.placement.controller import PlacementController
-from goldcreststair.components.placement.models import Placement, PlacementQuery
+from goldcreststair.components.placement.models import Placement, PlacementQuery, RunTimes
 from goldcreststair.components.placement.spreading import choose_weighted
 from goldcreststair.components.placement.upstream_table import UpstreamState
 from goldcreststair.components.waiting.const import EVEN_MIN_LEFT, EVEN_SLACK
@@ -19,6 +20,20 @@
 freed slot is under way; more would be served in order of arrival there."""
 
 
+@dataclass(frozen=True, slots=True)
+class Survey:
+    """Slots and online runs of some upstreams."""
+
+    usages: Sequence[tuple[str, int, int]]
+    """Name, slots and online runs of each."""
+
+    @property
+    def fill(self) -> float:
+        """The online runs relative to the slots."""
+        slots = sum(slots for _, slots, _ in self.usages)
+        return sum(online for _, _, online in self.usages) / max(1, slots)
+
+
 class RoomFinder:
     """Reads from placement which upstreams have room."""
 
@@ -41,19 +56,17 @@
         return Capacity(slots, times.run_ms, times.first_ms, times.run_ms / per_upstream)
 
     def count_room(self, query: PlacementQuery, left_ms: float, queued: int) -> int:
-        """Return how many requests with this time to their first event the upstreams have room for."""
-        return sum(
-            self._count_room(state, left_ms, queued) for state in self._list_available(query)
-        )
-
-    def choose(self, query: PlacementQuery, left_ms: float, queued: int) -> Placement | None:
-        """Return a placement at an upstream with room, or None if there is none.
+        """Return how many requests with this time to their first event the upstreams have room for.
 
-        The upstream may hold `queued` requests beyond its slots.
+        An upstream may hold `queued` requests beyond its slots, if these can be in time.
         """
-        available = self._list_available(query)
-        crowded = [s.entry.name for s in available if self._count_room(s, left_ms, queued) <= 0]
-        if len(crowded) == len(available):
+        return sum(room for _, room in self._list_room(query, left_ms, queued))
+
+    def choose(self, query: PlacementQuery, left_ms: float, queued: int) -> Placement | None:
+        """Return a placement at an upstream with room, or None if there is none."""
+        rooms = self._list_room(query, left_ms, queued)
+        crowded = [name for name, room in rooms if not room]
+        if len(crowded) == len(rooms):
             return None
         chosen = self._placement.choose(replace(query, excluded=query.excluded.union(crowded)))
         return chosen.ok_value if isinstance(chosen, Ok) else None
@@ -62,33 +75,41 @@
         """Return whether the runs of other daemons are known from a relay's digests only."""
         return self._placement.runs.digest_sequence is not None
 
-    def read_fill(self, query: PlacementQuery) -> float:
-        """Return the online runs of all upstreams that a request may use, relative to their slots."""
-        available = self._list_available(query)
-        slots = sum(self._table.count_slots(state) for state in available)
-        return sum(self._table.count_runs(state).online for state in available) / max(1, slots)
+    def survey(self, query: PlacementQuery) -> Survey:
+        """Return the slots and online runs of all upstreams that a request may use."""
+        table = self._table
+        return Survey(
+            [
+                (state.entry.name, table.count_slots(state), table.runs.read_online(state.key))
+                for state in self._list_available(query)
+            ]
+        )
 
-    def choose_evenly(self, query: PlacementQuery, rng: random.Random) -> Placement | None:
+    def choose_evenly(self, survey: Survey, rng: random.Random) -> Placement | None:
         """Return a placement chosen at random, by the squares of the places left at the upstreams."""
-        weighted = []
-        for state in self._list_available(query):
-            left = (
-                self._table.count_slots(state) + EVEN_SLACK - self._table.count_runs(state).online
-            )
-            weighted.append((state.entry.name, max(EVEN_MIN_LEFT, left) ** 2))
-        if not weighted:
+        if not survey.usages:
             return None
+        weighted = [
+            (name, max(EVEN_MIN_LEFT, slots + EVEN_SLACK - online) ** 2)
+            for name, slots, online in survey.usages
+        ]
         return self._placement.place_at(choose_weighted(weighted, rng))
 
     def _list_available(self, query: PlacementQuery) -> list[UpstreamState]:
         table = self._table
         return table.prefer_warm(table.list_available(table.list_candidates(query)))
 
-    def _count_room(self, state: UpstreamState, left_ms: float, queued: int) -> int:
-        """Return how many more requests may be placed at an upstream that can be in time there."""
-        times = self._placement.read_run_times(state.entry.service)
-        slots = self._table.count_slots(state)
-        limit = slots
-        if queued * times.run_ms / slots + times.first_ms <= left_ms:
-            limit += queued
-        return max(0, limit - self._table.count_runs(state).online)
+    def _list_room(
+        self, query: PlacementQuery, left_ms: float, queued: int
+    ) -> list[tuple[str, int]]:
+        """Return how many more requests may be placed at each upstream."""
+        times = self._placement.read_run_times(query.service)
+        return [
+            (name, max(0, slots - online + (queued if _is_in_time(times, slots, left_ms) else 0)))
+            for name, slots, online in self.survey(query).usages
+        ]
+
+
+def _is_in_time(times: RunTimes, slots: int, left_ms: float) -> bool:
+    """Return whether a request that is the only one beyond the slots has its first event in time."""
+    return times.run_ms / slots + times.first_ms <= left_ms
--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -27,6 +27,8 @@
     EVEN_FILL,
     LEAVING_RETRY_MS,
     MAX_LEVEL,
+    MIN_ALLOT_MS,
+    REALLOT_MS,
 )
 from goldcreststair.components.waiting.models import RefusalReason, WaitingRequest
 from goldcreststair.components.waiting.other_daemons import OtherDaemons
@@ -152,13 +154,13 @@
         would be late. The sum over all upstreams is nevertheless known well, as about as many runs
         end as begin meanwhile.
         """
-        fill = self._room.read_fill(waiting.query)
-        if fill >= EVEN_FILL:
+        survey = self._room.survey(waiting.query)
+        if survey.fill >= EVEN_FILL:
             queue.queue.shares.note_contention()
-            placement = self._room.choose_evenly(waiting.query, self._core.random) or placement
+            placement = self._room.choose_evenly(survey, self._core.random) or placement
         time = self._make_budget(request)
         is_servable = _is_return(time) and placement.expected_ms <= time.left_ms
-        if is_servable or fill < queue.queue.read_fill_limit(waiting):
+        if is_servable or survey.fill < queue.queue.read_fill_limit(waiting):
             return Ok(placement)
         return Err(self._refuse(queue, request, RefusalReason.LATE))
 
@@ -258,7 +260,7 @@
         counts = {(w.upstream_service, w.priority): w.count for w in beacon.waiting or ()}
         self._others.apply(session, counts)
         for queue in self._list_occupied():
-            queue.allot()
+            queue.allot_after(MIN_ALLOT_MS)
             queue.advance()
 
     def _count_daemons(self) -> int:
@@ -273,7 +275,7 @@
     def _on_timer(self) -> None:
         self._timer = None
         for queue in self._list_occupied():
-            queue.allot_again()
+            queue.allot_after(REALLOT_MS)
             queue.advance()
         if self._list_occupied():
             self._timer = self._clock.call_later(CHECK_MS, self._on_timer)
--- a/goldcreststair/components/waiting/service_queue.py
+++ b/goldcreststair/components/waiting/service_queue.py
@@ -16,7 +16,6 @@
 from goldcreststair.components.placement.models import Placement, PlacementQuery
 from goldcreststair.components.placement.spreading import allot_starts
 from goldcreststair.components.requests.models import AdmittedRequest
-from goldcreststair.components.waiting.const import REALLOT_MS
 from goldcreststair.components.waiting.controller import WaitingQueue
 from goldcreststair.components.waiting.models import Evicted, RefusalReason, WaitingRequest
 from goldcreststair.components.waiting.other_daemons import OtherDaemons
@@ -101,9 +100,9 @@
             room = self._room.count_room(PlacementQuery(self.name), left_ms, MAX_QUEUED)
             self._starts = self._take_share(self.queue.read_level(order[0]), room)
 
-    def allot_again(self) -> None:
-        """Do the same if the last time is long ago, as no newer view of the fleet has come."""
-        if self._clock.now() - self._allotted_at >= REALLOT_MS:
+    def allot_after(self, interval_ms: int) -> None:
+        """Do the same unless it was done within the last `interval_ms`."""
+        if self._clock.now() - self._allotted_at >= interval_ms:
             self.allot()
 
     def allot_ended_run(self) -> None:
