--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -25,6 +25,7 @@
     placement,
     quotas,
     upstream_pace,
+    waiting,
 )
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
@@ -55,6 +56,7 @@
     upstream_pace.async_setup,
     outliers.async_setup,
     placement.async_setup,
+    waiting.async_setup,
     crash_marks.async_setup,
     jobs.async_setup,
     forwarding.async_setup,
--- a/tests/test_component_separation.py
+++ b/tests/test_component_separation.py
@@ -29,6 +29,7 @@
         "quotas",
         "requests",
         "upstream_pace",
+        "waiting",
     )
 )
 
