Deliver a complete answer although the caller's deadline passes

Cause: the timeout of an exchange covers the writes to the caller, so that an answer that had arrived whole was cut when its last write to a slow caller ended after the deadline.

Change: where fleet-return is active for the service, the arrival of the whole answer moves the deadline by the exchange's timeout. A wait for the upstream ends as before.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -11,6 +11,7 @@
 from goldcreststair.components.catalogue.models import CallKind
 from goldcreststair.components.catalogue.regions import find_request_regions
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
+from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.forwarding.const import (
     CONNECT_CHECK_TIMEOUT_MS,
     MIN_REMAINING_MS,
@@ -37,6 +38,7 @@
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
+from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.refusals import Refusal, RefusalCode
 from goldcreststair.helpers.retry_budget import RetryBudget
@@ -242,6 +244,9 @@
             upstream=upstream,
             deadline_ms=max(1, self._remaining_ms()),
             resume_after=self._relay.last_event,
+            delivers_late=self._core.get(FEATURES).is_active(
+                Feature.FLEET_RETURN, self._admitted.service
+            ),
         )
 
     def _is_final(self, end: RunEnd) -> bool:
--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -43,6 +43,8 @@
     """Receives the body of a 200 response in chunks."""
     matches_request: Callable[[HTTPHeaders], bool] | None = None
     """Returns by the headers whether the response belongs to this request."""
+    on_complete: Callable[[], None] | None = None
+    """Called when the whole response has arrived, before its last bytes are delivered."""
 
 
 class _ResponseReader:
@@ -108,6 +110,8 @@
             return
         if not self._foreign:
             self.complete, self.keeps_alive = True, self.parser.should_keep_alive()
+            if self._hooks.on_complete is not None:
+                self._hooks.on_complete()
             return
         # An upstream that sends one response twice puts the copy in front of the next response, which
         # follows on the same connection. Without this check the next request would get the copy.
--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -84,6 +84,8 @@
     connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
     max_response_bytes: int = MAX_RESPONSE_BYTES
     """A longer body ends the exchange as broken."""
+    delivers_late: bool = False
+    """Whether a complete response is still delivered after the timeout; persistent connections only."""
 
 
 class _ResponseReader(HTTPMessageDelegate):
--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import socket
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Final
 
 from result import Err, Ok, Result
@@ -50,6 +51,13 @@
     reused: int
 
 
+def _extend(deadline: asyncio.Timeout, exchange: Exchange) -> None:
+    """Give the delivery of a complete response up to the exchange's timeout once more."""
+    ends_at = deadline.when()
+    if ends_at is not None and not deadline.expired():
+        deadline.reschedule(ends_at + exchange.timeout_ms / MS_PER_SECOND)
+
+
 class ConnectionPool:
     """Stores idle connections for reuse; a connection serves one request at a time."""
 
@@ -111,7 +119,9 @@
             self._reused += 1
         reusable, idle_ms = False, 0
         try:
-            async with asyncio.timeout(exchange.timeout_ms / MS_PER_SECOND):
+            async with asyncio.timeout(exchange.timeout_ms / MS_PER_SECOND) as deadline:
+                if exchange.delivers_late:
+                    hooks = replace(hooks, on_complete=partial(_extend, deadline, exchange))
                 outcome, reusable = await connection.async_send(exchange, hooks)
             if isinstance(outcome, Ok):
                 idle_ms = _read_idle_ms(outcome.ok_value.headers)
--- a/goldcreststair/upstreams/dialect.py
+++ b/goldcreststair/upstreams/dialect.py
@@ -27,6 +27,8 @@
     """Remaining time, after which the upstream stops the run."""
     resume_after: int = 0
     """Number of the last event received; 0 runs the request from the start."""
+    delivers_late: bool = False
+    """Whether an answer that is complete before the deadline is delivered after it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -108,6 +108,7 @@
             headers=dialect.encode_run(call),
             body=call.body,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            delivers_late=call.delivers_late,
         )
         on_data = sink.on_data if sink.wants_chunks else None
         hooks = ResponseHooks(on_head, on_data, lambda found: dialect.matches_run(call, found))
