Give out the initial tokens of a returning fleet as whole requests

Change: where fleet-return is active, the tokens go whole to the daemons that rank first for the customer by the addresses in the stored sessions. Daemons that have just started charge each other's first reports.

--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -14,12 +14,13 @@
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.catalogue.models import CatalogueCustomer
 from goldcreststair.components.fleet.const import BEACON_INTERVAL_MS, UNRESPONSIVE_MS
+from goldcreststair.components.quotas.return_share import (
+    START_LEVEL,
+    ReturnShare,
+    count_return_tokens,
+)
 from goldcreststair.const import MS_PER_SECOND
 
-START_LEVEL: Final = 20.0
-"""Initial tokens per customer when the whole fleet has just started, over all VMs together. The
-usage before the start is not known, but nothing was admitted while the fleet was down, and callers
-that waited for it return at once."""
 UNCERTAIN_MS: Final = 1_000
 """How long after the creation of a bucket its level may be replaced by the level another daemon
 reports."""
@@ -124,6 +125,9 @@
         self._customers: Mapping[int, CatalogueCustomer] = {}
         self.digest_delay_ms = 0
         """Age of the other daemons' counters if they arrive by digests; 0 if by direct beacons."""
+        self.return_share: ReturnShare | None = None
+        """The share of the initial tokens that this daemon admits before it hears the others; None
+        if `Feature.FLEET_RETURN` is inactive or the sessions in the store are unknown."""
 
     def apply_customers(self, customers: Mapping[int, CatalogueCustomer]) -> None:
         """Apply the customers of the catalogue, by the hash of their name as used in beacons."""
@@ -168,6 +172,8 @@
             if count.level is not None and self._is_uncertain(bucket):
                 self._refill(key, bucket)
                 bucket.level, bucket.uncertain = float(count.level), False
+            elif known is None and self._started_together(bucket, count):
+                self._charge(key, min(count.admitted, int(START_LEVEL)))
             elif continuous and key in before:
                 self._charge(key, count.admitted - before[key].admitted)
             elif continuous:
@@ -205,7 +211,7 @@
             bucket = self._buckets[key] = self._make_bucket(key)
         self._refill(key, bucket)
         level = bucket.level - self._estimate_unreported(bucket)
-        if level < 1:
+        if level < 1 and not self._may_spend_return_share(customer, bucket):
             rate = customer.rate_per_s * self._share.fraction
             return int((1 - level) / rate * MS_PER_SECOND) + 1
         if all_seen_since is not None and not self._may_spend_unconfirmed(
@@ -222,6 +228,20 @@
         just_started = self._clock.now() - self._started_at <= UNCERTAIN_MS
         return just_started and self._share.fraction < SETTLED_FRACTION
 
+    def _may_spend_return_share(self, customer: CatalogueCustomer, bucket: _Bucket) -> bool:
+        """Return whether a request is within this daemon's whole share of the initial tokens."""
+        if self.return_share is None or not self.is_settling() or self._share.isolated:
+            return False
+        total = count_return_tokens(self.return_share.daemons, customer.burst)
+        return bucket.admitted < self.return_share.count_own(customer.name, total)
+
+    def _started_together(self, bucket: _Bucket, count: AdmittedCount) -> bool:
+        """Return whether the first report of a daemon holds only requests since a common start."""
+        # The daemon cannot have a certain level, so that it has just started as well. Its requests
+        # are part of the initial tokens, which all daemons share.
+        just_started = count.level is None and self._is_uncertain(bucket)
+        return self.return_share is not None and just_started
+
     def _estimate_unreported(self, bucket: _Bucket) -> float:
         """Return an estimate of the requests that others have admitted but not reported yet."""
         # Without this estimate, a customer that sends many times its rate to hundreds of VMs
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue, CatalogueCustomer
+from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.fleet.models import FLEET, Fleet
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
 from goldcreststair.components.quotas.controller import (
@@ -12,7 +13,9 @@
     FleetShare,
     QuotaController,
 )
+from goldcreststair.components.quotas.return_share import ReturnShare
 from goldcreststair.core import ComponentKey
+from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, CustomerCount
 
@@ -73,6 +76,17 @@
     def _on_fleet(self, fleet: Fleet) -> None:
         members = len(fleet.vms) - len(fleet.lost) + fleet.unlisted
         self._controller.apply_share(FleetShare(fleet.responsive, members, fleet.agreed))
+        self._update_return_share(fleet)
+
+    def _update_return_share(self, fleet: Fleet) -> None:
+        """Set the share of a returning daemon from the sessions in the store."""
+        returns = self._core.get(FEATURES).is_active_anywhere(Feature.FLEET_RETURN)
+        if not (returns and fleet.loaded and self._controller.is_settling()):
+            return
+        own = fleet.vms[fleet.own_session]
+        addresses = frozenset(f"{vm.address} {vm.peer_port}" for vm in fleet.vms.values())
+        share = ReturnShare(f"{own.address} {own.peer_port}", addresses)
+        self._controller.return_share = share
 
     def _contribute(self, beacon: Beacon) -> None:
         beacon.admitted = [
