Limit a returning daemon to its share of the slots

Cause: a daemon that does not know the others' runs places its requests as if it were alone, so that they queue at the upstreams.

Change: where fleet-return is active, a daemon runs at most the slots divided by the known daemons, at least 2, until it has heard from half of the fleet or for 1 s. Beyond that it refuses first attempts as not run, with retry times that grow with the number of refusals. Log line, gauge and counter.

--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -10,10 +10,13 @@
 from goldcreststair.components.catalogue.regions import find_host_regions
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS
 from goldcreststair.components.entry.addresses import choose_addresses
-from goldcreststair.components.fleet.models import FLEET, OWN_STATE, OwnState, VmState
+from goldcreststair.components.entry.opening import AdmissionOpening
+from goldcreststair.components.features.protocols import FEATURES
+from goldcreststair.components.fleet.models import FLEET, OWN_STATE, Fleet, OwnState, VmState
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.core import ComponentKey
+from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
 
 _LOGGER = logging.getLogger(__name__)
@@ -57,6 +60,7 @@
         self._core = core
         self._section = core.blackboard.open_section(OWN_STATE, OwnState())
         self._links = core.get(FLEET_LINKS)
+        self.opening = AdmissionOpening(core.clock, core.random)
         self._leave_handlers: list[LeaveHandler] = []
         self._left = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -68,6 +72,7 @@
         self._unsubscribe = [
             board.subscribe(CATALOGUE, lambda _: self._update()),
             board.subscribe(LIVE_UPSTREAMS, lambda _: self._update()),
+            board.subscribe(FLEET, lambda _: self._update_opening()),
         ]
         self._tasks.append(asyncio.create_task(self._async_check()))
 
@@ -151,6 +156,7 @@
     async def _async_check(self) -> None:
         while True:
             self._update()
+            self._update_opening()
             await self._core.clock.async_sleep(READY_CHECK_MS)
 
     def _update(self) -> None:
@@ -164,5 +170,21 @@
             _LOGGER.info("Readiness changed", extra={"ready": ready})
             self._section.write(OwnState(state))
 
+    def _update_opening(self) -> None:
+        """Open admission once the runs of the other daemons are known."""
+        board = self._core.blackboard
+        fleet: Fleet = board.read(FLEET)
+        members = len(fleet.vms) - len(fleet.lost) + fleet.unlisted
+        opened = self.opening.apply_fleet(fleet.responsive, members, loaded=fleet.loaded)
+        if opened and self._core.get(FEATURES).is_active_anywhere(Feature.FLEET_RETURN):
+            known = {
+                "catalogue": board.read(CATALOGUE).version,
+                "upstreams": len(board.read(LIVE_UPSTREAMS).by_name),
+                "sessions_loaded": fleet.loaded,
+                "daemons": members,
+                "heard": fleet.responsive,
+            }
+            _LOGGER.info("Admission open", extra=known | {"after_ms": self.opening.age_ms})
+
 
 ENTRY: Final = ComponentKey[EntryService]("entry")
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -20,6 +20,7 @@
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.refusals import log_refusal, make_retryable_refusal
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingContext
+from goldcreststair.components.forwarding.returning import ReturnLimit
 from goldcreststair.components.forwarding.silence_detector import SilenceMonitor
 from goldcreststair.components.jobs.api import JOB_API
 from goldcreststair.components.placement.service import PLACEMENT
@@ -63,6 +64,7 @@
         self._crash_tracker = core.get(CRASH_TRACKER)
         self._job_api = core.get(JOB_API)
         self._placement = core.get(PLACEMENT)
+        self._return_limit = ReturnLimit(core)
         self._durations = RequestDurations(core.clock)
         self.budget = RetryBudget()
         self._context = ForwardingContext(core, self.budget, SilenceMonitor(core.clock))
@@ -145,6 +147,9 @@
         if not self._can_finish(route, ends_at):
             message = "this VM shuts down before the answer would be complete"
             return Err(make_retryable_refusal(message, RefusalCode.NOT_READY, MIN_RETRY_AFTER_MS))
+        returned = self._return_limit.check(route, ends_at)
+        if isinstance(returned, Err):
+            return returned
         if customer is not None and route.kind is not CallKind.BATCH:
             wait_ms = self._quotas.admit(customer)
             if wait_ms is not None:
@@ -152,6 +157,7 @@
                 message = f"rate and burst of {customer.name} are spent: {usage}"
                 code = RefusalCode.RATE_LIMITED
                 return Err(Refusal(message, code, STATUS_TOO_MANY, True, wait_ms))
+        self._return_limit.count(returned.ok_value)
         service = choose_service(route, self._core.random.random())
         return Ok(AdmittedRequest(request, route, customer, service, ends_at, fingerprint))
 
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -9,6 +9,7 @@
 
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS
+from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.evacuation.models import EVACUATIONS
 from goldcreststair.components.fleet.models import FLEET, OWN_STATE, VmState
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
@@ -84,6 +85,7 @@
             "runs_batch": sum(run.batch for run in runs),
             "jobs_owned": jobs.count_owned(),
             "items_waiting": jobs.count_waiting(),
+            "admission_share": self.core.get(ENTRY).opening.share,
             "ready": board.read(OWN_STATE).state is VmState.READY,
             "isolated": self.core.get(FLEET_LINKS).is_isolated(),
         }
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -73,6 +73,9 @@
             "given_up": _Counter("Requests whose last run failed, by failure.", ("failure",)),
             "batch_items": _Counter("Batch items by what became of a run.", ("outcome",)),
             "batch_jobs": _Counter("Batch jobs by what became of them here.", ("outcome",)),
+            "returned_requests": _Counter(
+                "Requests that arrived before admission was open, by outcome.", ("outcome",)
+            ),
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
         }
         self._histograms = {
@@ -125,6 +128,11 @@
         self._counters["batch_jobs"].values[(outcome,)] += 1
         self._statistics.count(f"batch_jobs.{outcome}")
 
+    def count_returned(self, outcome: str) -> None:
+        """Count a request that arrived before admission was open."""
+        self._counters["returned_requests"].values[(outcome,)] += 1
+        self._statistics.count(f"returned_requests.{outcome}")
+
     def observe_store(self, call: str, outcome: str, value_ms: float) -> None:
         """Record the time of a store call, ms."""
         self._histograms["store_call_seconds"].observe((call, outcome), value_ms / MS_PER_SECOND)
@@ -192,6 +200,7 @@
     "runs_batch": "Batch runs of this daemon.",
     "jobs_owned": "Batch jobs that this daemon runs.",
     "items_waiting": "Items of these jobs that wait for a slot and can be in time.",
+    "admission_share": "Share of the slots that this daemon may use by itself; 1 once it knows others.",
     "ready": "1 while callers may be sent here.",
     "isolated": "1 while neither store nor other daemons are heard.",
 }
