Keep the services on shared machines in session rows

Cause: a daemon learns from the first answers that upstreams report their pace, so that fleet-return was inactive in every return of a service that has it for this reason.

Change: the names of these services follow the struct in session rows, and are read with them. No read or message is added, and rows without such services are unchanged.

--- a/goldcreststair/components/features/controller.py
+++ b/goldcreststair/components/features/controller.py
@@ -38,3 +38,7 @@
             return False
         self._shared_services.add(service)
         return True
+
+    def list_shared(self) -> list[str]:
+        """Return the services whose upstreams report their pace, sorted."""
+        return sorted(self._shared_services)
--- a/goldcreststair/components/features/protocols.py
+++ b/goldcreststair/components/features/protocols.py
@@ -18,5 +18,8 @@
     def mark_shared(self, service: str) -> bool:
         """Record that upstreams of a service report their pace; returns whether this is new."""
 
+    def list_shared(self) -> list[str]:
+        """Return the services whose upstreams report their pace, sorted."""
+
 
 FEATURES: Final = ComponentKey[Features]("features")
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -8,6 +8,7 @@
 from result import Err, Result
 
 from goldcreststair.clock import Millis, TimerHandle
+from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.fleet.changes import log_changes
 from goldcreststair.components.fleet.const import (
     BEACON_INTERVAL_MS,
@@ -44,7 +45,12 @@
     NoticeHandler,
 )
 from goldcreststair.components.fleet.session_heartbeat import SessionHeartbeat
-from goldcreststair.components.fleet.sessions import PARTS, async_read_parts, decode_session
+from goldcreststair.components.fleet.sessions import (
+    PARTS,
+    async_read_parts,
+    decode_session,
+    decode_shared_services,
+)
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.feed import TableFeed
 from goldcreststair.store.rows import StoredRow, Version
@@ -226,11 +232,13 @@
 
     def replace_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Replace all known sessions by those in the store."""
+        self._mark_shared(rows)
         self._controller.replace_sessions(vm for row in rows if (vm := decode_session(row.value)))
         self.publish()
 
     def apply_changes(self, rows: Sequence[StoredRow]) -> None:
         """Apply sessions that were added to the store or removed."""
+        self._mark_shared(rows)
         for row in rows:
             if row.deleted:
                 # If this daemon's own session was removed while it was partitioned, the session is
@@ -241,6 +249,13 @@
                 self._controller.add(vm)
         self.publish()
 
+    def _mark_shared(self, rows: Sequence[StoredRow]) -> None:
+        """Mark the services that session rows name as on shared machines."""
+        names = {name for row in rows for name in decode_shared_services(row.value)}
+        for name in sorted(names):
+            if self._core.get(FEATURES).mark_shared(name):
+                _LOGGER.info("Service on shared machines", extra={"service": name})
+
     def record_contact(self, *, reached: bool) -> None:
         """Record whether the store answered."""
         if reached:
--- a/goldcreststair/components/fleet/session_heartbeat.py
+++ b/goldcreststair/components/fleet/session_heartbeat.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok
 
+from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.fleet.const import (
     BEACON_INTERVAL_MS,
     HEARTBEAT_READ_MS,
@@ -22,6 +23,7 @@
     encode_session,
 )
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.rows import RowKey, StoredRow, Transaction
 
@@ -56,6 +58,8 @@
         self._controller = controller
         self._publisher = publisher
         self._heartbeat_count = 0
+        self._written_session = b""
+        """This daemon's session row as last written."""
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -97,9 +101,10 @@
             if not self.registered:
                 self.registered = await self._async_register()
             else:
-                heartbeat = (self._make_key(TABLE_HEARTBEATS), str(self._heartbeat_count).encode())
-                written = await store.async_commit(Transaction(puts=(heartbeat,)))
+                session = self._encode_session()
+                written = await store.async_commit(Transaction(puts=self._make_puts(session)))
                 if isinstance(written, Ok):
+                    self._written_session = session
                     self._controller.record_store_contact()
             pause_ms = BEACON_INTERVAL_MS
             if self.registered:
@@ -114,20 +119,35 @@
             return False
         stale = [row.key for row in read.ok_value.rows if self._is_stale(row)]
         heartbeats = [RowKey(TABLE_HEARTBEATS, key.part, key.key) for key in stale]
-        puts = (
-            (self._make_key(TABLE_SESSIONS), encode_session(self._own)),
-            (self._make_key(TABLE_HEARTBEATS), str(self._heartbeat_count).encode()),
-        )
+        session, self._written_session = self._encode_session(), b""
+        puts = self._make_puts(session)
         written = await store.async_commit(Transaction(puts=puts, deletes=(*stale, *heartbeats)))
         if isinstance(written, Err):
             _LOGGER.warning("Session not written: %s", written.err_value.message)
             return False
+        self._written_session = session
         self._controller.record_store_contact()
         _LOGGER.info(
             "Session written", extra={"session": self._own.session, "replaced": len(stale)}
         )
         return True
 
+    def _encode_session(self) -> bytes:
+        """Return this daemon's session row, with the services for which it keeps a feature active.
+
+        A daemon that returns after a loss of all VMs then knows them before the first answer.
+        """
+        features = self._core.get(FEATURES)
+        shared = [s for s in features.list_shared() if features.is_active(Feature.FLEET_RETURN, s)]
+        return encode_session(self._own, shared)
+
+    def _make_puts(self, session: bytes) -> tuple[tuple[RowKey, bytes], ...]:
+        """Return the rows to write: the heartbeat, and the session row if it has changed."""
+        heartbeat = (self._make_key(TABLE_HEARTBEATS), str(self._heartbeat_count).encode())
+        if session == self._written_session:
+            return (heartbeat,)
+        return (self._make_key(TABLE_SESSIONS), session), heartbeat
+
     def _is_stale(self, row: StoredRow) -> bool:
         vm = decode_session(row.value)
         if vm is None:
--- a/goldcreststair/components/fleet/sessions.py
+++ b/goldcreststair/components/fleet/sessions.py
@@ -12,7 +12,7 @@
 from goldcreststair.store.errors import PlatformError
 from goldcreststair.store.reading import async_read_ranges
 from goldcreststair.store.rows import RowPage, RowRange, RowStore
-from goldcreststair.wire.codec import decode_struct, encode_struct
+from goldcreststair.wire.codec import decode_struct, encode_struct, split_struct
 from goldcreststair.wire.generated.gateway.ttypes import SessionRow
 
 _LOGGER = logging.getLogger(__name__)
@@ -20,6 +20,8 @@
 
 PARTS: Final = tuple(f"vm{number}" for number in range(SESSION_PARTS))
 """Store parts that hold the rows of sessions and heartbeats."""
+SEPARATOR: Final = "\n"
+"""Between the names of services on shared machines."""
 
 
 def choose_part(vm: FleetVm) -> str:
@@ -39,8 +41,23 @@
     return await async_read_ranges(store, [RowRange(table, part) for part in parts])
 
 
-def encode_session(vm: FleetVm) -> bytes:
-    """Return the encoded row of a session."""
+def encode_session(vm: FleetVm, shared_services: Iterable[str] = ()) -> bytes:
+    """Return the encoded row of a session.
+
+    `shared_services` are the services on shared machines. They follow the struct, so that a row
+    without them is the same as before, and earlier versions can read a row that has them.
+    """
+    return _encode_vm(vm) + SEPARATOR.join(shared_services).encode()
+
+
+def decode_shared_services(encoded: bytes) -> list[str]:
+    """Return the services on shared machines that a session row names."""
+    split = split_struct(SessionRow, encoded)
+    names = b"" if isinstance(split, Err) else split.ok_value[1]
+    return [name for name in names.decode(errors="replace").split(SEPARATOR) if name]
+
+
+def _encode_vm(vm: FleetVm) -> bytes:
     return encode_struct(
         SessionRow(
             vm.session, vm.address, vm.peer_port, vm.front_address, vm.data_centre, vm.region
--- a/goldcreststair/wire/codec.py
+++ b/goldcreststair/wire/codec.py
@@ -35,6 +35,18 @@
     return Ok(message)
 
 
+def split_struct(struct: type[Any], encoded: bytes) -> Result[tuple[Any, bytes], FrameError]:
+    """Return a struct and the bytes after it, which earlier versions ignore."""
+    buffer = TMemoryBuffer(encoded)
+    message = struct()
+    try:
+        message.read(TCompactProtocolAccelerated(buffer))
+        message.validate()
+    except Exception as error:
+        return Err(FrameError(f"not a {struct.__name__}: {error!r}"))
+    return Ok((message, encoded[buffer.cstringio_buf.tell() :]))
+
+
 def read_struct(struct: type[Any], encoded: bytes) -> Any:
     """Return a struct of the platform's store, which this system wrote; raises if it did not."""
     message = struct()
