--- a/tests/components/waiting/test_service.py
+++ b/tests/components/waiting/test_service.py
@@ -10,7 +10,7 @@
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.forwarding.protocols import FORWARDING
 from goldcreststair.components.placement.service import PLACEMENT
-from goldcreststair.components.waiting.const import COUNT_VALID_MS, MAX_LEVEL
+from goldcreststair.components.waiting.const import CHECK_MS, COUNT_VALID_MS, MAX_LEVEL
 from goldcreststair.components.waiting.other_daemons import OtherDaemons
 from goldcreststair.components.waiting.protocols import WAITING
 from goldcreststair.components.waiting.service import WaitingService
@@ -218,6 +218,21 @@
     assert others.count_daemons() == 3
 
 
+def test_daemon_without_beacons_assumes_that_as_many_wait_elsewhere() -> None:
+    """Guards against a daemon that counts on all freed slots while the digests are late."""
+
+    async def scenario(fleet: GatewayFleet, members: list[FleetMember]) -> None:
+        service = read_waiting(members[0])
+        (waiting,) = await async_fill(fleet, members[0], 1)
+        service._others.count_daemons = lambda: 3
+        assert service._queues["engine"].count_others(MAX_LEVEL) == 3
+        await fleet.clock.async_sleep(CHECK_MS)
+        # A slot becomes free every 50 ms; the fourth one is too late.
+        assert waiting.result().refusal is not None
+
+    run_waiting_fleet(scenario)
+
+
 def test_inactive_feature_queues_and_reports_nothing() -> None:
     """Guards against other decisions or messages in deployments without the feature."""
 
