--- a/goldcreststair/components/placement/spreading.py
+++ b/goldcreststair/components/placement/spreading.py
@@ -23,9 +23,8 @@
 QUEUE_EXPONENT: Final = 2
 """How steeply the weight of a full upstream falls with the length of its queue."""
 PACE_EXPONENT: Final = 0.5
-"""How steeply the weight of an upstream falls with its factor. With 1, requests of a burst crowd at
-the other upstreams: in replays with slow phases of 0.6 s, 11% more first events were late than
-without the factor, with 0.5 as many as without."""
+"""How steeply the weight of an upstream falls with its factor. With 1, the requests of a burst crowd
+at the other upstreams, as reported paces are up to 300 ms old when daemons act on them."""
 
 
 @dataclass(frozen=True, slots=True)
