Write results of batch jobs in order after an outage of the store

Cause: during an outage of the store each job repeated its commit by itself, runs with much computed work were preempted, and no bound kept results in memory within limits.

--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -13,6 +13,7 @@
 from goldcreststair.components.catalogue.regions import Regions, find_request_regions
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
+from goldcreststair.components.jobs.activation import OutageActivation
 from goldcreststair.components.jobs.const import (
     EXPIRY_MARGIN_MS,
     LATE_FREE_SHARE,
@@ -22,6 +23,7 @@
     STARTS_PER_TICK,
 )
 from goldcreststair.components.jobs.estimate import WorkEstimate
+from goldcreststair.components.jobs.item_order import ItemOrder
 from goldcreststair.components.jobs.models import ItemResult, JobKey, JobRecord
 from goldcreststair.components.jobs.outcome import (
     Verdict,
@@ -35,7 +37,6 @@
     JobRegistry,
     OwnedJob,
     RankedItem,
-    choose_preempted,
 )
 from goldcreststair.components.jobs.result_writer import ResultWriter
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
@@ -99,6 +100,7 @@
         """Number of items that wait here and can still be in time."""
         self._count_waiting_elsewhere = count_waiting_elsewhere
         self._estimate = estimate
+        self._order = ItemOrder(registry, estimate, OutageActivation(core).is_active_for)
         self._core = core
         self._clock = core.clock
         self._registry = registry
@@ -149,7 +151,7 @@
         self.waiting_in_time = 0
         if self._stopped or not self._registry.jobs:
             return
-        startable = self._registry.list_startable(now, self._estimate.estimate_remaining_ms)
+        startable = self._order.list_startable(now)
         self.waiting_in_time = sum(not ranked.late for ranked in startable)
         self._start_items(startable)
 
@@ -161,7 +163,7 @@
             # All items of a job use the same service: if one finds no slot, neither do the others.
             if ranked.job.key in blocked:
                 continue
-            if not self._start(ranked, full):
+            if self._writer.is_full(ranked.job, len(self._runs)) or not self._start(ranked, full):
                 blocked.add(ranked.job.key)
                 continue
             left -= 1
@@ -296,6 +298,7 @@
         run.ended = True
         if run.sink is not None:
             run.sink.close()
+            self._core.meters.count_repeated(run.sink.repeated)
         self._runs.pop(run, None)
         self._placement.end(run.upstream.name, run.runs)
         if run.item.state is ItemState.RUNNING:
@@ -360,9 +363,7 @@
 
     def _preempt(self, upstream: str, count: int) -> None:
         running = [run for run in self._runs if run.upstream.name == upstream]
-        for run in choose_preempted(
-            running, count, self._clock.now(), self._estimate.estimate_remaining_ms
-        ):
+        for run in self._order.choose_preempted(running, count, self._clock.now()):
             self._stop_run(run)
             self._log(run.job, run.item, "yielded", "online work needs the slot", upstream)
         self._placement.controller.batch.mark_preempted(upstream)
--- a/goldcreststair/components/jobs/handover.py
+++ b/goldcreststair/components/jobs/handover.py
@@ -10,7 +10,7 @@
 
 from result import Err
 
-from goldcreststair.components.jobs.checkpoints import list_unsaved
+from goldcreststair.components.jobs.checkpoints import list_unsaved, mark_saved
 from goldcreststair.components.jobs.const import HANDOVER_GRACE_MS, TICK_MS
 from goldcreststair.components.jobs.errors import JobLost
 from goldcreststair.components.jobs.records import JobRecords
@@ -82,4 +82,5 @@
                 self._source.recheck(job)
             await self._core.clock.async_sleep(RETRY_MS)
             return
+        mark_saved(job, unsaved)
         self._source.release(job, session)
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -36,6 +36,8 @@
         self.wants_chunks = True
         self.last_progress_at = clock.now()
         self.events = 0
+        self.repeated = 0
+        """Events that an earlier run of the item has brought already."""
         self.timeout_factor = 1 << min(item.silent_runs, MAX_TIMEOUT_DOUBLINGS)
         self._item = item
         self._clock = clock
@@ -70,6 +72,7 @@
             # Events are numbered; a duplicate or missing one would corrupt the item's text.
             if self._has_gap or event.number != self._item.last_event + 1:
                 self._has_gap = self._has_gap or event.number > self._item.last_event + 1
+                self.repeated += event.number <= self._item.last_event
                 continue
             self._item.last_event = event.number
             self._item.data.append(event.data)
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -173,9 +173,8 @@
         """End a job; a repeated call is no error."""
         ended = await self._records.async_end(key)
         if isinstance(ended, Err):
-            _LOGGER.warning(
-                "Job not ended", extra={"job": key.job, "reason": ended.err_value.message}
-            )
+            extra = {"job": key.job, "reason": ended.err_value.message}
+            _LOGGER.warning("Job not ended", extra=extra)
             return ended
         if not ended.ok_value:
             return Err(JobError("no such job", JobProblem.MISSING))
@@ -255,6 +254,7 @@
 
     def release(self, job: OwnedJob, session: str) -> None:
         """Stop a job that another daemon owns now, and notify that daemon."""
+        self._writer.count_repeated(job)
         self._drop(job, f"handed over to {session}")
         self.notify(session, job.key)
 
@@ -333,7 +333,7 @@
             await self._clock.async_sleep(RECHECK_MS if self._registry.jobs else IDLE_MS)
             for key in tuple(self._unconfirmed):
                 job = self._registry.jobs.get(key)
-                if job is None or not self._writer.is_idle(job):
+                if job is None or self._writer.is_committing(job):
                     # A commit in progress verifies ownership as well.
                     self._unconfirmed.discard(key)
                     continue
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -73,6 +73,7 @@
             "given_up": _Counter("Requests whose last run failed, by failure.", ("failure",)),
             "batch_items": _Counter("Batch items by what became of a run.", ("outcome",)),
             "batch_jobs": _Counter("Batch jobs by what became of them here.", ("outcome",)),
+            "batch_tokens_repeated": _Counter("Output tokens of batch items computed twice."),
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
         }
         self._histograms = {
@@ -90,6 +91,7 @@
         self._gauges = dict.fromkeys(GAUGES, 0.0)
         # Series without labels are exported from the start, as monitoring expects.
         self._counters["log_lines_dropped"].values[()] = 0.0
+        self._counters["batch_tokens_repeated"].values[()] = 0.0
 
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request's final answer."""
@@ -125,6 +127,12 @@
         self._counters["batch_jobs"].values[(outcome,)] += 1
         self._statistics.count(f"batch_jobs.{outcome}")
 
+    def count_repeated(self, tokens: int) -> None:
+        """Count output tokens of batch items that are computed twice."""
+        if tokens:
+            self._counters["batch_tokens_repeated"].values[()] += tokens
+            self._statistics.count("batch_tokens_repeated", tokens)
+
     def observe_store(self, call: str, outcome: str, value_ms: float) -> None:
         """Record the time of a store call, ms."""
         self._histograms["store_call_seconds"].observe((call, outcome), value_ms / MS_PER_SECOND)
@@ -192,6 +200,8 @@
     "runs_batch": "Batch runs of this daemon.",
     "jobs_owned": "Batch jobs that this daemon runs.",
     "items_waiting": "Items of these jobs that wait for a slot and can be in time.",
+    "results_waiting": "Results of items that wait to be committed.",
+    "results_waiting_bytes": "Bytes of these results.",
     "ready": "1 while callers may be sent here.",
     "isolated": "1 while neither store nor other daemons are heard.",
 }
