--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -238,6 +238,8 @@
     engines: RunEngines
     regions: Mapping[str, str] = field(default_factory=dict)
     """Region of each data centre; if empty, all are in one region."""
+    features: str = ""
+    """Optional features of the daemons, as in their settings."""
     members: list[FleetMember] = field(default_factory=list)
     _started: int = 0
     _requests: int = 0
@@ -320,6 +322,7 @@
             data_centre_regions=",".join(f"{dc}={name}" for dc, name in self.regions.items()),
             front=f"{address}:80",
             peer_port=PEER_PORT,
+            features=self.features,
         )
         meters, contact = Meters(), StoreContact(self.clock)
         adapter = GatewayAdapter(
--- a/standins/measure/overload_figures.py
+++ b/standins/measure/overload_figures.py
@@ -59,6 +59,10 @@
     """Events of items that engines produced."""
     events_kept: int = 0
     """Events of items that are part of stored results."""
+    events_repeated: int = 0
+    """Events of items that engines produced beyond those of one whole answer."""
+    items_wrong: int = 0
+    """Results of items that are listed already, or whose text is not whole and in order."""
     firsts_ms: list[int] = field(default_factory=list)
     """Milliseconds from each answered request to its first event."""
     came: list[Came] = field(default_factory=list)
--- a/standins/measure/overload_loads.py
+++ b/standins/measure/overload_loads.py
@@ -52,6 +52,10 @@
     VM_REPLACED = "VM replaced"
     VM_LOST = "VM lost"
     VM_BACK = "VM back"
+    STORE_DOWN = "store refuses all"
+    STORE_SILENT = "store silent"
+    STORE_CUT = "store refuses a VM"
+    STORE_BACK = "store back"
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/measure/overload_play.py
+++ b/standins/measure/overload_play.py
@@ -1,13 +1,17 @@
 """Runs a load of the overload measurement against a fleet of real gateway daemons."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field, replace
+from operator import attrgetter
 from typing import Final
 
 from goldcreststair.clock import Clock, LoopClock
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.forwarding.protocols import FORWARDING
+from goldcreststair.components.jobs.codec import decode_results
+from goldcreststair.components.jobs.const import TABLE_RESULTS
+from goldcreststair.components.jobs.models import ItemResult
 from goldcreststair.components.requests.models import CallerRequest
 from goldcreststair.const import MS_PER_SECOND
 from standins.gateways import FakeResponder, FleetMember, GatewayFleet, make_fleet
@@ -22,7 +26,7 @@
     draw_record,
 )
 from standins.measure.overload_policies import Policy, apply_policy
-from standins.run_engines import RunEngine
+from standins.run_engines import RunEngine, make_text
 from standins.virtual_time import run_virtual
 
 OBJECTIVE_MS: Final = 300
@@ -212,6 +216,13 @@
                 await self.fleet.async_kill(self._find_member(fault.number))
             case FaultKind.VM_BACK:
                 await self.fleet.async_add(self.addresses[fault.number])
+            case (
+                FaultKind.STORE_DOWN
+                | FaultKind.STORE_SILENT
+                | FaultKind.STORE_CUT
+                | FaultKind.STORE_BACK
+            ):
+                self._apply_to_store(fault)
             case _:
                 self._apply_to_engine(fault.kind, self.engines[fault.number])
 
@@ -227,6 +238,17 @@
             case FaultKind.ENGINE_QUICK:
                 engine.first_ms, engine.event_ms = FIRST_MS, EVENT_MS
 
+    def _apply_to_store(self, fault: Fault) -> None:
+        faults = self.fleet.store.faults
+        if fault.kind is FaultKind.STORE_CUT:
+            self._find_member(fault.number).view.cut = True
+            return
+        faults.down = fault.kind is FaultKind.STORE_DOWN
+        faults.silent = fault.kind is FaultKind.STORE_SILENT
+        if fault.kind is FaultKind.STORE_BACK:
+            for member in self.fleet.members:
+                member.view.cut = False
+
     def _find_member(self, number: int) -> FleetMember:
         address = self.addresses[number]
         return next(member for member in self.fleet.members if member.address == address)
@@ -243,6 +265,15 @@
     def _count_events(self) -> None:
         engines = self.fleet.engines
         self.figures.events_made = sum(engines.made.values())
+        self.figures.events_repeated = sum(
+            max(0, engines.made[name] - events)
+            for name, events in engines.events_by_request.items()
+        )
+        rows = self.fleet.store.rows
+        results = sorted((key for key in rows if key.table == TABLE_RESULTS), key=attrgetter("key"))
+        self.figures.items_wrong = _count_wrong(
+            decode_results([rows[key] for key in results]), engines.events_by_request
+        )
         for row in self.fleet.store.rows.values():
             if row.key.table == "job_results":
                 self.figures.events_kept += row.value.count(b"\n") + 1
@@ -252,6 +283,17 @@
         }
 
 
+def _count_wrong(results: Sequence[ItemResult], events: Mapping[str, int]) -> int:
+    """Return how many results repeat another one's item or have not its whole text."""
+    first = {result.item_id: result for result in reversed(results)}
+    whole = [
+        item
+        for item, result in first.items()
+        if not result.done or result.text == make_text(item, events[item])
+    ]
+    return len(results) - len(whole)
+
+
 def _choose_member(members: Sequence[FleetMember], entry: float) -> FleetMember:
     return members[int(entry * len(members))]
 
@@ -269,6 +311,7 @@
 
     async def async_run() -> Figures:
         play = Play(load, draw_record(load, seed), make_fleet(LoopClock()))
+        play.fleet.features = policy.features
         try:
             await play.async_run()
             return play.figures
--- a/standins/measure/overload_policies.py
+++ b/standins/measure/overload_policies.py
@@ -99,6 +99,8 @@
 
     name: str
     off: tuple[Switch, ...] = ()
+    features: str = ""
+    """Optional features that are active, as in the daemons' settings."""
 
 
 ALL_MECHANISMS: Final = Policy("all mechanisms")
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -28,6 +28,8 @@
 )
 
 HISTORY = 10_000
+CALL_TIMEOUT_MS = 1_000
+"""Time after which a caller gives up on a call that is not answered."""
 
 
 @dataclass(slots=True)
@@ -46,6 +48,8 @@
     """Delay of the effect of a transaction whose answer is lost, ms."""
     transaction_ms: int = 0
     """Duration of a transaction in its part, which runs one at a time, ms."""
+    silent: bool = False
+    """Answer no call; none takes effect."""
     silent_feeds: bool = False
     """Feeds return no change and end with an error after their wait."""
 
@@ -211,7 +215,7 @@
             if changes or left_ms <= 0:
                 return Ok(RowPage(changes, False, store.version, store.clock.now()))
             await store.async_wait(left_ms)
-            if self.cut or store.faults.down:
+            if self.cut or store.faults.down or store.faults.silent:
                 return Err(PlatformOutcomeUnknown("connection lost"))
 
     async def async_put_object(
@@ -250,4 +254,7 @@
         await self.store.clock.async_sleep(self.store.faults.slow_ms or 4)
         if self.cut or self.store.faults.down:
             return PlatformUnavailable("turned away")
+        if self.store.faults.silent:
+            await self.store.clock.async_sleep(CALL_TIMEOUT_MS)
+            return PlatformOutcomeUnknown("no answer")
         return None
