--- a/goldcreststair/components/jobs/commit_gate.py
+++ b/goldcreststair/components/jobs/commit_gate.py
@@ -75,13 +75,20 @@
     async def _async_grant_turns(self) -> None:
         while self._controller.is_outage:
             await self._clock.async_sleep(POLL_MS)
-            now = self._clock.now()
-            self._controller.record_contact(now, self._contact.read_age_ms())
-            lost = [job for job in self._waiting if job.lost]
-            for job in (*lost, *self._controller.choose(self._waiting, now)):
-                if not self._waiting[job].done():
-                    self._waiting[job].set_result(None)
-            self._finish()
+            try:
+                self._grant_turns()
+                self._finish()
+            except Exception:
+                # If turns were no longer granted, no result would be committed any more.
+                _LOGGER.exception("Granting of commits failed")
+
+    def _grant_turns(self) -> None:
+        now = self._clock.now()
+        self._controller.record_contact(now, self._contact.read_age_ms())
+        lost = [job for job in self._waiting if job.lost]
+        for job in (*lost, *self._controller.choose(self._waiting, now)):
+            if not self._waiting[job].done():
+                self._waiting[job].set_result(None)
 
     def _finish(self) -> None:
         written = self._controller.finish(self._clock.now(), waiting=bool(self._waiting))
