--- a/goldcreststair/components/jobs/commit_gate.py
+++ b/goldcreststair/components/jobs/commit_gate.py
@@ -35,6 +35,11 @@
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
 
+    @property
+    def is_outage(self) -> bool:
+        """Whether the store is away, or results still wait after its return."""
+        return self._controller.is_outage
+
     def is_waiting(self, job: OwnedJob) -> bool:
         """Return whether a job waits for its turn, so that it has no commit in progress."""
         return job in self._waiting
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -13,7 +13,6 @@
 from goldcreststair.components.catalogue.regions import Regions, find_request_regions
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
-from goldcreststair.components.jobs.activation import OutageActivation
 from goldcreststair.components.jobs.const import (
     EXPIRY_MARGIN_MS,
     LATE_FREE_SHARE,
@@ -100,7 +99,7 @@
         """Number of items that wait here and can still be in time."""
         self._count_waiting_elsewhere = count_waiting_elsewhere
         self._estimate = estimate
-        self._order = ItemOrder(registry, estimate, OutageActivation(core).is_active_for)
+        self._order = ItemOrder(registry, estimate, writer.is_outage_for)
         self._core = core
         self._clock = core.clock
         self._registry = registry
--- a/goldcreststair/components/jobs/item_order.py
+++ b/goldcreststair/components/jobs/item_order.py
@@ -1,8 +1,8 @@
 """Decides which items start first and which runs are preempted; no I/O.
 
-Designed for jobs beside online bursts and outages of the store, when there is not room for all
-items: the items of jobs that can still be completed whole come first, and the runs are preempted
-that lose least.
+Designed for jobs beside online bursts during an outage of the store, when no progress can be saved:
+the items of jobs that can still be completed whole come first, and the runs are preempted that lose
+least. Outside of outages both rules cost items in time under overload, so that they do not apply.
 """
 
 from collections.abc import Callable, Iterable, Sequence
@@ -38,30 +38,30 @@
 
 
 class ItemOrder:
-    """Orders the items of all jobs, by the rules of the feature for those where it is active."""
+    """Orders the items of all jobs, by the rules of the feature for those in an outage."""
 
     def __init__(
         self,
         registry: JobRegistry,
         estimate: WorkEstimate,
-        is_active_for: Callable[[OwnedJob], bool],
+        is_outage_for: Callable[[OwnedJob], bool],
     ) -> None:
-        """Order the items of `registry`; `is_active_for` tells whether the feature is active."""
+        """Order the items of `registry`; `is_outage_for` tells whether the rules apply."""
         self._registry = registry
         self._estimate_ms = estimate.estimate_remaining_ms
-        self._is_active_for = is_active_for
+        self._is_outage_for = is_outage_for
 
     def list_startable(self, now: Millis) -> list[RankedItem]:
         """Return the items that may start, the most urgent first.
 
         Among the items that can be in time, those of jobs that can be completed whole come first.
-        Jobs for which the feature is inactive rank as if they could be completed.
+        Jobs to which this rule does not apply rank as if they could be completed.
         """
         ranked = self._registry.list_startable(now, self._estimate_ms)
         incomplete = {
             job.key
             for job in self._registry.jobs.values()
-            if self._is_active_for(job) and not can_be_whole(job, now, self._estimate_ms)
+            if self._is_outage_for(job) and not can_be_whole(job, now, self._estimate_ms)
         }
         if not incomplete:
             return ranked
@@ -69,7 +69,7 @@
 
     def choose_preempted(self, running: Sequence[R], count: int, now: Millis) -> list[R]:
         """Return the `count` runs at an upstream to preempt."""
-        active = any(self._is_active_for(run.job) for run in running)
+        active = any(self._is_outage_for(run.job) for run in running)
         choose = choose_least_loss if active else choose_preempted
         return choose(running, count, now, self._estimate_ms)
 
--- a/goldcreststair/components/jobs/result_writer.py
+++ b/goldcreststair/components/jobs/result_writer.py
@@ -73,6 +73,10 @@
         """Return whether a commit is in progress, which verifies the ownership of a job as well."""
         return job in self._tasks and not self._gate.is_waiting(job)
 
+    def is_outage_for(self, job: OwnedJob) -> bool:
+        """Return whether an outage is in force and the feature is active for a job."""
+        return self._gate.is_outage and self._activation.is_active_for(job)
+
     def is_full(self, job: OwnedJob, running: int) -> bool:
         """Return whether results leave no memory for one more item beside `running` ones."""
         return self._activation.is_active_for(job) and self._backlog.is_full(running)
