--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -22,6 +22,7 @@
     STARTS_PER_TICK,
 )
 from goldcreststair.components.jobs.estimate import WorkEstimate
+from goldcreststair.components.jobs.item_order import ItemOrder
 from goldcreststair.components.jobs.models import ItemResult, JobKey, JobRecord
 from goldcreststair.components.jobs.outcome import (
     Verdict,
@@ -35,7 +36,6 @@
     JobRegistry,
     OwnedJob,
     RankedItem,
-    choose_preempted,
 )
 from goldcreststair.components.jobs.result_writer import ResultWriter
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
@@ -101,6 +101,7 @@
         """Number of items that wait here and can still be in time."""
         self._count_waiting_elsewhere = count_waiting_elsewhere
         self._estimate = estimate
+        self._order = ItemOrder(registry, estimate, writer.is_outage_for)
         self._core = core
         self._clock = core.clock
         self._registry = registry
@@ -151,7 +152,7 @@
         self.waiting_in_time = 0
         if self._stopped or not self._registry.jobs:
             return
-        startable = self._registry.list_startable(now, self._estimate.estimate_remaining_ms)
+        startable = self._order.list_startable(now)
         self.waiting_in_time = sum(not ranked.late for ranked in startable)
         self._start_items(startable)
 
@@ -163,7 +164,7 @@
             # All items of a job use the same service: if one finds no slot, neither do the others.
             if ranked.job.key in blocked:
                 continue
-            if not self._start(ranked, full):
+            if self._writer.is_full(ranked.job, len(self._runs)) or not self._start(ranked, full):
                 blocked.add(ranked.job.key)
                 continue
             left -= 1
@@ -298,6 +299,7 @@
         run.ended = True
         if run.sink is not None:
             run.sink.close()
+            self._core.meters.count_repeated(run.sink.repeated)
         self._runs.pop(run, None)
         self._placement.end(run.upstream.name, run.runs)
         # The time to the first event of an item says little: its prompts are longer than those online.
@@ -364,9 +366,7 @@
 
     def _preempt(self, upstream: str, count: int) -> None:
         running = [run for run in self._runs if run.upstream.name == upstream]
-        for run in choose_preempted(
-            running, count, self._clock.now(), self._estimate.estimate_remaining_ms
-        ):
+        for run in self._order.choose_preempted(running, count, self._clock.now()):
             self._stop_run(run)
             self._log(run.job, run.item, "yielded", "online work needs the slot", upstream)
         self._placement.controller.batch.mark_preempted(upstream)
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -78,6 +78,7 @@
             "returned_requests": _Counter(
                 "Requests that arrived before admission was open, by outcome.", ("outcome",)
             ),
+            "batch_tokens_repeated": _Counter("Output tokens of batch items computed twice."),
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
             "upstream_load_invalid": _Counter("Invalid or impossible loads of upstreams."),
         }
@@ -98,6 +99,7 @@
         # Series without labels are exported from the start, as monitoring expects.
         self._counters["log_lines_dropped"].values[()] = 0.0
         self._counters["upstream_load_invalid"].values[()] = 0.0
+        self._counters["batch_tokens_repeated"].values[()] = 0.0
 
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request's final answer."""
@@ -152,6 +154,12 @@
         self._counters["returned_requests"].values[(outcome,)] += 1
         self._statistics.count(f"returned_requests.{outcome}")
 
+    def count_repeated(self, tokens: int) -> None:
+        """Count output tokens of batch items that are computed twice."""
+        if tokens:
+            self._counters["batch_tokens_repeated"].values[()] += tokens
+            self._statistics.count("batch_tokens_repeated", tokens)
+
     def observe_store(self, call: str, outcome: str, value_ms: float) -> None:
         """Record the time of a store call, ms."""
         self._histograms["store_call_seconds"].observe((call, outcome), value_ms / MS_PER_SECOND)
@@ -228,6 +236,8 @@
     "items_waiting": "Items of these jobs that wait for a slot and can be in time.",
     "requests_waiting": "Requests that wait here for a slot.",
     "admission_share": "Share of the slots that this daemon may use by itself; 1 once it knows others.",
+    "results_waiting": "Results of items that wait to be committed.",
+    "results_waiting_bytes": "Bytes of these results.",
     "ready": "1 while callers may be sent here.",
     "isolated": "1 while neither store nor other daemons are heard.",
 }
