Count only requests sent while half-open as trial requests

Cause: the end of any run at a half-open upstream, also of a batch run or of one that began before the ejection, was taken for the end of the trial request in progress. A run that had hung ejected a recovered upstream again, and a preempted batch run let a second trial request start beside the first. Change: the report of a run tells when it began; only online runs that began in the half-open state are trial requests.

--- a/goldcreststair/components/forwarding/outcome_report.py
+++ b/goldcreststair/components/forwarding/outcome_report.py
@@ -19,7 +19,11 @@
     """Receives the outcomes of runs; part of `PlacementService`."""
 
     def record_outcome(
-        self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
+        self,
+        entry: UpstreamEntry,
+        outcome: RunOutcome,
+        first_ms: int | None,
+        began_at: Millis | None = None,
     ) -> None:
         """Record the end of a run."""
 
@@ -71,7 +75,7 @@
         if first_at is not None and first_at >= self._began_at and self._finds_slot:
             reported = self._recorder.read_reported_factor(self._entry, self._relay.run_load)
             first_ms = int((first_at - self._began_at) / max(self._factor, reported))
-        self._recorder.record_outcome(self._entry, outcome, first_ms)
+        self._recorder.record_outcome(self._entry, outcome, first_ms, self._began_at)
 
     @property
     def _has_answered(self) -> bool:
@@ -99,4 +103,4 @@
             self._arm()
             return
         self._reported = True
-        self._recorder.record_outcome(self._entry, RunOutcome.FAILED, None)
+        self._recorder.record_outcome(self._entry, RunOutcome.FAILED, None, self._began_at)
--- a/goldcreststair/components/outliers/controller.py
+++ b/goldcreststair/components/outliers/controller.py
@@ -154,9 +154,16 @@
             upstream.trials += 1
 
     def record_outcome(
-        self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
+        self,
+        entry: UpstreamEntry,
+        outcome: RunOutcome,
+        first_ms: int | None,
+        began_at: Millis | None = None,
     ) -> None:
-        """Record the end of a run; `first_ms` is None where it says nothing about the upstream."""
+        """Record the end of a run; `first_ms` is None where it says nothing about the upstream.
+
+        `began_at` is None for batch runs, which are no trial requests.
+        """
         upstream = self._upstreams.get(entry.name)
         if upstream is None or upstream.entry.started_ms != entry.started_ms:
             return
@@ -165,7 +172,7 @@
         counts = failed or outcome is RunOutcome.SUCCESS
         if upstream.state is OutlierState.HALF_OPEN:
             # Runs that began before the half-open state say nothing about the upstream now.
-            if not upstream.trials:
+            if not upstream.trials or began_at is None or began_at < upstream.changed_at:
                 return
             upstream.trials -= 1
             upstream.successes += counts and not failed
--- a/goldcreststair/components/outliers/protocols.py
+++ b/goldcreststair/components/outliers/protocols.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING, Final, Protocol
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.core import ComponentKey
 
@@ -42,9 +43,13 @@
         """Record that an online run begins at an upstream."""
 
     def record_outcome(
-        self, entry: UpstreamEntry, outcome: "RunOutcome", first_ms: int | None
+        self,
+        entry: UpstreamEntry,
+        outcome: "RunOutcome",
+        first_ms: int | None,
+        began_at: Millis | None = None,
     ) -> None:
-        """Record the end of a run."""
+        """Record the end of a run; `began_at` is None for a batch run."""
 
 
 class NoOutliers:
--- a/goldcreststair/components/outliers/service.py
+++ b/goldcreststair/components/outliers/service.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
 from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.fleet.models import FLEET, Fleet
@@ -89,11 +90,15 @@
         self.controller.record_begin(upstream)
 
     def record_outcome(
-        self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
+        self,
+        entry: UpstreamEntry,
+        outcome: RunOutcome,
+        first_ms: int | None,
+        began_at: Millis | None = None,
     ) -> None:
-        """Record the end of a run."""
+        """Record the end of a run; `began_at` is None for a batch run."""
         if self.is_active(entry.service):
-            self.controller.record_outcome(entry, outcome, first_ms)
+            self.controller.record_outcome(entry, outcome, first_ms, began_at)
             self._report_changes()
 
     def count_ejected(self) -> int:
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -121,13 +121,18 @@
             handler()
 
     def record_outcome(
-        self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
+        self,
+        entry: UpstreamEntry,
+        outcome: RunOutcome,
+        first_ms: int | None,
+        began_at: Millis | None = None,
     ) -> None:
         """Record the end of a run.
 
         `first_ms` is the time to its first event, or None where it had to wait for a slot or had none.
+        `began_at` is None for a batch run.
         """
-        self._outliers.record_outcome(entry, outcome, first_ms)
+        self._outliers.record_outcome(entry, outcome, first_ms, began_at)
         if outcome is RunOutcome.REFUSED and self._outliers.is_active(entry.service):
             self._refused_until[entry.name] = Millis(self._core.clock.now() + FULL_MS)
             self._links.schedule_beacon()
--- a/tests/components/outliers/test_controller.py
+++ b/tests/components/outliers/test_controller.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.outliers.const import (
@@ -38,10 +39,19 @@
     clock: ManualClock
     controller: OutlierController
 
-    def record(self, name: str, outcomes: str, gap_ms: int = 0, first_ms: int | None = 40) -> None:
+    def record(
+        self,
+        name: str,
+        outcomes: str,
+        gap_ms: int = 0,
+        first_ms: int | None = 40,
+        *,
+        began_at: Millis | None = None,
+    ) -> None:
         """Record outcomes, one letter each with a pause after it, and let the controller decide."""
         for outcome in outcomes:
-            self.controller.record_outcome(make_entry(name), OUTCOMES[outcome], first_ms)
+            began = self.clock.now() if began_at is None else began_at
+            self.controller.record_outcome(make_entry(name), OUTCOMES[outcome], first_ms, began)
             if gap_ms:
                 self.clock.advance(gap_ms)
                 self.controller.advance()
@@ -236,6 +246,27 @@
     assert bench.controller.may_send(BAD) == (state == "half")
 
 
+@pytest.mark.parametrize("outcome", ["f", "x", "s"])
+def test_run_from_before_the_half_open_state_is_no_trial(outcome: str) -> None:
+    """A run that hung before the ejection may end during a trial and must not decide or end it."""
+    bench = make_bench()
+    before = bench.clock.now()
+    bench.half_open()
+    bench.controller.record_begin(BAD)
+    bench.record(BAD, outcome, began_at=before)
+    assert bench.controller.is_excluded(BAD) and not bench.controller.is_ejected(BAD)
+    assert not bench.controller.may_send(BAD)
+
+
+def test_batch_run_is_no_trial() -> None:
+    """Guards against a second trial request at a time after a batch run was preempted."""
+    bench = make_bench()
+    bench.half_open()
+    bench.controller.record_begin(BAD)
+    bench.controller.record_outcome(make_entry(BAD), RunOutcome.ABORTED, None)
+    assert not bench.controller.may_send(BAD)
+
+
 @pytest.mark.parametrize(
     ("reports", "state"),
     [
