Ignore negative outcomes in reports of other daemons

Cause: figures of a beacon were added up unchecked. With 6 failures and -6 successes the failure share divides by zero, which ended the periodic check of all upstreams for good; other sums gave shares above 1. Change: an upstream's figures are left out of a report if one is negative. Result: the new test failed before, in one case with ZeroDivisionError, and passes.

--- a/goldcreststair/components/outliers/window.py
+++ b/goldcreststair/components/outliers/window.py
@@ -70,7 +70,15 @@
         self._suspected: set[int] = set()
 
     def apply(self, session: str, by_upstream: Mapping[int, Outcomes]) -> None:
-        """Replace what another daemon, or a relay for all of them, has reported."""
+        """Replace what another daemon, or a relay for all of them, has reported.
+
+        Negative figures are ignored: added up with others they give shares above 1, or divide by 0.
+        """
+        by_upstream = {
+            upstream: each
+            for upstream, each in by_upstream.items()
+            if each.succeeded >= 0 and each.failed >= 0
+        }
         if by_upstream:
             self._reports[session] = (self._clock.now(), by_upstream)
         elif self._reports.pop(session, None) is None:
--- a/tests/components/outliers/test_controller.py
+++ b/tests/components/outliers/test_controller.py
@@ -184,6 +184,18 @@
     assert not bench.read_reasons()
 
 
+@pytest.mark.parametrize("reported", [(-6, 5), (-2, 2), (0, -5), (-1, -1)])
+def test_negative_figures_are_ignored(reported: tuple[int, int]) -> None:
+    """Guards against sums of zero, by which the check of all upstreams would end with an error."""
+    bench = make_bench()
+    bench.record("b", "s")
+    bench.record(BAD, "f")
+    bench.report("p", a=reported, b=reported)
+    bench.wait(SETTLE_MS)
+    assert bench.controller.is_ejected(BAD) is False
+    assert bench.controller.peers.read(hash_name(BAD)) == Outcomes()
+
+
 @pytest.mark.parametrize(
     ("names", "bad", "ejected"),
     [
