Forget the turns of upstreams whose pace is no longer passed on

Cause: a relay kept the time of the last turn of every upstream that had ever reported a pace, also of those that were replaced long ago. Change: turns are forgotten after 10 s.

--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -42,6 +42,9 @@
 MAX_PACES: Final = 1
 """Most paces of upstreams in one digest: one takes 16 B, and up to 12 digests are sent in a second.
 The upstreams take turns."""
+TURN_VALID_MS: Final = 10_000
+"""How long it counts that the pace of an upstream was passed on: much longer than all upstreams take
+for their turns."""
 MAX_NEW_MEMBER_COUNT: Final = 3
 """Most requests of a customer that a daemon usually admits between two beacons."""
 MAX_COUNT: Final = 1 << 62
@@ -386,6 +389,8 @@
         chosen = sorted(total.upstream_paces.values(), key=rank)[:MAX_PACES]
         total.upstream_paces = {pace.upstream: pace for pace in chosen}
         passed_on.update((pace.upstream, now) for pace in chosen)
+        for upstream in [key for key, at in passed_on.items() if at <= now - TURN_VALID_MS]:
+            del passed_on[upstream]
 
     def _drop_old_paces(self, message: Beacon | Digest, paces_at: Millis) -> None:
         # Passed on in each digest until the sender's next message, paces would take 400 B/s.
--- a/tests/components/fleet/test_pace_digests.py
+++ b/tests/components/fleet/test_pace_digests.py
@@ -1,6 +1,6 @@
 """Paces of upstreams in digests, which beacons carry only now and then."""
 
-from goldcreststair.components.fleet.digests import DigestTracker
+from goldcreststair.components.fleet.digests import TURN_VALID_MS, DigestTracker
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, UpstreamPace
 from standins.virtual_time import ManualClock
 
@@ -43,3 +43,14 @@
         tracker.apply_beacon("m", make_beacon(2 + number, paces))
         seen += build(tracker, clock)
     assert seen == [3, 2, 1, 3]
+
+
+def test_turns_of_upstreams_that_are_gone_are_forgotten() -> None:
+    """Guards against a relay that keeps an entry for each upstream that was ever slow."""
+    clock = ManualClock()
+    tracker = DigestTracker(clock, "relay", "dc0")
+    tracker.apply_beacon("m", make_beacon(1))
+    for number in range(300):
+        tracker.apply_beacon("m", make_beacon(2 + number, [UpstreamPace(number, 250, 0)]))
+        assert build(tracker, clock) == [number]
+    assert max(map(len, tracker._passed_on.values())) <= TURN_VALID_MS // 100
