Do not take a daemon's own report for a question of another one

Cause: behind a relay, a report that only this daemon had made came back as one without outcomes, which asks for outcomes. The daemon answered itself, so that an upstream with one failure was reported in every digest for good. Change: a total that is the daemon's own report is left out. An upstream stays suspected for a window after the last question, so that answers, which hide the question from those who answer, do not come and go with every digest. Result: the new test failed before with 30 daemons, and passes; the tests of outliers and fleet pass.

--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -391,7 +391,9 @@
     beacon.upstream_paces = digest.upstream_paces
     outcomes, queued = (own.outcomes, own.queued) if own else ({}, {})
     beacon.outcomes = [
-        _subtract_outcomes(each, outcomes.get(each.upstream)) for each in digest.outcomes or ()
+        left
+        for each in digest.outcomes or ()
+        if (left := _subtract_outcomes(each, outcomes.get(each.upstream))) is not None
     ]
     beacon.waiting = [
         _subtract_waiting(each, queued.get((each.upstream_service, each.priority), 0))
@@ -409,11 +411,18 @@
     return UpstreamRuns(run.upstream, max(0, online), max(0, batch), late, tokens or None)
 
 
-def _subtract_outcomes(total: UpstreamOutcomes, own: UpstreamOutcomes | None) -> UpstreamOutcomes:
+def _subtract_outcomes(
+    total: UpstreamOutcomes, own: UpstreamOutcomes | None
+) -> UpstreamOutcomes | None:
+    """Return the outcomes of the others; None if the total is this daemon's own report only."""
     if own is None:
         return total
-    succeeded, failed = total.succeeded - own.succeeded, total.failed - own.failed
-    return UpstreamOutcomes(total.upstream, max(0, succeeded), max(0, failed))
+    succeeded = max(0, total.succeeded - own.succeeded)
+    failed = max(0, total.failed - own.failed)
+    # A report without outcomes asks others for theirs.
+    if (own.succeeded or own.failed) and not succeeded and not failed:
+        return None
+    return UpstreamOutcomes(total.upstream, succeeded, failed)
 
 
 def _subtract_waiting(total: WaitingRequests, own: int) -> WaitingRequests:
--- a/goldcreststair/components/outliers/window.py
+++ b/goldcreststair/components/outliers/window.py
@@ -67,7 +67,12 @@
         self._clock = clock
         self._reports: dict[str, tuple[Millis, Mapping[int, Outcomes]]] = {}
         self._totals: dict[int, Outcomes] = {}
-        self._suspected: set[int] = set()
+        self._suspected: dict[int, Millis] = {}
+        """When each upstream was last suspected.
+
+        It stays suspected for a window: behind a relay, the answers hide the question from those who
+        answer. If they stopped at once, the sums would rise and fall with every digest.
+        """
 
     def apply(self, session: str, by_upstream: Mapping[int, Outcomes]) -> None:
         """Replace what another daemon, or a relay for all of them, has reported.
@@ -94,6 +99,8 @@
         horizon = self._clock.now() - WINDOW_MS
         for session in [name for name, (at, _) in self._reports.items() if at <= horizon]:
             self.forget(session)
+        for upstream in [key for key, at in self._suspected.items() if at <= horizon]:
+            del self._suspected[upstream]
 
     def read(self, upstream: int) -> Outcomes:
         """Return the outcomes of all other daemons at an upstream."""
@@ -108,9 +115,9 @@
         return frozenset(self._suspected)
 
     def _add_up(self) -> None:
-        self._totals, self._suspected = {}, set()
+        self._totals = {}
         for _, report in self._reports.values():
             for upstream, outcomes in report.items():
                 self._totals[upstream] = self._totals.get(upstream, NO_OUTCOMES) + outcomes
                 if outcomes.failed or not outcomes.succeeded:
-                    self._suspected.add(upstream)
+                    self._suspected[upstream] = self._clock.now()
--- a/tests/components/outliers/test_fleet.py
+++ b/tests/components/outliers/test_fleet.py
@@ -9,6 +9,8 @@
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.outliers.const import WINDOW_MS
 from goldcreststair.components.outliers.protocols import OUTLIERS
+from goldcreststair.components.outliers.service import OutlierService
+from goldcreststair.components.placement.models import RunOutcome
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.features import Feature
 from goldcreststair.upstreams.dialect import RunCall
@@ -104,6 +106,29 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("daemons", [5, 30])
+def test_single_failure_is_reported_for_one_window(daemons: int) -> None:
+    """A relay returns a daemon's own report, which must not be taken for a question of another one."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.features = Feature.OUTLIER_EJECTION.value
+        engine, *_ = fleet.add_engines(7)
+        members = await fleet.async_add_many(daemons)
+        await fleet.clock.async_sleep(2_000)
+        outliers = members[-1].core.get(OUTLIERS)
+        entry = members[-1].core.get(PLACEMENT).controller.upstreams.find(engine.name)
+        assert entry is not None and isinstance(outliers, OutlierService)
+        outliers.record_outcome(entry, RunOutcome.FAILED, None)
+        reported = []
+        for _ in range(3 * WINDOW_MS // 500):
+            await fleet.clock.async_sleep(500)
+            outliers.record_outcome(entry, RunOutcome.SUCCESS, 40)
+            reported.append(bool(outliers.controller.list_report()))
+        assert reported[0] and not reported[-1]
+
+    run_fleet(scenario)
+
+
 class UnreliablePath:
     """A daemon's runner whose network loses the connection of most runs."""
 
