Leave paces of negative age out of digests

Cause: a relay keeps the youngest figure of each upstream. One of negative age replaced all others, and receivers then ignored it. Change: figures of negative age are left out. Result: the new test failed before and passes.

--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -177,7 +177,8 @@
     def _add_contention(self, message: Beacon | Digest) -> None:
         for pace in message.upstream_paces or ():
             known = self.upstream_paces.get(pace.upstream)
-            if known is None or pace.age_ms < known.age_ms:
+            # A negative age is an error of its sender, and would be the youngest figure for good.
+            if pace.age_ms >= 0 and (known is None or pace.age_ms < known.age_ms):
                 self.upstream_paces[pace.upstream] = pace
         for outcomes in message.outcomes or ():
             sums = self.outcomes.setdefault(outcomes.upstream, [0, 0])
--- a/tests/components/fleet/test_pace_digests.py
+++ b/tests/components/fleet/test_pace_digests.py
@@ -54,3 +54,14 @@
         tracker.apply_beacon("m", make_beacon(2 + number, [UpstreamPace(number, 250, 0)]))
         assert build(tracker, clock) == [number]
     assert max(map(len, tracker._passed_on.values())) <= TURN_VALID_MS // 100
+
+
+def test_figure_of_negative_age_does_not_replace_a_valid_one() -> None:
+    """Receivers ignore such a figure, so that they would learn nothing about the upstream."""
+    clock = ManualClock()
+    tracker = DigestTracker(clock, "relay", "dc0")
+    tracker.apply_beacon("m", make_beacon(1, [UpstreamPace(7, 250, 10)]))
+    tracker.apply_beacon("n", Beacon("n", 1, 1, 1, upstream_paces=[UpstreamPace(7, 250, -900)]))
+    clock.advance(100)
+    digest = tracker.build_fleet_digest({}, whole=False)
+    assert digest.upstream_paces == [UpstreamPace(7, 250, 10)]
