--- a/goldcreststair/components/outliers/protocols.py
+++ b/goldcreststair/components/outliers/protocols.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING, Final, Protocol
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.core import ComponentKey
 
@@ -13,6 +14,9 @@
 class OutlierReader(Protocol):
     """Tells which upstreams get no requests, or only trial requests."""
 
+    def has_excluded(self) -> bool:
+        """Return whether any upstream is ejected or half-open."""
+
     def is_ejected(self, upstream: str) -> bool:
         """Return whether an upstream is ejected."""
 
@@ -42,14 +46,22 @@
         """Record that an online run begins at an upstream."""
 
     def record_outcome(
-        self, entry: UpstreamEntry, outcome: "RunOutcome", first_ms: int | None
+        self,
+        entry: UpstreamEntry,
+        outcome: "RunOutcome",
+        first_ms: int | None,
+        began_at: Millis | None = None,
     ) -> None:
-        """Record the end of a run."""
+        """Record the end of a run; `began_at` is None for a batch run."""
 
 
 class NoOutliers:
     """Implements `OutlierReader` without any ejected upstream."""
 
+    def has_excluded(self) -> bool:
+        """Return False."""
+        return False
+
     def is_ejected(self, upstream: str) -> bool:
         """Return False."""
         return False
--- a/tests/components/outliers/test_fleet.py
+++ b/tests/components/outliers/test_fleet.py
@@ -9,6 +9,8 @@
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.outliers.const import WINDOW_MS
 from goldcreststair.components.outliers.protocols import OUTLIERS
+from goldcreststair.components.outliers.service import OutlierService
+from goldcreststair.components.placement.models import RunOutcome
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.features import Feature
 from goldcreststair.upstreams.dialect import RunCall
@@ -31,6 +33,23 @@
     assert on.failed + on.late <= factor * (off.failed + off.late)
 
 
+@pytest.mark.parametrize("reported", [False, True])
+def test_upstream_that_is_as_slow_as_it_reports_is_not_ejected(reported: bool) -> None:
+    """Placement already accounts for a reported pace, and slow phases on shared machines are short."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        replay = await async_start(fleet, active=True)
+        replay.bad.pace_percent, replay.bad.reports_pace = 600, reported
+        excluded = False
+        for _ in range(10):
+            # Runs of repeatable streams end as silent before the first report.
+            await async_play(replay, 40, path="/once/a")
+            excluded |= any(read_excluded(member, replay.bad) for member in fleet.members)
+        assert replay.bad.ran and excluded != reported
+
+    run_fleet(scenario)
+
+
 def read_excluded(member: FleetMember, engine: RunEngine) -> bool:
     """Return whether a daemon has ejected an upstream or holds it half-open."""
     return member.core.get(OUTLIERS).is_excluded(engine.name)
@@ -87,6 +106,29 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("daemons", [5, 30])
+def test_single_failure_is_reported_for_one_window(daemons: int) -> None:
+    """A relay returns a daemon's own report, which must not be taken for a question of another one."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.features = Feature.OUTLIER_EJECTION.value
+        engine, *_ = fleet.add_engines(7)
+        members = await fleet.async_add_many(daemons)
+        await fleet.clock.async_sleep(2_000)
+        outliers = members[-1].core.get(OUTLIERS)
+        entry = members[-1].core.get(PLACEMENT).controller.upstreams.find(engine.name)
+        assert entry is not None and isinstance(outliers, OutlierService)
+        outliers.record_outcome(entry, RunOutcome.FAILED, None)
+        reported = []
+        for _ in range(3 * WINDOW_MS // 500):
+            await fleet.clock.async_sleep(500)
+            outliers.record_outcome(entry, RunOutcome.SUCCESS, 40)
+            reported.append(bool(outliers.controller.list_report()))
+        assert reported[0] and not reported[-1]
+
+    run_fleet(scenario)
+
+
 class UnreliablePath:
     """A daemon's runner whose network loses the connection of most runs."""
 
