Report when a caller's connection has accepted a whole answer

Answers that are sent as a whole were written without any way to learn when the kernel had accepted them, so that the bytes held for slow callers could not be counted. Responder.answer now returns what to wait for, as write does. Nothing waits for it yet.

--- a/goldcreststair/components/forwarding/protocols.py
+++ b/goldcreststair/components/forwarding/protocols.py
@@ -21,8 +21,8 @@
     def finish(self) -> None:
         """End a complete stream."""
 
-    def answer(self, head: RunHead, body: bytes) -> None:
-        """Send a complete answer of an upstream."""
+    def answer(self, head: RunHead, body: bytes) -> Awaitable[None] | None:
+        """Send a complete answer of an upstream; the awaitable completes once it was accepted."""
 
     def accept(self) -> None:
         """Report that a job was accepted."""
