Bound the bytes held for slow readers

Reading from an upstream stopped until a slow caller had taken the bytes; the answer kept its slot, and upstreams cut an answer that is unread for some seconds. Where buffer-limits is active, reading pauses for at most 1.5 s while a reader lags, then goes on into a buffer of up to 256 KB for each connection and a sixth of memory-mb (at most 32 MB) for the daemon. At the daemon's bound, slow readers are shed first, resumable streams before others, the slowest first. A shed stream is closed without its end. A finished answer is delivered at the reader's pace without a deadline.

wire_engine.make_stream joins its chunks instead of appending them to one bytes object, which stopped the loop for more than a second with answers of 12 MB; the bytes are the same.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -264,11 +264,16 @@
             upstream=upstream,
             deadline_ms=max(1, self._remaining_ms()),
             resume_after=self._relay.last_event,
-            delivers_late=self._core.get(FEATURES).is_active(
-                Feature.FLEET_RETURN, self._admitted.service
-            ),
+            delivers_late=self._delivers_late(),
         )
 
+    def _delivers_late(self) -> bool:
+        features = self._core.get(FEATURES)
+        # A pause for a slow reader must not make the deadline cut what has arrived completely.
+        return features.is_active(
+            Feature.FLEET_RETURN, self._admitted.service
+        ) or features.is_active_anywhere(Feature.BUFFER_LIMITS)
+
     def _is_final(self, end: RunEnd) -> bool:
         if end.head.status >= STATUS_FAILED:
             return False
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -25,6 +25,8 @@
 from goldcreststair.components.jobs.api import JOB_API
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
+from goldcreststair.components.reader_buffers.models import ReaderIdentity
+from goldcreststair.components.reader_buffers.protocols import READER_BUFFERS
 from goldcreststair.components.requests.admission import (
     choose_not_ready_retry_ms,
     choose_service,
@@ -87,7 +89,12 @@
             await self._async_submit(admitted.ok_value, responder)
             return
         began_at = self._clock.now()
-        await ForwardedRequest(self._context, admitted.ok_value, responder).async_run()
+        identity = ReaderIdentity(request.request_id, admitted.ok_value.route.resumable)
+        await self._core.get(READER_BUFFERS).async_serve(
+            responder,
+            identity,
+            lambda caller: ForwardedRequest(self._context, admitted.ok_value, caller).async_run(),
+        )
         self._durations.record(admitted.ok_value.route.name, began_at)
 
     async def _async_admit_when_settled(
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -16,6 +16,7 @@
 from goldcreststair.components.jobs.protocols import JOBS
 from goldcreststair.components.outliers.protocols import OUTLIERS
 from goldcreststair.components.placement.service import PLACEMENT
+from goldcreststair.components.reader_buffers.protocols import READER_BUFFERS
 from goldcreststair.components.upstream_pace.protocols import UPSTREAM_PACE
 from goldcreststair.components.waiting.protocols import WAITING
 from goldcreststair.gateway_core import GatewayCore
@@ -91,6 +92,8 @@
             "jobs_owned": jobs.count_owned(),
             "items_waiting": jobs.count_waiting(),
             "requests_waiting": self.core.get(WAITING).count_waiting(),
+            "buffered_bytes": self.core.get(READER_BUFFERS).count_bytes(),
+            "readers_slow": self.core.get(READER_BUFFERS).count_slow(),
             "admission_share": self.core.get(ENTRY).opening.share,
             "ready": board.read(OWN_STATE).state is VmState.READY,
             "isolated": self.core.get(FLEET_LINKS).is_isolated(),
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -24,6 +24,7 @@
     outliers,
     placement,
     quotas,
+    reader_buffers,
     upstream_pace,
     waiting,
 )
@@ -59,6 +60,7 @@
     waiting.async_setup,
     crash_marks.async_setup,
     jobs.async_setup,
+    reader_buffers.async_setup,
     forwarding.async_setup,
     metrics.async_setup,
 )
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -80,6 +80,7 @@
             ),
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
             "upstream_load_invalid": _Counter("Invalid or impossible loads of upstreams."),
+            "readers_shed": _Counter("Streams closed because their callers read too slowly."),
         }
         self._histograms = {
             "first_event_seconds": _Histogram(
@@ -98,6 +99,7 @@
         # Series without labels are exported from the start, as monitoring expects.
         self._counters["log_lines_dropped"].values[()] = 0.0
         self._counters["upstream_load_invalid"].values[()] = 0.0
+        self._counters["readers_shed"].values[()] = 0.0
 
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request's final answer."""
@@ -177,6 +179,11 @@
         self._counters["upstream_load_invalid"].values[()] += 1
         self._statistics.count("upstream_load_invalid")
 
+    def count_shed_reader(self) -> None:
+        """Count a stream that was closed because its caller reads too slowly."""
+        self._counters["readers_shed"].values[()] += 1
+        self._statistics.count("readers_shed")
+
     def render(self) -> bytes:
         """Return the metrics page in the OpenMetrics format."""
         # Imported with the first page: callers wait while a daemon restarts.
@@ -227,6 +234,8 @@
     "jobs_owned": "Batch jobs that this daemon runs.",
     "items_waiting": "Items of these jobs that wait for a slot and can be in time.",
     "requests_waiting": "Requests that wait here for a slot.",
+    "buffered_bytes": "Bytes held for callers that read slowly.",
+    "readers_slow": "Callers that have lagged for longer than reading an upstream may pause.",
     "admission_share": "Share of the slots that this daemon may use by itself; 1 once it knows others.",
     "ready": "1 while callers may be sent here.",
     "isolated": "1 while neither store nor other daemons are heard.",
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -205,8 +205,8 @@
 ) -> bytes:
     """Return a complete streamed answer."""
     head = make_head(200, request_id, f"{more}Transfer-Encoding: chunked")
-    chunks = b""
+    chunks = []
     for number in range(first, events + 1):
         event = make_event(number, padding)
-        chunks += f"{len(event):x}\r\n".encode() + event + b"\r\n"
-    return head + chunks + b"0\r\n\r\n"
+        chunks.append(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+    return head + b"".join(chunks) + b"0\r\n\r\n"
--- a/tests/test_component_separation.py
+++ b/tests/test_component_separation.py
@@ -27,6 +27,7 @@
         "outliers",
         "placement",
         "quotas",
+        "reader_buffers",
         "requests",
         "upstream_pace",
         "waiting",
