--- a/tests/platform_adapter/test_slow_readers.py
+++ b/tests/platform_adapter/test_slow_readers.py
@@ -32,7 +32,9 @@
     return service
 
 
-async def async_open_slow(local: LocalGateway, path: str) -> asyncio.StreamReader:
+async def async_open_slow(
+    local: LocalGateway, path: str, version: bytes = b"HTTP/1.1"
+) -> asyncio.StreamReader:
     """Send a request on a connection whose answer is not read yet."""
     host, _, port = local.front.rpartition(":")
     slow = socket.socket()
@@ -41,7 +43,8 @@
     await asyncio.get_running_loop().sock_connect(slow, (host, int(port)))
     reader, writer = await asyncio.open_connection(sock=slow, limit=65_536)
     local.connections.append(writer)
-    writer.write(make_request("POST", path, headers={"Deadline-Ms": "5000"}))
+    request = make_request("POST", path, headers={"Deadline-Ms": "5000"})
+    writer.write(request.replace(b"HTTP/1.1", version))
     return reader
 
 
@@ -109,3 +112,18 @@
         await async_wait_until(lambda: not service.count_bytes() + local.callers.count_running())
 
     run_local(scenario)
+
+
+def test_a_shed_answer_without_framing_is_reset() -> None:
+    """Guards against an HTTP/1.0 caller that takes the end of its connection for that of the stream."""
+
+    async def scenario(local: LocalGateway) -> None:
+        prepare(local, 1)
+        reader = await async_open_slow(local, "/stream/x", b"HTTP/1.0")
+        await async_wait_until(lambda: len(local.engine.seen) > 0)
+        await async_wait_until(lambda: local.callers.count_running() == 0)
+        with pytest.raises(ConnectionResetError):
+            while await reader.read(65_536):
+                pass
+
+    run_local(scenario)
