Do not pause reading for a slow reader up to the deadline

A pause of up to 1.5 s near a request's deadline cut answers that their upstream had finished in time. Reading no longer pauses in the last 1.5 s before the deadline. On virtual time, an answer that takes 0.7 s with a deadline of 1.2 s reaches a caller that reads nothing for 2 s whole; without the feature it is cut.

--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -89,7 +89,8 @@
             await self._async_submit(admitted.ok_value, responder)
             return
         began_at = self._clock.now()
-        identity = ReaderIdentity(request.request_id, admitted.ok_value.route.resumable)
+        resumable, ends_at = admitted.ok_value.route.resumable, admitted.ok_value.ends_at
+        identity = ReaderIdentity(request.request_id, resumable, ends_at)
         await self._core.get(READER_BUFFERS).async_serve(
             responder,
             identity,
--- a/goldcreststair/components/reader_buffers/buffer.py
+++ b/goldcreststair/components/reader_buffers/buffer.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from goldcreststair.clock import Clock
-from goldcreststair.components.reader_buffers.const import MAX_STALL_MS, PAUSE_MS, WRITE_BYTES
+from goldcreststair.components.reader_buffers.const import MAX_STALL_MS, WRITE_BYTES
 from goldcreststair.components.reader_buffers.controller import BufferController
 from goldcreststair.components.reader_buffers.models import ReaderIdentity, ReaderState
 from goldcreststair.const import MS_PER_SECOND
@@ -161,9 +161,9 @@
 
     async def _async_wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
-        pause_ms = PAUSE_MS - self._controller.read_lag_ms(self.state)
         # One more ms, since the clock rounds down.
-        timer = self._clock.call_later(max(0, pause_ms) + 1, self._wake)
+        pause_ms = self._controller.read_pause_ms(self.state) + 1
+        timer = self._clock.call_later(pause_ms, self._wake)
         try:
             await self._waiter
         finally:
--- a/goldcreststair/components/reader_buffers/controller.py
+++ b/goldcreststair/components/reader_buffers/controller.py
@@ -93,7 +93,14 @@
         """
         if not reader.held:
             return True
-        return self.is_slow(reader) and reader.held + READ_BYTES <= CONNECTION_BYTES
+        return not self.read_pause_ms(reader) and reader.held + READ_BYTES <= CONNECTION_BYTES
+
+    def read_pause_ms(self, reader: ReaderState) -> int:
+        """Return for how long reading still pauses for a reader that lags."""
+        pause_ms = PAUSE_MS - self.read_lag_ms(reader)
+        # A pause up to the deadline would cut an answer that its upstream has finished.
+        left_ms = reader.identity.ends_at - PAUSE_MS - self._clock.now()
+        return max(0, min(pause_ms, left_ms))
 
     def choose_shed(self) -> ReaderState | None:
         """Return the reader to be shed next, or None if the daemon's bound is kept."""
--- a/goldcreststair/components/reader_buffers/models.py
+++ b/goldcreststair/components/reader_buffers/models.py
@@ -22,6 +22,8 @@
     request_id: str
     resumable: bool
     """Whether the caller may continue the stream with another request."""
+    ends_at: Millis
+    """Deadline by which the upstream must have been read."""
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/components/reader_buffers/replay.py
+++ b/tests/components/reader_buffers/replay.py
@@ -4,13 +4,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
-from goldcreststair.clock import Clock
+from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.reader_buffers.models import ReaderIdentity
 from goldcreststair.components.reader_buffers.service import ReaderBufferService
 from standins.gateways import FakeResponder, GatewayFleet
 from tests.helpers.gateways import run_fleet
 
+FAR = Millis(10**9)
 EVENTS = 20
 EVENT_MS = 35
 UNREAD_MS = 3_000
@@ -70,6 +71,11 @@
     caller.finish()
 
 
+def make_identity(name: str = "r", resumable: bool = True) -> ReaderIdentity:
+    """Return the identity of a request whose deadline is far away."""
+    return ReaderIdentity(name, resumable, FAR)
+
+
 @dataclass(slots=True)
 class Readers:
     """Readers of one daemon, and the most bytes that were held for them."""
@@ -83,7 +89,7 @@
     ) -> None:
         """Stream an answer to one reader."""
         clock = self.fleet.clock
-        identity = ReaderIdentity(name, resumable)
+        identity = make_identity(name, resumable)
         await self.service.async_serve(caller, identity, lambda to: async_stream(clock, to, event))
 
     async def async_watch(self) -> None:
--- a/tests/components/reader_buffers/test_controller.py
+++ b/tests/components/reader_buffers/test_controller.py
@@ -2,16 +2,18 @@
 
 import pytest
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.reader_buffers.const import CONNECTION_BYTES, PAUSE_MS
 from goldcreststair.components.reader_buffers.controller import BufferController
 from goldcreststair.components.reader_buffers.models import ReaderIdentity, ReaderState
 from goldcreststair.http_exchange import READ_BYTES
 from standins.virtual_time import ManualClock
+from tests.components.reader_buffers.replay import make_identity
 
 
 def make_reader(name: str, *, resumable: bool = True) -> ReaderState:
     """Return a reader that has accepted everything."""
-    return ReaderState(ReaderIdentity(name, resumable))
+    return ReaderState(make_identity(name, resumable))
 
 
 @pytest.mark.parametrize(
@@ -37,6 +39,30 @@
     assert controller.may_read(reader) == may_read
 
 
+@pytest.mark.parametrize(
+    ("left_ms", "lag_ms", "pause_ms"),
+    [
+        (10_000, 0, PAUSE_MS),
+        (10_000, 500, PAUSE_MS - 500),
+        (10_000, PAUSE_MS + 1, 0),
+        (PAUSE_MS + 200, 0, 200),
+        (PAUSE_MS, 0, 0),
+        (-5, 0, 0),
+    ],
+)
+def test_reading_does_not_pause_up_to_the_deadline(
+    left_ms: int, lag_ms: int, pause_ms: int
+) -> None:
+    """Guards against cutting a finished answer because it was not read before its deadline."""
+    clock = ManualClock()
+    controller = BufferController(clock, 10**9)
+    ends_at = Millis(clock.now() + lag_ms + left_ms)
+    reader = ReaderState(ReaderIdentity("a", True, ends_at))
+    controller.hold(reader, 1)
+    clock.advance(lag_ms)
+    assert controller.read_pause_ms(reader) == pause_ms
+
+
 # Each reader: name, resumable, age of its lag, bytes accepted, bytes held.
 @pytest.mark.parametrize(
     ("readers", "shed"),
--- a/tests/components/reader_buffers/test_failures.py
+++ b/tests/components/reader_buffers/test_failures.py
@@ -7,7 +7,6 @@
 
 from goldcreststair.components.forwarding.protocols import FORWARDING, Responder
 from goldcreststair.components.reader_buffers.const import CONNECTION_BYTES, MAX_STALL_MS
-from goldcreststair.components.reader_buffers.models import ReaderIdentity
 from goldcreststair.components.reader_buffers.protocols import READER_BUFFERS
 from goldcreststair.upstreams.dialect import RunHead
 from standins.gateways import GatewayFleet
@@ -17,6 +16,7 @@
     PacedResponder,
     Readers,
     WholeResponder,
+    make_identity,
     run_readers,
 )
 from tests.helpers.gateways import run_fleet
@@ -53,7 +53,7 @@
             to.abort()
             to.finish()
 
-        await readers.service.async_serve(caller, ReaderIdentity("r", True), async_fail)
+        await readers.service.async_serve(caller, make_identity(), async_fail)
         await readers.fleet.clock.async_sleep(60_000)
         assert caller.aborted and not caller.whole
 
@@ -90,7 +90,7 @@
                     await taken
             to.finish()
 
-        await readers.service.async_serve(caller, ReaderIdentity("r", True), async_send_much)
+        await readers.service.async_serve(caller, make_identity(), async_send_much)
         assert caller.whole and caller.body == chunk * 20
         assert CONNECTION_BYTES // 2 < readers.peak_bytes <= CONNECTION_BYTES
 
@@ -106,7 +106,7 @@
         async def async_answer(to: Responder) -> None:
             to.answer(HEAD, EVENT * 9)
 
-        await readers.service.async_serve(caller, ReaderIdentity("r", False), async_answer)
+        await readers.service.async_serve(caller, make_identity(resumable=False), async_answer)
         assert caller.whole and readers.peak_bytes == 9_000
 
     run_readers(scenario)
@@ -154,3 +154,26 @@
         assert written < len(big) * EVENTS
 
     run_readers(scenario, memory_mb=64)
+
+
+@pytest.mark.parametrize("active", [True, False])
+def test_a_pause_does_not_last_until_the_deadline(active: bool) -> None:
+    """Guards against cutting an answer that its upstream finished in time, because it was not read.
+
+    The caller reads nothing for 2 s; its deadline is after 1.2 s, and the upstream takes 0.7 s.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.features = "buffer-limits" if active else ""
+        fleet.add_engines(1)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        stall_until = fleet.clock.now() + 2_000.0
+        caller = PacedResponder(fleet.clock, socket_bytes=100, read_until=stall_until)
+        request = fleet.make_request("/stream/a", request_id="r", deadline_ms=1_200)
+        await member.core.get(FORWARDING).async_forward(request, caller)
+        assert caller.whole == active and caller.aborted != active
+        if active:
+            assert caller.body == make_stream("r", 20)
+
+    run_fleet(scenario)
