--- a/goldcreststair/components/reader_buffers/controller.py
+++ b/goldcreststair/components/reader_buffers/controller.py
@@ -4,7 +4,7 @@
 upstreams that cut an answer which is unread for some seconds.
 """
 
-from goldcreststair.clock import Clock
+from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.reader_buffers.const import (
     ASSUMED_BYTES,
     ASSUMED_MS,
@@ -106,9 +106,13 @@
         """Return the reader to be shed next, or None if the daemon's bound is kept."""
         if self._total <= self._daemon_bytes:
             return None
-        return min((reader for reader in self._lagging if reader.held), key=self._rank)
+        now = self._clock.now()
+        holding = (reader for reader in self._lagging if reader.held)
+        return min(holding, key=lambda reader: _rank(reader, now))
 
-    def _rank(self, reader: ReaderState) -> tuple[bool, bool, float, int]:
-        rate = (reader.accepted + ASSUMED_BYTES) / (self.read_lag_ms(reader) + ASSUMED_MS)
-        # Slow readers come first, so that a normal one is not shed for a delay of a moment.
-        return not self.is_slow(reader), not reader.identity.resumable, rate, -reader.held
+
+def _rank(reader: ReaderState, now: Millis) -> tuple[bool, bool, float, int]:
+    lag_ms = now - (now if reader.lags_since is None else reader.lags_since)
+    rate = (reader.accepted + ASSUMED_BYTES) / (lag_ms + ASSUMED_MS)
+    # Slow readers come first, so that a normal one is not shed for a delay of a moment.
+    return lag_ms < PAUSE_MS, not reader.identity.resumable, rate, -reader.held
