Give no waiting request to an ejected upstream

Cause: the waiting queue looked for room among all upstreams that are not down. With outlier-ejection active, an ejected upstream has the fewest runs: where the view of the fleet is old it got the largest weight in the random choice, and in a small fleet it got the requests for which the others had no room, because these others were excluded from the placement.

Change: room, fill and capacity are computed from the upstreams that placement allows. A half-open upstream takes trial requests only and is not counted.

Result: test_room.py fails without the change; nothing changes where no upstream is ejected.

--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -105,8 +105,12 @@
 
     def can_place(self, query: PlacementQuery) -> bool:
         """Return whether `choose` would find an upstream now."""
+        return bool(self.upstreams.prefer_warm(self.list_allowed(query)))
+
+    def list_allowed(self, query: PlacementQuery) -> list[UpstreamState]:
+        """Return the upstreams that are neither down, full nor excluded as outliers; some may be cold."""
         available = self.upstreams.list_available(self.upstreams.list_candidates(query))
-        return bool(self.upstreams.prefer_warm(self._exclude_outliers(query, available)))
+        return self._exclude_outliers(query, available)
 
     def _exclude_outliers(
         self, query: PlacementQuery, states: list[UpstreamState]
--- a/goldcreststair/components/waiting/models.py
+++ b/goldcreststair/components/waiting/models.py
@@ -52,7 +52,7 @@
     """How fast the upstreams of a service become free, as known to this daemon."""
 
     slots: int
-    """Of all upstreams that are not down."""
+    """Of all upstreams that are neither down nor ejected."""
     run_ms: float
     first_ms: float
     """Time from a free slot to the first event."""
--- a/goldcreststair/components/waiting/room.py
+++ b/goldcreststair/components/waiting/room.py
@@ -49,7 +49,7 @@
 
     def read_capacity(self, service: str) -> Capacity:
         """Return the capacity of a service."""
-        states = self._table.list_available(self._table.list_by_service(service))
+        states = self._placement.list_allowed(PlacementQuery(service, may_try=False))
         slots = sum(self._table.count_slots(state) for state in states)
         times = self._placement.read_run_times(service)
         per_upstream = slots / len(states) if states else DEFAULT_SLOTS
@@ -96,8 +96,7 @@
         return self._placement.place_at(choose_weighted(weighted, rng))
 
     def _list_available(self, query: PlacementQuery) -> list[UpstreamState]:
-        table = self._table
-        return table.prefer_warm(table.list_available(table.list_candidates(query)))
+        return self._table.prefer_warm(self._placement.list_allowed(query))
 
     def _list_room(
         self, query: PlacementQuery, left_ms: float, queued: int
--- a/goldcreststair/components/waiting/service_queue.py
+++ b/goldcreststair/components/waiting/service_queue.py
@@ -97,7 +97,9 @@
         order = self.queue.list_order()
         if order:
             left_ms = order[0].due_at - self._clock.now()
-            room = self._room.count_room(PlacementQuery(self.name), left_ms, MAX_QUEUED)
+            # A half-open upstream takes one trial request, not as many as it has slots.
+            query = PlacementQuery(self.name, may_try=False)
+            room = self._room.count_room(query, left_ms, MAX_QUEUED)
             self._starts = self._take_share(self.queue.read_level(order[0]), room)
 
     def allot_after(self, interval_ms: int) -> None:
