Send no request that runs only once as a trial request after a wait

Cause: the waiting queue made its own placement query without `may_try`, whose default allows a half-open upstream. A request that cannot run elsewhere was sent there once the other upstreams were full, and failed for good if the upstream still failed.

Change: the query of a waiting request has the value that forwarding uses for a first run.

Result: test_request_that_runs_only_once_is_no_trial_request fails without the change.

--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -233,6 +233,7 @@
                 request.service,
                 affinity=request.affinity,
                 regions=find_request_regions(route, customer),
+                may_try=route.repeatable and route.max_attempts > 1,
             ),
             rank=_find_rank(request),
             customer=name,
--- a/tests/components/waiting/test_service.py
+++ b/tests/components/waiting/test_service.py
@@ -9,6 +9,7 @@
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.forwarding.protocols import FORWARDING
+from goldcreststair.components.placement.loads import Runs
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.waiting.const import CHECK_MS, COUNT_VALID_MS, MAX_LEVEL
 from goldcreststair.components.waiting.other_daemons import OtherDaemons
@@ -18,6 +19,7 @@
 from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import FakeResponder, FleetMember, GatewayFleet
 from standins.virtual_time import ManualClock
+from tests.components.placement.test_outliers import FixedOutliers
 from tests.helpers.gateways import async_send, run_fleet
 
 CUSTOMERS = ({"name": "club", "priority": 1}, {"name": "urgent", "priority": 0})
@@ -128,6 +130,22 @@
     run_waiting_fleet(scenario)
 
 
+def test_request_that_runs_only_once_is_no_trial_request() -> None:
+    """Guards against a request that fails for good at an upstream that was ejected a moment ago."""
+
+    async def scenario(fleet: GatewayFleet, members: list[FleetMember]) -> None:
+        member = members[0]
+        good, half_open = fleet.engines.by_address.values()
+        controller = member.core.get(PLACEMENT).controller
+        controller._outliers = FixedOutliers(trial=frozenset((half_open.name,)))
+        controller.begin(good.name, Runs(online=9))
+        refused = await async_send(fleet, member, "/once/x")
+        assert refused.refusal is not None and refused.refusal.not_run
+        assert (await async_send(fleet, member, "/stream/x")).whole
+
+    run_waiting_fleet(scenario)
+
+
 def test_caller_that_disconnects_leaves_the_queue_at_once() -> None:
     """Guards against slots that are given to callers that are gone."""
 
