Forget the share of initial tokens after a pause of the process

Cause: where fleet-return is active, the first report of a daemon is charged while the levels of both daemons are uncertain, which identifies daemons that have just started. Levels are uncertain after a pause of the process as well, so that daemons frozen together charged each other with up to 20 requests that were admitted long before, and refused customers for seconds.

Change: a pause ends the return; first reports set the baseline again.

Result: a customer with 10 requests per second gets its 10 in the second after the pause, instead of none (test_daemons_frozen_together_do_not_charge_each_other_for_earlier_requests).

--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -193,8 +193,10 @@
             bucket.level = min(bucket.level, 0.0)
             bucket.at = bucket.since = now
             bucket.uncertain = True
-        # What the others admitted during the pause must not be charged to the emptied buckets.
+        # What the others admitted during the pause must not be charged to the emptied buckets, also
+        # not by first reports of daemons that were paused as well.
         self._peers.clear()
+        self.return_share = None
 
     def admit(
         self, customer: CatalogueCustomer, key: int, all_seen_since: Millis | None = None
--- a/tests/components/quotas/test_controller.py
+++ b/tests/components/quotas/test_controller.py
@@ -9,6 +9,7 @@
     FleetShare,
     QuotaController,
 )
+from goldcreststair.components.quotas.return_share import ReturnShare
 from standins.virtual_time import ManualClock
 
 CLUB = CatalogueCustomer("club", 10.0, 20.0)
@@ -130,6 +131,20 @@
     assert drain(controller) == 0
 
 
+def test_daemons_frozen_together_do_not_charge_each_other_for_earlier_requests() -> None:
+    """Two VMs were frozen long after a return of the fleet, and a customer was refused for 2 s more.
+
+    Both levels are uncertain after the pause, as they are at a common start.
+    """
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.return_share = ReturnShare("a", frozenset("ab"))
+    controller.reset_after_pause()
+    controller.apply_counts("b", {KEY: AdmittedCount(100)})
+    clock.advance(1_000)
+    assert drain(controller) == 10
+
+
 def test_customer_without_a_rate_is_not_limited() -> None:
     controller = make_controller(ManualClock())
     free = CatalogueCustomer("free")
