Refuse only the request whose body is above the bound of the waiting bytes

Cause: the queue made room for a request from its end.

Change: such a request is refused at once.

Result: test_request_above_the_bound_of_bytes_evicts_no_other fails without the change.

--- a/goldcreststair/components/waiting/controller.py
+++ b/goldcreststair/components/waiting/controller.py
@@ -40,6 +40,8 @@
     def add(self, request: WaitingRequest) -> list[Evicted]:
         """Add a request; returns those that have to go to stay within the bounds."""
         self.shares.note_contention()
+        if request.size > MAX_WAITING_BYTES:
+            return [Evicted(request, RefusalReason.BYTES)]
         self._requests[request.number] = request
         self._bytes += request.size
         evicted: list[Evicted] = []
--- a/tests/components/waiting/test_controller.py
+++ b/tests/components/waiting/test_controller.py
@@ -8,7 +8,12 @@
 from goldcreststair.components.placement.models import PlacementQuery
 from goldcreststair.components.waiting.const import MAX_WAITING, MAX_WAITING_BYTES
 from goldcreststair.components.waiting.controller import WaitingQueue
-from goldcreststair.components.waiting.models import Capacity, RefusalReason, WaitingRequest
+from goldcreststair.components.waiting.models import (
+    Capacity,
+    Evicted,
+    RefusalReason,
+    WaitingRequest,
+)
 from standins.virtual_time import ManualClock
 
 CAPACITY = Capacity(slots=32, run_ms=800, first_ms=60, queued_ms=100)
@@ -84,6 +89,14 @@
     assert len(queue) == waiting
 
 
+def test_request_above_the_bound_of_bytes_evicts_no_other(queue: WaitingQueue) -> None:
+    """One large request of a good rank was refused, and all requests behind it as well."""
+    kept = [add(queue, "a") for _ in range(3)]
+    large = make_request(queue, "b", 0, size=MAX_WAITING_BYTES + 1)
+    assert queue.add(large) == [Evicted(large, RefusalReason.BYTES)]
+    assert queue.list_order() == kept
+
+
 def test_requests_that_no_slot_serves_in_time_are_evicted_at_once(queue: WaitingQueue) -> None:
     """Guards against requests that wait and are then refused, later than they could have been."""
     requests = [add(queue, "a") for _ in range(8)]
