Count only online runs of the service as freed slots

Cause: each run of this daemon that ended gave every waiting queue one more start, also a batch run, which frees no slot for online requests, and a run of another service. Batch runs are preempted in exactly the bursts in which requests wait, so that a daemon with batch runs took more than its share of the freed slots.

Change: the handlers of ended runs get the upstream's name and are called for online runs only; the queue of the upstream's service takes its share.

Result: test_only_online_runs_of_the_service_free_a_slot fails without the change.

--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -42,6 +42,8 @@
 OnPreempt = Callable[[str, int], None]
 """Called with an upstream's name and the number of batch runs that this daemon has to preempt
 there."""
+OnRunEnd = Callable[[str], None]
+"""Called with the name of the upstream that the run was at."""
 
 
 class PlacementService:
@@ -66,7 +68,7 @@
             lambda _: self.controller.upstreams.cold_limiter.reset_after_pause()
         )
         self._preempt_handler: OnPreempt = lambda name, count: None
-        self._run_end_handlers: list[Callable[[], None]] = []
+        self._run_end_handlers: list[OnRunEnd] = []
         self._unsubscribe: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -100,8 +102,8 @@
         """Set the handler that is called when batch runs have to be preempted."""
         self._preempt_handler = handler
 
-    def on_run_end(self, handler: Callable[[], None]) -> None:
-        """Add a handler that is called after each run of this daemon has ended."""
+    def on_run_end(self, handler: OnRunEnd) -> None:
+        """Add a handler that is called after online runs of this daemon have ended."""
         self._run_end_handlers.append(handler)
 
     def begin(self, name: str, runs: Runs = ONLINE_RUN) -> None:
@@ -117,8 +119,9 @@
         """Record that a run has ended, and announce it to the other daemons."""
         self.controller.end(name, runs)
         self._links.schedule_beacon()
-        for handler in self._run_end_handlers:
-            handler()
+        if runs.online:
+            for handler in self._run_end_handlers:
+                handler(name)
 
     def record_outcome(
         self, entry: UpstreamEntry, outcome: RunOutcome, first_ms: int | None
--- a/goldcreststair/components/waiting/room.py
+++ b/goldcreststair/components/waiting/room.py
@@ -47,6 +47,11 @@
         state = self._table.find_state(placement.upstream.name)
         return state is not None and self._table.has_free_slot(state)
 
+    def find_service(self, upstream: str) -> str | None:
+        """Return the service of an upstream, or None if it is gone."""
+        state = self._table.find_state(upstream)
+        return None if state is None else state.entry.service
+
     def read_capacity(self, service: str) -> Capacity:
         """Return the capacity of a service."""
         states = self._placement.list_allowed(PlacementQuery(service, may_try=False))
--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -268,10 +268,12 @@
         """Return the number of other daemons that this one reaches."""
         return max(0, self._core.blackboard.read(FLEET).reachable - 1)
 
-    def _on_run_end(self) -> None:
+    def _on_run_end(self, upstream: str) -> None:
+        service = self._room.find_service(upstream)
         for queue in self._list_occupied():
-            queue.allot_ended_run()
-            queue.advance()
+            if queue.name == service:
+                queue.allot_ended_run()
+                queue.advance()
 
     def _on_timer(self) -> None:
         self._timer = None
--- a/tests/components/waiting/test_service.py
+++ b/tests/components/waiting/test_service.py
@@ -178,6 +178,28 @@
     run_waiting_fleet(scenario)
 
 
+@pytest.mark.parametrize(
+    ("upstream", "runs", "starts"),
+    [("", Runs(online=1), 1), ("", Runs(batch=1), 0), ("of another service", Runs(online=1), 0)],
+)
+def test_only_online_runs_of_the_service_free_a_slot(
+    upstream: str, runs: Runs, starts: int
+) -> None:
+    """A daemon took more than its share of the free slots as its batch runs were preempted."""
+
+    async def scenario(fleet: GatewayFleet, members: list[FleetMember]) -> None:
+        await async_fill(fleet, members[0])
+        queue = read_waiting(members[0])._queues["engine"]
+        name = upstream or next(iter(fleet.engines.by_address.values())).name
+        placement = members[0].core.get(PLACEMENT)
+        placement.controller.begin(name, runs)
+        queue._starts = 0
+        placement.end(name, runs)
+        assert queue._starts == starts
+
+    run_waiting_fleet(scenario)
+
+
 @pytest.mark.parametrize("cause", ["key", "leave", "close"])
 def test_withdrawn_key_and_shutdown_refuse_what_waits_as_not_run(cause: str) -> None:
     """Guards against requests that run under a withdrawn key, or are cut without an answer."""
