Say in a refusal what it was decided by

Cause: where the view of the fleet is old, a request is refused by the slots in use, but the refusal and its log line named an expected first event that was well within the objective, and 0 waiting requests. The expected first event was only the wait for a slot, without the time from there to the event.

Change: the message names the slots in use in the first case, and the time to the first event in the second. Decisions and retry times are unchanged.

Result: test_refusal_names_what_it_was_decided_by fails without the change.

--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -162,7 +162,8 @@
         is_servable = _is_return(time) and placement.expected_ms <= time.left_ms
         if is_servable or survey.fill < queue.queue.read_fill_limit(waiting):
             return Ok(placement)
-        return Err(self._refuse(queue, request, RefusalReason.LATE))
+        cause = f"{survey.fill:.2f} of the slots in use"
+        return Err(self._refuse(queue, request, RefusalReason.LATE, cause))
 
     async def _async_wait(
         self, queue: ServiceQueue, request: AdmittedRequest, waiting: WaitingRequest
@@ -195,16 +196,22 @@
             self._timer = self._clock.call_later(CHECK_MS, self._on_timer)
 
     def _refuse(
-        self, queue: ServiceQueue, request: AdmittedRequest, reason: RefusalReason
+        self,
+        queue: ServiceQueue,
+        request: AdmittedRequest,
+        reason: RefusalReason,
+        cause: str = "",
     ) -> Refusal:
+        """Return a refusal; its message names the cause, by default the expected wait."""
         self._core.meters.count_queue_refusal(reason.value)
         capacity = self._room.read_capacity(queue.name)
         ahead = len(queue.queue) + queue.count_others(MAX_LEVEL)
         wait_ms = capacity.queued_ms + (ahead + 1) * capacity.slot_interval_ms
         left_ms = self._make_budget(request).left_ms
         retry_ms = choose_retry_ms(wait_ms, left_ms, self._core.random)
-        message = f"{ahead} requests wait, first event expected after {wait_ms:.0f} ms: {reason}"
-        return _make_refusal(message, RefusalCode.OVERLOADED, retry_ms)
+        first_ms = wait_ms + capacity.first_ms
+        cause = cause or f"{ahead} requests wait, first event expected after {first_ms:.0f} ms"
+        return _make_refusal(f"{cause}: {reason}", RefusalCode.OVERLOADED, retry_ms)
 
     def _refuse_all(self) -> None:
         message = "this VM shuts down"
--- a/tests/components/waiting/test_service.py
+++ b/tests/components/waiting/test_service.py
@@ -146,6 +146,29 @@
     run_waiting_fleet(scenario)
 
 
+@pytest.mark.parametrize(
+    ("is_view_old", "reason"),
+    [
+        (True, "1.25 of the slots in use: late"),
+        (False, "0 requests wait, first event expected after 210 ms: late"),
+    ],
+)
+def test_refusal_names_what_it_was_decided_by(is_view_old: bool, reason: str) -> None:
+    """A refusal for lack of slots named an expected wait that was well within the objective."""
+
+    async def scenario(fleet: GatewayFleet, members: list[FleetMember]) -> None:
+        controller = members[0].core.get(PLACEMENT).controller
+        for engine in fleet.engines.by_address.values():
+            controller.begin(engine.name, Runs(online=10))
+        controller.runs.digest_sequence = 1 if is_view_old else None
+        deadline_ms = 5_000 if is_view_old else 150
+        refused = await async_send(fleet, members[0], "/stream/x", deadline_ms=deadline_ms)
+        assert refused.refusal is not None and refused.refusal.not_run
+        assert refused.refusal.message == reason
+
+    run_waiting_fleet(scenario)
+
+
 def test_caller_that_disconnects_leaves_the_queue_at_once() -> None:
     """Guards against slots that are given to callers that are gone."""
 
