Weigh the upstreams among which requests are spread by their pace

Cause: with waiting-queue active, a fleet with an old view chooses upstreams with weights of its own from 0.7 of the slots in use, which left out the pace. upstream-pace thus had no effect on the choice in the bursts that it is designed for.

Change: the weights are divided by the square root of the factor, as those of placement are.

--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -187,6 +187,10 @@
         run = known.run_ms + SMOOTHING * (run_ms - known.run_ms)
         self._run_times[service] = RunTimes(run, first)
 
+    def read_factors(self, service: str) -> Mapping[str, float]:
+        """Return the factors of the upstreams of a service whose pace is not the usual one."""
+        return self._pace.read_factors(service)
+
     def read_run_times(self, service: str) -> RunTimes:
         """Return the average times of the runs of a service."""
         return self._run_times.get(service, RunTimes(DEFAULT_RUN_MS, DEFAULT_FIRST_MS))
--- a/goldcreststair/components/placement/spreading.py
+++ b/goldcreststair/components/placement/spreading.py
@@ -76,7 +76,16 @@
     weight = (SAME_DATA_CENTRE_WEIGHT if usage.same_data_centre else 1.0) * (
         AFFINITY_WEIGHT if usage.preferred else 1.0
     )
-    return weight / math.pow(usage.factor, PACE_EXPONENT)
+    return weight / compute_pace_divisor(usage.factor)
+
+
+def compute_pace_divisor(factor: float) -> float:
+    """Return what the weight of an upstream is divided by where work takes `factor` times as long.
+
+    >>> compute_pace_divisor(4.0)
+    2.0
+    """
+    return math.pow(factor, PACE_EXPONENT)
 
 
 def choose_weighted(options: Sequence[tuple[T, float]], rng: random.Random) -> T:
--- a/goldcreststair/components/waiting/room.py
+++ b/goldcreststair/components/waiting/room.py
@@ -10,7 +10,7 @@
 from goldcreststair.components.placement.const import DEFAULT_SLOTS
 from goldcreststair.components.placement.controller import PlacementController
 from goldcreststair.components.placement.models import Placement, PlacementQuery, RunTimes
-from goldcreststair.components.placement.spreading import choose_weighted
+from goldcreststair.components.placement.spreading import choose_weighted, compute_pace_divisor
 from goldcreststair.components.placement.upstream_table import UpstreamState
 from goldcreststair.components.waiting.const import EVEN_MIN_LEFT, EVEN_SLACK
 from goldcreststair.components.waiting.models import Capacity
@@ -90,12 +90,17 @@
             ]
         )
 
-    def choose_evenly(self, survey: Survey, rng: random.Random) -> Placement | None:
-        """Return a placement chosen at random, by the squares of the places left at the upstreams."""
+    def choose_evenly(self, service: str, survey: Survey, rng: random.Random) -> Placement | None:
+        """Return a placement chosen at random, by the squares of the places left and the pace."""
         if not survey.usages:
             return None
+        factors = self._placement.read_factors(service)
         weighted = [
-            (name, max(EVEN_MIN_LEFT, slots + EVEN_SLACK - online) ** 2)
+            (
+                name,
+                max(EVEN_MIN_LEFT, slots + EVEN_SLACK - online) ** 2
+                / compute_pace_divisor(factors.get(name, 1.0)),
+            )
             for name, slots, online in survey.usages
         ]
         return self._placement.place_at(choose_weighted(weighted, rng))
--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -157,7 +157,8 @@
         survey = self._room.survey(waiting.query)
         if survey.fill >= EVEN_FILL:
             queue.queue.shares.note_contention()
-            placement = self._room.choose_evenly(survey, self._core.random) or placement
+            spread = self._room.choose_evenly(request.service, survey, self._core.random)
+            placement = spread or placement
         time = self._make_budget(request)
         is_servable = _is_return(time) and placement.expected_ms <= time.left_ms
         if is_servable or survey.fill < queue.queue.read_fill_limit(waiting):
