Define retryable refusals and the shares of a caller's time once

Cause: the waiting component had its own copy of make_retryable_refusal, as importing it from forwarding would be circular, and entry/opening.py had copies of FIRST_ATTEMPT_SHARE and MAX_RETRY_SHARE. A caller would be taken for a first attempt by one part and for a returning one by another if one copy changed.

Result: no change of behaviour.

--- a/goldcreststair/components/entry/opening.py
+++ b/goldcreststair/components/entry/opening.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from goldcreststair.clock import Clock
+from goldcreststair.components.placement.admission import FIRST_ATTEMPT_SHARE, MAX_RETRY_SHARE
 
 HEARD_FRACTION: Final = 0.5
 """Share of the fleet, this daemon included, whose runs have to be known: the rest is then at most as
@@ -20,13 +21,8 @@
 then, and others run nothing."""
 MIN_SLOTS: Final = 2
 """Requests that a daemon may run at least, as fleets may have more daemons than slots."""
-FIRST_ATTEMPT_SHARE: Final = 0.9
-"""A request with at least this share of its timeout left is a first attempt, and can be retried."""
 MIN_RETRY_MS: Final = 300
 """Shortest retry time: by then daemons know each other's runs, and the first runs may have ended."""
-MAX_RETRY_SHARE: Final = 0.3
-"""Longest retry time, as a share of the caller's remaining time: callers ignore a retry time of
-more than a third of it."""
 
 
 class ReturnOutcome(StrEnum):
--- a/goldcreststair/components/forwarding/recovery.py
+++ b/goldcreststair/components/forwarding/recovery.py
@@ -11,14 +11,13 @@
     PLACEMENT_RETRY_MS,
 )
 from goldcreststair.components.forwarding.models import RequestProgress
-from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.refusals import STATUS_UNAVAILABLE, Refusal, RefusalCode
 from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
 MAX_NOT_RUN: Final = 6
 """Upstreams that may refuse one request as not run before the caller gets a refusal."""
 STATUS_BAD_GATEWAY: Final = 502
-STATUS_UNAVAILABLE: Final = 503
 STATUS_GATEWAY_TIMEOUT: Final = 504
 
 
--- a/goldcreststair/components/forwarding/returning.py
+++ b/goldcreststair/components/forwarding/returning.py
@@ -10,11 +10,10 @@
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.fleet.protocols import hash_name
-from goldcreststair.components.forwarding.refusals import make_retryable_refusal
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.refusals import Refusal, RefusalCode, make_retryable_refusal
 
 
 class ReturnLimit:
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -18,7 +18,7 @@
 from goldcreststair.components.forwarding.const import MIN_RETRY_AFTER_MS, SETTLE_POLL_MS
 from goldcreststair.components.forwarding.durations import RequestDurations
 from goldcreststair.components.forwarding.protocols import Responder
-from goldcreststair.components.forwarding.refusals import log_refusal, make_retryable_refusal
+from goldcreststair.components.forwarding.refusals import log_refusal
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingContext
 from goldcreststair.components.forwarding.returning import ReturnLimit
 from goldcreststair.components.forwarding.silence_detector import SilenceMonitor
@@ -37,13 +37,17 @@
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.fingerprints import make_call_fingerprint
-from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.refusals import (
+    STATUS_UNAVAILABLE,
+    Refusal,
+    RefusalCode,
+    make_retryable_refusal,
+)
 from goldcreststair.helpers.retry_budget import RetryBudget
 
 _LOGGER = logging.getLogger(__name__)
 
 STATUS_TOO_MANY = 429
-STATUS_UNAVAILABLE = 503
 STATUS_FAILED = 500
 
 
--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -36,12 +36,11 @@
 from goldcreststair.components.waiting.service_queue import ServiceQueue
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.refusals import Refusal, RefusalCode, make_retryable_refusal
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, WaitingRequests
 
 _LOGGER = logging.getLogger(__name__)
 
-STATUS_UNAVAILABLE = 503
 DEFAULT_WEIGHT = 1.0
 """Weight of customers without a rate."""
 
@@ -117,7 +116,7 @@
         if retry_ms is None:
             return Ok(placement)
         message = f"first event expected after {placement.expected_ms:.0f} ms"
-        return Err(_make_refusal(message, RefusalCode.OVERLOADED, retry_ms))
+        return Err(make_retryable_refusal(message, RefusalCode.OVERLOADED, retry_ms))
 
     def _decide_at_once(
         self,
@@ -212,11 +211,11 @@
         retry_ms = choose_retry_ms(wait_ms, left_ms, self._core.random)
         first_ms = wait_ms + capacity.first_ms
         cause = cause or f"{ahead} requests wait, first event expected after {first_ms:.0f} ms"
-        return _make_refusal(f"{cause}: {reason}", RefusalCode.OVERLOADED, retry_ms)
+        return make_retryable_refusal(f"{cause}: {reason}", RefusalCode.OVERLOADED, retry_ms)
 
     def _refuse_all(self) -> None:
         message = "this VM shuts down"
-        refusal = _make_refusal(message, RefusalCode.NOT_READY, LEAVING_RETRY_MS)
+        refusal = make_retryable_refusal(message, RefusalCode.NOT_READY, LEAVING_RETRY_MS)
         for queue in self._queues.values():
             for waiter in queue.waiters.values():
                 waiter.refuse(refusal)
@@ -319,7 +318,3 @@
 def _is_return(time: TimeBudget) -> bool:
     """Return whether a caller was refused before and returned."""
     return time.left_ms < time.timeout_ms * FIRST_ATTEMPT_SHARE
-
-
-def _make_refusal(message: str, code: RefusalCode, retry_ms: int) -> Refusal:
-    return Refusal(message, code, STATUS_UNAVAILABLE, True, retry_ms)
--- a/goldcreststair/helpers/refusals.py
+++ b/goldcreststair/helpers/refusals.py
@@ -2,9 +2,12 @@
 
 from dataclasses import dataclass, replace
 from enum import StrEnum
+from typing import Final
 
 from goldcreststair.errors import GoldcreststairError
 
+STATUS_UNAVAILABLE: Final = 503
+
 
 class RefusalCode(StrEnum):
     """Reason of a refusal; the values are part of the callers' interface."""
@@ -42,6 +45,11 @@
     """The upstream's own error response, passed on unchanged."""
 
 
+def make_retryable_refusal(message: str, code: RefusalCode, retry_ms: int) -> Refusal:
+    """Return a refusal of a request that has not run and may be sent again after `retry_ms`."""
+    return Refusal(message, code, STATUS_UNAVAILABLE, True, retry_ms)
+
+
 def clear_not_run(refusal: Refusal) -> Refusal:
     """Return the refusal without "not run", for a request refused before its claim was read.
 
