--- a/goldcreststair/components/outliers/service.py
+++ b/goldcreststair/components/outliers/service.py
@@ -45,7 +45,7 @@
         self._task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
-        """Subscribe to upstreams and fleet, and start the checks."""
+        """Subscribe to upstreams and fleet."""
         board = self._core.blackboard
         self._unsubscribe = [
             board.subscribe(LIVE_UPSTREAMS, self._on_upstreams),
@@ -53,7 +53,6 @@
         ]
         self._on_upstreams(board.read(LIVE_UPSTREAMS))
         self._on_fleet(board.read(FLEET))
-        self._task = asyncio.create_task(self._async_tick())
 
     async def async_close(self) -> None:
         """Unsubscribe and stop the checks."""
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -105,8 +105,12 @@
 
     def can_place(self, query: PlacementQuery) -> bool:
         """Return whether `choose` would find an upstream now."""
+        return bool(self.upstreams.prefer_warm(self.list_allowed(query)))
+
+    def list_allowed(self, query: PlacementQuery) -> list[UpstreamState]:
+        """Return the upstreams that are neither down, full nor excluded as outliers; some may be cold."""
         available = self.upstreams.list_available(self.upstreams.list_candidates(query))
-        return bool(self.upstreams.prefer_warm(self._exclude_outliers(query, available)))
+        return self._exclude_outliers(query, available)
 
     def _exclude_outliers(
         self, query: PlacementQuery, states: list[UpstreamState]
@@ -189,6 +193,10 @@
         run = known.run_ms + SMOOTHING * (run_ms - known.run_ms)
         self._run_times[service] = RunTimes(run, first)
 
+    def read_factors(self, service: str) -> Mapping[str, float]:
+        """Return the factors of the upstreams of a service whose pace is not the usual one."""
+        return self._pace.read_factors(service)
+
     def read_run_times(self, service: str) -> RunTimes:
         """Return the average times of the runs of a service."""
         return self._run_times.get(service, RunTimes(DEFAULT_RUN_MS, DEFAULT_FIRST_MS))
--- a/goldcreststair/components/waiting/room.py
+++ b/goldcreststair/components/waiting/room.py
@@ -10,7 +10,7 @@
 from goldcreststair.components.placement.const import DEFAULT_SLOTS
 from goldcreststair.components.placement.controller import PlacementController
 from goldcreststair.components.placement.models import Placement, PlacementQuery, RunTimes
-from goldcreststair.components.placement.spreading import choose_weighted
+from goldcreststair.components.placement.spreading import choose_weighted, compute_pace_divisor
 from goldcreststair.components.placement.upstream_table import UpstreamState
 from goldcreststair.components.waiting.const import EVEN_MIN_LEFT, EVEN_SLACK
 from goldcreststair.components.waiting.models import Capacity
@@ -47,9 +47,14 @@
         state = self._table.find_state(placement.upstream.name)
         return state is not None and self._table.has_free_slot(state)
 
+    def find_service(self, upstream: str) -> str | None:
+        """Return the service of an upstream, or None if it is gone."""
+        state = self._table.find_state(upstream)
+        return None if state is None else state.entry.service
+
     def read_capacity(self, service: str) -> Capacity:
         """Return the capacity of a service."""
-        states = self._table.list_available(self._table.list_by_service(service))
+        states = self._placement.list_allowed(PlacementQuery(service, may_try=False))
         slots = sum(self._table.count_slots(state) for state in states)
         times = self._placement.read_run_times(service)
         per_upstream = slots / len(states) if states else DEFAULT_SLOTS
@@ -85,19 +90,23 @@
             ]
         )
 
-    def choose_evenly(self, survey: Survey, rng: random.Random) -> Placement | None:
-        """Return a placement chosen at random, by the squares of the places left at the upstreams."""
+    def choose_evenly(self, service: str, survey: Survey, rng: random.Random) -> Placement | None:
+        """Return a placement chosen at random, by the squares of the places left and the pace."""
         if not survey.usages:
             return None
+        factors = self._placement.read_factors(service)
         weighted = [
-            (name, max(EVEN_MIN_LEFT, slots + EVEN_SLACK - online) ** 2)
+            (
+                name,
+                max(EVEN_MIN_LEFT, slots + EVEN_SLACK - online) ** 2
+                / compute_pace_divisor(factors.get(name, 1.0)),
+            )
             for name, slots, online in survey.usages
         ]
         return self._placement.place_at(choose_weighted(weighted, rng))
 
     def _list_available(self, query: PlacementQuery) -> list[UpstreamState]:
-        table = self._table
-        return table.prefer_warm(table.list_available(table.list_candidates(query)))
+        return self._table.prefer_warm(self._placement.list_allowed(query))
 
     def _list_room(
         self, query: PlacementQuery, left_ms: float, queued: int
--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -36,12 +36,11 @@
 from goldcreststair.components.waiting.service_queue import ServiceQueue
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.helpers.refusals import Refusal, RefusalCode
+from goldcreststair.helpers.refusals import Refusal, RefusalCode, make_retryable_refusal
 from goldcreststair.wire.generated.gateway.ttypes import Beacon, WaitingRequests
 
 _LOGGER = logging.getLogger(__name__)
 
-STATUS_UNAVAILABLE = 503
 DEFAULT_WEIGHT = 1.0
 """Weight of customers without a rate."""
 
@@ -117,7 +116,7 @@
         if retry_ms is None:
             return Ok(placement)
         message = f"first event expected after {placement.expected_ms:.0f} ms"
-        return Err(_make_refusal(message, RefusalCode.OVERLOADED, retry_ms))
+        return Err(make_retryable_refusal(message, RefusalCode.OVERLOADED, retry_ms))
 
     def _decide_at_once(
         self,
@@ -157,12 +156,14 @@
         survey = self._room.survey(waiting.query)
         if survey.fill >= EVEN_FILL:
             queue.queue.shares.note_contention()
-            placement = self._room.choose_evenly(survey, self._core.random) or placement
+            spread = self._room.choose_evenly(request.service, survey, self._core.random)
+            placement = spread or placement
         time = self._make_budget(request)
         is_servable = _is_return(time) and placement.expected_ms <= time.left_ms
         if is_servable or survey.fill < queue.queue.read_fill_limit(waiting):
             return Ok(placement)
-        return Err(self._refuse(queue, request, RefusalReason.LATE))
+        cause = f"{survey.fill:.2f} of the slots in use"
+        return Err(self._refuse(queue, request, RefusalReason.LATE, cause))
 
     async def _async_wait(
         self, queue: ServiceQueue, request: AdmittedRequest, waiting: WaitingRequest
@@ -195,20 +196,26 @@
             self._timer = self._clock.call_later(CHECK_MS, self._on_timer)
 
     def _refuse(
-        self, queue: ServiceQueue, request: AdmittedRequest, reason: RefusalReason
+        self,
+        queue: ServiceQueue,
+        request: AdmittedRequest,
+        reason: RefusalReason,
+        cause: str = "",
     ) -> Refusal:
+        """Return a refusal; its message names the cause, by default the expected wait."""
         self._core.meters.count_queue_refusal(reason.value)
         capacity = self._room.read_capacity(queue.name)
         ahead = len(queue.queue) + queue.count_others(MAX_LEVEL)
         wait_ms = capacity.queued_ms + (ahead + 1) * capacity.slot_interval_ms
         left_ms = self._make_budget(request).left_ms
         retry_ms = choose_retry_ms(wait_ms, left_ms, self._core.random)
-        message = f"{ahead} requests wait, first event expected after {wait_ms:.0f} ms: {reason}"
-        return _make_refusal(message, RefusalCode.OVERLOADED, retry_ms)
+        first_ms = wait_ms + capacity.first_ms
+        cause = cause or f"{ahead} requests wait, first event expected after {first_ms:.0f} ms"
+        return make_retryable_refusal(f"{cause}: {reason}", RefusalCode.OVERLOADED, retry_ms)
 
     def _refuse_all(self) -> None:
         message = "this VM shuts down"
-        refusal = _make_refusal(message, RefusalCode.NOT_READY, LEAVING_RETRY_MS)
+        refusal = make_retryable_refusal(message, RefusalCode.NOT_READY, LEAVING_RETRY_MS)
         for queue in self._queues.values():
             for waiter in queue.waiters.values():
                 waiter.refuse(refusal)
@@ -233,6 +240,7 @@
                 request.service,
                 affinity=request.affinity,
                 regions=find_request_regions(route, customer),
+                may_try=route.repeatable and route.max_attempts > 1,
             ),
             rank=_find_rank(request),
             customer=name,
@@ -267,10 +275,12 @@
         """Return the number of other daemons that this one reaches."""
         return max(0, self._core.blackboard.read(FLEET).reachable - 1)
 
-    def _on_run_end(self) -> None:
+    def _on_run_end(self, upstream: str) -> None:
+        service = self._room.find_service(upstream)
         for queue in self._list_occupied():
-            queue.allot_ended_run()
-            queue.advance()
+            if queue.name == service:
+                queue.allot_ended_run()
+                queue.advance()
 
     def _on_timer(self) -> None:
         self._timer = None
@@ -308,7 +318,3 @@
 def _is_return(time: TimeBudget) -> bool:
     """Return whether a caller was refused before and returned."""
     return time.left_ms < time.timeout_ms * FIRST_ATTEMPT_SHARE
-
-
-def _make_refusal(message: str, code: RefusalCode, retry_ms: int) -> Refusal:
-    return Refusal(message, code, STATUS_UNAVAILABLE, True, retry_ms)
--- a/goldcreststair/features.py
+++ b/goldcreststair/features.py
@@ -12,8 +12,6 @@
     """Requests wait for a slot in a queue ordered by priority and customer."""
     OUTLIER_EJECTION = "outlier-ejection"
     """Upstreams that fail more often than their peers get no requests for a while."""
-    TOKEN_BUDGET = "token-budget"
-    """Placement keeps the tokens at an upstream within its memory."""
     BUFFER_LIMITS = "buffer-limits"
     """Bytes held for slow readers are limited."""
     FLEET_RETURN = "fleet-return"
--- a/tests/components/waiting/test_service.py
+++ b/tests/components/waiting/test_service.py
@@ -9,6 +9,7 @@
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.forwarding.protocols import FORWARDING
+from goldcreststair.components.placement.loads import Runs
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.waiting.const import CHECK_MS, COUNT_VALID_MS, MAX_LEVEL
 from goldcreststair.components.waiting.other_daemons import OtherDaemons
@@ -18,6 +19,7 @@
 from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import FakeResponder, FleetMember, GatewayFleet
 from standins.virtual_time import ManualClock
+from tests.components.placement.test_outliers import FixedOutliers
 from tests.helpers.gateways import async_send, run_fleet
 
 CUSTOMERS = ({"name": "club", "priority": 1}, {"name": "urgent", "priority": 0})
@@ -128,6 +130,45 @@
     run_waiting_fleet(scenario)
 
 
+def test_request_that_runs_only_once_is_no_trial_request() -> None:
+    """Guards against a request that fails for good at an upstream that was ejected a moment ago."""
+
+    async def scenario(fleet: GatewayFleet, members: list[FleetMember]) -> None:
+        member = members[0]
+        good, half_open = fleet.engines.by_address.values()
+        controller = member.core.get(PLACEMENT).controller
+        controller._outliers = FixedOutliers(trial=frozenset((half_open.name,)))
+        controller.begin(good.name, Runs(online=9))
+        refused = await async_send(fleet, member, "/once/x")
+        assert refused.refusal is not None and refused.refusal.not_run
+        assert (await async_send(fleet, member, "/stream/x")).whole
+
+    run_waiting_fleet(scenario)
+
+
+@pytest.mark.parametrize(
+    ("is_view_old", "reason"),
+    [
+        (True, "1.25 of the slots in use: late"),
+        (False, "0 requests wait, first event expected after 210 ms: late"),
+    ],
+)
+def test_refusal_names_what_it_was_decided_by(is_view_old: bool, reason: str) -> None:
+    """A refusal for lack of slots named an expected wait that was well within the objective."""
+
+    async def scenario(fleet: GatewayFleet, members: list[FleetMember]) -> None:
+        controller = members[0].core.get(PLACEMENT).controller
+        for engine in fleet.engines.by_address.values():
+            controller.begin(engine.name, Runs(online=10))
+        controller.runs.digest_sequence = 1 if is_view_old else None
+        deadline_ms = 5_000 if is_view_old else 150
+        refused = await async_send(fleet, members[0], "/stream/x", deadline_ms=deadline_ms)
+        assert refused.refusal is not None and refused.refusal.not_run
+        assert refused.refusal.message == reason
+
+    run_waiting_fleet(scenario)
+
+
 def test_caller_that_disconnects_leaves_the_queue_at_once() -> None:
     """Guards against slots that are given to callers that are gone."""
 
@@ -160,6 +201,28 @@
     run_waiting_fleet(scenario)
 
 
+@pytest.mark.parametrize(
+    ("upstream", "runs", "starts"),
+    [("", Runs(online=1), 1), ("", Runs(batch=1), 0), ("of another service", Runs(online=1), 0)],
+)
+def test_only_online_runs_of_the_service_free_a_slot(
+    upstream: str, runs: Runs, starts: int
+) -> None:
+    """A daemon took more than its share of the free slots as its batch runs were preempted."""
+
+    async def scenario(fleet: GatewayFleet, members: list[FleetMember]) -> None:
+        await async_fill(fleet, members[0])
+        queue = read_waiting(members[0])._queues["engine"]
+        name = upstream or next(iter(fleet.engines.by_address.values())).name
+        placement = members[0].core.get(PLACEMENT)
+        placement.controller.begin(name, runs)
+        queue._starts = 0
+        placement.end(name, runs)
+        assert queue._starts == starts
+
+    run_waiting_fleet(scenario)
+
+
 @pytest.mark.parametrize("cause", ["key", "leave", "close"])
 def test_withdrawn_key_and_shutdown_refuse_what_waits_as_not_run(cause: str) -> None:
     """Guards against requests that run under a withdrawn key, or are cut without an answer."""
