--- a/goldcreststair/components/outliers/service.py
+++ b/goldcreststair/components/outliers/service.py
@@ -42,7 +42,9 @@
         self._links.subscribe_beacons(self._on_beacon, self.controller.peers.forget)
         core.on_process_resumed.append(lambda _: self.controller.reset_own())
         self._unsubscribe: list[Callable[[], None]] = []
+        self._started = False
         self._task: asyncio.Task[None] | None = None
+        """The periodic checks; None until the feature is active for a service."""
 
     async def async_start(self) -> None:
         """Subscribe to upstreams and fleet."""
@@ -53,12 +55,15 @@
         ]
         self._on_upstreams(board.read(LIVE_UPSTREAMS))
         self._on_fleet(board.read(FLEET))
+        self._started = True
+        self._start_checks()
 
     async def async_close(self) -> None:
         """Unsubscribe and stop the checks."""
         for unsubscribe in self._unsubscribe:
             unsubscribe()
         self._unsubscribe.clear()
+        self._started = False
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -101,6 +106,7 @@
     ) -> None:
         """Record the end of a run; `began_at` is None for a batch run."""
         if self.is_active(entry.service):
+            self._start_checks()
             self.controller.record_outcome(entry, outcome, first_ms, began_at)
             self._report_changes()
 
@@ -127,13 +133,20 @@
             each.upstream: Outcomes(each.succeeded, each.failed) for each in beacon.outcomes or ()
         }
         self.controller.peers.apply(session, reported)
+        if reported:
+            self._start_checks()
+
+    def _start_checks(self) -> None:
+        # Daemons of deployments without the feature have no additional timer.
+        active = self._features.is_active_anywhere(Feature.OUTLIER_EJECTION)
+        if self._task is None and self._started and active:
+            self._task = asyncio.create_task(self._async_tick())
 
     async def _async_tick(self) -> None:
         while True:
             await self._core.clock.async_sleep(TICK_MS)
-            if self._features.is_active_anywhere(Feature.OUTLIER_EJECTION):
-                self.controller.advance()
-                self._report_changes()
+            self.controller.advance()
+            self._report_changes()
 
     def _report_changes(self) -> None:
         for change in self.controller.take_changes():
