Derive a request's placement query and a caller's return in one place

Cause: forwarding and the waiting queue each built the placement query of a request, and a difference between them had sent requests that run only once as trial requests; the rule for callers that were refused and have returned stood twice. Change: `placement/queries.make_query` and `TimeBudget.is_return` serve both. No decision changes and no test is touched.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -9,7 +9,6 @@
 from result import Err, Ok, Result
 
 from goldcreststair.components.catalogue.models import CallKind
-from goldcreststair.components.catalogue.regions import find_request_regions
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.forwarding.const import (
@@ -35,6 +34,7 @@
     UpstreamProbes,
 )
 from goldcreststair.components.placement.models import Placement, PlacementQuery
+from goldcreststair.components.placement.queries import make_query
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
@@ -174,17 +174,7 @@
         return bool(self._progress.excluded) and self._remaining_ms() < MIN_REMAINING_MS
 
     def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
-        admitted = self._admitted
-        regions = find_request_regions(admitted.route, admitted.customer)
-        progress, route = self._progress, admitted.route
-        return PlacementQuery(
-            admitted.service,
-            frozenset(excluded),
-            admitted.affinity,
-            regions,
-            is_retry=progress.may_have_run,
-            may_try=route.repeatable and progress.attempts + 1 < route.max_attempts,
-        )
+        return make_query(self._admitted, excluded, self._progress.attempts)
 
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
         entry = placement.upstream
--- a/goldcreststair/components/placement/admission.py
+++ b/goldcreststair/components/placement/admission.py
@@ -37,13 +37,18 @@
     left_ms: int
     """Time left until that timeout."""
 
+    @property
+    def is_return(self) -> bool:
+        """Whether the caller was refused before and has returned."""
+        return self.left_ms < self.timeout_ms * FIRST_ATTEMPT_SHARE
+
 
 def decide_retry_after(placement: Placement, time: TimeBudget, rng: random.Random) -> int | None:
     """Return the ms after which the caller should retry, or None to place its request now."""
     if placement.wait_ms <= 0 or placement.expected_ms <= time.objective_ms * LATE_OBJECTIVE_SHARE:
         return None
     # After a second refusal the request would time out; a late answer is better than none.
-    if time.left_ms < time.timeout_ms * FIRST_ATTEMPT_SHARE:
+    if time.is_return:
         return None
     return choose_retry_ms(placement.wait_ms, time.left_ms, rng)
 
--- a/goldcreststair/components/waiting/service.py
+++ b/goldcreststair/components/waiting/service.py
@@ -8,17 +8,16 @@
 
 from goldcreststair.clock import Millis, TimerHandle
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
-from goldcreststair.components.catalogue.regions import find_request_regions
 from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.fleet.models import FLEET, OWN_STATE, OwnState, VmState
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
 from goldcreststair.components.placement.admission import (
-    FIRST_ATTEMPT_SHARE,
     TimeBudget,
     choose_retry_ms,
     decide_retry_after,
 )
-from goldcreststair.components.placement.models import Placement, PlacementQuery
+from goldcreststair.components.placement.models import Placement
+from goldcreststair.components.placement.queries import make_query
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.requests.admission import identify_customer
 from goldcreststair.components.requests.models import AdmittedRequest
@@ -130,7 +129,7 @@
             return Ok(placement)
         queue.queue.shares.note_contention()
         time = self._make_budget(request)
-        if _is_return(time):
+        if time.is_return:
             # After a second refusal the request would time out; a late answer is better than none.
             if placement.expected_ms <= time.left_ms:
                 return Ok(placement)
@@ -159,7 +158,7 @@
             spread = self._room.choose_evenly(request.service, survey, self._core.random)
             placement = spread or placement
         time = self._make_budget(request)
-        is_servable = _is_return(time) and placement.expected_ms <= time.left_ms
+        is_servable = time.is_return and placement.expected_ms <= time.left_ms
         if is_servable or survey.fill < queue.queue.read_fill_limit(waiting):
             return Ok(placement)
         cause = f"{survey.fill:.2f} of the slots in use"
@@ -231,17 +230,12 @@
         customer, route = request.customer, request.route
         name, weight = (customer.name, customer.rate_per_s) if customer else ("", 0.0)
         # Callers that return were counted when they came first.
-        is_return = _is_return(self._make_budget(request))
+        is_return = self._make_budget(request).is_return
         shares = queue.queue.shares
         start = 0.0 if is_return else shares.record_arrival(name, weight or DEFAULT_WEIGHT)
         return WaitingRequest(
             number=next(self._numbers),
-            query=PlacementQuery(
-                request.service,
-                affinity=request.affinity,
-                regions=find_request_regions(route, customer),
-                may_try=route.repeatable and route.max_attempts > 1,
-            ),
+            query=make_query(request),
             rank=_find_rank(request),
             customer=name,
             weight=weight or DEFAULT_WEIGHT,
@@ -313,8 +307,3 @@
     if customer is not None and customer.priority is not None:
         return customer.priority
     return request.route.priority
-
-
-def _is_return(time: TimeBudget) -> bool:
-    """Return whether a caller was refused before and returned."""
-    return time.left_ms < time.timeout_ms * FIRST_ATTEMPT_SHARE
