Log and count the software version of placements and resumptions

An upstream's entry is now read with the version of its software (an entry without one names no upstream), a placement is logged with it and with the attempt that began the stream, the line `Stream resumed` says who resumed it and where it began, and `resumptions_total` counts them. No decision uses it yet. Tests: test_reports.py, test_documents.py.

--- a/goldcreststair/components/discovery/models.py
+++ b/goldcreststair/components/discovery/models.py
@@ -25,6 +25,8 @@
     """Unix time of its start in ms; distinguishes restarts under the same name."""
     cold_ms: int | None = 0
     """For how much longer it is cold, counted from the write of the entry; None if unreadable."""
+    software_version: str = ""
+    """Version of its software, not of its models. The answers of two versions cannot be joined."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -98,8 +98,11 @@
         if not before.known:
             # One line for all upstreams: a line each, on hundreds of daemons that start together,
             # would flood the logs.
-            slots = {n: entry.slots for n, entry in after.by_name.items() if not entry.draining}
-            _LOGGER.info("Upstreams known", extra={"slots_by_upstream": slots})
+            serving = {n: entry for n, entry in after.by_name.items() if not entry.draining}
+            slots = {name: entry.slots for name, entry in serving.items()}
+            versions = {name: entry.software_version for name, entry in serving.items()}
+            extra = {"slots_by_upstream": slots, "software_by_upstream": versions}
+            _LOGGER.info("Upstreams known", extra=extra)
         else:
             for name in after.by_name.keys() | before.by_name.keys():
                 _log_change(before, after, name)
@@ -121,5 +124,6 @@
         "draining": new.draining,
         "lapsed": name in after.expired,
         "cold_ms": new.cold_ms,
+        "software": new.software_version,
     }
     _LOGGER.info("Upstream changed", extra=extra)
--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -20,8 +20,12 @@
         last_event: int,
         on_head: Callable[[RunHead], None],
         on_data: Callable[[], None],
+        on_begin: Callable[[], None],
     ) -> None:
-        """Continue after event `last_event`; the callbacks report what the upstream sent."""
+        """Continue after event `last_event`; the callbacks report what the upstream sent.
+
+        `on_begin` is called before the caller gets the head of the stream.
+        """
         self.wants_chunks = True
         self.last_event = last_event
         self.first_event_at: Millis | None = None
@@ -43,6 +47,7 @@
         self._clock = clock
         self._on_head = on_head
         self._on_data = on_data
+        self._on_begin = on_begin
         self._splitter = EventSplitter()
         self._head: RunHead | None = None
         self._gap = False
@@ -108,6 +113,7 @@
         """Send the head to the caller, once."""
         if not self.has_begun and self._head is not None:
             self.has_begun = True
+            self._on_begin()
             self._responder.begin(self._head)
 
     def _accept_event(self, number: int) -> bool:
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -10,6 +10,7 @@
 
 from goldcreststair.components.catalogue.models import CallKind
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
+from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.forwarding.const import (
     CONNECT_CHECK_TIMEOUT_MS,
@@ -88,8 +89,17 @@
         """Name of the upstream of the current run."""
         self._failure: UpstreamError | None = None
         """Error of the last failed run."""
+        self._software: str | None = None
+        """Software version of the upstream that began the stream; None if it is not known."""
+        self._entry: UpstreamEntry | None = None
+        """The upstream of the current run."""
         self._relay = StreamRelay(
-            responder, core.clock, self._progress.last_event, self._on_head, self._on_data
+            responder,
+            core.clock,
+            self._progress.last_event,
+            self._on_head,
+            self._on_data,
+            self._on_begin,
         )
         self._relay.wants_chunks = admitted.route.kind is CallKind.STREAMING
 
@@ -179,12 +189,16 @@
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
         entry = placement.upstream
         call = self._make_call(entry.name)
-        self._upstream = entry.name
+        self._upstream, self._entry = entry.name, entry
+        if self._relay.last_event:
+            self._record_resumption(entry)
         self._core.meters.observe_expected(placement.expected_ms)
         self._log(
             "Request placed",
             "least expected wait",
             customer=call.customer,
+            software=entry.software_version,
+            begun_as=self._request.begun_as or None,
             runs_there=placement.runs_there,
             wait_ms=round(placement.wait_ms),
             expected_ms=round(placement.expected_ms),
@@ -332,6 +346,20 @@
     def _on_data(self) -> None:
         self._placement.controller.upstreams.record_progress(self._upstream)
 
+    def _on_begin(self) -> None:
+        if not self._request.resume_after and self._entry is not None:
+            self._software = self._entry.software_version
+
+    def _record_resumption(self, entry: UpstreamEntry) -> None:
+        """Count and log a run that continues a stream."""
+        resumed_by = "daemon" if self._relay.has_begun else "caller"
+        software = "unknown"
+        if self._software is not None:
+            software = "same" if self._software == entry.software_version else "other"
+        self._core.meters.count_resumption(resumed_by, software)
+        extra = {"resumed_by": resumed_by, "begun_at_software": self._software}
+        self._log("Stream resumed", f"its software is {software}", **extra)
+
     def _log(self, event: str, reason: str, **details: object) -> None:
         _LOGGER.info(
             event,
--- a/goldcreststair/components/requests/models.py
+++ b/goldcreststair/components/requests/models.py
@@ -28,6 +28,9 @@
     arrived_at: Millis
     resume_after: int = 0
     """Number of the last event that the caller received; 0 runs from the start."""
+    begun_as: str = ""
+    """Request id of the caller's attempt that brought the first event, where `resume_after` is not 0;
+    empty if the caller does not name it."""
     prompt_parts: tuple[str, ...] = ()
     """Names of the prompt's parts in order; the last part belongs to this request alone."""
 
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -70,6 +70,10 @@
         self._counters = {
             "requests": _Counter("Requests by route kind and outcome.", ("kind", "outcome")),
             "retries": _Counter("Runs that another one followed, by failure.", ("failure",)),
+            "resumptions": _Counter(
+                "Runs that continue a stream, by who resumed it and by the software of its upstream.",
+                ("resumed_by", "software"),
+            ),
             "given_up": _Counter("Requests whose last run failed, by failure.", ("failure",)),
             "ejections": _Counter("Ejections of upstreams by this daemon.", ("reason",)),
             "batch_items": _Counter("Batch items by what became of a run.", ("outcome",)),
@@ -131,6 +135,11 @@
         self._counters["retries"].values[(failure,)] += 1
         self._statistics.count(f"retries.{failure}")
 
+    def count_resumption(self, resumed_by: str, software: str) -> None:
+        """Count a run that continues a stream: by this daemon or by its caller, at which software."""
+        self._counters["resumptions"].values[resumed_by, software] += 1
+        self._statistics.count(f"resumptions.{resumed_by}.{software}")
+
     def count_given_up(self, failure: str) -> None:
         """Count a request whose last run failed."""
         self._counters["given_up"].values[(failure,)] += 1
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -282,6 +282,7 @@
             "draining": draining,
             "started_ms": 1 + engine.restarts,
             "cold_ms": max(0, engine.cold_until - self.clock.now()),
+            "software_version": engine.software,
         }
         self.store.put(RowKey(TABLE_ENGINES, "", engine.name), orjson.dumps(entry))
 
@@ -379,9 +380,14 @@
         self.members.clear()
 
     def make_request(
-        self, path: str, body: bytes = b"", deadline_ms: int = 5_000, request_id: str = ""
+        self,
+        path: str,
+        body: bytes = b"",
+        deadline_ms: int = 5_000,
+        request_id: str = "",
+        resumed: tuple[str, int] = ("", 0),
     ) -> CallerRequest:
-        """Return a caller's request."""
+        """Return a caller's request; `resumed` names the attempt that began the stream and its last event."""
         self._requests += 1
         return CallerRequest(
             request_id=request_id or f"r{self._requests}",
@@ -394,6 +400,8 @@
             key="key-club",
             deadline_ms=deadline_ms,
             arrived_at=self.clock.now(),
+            begun_as=resumed[0],
+            resume_after=resumed[1],
         )
 
 
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -29,6 +29,8 @@
     first_ms: int = 40
     event_ms: int = 30
     queue: int = 24
+    software: str = ""
+    """Version of its software, which marks the events that it sends; empty for no mark."""
     up: bool = True
     restarts: int = 0
     silent: bool = False
@@ -195,7 +197,8 @@
                 return Err(lost)
             if call.request_id in self.events_by_request:
                 self.made[call.request_id] += 1
-            taken: Awaitable[None] | None = sink.on_data(make_event(call.request_id, number))
+            event = make_event(call.request_id, number, engine.software)
+            taken: Awaitable[None] | None = sink.on_data(event)
             if taken is not None:
                 await taken
             await self.clock.async_sleep(engine.scale(engine.event_ms))
@@ -209,9 +212,19 @@
         return None
 
 
-def make_event(request_id: str, number: int) -> bytes:
-    """Return event `number` of a request's answer, the same for every engine."""
-    return f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+def make_event(request_id: str, number: int, software: str = "") -> bytes:
+    """Return event `number` of a request's answer, the same for every engine of one software version."""
+    mark = f"@{software}" if software else ""
+    return f"id: {number}\ndata: {request_id}.{number}{mark}\n\n".encode()
+
+
+def read_software(text: bytes) -> set[str]:
+    """Return the software versions that marked the events of a stream or of an item's text.
+
+    >>> sorted(read_software(make_event("r", 1, "v1") + make_event("r", 2, "v1.1")))
+    ['v1', 'v1.1']
+    """
+    return {line.partition("@")[2] for line in text.decode().splitlines() if "@" in line}
 
 
 def make_stream(request_id: str, events: int) -> bytes:
--- a/tests/components/forwarding/test_reports.py
+++ b/tests/components/forwarding/test_reports.py
@@ -25,6 +25,22 @@
     run_fleet(scenario)
 
 
+def test_resumption_is_counted_by_its_software() -> None:
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(500)
+        sending = asyncio.create_task(async_send(fleet, member, "/stream/a"))
+        await fleet.clock.async_sleep(200)
+        next(engine for engine in engines if engine.running).up = False
+        assert (await sending).whole
+        page = member.core.meters.render().decode()
+        sample = 'goldcreststair_resumptions_total{resumed_by="daemon",software="same"} 1.0'
+        assert sample in page
+
+    run_fleet(scenario)
+
+
 def test_log_gives_the_measured_silence(caplog: pytest.LogCaptureFixture) -> None:
     async def scenario(fleet: GatewayFleet) -> None:
         engines = fleet.add_engines(2)
--- a/tests/helpers/gateways.py
+++ b/tests/helpers/gateways.py
@@ -41,10 +41,11 @@
     *,
     request_id: str = "",
     deadline_ms: int = 5_000,
+    resumed: tuple[str, int] = ("", 0),
 ) -> FakeResponder:
     """Send a request and return its caller's record of the response."""
     responder = FakeResponder(fleet.clock)
-    request = fleet.make_request(path, body, deadline_ms, request_id)
+    request = fleet.make_request(path, body, deadline_ms, request_id, resumed)
     await member.core.get(FORWARDING).async_forward(request, responder)
     return responder
 
--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -247,6 +247,7 @@
         "service": "engine",
         "address": engine.address,
         "zone": zone,
+        "version": "v1",
         "slots": 8,
         "cold_left_ms": 0,
         "state": state,
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -140,6 +140,7 @@
     assert (entry.name, entry.service, entry.address) == ("i-1", "x", "10.1.0.9:8080")
     assert (entry.data_centre, entry.slots, entry.draining) == ("stred-a", 8, draining)
     assert entry.started_ms == 1771709276618
+    assert entry.software_version == "v1"
 
 
 @pytest.mark.parametrize(
@@ -150,6 +151,8 @@
         (ENTRY | {"address": "10.1.0.9"}, "address"),
         (ENTRY | {"address": 7}, "address"),
         ({key: value for key, value in ENTRY.items() if key != "zone"}, "zone"),
+        ({key: value for key, value in ENTRY.items() if key != "version"}, "version"),
+        (ENTRY | {"version": 2}, "version"),
         ([], "state"),
     ],
 )
@@ -184,6 +187,7 @@
         "service": "x",
         "address": "10.0.0.1:80",
         "zone": "z",
+        "version": "v1",
         "slots": 8,
         "state": "ready",
         "cold_left_ms": 0,
