Continue a stream only at upstreams of the software version that began it

Cause: an upstream's entry names the version of its software, and nothing read it: the next run of a begun stream was placed by service alone. Now the version is recorded with the first event, and every further run of that answer (after a loss, a refusal, for silence, back at an upstream that was left, from the waiting loop) asks for this version. A silent run is left only if another upstream of its version has room; where none is left, the answer is cut at once instead of waiting until its deadline.

An upstream may restart under its name with other software, and no entry can be updated while the store is away. While the list of upstreams is old (3 s without an answer of the feed), one that was down, lost runs or was suspected since the last answer counts as of unknown software: new streams may begin there, but do not go on anywhere.

Ruled out: asking the upstream; its answers and reports name no software version.

--- a/goldcreststair/components/discovery/const.py
+++ b/goldcreststair/components/discovery/const.py
@@ -9,3 +9,6 @@
 """How long a new upstream counts as cold if its entry does not say whether it is."""
 OUTAGE_MEMORY_MS: Final = 1_000
 """An entry that is removed this soon after a store outage may have expired during the outage."""
+LIST_CURRENT_MS: Final = 3_000
+"""The list is current for this long after the store confirmed it; the feed does so every 2.5 s where
+nothing changes."""
--- a/goldcreststair/components/discovery/protocols.py
+++ b/goldcreststair/components/discovery/protocols.py
@@ -1,11 +1,13 @@
-"""Interface of the adapter that decodes upstream entries."""
+"""Interfaces of discovery: the adapter that decodes upstream entries, and the age of the list."""
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Final, Protocol
 
 from result import Result
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.discovery.models import UpstreamEntry
+from goldcreststair.core import ComponentKey
 from goldcreststair.errors import GoldcreststairError
 
 
@@ -23,3 +25,27 @@
 
     def decode(self, name: str, value: bytes) -> Result[UpstreamEntry, EntryUnreadable]:
         """Return the upstream's entry."""
+
+
+class UpstreamList(Protocol):
+    """How old the list of upstreams may be."""
+
+    def read_confirmed_at(self) -> Millis:
+        """Return when the store last confirmed that the list is complete."""
+
+    def is_current(self) -> bool:
+        """Return whether the store confirmed the list a moment ago."""
+
+
+class _AlwaysCurrent:
+    """A list that cannot be old."""
+
+    def read_confirmed_at(self) -> Millis:
+        return Millis(0)
+
+    def is_current(self) -> bool:
+        return True
+
+
+ALWAYS_CURRENT: Final[UpstreamList] = _AlwaysCurrent()
+UPSTREAM_LIST: Final = ComponentKey[UpstreamList]("upstream_list")
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -7,6 +7,8 @@
 
 from result import Err
 
+from goldcreststair.clock import Millis
+from goldcreststair.components.discovery.const import LIST_CURRENT_MS
 from goldcreststair.components.discovery.controller import DiscoveryController
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
@@ -32,6 +34,7 @@
         self._feed = TableFeed(
             core.adapter.store, core.clock, self._reader.table, self, with_snapshot=True
         )
+        self._confirmed_at = Millis(0)
         self._has_expired_entries = asyncio.Event()
         self._expiry_task: asyncio.Task[None] | None = None
 
@@ -68,8 +71,17 @@
         """Record whether the store answered."""
         self._controller.record_contact(reached=reached)
         if reached:
+            self._confirmed_at = self._core.clock.now()
             self._links.record_store_contact()
 
+    def read_confirmed_at(self) -> Millis:
+        """Return when the store last confirmed that the list is complete."""
+        return self._confirmed_at
+
+    def is_current(self) -> bool:
+        """Return whether the store confirmed the list a moment ago."""
+        return self._core.clock.now() - self._confirmed_at <= LIST_CURRENT_MS
+
     def _decode(self, row: StoredRow) -> UpstreamEntry | None:
         decoded = self._reader.decode(row.key.key, row.value)
         if isinstance(decoded, Err):
--- a/goldcreststair/components/forwarding/models.py
+++ b/goldcreststair/components/forwarding/models.py
@@ -19,6 +19,8 @@
     """Number of runs that certainly did not happen."""
     last_event: int = 0
     """Number of the last event passed on to the caller."""
+    can_continue: bool = True
+    """Whether a begun stream may be continued: it is known which software began it."""
 
     @property
     def attempts(self) -> int:
--- a/goldcreststair/components/forwarding/recovery.py
+++ b/goldcreststair/components/forwarding/recovery.py
@@ -42,6 +42,8 @@
     """Return the next step after `error`; `progress` already counts the failed run."""
     if remaining_ms < MIN_REMAINING_MS or error.failure is UpstreamFailure.TIMEOUT:
         return NextStep.GIVE_UP
+    if not progress.can_continue:
+        return NextStep.GIVE_UP
     next_step = _decide_other_upstream(progress, route, error, budget)
     # The abandoned run may have been healthy, so its upstream is retried before the request is refused.
     if next_step is NextStep.GIVE_UP and progress.abandoned:
@@ -74,7 +76,7 @@
 
     `progress` does not count the active run yet, but has the last event that it returned.
     """
-    if remaining_ms < MIN_REMAINING_MS or not route.repeatable:
+    if remaining_ms < MIN_REMAINING_MS or not route.repeatable or not progress.can_continue:
         return False
     if progress.attempts + 1 >= route.max_attempts:
         return False
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -39,6 +39,7 @@
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
+from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.components.waiting.protocols import WAITING
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
@@ -89,10 +90,10 @@
         """Name of the upstream of the current run."""
         self._failure: UpstreamError | None = None
         """Error of the last failed run."""
+        self._origin: StreamOrigin | None = None
+        """The software that began the stream; None before its first event, or if it is not known."""
         self._software: str | None = None
-        """Software version of the upstream that began the stream; None if it is not known."""
-        self._entry: UpstreamEntry | None = None
-        """The upstream of the current run."""
+        """Software version of the upstream of the current run; None if it is not certain."""
         self._relay = StreamRelay(
             responder,
             core.clock,
@@ -151,11 +152,17 @@
     def _may_wait_for_place(self) -> bool:
         if not self._relay.has_begun or self._is_out_of_time():
             return False
+        return self._has_upstream_left()
+
+    def _has_upstream_left(self) -> bool:
+        """Return whether an upstream may take the request now or later."""
         return self._placement.controller.has_upstream(self._make_query(self._progress.attempted))
 
     def _place_at_abandoned(self) -> Result[Placement, Refusal]:
+        software = self._origin.software_version if self._origin is not None else None
         while self._progress.abandoned:
-            placement = self._placement.controller.place_at(self._progress.abandoned.pop(0))
+            name = self._progress.abandoned.pop(0)
+            placement = self._placement.controller.place_at(name, software)
             if placement is not None:
                 return Ok(placement)
         error = UpstreamError("no upstream is left to retry", UpstreamFailure.CONNECT)
@@ -184,12 +191,13 @@
         return bool(self._progress.excluded) and self._remaining_ms() < MIN_REMAINING_MS
 
     def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
-        return make_query(self._admitted, excluded, self._progress.attempts)
+        return make_query(self._admitted, excluded, self._progress.attempts, self._origin)
 
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
         entry = placement.upstream
         call = self._make_call(entry.name)
-        self._upstream, self._entry = entry.name, entry
+        self._upstream = entry.name
+        self._software = self._placement.controller.upstreams.find_software(entry.name)
         if self._relay.last_event:
             self._record_resumption(entry)
         self._core.meters.observe_expected(placement.expected_ms)
@@ -298,6 +306,7 @@
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
             self._placement.mark_down(entry, error.message, self._request.request_id)
         elif error.failure is UpstreamFailure.LOST and not error.status:
+            self._placement.controller.upstreams.mark_interrupted(entry.name)
             begun = self._relay.run_events > 0
             crash_tracker = self._core.get(CRASH_TRACKER)
             crash_tracker.report_lost_run(entry, self._admitted.fingerprint, begun=begun)
@@ -347,17 +356,21 @@
         self._placement.controller.upstreams.record_progress(self._upstream)
 
     def _on_begin(self) -> None:
-        if not self._request.resume_after and self._entry is not None:
-            self._software = self._entry.software_version
+        """Record where the stream began."""
+        if not self._request.resume_after and self._software is not None:
+            self._origin = StreamOrigin(self._admitted.service, self._software)
+        began_here = not self._request.resume_after
+        self._progress.can_continue = self._origin is not None or not began_here
 
     def _record_resumption(self, entry: UpstreamEntry) -> None:
         """Count and log a run that continues a stream."""
         resumed_by = "daemon" if self._relay.has_begun else "caller"
+        began = self._origin.software_version if self._origin is not None else None
         software = "unknown"
-        if self._software is not None:
-            software = "same" if self._software == entry.software_version else "other"
+        if began is not None:
+            software = "same" if began == entry.software_version else "other"
         self._core.meters.count_resumption(resumed_by, software)
-        extra = {"resumed_by": resumed_by, "begun_at_software": self._software}
+        extra = {"resumed_by": resumed_by, "begun_at_software": began}
         self._log("Stream resumed", f"its software is {software}", **extra)
 
     def _log(self, event: str, reason: str, **details: object) -> None:
--- a/goldcreststair/components/placement/batch_slots.py
+++ b/goldcreststair/components/placement/batch_slots.py
@@ -38,12 +38,20 @@
         self._upstreams = upstreams
         self._outliers = outliers
 
-    def choose(self, service: str, regions: Regions = None) -> UpstreamEntry | None:
-        """Return the upstream in these regions with the most free slots for batch, or None."""
+    def choose(
+        self, service: str, regions: Regions = None, software_version: str | None = None
+    ) -> UpstreamEntry | None:
+        """Return the upstream in these regions with the most free slots for batch, or None.
+
+        With a software version, only upstreams that certainly run it.
+        """
         free_all, slots_all = self._upstreams.read_idle(service)
         if free_all < slots_all * BATCH_FREE_SHARE:
             return None
         free = self._list_free(service, regions)
+        if software_version is not None:
+            find_software = self._upstreams.find_software
+            free = [each for each in free if find_software(each[0].name) == software_version]
         if not free:
             return None
         if self._upstreams.runs.digest_sequence is not None:
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -80,7 +80,7 @@
         candidates = self.upstreams.list_candidates(query)
         if not candidates:
             return Err(self.upstreams.explain_unavailable(query))
-        available = self.upstreams.list_available(candidates)
+        available = self.upstreams.list_available(candidates, query.software_version)
         if not available:
             until = min(max(s.down_until, s.full_until) for s in candidates)
             wait_ms = max(MIN_RETRY_MS, until - self._clock.now())
@@ -109,7 +109,8 @@
 
     def list_allowed(self, query: PlacementQuery) -> list[UpstreamState]:
         """Return the upstreams that are neither down, full nor excluded as outliers; some may be cold."""
-        available = self.upstreams.list_available(self.upstreams.list_candidates(query))
+        candidates = self.upstreams.list_candidates(query)
+        available = self.upstreams.list_available(candidates, query.software_version)
         return self._exclude_outliers(query, available)
 
     def _exclude_outliers(
@@ -124,9 +125,14 @@
             allowed = [state for state in allowed if not outliers.is_excluded(state.entry.name)]
         return allowed if allowed or query.is_retry else states
 
-    def place_at(self, name: str) -> Placement | None:
-        """Return a placement at the named upstream, or None if it may get no new work."""
+    def place_at(self, name: str, software_version: str | None = None) -> Placement | None:
+        """Return a placement at the named upstream, or None if it may get no new work.
+
+        With a software version, None as well if the upstream does not certainly run it.
+        """
         state = self.upstreams.find_state(name)
+        if software_version not in (None, self.upstreams.find_software(name)):
+            return None
         if (
             state is None
             or not self.upstreams.accepts_work(state)
--- a/goldcreststair/components/placement/models.py
+++ b/goldcreststair/components/placement/models.py
@@ -19,6 +19,9 @@
     """Identifies the prompt prefix, for cache affinity; empty if the prefix is not cached."""
     regions: Regions = None
     """Regions in which the upstream may be; None for all."""
+    software_version: str | None = None
+    """Software version of the upstream, for a request that continues what this version began; None for
+    any."""
     is_retry: bool = False
     """Whether an upstream may have run the request before; retries go to no ejected upstream."""
     may_try: bool = True
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -10,6 +10,7 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
+from goldcreststair.components.discovery.protocols import UPSTREAM_LIST
 from goldcreststair.components.evacuation.models import EVACUATIONS, Evacuations
 from goldcreststair.components.fleet.models import FLEET, Fleet
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind, hash_name
@@ -57,6 +58,7 @@
         self.controller = PlacementController(
             core.clock, core.random, core.settings.data_centre, self._pace, self._outliers
         )
+        self.controller.upstreams.list_age = core.get(UPSTREAM_LIST)
         self._refused_until: dict[str, Millis] = {}
         """Upstreams that refused a request of this daemon as full, and until when this counts."""
         self._links = core.get(FLEET_LINKS)
@@ -64,9 +66,7 @@
         self._links.subscribe_beacons(self._on_beacon, self.controller.runs.forget)
         self._links.subscribe_batch_runs(self._on_batch)
         self._links.register_notice_handler(DatagramKind.YIELD_NOTICE, self._on_preempt_notice)
-        core.on_process_resumed.append(
-            lambda _: self.controller.upstreams.cold_limiter.reset_after_pause()
-        )
+        core.on_process_resumed.append(lambda _: self._on_resumed())
         self._preempt_handler: OnPreempt = lambda name, count: None
         self._run_end_handlers: list[OnRunEnd] = []
         self._unsubscribe: list[Callable[[], None]] = []
@@ -190,6 +190,10 @@
         share = int(service.max_connections * CONNECTION_SHARE / daemons)
         return pool.count_open(entry.address) < max(MIN_CONNECTIONS, share)
 
+    def _on_resumed(self) -> None:
+        self.controller.upstreams.cold_limiter.reset_after_pause()
+        self.controller.upstreams.mark_all_interrupted()
+
     def _on_upstreams(self, live: LiveUpstreams) -> None:
         self.controller.upstreams.apply_upstreams(live)
 
--- a/goldcreststair/components/placement/upstream_table.py
+++ b/goldcreststair/components/placement/upstream_table.py
@@ -8,6 +8,7 @@
 from goldcreststair.components.catalogue.models import Service
 from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.discovery.models import LiveUpstreams, UpstreamEntry
+from goldcreststair.components.discovery.protocols import ALWAYS_CURRENT, UpstreamList
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.components.placement.cold import ColdRateLimiter
 from goldcreststair.components.placement.const import (
@@ -39,6 +40,8 @@
     """According to its answers, which may report it before the store does."""
     returned_cold_until: Millis = Millis(0)
     """Because the evacuation of its data centre has ended."""
+    interrupted_at: Millis | None = None
+    """When it was last down or lost runs: it may have restarted since, with other software."""
 
 
 class UpstreamTable:
@@ -59,6 +62,8 @@
         self._services: Mapping[str, Service] = {}
         self._regions: Mapping[str, str] = {}
         """Region of each data centre."""
+        self.list_age: UpstreamList = ALWAYS_CURRENT
+        """How old the list of upstreams may be."""
 
     def find_state(self, name: str) -> UpstreamState | None:
         """Return the state of an upstream, or None if it is gone."""
@@ -132,15 +137,53 @@
             states = [state for state in states if state.entry.name not in query.excluded]
         if query.regions is not None:
             states = [state for state in states if self.is_in_regions(state, query.regions)]
+        if query.software_version is not None:
+            version = query.software_version
+            states = [state for state in states if state.entry.software_version == version]
         return states
 
+    def is_software_certain(self, state: UpstreamState) -> bool:
+        """Return whether an upstream still runs the software that its entry names.
+
+        An upstream may restart under its name with other software, and no entry can be updated while
+        the store is away.
+        """
+        if state.interrupted_at is None or self.list_age.is_current():
+            return True
+        return state.interrupted_at < self.list_age.read_confirmed_at()
+
+    def find_software(self, name: str) -> str | None:
+        """Return the software version that an upstream certainly runs, or None."""
+        state = self._states.get(name)
+        if state is None or not self.is_software_certain(state):
+            return None
+        return state.entry.software_version
+
+    def mark_interrupted(self, name: str) -> None:
+        """Record that an upstream was down or lost runs, so that it may have restarted."""
+        state = self._states.get(name)
+        if state is not None:
+            state.interrupted_at = self._clock.now()
+
+    def mark_all_interrupted(self) -> None:
+        """Record that any upstream may have restarted unnoticed, as this process was paused."""
+        for name in self._states:
+            self.mark_interrupted(name)
+
     def is_in_regions(self, state: UpstreamState, regions: Regions) -> bool:
         """Return whether an upstream is in one of these regions."""
         return regions is None or self._regions.get(state.entry.data_centre) in regions
 
-    def list_available(self, states: list[UpstreamState]) -> list[UpstreamState]:
-        """Return the upstreams that are neither down nor full, unsuspected ones if there are any."""
+    def list_available(
+        self, states: list[UpstreamState], software_version: str | None = None
+    ) -> list[UpstreamState]:
+        """Return the upstreams that are neither down nor full, unsuspected ones if there are any.
+
+        With a software version, those that certainly run it.
+        """
         now = self._clock.now()
+        if software_version is not None:
+            states = [state for state in states if self.is_software_certain(state)]
         up = [s for s in states if s.down_until <= now and s.full_until <= now]
         # `is_suspected` would read the clock for each of hundreds of upstreams.
         unsuspected = [
@@ -202,6 +245,8 @@
         """Return why a request has no candidate."""
         service = query.service
         of_service = [s for s in self._states.values() if s.entry.service == service]
+        if query.software_version is not None:
+            return self._explain_missing_software(query, of_service)
         in_regions = [state for state in of_service if self.is_in_regions(state, query.regions)]
         if of_service and not in_regions:
             message = f"no upstream of {service} is in an allowed region"
@@ -211,6 +256,15 @@
             return NoUpstreamAvailable(message, retry_after_ms=EVACUATED_RETRY_MS)
         return NoUpstreamAvailable(f"no upstream of {service}", known=False)
 
+    def _explain_missing_software(
+        self, query: PlacementQuery, of_service: list[UpstreamState]
+    ) -> NoUpstreamAvailable:
+        of_version = [s for s in of_service if s.entry.software_version == query.software_version]
+        message = f"no upstream of {query.service} {query.software_version} may get work"
+        if any(state.entry.data_centre in self._evacuated for state in of_version):
+            return NoUpstreamAvailable(message, retry_after_ms=EVACUATED_RETRY_MS)
+        return NoUpstreamAvailable(message, known=False)
+
     def record_progress(self, name: str) -> None:
         """Record that an upstream sent data to this daemon."""
         state = self._states.get(name)
@@ -241,12 +295,14 @@
         state = self._states.get(name)
         if state is not None:
             state.down_until = Millis(self._clock.now() + DOWN_MS)
+            self.mark_interrupted(name)
 
     def mark_up(self, name: str) -> None:
         """Mark an upstream as up: it accepts connections."""
         state = self._states.get(name)
         if state is not None:
             state.down_until = Millis(0)
+            self.mark_interrupted(name)
 
     def is_down(self, name: str) -> bool:
         """Return whether an upstream is marked as down."""
@@ -270,6 +326,7 @@
             state = self._states.get(self._names.get(key, ""))
             if state is not None:
                 state.suspected_until = Millis(self._clock.now() + SUSPECT_MS)
+                self.mark_interrupted(state.entry.name)
 
     def read_idle(self, service: str) -> tuple[int, int]:
         """Return the free slots and all slots of the upstreams of a service that are not down."""
--- a/tests/test_component_separation.py
+++ b/tests/test_component_separation.py
@@ -29,6 +29,7 @@
         "quotas",
         "reader_buffers",
         "requests",
+        "stream_origins",
         "upstream_pace",
         "waiting",
     )
