Continue a stream that its caller takes up only where it began

Now the attempt that began a stream names it. A VM keeps the service and software version of each stream that it relays, from before its first event goes out, and beacons list new streams (8 bytes each, repeated for 300 ms, renewed every 5 s) while several versions of the service were listed in the last minute. In a large fleet the relays hold them, and a VM that does not know a stream asks them; in a small one it asks up to three others. A stream that nobody announced is continued only where a single version can have begun it: the list of upstreams is current, or all others are heard, nobody has announced another version, and the history of versions has no gap. The history outlives all VMs in one row a service, written by the first of three VMs when the versions change, and read only when a VM needs what was before its start. A stream whose origin is not known, whose service the route has left, or whose version no upstream may run any more is refused at once as not run (code cannot_resume, no Retry-After; 200 ms where another VM may know it). One whose upstreams are full or down for a moment waits up to a second, as the caller holds a part of the answer.

Ruled out: choosing the version by a hash of the request id (new streams could not use the free slots of another version, and the assignment moves with every release); one store row a stream or a few writes a second (820 VMs are more than the store takes, and a second of delay loses half of the streams in flight); asking the engines' caches (parts are shared by sessions, evicted, and lost with a crash).

--- a/goldcreststair/components/discovery/protocols.py
+++ b/goldcreststair/components/discovery/protocols.py
@@ -33,6 +33,9 @@
     def read_confirmed_at(self) -> Millis:
         """Return when the store last confirmed that the list is complete."""
 
+    def read_followed_since(self) -> Millis:
+        """Return since when no change of the list can have been missed."""
+
     def is_current(self) -> bool:
         """Return whether the store confirmed the list a moment ago."""
 
@@ -43,6 +46,9 @@
     def read_confirmed_at(self) -> Millis:
         return Millis(0)
 
+    def read_followed_since(self) -> Millis:
+        return Millis(0)
+
     def is_current(self) -> bool:
         return True
 
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -35,6 +35,7 @@
             core.adapter.store, core.clock, self._reader.table, self, with_snapshot=True
         )
         self._confirmed_at = Millis(0)
+        self._followed_since = Millis(0)
         self._has_expired_entries = asyncio.Event()
         self._expiry_task: asyncio.Task[None] | None = None
 
@@ -71,13 +72,20 @@
         """Record whether the store answered."""
         self._controller.record_contact(reached=reached)
         if reached:
-            self._confirmed_at = self._core.clock.now()
+            now = self._core.clock.now()
+            if not self.is_current():
+                self._followed_since = now
+            self._confirmed_at = now
             self._links.record_store_contact()
 
     def read_confirmed_at(self) -> Millis:
         """Return when the store last confirmed that the list is complete."""
         return self._confirmed_at
 
+    def read_followed_since(self) -> Millis:
+        """Return since when no change of the list can have been missed."""
+        return self._followed_since
+
     def is_current(self) -> bool:
         """Return whether the store confirmed the list a moment ago."""
         return self._core.clock.now() - self._confirmed_at <= LIST_CURRENT_MS
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -153,6 +153,11 @@
         """Return the session that has this hash; empty if none is known."""
         return self._sessions.get(daemon, "")
 
+    def list_relays(self) -> list[str]:
+        """Return the other relays of all data centres that may be reachable."""
+        relays = self._selector.list_relays(self._reachable)
+        return [session for session in relays if session != self._own.session]
+
     def forget(self, session: str) -> None:
         """Remove a daemon that is gone."""
         self._tracker.forget(session)
--- a/goldcreststair/components/fleet/peer_requests.py
+++ b/goldcreststair/components/fleet/peer_requests.py
@@ -28,6 +28,7 @@
 
     CATALOGUE = 1
     JOB = 2
+    STREAM_ORIGIN = 3
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/fleet/protocols.py
+++ b/goldcreststair/components/fleet/protocols.py
@@ -47,6 +47,17 @@
         A relay that this daemon no longer follows counts as gone.
         """
 
+    def subscribe_direct_beacons(self, on_beacon: BeaconListener) -> None:
+        """Register a callback for every new beacon as its daemon sent it; in a large fleet only relays
+        receive any.
+        """
+
+    def list_beacon_receivers(self) -> list[str]:
+        """Return the other reachable daemons that receive beacons directly.
+
+        In a small fleet each of them receives all beacons, in a large one those of its data centre.
+        """
+
     def subscribe_batch_runs(self, on_batch: BatchRunsListener) -> None:
         """Register a callback for the batch runs of other daemons; only called in a large fleet."""
 
--- a/goldcreststair/components/fleet/relays.py
+++ b/goldcreststair/components/fleet/relays.py
@@ -98,6 +98,14 @@
         ranked = self._list_ranked(self._own.data_centre)[:RELAYS]
         return ranked if self.followed in ranked or not self.followed else [*ranked, self.followed]
 
+    def list_relays(self, reachable: Mapping[str, VmState]) -> list[str]:
+        """Return the daemons that receive the beacons of each data centre, `RELAYS` of each."""
+        found = [self.followed] if self.followed else []
+        for ranked in self._ranks.values():
+            known = [session for session in ranked if session in reachable]
+            found += (known or ranked)[:RELAYS]
+        return list(dict.fromkeys(found))
+
     def list_remote_targets(
         self, data_centre: str, last_relay: str, reachable: Mapping[str, VmState]
     ) -> list[str]:
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -88,6 +88,7 @@
         )
         self._contributors: list[BeaconContributor] = []
         self._beacon_listeners: list[BeaconListener] = []
+        self._direct_listeners: list[BeaconListener] = []
         self._gone_listeners: list[Callable[[str], None]] = []
         self._handlers: dict[int, NoticeHandler] = {}
         """Handlers by the kind of datagram."""
@@ -148,6 +149,17 @@
         self._beacon_listeners.append(on_beacon)
         self._gone_listeners.append(on_gone)
 
+    def subscribe_direct_beacons(self, on_beacon: BeaconListener) -> None:
+        """Register a callback for every new beacon as its daemon sent it."""
+        self._direct_listeners.append(on_beacon)
+
+    def list_beacon_receivers(self) -> list[str]:
+        """Return the other reachable daemons that receive beacons directly."""
+        if not self._controller.has_mesh():
+            return self._relayed_links.list_relays()
+        states = self._core.blackboard.read(FLEET).states
+        return [session for session in states if session != self._own.session]
+
     def subscribe_batch_runs(self, on_batch: BatchRunsListener) -> None:
         """Register a callback for the batch runs of other daemons; only called in a large fleet."""
         self._relayed_links.subscribe_batch_runs(on_batch)
@@ -343,6 +355,8 @@
         if not self._controller.apply_beacon(beacon.session, state, beacon.hears):
             return
         self._sequences[beacon.session] = beacon.sequence
+        for on_direct_beacon in self._direct_listeners:
+            on_direct_beacon(beacon.session, beacon)
         if not self._controller.has_mesh():
             # The digests carry it to all daemons, also those of this daemon.
             self._relayed_links.apply_beacon(beacon.session, beacon)
--- a/goldcreststair/components/forwarding/recovery.py
+++ b/goldcreststair/components/forwarding/recovery.py
@@ -17,6 +17,9 @@
 
 MAX_NOT_RUN: Final = 6
 """Upstreams that may refuse one request as not run before the caller gets a refusal."""
+MAX_RESUMPTION_WAIT_MS: Final = 1_000
+"""How long a stream that its caller takes up waits for a place; callers leave a stream after two seconds
+without an event."""
 STATUS_BAD_GATEWAY: Final = 502
 STATUS_GATEWAY_TIMEOUT: Final = 504
 
@@ -106,3 +109,9 @@
     if error.failure is UpstreamFailure.TIMEOUT:
         return Refusal(error.message, RefusalCode.DEADLINE, STATUS_GATEWAY_TIMEOUT)
     return Refusal(error.message, RefusalCode.UPSTREAM_FAILED, STATUS_BAD_GATEWAY)
+
+
+def make_resumption_refusal(message: str, retry_after_ms: int) -> Refusal:
+    """Return the refusal of a stream that cannot be continued; `retry_after_ms` is 0 if it never can."""
+    code = RefusalCode.CANNOT_RESUME
+    return Refusal(message, code, STATUS_UNAVAILABLE, True, retry_after_ms)
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -21,14 +21,17 @@
 from goldcreststair.components.forwarding.outcome_report import OutcomeReport
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.recovery import (
+    MAX_RESUMPTION_WAIT_MS,
     NextStep,
     choose_placement_delay,
     decide_next_step,
     make_final_refusal,
+    make_resumption_refusal,
     may_abandon_run,
 )
 from goldcreststair.components.forwarding.refusals import log_refusal
 from goldcreststair.components.forwarding.relay import STATUS_OK, StreamRelay
+from goldcreststair.components.forwarding.resumption import find_stream_key
 from goldcreststair.components.forwarding.silence_detector import (
     SilenceDetector,
     SilenceMonitor,
@@ -40,6 +43,7 @@
 from goldcreststair.components.quotas.service import QUOTAS
 from goldcreststair.components.requests.models import AdmittedRequest
 from goldcreststair.components.stream_origins.models import StreamOrigin
+from goldcreststair.components.stream_origins.protocols import STREAM_ORIGINS
 from goldcreststair.components.waiting.protocols import WAITING
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
@@ -90,7 +94,9 @@
         """Name of the upstream of the current run."""
         self._failure: UpstreamError | None = None
         """Error of the last failed run."""
-        self._origin: StreamOrigin | None = None
+        self._origins = core.get(STREAM_ORIGINS)
+        self._stream = find_stream_key(admitted)
+        self._origin = admitted.origin
         """The software that began the stream; None before its first event, or if it is not known."""
         self._software: str | None = None
         """Software version of the upstream of the current run; None if it is not certain."""
@@ -106,6 +112,13 @@
 
     async def async_run(self) -> None:
         """Run the request until the final answer is sent."""
+        try:
+            await self._async_run()
+        finally:
+            if self._stream is not None:
+                self._origins.release(self._stream)
+
+    async def _async_run(self) -> None:
         self._budget.record_request()
         next_step = NextStep.ELSEWHERE
         while True:
@@ -150,9 +163,12 @@
         return placed
 
     def _may_wait_for_place(self) -> bool:
-        if not self._relay.has_begun or self._is_out_of_time():
+        if self._is_out_of_time() or not self._has_upstream_left():
             return False
-        return self._has_upstream_left()
+        if self._relay.has_begun:
+            return True
+        waited_ms = self._clock.now() - self._request.arrived_at
+        return self._admitted.origin is not None and waited_ms < MAX_RESUMPTION_WAIT_MS
 
     def _has_upstream_left(self) -> bool:
         """Return whether an upstream may take the request now or later."""
@@ -172,6 +188,9 @@
         placed = self._place()
         if isinstance(placed, Err) or self._progress.attempts or self._progress.excluded:
             return placed
+        # The caller has a part of the answer, which is lost if the stream is sent away now.
+        if self._admitted.origin is not None:
+            return placed
         return await self._core.get(WAITING).async_admit(self._admitted, placed.ok_value)
 
     def _place(self) -> Result[Placement, Refusal]:
@@ -181,11 +200,20 @@
         chosen = self._placement.controller.choose(self._make_query(self._progress.excluded))
         if isinstance(chosen, Err) and self._progress.abandoned:
             return self._place_at_abandoned()
+        if isinstance(chosen, Err) and self._cannot_be_resumed():
+            unavailable = chosen.err_value
+            return Err(make_resumption_refusal(unavailable.message, unavailable.retry_after_ms))
         if isinstance(chosen, Err):
             error = UpstreamError(chosen.err_value.message, UpstreamFailure.CONNECT)
             return Err(make_final_refusal(self._progress, error, chosen.err_value.retry_after_ms))
         return Ok(chosen.ok_value)
 
+    def _cannot_be_resumed(self) -> bool:
+        """Return whether the caller takes up a stream whose software no upstream runs any more."""
+        if self._admitted.origin is None or self._progress.may_have_run:
+            return False
+        return not self._has_upstream_left()
+
     def _is_out_of_time(self) -> bool:
         """Return whether a request that was already sent to an upstream has no time to be sent again."""
         return bool(self._progress.excluded) and self._remaining_ms() < MIN_REMAINING_MS
@@ -356,11 +384,12 @@
         self._placement.controller.upstreams.record_progress(self._upstream)
 
     def _on_begin(self) -> None:
-        """Record where the stream began."""
-        if not self._request.resume_after and self._software is not None:
+        """Record where the stream began before its caller can take it up elsewhere."""
+        if self._origin is None and self._software is not None:
             self._origin = StreamOrigin(self._admitted.service, self._software)
-        began_here = not self._request.resume_after
-        self._progress.can_continue = self._origin is not None or not began_here
+        self._progress.can_continue = self._origin is not None
+        if self._origin is not None and self._stream is not None:
+            self._origins.record(self._stream, self._origin)
 
     def _record_resumption(self, entry: UpstreamEntry) -> None:
         """Count and log a run that continues a stream."""
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -20,6 +20,7 @@
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.refusals import log_refusal
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingContext
+from goldcreststair.components.forwarding.resumption import async_find_origin
 from goldcreststair.components.forwarding.returning import ReturnLimit
 from goldcreststair.components.forwarding.silence_detector import SilenceMonitor
 from goldcreststair.components.jobs.api import JOB_API
@@ -36,6 +37,7 @@
     needs_key,
 )
 from goldcreststair.components.requests.models import AdmittedRequest, CallerRequest
+from goldcreststair.components.stream_origins.protocols import STREAM_ORIGINS
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.fingerprints import make_call_fingerprint
@@ -70,6 +72,7 @@
         self._crash_tracker = core.get(CRASH_TRACKER)
         self._job_api = core.get(JOB_API)
         self._placement = core.get(PLACEMENT)
+        self._origins = core.get(STREAM_ORIGINS)
         self._return_limit = ReturnLimit(core)
         self._durations = RequestDurations(core.clock)
         self.budget = RetryBudget()
@@ -84,6 +87,8 @@
     async def async_forward(self, request: CallerRequest, responder: Responder) -> None:
         """Serve one request to its end; cancel the coroutine when the caller disconnects."""
         admitted = await self._async_admit_when_settled(request)
+        if isinstance(admitted, Ok):
+            admitted = await self._async_find_origin(admitted.ok_value)
         if isinstance(admitted, Err):
             self._core.meters.count_request("none", admitted.err_value.code.value)
             log_refusal(request, admitted.err_value)
@@ -115,6 +120,14 @@
             admitted = self.admit(request)
         return admitted
 
+    async def _async_find_origin(
+        self, admitted: AdmittedRequest
+    ) -> Result[AdmittedRequest, Refusal]:
+        found = await async_find_origin(self._origins, admitted)
+        if isinstance(found, Err) and admitted.customer is not None:
+            self._quotas.refund(admitted.customer)
+        return found
+
     async def _async_submit(self, admitted: AdmittedRequest, responder: Responder) -> None:
         request = admitted.request
         remaining_ms = max(1, admitted.ends_at - self._clock.now())
--- a/goldcreststair/components/placement/queries.py
+++ b/goldcreststair/components/placement/queries.py
@@ -20,6 +20,7 @@
     stream.
     """
     route = admitted.route
+    origin = origin or admitted.origin
     return PlacementQuery(
         admitted.service,
         frozenset(excluded),
--- a/goldcreststair/components/requests/models.py
+++ b/goldcreststair/components/requests/models.py
@@ -4,6 +4,7 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CatalogueCustomer, Route
+from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.upstreams.dialect import Headers
 
 
@@ -48,6 +49,8 @@
     """Deadline for the complete answer."""
     fingerprint: str = ""
     """Identifies the request when its caller sends it again."""
+    origin: StreamOrigin | None = None
+    """The software that began the stream that the caller takes up; None for a new stream."""
 
     @property
     def affinity(self) -> str:
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -25,6 +25,7 @@
     placement,
     quotas,
     reader_buffers,
+    stream_origins,
     upstream_pace,
     waiting,
 )
@@ -53,6 +54,7 @@
     evacuation.async_setup,
     catalogue.async_setup,
     discovery.async_setup,
+    stream_origins.async_setup,
     quotas.async_setup,
     upstream_pace.async_setup,
     outliers.async_setup,
--- a/goldcreststair/helpers/refusals.py
+++ b/goldcreststair/helpers/refusals.py
@@ -26,6 +26,8 @@
     OUTCOME_UNKNOWN = "outcome_unknown"
     NOT_READY = "not_ready"
     UNKNOWN_ROUTE = "unknown_route"
+    CANNOT_RESUME = "cannot_resume"
+    """The stream cannot be continued at the software that began it; a new one can begin."""
     TOO_LARGE = "too_large"
     QUOTA_FULL = "quota_full"
 
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -47,6 +47,14 @@
   3: required double event_ms
 }
 
+/** Streams that one software version of one service has begun, as the sender relayed them. */
+struct OriginatedStreams {
+  /** Hash of the service and the software version. */
+  1: required i32 origin
+  /** Hashes of the streams, 8 bytes each. */
+  2: required binary streams
+}
+
 /** What a daemon says of itself to others, whole in each datagram. */
 struct Beacon {
   1: required string session
@@ -73,6 +81,8 @@
   17: optional list<UpstreamPace> upstream_paces
   18: optional list<UpstreamOutcomes> outcomes
   19: optional list<WaitingRequests> waiting
+  /** Streams that were begun of late, while upstreams of several software versions serve. */
+  20: optional list<OriginatedStreams> origins
 }
 
 /** Batch runs of one daemon at one upstream, both by a hash of their names. */
@@ -182,6 +192,33 @@
 struct ProgressRow {
   1: required i32 last_event
   2: required binary text
+  /** Service and software version of the upstreams that made it; left out by earlier daemons. */
+  3: optional string upstream_service
+  4: optional string software_version
+}
+
+/** One software version of a service's upstreams. */
+struct SoftwareVersion {
+  1: required string version
+  /** Whether an upstream of it was listed when the row was written. */
+  2: required bool listed
+  /** When one was last listed, on the store's clock, ms. */
+  3: required i64 last_listed_at
+}
+
+/** The software versions that the upstreams of one service have had of late. */
+struct SoftwareRow {
+  1: required list<SoftwareVersion> versions
+}
+
+/** Asks a daemon which software began a stream, by the stream's hash. */
+struct OriginAsk {
+  1: required binary stream
+}
+
+/** Hash of the service and software version; left out if the daemon does not know. */
+struct OriginReply {
+  1: optional i32 origin
 }
 
 /** One item of a job as its caller sent it. */
