Continue an item only at the software version that made its events

Now an item remembers the service and version that made its events, and saved progress names them (two optional fields of the row, which earlier daemons skip). Progress without them, from an earlier daemon or from an upstream of uncertain software, is not continued: the item starts over, as it does when no upstream of its version may get work or its route has left the service. Where upstreams of its version are full while others have free slots, it waits for as long as its events took and then starts over, which costs at most twice the better choice.

--- a/goldcreststair/components/jobs/checkpoints.py
+++ b/goldcreststair/components/jobs/checkpoints.py
@@ -61,11 +61,14 @@
         size += len(text)
         if len(chosen) == MAX_COMMIT_ENTRIES or (chosen and size > MAX_COMMIT_BYTES):
             break
-        chosen.append(SavedProgress(item.number, item.last_event, text))
+        chosen.append(SavedProgress(item.number, item.last_event, text, item.origin))
     return chosen
 
 
 def _is_worth_saving(item: ItemProgress, *, include_all: bool) -> bool:
+    if item.origin is None:
+        # Without the software that made them, the events cannot be continued.
+        return False
     if include_all:
         return item.last_event > item.saved_event
     grown = item.last_event >= item.saved_event * CHECKPOINT_GROWTH
--- a/goldcreststair/components/jobs/codec.py
+++ b/goldcreststair/components/jobs/codec.py
@@ -13,6 +13,7 @@
     make_progress_key,
     make_result_key,
 )
+from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.store.rows import RowKey, StoredRow
 from goldcreststair.wire.codec import encode_struct, read_struct
 from goldcreststair.wire.generated.gateway.ttypes import (
@@ -129,8 +130,11 @@
 
 def encode_progress(key: JobKey, progress: SavedProgress) -> tuple[RowKey, bytes]:
     """Encode the saved progress of an item."""
-    encoded = encode_struct(ProgressRow(progress.last_event, progress.text))
-    return make_progress_key(key, progress.number), encoded
+    row = ProgressRow(progress.last_event, progress.text)
+    if progress.origin is not None:
+        row.upstream_service = progress.origin.service
+        row.software_version = progress.origin.software_version
+    return make_progress_key(key, progress.number), encode_struct(row)
 
 
 def decode_progress(rows: Iterable[StoredRow]) -> list[SavedProgress]:
@@ -139,5 +143,11 @@
     for row in rows:
         read = read_struct(ProgressRow, row.value)
         number = int(row.key.key.rpartition("/")[2])
-        found.append(SavedProgress(number, read.last_event, read.text))
+        found.append(SavedProgress(number, read.last_event, read.text, _decode_origin(read)))
     return found
+
+
+def _decode_origin(row: ProgressRow) -> StreamOrigin | None:
+    if row.upstream_service is None or row.software_version is None:
+        return None
+    return StreamOrigin(row.upstream_service, row.software_version)
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -37,6 +37,9 @@
 that adds it may still be on its way to this daemon."""
 POISON_PAUSE_MS: Final = 5_000
 """Interval at which an item that crashes upstreams is checked again."""
+HOLD_RETRY_MS: Final = 100
+"""Interval at which an item looks for a free slot of the software that began it, while others have
+slots."""
 EVENT_TIMEOUT_MS: Final = 700
 """Silence between two events of a run after which the item is moved to another upstream."""
 FIRST_EVENT_TIMEOUT_MS: Final = 2_500
--- a/goldcreststair/components/jobs/estimate.py
+++ b/goldcreststair/components/jobs/estimate.py
@@ -69,6 +69,11 @@
         learned = [route for route in reversed(self._paces) if self._answers[route]]
         return {route: self._paces[route] for route in learned[:MAX_PACES]}
 
+    def estimate_repeat_ms(self, item: ItemProgress) -> float:
+        """Return the ms that the events of an item took, which it loses if it starts over."""
+        pace = self._paces.get(item.route, Pace(0.0, DEFAULT_EVENT_MS))
+        return item.last_event * pace.event_ms
+
     def estimate_remaining_ms(self, item: ItemProgress) -> float:
         """Return the ms that an item would take from a start now to its end."""
         pace = self._paces.get(item.route, Pace(0.0, DEFAULT_EVENT_MS))
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -15,12 +15,14 @@
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.jobs.const import (
     EXPIRY_MARGIN_MS,
+    HOLD_RETRY_MS,
     LATE_FREE_SHARE,
     POISON_PAUSE_MS,
     ROUTE_GONE_MS,
     RUN_TIMEOUT_MS,
     STARTS_PER_TICK,
 )
+from goldcreststair.components.jobs.continuation import Continuation, decide_continuation
 from goldcreststair.components.jobs.estimate import WorkEstimate
 from goldcreststair.components.jobs.item_order import ItemOrder
 from goldcreststair.components.jobs.models import ItemResult, JobKey, JobRecord
@@ -40,11 +42,12 @@
 from goldcreststair.components.jobs.result_writer import ResultWriter
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
 from goldcreststair.components.placement.loads import Runs
-from goldcreststair.components.placement.models import RunOutcome
+from goldcreststair.components.placement.models import PlacementQuery, RunOutcome
 from goldcreststair.components.placement.outcomes import classify_run_end
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.placement.spreading import allot_starts
 from goldcreststair.components.requests.admission import choose_service
+from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.fingerprints import make_call_fingerprint
 from goldcreststair.upstreams.dialect import RunCall
@@ -62,6 +65,7 @@
     "given_up": "Item given up",
     "yielded": "Item yielded",
     "stopped": "Item stopped",
+    "started_over": "Item starts over",
 }
 """Each choice has its own log message, so that log sampling treats each one separately."""
 
@@ -205,16 +209,21 @@
             self._finish(job, item, ItemResult(item.spec.item_id, done=False), "its route is gone")
             return True
         job.route_missing_since = None
+        customer = catalogue.customers.get(job.key.customer)
+        regions = find_request_regions(route, customer)
+        self._check_origin(job, item, route)
         service = choose_service(route, self._core.random.random())
+        if item.origin is not None:
+            service = item.origin.service
         if service in full:
             return False
         if self._core.get(CRASH_TRACKER).is_refused(_make_fingerprint(job, item)):
             # The item waits until it expires: the upstreams that it crashes run other items, too.
             item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
             return True
-        customer = catalogue.customers.get(job.key.customer)
-        regions = find_request_regions(route, customer)
-        entry = self._find_slot(service, regions, late=ranked.late)
+        entry = self._find_slot(service, regions, item, late=ranked.late)
+        if entry is None and self._is_held(job, item, regions):
+            return True
         if entry is None:
             if regions is None:
                 full.add(service)
@@ -227,6 +236,48 @@
         self._log(job, item, "started", reason, entry.name)
         return True
 
+    def _check_origin(self, job: OwnedJob, item: ItemProgress, route: Route) -> None:
+        """Let an item start over whose events cannot be continued on its route."""
+        if not item.last_event:
+            item.origin = None
+        elif item.origin is None:
+            self._start_over(job, item, "it is not known which software began it")
+        elif item.origin.service not in {weighted.service for weighted in route.services}:
+            self._start_over(job, item, f"its route no longer uses {item.origin.service}")
+
+    def _is_held(self, job: OwnedJob, item: ItemProgress, regions: Regions) -> bool:
+        """Return whether an item without a slot needs the software that began it, unlike other items.
+
+        It starts over with the next search for a slot if it has waited for too long, or if no upstream
+        of that software is left.
+        """
+        origin, controller = item.origin, self._placement.controller
+        if origin is None:
+            return False
+        if not controller.batch.needs_software(origin.service, regions, origin.software_version):
+            return False
+        now = self._clock.now()
+        query = PlacementQuery(
+            origin.service, regions=regions, software_version=origin.software_version
+        )
+        if not controller.has_upstream(query):
+            self._start_over(job, item, f"no upstream of {origin.software_version} is left")
+        elif self._has_waited(item, now):
+            reason = f"upstreams of {origin.software_version} have no free slot"
+            self._start_over(job, item, reason)
+        else:
+            item.not_before = Millis(now + HOLD_RETRY_MS)
+        return True
+
+    def _has_waited(self, item: ItemProgress, now: Millis) -> bool:
+        repeat_ms = self._estimate.estimate_repeat_ms(item)
+        return decide_continuation(item, now, repeat_ms) is Continuation.START_OVER
+
+    def _start_over(self, job: OwnedJob, item: ItemProgress, reason: str) -> None:
+        self._core.meters.count_repeated(item.last_event)
+        self._log(job, item, "started_over", reason, "")
+        item.start_over()
+
     def _is_route_gone(self, job: OwnedJob) -> bool:
         """Return whether a job's route has been missing long enough to count as removed."""
         if not self._core.blackboard.read(CATALOGUE).version:
@@ -237,11 +288,14 @@
         )
         return now - job.route_missing_since >= ROUTE_GONE_MS
 
-    def _find_slot(self, service: str, regions: Regions, *, late: bool) -> UpstreamEntry | None:
+    def _find_slot(
+        self, service: str, regions: Regions, item: ItemProgress, *, late: bool
+    ) -> UpstreamEntry | None:
         """Return an upstream with a slot that an item may take now, or None."""
         if not self._may_start_another(service):
             return None
-        entry = self._placement.controller.batch.choose(service, regions)
+        software = item.origin.software_version if item.origin is not None else None
+        entry = self._placement.controller.batch.choose(service, regions, software)
         if entry is None or not self._placement.has_connections(entry):
             return None
         return None if late and not self._may_start_late(service) else entry
@@ -257,6 +311,9 @@
     def _begin(self, run: _Run) -> None:
         name = run.upstream.name
         run.item.state = ItemState.RUNNING
+        run.item.held_since = None
+        if not run.item.last_event:
+            run.item.origin = self._find_origin(run.upstream)
         self._runs[run] = None
         self._placement.begin(name, run.runs)
         controller = self._placement.controller
@@ -272,6 +329,11 @@
         )
         run.task.add_done_callback(lambda task: self._on_ended(run, task))
 
+    def _find_origin(self, entry: UpstreamEntry) -> StreamOrigin | None:
+        """Return the software that an upstream certainly runs, or None."""
+        software = self._placement.controller.upstreams.find_software(entry.name)
+        return None if software is None else StreamOrigin(entry.service, software)
+
     def _on_ended(self, run: _Run, task: "asyncio.Task[Result[RunEnd, UpstreamError]]") -> None:
         if run.ended or task.cancelled():
             self._close_run(run)
@@ -349,6 +411,7 @@
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
             self._placement.mark_down(run.upstream, error.message, run.item.spec.item_id)
         elif error.failure is UpstreamFailure.LOST:
+            self._placement.controller.upstreams.mark_interrupted(run.upstream.name)
             fingerprint = _make_fingerprint(run.job, run.item)
             begun = run.item.last_event > run.first_event
             self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, fingerprint, begun=begun)
--- a/goldcreststair/components/jobs/models.py
+++ b/goldcreststair/components/jobs/models.py
@@ -5,6 +5,7 @@
 
 from goldcreststair.components.catalogue.regions import Regions
 from goldcreststair.components.jobs.const import TABLE_PROGRESS, TABLE_RESULTS
+from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.store.rows import RowKey
 
 
@@ -88,6 +89,8 @@
     last_event: int
     text: bytes
     """Data of the events from the first to `last_event`, joined by line feeds."""
+    origin: StreamOrigin | None = None
+    """The software that made the events; None if an earlier daemon saved them."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/jobs/registry.py
+++ b/goldcreststair/components/jobs/registry.py
@@ -11,7 +11,15 @@
 from typing import Protocol, TypeVar
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.jobs.models import ItemResult, JobItem, JobKey, JobRecord, OpenJob
+from goldcreststair.components.jobs.models import (
+    ItemResult,
+    JobItem,
+    JobKey,
+    JobRecord,
+    OpenJob,
+    SavedProgress,
+)
+from goldcreststair.components.stream_origins.models import StreamOrigin
 
 
 class ItemState(StrEnum):
@@ -47,11 +55,23 @@
     """Data of the events received so far; kept when a run is preempted or lost."""
     saved_event: int = 0
     """Last event whose data is saved in the store."""
+    origin: StreamOrigin | None = None
+    """The software that made the events; None if it is not known."""
+    held_since: Millis | None = None
+    """Since when no upstream of `origin` has had a free slot, while others had."""
 
-    def resume(self, last_event: int, text: bytes) -> None:
+    def resume(self, saved: SavedProgress) -> None:
         """Continue after the progress that an earlier owner saved."""
-        self.last_event = self.saved_event = last_event
-        self.data = [text]
+        self.last_event = self.saved_event = saved.last_event
+        self.data = [saved.text]
+        self.origin = saved.origin
+
+    def start_over(self) -> None:
+        """Drop the events received so far, as they cannot be continued."""
+        self.last_event = self.saved_event = 0
+        self.data = []
+        self.origin = None
+        self.held_since = None
 
 
 @dataclass(slots=True, eq=False)
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -440,4 +440,4 @@
             extra = {"job": job.key.job, "number": saved.number}
             _LOGGER.warning("Saved progress names no item of its job", extra=extra)
             continue
-        job.items[saved.number].resume(saved.last_event, saved.text)
+        job.items[saved.number].resume(saved)
--- a/goldcreststair/components/placement/batch_slots.py
+++ b/goldcreststair/components/placement/batch_slots.py
@@ -45,13 +45,7 @@
 
         With a software version, only upstreams that certainly run it.
         """
-        free_all, slots_all = self._upstreams.read_idle(service)
-        if free_all < slots_all * BATCH_FREE_SHARE:
-            return None
-        free = self._list_free(service, regions)
-        if software_version is not None:
-            find_software = self._upstreams.find_software
-            free = [each for each in free if find_software(each[0].name) == software_version]
+        free = self._list_usable(service, regions, software_version)
         if not free:
             return None
         if self._upstreams.runs.digest_sequence is not None:
@@ -59,6 +53,25 @@
         best, _ = max(free, key=lambda each: each[1] + self._random.random())
         return best
 
+    def needs_software(self, service: str, regions: Regions, software_version: str) -> bool:
+        """Return whether upstreams have free slots for batch, but none of them runs this software."""
+        if self._list_usable(service, regions, software_version):
+            return False
+        return bool(self._list_usable(service, regions))
+
+    def _list_usable(
+        self, service: str, regions: Regions = None, software_version: str | None = None
+    ) -> list[tuple[UpstreamEntry, int]]:
+        """Return the upstreams with free slots while enough slots of the service are free."""
+        free_all, slots_all = self._upstreams.read_idle(service)
+        if free_all < slots_all * BATCH_FREE_SHARE:
+            return []
+        free = self._list_free(service, regions)
+        if software_version is None:
+            return free
+        find_software = self._upstreams.find_software
+        return [each for each in free if find_software(each[0].name) == software_version]
+
     def count_free(self, service: str) -> int:
         """Return the number of free slots that batch may use now."""
         return sum(free for _, free in self._list_free(service))
--- a/tests/components/jobs/test_checkpoints.py
+++ b/tests/components/jobs/test_checkpoints.py
@@ -7,6 +7,9 @@
 from goldcreststair.components.jobs.const import TEXT_PART_BYTES
 from goldcreststair.components.jobs.models import JobItem, JobKey, JobRecord, OpenJob
 from goldcreststair.components.jobs.registry import ItemProgress, ItemState, OwnedJob
+from goldcreststair.components.stream_origins.models import StreamOrigin
+
+ORIGIN = StreamOrigin("engine", "v1")
 
 
 def make_job(item: ItemProgress) -> OwnedJob:
@@ -38,13 +41,21 @@
 def test_progress_worth_saving(
     state: ItemState, last_event: int, saved_event: int, include_all: bool, saved: bool
 ) -> None:
-    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, state=state)
+    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, state=state, origin=ORIGIN)
     item.last_event, item.saved_event, item.data = last_event, saved_event, [b"one", b"two"]
     found = list_unsaved(make_job(item), include_all=include_all)
     assert [(each.last_event, each.text) for each in found] == [(last_event, b"one\ntwo")] * saved
+    assert all(each.origin == ORIGIN for each in found)
 
 
-def test_answer_too_long_for_a_row_keeps_its_last_save() -> None:
+def test_progress_of_unknown_software_is_not_saved() -> None:
+    """Guards against saved events that the next owner continues at another software version."""
     item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, state=ItemState.RUNNING)
+    item.last_event, item.data = 50, [b"one"]
+    assert list_unsaved(make_job(item), include_all=True) == []
+
+
+def test_answer_too_long_for_a_row_keeps_its_last_save() -> None:
+    item = ItemProgress(JobItem("i", "/", (), b"", 1), 0, state=ItemState.RUNNING, origin=ORIGIN)
     item.last_event, item.data = 50, [b"x" * (TEXT_PART_BYTES + 1)]
     assert list_unsaved(make_job(item), include_all=True) == []
