Continue streams and items of the other daemon at one software version

The daemon with the project's own interface joined answers of two software versions as well: a stream was resumed at any engine of its model after a loss, a silence or a departure, with its KV state or without, and a batch item that was paused went on at its upstream although that had restarted with other software. Engines now name their version in every answer and in their load report. A stream is placed by the last report, and the head of the answer decides: one of another version is cut off before a token of it counts, its run is cancelled, and the stream goes elsewhere. Where every upstream that stays reports another version, the stream ends at once (cannot_resume). An item starts over. Fields of a load report that this daemon does not know are skipped; they made it unreadable before.

Stand-in engines have a version, which decides the tokens of their answers.

--- a/goldcreststair/components/batch/dispatcher.py
+++ b/goldcreststair/components/batch/dispatcher.py
@@ -228,7 +228,12 @@
         while True:
             call = stream.make_call()
             outcome = await self._core.upstreams.engines.async_generate(self.upstream, call, stream)
-            if isinstance(outcome, Ok) or outcome.err_value.failure is not UpstreamFailure.SILENT:
+            failure = None if isinstance(outcome, Ok) else outcome.err_value.failure
+            if failure is UpstreamFailure.OTHER_SOFTWARE:
+                # The run that was just begun continues text of the other version, so it must not be joined.
+                await self._async_cancel(stream.item.request_id)
+                stream.start_over()
+            elif failure is not UpstreamFailure.SILENT:
                 return outcome
             # A slow engine, or one busy with online work, is silent too. Each run given up for that
             # counts as a try, and good items would end as failed.
--- a/goldcreststair/components/batch/streams.py
+++ b/goldcreststair/components/batch/streams.py
@@ -26,6 +26,8 @@
     first_token_ms: int = -1
     """Wait from the start of the present run to its first token; -1 before it."""
     last_index: int = -1
+    software_version: str | None = None
+    """Software version that produced the text so far; None without text."""
     parts: list[str] = field(default_factory=list)
     finish_reason: str | None = None
     task: "asyncio.Task[None] | None" = None
@@ -41,6 +43,7 @@
             if line.startswith(DATA_FIELD) and line[len(DATA_FIELD) :].startswith(b"{"):
                 self._append_text(orjson.loads(line[len(DATA_FIELD) :]))
         self.last_index = chunk.last_index
+        self.software_version = chunk.software_version
 
     @property
     def left_ms(self) -> int:
@@ -52,6 +55,12 @@
         self.started_at = self.clock.now()
         self.first_token_ms = -1
 
+    def start_over(self) -> None:
+        """Drop the text so far, which the upstream's present software cannot continue."""
+        self.last_index = -1
+        self.software_version = self.finish_reason = None
+        self.parts.clear()
+
     def make_call(self) -> GenerateCall:
         """Return the call that starts the item, or resumes it after the last received token."""
         return GenerateCall(
@@ -62,6 +71,7 @@
             timeout_ms=max(1, self.left_ms),
             resume_after=self.last_index,
             prior="".join(self.parts) if self.last_index >= 0 else "",
+            software_version=self.software_version,
         )
 
     def make_answer(self) -> bytes:
--- a/goldcreststair/components/online/gate.py
+++ b/goldcreststair/components/online/gate.py
@@ -179,4 +179,6 @@
     """Return the refusal for a failed routing."""
     if not error.known:
         return Refusal(error.message, RefusalCode.UNKNOWN_MODEL, 404, True)
+    if error.software_gone:
+        return Refusal(error.message, RefusalCode.CANNOT_RESUME, 503, True)
     return Refusal(error.message, RefusalCode.NO_UPSTREAM, 503, True, error.retry_after_ms)
--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -174,7 +174,7 @@
         if error.not_run and progress.may_have_run:
             # Not counted: a stream that has begun must not be cut because upstreams restart.
             progress.attempts -= 1
-        if error.failure is UpstreamFailure.MOVED:
+        if error.failure in (UpstreamFailure.MOVED, UpstreamFailure.OTHER_SOFTWARE):
             # Not counted: a stream that moves often must not run out of attempts.
             progress.attempts -= 1
             return NextStep.ELSEWHERE
@@ -247,6 +247,7 @@
             alone=self.alone,
             admitted=self.progress.has_begun,
             preferred=self.kv_holder,
+            software_version=self.recorder.software_version,
         )
 
     def lacks_tokens(self, end: GenerateEnd) -> bool:
@@ -263,6 +264,7 @@
             timeout_ms=max(1, self.deadline_at - now),
             resume_after=self.recorder.last_index,
             prior=self.recorder.read_text() if resumed else "",
+            software_version=self.recorder.software_version,
         )
 
 
--- a/goldcreststair/components/online/mover.py
+++ b/goldcreststair/components/online/mover.py
@@ -171,6 +171,7 @@
             prefix=stream.request.prefix,
             excluded=frozenset({stream.upstream.name}),
             admitted=True,
+            software_version=stream.recorder.software_version,
         )
         target = self._router.choose(query)
         if isinstance(target, Err) or stream.handover.done():
--- a/goldcreststair/components/online/stream.py
+++ b/goldcreststair/components/online/stream.py
@@ -19,6 +19,8 @@
         self.first_token_at: Millis | None = None
         self._clock = clock
         self.last_index = -1
+        self.software_version: str | None = None
+        """Software version that began the response; None before its first token."""
         self.gap = False
         """Whether the current run skipped tokens; the rest of that run is then dropped."""
         self._sink = sink
@@ -39,6 +41,8 @@
             if not chunk.tokens:
                 return
         self.last_index = chunk.last_index
+        if self.software_version is None:
+            self.software_version = chunk.software_version
         if self.first_token_at is None:
             self.first_token_at = self._clock.now()
         self._events.append(chunk.data)
--- a/goldcreststair/components/routing/controller.py
+++ b/goldcreststair/components/routing/controller.py
@@ -71,6 +71,9 @@
         accepting = [
             upstream for upstream in suitable if self._accepts_work(upstream, configuration, query)
         ]
+        if not accepting and not self._has_software_left(suitable, configuration, query):
+            message = f"no upstream of software {query.software_version} is left"
+            return Err(NoUpstream(message, software_gone=True))
         if not accepting:
             return Err(NoUpstream("no upstream can take this now"))
         free = [upstream for upstream in accepting if upstream.name not in self._isolated]
@@ -159,11 +162,32 @@
     ) -> bool:
         return (
             upstream.name not in query.excluded
-            and upstream.name not in configuration.leaving_upstreams
-            and self._find_leaving_since(upstream) is None
+            and self._stays(upstream, configuration)
+            and self._may_run_software(upstream, query)
             and self.loads.is_open(upstream.name, query.model)
         )
 
+    def _stays(self, upstream: Upstream, configuration: Configuration) -> bool:
+        return (
+            upstream.name not in configuration.leaving_upstreams
+            and self._find_leaving_since(upstream) is None
+        )
+
+    def _may_run_software(self, upstream: Upstream, query: RouteQuery) -> bool:
+        """Return whether an upstream runs the needed software, or does not report which it runs."""
+        if query.software_version is None:
+            return True
+        reported = self.loads.read_software(upstream.name)
+        return reported is None or reported == query.software_version
+
+    def _has_software_left(
+        self, suitable: Sequence[Upstream], configuration: Configuration, query: RouteQuery
+    ) -> bool:
+        return any(
+            self._stays(upstream, configuration) and self._may_run_software(upstream, query)
+            for upstream in suitable
+        )
+
     def _find_leaving_since(self, upstream: Upstream) -> Millis | None:
         if upstream.address in self._leaving_since:
             return self._leaving_since[upstream.address]
--- a/goldcreststair/components/routing/loads.py
+++ b/goldcreststair/components/routing/loads.py
@@ -105,6 +105,11 @@
         """Return this VM's requests in flight by upstream, without those that have none."""
         return {name: load.in_flight for name, load in self._loads.items() if load.in_flight}
 
+    def read_software(self, upstream: str) -> str | None:
+        """Return the software version that an upstream last reported, or None without a report."""
+        load = self._loads.get(upstream)
+        return load.report.software_version if load is not None and load.report else None
+
     def estimate(self, upstream: str) -> float:
         """Return the estimated number of requests at an upstream now."""
         load = self._loads.get(upstream)
--- a/goldcreststair/components/routing/protocols.py
+++ b/goldcreststair/components/routing/protocols.py
@@ -21,6 +21,8 @@
     retry_after_ms: int = 1000
     saturated: bool = False
     """True if all suitable upstreams are at their limit or isolated for suspect requests."""
+    software_gone: bool = False
+    """True if no upstream that stays runs the software version that the request needs."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +39,8 @@
     """Whether the request is suspected of crashing upstreams and runs isolated from new work."""
     admitted: bool = False
     """Whether the request was admitted before and only moves; limits then do not apply."""
+    software_version: str | None = None
+    """Software version that began the response; None for a new one."""
     preferred: str = ""
     """Name of the upstream that holds the request's KV state; chosen if it accepts work."""
 
--- a/goldcreststair/upstreams/errors.py
+++ b/goldcreststair/upstreams/errors.py
@@ -27,6 +27,8 @@
     """The answer had no end marker."""
     FENCED = "fenced"
     """The fencing token of an order was too old."""
+    OTHER_SOFTWARE = "other_software"
+    """The engine runs another software version than the one that began the answer."""
     MOVED = "moved"
     """The daemon ended the run to continue it at another upstream."""
     CANCELLED = "cancelled"
--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -1,7 +1,9 @@
 """HTTP client for engines: the OpenAI-compatible format with request ids and token indices."""
 
+import asyncio
 import dataclasses
-from typing import Any, Final
+from collections.abc import Coroutine
+from typing import Any, Final, TypeVar
 
 import orjson
 from result import Err, Ok, Result
@@ -28,7 +30,11 @@
 )
 from goldcreststair.upstreams.protocols import StreamSink
 
+T = TypeVar("T")
+
 HEADER_NOT_RUN: Final = "X-Not-Run"
+HEADER_SOFTWARE: Final = "X-Software-Version"
+"""Version of the engine's software, in every answer to a generation."""
 PATH_RESUME: Final = "/v1/resume"
 END_MARKER: Final = b"data: [DONE]\n\n"
 EVENT_END: Final = b"\n\n"
@@ -52,6 +58,8 @@
     ExchangeFailure.MALFORMED: UpstreamFailure.LOST,
 }
 
+_REPORT_FIELDS: Final = frozenset(field.name for field in dataclasses.fields(LoadReport))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlLimits:
@@ -84,14 +92,20 @@
 
 
 class _StreamReader:
-    """Splits a response into complete events; detects the end marker and answers of other requests."""
+    """Splits a response into complete events; detects the end marker, and answers of other requests and
+    of other software.
+    """
 
-    def __init__(self, request_id: str, resume_after: int, sink: StreamSink) -> None:
-        self.last_index = resume_after
+    def __init__(self, call: GenerateCall, sink: StreamSink) -> None:
+        self.last_index = call.resume_after
         self.tokens = 0
         self.ended = False
         self.crossed = False
-        self._request_id = request_id
+        self.other_software = asyncio.Event()
+        """Set when the answer is of another software version than the one that began it."""
+        self._request_id = call.request_id
+        self._expected_software = call.software_version
+        self._software = ""
         self._sink = sink
         self._buffer = b""
 
@@ -100,9 +114,14 @@
         # this stream.
         if status == STATUS_OK and headers.get(HEADER_REQUEST_ID) != self._request_id:
             self.crossed = True
+        self._software = headers.get(HEADER_SOFTWARE, "")
+        # An engine may have restarted with other software since the last load report, and what two
+        # versions write does not fit together.
+        if status == STATUS_OK and self._expected_software not in (None, self._software):
+            self.other_software.set()
 
     async def async_on_data(self, data: bytes) -> None:
-        if self.crossed or self.ended:
+        if self.crossed or self.other_software.is_set() or self.ended:
             return
         data = self._buffer + data
         complete = data.rfind(EVENT_END) + len(EVENT_END)
@@ -123,7 +142,7 @@
         if at >= 0:
             self.last_index = int(events[at + len(EVENT_ID) : events.index(b"\n", at)])
         self.tokens += tokens
-        return StreamChunk(events, tokens, self.last_index)
+        return StreamChunk(events, tokens, self.last_index, self._software)
 
 
 class HttpEngineClient:
@@ -133,12 +152,20 @@
         self, upstream: Upstream, call: GenerateCall, sink: StreamSink
     ) -> Result[GenerateEnd, UpstreamError]:
         """Run or resume one request."""
-        reader = _StreamReader(call.request_id, call.resume_after, sink)
+        reader = _StreamReader(call, sink)
         exchange = _create_exchange(upstream, call)
         on_data = reader.async_on_data if call.stream else None
-        outcome = await async_exchange(exchange, reader.on_head, on_data)
+        answering = async_exchange(exchange, reader.on_head, on_data)
+        outcome: Result[HttpResponse, ExchangeError] | None
+        if call.software_version is None:
+            outcome = await answering
+        else:
+            outcome = await _async_end_early(answering, reader.other_software)
         if reader.crossed:
             return Err(UpstreamError("answer of another request", UpstreamFailure.CROSSED))
+        if outcome is None:
+            message = f"{upstream.name} runs other software"
+            return Err(UpstreamError(message, UpstreamFailure.OTHER_SOFTWARE))
         if isinstance(outcome, Err):
             return Err(convert_exchange_error(outcome.err_value))
         response = outcome.ok_value
@@ -201,6 +228,17 @@
         return outcome.map(lambda _: None)
 
 
+async def _async_end_early(answering: Coroutine[Any, Any, T], ends: asyncio.Event) -> T | None:
+    """Return the result of a coroutine, or None if it was cancelled because `ends` was set."""
+    task, waiter = asyncio.ensure_future(answering), asyncio.ensure_future(ends.wait())
+    try:
+        await asyncio.wait({task, waiter}, return_when=asyncio.FIRST_COMPLETED)
+        return None if ends.is_set() else task.result()
+    finally:
+        task.cancel()
+        waiter.cancel()
+
+
 def _create_exchange(upstream: Upstream, call: GenerateCall) -> Exchange:
     path, body = call.path, call.body
     if call.resume_after >= 0:
@@ -240,7 +278,9 @@
 
 def _decode_load(raw: dict[str, Any]) -> LoadReport:
     lists = {name: tuple(raw.get(name, ())) for name in ("models", "adapters", "in_use")}
-    return LoadReport(**{**raw, **lists})
+    # Engines of a later version may report more than this daemon knows.
+    known = {name: value for name, value in raw.items() if name in _REPORT_FIELDS}
+    return LoadReport(**{**known, **lists})
 
 
 async def _async_control(
--- a/goldcreststair/upstreams/models.py
+++ b/goldcreststair/upstreams/models.py
@@ -54,6 +54,9 @@
     """Index of the last token already received; -1 runs from the start."""
     prior: str = ""
     """Text of the tokens up to `resume_after`, for an engine that has not run the request before."""
+    software_version: str | None = None
+    """Software version that produced those tokens; an answer of another one is not accepted. None if
+    there are none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +78,8 @@
     data: bytes
     tokens: int
     last_index: int
+    software_version: str = ""
+    """Software version of the engine, as its answer names it; empty if it names none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +124,8 @@
     """Loaded version of each model."""
     in_use: tuple[str, ...] = ()
     """Models and adapters that running or waiting requests use."""
+    software_version: str = ""
+    """Version of the engine's software, not of its models; empty if it reports none."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -87,6 +87,7 @@
             self.engine.faults.cross_answers = False
             request_id = "crossed-" + request_id
         self.set_header("X-Request-Id", request_id)
+        self.set_header("X-Software-Version", self.engine.software)
         try:
             if request.stream:
                 await self._async_stream(request)
@@ -255,10 +256,12 @@
     address: str = "127.0.0.1",
     step_base_ms: float = 12.0,
     ignore_fencing: bool = False,
+    software: str = "",
 ) -> None:
     """Serve `models` (comma-separated) until SIGTERM; prints the address as one JSON line."""
     parameters = EngineParameters(step_base_ms=step_base_ms, checks_fencing=not ignore_fencing)
     engine = EngineModel(LoopClock(), parameters, tuple(models.split(",")))
+    engine.software = software
     asyncio.run(async_serve(engine, address, port))
 
 
--- a/standins/engine/client.py
+++ b/standins/engine/client.py
@@ -91,6 +91,8 @@
             return Err(UpstreamError("no route", UpstreamFailure.CONNECT))
         self.calls.append((upstream.address, call))
         engine = self.engines[upstream.address]
+        if call.software_version not in (None, engine.software):
+            return Err(UpstreamError("other software", UpstreamFailure.OTHER_SOFTWARE))
         refused = self._check_refusal(engine, call)
         if refused is not None:
             return Err(refused)
@@ -213,7 +215,7 @@
             if silent and not await self._async_wait_while_silent(engine, call):
                 return Err(UpstreamError("no progress", UpstreamFailure.SILENT))
             if call.stream and index < generation.produced:
-                chunk = _make_chunk(request, index)
+                chunk = _make_chunk(request, index, engine.software)
                 index = chunk.last_index + 1
                 # A slow caller may take long, so that more tokens or the end may follow at once.
                 await sink.async_accept(chunk)
@@ -240,7 +242,7 @@
         return False
 
 
-def _make_chunk(request: ParsedRequest, first: int) -> StreamChunk:
+def _make_chunk(request: ParsedRequest, first: int, software: str) -> StreamChunk:
     generation = request.generation
     last = generation.produced - 1
     data = b"".join(
@@ -252,4 +254,4 @@
         )
         for index in range(first, last + 1)
     )
-    return StreamChunk(data, last + 1 - first, last)
+    return StreamChunk(data, last + 1 - first, last, software)
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -25,15 +25,15 @@
     return f"{WORDS[(int(seed[:8], 16) + index * 7) % len(WORDS)]}{index} "
 
 
-def make_text(prompt: str, tokens: int) -> str:
-    """Return the whole answer to a joined prompt, the same for every engine."""
-    seed = make_seed(prompt.encode())
+def make_text(prompt: str, tokens: int, software: str = "") -> str:
+    """Return the whole answer to a joined prompt, the same for every engine of a software version."""
+    seed = make_seed(prompt.encode(), software)
     return "".join(make_token(seed, index) for index in range(tokens))
 
 
-def make_seed(prompt: bytes) -> str:
+def make_seed(prompt: bytes, software: str = "") -> str:
     """Return the seed of an answer's tokens."""
-    return hashlib.sha256(prompt).hexdigest()
+    return hashlib.sha256(prompt + software.encode()).hexdigest()
 
 
 class EngineModel:
@@ -44,6 +44,8 @@
     ) -> None:
         """Create an idle engine; `async_run` decodes."""
         self.parameters = parameters
+        self.software = ""
+        """Version of its software, which decides the tokens of its answers; empty if it reports none."""
         self.faults = EngineFaults()
         self.served = ServedState(models)
         self.draining = False
@@ -73,6 +75,7 @@
             GenerationState.LOST,
         ):
             return known
+        generation.seed = make_seed(generation.prompt.encode(), self.software)
         self._known[generation.request_id] = generation
         while len(self._known) > MAX_KNOWN_GENERATIONS:
             self._known.popitem(last=False)
@@ -260,4 +263,5 @@
             tuple(sorted(self.served.adapters)),
             dict(self.served.versions),
             tuple(sorted({g.model for g in (*waiting, *self._running)})),
+            self.software,
         )
--- a/tests/helpers/online.py
+++ b/tests/helpers/online.py
@@ -29,7 +29,7 @@
 from standins.platform.store import FakePlatform
 from tests.helpers.cores import make_configuration, make_core
 
-ADDRESSES = ("127.0.0.1:9001", "127.0.0.1:9002", "127.0.0.1:9003")
+ADDRESSES = ("127.0.0.1:9001", "127.0.0.1:9002", "127.0.0.1:9003", "127.0.0.1:9004")
 SERVICE_ADDRESSES = ("127.0.0.1:9101", "127.0.0.1:9102")
 
 
