Distrust the software of an upstream only after it refused connections

Now an upstream is distrusted from a refused connection, a failed probe or a crash until 1 s after it accepts connections again, or until its new entry arrives; while the list is old, until the store answers. A silent one is not.

--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -27,6 +27,7 @@
 )
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.errors import PlatformError
@@ -85,6 +86,7 @@
         # connection.
         if await self._core.runner.pool.async_warm(entry.address, CONNECT_TIMEOUT_MS):
             return
+        self._core.get(PLACEMENT).controller.upstreams.mark_interrupted(entry.name)
         extra = {"upstream": entry.name, "runs": len(lost)}
         _LOGGER.warning("Upstream crashed while running requests of this daemon", extra=extra)
         crash = f"{entry.name}:{entry.started_ms}"
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -332,9 +332,13 @@
         else:
             progress.attempted.add(entry.name)
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
-            self._placement.mark_down(entry, error.message, self._request.request_id)
+            self._placement.mark_down(
+                entry,
+                error.message,
+                self._request.request_id,
+                refuses_connections=error.failure is UpstreamFailure.CONNECT,
+            )
         elif error.failure is UpstreamFailure.LOST and not error.status:
-            self._placement.controller.upstreams.mark_interrupted(entry.name)
             begun = self._relay.run_events > 0
             crash_tracker = self._core.get(CRASH_TRACKER)
             crash_tracker.report_lost_run(entry, self._admitted.fingerprint, begun=begun)
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -409,9 +409,13 @@
             return
         error = end.err_value
         if error.failure in (UpstreamFailure.CONNECT, UpstreamFailure.SILENT):
-            self._placement.mark_down(run.upstream, error.message, run.item.spec.item_id)
+            self._placement.mark_down(
+                run.upstream,
+                error.message,
+                run.item.spec.item_id,
+                refuses_connections=error.failure is UpstreamFailure.CONNECT,
+            )
         elif error.failure is UpstreamFailure.LOST:
-            self._placement.controller.upstreams.mark_interrupted(run.upstream.name)
             fingerprint = _make_fingerprint(run.job, run.item)
             begun = run.item.last_event > run.first_event
             self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, fingerprint, begun=begun)
--- a/goldcreststair/components/placement/const.py
+++ b/goldcreststair/components/placement/const.py
@@ -34,6 +34,8 @@
 """Interval between connection attempts to an upstream that is down."""
 FULL_MS: Final = 150
 """How long an upstream that was full gets no work: about one run ends there in this time."""
+REGISTRATION_MS: Final = 1_000
+"""Time after which the new entry of an upstream that has restarted is known, while the store answers."""
 SUSPECT_MS: Final = 1_000
 """How long another VM's report that an upstream is down is honoured."""
 
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -149,7 +149,9 @@
         """Return how much longer than usual an upstream reports work to take there; at least 1."""
         return self._pace.read_reported_factor(entry.name, load)
 
-    def mark_down(self, entry: UpstreamEntry, reason: str, subject: str) -> None:
+    def mark_down(
+        self, entry: UpstreamEntry, reason: str, subject: str, *, refuses_connections: bool
+    ) -> None:
         """Mark an upstream as down: it does not accept connections, or is silent.
 
         `subject` is the request or item that detected it.
@@ -158,6 +160,8 @@
             extra = {"upstream": entry.name, "address": entry.address, "met_by": subject}
             _LOGGER.warning("Upstream down", extra=extra | {"reason": reason})
         self.controller.upstreams.mark_down(entry.name)
+        if refuses_connections:
+            self.controller.upstreams.mark_interrupted(entry.name)
         self._core.runner.pool.close_idle(entry.address)
         self._links.schedule_beacon()
 
@@ -192,7 +196,7 @@
 
     def _on_resumed(self) -> None:
         self.controller.upstreams.cold_limiter.reset_after_pause()
-        self.controller.upstreams.mark_all_interrupted()
+        self.controller.upstreams.mark_process_resumed()
 
     def _on_upstreams(self, live: LiveUpstreams) -> None:
         self.controller.upstreams.apply_upstreams(live)
@@ -294,6 +298,8 @@
             _LOGGER.info("Upstream up", extra={"upstream": entry.name, "address": entry.address})
             self.controller.upstreams.mark_up(entry.name)
             self._links.schedule_beacon()
+        else:
+            self.controller.upstreams.mark_interrupted(entry.name)
 
 
 PLACEMENT: Final = ComponentKey[PlacementService]("placement")
--- a/goldcreststair/components/placement/upstream_table.py
+++ b/goldcreststair/components/placement/upstream_table.py
@@ -16,6 +16,7 @@
     DOWN_MS,
     EVACUATED_RETRY_MS,
     FULL_MS,
+    REGISTRATION_MS,
     SUSPECT_MS,
 )
 from goldcreststair.components.placement.loads import Runs, RunTracker
@@ -40,8 +41,8 @@
     """According to its answers, which may report it before the store does."""
     returned_cold_until: Millis = Millis(0)
     """Because the evacuation of its data centre has ended."""
-    interrupted_at: Millis | None = None
-    """When it was last down or lost runs: it may have restarted since, with other software."""
+    settles_at: Millis | None = None
+    """Time from which its entry names the software that it runs, if it restarted when it was last down."""
 
 
 class UpstreamTable:
@@ -143,14 +144,16 @@
         return states
 
     def is_software_certain(self, state: UpstreamState) -> bool:
-        """Return whether an upstream still runs the software that its entry names.
+        """Return whether an upstream certainly runs the software that its entry names.
 
-        An upstream may restart under its name with other software, and no entry can be updated while
-        the store is away.
+        An upstream may restart under its name with other software. It accepts requests some ms before its
+        new entry is known here, and while the store is away no entry can be updated at all.
         """
-        if state.interrupted_at is None or self.list_age.is_current():
+        if state.settles_at is None:
             return True
-        return state.interrupted_at < self.list_age.read_confirmed_at()
+        if self.list_age.is_current():
+            return state.settles_at <= self._clock.now()
+        return state.settles_at <= self.list_age.read_confirmed_at()
 
     def find_software(self, name: str) -> str | None:
         """Return the software version that an upstream certainly runs, or None."""
@@ -160,15 +163,19 @@
         return state.entry.software_version
 
     def mark_interrupted(self, name: str) -> None:
-        """Record that an upstream was down or lost runs, so that it may have restarted."""
+        """Record that an upstream accepts no connection, or accepts them again: it may have restarted.
+
+        One that is only silent has not.
+        """
         state = self._states.get(name)
         if state is not None:
-            state.interrupted_at = self._clock.now()
+            state.settles_at = Millis(self._clock.now() + REGISTRATION_MS)
 
-    def mark_all_interrupted(self) -> None:
-        """Record that any upstream may have restarted unnoticed, as this process was paused."""
-        for name in self._states:
-            self.mark_interrupted(name)
+    def mark_process_resumed(self) -> None:
+        """Record that this process was paused, so that restarts may have gone unnoticed."""
+        now = self._clock.now()
+        for state in self._states.values():
+            state.settles_at = Millis(max(now, state.settles_at or now))
 
     def is_in_regions(self, state: UpstreamState, regions: Regions) -> bool:
         """Return whether an upstream is in one of these regions."""
@@ -295,14 +302,14 @@
         state = self._states.get(name)
         if state is not None:
             state.down_until = Millis(self._clock.now() + DOWN_MS)
-            self.mark_interrupted(name)
 
     def mark_up(self, name: str) -> None:
         """Mark an upstream as up: it accepts connections."""
         state = self._states.get(name)
         if state is not None:
             state.down_until = Millis(0)
-            self.mark_interrupted(name)
+            if state.settles_at is not None:
+                self.mark_interrupted(name)
 
     def is_down(self, name: str) -> bool:
         """Return whether an upstream is marked as down."""
@@ -326,7 +333,6 @@
             state = self._states.get(self._names.get(key, ""))
             if state is not None:
                 state.suspected_until = Millis(self._clock.now() + SUSPECT_MS)
-                self.mark_interrupted(state.entry.name)
 
     def read_idle(self, service: str) -> tuple[int, int]:
         """Return the free slots and all slots of the upstreams of a service that are not down."""
