--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -1,10 +1,11 @@
 """A gateway daemon on loopback, with a store and an engine that speak the platform's wire format."""
 
 import asyncio
+import random
 import socket
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Final
 
 import orjson
 from serve import create_gateway
@@ -85,12 +86,19 @@
     ],
 }
 
+UNASSIGNED_PORTS: Final = (20_000, 32_000)
+"""Below the ports that the system assigns to outgoing connections."""
+
 
 def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
+    """Return a port that is free now, and that no connection of another test takes meanwhile."""
+    while True:
+        port = random.randrange(*UNASSIGNED_PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
         return port
 
 
@@ -240,18 +248,23 @@
 
 
 def register(
-    store: WireStore, engine: WireEngine, state: str = "ready", zone: str = "dc-a"
+    store: WireStore,
+    engine: WireEngine,
+    state: str = "ready",
+    zone: str = "dc-a",
+    version: str = "v1",
+    born: int = 1,
 ) -> None:
     """Write an engine's entry to the store's table of upstreams."""
     entry = {
         "service": "engine",
         "address": engine.address,
         "zone": zone,
-        "version": "v1",
+        "version": version,
         "slots": 8,
         "cold_left_ms": 0,
         "state": state,
         "sequence": 1,
-        "born": 1,
+        "born": born,
     }
     store.store.put(RowKey("servers", "", engine.name), orjson.dumps(entry))
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -26,20 +26,29 @@
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
 from tests.platform_adapter.soak.engine import SoakEngine
 from tests.platform_adapter.soak.faults import (
+    SOFTWARE_VERSIONS,
+    STORE_PROXY,
     Fault,
     FaultInjector,
     PlannedEvacuation,
+    PlannedUpgrade,
     plan_evacuations,
     plan_faults,
+    plan_upgrades,
 )
 from tests.platform_adapter.soak.proxy import Proxy
-from tests.platform_adapter.soak.record import Evacuation, Record
+from tests.platform_adapter.soak.record import Evacuation, Lifetime, Record
 from tests.platform_adapter.wire_store import WireStore
 
 app = App(help="Run gateway daemons as processes under seeded connection faults and signals.")
 
-ADDRESSES: Final = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
-ENGINES: Final = 3
+DAEMONS: Final = 3
+SEEDS: Final = 2
+ENGINES: Final = 6
+REGISTRATION_S: Final = 0.05
+"""Time from which a restarted upstream accepts requests until its new entry is written."""
+STARTING_VERSIONS: Final = 2
+"""Software versions of the upstreams at the start; upgrades bring others."""
 CALLERS: Final = 20
 UPSTREAM_WEIGHT: Final = 3
 """How many times more faults a proxy before an upstream gets than any other proxy."""
@@ -52,6 +61,7 @@
     """Daemons, upstreams and a store, with a proxy on every path between them and from callers."""
 
     folder: Path
+    size: int = DAEMONS
     record: Record = field(default_factory=Record)
     store: WireStore = field(default_factory=lambda: WireStore(FakeRowStore(BootClock())))
     engines: list[SoakEngine] = field(default_factory=list)
@@ -66,7 +76,7 @@
         for number in range(ENGINES):
             await self._async_add_engine(f"i-{number}")
         peer_port = find_port()
-        for address in ADDRESSES:
+        for address in self._list_addresses():
             await self._async_add_daemon(address, peer_port)
         await asyncio.gather(*(daemon.async_start() for daemon in self.daemons))
 
@@ -93,18 +103,66 @@
             evacuation.until = time.monotonic()
             self.store.store.drop(row)
 
+    async def async_upgrade(self, planned: Sequence[PlannedUpgrade]) -> None:
+        """Restart upstreams under their names, with other software; several may be down together."""
+        started_at = time.monotonic()
+        async with asyncio.TaskGroup() as tasks:
+            for each in planned:
+                await asyncio.sleep(max(0.0, started_at + each.at_s - time.monotonic()))
+                tasks.create_task(self._async_upgrade(each))
+
+    async def _async_upgrade(self, planned: PlannedUpgrade) -> None:
+        number = planned.target % len(self.engines)
+        engine, proxy = self.engines[number], self.proxies[number]
+        if engine.down:
+            return
+        self._find_lifetime(engine.name).until = time.monotonic()
+        engine.crash()
+        proxy.refuse()
+        try:
+            await asyncio.sleep(planned.lasts_s)
+        finally:
+            # It accepts requests before it is registered, as an upstream that starts does.
+            engine.software, engine.down = planned.software, False
+            await proxy.async_accept()
+            await asyncio.sleep(REGISTRATION_S)
+            self._register(number)
+
+    def _register(self, number: int) -> None:
+        engine = self.engines[number]
+        born = round(time.time() * 1000)
+        register(self.store, engine, zone=_name_zone(number), version=engine.software, born=born)
+        lifetime = Lifetime(engine.name, engine.software, time.monotonic())
+        self.record.lifetimes.append(lifetime)
+
+    def _find_lifetime(self, upstream: str) -> Lifetime:
+        return next(life for life in reversed(self.record.lifetimes) if life.upstream == upstream)
+
+    def _list_addresses(self) -> list[str]:
+        # Connections of the proxies begin at 127.0.0.1 and may take the port of a daemon that is down.
+        return [f"127.0.0.{number + 2}" for number in range(self.size)]
+
     async def _async_add_engine(self, name: str) -> None:
-        engine = SoakEngine(name, runs=self.record.runs)
+        number = len(self.engines)
+        software = SOFTWARE_VERSIONS[number % STARTING_VERSIONS]
+        engine = SoakEngine(
+            name, runs=self.record.runs, refusals=self.record.refusals, software=software
+        )
         await engine.async_start()
         proxy = await self._async_add_proxy(name, engine.address, records=True)
         engine.address = proxy.address
-        register(self.store, engine, zone=_name_zone(len(self.engines)))
         self.engines.append(engine)
+        self._register(number)
 
     async def _async_add_daemon(self, address: str, peer_port: int) -> None:
-        store = await self._async_add_proxy(f"store-{address}", self.store.address)
+        store = await self._async_add_proxy(f"{STORE_PROXY}{address}", self.store.address)
         plan = DaemonPlan(
-            address, find_port(), find_port(), peer_port, store.address, ADDRESSES[:2]
+            address,
+            find_port(),
+            find_port(),
+            peer_port,
+            store.address,
+            tuple(self._list_addresses()[:SEEDS]),
         )
         front = await self._async_add_proxy(f"front-{address}", plan.front)
         self.daemons.append(Daemon(plan, front, self.record, self.folder / f"{address}.log"))
@@ -117,13 +175,13 @@
 
 
 def _name_zone(number: int) -> str:
-    return f"dc-{'abc'[number % ENGINES]}"
+    return f"dc-{'abcdef'[number % ENGINES]}"
 
 
 @contextlib.asynccontextmanager
-async def async_open_site(folder: Path) -> AsyncIterator[Site]:
+async def async_open_site(folder: Path, size: int) -> AsyncIterator[Site]:
     """Start a site; it is stopped in any case."""
-    site = Site(folder)
+    site = Site(folder, size)
     try:
         await site.async_start()
         yield site
@@ -132,14 +190,18 @@
 
 
 async def async_soak(
-    seed: int, seconds: float, folder: Path, pauses_ms: Sequence[int] = PAUSES_MS
+    seed: int,
+    seconds: float,
+    folder: Path,
+    pauses_ms: Sequence[int] = PAUSES_MS,
+    size: int = DAEMONS,
 ) -> tuple[Record, list[Fault]]:
     """Run the faults of a seed; returns the observations and the faults."""
     chooser = random.Random(seed)
     faults = plan_faults(seed, seconds)
-    async with async_open_site(folder) as site:
+    async with async_open_site(folder, size) as site:
         proxies = site.proxies[:ENGINES] * UPSTREAM_WEIGHT + site.proxies[ENGINES:]
-        injector = FaultInjector(site.daemons, site.engines, proxies, chooser)
+        injector = FaultInjector(site.daemons, site.engines, proxies, chooser, site.record)
         ended = asyncio.Event()
         callers = [
             Caller(f"c{n}", site.daemons, site.record, random.Random(f"{seed}-{n}"), pauses_ms)
@@ -148,10 +210,14 @@
         async with asyncio.TaskGroup() as tasks:
             for caller in callers:
                 tasks.create_task(caller.async_run(ended))
-            evacuating = tasks.create_task(site.async_evacuate(plan_evacuations(seed, seconds)))
+            planned = [
+                tasks.create_task(site.async_evacuate(plan_evacuations(seed, seconds))),
+                tasks.create_task(site.async_upgrade(plan_upgrades(seed, seconds))),
+            ]
             await injector.async_run(faults)
             ended.set()
-            evacuating.cancel()
+            for each in planned:
+                each.cancel()
         await async_read_jobs(site.daemons, site.record, time.monotonic() + LISTED_WITHIN_S)
     return site.record, faults
 
@@ -163,19 +229,21 @@
     excuses = Counter(str(excuse) for _, _, excuse in list_unanswered(record))
     print(f"without a whole answer: {dict(excuses)}")
     print(f"runs: {len(record.runs)}, items: {len(record.accepted)}")
-    print(f"evacuations: {len(record.evacuations)}")
+    print(f"evacuations: {len(record.evacuations)}, upgrades: {len(record.lifetimes) - ENGINES}")
+    resumed = Counter((x.status, bool(x.body)) for x in record.exchanges if x.begun_as)
+    print(f"taken up, by status and whether it went on: {dict(resumed)}")
     for violation in violations:
         print(f"BROKEN {violation.promise}: {violation.subject}: {violation.detail}")
 
 
 @app.default
-def main(seed: int = 1, seconds: float = 30.0) -> None:
+def main(seed: int = 1, seconds: float = 30.0, daemons: int = DAEMONS) -> None:
     """Run a seed, print a summary, and exit with status 1 if a promise was broken."""
     # The stand-in store's server would log every connection that a fault broke.
     logging.getLogger("tornado").setLevel(logging.CRITICAL)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    print(f"seed {seed}, {seconds} s, logs in {folder}")
-    record, faults = asyncio.run(async_soak(seed, seconds, folder))
+    print(f"seed {seed}, {seconds} s, {daemons} daemons, logs in {folder}")
+    record, faults = asyncio.run(async_soak(seed, seconds, folder, size=daemons))
     violations = find_violations(record)
     print_report(record, faults, violations)
     sys.exit(1 if violations else 0)
--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -13,7 +13,12 @@
 
 from tests.platform_adapter.local import HttpAnswer, async_read_answer, make_request
 from tests.platform_adapter.soak.daemons import Daemon
-from tests.platform_adapter.soak.engine import EVENTS_HEADER, PAUSE_HEADER, make_text
+from tests.platform_adapter.soak.engine import (
+    EVENTS_HEADER,
+    PAUSE_HEADER,
+    make_text,
+    split_software,
+)
 from tests.platform_adapter.soak.record import Exchange, Item, Record
 
 PATHS: Final = {"stream": "/stream/x", "once": "/once/x", "call": "/call/x", "batch": "/batch/x"}
@@ -25,6 +30,9 @@
 PAUSE_S: Final = 0.1
 RECONNECT_S: Final = 0.1
 JOB_ITEMS: Final = 3
+STATUS_OK: Final = 200
+TRIES: Final = 2
+"""How often a caller takes up one stream."""
 READ_PAUSE_S: Final = 0.2
 READ_TIMEOUT_S: Final = 2.0
 
@@ -75,24 +83,75 @@
         link = daemon.front.find_link(port)
         if link is None:
             return False
-        self.record.exchanges.append(
-            Exchange(
+        exchange = Exchange(
+            request,
+            route,
+            daemon.name,
+            sent_at,
+            time.monotonic(),
+            sent_at + DEADLINE_S,
+            answer.status,
+            answer.whole,
+            answer.body,
+            make_text(request, int(headers[EVENTS_HEADER])),
+            link.disturbed,
+        )
+        self.record.exchanges.append(exchange)
+        if route == "stream" and not answer.whole:
+            await self._async_take_up(exchange, headers)
+        if route == "batch" and answer.status == 202 and answer.whole:
+            self.record.accepted += list_items(request, headers)
+        return answer.whole and answer.headers.get("Connection") != "close"
+
+    async def _async_take_up(self, broken: Exchange, headers: dict[str, str]) -> None:
+        """Take up a broken stream at any daemon, as often as its deadline and `TRIES` allow."""
+        events, begun_as = int(headers[EVENTS_HEADER]), broken.request
+        seen, software = _count_events(broken)
+        for _ in range(TRIES):
+            if not seen or time.monotonic() >= broken.deadline_at:
+                return
+            await asyncio.sleep(RECONNECT_S)
+            listed = [daemon for daemon in self.daemons if daemon.listed]
+            try:
+                daemon = self.chooser.choice(listed)
+                reader, writer = await async_open(daemon.front.address)
+            except (IndexError, OSError):
+                continue
+            request, sent_at = f"{self.name}-{next(self._numbers)}", time.monotonic()
+            left_ms = max(1, round((broken.deadline_at - sent_at) * 1000))
+            fields = {"Request-Id": request, "Resumes": begun_as, "Last-Event-Id": str(seen)}
+            port = writer.get_extra_info("sockname")[1]
+            writer.write(
+                make_request(
+                    "POST",
+                    PATHS["stream"],
+                    b"x",
+                    headers | fields | {"Deadline-Ms": str(left_ms)},
+                )
+            )
+            wait_s = left_ms / 1000 + WAIT_AFTER_DEADLINE_S
+            answer = await async_read_or_none(reader, wait_s) or HttpAnswer(0, {}, b"", False)
+            writer.close()
+            link = daemon.front.find_link(port)
+            exchange = Exchange(
                 request,
-                route,
+                "stream",
                 daemon.name,
                 sent_at,
                 time.monotonic(),
-                sent_at + DEADLINE_S,
+                broken.deadline_at,
                 answer.status,
                 answer.whole,
                 answer.body,
-                make_text(request, int(headers[EVENTS_HEADER])),
-                link.disturbed,
+                make_text(request, events, seen),
+                link is None or link.disturbed,
+                begun_as,
+                software,
             )
-        )
-        if route == "batch" and answer.status == 202 and answer.whole:
-            self.record.accepted += list_items(request, headers)
-        return answer.whole and answer.headers.get("Connection") != "close"
+            self.record.exchanges.append(exchange)
+            if answer.whole and answer.status == 200:
+                return
+            seen = max(seen, _count_events(exchange)[0])
 
     def _choose_work(self) -> dict[str, str]:
         events = self.chooser.choice((1, 5, 20))
@@ -100,6 +159,15 @@
         return {EVENTS_HEADER: str(events), PAUSE_HEADER: str(pause_ms)}
 
 
+def _count_events(exchange: Exchange) -> tuple[int, str]:
+    """Return the number of the last whole event of an answer, and the software that made it."""
+    events = exchange.body.decode(errors="replace").split("\n\n")[:-1]
+    if exchange.status != STATUS_OK or not events:
+        return 0, ""
+    text, versions = split_software(events[-1])
+    return int(text.partition("\n")[0].removeprefix("id: ")), next(iter(versions), "")
+
+
 def make_job(job: str, headers: dict[str, str]) -> bytes:
     """Return the body of a submission."""
     fields: dict[str, Any] = {"Model": "m", "Token-Count": "5,5"} | headers
--- a/tests/platform_adapter/soak/checker.py
+++ b/tests/platform_adapter/soak/checker.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import Final
 
+from tests.platform_adapter.soak.engine import split_software
 from tests.platform_adapter.soak.record import (
     GRACE_S,
     MAX_ATTEMPTS,
@@ -22,6 +23,13 @@
 """A request sent at most this long before a process ends may arrive after its connection was closed."""
 LATE_IN_LEAVE_S: Final = 3.0
 """A request sent at most this long before or after SIGTERM may still run when the grace period ends."""
+STABLE_S: Final = 3.0
+"""A daemon is calm once it has been undisturbed for this long."""
+SETTLED_S: Final = 0.5
+"""Upstreams count as serving this long after their start, and until this long before their end."""
+MIN_RESUMED: Final = 12
+RESUMED_SHARE: Final = 0.5
+STATUS_OK: Final = 200
 EVACUATED_S: Final = 5.0
 """Time after which no new request may reach an upstream of an evacuated data centre."""
 LAST_PART_S: Final = GRACE_S * 5 / 6
@@ -37,6 +45,8 @@
     NOT_RUN = "not run"
     LISTED = "listed"
     EVACUATED = "evacuated"
+    ONE_SOFTWARE = "one software version"
+    RESUMED = "resumed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +66,8 @@
         *find_wrong_runs(record),
         *find_wrong_listings(record),
         *find_runs_in_evacuations(record),
+        *find_joined_software(record),
+        *find_lost_resumptions(record),
     ]
 
 
@@ -68,6 +80,8 @@
     SPENT = "its last attempt was broken"
     UNREAD = "its daemon was gone or closing"
     LATE = "its run went on late in a leave"
+    NO_SOFTWARE = "no other upstream of its software was up"
+    UNKNOWN_SOFTWARE = "its daemon could not know the software that began it"
 
 
 def find_unanswered(record: Record) -> Iterator[Violation]:
@@ -97,13 +111,62 @@
             kill.daemon == seen.daemon and seen.sent_at <= kill.at <= seen.ended_at
             for kill in record.kills
         ),
-        Excuse.SPENT: len(tried) >= MAX_ATTEMPTS[seen.route] and tried[-1].broken,
+        Excuse.SPENT: len(tried) >= MAX_ATTEMPTS[seen.route] and _was_lost(tried[-1], seen, record),
         Excuse.UNREAD: not tried and _may_have_crossed(seen, record),
         Excuse.LATE: _is_late_in_leave(seen, record),
+        Excuse.NO_SOFTWARE: bool(tried)
+        and _was_lost(tried[-1], seen, record)
+        and not _has_other_upstream(seen, tried, record),
+        Excuse.UNKNOWN_SOFTWARE: seen.route == "stream"
+        and bool(tried)
+        and _was_lost(tried[-1], seen, record)
+        and _had_old_list(seen, record),
     }
     return next((excuse for excuse, holds in reasons.items() if holds), None)
 
 
+def _had_old_list(seen: Exchange, record: Record) -> bool:
+    """Return whether a daemon's list of upstreams may have been old when it began a stream."""
+    return any(
+        fault.daemon == seen.daemon
+        and fault.since <= seen.sent_at
+        and seen.sent_at - STABLE_S <= fault.until
+        for fault in record.store_faults
+    )
+
+
+def _was_lost(attempt: Attempt, seen: Exchange, record: Record) -> bool:
+    """Return whether an attempt ended with its connection or with its upstream."""
+    spans = [life for life in record.lifetimes if life.upstream == attempt.upstream]
+    lived = any(life.since <= attempt.at and seen.ended_at <= life.until for life in spans)
+    return attempt.broken or bool(spans and not lived)
+
+
+def _has_other_upstream(seen: Exchange, tried: list[Attempt], record: Record) -> bool:
+    """Return whether an upstream that was not tried yet could continue a stream when it ended."""
+    _, versions = split_software(seen.body.decode(errors="replace"))
+    software = next(iter(versions), seen.software)
+    names = list_serving(record, software, seen.ended_at)
+    return not software or bool(names - {attempt.upstream for attempt in tried})
+
+
+def list_serving(record: Record, software: str, at: float) -> set[str]:
+    """Return the upstreams of a software version that served and were not evacuated, around a time."""
+    evacuated = {
+        evacuation.upstream
+        for evacuation in record.evacuations
+        if evacuation.since <= at <= evacuation.until + EVACUATED_S
+    }
+    serving = {
+        life.upstream
+        for life in record.lifetimes
+        if life.software == software
+        and life.since + SETTLED_S <= at
+        and at + SETTLED_S <= life.until
+    }
+    return serving - evacuated
+
+
 def _may_have_crossed(seen: Exchange, record: Record) -> bool:
     """Return whether the daemon may have closed the connection before it read the request."""
     return not seen.status and any(
@@ -127,7 +190,8 @@
     for seen in record.exchanges:
         if seen.status != 200 or seen.route == "batch":
             continue
-        right = seen.body == seen.expected if seen.whole else seen.expected.startswith(seen.body)
+        text = split_software(seen.body.decode())[0].encode()
+        right = text == seen.expected if seen.whole else seen.expected.startswith(text)
         if not right:
             detail = f"{_describe(seen)}, got {seen.body!r} of {seen.expected!r}"
             yield Violation(Promise.WHOLE, seen.request, detail)
@@ -156,10 +220,59 @@
             yield Violation(Promise.LISTED, item.item, f"{item.job}: listed {len(found)} times")
         elif not found[0].done and broken[item.item] < MAX_ATTEMPTS["batch"]:
             yield Violation(Promise.LISTED, item.item, f"{item.job}: failed without three breaks")
-        elif found[0].done and found[0].text != item.text:
+        elif found[0].done and split_software(found[0].text)[0] != item.text:
             yield Violation(Promise.LISTED, item.item, f"{item.job}: text {found[0].text!r}")
 
 
+def find_joined_software(record: Record) -> Iterator[Violation]:
+    """Yield streams, over all attempts of their callers, and items with events of two versions."""
+    versions: dict[str, set[str]] = defaultdict(set)
+    for seen in record.exchanges:
+        if seen.status == STATUS_OK and seen.route == "stream":
+            versions[seen.stream] |= split_software(seen.body.decode())[1]
+    for item in record.listed:
+        versions[item.item] |= split_software(item.text)[1]
+    for name, found in versions.items():
+        if len(found) > 1:
+            yield Violation(Promise.ONE_SOFTWARE, name, f"events of {sorted(found)}")
+
+
+def find_lost_resumptions(record: Record) -> Iterator[Violation]:
+    """Yield a violation if far fewer streams that callers take up go on than new streams begin.
+
+    Counted are those at daemons without a disturbance, while two upstreams of their software serve.
+    """
+    calm = [
+        seen
+        for seen in record.exchanges
+        if seen.route == "stream" and not seen.cut and _is_calm(seen, record)
+    ]
+    resumed = [
+        bool(seen.body)
+        for seen in calm
+        if seen.begun_as and len(list_serving(record, seen.software, seen.sent_at)) >= 2
+    ]
+    begun = [seen.status == STATUS_OK for seen in calm if not seen.begun_as]
+    if len(resumed) < MIN_RESUMED or not begun:
+        return
+    shares = [sum(each) / len(each) for each in (resumed, begun)]
+    if shares[0] < shares[1] * RESUMED_SHARE:
+        detail = f"{len(resumed)} streams: {shares[0]:.2f} go on, {shares[1]:.2f} of new ones begin"
+        yield Violation(Promise.RESUMED, "all streams", detail)
+
+
+def _is_calm(seen: Exchange, record: Record) -> bool:
+    """Return whether a request's daemon ran undisturbed for `STABLE_S` before it."""
+    since = seen.sent_at - STABLE_S
+    signals = [*record.kills, *record.stops]
+    if any(each.daemon == seen.daemon and since <= each.at <= seen.ended_at for each in signals):
+        return False
+    return not any(
+        each.daemon == seen.daemon and each.until >= since and each.since <= seen.ended_at
+        for each in [*record.absences, *record.pauses]
+    )
+
+
 def find_runs_in_evacuations(record: Record) -> Iterator[Violation]:
     """Yield runs that began at an upstream after its data centre had been evacuated."""
     for evacuation in record.evacuations:
--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -111,11 +111,14 @@
     async def async_pause(self, paused_s: float) -> None:
         """Pause the process for `paused_s`; its connections stay open."""
         async with self._signals:
+            pause = Absence(self.name, time.monotonic())
+            self.record.pauses.append(pause)
             self._send(signal.SIGSTOP)
             try:
                 await asyncio.sleep(paused_s)
             finally:
                 self._send(signal.SIGCONT)
+                pause.until = time.monotonic()
 
     async def async_close(self) -> None:
         """Kill the process; called when all observations have been made."""
--- a/tests/platform_adapter/soak/engine.py
+++ b/tests/platform_adapter/soak/engine.py
@@ -1,6 +1,7 @@
-"""An upstream whose events contain their request id, and that records its runs."""
+"""An upstream whose events contain their request id and its software version, and that records its runs."""
 
 import asyncio
+import re
 import time
 from dataclasses import dataclass, field
 from typing import Final
@@ -12,14 +13,27 @@
 PAUSE_HEADER: Final = "Soak-Pause-Ms"
 
 
-def make_event(request: str, number: int) -> bytes:
-    """Return one event of a request."""
-    return f"id: {number}\ndata: {request} {number}\n\n".encode()
+SOFTWARE_MARK: Final = re.compile(r" by (\S+)")
 
 
-def make_text(request: str, events: int) -> bytes:
-    """Return all events of a request."""
-    return b"".join(make_event(request, number) for number in range(1, events + 1))
+def make_event(request: str, number: int, software: str = "") -> bytes:
+    """Return one event of a request, with the software version that made it unless that is left out."""
+    mark = f" by {software}" if software else ""
+    return f"id: {number}\ndata: {request} {number}{mark}\n\n".encode()
+
+
+def make_text(request: str, events: int, after: int = 0) -> bytes:
+    """Return the events of a request after event `after`, without software versions."""
+    return b"".join(make_event(request, number) for number in range(after + 1, events + 1))
+
+
+def split_software(text: str) -> tuple[str, frozenset[str]]:
+    """Return a text without software versions, and the versions that it named.
+
+    >>> split_software(make_event("r", 1, "v2").decode())
+    ('id: 1\\ndata: r 1\\n\\n', frozenset({'v2'}))
+    """
+    return SOFTWARE_MARK.sub("", text), frozenset(SOFTWARE_MARK.findall(text))
 
 
 @dataclass(slots=True)
@@ -27,16 +41,44 @@
     """Runs every request, or refuses all of them as not run while `refuses` is set."""
 
     refuses: bool = False
+    software: str = "v1"
+    down: bool = False
+    """Whether it has crashed: it closes every connection."""
     runs: list[Run] = field(default_factory=list)
+    refusals: list[Run] = field(default_factory=list)
+    """Requests that it refused as not run."""
+
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
+
+    def crash(self) -> None:
+        """Close all connections, and new ones until `down` is cleared."""
+        self.down = True
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            # `dataclass(slots=True)` creates a new class, so `super()` without arguments would fail.
+            await WireEngine._async_serve(self, reader, writer)
+        finally:
+            self._writers.discard(writer)
 
     async def _async_answer(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int
     ) -> bool:
+        if self.down:
+            return False
         head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         headers = dict(line.split(": ", 1) for line in head[1:] if line)
         await reader.readexactly(int(headers.get("Content-Length", "0")))
         request = headers.get("Request-Id", "")
+        if self.down:
+            return False
         if self.refuses:
+            self.refusals.append(Run(request, self.name, time.monotonic()))
             writer.write(make_head(503, request, "Not-Run: 1\r\nContent-Length: 0"))
             return True
         run = Run(request, self.name, time.monotonic())
@@ -50,11 +92,11 @@
     async def _async_run(
         self, writer: asyncio.StreamWriter, request: str, headers: dict[str, str]
     ) -> None:
-        first = int(headers.get("Last-Event-Id", "0")) + 1
+        first, software = int(headers.get("Last-Event-Id", "0")) + 1, self.software
         writer.write(make_head(200, request, "Transfer-Encoding: chunked"))
         for number in range(first, int(headers.get(EVENTS_HEADER, "3")) + 1):
             await asyncio.sleep(int(headers.get(PAUSE_HEADER, "0")) / 1000)
-            event = make_event(request, number)
+            event = make_event(request, number, software)
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -11,6 +11,7 @@
 from tests.platform_adapter.soak.daemons import Daemon
 from tests.platform_adapter.soak.engine import SoakEngine
 from tests.platform_adapter.soak.proxy import Link, Proxy
+from tests.platform_adapter.soak.record import Absence, Record
 
 SERIES: Final = 3
 MEAN_PAUSE_S: Final = 1.0
@@ -19,6 +20,10 @@
 LONGEST_DELAY_S: Final = 0.3
 EVACUATION_S: Final = (6.0, 12.0)
 """Shortest and longest evacuation: longer than all daemons may take to apply one."""
+SOFTWARE_VERSIONS: Final = ("v1", "v2", "v3")
+MEAN_UPGRADE_PAUSE_S: Final = 3.0
+STORE_PROXY: Final = "store-"
+"""Prefix of the proxy between a daemon, named after it, and the store."""
 SHARE: Final = 0.5
 """Share of a proxy's open connections that a connection fault affects."""
 
@@ -94,6 +99,32 @@
     return planned
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedUpgrade:
+    """A restart of an upstream under its name with other software; it is down for `lasts_s`."""
+
+    at_s: float
+    target: int
+    lasts_s: float
+    software: str
+
+
+def plan_upgrades(seed: int, seconds: float) -> list[PlannedUpgrade]:
+    """Return the upgrades of a seed; they do not change its other faults.
+
+    >>> plan_upgrades(1, 60) == plan_upgrades(1, 60) != plan_upgrades(2, 60)
+    True
+    """
+    chooser, planned = random.Random(f"upgrades {seed}"), []
+    at_s = chooser.uniform(0, MEAN_UPGRADE_PAUSE_S)
+    while at_s < seconds:
+        lasts_s = chooser.uniform(SHORTEST_S, LONGEST_S)
+        target, software = chooser.randrange(1 << 16), chooser.choice(SOFTWARE_VERSIONS)
+        planned.append(PlannedUpgrade(at_s, target, lasts_s, software))
+        at_s += chooser.uniform(0, 2 * MEAN_UPGRADE_PAUSE_S)
+    return planned
+
+
 def _plan_series(chooser: random.Random, seconds: float) -> Iterator[Fault]:
     at_s = chooser.uniform(0, MEAN_PAUSE_S)
     while at_s < seconds:
@@ -113,6 +144,7 @@
     engines: Sequence[SoakEngine]
     proxies: Sequence[Proxy]
     chooser: random.Random
+    record: Record
 
     async def async_run(self, faults: Sequence[Fault]) -> None:
         """Inject all faults and return when the last one is over."""
@@ -153,16 +185,19 @@
         engine.refuses = False
 
     async def _async_delay(self, fault: Fault) -> None:
+        self._record_store_fault(fault)
         proxy = self._find_proxy(fault)
         proxy.delay_s = fault.lasts_s / LONGEST_S * LONGEST_DELAY_S
         await asyncio.sleep(fault.lasts_s)
         proxy.delay_s = 0.0
 
     async def _async_reset(self, fault: Fault) -> None:
+        self._record_store_fault(fault)
         for link in self._choose_links(fault):
             link.reset()
 
     async def _async_hold(self, fault: Fault) -> None:
+        self._record_store_fault(fault)
         links = self._choose_links(fault)
         for link in links:
             link.hold(fault.kind is not FaultKind.HOLD_FROM, fault.kind is not FaultKind.HOLD_TO)
@@ -170,6 +205,13 @@
         for link in links:
             link.release()
 
+    def _record_store_fault(self, fault: Fault) -> None:
+        """Record a fault on a daemon's connections to the store."""
+        daemon = self._find_proxy(fault).name.removeprefix(STORE_PROXY)
+        if any(each.name == daemon for each in self.daemons):
+            now = time.monotonic()
+            self.record.store_faults.append(Absence(daemon, now, now + fault.lasts_s))
+
     def _find_proxy(self, fault: Fault) -> Proxy:
         return self.proxies[fault.target % len(self.proxies)]
 
--- a/tests/platform_adapter/soak/proxy.py
+++ b/tests/platform_adapter/soak/proxy.py
@@ -66,6 +66,7 @@
     """Connections by the port of the side that opened them; kept until that port opens another."""
     _open: set[Link] = field(default_factory=set)
     _server: asyncio.Server | None = None
+    _held: socket.socket = field(default_factory=socket.socket)
 
     async def async_start(self) -> None:
         """Listen on any free port."""
@@ -73,6 +74,25 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def refuse(self) -> None:
+        """Reset all open connections and refuse new ones."""
+        if self._server is not None:
+            self._server.close()
+        # Without a socket that holds the port, another connection may take it.
+        self._held = socket.socket()
+        self._held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._held.bind(self._list_address())
+        for link in self.list_open():
+            link.reset()
+
+    async def async_accept(self) -> None:
+        """Accept connections again, at the same address."""
+        self._server = await asyncio.start_server(self._async_carry, sock=self._held)
+
+    def _list_address(self) -> tuple[str, int]:
+        host, _, port = self.address.rpartition(":")
+        return host, int(port)
+
     def close(self) -> None:
         """Stop listening and reset all open connections."""
         if self._server is not None:
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -26,6 +26,15 @@
     expected: bytes = b""
     cut: bool = False
     """Whether a proxy disturbed the caller's own connection."""
+    begun_as: str = ""
+    """The attempt that brought the first event, if this one takes up its stream."""
+    software: str = ""
+    """Software version of the events that earlier attempts brought."""
+
+    @property
+    def stream(self) -> str:
+        """Return the name of the stream, the same for all attempts of its caller."""
+        return self.begun_as or self.request
 
 
 @dataclass(slots=True)
@@ -85,6 +94,16 @@
     until: float = float("inf")
 
 
+@dataclass(slots=True)
+class Lifetime:
+    """A period in which an upstream was listed and ran one software version."""
+
+    upstream: str
+    software: str
+    since: float
+    until: float = float("inf")
+
+
 @dataclass(slots=True)
 class Record:
     """All observations of one soak."""
@@ -98,3 +117,9 @@
     stops: list[Signal] = field(default_factory=list)
     absences: list[Absence] = field(default_factory=list)
     evacuations: list[Evacuation] = field(default_factory=list)
+    lifetimes: list[Lifetime] = field(default_factory=list)
+    pauses: list[Absence] = field(default_factory=list)
+    refusals: list[Run] = field(default_factory=list)
+    """Requests that upstreams refused as not run."""
+    store_faults: list[Absence] = field(default_factory=list)
+    """Disturbances of a daemon's connections to the store."""
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -5,13 +5,14 @@
 import pytest
 
 from tests.platform_adapter.soak.checker import Promise, find_violations
-from tests.platform_adapter.soak.engine import make_text
+from tests.platform_adapter.soak.engine import make_event, make_text
 from tests.platform_adapter.soak.record import (
     Absence,
     Attempt,
     Evacuation,
     Exchange,
     Item,
+    Lifetime,
     Record,
     Run,
     Signal,
@@ -21,6 +22,8 @@
 GOOD = Exchange("r", "stream", "vm", 10.0, 11.0, 15.0, 200, True, WHOLE, WHOLE)
 LOST = replace(GOOD, whole=False, body=b"")
 UNREAD = replace(LOST, status=0)
+OTHER = Lifetime("i-2", "v1", 0.0)
+BEGUN = replace(LOST, body=make_event("r", 1, "v1"))
 FIRST, LAST = Attempt("r", "i-1", 10.1), Attempt("r", "i-2", 10.2)
 BROKEN_FIRST, BROKEN_LAST = replace(FIRST, broken=True), replace(LAST, broken=True)
 ITEM = Item("j", "r", "text")
@@ -48,6 +51,13 @@
         Record([UNREAD], absences=[Absence("vm", 10.1)], attempts=[FIRST]),
         Record([UNREAD], absences=[Absence("vm", 11.1)]),
         Record([UNREAD], absences=[Absence("vm", 8.0, 9.9)]),
+        Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=[OTHER]),
+        Record(
+            [BEGUN],
+            attempts=[BROKEN_FIRST],
+            lifetimes=[OTHER],
+            store_faults=[Absence("vm", 5.0, 6.0)],
+        ),
     ],
 )
 def test_a_lost_answer_is_found(record: Record) -> None:
@@ -67,6 +77,13 @@
         Record([replace(LOST, route="once")], attempts=[BROKEN_FIRST]),
         Record([LOST], stops=[Signal("vm", 9.0)], runs=[LATE_RUN]),
         Record([UNREAD], absences=[Absence("vm", 10.1)]),
+        Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=[Lifetime("i-2", "v2", 0.0)]),
+        Record(
+            [BEGUN],
+            attempts=[BROKEN_FIRST],
+            lifetimes=[OTHER],
+            store_faults=[Absence("vm", 8.0, 9.0)],
+        ),
     ],
 )
 def test_an_excused_request_is_no_violation(record: Record) -> None:
@@ -146,3 +163,51 @@
     """Guards against a request at an upstream that operators are about to remove."""
     record = Record(runs=[Run("r", "i-1", at)], evacuations=[Evacuation("i-1", 10.0, 20.0)])
     assert find_promises(record) == promises
+
+
+def make_resumed(number: int, body: bytes, software: str = "v1") -> Exchange:
+    """Return an attempt that takes up a stream after its first event."""
+    return replace(
+        GOOD,
+        request=f"again-{number}",
+        whole=False,
+        cut=not body,
+        body=body,
+        expected=make_text("r", 3, 1),
+        begun_as="r",
+        software=software,
+    )
+
+
+@pytest.mark.parametrize(
+    ("software", "found"), [("v1", []), ("v2", [Promise.ONE_SOFTWARE])], ids=["same", "other"]
+)
+def test_events_of_two_software_versions_are_found(software: str, found: list[Promise]) -> None:
+    """Guards against streams that are joined over two attempts, or in one item."""
+    first = replace(LOST, cut=True, body=make_event("r", 1, "v1"))
+    again = replace(make_resumed(1, make_event("r", 2, software)), cut=True)
+    assert find_promises(Record([first, again])) == found
+    text = "r 1 by v1\nr 2 by " + software
+    item = Item("j", "item", "r 1\nr 2")
+    record = Record(accepted=[item], listed=[replace(item, text=text)])
+    assert find_promises(record) == found
+
+
+@pytest.mark.parametrize(
+    ("going_on", "upstreams", "found"),
+    [(5, 2, [Promise.RESUMED]), (6, 2, []), (0, 1, [])],
+)
+def test_refusing_most_resumptions_is_found(
+    going_on: int, upstreams: int, found: list[Promise]
+) -> None:
+    """Guards against daemons that keep to one version by refusing streams that could go on."""
+    lifetimes = [Lifetime(f"i-{number}", "v1", 0.0) for number in range(upstreams)]
+    resumed = [
+        replace(make_resumed(number, make_event("r", 2, "v1")), cut=False, ended_at=15.0)
+        for number in range(going_on)
+    ]
+    refused = [
+        replace(make_resumed(number, b""), status=503, whole=True, cut=False)
+        for number in range(going_on, 12)
+    ]
+    assert find_promises(Record([GOOD, *resumed, *refused], lifetimes=lifetimes)) == found
