--- a/tests/platform_adapter/soak/checker.py
+++ b/tests/platform_adapter/soak/checker.py
@@ -27,6 +27,8 @@
 """A daemon is calm once it has been undisturbed for this long."""
 SETTLED_S: Final = 0.5
 """Upstreams count as serving this long after their start, and until this long before their end."""
+REFUSED_WITHIN_S: Final = 1.0
+"""An attempt whose upstream refused the request within this time did not run."""
 MIN_RESUMED: Final = 12
 RESUMED_SHARE: Final = 0.5
 STATUS_OK: Final = 200
@@ -111,7 +113,7 @@
             kill.daemon == seen.daemon and seen.sent_at <= kill.at <= seen.ended_at
             for kill in record.kills
         ),
-        Excuse.SPENT: len(tried) >= MAX_ATTEMPTS[seen.route] and _was_lost(tried[-1], seen, record),
+        Excuse.SPENT: _has_spent_attempts(seen, tried, record),
         Excuse.UNREAD: not tried and _may_have_crossed(seen, record),
         Excuse.LATE: _is_late_in_leave(seen, record),
         Excuse.NO_SOFTWARE: bool(tried)
@@ -125,6 +127,23 @@
     return next((excuse for excuse, holds in reasons.items() if holds), None)
 
 
+def _has_spent_attempts(seen: Exchange, tried: list[Attempt], record: Record) -> bool:
+    """Return whether a request had all its attempts, and the last one was lost.
+
+    Attempts that upstreams refused as not run do not count.
+    """
+    refusals = [each for each in record.refusals if each.request == seen.request]
+    counted = [
+        attempt
+        for attempt in tried
+        if not any(
+            each.upstream == attempt.upstream and 0 <= each.at - attempt.at < REFUSED_WITHIN_S
+            for each in refusals
+        )
+    ]
+    return len(counted) >= MAX_ATTEMPTS[seen.route] and _was_lost(counted[-1], seen, record)
+
+
 def _had_old_list(seen: Exchange, record: Record) -> bool:
     """Return whether a daemon's list of upstreams may have been old when it began a stream."""
     return any(
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -25,6 +25,7 @@
 OTHER = Lifetime("i-2", "v1", 0.0)
 BEGUN = replace(LOST, body=make_event("r", 1, "v1"))
 FIRST, LAST = Attempt("r", "i-1", 10.1), Attempt("r", "i-2", 10.2)
+REFUSED = Attempt("r", "i-3", 10.3)
 BROKEN_FIRST, BROKEN_LAST = replace(FIRST, broken=True), replace(LAST, broken=True)
 ITEM = Item("j", "r", "text")
 LATE_RUN = Run("r", "i-1", 10.1, 16.8)
@@ -42,6 +43,7 @@
         Record([UNREAD]),
         Record([LOST], attempts=[BROKEN_FIRST]),
         Record([LOST], attempts=[BROKEN_FIRST, LAST]),
+        Record([LOST], attempts=[BROKEN_FIRST, REFUSED], refusals=[Run("r", "i-3", 10.4)]),
         Record([LOST], kills=[Signal("other", 10.5)]),
         Record([LOST], kills=[Signal("vm", 11.5)]),
         Record([LOST], stops=[Signal("vm", 9.0)]),
@@ -74,6 +76,11 @@
         Record([replace(LOST, ended_at=15.0)]),
         Record([LOST], kills=[Signal("vm", 10.5)]),
         Record([LOST], attempts=[FIRST, BROKEN_LAST]),
+        Record(
+            [LOST],
+            attempts=[FIRST, BROKEN_LAST, REFUSED],
+            refusals=[Run("r", "i-3", 10.4)],
+        ),
         Record([replace(LOST, route="once")], attempts=[BROKEN_FIRST]),
         Record([LOST], stops=[Signal("vm", 9.0)], runs=[LATE_RUN]),
         Record([UNREAD], absences=[Absence("vm", 10.1)]),
