--- a/standins/chaos/__main__.py
+++ b/standins/chaos/__main__.py
@@ -20,7 +20,7 @@
     find_late_key_uses,
 )
 from standins.chaos.report import print_report
-from standins.chaos.traffic import SendAction, Traffic
+from standins.chaos.traffic import SOFTWARE, SendAction, Traffic
 from standins.checking.checker import Limit, Violation, find_violations
 from standins.demo.__main__ import wait_ready
 from standins.demo.fleet import Fleet, FleetPlan, send_request
@@ -33,7 +33,13 @@
     "surging": {"rate_per_s": 4, "burst": 8},
     "visitors": {"rate_per_s": 20, "burst": 20},
 }
-PLAN: Final = FleetPlan(daemons=4, engines=4, step_base_ms=4.0, daemon_flags={"drain-ms": "60000"})
+PLAN: Final = FleetPlan(
+    daemons=4,
+    engines=4,
+    software=SOFTWARE,
+    step_base_ms=4.0,
+    daemon_flags={"drain-ms": "60000"},
+)
 LONG_RUN_S: Final = 90
 SETTLE_S: Final = 5.0
 CALLER_LOOPS: Final[tuple[tuple[str, SendAction, float, int], ...]] = (
--- a/standins/chaos/faults.py
+++ b/standins/chaos/faults.py
@@ -13,7 +13,7 @@
 
 from standins.chaos.caller import NO_ANSWER, STATUS_OK
 from standins.chaos.observations import FaultSpan, Observations, read_ms
-from standins.chaos.traffic import POISON
+from standins.chaos.traffic import POISON, SOFTWARE
 from standins.demo.fleet import OPERATOR_TOKEN, Fleet, HttpResponse, send_request
 from standins.demo.process import ChildProcess
 
@@ -137,12 +137,12 @@
             self._add_daemon()
 
     def kill_engine(self) -> None:
-        """Kill an engine, then restart it at the same address."""
+        """Kill an engine, then restart it at the same address with any software version."""
         name = self._random.choice(sorted(self._fleet.engines))
         self._fleet.processes[name].send_signal(signal.SIGKILL)
         self._fleet.processes[name].wait(10)
         self._wait(2.0)
-        self._fleet.restart_engine(name)
+        self._fleet.restart_engine(name, self._random.choice(SOFTWARE))
         self.set_crash_marker(name)
 
     def silence_engine(self) -> None:
