Cover an old list and versions that only other daemons know

Without the check of the list's age, or of versions that others announce, no test failed: the gap in the history hid them.

--- a/tests/components/stream_origins/test_fleet.py
+++ b/tests/components/stream_origins/test_fleet.py
@@ -27,6 +27,12 @@
     return {call.request_id: e.software for e in engines for call in e.ran}
 
 
+async def async_read_history(fleet: GatewayFleet, member: FleetMember) -> None:
+    """Let a daemon read the stored history, which it does for the first stream that it does not know."""
+    answers = await async_take_up(fleet, member, ["early"])
+    assert answers["early"].whole
+
+
 async def async_take_up(
     fleet: GatewayFleet, member: FleetMember, ids: Iterable[str] = IDS
 ) -> dict[str, FakeResponder]:
@@ -192,11 +198,14 @@
         add_versions(fleet, "v1")
         first, second = await fleet.async_add_many(2)
         await fleet.clock.async_sleep(1_000)
+        await async_read_history(fleet, second)
         second.view.cut = True
         add_versions(fleet, "v2")
         await fleet.clock.async_sleep(4_000)
         began = await async_begin(fleet, first)
         assert set(began.values()) == {"v1", "v2"}
+        unannounced = await async_take_up(fleet, second, ["unannounced"])
+        assert unannounced["unannounced"].refusal is not None
         await fleet.async_kill(first)
         for each, answer in (await async_take_up(fleet, second)).items():
             if began[each] == "v1":
@@ -207,6 +216,30 @@
     run_fleet(scenario)
 
 
+def test_vm_with_an_old_list_does_not_trust_that_it_is_complete() -> None:
+    """Guards against a VM that the store turns away and that does not hear the VM that began the stream."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        add_versions(fleet, "v1")
+        first, second, _ = await fleet.async_add_many(3)
+        await fleet.clock.async_sleep(1_000)
+        await async_read_history(fleet, second)
+        second.view.cut = True
+        fleet.datagrams.cut(first.address, second.address)
+        fleet.network.cut(first.address, second.address)
+        await fleet.clock.async_sleep(4_000)
+        add_versions(fleet, "v2")
+        await fleet.clock.async_sleep(500)
+        began = await async_begin(fleet, first)
+        assert "v2" in began.values()
+        await fleet.async_kill(first)
+        for each, answer in (await async_take_up(fleet, second)).items():
+            if answer.refusal is None:
+                assert read_software(answer.body) == {began[each]}
+
+    run_fleet(scenario)
+
+
 def test_upstream_that_returns_with_other_software_under_its_name() -> None:
     """Guards against an upstream that restarts with a new version while no entry can be updated."""
 
