Distrust an upstream that refused connections until it is seen again

Now it is distrusted until it accepts a connection again, which is tried every 400 ms as for one that is down, and for 1 s from then, or until its new entry arrives.

--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -288,8 +288,8 @@
         while True:
             await self._core.clock.async_sleep(PROBE_MS)
             self.controller.runs.expire()
-            down = self.controller.upstreams.list_down()
-            await asyncio.gather(*(self._async_probe(entry) for entry in down))
+            probed = self.controller.upstreams.list_probed()
+            await asyncio.gather(*(self._async_probe(entry) for entry in probed))
 
     async def _async_probe(self, entry: UpstreamEntry) -> None:
         # Opening a connection costs an upstream nothing and shows at once that it is back.
--- a/goldcreststair/components/placement/upstream_table.py
+++ b/goldcreststair/components/placement/upstream_table.py
@@ -41,8 +41,10 @@
     """According to its answers, which may report it before the store does."""
     returned_cold_until: Millis = Millis(0)
     """Because the evacuation of its data centre has ended."""
+    interrupted: bool = False
+    """Whether it refused connections and has not been seen since: it may restart with other software."""
     settles_at: Millis | None = None
-    """Time from which its entry names the software that it runs, if it restarted when it was last down."""
+    """Time from which its entry names the software that it runs, if it restarted when it was interrupted."""
 
 
 class UpstreamTable:
@@ -149,8 +151,8 @@
         An upstream may restart under its name with other software. It accepts requests some ms before its
         new entry is known here, and while the store is away no entry can be updated at all.
         """
-        if state.settles_at is None:
-            return True
+        if state.interrupted or state.settles_at is None:
+            return not state.interrupted
         if self.list_age.is_current():
             return state.settles_at <= self._clock.now()
         return state.settles_at <= self.list_age.read_confirmed_at()
@@ -163,12 +165,21 @@
         return state.entry.software_version
 
     def mark_interrupted(self, name: str) -> None:
-        """Record that an upstream accepts no connection, or accepts them again: it may have restarted.
-
-        One that is only silent has not.
-        """
+        """Record that an upstream accepts no connection, so that it may restart; a silent one does not."""
         state = self._states.get(name)
         if state is not None:
+            state.interrupted = True
+
+    def list_probed(self) -> list[UpstreamEntry]:
+        """Return the upstreams to which connections are tried until they accept one."""
+        now = self._clock.now()
+        states = self._states.values()
+        return [state.entry for state in states if state.interrupted or state.down_until > now]
+
+    def _record_up(self, state: UpstreamState) -> None:
+        state.down_until = Millis(0)
+        if state.interrupted:
+            state.interrupted = False
             state.settles_at = Millis(self._clock.now() + REGISTRATION_MS)
 
     def mark_process_resumed(self) -> None:
@@ -277,7 +288,7 @@
         state = self._states.get(name)
         if state is not None:
             state.progress_at = self._clock.now()
-            state.down_until = Millis(0)
+            self._record_up(state)
 
     def read_progress(self, name: str) -> Millis:
         """Return when an upstream last sent data to this daemon; 0 if unknown."""
@@ -307,9 +318,7 @@
         """Mark an upstream as up: it accepts connections."""
         state = self._states.get(name)
         if state is not None:
-            state.down_until = Millis(0)
-            if state.settles_at is not None:
-                self.mark_interrupted(name)
+            self._record_up(state)
 
     def is_down(self, name: str) -> bool:
         """Return whether an upstream is marked as down."""
