Decide whether an item goes on apart from its execution

No change of behaviour: test_overload.py places every request as before. `list_age -> upstream_list` in the table of upstreams.

--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -15,14 +15,13 @@
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.jobs.const import (
     EXPIRY_MARGIN_MS,
-    HOLD_RETRY_MS,
     LATE_FREE_SHARE,
     POISON_PAUSE_MS,
     ROUTE_GONE_MS,
     RUN_TIMEOUT_MS,
     STARTS_PER_TICK,
 )
-from goldcreststair.components.jobs.continuation import Continuation, decide_continuation
+from goldcreststair.components.jobs.continuation import ItemContinuation
 from goldcreststair.components.jobs.estimate import WorkEstimate
 from goldcreststair.components.jobs.item_order import ItemOrder
 from goldcreststair.components.jobs.models import ItemResult, JobKey, JobRecord
@@ -42,7 +41,7 @@
 from goldcreststair.components.jobs.result_writer import ResultWriter
 from goldcreststair.components.jobs.runner import ItemSink, async_run_item
 from goldcreststair.components.placement.loads import Runs
-from goldcreststair.components.placement.models import PlacementQuery, RunOutcome
+from goldcreststair.components.placement.models import RunOutcome
 from goldcreststair.components.placement.outcomes import classify_run_end
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.components.placement.spreading import allot_starts
@@ -112,6 +111,9 @@
         self._writer = writer
         self._placement = core.get(PLACEMENT)
         self._placement.on_preempt(self._preempt)
+        self._continuation = ItemContinuation(
+            core.clock, self._placement.controller, estimate, self._record_start_over
+        )
         self._runs: dict[_Run, None] = {}
         """Runs in the order of their start, which breaks ties in preemption; a set is unordered."""
         self._stopped = False
@@ -211,7 +213,7 @@
         job.route_missing_since = None
         customer = catalogue.customers.get(job.key.customer)
         regions = find_request_regions(route, customer)
-        self._check_origin(job, item, route)
+        self._continuation.check_origin(job, item, route)
         service = choose_service(route, self._core.random.random())
         if item.origin is not None:
             service = item.origin.service
@@ -222,7 +224,7 @@
             item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
             return True
         entry = self._find_slot(service, regions, item, late=ranked.late)
-        if entry is None and self._is_held(job, item, regions):
+        if entry is None and self._continuation.is_held(job, item, regions):
             return True
         if entry is None:
             if regions is None:
@@ -236,47 +238,9 @@
         self._log(job, item, "started", reason, entry.name)
         return True
 
-    def _check_origin(self, job: OwnedJob, item: ItemProgress, route: Route) -> None:
-        """Let an item start over whose events cannot be continued on its route."""
-        if not item.last_event:
-            item.origin = None
-        elif item.origin is None:
-            self._start_over(job, item, "it is not known which software began it")
-        elif item.origin.service not in {weighted.service for weighted in route.services}:
-            self._start_over(job, item, f"its route no longer uses {item.origin.service}")
-
-    def _is_held(self, job: OwnedJob, item: ItemProgress, regions: Regions) -> bool:
-        """Return whether an item without a slot needs the software that began it, unlike other items.
-
-        It starts over with the next search for a slot if it has waited for too long, or if no upstream
-        of that software is left.
-        """
-        origin, controller = item.origin, self._placement.controller
-        if origin is None:
-            return False
-        if not controller.batch.needs_software(origin.service, regions, origin.software_version):
-            return False
-        now = self._clock.now()
-        query = PlacementQuery(
-            origin.service, regions=regions, software_version=origin.software_version
-        )
-        if not controller.has_upstream(query):
-            self._start_over(job, item, f"no upstream of {origin.software_version} is left")
-        elif self._has_waited(item, now):
-            reason = f"upstreams of {origin.software_version} have no free slot"
-            self._start_over(job, item, reason)
-        else:
-            item.not_before = Millis(now + HOLD_RETRY_MS)
-        return True
-
-    def _has_waited(self, item: ItemProgress, now: Millis) -> bool:
-        repeat_ms = self._estimate.estimate_repeat_ms(item)
-        return decide_continuation(item, now, repeat_ms) is Continuation.START_OVER
-
-    def _start_over(self, job: OwnedJob, item: ItemProgress, reason: str) -> None:
+    def _record_start_over(self, job: OwnedJob, item: ItemProgress, reason: str) -> None:
         self._core.meters.count_repeated(item.last_event)
         self._log(job, item, "started_over", reason, "")
-        item.start_over()
 
     def _is_route_gone(self, job: OwnedJob) -> bool:
         """Return whether a job's route has been missing long enough to count as removed."""
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -58,7 +58,7 @@
         self.controller = PlacementController(
             core.clock, core.random, core.settings.data_centre, self._pace, self._outliers
         )
-        self.controller.upstreams.list_age = core.get(UPSTREAM_LIST)
+        self.controller.upstreams.upstream_list = core.get(UPSTREAM_LIST)
         self._refused_until: dict[str, Millis] = {}
         """Upstreams that refused a request of this daemon as full, and until when this counts."""
         self._links = core.get(FLEET_LINKS)
--- a/goldcreststair/components/placement/upstream_table.py
+++ b/goldcreststair/components/placement/upstream_table.py
@@ -65,8 +65,8 @@
         self._services: Mapping[str, Service] = {}
         self._regions: Mapping[str, str] = {}
         """Region of each data centre."""
-        self.list_age: UpstreamList = ALWAYS_CURRENT
-        """How old the list of upstreams may be."""
+        self.upstream_list: UpstreamList = ALWAYS_CURRENT
+        """Reports how old the list of upstreams may be."""
 
     def find_state(self, name: str) -> UpstreamState | None:
         """Return the state of an upstream, or None if it is gone."""
@@ -151,11 +151,13 @@
         An upstream may restart under its name with other software. It accepts requests some ms before its
         new entry is known here, and while the store is away no entry can be updated at all.
         """
-        if state.interrupted or state.settles_at is None:
-            return not state.interrupted
-        if self.list_age.is_current():
+        if state.interrupted:
+            return False
+        if state.settles_at is None:
+            return True
+        if self.upstream_list.is_current():
             return state.settles_at <= self._clock.now()
-        return state.settles_at <= self.list_age.read_confirmed_at()
+        return state.settles_at <= self.upstream_list.read_confirmed_at()
 
     def find_software(self, name: str) -> str | None:
         """Return the software version that an upstream certainly runs, or None."""
--- a/tests/components/placement/test_software.py
+++ b/tests/components/placement/test_software.py
@@ -33,7 +33,7 @@
 
 def make_table(clock: ManualClock, age: FakeList) -> UpstreamTable:
     table = UpstreamTable(clock)
-    table.list_age = age
+    table.upstream_list = age
     table.apply_upstreams(LiveUpstreams({"u": ENTRY}, known=True))
     return table
 
