Tell new requests to come back while all upstreams leave

A new request whose upstreams were all leaving got cannot_resume without a time to come back ("no upstream of software None is left"), where it had got no_upstream with one second: the router's check whether any upstream still runs the needed software did not ask whether one was needed. The new case of test_software_versions.py failed before; script/lint and the tests of online, routing and batch pass.

--- a/goldcreststair/components/routing/controller.py
+++ b/goldcreststair/components/routing/controller.py
@@ -183,6 +183,8 @@
     def _has_software_left(
         self, suitable: Sequence[Upstream], configuration: Configuration, query: RouteQuery
     ) -> bool:
+        if query.software_version is None:
+            return True
         return any(
             self._stays(upstream, configuration) and self._may_run_software(upstream, query)
             for upstream in suitable
--- a/tests/components/online/test_software_versions.py
+++ b/tests/components/online/test_software_versions.py
@@ -110,3 +110,18 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+def test_new_request_is_told_to_come_back_while_all_upstreams_leave() -> None:
+    """Guards against refusing a new request for good, as if it continued software that is gone."""
+
+    async def async_test() -> None:
+        vm = await async_start("v1", "v1")
+        vm.platform.set_vms([ListedVm(at, "dc1", ListedState.LEAVING) for at in ADDRESSES])
+        await asyncio.sleep(REPORTED_S)
+        outcome = await vm.async_generate("r1", max_tokens=1)
+        assert isinstance(outcome, Err) and outcome.err_value.code is RefusalCode.NO_UPSTREAM
+        assert outcome.err_value.not_run and outcome.err_value.retry_after_ms
+        await vm.async_close()
+
+    run_virtual(async_test())
