List a service's free batch slots once for a held item

Cause: needs_software listed the free upstreams of a service twice, once with the software version and once without, for each item that waits for the software that began it.

Change: it lists them once and selects those of the version from that list; choose uses the same selection. Behaviour is unchanged.

--- a/goldcreststair/components/placement/batch_slots.py
+++ b/goldcreststair/components/placement/batch_slots.py
@@ -55,9 +55,8 @@
 
     def needs_software(self, service: str, regions: Regions, software_version: str) -> bool:
         """Return whether upstreams have free slots for batch, but none of them runs this software."""
-        if self._list_usable(service, regions, software_version):
-            return False
-        return bool(self._list_usable(service, regions))
+        usable = self._list_usable(service, regions)
+        return bool(usable) and not self._select_software(usable, software_version)
 
     def _list_usable(
         self, service: str, regions: Regions = None, software_version: str | None = None
@@ -67,8 +66,11 @@
         if free_all < slots_all * BATCH_FREE_SHARE:
             return []
         free = self._list_free(service, regions)
-        if software_version is None:
-            return free
+        return free if software_version is None else self._select_software(free, software_version)
+
+    def _select_software(
+        self, free: list[tuple[UpstreamEntry, int]], software_version: str
+    ) -> list[tuple[UpstreamEntry, int]]:
         find_software = self._upstreams.find_software
         return [each for each in free if find_software(each[0].name) == software_version]
 
