Log the prompt parts of runs that are lost in a crash

Which requests an upstream ran when it crashed, and what they have in common, could not be told from the logs: the line of a crash named the upstream and a number of runs. It now names the crash, the software version and, for up to 16 lost runs, the request, its prompt parts and its events, and a counter follows. Items of batch jobs are read for their parts by the adapter. No decision is changed.

Tests: the log line and counter of a crash, and the parts of an item.

--- a/goldcreststair/components/crash_marks/const.py
+++ b/goldcreststair/components/crash_marks/const.py
@@ -15,6 +15,8 @@
 """Suffix of a crash's name if the request's run had produced output."""
 COLLECT_MS: Final = 60
 """Runs that end in the same crash are reported within this time."""
+MAX_LOGGED_RUNS: Final = 16
+"""Most lost runs that the log line of a crash describes."""
 MAX_REFUSED_IN_BEACON: Final = 32
 """Most fingerprints in one beacon; the newest are sent."""
 MAX_ROWS: Final = 60
--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -19,12 +19,14 @@
     BEGUN_SUFFIX,
     COLLECT_MS,
     CRASHES_TO_REFUSE,
+    MAX_LOGGED_RUNS,
     MAX_REFUSED_IN_BEACON,
     MAX_ROWS,
     MAX_WRITE_ATTEMPTS,
     REFUSED_MS,
     TABLE,
 )
+from goldcreststair.components.crash_marks.models import LostRun
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.placement.service import PLACEMENT
@@ -48,9 +50,8 @@
         self._links = core.get(FLEET_LINKS)
         self._links.add_beacon_contributor(self._contribute)
         self._links.subscribe_beacons(self._on_beacon, lambda _: None)
-        self._lost: dict[str, dict[str, bool]] = {}
-        """By upstream, the runs that were just lost: fingerprint, and whether the run had produced
-        output."""
+        self._lost: dict[str, list[LostRun]] = {}
+        """By upstream, the runs that were just lost."""
         self._refused: dict[str, Millis] = {}
         """Until when each fingerprint is refused."""
         self._tasks: set[asyncio.Task[None]] = set()
@@ -69,12 +70,12 @@
         until = self._refused.get(fingerprint)
         return until is not None and until > self._clock.now()
 
-    def report_lost_run(self, entry: UpstreamEntry, fingerprint: str, *, begun: bool) -> None:
-        """Report that a run's connection broke; `begun` if the run had produced output."""
+    def report_lost_run(self, entry: UpstreamEntry, run: LostRun) -> None:
+        """Report that a run's connection broke."""
         if entry.name in self._lost:
-            self._lost[entry.name][fingerprint] = begun
+            self._lost[entry.name].append(run)
             return
-        self._lost[entry.name] = {fingerprint: begun}
+        self._lost[entry.name] = [run]
         task = asyncio.create_task(self._async_check_upstream(entry))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -87,14 +88,28 @@
         if await self._core.runner.pool.async_warm(entry.address, CONNECT_TIMEOUT_MS):
             return
         self._core.get(PLACEMENT).controller.upstreams.mark_interrupted(entry.name)
-        extra = {"upstream": entry.name, "runs": len(lost)}
-        _LOGGER.warning("Upstream crashed while running requests of this daemon", extra=extra)
         crash = f"{entry.name}:{entry.started_ms}"
+        self._log_crash(entry, crash, lost)
+        begun_by_name = {run.fingerprint: run.events > 0 for run in lost}
         for begun in (False, True):
-            names = sorted(name for name, had_begun in lost.items() if had_begun is begun)
+            names = sorted(name for name, had_begun in begun_by_name.items() if had_begun is begun)
             for part in _split(names):
                 await self._async_record_crash(part, crash + BEGUN_SUFFIX if begun else crash)
 
+    def _log_crash(self, entry: UpstreamEntry, crash: str, lost: list[LostRun]) -> None:
+        self._core.meters.count_upstream_crash()
+        extra = {
+            "upstream": entry.name,
+            "crash": crash,
+            "software": entry.software_version,
+            "runs": len(lost),
+            "lost": [
+                {"request": run.request, "parts": run.prompt_parts, "events": run.events}
+                for run in lost[:MAX_LOGGED_RUNS]
+            ],
+        }
+        _LOGGER.warning("Upstream crashed while running requests of this daemon", extra=extra)
+
     async def _async_record_crash(self, fingerprints: list[str], crash: str) -> None:
         """Add a crash to the rows of some fingerprints."""
         for _ in range(MAX_WRITE_ATTEMPTS):
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -9,6 +9,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.components.catalogue.models import CallKind
+from goldcreststair.components.crash_marks.models import LostRun
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.features.protocols import FEATURES
@@ -339,9 +340,11 @@
                 refuses_connections=error.failure is UpstreamFailure.CONNECT,
             )
         elif error.failure is UpstreamFailure.LOST and not error.status:
-            begun = self._relay.run_events > 0
-            crash_tracker = self._core.get(CRASH_TRACKER)
-            crash_tracker.report_lost_run(entry, self._admitted.fingerprint, begun=begun)
+            request, events = self._request, self._relay.run_events
+            lost = LostRun(
+                request.request_id, self._admitted.fingerprint, request.prompt_parts, events
+            )
+            self._core.get(CRASH_TRACKER).report_lost_run(entry, lost)
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.upstreams.mark_full(entry.name)
 
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -11,6 +11,7 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Route
 from goldcreststair.components.catalogue.regions import Regions, find_request_regions
+from goldcreststair.components.crash_marks.models import LostRun
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.jobs.const import (
@@ -380,9 +381,10 @@
                 refuses_connections=error.failure is UpstreamFailure.CONNECT,
             )
         elif error.failure is UpstreamFailure.LOST:
-            fingerprint = _make_fingerprint(run.job, run.item)
-            begun = run.item.last_event > run.first_event
-            self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, fingerprint, begun=begun)
+            spec, events = run.item.spec, run.item.last_event - run.first_event
+            parts = self._core.adapter.submission_reader.read_prompt_parts(spec)
+            lost = LostRun(spec.item_id, _make_fingerprint(run.job, run.item), parts, events)
+            self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, lost)
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.upstreams.mark_full(run.upstream.name)
 
--- a/goldcreststair/components/jobs/protocols.py
+++ b/goldcreststair/components/jobs/protocols.py
@@ -15,6 +15,9 @@
     def decode(self, body: bytes) -> Result[tuple[JobItem, ...], JobError]:
         """Return the items of a submission; an error names the malformed field."""
 
+    def read_prompt_parts(self, item: JobItem) -> tuple[str, ...]:
+        """Return the names of an item's prompt parts in order; the last one is the item's own."""
+
 
 class Jobs(Protocol):
     """Accepts batch jobs and serves calls about them."""
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -75,6 +75,9 @@
                 ("resumed_by", "software"),
             ),
             "given_up": _Counter("Requests whose last run failed, by failure.", ("failure",)),
+            "upstream_crashes": _Counter(
+                "Upstreams that crashed while they ran requests of this VM."
+            ),
             "ejections": _Counter("Ejections of upstreams by this daemon.", ("reason",)),
             "batch_items": _Counter("Batch items by what became of a run.", ("outcome",)),
             "batch_jobs": _Counter("Batch jobs by what became of them here.", ("outcome",)),
@@ -104,6 +107,7 @@
         # Series without labels are exported from the start, as monitoring expects.
         self._counters["log_lines_dropped"].values[()] = 0.0
         self._counters["upstream_load_invalid"].values[()] = 0.0
+        self._counters["upstream_crashes"].values[()] = 0.0
         self._counters["batch_tokens_repeated"].values[()] = 0.0
         self._counters["readers_shed"].values[()] = 0.0
 
@@ -145,6 +149,11 @@
         self._counters["given_up"].values[(failure,)] += 1
         self._statistics.count(f"given_up.{failure}")
 
+    def count_upstream_crash(self) -> None:
+        """Count a crash of an upstream that ran requests of this VM."""
+        self._counters["upstream_crashes"].values[()] += 1
+        self._statistics.count("upstream_crashes")
+
     def count_ejection(self, reason: str) -> None:
         """Count an ejection of an upstream."""
         self._counters["ejections"].values[(reason,)] += 1
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -41,7 +41,7 @@
 from standins.datagrams import FakeDatagramNetwork, FakeDatagrams
 from standins.network import FakeNetwork
 from standins.rows import FakeRowStore, StoreView
-from standins.run_engines import RunEngine, RunEngines
+from standins.run_engines import HEADER_PARTS, RunEngine, RunEngines, read_prompt_parts
 
 CATALOGUE_ROW: Final = RowKey("operators", "", "catalogue")
 EVACUATION_PREFIX: Final = "evacuation "
@@ -140,18 +140,24 @@
 
 
 class PlainSubmissionReader:
-    """Decodes a submission with one item id and number of tokens per line."""
+    """Decodes a submission with one item id, number of tokens and optional prompt parts per line."""
 
     def decode(self, body: bytes) -> Result[tuple[JobItem, ...], JobError]:
         """Return the items."""
         items = []
         for line in body.decode().splitlines():
-            name, _, tokens = line.partition(" ")
+            name, _, rest = line.partition(" ")
+            tokens, _, parts = rest.partition(" ")
             if not tokens.isdecimal():
                 return Err(JobError("no tokens", JobProblem.INVALID, name))
-            items.append(JobItem(name, f"/batch/{name}", (), name.encode(), int(tokens)))
+            headers = ((HEADER_PARTS, parts),) if parts else ()
+            items.append(JobItem(name, f"/batch/{name}", headers, name.encode(), int(tokens)))
         return Ok(tuple(items))
 
+    def read_prompt_parts(self, item: JobItem) -> tuple[str, ...]:
+        """Return the names of an item's prompt parts."""
+        return read_prompt_parts(item.headers)
+
 
 @dataclass(slots=True)
 class FakeResponder:
@@ -386,6 +392,8 @@
         deadline_ms: int = 5_000,
         request_id: str = "",
         resumed: tuple[str, int] = ("", 0),
+        parts: tuple[str, ...] = (),
+        key: str = "key-club",
     ) -> CallerRequest:
         """Return a caller's request; `resumed` names the attempt that began the stream and its last event."""
         self._requests += 1
@@ -395,13 +403,14 @@
             host=HOST,
             path=path,
             target=path,
-            headers=(),
+            headers=((HEADER_PARTS, ",".join(parts)),) if parts else (),
             body=body,
-            key="key-club",
+            key=key,
             deadline_ms=deadline_ms,
             arrived_at=self.clock.now(),
             begun_as=resumed[0],
             resume_after=resumed[1],
+            prompt_parts=parts,
         )
 
 
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -9,10 +9,12 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Clock, Millis
-from goldcreststair.upstreams.dialect import RunCall, RunHead, UpstreamLoad
+from goldcreststair.upstreams.dialect import Headers, RunCall, RunHead, UpstreamLoad
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, RunSink
 
+HEADER_PARTS: Final = "parts"
+"""Header that lists the names of the prompt's parts, separated by commas."""
 SILENCE_POLL_MS: Final = 100
 """Interval at which a silent engine checks whether it may continue."""
 
@@ -212,6 +214,16 @@
         return None
 
 
+def read_prompt_parts(headers: Headers) -> tuple[str, ...]:
+    """Return the names of the prompt's parts in order; the last one is the request's own.
+
+    >>> read_prompt_parts((("parts", "shared,own"),))
+    ('shared', 'own')
+    """
+    listed = next((value for name, value in headers if name == HEADER_PARTS), "")
+    return tuple(part for part in listed.split(",") if part)
+
+
 def make_event(request_id: str, number: int, software: str = "") -> bytes:
     """Return event `number` of a request's answer, the same for every engine of one software version."""
     mark = f"@{software}" if software else ""
--- a/tests/components/crash_marks/test_service.py
+++ b/tests/components/crash_marks/test_service.py
@@ -131,3 +131,26 @@
         assert (await async_send(fleet, member, "/once/a", b"same")).whole
 
     run_fleet(scenario)
+
+
+def test_log_of_a_crash_names_the_prompt_parts(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against crashes whose cause cannot be told from the logs."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        (engine,) = fleet.add_engines(1)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        sending = asyncio.create_task(
+            async_send(fleet, member, "/once/a", request_id="r", parts=("a", "b", "own"))
+        )
+        await fleet.clock.async_sleep(100)
+        engine.up = False
+        await sending
+        await fleet.clock.async_sleep(200)
+        assert b"goldcreststair_upstream_crashes_total 1.0" in member.core.meters.render()
+
+    run_fleet(scenario)
+    (crash,) = [record for record in caplog.records if "Upstream crashed" in record.message]
+    lost = vars(crash)["lost"]
+    assert [run["request"] for run in lost] == ["r"]
+    assert lost[0]["parts"] == ("a", "b", "own") and lost[0]["events"] > 0
--- a/tests/helpers/gateways.py
+++ b/tests/helpers/gateways.py
@@ -1,6 +1,6 @@
 """Runs tests on fleets of gateway daemons on virtual time."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 from goldcreststair.clock import LoopClock
 from goldcreststair.components.forwarding.protocols import FORWARDING
@@ -26,10 +26,17 @@
 
 
 async def async_submit(
-    fleet: GatewayFleet, member: FleetMember, job: str, items: int, tokens: int = 100
+    fleet: GatewayFleet,
+    member: FleetMember,
+    job: str,
+    items: int,
+    tokens: int = 100,
+    *,
+    parts: Sequence[str] = (),
 ) -> FakeResponder:
-    """Submit a job whose items are named after it."""
-    lines = "\n".join(f"{job}-{number} {tokens}" for number in range(items))
+    """Submit a job whose items are named after it; `parts` holds the prompt parts of each item."""
+    listed = dict(enumerate(parts))
+    lines = "\n".join(f"{job}-{n} {tokens} {listed.get(n, '')}".strip() for n in range(items))
     return await async_send(fleet, member, f"/batch/{job}", lines.encode(), request_id=job)
 
 
@@ -42,10 +49,12 @@
     request_id: str = "",
     deadline_ms: int = 5_000,
     resumed: tuple[str, int] = ("", 0),
+    parts: tuple[str, ...] = (),
+    key: str = "key-club",
 ) -> FakeResponder:
     """Send a request and return its caller's record of the response."""
     responder = FakeResponder(fleet.clock)
-    request = fleet.make_request(path, body, deadline_ms, request_id, resumed)
+    request = fleet.make_request(path, body, deadline_ms, request_id, resumed, parts, key)
     await member.core.get(FORWARDING).async_forward(request, responder)
     return responder
 
--- a/tests/platform_adapter/test_jobs.py
+++ b/tests/platform_adapter/test_jobs.py
@@ -7,6 +7,7 @@
 
 import orjson
 import pytest
+from users_platform.jobs import SubmissionBodies
 
 from goldcreststair.components.placement.const import MIN_CONNECTIONS
 from tests.platform_adapter.local import CONFIG, OTHER_KEY, LocalGateway, register, run_local
@@ -199,3 +200,17 @@
         assert answer.status == 202
 
     run_local(scenario, CONFIG)
+
+
+@pytest.mark.parametrize(
+    ("headers", "parts"),
+    [
+        ({"Prompt-Prefix": "5c1e07a2:800,91bd3f06:410"}, ("5c1e07a2", "91bd3f06")),
+        ({"prompt-prefix": "a:1"}, ("a",)),
+        ({}, ()),
+    ],
+)
+def test_an_item_names_its_prompt_parts(headers: dict[str, str], parts: tuple[str, ...]) -> None:
+    reader = SubmissionBodies()
+    (item,) = reader.decode(make_job(ITEM | {"headers": headers})).unwrap()
+    assert reader.read_prompt_parts(item) == parts
