--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -46,6 +46,8 @@
 
     head: RunHead
     body: bytes
+    ended_by_close: bool = False
+    """Whether the answer had neither a length nor chunks, so that it ends like one that is cut by a crash."""
 
 
 class Connections(Protocol):
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -303,6 +303,25 @@
                 engine.up, engine.restarts = True, engine.restarts + 1
                 self.register(engine)
 
+    def replace_engine(self, engine: RunEngine, *, renamed: bool) -> RunEngine:
+        """Start an engine again that has ended, at its address; its runs end with it."""
+        engine.up = engine.unreachable = False
+        restarts = engine.restarts + 1
+        name = f"{engine.name.partition('.')[0]}.{restarts}" if renamed else engine.name
+        started = self.engines.add(
+            RunEngine(
+                name,
+                engine.address,
+                engine.service,
+                engine.data_centre,
+                engine.slots,
+                software=engine.software,
+                restarts=restarts,
+            )
+        )
+        self.register(started)
+        return started
+
     def add_engines(self, count: int) -> list[RunEngine]:
         """Add engines and register them."""
         first = len(self.engines.by_address)
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -1,9 +1,12 @@
 """Engines behind the `Runner` protocol: slots, a first-come-first-served queue, events, faults."""
 
+from __future__ import annotations
+
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Final
 
 from result import Err, Ok, Result
@@ -12,6 +15,7 @@
 from goldcreststair.upstreams.dialect import Headers, RunCall, RunHead, UpstreamLoad
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, RunSink
+from standins.crash_rules import CrashRecord, PartArrival, PartCrash
 
 HEADER_PARTS: Final = "parts"
 """Header that lists the names of the prompt's parts, separated by commas."""
@@ -19,6 +23,19 @@
 """Interval at which a silent engine checks whether it may continue."""
 
 
+class CrashManner(StrEnum):
+    """What an engine that crashes under a prompt part does first."""
+
+    HEAD = "head"
+    """Sends the head of its answer."""
+    EVENTS = "events"
+    """Sends its first events."""
+    NO_LENGTH = "no_length"
+    """Sends a head without a length: the answer ends with its connection, as a whole one would."""
+    SILENT = "silent"
+    """Sends nothing more; its connections stay open."""
+
+
 @dataclass(slots=True)
 class RunEngine:
     """State and faults of one engine."""
@@ -82,6 +99,16 @@
     """Request id -> status of its answer; 200 for others."""
     poison: bytes = b""
     """Body that crashes each engine that runs it."""
+    crash_parts: dict[str, CrashManner] = field(default_factory=dict)
+    """Prompt parts that crash each engine that begins an answer on them."""
+    crash_events: int = 2
+    """Events before a crash in the manner `EVENTS`."""
+    record: CrashRecord = field(default_factory=CrashRecord)
+    """What the engines saw of these parts."""
+    read_vm: Callable[[str], str] = lambda _: ""
+    """Returns the VM that sent a run, by its request id."""
+    on_crash: Callable[[RunEngine], None] = lambda _: None
+    """Called when an engine ends under a prompt part."""
     crashes: int = 0
     deadlines: list[int] = field(default_factory=list)
     """Remaining time of each request that reached an engine, run or not, ms."""
@@ -91,7 +118,7 @@
     """Number of events sent for each request in `events_by_request`."""
 
     @property
-    def pool(self) -> "RunEngines":
+    def pool(self) -> RunEngines:
         """Return this object as the connection pool; it keeps no connection."""
         return self
 
@@ -129,6 +156,11 @@
         if engine is None or not engine.up:
             return Err(UpstreamError("cannot connect", UpstreamFailure.CONNECT))
         self.deadlines.append(call.deadline_ms)
+        part = self._find_crash_part(call)
+        if part:
+            vm = self.read_vm(call.request_id)
+            arrival = PartArrival(part, call.request_id, vm, self.clock.now())
+            self.record.arrivals.append(arrival)
         if engine.cold_until > self.clock.now():
             engine.cold_arrivals.append(self.clock.now())
         if engine.reset:
@@ -170,11 +202,7 @@
     async def _async_answer(
         self, engine: RunEngine, call: RunCall, sink: RunSink
     ) -> Result[RunEnd, UpstreamError]:
-        status = engine.fail_status or self.statuses.get(call.request_id, 200)
-        if int(len(engine.ran) * engine.fail_share) > int(
-            (len(engine.ran) - 1) * engine.fail_share
-        ):
-            status = 500
+        status = self._choose_status(engine, call)
         pace = engine.pace_percent if engine.reports_pace else None
         load = UpstreamLoad(engine.running, engine.waiting, engine.slots, pace)
         cold_ms = max(0, engine.cold_until - self.clock.now())
@@ -187,6 +215,8 @@
         if lost is not None:
             return Err(lost)
         sink.on_head(head)
+        if part := self._find_crash_part(call):
+            return await self._async_crash(engine, call, sink, head, part)
         if status != 200:
             return Ok(RunEnd(head, b"failed"))
         if not sink.wants_chunks:
@@ -206,6 +236,39 @@
             await self.clock.async_sleep(engine.scale(engine.event_ms))
         return Ok(RunEnd(head, b""))
 
+    def _choose_status(self, engine: RunEngine, call: RunCall) -> int:
+        ran = len(engine.ran)
+        if int(ran * engine.fail_share) > int((ran - 1) * engine.fail_share):
+            return 500
+        return engine.fail_status or self.statuses.get(call.request_id, 200)
+
+    def _find_crash_part(self, call: RunCall) -> str:
+        """Return the first part of a prompt that crashes engines; empty if none does."""
+        parts = read_prompt_parts(call.headers)[:-1]
+        return next((part for part in parts if part in self.crash_parts), "")
+
+    async def _async_crash(
+        self, engine: RunEngine, call: RunCall, sink: RunSink, head: RunHead, part: str
+    ) -> Result[RunEnd, UpstreamError]:
+        """End an engine in the manner of a part."""
+        manner = self.crash_parts[part]
+        if manner is CrashManner.EVENTS and sink.wants_chunks:
+            for number in range(call.resume_after + 1, call.resume_after + self.crash_events + 1):
+                taken = sink.on_data(make_event(call.request_id, number, engine.software))
+                if taken is not None:
+                    await taken
+                await self.clock.async_sleep(engine.scale(engine.event_ms))
+        if engine.up and not engine.unreachable:
+            self.record.crashes.append(PartCrash(part, engine.name, self.clock.now()))
+            self.crashes += 1
+            engine.up = manner is CrashManner.SILENT
+            engine.unreachable = manner is CrashManner.SILENT
+            self.on_crash(engine)
+        if manner is CrashManner.NO_LENGTH:
+            return Ok(RunEnd(head, b"", ended_by_close=True))
+        lost = await self._async_check(engine)
+        return Err(lost or UpstreamError("connection reset", UpstreamFailure.LOST))
+
     async def _async_check(self, engine: RunEngine) -> UpstreamError | None:
         while engine.silent or engine.unreachable:
             await self.clock.async_sleep(SILENCE_POLL_MS)
