Take an answer without a length for whole only if its upstream still accepts connections

An answer with neither a length nor chunks ends with its connection. A crash ends the connection in the same way: the caller got the part before it as a whole answer, an item was listed with a cut text, and the crash was never recognised as one. Such an answer now counts once a new connection to its upstream opens, which is kept for the next request; otherwise it is lost like any other broken one, and goes on elsewhere.

test_an_answer_without_a_length_is_not_complete_if_its_engine_crashed fails without the check.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -52,7 +52,7 @@
 from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
-from goldcreststair.upstreams.runner import RunEnd
+from goldcreststair.upstreams.runner import RunEnd, async_run_checked
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -243,7 +243,9 @@
         self._relay.begin_run()
         self._placement.begin(entry.name)
         began_at = self._clock.now()
-        run = asyncio.ensure_future(self._core.runner.async_run(entry.address, call, self._relay))
+        run = asyncio.ensure_future(
+            async_run_checked(self._core.runner, entry.address, call, self._relay)
+        )
         report = OutcomeReport(self._placement, self._clock, self._relay, placement)
         end: Result[RunEnd, UpstreamError] | None = None
         try:
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -16,7 +16,7 @@
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.events import EventSplitter
-from goldcreststair.upstreams.runner import RunEnd, Runner
+from goldcreststair.upstreams.runner import RunEnd, Runner, async_run_checked
 
 STATUS_OK = 200
 CHECK_INTERVAL_MS = 200
@@ -86,7 +86,7 @@
     clock: Clock,
 ) -> Result[RunEnd, UpstreamError]:
     """Run an item; cancellation closes the connection and keeps the received events."""
-    run = asyncio.ensure_future(runner.async_run(address, call, sink))
+    run = asyncio.ensure_future(async_run_checked(runner, address, call, sink))
     checked_at = counted_from = clock.now()
     try:
         while True:
--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -70,6 +70,7 @@
         self._pending: list[bytes] = []
         """Chunks of the body that `on_data` has not received yet."""
         self._bytes = 0
+        self._ended_by_close = False
 
     def on_message_begin(self) -> None:
         """Begin a response."""
@@ -129,7 +130,8 @@
     def finish(self) -> None:
         """Resolve `done` with the complete response."""
         if not self.done.done():
-            response = HttpResponse(self._status, self._headers, b"".join(self._chunks))
+            body = b"".join(self._chunks)
+            response = HttpResponse(self._status, self._headers, body, self._ended_by_close)
             self.done.set_result(Ok(response))
 
     def end(self, error: BaseException | None) -> None:
@@ -138,7 +140,7 @@
             "Content-Length" in self._headers or "Transfer-Encoding" in self._headers
         )
         if self._has_head and not self._foreign and has_no_length and error is None:
-            self.complete = True
+            self.complete = self._ended_by_close = True
             self.finish()
         else:
             self.fail(f"connection closed early: {error!r}", ExchangeFailure.BROKEN)
--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -62,6 +62,8 @@
     status: int
     headers: HTTPHeaders
     body: bytes
+    ended_by_close: bool = False
+    """Whether it had neither a length nor chunks, so that only the end of the connection ended it."""
 
 
 OnHead = Callable[[int, HTTPHeaders], None]
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -123,7 +123,23 @@
             message = "the address belongs to another upstream" if head.misdirected else "not run"
             refused = UpstreamFailure.REFUSED
             return Err(UpstreamError(message, refused, head.status, misdirected=head.misdirected))
-        return Ok(RunEnd(head, outcome.ok_value.body))
+        return Ok(RunEnd(head, outcome.ok_value.body, outcome.ok_value.ended_by_close))
+
+
+async def async_run_checked(
+    runner: Runner, address: str, call: RunCall, sink: RunSink
+) -> Result[RunEnd, UpstreamError]:
+    """Run a request; an answer that ends with its connection is whole only if its upstream is still up.
+
+    A crash ends the connection as the end of such an answer does.
+    """
+    end = await runner.async_run(address, call, sink)
+    if isinstance(end, Err) or not end.ok_value.ended_by_close:
+        return end
+    if await runner.pool.async_warm(address, CONNECT_TIMEOUT_MS):
+        return end
+    message = "connection closed, and no new one is accepted"
+    return Err(UpstreamError(message, UpstreamFailure.LOST))
 
 
 def _convert_error(error: ExchangeError) -> UpstreamError:
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -11,7 +11,7 @@
 from goldcreststair.http_pool import ConnectionPool
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
-from goldcreststair.upstreams.runner import RunEnd, UpstreamRunner
+from goldcreststair.upstreams.runner import RunEnd, UpstreamRunner, async_run_checked
 from tests.helpers.virtual_time import ManualClock
 from tests.platform_adapter.wire_engine import EngineFault, WireEngine, make_event
 
@@ -163,6 +163,19 @@
     run_engine(scenario)
 
 
+def test_an_answer_without_a_length_is_not_complete_if_its_engine_crashed() -> None:
+    """Guards against an answer that is cut by a crash, and passed on as a whole one."""
+
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        for fault, is_whole in ((EngineFault.UNFRAMED, True), (EngineFault.UNFRAMED_CRASH, False)):
+            engine.faults, sink = [fault], Sink()
+            end = await async_run_checked(runner, engine.address, make_call(), sink)
+            assert isinstance(end, Ok) is is_whole
+            assert is_whole or sink.data == make_event(1)
+
+    run_engine(scenario)
+
+
 def test_a_connection_whose_engine_answered_before_it_read_the_body_is_not_reused() -> None:
     """Guards against an engine that takes the next request for the rest of a body.
 
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -20,6 +20,8 @@
     """Closes the connection in the middle of an event."""
     UNFRAMED = "unframed"
     """Sends no length; the answer ends with its connection."""
+    UNFRAMED_CRASH = "unframed_crash"
+    """The same, and the engine ends after its first event: it accepts no more connections."""
     UNFRAMED_RESET = "unframed_reset"
     """The same, and the connection is reset before its end."""
     GARBAGE = "garbage"
@@ -106,6 +108,7 @@
         answers: dict[EngineFault, Callable[..., Awaitable[bool]]] = {
             EngineFault.CUT: self._async_cut,
             EngineFault.UNFRAMED: self._async_unframed,
+            EngineFault.UNFRAMED_CRASH: self._async_unframed_crash,
             EngineFault.UNFRAMED_RESET: self._async_unframed_reset,
             EngineFault.GARBAGE: self._async_garbage,
             EngineFault.NOT_RUN: self._async_not_run,
@@ -154,6 +157,14 @@
         await writer.drain()
         return False
 
+    async def _async_unframed_crash(
+        self, writer: asyncio.StreamWriter, request_id: str, first: int
+    ) -> bool:
+        writer.write(make_head(200, request_id, "Connection: close") + make_event(first))
+        await writer.drain()
+        await self.async_close()
+        return False
+
     async def _async_unframed_reset(
         self, writer: asyncio.StreamWriter, request_id: str, first: int
     ) -> bool:
