Find out from crashes and answers what crashes upstreams

A part is to blame if three crashes had it in common before its runs had returned anything (five otherwise), and no answer of the same software version began on it since a second before. Upstreams that end at one moment count once; reports about one crash are joined; the culprit of most crashes explains them, so that bystanders go free; where several suspects were at all of them, only requests with all are meant.

Ruled out: counting parts as whole requests were counted (the parts that most requests hold would be convicted first); shares of crashes per run (they need the number of all runs of a part, fleet-wide, and a rare sound part has a share of 1 after one crash); convicting the rarest part (requests may hold several rare ones). Tests: tests/test_crash_evidence.py, 12 cases of blame and the bounds of memory.

--- /dev/null
+++ b/goldcreststair/helpers/crash_evidence.py
@@ -0,0 +1,267 @@
+"""Finds what crashes upstreams: parts of prompts, or whole requests; no I/O.
+
+A part that crashes upstreams ends each one that begins to write an answer on it. Such a crash ends all other
+runs there as well, so single crashes say little: a part is to blame if several crashes have it in common, and no
+answer that began meanwhile. One answer shows that a part is sound, however many crashes it was present at.
+"""
+
+from collections import OrderedDict, defaultdict
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+from functools import lru_cache
+from hashlib import blake2b
+from typing import Final
+
+from goldcreststair.clock import Clock, Millis
+
+Suspect = bytes
+"""Hash of a part's name, or the fingerprint of a whole request."""
+Suspects = frozenset[Suspect]
+
+SUSPECT_BYTES: Final = 8
+CRASHES_TO_REFUSE: Final = 3
+"""A request that has what so many unexplained crashes have in common is refused, if its runs had not
+returned anything."""
+ALL_CRASHES_TO_REFUSE: Final = 5
+"""The same for all crashes: a long run is present at many crashes that others cause."""
+CRASHES_TO_SUSPECT: Final = 2
+ALL_CRASHES_TO_SUSPECT: Final = 3
+SIMULTANEOUS_MS: Final = 25
+"""Upstreams that end within this time ended for one reason, such as the loss of a rack: they count once."""
+FRESH_MS: Final = 1_000
+"""An answer that began this long before a crash still speaks for its parts, at the same software version."""
+EVIDENCE_MS: Final = 10 * 60_000
+"""How long a crash counts."""
+MAX_CRASHES: Final = 256
+MAX_SUSPECTS: Final = 128
+"""Most suspects of one crash: eight runs of four parts each, seen by several VMs, take 40."""
+MAX_ANSWERS: Final = 8_192
+"""Most parts whose last answer is known; the least recently used ones are forgotten."""
+MAX_PARTS: Final = 32
+"""Most parts of one request that are looked at."""
+
+
+@lru_cache(maxsize=4_096)
+def hash_part(name: str) -> Suspect:
+    """Return the suspect that stands for a part of a prompt.
+
+    >>> hash_part("a") == hash_part("a") != hash_part("b"), len(hash_part("a"))
+    (True, 8)
+    """
+    return blake2b(name.encode(), digest_size=SUSPECT_BYTES).digest()
+
+
+def list_suspects(fingerprint: str, prompt_parts: Collection[str]) -> Suspects:
+    """Return everything about a request that may crash upstreams.
+
+    The last part belongs to the request alone, so that its fingerprint stands for it.
+    """
+    shared = list(prompt_parts)[:-1][:MAX_PARTS]
+    return frozenset((bytes.fromhex(fingerprint), *map(hash_part, shared)))
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """What one VM ran at an upstream when it crashed."""
+
+    crash: bytes
+    """Identifies the crash, for all VMs that saw it."""
+    software: int
+    """Hash of the upstream's service and software version."""
+    suspects: Suspects
+    """Suspects whose runs had not returned anything."""
+    begun: Suspects = frozenset()
+    """Suspects all of whose runs had returned something."""
+    age_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Cleared:
+    """Suspects that were present at a crash and did not cause it."""
+
+    crash: bytes
+    suspects: Suspects
+
+
+@dataclass(slots=True)
+class _Crash:
+    at: Millis
+    known_at: Millis
+    software: int
+    suspects: set[Suspect] = field(default_factory=set)
+    begun: set[Suspect] = field(default_factory=set)
+    """Those suspects whose runs had all returned something."""
+    cleared: set[Suspect] = field(default_factory=set)
+
+    def clear(self, suspects: Iterable[Suspect]) -> Suspects:
+        """Clear suspects; returns those that were not cleared before."""
+        new = frozenset(each for each in suspects if each not in self.cleared)
+        self.cleared.update(new)
+        return new
+
+
+@dataclass(slots=True)
+class CrashCount:
+    """Crashes at which a suspect was present; those of one moment count once."""
+
+    crashes: int = 0
+    """All crashes, of one moment or not."""
+    total: int = 0
+    before_output: int = 0
+    """Crashes at which a run with the suspect had not returned anything."""
+    _total_at: Millis = Millis(-SIMULTANEOUS_MS - 1)
+    _before_output_at: Millis = Millis(-SIMULTANEOUS_MS - 1)
+
+    @property
+    def is_enough(self) -> bool:
+        """Whether requests with the suspect are refused."""
+        return self.before_output >= CRASHES_TO_REFUSE or self.total >= ALL_CRASHES_TO_REFUSE
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether only one request with the suspect may run at a time."""
+        return self.before_output >= CRASHES_TO_SUSPECT or self.total >= ALL_CRASHES_TO_SUSPECT
+
+    def add(self, at: Millis, *, begun: bool) -> None:
+        """Add a crash; crashes are added in the order of their times."""
+        self.crashes += 1
+        if at - self._total_at > SIMULTANEOUS_MS:
+            self.total += 1
+            self._total_at = at
+        if not begun and at - self._before_output_at > SIMULTANEOUS_MS:
+            self.before_output += 1
+            self._before_output_at = at
+
+
+@dataclass(frozen=True, slots=True)
+class Culprit:
+    """What several crashes have in common; usually one suspect."""
+
+    suspects: Suspects
+    crashes: frozenset[bytes]
+
+
+class CrashEvidence:
+    """Crashes and answers as known to one VM."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Start without crashes and answers."""
+        self._clock = clock
+        self._crashes: OrderedDict[bytes, _Crash] = OrderedDict()
+        self._answers: OrderedDict[tuple[Suspect, int], Millis] = OrderedDict()
+        """When the latest answer began, by suspect and software."""
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no crash counts."""
+        return not self._crashes
+
+    def knows_crash(self, crash: bytes) -> bool:
+        """Return whether a crash counts here."""
+        return crash in self._crashes
+
+    def record_crash(self, report: CrashReport) -> tuple[bool, Suspects]:
+        """Add one VM's report to a crash.
+
+        Returns whether it says anything new, and the suspects that answers relayed by this VM clear.
+        """
+        now = self._clock.now()
+        known = self._crashes.get(report.crash)
+        if known is None:
+            at = Millis(now - report.age_ms)
+            known = self._crashes[report.crash] = _Crash(at, now, report.software)
+            while len(self._crashes) > MAX_CRASHES:
+                self._crashes.popitem(last=False)
+        reported = (*sorted(report.suspects), *sorted(report.begun))
+        new = [each for each in reported if each not in known.suspects]
+        added = new[: MAX_SUSPECTS - len(known.suspects)]
+        known.suspects.update(added)
+        known.begun.update(each for each in added if each in report.begun)
+        before_output = known.begun & report.suspects
+        known.begun -= before_output
+        since, answers = known.at - FRESH_MS, self._answers
+        fresh = (each for each in added if answers.get((each, known.software), -1) >= since)
+        return bool(added or before_output), known.clear(fresh)
+
+    def record_answers(
+        self, suspects: Suspects, software: int, began_at: Millis
+    ) -> tuple[Cleared, ...]:
+        """Record that an answer on these suspects began; returns what it clears of crashes."""
+        for suspect in suspects:
+            key = (suspect, software)
+            self._answers[key] = max(began_at, self._answers.pop(key, began_at))
+        while len(self._answers) > MAX_ANSWERS:
+            self._answers.popitem(last=False)
+        if not self._crashes:
+            return ()
+        return tuple(
+            Cleared(name, cleared)
+            for name, crash in self._crashes.items()
+            if crash.software == software
+            and began_at >= crash.at - FRESH_MS
+            and (cleared := crash.clear(suspects & crash.suspects))
+        )
+
+    def record_cleared(self, cleared: Cleared) -> bool:
+        """Record suspects that another VM clears; returns whether it says anything new."""
+        crash = self._crashes.get(cleared.crash)
+        return crash is not None and bool(crash.clear(cleared.suspects & crash.suspects))
+
+    def expire(self) -> None:
+        """Forget crashes that are too old to count."""
+        horizon = self._clock.now() - EVIDENCE_MS
+        while self._crashes and next(iter(self._crashes.values())).at < horizon:
+            self._crashes.popitem(last=False)
+
+    def find_culprits(self, explained: Collection[Suspects], settle_ms: int = 0) -> list[Culprit]:
+        """Return what explains the crashes, that of most of them first.
+
+        Crashes that `explained` accounts for are left out. A crash counts `settle_ms` after it became known,
+        when other VMs have had the time to report answers.
+        """
+        horizon = self._clock.now() - settle_ms
+        left = {
+            name: self._list_open(crash)
+            for name, crash in self._crashes.items()
+            if crash.known_at <= horizon and not any(each <= crash.suspects for each in explained)
+        }
+        found: list[Culprit] = []
+        while (culprit := self._find_culprit(left)) is not None:
+            found.append(culprit)
+            for name in culprit.crashes:
+                del left[name]
+        return found
+
+    def count_crashes(self, explained: Collection[Suspects]) -> dict[Suspect, CrashCount]:
+        """Return at how many crashes without an explanation each suspect was present."""
+        left = {
+            name: self._list_open(crash)
+            for name, crash in self._crashes.items()
+            if not any(each <= crash.suspects for each in explained)
+        }
+        return self._count(left)
+
+    def _find_culprit(self, left: Mapping[bytes, Suspects]) -> Culprit | None:
+        counts = self._count(left)
+        if not counts:
+            return None
+        enough = sorted(suspect for suspect, count in counts.items() if count.is_enough)
+        if not enough:
+            return None
+        most = max(enough, key=lambda suspect: (counts[suspect].total, counts[suspect].crashes))
+        crashes = frozenset(name for name, suspects in left.items() if most in suspects)
+        # Several suspects may have been present at the same crashes: any of them may be the cause.
+        common = frozenset.intersection(*(left[name] for name in crashes))
+        return Culprit(common, crashes)
+
+    def _count(self, left: Mapping[bytes, Suspects]) -> dict[Suspect, CrashCount]:
+        counts: defaultdict[Suspect, CrashCount] = defaultdict(CrashCount)
+        for name in sorted(left, key=lambda name: self._crashes[name].at):
+            crash = self._crashes[name]
+            for suspect in left[name]:
+                counts[suspect].add(crash.at, begun=suspect in crash.begun)
+        return counts
+
+    def _list_open(self, crash: _Crash) -> Suspects:
+        """Return the suspects of a crash for which no answer speaks."""
+        return frozenset(crash.suspects - crash.cleared)
--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,195 @@
+"""Which part of a prompt, or which request, is to blame for crashes."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from goldcreststair.helpers.crash_evidence import (
+    EVIDENCE_MS,
+    FRESH_MS,
+    MAX_ANSWERS,
+    MAX_CRASHES,
+    MAX_PARTS,
+    MAX_SUSPECTS,
+    Cleared,
+    CrashEvidence,
+    CrashReport,
+    Suspects,
+    hash_part,
+    list_suspects,
+)
+from tests.helpers.virtual_time import ManualClock
+
+V1, V2 = 1, 2
+
+
+def name(*names: str) -> Suspects:
+    """Return suspects by readable names."""
+    return frozenset(each.encode().ljust(8, b".") for each in names)
+
+
+@dataclass(frozen=True, slots=True)
+class At:
+    """What happens at one moment, ms; suspects are separated by spaces."""
+
+    ms: int
+    crashed: str = ""
+    """Suspects whose runs had not returned anything when an upstream crashed."""
+    begun: str = ""
+    """Suspects whose runs had."""
+    answered: str = ""
+    software: int = V1
+
+
+def replay(events: list[At]) -> list[set[str]]:
+    """Return the culprits after some events, each as a set of names."""
+    clock = ManualClock()
+    clock.advance(10_000)
+    evidence, started = CrashEvidence(clock), clock.now()
+    for number, event in enumerate(events):
+        clock.advance(started + event.ms - clock.now())
+        if event.crashed or event.begun:
+            crash, suspects = f"c{number}".encode(), name(*event.crashed.split())
+            report = CrashReport(crash, event.software, suspects, name(*event.begun.split()))
+            evidence.record_crash(report)
+        if event.answered:
+            evidence.record_answers(name(*event.answered.split()), event.software, clock.now())
+    return [{each.decode().rstrip(".") for each in c.suspects} for c in evidence.find_culprits(())]
+
+
+@pytest.mark.parametrize(
+    ("events", "culprits"),
+    [
+        pytest.param([At(0, "bad r1"), At(100, "bad r2")], [], id="two crashes are not enough"),
+        pytest.param(
+            [At(0, "bad r1 x"), At(100, "bad r2"), At(200, "bad r3 x")],
+            [{"bad"}],
+            id="what three crashes have in common",
+        ),
+        pytest.param(
+            [At(0, "bad r1 a"), At(100, "bad r2 a"), At(200, "bad r3 a")],
+            [{"a", "bad"}],
+            id="two suspects of all crashes: only requests with both",
+        ),
+        pytest.param(
+            [At(0, "bad a"), At(100, "bad a"), At(200, "bad a"), At(300, answered="a")],
+            [{"bad"}],
+            id="an answer after the crashes clears a suspect",
+        ),
+        pytest.param(
+            [At(0, answered="a"), At(500, "bad a"), At(600, "bad a"), At(700, "bad a")],
+            [{"bad"}],
+            id="a fresh answer before the crashes clears a suspect",
+        ),
+        pytest.param(
+            [At(0, answered="a"), At(2_000, "a"), At(2_100, "a"), At(2_200, "a")],
+            [{"a"}],
+            id="an old answer does not",
+        ),
+        pytest.param(
+            [At(0, "a"), At(100, "a"), At(200, "a"), At(300, answered="a", software=V2)],
+            [{"a"}],
+            id="nor does one of another software version",
+        ),
+        pytest.param(
+            [At(0, "a"), At(1, "a"), At(2, "a"), At(3, "a"), At(4, "a")],
+            [],
+            id="upstreams that end at one moment count once",
+        ),
+        pytest.param(
+            [At(100 * n, begun="long") for n in range(4)],
+            [],
+            id="a long run is present at crashes of others",
+        ),
+        pytest.param(
+            [At(100 * n, begun="late") for n in range(5)],
+            [{"late"}],
+            id="a part that crashes upstreams after some events",
+        ),
+        pytest.param(
+            [
+                At(0, "p s"),
+                At(100, "q s"),
+                At(200, "p s"),
+                At(300, "q"),
+                At(400, "p"),
+                At(500, "q"),
+            ],
+            [{"p"}, {"q"}],
+            id="two parts at once, and a bystander of both",
+        ),
+        pytest.param(
+            [At(0, "a whole"), At(100, "a whole"), At(150, answered="a"), At(200, "a whole")],
+            [{"whole"}],
+            id="a whole request that crashes upstreams",
+        ),
+    ],
+)
+def test_blame(events: list[At], culprits: list[set[str]]) -> None:
+    assert sorted(map(sorted, replay(events))) == sorted(map(sorted, culprits))
+
+
+def test_reports_of_several_vms_about_one_crash_count_once() -> None:
+    """Guards against a part that is convicted because ten VMs saw one crash."""
+    evidence = CrashEvidence(ManualClock())
+    for _ in range(10):
+        evidence.record_crash(CrashReport(b"crash", V1, name("a")))
+    assert evidence.count_crashes(())[next(iter(name("a")))].total == 1
+
+
+def test_a_run_that_had_returned_nothing_counts_among_several() -> None:
+    """Guards against a crash that is excused by another run with the same part."""
+    evidence = CrashEvidence(ManualClock())
+    evidence.record_crash(CrashReport(b"crash", V1, frozenset(), name("a")))
+    assert evidence.record_crash(CrashReport(b"crash", V1, name("a"))) == (True, frozenset())
+    assert evidence.count_crashes(())[next(iter(name("a")))].before_output == 1
+
+
+def test_answers_are_passed_on_to_vms_that_suspect_a_part() -> None:
+    """Guards against a part that one VM knows to be sound and another one refuses."""
+    clock = ManualClock()
+    clock.advance(10_000)
+    knows, suspects = CrashEvidence(clock), CrashEvidence(clock)
+    knows.record_answers(name("a"), V1, clock.now())
+    report = CrashReport(b"crash", V1, name("a", "b"))
+    _, cleared = knows.record_crash(report)
+    suspects.record_crash(report)
+    assert cleared == name("a")
+    assert suspects.record_cleared(Cleared(b"crash", cleared))
+    assert set(suspects.count_crashes(())) == set(name("b"))
+    assert knows.record_answers(name("b"), V1, clock.now()) == (Cleared(b"crash", name("b")),)
+    assert not knows.count_crashes(())
+
+
+def test_crashes_expire() -> None:
+    clock = ManualClock()
+    evidence = CrashEvidence(clock)
+    evidence.record_crash(CrashReport(b"crash", V1, name("a")))
+    clock.advance(EVIDENCE_MS + 1)
+    evidence.expire()
+    assert evidence.is_empty
+
+
+def test_memory_is_bounded_and_keeps_what_is_in_use() -> None:
+    """Guards against a customer that makes up parts until other parts are forgotten."""
+    clock = ManualClock()
+    clock.advance(FRESH_MS)
+    evidence = CrashEvidence(clock)
+    for number in range(2 * MAX_ANSWERS):
+        evidence.record_answers(frozenset((b"%08d" % number, *name("used"))), V1, clock.now())
+    assert len(evidence._answers) == MAX_ANSWERS
+    made_up = frozenset(b"%08d" % number for number in range(2 * MAX_SUSPECTS))
+    for number in range(2 * MAX_CRASHES):
+        evidence.record_crash(CrashReport(b"crash%d" % number, V1, made_up))
+    assert len(evidence._crashes) == MAX_CRASHES
+    assert all(len(crash.suspects) == MAX_SUSPECTS for crash in evidence._crashes.values())
+    _, cleared = evidence.record_crash(CrashReport(b"last", V1, name("used")))
+    assert cleared == name("used")
+
+
+def test_the_last_part_and_parts_beyond_a_limit_are_no_suspects() -> None:
+    fingerprint = "00" * 8
+    parts = [f"p{number}" for number in range(MAX_PARTS + 5)]
+    assert len(list_suspects(fingerprint, parts)) == MAX_PARTS + 1
+    assert list_suspects(fingerprint, ("shared", "own")) == {bytes(8), hash_part("shared")}
+    assert list_suspects(fingerprint, ()) == {bytes(8)}
