--- a/goldcreststair/components/crash_marks/const.py
+++ b/goldcreststair/components/crash_marks/const.py
@@ -2,26 +2,52 @@
 
 from typing import Final
 
-TABLE: Final = "crash_marks"
-CRASHES_TO_REFUSE: Final = 3
-"""A request that was running at this many crashes is refused. One that ran during two crashes by
-chance is still accepted: with nine upstreams of eight slots, that is one request in several
-hundred."""
-ALL_CRASHES_TO_REFUSE: Final = 8
-"""The same for all its crashes, including those after its run had produced output: a request that
-crashes an upstream does so at the start, and a long run is present at many crashes that others
-cause."""
-BEGUN_SUFFIX: Final = ":begun"
-"""Suffix of a crash's name if the request's run had produced output."""
-COLLECT_MS: Final = 60
-"""Runs that end in the same crash are reported within this time."""
+TABLE: Final = "crash_verdicts"
+COLLECT_MS: Final = 20
+"""Runs that end in the same crash are reported within this time; later ones are added to its report."""
+CONTACT_MS: Final = 1_000
+"""A VM that has heard neither the store nor another VM for this long cannot tell a crash from its own cut."""
+SOUND_MS: Final = 1_000
+"""An answer that has gone on for this long shows that its request does not crash upstreams, as a whole one
+does."""
 MAX_LOGGED_RUNS: Final = 16
 """Most lost runs that the log line of a crash describes."""
-MAX_REFUSED_IN_BEACON: Final = 32
-"""Most fingerprints in one beacon; the newest are sent."""
-MAX_ROWS: Final = 60
-"""Most rows changed by one transaction."""
-MAX_WRITE_ATTEMPTS: Final = 4
-"""How often a write is attempted while other daemons write the same rows."""
-REFUSED_MS: Final = 10 * 60_000
-"""A request that crashes upstreams is refused for this long."""
+
+SETTLE_MS: Final = 60
+"""Time between a crash and its effect on verdicts: other VMs report answers on its suspects meanwhile."""
+UPDATE_MS: Final = 10_000
+"""Interval at which crashes and verdicts are checked for their age."""
+RELAYED_SETTLE_MS: Final = 400
+"""The same where beacons are relayed."""
+REPORT_MS: Final = 1_000
+"""How long crashes and answers are repeated in beacons, which may be lost."""
+YOUNG_MS: Final = 5_000
+"""How long a verdict is listed in beacons; later, VMs that lack it notice by the hash of all verdicts."""
+MAX_REPORTS_IN_BEACON: Final = 16
+MAX_VERDICTS_IN_BEACON: Final = 16
+MAX_PROBES_IN_BEACON: Final = 32
+PROBES_VALID_MS: Final = 1_500
+"""How long the suspects that another VM reported as running count, without a further beacon."""
+DIFFERENCE_MS: Final = 500
+"""Time that a difference between the verdicts of two VMs may take to settle by beacons."""
+ASK_TIMEOUT_MS: Final = 500
+ASK_PAUSE_MS: Final = 1_000
+"""Pause between two requests for the verdicts of other VMs."""
+
+VERDICT_MS: Final = 24 * 3_600_000
+"""A verdict ends after this time; for as long again, a single crash renews it."""
+RELEASED_MS: Final = 10_000
+"""How long a verdict that was released here is not taken over from other VMs."""
+MAX_VERDICTS: Final = 512
+
+TURN_POLL_MS: Final = 20
+MAX_TURN_WAIT_MS: Final = 1_000
+"""How long a request waits while another one with the same suspect runs."""
+TURN_RETRY_MS: Final = 500
+
+LOAD_TIMEOUT_MS: Final = 100
+"""How long the first requests wait for the stored verdicts."""
+READ_RETRY_MS: Final = 1_000
+WRITER_GAP_MS: Final = 100
+"""Delay between the VMs that write a verdict, by their rank; usually the first one's write is enough."""
+WRITERS: Final = 3
--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -1,39 +1,57 @@
-"""Counts, in the store, the crashes during which each request was running at any daemon.
+"""Finds what crashes upstreams, across all gateway daemons, and keeps requests that have it from them.
 
-Now and then a request crashes each upstream that runs it, and its caller sends it again, to any VM.
-A crash ends all runs of an upstream, so the request has to be recognised after a few crashes,
-whichever VM receives it, while other requests that ran there are still accepted.
+Now and then a part of a prompt, or a whole request, crashes each upstream that begins to write an answer on it.
+Requests with such a part come to any VM, and no two are alike. All VMs report what they ran at a crash, and
+which of it upstreams have answered; each VM decides from the reports of all.
 """
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Callable
+from hashlib import blake2b
 from typing import Final
 
-import orjson
-from result import Err, Ok
+from result import Err
 
 from goldcreststair.clock import Millis
+from goldcreststair.components.crash_marks.codec import (
+    decode_all,
+    decode_verdict,
+    encode_all,
+    encode_verdict,
+)
 from goldcreststair.components.crash_marks.const import (
-    ALL_CRASHES_TO_REFUSE,
-    BEGUN_SUFFIX,
+    ASK_PAUSE_MS,
+    ASK_TIMEOUT_MS,
     COLLECT_MS,
-    CRASHES_TO_REFUSE,
+    CONTACT_MS,
+    DIFFERENCE_MS,
+    LOAD_TIMEOUT_MS,
     MAX_LOGGED_RUNS,
-    MAX_REFUSED_IN_BEACON,
-    MAX_ROWS,
-    MAX_WRITE_ATTEMPTS,
-    REFUSED_MS,
-    TABLE,
+    RELAYED_SETTLE_MS,
+    SETTLE_MS,
+    UPDATE_MS,
 )
+from goldcreststair.components.crash_marks.gossip import CrashGossip
+from goldcreststair.components.crash_marks.guard import RequestGuard
 from goldcreststair.components.crash_marks.models import LostRun
+from goldcreststair.components.crash_marks.verdict_rows import VerdictRows
+from goldcreststair.components.crash_marks.verdicts import VerdictChange, Verdicts
 from goldcreststair.components.discovery.models import UpstreamEntry
-from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.components.fleet.peer_requests import PeerRequestKind
+from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
 from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.store.errors import PlatformError
-from goldcreststair.store.rows import RowKey, RowRange, RowsConflict, StoredRow, Transaction
+from goldcreststair.helpers.crash_evidence import (
+    SUSPECT_BYTES,
+    Cleared,
+    CrashEvidence,
+    CrashReport,
+    Suspect,
+    Suspects,
+)
 from goldcreststair.upstreams.runner import CONNECT_TIMEOUT_MS
 from goldcreststair.wire.generated.gateway.ttypes import Beacon
 
@@ -41,37 +59,113 @@
 
 
 class CrashTracker:
-    """Detects crashes from lost runs, records which requests ran, and decides what to refuse."""
+    """Detects crashes from lost runs, and decides what must not run any more."""
 
     def __init__(self, core: GatewayCore) -> None:
-        """Start without lost runs and refused requests."""
+        """Start without crashes and verdicts."""
         self._core = core
         self._clock = core.clock
         self._links = core.get(FLEET_LINKS)
-        self._links.add_beacon_contributor(self._contribute)
-        self._links.subscribe_beacons(self._on_beacon, lambda _: None)
+        self._evidence = CrashEvidence(core.clock)
+        self._verdicts = Verdicts(core.clock, self._evidence)
+        self._gossip = CrashGossip(core.clock, self._verdicts, self._list_probing, self)
+        self._rows = VerdictRows(core, self._on_stored)
+        self._guards: set[RequestGuard] = set()
+        self._running: Counter[Suspect] = Counter()
+        """Number of requests that run here, by suspect."""
         self._lost: dict[str, list[LostRun]] = {}
         """By upstream, the runs that were just lost."""
-        self._refused: dict[str, Millis] = {}
-        """Until when each fingerprint is refused."""
         self._tasks: set[asyncio.Task[None]] = set()
+        self._differs_since: Millis | None = None
+        self._asked_at: Millis | None = None
+        self._updated_at = core.clock.now()
+        self._links.add_beacon_contributor(self._contribute)
+        self._links.subscribe_beacons(self._on_beacon, self._gossip.forget)
+        self._links.register_request_handler(PeerRequestKind.CRASH_VERDICTS, self._async_on_ask)
+        core.on_process_resumed.append(lambda _: self._rows.schedule_read())
 
     async def async_start(self) -> None:
-        """Do nothing; reports of lost runs drive this component."""
+        """Do nothing; requests, reports and beacons drive this component."""
 
     async def async_close(self) -> None:
         """Cancel the running checks."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._rows.async_close()
+
+    def open_guard(self, suspects: Suspects, on_refused: Callable[[], None]) -> RequestGuard:
+        """Return a guard for one request; `on_refused` is called if a verdict falls during its turn."""
+        return RequestGuard(self._clock, self, suspects, on_refused)
 
-    def is_refused(self, fingerprint: str) -> bool:
+    async def async_load(self, suspects: Suspects) -> None:
+        """Wait for the stored verdicts, for a short time, if a request may need them."""
+        if len(suspects) > 1 and not self._rows.is_loaded:
+            await self._rows.async_wait(LOAD_TIMEOUT_MS)
+
+    def is_loading(self, suspects: Suspects) -> bool:
+        """Return whether a request that can wait should do so until the stored verdicts are read."""
+        if len(suspects) <= 1 or self._rows.is_loaded or self._core.store_contact.is_unavailable():
+            return False
+        self._rows.schedule_read()
+        return True
+
+    def is_refused(self, suspects: Suspects) -> bool:
         """Return whether a request must not run."""
-        until = self._refused.get(fingerprint)
-        return until is not None and until > self._clock.now()
+        return self._verdicts.find(suspects) is not None
+
+    def is_suspected(self, suspects: Suspects) -> bool:
+        """Return whether several crashes have a suspect of this request in common."""
+        return bool(self._verdicts.list_suspected(suspects))
+
+    def is_busy(self, suspects: Suspects, *, can_wait: bool = False) -> bool:
+        """Return whether a request has to wait for another one with the same suspect.
+
+        One that `can_wait` does so after a single crash.
+        """
+        if self._verdicts.is_empty:
+            return False
+        suspected = self._verdicts.list_suspected(suspects, can_wait=can_wait)
+        # A run that was just lost may be one more crash.
+        unconfirmed = self._list_unconfirmed(suspects)
+        if self._verdicts.is_pending(suspects) or unconfirmed & suspected:
+            return True
+        suspected |= unconfirmed
+        runs_here = any(self._running[each] for each in suspected)
+        return runs_here or self._gossip.is_probed_elsewhere(suspected)
+
+    def _list_unconfirmed(self, suspects: Suspects) -> Suspects:
+        """Return those suspects of earlier crashes whose runs were just lost here."""
+        known = (each for each in suspects if self._verdicts.count(each))
+        lost = [run.suspects for runs in self._lost.values() for run in runs]
+        return frozenset(each for each in known if any(each in found for found in lost))
+
+    def enter(self, guard: RequestGuard) -> None:
+        """Record that a request is about to run."""
+        self._guards.add(guard)
+        self._running.update(guard.suspects)
+        if self._verdicts.list_suspected(guard.suspects):
+            self._links.schedule_beacon()
+
+    def leave(self, guard: RequestGuard) -> None:
+        """Record that a run of a request has ended."""
+        self._guards.discard(guard)
+        for suspect in guard.suspects:
+            self._running[suspect] -= 1
+            if not self._running[suspect]:
+                del self._running[suspect]
+
+    def report_answer(self, entry: UpstreamEntry, suspects: Suspects, began_at: Millis) -> None:
+        """Report that an upstream has answered a request; `began_at` is the time of its first event."""
+        cleared = self._evidence.record_answers(suspects, _hash_software(entry), began_at)
+        for each in cleared:
+            self._gossip.announce_cleared(each)
+        if cleared:
+            self._links.schedule_beacon()
+            self._update()
 
     def report_lost_run(self, entry: UpstreamEntry, run: LostRun) -> None:
-        """Report that a run's connection broke."""
+        """Report a run whose connection broke or that went silent."""
         if entry.name in self._lost:
             self._lost[entry.name].append(run)
             return
@@ -82,25 +176,31 @@
 
     async def _async_check_upstream(self, entry: UpstreamEntry) -> None:
         await self._clock.async_sleep(COLLECT_MS)
-        lost = self._lost.pop(entry.name)
+        seen_at = self._clock.now()
         # Single connections break now and then; an upstream has crashed only if it accepts no new
         # connection.
-        if await self._core.runner.pool.async_warm(entry.address, CONNECT_TIMEOUT_MS):
+        is_up = await self._core.runner.pool.async_warm(entry.address, CONNECT_TIMEOUT_MS)
+        lost = self._lost.pop(entry.name)
+        if is_up:
             return
         self._core.get(PLACEMENT).controller.upstreams.mark_interrupted(entry.name)
-        crash = f"{entry.name}:{entry.started_ms}"
-        self._log_crash(entry, crash, lost)
-        begun_by_name = {run.fingerprint: run.events > 0 for run in lost}
-        for begun in (False, True):
-            names = sorted(name for name, had_begun in begun_by_name.items() if had_begun is begun)
-            for part in _split(names):
-                await self._async_record_crash(part, crash + BEGUN_SUFFIX if begun else crash)
-
-    def _log_crash(self, entry: UpstreamEntry, crash: str, lost: list[LostRun]) -> None:
+        if self._links.read_contact_age_ms() > CONTACT_MS:
+            return
+        self._log_crash(entry, lost)
+        every = frozenset[Suspect]().union(*(run.suspects for run in lost))
+        suspects = frozenset[Suspect]().union(*(run.suspects for run in lost if not run.events))
+        age_ms = self._clock.now() - seen_at + COLLECT_MS
+        crash, software = _hash_crash(entry), _hash_software(entry)
+        report = CrashReport(crash, software, suspects, every - suspects, age_ms)
+        self.on_report(report)
+        self._gossip.announce_report(report)
+        self._links.schedule_beacon()
+
+    def _log_crash(self, entry: UpstreamEntry, lost: list[LostRun]) -> None:
         self._core.meters.count_upstream_crash()
         extra = {
             "upstream": entry.name,
-            "crash": crash,
+            "crash": _hash_crash(entry).hex(),
             "software": entry.software_version,
             "runs": len(lost),
             "lost": [
@@ -110,74 +210,123 @@
         }
         _LOGGER.warning("Upstream crashed while running requests of this daemon", extra=extra)
 
-    async def _async_record_crash(self, fingerprints: list[str], crash: str) -> None:
-        """Add a crash to the rows of some fingerprints."""
-        for _ in range(MAX_WRITE_ATTEMPTS):
-            first, last = fingerprints[0], fingerprints[-1]
-            read = await self._core.adapter.store.async_read(
-                RowRange(TABLE, first=first, end=last + "\0")
-            )
-            if isinstance(read, Err):
-                _LOGGER.warning("Crash not recorded: %s", read.err_value.message)
-                return
-            known = {row.key.key: row for row in read.ok_value.rows}
-            marks = {name: _add_crash(known.get(name), crash) for name in fingerprints}
-            written = await self._async_write_marks(marks, known)
-            if isinstance(written, Ok):
-                self._refuse(name for name, found in marks.items() if must_refuse(found))
-                return
-            if not isinstance(written.err_value, RowsConflict):
-                _LOGGER.warning("Crash not recorded: %s", written.err_value.message)
-                return
-
-    async def _async_write_marks(
-        self, marks: dict[str, list[str]], known: dict[str, StoredRow]
-    ) -> Ok[object] | Err[PlatformError]:
-        puts = tuple((RowKey(TABLE, "", n), orjson.dumps(found)) for n, found in marks.items())
-        conditions = tuple(
-            (RowKey(TABLE, "", n), known[n].version if n in known else 0) for n in marks
-        )
-        return await self._core.adapter.store.async_commit(Transaction(puts, (), conditions))
-
-    def _refuse(self, fingerprints: Iterable[str]) -> None:
-        until = Millis(self._clock.now() + REFUSED_MS)
-        for fingerprint in fingerprints:
-            if not self.is_refused(fingerprint):
-                _LOGGER.warning(
-                    "Request quarantined after upstream crashes", extra={"fingerprint": fingerprint}
-                )
-                self._refused[fingerprint] = until
-                self._links.schedule_beacon()
+    def on_report(self, report: CrashReport) -> None:
+        """Handle a report of a crash."""
+        new, cleared = self._evidence.record_crash(report)
+        if cleared:
+            self._gossip.announce_cleared(Cleared(report.crash, cleared))
+            self._links.schedule_beacon()
+        if new:
+            if not self._rows.is_loaded:
+                self._rows.schedule_read()
+            self._apply(self._verdicts.renew(report))
+            self._update()
+            self._clock.call_later(self._read_settle_ms() + 1, self._update)
+
+    def on_cleared(self, cleared: Cleared) -> None:
+        """Handle suspects that another daemon clears of a crash, or whose verdicts it released."""
+        if not cleared.crash:
+            self._apply(self._verdicts.release(cleared.suspects))
+        elif self._evidence.record_cleared(cleared):
+            self._update()
+
+    def on_verdict(self, suspects: Suspects) -> None:
+        """Handle a verdict of another daemon."""
+        self._apply(self._verdicts.learn(suspects))
+
+    def _on_stored(self, suspects: Suspects, left_ms: int) -> None:
+        self._apply(self._verdicts.learn(suspects, left_ms))
+
+    def _read_settle_ms(self) -> int:
+        return SETTLE_MS if self._links.has_mesh() else RELAYED_SETTLE_MS
+
+    def _update(self) -> None:
+        self._updated_at = self._clock.now()
+        change = self._verdicts.update(self._read_settle_ms())
+        for released in change.released:
+            self._gossip.announce_cleared(Cleared(b"", released))
+            self._rows.schedule_delete(released)
+        self._apply(change)
+
+    def _apply(self, change: VerdictChange) -> None:
+        for suspects in change.released:
+            extra = {"verdict": encode_verdict(suspects)}
+            _LOGGER.warning("Requests no longer refused for upstream crashes", extra=extra)
+        for suspects in change.added:
+            extra = {"verdict": encode_verdict(suspects)}
+            _LOGGER.warning("Requests refused for upstream crashes", extra=extra)
+            self._core.meters.count_crash_verdict()
+            self._rows.schedule_write(suspects)
+        if change.added or change.released:
+            self._links.schedule_beacon()
+        if change.added:
+            for guard in tuple(self._guards):
+                if guard.is_refused:
+                    guard.on_refused()
+
+    def _list_probing(self) -> Suspects:
+        """Return the suspects of several crashes that run here now."""
+        if not self._verdicts.has_suspected:
+            return frozenset()
+        return self._verdicts.list_suspected(frozenset(self._running), can_wait=True)
 
     def _contribute(self, beacon: Beacon) -> None:
-        now = self._clock.now()
-        self._refused = {name: until for name, until in self._refused.items() if until > now}
-        beacon.refused = list(self._refused)[-MAX_REFUSED_IN_BEACON:] or None
+        if not self._verdicts.is_empty and self._clock.now() - self._updated_at > UPDATE_MS:
+            self._update()
+        self._gossip.contribute(beacon)
 
-    def _on_beacon(self, _: str, beacon: Beacon) -> None:
-        self._refuse(beacon.refused or ())
+    def _on_beacon(self, session: str, beacon: Beacon) -> None:
+        self._gossip.apply(session, beacon, self._running)
+        self._check_difference(session, beacon.verdicts)
 
+    def _check_difference(self, session: str, verdicts: int | None) -> None:
+        """Ask a daemon for its verdicts if they differ from this one's for longer than beacons take."""
+        if verdicts is None or verdicts == self._verdicts.set_hash:
+            self._differs_since = None
+            return
+        now = self._clock.now()
+        if self._differs_since is None:
+            self._differs_since = now
+        if now - self._differs_since < DIFFERENCE_MS:
+            return
+        if self._asked_at is not None and now - self._asked_at < ASK_PAUSE_MS:
+            return
+        self._asked_at = now
+        task = asyncio.create_task(self._async_ask(session))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-def must_refuse(crashes: list[str]) -> bool:
-    """Return whether a request that was running at these crashes is refused from now on.
+    async def _async_ask(self, session: str) -> None:
+        kind = PeerRequestKind.CRASH_VERDICTS
+        reply = await self._links.async_request(session, kind, b"", ASK_TIMEOUT_MS)
+        if isinstance(reply, Err):
+            _LOGGER.info("Crash verdicts of %s not read: %s", session, reply.err_value.message)
+            return
+        listed = decode_all(reply.ok_value)
+        if isinstance(listed, Err):
+            _LOGGER.warning(
+                "Crash verdicts of %s unreadable: %s", session, listed.err_value.message
+            )
+            return
+        for text, left_ms in listed.ok_value.items():
+            verdict = decode_verdict(text)
+            if isinstance(verdict, Err):
+                _LOGGER.warning("Verdict of %s unreadable: %s", session, verdict.err_value.message)
+            elif left_ms > 0:
+                self._apply(self._verdicts.learn(verdict.ok_value, left_ms))
 
-    >>> must_refuse(["a:1", "b:1"]), must_refuse(["a:1", "b:1", "a:2"])
-    (False, True)
-    >>> must_refuse(["a:1", "b:1", "a:2:begun"])
-    False
-    """
-    before_output = sum(not crash.endswith(BEGUN_SUFFIX) for crash in crashes)
-    return before_output >= CRASHES_TO_REFUSE or len(crashes) >= ALL_CRASHES_TO_REFUSE
+    async def _async_on_ask(self, _: bytes) -> bytes:
+        return encode_all(self._verdicts.list_all())
 
 
-def _add_crash(row: StoredRow | None, crash: str) -> list[str]:
-    crashes: list[str] = orjson.loads(row.value) if row is not None else []
-    # Several daemons, or one request sent to two, may report the same crash.
-    return crashes if crash in crashes else [*crashes, crash]
+def _hash_crash(entry: UpstreamEntry) -> bytes:
+    """Return what identifies a crash, for all VMs: one upstream crashes once between two starts."""
+    name = f"{entry.name}:{entry.started_ms}"
+    return blake2b(name.encode(), digest_size=SUSPECT_BYTES).digest()
 
 
-def _split(names: list[str]) -> list[list[str]]:
-    return [names[at : at + MAX_ROWS] for at in range(0, len(names), MAX_ROWS)]
+def _hash_software(entry: UpstreamEntry) -> int:
+    return hash_name(f"{entry.service} {entry.software_version}")
 
 
 CRASH_TRACKER: Final = ComponentKey[CrashTracker]("crash_marks")
--- /dev/null
+++ b/goldcreststair/components/crash_marks/verdicts.py
@@ -0,0 +1,220 @@
+"""The verdicts in force at one VM; no I/O.
+
+A verdict is derived from the crashes that are known here, or taken over from another VM or the store. One that
+is derived holds only as long as the crashes support it: another verdict may explain them better.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from zlib import crc32
+
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.crash_marks.const import MAX_VERDICTS, RELEASED_MS, VERDICT_MS
+from goldcreststair.helpers.crash_evidence import (
+    CrashCount,
+    CrashEvidence,
+    CrashReport,
+    Suspect,
+    Suspects,
+)
+
+
+@dataclass(slots=True)
+class _Verdict:
+    learned_at: Millis
+    ends_at: Millis
+    crashes: frozenset[bytes] = frozenset()
+    """The crashes that it is derived from; empty if it was taken over."""
+
+
+@dataclass(frozen=True, slots=True)
+class VerdictChange:
+    """Verdicts that came into force, and those that were released."""
+
+    added: tuple[Suspects, ...] = ()
+    released: tuple[Suspects, ...] = ()
+
+
+class Verdicts:
+    """Decides which requests are refused, and which are suspected, by their suspects."""
+
+    def __init__(self, clock: Clock, evidence: CrashEvidence) -> None:
+        """Start without verdicts."""
+        self._clock = clock
+        self._evidence = evidence
+        self._verdicts: OrderedDict[Suspects, _Verdict] = OrderedDict()
+        self._by_suspect: dict[Suspect, list[Suspects]] = {}
+        self._lapsed: OrderedDict[Suspects, Millis] = OrderedDict()
+        """Verdicts whose time is over, and until when a single crash renews them."""
+        self._released: OrderedDict[Suspects, Millis] = OrderedDict()
+        """Until when a released verdict is not taken over again."""
+        self._counts: dict[Suspect, CrashCount] = {}
+        """Crashes without an explanation, by suspect."""
+        self._pending: tuple[Suspects, ...] = ()
+        """What becomes a verdict unless an answer speaks against it."""
+
+    @property
+    def set_hash(self) -> int | None:
+        """Hash of all verdicts, equal for equal sets; None if there are none."""
+        if not self._verdicts:
+            return None
+        return sum(crc32(b"".join(sorted(each))) for each in self._verdicts) % 2**31
+
+    @property
+    def has_suspected(self) -> bool:
+        """Whether there may be suspects of which only one request may run at a time."""
+        return bool(self._counts or self._lapsed)
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is neither a verdict nor a crash that counts."""
+        return not (self._verdicts or self._lapsed) and self._evidence.is_empty
+
+    def find(self, suspects: Suspects) -> Suspects | None:
+        """Return the verdict that refuses a request, or None."""
+        if not self._by_suspect:
+            return None
+        for suspect in suspects:
+            for verdict in self._by_suspect.get(suspect, ()):
+                if verdict <= suspects:
+                    return verdict
+        return None
+
+    def is_pending(self, suspects: Suspects) -> bool:
+        """Return whether a request would be refused if no answer spoke for it."""
+        return any(each <= suspects for each in self._pending)
+
+    def count(self, suspect: Suspect) -> int:
+        """Return at how many crashes without an explanation a suspect was present."""
+        found = self._counts.get(suspect)
+        return 0 if found is None else found.total
+
+    def list_suspected(self, suspects: Suspects, *, can_wait: bool = False) -> Suspects:
+        """Return those suspects of a request of which only one request may run at a time.
+
+        For a request that can wait, a single crash is enough.
+        """
+        if not self.has_suspected:
+            return frozenset()
+        counts = self._counts
+        known = ((suspect, counts[suspect]) for suspect in suspects if suspect in counts)
+        found = {suspect for suspect, count in known if can_wait or count.is_suspicious}
+        for lapsed in self._lapsed:
+            if lapsed <= suspects:
+                found |= lapsed
+        return frozenset(found)
+
+    def list_all(self) -> list[tuple[Suspects, int]]:
+        """Return all verdicts, the oldest first, with the time that each has left, ms."""
+        now = self._clock.now()
+        return [(each, verdict.ends_at - now) for each, verdict in self._verdicts.items()]
+
+    def list_young(self, within_ms: int) -> list[Suspects]:
+        """Return the verdicts that came into force within this time, the newest last."""
+        horizon = self._clock.now() - within_ms
+        return [each for each, v in self._verdicts.items() if v.learned_at >= horizon]
+
+    def learn(self, suspects: Suspects, left_ms: int = VERDICT_MS) -> VerdictChange:
+        """Take over a verdict of another VM or of the store; without time left, as one that lapsed."""
+        now = self._clock.now()
+        if self._released.get(suspects, 0) > now:
+            return VerdictChange()
+        if left_ms <= 0:
+            self._lapsed[suspects] = Millis(now + VERDICT_MS + left_ms)
+            return VerdictChange()
+        return VerdictChange(added=self._add({suspects: frozenset()}, min(left_ms, VERDICT_MS)))
+
+    def renew(self, report: CrashReport) -> VerdictChange:
+        """Renew the lapsed verdicts that a crash confirms."""
+        confirmed = {each: frozenset[bytes]() for each in self._lapsed if each <= report.suspects}
+        for each in confirmed:
+            del self._lapsed[each]
+        return VerdictChange(added=self._add(confirmed, VERDICT_MS))
+
+    def release(self, suspects: Suspects) -> VerdictChange:
+        """Release the verdicts of which another VM says that they do not hold."""
+        gone = [each for each in self._verdicts if each <= suspects]
+        return VerdictChange(released=self._drop(gone))
+
+    def update(self, settle_ms: int) -> VerdictChange:
+        """Derive the verdicts from the crashes known now."""
+        self._expire()
+        evidence, before = self._evidence, dict(self._verdicts)
+        every = {each.suspects: each.crashes for each in evidence.find_culprits((), settle_ms)}
+        taken_over = [
+            each
+            for each, verdict in before.items()
+            if len(each) == 1 and not verdict.crashes and each not in every
+        ]
+        found = {c.suspects: c.crashes for c in evidence.find_culprits(taken_over, settle_ms)}
+        gone = [
+            each
+            for each, verdict in before.items()
+            if each not in found and any(map(evidence.knows_crash, verdict.crashes))
+        ]
+        released = tuple(each for each in gone if not any(new < each for new in found))
+        self._drop(gone)
+        added = self._add(found, VERDICT_MS)
+        self._counts, self._pending = {}, ()
+        if not evidence.is_empty:
+            # One on several suspects leaves open which of them is the cause.
+            standing = tuple(each for each in self._verdicts if len(each) == 1)
+            self._counts = evidence.count_crashes(standing)
+            self._pending = tuple(each.suspects for each in evidence.find_culprits(standing))
+        return VerdictChange(added, released)
+
+    def _add(
+        self, verdicts: dict[Suspects, frozenset[bytes]], left_ms: int
+    ) -> tuple[Suspects, ...]:
+        now = self._clock.now()
+        added: list[Suspects] = []
+        for suspects, crashes in verdicts.items():
+            known = self._verdicts.get(suspects)
+            if known is not None:
+                known.crashes = known.crashes | crashes
+                continue
+            if not suspects or any(each < suspects for each in self._verdicts):
+                continue
+            # A verdict on fewer suspects refuses all that one on more of them does.
+            wider = [each for each in self._verdicts if suspects < each]
+            for each in wider:
+                del self._verdicts[each]
+            self._verdicts[suspects] = _Verdict(now, Millis(now + left_ms), crashes)
+            added.append(suspects)
+        while len(self._verdicts) > MAX_VERDICTS:
+            self._verdicts.popitem(last=False)
+        if added:
+            self._index()
+        return tuple(added)
+
+    def _drop(self, verdicts: Iterable[Suspects]) -> tuple[Suspects, ...]:
+        dropped = tuple(each for each in verdicts if self._verdicts.pop(each, None) is not None)
+        until = Millis(self._clock.now() + RELEASED_MS)
+        for each in dropped:
+            self._released[each] = until
+        while len(self._released) > MAX_VERDICTS:
+            self._released.popitem(last=False)
+        if dropped:
+            self._index()
+        return dropped
+
+    def _expire(self) -> None:
+        self._evidence.expire()
+        now = self._clock.now()
+        ended = [each for each, verdict in self._verdicts.items() if verdict.ends_at <= now]
+        for each in ended:
+            del self._verdicts[each]
+            self._lapsed[each] = Millis(now + VERDICT_MS)
+        for each in [each for each, until in self._lapsed.items() if until <= now]:
+            del self._lapsed[each]
+        while len(self._lapsed) > MAX_VERDICTS:
+            self._lapsed.popitem(last=False)
+        if ended:
+            self._index()
+
+    def _index(self) -> None:
+        self._by_suspect = {}
+        for verdict in self._verdicts:
+            for suspect in verdict:
+                self._by_suspect.setdefault(suspect, []).append(verdict)
--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from operator import attrgetter
 from typing import Final
 
 from goldcreststair.clock import Clock, Millis
@@ -27,9 +28,11 @@
 from goldcreststair.wire.generated.gateway.ttypes import (
     BatchRuns,
     Beacon,
+    ClearedSuspects,
     CustomerCount,
     Digest,
     HeardDaemon,
+    LostRuns,
     UpstreamOutcomes,
     UpstreamPace,
     UpstreamRuns,
@@ -39,6 +42,9 @@
 
 MAX_REFUSED: Final = 32
 """Most fingerprints in one digest; the newest are kept."""
+MAX_CRASHES: Final = 32
+"""Most reports of crashes, and of what is cleared of them, in one digest; the newest are kept."""
+MAX_PROBING_BYTES: Final = 512
 MAX_PACES: Final = 1
 """Most paces of upstreams in one digest: one takes 16 B, and up to 12 digests are sent in a second.
 The upstreams take turns."""
@@ -147,6 +153,10 @@
     """Succeeded and failed requests by upstream."""
     queued: dict[tuple[int, int], int] = field(default_factory=dict)
     """Waiting requests by service and priority."""
+    crashes: list[LostRuns] = field(default_factory=list)
+    cleared: list[ClearedSuspects] = field(default_factory=list)
+    probing: bytearray = field(default_factory=bytearray)
+    verdicts: int | None = None
 
     def update_version(self, version: int, session: str) -> None:
         """Keep the newest catalogue version and a daemon that has it in force."""
@@ -173,6 +183,12 @@
         if (message.evacuation_version or 0) > self.evacuation_version:
             self.evacuation_version, self.evacuated = message.evacuation_version, message.evacuated
         self._add_contention(message)
+        self._add_crashes(message)
+
+    def _add_crashes(self, message: Beacon | Digest) -> None:
+        self.crashes += message.crashes or ()
+        self.cleared += message.cleared or ()
+        self.probing += message.probing or b""
 
     def _add_contention(self, message: Beacon | Digest) -> None:
         for pace in message.upstream_paces or ():
@@ -217,6 +233,10 @@
             upstream_paces=list(self.upstream_paces.values()) or None,
             outcomes=outcomes or None,
             waiting=waiting or None,
+            crashes=sorted(self.crashes, key=attrgetter("age_ms"))[:MAX_CRASHES] or None,
+            cleared=self.cleared[-MAX_CRASHES:] or None,
+            probing=bytes(self.probing[:MAX_PROBING_BYTES]) or None,
+            verdicts=self.verdicts,
         )
 
 
@@ -360,6 +380,8 @@
             key, beacon = hash_name(session), member.beacon
             self._drop_old_paces(beacon, member.paces_at)
             total.add(beacon)
+            if session == self._session:
+                total.verdicts = beacon.verdicts
             total.update_version(beacon.catalogue_version, session)
             total.batch.extend(_list_batch(key, beacon.runs or ()))
             total.daemons.append(HeardDaemon(key, beacon.state, beacon.store_away))
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -390,6 +390,10 @@
     beacon.suspects = digest.suspects
     beacon.batch_waiting = max(0, (digest.batch_waiting or 0) - waiting)
     beacon.refused = digest.refused
+    beacon.crashes = digest.crashes
+    beacon.cleared = digest.cleared
+    beacon.probing = digest.probing
+    beacon.verdicts = digest.verdicts
     beacon.paces = digest.paces
     beacon.evacuation_version = digest.evacuation_version
     beacon.evacuated = digest.evacuated
--- a/goldcreststair/components/fleet/peer_requests.py
+++ b/goldcreststair/components/fleet/peer_requests.py
@@ -29,6 +29,7 @@
     CATALOGUE = 1
     JOB = 2
     STREAM_ORIGIN = 3
+    CRASH_VERDICTS = 4
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.components.catalogue.models import CallKind
-from goldcreststair.components.crash_marks.models import LostRun
+from goldcreststair.components.crash_marks.models import Turn
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.features.protocols import FEATURES
@@ -18,6 +18,7 @@
     MIN_REMAINING_MS,
     PLACEMENT_RETRY_MS,
 )
+from goldcreststair.components.forwarding.crash_reports import CrashReports
 from goldcreststair.components.forwarding.models import RequestProgress
 from goldcreststair.components.forwarding.outcome_report import OutcomeReport
 from goldcreststair.components.forwarding.protocols import Responder
@@ -30,7 +31,11 @@
     make_resumption_refusal,
     may_abandon_run,
 )
-from goldcreststair.components.forwarding.refusals import log_refusal
+from goldcreststair.components.forwarding.refusals import (
+    log_refusal,
+    make_quarantine_refusal,
+    make_turn_refusal,
+)
 from goldcreststair.components.forwarding.relay import STATUS_OK, StreamRelay
 from goldcreststair.components.forwarding.resumption import find_stream_key
 from goldcreststair.components.forwarding.silence_detector import (
@@ -48,6 +53,7 @@
 from goldcreststair.components.waiting.protocols import WAITING
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.abortable import AbortableWait
 from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.dialect import RunCall, RunHead
@@ -110,12 +116,17 @@
             self._on_begin,
         )
         self._relay.wants_chunks = admitted.route.kind is CallKind.STREAMING
+        tracker = core.get(CRASH_TRACKER)
+        self._guard = tracker.open_guard(admitted.suspects, self._on_refused)
+        self._crash_reports = CrashReports(tracker, core.clock, admitted, self._relay)
+        self._wait = AbortableWait()
 
     async def async_run(self) -> None:
         """Run the request until the final answer is sent."""
         try:
             await self._async_run()
         finally:
+            self._guard.leave()
             if self._stream is not None:
                 self._origins.release(self._stream)
 
@@ -123,12 +134,15 @@
         self._budget.record_request()
         next_step = NextStep.ELSEWHERE
         while True:
-            placed = await self._async_place(next_step)
+            placed = await self._async_place_guarded(next_step)
             if isinstance(placed, Err):
                 self._finish_refused(placed.err_value)
                 return
             end = await self._async_attempt(placed.ok_value)
+            self._guard.leave()
             if isinstance(end, Ok) and self._is_final(end.ok_value):
+                if end.ok_value.head.status == STATUS_OK:
+                    self._crash_reports.record_whole()
                 self._finish_answered(end.ok_value)
                 return
             error = end.err_value if isinstance(end, Err) else _make_run_error(end.ok_value)
@@ -146,6 +160,18 @@
             self._log(LOG_EVENTS[next_step], error.message, failure=error.failure.value)
             self._core.meters.count_retry(error.failure.value)
 
+    async def _async_place_guarded(self, next_step: NextStep) -> Result[Placement, Refusal]:
+        """Return the placement of the next run, unless the request may crash its upstream."""
+        turn = await self._guard.async_enter(self._admitted.ends_at)
+        may_have_run = self._progress.may_have_run
+        if turn is Turn.BUSY:
+            return Err(make_turn_refusal(may_have_run=may_have_run))
+        if turn is Turn.READY:
+            placed = await self._async_place(next_step)
+            if not self._guard.is_refused:
+                return placed
+        return Err(make_quarantine_refusal(may_have_run=may_have_run))
+
     async def _async_place(self, next_step: NextStep) -> Result[Placement, Refusal]:
         """Return the placement of the next run, waiting for one where the stream has begun."""
         pause_ms = choose_placement_delay(self._progress)
@@ -192,7 +218,9 @@
         # The caller has a part of the answer, which is lost if the stream is sent away now.
         if self._admitted.origin is not None:
             return placed
-        return await self._core.get(WAITING).async_admit(self._admitted, placed.ok_value)
+        admission = self._core.get(WAITING).async_admit(self._admitted, placed.ok_value)
+        admitted = await self._wait.async_run(admission)
+        return admitted or Err(make_quarantine_refusal(may_have_run=False))
 
     def _place(self) -> Result[Placement, Refusal]:
         if self._is_out_of_time():
@@ -220,7 +248,8 @@
         return bool(self._progress.excluded) and self._remaining_ms() < MIN_REMAINING_MS
 
     def _make_query(self, excluded: Iterable[str]) -> PlacementQuery:
-        return make_query(self._admitted, excluded, self._progress.attempts, self._origin)
+        query = make_query(self._admitted, excluded, self._progress.attempts, self._origin)
+        return replace(query, prefers_idle=True) if self._guard.is_suspected else query
 
     async def _async_attempt(self, placement: Placement) -> Result[RunEnd, UpstreamError]:
         entry = placement.upstream
@@ -242,6 +271,7 @@
         )
         self._relay.begin_run()
         self._placement.begin(entry.name)
+        self._crash_reports.begin_run(entry)
         began_at = self._clock.now()
         run = asyncio.ensure_future(
             async_run_checked(self._core.runner, entry.address, call, self._relay)
@@ -249,11 +279,14 @@
         report = OutcomeReport(self._placement, self._clock, self._relay, placement)
         end: Result[RunEnd, UpstreamError] | None = None
         try:
-            end = await self._async_monitor(run, placement)
+            end = await self._wait.async_run(self._async_monitor(run, placement))
         finally:
             run.cancel()
             self._placement.end(entry.name)
             report.finish(end)
+        if end is None:
+            message = "its prompt, or its body, crashes upstreams"
+            return Err(UpstreamError(message, UpstreamFailure.CANCELLED))
         if isinstance(end, Ok) and not placement.wait_ms and self._relay.first_event_at:
             first_ms = self._relay.first_event_at - began_at
             service = self._admitted.service
@@ -341,14 +374,14 @@
                 self._request.request_id,
                 refuses_connections=error.failure is UpstreamFailure.CONNECT,
             )
-        elif error.failure is UpstreamFailure.LOST and not error.status:
-            request, events = self._request, self._relay.run_events
-            lost = LostRun(
-                request.request_id, self._admitted.fingerprint, request.prompt_parts, events
-            )
-            self._core.get(CRASH_TRACKER).report_lost_run(entry, lost)
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.upstreams.mark_full(entry.name)
+        self._crash_reports.record_failure(entry, error)
+
+    def _on_refused(self) -> None:
+        """End a wait for a slot, or a run that has not returned anything."""
+        if not self._relay.run_events:
+            self._wait.abort()
 
     def _finish_answered(self, end: RunEnd) -> None:
         if end.head.status != STATUS_OK or self._route.kind is not CallKind.STREAMING:
@@ -391,6 +424,7 @@
 
     def _on_data(self) -> None:
         self._placement.controller.upstreams.record_progress(self._upstream)
+        self._crash_reports.record_data()
 
     def _on_begin(self) -> None:
         """Record where the stream began before its caller can take it up elsewhere."""
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -18,7 +18,7 @@
 from goldcreststair.components.forwarding.const import MIN_RETRY_AFTER_MS, SETTLE_POLL_MS
 from goldcreststair.components.forwarding.durations import RequestDurations
 from goldcreststair.components.forwarding.protocols import Responder
-from goldcreststair.components.forwarding.refusals import log_refusal
+from goldcreststair.components.forwarding.refusals import log_refusal, make_quarantine_refusal
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingContext
 from goldcreststair.components.forwarding.resumption import async_find_origin
 from goldcreststair.components.forwarding.returning import ReturnLimit
@@ -40,9 +40,9 @@
 from goldcreststair.components.stream_origins.protocols import STREAM_ORIGINS
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.crash_evidence import list_suspects
 from goldcreststair.helpers.fingerprints import make_call_fingerprint
 from goldcreststair.helpers.refusals import (
-    STATUS_UNAVAILABLE,
     Refusal,
     RefusalCode,
     make_retryable_refusal,
@@ -164,10 +164,9 @@
             customer = identified.ok_value
         name = customer.name if customer is not None else ""
         fingerprint = make_call_fingerprint(name, request.method, request.target, request.body)
-        if self._crash_tracker.is_refused(fingerprint):
-            message = f"fingerprint {fingerprint} crashed the upstreams that ran it"
-            code = RefusalCode.QUARANTINED
-            return Err(Refusal(message, code, STATUS_UNAVAILABLE, True))
+        suspects = list_suspects(fingerprint, request.prompt_parts)
+        if self._crash_tracker.is_refused(suspects):
+            return Err(make_quarantine_refusal(may_have_run=False))
         ends_at = find_deadline(request, route)
         if not self._can_finish(route, ends_at):
             message = "this VM shuts down before the answer would be complete"
@@ -184,7 +183,7 @@
                 return Err(Refusal(message, code, STATUS_TOO_MANY, True, wait_ms))
         self._return_limit.count(returned.ok_value)
         service = choose_service(route, self._core.random.random())
-        return Ok(AdmittedRequest(request, route, customer, service, ends_at, fingerprint))
+        return Ok(AdmittedRequest(request, route, customer, service, ends_at, suspects))
 
     def _can_finish(self, route: Route, ends_at: Millis) -> bool:
         """Return whether a request that starts now ends before this daemon shuts down."""
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -35,6 +35,8 @@
 ROUTE_GONE_MS: Final = 5_000
 """A route that has been missing for so long counts as removed; before that, the catalogue version
 that adds it may still be on its way to this daemon."""
+SUSPECT_PAUSE_MS: Final = 200
+"""Pause before an item is looked at again while another request with the same suspect of crashes runs."""
 POISON_PAUSE_MS: Final = 5_000
 """Interval at which an item that crashes upstreams is checked again."""
 HOLD_RETRY_MS: Final = 100
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -11,6 +11,8 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Route
 from goldcreststair.components.catalogue.regions import Regions, find_request_regions
+from goldcreststair.components.crash_marks.const import SOUND_MS
+from goldcreststair.components.crash_marks.guard import RequestGuard
 from goldcreststair.components.crash_marks.models import LostRun
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
@@ -21,6 +23,7 @@
     ROUTE_GONE_MS,
     RUN_TIMEOUT_MS,
     STARTS_PER_TICK,
+    SUSPECT_PAUSE_MS,
 )
 from goldcreststair.components.jobs.continuation import ItemContinuation
 from goldcreststair.components.jobs.estimate import WorkEstimate
@@ -49,6 +52,7 @@
 from goldcreststair.components.requests.admission import choose_service
 from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.crash_evidence import Suspects, list_suspects
 from goldcreststair.helpers.fingerprints import make_call_fingerprint
 from goldcreststair.upstreams.dialect import RunCall
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
@@ -81,6 +85,9 @@
     first_event: int
     """Last event of the item when this run began."""
     sink: ItemSink | None = None
+    guard: RequestGuard | None = None
+    reported: bool = False
+    """Whether it has shown that its item crashes no upstream."""
     task: "asyncio.Task[Result[RunEnd, UpstreamError]] | None" = None
     ended: bool = False
 
@@ -220,9 +227,7 @@
             service = item.origin.service
         if service in full:
             return False
-        if self._core.get(CRASH_TRACKER).is_refused(_make_fingerprint(job, item)):
-            # The item waits until it expires: the upstreams that it crashes run other items, too.
-            item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
+        if self._must_pause(job, item):
             return True
         entry = self._find_slot(service, regions, item, late=ranked.late)
         if entry is None and self._continuation.is_held(job, item, regions):
@@ -239,6 +244,26 @@
         self._log(job, item, "started", reason, entry.name)
         return True
 
+    def _must_pause(self, job: OwnedJob, item: ItemProgress) -> bool:
+        """Return whether an item may not run for now, as it may crash upstreams."""
+        tracker, suspects = self._core.get(CRASH_TRACKER), self._find_suspects(job, item)
+        if tracker.is_refused(suspects):
+            # The item waits until it expires: the upstreams that it crashes run other items, too.
+            item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
+            return True
+        if tracker.is_loading(suspects) or tracker.is_busy(suspects, can_wait=True):
+            item.not_before = Millis(self._clock.now() + SUSPECT_PAUSE_MS)
+            return True
+        return False
+
+    def _find_suspects(self, job: OwnedJob, item: ItemProgress) -> Suspects:
+        if item.suspects is None:
+            spec = item.spec
+            fingerprint = make_call_fingerprint(job.key.customer, METHOD, spec.path, spec.body)
+            parts = self._core.adapter.submission_reader.read_prompt_parts(spec)
+            item.suspects = list_suspects(fingerprint, parts)
+        return item.suspects
+
     def _record_start_over(self, job: OwnedJob, item: ItemProgress, reason: str) -> None:
         self._core.meters.count_repeated(item.last_event)
         self._log(job, item, "started_over", reason, "")
@@ -279,14 +304,16 @@
         run.item.held_since = None
         if not run.item.last_event:
             run.item.origin = self._find_origin(run.upstream)
+        tracker, suspects = self._core.get(CRASH_TRACKER), self._find_suspects(run.job, run.item)
+        run.guard = tracker.open_guard(suspects, lambda: self._on_refused(run))
+        run.guard.try_enter()
         self._runs[run] = None
         self._placement.begin(name, run.runs)
-        controller = self._placement.controller
         sink = run.sink = ItemSink(
             run.item,
             self._clock,
             lambda head: self._placement.record_head(name, head),
-            lambda: controller.upstreams.record_progress(name),
+            lambda: self._on_data(run),
         )
         call = self._make_call(run.job, run.item, run.upstream)
         run.task = asyncio.create_task(
@@ -294,6 +321,12 @@
         )
         run.task.add_done_callback(lambda task: self._on_ended(run, task))
 
+    def _on_data(self, run: _Run) -> None:
+        self._placement.controller.upstreams.record_progress(run.upstream.name)
+        began_at = run.sink.first_event_at if run.sink is not None else None
+        if not run.reported and began_at is not None and self._clock.now() - began_at > SOUND_MS:
+            self._report_answer(run)
+
     def _find_origin(self, entry: UpstreamEntry) -> StreamOrigin | None:
         """Return the software that an upstream certainly runs, or None."""
         software = self._placement.controller.upstreams.find_software(entry.name)
@@ -311,6 +344,13 @@
         elif not run.job.lost:
             self._handle_result(run, task.result())
 
+    def _on_refused(self, run: _Run) -> None:
+        if run.sink is None or run.sink.events:
+            return
+        self._stop_run(run)
+        run.item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
+        self._log(run.job, run.item, "stopped", "it crashes upstreams", run.upstream.name)
+
     def _stop_run(self, run: _Run) -> None:
         """Abort a run; the events it received are kept."""
         # A task that is cancelled before its first step never runs any code, so the state is
@@ -327,6 +367,8 @@
         if run.sink is not None:
             run.sink.close()
             self._core.meters.count_repeated(run.sink.repeated)
+        if run.guard is not None:
+            run.guard.leave()
         self._runs.pop(run, None)
         self._placement.end(run.upstream.name, run.runs)
         # The time to the first event of an item says little: its prompts are longer than those online.
@@ -363,6 +405,7 @@
             return
         done = verdict.verdict is Verdict.DONE
         if done:
+            self._report_answer(run)
             run_ms = self._clock.now() - run.began_at
             self._estimate.learn(item, item.last_event - run.first_event, run_ms)
         text = b"\n".join(item.data) if done else b""
@@ -380,13 +423,24 @@
                 run.item.spec.item_id,
                 refuses_connections=error.failure is UpstreamFailure.CONNECT,
             )
-        elif error.failure is UpstreamFailure.LOST:
-            spec, events = run.item.spec, run.item.last_event - run.first_event
-            parts = self._core.adapter.submission_reader.read_prompt_parts(spec)
-            lost = LostRun(spec.item_id, _make_fingerprint(run.job, run.item), parts, events)
-            self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, lost)
         elif error.failure is UpstreamFailure.REFUSED:
             self._placement.controller.upstreams.mark_full(run.upstream.name)
+        if error.failure in (UpstreamFailure.LOST, UpstreamFailure.SILENT):
+            self._report_lost(run)
+
+    def _report_lost(self, run: _Run) -> None:
+        spec, events = run.item.spec, run.item.last_event - run.first_event
+        parts = self._core.adapter.submission_reader.read_prompt_parts(spec)
+        lost = LostRun(spec.item_id, self._find_suspects(run.job, run.item), parts, events)
+        self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, lost)
+
+    def _report_answer(self, run: _Run) -> None:
+        """Report that nothing about an item crashes upstreams: its answer is whole, or has gone on."""
+        suspects = self._find_suspects(run.job, run.item)
+        began_at = run.sink.first_event_at if run.sink is not None else None
+        if began_at is not None:
+            run.reported = True
+            self._core.get(CRASH_TRACKER).report_answer(run.upstream, suspects, began_at)
 
     def _finish(
         self, job: OwnedJob, item: ItemProgress, result: ItemResult, reason: str, upstream: str = ""
@@ -430,10 +484,6 @@
     return classify_run_end(task.result(), complete=True, has_answered=has_answered)
 
 
-def _make_fingerprint(job: OwnedJob, item: ItemProgress) -> str:
-    return make_call_fingerprint(job.key.customer, METHOD, item.spec.path, item.spec.body)
-
-
 def _describe(end: Result[RunEnd, UpstreamError]) -> str:
     if isinstance(end, Err):
         return end.err_value.message
--- a/goldcreststair/components/jobs/registry.py
+++ b/goldcreststair/components/jobs/registry.py
@@ -20,6 +20,7 @@
     SavedProgress,
 )
 from goldcreststair.components.stream_origins.models import StreamOrigin
+from goldcreststair.helpers.crash_evidence import Suspects
 
 
 class ItemState(StrEnum):
@@ -57,6 +58,8 @@
     """Last event whose data is saved in the store."""
     origin: StreamOrigin | None = None
     """The software that made the events; None if it is not known."""
+    suspects: Suspects | None = None
+    """Everything about the item that may crash upstreams; None before it is needed."""
     held_since: Millis | None = None
     """Since when no upstream of `origin` has had a free slot, while others had."""
 
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -36,6 +36,8 @@
         self.wants_chunks = True
         self.last_progress_at = clock.now()
         self.events = 0
+        self.first_event_at: Millis | None = None
+        """When the run sent its first event."""
         self.repeated = 0
         """Events that an earlier run of the item has brought already."""
         self.timeout_factor = 1 << min(item.silent_runs, MAX_TIMEOUT_DOUBLINGS)
@@ -69,6 +71,8 @@
         self._report_data()
         for event in self._splitter.feed(chunk):
             self.events += 1
+            if self.first_event_at is None:
+                self.first_event_at = self._clock.now()
             # Events are numbered; a duplicate or missing one would corrupt the item's text.
             if self._has_gap or event.number != self._item.last_event + 1:
                 self._has_gap = self._has_gap or event.number > self._item.last_event + 1
--- a/goldcreststair/components/placement/controller.py
+++ b/goldcreststair/components/placement/controller.py
@@ -95,6 +95,8 @@
         if not available:
             message = "every upstream is cold, and this VM may not send it more requests now"
             return Err(NoUpstreamAvailable(message, retry_after_ms=COLD_RETRY_MS))
+        if query.prefers_idle:
+            return Ok(self._place(self._find_idlest(available), {}))
         preferred = self._find_preferred(available, query.affinity)
         factors = self._pace.read_factors(query.service)
         if self.runs.digest_sequence is not None:
@@ -145,6 +147,10 @@
         """Return whether there is an upstream that `choose` may find now or later."""
         return bool(self.upstreams.list_candidates(query))
 
+    def _find_idlest(self, states: list[UpstreamState]) -> UpstreamState:
+        runs = self.upstreams.count_runs
+        return min(states, key=lambda state: (runs(state).total, self._random.random()))
+
     def _choose_spread(
         self, states: list[UpstreamState], preferred: str, factors: Mapping[str, float]
     ) -> UpstreamState:
--- a/goldcreststair/components/placement/models.py
+++ b/goldcreststair/components/placement/models.py
@@ -24,6 +24,8 @@
     any."""
     is_retry: bool = False
     """Whether an upstream may have run the request before; retries go to no ejected upstream."""
+    prefers_idle: bool = False
+    """Whether the upstream with the fewest runs is best, as the request may crash it."""
     may_try: bool = True
     """Whether the request could run elsewhere if it failed, so that it may be sent as a trial request
     to a half-open upstream."""
--- a/goldcreststair/components/requests/models.py
+++ b/goldcreststair/components/requests/models.py
@@ -5,6 +5,7 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CatalogueCustomer, Route
 from goldcreststair.components.stream_origins.models import StreamOrigin
+from goldcreststair.helpers.crash_evidence import Suspects
 from goldcreststair.upstreams.dialect import Headers
 
 
@@ -47,8 +48,8 @@
     service: str
     ends_at: Millis
     """Deadline for the complete answer."""
-    fingerprint: str = ""
-    """Identifies the request when its caller sends it again."""
+    suspects: Suspects = frozenset()
+    """Everything about the request that may crash upstreams."""
     origin: StreamOrigin | None = None
     """The software that began the stream that the caller takes up; None for a new stream."""
 
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -78,6 +78,9 @@
             "upstream_crashes": _Counter(
                 "Upstreams that crashed while they ran requests of this VM."
             ),
+            "crash_verdicts": _Counter(
+                "Verdicts on requests that crash upstreams, here or taken over."
+            ),
             "ejections": _Counter("Ejections of upstreams by this daemon.", ("reason",)),
             "batch_items": _Counter("Batch items by what became of a run.", ("outcome",)),
             "batch_jobs": _Counter("Batch jobs by what became of them here.", ("outcome",)),
@@ -108,6 +111,7 @@
         self._counters["log_lines_dropped"].values[()] = 0.0
         self._counters["upstream_load_invalid"].values[()] = 0.0
         self._counters["upstream_crashes"].values[()] = 0.0
+        self._counters["crash_verdicts"].values[()] = 0.0
         self._counters["batch_tokens_repeated"].values[()] = 0.0
         self._counters["readers_shed"].values[()] = 0.0
 
@@ -154,6 +158,11 @@
         self._counters["upstream_crashes"].values[()] += 1
         self._statistics.count("upstream_crashes")
 
+    def count_crash_verdict(self) -> None:
+        """Count a verdict on requests that crash upstreams."""
+        self._counters["crash_verdicts"].values[()] += 1
+        self._statistics.count("crash_verdicts")
+
     def count_ejection(self, reason: str) -> None:
         """Count an ejection of an upstream."""
         self._counters["ejections"].values[(reason,)] += 1
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -55,6 +55,27 @@
   2: required binary streams
 }
 
+/** What one daemon ran at an upstream when it crashed. */
+struct LostRuns {
+  /** Hash of the crash, the same for all daemons that saw it. */
+  1: required binary crash
+  /** Hash of the upstream's service and software version. */
+  2: required i32 software
+  /** Hashes of prompt parts and whole requests, 8 bytes each, whose runs had not returned anything. */
+  3: required binary suspects
+  4: required i32 age_ms
+  /** The same of those whose runs all had. */
+  5: optional binary begun
+}
+
+/** Prompt parts and whole requests that were at a crash and did not cause it, as upstreams answer them. */
+struct ClearedSuspects {
+  /** The crash; empty where all verdicts on these suspects are released. */
+  1: required binary crash
+  /** Hashes, 8 bytes each. */
+  2: required binary suspects
+}
+
 /** What a daemon says of itself to others, whole in each datagram. */
 struct Beacon {
   1: required string session
@@ -66,6 +87,8 @@
   7: optional list<i32> suspects
   8: optional i32 batch_waiting
   9: optional bool store_away
+  /** Newest verdicts on requests: fingerprints, or hashes of prompt parts, in hexadecimal; joined by + where
+   * requests with all of them are refused. */
   10: optional list<string> refused
   /** Which daemons it hears, itself included; one number, equal for equal sets. */
   11: optional i32 hears
@@ -83,6 +106,13 @@
   19: optional list<WaitingRequests> waiting
   /** Streams that were begun of late, while upstreams of several software versions serve. */
   20: optional list<OriginatedStreams> origins
+  /** Crashes of late. */
+  21: optional list<LostRuns> crashes
+  22: optional list<ClearedSuspects> cleared
+  /** Suspects of several crashes that run now, 8 bytes each. */
+  23: optional binary probing
+  /** Hash of all verdicts; left out if there are none. */
+  24: optional i32 verdicts
 }
 
 /** Batch runs of one daemon at one upstream, both by a hash of their names. */
@@ -134,6 +164,12 @@
   /** As in a beacon; the sums. */
   18: optional list<UpstreamOutcomes> outcomes
   19: optional list<WaitingRequests> waiting
+  /** As in a beacon, of all daemons; the newest crashes. */
+  20: optional list<LostRuns> crashes
+  21: optional list<ClearedSuspects> cleared
+  22: optional binary probing
+  /** Hash of the relay's own verdicts. */
+  23: optional i32 verdicts
 }
 
 /** A daemon's session as it stands in the store. */
@@ -221,6 +257,11 @@
   1: optional i32 origin
 }
 
+/** All verdicts of a daemon: hashes in hexadecimal, joined by +, and how long each one still holds, ms. */
+struct CrashVerdicts {
+  1: required map<string, i64> left_ms
+}
+
 /** One item of a job as its caller sent it. */
 struct ItemBody {
   1: required string item
--- a/tests/components/crash_marks/test_service.py
+++ b/tests/components/crash_marks/test_service.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from goldcreststair.components.crash_marks.const import CRASHES_TO_REFUSE
 from goldcreststair.components.entry.service import ENTRY
+from goldcreststair.helpers.crash_evidence import CRASHES_TO_REFUSE
 from goldcreststair.helpers.refusals import RefusalCode
 from standins.gateways import GatewayFleet
 from tests.helpers.gateways import async_read, async_send, async_submit, run_fleet
