Let the soak crash upstreams under prompt parts, and check BUDGET and LOST

The soak's upstreams never crashed under a request, every answer had chunks, and no request named the parts of its prompt. A tenth of the sound answers has no length. The checker applies both rules as they are worded: to daemons that were undisturbed, by themselves and on their way to the store, for three seconds.

--- a/standins/crash_rules.py
+++ b/standins/crash_rules.py
@@ -2,7 +2,7 @@
 
 BUDGET: after the fifth crash under one part, at most three further requests with it reach upstreams, apart
 from those of VMs that were disturbed. LOST: meanwhile sound requests that share the customer or the first part
-begin at their first attempt at least half as often as without a disturbance. Times are in ms of one clock.
+begin at their first attempt at least half as often as without a disturbance. Times are of one clock, in any unit.
 """
 
 from collections.abc import Callable, Iterator, Sequence
@@ -18,7 +18,7 @@
 STATUS_LIMITED: Final = 429
 
 InTouch = Callable[[str, float], bool]
-"""Returns whether a VM was undisturbed for `stable_ms` before a time."""
+"""Returns whether a VM was undisturbed for `stable` before a time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,34 +82,34 @@
         """Return when upstreams ended under a part."""
         return sorted(crash.at for crash in self.crashes if crash.part == part)
 
-    def count_later(self, part: str, stable_ms: float, in_touch: InTouch) -> int:
+    def count_later(self, part: str, stable: float, in_touch: InTouch) -> int:
         """Return how many requests with a part reached upstreams after the budget was spent."""
         times = self.list_crash_times(part)
         if len(times) < CRASHES:
             return 0
-        ends_at = times[CRASHES - 1] + stable_ms
+        ends_at = times[CRASHES - 1] + stable
         return sum(
             each.part == part and each.at > ends_at and in_touch(each.vm, each.at)
             for each in self.arrivals
         )
 
 
-def find_over_budget(record: CrashRecord, stable_ms: float, in_touch: InTouch) -> Iterator[str]:
+def find_over_budget(record: CrashRecord, stable: float, in_touch: InTouch) -> Iterator[str]:
     """Yield the parts with which too many requests reached upstreams."""
     for part in record.list_parts():
-        later = record.count_later(part, stable_ms, in_touch)
+        later = record.count_later(part, stable, in_touch)
         if later > MAX_LATER:
             crashes = len(record.list_crash_times(part))
-            yield f"{part}: {later} requests later than {stable_ms} ms after the fifth of {crashes} crashes"
+            yield f"{part}: {later} requests later than {stable} after the fifth of {crashes} crashes"
 
 
 def find_lost_sound(
-    record: CrashRecord, stable_ms: float, in_touch: InTouch, calm_until: float
+    record: CrashRecord, stable: float, in_touch: InTouch, calm_until: float
 ) -> Iterator[str]:
     """Yield the parts whose sound companions begin too seldom; `calm_until` ends the undisturbed time."""
     calm = [a for a in record.attempts if a.at < calm_until and in_touch(a.vm, a.at)]
     for part in record.list_parts():
-        for group, attempts in _group_companions(record, part, stable_ms, in_touch).items():
+        for group, attempts in _group_companions(record, part, stable, in_touch).items():
             before = _select(calm, attempts)
             usual, now = _measure(before, before), _measure(attempts, before)
             if usual is not None and now is not None and now < usual * BEGUN_SHARE:
@@ -117,23 +117,23 @@
 
 
 def read_begun_share(
-    record: CrashRecord, stable_ms: float, in_touch: InTouch
+    record: CrashRecord, stable: float, in_touch: InTouch
 ) -> dict[str, tuple[int, int]]:
     """Return for each group of sound requests how many began, and how many there were."""
     found: dict[str, tuple[int, int]] = {}
     for part in record.list_parts():
-        for group, attempts in _group_companions(record, part, stable_ms, in_touch).items():
+        for group, attempts in _group_companions(record, part, stable, in_touch).items():
             begun, total = found.get(group, (0, 0))
             found[group] = begun + sum(a.begun for a in attempts), total + len(attempts)
     return found
 
 
 def _group_companions(
-    record: CrashRecord, part: str, stable_ms: float, in_touch: InTouch
+    record: CrashRecord, part: str, stable: float, in_touch: InTouch
 ) -> dict[str, list[SoundAttempt]]:
     """Return the sound attempts beside a part, by what they share with its requests."""
     times = record.list_crash_times(part)
-    since = times[min(len(times), CRASHES) - 1] + 2 * stable_ms
+    since = times[min(len(times), CRASHES) - 1] + 2 * stable
     sent = [each for each in record.sent if each.part == part]
     until = max((each.at for each in sent), default=0.0)
     routes = {each.route for each in sent}
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -19,12 +19,21 @@
 
 from goldcreststair.clock import BootClock
 from goldcreststair.store.rows import RowKey
+from standins.crash_rules import read_begun_share
 from standins.rows import FakeRowStore
 from tests.platform_adapter.local import CONFIG, find_port, register
 from tests.platform_adapter.soak.callers import PAUSES_MS, Caller, async_read_jobs
-from tests.platform_adapter.soak.checker import Violation, find_violations, list_unanswered
+from tests.platform_adapter.soak.checker import (
+    STABLE_S,
+    Violation,
+    find_violations,
+    join_crash_record,
+    list_unanswered,
+    make_touch_check,
+)
+from tests.platform_adapter.soak.crash_callers import CrashCaller
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
-from tests.platform_adapter.soak.engine import SoakEngine
+from tests.platform_adapter.soak.engine import CRASH_PARTS, SoakEngine
 from tests.platform_adapter.soak.faults import (
     SOFTWARE_VERSIONS,
     STORE_PROXY,
@@ -52,6 +61,8 @@
 CALLERS: Final = 20
 UPSTREAM_WEIGHT: Final = 3
 """How many times more faults a proxy before an upstream gets than any other proxy."""
+CRASHED_S: Final = 2.5
+"""How long an upstream is down after it crashed under a prompt part."""
 LISTED_WITHIN_S: Final = 30.0
 """How long accepted items may take to be listed after the last fault."""
 
@@ -67,6 +78,7 @@
     engines: list[SoakEngine] = field(default_factory=list)
     daemons: list[Daemon] = field(default_factory=list)
     proxies: list[Proxy] = field(default_factory=list)
+    _restarts: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def async_start(self) -> None:
         """Start everything and wait until all daemons are ready."""
@@ -82,6 +94,8 @@
 
     async def async_close(self) -> None:
         """Stop everything."""
+        for task in self._restarts:
+            task.cancel()
         await asyncio.gather(*(daemon.async_close() for daemon in self.daemons))
         for proxy in self.proxies:
             proxy.close()
@@ -113,6 +127,18 @@
 
     async def _async_upgrade(self, planned: PlannedUpgrade) -> None:
         number = planned.target % len(self.engines)
+        if not self.engines[number].down:
+            await self._async_restart(number, planned.lasts_s, planned.software)
+
+    def _restart_crashed(self, engine: SoakEngine) -> None:
+        """Start an upstream again that crashed under a prompt part."""
+        number = self.engines.index(engine)
+        restart = self._async_restart(number, CRASHED_S, engine.software)
+        task = asyncio.create_task(restart)
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _async_restart(self, number: int, down_s: float, software: str) -> None:
         engine, proxy = self.engines[number], self.proxies[number]
         if engine.down:
             return
@@ -120,10 +146,10 @@
         engine.crash()
         proxy.refuse()
         try:
-            await asyncio.sleep(planned.lasts_s)
+            await asyncio.sleep(down_s)
         finally:
             # It accepts requests before it is registered, as an upstream that starts does.
-            engine.software, engine.down = planned.software, False
+            engine.software, engine.down = software, False
             await proxy.async_accept()
             await asyncio.sleep(REGISTRATION_S)
             self._register(number)
@@ -146,7 +172,12 @@
         number = len(self.engines)
         software = SOFTWARE_VERSIONS[number % STARTING_VERSIONS]
         engine = SoakEngine(
-            name, runs=self.record.runs, refusals=self.record.refusals, software=software
+            name,
+            runs=self.record.runs,
+            refusals=self.record.refusals,
+            software=software,
+            crash_record=self.record.crash,
+            on_crash=self._restart_crashed,
         )
         await engine.async_start()
         proxy = await self._async_add_proxy(name, engine.address, records=True)
@@ -207,7 +238,10 @@
             Caller(f"c{n}", site.daemons, site.record, random.Random(f"{seed}-{n}"), pauses_ms)
             for n in range(CALLERS)
         ]
+        part = CRASH_PARTS[seed % len(CRASH_PARTS)]
+        crashing = CrashCaller(part, site.daemons, site.record, random.Random(f"crash {seed}"))
         async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(crashing.async_run(ended))
             for caller in callers:
                 tasks.create_task(caller.async_run(ended))
             planned = [
@@ -230,6 +264,11 @@
     print(f"without a whole answer: {dict(excuses)}")
     print(f"runs: {len(record.runs)}, items: {len(record.accepted)}")
     print(f"evacuations: {len(record.evacuations)}, upgrades: {len(record.lifetimes) - ENGINES}")
+    crash = join_crash_record(record)
+    print(f"crashes by part: {dict(Counter(each.part for each in crash.crashes))}")
+    print(f"requests with such parts: sent {len(crash.sent)}, at upstreams {len(crash.arrivals)}")
+    shares = read_begun_share(crash, STABLE_S, make_touch_check(record))
+    print(f"sound requests beside them that began, of all: {shares}")
     resumed = Counter((x.status, bool(x.body)) for x in record.exchanges if x.begun_as)
     print(f"taken up, by status and whether it went on: {dict(resumed)}")
     for violation in violations:
--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -15,7 +15,9 @@
 from tests.platform_adapter.soak.daemons import Daemon
 from tests.platform_adapter.soak.engine import (
     EVENTS_HEADER,
+    PARTS_HEADER,
     PAUSE_HEADER,
+    UNFRAMED_HEADER,
     make_text,
     split_software,
 )
@@ -33,6 +35,8 @@
 STATUS_OK: Final = 200
 TRIES: Final = 2
 """How often a caller takes up one stream."""
+FIRST_PARTS: Final = ("s0", "s1", "s2")
+UNFRAMED_SHARE: Final = 0.1
 READ_PAUSE_S: Final = 0.2
 READ_TIMEOUT_S: Final = 2.0
 
@@ -72,7 +76,8 @@
     ) -> bool:
         """Send one request and record the outcome; returns whether the connection can be reused."""
         request, route = f"{self.name}-{next(self._numbers)}", self.chooser.choice(ROUTES)
-        headers = self._choose_work()
+        headers, first_part = self._choose_work(), choose_first_part(self.chooser)
+        headers[PARTS_HEADER] = make_parts(first_part, f"{self.name}-session", request)
         body = make_job(request, headers) if route == "batch" else request.encode()
         fields = headers | {"Request-Id": request, "Deadline-Ms": str(int(DEADLINE_S * 1000))}
         port = writer.get_extra_info("sockname")[1]
@@ -95,6 +100,7 @@
             answer.body,
             make_text(request, int(headers[EVENTS_HEADER])),
             link.disturbed,
+            first_part=first_part,
         )
         self.record.exchanges.append(exchange)
         if route == "stream" and not answer.whole:
@@ -156,7 +162,24 @@
     def _choose_work(self) -> dict[str, str]:
         events = self.chooser.choice((1, 5, 20))
         pause_ms = self.chooser.choice(self.pauses_ms)
-        return {EVENTS_HEADER: str(events), PAUSE_HEADER: str(pause_ms)}
+        headers = {EVENTS_HEADER: str(events), PAUSE_HEADER: str(pause_ms)}
+        if self.chooser.random() < UNFRAMED_SHARE:
+            headers[UNFRAMED_HEADER] = "1"
+        return headers
+
+
+def choose_first_part(chooser: random.Random) -> str:
+    """Return the first part of a prompt."""
+    return chooser.choice(FIRST_PARTS)
+
+
+def make_parts(*names: str) -> str:
+    """Return the header that lists the parts of a prompt.
+
+    >>> make_parts("s1", "own")
+    's1:100,own:100'
+    """
+    return ",".join(f"{name}:100" for name in names)
 
 
 def _count_events(exchange: Exchange) -> tuple[int, str]:
--- a/tests/platform_adapter/soak/checker.py
+++ b/tests/platform_adapter/soak/checker.py
@@ -2,10 +2,17 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from typing import Final
 
+from standins.crash_rules import (
+    CrashRecord,
+    InTouch,
+    SoundAttempt,
+    find_lost_sound,
+    find_over_budget,
+)
 from tests.platform_adapter.soak.engine import split_software
 from tests.platform_adapter.soak.record import (
     GRACE_S,
@@ -35,6 +42,7 @@
 MIN_RESUMED: Final = 12
 RESUMED_SHARE: Final = 0.5
 STATUS_OK: Final = 200
+CUSTOMER: Final = "club"
 EVACUATED_S: Final = 5.0
 """Time after which no new request may reach an upstream of an evacuated data centre."""
 LAST_PART_S: Final = GRACE_S * 5 / 6
@@ -52,6 +60,8 @@
     EVACUATED = "evacuated"
     ONE_SOFTWARE = "one software version"
     RESUMED = "resumed"
+    BUDGET = "budget"
+    LOST = "lost"
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +83,7 @@
         *find_runs_in_evacuations(record),
         *find_joined_software(record),
         *find_lost_resumptions(record),
+        *find_part_crashes(record),
     ]
 
 
@@ -295,6 +306,54 @@
     )
 
 
+def find_part_crashes(record: Record) -> Iterator[Violation]:
+    """Yield prompt parts that crash too many upstreams, or whose sound companions do not begin."""
+    seen = join_crash_record(record)
+
+    is_in_touch = make_touch_check(record)
+    for detail in find_over_budget(seen, STABLE_S, is_in_touch):
+        yield Violation(Promise.BUDGET, detail.partition(":")[0], detail)
+    calm_until = min((crash.at for crash in seen.crashes), default=0.0)
+    for detail in find_lost_sound(seen, STABLE_S, is_in_touch, calm_until):
+        yield Violation(Promise.LOST, detail.partition(":")[0], detail)
+
+
+def make_touch_check(record: Record) -> InTouch:
+    """Return a function that tells whether a daemon was undisturbed before a time."""
+    return lambda daemon, at: _is_undisturbed(daemon, at, record)
+
+
+def join_crash_record(record: Record) -> CrashRecord:
+    """Return what was seen of crashing parts, with the daemons that sent requests and the sound attempts."""
+    senders = record.crash_senders
+    arrivals = [replace(each, vm=senders.get(each.request, "")) for each in record.crash.arrivals]
+    attempts = [
+        SoundAttempt(
+            seen.sent_at,
+            seen.daemon,
+            seen.route,
+            CUSTOMER,
+            seen.first_part,
+            seen.status == STATUS_OK and bool(seen.body),
+            seen.status,
+        )
+        for seen in record.exchanges
+        if seen.route == "stream" and not seen.begun_as and not seen.cut
+    ]
+    return CrashRecord(record.crash.crashes, arrivals, attempts, record.crash.sent)
+
+
+def _is_undisturbed(daemon: str, at: float, record: Record) -> bool:
+    """Return whether a daemon ran and reached the store undisturbed for `STABLE_S` before a time."""
+    since = at - STABLE_S
+    if any(s.daemon == daemon and since <= s.at <= at for s in (*record.kills, *record.stops)):
+        return False
+    return not any(
+        each.daemon == daemon and each.until >= since and each.since <= at
+        for each in (*record.absences, *record.pauses, *record.store_faults)
+    )
+
+
 def find_runs_in_evacuations(record: Record) -> Iterator[Violation]:
     """Yield runs that began at an upstream after its data centre had been evacuated."""
     for evacuation in record.evacuations:
--- a/tests/platform_adapter/soak/engine.py
+++ b/tests/platform_adapter/soak/engine.py
@@ -3,14 +3,26 @@
 import asyncio
 import re
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
+from standins.crash_rules import CrashRecord, PartArrival, PartCrash
 from tests.platform_adapter.soak.record import Run
 from tests.platform_adapter.wire_engine import WireEngine, make_head
 
 EVENTS_HEADER: Final = "Soak-Events"
 PAUSE_HEADER: Final = "Soak-Pause-Ms"
+UNFRAMED_HEADER: Final = "Soak-Unframed"
+"""Asks for an answer with neither a length nor chunks."""
+PARTS_HEADER: Final = "Prompt-Prefix"
+CRASH_AFTER_HEAD: Final = "c0"
+CRASH_AFTER_EVENTS: Final = "c1"
+CRASH_UNFRAMED: Final = "c2"
+"""Prompt parts that crash each upstream that begins an answer on them."""
+CRASH_PARTS: Final = (CRASH_AFTER_HEAD, CRASH_AFTER_EVENTS, CRASH_UNFRAMED)
+CRASH_EVENTS: Final = 2
+"""Events before a crash under `CRASH_AFTER_EVENTS`."""
 
 
 SOFTWARE_MARK: Final = re.compile(r" by (\S+)")
@@ -47,6 +59,9 @@
     runs: list[Run] = field(default_factory=list)
     refusals: list[Run] = field(default_factory=list)
     """Requests that it refused as not run."""
+    crash_record: CrashRecord = field(default_factory=CrashRecord)
+    on_crash: Callable[["SoakEngine"], None] = lambda _: None
+    """Called when it ends under a prompt part."""
 
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -81,23 +96,62 @@
             self.refusals.append(Run(request, self.name, time.monotonic()))
             writer.write(make_head(503, request, "Not-Run: 1\r\nContent-Length: 0"))
             return True
+        part = find_crash_part(headers)
+        if part:
+            # The daemon that sent it is found by the request's id.
+            arrival = PartArrival(part, request, "", time.monotonic())
+            self.crash_record.arrivals.append(arrival)
         run = Run(request, self.name, time.monotonic())
         self.runs.append(run)
         try:
-            await self._async_run(writer, request, headers)
+            if part:
+                await self._async_crash(writer, request, headers, part)
+            else:
+                await self._async_run(writer, request, headers)
         finally:
             run.ended_at = time.monotonic()
-        return True
+        return UNFRAMED_HEADER not in headers
 
     async def _async_run(
         self, writer: asyncio.StreamWriter, request: str, headers: dict[str, str]
     ) -> None:
         first, software = int(headers.get("Last-Event-Id", "0")) + 1, self.software
-        writer.write(make_head(200, request, "Transfer-Encoding: chunked"))
+        framed = UNFRAMED_HEADER not in headers
+        framing = "Transfer-Encoding: chunked" if framed else "Connection: close"
+        writer.write(make_head(200, request, framing))
         for number in range(first, int(headers.get(EVENTS_HEADER, "3")) + 1):
             await asyncio.sleep(int(headers.get(PAUSE_HEADER, "0")) / 1000)
             event = make_event(request, number, software)
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
+            writer.write(chunk if framed else event)
+            await writer.drain()
+        if framed:
+            writer.write(b"0\r\n\r\n")
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
+
+    async def _async_crash(
+        self, writer: asyncio.StreamWriter, request: str, headers: dict[str, str], part: str
+    ) -> None:
+        """Begin an answer and crash."""
+        framed = part != CRASH_UNFRAMED
+        framing = "Transfer-Encoding: chunked" if framed else "Connection: close"
+        writer.write(make_head(200, request, framing))
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, first + CRASH_EVENTS if part == CRASH_AFTER_EVENTS else first):
+            event = make_event(request, number, self.software)
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
         await writer.drain()
+        if not self.down:
+            self.crash_record.crashes.append(PartCrash(part, self.name, time.monotonic()))
+            self.on_crash(self)
+
+
+def find_crash_part(headers: dict[str, str]) -> str:
+    """Return the part of a prompt that crashes upstreams; empty if there is none.
+
+    >>> find_crash_part({"Prompt-Prefix": "s1:100,c0:50,own:20"}), find_crash_part({})
+    ('c0', '')
+    """
+    listed = headers.get(PARTS_HEADER, "").split(",")[:-1]
+    names = (each.partition(":")[0] for each in listed)
+    return next((name for name in names if name in CRASH_PARTS), "")
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from standins.crash_rules import CrashRecord
+
 GRACE_S: Final = 8.0
 MAX_ATTEMPTS: Final = {"stream": 2, "once": 1, "call": 1, "batch": 3}
 REPEATABLE: Final = frozenset(("stream", "call", "batch"))
@@ -30,6 +32,8 @@
     """The attempt that brought the first event, if this one takes up its stream."""
     software: str = ""
     """Software version of the events that earlier attempts brought."""
+    first_part: str = ""
+    """First part of the prompt."""
 
     @property
     def stream(self) -> str:
@@ -123,3 +127,7 @@
     """Requests that upstreams refused as not run."""
     store_faults: list[Absence] = field(default_factory=list)
     """Disturbances of a daemon's connections to the store."""
+    crash: CrashRecord = field(default_factory=CrashRecord)
+    """Requests with prompt parts that crash upstreams; times are in s here as well."""
+    crash_senders: dict[str, str] = field(default_factory=dict)
+    """The daemon that got each of these requests, by request id."""
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.platform_adapter.soak.checker import Promise, find_violations
+from standins.crash_rules import PartArrival, PartCrash, SentRequest
+from tests.platform_adapter.soak.checker import Promise, find_part_crashes, find_violations
 from tests.platform_adapter.soak.engine import make_event, make_text
 from tests.platform_adapter.soak.record import (
     Absence,
@@ -218,3 +219,57 @@
         for number in range(going_on, 12)
     ]
     assert find_promises(Record([GOOD, *resumed, *refused], lifetimes=lifetimes)) == found
+
+
+def make_crash_record(later: int, begun_share: float = 1.0, late_s: float = 4.0) -> Record:
+    """Return a record with five crashes, requests that reach upstreams later, and sound requests."""
+    record = Record()
+    part, first = "c0", "s0"
+    record.crash.crashes = [PartCrash(part, f"i-{n}", 100.0 + n / 10) for n in range(5)]
+    record.crash.sent = [SentRequest(part, 100.0 + n, "stream", "club", first) for n in range(20)]
+    record.crash.arrivals = [
+        PartArrival(part, f"bad{n}", "", 100.4 + late_s + n / 10) for n in range(later)
+    ]
+    record.crash_senders = {f"bad{n}": "d" for n in range(later)}
+    for n in range(60):
+        sent_at = 90.0 + n / 3 if n < 30 else 107.0 + (n - 30) / 3
+        is_begun = n < 30 or n % 10 < begun_share * 10
+        record.exchanges.append(
+            Exchange(
+                f"sound{n}",
+                "stream",
+                "d",
+                sent_at,
+                sent_at + 0.1,
+                sent_at + 5.0,
+                200 if is_begun else 503,
+                True,
+                b"id: 1\ndata: x\n\n" if is_begun else b"",
+                b"id: 1\ndata: x\n\n",
+                first_part=first,
+            )
+        )
+    return record
+
+
+@pytest.mark.parametrize(
+    ("record", "promises"),
+    [
+        pytest.param(make_crash_record(3), [], id="three requests after the fifth crash"),
+        pytest.param(make_crash_record(4), [Promise.BUDGET], id="four"),
+        pytest.param(make_crash_record(9, late_s=1.0), [], id="before all daemons know"),
+        pytest.param(make_crash_record(0, 0.6), [], id="six of ten sound requests begin"),
+        pytest.param(make_crash_record(0, 0.4), [Promise.LOST], id="four of ten"),
+    ],
+)
+def test_crashes_under_a_prompt_part(record: Record, promises: list[Promise]) -> None:
+    """Guards against a soak that passes while a part crashes upstreams, or costs others their answers."""
+    assert sorted({each.promise for each in find_part_crashes(record)}) == promises
+
+
+@pytest.mark.parametrize("kind", ["kills", "store_faults", "pauses"])
+def test_requests_from_disturbed_daemons_spend_no_budget(kind: str) -> None:
+    record = make_crash_record(4)
+    span = Signal("d", 102.0) if kind == "kills" else Absence("d", 101.0, 102.0)
+    getattr(record, kind).append(span)
+    assert not list(find_part_crashes(record))
--- a/tests/platform_adapter/soak/test_soak.py
+++ b/tests/platform_adapter/soak/test_soak.py
@@ -26,3 +26,4 @@
     assert find_violations(record) == []
     assert faults and record.runs and record.accepted and record.stops and record.kills
     assert len(record.lifetimes) > ENGINES
+    assert record.crash.sent and record.crash.crashes
