Announce answers by suspect, and only those of several crashes

A part that 1 request in 60 holds was refused for some 1.3 s at all 30 VMs: it was at six crashes, answers had cleared it of each, and the digests had no room to say so, as every answer was announced for every crash. Now an answer is announced by suspect and software version, once by the first VM that has it, if the suspect was at several crashes; a VM applies it to all crashes that it knows.

--- a/goldcreststair/components/crash_marks/codec.py
+++ b/goldcreststair/components/crash_marks/codec.py
@@ -1,20 +1,24 @@
-"""Encodes and decodes crashes, cleared suspects and verdicts in beacons, requests between daemons and rows."""
+"""Encodes and decodes crashes, answers and verdicts in beacons, requests between daemons and rows."""
 
 from collections.abc import Iterable, Iterator, Mapping
-from typing import Final
 
-from result import Err, Ok, Result
+from result import Result
 
-from goldcreststair.helpers.crash_evidence import SUSPECT_BYTES, Cleared, CrashReport, Suspects
+from goldcreststair.helpers.crash_evidence import (
+    SUSPECT_BYTES,
+    Answers,
+    CrashReport,
+    Suspect,
+    Suspects,
+)
+from goldcreststair.helpers.crash_verdicts import VerdictError, decode_verdict, encode_verdict
 from goldcreststair.wire.codec import FrameError, decode_struct, encode_struct
 from goldcreststair.wire.generated.gateway.ttypes import (
-    ClearedSuspects,
+    AnsweredSuspects,
     CrashVerdicts,
     LostRuns,
 )
 
-SEPARATOR: Final = "+"
-
 
 def join_suspects(suspects: Suspects) -> bytes:
     """Return suspects as bytes."""
@@ -27,8 +31,13 @@
     >>> sorted(split_suspects(b"abcdefgh12345678xy"))
     [b'12345678', b'abcdefgh']
     """
-    ends = range(SUSPECT_BYTES, len(joined) + 1, SUSPECT_BYTES)
-    return frozenset(joined[end - SUSPECT_BYTES : end] for end in ends)
+    return frozenset(iterate_suspects(joined))
+
+
+def iterate_suspects(joined: bytes) -> Iterator[Suspect]:
+    """Yield suspects from bytes, in their order."""
+    for end in range(SUSPECT_BYTES, len(joined) + 1, SUSPECT_BYTES):
+        yield joined[end - SUSPECT_BYTES : end]
 
 
 def encode_report(report: CrashReport, age_ms: int) -> LostRuns:
@@ -43,40 +52,16 @@
     return CrashReport(raw.crash, raw.software, suspects, begun, max(0, raw.age_ms))
 
 
-def encode_cleared(cleared: Cleared) -> ClearedSuspects:
-    """Encode suspects that are cleared of a crash."""
-    return ClearedSuspects(cleared.crash, join_suspects(cleared.suspects))
-
-
-def decode_cleared(raw: ClearedSuspects) -> Cleared:
-    """Decode suspects that are cleared of a crash."""
-    return Cleared(raw.crash, split_suspects(raw.suspects))
+def encode_answers(software: int, ages_ms: Mapping[Suspect, int]) -> AnsweredSuspects:
+    """Encode the suspects that upstreams of one software version have answered."""
+    return AnsweredSuspects(software, b"".join(ages_ms), list(ages_ms.values()))
 
 
-def encode_verdict(suspects: Suspects) -> str:
-    """Return a verdict as text.
-
-    >>> encode_verdict(frozenset((b"bbbbbbbb", b"aaaaaaaa")))
-    '6161616161616161+6262626262626262'
-    """
-    return SEPARATOR.join(sorted(each.hex() for each in suspects))
-
-
-def decode_verdict(text: str) -> Result[Suspects, FrameError]:
-    """Return a verdict from its text.
-
-    >>> decode_verdict("6161616161616161").unwrap() == frozenset((b"aaaaaaaa",))
-    True
-    >>> decode_verdict("61+").is_err()
-    True
-    """
-    try:
-        suspects = frozenset(bytes.fromhex(each) for each in text.split(SEPARATOR))
-    except ValueError as error:
-        return Err(FrameError(f"not a verdict: {error}"))
-    if any(len(each) != SUSPECT_BYTES for each in suspects):
-        return Err(FrameError("not a verdict: a hash of another length"))
-    return Ok(suspects)
+def decode_answers(raw: AnsweredSuspects) -> Answers:
+    """Decode answered suspects; one without an age is left out."""
+    suspects = iterate_suspects(raw.suspects)
+    pairs = zip(suspects, raw.ages_ms, strict=False)
+    return Answers(raw.software, {suspect: max(0, age_ms) for suspect, age_ms in pairs})
 
 
 def encode_all(verdicts: Iterable[tuple[Suspects, int]]) -> bytes:
@@ -89,6 +74,6 @@
     return decode_struct(CrashVerdicts, encoded).map(lambda listed: dict(listed.left_ms))
 
 
-def iterate_verdicts(texts: Iterable[str]) -> Iterator[Result[Suspects, FrameError]]:
+def iterate_verdicts(texts: Iterable[str]) -> Iterator[Result[Suspects, VerdictError]]:
     """Yield the verdicts of a beacon."""
     return (decode_verdict(text) for text in texts)
--- a/goldcreststair/components/crash_marks/const.py
+++ b/goldcreststair/components/crash_marks/const.py
@@ -24,6 +24,7 @@
 YOUNG_MS: Final = 5_000
 """How long a verdict is listed in beacons; later, VMs that lack it notice by the hash of all verdicts."""
 MAX_REPORTS_IN_BEACON: Final = 16
+MAX_ANSWERS_IN_BEACON: Final = 64
 MAX_VERDICTS_IN_BEACON: Final = 16
 MAX_PROBES_IN_BEACON: Final = 32
 PROBES_VALID_MS: Final = 1_500
@@ -34,12 +35,6 @@
 ASK_PAUSE_MS: Final = 1_000
 """Pause between two requests for the verdicts of other VMs."""
 
-VERDICT_MS: Final = 24 * 3_600_000
-"""A verdict ends after this time; for as long again, a single crash renews it."""
-RELEASED_MS: Final = 10_000
-"""How long a verdict that was released here is not taken over from other VMs."""
-MAX_VERDICTS: Final = 512
-
 TURN_POLL_MS: Final = 20
 MAX_TURN_WAIT_MS: Final = 1_000
 """How long a request waits while another one with the same suspect runs."""
--- a/goldcreststair/components/crash_marks/gossip.py
+++ b/goldcreststair/components/crash_marks/gossip.py
@@ -1,4 +1,4 @@
-"""Exchanges crashes, cleared suspects and verdicts with the other daemons through beacons."""
+"""Exchanges crashes, answers and verdicts with the other daemons through beacons."""
 
 import logging
 from collections import OrderedDict
@@ -9,16 +9,16 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.crash_marks.codec import (
-    decode_cleared,
+    decode_answers,
     decode_report,
-    encode_cleared,
+    encode_answers,
     encode_report,
-    encode_verdict,
     iterate_verdicts,
     join_suspects,
     split_suspects,
 )
 from goldcreststair.components.crash_marks.const import (
+    MAX_ANSWERS_IN_BEACON,
     MAX_PROBES_IN_BEACON,
     MAX_REPORTS_IN_BEACON,
     MAX_VERDICTS_IN_BEACON,
@@ -26,9 +26,9 @@
     REPORT_MS,
     YOUNG_MS,
 )
-from goldcreststair.components.crash_marks.verdicts import Verdicts
-from goldcreststair.helpers.crash_evidence import Cleared, CrashReport, Suspect, Suspects
-from goldcreststair.wire.generated.gateway.ttypes import Beacon, ClearedSuspects
+from goldcreststair.helpers.crash_evidence import Answers, CrashReport, Suspect, Suspects
+from goldcreststair.helpers.crash_verdicts import Verdicts, encode_verdict
+from goldcreststair.wire.generated.gateway.ttypes import AnsweredSuspects, Beacon
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -39,8 +39,11 @@
     def on_report(self, report: CrashReport) -> None:
         """Handle another daemon's report of a crash."""
 
-    def on_cleared(self, cleared: Cleared) -> None:
-        """Handle suspects that another daemon clears of a crash, or whose verdicts it released."""
+    def on_answers(self, answers: Answers) -> None:
+        """Handle answers that another daemon relayed."""
+
+    def on_released(self, suspects: Suspects) -> None:
+        """Handle suspects whose verdicts another daemon released."""
 
     def on_verdict(self, suspects: Suspects) -> None:
         """Handle a verdict of another daemon."""
@@ -63,8 +66,11 @@
         self._listener = listener
         self._reports: OrderedDict[bytes, tuple[CrashReport, Millis]] = OrderedDict()
         """This daemon's own reports, by crash, and when it was seen."""
-        self._cleared: dict[bytes, dict[Suspect, Millis]] = {}
-        """Cleared suspects to announce, by crash, and since when."""
+        self._answered: dict[int, dict[Suspect, Millis]] = {}
+        """When the answers began that are announced, by software and suspect."""
+        self._answers_until = Millis(0)
+        self._released: dict[Suspect, Millis] = {}
+        """Suspects whose verdicts were released, and until when that is announced."""
         self._probing: dict[str, tuple[Suspects, Millis]] = {}
         """Suspects that run at other daemons, as they last reported, and when."""
 
@@ -79,10 +85,16 @@
         while len(self._reports) > MAX_REPORTS_IN_BEACON:
             self._reports.popitem(last=False)
 
-    def announce_cleared(self, cleared: Cleared) -> None:
-        """Announce suspects that this daemon clears of a crash, or whose verdicts it released."""
-        announced, now = self._cleared.setdefault(cleared.crash, {}), self._clock.now()
-        announced.update(dict.fromkeys(cleared.suspects, now))
+    def announce_answers(self, answers: Answers) -> None:
+        """Announce that upstreams have answered suspects of several crashes."""
+        now = self._clock.now()
+        announced = self._answered.setdefault(answers.software, {})
+        announced.update({each: Millis(now - age_ms) for each, age_ms in answers.ages_ms.items()})
+        self._answers_until = Millis(now + REPORT_MS)
+
+    def announce_released(self, suspects: Suspects) -> None:
+        """Announce that this daemon released verdicts on suspects."""
+        self._released.update(dict.fromkeys(suspects, Millis(self._clock.now() + REPORT_MS)))
 
     def is_probed_elsewhere(self, suspects: Suspects) -> bool:
         """Return whether another daemon runs a request with one of these suspects."""
@@ -100,7 +112,9 @@
             del self._reports[crash]
         reports = [encode_report(report, now - at) for report, at in self._reports.values()]
         beacon.crashes = reports or None
-        beacon.cleared = self._list_cleared(now) or None
+        beacon.answered = self._list_answered(now) or None
+        self._released = {each: until for each, until in self._released.items() if until > now}
+        beacon.released = join_suspects(frozenset(self._released)) or None
         probing = frozenset(sorted(self._list_probing())[:MAX_PROBES_IN_BEACON])
         beacon.probing = join_suspects(probing) or None
         young = self._verdicts.list_young(YOUNG_MS)[-MAX_VERDICTS_IN_BEACON:]
@@ -114,8 +128,10 @@
         """
         for raw in beacon.crashes or ():
             self._listener.on_report(decode_report(raw))
-        for raw in beacon.cleared or ():
-            self._listener.on_cleared(decode_cleared(raw))
+        for raw in beacon.answered or ():
+            self._listener.on_answers(decode_answers(raw))
+        if beacon.released:
+            self._listener.on_released(split_suspects(beacon.released))
         for verdict in iterate_verdicts(beacon.refused or ()):
             if isinstance(verdict, Err):
                 _LOGGER.warning("Verdict of %s unreadable: %s", session, verdict.err_value.message)
@@ -129,13 +145,11 @@
         else:
             self._probing.pop(session, None)
 
-    def _list_cleared(self, now: Millis) -> list[ClearedSuspects]:
-        listed: list[ClearedSuspects] = []
-        for crash, announced in tuple(self._cleared.items()):
-            for suspect in [s for s, at in announced.items() if at < now - REPORT_MS]:
-                del announced[suspect]
-            if announced:
-                listed.append(encode_cleared(Cleared(crash, frozenset(announced))))
-            else:
-                del self._cleared[crash]
-        return listed[-MAX_REPORTS_IN_BEACON:]
+    def _list_answered(self, now: Millis) -> list[AnsweredSuspects]:
+        if now >= self._answers_until:
+            self._answered.clear()
+        listed: list[AnsweredSuspects] = []
+        for software, announced in self._answered.items():
+            newest = sorted(announced, key=lambda each: announced[each])[-MAX_ANSWERS_IN_BEACON:]
+            listed.append(encode_answers(software, {s: now - announced[s] for s in newest}))
+        return listed
--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -15,12 +15,7 @@
 from result import Err
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.crash_marks.codec import (
-    decode_all,
-    decode_verdict,
-    encode_all,
-    encode_verdict,
-)
+from goldcreststair.components.crash_marks.codec import decode_all, encode_all
 from goldcreststair.components.crash_marks.const import (
     ASK_PAUSE_MS,
     ASK_TIMEOUT_MS,
@@ -37,7 +32,6 @@
 from goldcreststair.components.crash_marks.guard import RequestGuard
 from goldcreststair.components.crash_marks.models import LostRun
 from goldcreststair.components.crash_marks.verdict_rows import VerdictRows
-from goldcreststair.components.crash_marks.verdicts import VerdictChange, Verdicts
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.fleet.peer_requests import PeerRequestKind
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
@@ -46,12 +40,18 @@
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.crash_evidence import (
     SUSPECT_BYTES,
-    Cleared,
+    Answers,
     CrashEvidence,
     CrashReport,
     Suspect,
     Suspects,
 )
+from goldcreststair.helpers.crash_verdicts import (
+    VerdictChange,
+    Verdicts,
+    decode_verdict,
+    encode_verdict,
+)
 from goldcreststair.upstreams.runner import CONNECT_TIMEOUT_MS
 from goldcreststair.wire.generated.gateway.ttypes import Beacon
 
@@ -157,13 +157,17 @@
 
     def report_answer(self, entry: UpstreamEntry, suspects: Suspects, began_at: Millis) -> None:
         """Report that an upstream has answered a request; `began_at` is the time of its first event."""
-        cleared = self._evidence.record_answers(suspects, _hash_software(entry), began_at)
-        for each in cleared:
-            self._gossip.announce_cleared(each)
-        if cleared:
-            self._links.schedule_beacon()
+        if self._evidence.record_answer(suspects, _hash_software(entry), began_at):
+            self._announce_answers(suspects)
             self._update()
 
+    def _announce_answers(self, suspects: Suspects) -> None:
+        untold = self._evidence.list_untold(suspects)
+        for answers in untold:
+            self._gossip.announce_answers(answers)
+        if untold:
+            self._links.schedule_beacon()
+
     def report_lost_run(self, entry: UpstreamEntry, run: LostRun) -> None:
         """Report a run whose connection broke or that went silent."""
         if entry.name in self._lost:
@@ -212,23 +216,23 @@
 
     def on_report(self, report: CrashReport) -> None:
         """Handle a report of a crash."""
-        new, cleared = self._evidence.record_crash(report)
-        if cleared:
-            self._gossip.announce_cleared(Cleared(report.crash, cleared))
-            self._links.schedule_beacon()
-        if new:
-            if not self._rows.is_loaded:
-                self._rows.schedule_read()
-            self._apply(self._verdicts.renew(report))
+        if not self._evidence.record_crash(report):
+            return
+        if not self._rows.is_loaded:
+            self._rows.schedule_read()
+        self._announce_answers(report.suspects | report.begun)
+        self._apply(self._verdicts.renew(report))
+        self._update()
+        self._clock.call_later(self._read_settle_ms() + 1, self._update)
+
+    def on_answers(self, answers: Answers) -> None:
+        """Handle answers that another daemon relayed."""
+        if self._evidence.record_shared(answers):
             self._update()
-            self._clock.call_later(self._read_settle_ms() + 1, self._update)
 
-    def on_cleared(self, cleared: Cleared) -> None:
-        """Handle suspects that another daemon clears of a crash, or whose verdicts it released."""
-        if not cleared.crash:
-            self._apply(self._verdicts.release(cleared.suspects))
-        elif self._evidence.record_cleared(cleared):
-            self._update()
+    def on_released(self, suspects: Suspects) -> None:
+        """Handle suspects whose verdicts another daemon released."""
+        self._apply(self._verdicts.release(suspects))
 
     def on_verdict(self, suspects: Suspects) -> None:
         """Handle a verdict of another daemon."""
@@ -244,7 +248,7 @@
         self._updated_at = self._clock.now()
         change = self._verdicts.update(self._read_settle_ms())
         for released in change.released:
-            self._gossip.announce_cleared(Cleared(b"", released))
+            self._gossip.announce_released(released)
             self._rows.schedule_delete(released)
         self._apply(change)
 
--- a/goldcreststair/components/crash_marks/verdict_rows.py
+++ b/goldcreststair/components/crash_marks/verdict_rows.py
@@ -7,11 +7,9 @@
 import orjson
 from result import Err, Ok, Result
 
-from goldcreststair.components.crash_marks.codec import decode_verdict, encode_verdict
 from goldcreststair.components.crash_marks.const import (
     READ_RETRY_MS,
     TABLE,
-    VERDICT_MS,
     WRITER_GAP_MS,
     WRITERS,
 )
@@ -19,6 +17,7 @@
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.crash_evidence import Suspects
+from goldcreststair.helpers.crash_verdicts import VERDICT_MS, decode_verdict, encode_verdict
 from goldcreststair.helpers.rendezvous import score
 from goldcreststair.store.errors import PlatformError
 from goldcreststair.store.reading import async_read_all
--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -25,10 +25,11 @@
 )
 from goldcreststair.components.fleet.models import VmState
 from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.helpers.crash_evidence import SUSPECT_BYTES
 from goldcreststair.wire.generated.gateway.ttypes import (
+    AnsweredSuspects,
     BatchRuns,
     Beacon,
-    ClearedSuspects,
     CustomerCount,
     Digest,
     HeardDaemon,
@@ -42,8 +43,10 @@
 
 MAX_REFUSED: Final = 32
 """Most fingerprints in one digest; the newest are kept."""
-MAX_CRASHES: Final = 32
-"""Most reports of crashes, and of what is cleared of them, in one digest; the newest are kept."""
+MAX_CRASHES: Final = 64
+"""Most reports of crashes in one digest; the newest are kept."""
+MAX_ANSWERED: Final = 256
+"""Most answered suspects of one software version in one digest."""
 MAX_PROBING_BYTES: Final = 512
 MAX_PACES: Final = 1
 """Most paces of upstreams in one digest: one takes 16 B, and up to 12 digests are sent in a second.
@@ -154,7 +157,9 @@
     queued: dict[tuple[int, int], int] = field(default_factory=dict)
     """Waiting requests by service and priority."""
     crashes: list[LostRuns] = field(default_factory=list)
-    cleared: list[ClearedSuspects] = field(default_factory=list)
+    answered: dict[int, dict[bytes, int]] = field(default_factory=dict)
+    """The shortest age of an answer, by software and suspect, ms."""
+    released: bytearray = field(default_factory=bytearray)
     probing: bytearray = field(default_factory=bytearray)
     verdicts: int | None = None
 
@@ -187,7 +192,12 @@
 
     def _add_crashes(self, message: Beacon | Digest) -> None:
         self.crashes += message.crashes or ()
-        self.cleared += message.cleared or ()
+        for answers in message.answered or ():
+            known = self.answered.setdefault(answers.software, {})
+            for number, age_ms in enumerate(answers.ages_ms):
+                suspect = answers.suspects[SUSPECT_BYTES * number : SUSPECT_BYTES * (number + 1)]
+                known[suspect] = min(age_ms, known.get(suspect, age_ms))
+        self.released += message.released or b""
         self.probing += message.probing or b""
 
     def _add_contention(self, message: Beacon | Digest) -> None:
@@ -234,7 +244,13 @@
             outcomes=outcomes or None,
             waiting=waiting or None,
             crashes=sorted(self.crashes, key=attrgetter("age_ms"))[:MAX_CRASHES] or None,
-            cleared=self.cleared[-MAX_CRASHES:] or None,
+            answered=[
+                AnsweredSuspects(software, b"".join(ages), list(ages.values()))
+                for software, every in self.answered.items()
+                for ages in (_choose_youngest(every),)
+            ]
+            or None,
+            released=bytes(self.released[:MAX_PROBING_BYTES]) or None,
             probing=bytes(self.probing[:MAX_PROBING_BYTES]) or None,
             verdicts=self.verdicts,
         )
@@ -443,6 +459,12 @@
         return max(fresh, key=rank, default=None)
 
 
+def _choose_youngest(ages: Mapping[bytes, int]) -> dict[bytes, int]:
+    """Return the suspects that were answered last, as many as a digest may hold."""
+    youngest = sorted(ages, key=lambda suspect: ages[suspect])[:MAX_ANSWERED]
+    return {suspect: ages[suspect] for suspect in youngest}
+
+
 def _mark_unresponsive(entry: HeardDaemon) -> HeardDaemon:
     return HeardDaemon(entry.daemon, entry.state, entry.store_away, entry.lost_ms, True)
 
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -391,7 +391,8 @@
     beacon.batch_waiting = max(0, (digest.batch_waiting or 0) - waiting)
     beacon.refused = digest.refused
     beacon.crashes = digest.crashes
-    beacon.cleared = digest.cleared
+    beacon.answered = digest.answered
+    beacon.released = digest.released
     beacon.probing = digest.probing
     beacon.verdicts = digest.verdicts
     beacon.paces = digest.paces
--- a/goldcreststair/helpers/crash_evidence.py
+++ b/goldcreststair/helpers/crash_evidence.py
@@ -5,8 +5,8 @@
 answer that began meanwhile. One answer shows that a part is sound, however many crashes it was present at.
 """
 
-from collections import OrderedDict, defaultdict
-from collections.abc import Collection, Iterable, Mapping
+from collections import Counter, OrderedDict, defaultdict
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from functools import lru_cache
 from hashlib import blake2b
@@ -54,10 +54,11 @@
 def list_suspects(fingerprint: str, prompt_parts: Collection[str]) -> Suspects:
     """Return everything about a request that may crash upstreams.
 
-    The last part belongs to the request alone, so that its fingerprint stands for it.
+    The last part belongs to the request alone, so that its fingerprint stands for it; an empty one is left
+    out.
     """
-    shared = list(prompt_parts)[:-1][:MAX_PARTS]
-    return frozenset((bytes.fromhex(fingerprint), *map(hash_part, shared)))
+    shared = map(hash_part, list(prompt_parts)[:-1][:MAX_PARTS])
+    return frozenset((bytes.fromhex(fingerprint), *shared) if fingerprint else shared)
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,11 +77,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Cleared:
-    """Suspects that were present at a crash and did not cause it."""
+class Answers:
+    """Suspects on which answers of one software version began, with the time since then, ms."""
 
-    crash: bytes
-    suspects: Suspects
+    software: int
+    ages_ms: Mapping[Suspect, int]
 
 
 @dataclass(slots=True)
@@ -91,13 +92,11 @@
     suspects: set[Suspect] = field(default_factory=set)
     begun: set[Suspect] = field(default_factory=set)
     """Those suspects whose runs had all returned something."""
-    cleared: set[Suspect] = field(default_factory=set)
 
-    def clear(self, suspects: Iterable[Suspect]) -> Suspects:
-        """Clear suspects; returns those that were not cleared before."""
-        new = frozenset(each for each in suspects if each not in self.cleared)
-        self.cleared.update(new)
-        return new
+    @property
+    def cleared_since(self) -> Millis:
+        """An answer that began since this time clears its suspects."""
+        return Millis(self.at - FRESH_MS)
 
 
 @dataclass(slots=True)
@@ -150,6 +149,8 @@
         self._crashes: OrderedDict[bytes, _Crash] = OrderedDict()
         self._answers: OrderedDict[tuple[Suspect, int], Millis] = OrderedDict()
         """When the latest answer began, by suspect and software."""
+        self._shared: dict[tuple[Suspect, int], Millis] = {}
+        """The same of the answers that a VM has announced."""
 
     @property
     def is_empty(self) -> bool:
@@ -160,11 +161,8 @@
         """Return whether a crash counts here."""
         return crash in self._crashes
 
-    def record_crash(self, report: CrashReport) -> tuple[bool, Suspects]:
-        """Add one VM's report to a crash.
-
-        Returns whether it says anything new, and the suspects that answers relayed by this VM clear.
-        """
+    def record_crash(self, report: CrashReport) -> bool:
+        """Add one VM's report to a crash; returns whether it says anything new."""
         now = self._clock.now()
         known = self._crashes.get(report.crash)
         if known is None:
@@ -179,39 +177,59 @@
         known.begun.update(each for each in added if each in report.begun)
         before_output = known.begun & report.suspects
         known.begun -= before_output
-        since, answers = known.at - FRESH_MS, self._answers
-        fresh = (each for each in added if answers.get((each, known.software), -1) >= since)
-        return bool(added or before_output), known.clear(fresh)
-
-    def record_answers(
-        self, suspects: Suspects, software: int, began_at: Millis
-    ) -> tuple[Cleared, ...]:
-        """Record that an answer on these suspects began; returns what it clears of crashes."""
+        return bool(added or before_output)
+
+    def record_answer(self, suspects: Suspects, software: int, began_at: Millis) -> bool:
+        """Record that an answer on these suspects began; returns whether it clears one of a crash."""
+        clears = False
         for suspect in suspects:
             key = (suspect, software)
-            self._answers[key] = max(began_at, self._answers.pop(key, began_at))
+            before = self._answers.pop(key, Millis(-1))
+            self._answers[key] = max(began_at, before)
+            clears = clears or any(
+                before < crash.cleared_since <= began_at
+                for crash in self._crashes.values()
+                if crash.software == software and suspect in crash.suspects
+            )
         while len(self._answers) > MAX_ANSWERS:
             self._answers.popitem(last=False)
-        if not self._crashes:
-            return ()
-        return tuple(
-            Cleared(name, cleared)
-            for name, crash in self._crashes.items()
-            if crash.software == software
-            and began_at >= crash.at - FRESH_MS
-            and (cleared := crash.clear(suspects & crash.suspects))
-        )
+        return clears
+
+    def record_shared(self, answers: Answers) -> bool:
+        """Record answers that another VM has announced; returns whether any clears a suspect of a crash."""
+        clears, now = False, self._clock.now()
+        for suspect, age_ms in answers.ages_ms.items():
+            key, began_at = (suspect, answers.software), Millis(now - age_ms)
+            clears |= self.record_answer(frozenset((suspect,)), answers.software, began_at)
+            self._shared[key] = max(began_at, self._shared.get(key, began_at))
+        return clears
 
-    def record_cleared(self, cleared: Cleared) -> bool:
-        """Record suspects that another VM clears; returns whether it says anything new."""
-        crash = self._crashes.get(cleared.crash)
-        return crash is not None and bool(crash.clear(cleared.suspects & crash.suspects))
+    def list_untold(self, suspects: Suspects) -> list[Answers]:
+        """Return the answers that clear those of `suspects` that were at several crashes.
+
+        Answers that a VM has announced are left out; those returned count as announced from now on.
+        """
+        untold: defaultdict[int, dict[Suspect, int]] = defaultdict(dict)
+        present: Counter[Suspect] = Counter()
+        for crash in self._crashes.values():
+            present.update(crash.suspects & suspects)
+        for crash in self._crashes.values():
+            for suspect in crash.suspects & suspects:
+                key = (suspect, crash.software)
+                began_at = self._answers.get(key, Millis(-1))
+                shared_at = self._shared.get(key, Millis(-1))
+                if present[suspect] > 1 and shared_at < crash.cleared_since <= began_at:
+                    untold[crash.software][suspect] = self._clock.now() - began_at
+        for software, ages in untold.items():
+            self._shared.update({(each, software): self._answers[each, software] for each in ages})
+        return [Answers(software, ages) for software, ages in untold.items()]
 
     def expire(self) -> None:
         """Forget crashes that are too old to count."""
         horizon = self._clock.now() - EVIDENCE_MS
         while self._crashes and next(iter(self._crashes.values())).at < horizon:
             self._crashes.popitem(last=False)
+        self._shared = {key: at for key, at in self._shared.items() if at >= horizon}
 
     def find_culprits(self, explained: Collection[Suspects], settle_ms: int = 0) -> list[Culprit]:
         """Return what explains the crashes, that of most of them first.
@@ -264,4 +282,5 @@
 
     def _list_open(self, crash: _Crash) -> Suspects:
         """Return the suspects of a crash for which no answer speaks."""
-        return frozenset(crash.suspects - crash.cleared)
+        since, software, answers = crash.cleared_since, crash.software, self._answers
+        return frozenset(s for s in crash.suspects if answers.get((s, software), -1) < since)
--- a/goldcreststair/components/crash_marks/verdicts.py
+++ b/goldcreststair/helpers/crash_verdicts.py
@@ -7,11 +7,15 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Final
 from zlib import crc32
 
+from result import Err, Ok, Result
+
 from goldcreststair.clock import Clock, Millis
-from goldcreststair.components.crash_marks.const import MAX_VERDICTS, RELEASED_MS, VERDICT_MS
+from goldcreststair.errors import GoldcreststairError
 from goldcreststair.helpers.crash_evidence import (
+    SUSPECT_BYTES,
     CrashCount,
     CrashEvidence,
     CrashReport,
@@ -19,6 +23,44 @@
     Suspects,
 )
 
+VERDICT_MS: Final = 24 * 3_600_000
+"""A verdict ends after this time; for as long again, a single crash renews it."""
+RELEASED_MS: Final = 10_000
+"""How long a verdict that was released here is not taken over from other VMs."""
+MAX_VERDICTS: Final = 512
+SEPARATOR: Final = "+"
+
+
+@dataclass(frozen=True, slots=True)
+class VerdictError(GoldcreststairError):
+    """A text that is no verdict."""
+
+
+def encode_verdict(suspects: Suspects) -> str:
+    """Return a verdict as text.
+
+    >>> encode_verdict(frozenset((b"bbbbbbbb", b"aaaaaaaa")))
+    '6161616161616161+6262626262626262'
+    """
+    return SEPARATOR.join(sorted(each.hex() for each in suspects))
+
+
+def decode_verdict(text: str) -> Result[Suspects, VerdictError]:
+    """Return a verdict from its text.
+
+    >>> decode_verdict("6161616161616161").unwrap() == frozenset((b"aaaaaaaa",))
+    True
+    >>> decode_verdict("61+").is_err()
+    True
+    """
+    try:
+        suspects = frozenset(bytes.fromhex(each) for each in text.split(SEPARATOR))
+    except ValueError as error:
+        return Err(VerdictError(f"not a verdict: {error}"))
+    if any(len(each) != SUSPECT_BYTES for each in suspects):
+        return Err(VerdictError("not a verdict: a hash of another length"))
+    return Ok(suspects)
+
 
 @dataclass(slots=True)
 class _Verdict:
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -68,12 +68,14 @@
   5: optional binary begun
 }
 
-/** Prompt parts and whole requests that were at a crash and did not cause it, as upstreams answer them. */
-struct ClearedSuspects {
-  /** The crash; empty where all verdicts on these suspects are released. */
-  1: required binary crash
+/** Prompt parts and whole requests that were at several crashes, and that upstreams have answered. */
+struct AnsweredSuspects {
+  /** Hash of the upstreams' service and software version. */
+  1: required i32 software
   /** Hashes, 8 bytes each. */
   2: required binary suspects
+  /** Time since the latest answer on each of them began, ms. */
+  3: required list<i32> ages_ms
 }
 
 /** What a daemon says of itself to others, whole in each datagram. */
@@ -108,7 +110,9 @@
   20: optional list<OriginatedStreams> origins
   /** Crashes of late. */
   21: optional list<LostRuns> crashes
-  22: optional list<ClearedSuspects> cleared
+  22: optional list<AnsweredSuspects> answered
+  /** Suspects whose verdicts were released, 8 bytes each. */
+  25: optional binary released
   /** Suspects of several crashes that run now, 8 bytes each. */
   23: optional binary probing
   /** Hash of all verdicts; left out if there are none. */
@@ -166,7 +170,8 @@
   19: optional list<WaitingRequests> waiting
   /** As in a beacon, of all daemons; the newest crashes. */
   20: optional list<LostRuns> crashes
-  21: optional list<ClearedSuspects> cleared
+  21: optional list<AnsweredSuspects> answered
+  24: optional binary released
   22: optional binary probing
   /** Hash of the relay's own verdicts. */
   23: optional i32 verdicts
--- a/standins/crash_traffic.py
+++ b/standins/crash_traffic.py
@@ -146,9 +146,10 @@
         return self._number
 
     def _schedule_restart(self, engine: RunEngine) -> None:
-        self.fleet.clock.call_later(RESTART_MS, lambda: self._restart(engine))
+        self.fleet.clock.call_later(RESTART_MS, lambda: self.restart(engine))
 
-    def _restart(self, engine: RunEngine) -> None:
+    def restart(self, engine: RunEngine) -> None:
+        """Start an engine again that has ended."""
         if self.load.renames:
             self.fleet.unregister(engine)
         self.fleet.replace_engine(engine, renamed=self.load.renames)
