Quarantine prompt parts that crash upstreams in the daemon of our own interface

Now the messages of a chat but the last, or the first 256 characters of a longer prompt, are suspects beside the whole request. VMs share lost runs, answers and verdicts through the shared sets; a request with a suspect of two crashes runs alone, one about to be refused waits for the verdict to settle, and a verdict ends items with the part as quarantined, also those that run or were assigned. The stand-in engine may crash some time after the start of a request.

Left: answers of all software versions count, as this daemon learns the version only with the first token.

--- a/goldcreststair/components/batch/chunk_owner.py
+++ b/goldcreststair/components/batch/chunk_owner.py
@@ -54,6 +54,7 @@
         self._directory = directory
         self._calendar = calendar
         self._item_quarantine = ItemQuarantine(core)
+        self._item_quarantine.parts.on_verdict(self._end_quarantined)
         self._order = FairScheduler()
         self.chunks: dict[str, Chunk] = {}
         self.commits = 0
@@ -154,6 +155,11 @@
             self._spawn_commit(chunk)
         return True
 
+    def _end_quarantined(self) -> None:
+        """End the items that a new verdict refuses, also those that run somewhere."""
+        for chunk in self.chunks.values():
+            self._item_quarantine.end_quarantined(chunk, self._core.clock.now())
+
     def renew(self, holder: str, key: str, indexes: list[int]) -> bool:
         """Renew a holder's leases; False if it should stop these items."""
         chunk = self.chunks.get(key)
--- a/goldcreststair/components/batch/dispatcher.py
+++ b/goldcreststair/components/batch/dispatcher.py
@@ -15,7 +15,10 @@
 from goldcreststair.components.batch.onset import OnsetDetector
 from goldcreststair.components.batch.outbox import Outbox
 from goldcreststair.components.batch.streams import ItemStream
+from goldcreststair.components.quarantine.parts import find_suspects
+from goldcreststair.components.quarantine.protocols import QUARANTINE, UNKNOWN_PARTS, Parts
 from goldcreststair.core import Core
+from goldcreststair.helpers.crash_evidence import Suspects
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.models import GenerateEnd, Upstream
 from goldcreststair.wire.generated.batch.ttypes import ItemResult, LotItem, LotRequest, Verdict
@@ -43,6 +46,13 @@
         """Return items of a model; empty if no owner has any."""
 
 
+def _find_parts(core: Core) -> Parts:
+    try:
+        return core.get(QUARANTINE).parts
+    except KeyError:
+        return UNKNOWN_PARTS
+
+
 class UpstreamDispatcher:
     """Starts, pauses and ends all batch streams of one upstream."""
 
@@ -72,6 +82,8 @@
         self._blocked_until = Millis(0)
         self._suspect_lost_at: Millis | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._parts = _find_parts(core)
+        self._parts.on_verdict(self._stop_refused)
 
     async def async_close(self) -> None:
         """Cancel all streams and return their items."""
@@ -204,6 +216,10 @@
                 self._request_items()
 
     def _start(self, stream: ItemStream) -> None:
+        if self._parts.is_refused(self._find_suspects(stream)):
+            # Its owner has ended it, or will as soon as it knows the verdict.
+            self._report(stream.item, Verdict.NOT_RUN)
+            return
         self.running.append(stream)
         stream.on_first_token = self._observe_first_token
         stream.task = asyncio.ensure_future(self._async_run(stream))
@@ -240,13 +256,31 @@
             if not stream.left_ms:
                 return outcome
 
+    def _stop_refused(self) -> None:
+        """Stop the items that a new verdict refuses, before they crash this upstream."""
+        for stream in [s for s in self.running if self._parts.is_refused(self._find_suspects(s))]:
+            self._pause(stream)
+        refused = [s for s in self.paused if self._parts.is_refused(self._find_suspects(s))]
+        for stream in refused:
+            self.paused.remove(stream)
+            self._report(stream.item, Verdict.NOT_RUN)
+
+    def _find_suspects(self, stream: ItemStream) -> Suspects:
+        # The fingerprint needs the customer, which only the owner of the item knows.
+        return find_suspects("", stream.item.body)
+
     def _observe_first_token(self, wait_ms: int) -> None:
         self.allowance.observe_first_token(wait_ms, len(self.running))
         self._enforce()
 
     def _classify(self, stream: ItemStream, outcome: Result[GenerateEnd, UpstreamError]) -> Verdict:
         if isinstance(outcome, Ok):
+            self._parts.report_answer(self._find_suspects(stream))
             return Verdict.DONE
+        if outcome.err_value.failure is UpstreamFailure.LOST and not outcome.err_value.status:
+            begun = stream.first_token_ms >= 0
+            suspects = self._find_suspects(stream)
+            self._parts.report_lost(self.upstream.name, suspects, begun=begun)
         verdict = _FAILURES.get(outcome.err_value.failure, Verdict.FAILED)
         now = self._core.clock.now()
         if verdict in (Verdict.NOT_RUN, Verdict.CRASHED):
--- a/goldcreststair/components/batch/quarantine.py
+++ b/goldcreststair/components/batch/quarantine.py
@@ -5,7 +5,13 @@
 from goldcreststair.components.batch.models import ItemState
 from goldcreststair.components.membership.protocols import SET_QUARANTINE, SHARED_SETS, SharedSets
 from goldcreststair.components.quarantine.const import QUARANTINE_LIFETIME_MS
-from goldcreststair.components.quarantine.protocols import make_fingerprint
+from goldcreststair.components.quarantine.parts import find_suspects
+from goldcreststair.components.quarantine.protocols import (
+    QUARANTINE,
+    UNKNOWN_PARTS,
+    Parts,
+    make_fingerprint,
+)
 from goldcreststair.core import Core
 
 
@@ -15,8 +21,10 @@
     def __init__(self, core: Core) -> None:
         """Use the shared sets if membership offers them, else do nothing."""
         self._sets: SharedSets | None = None
+        self.parts: Parts = UNKNOWN_PARTS
         try:
             self._sets = core.get(SHARED_SETS)
+            self.parts = core.get(QUARANTINE).parts
         except KeyError:
             return
 
@@ -35,7 +43,13 @@
         if self._sets is None or chunk.items is None:
             return
         for index, item in enumerate(chunk.items):
-            fingerprint = make_fingerprint(chunk.record.customer, item.body.encode())
-            if chunk.is_open(index) and self._sets.contains(SET_QUARANTINE, fingerprint):
+            if not chunk.is_open(index):
+                continue
+            body = item.body.encode()
+            fingerprint = make_fingerprint(chunk.record.customer, body)
+            if self._sets.contains(SET_QUARANTINE, fingerprint) or self.parts.is_refused(
+                find_suspects(fingerprint, body)
+            ):
+                chunk.leases.pop(index, None)
                 chunk.finished[index] = Finished(ItemState.QUARANTINED, 0, b"")
                 chunk.finished_at = now
--- a/goldcreststair/components/online/const.py
+++ b/goldcreststair/components/online/const.py
@@ -38,3 +38,6 @@
 BYTES_PER_TOKEN: Final = 4
 
 PRESSURE_PERIOD_MS: Final = 250
+
+SETTLE_POLL_MS: Final = 50
+"""Interval at which a request checks whether the verdict on its prompt has settled."""
--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -7,7 +7,11 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Millis
-from goldcreststair.components.online.const import MAX_ATTEMPTS, RETRY_PAUSE_MS
+from goldcreststair.components.online.const import (
+    MAX_ATTEMPTS,
+    RETRY_PAUSE_MS,
+    SETTLE_POLL_MS,
+)
 from goldcreststair.components.online.fair_queue import Ticket
 from goldcreststair.components.online.gate import AdmissionGate
 from goldcreststair.components.online.models import GenerateRequest
@@ -15,6 +19,7 @@
 from goldcreststair.components.online.pressure import PressureMeter
 from goldcreststair.components.online.recovery import NextStep, RunProgress, decide_next
 from goldcreststair.components.online.stream import StreamRecorder
+from goldcreststair.components.quarantine.parts import find_suspects
 from goldcreststair.components.quarantine.protocols import QUARANTINE, make_fingerprint
 from goldcreststair.components.routing.protocols import ROUTER, RouteQuery
 from goldcreststair.core import Core
@@ -68,18 +73,33 @@
         """Run one request until its response is complete or refused."""
         self._budget.record_request()
         run = _GenerationRun(request, recorder, deadline_at)
-        if self._quarantine.is_quarantined(run.fingerprint):
-            return Err(_make_quarantine_refusal(run))
         while True:
+            while self._must_settle(run):
+                await self._clock.async_sleep(SETTLE_POLL_MS)
+            if self._is_refused(run):
+                return Err(_make_quarantine_refusal(run))
             placed = await self._async_place(run)
             if isinstance(placed, Err):
                 return Err(_correct_not_run(placed.err_value, run.progress))
+            if self._is_refused(run):
+                self._gate.leave(placed.ok_value.name, request.request_id, ok=False)
+                return Err(_make_quarantine_refusal(run))
             done = await self._async_run_placed(run, placed.ok_value)
             if done is not None:
                 return done
 
+    def _must_settle(self, run: "_GenerationRun") -> bool:
+        """Return whether the verdict on a prompt is about to fall."""
+        left_ms = run.deadline_at - self._clock.now()
+        return left_ms > SETTLE_POLL_MS and self._quarantine.parts.is_pending(run.suspects)
+
+    def _is_refused(self, run: "_GenerationRun") -> bool:
+        parts = self._quarantine.parts
+        return self._quarantine.is_quarantined(run.fingerprint) or parts.is_refused(run.suspects)
+
     async def _async_place(self, run: "_GenerationRun") -> Result[Upstream, Refusal]:
-        run.alone = self._quarantine.is_suspect(run.fingerprint)
+        parts = self._quarantine.parts
+        run.alone = self._quarantine.is_suspect(run.fingerprint) or parts.is_suspect(run.suspects)
         ticket = run.make_ticket()
         # While all upstreams refuse or are unreachable, further attempts are spaced out.
         if run.progress.unstarted >= MAX_ATTEMPTS and not await self._async_pause(run):
@@ -122,12 +142,13 @@
                 outcome = await self._async_attempt(run, upstream)
                 if isinstance(outcome, Ok):
                     ok, left_running = True, False
+                    self._quarantine.parts.report_answer(run.suspects)
                     return outcome
                 step = self._decide(run, upstream, outcome.err_value)
                 left_running = not outcome.err_value.not_run
                 if step is NextStep.GIVE_UP:
                     return Err(_make_failure_refusal(outcome.err_value, run.progress))
-                if self._quarantine.is_quarantined(run.fingerprint):
+                if self._is_refused(run):
                     return Err(_make_quarantine_refusal(run))
                 if step is NextStep.ELSEWHERE:
                     # A refusal is temporary, and the router tracks how long it lasts.
@@ -166,7 +187,8 @@
 
     def _decide(self, run: "_GenerationRun", upstream: Upstream, error: UpstreamError) -> NextStep:
         progress = run.progress
-        if run.recorder.last_index > progress.last_index:
+        has_begun = run.recorder.last_index > progress.last_index
+        if has_begun:
             progress.reconnects = 0
         progress.last_index = run.recorder.last_index
         progress.may_have_run = progress.may_have_run or not error.not_run
@@ -182,6 +204,7 @@
             self._router.mark_refused(upstream.name, run.request.model)
         if error.failure is UpstreamFailure.LOST and not error.status:
             self._quarantine.report_crash(upstream.name, run.request.request_id)
+            self._quarantine.parts.report_lost(upstream.name, run.suspects, begun=has_begun)
         remaining = run.deadline_at - self._clock.now()
         step = decide_next(
             progress, error, self._budget, remaining, lambda: self._has_alternative(run, upstream)
@@ -229,6 +252,7 @@
         """Name of the upstream that holds the KV state, or empty."""
         self.pauses_left = 100
         self.fingerprint = make_fingerprint(request.identity.customer.name, request.body)
+        self.suspects = find_suspects(self.fingerprint, request.body)
 
     def make_ticket(self) -> Ticket:
         customer = self.request.identity.customer
--- a/goldcreststair/components/quarantine/controller.py
+++ b/goldcreststair/components/quarantine/controller.py
@@ -1,6 +1,7 @@
 """Identifies which of several concurrent requests crashes upstreams."""
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 from goldcreststair.components.membership.protocols import (
@@ -14,6 +15,7 @@
     SET_SUSPECTS,
     SUSPECT_LIFETIME_MS,
 )
+from goldcreststair.components.quarantine.parts import PartQuarantine
 from goldcreststair.core import Core
 from goldcreststair.journal import Subject
 
@@ -29,15 +31,25 @@
     def __init__(self) -> None:
         """Create empty sets."""
         self._items: set[tuple[str, str]] = set()
+        self._watchers: list[tuple[str, Callable[[str], None]]] = []
 
     def add(self, name: str, item: str, lifetime_ms: int = 0) -> None:
         """Add an item; `lifetime_ms` is ignored, items never expire."""
+        if (name, item) in self._items:
+            return
         self._items.add((name, item))
+        for watched, on_added in tuple(self._watchers):
+            if watched == name:
+                on_added(item)
 
     def contains(self, name: str, item: str) -> bool:
         """Return whether the set holds the item."""
         return (name, item) in self._items
 
+    def watch(self, name: str, on_added: Callable[[str], None]) -> None:
+        """Register a callback for every new item."""
+        self._watchers.append((name, on_added))
+
 
 class QuarantineController:
     """Counts, for each suspect, the crashes in which it was the only suspect running."""
@@ -49,6 +61,7 @@
         self._running: dict[str, dict[str, str]] = {}
         self._attributed: set[tuple[str, str]] = set()
         self._cleared: set[str] = set()
+        self.parts = PartQuarantine(core, self._sets)
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request must not run."""
--- a/goldcreststair/components/quarantine/protocols.py
+++ b/goldcreststair/components/quarantine/protocols.py
@@ -1,12 +1,14 @@
 """Interface of the quarantine for other components."""
 
 import hashlib
+from collections.abc import Callable
 from typing import Final, Protocol
 
 import orjson
 
 from goldcreststair.components.quarantine.const import FINGERPRINT_CHARACTERS
 from goldcreststair.core import ComponentKey
+from goldcreststair.helpers.crash_evidence import Suspects
 
 DELIVERY_FIELDS: Final = ("stream", "stream_options")
 """Request fields that change only how the response is delivered, not what is generated."""
@@ -35,9 +37,63 @@
     return orjson.dumps(fields, option=orjson.OPT_SORT_KEYS)
 
 
+class Parts(Protocol):
+    """Identifies parts of prompts that crash upstreams, whatever else their requests hold."""
+
+    def on_verdict(self, handler: Callable[[], None]) -> None:
+        """Add a handler that is called when more requests are refused."""
+
+    def is_refused(self, suspects: Suspects) -> bool:
+        """Return whether a request must not run."""
+
+    def is_suspect(self, suspects: Suspects) -> bool:
+        """Return whether a request must run apart from others."""
+
+    def is_pending(self, suspects: Suspects) -> bool:
+        """Return whether a request is about to be refused, unless another VM reports an answer."""
+
+    def report_lost(self, upstream: str, suspects: Suspects, *, begun: bool) -> None:
+        """Report a run that was lost with its upstream; `begun` if it had returned tokens."""
+
+    def report_answer(self, suspects: Suspects) -> None:
+        """Report a whole answer: nothing about its request crashes upstreams."""
+
+
+class UnknownParts:
+    """Implements `Parts` where no component identifies parts: none is refused."""
+
+    def on_verdict(self, handler: Callable[[], None]) -> None:
+        """Do nothing; there are no verdicts."""
+
+    def is_refused(self, suspects: Suspects) -> bool:
+        """Return False."""
+        return False
+
+    def is_suspect(self, suspects: Suspects) -> bool:
+        """Return False."""
+        return False
+
+    def is_pending(self, suspects: Suspects) -> bool:
+        """Return False."""
+        return False
+
+    def report_lost(self, upstream: str, suspects: Suspects, *, begun: bool) -> None:
+        """Do nothing."""
+
+    def report_answer(self, suspects: Suspects) -> None:
+        """Do nothing."""
+
+
+UNKNOWN_PARTS: Final = UnknownParts()
+
+
 class Quarantine(Protocol):
     """Identifies requests that crash upstreams and blocks them on the whole fleet."""
 
+    @property
+    def parts(self) -> Parts:
+        """The same for parts of prompts."""
+
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the request must not run."""
 
--- a/standins/engine/client.py
+++ b/standins/engine/client.py
@@ -93,6 +93,9 @@
         engine = self.engines[upstream.address]
         if call.software_version not in (None, engine.software):
             return Err(UpstreamError("other software", UpstreamFailure.OTHER_SOFTWARE))
+        faults = engine.faults
+        if faults.crash_delay_ms and faults.crash_marker.encode() in call.body:
+            await self._clock.async_sleep(faults.crash_delay_ms)
         refused = self._check_refusal(engine, call)
         if refused is not None:
             return Err(refused)
--- a/standins/engine/models.py
+++ b/standins/engine/models.py
@@ -49,6 +49,8 @@
     """Answer 503 with `X-Not-Run: true`."""
     crash_marker: str = ""
     """A request whose body holds this text crashes the engine."""
+    crash_delay_ms: int = 0
+    """Time from the start of such a request to the crash."""
     silent: bool = False
     """Open streams send nothing but stay open; new connections work."""
     cross_answers: bool = False
--- a/tests/helpers/batch_fleet.py
+++ b/tests/helpers/batch_fleet.py
@@ -8,7 +8,7 @@
 from result import Result
 
 from goldcreststair.clock import Clock
-from goldcreststair.components import configuration, keys
+from goldcreststair.components import configuration, keys, quarantine
 from goldcreststair.components.batch.dispatchers import MakeAllowance, make_upstream_key
 from goldcreststair.components.batch.errors import BatchError
 from goldcreststair.components.batch.models import Manifest
@@ -83,6 +83,7 @@
         core.offer(LEDGER, self.world.join(session_id))
         core.offer(PEERS, self.network.join(session_id))
         core.offer(SHARED_SETS, self.sets)
+        await quarantine.async_setup(core)
         await configuration.async_setup(core)
         await keys.async_setup(core)
         core.get(CONFIGURATION_FOLLOWER).apply(make_configuration())
