Keep a verdict that its crashes support, whatever else was at more of them

Now verdicts explain their crashes before any new one is derived. One ends when answers leave its own crashes without support, or when other verdicts explain all of them, as for a bystander of two culprits in turn.

--- a/goldcreststair/helpers/crash_evidence.py
+++ b/goldcreststair/helpers/crash_evidence.py
@@ -161,10 +161,6 @@
         """Whether no crash counts."""
         return not self._crashes
 
-    def knows_crash(self, crash: bytes) -> bool:
-        """Return whether a crash counts here."""
-        return crash in self._crashes
-
     def record_crash(self, report: CrashReport) -> bool:
         """Add one VM's report to a crash; returns whether it says anything new."""
         now = self._clock.now()
@@ -254,6 +250,25 @@
                 del left[name]
         return found
 
+    def knows_all(self, crashes: Collection[bytes]) -> bool:
+        """Return whether all of these crashes count here."""
+        return bool(crashes) and all(crash in self._crashes for crash in crashes)
+
+    def is_supported(self, suspects: Suspects, crashes: Collection[bytes]) -> bool:
+        """Return whether no answer has cleared `suspects` of so many of these crashes that they stay to blame."""
+        left = {
+            name: suspects
+            for name in crashes
+            if name in self._crashes and suspects <= self._list_open(self._crashes[name])
+        }
+        counts = self._count(left, CRASHES_TO_REFUSE)
+        return any(count.is_enough for count in counts.values())
+
+    def is_covered(self, crashes: Collection[bytes], culprits: Collection[Suspects]) -> bool:
+        """Return whether each of these crashes is explained by one of some culprits."""
+        opened = [self._list_open(self._crashes[name]) for name in crashes]
+        return all(any(each <= suspects for each in culprits) for suspects in opened)
+
     def count_crashes(self, explained: Collection[Suspects]) -> dict[Suspect, CrashCount]:
         """Return at how many crashes without an explanation each suspect was present."""
         left = {
--- a/goldcreststair/helpers/crash_verdicts.py
+++ b/goldcreststair/helpers/crash_verdicts.py
@@ -1,7 +1,7 @@
 """The verdicts in force at one VM; no I/O.
 
-A verdict is derived from the crashes that are known here, or taken over from another VM or the store. One that
-is derived holds only as long as the crashes support it: another verdict may explain them better.
+A verdict is derived from the crashes that are known here, or taken over from another VM or the store. It explains
+its crashes before any new one does, and ends when answers clear its suspects or other verdicts explain all of them.
 """
 
 from collections import OrderedDict
@@ -175,36 +175,49 @@
         return VerdictChange(added=self._add(confirmed, VERDICT_MS))
 
     def release(self, suspects: Suspects) -> VerdictChange:
-        """Release the verdicts of which another VM says that they do not hold."""
-        gone = [each for each in self._verdicts if each <= suspects]
+        """Release the verdicts on single suspects of which another VM says that they do not hold."""
+        gone = [each for each in self._list_single() if each <= suspects]
         return VerdictChange(released=self._drop(gone))
 
     def update(self, settle_ms: int) -> VerdictChange:
-        """Derive the verdicts from the crashes known now."""
+        """Derive new verdicts from the crashes known now, and release those that do not hold."""
         self._expire()
-        evidence, before = self._evidence, dict(self._verdicts)
-        every = {each.suspects: each.crashes for each in evidence.find_culprits((), settle_ms)}
-        taken_over = [
+        evidence = self._evidence
+        unsupported = [
             each
-            for each, verdict in before.items()
-            if len(each) == 1 and not verdict.crashes and each not in every
+            for each, verdict in self._verdicts.items()
+            if evidence.knows_all(verdict.crashes)
+            and not evidence.is_supported(each, verdict.crashes)
         ]
-        found = {c.suspects: c.crashes for c in evidence.find_culprits(taken_over, settle_ms)}
-        gone = [
-            each
-            for each, verdict in before.items()
-            if each not in found and any(map(evidence.knows_crash, verdict.crashes))
-        ]
-        released = tuple(each for each in gone if not any(new < each for new in found))
-        self._drop(gone)
-        added = self._add(found, VERDICT_MS)
+        self._drop(unsupported)
+        found = evidence.find_culprits(self._list_single(), settle_ms)
+        added = self._add({each.suspects: each.crashes for each in found}, VERDICT_MS)
+        covered = self._find_covered()
+        self._drop(covered)
         self._counts, self._pending = {}, ()
         if not evidence.is_empty:
-            # One on several suspects leaves open which of them is the cause.
-            standing = tuple(each for each in self._verdicts if len(each) == 1)
+            standing = self._list_single()
             self._counts = evidence.count_crashes(standing)
             self._pending = tuple(each.suspects for each in evidence.find_culprits(standing))
-        return VerdictChange(added, released)
+        # One on several suspects is released by each VM itself, from the same answers.
+        released = tuple(each for each in (*unsupported, *covered) if len(each) == 1)
+        return VerdictChange(tuple(each for each in added if each not in covered), released)
+
+    def _list_single(self) -> list[Suspects]:
+        """Return the verdicts that explain crashes: one on several suspects leaves open which is the cause."""
+        return [each for each in self._verdicts if len(each) == 1]
+
+    def _find_covered(self) -> list[Suspects]:
+        """Return verdicts all of whose crashes other verdicts explain."""
+        single, covered = self._list_single(), list[Suspects]()
+        for each in single:
+            crashes = self._verdicts[each].crashes
+            others = [other for other in single if other != each and other not in covered]
+            if not others or not self._evidence.knows_all(crashes):
+                continue
+            if self._evidence.is_covered(crashes, others):
+                covered.append(each)
+        return covered
 
     def _add(
         self, verdicts: dict[Suspects, frozenset[bytes]], left_ms: int
@@ -214,7 +227,6 @@
         for suspects, crashes in verdicts.items():
             known = self._verdicts.get(suspects)
             if known is not None:
-                known.crashes = known.crashes | crashes
                 continue
             if not suspects or any(each < suspects for each in self._verdicts):
                 continue
--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -140,7 +140,8 @@
             await asyncio.wait_for(self._process.wait(), KILL_AFTER_S)
         except TimeoutError:
             # Not recorded as an injected kill: the daemon is to blame for what it loses by this one.
-            self._process.kill()
+            with contextlib.suppress(ProcessLookupError):
+                self._process.kill()
             await self._process.wait()
         self._absence = Absence(self.name, time.monotonic())
         self.record.absences.append(self._absence)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -18,6 +18,7 @@
     hash_part,
     list_suspects,
 )
+from goldcreststair.helpers.crash_verdicts import VerdictChange, Verdicts
 from tests.helpers.virtual_time import ManualClock
 
 V1, V2 = 1, 2
@@ -197,3 +198,41 @@
     assert len(list_suspects(fingerprint, parts)) == MAX_PARTS + 1
     assert list_suspects(fingerprint, ("shared", "own")) == {bytes(8), hash_part("shared")}
     assert list_suspects(fingerprint, ()) == {bytes(8)}
+
+
+def test_a_verdict_is_not_displaced_by_a_bystander_of_more_crashes() -> None:
+    """Guards against releasing a part that crashes upstreams for one that was at more crashes by chance."""
+    clock = ManualClock()
+    clock.advance(10_000)
+    evidence = CrashEvidence(clock)
+    verdicts = Verdicts(clock, evidence)
+
+    def crash(number: int, *names: str) -> VerdictChange:
+        clock.advance(100)
+        evidence.record_crash(CrashReport(b"crash%d" % number, V1, name(*names)))
+        return verdicts.update(0)
+
+    crash(0, "bad", "seen")
+    crash(1, "bad", "seen")
+    assert crash(2, "bad").added == (name("bad"),)
+    for number in range(3, 5):
+        assert crash(number, "seen") == VerdictChange()
+    assert verdicts.find(name("bad", "x")) and not verdicts.find(name("seen"))
+    assert crash(5, "seen").added == (name("seen"),)
+    assert verdicts.find(name("bad"))
+    evidence.record_answer(name("seen"), V1, clock.now())
+    assert verdicts.update(0).released == (name("seen"),)
+    assert verdicts.find(name("bad")) and not verdicts.find(name("seen"))
+
+
+def test_a_bystander_of_two_culprits_is_released_with_the_second_verdict() -> None:
+    """Guards against a sound part that stays refused because two parts crashed upstreams in turn."""
+    clock = ManualClock()
+    clock.advance(10_000)
+    evidence = CrashEvidence(clock)
+    verdicts = Verdicts(clock, evidence)
+    for number, names in enumerate(("p s", "q s", "p s", "q", "p", "q", "p", "q", "p", "q")):
+        clock.advance(100)
+        evidence.record_crash(CrashReport(b"crash%d" % number, V1, name(*names.split())))
+        verdicts.update(0)
+    assert verdicts.find(name("p")) and verdicts.find(name("q")) and not verdicts.find(name("s"))
