Let only the first requests wait for stored verdicts

While the store was away after a daemon's start, each request with prompt parts waited 100 ms for the verdicts, until the store answered: found by reading the change. The wait now ends 100 ms after the reading began, for all requests. test_requests_are_not_delayed_while_the_store_is_away failed before.

--- a/goldcreststair/components/crash_marks/verdict_rows.py
+++ b/goldcreststair/components/crash_marks/verdict_rows.py
@@ -44,6 +44,7 @@
         self.is_loaded = False
         """Whether all verdicts were read once."""
         self._reading: asyncio.Task[None] | None = None
+        self._reading_since = core.clock.now()
         self._writing: dict[Suspects, asyncio.Task[None]] = {}
         self._stored: set[Suspects] = set()
         """Verdicts that the store is known to hold."""
@@ -59,13 +60,16 @@
     def schedule_read(self) -> None:
         """Read all verdicts, as soon as the store returns them."""
         if self._reading is None or self._reading.done():
+            self._reading_since = self._clock.now()
             self._reading = asyncio.create_task(self._async_read())
 
     async def async_wait(self, timeout_ms: int) -> None:
-        """Read all verdicts, and wait for them for a time."""
+        """Read all verdicts, and wait for them until this time after the reading began."""
         self.schedule_read()
-        if self._reading is not None:
-            await asyncio.wait({self._reading}, timeout=timeout_ms / MS_PER_SECOND)
+        # While the store is away, later requests must not wait for it.
+        left_ms = self._reading_since + timeout_ms - self._clock.now()
+        if self._reading is not None and left_ms > 0:
+            await asyncio.wait({self._reading}, timeout=left_ms / MS_PER_SECOND)
 
     def schedule_write(self, suspects: Suspects) -> None:
         """Write a new verdict, if this VM is one of those that do."""
--- a/tests/components/crash_marks/test_prompt_parts.py
+++ b/tests/components/crash_marks/test_prompt_parts.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from goldcreststair.components.crash_marks.const import TABLE, YOUNG_MS
+from goldcreststair.components.crash_marks.const import LOAD_TIMEOUT_MS, TABLE, YOUNG_MS
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER, CrashTracker
 from goldcreststair.helpers.crash_evidence import Suspects, hash_part
 from goldcreststair.helpers.refusals import RefusalCode
@@ -166,6 +166,27 @@
     run_fleet(scenario)
 
 
+def test_requests_are_not_delayed_while_the_store_is_away() -> None:
+    """Guards against requests that each wait for verdicts which the store does not return."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.add_engines(2)
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        fleet.store.faults.silent = True
+        waits = []
+        for number in range(3):
+            sent_at = fleet.clock.now()
+            parts = ("shared", f"own{number}")
+            answer = await async_send(fleet, member, f"/stream/{number}", parts=parts)
+            assert answer.whole
+            waits.append(answer.event_times[0] - sent_at)
+        assert waits[0] <= waits[1] + LOAD_TIMEOUT_MS
+        assert max(waits[1:]) < LOAD_TIMEOUT_MS
+
+    run_fleet(scenario)
+
+
 def test_items_with_a_part_that_crashes_upstreams_wait_and_do_not_hold_up_others() -> None:
     """Guards against items whose runs crash upstream after upstream, and against jobs that never end."""
 
