Tell refused attempts and just started upstreams apart in the soak

The excuse holds for a second from the start of an upstream, not for those that were there before the daemons.

Tests: both excuses, and that neither covers the next case.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -91,6 +91,7 @@
         for address in self._list_addresses():
             await self._async_add_daemon(address, peer_port)
         await asyncio.gather(*(daemon.async_start() for daemon in self.daemons))
+        self.record.began_at = time.monotonic()
 
     async def async_close(self) -> None:
         """Stop everything."""
--- a/tests/platform_adapter/soak/checker.py
+++ b/tests/platform_adapter/soak/checker.py
@@ -22,6 +22,7 @@
     Exchange,
     Item,
     Record,
+    Run,
 )
 
 NOT_RUN: Final = frozenset((429, 503))
@@ -37,6 +38,9 @@
 some 3 s."""
 SETTLED_S: Final = 0.5
 """Upstreams count as serving this long after their start, and until this long before their end."""
+REGISTERED_S: Final = 1.0
+"""How long after the start of an upstream a daemon may not be sure of its software: it had seen it down, and its
+entry settles for a second."""
 REFUSED_WITHIN_S: Final = 1.0
 """An attempt whose upstream refused the request within this time did not run."""
 MIN_RESUMED: Final = 12
@@ -136,7 +140,7 @@
         Excuse.UNKNOWN_SOFTWARE: seen.route == "stream"
         and bool(tried)
         and _was_lost(tried[-1], seen, record)
-        and _had_old_list(seen, record),
+        and (_had_old_list(seen, record) or _began_at_restarted(tried[0], record)),
     }
     return next((excuse for excuse, holds in reasons.items() if holds), None)
 
@@ -146,16 +150,31 @@
 
     Attempts that upstreams refused as not run do not count.
     """
-    refusals = [each for each in record.refusals if each.request == seen.request]
-    counted = [
+    refused = [
+        _find_refused(each, tried) for each in record.refusals if each.request == seen.request
+    ]
+    counted = [attempt for attempt in tried if not any(attempt is each for each in refused)]
+    return len(counted) >= MAX_ATTEMPTS[seen.route] and _was_lost(counted[-1], seen, record)
+
+
+def _find_refused(refusal: Run, tried: list[Attempt]) -> Attempt | None:
+    """Return the attempt that an upstream refused: the last one there before the refusal."""
+    before = [
         attempt
         for attempt in tried
-        if not any(
-            each.upstream == attempt.upstream and 0 <= each.at - attempt.at < REFUSED_WITHIN_S
-            for each in refusals
-        )
+        if attempt.upstream == refusal.upstream and 0 <= refusal.at - attempt.at < REFUSED_WITHIN_S
     ]
-    return len(counted) >= MAX_ATTEMPTS[seen.route] and _was_lost(counted[-1], seen, record)
+    return before[-1] if before else None
+
+
+def _began_at_restarted(attempt: Attempt, record: Record) -> bool:
+    """Return whether an attempt reached an upstream that had just started, perhaps with other software."""
+    return any(
+        life.upstream == attempt.upstream
+        and life.since > record.began_at
+        and -SETTLED_S <= attempt.at - life.since <= REGISTERED_S
+        for life in record.lifetimes
+    )
 
 
 def _had_old_list(seen: Exchange, record: Record) -> bool:
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -273,3 +273,21 @@
     span = Signal("d", 102.0) if kind == "kills" else Absence("d", 101.0, 102.0)
     getattr(record, kind).append(span)
     assert not list(find_part_crashes(record))
+
+
+def test_a_refusal_belongs_to_the_last_attempt_at_its_upstream() -> None:
+    """Guards against blaming a daemon for a stream that went back to its first upstream and was refused."""
+    back = Attempt("r", "i-1", 10.9)
+    record = Record([LOST], attempts=[FIRST, BROKEN_LAST, back], refusals=[Run("r", "i-1", 10.95)])
+    assert find_promises(record) == []
+    record.refusals = [Run("r", "i-1", 10.15)]
+    assert find_promises(record) == [Promise.ANSWERED]
+
+
+@pytest.mark.parametrize(("since", "promises"), [(9.9, []), (8.0, [Promise.ANSWERED])])
+def test_a_stream_of_an_upstream_that_had_just_started_may_be_cut(
+    since: float, promises: list[Promise]
+) -> None:
+    lives = [Lifetime("i-1", "v1", since), OTHER]
+    record = Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=lives, began_at=5.0)
+    assert find_promises(record) == promises
