--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the store, the engines and the clients of the users' pages; standard library only."""
