--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,79 +1,105 @@
-"""A stray entry with an unnamed service at an engine's address keeps the engine from all work."""
+"""A stream that its engine broke off within the first event reaches the client as a complete one."""
 
 import asyncio
-import json
+import random
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from standins.engine import Engine, make_text
-from standins.fleet import Fleet, has_trouble, make_config, make_headers, read_job, run_case
-from standins.web import call
+from standins.engine import Engine, Run, make_data
+from standins.fleet import Fleet, has_trouble, make_config, make_headers, run_case
+from standins.store import Store
+from standins.web import Request, call
 
-ITEMS = 40
-STRAY_AT_S = 1.0
-FINISH_S = 18.0
-"""`finish_s` of the sites."""
-CALM_S = 5.0
-JOB = "7c41e09b52d6a3f8"
+SECONDS = 60.0
+CLIENTS = 12
+ENGINES = 4
+FAULTY = 1
+"""Engines with the disruption: a share of 0.25."""
+WINDOW_S, PAUSE_S = 5.0, 1.0
+"""Length of one disruption (`for_s`), and the time between two."""
+BROKEN_SHARE = 0.02
+"""Share of the answers that are broken off (`x`)."""
+EVENTS = 6
+SEED = 1
 
 
-async def scenario(fleet: Fleet) -> bool:
-    engines = [Engine(f"i-{number}", "engine", fleet.store) for number in (1, 2)]
-    for engine in engines:
-        engine.events, engine.event_s = 10, 0.15
-    await fleet.start(make_config(), engines, daemons=2)
-    record, front = fleet.record, fleet.daemons[0].front
+class UnframedEngine(Engine):
+    """Answers without a length if asked to, and breaks some answers off in the middle of an event."""
 
-    items = [
-        {
-            "id": f"item{number:012d}",
-            "path": f"/batch/{number}",
-            "headers": {"Model": "m", "Token-Count": "540,400", "Prompt-Prefix": f"{number:x}:540"},
-            "body": "q83vEjRWeJA=",
-            "tokens": 940,
-        }
-        for number in range(ITEMS)
-    ]
-    body = json.dumps({"requests": items}).encode()
-    answer = await call(front, "POST", "/batch/x", make_headers(JOB, 4000), body)
-    record.add(f"batch job {JOB} of {ITEMS} items sent to daemon 0: answered {answer.status}")
-    if answer.status != 202:
-        raise RuntimeError("the batch job was not accepted")
-    accepted_at = time.monotonic()
+    def __init__(self, name: str, service: str, store: Store, faulty: bool) -> None:
+        super().__init__(name, service, store)
+        self.broken_off: set[str] = set()
+        """Requests whose answer was broken off."""
+        self._faulty = faulty
+        self._random = random.Random(SEED)
+        self._began_at = time.monotonic()
+
+    def _breaks_off(self) -> bool:
+        in_window = (time.monotonic() - self._began_at) % (WINDOW_S + PAUSE_S) < WINDOW_S
+        return self._faulty and in_window and self._random.random() < BROKEN_SHARE
+
+    async def answer(self, request: Request, run: Run) -> bool:
+        run.status = 200
+        more = "Content-Type: text/event-stream\r\nConnection: close"
+        request.writer.write(self.head(request, 200, more))
+        breaks_off = self._breaks_off()
+        for number in range(run.after + 1, EVENTS + 1):
+            await asyncio.sleep(0.02)
+            event = f"id: {number}\ndata: {make_data(run.request, number)}\n\n".encode()
+            if breaks_off:
+                self.broken_off.add(run.request)
+                request.writer.write(event[: len(event) // 2])
+                await request.writer.drain()
+                return False
+            request.writer.write(event)
+        await request.writer.drain()
+        run.whole = True
+        return False
 
-    await asyncio.sleep(STRAY_AT_S)
-    for number, engine in enumerate(engines if has_trouble() else []):
-        # What another writer registers: the service is not one of the configuration.
-        stray = engine.entry() | {"service": "audit-agent", "born": int(time.time() * 1000)}
-        fleet.store.put("servers", f"agent-{number}", stray)
-        record.add(f"another writer puts servers/agent-{number}: {json.dumps(stray)}")
 
-    while time.monotonic() < accepted_at + FINISH_S + CALM_S:
-        await asyncio.sleep(1.0)
-        status, results = await read_job(fleet.daemons[1].front, JOB)
-        record.add(
-            f"read: {status}, {len(results)} of {ITEMS} listed; engines run "
-            f"{[engine.running for engine in engines]}, ran {[len(e.runs) for e in engines]}"
-        )
-        if len(results) == ITEMS:
-            break
-    for engine in engines:
-        for run in engine.runs:
-            record.add(f"run {run}")
-    online = await call(front, "POST", "/stream/1", make_headers("online1"), b"x")
-    record.add(f"an online request: {online.status} {online.body[:120]!r}")
+async def scenario(fleet: Fleet) -> bool:
+    engines = [
+        UnframedEngine(f"i-{number}", "engine", fleet.store, has_trouble() and number < FAULTY)
+        for number in range(ENGINES)
+    ]
+    config = make_config()
+    config["routes"][0] |= {"resumable": False, "max_attempts": 1}
+    await fleet.start(config, engines, daemons=2)
+    record = fleet.record
+    ends_at = time.monotonic() + SECONDS
+    counts: dict[str, int] = {}
+    broken: list[str] = []
+    expected = {}
+
+    async def run_client(client: int) -> None:
+        number = 0
+        while time.monotonic() < ends_at:
+            number += 1
+            name = f"{client:04x}{number:012x}"
+            front = fleet.daemons[number % len(fleet.daemons)].front
+            answer = await call(front, "POST", "/stream/1", make_headers(name), b"x")
+            whole = "".join(f"id: {n}\ndata: {make_data(name, n)}\n\n" for n in range(1, EVENTS + 1))
+            kind = f"{answer.status} {'complete' if answer.whole else 'broken off'}"
+            false = answer.status == 200 and answer.whole and answer.body != whole.encode()
+            if false:
+                kind += ", but not the whole stream"
+                broken.append(name)
+            counts[kind] = counts.get(kind, 0) + 1
+            if false or any(name in engine.broken_off for engine in engines):
+                runs = [run for engine in engines for run in engine.runs if run.request == name]
+                record.add(f"request {name}: {kind}, headers {answer.headers}, body {answer.body!r}")
+                for run in runs:
+                    record.add(f"  {run}")
 
-    listed = {result["id"] for result in results}
-    wrong = [r for r in results if r["text"] != make_text(r["id"], 10) or r["state"] != "succeeded"]
-    last_run = max(run.ended_at for engine in engines for run in engine.runs)
-    idle_s = time.monotonic() - last_run
-    lost = [item["id"] for item in items if item["id"] not in listed]
-    record.add(f"{len(lost)} items neither succeeded nor dead_lettered, {len(wrong)} wrong results")
-    record.add(f"no engine has had an item for {idle_s:.1f} s; slots {[e.slots for e in engines]}")
-    return bool(lost) and idle_s > CALM_S
+    await asyncio.gather(*(run_client(client) for client in range(CLIENTS)))
+    for kind, count in sorted(counts.items()):
+        record.add(f"answers: {kind}: {count}")
+    record.add(f"engines broke off {sum(len(engine.broken_off) for engine in engines)} answers")
+    record.add(f"{len(broken)} streams ended as complete before their last event")
+    return bool(broken)
 
 
 run_case(__file__, scenario)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -249,6 +249,10 @@
     record = Record(Path(case).resolve().parent / "record.txt")
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # A case that is stopped from outside still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             fleet = Fleet(record, Path(folder))
             await fleet.store.start()
@@ -263,7 +267,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add(f"the case could not run: {error!r}")
         print(json.dumps({"error": repr(error)}), file=sys.stderr)
         sys.exit(NOT_RUN)
