--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""A stray entry with an unnamed service at an engine's address keeps the engine from all work."""
+"""Engines that crash one after the other make the part that all items share be refused for good."""
 
 import asyncio
 import json
@@ -12,26 +12,45 @@
 from standins.fleet import Fleet, has_trouble, make_config, make_headers, read_job, run_case
 from standins.web import call
 
-ITEMS = 40
-STRAY_AT_S = 1.0
-FINISH_S = 18.0
-"""`finish_s` of the sites."""
-CALM_S = 5.0
+ENGINES = 10
+ITEMS = 180
+EVENTS, EVENT_S = 203, 0.03
+"""Events of an item, as on the sheet of the site, and the time that one takes."""
+CRASHES = 5
+FIRST_CRASH_S = 2.0
+"""After the batch job was accepted; all slots for batch are taken by then."""
+GAP_S, DOWN_S = 0.8, 0.7
+"""Time between two crashes, and how long each engine is down: one of ten at a time."""
+ENTRY_LEFT_S = 3.6
+"""Three ping intervals, after which the entry of a crashed engine is removed."""
+FINISH_S, CALM_S = 18.0, 5.0
 JOB = "7c41e09b52d6a3f8"
+SHARED_PART = "9c2e41"
 
 
 async def scenario(fleet: Fleet) -> bool:
-    engines = [Engine(f"i-{number}", "engine", fleet.store) for number in (1, 2)]
-    for engine in engines:
-        engine.events, engine.event_s = 10, 0.15
+    def make_engine(name: str) -> Engine:
+        engine = Engine(name, "engine", fleet.store)
+        engine.events, engine.event_s = EVENTS, EVENT_S
+        return engine
+
+    engines = [make_engine(f"i-{number}") for number in range(ENGINES)]
+    everyone = list(engines)
     await fleet.start(make_config(), engines, daemons=2)
     record, front = fleet.record, fleet.daemons[0].front
 
+    def make_parts(own: int) -> str:
+        return f"{SHARED_PART}:300,{own + 4096:x}:240"
+
     items = [
         {
             "id": f"item{number:012d}",
             "path": f"/batch/{number}",
-            "headers": {"Model": "m", "Token-Count": "540,400", "Prompt-Prefix": f"{number:x}:540"},
+            "headers": {
+                "Model": "m",
+                "Token-Count": "540,400",
+                "Prompt-Prefix": make_parts(number),
+            },
             "body": "q83vEjRWeJA=",
             "tokens": 940,
         }
@@ -44,35 +63,52 @@
         raise RuntimeError("the batch job was not accepted")
     accepted_at = time.monotonic()
 
-    await asyncio.sleep(STRAY_AT_S)
-    for number, engine in enumerate(engines if has_trouble() else []):
-        # What another writer registers: the service is not one of the configuration.
-        stray = engine.entry() | {"service": "audit-agent", "born": int(time.time() * 1000)}
-        fleet.store.put("servers", f"agent-{number}", stray)
-        record.add(f"another writer puts servers/agent-{number}: {json.dumps(stray)}")
+    async def crash(number: int) -> None:
+        """Crash one engine; another start follows under a new id."""
+        engine = engines[number]
+        record.add(f"{engine.name} crashes with {engine.running} runs")
+        await engine.crash()
+        await asyncio.sleep(DOWN_S)
+        engines[number] = after = make_engine(f"{engine.name}-again")
+        everyone.append(after)
+        await after.start()
+        record.add(f"{after.name} is up")
+        await asyncio.sleep(ENTRY_LEFT_S - DOWN_S)
+        fleet.store.drop("servers", engine.name)
+
+    await asyncio.sleep(FIRST_CRASH_S)
+    crashes = []
+    for number in range(CRASHES if has_trouble() else 0):
+        crashes.append(asyncio.create_task(crash(number)))
+        await asyncio.sleep(GAP_S)
+    await asyncio.gather(*crashes)
+    last_crash_at = time.monotonic()
 
-    while time.monotonic() < accepted_at + FINISH_S + CALM_S:
-        await asyncio.sleep(1.0)
+    results: list[dict[str, str]] = []
+    while time.monotonic() < max(accepted_at, last_crash_at) + FINISH_S + CALM_S + 10:
+        await asyncio.sleep(2.0)
         status, results = await read_job(fleet.daemons[1].front, JOB)
         record.add(
             f"read: {status}, {len(results)} of {ITEMS} listed; engines run "
-            f"{[engine.running for engine in engines]}, ran {[len(e.runs) for e in engines]}"
+            f"{[engine.running for engine in engines]}"
         )
         if len(results) == ITEMS:
             break
-    for engine in engines:
+    fleet.engines = everyone
+    for engine in everyone:
         for run in engine.runs:
             record.add(f"run {run}")
-    online = await call(front, "POST", "/stream/1", make_headers("online1"), b"x")
-    record.add(f"an online request: {online.status} {online.body[:120]!r}")
+    for daemon in fleet.daemons:
+        headers = make_headers(f"online{daemon.number}") | {"Prompt-Prefix": make_parts(1)}
+        online = await call(daemon.front, "POST", "/stream/1", headers, b"x")
+        record.add(f"an online request with that part: {online.status} {online.body[:150]!r}")
 
     listed = {result["id"] for result in results}
-    wrong = [r for r in results if r["text"] != make_text(r["id"], 10) or r["state"] != "succeeded"]
-    last_run = max(run.ended_at for engine in engines for run in engine.runs)
-    idle_s = time.monotonic() - last_run
     lost = [item["id"] for item in items if item["id"] not in listed]
+    wrong = [r for r in results if r["text"] != make_text(r["id"], EVENTS)]
+    idle_s = time.monotonic() - max(run.ended_at for e in everyone for run in e.runs)
     record.add(f"{len(lost)} items neither succeeded nor dead_lettered, {len(wrong)} wrong results")
-    record.add(f"no engine has had an item for {idle_s:.1f} s; slots {[e.slots for e in engines]}")
+    record.add(f"no engine has had an item for {idle_s:.1f} s; {len(engines)} engines are up")
     return bool(lost) and idle_s > CALM_S
 
 
--- a/review/standins/engine.py
+++ b/review/standins/engine.py
@@ -59,6 +59,13 @@
             self._task.cancel()
         await self.server.close()
 
+    async def crash(self) -> None:
+        """End at once: all channels are reset, and no new one is accepted."""
+        if self._task is not None:
+            self._task.cancel()
+        self.server.reset()
+        await self.server.close()
+
     @property
     def running(self) -> int:
         """Number of requests that run now."""
--- a/review/standins/web.py
+++ b/review/standins/web.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -80,6 +82,7 @@
         self._handle = handle
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
         self._count = 0
         self.address = ""
 
@@ -89,6 +92,16 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    def reset(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            raw = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError, AttributeError):
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+
     async def close(self) -> None:
         """Stop listening and end all connections."""
         if self._server is not None:
@@ -101,6 +114,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        self._writers.add(writer)
         self._count += 1
         number = self._count
         try:
@@ -115,6 +129,7 @@
             pass
         finally:
             self._tasks.discard(task)
+            self._writers.discard(writer)
             with contextlib.suppress(Exception):
                 writer.close()
 
