--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,6 +33,7 @@
         super().__init__(name, service, store)
         self.broken_off: set[str] = set()
         """Requests whose answer was broken off."""
+        self.by_request: dict[str, list[Run]] = {}
         self._faulty = faulty
         self._random = random.Random(SEED)
         self._began_at = time.monotonic()
@@ -43,6 +44,7 @@
 
     async def answer(self, request: Request, run: Run) -> bool:
         run.status = 200
+        self.by_request.setdefault(run.request, []).append(run)
         more = "Content-Type: text/event-stream\r\nConnection: close"
         request.writer.write(self.head(request, 200, more))
         breaks_off = self._breaks_off()
@@ -72,7 +74,6 @@
     ends_at = time.monotonic() + SECONDS
     counts: dict[str, int] = {}
     broken: list[str] = []
-    expected = {}
 
     async def run_client(client: int) -> None:
         number = 0
@@ -88,9 +89,12 @@
                 kind += ", but not the whole stream"
                 broken.append(name)
             counts[kind] = counts.get(kind, 0) + 1
+            runs = [run for engine in engines for run in engine.by_request.get(name, ())]
+            ran = ", ".join(f"{run.engine} ({'whole' if run.whole else 'broken off'})" for run in runs)
+            events = answer.body.count(b"id: ")
+            record.add(f"{name} to {front}: {kind}, {events} events; run by {ran}")
             if false or any(name in engine.broken_off for engine in engines):
-                runs = [run for engine in engines for run in engine.runs if run.request == name]
-                record.add(f"request {name}: {kind}, headers {answer.headers}, body {answer.body!r}")
+                record.add(f"  headers {answer.headers}, body {answer.body!r}")
                 for run in runs:
                     record.add(f"  {run}")
 
