--- a/tests/platform_adapter/soak/checker.py
+++ b/tests/platform_adapter/soak/checker.py
@@ -45,8 +45,6 @@
 """An attempt whose upstream refused the request within this time did not run."""
 MIN_RESUMED: Final = 12
 RESUMED_SHARE: Final = 0.5
-CROSSING_S: Final = 0.05
-"""An upstream may be sent a request for at most this long after another one ended, and end without reading it."""
 STATUS_OK: Final = 200
 CUSTOMER: Final = "club"
 EVACUATED_S: Final = 5.0
@@ -100,7 +98,6 @@
     DEADLINE = "its deadline passed"
     KILLED = "its daemon was killed"
     SPENT = "its last attempt was broken"
-    LAST_UNREAD = "its last attempt may have met the end of its upstream"
     UNREAD = "its daemon was gone or closing"
     LATE = "its run went on late in a leave"
     NO_SOFTWARE = "no other upstream of its software was up"
@@ -135,7 +132,6 @@
             for kill in record.kills
         ),
         Excuse.SPENT: _has_spent_attempts(seen, tried, record),
-        Excuse.LAST_UNREAD: _may_have_met_an_end(seen, tried, record),
         Excuse.UNREAD: not tried and _may_have_crossed(seen, record),
         Excuse.LATE: _is_late_in_leave(seen, record),
         Excuse.NO_SOFTWARE: bool(tried)
@@ -150,40 +146,15 @@
 
 
 def _has_spent_attempts(seen: Exchange, tried: list[Attempt], record: Record) -> bool:
-    """Return whether a request had all its attempts, and the last one was lost."""
-    counted = _list_counted(seen, tried, record)
-    return len(counted) >= MAX_ATTEMPTS[seen.route] and _was_lost(counted[-1], seen, record)
-
+    """Return whether a request had all its attempts, and the last one was lost.
 
-def _may_have_met_an_end(seen: Exchange, tried: list[Attempt], record: Record) -> bool:
-    """Return whether the last attempt may have been sent to an upstream as it ended.
-
-    No proxy reads and records such an attempt: the upstream, of the same software, ended just after
-    the one that had the attempt before.
+    Attempts that upstreams refused as not run do not count.
     """
-    counted = _list_counted(seen, tried, record)
-    if not counted or len(counted) + 1 != MAX_ATTEMPTS[seen.route]:
-        return False
-    last, software = counted[-1], _find_software(seen)
-    ends = [
-        life.until
-        for life in record.lifetimes
-        if life.upstream == last.upstream and life.since <= last.at <= life.until <= seen.ended_at
-    ]
-    return any(
-        life.since <= end <= life.until <= end + CROSSING_S
-        for life in record.lifetimes
-        for end in ends
-        if life.upstream != last.upstream and software in ("", life.software)
-    )
-
-
-def _list_counted(seen: Exchange, tried: list[Attempt], record: Record) -> list[Attempt]:
-    """Return a request's attempts without those that upstreams refused as not run."""
     refused = [
         _find_refused(each, tried) for each in record.refusals if each.request == seen.request
     ]
-    return [attempt for attempt in tried if not any(attempt is each for each in refused)]
+    counted = [attempt for attempt in tried if not any(attempt is each for each in refused)]
+    return len(counted) >= MAX_ATTEMPTS[seen.route] and _was_lost(counted[-1], seen, record)
 
 
 def _find_refused(refusal: Run, tried: list[Attempt]) -> Attempt | None:
@@ -225,17 +196,12 @@
 
 def _has_other_upstream(seen: Exchange, tried: list[Attempt], record: Record) -> bool:
     """Return whether an upstream that was not tried yet could continue a stream when it ended."""
-    software = _find_software(seen)
+    _, versions = split_software(seen.body.decode(errors="replace"))
+    software = next(iter(versions), seen.software)
     names = list_serving(record, software, seen.ended_at)
     return not software or bool(names - {attempt.upstream for attempt in tried})
 
 
-def _find_software(seen: Exchange) -> str:
-    """Return the software version that a stream goes on with, or an empty string for any."""
-    _, versions = split_software(seen.body.decode(errors="replace"))
-    return next(iter(versions), seen.software)
-
-
 def list_serving(record: Record, software: str, at: float) -> set[str]:
     """Return the upstreams of a software version that served and were not evacuated, around a time."""
     evacuated = {
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -291,32 +291,3 @@
     lives = [Lifetime("i-1", "v1", since), OTHER]
     record = Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=lives, began_at=5.0)
     assert find_promises(record) == promises
-
-
-@pytest.mark.parametrize(
-    ("second", "promises"),
-    [
-        (Lifetime("i-3", "v1", 0.0, 10.34), []),
-        (Lifetime("i-3", "v1", 0.0, 10.36), [Promise.ANSWERED]),
-        (Lifetime("i-3", "v1", 0.0, 10.29), [Promise.ANSWERED]),
-        (Lifetime("i-3", "v1", 10.305, 10.34), [Promise.ANSWERED]),
-        (Lifetime("i-3", "v2", 0.0, 10.34), [Promise.ANSWERED]),
-    ],
-    ids=["just after", "later", "before", "just started", "other software"],
-)
-def test_a_second_attempt_may_be_lost_unread_as_its_upstream_ends(
-    second: Lifetime, promises: list[Promise]
-) -> None:
-    """Guards against blaming a daemon that sent a stream to two upstreams which ended one after the other."""
-    lives = [Lifetime("i-1", "v1", 0.0, 10.3), second, OTHER]
-    assert find_promises(Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=lives)) == promises
-
-
-def test_only_a_last_attempt_may_be_lost_unread() -> None:
-    """Guards against excusing a stream that had further attempts, or whose first upstream lived on."""
-    second = Lifetime("i-3", "v1", 0.0, 10.34)
-    lives = [Lifetime("i-1", "v1", 0.0, 10.3), second, OTHER]
-    assert find_promises(Record([BEGUN], lifetimes=lives)) == [Promise.ANSWERED]
-    lives[0] = Lifetime("i-1", "v1", 0.0)
-    record = Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=lives)
-    assert find_promises(record) == [Promise.ANSWERED]
