Count requests in the soak that a proxy resets before it reads them

A prompt part crashed a stream's first upstream and 4 ms later the one at which its daemon had just resumed it; the second request was in the proxy's socket when that reset the connection. The checker counts what proxies have read, found one attempt and missed the two that excuse the cut. Change: a proxy reads what a connection has received, and what unaccepted connections have, before it resets them, and records the requests as broken attempts. The checker is as it was: it counts more attempts, not other excuses. Measured: test_proxy.py, both rows failed before (no attempt recorded) and pass.

--- a/tests/platform_adapter/soak/proxy.py
+++ b/tests/platform_adapter/soak/proxy.py
@@ -1,10 +1,12 @@
 """A TCP proxy on loopback that can delay, reset and hold connections, also in one direction only."""
 
 import asyncio
+import os
 import re
 import socket
 import struct
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -22,7 +24,9 @@
 
     near: asyncio.StreamWriter
     far: asyncio.StreamWriter
+    record_requests: Callable[[bytes, "Link"], None]
     disturbed: bool = False
+    was_reset: bool = False
     attempt: Attempt | None = None
     to_far: asyncio.Event = field(default_factory=asyncio.Event)
     to_near: asyncio.Event = field(default_factory=asyncio.Event)
@@ -42,9 +46,13 @@
 
     def reset(self) -> None:
         """Reset the connection on both sides."""
-        self.disturbed = True
+        self.disturbed = self.was_reset = True
         if self.attempt is not None:
             self.attempt.broken = True
+        if not self.near.is_closing():
+            # The near side has sent these requests, although they are lost with the connection.
+            pending = read_pending(self.near.get_extra_info("socket").fileno())
+            self.record_requests(pending, self)
         for writer in (self.near, self.far):
             raw = writer.get_extra_info("socket")
             if not writer.is_closing():
@@ -77,6 +85,8 @@
     def refuse(self) -> None:
         """Reset all open connections and refuse new ones."""
         if self._server is not None:
+            for listening in self._server.sockets:
+                self._reset_unaccepted(listening.fileno())
             self._server.close()
         # Without a socket that holds the port, another connection may take it.
         self._held = socket.socket()
@@ -117,7 +127,7 @@
         except OSError:
             near.transport.abort()
             return
-        link = Link(near, far)
+        link = Link(near, far, self._record_requests)
         link.release()
         self.links[near_port] = link
         self._open.add(link)
@@ -151,6 +161,38 @@
         writer.close()
 
     def _record_requests(self, data: bytes, link: Link) -> None:
-        for found in REQUEST_ID.findall(data):
-            link.attempt = Attempt(found.decode(), self.name, time.monotonic())
-            self.attempts.append(link.attempt)
+        added = self._add_attempts(data, broken=link.was_reset)
+        if added:
+            link.attempt = added[-1]
+
+    def _add_attempts(self, data: bytes, *, broken: bool) -> list[Attempt]:
+        now = time.monotonic()
+        names = [found.decode() for found in REQUEST_ID.findall(data)]
+        added = [Attempt(name, self.name, now, broken) for name in names]
+        self.attempts += added
+        return added
+
+    def _reset_unaccepted(self, listening: int) -> None:
+        """Reset the connections that the kernel has accepted and this process has not seen yet."""
+        with socket.socket(fileno=os.dup(listening)) as server:
+            while True:
+                try:
+                    connection, _ = server.accept()
+                except BlockingIOError:
+                    return
+                with connection:
+                    self._add_attempts(read_pending(connection.fileno()), broken=True)
+                    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+
+
+def read_pending(descriptor: int) -> bytes:
+    """Return what a socket has received and nobody has read, without waiting for more."""
+    pending = bytearray()
+    with socket.socket(fileno=os.dup(descriptor)) as connection:
+        connection.setblocking(False)
+        try:
+            while data := connection.recv(READ_BYTES):
+                pending += data
+        except OSError:
+            pass  # Nothing is left, or the other side has reset the connection.
+    return bytes(pending)
--- /dev/null
+++ b/tests/platform_adapter/soak/test_proxy.py
@@ -0,0 +1,32 @@
+"""The proxy records every request that was sent to it, also one that it resets before it reads it."""
+
+import asyncio
+import socket
+
+import pytest
+
+from tests.platform_adapter.local import make_request
+from tests.platform_adapter.soak.proxy import Proxy
+
+
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_a_request_that_is_reset_before_it_is_read_counts_as_sent(is_accepted: bool) -> None:
+    """Guards against attempts of a daemon that the soak's checker does not see."""
+
+    async def scenario() -> None:
+        target = await asyncio.start_server(lambda _, __: asyncio.sleep(10), "127.0.0.1", 0)
+        host, port = target.sockets[0].getsockname()
+        proxy = Proxy("i-0", f"{host}:{port}")
+        await proxy.async_start()
+        proxy_host, _, proxy_port = proxy.address.rpartition(":")
+        with socket.create_connection((proxy_host, int(proxy_port))) as connection:
+            if is_accepted:
+                await asyncio.sleep(0.05)
+            connection.sendall(make_request("POST", "/x", headers={"Request-Id": "r"}))
+            proxy.refuse()
+        await asyncio.sleep(0.05)
+        assert [(each.request, each.broken) for each in proxy.attempts] == [("r", True)]
+        proxy.close()
+        target.close()
+
+    asyncio.run(scenario())
