Give a customer added while its partition moves its whole burst

Cause: a coordinator hands over the buckets of the customers that it knows. One that a patch adds around that moment is not among them, or not yet known to the successor, which dropped its bucket; the successor then starts it at 0. Change: the old coordinator hands over every bucket, and whether customers without one have spent nothing; the new one keeps buckets of customers that it does not know yet.

--- a/goldcreststair/components/limits/const.py
+++ b/goldcreststair/components/limits/const.py
@@ -72,3 +72,4 @@
 
 FIRST_EPOCH: Final = 1
 """A partition's first owner has no predecessor."""
+NO_EPOCH: Final = -1
--- a/goldcreststair/components/limits/coordinator_tasks.py
+++ b/goldcreststair/components/limits/coordinator_tasks.py
@@ -107,9 +107,9 @@
         now = self._clock.now()
         if coordinator.takeover is not None:
             coordinator.takeover.renounce(session_id, now)
-        if answer.held_epoch == coordinator.epoch - 1:
-            snapshots = messages.decode_snapshots(answer)
-            self._coordinators.restore(coordinator, snapshots, self._find_customers(index), now)
+        handover = messages.decode_handover(answer)
+        if handover.epoch == coordinator.epoch - 1:
+            self._coordinators.restore(coordinator, handover, now)
             reason = "the old home handed over its buckets"
             self._core.journal.record(Subject.PARTITION, str(index), "limits ready", reason)
         return session_id
@@ -117,10 +117,8 @@
     async def _async_on_renounce(self, sender: str, message: PeerMessage) -> PeerMessage:
         customers = self._find_customers(message.partition)
         now = self._clock.now()
-        epoch, snapshots = self._coordinators.renounce(
-            message.partition, message.epoch, customers, now
-        )
-        return messages.encode_snapshots(epoch, snapshots)
+        handover = self._coordinators.renounce(message.partition, message.epoch, customers, now)
+        return messages.encode_handover(handover)
 
     async def _async_on_support(self, sender: str, message: PeerMessage) -> PeerMessage:
         return ttypes.Supported(self._coordinators.may_support(message.partition, message.epoch))
--- a/goldcreststair/components/limits/coordinators.py
+++ b/goldcreststair/components/limits/coordinators.py
@@ -7,6 +7,7 @@
 from goldcreststair.components.ledger.protocols import Ledger, Partition
 from goldcreststair.components.limits.const import (
     FIRST_EPOCH,
+    NO_EPOCH,
     STORE_LEASE_MS,
     SUCCESSOR_RESERVE,
     SUPPORTERS_RECORD,
@@ -18,11 +19,11 @@
     BucketSnapshot,
     GrantReport,
     GrantResult,
+    Handover,
 )
 from goldcreststair.components.limits.static_share import find_coordinator_allowance
 
 LEASE_EXPIRED_RETRY_MS = 1000
-NO_EPOCH = -1
 
 
 @dataclass(slots=True)
@@ -37,6 +38,11 @@
     writing_supporters: bool = False
     """Whether a write of a new set of supporters is in progress."""
     buckets: dict[str, CoordinatorBucket] = field(default_factory=dict)
+    starts_full: bool = False
+    """Whether a customer without a bucket has spent nothing: no coordinator of any epoch had one for it, and
+    each handed over completely."""
+    handed_over: dict[str, BucketSnapshot] = field(default_factory=dict)
+    """Buckets of the preceding epoch whose customers are not known here yet."""
 
     def is_ready(self, now: Millis) -> bool:
         """Return whether all older leases have ended."""
@@ -62,10 +68,13 @@
         allowance = Allowance(allowance.rate_per_s * fraction, allowance.burst * fraction)
         bucket = self.buckets.get(customer.name)
         if bucket is None:
-            level = allowance.burst if self.epoch == FIRST_EPOCH else 0.0
+            level = allowance.burst if self.starts_full else 0.0
             bucket = self.buckets[customer.name] = CoordinatorBucket(
                 allowance, self.ready_at, level
             )
+            snapshot = self.handed_over.pop(customer.name, None)
+            if snapshot is not None:
+                bucket.restore(snapshot, self.ready_at)
         if fraction < 1 and self.takeover is None:
             # Refill at the full rate must end when the store lease expired, not at the first
             # request after it: from then on a successor may already spend the reserve.
@@ -109,6 +118,7 @@
             takeover = Takeover(record.decode().split(), now)
         lease = CoordinatorLease(recorded=bool(record))
         coordinator = Coordinator(partition, partition.epoch, now, takeover, lease)
+        coordinator.starts_full = partition.epoch == FIRST_EPOCH
         self._coordinators[partition.index] = coordinator
         return coordinator
 
@@ -162,9 +172,7 @@
         granted = bucket.grant_tokens(session_id, number, wanted, now)
         return GrantResult(granted, bucket.get_retry_after(now))
 
-    def renounce(
-        self, index: int, epoch: int, customers: list[Customer], now: Millis
-    ) -> tuple[int, dict[str, BucketSnapshot]]:
+    def renounce(self, index: int, epoch: int, customers: list[Customer], now: Millis) -> Handover:
         """End every lease older than `epoch`; returns the preceding epoch and its buckets here.
 
         `NO_EPOCH` and no buckets if this VM does not have them completely.
@@ -174,31 +182,29 @@
         # Only the direct predecessor's buckets are complete, and only after its own wait. Tokens of
         # an older coordinator may have been spent since and would be admitted twice.
         if coordinator is None or coordinator.epoch != epoch - 1 or not coordinator.is_ready(now):
-            return NO_EPOCH, {}
-        snapshots = {
-            customer.name: coordinator.get_bucket(customer, now).take_snapshot(now)
-            for customer in customers
-        }
-        return coordinator.epoch, snapshots
+            return Handover(NO_EPOCH)
+        for customer in customers:
+            coordinator.get_bucket(customer, now)
+        # The successor may know customers that this VM does not know yet, or not any more.
+        snapshots = dict(coordinator.handed_over)
+        for name, bucket in coordinator.buckets.items():
+            snapshots[name] = bucket.take_snapshot(now)
+        return Handover(coordinator.epoch, snapshots, coordinator.starts_full)
 
     def may_support(self, index: int, epoch: int) -> bool:
         """Return whether no newer epoch of a partition is known here."""
         return self._min_epochs.get(index, NO_EPOCH) <= epoch
 
-    def restore(
-        self,
-        coordinator: Coordinator,
-        snapshots: dict[str, BucketSnapshot],
-        customers: list[Customer],
-        now: Millis,
-    ) -> None:
+    def restore(self, coordinator: Coordinator, handover: Handover, now: Millis) -> None:
         """End a takeover with the buckets of the old coordinator."""
         if coordinator.is_ready(now):
             return
         coordinator.takeover, coordinator.ready_at = None, now
-        for customer in customers:
-            if customer.name in snapshots:
-                coordinator.get_bucket(customer, now).restore(snapshots[customer.name], now)
+        coordinator.starts_full = handover.starts_full
+        coordinator.handed_over = dict(handover.snapshots)
+        for name, bucket in coordinator.buckets.items():
+            if name in coordinator.handed_over:
+                bucket.restore(coordinator.handed_over.pop(name), now)
 
     def _find_refusal(self, coordinator: Coordinator, now: Millis) -> GrantResult | None:
         if coordinator.find_usable_fraction(now) == 0 and coordinator.takeover is not None:
--- a/goldcreststair/components/limits/messages.py
+++ b/goldcreststair/components/limits/messages.py
@@ -1,6 +1,11 @@
 """Converts the messages of limits to models and back."""
 
-from goldcreststair.components.limits.models import BucketSnapshot, GrantReport, GrantSnapshot
+from goldcreststair.components.limits.models import (
+    BucketSnapshot,
+    GrantReport,
+    GrantSnapshot,
+    Handover,
+)
 from goldcreststair.wire.generated.limits import ttypes
 
 NUMBER_TOKEN_ASK = 20
@@ -21,21 +26,22 @@
     return tuple(GrantReport(r.number, r.spent, r.finished) for r in message.reports)
 
 
-def encode_snapshots(epoch: int, snapshots: dict[str, BucketSnapshot]) -> ttypes.Renounced:
+def encode_handover(handover: Handover) -> ttypes.Renounced:
     """Return the buckets that an old coordinator hands over, as a message."""
     buckets = []
-    for customer, bucket in snapshots.items():
+    for customer, bucket in handover.snapshots.items():
         lots = [
             ttypes.HeldLot(g.session_id, g.number, g.amount, g.spent, g.remaining_ms)
             for g in bucket.grants
         ]
         buckets.append(ttypes.HeldBucket(customer, bucket.level, lots))
-    return ttypes.Renounced(epoch, buckets)
+    return ttypes.Renounced(handover.epoch, buckets, handover.starts_full)
 
 
-def decode_snapshots(message: ttypes.Renounced) -> dict[str, BucketSnapshot]:
-    """Return the buckets in a message, by customer."""
-    return {bucket.customer: _decode_bucket(bucket) for bucket in message.buckets}
+def decode_handover(message: ttypes.Renounced) -> Handover:
+    """Return what an old coordinator hands over in a message."""
+    snapshots = {bucket.customer: _decode_bucket(bucket) for bucket in message.buckets}
+    return Handover(message.held_epoch, snapshots, bool(message.starts_full))
 
 
 def _decode_bucket(bucket: ttypes.HeldBucket) -> BucketSnapshot:
--- a/goldcreststair/components/limits/models.py
+++ b/goldcreststair/components/limits/models.py
@@ -1,6 +1,7 @@
 """Token grants, the reports about them, and the state that a coordinator hands over."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,18 @@
     grants: tuple[GrantSnapshot, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """What the coordinator of an older epoch has handed over."""
+
+    epoch: int
+    """The sender's epoch; `NO_EPOCH` if its buckets are not complete."""
+    snapshots: Mapping[str, BucketSnapshot] = field(default_factory=dict)
+    """Buckets by customer."""
+    starts_full: bool = False
+    """Whether a customer without a bucket has spent nothing."""
+
+
 @dataclass(frozen=True, slots=True)
 class Allowance:
     """A rate and a burst."""
--- a/goldcreststair/wire/limits.thrift
+++ b/goldcreststair/wire/limits.thrift
@@ -48,6 +48,8 @@
 struct Renounced {
   1: required i64 held_epoch
   2: required list<HeldBucket> buckets
+  /** Whether a customer without a bucket has spent nothing. */
+  3: optional bool starts_full
 }
 
 /** 24: a home without the store asks a supporter to extend its right. */
--- a/tests/components/limits/limit_simulation.py
+++ b/tests/components/limits/limit_simulation.py
@@ -11,6 +11,7 @@
 from goldcreststair.components.limits.const import SUPPORTERS_RECORD
 from goldcreststair.components.limits.coordinators import Coordinator, Coordinators
 from goldcreststair.components.limits.granted_tokens import GrantedTokens
+from goldcreststair.components.limits.models import Handover
 from goldcreststair.components.limits.static_share import StaticShare
 from standins.measure.excess import find_excess
 from tests.helpers.ledgers import FakePartition
@@ -212,19 +213,17 @@
         vm.tokens.accept(number, granted, self.now(vm))
 
     def _on_renounce(self, source: str, vm: Vm, epoch: int) -> None:
-        snapshots = vm.coordinators.renounce(0, epoch, [self.customer], self.now(vm))
-        self.messages.append((vm.name, source, ("renounced", epoch, *snapshots)))
+        handover = vm.coordinators.renounce(0, epoch, [self.customer], self.now(vm))
+        self.messages.append((vm.name, source, ("renounced", epoch, handover)))
 
-    def _on_renounced(
-        self, source: str, vm: Vm, epoch: int, held_epoch: int, snapshots: Any
-    ) -> None:
+    def _on_renounced(self, source: str, vm: Vm, epoch: int, handover: Handover) -> None:
         coordinator = vm.find_coordinator()
         if coordinator is None or coordinator.epoch != epoch:
             return
         if coordinator.takeover is not None:
             coordinator.takeover.renounce(source, self.now(vm))
-        if held_epoch == coordinator.epoch - 1:
-            vm.coordinators.restore(coordinator, snapshots, [self.customer], self.now(vm))
+        if handover.epoch == coordinator.epoch - 1:
+            vm.coordinators.restore(coordinator, handover, self.now(vm))
 
     def _on_support(self, source: str, vm: Vm, epoch: int, requested_at: Millis) -> None:
         if vm.coordinators.may_support(0, epoch):
--- a/tests/components/limits/test_fleet.py
+++ b/tests/components/limits/test_fleet.py
@@ -8,7 +8,7 @@
 from result import Err, Ok
 
 from goldcreststair.components import limits
-from goldcreststair.components.configuration.models import Customer
+from goldcreststair.components.configuration.models import Configuration, Customer
 from goldcreststair.components.limits.controller import LocalLimits
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.membership.models import MEMBERS, MemberState
@@ -209,3 +209,49 @@
         assert await callers.async_stream(callers.others[0], 20, 16) >= 0.99
 
     run_fleet(async_test)
+
+
+@pytest.mark.parametrize("moves", [1, 2])
+@pytest.mark.parametrize("knows_first", [None, "successor", "predecessor"])
+def test_a_customer_added_while_its_partition_moves_has_its_burst(
+    knows_first: str | None, moves: int
+) -> None:
+    """Guards against refusals of a new customer that has sent nothing.
+
+    The old coordinator hands over before it knows the customer, before the new one does, or before either does.
+    """
+
+    async def async_test(callers: Callers) -> None:
+        fleet = callers.fleet
+        index = fleet.vms[callers.coordinator].ledger.find_index(f"customer/{ACME.name}")
+        fleet.configure([])
+        successors = callers.others[:moves]
+        knowing = {"successor": successors[-1], "predecessor": callers.coordinator, None: None}
+        name = knowing[knows_first]
+        if name is not None:
+            configuration = Configuration(version=1, customers={ACME.name: ACME})
+            fleet.vms[name].configuration.write(configuration)
+        for successor in successors:
+            fleet.vms[successor].ledger.claim(index)
+            await fleet.clock.async_sleep(900)
+        fleet.configure([ACME])
+        assert await callers.async_send(callers.others[2], 40) == 40
+
+    run_fleet(async_test)
+
+
+def test_tokens_spent_before_a_change_of_coordinator_stay_spent() -> None:
+    """Guards against a second burst if the new coordinator learns of a customer after the handover."""
+
+    async def async_test(callers: Callers) -> None:
+        fleet = callers.fleet
+        index = fleet.vms[callers.coordinator].ledger.find_index(f"customer/{ACME.name}")
+        assert await callers.async_send(callers.coordinator, 40) == 40
+        successor = fleet.vms[callers.others[0]]
+        successor.configuration.write(Configuration(version=1))
+        successor.ledger.claim(index)
+        await fleet.clock.async_sleep(100)
+        fleet.configure([ACME])
+        assert await callers.async_send(callers.others[0], 40) <= 5
+
+    run_fleet(async_test)
