Pass on no answer that its upstream broke off before its first event

Cause: where no further run is allowed, an upstream's own failure is the last answer. The condition for it, an answer and nothing relayed, is met by a broken-off 200 as well. Found beside it: a resumed run answered with 400 to 499 left the caller's stream open for good; items skipped an event without a readable number and were listed as done; the receipt of a run that had sent no event stood above the events of the next. Change: upstreams/answers.py decides alone, for streams and items, whether an answer is whole, broken off or failed. A broken-off one runs elsewhere, else the caller gets 502 or the end of its connection. Why it works: every path that ends with an answer goes through this decision, and only whole and failed ones are passed on.

--- a/goldcreststair/components/forwarding/outcome_report.py
+++ b/goldcreststair/components/forwarding/outcome_report.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from result import Result
+from result import Ok, Result
 
 from goldcreststair.clock import Clock, Millis, TimerHandle
 from goldcreststair.components.discovery.models import UpstreamEntry
@@ -10,6 +10,7 @@
 from goldcreststair.components.forwarding.relay import StreamRelay
 from goldcreststair.components.placement.models import Placement, RunOutcome
 from goldcreststair.components.placement.outcomes import classify_run_end
+from goldcreststair.upstreams.answers import AnswerState
 from goldcreststair.upstreams.dialect import UpstreamLoad
 from goldcreststair.upstreams.errors import UpstreamError
 from goldcreststair.upstreams.runner import RunEnd
@@ -68,8 +69,11 @@
             self._timer.cancel()
         outcome = RunOutcome.ABORTED
         if end is not None and not self._reported:
+            broken_off = (
+                isinstance(end, Ok) and self._relay.classify(end.ok_value) is AnswerState.BROKEN_OFF
+            )
             outcome = classify_run_end(
-                end, complete=self._relay.is_complete, has_answered=self._has_answered
+                end, complete=not broken_off, has_answered=self._has_answered
             )
         first_at, first_ms = self._relay.first_event_at, None
         if first_at is not None and first_at >= self._began_at and self._finds_slot:
--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -4,10 +4,14 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.forwarding.protocols import Responder
+from goldcreststair.upstreams.answers import (
+    STATUS_OK,
+    AnswerState,
+    EventSequence,
+    classify_answer,
+)
 from goldcreststair.upstreams.dialect import RunHead, UpstreamLoad
-from goldcreststair.upstreams.events import EventSplitter
-
-STATUS_OK = 200
+from goldcreststair.upstreams.runner import RunEnd
 
 
 class StreamRelay:
@@ -27,14 +31,11 @@
         `on_begin` is called before the caller gets the head of the stream.
         """
         self.wants_chunks = True
-        self.last_event = last_event
         self.first_event_at: Millis | None = None
         self.progress_at = clock.now()
-        """When the current run last sent something."""
+        """When the current run last sent its head or an event."""
         self.has_begun = False
         """Whether the head of the stream was sent to the caller."""
-        self.run_events = 0
-        """Number of events of the current run."""
         self.run_first_at: Millis | None = None
         """When the current run sent its first event."""
         self.run_load: UpstreamLoad | None = None
@@ -48,29 +49,43 @@
         self._on_head = on_head
         self._on_data = on_data
         self._on_begin = on_begin
-        self._splitter = EventSplitter()
+        self._events = EventSequence(last_event)
         self._head: RunHead | None = None
-        self._gap = False
         self._delayed = False
         """Whether the caller has delayed the current run."""
 
     def begin_run(self) -> None:
         """Prepare for the next run; an incomplete event of the previous run is dropped."""
-        self._splitter = EventSplitter()
-        self._gap = False
-        self.run_events = 0
+        self._events = EventSequence(self.last_event)
+        if not self.has_begun:
+            self._head = None
         self.run_first_at = self.run_gap_ms = self.run_load = None
         self._delayed = False
         self.waits_for_caller = False
         self.progress_at = self._clock.now()
 
     @property
-    def is_complete(self) -> bool:
-        """Whether the current run ends with a complete event and no event is missing."""
-        return not self._gap and not self._splitter.has_partial_event
+    def last_event(self) -> int:
+        """Number of the last event that was relayed, or that the caller had before."""
+        return self._events.last_event
+
+    @property
+    def run_events(self) -> int:
+        """Number of events of the current run."""
+        return self._events.events
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether nothing that follows in the current run can continue the answer."""
+        return self._events.is_broken
+
+    def classify(self, end: RunEnd) -> AnswerState:
+        """Return whether the answer with which the current run ended is whole."""
+        events = self._events if self.wants_chunks else None
+        return classify_answer(end, events, has_begun=self.has_begun)
 
     def on_head(self, head: RunHead) -> None:
-        """Keep the head of the first success: the caller gets one head, whichever run continues."""
+        """Keep the head of the run that sends the first event: the caller gets one head."""
         self.progress_at = self._clock.now()
         self.run_load = head.load
         self._on_head(head)
@@ -79,11 +94,13 @@
 
     def on_data(self, chunk: bytes) -> Awaitable[None] | None:
         """Relay the events that this chunk completes."""
+        before = self.run_events
+        accepted = [event.raw for event in self._events.feed(chunk)]
+        if self.run_events == before:
+            return None
+        # Bytes that complete no event may go on without end.
         self.progress_at = self._clock.now()
         self._on_data()
-        accepted = [
-            event.raw for event in self._splitter.feed(chunk) if self._accept_event(event.number)
-        ]
         if not accepted:
             return None
         if self.first_event_at is None:
@@ -115,15 +132,3 @@
             self.has_begun = True
             self._on_begin()
             self._responder.begin(self._head)
-
-    def _accept_event(self, number: int) -> bool:
-        if self._gap or self._splitter.is_oversized:
-            return False
-        self.run_events += 1
-        # The number of each event gives its position, whichever run sent it. Without this check words
-        # would be missing or doubled in the caller's text after a stream is resumed elsewhere.
-        if number != self.last_event + 1:
-            self._gap = number > self.last_event + 1 or number == 0
-            return False
-        self.last_event = number
-        return True
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -36,7 +36,7 @@
     make_quarantine_refusal,
     make_turn_refusal,
 )
-from goldcreststair.components.forwarding.relay import STATUS_OK, StreamRelay
+from goldcreststair.components.forwarding.relay import StreamRelay
 from goldcreststair.components.forwarding.resumption import find_stream_key
 from goldcreststair.components.forwarding.silence_detector import (
     SilenceDetector,
@@ -56,13 +56,13 @@
 from goldcreststair.helpers.abortable import AbortableWait
 from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.helpers.retry_budget import RetryBudget
+from goldcreststair.upstreams.answers import STATUS_OK, AnswerState
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, async_run_checked
 
 _LOGGER = logging.getLogger(__name__)
 
-STATUS_FAILED = 500
 LOG_EVENTS: Final = {
     NextStep.ELSEWHERE: "Request runs elsewhere",
     NextStep.BACK: "Request goes back",
@@ -140,7 +140,8 @@
                 return
             end = await self._async_attempt(placed.ok_value)
             self._guard.leave()
-            if isinstance(end, Ok) and self._is_final(end.ok_value):
+            state = self._relay.classify(end.ok_value) if isinstance(end, Ok) else None
+            if isinstance(end, Ok) and state is AnswerState.WHOLE:
                 if end.ok_value.head.status == STATUS_OK:
                     self._crash_reports.record_whole()
                 self._finish_answered(end.ok_value)
@@ -152,7 +153,8 @@
                 self._progress, self._route, error, self._budget, remaining_ms
             )
             if next_step is NextStep.GIVE_UP:
-                if isinstance(end, Ok) and not self._relay.has_begun:
+                failed = state is AnswerState.FAILED and not self._relay.has_begun
+                if isinstance(end, Ok) and failed:
                     self._finish_answered(end.ok_value)
                 else:
                     self._finish_refused(make_final_refusal(self._progress, error))
@@ -350,11 +352,6 @@
             Feature.FLEET_RETURN, self._admitted.service
         ) or features.is_active_anywhere(Feature.BUFFER_LIMITS)
 
-    def _is_final(self, end: RunEnd) -> bool:
-        if end.head.status >= STATUS_FAILED:
-            return False
-        return end.head.status != STATUS_OK or self._relay.is_complete
-
     def _record_failure(self, placement: Placement, error: UpstreamError) -> None:
         progress = self._progress
         entry = placement.upstream
@@ -462,7 +459,7 @@
 
 
 def _make_run_error(end: RunEnd) -> UpstreamError:
-    if end.head.status >= STATUS_FAILED:
+    if end.head.status != STATUS_OK:
         message = f"upstream answered {end.head.status}"
         return UpstreamError(message, UpstreamFailure.LOST, end.head.status)
-    return UpstreamError("events are missing", UpstreamFailure.INCOMPLETE)
+    return UpstreamError("the answer was broken off", UpstreamFailure.INCOMPLETE)
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -13,12 +13,11 @@
 )
 from goldcreststair.components.jobs.registry import ItemProgress
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.upstreams.answers import AnswerState, EventSequence, classify_answer
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
-from goldcreststair.upstreams.events import EventSplitter
 from goldcreststair.upstreams.runner import RunEnd, Runner, async_run_checked
 
-STATUS_OK = 200
 CHECK_INTERVAL_MS = 200
 
 
@@ -35,18 +34,14 @@
         """Continue after the item's last event; callbacks report heads and data."""
         self.wants_chunks = True
         self.last_progress_at = clock.now()
-        self.events = 0
         self.first_event_at: Millis | None = None
         """When the run sent its first event."""
-        self.repeated = 0
-        """Events that an earlier run of the item has brought already."""
         self.timeout_factor = 1 << min(item.silent_runs, MAX_TIMEOUT_DOUBLINGS)
         self._item = item
         self._clock = clock
         self._report_head = report_head
         self._report_data = report_data
-        self._splitter = EventSplitter()
-        self._has_gap = False
+        self._sequence = EventSequence(item.last_event)
         self._closed = False
 
     def close(self) -> None:
@@ -54,9 +49,23 @@
         self._closed = True
 
     @property
-    def is_complete(self) -> bool:
-        """Whether the data ends with a complete event and no event is missing."""
-        return not self._has_gap and not self._splitter.has_partial_event
+    def events(self) -> int:
+        """Number of events of this run."""
+        return self._sequence.events
+
+    @property
+    def repeated(self) -> int:
+        """Events that an earlier run of the item has brought already."""
+        return self._sequence.repeated
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether nothing that follows in this run can continue the item's text."""
+        return self._sequence.is_broken
+
+    def classify(self, end: RunEnd) -> AnswerState:
+        """Return whether the answer with which the run ended is whole."""
+        return classify_answer(end, self._sequence)
 
     def on_head(self, head: RunHead) -> None:
         """Record the activity of the upstream, and report the head."""
@@ -67,19 +76,17 @@
         """Add the events that this piece of data completes."""
         if self._closed:
             return
-        self.last_progress_at = self._clock.now()
-        self._report_data()
-        for event in self._splitter.feed(chunk):
-            self.events += 1
-            if self.first_event_at is None:
-                self.first_event_at = self._clock.now()
-            # Events are numbered; a duplicate or missing one would corrupt the item's text.
-            if self._has_gap or event.number != self._item.last_event + 1:
-                self._has_gap = self._has_gap or event.number > self._item.last_event + 1
-                self.repeated += event.number <= self._item.last_event
-                continue
+        before = self.events
+        for event in self._sequence.feed(chunk):
             self._item.last_event = event.number
             self._item.data.append(event.data)
+        if self.events == before:
+            return
+        # Bytes that complete no event may go on without end.
+        self.last_progress_at = self._clock.now()
+        if self.first_event_at is None:
+            self.first_event_at = self.last_progress_at
+        self._report_data()
 
 
 async def async_run_item(
@@ -116,6 +123,6 @@
 def _check_events(
     end: Result[RunEnd, UpstreamError], sink: ItemSink
 ) -> Result[RunEnd, UpstreamError]:
-    if isinstance(end, Ok) and end.ok_value.head.status == STATUS_OK and not sink.is_complete:
-        return Err(UpstreamError("events are missing", UpstreamFailure.INCOMPLETE))
+    if isinstance(end, Ok) and sink.classify(end.ok_value) is AnswerState.BROKEN_OFF:
+        return Err(UpstreamError("the answer was broken off", UpstreamFailure.INCOMPLETE))
     return end
--- a/goldcreststair/upstreams/events.py
+++ b/goldcreststair/upstreams/events.py
@@ -7,6 +7,7 @@
 
 FIELD_ID: Final = b"id:"
 FIELD_DATA: Final = b"data:"
+COMMENT: Final = b":"
 EVENT_END: Final = b"\n\n"
 MAX_EVENT_BYTES: Final = 1024 * 1024
 """A longer event is treated as broken framing."""
@@ -17,7 +18,7 @@
     """One complete event."""
 
     raw: bytes
-    """The event as received, with the blank line that ends it."""
+    """The event as received, with the blank line that ends it, and with the comments before it."""
     number: int
     """The event id, which increases by one from event to event; 0 if it is missing or not a number."""
     data: bytes
@@ -32,28 +33,48 @@
     [1]
     >>> splitter.has_partial_event
     True
-    >>> [event.data for event in splitter.feed(b"ta: b\n\n")], splitter.has_partial_event
-    ([b'b'], False)
+    >>> [event.data for event in splitter.feed(b"ta: b\n\n: comment\n\n")]
+    [b'b']
+    >>> splitter.has_partial_event
+    False
     """
 
     def __init__(self) -> None:
         """Initialise with an empty buffer."""
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._comments = b""
+        """Comments since the last event."""
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether the buffer holds an incomplete event."""
-        return bool(self._buffer)
+        return bool(self._buffer.strip(b"\n"))
 
     @property
     def is_oversized(self) -> bool:
-        """Return whether the incomplete event is longer than `MAX_EVENT_BYTES`."""
-        return len(self._buffer) > MAX_EVENT_BYTES
+        """Return whether the incomplete event, with its comments, is longer than `MAX_EVENT_BYTES`."""
+        return len(self._buffer) + len(self._comments) > MAX_EVENT_BYTES
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that this chunk completes."""
-        *complete, self._buffer = (self._buffer + chunk).split(EVENT_END)
-        return [_parse_event(raw) for raw in complete]
+        found: list[StreamEvent] = []
+        # The blank line may have begun with the last byte of the buffer.
+        searched = max(0, len(self._buffer) - 1)
+        self._buffer += chunk
+        while (end := self._buffer.find(EVENT_END, searched)) >= 0:
+            raw = bytes(self._buffer[: end + len(EVENT_END)])
+            del self._buffer[: end + len(EVENT_END)]
+            searched = 0
+            if _has_fields(raw):
+                found.append(_parse_event(self._comments + raw))
+                self._comments = b""
+            else:
+                self._comments += raw
+        return found
+
+
+def _has_fields(raw: bytes) -> bool:
+    return any(line and not line.startswith(COMMENT) for line in raw.split(b"\n"))
 
 
 def _parse_event(raw: bytes) -> StreamEvent:
@@ -65,7 +86,7 @@
         elif line.startswith(FIELD_ID):
             value = _parse_value(line, FIELD_ID)
             number = parse_unsigned(value) or 0
-    return StreamEvent(raw + EVENT_END, number, b"\n".join(data))
+    return StreamEvent(raw, number, b"\n".join(data))
 
 
 def _parse_value(line: bytes, field: bytes) -> bytes:
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -36,6 +36,18 @@
     """Sends nothing more; its connections stay open."""
 
 
+@dataclass(frozen=True, slots=True)
+class BrokenAnswer:
+    """An answer with status 200 that stops before its end."""
+
+    events: int = 0
+    """Number of whole events before `rest`."""
+    rest: bytes = b""
+    """What follows them."""
+    ended_by_close: bool = True
+    """Whether it has neither a length nor chunks, so that its connection ends it."""
+
+
 @dataclass(slots=True)
 class RunEngine:
     """State and faults of one engine."""
@@ -72,6 +84,8 @@
     """Whether its answers report `pace_percent`, if it is not None."""
     fail_share: float = 0.0
     """Share of runs that are answered with status 500, evenly spread over the runs."""
+    broken: list[BrokenAnswer] = field(default_factory=list)
+    """Its next answers, in order; later ones are whole."""
     running: int = 0
     waiting: int = 0
     ran: list[RunCall] = field(default_factory=list)
@@ -217,10 +231,15 @@
         sink.on_head(head)
         if part := self._find_crash_part(call):
             return await self._async_crash(engine, call, sink, head, part)
-        if status != 200:
-            return Ok(RunEnd(head, b"failed"))
-        if not sink.wants_chunks:
-            return Ok(RunEnd(head, b"whole"))
+        if status != 200 or not sink.wants_chunks:
+            return Ok(RunEnd(head, b"failed" if status != 200 else b"whole"))
+        if engine.broken:
+            return await self._async_break_off(engine.broken.pop(0), engine, call, sink, head)
+        return await self._async_send_events(engine, call, sink, head)
+
+    async def _async_send_events(
+        self, engine: RunEngine, call: RunCall, sink: RunSink, head: RunHead
+    ) -> Result[RunEnd, UpstreamError]:
         for number in range(
             call.resume_after + 1, self.events_by_request.get(call.request_id, self.events) + 1
         ):
@@ -236,6 +255,21 @@
             await self.clock.async_sleep(engine.scale(engine.event_ms))
         return Ok(RunEnd(head, b""))
 
+    async def _async_break_off(
+        self, answer: BrokenAnswer, engine: RunEngine, call: RunCall, sink: RunSink, head: RunHead
+    ) -> Result[RunEnd, UpstreamError]:
+        first = call.resume_after + 1
+        events = [
+            make_event(call.request_id, number, engine.software)
+            for number in range(first, first + answer.events)
+        ]
+        for data in (*events, answer.rest):
+            taken = sink.on_data(data) if data else None
+            if taken is not None:
+                await taken
+            await self.clock.async_sleep(engine.scale(engine.event_ms))
+        return Ok(RunEnd(head, b"", ended_by_close=answer.ended_by_close))
+
     def _choose_status(self, engine: RunEngine, call: RunCall) -> int:
         ran = len(engine.ran)
         if int(ran * engine.fail_share) > int((ran - 1) * engine.fail_share):
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -176,6 +176,7 @@
             name,
             runs=self.record.runs,
             refusals=self.record.refusals,
+            broken_off=self.record.broken_off,
             software=software,
             crash_record=self.record.crash,
             on_crash=self._restart_crashed,
@@ -264,6 +265,7 @@
     excuses = Counter(str(excuse) for _, _, excuse in list_unanswered(record))
     print(f"without a whole answer: {dict(excuses)}")
     print(f"runs: {len(record.runs)}, items: {len(record.accepted)}")
+    print(f"broken off in the first event: {len(record.broken_off)}")
     print(f"evacuations: {len(record.evacuations)}, upgrades: {len(record.lifetimes) - ENGINES}")
     crash = join_crash_record(record)
     print(f"crashes by part: {dict(Counter(each.part for each in crash.crashes))}")
--- a/tests/platform_adapter/soak/engine.py
+++ b/tests/platform_adapter/soak/engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 import time
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
@@ -25,6 +26,9 @@
 """Events before a crash under `CRASH_AFTER_EVENTS`."""
 
 
+BREAKS_EVERY: Final = 20
+"""One request of so many is broken off, once by each upstream, in the middle of its first event."""
+CALL_PATH: Final = "/call/x"
 SOFTWARE_MARK: Final = re.compile(r" by (\S+)")
 
 
@@ -59,6 +63,8 @@
     runs: list[Run] = field(default_factory=list)
     refusals: list[Run] = field(default_factory=list)
     """Requests that it refused as not run."""
+    broken_off: list[Run] = field(default_factory=list)
+    """Requests whose answer it broke off in the middle of their first event."""
     crash_record: CrashRecord = field(default_factory=CrashRecord)
     on_crash: Callable[["SoakEngine"], None] = lambda _: None
     """Called when it ends under a prompt part."""
@@ -107,18 +113,25 @@
             if part:
                 await self._async_crash(writer, request, headers, part)
             else:
-                await self._async_run(writer, request, headers)
+                await self._async_run(writer, request, head[0].split()[1], headers)
         finally:
             run.ended_at = time.monotonic()
         return UNFRAMED_HEADER not in headers
 
     async def _async_run(
-        self, writer: asyncio.StreamWriter, request: str, headers: dict[str, str]
+        self, writer: asyncio.StreamWriter, request: str, path: str, headers: dict[str, str]
     ) -> None:
         first, software = int(headers.get("Last-Event-Id", "0")) + 1, self.software
         framed = UNFRAMED_HEADER not in headers
         framing = "Transfer-Encoding: chunked" if framed else "Connection: close"
         writer.write(make_head(200, request, framing))
+        if first == 1 and self._breaks_off(request, path):
+            self.broken_off.append(Run(request, self.name, time.monotonic()))
+            half = make_event(request, 1, software)[:-4]
+            chunks = f"{len(half):x}\r\n".encode() + half + b"\r\n0\r\n\r\n"
+            writer.write(chunks if framed else half)
+            await writer.drain()
+            return
         for number in range(first, int(headers.get(EVENTS_HEADER, "3")) + 1):
             await asyncio.sleep(int(headers.get(PAUSE_HEADER, "0")) / 1000)
             event = make_event(request, number, software)
@@ -129,6 +142,14 @@
             writer.write(b"0\r\n\r\n")
             await writer.drain()
 
+    def _breaks_off(self, request: str, path: str) -> bool:
+        # The body of a call holds no events by which it could be seen to be incomplete.
+        if path == CALL_PATH or zlib.crc32(request.encode()) % BREAKS_EVERY:
+            return False
+        return not any(
+            each.request == request for each in self.broken_off if each.upstream == self.name
+        )
+
     async def _async_crash(
         self, writer: asyncio.StreamWriter, request: str, headers: dict[str, str], part: str
     ) -> None:
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -125,6 +125,8 @@
     pauses: list[Absence] = field(default_factory=list)
     refusals: list[Run] = field(default_factory=list)
     """Requests that upstreams refused as not run."""
+    broken_off: list[Run] = field(default_factory=list)
+    """Requests whose answer an upstream broke off in the middle of its first event."""
     store_faults: list[Absence] = field(default_factory=list)
     """Disturbances of a daemon's connections to the store."""
     crash: CrashRecord = field(default_factory=CrashRecord)
