Let verdicts on upstream crashes be refuted, and blame common parts less

Cause: an answer spoke for its parts by when it began, within 1 s of a crash, and long items had begun earlier; runs that had written for seconds when a crash cut them off counted against their parts; five crashes convicted however many upstreams ran the part; and under a verdict nothing ran that could refute it, an item alone being held by its own fingerprint. Change: answers speak by when they were written, also those that crashes cut off; a crash weighs less the more of the other upstreams ran a part; answers of another software version count once the crashed one serves no more; verdicts are half-open: items run as spaced-out trials, online requests twice a day. Items are not paced after a single crash any more. Why it works: whatever convicts, one run of 1 s acquits, and there always is a next run, with a bound on when.

--- a/goldcreststair/components/batch/dispatcher.py
+++ b/goldcreststair/components/batch/dispatcher.py
@@ -278,9 +278,8 @@
             self._parts.report_answer(self._find_suspects(stream))
             return Verdict.DONE
         if outcome.err_value.failure is UpstreamFailure.LOST and not outcome.err_value.status:
-            begun = stream.first_token_ms >= 0
             suspects = self._find_suspects(stream)
-            self._parts.report_lost(self.upstream.name, suspects, begun=begun)
+            self._parts.report_lost(self.upstream.name, suspects, wrote_ms=stream.wrote_ms)
         verdict = _FAILURES.get(outcome.err_value.failure, Verdict.FAILED)
         now = self._core.clock.now()
         if verdict in (Verdict.NOT_RUN, Verdict.CRASHED):
--- a/goldcreststair/components/batch/streams.py
+++ b/goldcreststair/components/batch/streams.py
@@ -50,6 +50,13 @@
         """Time in ms left for the present run."""
         return max(0, self.started_at + ITEM_TIMEOUT_MS - self.clock.now())
 
+    @property
+    def wrote_ms(self) -> int | None:
+        """Time since the first token of the present run; None before it."""
+        if self.first_token_ms < 0:
+            return None
+        return self.clock.now() - self.started_at - self.first_token_ms
+
     def begin(self) -> None:
         """Start the clock of a run, also of one resumed after a pause."""
         self.started_at = self.clock.now()
--- a/goldcreststair/components/crash_marks/codec.py
+++ b/goldcreststair/components/crash_marks/codec.py
@@ -43,13 +43,25 @@
 def encode_report(report: CrashReport, age_ms: int) -> LostRuns:
     """Encode a report of a crash that was seen `age_ms` ago."""
     suspects, begun = join_suspects(report.suspects), join_suspects(report.begun)
-    return LostRuns(report.crash, report.software, suspects, age_ms, begun or None)
+    elsewhere = report.elsewhere
+    return LostRuns(
+        report.crash,
+        report.software,
+        suspects,
+        age_ms,
+        begun or None,
+        report.others or None,
+        b"".join(elsewhere) or None,
+        list(elsewhere.values()) or None,
+    )
 
 
 def decode_report(raw: LostRuns) -> CrashReport:
     """Decode a report of a crash."""
     suspects, begun = split_suspects(raw.suspects), split_suspects(raw.begun or b"")
-    return CrashReport(raw.crash, raw.software, suspects, begun, max(0, raw.age_ms))
+    pairs = zip(iterate_suspects(raw.elsewhere or b""), raw.elsewhere_counts or (), strict=False)
+    age_ms, others = max(0, raw.age_ms), max(0, raw.others or 0)
+    return CrashReport(raw.crash, raw.software, suspects, begun, age_ms, others, dict(pairs))
 
 
 def encode_answers(software: int, ages_ms: Mapping[Suspect, int]) -> AnsweredSuspects:
--- a/goldcreststair/components/crash_marks/const.py
+++ b/goldcreststair/components/crash_marks/const.py
@@ -7,9 +7,6 @@
 """Runs that end in the same crash are reported within this time; later ones are added to its report."""
 CONTACT_MS: Final = 1_000
 """A VM that has heard neither the store nor another VM for this long cannot tell a crash from its own cut."""
-SOUND_MS: Final = 1_000
-"""An answer that has gone on for this long shows that its request does not crash upstreams, as a whole one
-does."""
 MAX_LOGGED_RUNS: Final = 16
 """Most lost runs that the log line of a crash describes."""
 
--- a/goldcreststair/components/crash_marks/gossip.py
+++ b/goldcreststair/components/crash_marks/gossip.py
@@ -80,7 +80,10 @@
         known, at = self._reports.pop(report.crash, (report, since))
         suspects = known.suspects | report.suspects
         begun = (known.begun | report.begun) - suspects
-        merged = CrashReport(report.crash, report.software, suspects, begun)
+        others, elsewhere = known.others, {**report.elsewhere, **known.elsewhere}
+        merged = CrashReport(
+            report.crash, report.software, suspects, begun, others=others, elsewhere=elsewhere
+        )
         self._reports[report.crash] = merged, at
         while len(self._reports) > MAX_REPORTS_IN_BEACON:
             self._reports.popitem(last=False)
--- a/goldcreststair/components/crash_marks/guard.py
+++ b/goldcreststair/components/crash_marks/guard.py
@@ -6,6 +6,7 @@
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.crash_marks.const import MAX_TURN_WAIT_MS, TURN_POLL_MS
 from goldcreststair.components.crash_marks.models import Turn
+from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.helpers.crash_evidence import Suspects
 
 
@@ -15,11 +16,11 @@
     async def async_load(self, suspects: Suspects) -> None:
         """Wait for the stored verdicts, for a short time, if a request may need them."""
 
-    def is_refused(self, suspects: Suspects) -> bool:
-        """Return whether a request must not run."""
+    def choose_turn(self, suspects: Suspects, *, can_wait: bool) -> Turn:
+        """Return whether a request may run now."""
 
-    def is_busy(self, suspects: Suspects) -> bool:
-        """Return whether a request has to wait for another one with the same suspect."""
+    def is_refused(self, suspects: Suspects) -> bool:
+        """Return whether a verdict refuses a request."""
 
     def is_suspected(self, suspects: Suspects) -> bool:
         """Return whether several crashes have a suspect of this request in common."""
@@ -30,6 +31,9 @@
     def leave(self, guard: "RequestGuard") -> None:
         """Record that a run of a request has ended."""
 
+    def report_answer(self, entry: UpstreamEntry, suspects: Suspects, wrote_at: Millis) -> None:
+        """Report an answer that shows that its request crashes no upstream."""
+
 
 class RequestGuard:
     """The guard of one request; `leave` after each run, also when the request ends."""
@@ -40,33 +44,42 @@
         running: RunningSuspects,
         suspects: Suspects,
         on_refused: Callable[[], None],
+        *,
+        can_wait: bool = False,
     ) -> None:
-        """Guard a request; `on_refused` is called if a verdict falls while it waits or runs."""
+        """Guard a request; `on_refused` is called if a verdict falls while it waits or runs.
+
+        One that `can_wait` is a batch item, which is owed however often upstreams crash under it.
+        """
         self.suspects = suspects
         self.on_refused = on_refused
+        self.upstream: UpstreamEntry | None = None
+        """The upstream of the current run."""
+        self.wrote_at: Millis | None = None
+        """When the current run last wrote, once that shows that the request crashes no upstream."""
         self._clock = clock
         self._running = running
+        self._can_wait = can_wait
         self._entered = False
+        self._is_trial = False
 
     @property
     def is_refused(self) -> bool:
         """Whether the request must not run, or run on."""
-        return self._running.is_refused(self.suspects)
+        return not self._is_trial and self._running.is_refused(self.suspects)
 
     @property
     def is_suspected(self) -> bool:
         """Whether the request should run where its crash would end little other work."""
-        return self._running.is_suspected(self.suspects)
+        return self._is_trial or self._running.is_suspected(self.suspects)
 
     def try_enter(self) -> Turn:
         """Take a turn if the request may run now."""
-        if self.is_refused:
-            return Turn.REFUSED
-        if self._running.is_busy(self.suspects):
-            return Turn.BUSY
-        self._entered = True
-        self._running.enter(self)
-        return Turn.READY
+        turn = self._running.choose_turn(self.suspects, can_wait=self._can_wait)
+        if turn in (Turn.READY, Turn.TRIAL):
+            self._entered, self._is_trial = True, turn is Turn.TRIAL
+            self._running.enter(self)
+        return turn
 
     async def async_enter(self, ends_at: Millis) -> Turn:
         """Take a turn; waits for a short time, at most until `ends_at`, while the request may not run yet."""
@@ -76,8 +89,19 @@
             await self._clock.async_sleep(TURN_POLL_MS)
         return turn
 
+    def begin_run(self, entry: UpstreamEntry) -> None:
+        """Record the upstream at which the run begins."""
+        self.upstream, self.wrote_at = entry, None
+
+    def record_sound(self, wrote_at: Millis) -> None:
+        """Record that the answer of the current run is whole, or that it goes on after a long time."""
+        is_first, self.wrote_at = self.wrote_at is None, wrote_at
+        if is_first and self.upstream is not None:
+            self._running.report_answer(self.upstream, self.suspects, wrote_at)
+
     def leave(self) -> None:
         """End the turn; does nothing if none was taken."""
         if self._entered:
-            self._entered = False
+            self._entered = self._is_trial = False
+            self.upstream = self.wrote_at = None
             self._running.leave(self)
--- a/goldcreststair/components/crash_marks/models.py
+++ b/goldcreststair/components/crash_marks/models.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from goldcreststair.helpers.crash_evidence import Suspects
+from goldcreststair.helpers.crash_evidence import SOUND_MS, Suspects
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,12 +18,21 @@
     """Names of the prompt's parts in order; the last part belongs to this request alone."""
     events: int
     """Number of events that the run had returned."""
+    wrote_ms: int = 0
+    """Time from its first to its last event."""
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether it had gone on for longer than a request runs that crashes upstreams."""
+        return self.wrote_ms > SOUND_MS
 
 
 class Turn(StrEnum):
     """Whether a request may run now."""
 
     READY = "ready"
+    TRIAL = "trial"
+    """It is refused, but may run as a trial that can refute the verdict."""
     REFUSED = "refused"
     """It crashes the upstreams that run it."""
     BUSY = "busy"
--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -9,6 +9,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Final
 
@@ -26,13 +27,19 @@
     MAX_LOGGED_RUNS,
     RELAYED_SETTLE_MS,
     SETTLE_MS,
+    TABLE,
     UPDATE_MS,
 )
 from goldcreststair.components.crash_marks.gossip import CrashGossip
 from goldcreststair.components.crash_marks.guard import RequestGuard
-from goldcreststair.components.crash_marks.models import LostRun
+from goldcreststair.components.crash_marks.models import LostRun, Turn
 from goldcreststair.components.crash_marks.verdict_rows import VerdictRows
-from goldcreststair.components.discovery.models import UpstreamEntry
+from goldcreststair.components.discovery.models import (
+    LIVE_UPSTREAMS,
+    LiveUpstreams,
+    UpstreamEntry,
+)
+from goldcreststair.components.fleet.models import FLEET
 from goldcreststair.components.fleet.peer_requests import PeerRequestKind
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, hash_name
 from goldcreststair.components.placement.service import PLACEMENT
@@ -52,6 +59,7 @@
     decode_verdict,
     encode_verdict,
 )
+from goldcreststair.helpers.rendezvous import score
 from goldcreststair.upstreams.runner import CONNECT_TIMEOUT_MS
 from goldcreststair.wire.generated.gateway.ttypes import Beacon
 
@@ -66,14 +74,17 @@
         self._core = core
         self._clock = core.clock
         self._links = core.get(FLEET_LINKS)
-        self._evidence = CrashEvidence(core.clock)
+        self._evidence = CrashEvidence(core.clock, self._is_served)
+        self._live = LiveUpstreams()
+        self._served: frozenset[int] = frozenset()
+        """Software versions of the upstreams in `_live` that may get work."""
         self._verdicts = Verdicts(core.clock, self._evidence)
         self._gossip = CrashGossip(core.clock, self._verdicts, self._list_probing, self)
         self._rows = VerdictRows(core, self._on_stored)
         self._guards: set[RequestGuard] = set()
         self._running: Counter[Suspect] = Counter()
         """Number of requests that run here, by suspect."""
-        self._lost: dict[str, list[LostRun]] = {}
+        self._lost: dict[str, _LostRuns] = {}
         """By upstream, the runs that were just lost."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._differs_since: Millis | None = None
@@ -94,9 +105,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._rows.async_close()
 
-    def open_guard(self, suspects: Suspects, on_refused: Callable[[], None]) -> RequestGuard:
-        """Return a guard for one request; `on_refused` is called if a verdict falls during its turn."""
-        return RequestGuard(self._clock, self, suspects, on_refused)
+    def open_guard(
+        self, suspects: Suspects, on_refused: Callable[[], None], *, can_wait: bool = False
+    ) -> RequestGuard:
+        """Return a guard for one request, as described there."""
+        return RequestGuard(self._clock, self, suspects, on_refused, can_wait=can_wait)
 
     async def async_load(self, suspects: Suspects) -> None:
         """Wait for the stored verdicts, for a short time, if a request may need them."""
@@ -110,22 +123,52 @@
         self._rows.schedule_read()
         return True
 
+    def choose_turn(self, suspects: Suspects, *, can_wait: bool = False) -> Turn:
+        """Return whether a request may run now."""
+        if not self.is_refused(suspects):
+            return Turn.BUSY if self._is_busy(suspects) else Turn.READY
+        return Turn.TRIAL if self._may_try(suspects, can_wait=can_wait) else Turn.REFUSED
+
+    def must_refuse(self, suspects: Suspects) -> bool:
+        """Return whether an online request must not run, not even as a trial."""
+        return self.is_refused(suspects) and not self._may_try(suspects, can_wait=False)
+
     def is_refused(self, suspects: Suspects) -> bool:
-        """Return whether a request must not run."""
+        """Return whether a verdict refuses a request."""
         return self._verdicts.find(suspects) is not None
 
+    def _may_try(self, suspects: Suspects, *, can_wait: bool) -> bool:
+        """Return whether a refused request may run as a trial, one at a time in the whole fleet."""
+        verdicts = self._verdicts.find_all(suspects)
+        if can_wait:
+            is_due = self._verdicts.may_try_item(suspects)
+        else:
+            is_due = self._verdicts.may_try_online(suspects) and self._tries_online(verdicts)
+        if not verdicts or not is_due:
+            return False
+        named = frozenset[Suspect]().union(*verdicts)
+        lost = any(named & run.suspects for lost in self._lost.values() for run in lost.runs)
+        runs_here = any(self._running[each] for each in named)
+        return not (lost or runs_here or self._gossip.is_probed_elsewhere(named))
+
+    def _tries_online(self, verdicts: list[Suspects]) -> bool:
+        """Return whether this VM is the one that may run online trials of some verdicts."""
+        sessions = self._core.blackboard.read(FLEET).vms
+        return all(
+            max(sessions, key=lambda session: score(session, TABLE, name), default="")
+            == self._core.session_id
+            for name in map(encode_verdict, verdicts)
+        )
+
     def is_suspected(self, suspects: Suspects) -> bool:
         """Return whether several crashes have a suspect of this request in common."""
         return bool(self._verdicts.list_suspected(suspects))
 
-    def is_busy(self, suspects: Suspects, *, can_wait: bool = False) -> bool:
-        """Return whether a request has to wait for another one with the same suspect.
-
-        One that `can_wait` does so after a single crash.
-        """
+    def _is_busy(self, suspects: Suspects) -> bool:
+        """Return whether a request has to wait for another one with the same suspect."""
         if self._verdicts.is_empty:
             return False
-        suspected = self._verdicts.list_suspected(suspects, can_wait=can_wait)
+        suspected = self._verdicts.list_suspected(suspects)
         # A run that was just lost may be one more crash.
         unconfirmed = self._list_unconfirmed(suspects)
         if self._verdicts.is_pending(suspects) or unconfirmed & suspected:
@@ -137,14 +180,14 @@
     def _list_unconfirmed(self, suspects: Suspects) -> Suspects:
         """Return those suspects of earlier crashes whose runs were just lost here."""
         known = (each for each in suspects if self._verdicts.count(each))
-        lost = [run.suspects for runs in self._lost.values() for run in runs]
+        lost = [run.suspects for lost in self._lost.values() for run in lost.runs]
         return frozenset(each for each in known if any(each in found for found in lost))
 
     def enter(self, guard: RequestGuard) -> None:
         """Record that a request is about to run."""
         self._guards.add(guard)
         self._running.update(guard.suspects)
-        if self._verdicts.list_suspected(guard.suspects):
+        if self._list_probed(guard.suspects):
             self._links.schedule_beacon()
 
     def leave(self, guard: RequestGuard) -> None:
@@ -155,11 +198,20 @@
             if not self._running[suspect]:
                 del self._running[suspect]
 
-    def report_answer(self, entry: UpstreamEntry, suspects: Suspects, began_at: Millis) -> None:
-        """Report that an upstream has answered a request; `began_at` is the time of its first event."""
-        if self._evidence.record_answer(suspects, _hash_software(entry), began_at):
-            self._announce_answers(suspects)
-            self._update()
+    def report_answer(self, entry: UpstreamEntry, suspects: Suspects, wrote_at: Millis) -> None:
+        """Report an answer that shows that its request crashes no upstream; `wrote_at` is its last event's time."""
+        software = _hash_software(entry)
+        clears = self._evidence.record_answer(suspects, software, wrote_at)
+        if self.is_refused(suspects):
+            # VMs that took the verdict over know none of its crashes, which such an answer would clear.
+            named = self._verdicts.list_named(suspects)
+            ages_ms = dict.fromkeys(named, self._clock.now() - wrote_at)
+            self._gossip.announce_answers(Answers(software, ages_ms))
+            self._links.schedule_beacon()
+        elif not clears:
+            return
+        self._announce_answers(suspects)
+        self._update()
 
     def _announce_answers(self, suspects: Suspects) -> None:
         untold = self._evidence.list_untold(suspects)
@@ -168,16 +220,36 @@
         if untold:
             self._links.schedule_beacon()
 
+    def _record_running(self, suspects: Suspects) -> None:
+        """Record the answers that speak for some suspects and are still being written here."""
+        for guard in self._guards:
+            if guard.wrote_at is None or guard.upstream is None:
+                continue
+            if guard.suspects & suspects:
+                software = _hash_software(guard.upstream)
+                self._evidence.record_answer(guard.suspects, software, guard.wrote_at)
+
     def report_lost_run(self, entry: UpstreamEntry, run: LostRun) -> None:
         """Report a run whose connection broke or that went silent."""
         if entry.name in self._lost:
-            self._lost[entry.name].append(run)
+            self._lost[entry.name].runs.append(run)
             return
-        self._lost[entry.name] = [run]
+        self._lost[entry.name] = _LostRuns([run], self._list_running_elsewhere(entry))
         task = asyncio.create_task(self._async_check_upstream(entry))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _list_running_elsewhere(self, entry: UpstreamEntry) -> list[Suspects]:
+        """Return what runs at each other upstream of a service that this VM uses."""
+        running: dict[str, Suspects] = {}
+        for guard in self._guards:
+            upstream = guard.upstream
+            if upstream is None or upstream.service != entry.service:
+                continue
+            if upstream.name != entry.name:
+                running[upstream.name] = running.get(upstream.name, frozenset()) | guard.suspects
+        return list(running.values())
+
     async def _async_check_upstream(self, entry: UpstreamEntry) -> None:
         await self._clock.async_sleep(COLLECT_MS)
         seen_at = self._clock.now()
@@ -190,12 +262,16 @@
         self._core.get(PLACEMENT).controller.upstreams.mark_interrupted(entry.name)
         if self._links.read_contact_age_ms() > CONTACT_MS:
             return
-        self._log_crash(entry, lost)
-        every = frozenset[Suspect]().union(*(run.suspects for run in lost))
-        suspects = frozenset[Suspect]().union(*(run.suspects for run in lost if not run.events))
+        self._log_crash(entry, lost.runs)
         age_ms = self._clock.now() - seen_at + COLLECT_MS
-        crash, software = _hash_crash(entry), _hash_software(entry)
-        report = CrashReport(crash, software, suspects, every - suspects, age_ms)
+        software = _hash_software(entry)
+        for run in lost.runs:
+            if run.is_sound:
+                wrote_at = Millis(seen_at - COLLECT_MS)
+                self._evidence.record_answer(run.suspects, software, wrote_at)
+        report = lost.make_report(_hash_crash(entry), software, age_ms)
+        if not (report.suspects or report.begun):
+            return
         self.on_report(report)
         self._gossip.announce_report(report)
         self._links.schedule_beacon()
@@ -220,14 +296,16 @@
             return
         if not self._rows.is_loaded:
             self._rows.schedule_read()
+        self._record_running(report.suspects | report.begun)
         self._announce_answers(report.suspects | report.begun)
-        self._apply(self._verdicts.renew(report))
+        self._apply(self._verdicts.record_crash(report))
         self._update()
         self._clock.call_later(self._read_settle_ms() + 1, self._update)
 
     def on_answers(self, answers: Answers) -> None:
         """Handle answers that another daemon relayed."""
-        if self._evidence.record_shared(answers):
+        clears = self._evidence.record_shared(answers)
+        if clears or self._verdicts.list_named(answers.ages_ms):
             self._update()
 
     def on_released(self, suspects: Suspects) -> None:
@@ -241,6 +319,15 @@
     def _on_stored(self, suspects: Suspects, left_ms: int) -> None:
         self._apply(self._verdicts.learn(suspects, left_ms))
 
+    def _is_served(self, software: int) -> bool:
+        """Return whether an upstream that may get work runs a software version."""
+        live = self._core.blackboard.read(LIVE_UPSTREAMS)
+        if live is not self._live:
+            self._live = live
+            entries = live.by_name.values()
+            self._served = frozenset(_hash_software(e) for e in entries if not e.draining)
+        return not self._served or software in self._served
+
     def _read_settle_ms(self) -> int:
         return SETTLE_MS if self._links.has_mesh() else RELAYED_SETTLE_MS
 
@@ -269,10 +356,11 @@
                     guard.on_refused()
 
     def _list_probing(self) -> Suspects:
-        """Return the suspects of several crashes that run here now."""
-        if not self._verdicts.has_suspected:
-            return frozenset()
-        return self._verdicts.list_suspected(frozenset(self._running), can_wait=True)
+        """Return the suspects of several crashes, or of a verdict, that run here now."""
+        return self._list_probed(frozenset(self._running))
+
+    def _list_probed(self, suspects: Suspects) -> Suspects:
+        return self._verdicts.list_suspected(suspects) | self._verdicts.list_named(suspects)
 
     def _contribute(self, beacon: Beacon) -> None:
         if not self._verdicts.is_empty and self._clock.now() - self._updated_at > UPDATE_MS:
@@ -323,6 +411,24 @@
         return encode_all(self._verdicts.list_all())
 
 
+@dataclass(frozen=True, slots=True)
+class _LostRuns:
+    """Runs that were lost with one upstream."""
+
+    runs: list[LostRun]
+    elsewhere: list[Suspects]
+    """What this VM ran at each other upstream of the service at that moment."""
+
+    def make_report(self, crash: bytes, software: int, age_ms: int) -> CrashReport:
+        """Return what may have caused the crash: runs that had not written for long."""
+        blamed = [run for run in self.runs if not run.is_sound]
+        every = frozenset[Suspect]().union(*(run.suspects for run in blamed))
+        suspects = frozenset[Suspect]().union(*(run.suspects for run in blamed if not run.events))
+        counts = Counter(each for running in self.elsewhere for each in running & every)
+        others = len(self.elsewhere)
+        return CrashReport(crash, software, suspects, every - suspects, age_ms, others, counts)
+
+
 def _hash_crash(entry: UpstreamEntry) -> bytes:
     """Return what identifies a crash, for all VMs: one upstream crashes once between two starts."""
     name = f"{entry.name}:{entry.started_ms}"
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -118,7 +118,7 @@
         self._relay.wants_chunks = admitted.route.kind is CallKind.STREAMING
         tracker = core.get(CRASH_TRACKER)
         self._guard = tracker.open_guard(admitted.suspects, self._on_refused)
-        self._crash_reports = CrashReports(tracker, core.clock, admitted, self._relay)
+        self._crash_reports = CrashReports(tracker, self._guard, core.clock, admitted, self._relay)
         self._wait = AbortableWait()
 
     async def async_run(self) -> None:
@@ -139,13 +139,13 @@
                 self._finish_refused(placed.err_value)
                 return
             end = await self._async_attempt(placed.ok_value)
-            self._guard.leave()
             state = self._relay.classify(end.ok_value) if isinstance(end, Ok) else None
             if isinstance(end, Ok) and state is AnswerState.WHOLE:
                 if end.ok_value.head.status == STATUS_OK:
                     self._crash_reports.record_whole()
                 self._finish_answered(end.ok_value)
                 return
+            self._guard.leave()
             error = end.err_value if isinstance(end, Err) else _make_run_error(end.ok_value)
             self._record_failure(placed.ok_value, error)
             remaining_ms = self._remaining_ms()
@@ -168,7 +168,7 @@
         may_have_run = self._progress.may_have_run
         if turn is Turn.BUSY:
             return Err(make_turn_refusal(may_have_run=may_have_run))
-        if turn is Turn.READY:
+        if turn in (Turn.READY, Turn.TRIAL):
             placed = await self._async_place(next_step)
             if not self._guard.is_refused:
                 return placed
@@ -273,7 +273,7 @@
         )
         self._relay.begin_run()
         self._placement.begin(entry.name)
-        self._crash_reports.begin_run(entry)
+        self._guard.begin_run(entry)
         began_at = self._clock.now()
         run = asyncio.ensure_future(
             async_run_checked(self._core.runner, entry.address, call, self._relay)
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -165,7 +165,7 @@
         name = customer.name if customer is not None else ""
         fingerprint = make_call_fingerprint(name, request.method, request.target, request.body)
         suspects = list_suspects(fingerprint, request.prompt_parts)
-        if self._crash_tracker.is_refused(suspects):
+        if self._crash_tracker.must_refuse(suspects):
             return Err(make_quarantine_refusal(may_have_run=False))
         ends_at = find_deadline(request, route)
         if not self._can_finish(route, ends_at):
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -36,9 +36,7 @@
 """A route that has been missing for so long counts as removed; before that, the catalogue version
 that adds it may still be on its way to this daemon."""
 SUSPECT_PAUSE_MS: Final = 200
-"""Pause before an item is looked at again while another request with the same suspect of crashes runs."""
-POISON_PAUSE_MS: Final = 5_000
-"""Interval at which an item that crashes upstreams is checked again."""
+"""Pause before an item is looked at again that may not run now, as upstreams crashed under it or its like."""
 HOLD_RETRY_MS: Final = 100
 """Interval at which an item looks for a free slot of the software that began it, while others have
 slots."""
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -11,15 +11,13 @@
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Route
 from goldcreststair.components.catalogue.regions import Regions, find_request_regions
-from goldcreststair.components.crash_marks.const import SOUND_MS
 from goldcreststair.components.crash_marks.guard import RequestGuard
-from goldcreststair.components.crash_marks.models import LostRun
+from goldcreststair.components.crash_marks.models import LostRun, Turn
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.jobs.const import (
     EXPIRY_MARGIN_MS,
     LATE_FREE_SHARE,
-    POISON_PAUSE_MS,
     ROUTE_GONE_MS,
     RUN_TIMEOUT_MS,
     STARTS_PER_TICK,
@@ -52,7 +50,7 @@
 from goldcreststair.components.requests.admission import choose_service
 from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.helpers.crash_evidence import Suspects, list_suspects
+from goldcreststair.helpers.crash_evidence import SOUND_MS, Suspects, list_suspects
 from goldcreststair.helpers.fingerprints import make_call_fingerprint
 from goldcreststair.upstreams.dialect import RunCall
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
@@ -86,8 +84,6 @@
     """Last event of the item when this run began."""
     sink: ItemSink | None = None
     guard: RequestGuard | None = None
-    reported: bool = False
-    """Whether it has shown that its item crashes no upstream."""
     task: "asyncio.Task[Result[RunEnd, UpstreamError]] | None" = None
     ended: bool = False
 
@@ -229,7 +225,7 @@
             return False
         if self._must_pause(job, item):
             return True
-        entry = self._find_slot(service, regions, item, late=ranked.late)
+        entry = self._find_slot(service, regions, job, item, late=ranked.late)
         if entry is None and self._continuation.is_held(job, item, regions):
             return True
         if entry is None:
@@ -247,14 +243,12 @@
     def _must_pause(self, job: OwnedJob, item: ItemProgress) -> bool:
         """Return whether an item may not run for now, as it may crash upstreams."""
         tracker, suspects = self._core.get(CRASH_TRACKER), self._find_suspects(job, item)
-        if tracker.is_refused(suspects):
-            # The item waits until it expires: the upstreams that it crashes run other items, too.
-            item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
-            return True
-        if tracker.is_loading(suspects) or tracker.is_busy(suspects, can_wait=True):
-            item.not_before = Millis(self._clock.now() + SUSPECT_PAUSE_MS)
-            return True
-        return False
+        if not tracker.is_loading(suspects):
+            turn = tracker.choose_turn(suspects, can_wait=True)
+            if turn in (Turn.READY, Turn.TRIAL):
+                return False
+        item.not_before = Millis(self._clock.now() + SUSPECT_PAUSE_MS)
+        return True
 
     def _find_suspects(self, job: OwnedJob, item: ItemProgress) -> Suspects:
         if item.suspects is None:
@@ -279,13 +273,17 @@
         return now - job.route_missing_since >= ROUTE_GONE_MS
 
     def _find_slot(
-        self, service: str, regions: Regions, item: ItemProgress, *, late: bool
+        self, service: str, regions: Regions, job: OwnedJob, item: ItemProgress, *, late: bool
     ) -> UpstreamEntry | None:
         """Return an upstream with a slot that an item may take now, or None."""
         if not self._may_start_another(service):
             return None
         software = item.origin.software_version if item.origin is not None else None
-        entry = self._placement.controller.batch.choose(service, regions, software)
+        tracker, suspects = self._core.get(CRASH_TRACKER), self._find_suspects(job, item)
+        # A crash ends all other work at its upstream.
+        idlest = tracker.is_refused(suspects) or tracker.is_suspected(suspects)
+        batch = self._placement.controller.batch
+        entry = batch.choose(service, regions, software, idlest=idlest)
         if entry is None or not self._placement.has_connections(entry):
             return None
         return None if late and not self._may_start_late(service) else entry
@@ -305,8 +303,9 @@
         if not run.item.last_event:
             run.item.origin = self._find_origin(run.upstream)
         tracker, suspects = self._core.get(CRASH_TRACKER), self._find_suspects(run.job, run.item)
-        run.guard = tracker.open_guard(suspects, lambda: self._on_refused(run))
+        run.guard = tracker.open_guard(suspects, lambda: self._on_refused(run), can_wait=True)
         run.guard.try_enter()
+        run.guard.begin_run(run.upstream)
         self._runs[run] = None
         self._placement.begin(name, run.runs)
         sink = run.sink = ItemSink(
@@ -323,9 +322,8 @@
 
     def _on_data(self, run: _Run) -> None:
         self._placement.controller.upstreams.record_progress(run.upstream.name)
-        began_at = run.sink.first_event_at if run.sink is not None else None
-        if not run.reported and began_at is not None and self._clock.now() - began_at > SOUND_MS:
-            self._report_answer(run)
+        if run.guard is not None and _read_wrote_ms(run) > SOUND_MS:
+            run.guard.record_sound(self._clock.now())
 
     def _find_origin(self, entry: UpstreamEntry) -> StreamOrigin | None:
         """Return the software that an upstream certainly runs, or None."""
@@ -348,7 +346,7 @@
         if run.sink is None or run.sink.events:
             return
         self._stop_run(run)
-        run.item.not_before = Millis(self._clock.now() + POISON_PAUSE_MS)
+        run.item.not_before = Millis(self._clock.now() + SUSPECT_PAUSE_MS)
         self._log(run.job, run.item, "stopped", "it crashes upstreams", run.upstream.name)
 
     def _stop_run(self, run: _Run) -> None:
@@ -405,7 +403,8 @@
             return
         done = verdict.verdict is Verdict.DONE
         if done:
-            self._report_answer(run)
+            suspects = self._find_suspects(job, item)
+            self._core.get(CRASH_TRACKER).report_answer(run.upstream, suspects, self._clock.now())
             run_ms = self._clock.now() - run.began_at
             self._estimate.learn(item, item.last_event - run.first_event, run_ms)
         text = b"\n".join(item.data) if done else b""
@@ -431,17 +430,10 @@
     def _report_lost(self, run: _Run) -> None:
         spec, events = run.item.spec, run.item.last_event - run.first_event
         parts = self._core.adapter.submission_reader.read_prompt_parts(spec)
-        lost = LostRun(spec.item_id, self._find_suspects(run.job, run.item), parts, events)
+        suspects, wrote_ms = self._find_suspects(run.job, run.item), _read_wrote_ms(run)
+        lost = LostRun(spec.item_id, suspects, parts, events, wrote_ms)
         self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, lost)
 
-    def _report_answer(self, run: _Run) -> None:
-        """Report that nothing about an item crashes upstreams: its answer is whole, or has gone on."""
-        suspects = self._find_suspects(run.job, run.item)
-        began_at = run.sink.first_event_at if run.sink is not None else None
-        if began_at is not None:
-            run.reported = True
-            self._core.get(CRASH_TRACKER).report_answer(run.upstream, suspects, began_at)
-
     def _finish(
         self, job: OwnedJob, item: ItemProgress, result: ItemResult, reason: str, upstream: str = ""
     ) -> None:
@@ -484,6 +476,13 @@
     return classify_run_end(task.result(), complete=True, has_answered=has_answered)
 
 
+def _read_wrote_ms(run: _Run) -> int:
+    """Return the time from the first to the last event of a run."""
+    if run.sink is None or run.sink.first_event_at is None:
+        return 0
+    return run.sink.last_progress_at - run.sink.first_event_at
+
+
 def _describe(end: Result[RunEnd, UpstreamError]) -> str:
     if isinstance(end, Err):
         return end.err_value.message
--- a/goldcreststair/components/online/generation.py
+++ b/goldcreststair/components/online/generation.py
@@ -166,9 +166,10 @@
     ) -> Result[GenerateEnd, UpstreamError]:
         run.recorder.begin_run()
         run.progress.attempts += 1
-        began = self._clock.now()
+        began, run.first_token_at = self._clock.now(), None
 
         def on_first() -> None:
+            run.first_token_at = self._clock.now()
             self._meter.record_first_token(upstream.name, self._clock.now() - began)
 
         sink = _FirstTokenSink(run.recorder, on_first)
@@ -204,7 +205,10 @@
             self._router.mark_refused(upstream.name, run.request.model)
         if error.failure is UpstreamFailure.LOST and not error.status:
             self._quarantine.report_crash(upstream.name, run.request.request_id)
-            self._quarantine.parts.report_lost(upstream.name, run.suspects, begun=has_begun)
+            wrote_ms = None
+            if has_begun and run.first_token_at is not None:
+                wrote_ms = self._clock.now() - run.first_token_at
+            self._quarantine.parts.report_lost(upstream.name, run.suspects, wrote_ms=wrote_ms)
         remaining = run.deadline_at - self._clock.now()
         step = decide_next(
             progress, error, self._budget, remaining, lambda: self._has_alternative(run, upstream)
@@ -251,6 +255,8 @@
         self.kv_holder = ""
         """Name of the upstream that holds the KV state, or empty."""
         self.pauses_left = 100
+        self.first_token_at: Millis | None = None
+        """When the current run returned its first token."""
         self.fingerprint = make_fingerprint(request.identity.customer.name, request.body)
         self.suspects = find_suspects(self.fingerprint, request.body)
 
--- a/goldcreststair/components/placement/batch_slots.py
+++ b/goldcreststair/components/placement/batch_slots.py
@@ -39,16 +39,22 @@
         self._outliers = outliers
 
     def choose(
-        self, service: str, regions: Regions = None, software_version: str | None = None
+        self,
+        service: str,
+        regions: Regions = None,
+        software_version: str | None = None,
+        *,
+        idlest: bool = False,
     ) -> UpstreamEntry | None:
-        """Return the upstream in these regions with the most free slots for batch, or None.
+        """Return an upstream in these regions with free slots for batch, or None.
 
-        With a software version, only upstreams that certainly run it.
+        With a software version, only upstreams that certainly run it; with `idlest`, the one with the most free
+        slots even where all daemons choose from the same digest.
         """
         free = self._list_usable(service, regions, software_version)
         if not free:
             return None
-        if self._upstreams.runs.digest_sequence is not None:
+        if self._upstreams.runs.digest_sequence is not None and not idlest:
             return choose_weighted(free, self._random)
         best, _ = max(free, key=lambda each: each[1] + self._random.random())
         return best
--- a/goldcreststair/components/quarantine/parts.py
+++ b/goldcreststair/components/quarantine/parts.py
@@ -28,6 +28,7 @@
 )
 from goldcreststair.core import Core
 from goldcreststair.helpers.crash_evidence import (
+    SOUND_MS,
     Answers,
     CrashEvidence,
     CrashReport,
@@ -120,21 +121,28 @@
         """Return whether a request is about to be refused, unless another VM reports an answer."""
         return self._verdicts.is_pending(suspects)
 
-    def report_lost(self, upstream: str, suspects: Suspects, *, begun: bool) -> None:
-        """Report a run that was lost with its upstream; `begun` if it had returned tokens."""
+    def report_lost(self, upstream: str, suspects: Suspects, *, wrote_ms: int | None) -> None:
+        """Report a run that was lost with its upstream, and how long it had returned tokens; None if not at all."""
         if not suspects:
             return
-        runs = "begun" if begun else "new"
+        if wrote_ms is not None and wrote_ms > SOUND_MS:
+            self.report_answer(suspects)
+            return
+        runs = "new" if wrote_ms is None else "begun"
         text = f"{upstream} {runs} {encode_verdict(suspects)} {self._make_nonce()}"
         self._sets.add(SET_LOST_PARTS, text, REPORT_LIFETIME_MS)
 
     def report_answer(self, suspects: Suspects) -> None:
-        """Report a whole answer: nothing about its request crashes upstreams."""
-        if not self._evidence.record_answer(suspects, ANY_SOFTWARE, self._clock.now()):
+        """Report an answer that is whole or has gone on: nothing about its request crashes upstreams."""
+        clears = self._evidence.record_answer(suspects, ANY_SOFTWARE, self._clock.now())
+        named = self._verdicts.list_named(suspects)
+        if not clears and not named:
             return
-        for answers in self._evidence.list_untold(suspects):
-            text = f"{encode_verdict(frozenset(answers.ages_ms))} {self._make_nonce()}"
-            self._sets.add(SET_ANSWERED_PARTS, text, REPORT_LIFETIME_MS)
+        untold = [frozenset(answers.ages_ms) for answers in self._evidence.list_untold(suspects)]
+        for answered in (*untold, named):
+            if answered:
+                text = f"{encode_verdict(answered)} {self._make_nonce()}"
+                self._sets.add(SET_ANSWERED_PARTS, text, REPORT_LIFETIME_MS)
         self._update()
 
     def _make_nonce(self) -> str:
@@ -156,7 +164,7 @@
         suspects, begun = (nothing, lost.suspects) if lost.begun else (lost.suspects, nothing)
         report = CrashReport(crash, ANY_SOFTWARE, suspects, begun, now - at)
         self._evidence.record_crash(report)
-        self._apply(self._verdicts.renew(report))
+        self._apply(self._verdicts.record_crash(report))
         self._update()
         self._clock.call_later(SETTLE_MS + 1, self._update)
 
@@ -166,7 +174,8 @@
             _LOGGER.warning("Report of an answer unreadable: %s", decoded.err_value.message)
             return
         answers = Answers(ANY_SOFTWARE, dict.fromkeys(decoded.ok_value, 0))
-        if self._evidence.record_shared(answers):
+        clears = self._evidence.record_shared(answers)
+        if clears or self._verdicts.list_named(answers.ages_ms):
             self._update()
 
     def _on_released(self, text: str) -> None:
--- a/goldcreststair/components/quarantine/protocols.py
+++ b/goldcreststair/components/quarantine/protocols.py
@@ -52,11 +52,11 @@
     def is_pending(self, suspects: Suspects) -> bool:
         """Return whether a request is about to be refused, unless another VM reports an answer."""
 
-    def report_lost(self, upstream: str, suspects: Suspects, *, begun: bool) -> None:
-        """Report a run that was lost with its upstream; `begun` if it had returned tokens."""
+    def report_lost(self, upstream: str, suspects: Suspects, *, wrote_ms: int | None) -> None:
+        """Report a run that was lost with its upstream, and how long it had returned tokens; None if not at all."""
 
     def report_answer(self, suspects: Suspects) -> None:
-        """Report a whole answer: nothing about its request crashes upstreams."""
+        """Report an answer that is whole or has gone on: nothing about its request crashes upstreams."""
 
 
 class UnknownParts:
@@ -77,7 +77,7 @@
         """Return False."""
         return False
 
-    def report_lost(self, upstream: str, suspects: Suspects, *, begun: bool) -> None:
+    def report_lost(self, upstream: str, suspects: Suspects, *, wrote_ms: int | None) -> None:
         """Do nothing."""
 
     def report_answer(self, suspects: Suspects) -> None:
--- a/goldcreststair/helpers/crash_verdicts.py
+++ b/goldcreststair/helpers/crash_verdicts.py
@@ -2,6 +2,7 @@
 
 A verdict is derived from the crashes that are known here, or taken over from another VM or the store. It explains
 its crashes before any new one does, and ends when answers clear its suspects or other verdicts explain all of them.
+So that it can be refuted, single requests that it refuses may still run as trials, one at a time.
 """
 
 from collections import OrderedDict
@@ -25,6 +26,12 @@
 
 VERDICT_MS: Final = 24 * 3_600_000
 """A verdict ends after this time; for as long again, a single crash renews it."""
+ITEM_TRIAL_PAUSES_MS: Final = (1_000, 2_000, 4_000, 4_000, 4_000, 8_000, 16_000, 30_000)
+"""Pauses before the trials of batch items, by the number of trials that failed; the last one repeats."""
+ONLINE_TRIALS_MS: Final = (10_000, 10 * 60_000)
+"""Ages of a verdict from which one online request may run as a trial."""
+FAILURE_MERGE_MS: Final = 500
+"""Crashes within this time after a failed trial, as of requests that ran at the verdict, count as the same one."""
 RELEASED_MS: Final = 10_000
 """How long a verdict that was released here is not taken over from other VMs."""
 MAX_VERDICTS: Final = 512
@@ -68,6 +75,30 @@
     ends_at: Millis
     crashes: frozenset[bytes] = frozenset()
     """The crashes that it is derived from; empty if it was taken over."""
+    failures: int = 0
+    """Crashes under its suspects since then."""
+    failed_at: Millis | None = None
+
+    @property
+    def item_trial_at(self) -> Millis:
+        """When a batch item may run as a trial."""
+        since = self.learned_at if self.failed_at is None else self.failed_at
+        pause = min(self.failures, len(ITEM_TRIAL_PAUSES_MS) - 1)
+        return Millis(since + ITEM_TRIAL_PAUSES_MS[pause])
+
+    def may_try_online(self, now: Millis) -> bool:
+        """Return whether an online request may run as a trial: none has failed since the last was due."""
+        began_at = self.ends_at - VERDICT_MS
+        due = [began_at + age_ms for age_ms in ONLINE_TRIALS_MS if began_at + age_ms <= now]
+        return bool(due) and (self.failed_at is None or self.failed_at < due[-1])
+
+
+@dataclass(slots=True)
+class _Lapsed:
+    """A verdict whose time is over; a single crash renews it until `until`."""
+
+    since: Millis
+    until: Millis
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,8 +118,7 @@
         self._evidence = evidence
         self._verdicts: OrderedDict[Suspects, _Verdict] = OrderedDict()
         self._by_suspect: dict[Suspect, list[Suspects]] = {}
-        self._lapsed: OrderedDict[Suspects, Millis] = OrderedDict()
-        """Verdicts whose time is over, and until when a single crash renews them."""
+        self._lapsed: OrderedDict[Suspects, _Lapsed] = OrderedDict()
         self._released: OrderedDict[Suspects, Millis] = OrderedDict()
         """Until when a released verdict is not taken over again."""
         self._counts: dict[Suspect, CrashCount] = {}
@@ -123,6 +153,25 @@
                     return verdict
         return None
 
+    def find_all(self, suspects: Suspects) -> list[Suspects]:
+        """Return all verdicts that refuse a request."""
+        found = {each for suspect in suspects for each in self._by_suspect.get(suspect, ())}
+        return [each for each in found if each <= suspects]
+
+    def list_named(self, suspects: Iterable[Suspect]) -> Suspects:
+        """Return those suspects that a verdict names."""
+        return frozenset(each for each in suspects if each in self._by_suspect)
+
+    def may_try_item(self, suspects: Suspects) -> bool:
+        """Return whether a refused batch item may run as a trial now."""
+        now = self._clock.now()
+        return all(self._verdicts[each].item_trial_at <= now for each in self.find_all(suspects))
+
+    def may_try_online(self, suspects: Suspects) -> bool:
+        """Return whether a refused online request may run as a trial now."""
+        now = self._clock.now()
+        return all(self._verdicts[each].may_try_online(now) for each in self.find_all(suspects))
+
     def is_pending(self, suspects: Suspects) -> bool:
         """Return whether a request would be refused if no answer spoke for it."""
         return any(each <= suspects for each in self._pending)
@@ -132,16 +181,13 @@
         found = self._counts.get(suspect)
         return 0 if found is None else found.total
 
-    def list_suspected(self, suspects: Suspects, *, can_wait: bool = False) -> Suspects:
-        """Return those suspects of a request of which only one request may run at a time.
-
-        For a request that can wait, a single crash is enough.
-        """
+    def list_suspected(self, suspects: Suspects) -> Suspects:
+        """Return those suspects of a request of which only one request may run at a time."""
         if not self.has_suspected:
             return frozenset()
         counts = self._counts
         known = ((suspect, counts[suspect]) for suspect in suspects if suspect in counts)
-        found = {suspect for suspect, count in known if can_wait or count.is_suspicious}
+        found = {suspect for suspect, count in known if count.is_suspicious}
         for lapsed in self._lapsed:
             if lapsed <= suspects:
                 found |= lapsed
@@ -163,12 +209,19 @@
         if self._released.get(suspects, 0) > now:
             return VerdictChange()
         if left_ms <= 0:
-            self._lapsed[suspects] = Millis(now + VERDICT_MS + left_ms)
+            self._lapsed[suspects] = _Lapsed(now, Millis(now + VERDICT_MS + left_ms))
             return VerdictChange()
         return VerdictChange(added=self._add({suspects: frozenset()}, min(left_ms, VERDICT_MS)))
 
-    def renew(self, report: CrashReport) -> VerdictChange:
-        """Renew the lapsed verdicts that a crash confirms."""
+    def record_crash(self, report: CrashReport) -> VerdictChange:
+        """Count a crash against the verdicts on what ran, and renew the lapsed ones that it confirms."""
+        now = self._clock.now()
+        for each in self.find_all(report.suspects | report.begun):
+            verdict = self._verdicts[each]
+            since = verdict.learned_at if verdict.failed_at is None else verdict.failed_at
+            if now - since >= FAILURE_MERGE_MS:
+                verdict.failures += 1
+                verdict.failed_at = now
         confirmed = {each: frozenset[bytes]() for each in self._lapsed if each <= report.suspects}
         for each in confirmed:
             del self._lapsed[each]
@@ -183,12 +236,7 @@
         """Derive new verdicts from the crashes known now, and release those that do not hold."""
         self._expire()
         evidence = self._evidence
-        unsupported = [
-            each
-            for each, verdict in self._verdicts.items()
-            if evidence.knows_all(verdict.crashes)
-            and not evidence.is_supported(each, verdict.crashes)
-        ]
+        unsupported = [each for each in self._verdicts if self._is_refuted(each)]
         self._drop(unsupported)
         found = evidence.find_culprits(self._list_single(), settle_ms)
         added = self._add({each.suspects: each.crashes for each in found}, VERDICT_MS)
@@ -203,6 +251,12 @@
         released = tuple(each for each in (*unsupported, *covered) if len(each) == 1)
         return VerdictChange(tuple(each for each in added if each not in covered), released)
 
+    def _is_refuted(self, suspects: Suspects) -> bool:
+        verdict, evidence = self._verdicts[suspects], self._evidence
+        if evidence.knows_all(verdict.crashes):
+            return not evidence.is_supported(suspects, verdict.crashes)
+        return evidence.is_answered(suspects, verdict.learned_at)
+
     def _list_single(self) -> list[Suspects]:
         """Return the verdicts that explain crashes: one on several suspects leaves open which is the cause."""
         return [each for each in self._verdicts if len(each) == 1]
@@ -259,9 +313,10 @@
         ended = [each for each, verdict in self._verdicts.items() if verdict.ends_at <= now]
         for each in ended:
             del self._verdicts[each]
-            self._lapsed[each] = Millis(now + VERDICT_MS)
-        for each in [each for each, until in self._lapsed.items() if until <= now]:
-            del self._lapsed[each]
+            self._lapsed[each] = _Lapsed(now, Millis(now + VERDICT_MS))
+        for each, lapsed in tuple(self._lapsed.items()):
+            if lapsed.until <= now or self._evidence.is_answered(each, lapsed.since):
+                del self._lapsed[each]
         while len(self._lapsed) > MAX_VERDICTS:
             self._lapsed.popitem(last=False)
         if ended:
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -66,6 +66,11 @@
   4: required i32 age_ms
   /** The same of those whose runs all had. */
   5: optional binary begun
+  /** Number of other upstreams of the service that the daemon used at that moment. */
+  6: optional i32 others
+  /** Those of all suspects that it ran at some of these, and at how many. */
+  7: optional binary elsewhere
+  8: optional list<i32> elsewhere_counts
 }
 
 /** Prompt parts and whole requests that were at several crashes, and that upstreams have answered. */
@@ -74,7 +79,7 @@
   1: required i32 software
   /** Hashes, 8 bytes each. */
   2: required binary suspects
-  /** Time since the latest answer on each of them began, ms. */
+  /** Time since an answer on each of them was last written, ms. */
   3: required list<i32> ages_ms
 }
 
--- a/standins/crash_traffic.py
+++ b/standins/crash_traffic.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import random
 from dataclasses import dataclass, field
 from typing import Final
@@ -51,6 +52,18 @@
     """Whether an upstream returns under another name."""
     members: tuple[int, ...] = ()
     """Numbers of the VMs that get requests; empty for all."""
+    system_parts: tuple[str, ...] = SYSTEM_PARTS
+    """First parts of the prompts; a single one is common to all."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outages:
+    """How upstreams end by themselves."""
+
+    every_ms: int
+    together: int = 1
+    """Number of upstreams that end at one moment."""
+    silent: bool = False
 
 
 @dataclass(slots=True)
@@ -130,7 +143,7 @@
         return responder
 
     def _choose_parts(self, part: CrashPart | None) -> tuple[str, ...]:
-        system = self.chooser.choice(SYSTEM_PARTS)
+        system = self.chooser.choice(self.load.system_parts)
         session = f"session-{self.chooser.randrange(SESSIONS)}"
         own = f"own-{self._next()}"
         if part is None:
@@ -148,6 +161,16 @@
     def _schedule_restart(self, engine: RunEngine) -> None:
         self.fleet.clock.call_later(RESTART_MS, lambda: self.restart(engine))
 
+    async def async_end_upstreams(self, outages: Outages, chooser: random.Random) -> None:
+        """End upstreams without a cause in their requests, each of which returns after some time."""
+        fleet = self.fleet
+        while True:
+            await fleet.clock.async_sleep(int(chooser.expovariate(1 / outages.every_ms)) + 1)
+            up = [e for e in fleet.engines.by_address.values() if e.up and not e.unreachable]
+            for engine in chooser.sample(up, min(outages.together, max(0, len(up) - 2))):
+                engine.up, engine.unreachable = outages.silent, outages.silent
+                fleet.clock.call_later(RESTART_MS, functools.partial(self.restart, engine))
+
     def restart(self, engine: RunEngine) -> None:
         """Start an engine again that has ended."""
         if self.load.renames:
--- a/tests/helpers/crash_plays.py
+++ b/tests/helpers/crash_plays.py
@@ -2,9 +2,11 @@
 
 import random
 from dataclasses import dataclass, field
+from itertools import accumulate
 from typing import Final
 
 from goldcreststair.clock import Millis
+from goldcreststair.helpers.crash_verdicts import ITEM_TRIAL_PAUSES_MS
 from standins.crash_rules import CrashRecord, find_lost_sound, find_over_budget
 from standins.crash_traffic import CUSTOMERS, CrashLoad, CrashTraffic
 from standins.gateways import GatewayFleet
@@ -34,6 +36,11 @@
         return [*over, *lost]
 
 
+def count_trials(within_ms: int) -> int:
+    """Return how many trials of items are due within a time after a verdict."""
+    return sum(due_ms <= within_ms for due_ms in accumulate(ITEM_TRIAL_PAUSES_MS))
+
+
 async def async_prepare(fleet: GatewayFleet, vms: int, engines: int) -> None:
     """Start a fleet for two customers, and wait until its VMs know each other."""
     customers = tuple({"name": name} for name in CUSTOMERS)
