End responses whose bytes go on without being an answer

Callers saw: 504 at their deadline while other upstreams were free, for bytes without end in a body, an event or a comment; a daemon's memory grew to several hundred MB with 15 such responses at a time. Cause: any byte counted as progress of a run and of its upstream; heads, chunk sizes and trailers had no bound, bodies one of 256 MB each; an event of any length was kept; a run whose events could not continue was read to its end; idle connections went on reading. Evidence: a stand-in that sends until it is closed, in 15 places of a response, slowly and at full speed, at a real daemon. Change: bounds on what arrives without bringing a part of the response (64 KiB, 1 s), on events (256 KiB), bodies of failures (1 MiB), other bodies (16 MiB, 32 MiB for all of a pool); only whole events are progress; a run ends with the first event that can't continue it; a body that takes half of the time left is tried elsewhere; idle connections that receive bytes are closed. Why it works: each place of a response has a bound in size and, where bytes come slowly, in time, that leaves time for another run.

--- a/goldcreststair/components/forwarding/const.py
+++ b/goldcreststair/components/forwarding/const.py
@@ -19,6 +19,10 @@
 BUSY_FIRST_EVENT_TIMEOUT_MS: Final = 1_000
 """Silence beyond the expected time to the first event while the upstream sends to other runs: the
 request waits in the upstream's queue."""
+BODY_TIMEOUT_MS: Final = 1_000
+"""Least time that the body of an answer that is not streamed may take from its head on, before the request is sent
+to another upstream; half of the time left then if that is longer."""
+BODY_CHECK_MS: Final = 100
 CONNECT_CHECK_TIMEOUT_MS: Final = 150
 """An upstream that accepts no connection within this time is considered down; one that is full still
 accepts within a few ms."""
--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -34,6 +34,8 @@
         self.first_event_at: Millis | None = None
         self.progress_at = clock.now()
         """When the current run last sent its head or an event."""
+        self.head_at: Millis | None = None
+        """When the current run sent the head of its answer."""
         self.has_begun = False
         """Whether the head of the stream was sent to the caller."""
         self.run_first_at: Millis | None = None
@@ -59,7 +61,7 @@
         self._events = EventSequence(self.last_event)
         if not self.has_begun:
             self._head = None
-        self.run_first_at = self.run_gap_ms = self.run_load = None
+        self.run_first_at = self.run_gap_ms = self.run_load = self.head_at = None
         self._delayed = False
         self.waits_for_caller = False
         self.progress_at = self._clock.now()
@@ -86,7 +88,7 @@
 
     def on_head(self, head: RunHead) -> None:
         """Keep the head of the run that sends the first event: the caller gets one head."""
-        self.progress_at = self._clock.now()
+        self.progress_at = self.head_at = self._clock.now()
         self.run_load = head.load
         self._on_head(head)
         if head.status == STATUS_OK and self._head is None:
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -14,6 +14,8 @@
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.forwarding.const import (
+    BODY_CHECK_MS,
+    BODY_TIMEOUT_MS,
     CONNECT_CHECK_TIMEOUT_MS,
     MIN_REMAINING_MS,
     PLACEMENT_RETRY_MS,
@@ -51,6 +53,7 @@
 from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.components.stream_origins.protocols import STREAM_ORIGINS
 from goldcreststair.components.waiting.protocols import WAITING
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.abortable import AbortableWait
@@ -304,8 +307,10 @@
     async def _async_monitor(
         self, run: "asyncio.Task[Result[RunEnd, UpstreamError]]", placement: Placement
     ) -> Result[RunEnd, UpstreamError]:
-        if not self._route.repeatable or self._route.kind is not CallKind.STREAMING:
+        if not self._route.repeatable:
             return await run
+        if self._route.kind is not CallKind.STREAMING:
+            return await self._async_limit_body(run)
         entry = placement.upstream
         controller = self._placement.controller
         probes = UpstreamProbes(
@@ -321,6 +326,21 @@
             return Err(UpstreamError(message, UpstreamFailure.SILENT))
         return ended
 
+    async def _async_limit_body(
+        self, run: "asyncio.Task[Result[RunEnd, UpstreamError]]"
+    ) -> Result[RunEnd, UpstreamError]:
+        """Return the end of a run, unless its body takes so long that another upstream is tried instead."""
+        while not run.done():
+            await asyncio.wait({run}, timeout=BODY_CHECK_MS / MS_PER_SECOND)
+            head_at = self._relay.head_at
+            if run.done() or head_at is None:
+                continue
+            limit_ms = max(BODY_TIMEOUT_MS, (self._admitted.ends_at - head_at) // 2)
+            if self._clock.now() - head_at > limit_ms and self._may_abandon_run():
+                message = f"no whole body within {limit_ms} ms of its head"
+                return Err(UpstreamError(message, UpstreamFailure.INCOMPLETE))
+        return run.result()
+
     def _may_abandon_run(self) -> bool:
         progress = replace(self._progress, last_event=self._relay.last_event)
         if not may_abandon_run(progress, self._route, self._budget, self._remaining_ms()):
--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -17,6 +17,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.http_exchange import (
     READ_BYTES,
     Exchange,
@@ -30,6 +31,16 @@
 STATUS_OK: Final = 200
 MAX_FOREIGN_RESPONSES: Final = 3
 """Number of responses to other requests that are skipped before a connection is closed."""
+MAX_INFORMATIONAL_RESPONSES: Final = 8
+MAX_FAILURE_BYTES: Final = 1024 * 1024
+"""Longest body of a response that reports a failure."""
+STATUS_FAILED: Final = 400
+MAX_FOREIGN_BYTES: Final = 1024 * 1024
+"""Most bytes in the bodies of such responses."""
+MAX_OVERHEAD_BYTES: Final = 64 * 1024
+"""Longest head, chunk size or trailer."""
+MAX_OVERHEAD_MS: Final = 1_000
+"""Longest time in which bytes arrive that bring neither a head nor a part of the body."""
 _BUFFER: Final = bytearray(READ_BYTES)
 """Shared by all connections: received bytes are parsed before the next connection reads."""
 
@@ -45,6 +56,10 @@
     """Returns by the headers whether the response belongs to this request."""
     on_complete: Callable[[], None] | None = None
     """Called when the whole response has arrived, before its last bytes are delivered."""
+    is_rejected: Callable[[], bool] | None = None
+    """Returns whether `on_data` can use nothing that follows, so that the response need not be read to its end."""
+    on_buffered: Callable[[int], None] | None = None
+    """Called with the number of body bytes that the response holds now, and 0 at its end."""
 
 
 class _ResponseReader:
@@ -66,11 +81,16 @@
         self._has_head = False
         self._foreign = False
         self._foreign_count = 0
-        self._chunks: list[bytes] = []
+        self._foreign_bytes = 0
+        self._body = bytearray()
+        """The body so far, unless `on_data` receives it."""
         self._pending: list[bytes] = []
         """Chunks of the body that `on_data` has not received yet."""
-        self._bytes = 0
         self._ended_by_close = False
+        self._informational_count = 0
+        self._overhead = 0
+        """Bytes since the last part of the response, as the connection has read them."""
+        self._overhead_since: float | None = None
 
     def on_message_begin(self) -> None:
         """Begin a response."""
@@ -87,23 +107,47 @@
     def on_headers_complete(self) -> None:
         """Process the head, unless it is informational and the final one follows."""
         status = self.parser.get_status_code()
-        if self.complete or status < STATUS_OK:
+        if self.complete:
+            return
+        if status < STATUS_OK:
+            self._informational_count += 1
+            if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
+                self.fail("only informational responses", ExchangeFailure.BROKEN)
+            self._overhead_since = None
             return
         self._status, self._has_head = status, True
         matches_request = self._hooks.matches_request
         self._foreign = matches_request is not None and not matches_request(self._headers)
-        if not self._foreign and self._hooks.on_head is not None:
+        if self._foreign:
+            return
+        self._end_overhead()
+        if self._hooks.on_head is not None:
             self._hooks.on_head(status, self._headers)
 
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body."""
-        if self._foreign or self.complete:
+        if self.complete:
+            return
+        if self._foreign:
+            self._overhead -= len(chunk)
+            self._foreign_bytes += len(chunk)
+            if self._foreign_bytes > MAX_FOREIGN_BYTES:
+                self.fail("response to another request too long", ExchangeFailure.MALFORMED)
+            return
+        self._end_overhead()
+        if self._hooks.on_data is not None and self._status == STATUS_OK:
+            self._pending.append(chunk)
+            return
+        if self.done.done():
             return
-        self._bytes += len(chunk)
-        if self._bytes > self._max_bytes:
+        self._body += chunk
+        limit = self._max_bytes
+        if self._status >= STATUS_FAILED:
+            limit = min(limit, MAX_FAILURE_BYTES)
+        if len(self._body) > limit:
             self.fail("response too long", ExchangeFailure.BROKEN)
-        streamed = self._hooks.on_data is not None and self._status == STATUS_OK
-        (self._pending if streamed else self._chunks).append(chunk)
+        elif self._hooks.on_buffered is not None:
+            self._hooks.on_buffered(len(self._body))
 
     def on_message_complete(self) -> None:
         """End a response."""
@@ -120,6 +164,23 @@
         if self._foreign_count > MAX_FOREIGN_RESPONSES:
             self.fail("only responses to other requests", ExchangeFailure.MALFORMED)
 
+    def count_received(self, count: int) -> None:
+        """Count bytes that are about to be parsed."""
+        self._overhead += count
+
+    def check_overhead(self, now: float) -> None:
+        """Fail if bytes go on arriving that bring nothing of the response; `now` in s."""
+        if self.complete or not (self._overhead or self._foreign):
+            return
+        if self._overhead_since is None:
+            self._overhead_since = now
+        too_long = (now - self._overhead_since) * MS_PER_SECOND > MAX_OVERHEAD_MS
+        if too_long or self._overhead > MAX_OVERHEAD_BYTES:
+            self.fail("bytes without end that are no response", ExchangeFailure.BROKEN)
+
+    def _end_overhead(self) -> None:
+        self._overhead, self._overhead_since = 0, None
+
     def deliver(self) -> Awaitable[None] | None:
         """Pass what has arrived to `on_data` in one chunk; returns what to wait for."""
         if not self._pending or self._hooks.on_data is None:
@@ -127,10 +188,15 @@
         data, self._pending = b"".join(self._pending), []
         return self._hooks.on_data(data)
 
+    def check_rejected(self) -> None:
+        """Fail if the requester can use nothing that follows."""
+        if self._hooks.is_rejected is not None and self._hooks.is_rejected():
+            self.fail("nothing that follows can be used", ExchangeFailure.REJECTED)
+
     def finish(self) -> None:
         """Resolve `done` with the complete response."""
         if not self.done.done():
-            body = b"".join(self._chunks)
+            body = bytes(self._body)
             response = HttpResponse(self._status, self._headers, body, self._ended_by_close)
             self.done.set_result(Ok(response))
 
@@ -147,6 +213,7 @@
 
     def fail(self, message: str, failure: ExchangeFailure) -> None:
         """Resolve `done` with an error."""
+        self._body.clear()
         if not self.done.done():
             self.done.set_result(Err(ExchangeError(message, failure)))
 
@@ -190,7 +257,11 @@
         # connection is closed only in the next iteration of the event loop.
         if reader is None or reader.complete or reader.done.done():
             self._unusable = True
+            # Bytes that belong to no request may go on without end.
+            if reader is None or not reader.complete:
+                self.transport.abort()
             return
+        reader.count_received(count)
         try:
             reader.parser.feed_data(memoryview(_BUFFER)[:count])
         except httptools.HttpParserCallbackError as error:
@@ -200,6 +271,7 @@
             self._unusable = True
             if not reader.complete:
                 reader.fail(f"response broken: {error!r}", ExchangeFailure.BROKEN)
+        reader.check_overhead(asyncio.get_running_loop().time())
         self._deliver(reader)
 
     def _deliver(self, reader: _ResponseReader) -> None:
@@ -208,6 +280,7 @@
         except Exception as error:
             reader.raise_to_requester(error)
             return
+        reader.check_rejected()
         if delivery is not None:
             # Backpressure: reading pauses until the caller has received these bytes.
             self.transport.pause_reading()
@@ -252,6 +325,11 @@
             return False
         return False
 
+    def end_response(self, reason: str) -> None:
+        """End the response that arrives now as broken."""
+        if self._reader is not None:
+            self._reader.fail(reason, ExchangeFailure.BROKEN)
+
     def close(self) -> None:
         """Close at once; unsent bytes are dropped."""
         self._unusable = True
--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -31,6 +31,8 @@
 DEFAULT_CONNECT_TIMEOUT_MS: Final = 1000
 MAX_RESPONSE_BYTES: Final = 256 * 1024 * 1024
 READ_BYTES: Final = 64 * 1024
+MAX_UNREAD_BYTES: Final = 1024 * 1024
+"""Most bytes that wait in this process to be parsed; a head or a chunk size is far shorter."""
 
 
 class ExchangeFailure(StrEnum):
@@ -44,6 +46,8 @@
     """The exchange timed out after the connection opened."""
     IDLE = "idle"
     """No byte arrived for the idle timeout."""
+    REJECTED = "rejected"
+    """The requester could use nothing of the rest of the response."""
     MALFORMED = "malformed"
     """The connection delivered no response to this request, only responses to others."""
 
@@ -159,7 +163,7 @@
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    stream = IOStream(sock, max_buffer_size=MAX_RESPONSE_BYTES)
+    stream = IOStream(sock, max_buffer_size=MAX_UNREAD_BYTES)
     try:
         async with asyncio.timeout(exchange.connect_timeout_ms / MS_PER_SECOND):
             await stream.connect((host.strip("[]"), int(port)))
--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -29,6 +29,10 @@
 """Longest idle time of a connection whose server announces none."""
 
 
+MAX_BUFFERED_BYTES: Final = 32 * 1024 * 1024
+"""Most bytes of bodies that all responses of one pool hold together until they are whole."""
+
+
 @dataclass(slots=True)
 class _IdleConnection:
     connection: PersistentConnection
@@ -67,6 +71,8 @@
         self._by_address: dict[str, _AddressConnections] = {}
         self._opened = 0
         self._reused = 0
+        self._buffered: dict[PersistentConnection, int] = {}
+        """Bytes of bodies by the connection on which they arrive."""
 
     def count(self) -> PoolCounts:
         """Return how many connections were opened and how often one was reused."""
@@ -122,6 +128,7 @@
             async with asyncio.timeout(exchange.timeout_ms / MS_PER_SECOND) as deadline:
                 if exchange.delivers_late:
                     hooks = replace(hooks, on_complete=partial(_extend, deadline, exchange))
+                hooks = replace(hooks, on_buffered=partial(self._record_buffered, connection))
                 outcome, reusable = await connection.async_send(exchange, hooks)
             if isinstance(outcome, Ok):
                 idle_ms = _read_idle_ms(outcome.ok_value.headers)
@@ -131,6 +138,7 @@
         except (ConnectionError, StreamClosedError) as error:
             return Err(ExchangeError(f"response broken: {error!r}", ExchangeFailure.BROKEN))
         finally:
+            self._buffered.pop(connection, None)
             if reusable:
                 self._store_idle(exchange.address, connection, idle_ms)
             else:
@@ -138,6 +146,14 @@
                 # on this connection would get it.
                 self._close(exchange.address, connection)
 
+    def _record_buffered(self, connection: PersistentConnection, count: int) -> None:
+        """Record how much of a body a connection holds, and end the largest one if all hold too much."""
+        self._buffered[connection] = count
+        if sum(self._buffered.values()) > MAX_BUFFERED_BYTES:
+            largest = max(self._buffered, key=lambda each: self._buffered[each])
+            del self._buffered[largest]
+            largest.end_response("responses too long")
+
     def _pop_idle(self, address: str) -> PersistentConnection | None:
         connections = self._by_address.get(address)
         while connections is not None and connections.idle:
--- a/goldcreststair/upstreams/events.py
+++ b/goldcreststair/upstreams/events.py
@@ -9,7 +9,7 @@
 FIELD_DATA: Final = b"data:"
 COMMENT: Final = b":"
 EVENT_END: Final = b"\n\n"
-MAX_EVENT_BYTES: Final = 1024 * 1024
+MAX_EVENT_BYTES: Final = 256 * 1024
 """A longer event is treated as broken framing."""
 
 
--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -7,11 +7,10 @@
 
 import orjson
 from result import Err, Ok, Result
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPHeaders, HTTPInputError
 
 from goldcreststair.const import HEADER_REQUEST_ID
 from goldcreststair.http_exchange import (
-    MAX_RESPONSE_BYTES,
     Exchange,
     ExchangeError,
     ExchangeFailure,
@@ -19,6 +18,7 @@
     async_exchange,
 )
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.events import MAX_EVENT_BYTES
 from goldcreststair.upstreams.models import (
     CacheEvent,
     GenerateCall,
@@ -46,6 +46,8 @@
 CONTROL_TIMEOUT_MS: Final = 2000
 ORDER_TIMEOUT_MS: Final = 60_000
 """Loading a model takes long, and the engine responds only when it has finished."""
+MAX_CONTROL_BYTES: Final = 16 * 1024 * 1024
+"""Longest response to a call that is no generation."""
 MAX_KV_STATE_BYTES: Final = 2 * 1024 * 1024
 STATUS_OK: Final = 200
 STATUS_FENCED: Final = 409
@@ -56,6 +58,7 @@
     ExchangeFailure.TIMEOUT: UpstreamFailure.TIMEOUT,
     ExchangeFailure.IDLE: UpstreamFailure.SILENT,
     ExchangeFailure.MALFORMED: UpstreamFailure.LOST,
+    ExchangeFailure.REJECTED: UpstreamFailure.INCOMPLETE,
 }
 
 _REPORT_FIELDS: Final = frozenset(field.name for field in dataclasses.fields(LoadReport))
@@ -66,7 +69,7 @@
     """Limits of a control call, which is any call but a generation."""
 
     timeout_ms: int = CONTROL_TIMEOUT_MS
-    max_bytes: int = MAX_RESPONSE_BYTES
+    max_bytes: int = MAX_CONTROL_BYTES
 
 
 DEFAULT_LIMITS: Final = ControlLimits()
@@ -127,6 +130,8 @@
         complete = data.rfind(EVENT_END) + len(EVENT_END)
         if complete < len(EVENT_END):
             self._buffer = data
+            if len(data) > MAX_EVENT_BYTES:
+                raise HTTPInputError("event without end")
             return
         self._buffer = data[complete:]
         events = data[:complete]
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -24,7 +24,10 @@
     ExchangeFailure.TIMEOUT: UpstreamFailure.TIMEOUT,
     ExchangeFailure.IDLE: UpstreamFailure.SILENT,
     ExchangeFailure.MALFORMED: UpstreamFailure.CROSSED,
+    ExchangeFailure.REJECTED: UpstreamFailure.INCOMPLETE,
 }
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+"""Longest body of an answer that is not streamed."""
 
 
 class RunSink(Protocol):
@@ -33,6 +36,10 @@
     wants_chunks: bool
     """Whether the body of a success is passed to `on_data` in chunks, not as a whole at the end."""
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether nothing that follows in this run can be used, so that it may end."""
+
     def on_head(self, head: RunHead) -> None:
         """Handle the head of the answer to this run."""
 
@@ -110,10 +117,16 @@
             headers=dialect.encode_run(call),
             body=call.body,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            max_response_bytes=MAX_ANSWER_BYTES,
             delivers_late=call.delivers_late,
         )
         on_data = sink.on_data if sink.wants_chunks else None
-        hooks = ResponseHooks(on_head, on_data, lambda found: dialect.matches_run(call, found))
+        hooks = ResponseHooks(
+            on_head,
+            on_data,
+            lambda found: dialect.matches_run(call, found),
+            is_rejected=lambda: sink.is_broken,
+        )
         outcome = await self.pool.async_exchange(exchange, hooks)
         if isinstance(outcome, Err):
             return Err(_convert_error(outcome.err_value))
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -267,6 +267,8 @@
             taken = sink.on_data(data) if data else None
             if taken is not None:
                 await taken
+            if sink.is_broken:
+                return Err(UpstreamError("nothing more can be used", UpstreamFailure.INCOMPLETE))
             await self.clock.async_sleep(engine.scale(engine.event_ms))
         return Ok(RunEnd(head, b"", ended_by_close=answer.ended_by_close))
 
--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -19,6 +19,7 @@
 """How long callers cache addresses, and so may still use that of a daemon that leaves."""
 READY_POLLS: Final = 400
 READY_POLL_S: Final = 0.05
+KB_PER_MB: Final = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,13 @@
         """Return whether callers may still have this daemon's address."""
         return time.monotonic() < self._listed_until
 
+    def read_peak_mb(self) -> float:
+        """Return the most memory that the running process has had, MB."""
+        assert self._process is not None
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        line = next(each for each in status.splitlines() if each.startswith("VmHWM"))
+        return int(line.split()[1]) / KB_PER_MB
+
     @property
     def busy(self) -> bool:
         """Return whether an earlier signal is still being handled."""
--- /dev/null
+++ b/tests/platform_adapter/test_endless_bytes.py
@@ -0,0 +1,222 @@
+"""Bytes without end that are no answer, from upstreams of a real daemon."""
+
+import asyncio
+import copy
+import itertools
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import orjson
+import pytest
+from result import Ok
+
+from goldcreststair.clock import BootClock, LoopClock
+from goldcreststair.http_connection import ResponseHooks
+from goldcreststair.http_exchange import Exchange, ExchangeFailure
+from goldcreststair.http_pool import ConnectionPool
+from goldcreststair.store.rows import RowKey
+from standins.rows import FakeRowStore
+from tests.platform_adapter.endless_engine import (
+    MANNER_HEADER,
+    PAUSE_HEADER,
+    Endless,
+    EndlessEngine,
+)
+from tests.platform_adapter.local import (
+    CONFIG,
+    HttpAnswer,
+    async_read_answer,
+    find_port,
+    make_request,
+    register,
+)
+from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
+from tests.platform_adapter.soak.proxy import Proxy
+from tests.platform_adapter.soak.record import Record
+from tests.platform_adapter.wire_engine import make_event
+from tests.platform_adapter.wire_store import WireStore
+
+ADDRESS: Final = "127.0.0.2"
+ENGINES: Final = 3
+SPOILED: Final = 2
+"""Requests of one manner that are answered without an end at the same time."""
+SOUND: Final = 12
+"""Requests before them, which add to the budget of second attempts."""
+BURST: Final = 15
+"""The same where only the memory is looked at: so many use up the budget of second attempts."""
+DEADLINE_S: Final = 5.0
+ANSWERED_WITHIN_S: Final = 3.2
+CLOSED_WITHIN_S: Final = 3.5
+RECOVERY_S: Final = 0.5
+SLOW_MS: Final = "20"
+PROMISES: Final = (408, 421, 429, 503)
+"""Statuses that tell a caller that nothing has run."""
+WHOLE: Final = b"".join(map(make_event, (1, 2, 3)))
+STREAMED: Final = (Endless.EVENT, Endless.COMMENT, Endless.COMMENTS, Endless.EVENTS)
+UNBOUNDED: Final = (Endless.BODY, Endless.FAILURE)
+STORE_TIMEOUT_MS: Final = 2_500
+MOST_PEAK_MB: Final = 96
+"""A daemon of 38 MB, and the bodies that are held together."""
+
+
+def make_config() -> dict[str, Any]:
+    """Return a configuration in which calls may be sent to two upstreams."""
+    config = copy.deepcopy(CONFIG)
+    next(each for each in config["routes"] if each["name"] == "r-call")["max_attempts"] = 2
+    config["services"][0]["engine"]["slots"] = 16
+    return config
+
+
+class Site:
+    """One daemon, a store and engines."""
+
+    def __init__(self, folder: Path) -> None:
+        self.store = WireStore(FakeRowStore(BootClock()))
+        spoiled: set[str] = set()
+        self.engines = [EndlessEngine(f"i-{n}", spoiled=spoiled) for n in range(ENGINES)]
+        self.folder = folder
+        self.daemon: Daemon | None = None
+        self.front = ""
+
+    async def __aenter__(self) -> "Site":
+        self.store.start()
+        self.store.store.put(RowKey("op", "", "config"), orjson.dumps(make_config()))
+        for engine in self.engines:
+            await engine.async_start()
+            register(self.store, engine)
+        plan = DaemonPlan(
+            ADDRESS, find_port(), find_port(), find_port(), self.store.address, (ADDRESS,)
+        )
+        front = Proxy("front", plan.front)
+        await front.async_start()
+        self.front = plan.front
+        self.daemon = Daemon(plan, front, Record(), self.folder / "daemon.log")
+        await self.daemon.async_start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self.daemon is not None:
+            await self.daemon.async_close()
+        for engine in self.engines:
+            await engine.async_close()
+        self.store.stop()
+
+    async def async_send(self, path: str, request: str, fields: dict[str, str]) -> HttpAnswer:
+        """Send a request on a connection of its own."""
+        host, _, port = self.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        deadline = {"Request-Id": request, "Deadline-Ms": str(int(DEADLINE_S * 1000))}
+        writer.write(make_request("POST", path, request.encode(), fields | deadline))
+        try:
+            return await asyncio.wait_for(async_read_answer(reader), DEADLINE_S + 2)
+        finally:
+            writer.close()
+
+    def read_peak_mb(self) -> float:
+        """Return the largest memory that the daemon has had, MB."""
+        assert self.daemon is not None
+        return self.daemon.read_peak_mb()
+
+
+def list_cases() -> list[tuple[str, Endless]]:
+    """Return the routes, each with the manners that it can recognise."""
+    stream = [("/stream/x", each) for each in Endless if each is not Endless.BODY]
+    calls = [("/call/x", each) for each in Endless if each not in STREAMED]
+    return [*stream, *calls]
+
+
+@pytest.mark.parametrize("pause_ms", ["0", SLOW_MS], ids=["full speed", "slowly"])
+def test_bytes_without_end_cost_neither_the_answer_nor_the_memory(
+    pause_ms: str, tmp_path: Path
+) -> None:
+    """Guards against callers that wait for an upstream which sends no answer, and against a daemon that keeps it."""
+
+    async def scenario() -> list[str]:
+        wrong: list[str] = []
+        async with Site(tmp_path) as site:
+            number = itertools.count()
+            began_mb = site.read_peak_mb()
+
+            async def async_ask(path: str, manner: Endless | None) -> HttpAnswer:
+                request, sent_at = f"r{next(number)}", time.monotonic()
+                fields = {PAUSE_HEADER: pause_ms} | ({MANNER_HEADER: manner} if manner else {})
+                answer = await site.async_send(path, request, fields)
+                took_s = time.monotonic() - sent_at
+                right = answer.whole and answer.body == WHOLE
+                if answer.status != 200 or not right or took_s > ANSWERED_WITHIN_S:
+                    wrong.append(f"{path} {manner}: {answer.status} after {took_s:.2f} s")
+                return answer
+
+            for path, manner in list_cases():
+                # A silent upstream gets no request for a moment, and each case may leave two of them.
+                await asyncio.sleep(RECOVERY_S)
+                await asyncio.gather(*(async_ask(path, None) for _ in range(SOUND)))
+                before_mb = site.read_peak_mb()
+                await asyncio.gather(*(async_ask(path, manner) for _ in range(SPOILED)))
+                print(f"{path} {manner}: peak {before_mb:.1f} to {site.read_peak_mb():.1f} MB")
+            for path, manner in list_cases() if pause_ms == "0" else []:
+                before_mb = site.read_peak_mb()
+                asked = [
+                    site.async_send(path, f"b{next(number)}", {MANNER_HEADER: manner})
+                    for _ in range(BURST)
+                ]
+                answers = await asyncio.gather(*asked)
+                print(f"{BURST} {path} {manner}: {before_mb:.1f} to {site.read_peak_mb():.1f} MB")
+                wrong += [f"{path} {manner}: {a.status}" for a in answers if a.status in PROMISES]
+            await asyncio.sleep(1.0)
+            print(f"peak {began_mb:.1f} MB at the start, {site.read_peak_mb():.1f} MB at the end")
+            if site.read_peak_mb() > MOST_PEAK_MB:
+                wrong.append(f"peak {site.read_peak_mb():.1f} MB")
+            for outpour in (each for engine in site.engines for each in engine.outpours):
+                if (outpour.closed_after_s or 99) > CLOSED_WITHIN_S:
+                    wrong.append(f"{outpour} was not closed")
+        return wrong
+
+    assert asyncio.run(scenario()) == []
+
+
+@pytest.mark.parametrize(
+    "manner", [each for each in Endless if each not in (*STREAMED, Endless.FOREIGN)]
+)
+@pytest.mark.parametrize("pause_ms", ["0", SLOW_MS], ids=["full speed", "slowly"])
+def test_a_response_without_end_ends_by_itself(manner: Endless, pause_ms: str) -> None:
+    """Guards against bytes without end from the store, whose calls and feeds use the same connections."""
+
+    async def scenario() -> None:
+        engine, pool = EndlessEngine("i-0"), ConnectionPool(LoopClock())
+        await engine.async_start()
+        headers = {"Request-Id": "r", MANNER_HEADER: manner, PAUSE_HEADER: pause_ms}
+        exchange = Exchange(engine.address, "POST", "/call/x", STORE_TIMEOUT_MS, headers)
+        outcome = await pool.async_exchange(exchange, ResponseHooks())
+        # Only the body of a response without a length may go on, as long as the call has time.
+        in_time = isinstance(outcome, Ok) or (
+            outcome.err_value.failure is not ExchangeFailure.TIMEOUT
+            or (manner in UNBOUNDED and pause_ms != "0")
+        )
+        assert in_time, outcome
+        assert isinstance(outcome, Ok) is (manner is Endless.AFTERWARDS)
+        pool.close()
+        await asyncio.sleep(0.2)
+        (outpour,) = engine.outpours
+        assert outpour.closed_after_s is not None
+        await engine.async_close()
+
+    asyncio.run(scenario())
+
+
+def test_an_idle_connection_that_receives_bytes_is_closed() -> None:
+    """Guards against bytes behind a whole response that an idle connection reads for as long as it is kept."""
+
+    async def scenario() -> None:
+        engine, pool = EndlessEngine("i-0"), ConnectionPool(LoopClock())
+        await engine.async_start()
+        headers = {"Request-Id": "r", MANNER_HEADER: Endless.AFTERWARDS, PAUSE_HEADER: "100"}
+        exchange = Exchange(engine.address, "POST", "/call/x", STORE_TIMEOUT_MS, headers)
+        assert isinstance(await pool.async_exchange(exchange, ResponseHooks()), Ok)
+        await asyncio.sleep(0.4)
+        assert engine.outpours[0].closed_after_s is not None
+        pool.close()
+        await engine.async_close()
+
+    asyncio.run(scenario())
--- a/tests/platform_adapter/test_late_delivery.py
+++ b/tests/platform_adapter/test_late_delivery.py
@@ -24,6 +24,7 @@
 
     delay_s: float
     wants_chunks: bool = True
+    is_broken: bool = False
     data: bytes = b""
 
     def on_head(self, head: RunHead) -> None:
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -21,6 +21,7 @@
 
     def __init__(self, streams: bool = True) -> None:
         self.wants_chunks = streams
+        self.is_broken = False
         self.head: RunHead | None = None
         self.data = b""
 
--- a/tests/upstreams/test_http_engine.py
+++ b/tests/upstreams/test_http_engine.py
@@ -1,21 +1,29 @@
 """Tests of the HTTP client for engines over a real connection."""
 
 import asyncio
+import time
 
 import pytest
-from result import Ok
+from result import Err, Ok
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
 from goldcreststair.const import HEADER_REQUEST_ID
 from goldcreststair.upstreams import http_engine
+from goldcreststair.upstreams.errors import UpstreamFailure
 from goldcreststair.upstreams.http_engine import (
     CONTROL_TIMEOUT_MS,
     MAX_KV_STATE_BYTES,
     HttpEngineClient,
 )
-from goldcreststair.upstreams.models import GenerateCall, GenerateEnd, Order, Upstream
+from goldcreststair.upstreams.models import (
+    GenerateCall,
+    GenerateEnd,
+    Order,
+    StreamChunk,
+    Upstream,
+)
 
 
 class KvHandler(RequestHandler):
@@ -103,3 +111,34 @@
         await server.close_all_connections()
 
     asyncio.run(async_test())
+
+
+class EndlessHandler(RequestHandler):
+    async def post(self) -> None:
+        self.set_header(HEADER_REQUEST_ID, self.request.headers[HEADER_REQUEST_ID])
+        while not self.request.connection.stream.closed():  # type: ignore[union-attr]
+            self.write(b"x" * 65_536)
+            await self.flush()
+
+
+def test_an_event_without_end_ends_the_run() -> None:
+    """Guards against an engine that sends one event until the daemon's memory is used up."""
+
+    class Sink:
+        async def async_accept(self, chunk: StreamChunk) -> None:
+            raise AssertionError("no event is complete")
+
+    async def async_test() -> None:
+        socket, port = bind_unused_port()
+        server = HTTPServer(Application([(r"/v1/.*", EndlessHandler)]))
+        server.add_socket(socket)
+        upstream = Upstream("e1", f"127.0.0.1:{port}", "dc1")
+        call = GenerateCall("r1", "/v1/completions", b"{}", True, 5_000)
+        began_at = time.monotonic()
+        outcome = await HttpEngineClient().async_generate(upstream, call, Sink())
+        assert isinstance(outcome, Err) and outcome.err_value.failure is UpstreamFailure.LOST
+        assert time.monotonic() - began_at < 2
+        server.stop()
+        await server.close_all_connections()
+
+    asyncio.run(async_test())
