Let entries of other writers change nothing in the list of upstreams

Cause: the list kept one entry for each address, the one that started last, whatever its service, and dropped the engine's own renewals. Found beside it: an unreadable row under an engine's name removed the engine. Change: the controller keeps rows and derives the list: entries of services in the catalogue count, an unusable one leaves the last usable one of its name in force, and of two at one address one that is renewed goes before one that is not. Why it works: nothing that an unusable row says reaches the list, whenever it is read.

--- a/goldcreststair/components/discovery/const.py
+++ b/goldcreststair/components/discovery/const.py
@@ -7,6 +7,9 @@
 within about 2 s after the store has returned."""
 UNREADABLE_COLD_MS: Final = 3_000
 """How long a new upstream counts as cold if its entry does not say whether it is."""
+RENEWED_MS: Final = 4_000
+"""An entry that was written so much earlier than another one at its address is not renewed any more: upstreams
+write theirs about once a second."""
 OUTAGE_MEMORY_MS: Final = 1_000
 """An entry that is removed this soon after a store outage may have expired during the outage."""
 LIST_CURRENT_MS: Final = 3_000
--- a/goldcreststair/components/discovery/controller.py
+++ b/goldcreststair/components/discovery/controller.py
@@ -1,11 +1,17 @@
-"""Keeps the upstreams that may get work, also during store outages; no I/O."""
+"""Keeps the upstreams that may get work, also during store outages; no I/O.
 
-from collections.abc import Iterable
+The table of upstreams has other writers, too: an entry of an unknown service, or one that cannot be read, names no
+upstream and must not change which others may get work.
+"""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterable
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.discovery.const import (
     EXPIRY_GRACE_MS,
     OUTAGE_MEMORY_MS,
+    RENEWED_MS,
     UNREADABLE_COLD_MS,
 )
 from goldcreststair.components.discovery.models import LiveUpstreams, UpstreamEntry
@@ -15,9 +21,15 @@
     """Maintains the list of upstreams from the rows of the store."""
 
     def __init__(self, clock: Clock) -> None:
-        """Create a controller without upstreams."""
+        """Create a controller without upstreams, for which every service is known."""
         self._clock = clock
-        self._entries: dict[str, UpstreamEntry] = {}
+        self._services: Collection[str] | None = None
+        self._newest: dict[str, UpstreamEntry] = {}
+        """The newest readable entry of each name, of any service."""
+        self._usable: dict[str, UpstreamEntry] = {}
+        """The newest entry of a known service of each name; kept while an unusable one stands in its place."""
+        self._renewed_at: dict[str, Millis] = {}
+        """When each usable entry was last written, as seen here."""
         self._expired: dict[str, Millis] = {}
         """Time until which an expired entry is kept, by name."""
         self._cold_until: dict[str, Millis] = {}
@@ -33,10 +45,19 @@
         elif not reached and self._store_away_since is None:
             self._store_away_since = now
 
-    def replace_all(self, entries: Iterable[UpstreamEntry]) -> None:
-        """Replace the list by all upstreams in the store."""
+    def set_services(self, services: Collection[str]) -> None:
+        """Set the services of the catalogue; entries of others are not used."""
+        self._services = frozenset(services)
+        for name, entry in self._newest.items():
+            if self._is_usable(entry) and self._usable.get(name) != entry:
+                self._use(entry)
+
+    def replace_all(
+        self, entries: Iterable[UpstreamEntry], unreadable: Collection[str] = ()
+    ) -> None:
+        """Replace the list by all upstreams in the store; `unreadable` names the rows that are none."""
         found = {entry.name: entry for entry in entries}
-        for name in self._entries.keys() - found.keys():
+        for name in self._newest.keys() - found.keys() - set(unreadable):
             self.remove(name)
         for entry in found.values():
             self.put(entry)
@@ -44,20 +65,14 @@
 
     def put(self, entry: UpstreamEntry) -> None:
         """Add or update the entry of one upstream."""
-        self._expired.pop(entry.name, None)
-        # An address belongs to the upstream that started last. An upstream that was lost may still
-        # be listed when its address has been assigned to another one.
-        for name, other in tuple(self._entries.items()):
-            if other.address == entry.address and name != entry.name:
-                if other.started_ms > entry.started_ms:
-                    return
-                self._drop(name)
-        self._update_cold(entry)
-        self._entries[entry.name] = entry
+        self._newest[entry.name] = entry
+        if self._is_usable(entry):
+            self._use(entry)
 
     def remove(self, name: str) -> None:
         """Handle the removal of an upstream's entry from the store."""
-        entry = self._entries.get(name)
+        self._newest.pop(name, None)
+        entry = self._usable.get(name)
         if entry is None:
             return
         # No entry can be renewed during a store outage. Without the grace period all upstreams
@@ -79,14 +94,48 @@
 
     def read(self) -> LiveUpstreams:
         """Return the current upstreams."""
+        live = self._list_live()
         return LiveUpstreams(
-            dict(self._entries), frozenset(self._expired), self._known, dict(self._cold_until)
+            live,
+            frozenset(self._expired.keys() & live.keys()),
+            self._known,
+            {name: until for name, until in self._cold_until.items() if name in live},
         )
 
+    def _is_usable(self, entry: UpstreamEntry) -> bool:
+        return self._services is None or entry.service in self._services
+
+    def _use(self, entry: UpstreamEntry) -> None:
+        self._expired.pop(entry.name, None)
+        self._update_cold(entry)
+        self._usable[entry.name] = entry
+        self._renewed_at[entry.name] = self._clock.now()
+
+    def _list_live(self) -> dict[str, UpstreamEntry]:
+        """Return the usable upstreams, one for each address."""
+        usable = {n: entry for n, entry in self._usable.items() if self._is_usable(entry)}
+        if len({entry.address for entry in usable.values()}) == len(usable):
+            return usable
+        by_address: defaultdict[str, list[str]] = defaultdict(list)
+        for name, entry in usable.items():
+            by_address[entry.address].append(name)
+        owners = {address: self._choose_owner(names) for address, names in by_address.items()}
+        return {name: entry for name, entry in usable.items() if owners[entry.address] == name}
+
+    def _choose_owner(self, names: list[str]) -> str:
+        """Return which of several upstreams has an address.
+
+        It belongs to the one that started last. An upstream that was lost may still be listed when its address has
+        been assigned to another one; it does not renew its entry any more, while one that does is there.
+        """
+        renewed_at = max(self._renewed_at[name] for name in names)
+        renewing = [name for name in names if self._renewed_at[name] >= renewed_at - RENEWED_MS]
+        return max(renewing, key=lambda n: (self._usable[n].started_ms, self._renewed_at[n], n))
+
     def _update_cold(self, entry: UpstreamEntry) -> None:
         if entry.cold_ms is None:
             # An unreadable field does not change the known cold state.
-            known = self._entries.get(entry.name)
+            known = self._usable.get(entry.name)
             if known is not None and known.started_ms == entry.started_ms:
                 return
         cold_ms = UNREADABLE_COLD_MS if entry.cold_ms is None else entry.cold_ms
@@ -96,7 +145,8 @@
             self._cold_until.pop(entry.name, None)
 
     def _drop(self, name: str) -> None:
-        self._entries.pop(name, None)
+        self._usable.pop(name, None)
+        self._renewed_at.pop(name, None)
         self._cold_until.pop(name, None)
         self._expired.pop(name, None)
 
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from goldcreststair.clock import Millis
+from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
 from goldcreststair.components.discovery.const import LIST_CURRENT_MS
 from goldcreststair.components.discovery.controller import DiscoveryController
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
@@ -38,6 +39,7 @@
         self._followed_since = Millis(0)
         self._has_expired_entries = asyncio.Event()
         self._expiry_task: asyncio.Task[None] | None = None
+        core.blackboard.subscribe(CATALOGUE, self._on_catalogue)
 
     async def async_start(self) -> None:
         """Start to follow the list and to expire entries."""
@@ -54,20 +56,26 @@
 
     def replace_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Replace the list by all entries in the store."""
-        entries = (self._decode(row) for row in rows)
-        self._controller.replace_all(entry for entry in entries if entry is not None)
+        decoded = {row.key.key: self._decode(row) for row in rows}
+        entries = [entry for entry in decoded.values() if entry is not None]
+        unreadable = [name for name, entry in decoded.items() if entry is None]
+        self._controller.replace_all(entries, unreadable)
         self._publish()
 
     def apply_changes(self, rows: Sequence[StoredRow]) -> None:
         """Apply changed entries."""
         for row in rows:
-            entry = None if row.deleted else self._decode(row)
-            if entry is not None:
-                self._controller.put(entry)
-            else:
+            if row.deleted:
                 self._controller.remove(row.key.key)
+            elif (entry := self._decode(row)) is not None:
+                self._controller.put(entry)
         self._publish()
 
+    def _on_catalogue(self, catalogue: Catalogue) -> None:
+        if catalogue.version:
+            self._controller.set_services(catalogue.services.keys())
+            self._publish()
+
     def record_contact(self, *, reached: bool) -> None:
         """Record whether the store answered."""
         self._controller.record_contact(reached=reached)
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -258,13 +258,14 @@
         customers: tuple[Mapping[str, Any], ...] = ({"name": "club"},),
         keys: Mapping[str, str] | None = None,
         cold: Mapping[str, float] | None = None,
+        services: tuple[str, ...] = ("engine",),
     ) -> None:
         """Write a version of the catalogue as operators do."""
         keys = {"key-club": "club"} if keys is None else keys
         document = {
             "version": version,
             "routes": routes,
-            "services": {"engine": cold or {}},
+            "services": {service: cold or {} for service in services},
             "customers": customers,
             "keys": keys,
         }
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -63,6 +63,10 @@
 """How many times more faults a proxy before an upstream gets than any other proxy."""
 CRASHED_S: Final = 2.5
 """How long an upstream is down after it crashed under a prompt part."""
+FOREIGN_SHARE: Final = 0.3
+"""When entries of another writer come, as a share of the soak."""
+FOREIGN_LATER_S: Final = 3_600.0
+"""How much later than now their upstreams claim to have started: later than any restart."""
 LISTED_WITHIN_S: Final = 30.0
 """How long accepted items may take to be listed after the last fault."""
 
@@ -118,6 +122,26 @@
             evacuation.until = time.monotonic()
             self.store.store.drop(row)
 
+    async def async_write_foreign_entries(self, after_s: float) -> None:
+        """Write entries of another writer, which stay: for each upstream one at its address, and one that is no entry."""
+        await asyncio.sleep(after_s)
+        for engine in self.engines:
+            entry = {
+                "service": "audit-agent",
+                "address": engine.address,
+                "zone": _name_zone(0),
+                "version": "v9",
+                "slots": 8,
+                "cold_left_ms": 0,
+                "state": "ready",
+                "sequence": 1,
+                "born": round((time.time() + FOREIGN_LATER_S) * 1000),
+            }
+            key = RowKey("servers", "", f"agent-{engine.name}")
+            self.store.store.put(key, orjson.dumps(entry))
+            self.store.store.put(RowKey("servers", "", f"log-{engine.name}"), b"\xff")
+            self.record.foreign_entries += 2
+
     async def async_upgrade(self, planned: Sequence[PlannedUpgrade]) -> None:
         """Restart upstreams under their names, with other software; several may be down together."""
         started_at = time.monotonic()
@@ -249,6 +273,7 @@
             planned = [
                 tasks.create_task(site.async_evacuate(plan_evacuations(seed, seconds))),
                 tasks.create_task(site.async_upgrade(plan_upgrades(seed, seconds))),
+                tasks.create_task(site.async_write_foreign_entries(seconds * FOREIGN_SHARE)),
             ]
             await injector.async_run(faults)
             ended.set()
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -133,5 +133,7 @@
     """Requests with prompt parts that crash upstreams; times are in s here as well."""
     crash_senders: dict[str, str] = field(default_factory=dict)
     """The daemon that got each of these requests, by request id."""
+    foreign_entries: int = 0
+    """Rows that another writer has put into the table of upstreams."""
     began_at: float = 0.0
     """When all daemons were ready for the first time."""
