--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -145,6 +145,18 @@
     run_local(scenario)
 
 
+@pytest.mark.parametrize("path", ["/once/x", "/call/x"])
+def test_a_status_that_is_not_registered_reaches_the_caller(path: str) -> None:
+    """Guards against a connection that ends without an answer, as the answer's status has no reason phrase."""
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.faults = [EngineFault.ODD_STATUS]
+        answer = await local.async_call("POST", path)
+        assert answer.whole and answer.status == 499 and answer.body == b"odd"
+
+    run_local(scenario)
+
+
 def test_a_caller_that_closes_its_connection_ends_the_run() -> None:
     async def scenario(local: LocalGateway) -> None:
         local.engine.faults = [EngineFault.SILENT]
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -24,6 +24,10 @@
     """The same, and the engine ends after its first event: it accepts no more connections."""
     UNFRAMED_RESET = "unframed_reset"
     """The same, and the connection is reset before its end."""
+    FAILED_TWICE = "failed_twice"
+    """Answers a failure, and sends it once more before its next answer."""
+    ODD_STATUS = "odd_status"
+    """Answers with a status that is not registered."""
     GARBAGE = "garbage"
     """Sends bytes that are not an HTTP answer."""
     NOT_RUN = "not_run"
@@ -62,7 +66,8 @@
     address: str = ""
     connections: int = 0
     _server: asyncio.Server | None = None
-    _late: bytes = b""
+    _late: dict[int, bytes] = field(default_factory=dict)
+    """By connection, what is sent before its next answer."""
 
     async def async_start(self) -> None:
         """Listen on any free port."""
@@ -102,15 +107,14 @@
         self.seen.append(SeenRequest(head[0], headers, body, number))
         if fault is EngineFault.EARLY:
             return True
-        if self._late:
-            writer.write(self._late)
-            self._late = b""
+        writer.write(self._late.pop(number, b""))
         answers: dict[EngineFault, Callable[..., Awaitable[bool]]] = {
             EngineFault.CUT: self._async_cut,
             EngineFault.UNFRAMED: self._async_unframed,
             EngineFault.UNFRAMED_CRASH: self._async_unframed_crash,
             EngineFault.UNFRAMED_RESET: self._async_unframed_reset,
             EngineFault.GARBAGE: self._async_garbage,
+            EngineFault.ODD_STATUS: self._async_odd_status,
             EngineFault.NOT_RUN: self._async_not_run,
             EngineFault.MISDIRECTED: self._async_misdirected,
             EngineFault.SILENT: self._async_silent,
@@ -119,6 +123,10 @@
         faulty = answers.get(fault)
         if faulty is not None:
             return await faulty(writer, request_id, first)
+        if fault is EngineFault.FAILED_TWICE:
+            self._late[number] = make_head(500, request_id, "Content-Length: 3") + b"bad"
+            writer.write(self._late[number])
+            return True
         if self.pause_s:
             return await self._async_slow(writer, request_id, first)
         closes = "Connection: close\r\n" if fault is EngineFault.CLOSES else ""
@@ -126,7 +134,7 @@
         if fault is EngineFault.EXTRA:
             writer.write(make_stream("other", 1, 2))
         if fault is EngineFault.EXTRA_LATE:
-            self._late = make_stream("other", 1, 2)
+            self._late[number] = make_stream("other", 1, 2)
         await writer.drain()
         return fault is not EngineFault.CLOSES
 
@@ -181,6 +189,13 @@
         await writer.drain()
         return False
 
+    async def _async_odd_status(
+        self, writer: asyncio.StreamWriter, request_id: str, _: int
+    ) -> bool:
+        writer.write(make_head(499, request_id, "Content-Length: 3") + b"odd")
+        await writer.drain()
+        return True
+
     async def _async_not_run(self, writer: asyncio.StreamWriter, request_id: str, _: int) -> bool:
         writer.write(make_head(503, request_id, "Not-Run: 1\r\nContent-Length: 0"))
         await writer.drain()
