Keep a late copy of a failure from counting against an item's next run

Cause: an item keeps its id over all its runs, and a copy of its answer of 500 that its upstream sends late stands before the next answer on that connection; where that is the next run of the same item, the id matches. Change: a connection that has carried a request is not used for it again. Other requests skip the copy by its id, as before. Measured: test_a_late_copy_is_not_the_answer_of_the_next_run_of_its_request failed before (500 for 200) and passes.

--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Final, cast
@@ -31,6 +32,7 @@
 STATUS_OK: Final = 200
 MAX_FOREIGN_RESPONSES: Final = 3
 """Number of responses to other requests that are skipped before a connection is closed."""
+REMEMBERED_KEYS: Final = 16
 MAX_INFORMATIONAL_RESPONSES: Final = 8
 MAX_FAILURE_BYTES: Final = 1024 * 1024
 """Longest body of a response that reports a failure."""
@@ -231,6 +233,8 @@
         self._socket = sock
         self._transport: asyncio.Transport | None = None
         self._reader: _ResponseReader | None = None
+        self._keys: deque[str] = deque(maxlen=REMEMBERED_KEYS)
+        """Keys of the last requests."""
         self._unusable = False
         """Whether the connection was closed or received bytes that belong to no request."""
         self._delivery: asyncio.Task[None] | None = None
@@ -325,6 +329,10 @@
             return False
         return False
 
+    def has_carried(self, key: str) -> bool:
+        """Return whether one of the last requests had this key."""
+        return bool(key) and key in self._keys
+
     def end_response(self, reason: str) -> None:
         """End the response that arrives now as broken."""
         if self._reader is not None:
@@ -344,6 +352,7 @@
         self, exchange: Exchange, hooks: ResponseHooks
     ) -> tuple[Result[HttpResponse, ExchangeError], bool]:
         """Send a request; returns its response and whether the connection may be reused."""
+        self._keys.append(exchange.key)
         reader = self._reader = _ResponseReader(exchange, hooks)
         try:
             self.transport.write(_encode(exchange))
--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -90,6 +90,9 @@
     connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
     max_response_bytes: int = MAX_RESPONSE_BYTES
     """A longer body ends the exchange as broken."""
+    key: str = ""
+    """Identifies the request in its response. A connection that carried it is not used for it again, as a copy of
+    its earlier response may still arrive there; persistent connections only."""
     delivers_late: bool = False
     """Whether a complete response is still delivered after the timeout; persistent connections only."""
 
--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -115,7 +115,7 @@
         self, exchange: Exchange, hooks: ResponseHooks
     ) -> Result[HttpResponse, ExchangeError]:
         """Send one request and read its response; cancelling closes the connection at once."""
-        connection = self._pop_idle(exchange.address)
+        connection = self._pop_idle(exchange.address, exchange.key)
         if connection is None:
             opened = await self._async_open(exchange, exchange.connect_timeout_ms)
             if isinstance(opened, Err):
@@ -154,10 +154,13 @@
             del self._buffered[largest]
             largest.end_response("responses too long")
 
-    def _pop_idle(self, address: str) -> PersistentConnection | None:
+    def _pop_idle(self, address: str, key: str) -> PersistentConnection | None:
         connections = self._by_address.get(address)
-        while connections is not None and connections.idle:
-            entry = connections.idle.pop()
+        idle = connections.idle if connections is not None else []
+        for index in reversed(range(len(idle))):
+            if idle[index].connection.has_carried(key):
+                continue
+            entry = idle.pop(index)
             if self._is_usable(entry):
                 return entry.connection
             self._close(address, entry.connection)
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -118,6 +118,7 @@
             body=call.body,
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             max_response_bytes=MAX_ANSWER_BYTES,
+            key=call.request_id,
             delivers_late=call.delivers_late,
         )
         on_data = sink.on_data if sink.wants_chunks else None
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -229,3 +229,21 @@
         assert isinstance(end, Err) and end.err_value.not_run
 
     run_engine(scenario)
+
+
+def test_a_late_copy_is_not_the_answer_of_the_next_run_of_its_request() -> None:
+    """Guards against an item that is given up as one failure of its upstream counts twice."""
+
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        engine.faults = [EngineFault.FAILED_TWICE]
+        first = await runner.async_run(engine.address, make_call(), Sink())
+        assert isinstance(first, Ok) and first.ok_value.head.status == 500
+        await asyncio.sleep(0.02)
+        again = await runner.async_run(engine.address, make_call(), Sink())
+        assert isinstance(again, Ok) and again.ok_value.head.status == 200
+        # Another request may use the connection: the copy does not belong to it.
+        other = await runner.async_run(engine.address, make_call("r2"), Sink())
+        assert isinstance(other, Ok) and other.ok_value.head.status == 200
+        assert engine.connections == 2
+
+    run_engine(scenario)
