Do not register an upstream in the soak that has crashed again meanwhile

An upstream that restarts accepts requests 50 ms before it is registered; if it crashed in between, the first restart registered it all the same, with a lifetime from then on, so that the checker held it for up. Change: it is registered by the restart after the crash, and a lifetime that has ended is not extended.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -167,7 +167,8 @@
         engine, proxy = self.engines[number], self.proxies[number]
         if engine.down:
             return
-        self._find_lifetime(engine.name).until = time.monotonic()
+        life = self._find_lifetime(engine.name)
+        life.until = min(life.until, time.monotonic())
         engine.crash()
         proxy.refuse()
         try:
@@ -177,7 +178,9 @@
             engine.software, engine.down = software, False
             await proxy.async_accept()
             await asyncio.sleep(REGISTRATION_S)
-            self._register(number)
+            # It may have crashed again; its next restart registers it.
+            if not engine.down:
+                self._register(number)
 
     def _register(self, number: int) -> None:
         engine = self.engines[number]
