Count a trial of a verdict from its begin

Cause: found by reading. A trial was spent once its crash had been reported. A crash that is not seen, as where the upstream is back before it is checked, left the trial open, and each further request with the part ran. Change: it is spent when it begins, and given back if no upstream ran it. Measured: test_a_trial_counts_though_its_crash_is_not_seen, both rows failed before (39 requests at upstreams for 1) and pass, as does test_a_trial_that_no_upstream_runs_is_repeated; tests of crash_marks, quarantine and forwarding passed.

--- a/goldcreststair/components/crash_marks/guard.py
+++ b/goldcreststair/components/crash_marks/guard.py
@@ -31,6 +31,12 @@
     def leave(self, guard: "RequestGuard") -> None:
         """Record that a run of a request has ended."""
 
+    def begin_trial(self, suspects: Suspects) -> None:
+        """Record that a refused request is about to run as a trial."""
+
+    def return_trial(self, suspects: Suspects) -> None:
+        """Record that a trial has not run."""
+
     def report_answer(self, entry: UpstreamEntry, suspects: Suspects, wrote_at: Millis) -> None:
         """Report an answer that shows that its request crashes no upstream."""
 
@@ -79,6 +85,8 @@
         if turn in (Turn.READY, Turn.TRIAL):
             self._entered, self._is_trial = True, turn is Turn.TRIAL
             self._running.enter(self)
+        if turn is Turn.TRIAL:
+            self._running.begin_trial(self.suspects)
         return turn
 
     async def async_enter(self, ends_at: Millis) -> Turn:
@@ -99,9 +107,12 @@
         if is_first and self.upstream is not None:
             self._running.report_answer(self.upstream, self.suspects, wrote_at)
 
-    def leave(self) -> None:
-        """End the turn; does nothing if none was taken."""
-        if self._entered:
-            self._entered = self._is_trial = False
-            self.upstream = self.wrote_at = None
-            self._running.leave(self)
+    def leave(self, *, not_run: bool = False) -> None:
+        """End the turn, after a run unless `not_run`; does nothing if none was taken."""
+        if not self._entered:
+            return
+        if self._is_trial and (not_run or self.upstream is None):
+            self._running.return_trial(self.suspects)
+        self._entered = self._is_trial = False
+        self.upstream = self.wrote_at = None
+        self._running.leave(self)
--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -198,6 +198,14 @@
             if not self._running[suspect]:
                 del self._running[suspect]
 
+    def begin_trial(self, suspects: Suspects) -> None:
+        """Record that a refused request is about to run as a trial."""
+        self._verdicts.begin_trial(suspects)
+
+    def return_trial(self, suspects: Suspects) -> None:
+        """Record that a trial has not run."""
+        self._verdicts.return_trial(suspects)
+
     def report_answer(self, entry: UpstreamEntry, suspects: Suspects, wrote_at: Millis) -> None:
         """Report an answer that shows that its request crashes no upstream; `wrote_at` is its last event's time."""
         software = _hash_software(entry)
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -148,8 +148,8 @@
                     self._crash_reports.record_whole()
                 self._finish_answered(end.ok_value)
                 return
-            self._guard.leave()
             error = end.err_value if isinstance(end, Err) else _make_run_error(end.ok_value)
+            self._guard.leave(not_run=error.not_run)
             self._record_failure(placed.ok_value, error)
             remaining_ms = self._remaining_ms()
             next_step = decide_next_step(
--- a/goldcreststair/helpers/crash_verdicts.py
+++ b/goldcreststair/helpers/crash_verdicts.py
@@ -34,6 +34,7 @@
 """Crashes within this time after a failed trial, as of requests that ran at the verdict, count as the same one."""
 RELEASED_MS: Final = 10_000
 """How long a verdict that was released here is not taken over from other VMs."""
+NEVER: Final = Millis(-1)
 MAX_VERDICTS: Final = 512
 SEPARATOR: Final = "+"
 
@@ -77,20 +78,23 @@
     """The crashes that it is derived from; empty if it was taken over."""
     failures: int = 0
     """Crashes under its suspects since then."""
-    failed_at: Millis | None = None
+    failed_at: Millis = NEVER
+    """When the last of them was reported."""
+    tried_at: Millis = NEVER
+    """When a trial last began here; its crash may go unnoticed."""
 
     @property
     def item_trial_at(self) -> Millis:
         """When a batch item may run as a trial."""
-        since = self.learned_at if self.failed_at is None else self.failed_at
+        since = max(self.learned_at, self.failed_at, self.tried_at)
         pause = min(self.failures, len(ITEM_TRIAL_PAUSES_MS) - 1)
         return Millis(since + ITEM_TRIAL_PAUSES_MS[pause])
 
     def may_try_online(self, now: Millis) -> bool:
-        """Return whether an online request may run as a trial: none has failed since the last was due."""
+        """Return whether an online request may run as a trial: none has begun here, or failed, since one was due."""
         began_at = self.ends_at - VERDICT_MS
         due = [began_at + age_ms for age_ms in ONLINE_TRIALS_MS if began_at + age_ms <= now]
-        return bool(due) and (self.failed_at is None or self.failed_at < due[-1])
+        return bool(due) and max(self.failed_at, self.tried_at) < due[-1]
 
 
 @dataclass(slots=True)
@@ -172,6 +176,16 @@
         now = self._clock.now()
         return all(self._verdicts[each].may_try_online(now) for each in self.find_all(suspects))
 
+    def begin_trial(self, suspects: Suspects) -> None:
+        """Record that a refused request begins to run as a trial here."""
+        for each in self.find_all(suspects):
+            self._verdicts[each].tried_at = self._clock.now()
+
+    def return_trial(self, suspects: Suspects) -> None:
+        """Record that a trial has not run, so that another one may begin."""
+        for each in self.find_all(suspects):
+            self._verdicts[each].tried_at = NEVER
+
     def is_pending(self, suspects: Suspects) -> bool:
         """Return whether a request would be refused if no answer spoke for it."""
         return any(each <= suspects for each in self._pending)
@@ -218,8 +232,7 @@
         now = self._clock.now()
         for each in self.find_all(report.suspects | report.begun):
             verdict = self._verdicts[each]
-            since = verdict.learned_at if verdict.failed_at is None else verdict.failed_at
-            if now - since >= FAILURE_MERGE_MS:
+            if now - max(verdict.learned_at, verdict.failed_at) >= FAILURE_MERGE_MS:
                 verdict.failures += 1
                 verdict.failed_at = now
         confirmed = {each: frozenset[bytes]() for each in self._lapsed if each <= report.suspects}
--- a/tests/components/crash_marks/test_sound_items.py
+++ b/tests/components/crash_marks/test_sound_items.py
@@ -181,3 +181,46 @@
         assert len((await async_read(fleet.members[1], "j")).results) == 60
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("path", ["/once/{}", "/stream/{}"])
+def test_a_trial_counts_though_its_crash_is_not_seen(path: str) -> None:
+    """Guards against trial after trial, as each upstream that crashes under one is back before it is checked."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        await async_prepare(fleet, 3, 6)
+        fleet.engines.crash_parts = {"bad": CrashManner.HEAD}
+        fleet.engines.on_crash = lambda engine: setattr(engine, "up", True)
+        fleet.members[0].core.get(CRASH_TRACKER).on_verdict(frozenset((hash_part("bad"),)))
+        await fleet.clock.async_sleep(ONLINE_TRIALS_MS[0])
+        for number in range(40):
+            for member in fleet.members:
+                await async_send(fleet, member, path.format(number), parts=("bad", f"own{number}"))
+            await fleet.clock.async_sleep(500)
+        assert len(fleet.engines.record.arrivals) == 1
+
+    run_fleet(scenario)
+
+
+def test_a_trial_that_no_upstream_runs_is_repeated() -> None:
+    """Guards against a sound part that stays refused, as the upstream of its trial was full."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = await async_prepare(fleet, 2, 2)
+        verdict = frozenset((hash_part("shared"),))
+        trackers = [member.core.get(CRASH_TRACKER) for member in fleet.members]
+        trackers[0].on_verdict(verdict)
+
+        def is_released() -> bool:
+            return not any(tracker.is_refused(verdict) for tracker in trackers)
+
+        for engine in engines:
+            engine.refuse = True
+        await async_ask_often(fleet, "shared", ONLINE_TRIALS_MS[0] + 3_000, is_released)
+        assert not is_released()
+        for engine in engines:
+            engine.refuse = False
+        await async_ask_often(fleet, "shared", 5_000, is_released)
+        assert is_released()
+
+    run_fleet(scenario)
