--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -61,7 +61,7 @@
     is_rejected: Callable[[], bool] | None = None
     """Returns whether `on_data` can use nothing that follows, so that the response need not be read to its end."""
     on_buffered: Callable[[int], None] | None = None
-    """Called with the number of body bytes that the response holds now, and 0 at its end."""
+    """Called with the number of body bytes that the response holds now."""
 
 
 class _ResponseReader:
