--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -36,7 +36,7 @@
 MAX_INFORMATIONAL_RESPONSES: Final = 8
 MAX_FAILURE_BYTES: Final = 1024 * 1024
 """Longest body of a response that reports a failure."""
-STATUS_FAILED: Final = 400
+FIRST_ERROR_STATUS: Final = 400
 MAX_FOREIGN_BYTES: Final = 1024 * 1024
 """Most bytes in the bodies of such responses."""
 MAX_OVERHEAD_BYTES: Final = 64 * 1024
@@ -144,7 +144,7 @@
             return
         self._body += chunk
         limit = self._max_bytes
-        if self._status >= STATUS_FAILED:
+        if self._status >= FIRST_ERROR_STATUS:
             limit = min(limit, MAX_FAILURE_BYTES)
         if len(self._body) > limit:
             self.fail("response too long", ExchangeFailure.BROKEN)
