Split many comments of a stream in linear time

Cause: found by reading: 256 KiB of comments of five bytes each were copied at each comment, 3.5 s of the loop at a load of 20. Change: they are kept in a buffer that grows, and what was taken is cut off once a read.

--- a/goldcreststair/upstreams/events.py
+++ b/goldcreststair/upstreams/events.py
@@ -42,7 +42,7 @@
     def __init__(self) -> None:
         """Initialise with an empty buffer."""
         self._buffer = bytearray()
-        self._comments = b""
+        self._comments = bytearray()
         """Comments since the last event."""
 
     @property
@@ -61,15 +61,16 @@
         # The blank line may have begun with the last byte of the buffer.
         searched = max(0, len(self._buffer) - 1)
         self._buffer += chunk
+        taken = 0
         while (end := self._buffer.find(EVENT_END, searched)) >= 0:
-            raw = bytes(self._buffer[: end + len(EVENT_END)])
-            del self._buffer[: end + len(EVENT_END)]
-            searched = 0
+            raw = bytes(self._buffer[taken : end + len(EVENT_END)])
+            taken = searched = end + len(EVENT_END)
             if _has_fields(raw):
-                found.append(_parse_event(self._comments + raw))
-                self._comments = b""
+                found.append(_parse_event(bytes(self._comments) + raw))
+                self._comments.clear()
             else:
                 self._comments += raw
+        del self._buffer[:taken]
         return found
 
 
