--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -30,7 +30,7 @@
 
 
 MAX_BUFFERED_BYTES: Final = 32 * 1024 * 1024
-"""Most bytes of bodies that all responses of one pool hold together until they are whole."""
+"""Most bytes of bodies that all responses of one pool hold together until they are whole, unless it is told."""
 
 
 @dataclass(slots=True)
@@ -65,9 +65,10 @@
 class ConnectionPool:
     """Stores idle connections for reuse; a connection serves one request at a time."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Initialise without connections."""
+    def __init__(self, clock: Clock, max_buffered_bytes: int = MAX_BUFFERED_BYTES) -> None:
+        """Initialise without connections; bodies that arrive may hold `max_buffered_bytes` together."""
         self._clock = clock
+        self._max_buffered_bytes = max_buffered_bytes
         self._by_address: dict[str, _AddressConnections] = {}
         self._opened = 0
         self._reused = 0
@@ -149,7 +150,7 @@
     def _record_buffered(self, connection: PersistentConnection, count: int) -> None:
         """Record how much of a body a connection holds, and end the largest one if all hold too much."""
         self._buffered[connection] = count
-        if sum(self._buffered.values()) > MAX_BUFFERED_BYTES:
+        if sum(self._buffered.values()) > self._max_buffered_bytes:
             largest = max(self._buffered, key=lambda each: self._buffered[each])
             del self._buffered[largest]
             largest.end_response("responses too long")
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -203,3 +203,28 @@
         assert received == [b"a"]
 
     asyncio.run(async_run())
+
+
+def test_bodies_that_hold_too_much_together_end_with_the_largest() -> None:
+    """Guards against the memory of a daemon that many long responses use up at the same time."""
+    size = 50_000
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+    longest = Server(head % (3 * size), *[b"x" * size] * 3)
+    late = [b"x" * (size - 1), *[b""] * 10, b"x"]
+    others = [Server(head % size, *late) for _ in range(2)]
+
+    async def scenario() -> None:
+        addresses = [await server.async_start() for server in (longest, *others)]
+        pool = ConnectionPool(LoopClock(), max_buffered_bytes=3 * size)
+        exchanges = [Exchange(address, "GET", "/", 5_000) for address in addresses]
+        sending = [pool.async_exchange(exchange, ResponseHooks()) for exchange in exchanges]
+        ended, *whole = await asyncio.gather(*sending)
+        assert isinstance(ended, Err) and ended.err_value.failure is ExchangeFailure.BROKEN
+        assert all(isinstance(each, Ok) and len(each.ok_value.body) == size for each in whole)
+        # Bodies that have ended count no more.
+        assert isinstance(await pool.async_exchange(exchanges[0], ResponseHooks()), Ok)
+        pool.close()
+        for server in (longest, *others):
+            await server.async_close()
+
+    asyncio.run(scenario())
