Count requests in the soak that cross the end of their connection

A proxy that closes the near side of a connection, as its upstream has closed the far one, dropped a request that was in the socket and unread. Change: it reads and records what is there before it closes as well; the checker is as it was. Measured: test_a_request_that_crosses_the_end_of_its_connection_counts_as_sent failed before and passes.

--- a/tests/platform_adapter/soak/proxy.py
+++ b/tests/platform_adapter/soak/proxy.py
@@ -49,10 +49,7 @@
         self.disturbed = self.was_reset = True
         if self.attempt is not None:
             self.attempt.broken = True
-        if not self.near.is_closing():
-            # The near side has sent these requests, although they are lost with the connection.
-            pending = read_pending(self.near.get_extra_info("socket").fileno())
-            self.record_requests(pending, self)
+        self.record_unread()
         for writer in (self.near, self.far):
             raw = writer.get_extra_info("socket")
             if not writer.is_closing():
@@ -60,6 +57,15 @@
             writer.transport.abort()
         self.release()
 
+    def record_unread(self) -> None:
+        """Record the requests that the near side has sent and that are lost with its connection."""
+        if self.near.is_closing():
+            return
+        pending = read_pending(self.near.get_extra_info("socket").fileno())
+        if pending:
+            self.was_reset = True
+            self.record_requests(pending, self)
+
 
 @dataclass(slots=True)
 class Proxy:
@@ -158,6 +164,8 @@
         except ConnectionError:
             pass
         await passes.wait()
+        if writer is link.near:
+            link.record_unread()
         writer.close()
 
     def _record_requests(self, data: bytes, link: Link) -> None:
--- a/tests/platform_adapter/soak/test_proxy.py
+++ b/tests/platform_adapter/soak/test_proxy.py
@@ -30,3 +30,27 @@
         target.close()
 
     asyncio.run(scenario())
+
+
+def test_a_request_that_crosses_the_end_of_its_connection_counts_as_sent() -> None:
+    """Guards against the same where the upstream closes the connection and the request is in the proxy's socket."""
+
+    async def scenario() -> None:
+        accepted: list[asyncio.StreamWriter] = []
+        target = await asyncio.start_server(lambda _, w: accepted.append(w), "127.0.0.1", 0)
+        host, port = target.sockets[0].getsockname()
+        proxy = Proxy("i-0", f"{host}:{port}")
+        await proxy.async_start()
+        proxy_host, _, proxy_port = proxy.address.rpartition(":")
+        with socket.create_connection((proxy_host, int(proxy_port))) as connection:
+            await asyncio.sleep(0.05)
+            (link,) = proxy.list_open()
+            link.near.transport.pause_reading()  # type: ignore[attr-defined]
+            connection.sendall(make_request("POST", "/x", headers={"Request-Id": "r"}))
+            accepted[0].close()
+            await asyncio.sleep(0.05)
+        assert [(each.request, each.broken) for each in proxy.attempts] == [("r", True)]
+        proxy.close()
+        target.close()
+
+    asyncio.run(scenario())
