Parse the lines of an event once

The comment check of the splitter went over the lines of each event, and the parser split the same lines again. The parser now returns None for a block of comments and empty lines. Behaviour is unchanged; lint and all tests pass.

--- a/goldcreststair/upstreams/events.py
+++ b/goldcreststair/upstreams/events.py
@@ -65,29 +65,31 @@
         while (end := self._buffer.find(EVENT_END, searched)) >= 0:
             raw = bytes(self._buffer[taken : end + len(EVENT_END)])
             taken = searched = end + len(EVENT_END)
-            if _has_fields(raw):
-                found.append(_parse_event(bytes(self._comments) + raw))
-                self._comments.clear()
-            else:
+            event = _parse_event(raw, bytes(self._comments))
+            if event is None:
                 self._comments += raw
+                continue
+            found.append(event)
+            self._comments.clear()
         del self._buffer[:taken]
         return found
 
 
-def _has_fields(raw: bytes) -> bool:
-    return any(line and not line.startswith(COMMENT) for line in raw.split(b"\n"))
-
-
-def _parse_event(raw: bytes) -> StreamEvent:
+def _parse_event(raw: bytes, comments: bytes) -> StreamEvent | None:
+    """Return the event that follows `comments`, or None if `raw` holds only comments and empty lines."""
     number = 0
     data: list[bytes] = []
+    has_fields = False
     for line in raw.split(b"\n"):
+        if not line or line.startswith(COMMENT):
+            continue
+        has_fields = True
         if line.startswith(FIELD_DATA):
             data.append(_parse_value(line, FIELD_DATA))
         elif line.startswith(FIELD_ID):
             value = _parse_value(line, FIELD_ID)
             number = parse_unsigned(value) or 0
-    return StreamEvent(raw, number, b"\n".join(data))
+    return StreamEvent(comments + raw, number, b"\n".join(data)) if has_fields else None
 
 
 def _parse_value(line: bytes, field: bytes) -> bytes:
