--- a/goldcreststair/components/limits/coordinators.py
+++ b/goldcreststair/components/limits/coordinators.py
@@ -117,8 +117,10 @@
         if partition.epoch > FIRST_EPOCH:
             takeover = Takeover(record.decode().split(), now)
         lease = CoordinatorLease(recorded=bool(record))
-        coordinator = Coordinator(partition, partition.epoch, now, takeover, lease)
-        coordinator.starts_full = partition.epoch == FIRST_EPOCH
+        starts_full = partition.epoch == FIRST_EPOCH
+        coordinator = Coordinator(
+            partition, partition.epoch, now, takeover, lease, starts_full=starts_full
+        )
         self._coordinators[partition.index] = coordinator
         return coordinator
 
