Decide in one place which turns let a request run

Requests, items and the guard compared a turn with the same two members. A property of Turn replaces the three copies. Behaviour is unchanged; lint and all tests pass.

--- a/goldcreststair/components/crash_marks/guard.py
+++ b/goldcreststair/components/crash_marks/guard.py
@@ -82,7 +82,7 @@
     def try_enter(self) -> Turn:
         """Take a turn if the request may run now."""
         turn = self._running.choose_turn(self.suspects, can_wait=self._can_wait)
-        if turn in (Turn.READY, Turn.TRIAL):
+        if turn.may_run:
             self._entered, self._is_trial = True, turn is Turn.TRIAL
             self._running.enter(self)
         if turn is Turn.TRIAL:
--- a/goldcreststair/components/crash_marks/models.py
+++ b/goldcreststair/components/crash_marks/models.py
@@ -37,3 +37,8 @@
     """It crashes the upstreams that run it."""
     BUSY = "busy"
     """It may crash upstreams, and another request that may do so for the same reason still runs."""
+
+    @property
+    def may_run(self) -> bool:
+        """Whether the request may run now."""
+        return self in (Turn.READY, Turn.TRIAL)
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -171,7 +171,7 @@
         may_have_run = self._progress.may_have_run
         if turn is Turn.BUSY:
             return Err(make_turn_refusal(may_have_run=may_have_run))
-        if turn in (Turn.READY, Turn.TRIAL):
+        if turn.may_run:
             placed = await self._async_place(next_step)
             if not self._guard.is_refused:
                 return placed
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -12,7 +12,7 @@
 from goldcreststair.components.catalogue.models import CATALOGUE, Route
 from goldcreststair.components.catalogue.regions import Regions, find_request_regions
 from goldcreststair.components.crash_marks.guard import RequestGuard
-from goldcreststair.components.crash_marks.models import LostRun, Turn
+from goldcreststair.components.crash_marks.models import LostRun
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.jobs.const import (
@@ -245,7 +245,7 @@
         tracker, suspects = self._core.get(CRASH_TRACKER), self._find_suspects(job, item)
         if not tracker.is_loading(suspects):
             turn = tracker.choose_turn(suspects, can_wait=True)
-            if turn in (Turn.READY, Turn.TRIAL):
+            if turn.may_run:
                 return False
         item.not_before = Millis(self._clock.now() + SUSPECT_PAUSE_MS)
         return True
