Read how long a run has written from the object that knows it

Crash reports and the item executor computed it from the times of the relay and of the item's sink with copies of one function. Both now have a property.

--- a/goldcreststair/components/forwarding/crash_reports.py
+++ b/goldcreststair/components/forwarding/crash_reports.py
@@ -31,7 +31,7 @@
 
     def record_data(self) -> None:
         """Record that the current run returned an event."""
-        if self._read_wrote_ms() > SOUND_MS:
+        if self._relay.run_wrote_ms > SOUND_MS:
             self._guard.record_sound(self._clock.now())
 
     def record_whole(self) -> None:
@@ -49,10 +49,6 @@
             self._admitted.suspects,
             request.prompt_parts,
             self._relay.run_events,
-            self._read_wrote_ms(),
+            self._relay.run_wrote_ms,
         )
         self._tracker.report_lost_run(entry, run)
-
-    def _read_wrote_ms(self) -> int:
-        began_at = self._relay.run_first_at
-        return 0 if began_at is None else self._relay.progress_at - began_at
--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -76,6 +76,11 @@
         """Number of events of the current run."""
         return self._events.events
 
+    @property
+    def run_wrote_ms(self) -> int:
+        """Time from the first to the last event of the current run, in ms."""
+        return 0 if self.run_first_at is None else self.progress_at - self.run_first_at
+
     @property
     def is_broken(self) -> bool:
         """Whether nothing that follows in the current run can continue the answer."""
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -87,6 +87,10 @@
     task: "asyncio.Task[Result[RunEnd, UpstreamError]] | None" = None
     ended: bool = False
 
+    @property
+    def wrote_ms(self) -> int:
+        return 0 if self.sink is None else self.sink.wrote_ms
+
 
 class ItemExecutor:
     """Starts items, handles the outcomes of their runs, and preempts them for online requests."""
@@ -322,7 +326,7 @@
 
     def _on_data(self, run: _Run) -> None:
         self._placement.controller.upstreams.record_progress(run.upstream.name)
-        if run.guard is not None and _read_wrote_ms(run) > SOUND_MS:
+        if run.guard is not None and run.wrote_ms > SOUND_MS:
             run.guard.record_sound(self._clock.now())
 
     def _find_origin(self, entry: UpstreamEntry) -> StreamOrigin | None:
@@ -430,8 +434,8 @@
     def _report_lost(self, run: _Run) -> None:
         spec, events = run.item.spec, run.item.last_event - run.first_event
         parts = self._core.adapter.submission_reader.read_prompt_parts(spec)
-        suspects, wrote_ms = self._find_suspects(run.job, run.item), _read_wrote_ms(run)
-        lost = LostRun(spec.item_id, suspects, parts, events, wrote_ms)
+        suspects = self._find_suspects(run.job, run.item)
+        lost = LostRun(spec.item_id, suspects, parts, events, run.wrote_ms)
         self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, lost)
 
     def _finish(
@@ -476,13 +480,6 @@
     return classify_run_end(task.result(), complete=True, has_answered=has_answered)
 
 
-def _read_wrote_ms(run: _Run) -> int:
-    """Return the time from the first to the last event of a run."""
-    if run.sink is None or run.sink.first_event_at is None:
-        return 0
-    return run.sink.last_progress_at - run.sink.first_event_at
-
-
 def _describe(end: Result[RunEnd, UpstreamError]) -> str:
     if isinstance(end, Err):
         return end.err_value.message
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -58,6 +58,11 @@
         """Events that an earlier run of the item has brought already."""
         return self._sequence.repeated
 
+    @property
+    def wrote_ms(self) -> int:
+        """Time from the first to the last event of this run, in ms."""
+        return 0 if self.first_event_at is None else self.last_progress_at - self.first_event_at
+
     @property
     def is_broken(self) -> bool:
         """Whether nothing that follows in this run can continue the item's text."""
