Measure the age of other daemons' quota counters

Nothing told a counter that is late from a fresh one: its age was taken from its arrival, and neither a dropped debt, a baseline nor a new bucket left a trace. Each beacon and digest now ends with an echo (7 bytes): which datagram its sender received last from its receiver, and how long before. From it the receiver knows how long the datagram may have taken without comparing clocks; digests add up the hops (`lag_ms`). No decision uses them yet.

--- a/goldcreststair/components/fleet/controller.py
+++ b/goldcreststair/components/fleet/controller.py
@@ -45,6 +45,8 @@
     """Since when it has shown no sign of life, as reported by relays."""
     responsive_hash: int | None = None
     """Hash of the daemons responsive to it, from its last beacon; None if the beacon has none."""
+    lag_ms: int = 0
+    """How long its last beacon may have taken."""
 
     def last_activity_at(self) -> Millis:
         """Return when the daemon last showed a sign of life."""
@@ -90,6 +92,8 @@
         self._relay_reachable: frozenset[str] = frozenset()
         """Sessions that the followed relay reaches, from its last report."""
         self._relay_updated_at = Millis(0)
+        self._relay_lag_ms = 0
+        """How long what the followed relay last reported may have taken to get here."""
         self._unreachable = False
         self._unresponsive: frozenset[str] = frozenset()
 
@@ -128,9 +132,16 @@
         self._peers.pop(session, None)
 
     def apply_beacon(
-        self, session: str, state: VmState, responsive_hash: int | None = None
+        self,
+        session: str,
+        state: VmState,
+        responsive_hash: int | None = None,
+        lag_ms: int | None = None,
     ) -> bool:
-        """Apply a beacon; returns whether its sender is a known session."""
+        """Apply a beacon; returns whether its sender is a known session.
+
+        `lag_ms` is how long it may have taken; None if that is not known.
+        """
         now = self._clock.now()
         self._peer_contact_at = now
         peer = self._peers.get(session)
@@ -140,6 +151,7 @@
         peer.last_seen_at = now
         peer.state = state
         peer.responsive_hash = responsive_hash
+        peer.lag_ms = lag_ms or 0
         return True
 
     def apply_reachable(self, reachable: Mapping[str, VmState], *, settled: bool) -> None:
@@ -162,6 +174,10 @@
                 peer.state = state
         self.renew_reachable()
 
+    def apply_relay_lag(self, lag_ms: int) -> None:
+        """Set how long what the followed relay reports may take to get here, ms."""
+        self._relay_lag_ms = lag_ms
+
     def renew_reachable(self) -> None:
         """Extend the relay's last report: it still reaches the same daemons."""
         self._peer_contact_at = self._relay_updated_at = self._clock.now()
@@ -291,6 +307,12 @@
         times = [self._read_seen_at(s, self._peers[s]) for s in self._list_responsive()]
         return min(times, default=self._clock.now())
 
+    def read_lag_ms(self) -> int:
+        """Return how long the last reports of the responsive daemons may have taken, ms."""
+        if not self.has_mesh():
+            return self._relay_lag_ms
+        return max((self._peers[s].lag_ms for s in self._list_responsive()), default=0)
+
     def has_mesh(self) -> bool:
         """Return whether every daemon sends beacons to every other one."""
         return len(self._peers) <= MAX_MESH_PEERS
--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -122,6 +122,8 @@
     """When it last asked for this daemon's digests."""
     paces_at: Millis = Millis(0)
     """When it last reported the pace of upstreams."""
+    lag_ms: int = 0
+    """How long the beacon may have taken."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +135,8 @@
     daemons: tuple[HeardDaemon, ...]
     paces_at: Millis
     """When the digest, or the one that its paces are kept from, arrived."""
+    lag_ms: int
+    """How long its counters may have taken to this relay, by all relays on the way."""
 
 
 @dataclass(slots=True)
@@ -162,6 +166,7 @@
     released: bytearray = field(default_factory=bytearray)
     probing: bytearray = field(default_factory=bytearray)
     verdicts: int | None = None
+    lag_ms: int = 0
 
     def update_version(self, version: int, session: str) -> None:
         """Keep the newest catalogue version and a daemon that has it in force."""
@@ -253,6 +258,7 @@
             released=bytes(self.released[:MAX_PROBING_BYTES]) or None,
             probing=bytes(self.probing[:MAX_PROBING_BYTES]) or None,
             verdicts=self.verdicts,
+            lag_ms=self.lag_ms or None,
         )
 
 
@@ -276,8 +282,11 @@
         self._passed_on: dict[str, dict[int, Millis]] = {}
         """When the pace of each upstream was in a digest, by what the digest stands for."""
 
-    def apply_beacon(self, session: str, beacon: Beacon) -> bool:
-        """Apply a member's beacon; returns whether its reachability or its state changed."""
+    def apply_beacon(self, session: str, beacon: Beacon, lag_ms: int = 0) -> bool:
+        """Apply a member's beacon; returns whether its reachability or its state changed.
+
+        `lag_ms` is how long the beacon may have taken.
+        """
         now = self._clock.now()
         member = self._members.get(session)
         changed = (
@@ -288,15 +297,18 @@
         if member is None:
             member = self._members[session] = _Member(beacon, now)
         member.paces_at = self._keep_paces(beacon, member.beacon, member.paces_at)
-        member.beacon, member.at = beacon, now
+        member.beacon, member.at, member.lag_ms = beacon, now, lag_ms
         member.follows_at = now if beacon.follows else None
         counts = {count.customer: count.admitted for count in beacon.admitted or ()}
         self._data_centre_counts.apply(session, counts, MAX_NEW_MEMBER_COUNT)
         self._fleet_counts.apply(session, counts, MAX_NEW_MEMBER_COUNT)
         return changed
 
-    def apply_digest(self, digest: Digest) -> bool:
-        """Apply a remote digest; returns whether its relay lists other daemons than before."""
+    def apply_digest(self, digest: Digest, lag_ms: int = 0) -> bool:
+        """Apply a remote digest; returns whether its relay lists other daemons than before.
+
+        `lag_ms` is how long the digest may have taken.
+        """
         relays = self._remotes.setdefault(digest.data_centre, {})
         known = relays.get(digest.relay)
         if known is not None and known.digest.sequence >= digest.sequence:
@@ -305,7 +317,8 @@
         paces_at = self._clock.now()
         if known is not None:
             paces_at = self._keep_paces(digest, known.digest, known.paces_at)
-        relays[digest.relay] = _Remote(digest, self._clock.now(), daemons, paces_at)
+        lag_ms += digest.lag_ms or 0
+        relays[digest.relay] = _Remote(digest, self._clock.now(), daemons, paces_at, lag_ms)
         best = self._find_best(digest.data_centre)
         if best is not None and best.digest.relay == digest.relay:
             self._count_remote(digest)
@@ -365,6 +378,7 @@
                 total.add(remote.digest)
                 total.update_version(remote.digest.catalogue_version, remote.digest.newest_at or "")
                 total.batch.extend(remote.digest.batch or ())
+                total.lag_ms = max(total.lag_ms, remote.lag_ms)
                 unresponsive = self._clock.now() - remote.at > REMOTE_UNRESPONSIVE_MS
                 total.daemons.extend(
                     map(_mark_unresponsive, remote.daemons) if unresponsive else remote.daemons
@@ -396,6 +410,7 @@
             key, beacon = hash_name(session), member.beacon
             self._drop_old_paces(beacon, member.paces_at)
             total.add(beacon)
+            total.lag_ms = max(total.lag_ms, member.lag_ms)
             if session == self._session:
                 total.verdicts = beacon.verdicts
             total.update_version(beacon.catalogue_version, session)
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -22,11 +22,12 @@
     STANDBY_GAP_MS,
 )
 from goldcreststair.components.fleet.digests import DigestTracker
+from goldcreststair.components.fleet.echoes import EchoTracker, decode_echo
 from goldcreststair.components.fleet.models import FleetVm, VmState
 from goldcreststair.components.fleet.protocols import BatchRunsListener, DatagramKind, hash_name
 from goldcreststair.components.fleet.relays import RelaySelector
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.wire.codec import decode_struct, encode_struct
+from goldcreststair.wire.codec import encode_struct, split_struct
 from goldcreststair.wire.generated.gateway.ttypes import (
     Beacon,
     CustomerCount,
@@ -74,6 +75,9 @@
     def set_unreachable(self, *, unreachable: bool) -> None:
         """Set whether no relay receives this daemon's beacons."""
 
+    def apply_relay_lag(self, lag_ms: int) -> None:
+        """Set how long the counters in the last view may have taken to get here, ms."""
+
     def drop_fleet_view(self, relay: str) -> None:
         """Drop the view of a relay, as another one is followed."""
 
@@ -98,9 +102,12 @@
 class RelayedLinks:
     """Sends beacons to relays, relays for other daemons, and receives the fleet view."""
 
-    def __init__(self, core: GatewayCore, own: FleetVm, listener: FleetViewListener) -> None:
+    def __init__(
+        self, core: GatewayCore, own: FleetVm, listener: FleetViewListener, echoes: EchoTracker
+    ) -> None:
         """Start without a relay."""
         self._core = core
+        self._echoes = echoes
         self._clock = core.clock
         self._own = own
         self._own_hash = hash_name(own.session)
@@ -188,6 +195,7 @@
         """Send this daemon's beacon to the relays."""
         followed = self._selector.followed
         self._sent.append(self._make_own_report(beacon))
+        self._echoes.record_sent(DatagramKind.BEACON, beacon.sequence)
         standby_frame = _frame(beacon)
         beacon.follows = True
         beacon.needs_whole = None if self._applied[0] == followed else True
@@ -225,12 +233,15 @@
         }
         return _OwnReport(beacon.sequence, now, runs, counts, waiting, outcomes, queued)
 
-    def apply_beacon(self, session: str, beacon: Beacon) -> None:
-        """Apply another daemon's beacon, as a relay."""
+    def apply_beacon(self, session: str, beacon: Beacon, lag_ms: int | None = None) -> None:
+        """Apply another daemon's beacon, as a relay.
+
+        `lag_ms` is how long it may have taken; None if that is not known.
+        """
         vm = self._vms.get(session)
         if vm is None or vm.data_centre != self._own.data_centre:
             return
-        self._reachable_changed |= self._tracker.apply_beacon(session, beacon)
+        self._reachable_changed |= self._tracker.apply_beacon(session, beacon, lag_ms or 0)
         self._changed = True
         self._schedule_digest()
 
@@ -240,17 +251,20 @@
             _LOGGER.warning("Digest unreadable: %s bytes", len(payload))
             return
         (included,) = _INCLUDED.unpack_from(payload)
-        decoded = decode_struct(Digest, payload[_INCLUDED.size :])
+        decoded = split_struct(Digest, payload[_INCLUDED.size :])
         if isinstance(decoded, Err):
             _LOGGER.warning("Digest unreadable: %s", decoded.err_value.message)
             return
-        digest = decoded.ok_value
+        digest, rest = decoded.ok_value
+        lag_ms = self._echoes.measure_lag_ms(decode_echo(rest)) or 0
+        if digest.relay in self._vms:
+            self._echoes.record_received(digest.relay, DatagramKind.DIGEST, digest.sequence)
         if digest.data_centre:
-            self._reachable_changed |= self._tracker.apply_digest(digest)
+            self._reachable_changed |= self._tracker.apply_digest(digest, lag_ms)
             self._changed = True
             self._schedule_digest()
         elif digest.relay == self._selector.followed:
-            self._apply_fleet_digest(digest, included)
+            self._apply_fleet_digest(digest, included, lag_ms)
 
     def _schedule_digest(self) -> None:
         """Schedule the next digest if any daemon follows this relay."""
@@ -291,6 +305,7 @@
             lost_ms, whole=whole or relays != self._last_relays
         )
         self._last_relays = relays
+        self._echoes.record_sent(DatagramKind.DIGEST, digest.sequence)
         framed = bytes((DatagramKind.DIGEST,)) + _INCLUDED.pack(0) + encode_struct(digest)
         for data_centre, last_relay in relays.items():
             for session in self._selector.list_remote_targets(
@@ -302,13 +317,16 @@
         self, followers: Mapping[str, Beacon], lost_ms: Mapping[str, int], *, whole: bool
     ) -> None:
         digest = self._tracker.build_fleet_digest(lost_ms, whole=whole)
+        self._echoes.record_sent(DatagramKind.DIGEST, digest.sequence)
         encoded = encode_struct(digest)
         whole_encoded = encoded
         if not whole and any(beacon.needs_whole for beacon in followers.values()):
-            whole_encoded = encode_struct(self._tracker.build_fleet_digest(lost_ms, whole=True))
+            whole_digest = self._tracker.build_fleet_digest(lost_ms, whole=True)
+            self._echoes.record_sent(DatagramKind.DIGEST, whole_digest.sequence)
+            whole_encoded = encode_struct(whole_digest)
         for session, beacon in followers.items():
             if session == self._own.session:
-                self._apply_fleet_digest(digest, beacon.sequence)
+                self._apply_fleet_digest(digest, beacon.sequence, 0)
                 continue
             body = whole_encoded if beacon.needs_whole else encoded
             included = _INCLUDED.pack(beacon.sequence)
@@ -320,7 +338,7 @@
             s: ms for s, ms in lost.items() if s in self._vms and self._vms[s].data_centre == own
         }
 
-    def _apply_fleet_digest(self, digest: Digest, included: int) -> None:
+    def _apply_fleet_digest(self, digest: Digest, included: int, lag_ms: int) -> None:
         relay, sequence = self._applied
         if relay == digest.relay and digest.sequence <= sequence:
             return
@@ -335,6 +353,7 @@
         self._selector.record_digest()
         if own is not None:
             self._last_included_at = max(self._last_included_at, own.at)
+        self._listener.apply_relay_lag((digest.lag_ms or 0) + lag_ms)
         self._apply_reachable(digest)
         others = [runs for runs in digest.batch or () if runs.daemon != self._own_hash]
         for on_batch in self._on_batch:
@@ -364,7 +383,8 @@
     def _send_to(self, session: str, datagram: bytes) -> None:
         vm = self._vms.get(session)
         if vm is not None:
-            self._core.datagrams.send(vm.address, vm.peer_port, datagram)
+            echo = self._echoes.make_echo(session).encode()
+            self._core.datagrams.send(vm.address, vm.peer_port, datagram + echo)
 
 
 def _read_state(number: int) -> VmState:
--- a/goldcreststair/components/fleet/protocols.py
+++ b/goldcreststair/components/fleet/protocols.py
@@ -99,6 +99,12 @@
     def read_all_seen_since(self) -> Millis:
         """Return the oldest last-seen time of all responsive daemons; now if there is none."""
 
+    def read_lag_ms(self) -> int:
+        """Return how long the last reports of the responsive daemons may have taken, ms.
+
+        In a large fleet, the sum over all relays on the way, less the relays' regular pauses.
+        """
+
     def is_lost(self, session: str, after_ms: int) -> bool:
         """Return whether a daemon has shown no sign of life for `after_ms`, in the store either."""
 
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -24,6 +24,7 @@
     choose_feed_delay_ms,
 )
 from goldcreststair.components.fleet.dissemination import RelayedLinks
+from goldcreststair.components.fleet.echoes import EchoTracker, decode_echo
 from goldcreststair.components.fleet.models import (
     FLEET,
     OWN_STATE,
@@ -54,7 +55,7 @@
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.feed import TableFeed
 from goldcreststair.store.rows import StoredRow, Version
-from goldcreststair.wire.codec import decode_struct, encode_struct
+from goldcreststair.wire.codec import encode_struct, split_struct
 from goldcreststair.wire.generated.gateway.ttypes import Beacon
 
 _LOGGER = logging.getLogger(__name__)
@@ -103,7 +104,8 @@
         self._with_store_access: set[str] = set()
         """Sessions whose last beacon said that the store answers them."""
         self._session_heartbeat = SessionHeartbeat(core, self._own, self._controller, self)
-        self._relayed_links = RelayedLinks(core, self._own, self)
+        self._echoes = EchoTracker(core.clock)
+        self._relayed_links = RelayedLinks(core, self._own, self, self._echoes)
         """Used in a fleet too large for beacons to all."""
 
     async def async_start(self) -> None:
@@ -223,6 +225,10 @@
         """Return the oldest last-seen time of all responsive daemons; now if there is none."""
         return self._controller.read_all_seen_since()
 
+    def read_lag_ms(self) -> int:
+        """Return how long the last reports of the responsive daemons may have taken, ms."""
+        return self._controller.read_lag_ms()
+
     def is_lost(self, session: str, after_ms: int) -> bool:
         """Return whether a daemon has shown no sign of life for `after_ms`, in the store either."""
         return self._controller.is_lost(session, after_ms)
@@ -300,6 +306,7 @@
             self._sequences.pop(session, None)
             self._with_store_access.discard(session)
             self._relayed_links.forget(session)
+            self._echoes.forget(session)
             for on_gone in self._gone_listeners:
                 on_gone(session)
 
@@ -318,10 +325,12 @@
         if not mesh:
             self._relayed_links.send(beacon)
             return
+        self._echoes.record_sent(DatagramKind.BEACON, beacon.sequence)
         datagram = bytes((DatagramKind.BEACON,)) + encode_struct(beacon)
         for session, vm in self._core.blackboard.read(FLEET).vms.items():
             if session != self._own.session:
-                self._core.datagrams.send(vm.address, vm.peer_port, datagram)
+                echo = self._echoes.make_echo(session).encode()
+                self._core.datagrams.send(vm.address, vm.peer_port, datagram + echo)
 
     def _on_datagram(self, datagram: bytes, _: str) -> None:
         if not datagram:
@@ -339,11 +348,11 @@
             handler(datagram[2:end].decode(errors="replace"), datagram[end:])
 
     def _apply_beacon(self, encoded: bytes) -> None:
-        decoded = decode_struct(Beacon, encoded)
+        decoded = split_struct(Beacon, encoded)
         if isinstance(decoded, Err):
             _LOGGER.warning("Beacon unreadable: %s", decoded.err_value.message)
             return
-        beacon = decoded.ok_value
+        beacon, rest = decoded.ok_value
         # Datagrams may arrive out of order: an older one would restore runs that have ended.
         if beacon.sequence <= self._sequences.get(beacon.session, 0):
             return
@@ -352,14 +361,16 @@
         except ValueError:
             return
         before = self._core.blackboard.read(FLEET).states.get(beacon.session)
-        if not self._controller.apply_beacon(beacon.session, state, beacon.hears):
+        lag_ms = self._echoes.measure_lag_ms(decode_echo(rest))
+        if not self._controller.apply_beacon(beacon.session, state, beacon.hears, lag_ms):
             return
+        self._echoes.record_received(beacon.session, DatagramKind.BEACON, beacon.sequence)
         self._sequences[beacon.session] = beacon.sequence
         for on_direct_beacon in self._direct_listeners:
             on_direct_beacon(beacon.session, beacon)
         if not self._controller.has_mesh():
             # The digests carry it to all daemons, also those of this daemon.
-            self._relayed_links.apply_beacon(beacon.session, beacon)
+            self._relayed_links.apply_beacon(beacon.session, beacon, lag_ms)
             return
         if beacon.store_away:
             self._with_store_access.discard(beacon.session)
@@ -416,6 +427,10 @@
         """Set whether no relay receives this daemon's beacons."""
         self._controller.set_unreachable(unreachable=unreachable)
 
+    def apply_relay_lag(self, lag_ms: int) -> None:
+        """Set how long the counters in the last view may have taken to get here, ms."""
+        self._controller.apply_relay_lag(lag_ms)
+
     def drop_fleet_view(self, relay: str) -> None:
         """Drop the view of a relay, as another one is followed."""
         if relay:
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -6,6 +6,7 @@
 quota would refuse requests on one VM while another VM has tokens left.
 """
 
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from math import exp
@@ -20,6 +21,9 @@
     count_return_tokens,
 )
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.meters import Meters
+
+_LOGGER = logging.getLogger(__name__)
 
 UNCERTAIN_MS: Final = 1_000
 """How long after the creation of a bucket its level may be replaced by the level another daemon
@@ -113,9 +117,10 @@
 class QuotaController:
     """Keeps one token bucket per customer, updated from the counters of all daemons."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, meters: Meters | None = None) -> None:
         """Create a controller without customers."""
         self._clock = clock
+        self._meters = meters or Meters()
         self._buckets: dict[int, _Bucket] = {}
         self._peers: dict[str, _PeerCounts] = {}
         self._share = FleetShare()
@@ -161,6 +166,8 @@
         """Apply the counters of another daemon: what it has admitted since it started."""
         known = self._peers.get(session)
         now = self._clock.now()
+        if known is None:
+            self._meters.count_quota_baseline()
         # The first report of a daemon only sets the baseline. What a daemon admitted while it was
         # unreachable is charged to the tokens withheld for it; otherwise it would be charged twice.
         continuous = known is not None and now - known.at <= UNRESPONSIVE_MS
@@ -307,6 +314,7 @@
         return counts
 
     def _make_bucket(self, key: int) -> _Bucket:
+        self._meters.count_quota_bucket()
         now = self._clock.now()
         return _Bucket(self._find_start_level(key) * self._share.fraction, now, now)
 
@@ -339,7 +347,14 @@
     def _spend(self, key: int, bucket: _Bucket, admitted: float) -> None:
         # VMs that admit at the same moment overdraw the bucket. The debt is limited to one burst: a
         # larger one, which may also come from a wrong counter, would block a customer for seconds.
-        bucket.level = max(-self._customers[key].burst, bucket.level - admitted)
+        customer, before = self._customers[key], bucket.level
+        level = before - admitted
+        bucket.level = max(-customer.burst, level)
+        if level < bucket.level:
+            self._meters.count_dropped_debt(bucket.level - level)
+        if bucket.level <= -customer.burst < before:
+            extra = {"customer": customer.name, "level": round(level), "burst": customer.burst}
+            _LOGGER.info("Limit overspent", extra=extra)
 
     def _refill_all(self) -> None:
         for key, bucket in self._buckets.items():
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue, CatalogueCustomer
 from goldcreststair.components.features.protocols import FEATURES
 from goldcreststair.components.fleet.models import FLEET, Fleet
@@ -26,7 +27,7 @@
     def __init__(self, core: GatewayCore) -> None:
         """Create the service and register for beacons."""
         self._core = core
-        self._controller = QuotaController(core.clock)
+        self._controller = QuotaController(core.clock, core.meters)
         self._links = core.get(FLEET_LINKS)
         self._links.add_beacon_contributor(self._contribute)
         self._links.subscribe_beacons(self._on_beacon, self._controller.forget)
@@ -52,11 +53,18 @@
     def admit(self, customer: CatalogueCustomer) -> int | None:
         """Admit and count a request, or return the ms after which it can be admitted."""
         seen_since = self._links.read_all_seen_since()
+        if customer.rate_per_s > 0:
+            self._observe_counter_age(seen_since)
         retry_after_ms = self._controller.admit(customer, hash_name(customer.name), seen_since)
         if retry_after_ms is None and customer.rate_per_s > 0:
             self._links.schedule_beacon()
         return retry_after_ms
 
+    def _observe_counter_age(self, seen_since: Millis) -> None:
+        delay_ms = 0 if self._links.has_mesh() else DIGEST_DELAY_MS
+        age_ms = self._core.clock.now() - seen_since + self._links.read_lag_ms() + delay_ms
+        self._core.meters.observe_counter_age(age_ms)
+
     def is_settling(self) -> bool:
         """Return whether this daemon has just started and does not reach most others yet."""
         return self._controller.is_settling()
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -92,6 +92,11 @@
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
             "upstream_load_invalid": _Counter("Invalid or impossible loads of upstreams."),
             "readers_shed": _Counter("Streams closed because their callers read too slowly."),
+            "quota_buckets_created": _Counter("Token buckets created, one for each customer."),
+            "quota_baselines": _Counter("First reports of daemons or relays, which charge nothing."),
+            "quota_debt_dropped": _Counter(
+                "Requests of others that are not charged, as the debt of a bucket is limited."
+            ),
         }
         self._histograms = {
             "first_event_seconds": _Histogram(
@@ -104,6 +109,9 @@
             "store_call_seconds": _Histogram(
                 "Calls of the platform's store.", SHORT_SECONDS, ("call", "outcome")
             ),
+            "quota_counter_age_seconds": _Histogram(
+                "Age of the other daemons' counters when a request was admitted or refused.", SECONDS
+            ),
             "loop_pause_seconds": _Histogram("How late the loop's ticks came.", SHORT_SECONDS),
         }
         self._gauges = dict.fromkeys(GAUGES, 0.0)
@@ -114,6 +122,8 @@
         self._counters["crash_verdicts"].values[()] = 0.0
         self._counters["batch_tokens_repeated"].values[()] = 0.0
         self._counters["readers_shed"].values[()] = 0.0
+        for name in ("quota_buckets_created", "quota_baselines", "quota_debt_dropped"):
+            self._counters[name].values[()] = 0.0
 
     def count_request(self, kind: str, outcome: str) -> None:
         """Count a request's final answer."""
@@ -219,6 +229,23 @@
         self._counters["readers_shed"].values[()] += 1
         self._statistics.count("readers_shed")
 
+    def observe_counter_age(self, value_ms: int) -> None:
+        """Record the age of the other daemons' counters at a decision about a quota, ms."""
+        self._histograms["quota_counter_age_seconds"].observe((), value_ms / MS_PER_SECOND)
+
+    def count_quota_bucket(self) -> None:
+        """Count a token bucket that was created."""
+        self._counters["quota_buckets_created"].values[()] += 1
+
+    def count_quota_baseline(self) -> None:
+        """Count a first report of a daemon or relay, of which nothing is charged."""
+        self._counters["quota_baselines"].values[()] += 1
+        self._statistics.count("quota_baselines")
+
+    def count_dropped_debt(self, requests: float) -> None:
+        """Count requests of others that are not charged, as the debt of a bucket is limited."""
+        self._counters["quota_debt_dropped"].values[()] += requests
+
     def render(self) -> bytes:
         """Return the metrics page in the OpenMetrics format."""
         # Imported with the first page: callers wait while a daemon restarts.
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -122,6 +122,8 @@
   23: optional binary probing
   /** Hash of all verdicts; left out if there are none. */
   24: optional i32 verdicts
+  /** For how long its sender has run, ms; left out once that is longer than others ask for. */
+  26: optional i32 up_ms
 }
 
 /** Batch runs of one daemon at one upstream, both by a hash of their names. */
@@ -180,6 +182,8 @@
   22: optional binary probing
   /** Hash of the relay's own verdicts. */
   23: optional i32 verdicts
+  /** How late the counters in it had arrived at relays, ms; 0 if left out. */
+  25: optional i32 lag_ms
 }
 
 /** A daemon's session as it stands in the store. */
--- a/standins/datagrams.py
+++ b/standins/datagrams.py
@@ -16,6 +16,8 @@
     delay_ms: int = 1
     loss: float = 0.0
     """Share of datagrams that are lost."""
+    late: dict[str, int] = field(default_factory=dict)
+    """Addresses that send and receive later, and by how many ms each time."""
     sent: int = 0
     sent_bytes: int = 0
     _listeners: dict[tuple[str, int], DatagramHandler] = field(default_factory=dict)
@@ -54,7 +56,8 @@
             if on_datagram is not None:
                 on_datagram(datagram, source)
 
-        self.clock.call_later(self.delay_ms, deliver)
+        late_ms = self.late.get(source, 0) + self.late.get(target, 0)
+        self.clock.call_later(self.delay_ms + late_ms, deliver)
 
 
 @dataclass(slots=True)
