Owe what a customer got beyond its limit

Callers of one customer got its limit several times over while counters were late. Cause: the debt of a bucket ended at one burst. With 11 VMs, 20/s and burst 4, all that was overspent beyond 4 requests was forgiven, each time counters arrived. The debt now goes down to what the limit gives in 5 s: a counter that is wrong blocks a customer for no longer than that.

test_requests_beyond_a_burst_are_owed failed before.

--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -37,6 +37,8 @@
 """Lower bound of that limit as a share of the burst, for fleets of many daemons."""
 MIN_UNCONFIRMED: Final = 3
 """Lower bound of that limit in requests."""
+DEBT_MS: Final = 5_000
+"""A customer that got more than its limit is refused for this long at most."""
 RECENT_DECAY_MS: Final = 500
 """Time constant of the decaying count of requests that others admitted: two or three digests."""
 DIGEST_DELAY_MS: Final = 300
@@ -345,11 +347,12 @@
         self._spend(key, bucket, admitted)
 
     def _spend(self, key: int, bucket: _Bucket, admitted: float) -> None:
-        # VMs that admit at the same moment overdraw the bucket. The debt is limited to one burst: a
-        # larger one, which may also come from a wrong counter, would block a customer for seconds.
+        # VMs that admit at the same moment overdraw the bucket. What is not owed afterwards would be
+        # admitted again; the limit keeps a wrong counter from blocking a customer for long.
         customer, before = self._customers[key], bucket.level
         level = before - admitted
-        bucket.level = max(-customer.burst, level)
+        most = max(customer.burst, customer.rate_per_s * DEBT_MS / MS_PER_SECOND)
+        bucket.level = max(-most, level)
         if level < bucket.level:
             self._meters.count_dropped_debt(bucket.level - level)
         if bucket.level <= -customer.burst < before:
--- a/tests/components/quotas/test_controller.py
+++ b/tests/components/quotas/test_controller.py
@@ -219,3 +219,24 @@
     if admitted < 20:
         clock.advance(1)
         assert controller.admit(CLUB, KEY, clock.now()) is None
+
+
+def test_requests_beyond_a_burst_are_owed() -> None:
+    """What others admitted beyond one burst was forgiven, so that the customer got it each second."""
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.apply_counts("other", {KEY: AdmittedCount(100)})
+    controller.apply_counts("other", {KEY: AdmittedCount(160)})
+    clock.advance(4_000)
+    assert drain(controller) == 0
+    clock.advance(1_000)
+    assert drain(controller) == 10
+
+
+def test_wrong_counter_blocks_a_customer_for_five_seconds_at_most() -> None:
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.apply_counts("other", {KEY: AdmittedCount(100)})
+    controller.apply_counts("other", {KEY: AdmittedCount(100_000)})
+    clock.advance(5_200)
+    assert drain(controller) in (1, 2)
