Judge quota counters by when they were true

Cause: a daemon judged the counters of others by when they arrived. Each arrival opened a new allowance (max(3, a fifth of the burst) at each daemon), however old its content was. Class: a state that was read late passes for the present one.

Now all that was known counts until `known_until`: the arrival of the oldest report less the longest time that it may have taken (echoes; relays add up their hops and 300 ms for their pauses). What a daemon admitted since then is unconfirmed, and may be its even share of what is left and of 20 tokens, or 3 requests while half of the burst is left, fewer below, one at least. The sum over all daemons, and so the overrun, is bounded however late reports are. The estimate of unreported requests behind relays no longer decays while nothing is reported.

Ruled out: an even share of the rate for late daemons (refuses callers who come unevenly), comparing clocks (they differ by seconds).

--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from math import exp
@@ -30,13 +31,11 @@
 reports."""
 SETTLED_FRACTION: Final = 0.5
 """Share of the fleet that a daemon must reach after its start to know what is left of a quota."""
-UNCONFIRMED_EVEN_SHARES: Final = 2.0
-"""How many times its even share of a burst a daemon may admit before all others have reported
-again."""
-MIN_UNCONFIRMED_SHARE: Final = 0.2
-"""Lower bound of that limit as a share of the burst, for fleets of many daemons."""
+OVERSPEND_TOKENS: Final = 20.0
+"""How many tokens beyond a limit all daemons together may spend before they know of each other's."""
 MIN_UNCONFIRMED: Final = 3
-"""Lower bound of that limit in requests."""
+"""How many requests a daemon may admit before it knows what the others admitted meanwhile, while half
+of the burst is left; fewer below, and one at least."""
 DEBT_MS: Final = 5_000
 """A customer that got more than its limit is refused for this long at most."""
 RECENT_DECAY_MS: Final = 500
@@ -99,10 +98,8 @@
     admitted_at: Millis = Millis(0)
     uncertain: bool = True
     """Whether the level is an estimate, to be replaced by the level another daemon reports."""
-    unconfirmed: int = 0
-    """Requests admitted by this daemon since `unconfirmed_since`."""
-    unconfirmed_since: Millis = Millis(0)
-    """Not all other daemons have reported since this time."""
+    unconfirmed: deque[Millis] = field(default_factory=deque)
+    """When this daemon admitted requests while it did not know what the others admitted."""
     recent_admitted: float = 0.0
     """Requests that other daemons admitted, with exponential decay by age."""
     recent_at: Millis = Millis(0)
@@ -129,6 +126,8 @@
         self._all_responsive_since: Millis | None = clock.now()
         """Since when all other daemons are responsive; None while they are not."""
         self._started_at = clock.now()
+        self._reported_at = clock.now()
+        """When the last report of another daemon arrived."""
         self._customers: Mapping[int, CatalogueCustomer] = {}
         self.digest_delay_ms = 0
         """Age of the other daemons' counters if they arrive by digests; 0 if by direct beacons."""
@@ -167,7 +166,7 @@
     def apply_counts(self, session: str, counts: Mapping[int, AdmittedCount]) -> None:
         """Apply the counters of another daemon: what it has admitted since it started."""
         known = self._peers.get(session)
-        now = self._clock.now()
+        now = self._reported_at = self._clock.now()
         if known is None:
             self._meters.count_quota_baseline()
         # The first report of a daemon only sets the baseline. What a daemon admitted while it was
@@ -208,12 +207,12 @@
         self.return_share = None
 
     def admit(
-        self, customer: CatalogueCustomer, key: int, all_seen_since: Millis | None = None
+        self, customer: CatalogueCustomer, key: int, known_until: Millis | None = None
     ) -> int | None:
         """Admit and count a request, or return the ms after which it can be admitted.
 
-        All other daemons have reported at `all_seen_since` or later; None if there is no other
-        daemon.
+        All that the other daemons admitted until `known_until` is charged here; None if there is no
+        other daemon.
         """
         if customer.rate_per_s <= 0:
             return None
@@ -225,8 +224,8 @@
         if level < 1 and not self._may_spend_return_share(customer, bucket):
             rate = customer.rate_per_s * self._share.fraction
             return int((1 - level) / rate * MS_PER_SECOND) + 1
-        if all_seen_since is not None and not self._may_spend_unconfirmed(
-            customer, bucket, all_seen_since
+        if known_until is not None and not self._may_spend_unconfirmed(
+            customer, bucket, level, known_until
         ):
             return BEACON_INTERVAL_MS
         bucket.level -= 1
@@ -264,24 +263,27 @@
         return bucket.recent_admitted * self.digest_delay_ms / RECENT_DECAY_MS
 
     def _decay_recent(self, bucket: _Bucket) -> None:
-        now = self._clock.now()
-        bucket.recent_admitted *= exp((bucket.recent_at - now) / RECENT_DECAY_MS)
-        bucket.recent_at = now
+        # Without a report nothing is known of the time since the last one.
+        until = max(bucket.recent_at, self._reported_at)
+        bucket.recent_admitted *= exp((bucket.recent_at - until) / RECENT_DECAY_MS)
+        bucket.recent_at = until
 
     def _may_spend_unconfirmed(
-        self, customer: CatalogueCustomer, bucket: _Bucket, all_seen_since: Millis
+        self, customer: CatalogueCustomer, bucket: _Bucket, level: float, known_until: Millis
     ) -> bool:
-        """Return whether more of the burst may be spent before all other daemons report again."""
-        # Until a network partition is detected, both sides spend the whole bucket: each VM that
-        # loses contact with all others at a full bucket adds one burst to the quota. Callers spread
-        # over all VMs evenly, so a VM that spends far more than its share before the next beacons
-        # of the others has probably lost contact.
-        if all_seen_since > bucket.unconfirmed_since:
-            bucket.unconfirmed, bucket.unconfirmed_since = 0, self._clock.now()
-        share = max(UNCONFIRMED_EVEN_SHARES / max(1, self._share.members), MIN_UNCONFIRMED_SHARE)
-        if bucket.unconfirmed >= max(MIN_UNCONFIRMED, customer.burst * share):
+        """Return whether more may be spent before this daemon knows what the others spent."""
+        # Reports may be lost or late, and until then each VM spends the same tokens. Callers spread
+        # over all VMs evenly, so each may spend an even share of what it knows to be left.
+        while bucket.unconfirmed and bucket.unconfirmed[0] < known_until:
+            bucket.unconfirmed.popleft()
+        left = level + len(bucket.unconfirmed)
+        even_share = (left + OVERSPEND_TOKENS) / max(1, self._share.members)
+        # In a large fleet that is less than one request.
+        half = max(1.0, customer.burst / 2)
+        least = max(1.0, MIN_UNCONFIRMED * min(1.0, (level - 1) / half))
+        if len(bucket.unconfirmed) >= max(least, even_share):
             return False
-        bucket.unconfirmed += 1
+        bucket.unconfirmed.append(self._clock.now())
         return True
 
     def refund(self, key: int) -> None:
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -52,18 +52,19 @@
 
     def admit(self, customer: CatalogueCustomer) -> int | None:
         """Admit and count a request, or return the ms after which it can be admitted."""
-        seen_since = self._links.read_all_seen_since()
+        known_until = self._read_known_until()
         if customer.rate_per_s > 0:
-            self._observe_counter_age(seen_since)
-        retry_after_ms = self._controller.admit(customer, hash_name(customer.name), seen_since)
+            self._core.meters.observe_counter_age(self._core.clock.now() - known_until)
+        retry_after_ms = self._controller.admit(customer, hash_name(customer.name), known_until)
         if retry_after_ms is None and customer.rate_per_s > 0:
             self._links.schedule_beacon()
         return retry_after_ms
 
-    def _observe_counter_age(self, seen_since: Millis) -> None:
+    def _read_known_until(self) -> Millis:
+        """Return until when all that the other daemons admitted is known here."""
         delay_ms = 0 if self._links.has_mesh() else DIGEST_DELAY_MS
-        age_ms = self._core.clock.now() - seen_since + self._links.read_lag_ms() + delay_ms
-        self._core.meters.observe_counter_age(age_ms)
+        reported_at = self._links.read_all_seen_since()
+        return Millis(reported_at - self._links.read_lag_ms() - delay_ms)
 
     def is_settling(self) -> bool:
         """Return whether this daemon has just started and does not reach most others yet."""
--- a/tests/components/quotas/test_late_counters.py
+++ b/tests/components/quotas/test_late_counters.py
@@ -17,10 +17,11 @@
     ("limit", "event"),
     [
         (Limit(11, 30, 30), partial(async_delay, delay_ms=800)),
+        (Limit(11, 20, 4), partial(async_delay, delay_ms=400)),
         (Limit(34, 30, 30), partial(async_delay, delay_ms=800)),
         (Limit(34, 30, 30), partial(async_lose, share=0.7)),
     ],
-    ids=["mesh", "relays", "relays-loss"],
+    ids=["mesh", "small-burst", "relays", "relays-loss"],
 )
 def test_late_counters_do_not_raise_a_limit(limit: Limit, event: Event) -> None:
     """Late reports were taken for fresh ones, each opening a new allowance: 1.5 times the limit."""
