Charge counters whose reports were lost or late for a while

With 40% and 70% of the datagrams lost, callers of one customer got up to 249 and 385 requests in 5 s of 218 allowed behind relays, and 286 with 55% of the daemons killed four times. Cause: reports that count nothing, in four places. - A relay did not add what a member counted in 600 to 900 ms of silence, although nothing was withheld for it yet. Now 2 s are added. - A daemon that followed another relay took its first digest as a baseline. It charges an estimate for the time in between, and a relay that is not followed any more is forgotten: its totals went on counting. - The first report of a restarted daemon charged nothing, although all in it was unknown. Beacons now say in their first 3 s how long their sender has run. - A customer that a first report left out (idle for 3 s) was charged all requests since the start of that daemon when it sent again; with the debt kept for 5 s this would refuse it for as long. Only a daemon that has just started, or a relay, lists all.

The new tests failed before, some for want of the parameters.

--- a/goldcreststair/components/fleet/const.py
+++ b/goldcreststair/components/fleet/const.py
@@ -9,6 +9,8 @@
 BEACON_INTERVAL_MS: Final = 250
 """Longest time between two beacons of a daemon; it stays responsive when four datagrams in a row
 are lost."""
+NEW_DAEMON_MS: Final = 3_000
+"""A daemon says in its beacons for how long it has run until it has run for this long."""
 BEACON_MIN_GAP_MS: Final = 20
 """Changes within this time share a beacon; at 80 requests/s over 11 VMs, two changes arrive in
 it."""
--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -21,7 +21,6 @@
     RELAY_TIMEOUT_MS,
     REMOTE_TIMEOUT_MS,
     REMOTE_UNRESPONSIVE_MS,
-    UNRESPONSIVE_MS,
 )
 from goldcreststair.components.fleet.models import VmState
 from goldcreststair.components.fleet.protocols import hash_name
@@ -56,7 +55,8 @@
 for their turns."""
 MAX_NEW_MEMBER_COUNT: Final = 3
 """Most requests of a customer that a daemon usually admits between two beacons."""
-MAX_COUNT: Final = 1 << 62
+COUNTED_SILENCE_MS: Final = 2_000
+"""What a sender counted while it was silent for longer is left to its own share of each quota."""
 
 
 @dataclass(slots=True)
@@ -64,6 +64,8 @@
     """Last counters received from one sender."""
 
     at: Millis
+    complete: bool
+    """Whether counters that it has not listed were zero when it was first heard."""
     counts: dict[int, int] = field(default_factory=dict)
 
 
@@ -77,22 +79,25 @@
         self._changed_at: dict[int, Millis] = {}
         self._sources: dict[str, _Source] = {}
 
-    def apply(self, name: str, counts: Mapping[int, int], max_new: int) -> None:
+    def apply(
+        self, name: str, counts: Mapping[int, int], *, complete: bool, is_new: bool = False
+    ) -> None:
         """Apply counters of a sender; those that it leaves out have not changed.
 
-        A counter that the sender has not listed before adds `max_new` at most, because the part of
-        it that was counted before it was left out is unknown.
+        `complete` says whether a first message lists all counters. Otherwise one that is listed
+        later adds a few requests at most, as what it was before is unknown. `is_new` says whether
+        the sender has counted nothing before this object heard of it.
         """
         now = self._clock.now()
         source = self._sources.get(name)
         # Counts from before the sender's first message, or from while it was silent, are not added:
         # the share of a quota that is withheld for a silent daemon covers them.
-        known = source is not None and now - source.at <= UNRESPONSIVE_MS
-        source = self._sources.setdefault(name, _Source(now))
+        known = is_new if source is None else now - source.at <= COUNTED_SILENCE_MS
+        source = self._sources.setdefault(name, _Source(now, complete or is_new))
         source.at = now
         for key, count in counts.items():
-            before = source.counts.get(key)
-            change = min(count, max_new) if before is None else count - before
+            missing = 0 if source.complete else max(0, count - MAX_NEW_MEMBER_COUNT)
+            change = count - source.counts.get(key, missing)
             source.counts[key] = count
             if known and change:
                 self.totals[key] = self.totals.get(key, 0) + change
@@ -275,6 +280,7 @@
         """By data centre, then by relay."""
         self._data_centre_counts = CounterSum(clock)
         self._fleet_counts = CounterSum(clock)
+        self._started_at = clock.now()
         self._sequence = 0
         self._built_at = Millis(0)
         self._built_before = Millis(0)
@@ -300,8 +306,9 @@
         member.beacon, member.at, member.lag_ms = beacon, now, lag_ms
         member.follows_at = now if beacon.follows else None
         counts = {count.customer: count.admitted for count in beacon.admitted or ()}
-        self._data_centre_counts.apply(session, counts, MAX_NEW_MEMBER_COUNT)
-        self._fleet_counts.apply(session, counts, MAX_NEW_MEMBER_COUNT)
+        is_new = beacon.up_ms is not None and now - self._started_at > beacon.up_ms
+        for total in (self._data_centre_counts, self._fleet_counts):
+            total.apply(session, counts, complete=False, is_new=is_new)
         return changed
 
     def apply_digest(self, digest: Digest, lag_ms: int = 0) -> bool:
@@ -329,7 +336,7 @@
         # Only a whole digest gives the value of each counter when this relay was first seen.
         if digest.whole or self._fleet_counts.has_source(name):
             counts = {count.customer: count.admitted for count in digest.admitted or ()}
-            self._fleet_counts.apply(name, counts, MAX_COUNT)
+            self._fleet_counts.apply(name, counts, complete=True)
 
     def forget(self, session: str) -> None:
         """Remove a daemon that is gone."""
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -185,6 +185,7 @@
         if followed != before:
             extra = {"relay": followed, "before": before}
             _LOGGER.info("Relay followed", extra=extra)
+            self._listener.drop_fleet_view(self._applied[0])
             self._applied = ("", 0)
             self._listener.schedule_beacon()
         not_included_ms = self._clock.now() - self._last_included_at
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -13,6 +13,7 @@
 from goldcreststair.components.fleet.const import (
     BEACON_INTERVAL_MS,
     BEACON_MIN_GAP_MS,
+    NEW_DAEMON_MS,
     PAUSE_THRESHOLD_MS,
     RELAYED_MIN_GAP_MS,
     RELAYED_TICK_MS,
@@ -96,6 +97,7 @@
         self._sequence = 0
         self._sequences: dict[str, int] = {}
         self._sent_at = Millis(0)
+        self._started_at = core.clock.now()
         self._next_tick_at = core.clock.now()
         self._timer: TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -316,6 +318,8 @@
         self._sequence += 1
         state = self._core.blackboard.read(OWN_STATE).state
         beacon = Beacon(self._own.session, self._sequence, int(state), 0)
+        up_ms = self._sent_at - self._started_at
+        beacon.up_ms = up_ms if up_ms < NEW_DAEMON_MS else None
         beacon.store_away = self._core.store_contact.is_unavailable() or None
         mesh = self._controller.has_mesh()
         if mesh:
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -42,6 +42,10 @@
 """Time constant of the decaying count of requests that others admitted: two or three digests."""
 DIGEST_DELAY_MS: Final = 300
 """Time until all daemons know of an admitted request if counters are sent by relays as digests."""
+MAX_NEW_COUNT: Final = 3
+"""Most requests of a customer that a daemon usually admits between two reports."""
+MAX_MISSED_MS: Final = 1_500
+"""Longest time for which an estimate is charged: then the other daemons count as silent."""
 MAX_REMOVED_CUSTOMERS: Final = 1_000
 """Customers that are not in the catalogue any more and whose buckets are kept, the last ones."""
 ACTIVE_CUSTOMER_MS: Final = 3_000
@@ -112,7 +116,16 @@
 @dataclass(slots=True)
 class _PeerCounts:
     at: Millis
-    by_customer: Mapping[int, AdmittedCount] = field(default_factory=dict)
+    by_customer: Mapping[int, AdmittedCount]
+    complete: bool
+    """Whether customers that it has not listed have had no request there since it started."""
+
+    def find_admitted(self, key: int, now_admitted: int) -> int:
+        """Return what the daemon had admitted for a customer when it reported last."""
+        count = self.by_customer.get(key)
+        if count is not None:
+            return count.admitted
+        return 0 if self.complete else max(0, now_admitted - MAX_NEW_COUNT)
 
 
 class QuotaController:
@@ -128,8 +141,12 @@
         self._all_responsive_since: Millis | None = clock.now()
         """Since when all other daemons are responsive; None while they are not."""
         self._started_at = clock.now()
+        self._listening_since = clock.now()
+        """Since when each daemon that started has been heard."""
         self._reported_at = clock.now()
         """When the last report of another daemon arrived."""
+        self._relay_lost_at: Millis | None = None
+        """When the relay that was followed before sent its last counters."""
         self._customers: Mapping[int, CatalogueCustomer] = {}
         """Customers of the catalogue, after those that were removed from it."""
         self.digest_delay_ms = 0
@@ -171,16 +188,26 @@
                 # initial level with it.
                 bucket.level += (share.fraction - before) * self._find_start_level(key)
 
-    def apply_counts(self, session: str, counts: Mapping[int, AdmittedCount]) -> None:
-        """Apply the counters of another daemon: what it has admitted since it started."""
+    def apply_counts(
+        self,
+        session: str,
+        counts: Mapping[int, AdmittedCount],
+        up_ms: int | None = None,
+        *,
+        complete: bool = True,
+    ) -> None:
+        """Apply the counters of another daemon: what it has admitted since it started.
+
+        `up_ms` is for how long it has run, None if for long; `complete` says whether a first report
+        lists all customers that had a request there.
+        """
         known = self._peers.get(session)
-        now = self._reported_at = self._clock.now()
-        if known is None:
+        now = self._clock.now()
+        is_new = known is None and up_ms is not None and now - self._listening_since > up_ms
+        if known is None and not is_new:
             self._meters.count_quota_baseline()
-        # The first report of a daemon only sets the baseline. What a daemon admitted while it was
-        # unreachable is charged to the tokens withheld for it; otherwise it would be charged twice.
-        continuous = known is not None and now - known.at <= UNRESPONSIVE_MS
-        before = known.by_customer if known else {}
+            self._charge_missed()
+        self._reported_at = now
         for key, count in counts.items():
             bucket = self._buckets.get(key)
             if bucket is None:
@@ -188,19 +215,30 @@
             if count.level is not None and self._is_uncertain(bucket):
                 self._refill(key, bucket)
                 bucket.level, bucket.uncertain = float(count.level), False
-            elif known is None and self._started_together(bucket, count):
+            elif known is not None:
+                self._charge_change(key, count, known)
+            elif self._started_together(bucket, count):
                 self._charge(key, min(count.admitted, int(START_LEVEL)))
-            elif continuous and key in before:
-                self._charge(key, count.admitted - before[key].admitted)
-            elif continuous:
+            elif is_new:
                 self._charge(key, count.admitted)
-            elif key in before:
-                self._charge_reconnected(key, count.admitted - before[key].admitted)
-        self._peers[session] = _PeerCounts(now, {**before, **counts})
+        before = known.by_customer if known else {}
+        complete = known.complete if known else complete or is_new
+        self._peers[session] = _PeerCounts(now, {**before, **counts}, complete)
+
+    def _charge_change(self, key: int, count: AdmittedCount, known: _PeerCounts) -> None:
+        admitted = count.admitted - known.find_admitted(key, count.admitted)
+        # What a daemon admitted while it was unreachable is charged to the tokens withheld for it;
+        # otherwise it would be charged twice.
+        if self._clock.now() - known.at <= UNRESPONSIVE_MS:
+            self._charge(key, admitted)
+        else:
+            self._charge_reconnected(key, admitted)
 
     def forget(self, session: str) -> None:
-        """Drop the counters of a daemon that is gone."""
-        self._peers.pop(session, None)
+        """Drop the counters of a daemon that is gone, or of a relay that is not followed any more."""
+        known = self._peers.pop(session, None)
+        if known is not None and self.digest_delay_ms:
+            self._relay_lost_at = known.at
 
     def reset_after_pause(self) -> None:
         """Empty every bucket after a pause of this process, in which other daemons spent tokens."""
@@ -212,6 +250,7 @@
         # What the others admitted during the pause must not be charged to the emptied buckets, also
         # not by first reports of daemons that were paused as well.
         self._peers.clear()
+        self._listening_since = now
         self.return_share = None
 
     def admit(
@@ -356,6 +395,23 @@
         bucket.recent_admitted = max(0.0, bucket.recent_admitted + admitted)
         self._spend(key, bucket, admitted)
 
+    def _charge_missed(self) -> None:
+        """Charge an estimate of what the others admitted between the reports of two relays.
+
+        The totals of two relays can't be compared, as each counts from when it began.
+        """
+        if self._relay_lost_at is None:
+            return
+        now = self._clock.now()
+        gap_ms = min(now - self._relay_lost_at, MAX_MISSED_MS)
+        self._relay_lost_at = None
+        for key, bucket in self._buckets.items():
+            if bucket.recent_admitted:
+                self._refill(key, bucket)
+                self._decay_recent(bucket)
+                self._spend(key, bucket, bucket.recent_admitted * gap_ms / RECENT_DECAY_MS)
+                bucket.recent_at = now
+
     def _spend(self, key: int, bucket: _Bucket, admitted: float) -> None:
         # VMs that admit at the same moment overdraw the bucket. What is not owed afterwards would be
         # admitted again; the limit keeps a wrong counter from blocking a customer for long.
--- a/goldcreststair/components/quotas/service.py
+++ b/goldcreststair/components/quotas/service.py
@@ -105,8 +105,10 @@
 
     def _on_beacon(self, session: str, beacon: Beacon) -> None:
         counts = {c.customer: AdmittedCount(c.admitted, c.level) for c in beacon.admitted or ()}
-        self._controller.digest_delay_ms = 0 if self._links.has_mesh() else DIGEST_DELAY_MS
-        self._controller.apply_counts(session, counts)
+        has_mesh = self._links.has_mesh()
+        self._controller.digest_delay_ms = 0 if has_mesh else DIGEST_DELAY_MS
+        # Beacons leave out customers that have not sent for a while, a relay's first digest none.
+        self._controller.apply_counts(session, counts, beacon.up_ms, complete=not has_mesh)
 
 
 QUOTAS: Final = ComponentKey[QuotaService]("quotas")
--- a/tests/components/quotas/test_controller.py
+++ b/tests/components/quotas/test_controller.py
@@ -5,6 +5,7 @@
 from goldcreststair.components.catalogue.models import CatalogueCustomer
 from goldcreststair.components.fleet.const import UNRESPONSIVE_MS
 from goldcreststair.components.quotas.controller import (
+    DIGEST_DELAY_MS,
     MAX_REMOVED_CUSTOMERS,
     AdmittedCount,
     FleetShare,
@@ -265,3 +266,47 @@
     controller.apply_customers({})
     assert controller.describe(0).startswith("level unknown")
     assert not controller.describe(MAX_REMOVED_CUSTOMERS + 9).startswith("level unknown")
+
+
+@pytest.mark.parametrize(
+    ("up_ms", "admitted"),
+    [
+        # It started after this daemon did: all that it has admitted is unknown here.
+        (800, 8),
+        # It has run for longer than this one.
+        (60_000, 20),
+        (None, 20),
+    ],
+)
+def test_first_report_of_a_daemon_that_has_just_started_is_charged(
+    up_ms: int | None, admitted: int
+) -> None:
+    """After kills, what restarted daemons admitted before their first report was never charged."""
+    controller = make_controller(ManualClock())
+    controller.apply_counts("new", {KEY: AdmittedCount(12)}, up_ms)
+    assert drain(controller) == admitted
+
+
+@pytest.mark.parametrize(("complete", "admitted"), [(True, 0), (False, 17)])
+def test_customer_that_a_first_report_left_out_is_not_charged_for_all(
+    complete: bool, admitted: int
+) -> None:
+    """A customer that had been idle at another daemon was charged all its requests since the start."""
+    controller = make_controller(ManualClock())
+    controller.apply_counts("other", {}, complete=complete)
+    controller.apply_counts("other", {KEY: AdmittedCount(5_000)})
+    assert drain(controller) == admitted
+
+
+def test_requests_between_the_reports_of_two_relays_are_estimated() -> None:
+    """Each change of the relay that is followed lost what was admitted meanwhile."""
+    clock = ManualClock()
+    controller = make_controller(clock)
+    controller.digest_delay_ms = DIGEST_DELAY_MS
+    controller.apply_counts("relay", {KEY: AdmittedCount(100)})
+    controller.apply_counts("relay", {KEY: AdmittedCount(105)})
+    clock.advance(500)
+    controller.forget("relay")
+    controller.apply_counts("next", {KEY: AdmittedCount(900)})
+    # Five in the last 500 ms: five in as long without a report, and three not reported yet.
+    assert drain(controller) == 20 - 5 - 3
