Refill quotas behind relays for the time that charges are late

Cause: what others admitted in the last 300 ms is estimated and subtracted, but what was refilled in that time was cut off at a full bucket. A bucket now refills to the burst and the refill of that time; no more than the burst counts as available.

test_steady_customer_with_a_small_burst_is_not_refused_behind_relays failed before.

--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -267,7 +267,10 @@
         if bucket is None:
             bucket = self._buckets[key] = self._make_bucket(key)
         self._refill(key, bucket)
-        level = bucket.level - self._estimate_unreported(bucket)
+        level = min(
+            customer.burst * self._share.fraction,
+            bucket.level - self._estimate_unreported(bucket),
+        )
         if level < 1 and not self._may_spend_return_share(customer, bucket):
             rate = customer.rate_per_s * self._share.fraction
             return int((1 - level) / rate * MS_PER_SECOND) + 1
@@ -360,10 +363,13 @@
         for key, bucket in self._buckets.items():
             if bucket.admitted and bucket.admitted_at >= horizon:
                 self._refill(key, bucket)
-                level = None if self._is_uncertain(bucket) else int(bucket.level)
+                level = None if self._is_uncertain(bucket) else self._read_level(key, bucket)
                 counts[key] = AdmittedCount(bucket.admitted, level)
         return counts
 
+    def _read_level(self, key: int, bucket: _Bucket) -> int:
+        return int(min(bucket.level, self._customers[key].burst))
+
     def _make_bucket(self, key: int) -> _Bucket:
         self._meters.count_quota_bucket()
         now = self._clock.now()
@@ -435,7 +441,9 @@
         if customer is not None:
             fraction = self._share.fraction
             earned = (now - bucket.at) * customer.rate_per_s / MS_PER_SECOND
-            bucket.level = min(customer.burst * fraction, bucket.level + earned * fraction)
+            # What the others admitted during the delay is charged later than it was refilled.
+            most = customer.burst + customer.rate_per_s * self.digest_delay_ms / MS_PER_SECOND
+            bucket.level = min(most * fraction, bucket.level + earned * fraction)
             bucket.withheld += earned * (1 - fraction)
         if (
             self._all_responsive_since is not None
