Use no entry whose fields a connection or header cannot hold

Callers got 502 "internal error", and accepted items were neither done nor dead-lettered, while one entry of a known service had an odd address. Cause: the decoder accepts what nothing can connect to (a port out of range or of 5,000 digits; space, CR, LF or NUL in the host). Connecting raised an exception that ended the request, and left an item to the same upstream at once again.

An exception in a run is a failure of that run.

--- a/goldcreststair/components/fleet/sessions.py
+++ b/goldcreststair/components/fleet/sessions.py
@@ -9,6 +9,7 @@
 from goldcreststair.components.fleet.const import SESSION_PARTS
 from goldcreststair.components.fleet.models import FleetVm
 from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.helpers.addresses import is_ip_address, is_port
 from goldcreststair.store.errors import PlatformError
 from goldcreststair.store.reading import async_read_ranges
 from goldcreststair.store.rows import RowPage, RowRange, RowStore
@@ -72,6 +73,9 @@
         _LOGGER.warning("Session row unreadable: %s", decoded.err_value.message)
         return None
     row = decoded.ok_value
+    if not is_ip_address(row.address) or not is_port(row.peer_port):
+        _LOGGER.warning("Session row has no address: %.80r, %s", row.address, row.peer_port)
+        return None
     return FleetVm(
         row.session,
         row.address,
--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -215,7 +215,8 @@
             async with asyncio.timeout(connect_timeout_ms / MS_PER_SECOND):
                 await loop.sock_connect(tcp_socket, (host, int(port)))
                 await loop.create_connection(lambda: connection, sock=tcp_socket)
-        except (TimeoutError, OSError) as error:
+        # Addresses come from rows of other writers: one that is none must not cost the request.
+        except (TimeoutError, OSError, ValueError, OverflowError) as error:
             self._close(exchange.address, connection)
             return Err(ExchangeError(f"cannot connect: {error!r}", ExchangeFailure.CONNECT))
         except BaseException:
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -1,5 +1,6 @@
 """Runs a request at one upstream over persistent connections and classifies failures."""
 
+import logging
 from collections.abc import Awaitable
 from dataclasses import dataclass
 from typing import Final, Protocol
@@ -13,6 +14,8 @@
 from goldcreststair.upstreams.dialect import RunCall, RunHead, UpstreamDialect
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
+_LOGGER = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_MS: Final = 300
 """A healthy upstream accepts within a few ms, even in another data centre. A lost packet is
 retransmitted only after a second, so another upstream is faster by then."""
@@ -147,7 +150,12 @@
 
     A crash ends the connection as the end of such an answer does.
     """
-    end = await runner.async_run(address, call, sink)
+    try:
+        end = await runner.async_run(address, call, sink)
+    # Without this, what one upstream sends or registers could end requests that others can run.
+    except Exception as error:
+        _LOGGER.exception("Run failed unexpectedly", extra={"upstream": call.upstream})
+        return Err(UpstreamError(f"run failed: {error!r}", UpstreamFailure.INCOMPLETE))
     if isinstance(end, Err) or not end.ok_value.ended_by_close:
         return end
     if await runner.pool.async_warm(address, CONNECT_TIMEOUT_MS):
--- a/tests/components/discovery/test_foreign_entries.py
+++ b/tests/components/discovery/test_foreign_entries.py
@@ -8,10 +8,13 @@
 
 from goldcreststair.components.discovery.const import OUTAGE_MEMORY_MS
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS
+from goldcreststair.components.jobs.models import ResultPage
 from goldcreststair.store.rows import RowKey
-from standins.gateways import TABLE_ENGINES, FleetMember, GatewayFleet
+from goldcreststair.upstreams.dialect import RunCall
+from goldcreststair.upstreams.runner import RunSink
+from standins.gateways import TABLE_ENGINES, FakeResponder, FleetMember, GatewayFleet
 from standins.run_engines import RunEngine
-from tests.helpers.gateways import async_send, run_fleet
+from tests.helpers.gateways import async_read, async_send, async_submit, run_fleet
 
 LATER_MS: Final = 1_000_000
 HEARTBEAT_MS: Final = 1_200
@@ -156,3 +159,35 @@
         assert (await async_send(fleet, member, "/stream/a")).whole
 
     run_fleet(scenario)
+
+
+def test_exceptions_at_one_upstream_cost_no_request_and_no_item(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An odd entry of a known service made runs raise: 26 of 40 items were not run any more."""
+    page: list[ResultPage] = []
+    answers: list[FakeResponder] = []
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        odd, _ = fleet.add_engines(2)
+        real_run = fleet.engines.async_run
+
+        async def async_run(address: str, call: RunCall, sink: RunSink) -> object:
+            if address == odd.address:
+                raise OverflowError("port must be 0-65535")
+            return await real_run(address, call, sink)
+
+        monkeypatch.setattr(type(fleet.engines), "async_run", staticmethod(async_run))
+        first, second = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(2_000)
+        await async_submit(fleet, first, "job", 40)
+        for number in range(12):
+            member = (first, second)[number % 2]
+            answers.append(await async_send(fleet, member, f"/stream/{number}"))
+        await fleet.clock.async_sleep(30_000)
+        page.append(await async_read(first, "job"))
+
+    run_fleet(scenario)
+    assert [answer.refusal for answer in answers] == [None] * 12
+    assert all(answer.whole for answer in answers)
+    assert len(page[0].results) == 40 and all(result.done for result in page[0].results)
--- a/tests/platform_adapter/test_documents.py
+++ b/tests/platform_adapter/test_documents.py
@@ -154,6 +154,18 @@
         ({key: value for key, value in ENTRY.items() if key != "version"}, "version"),
         (ENTRY | {"version": 2}, "version"),
         ([], "state"),
+        (ENTRY | {"address": "10.1.0.9:0"}, "address"),
+        (ENTRY | {"address": "10.1.0.9:65536"}, "address"),
+        (ENTRY | {"address": "10.1.0.9:" + "9" * 5_000}, "address"),
+        (ENTRY | {"address": "10.1.0.9:٣"}, "address"),
+        (ENTRY | {"address": "10.1.0.9 :80"}, "address"),
+        (ENTRY | {"address": "10.1.0.9\r\nX: y:80"}, "address"),
+        (ENTRY | {"address": "10.1.0.9\0:80"}, "address"),
+        (ENTRY | {"address": "engine.example:80"}, "address"),
+        (ENTRY | {"slots": -1}, "slots"),
+        (ENTRY | {"slots": 2**63 - 1}, "slots"),
+        (ENTRY | {"born": -1}, "born"),
+        (ENTRY | {"born": 2**63 - 1}, "born"),
     ],
 )
 def test_a_malformed_entry_is_an_error_that_names_the_field(value: Any, field: str) -> None:
@@ -161,6 +173,21 @@
     assert isinstance(decoded, Err) and decoded.err_value.field == field
 
 
+@pytest.mark.parametrize("name", ["i-1 x", "i-1\r\nTenant: other", "i-\0", "i-\u00e9"])
+def test_a_name_that_no_header_can_hold_is_an_error(name: str) -> None:
+    """The name is sent to the upstream: requests would fail there, or carry another header."""
+    decoded = UpstreamEntries().decode(name, orjson.dumps(ENTRY))
+    assert isinstance(decoded, Err) and decoded.err_value.field == "key"
+
+
+def test_a_deeply_nested_entry_is_an_error() -> None:
+    """Another writer's row must not end the daemons that read it."""
+    for depth in (900, 100_000):
+        nested = b"[" * depth + b"]" * depth
+        assert isinstance(UpstreamEntries().decode("i-1", nested), Err)
+        assert isinstance(UpstreamEntries().decode("i-1", b'{"state":' + nested + b"}"), Err)
+
+
 @pytest.mark.parametrize(
     ("table", "key", "data_centre"),
     [
--- a/tests/platform_adapter/test_jobs.py
+++ b/tests/platform_adapter/test_jobs.py
@@ -80,6 +80,11 @@
         (change(tokens="9"), "requests[0].tokens"),
         (change(headers=[]), "requests[0].headers"),
         (change(headers={"A": "b\r\nC: d"}), "requests[0].headers"),
+        (change(headers={"A": "\u20ac"}), "requests[0].headers"),
+        (change(path="/a b"), "requests[0].path"),
+        (change(path="/a\r\nb"), "requests[0].path"),
+        (change(path="/\u20ac"), "requests[0].path"),
+        (change(id="\u20ac"), "requests[0].path"),
     ],
 )
 def test_the_refusal_of_a_malformed_job_names_the_field(body: bytes, field: str) -> None:
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -247,3 +247,38 @@
         assert engine.connections == 2
 
     run_engine(scenario)
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "127.0.0.1:65536",
+        "127.0.0.1:" + "9" * 5_000,
+        "127.0.0.1\0:80",
+        "127.0.0.1 \r\n:80",
+        "\udcff:80",
+        "no-port",
+    ],
+)
+def test_address_to_which_nothing_can_connect_is_a_failed_connection(address: str) -> None:
+    """An entry's odd address ended requests with an internal error, although others could run them."""
+
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        ended = await runner.async_run(address, make_call(), Sink())
+        assert isinstance(ended, Err) and ended.err_value.failure is UpstreamFailure.CONNECT
+        assert not await runner.pool.async_warm(address, 100)
+        assert runner.pool.count_open(address) == 0
+
+    run_engine(scenario)
+
+
+def test_exception_of_a_run_is_a_failure_of_that_run() -> None:
+    """An exception at one upstream ended the request, and an item was neither done nor run again."""
+
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        call = make_call(headers=(("A", "b\r\nC: d"),))
+        ended = await async_run_checked(runner, engine.address, call, Sink())
+        assert isinstance(ended, Err) and ended.err_value.failure is UpstreamFailure.INCOMPLETE
+        assert not ended.err_value.not_run
+
+    run_engine(scenario)
