Test answers whose engine closes inside their head

Operators of a system like ours saw 200 with an empty or short body, framed as whole, where an engine had closed in the middle of its head. It does not happen here: a response counts as begun only with its whole head, and a connection that ends before is a broken one. The tests held on the code as it was: a head cut at each of its bytes, with and without an informational response before it; at callers, streams and calls on new and kept connections, closed behind the status line, inside a header, two bytes and one byte before the end, and with a length announced and not kept; batch items likewise. Upstreams are not probed by requests, only by connecting, which reads no head.

--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -145,6 +145,41 @@
     run_local(scenario)
 
 
+BROKEN_HEADS = [fault for fault in EngineFault if fault.name.startswith("HEAD_")]
+
+
+@pytest.mark.parametrize("fault", [*BROKEN_HEADS, EngineFault.SHORT])
+@pytest.mark.parametrize("path", ["/once/x", "/call/x"])
+@pytest.mark.parametrize("kept", [False, True], ids=["new", "kept"])
+def test_a_head_that_is_broken_off_is_no_answer(fault: EngineFault, path: str, kept: bool) -> None:
+    """Guards against a 200 with an empty body, framed as whole, for an engine that closed in its head."""
+
+    async def scenario(local: LocalGateway) -> None:
+        if kept:
+            assert (await local.async_call("POST", path)).status == 200
+        local.engine.faults = [fault]
+        answer = await local.async_call("POST", path)
+        assert not (answer.status < 300 and answer.whole)
+        assert answer.status == 502 or (fault is EngineFault.SHORT and not answer.whole)
+        assert "Response-Stamp" not in answer.headers or answer.status == 200
+
+    run_local(scenario)
+
+
+@pytest.mark.parametrize("fault", [*BROKEN_HEADS, EngineFault.SHORT])
+def test_a_stream_whose_engine_closes_in_its_head_is_whole_or_no_success(
+    fault: EngineFault,
+) -> None:
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.faults = [fault]
+        answer = await local.async_call("POST", "/stream/x")
+        assert (answer.status, answer.whole) in ((200, True), (502, True), (200, False))
+        if answer.whole and answer.status == 200:
+            assert answer.body == b"".join(make_event(number) for number in (1, 2, 3))
+
+    run_local(scenario)
+
+
 @pytest.mark.parametrize("path", ["/once/x", "/call/x"])
 def test_a_status_that_is_not_registered_reaches_the_caller(path: str) -> None:
     """Guards against a connection that ends without an answer, as the answer's status has no reason phrase."""
--- a/tests/platform_adapter/test_jobs.py
+++ b/tests/platform_adapter/test_jobs.py
@@ -11,6 +11,7 @@
 
 from goldcreststair.components.placement.const import MIN_CONNECTIONS
 from tests.platform_adapter.local import CONFIG, OTHER_KEY, LocalGateway, register, run_local
+from tests.platform_adapter.wire_engine import EngineFault
 
 ITEM: dict[str, Any] = {
     "id": "i1",
@@ -60,6 +61,22 @@
     run_local(scenario)
 
 
+@pytest.mark.parametrize(
+    "fault", [f for f in EngineFault if f.name.startswith("HEAD_")] + [EngineFault.SHORT]
+)
+def test_an_item_whose_engine_closes_in_its_head_has_its_whole_text(fault: EngineFault) -> None:
+    """Guards against an item that is done without its text, as a broken head counted as an answer."""
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.faults = [fault]
+        await local.async_call("POST", "/batch/job", make_job(ITEM), {"Request-Id": "j1"})
+        page = await async_read_done(local, "j1", 1)
+        assert [result["state"] for result in page["results"]] == ["succeeded"]
+        assert [result["text"] for result in page["results"]] == ["word1\nword2\nword3"]
+
+    run_local(scenario)
+
+
 def change(**fields: Any) -> bytes:
     """Return a submission of one item with changed fields."""
     return make_job(copy.deepcopy(ITEM) | fields)
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -38,6 +38,16 @@
     """Answers a failure before it has read the body, and continues to read."""
     SILENT = "silent"
     """Sends no answer."""
+    HEAD_STATUS = "head_status"
+    """Closes the connection behind its status line."""
+    HEAD_INSIDE = "head_inside"
+    """Closes the connection inside a header."""
+    HEAD_LAST_TWO = "head_last_two"
+    """Closes the connection two bytes before the end of its head."""
+    HEAD_LAST_ONE = "head_last_one"
+    """The same, one byte before it."""
+    SHORT = "short"
+    """Announces a length, and closes the connection before it has sent as much."""
 
 
 @dataclass(slots=True)
@@ -118,6 +128,11 @@
             EngineFault.NOT_RUN: self._async_not_run,
             EngineFault.MISDIRECTED: self._async_misdirected,
             EngineFault.SILENT: self._async_silent,
+            EngineFault.HEAD_STATUS: self._async_head_status,
+            EngineFault.HEAD_INSIDE: self._async_head_inside,
+            EngineFault.HEAD_LAST_TWO: self._async_head_last_two,
+            EngineFault.HEAD_LAST_ONE: self._async_head_last_one,
+            EngineFault.SHORT: self._async_short,
         }
         first = int(headers.get("Last-Event-Id", "0")) + 1
         faulty = answers.get(fault)
@@ -212,6 +227,42 @@
         await asyncio.sleep(30)
         return False
 
+    async def _async_head_status(
+        self, writer: asyncio.StreamWriter, request_id: str, _: int
+    ) -> bool:
+        head = make_head(200, request_id, "Content-Length: 0")
+        return await self._async_close_after(writer, head[: head.index(b"\r\n") + 2])
+
+    async def _async_head_inside(
+        self, writer: asyncio.StreamWriter, request_id: str, _: int
+    ) -> bool:
+        head = make_head(200, request_id, "Connection: close")
+        return await self._async_close_after(writer, head[: len(head) // 2])
+
+    async def _async_head_last_two(
+        self, writer: asyncio.StreamWriter, request_id: str, _: int
+    ) -> bool:
+        return await self._async_close_after(
+            writer, make_head(200, request_id, "Connection: close")[:-2]
+        )
+
+    async def _async_head_last_one(
+        self, writer: asyncio.StreamWriter, request_id: str, _: int
+    ) -> bool:
+        return await self._async_close_after(
+            writer, make_head(200, request_id, "Connection: close")[:-1]
+        )
+
+    async def _async_short(self, writer: asyncio.StreamWriter, request_id: str, first: int) -> bool:
+        event = make_event(first)
+        head = make_head(200, request_id, f"Content-Length: {2 * len(event)}")
+        return await self._async_close_after(writer, head + event)
+
+    async def _async_close_after(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
+        writer.write(data)
+        await writer.drain()
+        return False
+
 
 def make_event(number: int, padding: int = 0) -> bytes:
     """Return one event of a stream."""
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -50,6 +50,19 @@
         writer.close()
 
 
+class CuttingServer(Server):
+    """Sends the first byte of a response to the first request, two to the next, and so on; then closes."""
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._parts[0][: self.connections])
+        writer.close()
+        await writer.wait_closed()
+
+
 SendRequest = Callable[[ResponseHooks], Awaitable[Result[HttpResponse, ExchangeError]]]
 
 
@@ -129,6 +142,23 @@
     run_server(Server(part, closes=True), scenario)
 
 
+@pytest.mark.parametrize("more", [b"", b"Content-Length: 0\r\n", b"Connection: close\r\n"])
+@pytest.mark.parametrize("before", [b"", b"HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n"])
+def test_head_that_is_cut_at_any_byte_is_broken(more: bytes, before: bytes) -> None:
+    """Guards against an empty 200, as the end of the connection counted as the end of the answer."""
+    head = before + b"HTTP/1.1 200 OK\r\nA: b\r\n" + more + b"\r\n"
+    server = CuttingServer(head)
+
+    async def scenario(send: SendRequest) -> None:
+        for number in range(1, len(head)):
+            response = await send(ResponseHooks())
+            assert server.connections == number
+            assert isinstance(response, Err)
+            assert response.err_value.failure is ExchangeFailure.BROKEN
+
+    run_server(server, scenario)
+
+
 def test_response_without_a_length_ends_with_its_connection() -> None:
     async def scenario(send: SendRequest) -> None:
         response = await send(ResponseHooks())
