Store the software version of a service also while it is the only one

Report of other operators: streams joined from two software versions after all front machines were killed at once during a release. It can happen here. Cause: the row of a service's versions was written only once several were listed. Where all upstreams were replaced while no daemon ran, the new daemons found one version and no row, and continued streams of the old one at the new one, with nothing in the answer to show it.

Each daemon now sees to the row when it begins its first stream of a version (one read a daemon; one write a service). The line of docs/design/stream-origins.md on the loss of all VMs is shown by test_streams_of_a_version_that_was_replaced_while_no_vm_ran: two of its six rows (a version that the daemons never listed, after one loss and after two) failed before.

Ruled out: writing the row at the start of each daemon (many write at once, as they do not know each other yet), and taking a missing row for unknown versions (a fleet that has just started would refuse to take up its first streams).

--- a/goldcreststair/components/stream_origins/history_rows.py
+++ b/goldcreststair/components/stream_origins/history_rows.py
@@ -69,13 +69,17 @@
         stored = [(row.key.key, _decode(row)) for row in page.rows]
         self._history.apply_stored(stored, page.now_ms)
 
-    def schedule_write(self, service: str) -> None:
-        """Write the history of a service, if this daemon is one of those that do."""
+    def schedule_write(self, service: str, *, by_all: bool = False) -> None:
+        """Write the history of a service, if this daemon is one of those that do.
+
+        With `by_all` the others write as well, after them, if the row is still missing.
+        """
         sessions = self._core.blackboard.read(FLEET).vms
         ranked = sorted(sessions, key=lambda session: score(session, TABLE_SOFTWARE, service))
-        if self._core.session_id not in ranked[:WRITERS]:
+        rank = ranked.index(self._core.session_id)
+        if rank >= WRITERS and not by_all:
             return
-        delay_ms = ranked.index(self._core.session_id) * WRITER_GAP_MS
+        delay_ms = min(rank, WRITERS) * WRITER_GAP_MS
         before = self._writing.get(service)
         if before is not None:
             before.cancel()
--- a/goldcreststair/components/stream_origins/service.py
+++ b/goldcreststair/components/stream_origins/service.py
@@ -61,6 +61,8 @@
         self._links.subscribe_direct_beacons(self._on_beacon)
         self._links.register_request_handler(PeerRequestKind.STREAM_ORIGIN, self._async_on_ask)
         core.on_process_resumed.append(lambda _: self._history.record_gap())
+        self._begun: set[StreamOrigin] = set()
+        """Origins of the streams that began here."""
         self._unsubscribe: Callable[[], None] = lambda: None
 
     async def async_start(self) -> None:
@@ -77,6 +79,11 @@
     def record(self, stream: StreamKey, origin: StreamOrigin) -> None:
         """Record the origin of a stream that this daemon relays, and announce it to other daemons."""
         self._known.record_own(stream, origin.key)
+        # Of a version that is the only one, the row tells those who start after the loss of all daemons,
+        # during which it may be replaced.
+        if origin not in self._begun:
+            self._begun.add(origin)
+            self._rows.schedule_write(origin.service, by_all=True)
         if self._has_several(origin.service):
             self._known.announce(stream)
             self._links.schedule_beacon()
--- a/tests/components/stream_origins/test_fleet.py
+++ b/tests/components/stream_origins/test_fleet.py
@@ -111,6 +111,41 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("seen_ms", [None, 30, 3_000], ids=["unseen", "just seen", "seen"])
+@pytest.mark.parametrize("losses", [1, 2])
+def test_streams_of_a_version_that_was_replaced_while_no_vm_ran(
+    seen_ms: int | None, losses: int
+) -> None:
+    """Guards against streams joined of two versions after the loss of all VMs during a release.
+
+    All upstreams are replaced before the VMs are back. `seen_ms` is for how long the VMs knew the new
+    version before they were lost.
+    """
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        old, new = add_versions(fleet, "v1", "v2")
+        fleet.unregister(new)
+        members = await fleet.async_add_many(3)
+        await fleet.clock.async_sleep(3_000)
+        began = await async_begin(fleet, members[0])
+        assert set(began.values()) == {"v1"}
+        if seen_ms is not None:
+            fleet.register(new)
+            await fleet.clock.async_sleep(seen_ms)
+        for _ in range(losses):
+            for member in members:
+                await fleet.async_kill(member)
+            old.up = False
+            fleet.unregister(old)
+            fleet.register(new)
+            members = await fleet.async_add_many(2)
+            await fleet.clock.async_sleep(500)
+        for answer in (await async_take_up(fleet, members[0])).values():
+            assert answer.refusal is not None and answer.refusal.not_run
+
+    run_fleet(scenario)
+
+
 @pytest.mark.parametrize("vms", [3, 30])
 def test_vm_that_has_just_started_asks_the_others(vms: int) -> None:
     """Guards against refusing streams that other VMs know, in small fleets and in those with relays."""
