--- a/tests/components/quotas/test_histories.py
+++ b/tests/components/quotas/test_histories.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from standins.gateways import FleetMember, GatewayFleet
-from standins.measure.quotas import QuotaFigures, async_drive, async_start
+from standins.measure.quotas import CUSTOMER, QuotaFigures, async_drive, async_start
 from tests.helpers.gateways import run_fleet
 
 RATE = 30.0
@@ -23,6 +23,9 @@
 """Size of a fleet in which relays report what all others admit."""
 RELAYED_EXAMPLES = 10
 LONGEST_FREEZE_MS = 8_000
+LATE_VMS = 11
+DELAYS_MS = (1, 200, 400, 800, 1_500)
+LOSSES = (0.0, 0.2, 0.4, 0.7)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +58,7 @@
         self._fleet = fleet
         self._vms = vms
         self._freezing: set[asyncio.Task[None]] = set()
+        self._version = 1
 
     async def async_apply_all(self, steps: Sequence[Step]) -> None:
         """Apply all steps; at the end all partitions are healed and all paused VMs have resumed."""
@@ -63,6 +67,7 @@
             await self._fleet.clock.async_sleep(step.pause_ms)
         await asyncio.gather(*self._freezing)
         self._fleet.datagrams.clear_cuts()
+        self._fleet.datagrams.delay_ms, self._fleet.datagrams.loss = 1, 0.0
         self._fleet.store.faults.down = False
 
     async def _async_apply_step(self, step: Step) -> None:
@@ -74,6 +79,8 @@
         elif step.kind == "add":
             if len(fleet.members) < self._vms + 2:
                 await fleet.async_add()
+        elif step.kind in ("late", "lose", "leave out", "herd"):
+            await self._async_apply_to_all(step)
         elif len(fleet.members) > 1:
             first = fleet.members[step.first % len(fleet.members)]
             second = fleet.members[step.second % len(fleet.members)]
@@ -99,6 +106,32 @@
             gap_ms = min(LONGEST_FREEZE_MS, 1_000 + 2 * step.pause_ms)
             self._freezing.add(asyncio.create_task(self._async_freeze(first, gap_ms)))
 
+    async def _async_apply_to_all(self, step: Step) -> None:
+        datagrams = self._fleet.datagrams
+        if step.kind == "late":
+            datagrams.delay_ms = DELAYS_MS[step.second % len(DELAYS_MS)]
+        elif step.kind == "lose":
+            datagrams.loss = LOSSES[step.second % len(LOSSES)]
+        elif step.kind == "leave out":
+            await self._async_leave_out(100 * (1 + step.first % 20))
+        else:
+            await self._async_kill_many(1 + step.second % len(self._fleet.members))
+
+    async def _async_leave_out(self, missing_ms: int) -> None:
+        """Leave the customer out of one version of the catalogue."""
+        self._version += 2
+        self._fleet.write_catalogue(self._version, customers=())
+        await self._fleet.clock.async_sleep(missing_ms)
+        limits = {"name": CUSTOMER, "rate_per_s": RATE, "burst": BURST}
+        self._fleet.write_catalogue(self._version + 1, customers=(limits,))
+
+    async def _async_kill_many(self, count: int) -> None:
+        """Kill daemons at the same moment and start them again at their addresses."""
+        killed = self._fleet.members[:count]
+        await asyncio.gather(*(self._fleet.async_kill(member) for member in killed))
+        for member in killed:
+            await self._fleet.async_add(member.address)
+
     def _cut_off(self, member: FleetMember) -> None:
         for other in self._fleet.members:
             if other is not member:
@@ -179,6 +212,31 @@
     assert measure_history(steps, seed, RELAYED_VMS) <= BOUND
 
 
+LATE_STEPS = st.builds(
+    Step,
+    st.sampled_from(("late", "late", "lose", "leave out", "herd", "kill", "freeze")),
+    st.integers(0, LATE_VMS - 1),
+    st.integers(0, LATE_VMS - 1),
+    st.integers(50, 4_000),
+)
+
+
+@pytest.mark.parametrize("vms", [LATE_VMS, RELAYED_VMS])
+@settings(
+    max_examples=RELAYED_EXAMPLES,
+    deadline=None,
+    derandomize=True,
+    phases=(Phase.generate,),
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(st.lists(LATE_STEPS, min_size=3, max_size=9), st.integers(0, 1_000))
+def test_quota_holds_while_counters_are_late_or_lost(
+    vms: int, steps: list[Step], seed: int
+) -> None:
+    """Reports come late or never, daemons die together, and versions leave the customer out."""
+    assert measure_history(steps, seed, vms) <= BOUND
+
+
 @pytest.mark.parametrize(
     ("steps", "seed"),
     [
