Admit one request a daemon while counters are late

Cause: three requests at each of thirty daemons are nine times the burst.

tests/platform_adapter/measure_quota.py measures this; it counts what engines ran.

--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -35,7 +35,9 @@
 """How many tokens beyond a limit all daemons together may spend before they know of each other's."""
 MIN_UNCONFIRMED: Final = 3
 """How many requests a daemon may admit before it knows what the others admitted meanwhile, while half
-of the burst is left; fewer below, and one at least."""
+of the burst is left and counters are fresh; else fewer, and one at least."""
+FRESH_MS: Final = 600
+"""Counters of others that are older than this are late: a relay's are 300 to 500 ms old."""
 DEBT_MS: Final = 5_000
 """A customer that got more than its limit is refused for this long at most."""
 RECENT_DECAY_MS: Final = 500
@@ -329,8 +331,10 @@
         left = level + len(bucket.unconfirmed)
         even_share = (left + OVERSPEND_TOKENS) / max(1, self._share.members)
         # In a large fleet that is less than one request.
-        half = max(1.0, customer.burst / 2)
-        least = max(1.0, MIN_UNCONFIRMED * min(1.0, (level - 1) / half))
+        least = 1.0
+        if self._clock.now() - known_until <= FRESH_MS:
+            half = max(1.0, customer.burst / 2)
+            least = max(least, MIN_UNCONFIRMED * min(1.0, (level - 1) / half))
         if len(bucket.unconfirmed) >= max(least, even_share):
             return False
         bucket.unconfirmed.append(self._clock.now())
--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -104,14 +104,14 @@
         """Send SIGTERM, wait for the end as the platform does, and restart the process."""
         async with self._signals:
             self._listed_until = time.monotonic() + ADDRESS_CACHE_S
-            self._send(signal.SIGTERM)
+            self.send(signal.SIGTERM)
             await self._async_end()
             await self.async_start()
 
     async def async_kill(self, down_s: float) -> None:
         """Kill the process and restart it after `down_s`."""
         async with self._signals:
-            self._send(signal.SIGKILL)
+            self.send(signal.SIGKILL)
             await self._async_end()
             await asyncio.sleep(down_s)
             await self.async_start()
@@ -121,20 +121,21 @@
         async with self._signals:
             pause = Absence(self.name, time.monotonic())
             self.record.pauses.append(pause)
-            self._send(signal.SIGSTOP)
+            self.send(signal.SIGSTOP)
             try:
                 await asyncio.sleep(paused_s)
             finally:
-                self._send(signal.SIGCONT)
+                self.send(signal.SIGCONT)
                 pause.until = time.monotonic()
 
     async def async_close(self) -> None:
         """Kill the process; called when all observations have been made."""
-        self._send(signal.SIGKILL)
+        self.send(signal.SIGKILL)
         if self._process is not None:
             await self._process.wait()
 
-    def _send(self, number: signal.Signals) -> None:
+    def send(self, number: signal.Signals) -> None:
+        """Send the process a signal, if it runs."""
         signals = {signal.SIGTERM: self.record.stops, signal.SIGKILL: self.record.kills}
         if number in signals:
             signals[number].append(Signal(self.name, time.monotonic()))
