--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -24,6 +24,7 @@
 )
 from goldcreststair.components.fleet.models import VmState
 from goldcreststair.components.fleet.protocols import hash_name
+from goldcreststair.helpers.counters import estimate_earlier_count
 from goldcreststair.helpers.crash_evidence import SUSPECT_BYTES
 from goldcreststair.wire.generated.gateway.ttypes import (
     AnsweredSuspects,
@@ -53,8 +54,6 @@
 TURN_VALID_MS: Final = 10_000
 """How long it counts that the pace of an upstream was passed on: much longer than all upstreams take
 for their turns."""
-MAX_NEW_MEMBER_COUNT: Final = 3
-"""Most requests of a customer that a daemon usually admits between two beacons."""
 COUNTED_SILENCE_MS: Final = 2_000
 """What a sender counted while it was silent for longer is left to its own share of each quota."""
 
@@ -96,8 +95,8 @@
         source = self._sources.setdefault(name, _Source(now, complete or is_new))
         source.at = now
         for key, count in counts.items():
-            missing = 0 if source.complete else max(0, count - MAX_NEW_MEMBER_COUNT)
-            change = count - source.counts.get(key, missing)
+            earlier = estimate_earlier_count(count, complete=source.complete)
+            change = count - source.counts.get(key, earlier)
             source.counts[key] = count
             if known and change:
                 self.totals[key] = self.totals.get(key, 0) + change
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -348,8 +348,6 @@
         own = next((report for report in self._sent if report.sequence == included), None)
         if own is None and included:
             return
-        if relay != digest.relay:
-            self._listener.drop_fleet_view(relay)
         self._applied = (digest.relay, digest.sequence)
         self._selector.record_digest()
         if own is not None:
--- a/goldcreststair/components/quotas/controller.py
+++ b/goldcreststair/components/quotas/controller.py
@@ -22,6 +22,7 @@
     count_return_tokens,
 )
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.helpers.counters import estimate_earlier_count
 from goldcreststair.meters import Meters
 
 _LOGGER = logging.getLogger(__name__)
@@ -44,8 +45,6 @@
 """Time constant of the decaying count of requests that others admitted: two or three digests."""
 DIGEST_DELAY_MS: Final = 300
 """Time until all daemons know of an admitted request if counters are sent by relays as digests."""
-MAX_NEW_COUNT: Final = 3
-"""Most requests of a customer that a daemon usually admits between two reports."""
 MAX_MISSED_MS: Final = 1_500
 """Longest time for which an estimate is charged: then the other daemons count as silent."""
 MAX_REMOVED_CUSTOMERS: Final = 1_000
@@ -127,7 +126,7 @@
         count = self.by_customer.get(key)
         if count is not None:
             return count.admitted
-        return 0 if self.complete else max(0, now_admitted - MAX_NEW_COUNT)
+        return estimate_earlier_count(now_admitted, complete=self.complete)
 
 
 class QuotaController:
--- a/goldcreststair/components/stream_origins/history_rows.py
+++ b/goldcreststair/components/stream_origins/history_rows.py
@@ -72,7 +72,7 @@
     def schedule_write(self, service: str, *, by_all: bool = False) -> None:
         """Write the history of a service, if this daemon is one of those that do.
 
-        With `by_all` the others write as well, after them, if the row is still missing.
+        With `by_all` the others write as well, after them, if the row still lacks a version.
         """
         sessions = self._core.blackboard.read(FLEET).vms
         ranked = sorted(sessions, key=lambda session: score(session, TABLE_SOFTWARE, service))
