Log and count each request that the daemon ends early, by cause

What a leave cut had no line of its own: `Left` says how many, a begun stream that is closed says nothing, and neither tells when the request arrived, why it was let in or what its upstream had sent.

The task of a request is now cancelled with its cause (caller, shutdown, slow reader). `Request cut` names it with the upstream, what it had brought, how long it had been silent, and the times after SIGTERM; `cuts_total` counts by cause, with those during a leave apart. An admitted request keeps why it was expected to end in time.

The two new cases of test_leaving.py failed before (no such line). Tests of forwarding, entry, reader_buffers and the adapter's leave pass.

--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -122,7 +122,8 @@
         began_at = self._core.clock.now()
         ends_at = Millis(began_at + int(self._grace_ms * END_FRACTION))
         cached_ms = self._core.settings.answer_ttl_s * MS_PER_SECOND * CACHED_LIFETIMES
-        self._section.write(OwnState(VmState.LEAVING, ends_at, Millis(began_at + cached_ms)))
+        advertised_until = Millis(began_at + cached_ms)
+        self._section.write(OwnState(VmState.LEAVING, began_at, ends_at, advertised_until))
         self._tasks.append(asyncio.create_task(self._async_leave(began_at, ends_at)))
 
     async def async_wait(self) -> None:
--- a/goldcreststair/components/fleet/models.py
+++ b/goldcreststair/components/fleet/models.py
@@ -72,6 +72,7 @@
     """State that this daemon reports about itself."""
 
     state: VmState = VmState.STARTING
+    leaving_since: Millis | None = None
     stops_at: Millis | None = None
     """When a leaving daemon aborts the runs that are left."""
     advertised_until: Millis | None = None
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -13,6 +13,7 @@
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.features.protocols import FEATURES
+from goldcreststair.components.fleet.models import OWN_STATE
 from goldcreststair.components.forwarding.const import (
     BODY_CHECK_MS,
     BODY_TIMEOUT_MS,
@@ -21,6 +22,7 @@
     PLACEMENT_RETRY_MS,
 )
 from goldcreststair.components.forwarding.crash_reports import CrashReports
+from goldcreststair.components.forwarding.cuts import CutCause, read_cause
 from goldcreststair.components.forwarding.models import RequestProgress
 from goldcreststair.components.forwarding.outcome_report import OutcomeReport
 from goldcreststair.components.forwarding.protocols import Responder
@@ -128,6 +130,10 @@
         """Run the request until the final answer is sent."""
         try:
             await self._async_run()
+        except asyncio.CancelledError as error:
+            cause = read_cause(error)
+            self._report_cut(cause.value, is_expected=cause is CutCause.CALLER)
+            raise
         finally:
             self._guard.leave()
             if self._stream is not None:
@@ -425,10 +431,33 @@
             self._responder.refuse(refusal)
         if refusal.not_run and self._admitted.customer is not None:
             self._quotas.refund(self._admitted.customer)
+        if self._relay.has_begun:
+            failure = self._failure.failure.value if self._failure is not None else "no upstream"
+            self._report_cut(failure)
         outcome = "cut" if self._relay.has_begun else refusal.code.value
         self._core.meters.count_request(self._route.kind.value, outcome)
         log_refusal(self._request, refusal, cut=self._relay.has_begun)
 
+    def _report_cut(self, cause: str, *, is_expected: bool = False) -> None:
+        """Count and log a request that ends before its upstream's answer is complete."""
+        now, relay = self._clock.now(), self._relay
+        leaving_since = self._core.blackboard.read(OWN_STATE).leaving_since
+        self._core.meters.count_cut(cause, is_leaving=leaving_since is not None)
+        self._log(
+            "Request cut",
+            cause,
+            level=logging.INFO if is_expected else logging.WARNING,
+            route=self._route.name,
+            admitted_by=self._admitted.basis.value,
+            begun=relay.has_begun,
+            run_events=relay.run_events,
+            silent_ms=now - relay.progress_at,
+            leaving_ms=None if leaving_since is None else now - leaving_since,
+            arrived_leaving_ms=(
+                None if leaving_since is None else self._request.arrived_at - leaving_since
+            ),
+        )
+
     def _read_first_event_ms(self) -> int | None:
         first_at = self._relay.first_event_at
         return None if first_at is None else first_at - self._request.arrived_at
@@ -459,11 +488,18 @@
         if began is not None:
             software = "same" if began == entry.software_version else "other"
         self._core.meters.count_resumption(resumed_by, software)
-        extra = {"resumed_by": resumed_by, "begun_at_software": began}
-        self._log("Stream resumed", f"its software is {software}", **extra)
+        self._log(
+            "Stream resumed",
+            f"its software is {software}",
+            resumed_by=resumed_by,
+            begun_at_software=began,
+        )
 
-    def _log(self, event: str, reason: str, **details: object) -> None:
-        _LOGGER.info(
+    def _log(
+        self, event: str, reason: str, *, level: int = logging.INFO, **details: object
+    ) -> None:
+        _LOGGER.log(
+            level,
             event,
             extra={
                 "request": self._request.request_id,
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -36,7 +36,11 @@
     identify_customer,
     needs_key,
 )
-from goldcreststair.components.requests.models import AdmittedRequest, CallerRequest
+from goldcreststair.components.requests.models import (
+    AdmissionBasis,
+    AdmittedRequest,
+    CallerRequest,
+)
 from goldcreststair.components.stream_origins.protocols import STREAM_ORIGINS
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
@@ -168,7 +172,8 @@
         if self._crash_tracker.must_refuse(suspects):
             return Err(make_quarantine_refusal(may_have_run=False))
         ends_at = find_deadline(request, route)
-        if not self._can_finish(route, ends_at):
+        basis = self._find_basis(route, ends_at)
+        if basis is None:
             message = "this VM shuts down before the answer would be complete"
             return Err(make_retryable_refusal(message, RefusalCode.NOT_READY, MIN_RETRY_AFTER_MS))
         returned = self._return_limit.check(route, ends_at)
@@ -183,13 +188,17 @@
                 return Err(Refusal(message, code, STATUS_TOO_MANY, True, wait_ms))
         self._return_limit.count(returned.ok_value)
         service = choose_service(route, self._core.random.random())
-        return Ok(AdmittedRequest(request, route, customer, service, ends_at, suspects))
+        return Ok(
+            AdmittedRequest(request, route, customer, service, ends_at, suspects, basis=basis)
+        )
 
-    def _can_finish(self, route: Route, ends_at: Millis) -> bool:
-        """Return whether a request that starts now ends before this daemon shuts down."""
+    def _find_basis(self, route: Route, ends_at: Millis) -> AdmissionBasis | None:
+        """Return why a request that starts now ends before this daemon shuts down; None if it may not."""
         own = self._board.read(OWN_STATE)
-        if own.stops_at is None or ends_at <= own.stops_at:
-            return True
+        if own.stops_at is None:
+            return AdmissionBasis.NOT_LEAVING
+        if ends_at <= own.stops_at:
+            return AdmissionBasis.DEADLINE
         now = self._clock.now()
         read_run_times = self._placement.controller.read_run_times
         run_ms = max(read_run_times(weighted.service).run_ms for weighted in route.services)
@@ -200,6 +209,6 @@
             longest_ms = self._durations.read_longest_ms(route.name)
             # A VM that has just started knows no duration: the request may take until its deadline.
             if longest_ms is None:
-                return False
+                return None
             run_ms = max(run_ms, longest_ms)
-        return now + run_ms <= own.stops_at
+        return AdmissionBasis.RUN_TIME if now + run_ms <= own.stops_at else None
--- a/goldcreststair/components/reader_buffers/service.py
+++ b/goldcreststair/components/reader_buffers/service.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from goldcreststair.components.features.protocols import FEATURES
+from goldcreststair.components.forwarding.cuts import CutCause
 from goldcreststair.components.reader_buffers.buffer import BufferedResponder
 from goldcreststair.components.reader_buffers.controller import (
     BufferController,
@@ -101,4 +102,4 @@
         _, task = self._readers.pop(state)
         # The connection is closed without an end of the stream, so that it does not look complete.
         buffered.abort()
-        task.cancel()
+        task.cancel(CutCause.SLOW_READER)
--- a/goldcreststair/components/requests/models.py
+++ b/goldcreststair/components/requests/models.py
@@ -1,6 +1,7 @@
 """Requests of callers, before and after admission."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CatalogueCustomer, Route
@@ -37,6 +38,16 @@
     """Names of the prompt's parts in order; the last part belongs to this request alone."""
 
 
+class AdmissionBasis(StrEnum):
+    """Why a request is expected to end before this daemon stops."""
+
+    NOT_LEAVING = "not leaving"
+    DEADLINE = "deadline"
+    """Its deadline passes before the stop."""
+    RUN_TIME = "run time"
+    """Recent requests of its route took less time than is left."""
+
+
 @dataclass(frozen=True, slots=True)
 class AdmittedRequest:
     """A request that was admitted."""
@@ -52,6 +63,7 @@
     """Everything about the request that may crash upstreams."""
     origin: StreamOrigin | None = None
     """The software that began the stream that the caller takes up; None for a new stream."""
+    basis: AdmissionBasis = AdmissionBasis.NOT_LEAVING
 
     @property
     def affinity(self) -> str:
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -75,6 +75,9 @@
                 ("resumed_by", "software"),
             ),
             "given_up": _Counter("Requests whose last run failed, by failure.", ("failure",)),
+            "cuts": _Counter(
+                "Requests ended before their upstream's answer was complete.", ("cause", "leaving")
+            ),
             "upstream_crashes": _Counter(
                 "Upstreams that crashed while they ran requests of this VM."
             ),
@@ -166,6 +169,12 @@
         self._counters["given_up"].values[(failure,)] += 1
         self._statistics.count(f"given_up.{failure}")
 
+    def count_cut(self, cause: str, *, is_leaving: bool) -> None:
+        """Count a request that ended early, during a leave of this VM or not."""
+        leaving = "yes" if is_leaving else "no"
+        self._counters["cuts"].values[cause, leaving] += 1
+        self._statistics.count(f"cuts.{cause}.{leaving}")
+
     def count_upstream_crash(self) -> None:
         """Count a crash of an upstream that ran requests of this VM."""
         self._counters["upstream_crashes"].values[()] += 1
--- a/tests/platform_adapter/test_leaving.py
+++ b/tests/platform_adapter/test_leaving.py
@@ -1,6 +1,8 @@
 """Callers' connections during a planned shutdown."""
 
 import asyncio
+import logging
+from collections.abc import Awaitable, Callable
 
 import pytest
 
@@ -111,3 +113,47 @@
         await leaving
 
     run_local(scenario)
+
+
+async def _async_wait_for_end(local: LocalGateway, writer: asyncio.StreamWriter) -> None:
+    await async_leave(local)
+
+
+async def _async_disconnect(local: LocalGateway, writer: asyncio.StreamWriter) -> None:
+    writer.close()
+    await asyncio.sleep(0.2)
+
+
+@pytest.mark.parametrize(
+    ("async_end", "cause", "level", "leaving"),
+    [
+        (_async_wait_for_end, "this VM shuts down", logging.WARNING, "yes"),
+        (_async_disconnect, "caller disconnected", logging.INFO, "no"),
+    ],
+)
+def test_a_cut_stream_is_logged_and_counted_by_cause(
+    caplog: pytest.LogCaptureFixture,
+    async_end: Callable[[LocalGateway, asyncio.StreamWriter], Awaitable[None]],
+    cause: str,
+    level: int,
+    leaving: str,
+) -> None:
+    """Guards against cuts whose cause the log of their daemon does not tell."""
+    caplog.set_level(logging.INFO)
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.pause_s, local.engine.events = 0.3, 20
+        reader, writer = await local.async_open()
+        writer.write(make_request("POST", "/once/x", headers={"Request-Id": "cut"}))
+        await reader.readuntil(b"id: 1\n")
+        await async_end(local, writer)
+        metrics = local.gateway.core.meters.render().decode()
+        assert f'cuts_total{{cause="{cause}",leaving="{leaving}"}} 1' in metrics
+
+    run_local(scenario)
+    cut = next(record for record in caplog.records if record.message == "Request cut")
+    assert cut.levelno == level
+    fields = vars(cut)
+    seen = {name: fields[name] for name in ("request", "reason", "route", "begun")}
+    assert seen == {"request": "cut", "reason": cause, "route": "r-once", "begun": True}
+    assert (fields["leaving_ms"] is not None) == (leaving == "yes")
