Serve for the grace period less what ending takes

A leaving daemon cut what still ran at 0.9 of grace_s: at 7.2 s of 8 s, although upstreams were at work. Nothing but the flush of the last answers (200 ms at most) and the end of the process comes after it. Three daemons, twelve SIGTERMs, from the line `Left` to the end of the process: 32 to 188 ms alone, 45 to 150 ms beside 8 busy processes on 8 cores (a trial, at a load of 15 to 22). So 400 ms are reserved, at most a tenth of a short grace period.

A row of the table of late requests moves by the same 400 ms: a stream of 640 ms that arrives at 6.8 s now ends before the stop, one that arrives at 7.1 s does not.

--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -26,8 +26,10 @@
 ACCEPT_FRACTION: Final = 0.55
 """Fraction of the grace period in which a leaving daemon still accepts connections: callers cache an
 address for up to three times its lifetime and would otherwise find a closed port."""
-END_FRACTION: Final = 0.9
-"""Fraction of the grace period after which a leaving daemon ends, whatever still runs."""
+END_RESERVE_MS: Final = 400
+"""Part of the grace period in which a leaving daemon flushes its last answers and ends its process."""
+MAX_RESERVE_FRACTION: Final = 0.1
+"""Largest fraction of the grace period that is reserved for this."""
 DRAIN_CHECK_MS: Final = 50
 START_WAIT_MS: Final = 300
 """Longest time that a daemon which has just started keeps its first callers waiting."""
@@ -36,6 +38,15 @@
 """Callers cache an address lookup for up to this many of its lifetimes."""
 
 
+def compute_serving_ms(grace_ms: float) -> int:
+    """Return the time in ms from the begin of a leave until it ends, whatever still runs.
+
+    >>> compute_serving_ms(8_000), compute_serving_ms(1_000)
+    (7600, 900)
+    """
+    return int(grace_ms - min(END_RESERVE_MS, grace_ms * MAX_RESERVE_FRACTION))
+
+
 class LeaveHandler(Protocol):
     """Work that a leaving daemon has to finish or hand over."""
 
@@ -120,7 +131,7 @@
             return
         _LOGGER.info("Leaving", extra={"session": self._core.session_id})
         began_at = self._core.clock.now()
-        ends_at = Millis(began_at + int(self._grace_ms * END_FRACTION))
+        ends_at = Millis(began_at + compute_serving_ms(self._grace_ms))
         cached_ms = self._core.settings.answer_ttl_s * MS_PER_SECOND * CACHED_LIFETIMES
         advertised_until = Millis(began_at + cached_ms)
         self._section.write(OwnState(VmState.LEAVING, began_at, ends_at, advertised_until))
