Begin during a leave only what ends by its deadline

Cause: a promise that rests on an estimate. A leaving daemon let a request in whose deadline lies behind the stop if recent answers took less than what was left. Upstreams may become slower, and one answer may be longer than those before it; the recent ones were also those that had not been cut, as a cancelled request was not recorded.

While lookups may still return it, the usual run time decides as before, but only for requests that survive a cut, as their callers can resume or repeat them; others need the deadline from the start of the leave. RequestDurations and its test go, as nothing else uses them. Ruled out: a wider margin on the estimate, which bounds nothing; a time limit at admission, which would end at the stop what the caller gave more time.

Rows of the table of late requests asked for the estimate: a stream of 640 ms at 5 s, or of 3,640 ms at 3 s, with a deadline behind the stop. They are refused now, which is as strict (served to its end or refused at once), and two rows are added that are served, as their deadline allows it.

--- a/goldcreststair/components/forwarding/const.py
+++ b/goldcreststair/components/forwarding/const.py
@@ -37,7 +37,5 @@
 """Time after which a silent run without an alternative upstream is checked for one again."""
 MIN_REMAINING_MS: Final = 50
 """A run with less time before its deadline than this cannot return a first event."""
-DURATION_WINDOW_MS: Final = 10_000
-"""Length of the windows for the longest durations; the current and the previous window are kept."""
 MIN_RETRY_AFTER_MS: Final = 200
 """Retry-after time for failures that another VM, or this one a moment later, may not have."""
--- a/goldcreststair/components/forwarding/leave.py
+++ b/goldcreststair/components/forwarding/leave.py
@@ -1,5 +1,7 @@
 """Decides which requests a leaving daemon may still begin; no I/O."""
 
+from collections.abc import Callable
+
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import Route
 from goldcreststair.components.fleet.models import OwnState
@@ -7,11 +9,11 @@
 
 
 def find_basis(
-    own: OwnState, route: Route, now: Millis, ends_at: Millis, run_ms: float
+    own: OwnState, route: Route, now: Millis, ends_at: Millis, read_run_ms: Callable[[], float]
 ) -> AdmissionBasis | None:
     """Return why a request that begins now ends before this daemon stops; None if it may not.
 
-    `ends_at` is the request's deadline, `run_ms` the usual time of an answer of its route, in ms.
+    `ends_at` is the request's deadline, `read_run_ms` returns the usual time of an answer of its route, ms.
     """
     if own.stops_at is None:
         return AdmissionBasis.NOT_LEAVING
@@ -21,6 +23,6 @@
     # refused caller may be sent here again, and only for requests that survive a cut, as their callers
     # can repeat or resume them at another VM.
     is_advertised = own.advertised_until is not None and now < own.advertised_until
-    if is_advertised and route.repeatable and now + run_ms <= own.stops_at:
+    if is_advertised and route.repeatable and now + read_run_ms() <= own.stops_at:
         return AdmissionBasis.RUN_TIME
     return None
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -16,7 +16,7 @@
 from goldcreststair.components.fleet.models import OWN_STATE
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.forwarding.const import MIN_RETRY_AFTER_MS, SETTLE_POLL_MS
-from goldcreststair.components.forwarding.durations import RequestDurations
+from goldcreststair.components.forwarding.leave import find_basis
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.refusals import log_refusal, make_quarantine_refusal
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingContext
@@ -78,7 +78,6 @@
         self._placement = core.get(PLACEMENT)
         self._origins = core.get(STREAM_ORIGINS)
         self._return_limit = ReturnLimit(core)
-        self._durations = RequestDurations(core.clock)
         self.budget = RetryBudget()
         self._context = ForwardingContext(core, self.budget, SilenceMonitor(core.clock))
 
@@ -101,7 +100,6 @@
         if admitted.ok_value.route.kind is CallKind.BATCH:
             await self._async_submit(admitted.ok_value, responder)
             return
-        began_at = self._clock.now()
         resumable, ends_at = admitted.ok_value.route.resumable, admitted.ok_value.ends_at
         identity = ReaderIdentity(request.request_id, resumable, ends_at)
         await self._core.get(READER_BUFFERS).async_serve(
@@ -109,7 +107,6 @@
             identity,
             lambda caller: ForwardedRequest(self._context, admitted.ok_value, caller).async_run(),
         )
-        self._durations.record(admitted.ok_value.route.name, began_at)
 
     async def _async_admit_when_settled(
         self, request: CallerRequest
@@ -194,21 +191,10 @@
 
     def _find_basis(self, route: Route, ends_at: Millis) -> AdmissionBasis | None:
         """Return why a request that starts now ends before this daemon shuts down; None if it may not."""
-        own = self._board.read(OWN_STATE)
-        if own.stops_at is None:
-            return AdmissionBasis.NOT_LEAVING
-        if ends_at <= own.stops_at:
-            return AdmissionBasis.DEADLINE
-        now = self._clock.now()
+        own, now = self._board.read(OWN_STATE), self._clock.now()
+        return find_basis(own, route, now, ends_at, lambda: self._read_run_ms(route))
+
+    def _read_run_ms(self, route: Route) -> float:
+        """Return the usual time of an answer of a route, at its slowest service, ms."""
         read_run_times = self._placement.controller.read_run_times
-        run_ms = max(read_run_times(weighted.service).run_ms for weighted in route.services)
-        # A request refused at once is served elsewhere; one that is cut is lost or runs twice. While
-        # address lookups may still return this VM, refused callers could be sent here again, so the
-        # usual run time decides; afterwards the longest recent duration counts as well.
-        if own.advertised_until is None or now >= own.advertised_until:
-            longest_ms = self._durations.read_longest_ms(route.name)
-            # A VM that has just started knows no duration: the request may take until its deadline.
-            if longest_ms is None:
-                return None
-            run_ms = max(run_ms, longest_ms)
-        return AdmissionBasis.RUN_TIME if now + run_ms <= own.stops_at else None
+        return max(read_run_times(weighted.service).run_ms for weighted in route.services)
--- a/tests/components/entry/test_leaving.py
+++ b/tests/components/entry/test_leaving.py
@@ -1,5 +1,7 @@
 """Tests which requests a leaving daemon serves and which it refuses at once."""
 
+import asyncio
+
 import pytest
 
 from goldcreststair.clock import Clock, Millis
@@ -25,11 +27,13 @@
         (LONG_EVENTS, LONG_EVENTS, 0, 5_000, True),
         (VERY_LONG_EVENTS, SHORT_EVENTS, 2_500, 5_000, True),
         (VERY_LONG_EVENTS, SHORT_EVENTS, 3_100, 5_000, False),
-        (LONG_EVENTS, LONG_EVENTS, 3_000, 5_000, True),
+        (LONG_EVENTS, LONG_EVENTS, 2_600, 5_000, True),
+        (LONG_EVENTS, LONG_EVENTS, 3_000, 5_000, False),
         (LONG_EVENTS, LONG_EVENTS, 4_000, 5_000, False),
         (LONG_EVENTS, SHORT_EVENTS, 4_400, 5_000, False),
         (LONG_EVENTS, SHORT_EVENTS, 4_400, 2_000, True),
-        (SHORT_EVENTS, SHORT_EVENTS, 5_000, 5_000, True),
+        (SHORT_EVENTS, SHORT_EVENTS, 5_000, 5_000, False),
+        (SHORT_EVENTS, SHORT_EVENTS, 5_000, 2_600, True),
         (SHORT_EVENTS, SHORT_EVENTS, 7_100, 5_000, False),
         (0, LONG_EVENTS, 4_200, 5_000, False),
         (0, SHORT_EVENTS, 4_200, 2_000, True),
@@ -101,3 +105,37 @@
         assert GRACE_MS - 500 <= work.ended_at - began_at <= GRACE_MS - 300
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("path", ["/stream/a", "/once/a"])
+@pytest.mark.parametrize("slow_from_ms", [0, 2_900, 4_000])
+def test_streams_begun_late_in_a_leave_end_although_upstreams_become_slow(
+    path: str, slow_from_ms: int
+) -> None:
+    """Guards against streams that are begun because earlier ones were short, and then cut."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        leaving, _ = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        fleet.engines.events = 10
+        for _ in range(5):
+            assert (await async_send(fleet, leaving, path)).whole
+        leaving.core.get(ENTRY).leave()
+        began_at = fleet.clock.now()
+        await fleet.clock.async_sleep(slow_from_ms)
+        for engine in engines:
+            engine.pace_percent, engine.reports_pace = 1_300, False
+        await fleet.clock.async_sleep(max(0, 3_000 - slow_from_ms))
+        sent = []
+        for _ in range(14):
+            await fleet.clock.async_sleep(100)
+            sent.append(asyncio.create_task(async_send(fleet, leaving, path)))
+        ended_late = [
+            answer
+            for answer in await asyncio.gather(*sent)
+            if answer.refusal is None and answer.ended_at > began_at + compute_serving_ms(GRACE_MS)
+        ]
+        assert not ended_late
+
+    run_fleet(scenario)
