Wait for an engine that pauses between the chunks of its answer

Callers saw a stream of one attempt cut in the middle, while its engine was at work and seconds of its time were left. A stream with more attempts went on elsewhere, which hid the fault.

Cause: bytes that bring neither a head nor a part of a body may arrive for 1 s, and that time was counted from the first of them, with the silence behind it. An engine that sends the end of a chunk and the size of the next one apart from the chunks, and pauses for longer than that between two pieces, brought two such reads more than 1 s apart. The connection reported "bytes without end that are no response", which counts as a lost run.

Now each pause between two such reads counts for 100 ms at most, so that only a server that goes on sending them is given up. Silence is left to the timeout of the exchange, and where a request may run elsewhere to the silence detector. The tests with bytes without end, at full speed and every 20 ms, hold as before.

Before the change the tests failed: the stream of `/once/x` ended with 1 of 3 events and without its last chunk, and all four pauses (between chunks, in a chunk size, in the head, in the trailer) gave "broken".

--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -43,6 +43,9 @@
 """Longest head, chunk size or trailer."""
 MAX_OVERHEAD_MS: Final = 1_000
 """Longest time in which bytes arrive that bring neither a head nor a part of the body."""
+MAX_OVERHEAD_GAP_MS: Final = 100
+"""Most of the time between two such reads that counts: a server that pauses within its framing is silent, and only
+the timeout of the exchange ends a silent response."""
 _BUFFER: Final = bytearray(READ_BYTES)
 """Shared by all connections: received bytes are parsed before the next connection reads."""
 
@@ -92,7 +95,10 @@
         self._informational_count = 0
         self._overhead = 0
         """Bytes since the last part of the response, as the connection has read them."""
-        self._overhead_since: float | None = None
+        self._overhead_ms = 0.0
+        """Time in which they have arrived, without longer pauses."""
+        self._overhead_at: float | None = None
+        """When they were last read, s."""
 
     def on_message_begin(self) -> None:
         """Begin a response."""
@@ -115,7 +121,7 @@
             self._informational_count += 1
             if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
                 self.fail("only informational responses", ExchangeFailure.BROKEN)
-            self._overhead_since = None
+            self._overhead_ms, self._overhead_at = 0.0, None
             return
         self._status, self._has_head = status, True
         matches_request = self._hooks.matches_request
@@ -174,14 +180,15 @@
         """Fail if bytes go on arriving that bring nothing of the response; `now` in s."""
         if self.complete or not (self._overhead or self._foreign):
             return
-        if self._overhead_since is None:
-            self._overhead_since = now
-        too_long = (now - self._overhead_since) * MS_PER_SECOND > MAX_OVERHEAD_MS
-        if too_long or self._overhead > MAX_OVERHEAD_BYTES:
+        if self._overhead_at is not None:
+            gap_ms = (now - self._overhead_at) * MS_PER_SECOND
+            self._overhead_ms += min(gap_ms, MAX_OVERHEAD_GAP_MS)
+        self._overhead_at = now
+        if self._overhead_ms > MAX_OVERHEAD_MS or self._overhead > MAX_OVERHEAD_BYTES:
             self.fail("bytes without end that are no response", ExchangeFailure.BROKEN)
 
     def _end_overhead(self) -> None:
-        self._overhead, self._overhead_since = 0, None
+        self._overhead, self._overhead_ms, self._overhead_at = 0, 0.0, None
 
     def deliver(self) -> Awaitable[None] | None:
         """Pass what has arrived to `on_data` in one chunk; returns what to wait for."""
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -6,6 +6,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Final
+
+PIECE_GAP_S: Final = 0.02
+"""Time between two pieces that are to be read apart."""
+STALL_S: Final = 1.2
 
 
 class EngineFault(StrEnum):
@@ -48,6 +53,8 @@
     """The same, one byte before it."""
     SHORT = "short"
     """Announces a length, and closes the connection before it has sent as much."""
+    STALLS_IN_FRAMING = "stalls_in_framing"
+    """Pauses before the size of each chunk, which it sends apart from the chunks."""
 
 
 @dataclass(slots=True)
@@ -133,6 +140,7 @@
             EngineFault.HEAD_LAST_TWO: self._async_head_last_two,
             EngineFault.HEAD_LAST_ONE: self._async_head_last_one,
             EngineFault.SHORT: self._async_short,
+            EngineFault.STALLS_IN_FRAMING: self._async_stall_in_framing,
         }
         first = int(headers.get("Last-Event-Id", "0")) + 1
         faulty = answers.get(fault)
@@ -258,6 +266,19 @@
         head = make_head(200, request_id, f"Content-Length: {2 * len(event)}")
         return await self._async_close_after(writer, head + event)
 
+    async def _async_stall_in_framing(
+        self, writer: asyncio.StreamWriter, request_id: str, first: int
+    ) -> bool:
+        writer.write(make_head(200, request_id, "Transfer-Encoding: chunked"))
+        for number in range(first, self.events + 1):
+            event = make_event(number)
+            for piece in (f"{len(event):x}\r\n".encode(), event, b"\r\n"):
+                writer.write(piece)
+                await asyncio.sleep(PIECE_GAP_S)
+            await asyncio.sleep(STALL_S)
+        writer.write(b"0\r\n\r\n")
+        return True
+
     async def _async_close_after(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
         writer.write(data)
         await writer.drain()
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -14,6 +14,7 @@
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 RESPONSE = HEAD + b"1\r\na\r\n1\r\nb\r\n0\r\n\r\n"
+STALL_S = 1.1
 
 
 class Server:
@@ -50,6 +51,21 @@
         writer.close()
 
 
+class StallingServer(Server):
+    """Pauses before each part but the first."""
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            for number, part in enumerate(self._parts):
+                await asyncio.sleep(STALL_S if number else 0)
+                writer.write(part)
+        finally:
+            writer.close()
+
+
 class CuttingServer(Server):
     """Sends the first byte of a response to the first request, two to the next, and so on; then closes."""
 
@@ -159,6 +175,29 @@
     run_server(server, scenario)
 
 
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (HEAD + b"1\r\na", b"\r\n", b"1\r\n", b"b\r\n0\r\n\r\n"),
+        (HEAD + b"1\r\na\r\n", b"1", b"\r\n", b"b\r\n0\r\n\r\n"),
+        (b"HTTP/1.1 200 OK\r\n", b"Content-", b"Length: 2\r\n", b"\r\nab"),
+        (HEAD + b"1\r\na\r\n1\r\nb\r\n", b"0\r\n", b"A: b\r\n", b"\r\n"),
+    ],
+    ids=["between chunks", "in a chunk size", "in the head", "in the trailer"],
+)
+def test_server_that_pauses_within_the_framing_of_a_response_is_waited_for(
+    parts: tuple[bytes, ...],
+) -> None:
+    """Guards against a stream that is cut because its engine paused around a chunk size sent apart."""
+
+    async def scenario(send: SendRequest) -> None:
+        received: list[bytes] = []
+        response = await send(ResponseHooks(on_data=received.append))
+        assert isinstance(response, Ok) and b"".join(received) == b"ab"
+
+    run_server(StallingServer(*parts), scenario)
+
+
 def test_response_without_a_length_ends_with_its_connection() -> None:
     async def scenario(send: SendRequest) -> None:
         response = await send(ResponseHooks())
