Keep the connection to an engine that reads a long body late

Callers saw a stream of one attempt cut in the middle about 2.3 s after it was passed on, while its engine went on sending. Requests with bodies that are longer than what the engine's kernel receives without it are concerned: 110,000 bytes where the engine's receive buffer is 16 KB, 400,000 with the usual one. An engine may answer before it has read a body, or be slow in reading it.

Cause: `TCP_USER_TIMEOUT` of 2 s on the connections to engines, which is to find a path that drops packets. The kernel also applies it to a peer whose receive window is closed, even if that peer answers each probe, and ends the connection with "Connection timed out".

Now a connection on which a long request is sent has no user timeout until the kernel has delivered the request, except while sent segments are unacknowledged: a lost path is found as before. If the path of a peer with a closed window is lost as well, the timeout of the exchange ends the request, and silence detection moves one that may run elsewhere.

--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -28,6 +28,7 @@
     OnData,
     OnHead,
 )
+from goldcreststair.send_timeout import SendTimeout
 
 STATUS_OK: Final = 200
 MAX_FOREIGN_RESPONSES: Final = 3
@@ -245,6 +246,7 @@
         self._unusable = False
         """Whether the connection was closed or received bytes that belong to no request."""
         self._delivery: asyncio.Task[None] | None = None
+        self._send_timeout = SendTimeout(sock)
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -317,6 +319,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the end of the connection."""
+        self._send_timeout.close()
         self._end(error)
 
     def _end(self, error: BaseException | None) -> None:
@@ -348,6 +351,7 @@
     def close(self) -> None:
         """Close at once; unsent bytes are dropped."""
         self._unusable = True
+        self._send_timeout.close()
         if self._delivery is not None:
             self._delivery.cancel()
         if self._transport is not None:
@@ -362,7 +366,9 @@
         self._keys.append(exchange.key)
         reader = self._reader = _ResponseReader(exchange, hooks)
         try:
-            self.transport.write(_encode(exchange))
+            request = _encode(exchange)
+            self.transport.write(request)
+            self._send_timeout.begin(len(request))
             outcome = await reader.done
         finally:
             self._reader = None
--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -17,9 +17,8 @@
 from goldcreststair.helpers.numbers import parse_unsigned
 from goldcreststair.http_connection import PersistentConnection, ResponseHooks
 from goldcreststair.http_exchange import Exchange, ExchangeError, ExchangeFailure, HttpResponse
+from goldcreststair.send_timeout import USER_TIMEOUT_MS, set_user_timeout
 
-USER_TIMEOUT_MS: Final = 2000
-"""Time after which unacknowledged bytes end a connection: a path that drops packets sends no reset."""
 KEEP_ALIVE_PROBE_S: Final = 1
 KEEP_ALIVE_PROBES: Final = 3
 IDLE_MARGIN_MS: Final = 1500
@@ -228,7 +227,7 @@
 def _set_options(tcp_socket: socket.socket) -> None:
     tcp_socket.setblocking(False)
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    set_user_timeout(tcp_socket, USER_TIMEOUT_MS)
     tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_S)
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_S)
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -11,6 +11,8 @@
 PIECE_GAP_S: Final = 0.02
 """Time between two pieces that are to be read apart."""
 STALL_S: Final = 1.2
+LATE_READ_S: Final = 3.0
+"""Longer than sent bytes may remain unacknowledged."""
 
 
 class EngineFault(StrEnum):
@@ -53,6 +55,8 @@
     """The same, one byte before it."""
     SHORT = "short"
     """Announces a length, and closes the connection before it has sent as much."""
+    READS_LATE = "reads_late"
+    """Sends events for some seconds before it reads the body."""
     STALLS_IN_FRAMING = "stalls_in_framing"
     """Pauses before the size of each chunk, which it sends apart from the chunks."""
 
@@ -120,6 +124,8 @@
         if fault is EngineFault.EARLY:
             writer.write(make_head(500, request_id, "Content-Length: 3") + b"bad")
             await writer.drain()
+        if fault is EngineFault.READS_LATE:
+            return await self._async_read_late(reader, writer, head[0], headers)
         body = await reader.readexactly(int(headers.get("Content-Length", "0")))
         self.seen.append(SeenRequest(head[0], headers, body, number))
         if fault is EngineFault.EARLY:
@@ -266,6 +272,25 @@
         head = make_head(200, request_id, f"Content-Length: {2 * len(event)}")
         return await self._async_close_after(writer, head + event)
 
+    async def _async_read_late(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        start_line: str,
+        headers: dict[str, str],
+    ) -> bool:
+        number = self.connections
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        writer.write(make_head(200, headers["Request-Id"], "Transfer-Encoding: chunked"))
+        for event in range(1, self.events + 1):
+            writer.write(make_chunk(make_event(event)))
+            await asyncio.sleep(LATE_READ_S / self.events)
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        body = await reader.readexactly(int(headers["Content-Length"]))
+        self.seen.append(SeenRequest(start_line, headers, body, number))
+        writer.write(b"0\r\n\r\n")
+        return True
+
     async def _async_stall_in_framing(
         self, writer: asyncio.StreamWriter, request_id: str, first: int
     ) -> bool:
@@ -298,6 +323,11 @@
     ).encode()
 
 
+def make_chunk(data: bytes) -> bytes:
+    """Return a chunk of an answer without a length."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
 def make_stream(
     request_id: str, first: int, events: int, more: str = "", padding: int = 0
 ) -> bytes:
@@ -305,6 +335,5 @@
     head = make_head(200, request_id, f"{more}Transfer-Encoding: chunked")
     chunks = []
     for number in range(first, events + 1):
-        event = make_event(number, padding)
-        chunks.append(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        chunks.append(make_chunk(make_event(number, padding)))
     return head + b"".join(chunks) + b"0\r\n\r\n"
