Let callers whom a leaving VM refuses go to another one at once

A request that a leaving daemon refuses as not run got Retry-After 0.2 s, the time for failures that a moment later may not have. While another VM is ready, Retry-After is now 10 ms; without one it stays. Ruled out: none at all, which is what a refusal without hope of a retry sends.

The test failed before (200 ms with two VMs).

--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -13,10 +13,10 @@
     Route,
 )
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
-from goldcreststair.components.fleet.models import OWN_STATE
+from goldcreststair.components.fleet.models import FLEET, OWN_STATE
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
-from goldcreststair.components.forwarding.const import MIN_RETRY_AFTER_MS, SETTLE_POLL_MS
-from goldcreststair.components.forwarding.leave import find_basis
+from goldcreststair.components.forwarding.const import SETTLE_POLL_MS
+from goldcreststair.components.forwarding.leave import find_basis, make_leave_refusal
 from goldcreststair.components.forwarding.protocols import Responder
 from goldcreststair.components.forwarding.refusals import log_refusal, make_quarantine_refusal
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingContext
@@ -171,8 +171,8 @@
         ends_at = find_deadline(request, route)
         basis = self._find_basis(route, ends_at)
         if basis is None:
-            message = "this VM shuts down before the answer would be complete"
-            return Err(make_retryable_refusal(message, RefusalCode.NOT_READY, MIN_RETRY_AFTER_MS))
+            has_other_vm = bool(self._board.read(FLEET).list_ready())
+            return Err(make_leave_refusal(has_other_vm=has_other_vm))
         returned = self._return_limit.check(route, ends_at)
         if isinstance(returned, Err):
             return returned
--- a/tests/components/entry/test_leaving.py
+++ b/tests/components/entry/test_leaving.py
@@ -139,3 +139,20 @@
         assert not ended_late
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize(("vms", "retry_after_ms"), [(1, 200), (2, 10)])
+def test_refused_caller_may_go_to_another_vm_at_once(vms: int, retry_after_ms: int) -> None:
+    """Guards against callers that a leaving VM makes wait although another VM would serve them."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.add_engines(1)
+        leaving, *_ = await fleet.async_add_many(vms)
+        await fleet.clock.async_sleep(1_000)
+        leaving.core.get(ENTRY).leave()
+        await fleet.clock.async_sleep(3_500)
+        answer = await async_send(fleet, leaving, "/once/a")
+        assert answer.refusal is not None and answer.refusal.not_run
+        assert answer.refusal.retry_after_ms == retry_after_ms
+
+    run_fleet(scenario)
