--- a/tests/platform_adapter/measure_quota.py
+++ b/tests/platform_adapter/measure_quota.py
@@ -90,7 +90,8 @@
     return config
 
 
-async def _async_start_busy(count: int) -> list[asyncio.subprocess.Process]:
+async def async_start_busy(count: int) -> list[asyncio.subprocess.Process]:
+    """Start processes that each use one processor; the caller kills them."""
     return [
         await asyncio.create_subprocess_exec(sys.executable, "-c", "while True: pass")
         for _ in range(count)
@@ -128,7 +129,7 @@
     with tempfile.TemporaryDirectory() as folder:
         site = soak.Site(Path(folder), daemons)
         await site.async_start()
-        hogs = await _async_start_busy(busy)
+        hogs = await async_start_busy(busy)
         try:
             await asyncio.sleep(START_S)
             rng = random.Random(seed)
--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -103,11 +103,15 @@
     async def async_stop(self) -> None:
         """Send SIGTERM, wait for the end as the platform does, and restart the process."""
         async with self._signals:
-            self._listed_until = time.monotonic() + ADDRESS_CACHE_S
-            self.send(signal.SIGTERM)
-            await self._async_end()
+            await self.async_leave()
             await self.async_start()
 
+    async def async_leave(self) -> Absence:
+        """Send SIGTERM and wait for the end as the platform does; returns when the process ended."""
+        self._listed_until = time.monotonic() + ADDRESS_CACHE_S
+        self.send(signal.SIGTERM)
+        return await self._async_end()
+
     async def async_kill(self, down_s: float) -> None:
         """Kill the process and restart it after `down_s`."""
         async with self._signals:
@@ -143,7 +147,7 @@
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
-    async def _async_end(self) -> None:
+    async def _async_end(self) -> Absence:
         assert self._process is not None
         try:
             await asyncio.wait_for(self._process.wait(), KILL_AFTER_S)
@@ -154,6 +158,7 @@
             await self._process.wait()
         self._absence = Absence(self.name, time.monotonic())
         self.record.absences.append(self._absence)
+        return self._absence
 
     async def _async_wait_ready(self) -> None:
         for _ in range(READY_POLLS):
