Refuse requests late in a drain that may not end before it

Callers with a connection from before a planned stop had streams cut in the middle: while one long answer kept the drain going, the daemon went on to begin whatever came on kept connections, whatever its deadline, and closed them all at the end of drain_ms. A call that must run only once ended with an unknown outcome that way.

The deadline decides, not a usual duration: what is refused here is served elsewhere, what is cut is lost.

--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -12,13 +12,14 @@
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.online.calls import ServiceRunner
 from goldcreststair.components.online.claiming import ClaimedRunner, make_request_fingerprint
-from goldcreststair.components.online.gate import AdmissionGate
+from goldcreststair.components.online.gate import MIN_RETRY_MS, AdmissionGate
 from goldcreststair.components.online.generation import GenerationRunner
 from goldcreststair.components.online.levels import LevelObserver
 from goldcreststair.components.online.models import GenerateRequest, ServiceRequest
 from goldcreststair.components.online.pressure import PressureMeter
 from goldcreststair.components.online.stream import StreamRecorder
 from goldcreststair.components.routing.protocols import ROUTER
+from goldcreststair.components.shutdown.models import SHUTDOWN, Shutdown
 from goldcreststair.core import ComponentKey, Core
 from goldcreststair.helpers.refusals import Refusal, RefusalCode, clear_not_run
 from goldcreststair.journal import Subject
@@ -38,6 +39,7 @@
     def __init__(self, core: Core) -> None:
         """Look up the components that are set up earlier."""
         self._clock = core.clock
+        self._blackboard = core.blackboard
         self._statistics = core.statistics
         self._journal = core.journal
         self._limits = core.get(LIMITS)
@@ -139,6 +141,12 @@
     async def _async_admit(
         self, identity: Identity, idempotency_key: str, deadline_at: Millis
     ) -> Result[None, Refusal]:
+        shutdown = self._blackboard.find(SHUTDOWN) or Shutdown()
+        if not shutdown.lets_finish(deadline_at, self._clock.now()):
+            # Refused at once, while the caller still has time to try another VM.
+            message = "this VM stops before the answer would be complete"
+            refusal = Refusal(message, RefusalCode.NOT_READY, 503, True, MIN_RETRY_MS)
+            return Err(clear_not_run(refusal) if idempotency_key else refusal)
         admitted = await self._limits.async_admit(identity.customer, deadline_at)
         if isinstance(admitted, Ok):
             return Ok(None)
--- a/goldcreststair/components/shutdown/service.py
+++ b/goldcreststair/components/shutdown/service.py
@@ -4,6 +4,7 @@
 import logging
 from typing import Any
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.configuration.models import CONFIGURATION, Configuration
 from goldcreststair.components.listing.models import OWN_LISTING, OwnListing
 from goldcreststair.components.membership.models import MemberState
@@ -56,28 +57,34 @@
             return
         _LOGGER.info("Leaving: %s", reason)
         self._core.journal.record(Subject.VM, self._core.settings.address, "leave", reason)
-        self._writer.write(Shutdown(reason))
+        drain_ms = self._core.settings.drain_ms
+        began_at = self._core.clock.now()
+        deadline = Millis(began_at + drain_ms)
+        # For a while callers still connect to addresses that they got before. If the drain time is
+        # too short for this and for the work in progress, each gets half of it.
+        addresses_until = Millis(began_at + min(ADDRESS_LIFETIME_MS, drain_ms // 2))
+        # Later components use earlier ones: requests have to end before the claims and partitions
+        # that they commit to are handed over. A part of the time is reserved for the handover.
+        requests_until = Millis(deadline - min(HANDOVER_MS, int(drain_ms * HANDOVER_SHARE)))
+        self._writer.write(Shutdown(reason, addresses_until, requests_until))
         membership = self._core.find(MEMBERSHIP)
         if membership is not None:
             membership.set_state(MemberState.LEAVING)
-        self._tasks.append(asyncio.create_task(self._async_leave()))
+        self._tasks.append(
+            asyncio.create_task(self._async_leave(addresses_until, requests_until, deadline))
+        )
 
     async def async_wait(self) -> None:
         """Wait until all work has ended."""
         await self._finished.wait()
 
-    async def _async_leave(self) -> None:
-        drain_ms = self._core.settings.drain_ms
-        deadline = self._core.clock.now() + drain_ms
-        # For a while callers still connect to addresses that they got before. If the drain time is
-        # too short for this and for the work in progress, each gets half of it.
-        await self._core.clock.async_sleep(min(ADDRESS_LIFETIME_MS, drain_ms // 2))
-        handover_ms = min(HANDOVER_MS, int(drain_ms * HANDOVER_SHARE))
+    async def _async_leave(
+        self, addresses_until: Millis, requests_until: Millis, deadline: Millis
+    ) -> None:
+        await self._core.clock.async_sleep(addresses_until - self._core.clock.now())
         drainables = list(self._core.drainables)
-        # Later components use earlier ones: requests have to end before the claims and partitions
-        # that they commit to are handed over. A part of the time is reserved for the handover.
         for drainable in reversed(drainables[1:]):
-            await self._async_drain(drainable, deadline - handover_ms)
+            await self._async_drain(drainable, requests_until)
         for drainable in drainables[:1]:
             await self._async_drain(drainable, deadline)
         self._finished.set()
--- a/tests/components/online/test_service_calls.py
+++ b/tests/components/online/test_service_calls.py
@@ -5,9 +5,11 @@
 import pytest
 from result import Err, Ok
 
+from goldcreststair.clock import Millis
 from goldcreststair.components.configuration.models import CONFIGURATION, Customer
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.online.service import ONLINE
+from goldcreststair.components.shutdown.models import SHUTDOWN, LeaveReason, Shutdown
 from goldcreststair.helpers.refusals import RefusalCode
 from tests.helpers.claims import FakeClaims
 from tests.helpers.online import SERVICE_ADDRESSES, OnlineVm
@@ -182,3 +184,35 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+@pytest.mark.parametrize(
+    ("key", "deadline_ms", "not_run"),
+    [("", 60_000, True), ("k", 60_000, False), ("", 5_000, None)],
+    ids=["refused", "resend", "ends in time"],
+)
+def test_call_that_may_outlast_the_drain_is_refused(
+    key: str, deadline_ms: int, not_run: bool | None
+) -> None:
+    """Guards against a booking that is begun late in a drain, and whose answer is then cut.
+
+    Under an idempotency key an earlier send may have run.
+    """
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        now = vm.core.clock.now()
+        shutdown = Shutdown(LeaveReason.SIGNAL, now, Millis(now + 10_000))
+        vm.core.blackboard.open_section(SHUTDOWN, shutdown)
+        await vm.async_setup(claims=FakeClaims())
+        call = vm.make_call("r1", repeatable=False, key=key, deadline_ms=deadline_ms)
+        outcome = await vm.core.get(ONLINE).async_call(call)
+        if not_run is None:
+            assert isinstance(outcome, Ok)
+        else:
+            assert isinstance(outcome, Err) and outcome.err_value.status == 503
+            assert outcome.err_value.not_run is not_run
+            assert vm.count_runs() == 0
+        await vm.async_close()
+
+    run_virtual(async_test())
