Close kept connections with the last awaited answer of a drain

A daemon that stops waits for the answers under way, then for batch items, then for claimed runs. Connections from before stayed open all that time: a request that came on one of them after the answers had been awaited began, nothing waited for its answer to be written, and it was cut when the daemon ended.

The server now closes all connections in the step in which no answer is left, and does the same when it closes with some left: closed one after the other, those still open could bring requests meanwhile.

--- a/goldcreststair/http_server.py
+++ b/goldcreststair/http_server.py
@@ -8,7 +8,7 @@
 from weakref import WeakSet
 
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, HTTPServerRequest
 from tornado.web import Application, OutputTransform
 
 from goldcreststair.components.shutdown.models import SHUTDOWN
@@ -52,6 +52,27 @@
         return chunk
 
 
+class _TrackingServer(HTTPServer):
+    """Tracks its connections, so that all of them can be closed in one step."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        super().initialize(*args, **kwargs)
+        self._open: set[Any] = set()
+
+    def start_request(self, server_conn: Any, request_conn: Any) -> HTTPMessageDelegate:
+        self._open.add(server_conn)
+        return super().start_request(server_conn, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self._open.discard(server_conn)
+
+    def close_in_one_step(self) -> None:
+        """Close all connections before any of them brings another request."""
+        for connection in tuple(self._open):
+            connection.stream.close()
+
+
 class DaemonServer:
     """Serves the core's routes; implements `Drainable`."""
 
@@ -61,7 +82,7 @@
         self._core = core
         application = Application(core.routes)
         application.transforms.append(self._track_response)  # type: ignore[arg-type]
-        self._server = HTTPServer(application, max_body_size=MAX_BODY_BYTES)
+        self._server = _TrackingServer(application, max_body_size=MAX_BODY_BYTES)
         core.drainables.append(self)
 
     @property
@@ -79,7 +100,10 @@
         return sum(response.running for response in self.responses)
 
     async def async_drain(self, deadline_ms: int) -> None:
-        """Stop accepting connections, and wait until every active response is sent or the deadline."""
+        """Stop accepting connections, and wait until every active response is sent or the deadline.
+
+        Connections are closed once no response is active; what came later would be cut.
+        """
         # Connections from now on are refused by the operating system. Nothing was sent then, so the
         # caller may retry at another VM without risking a second run.
         self._server.stop()
@@ -87,10 +111,13 @@
             await self._core.clock.async_sleep(DRAIN_CHECK_MS)
         if self.count_running():
             _LOGGER.warning("%d responses cut at the end of the drain", self.count_running())
+        else:
+            self._server.close_in_one_step()
 
     async def async_close(self) -> None:
         """Close all connections."""
         self._server.stop()
+        self._server.close_in_one_step()
         await self._server.close_all_connections()
 
     def _track_response(self, request: HTTPServerRequest) -> _ResponseTracker:
