Answer a results read before a planned shutdown ends

A results read that waited when its daemon left was answered 502 at the end of the leave: it waited up to a second for a first result, whatever time the daemon had left.

A read waits until shortly before the daemon stops, and is answered with what there is; so is one that another daemon has sent on to a daemon that leaves.

--- a/goldcreststair/components/jobs/api.py
+++ b/goldcreststair/components/jobs/api.py
@@ -6,10 +6,12 @@
 
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.catalogue.regions import find_request_regions
+from goldcreststair.components.fleet.models import OWN_STATE
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.models import JobKey, ResultPage, Submission
 from goldcreststair.components.jobs.protocols import JOB_ROUTER
+from goldcreststair.components.jobs.reading import limit_wait
 from goldcreststair.components.requests.admission import identify_customer
 from goldcreststair.components.requests.const import NOT_READY_RETRY_MS
 from goldcreststair.components.requests.models import AdmittedRequest
@@ -83,7 +85,9 @@
         self, key: JobKey, position: int, wait_ms: int
     ) -> Result[ResultPage, Refusal]:
         """Return the results from a position on; waits at most a second for the first one."""
-        page = await self._jobs.async_read_results(key, position, min(wait_ms, MS_PER_SECOND))
+        own, now = self._core.blackboard.read(OWN_STATE), self._core.clock.now()
+        wait_ms = limit_wait(min(wait_ms, MS_PER_SECOND), own, now)
+        page = await self._jobs.async_read_results(key, position, wait_ms)
         return page.map_err(refuse_job)
 
     async def async_read_body(self, key: JobKey, item: str) -> Result[bytes, Refusal]:
--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -6,6 +6,9 @@
 """Maximum number of items of one job."""
 TEXT_PART_BYTES: Final = 45_000
 """A row holds 64 KB in a text encoding that adds a third; a longer result takes several rows."""
+READ_MARGIN_MS: Final = 200
+"""Time before the end of a planned shutdown at which reads of results stop waiting, so that their
+answers are written by then."""
 PAGE_BYTES: Final = 1_000_000
 """Maximum bytes of results in one answer to a reader."""
 MAX_COMMIT_ENTRIES: Final = 80
--- a/goldcreststair/components/jobs/reading.py
+++ b/goldcreststair/components/jobs/reading.py
@@ -5,9 +5,15 @@
 
 from result import Err, Ok, Result
 
-from goldcreststair.clock import Clock
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.fleet.models import OwnState
 from goldcreststair.components.jobs.codec import decode_items
-from goldcreststair.components.jobs.const import CACHE_BYTES, PAGE_BYTES, REREAD_WAIT_SHARE
+from goldcreststair.components.jobs.const import (
+    CACHE_BYTES,
+    PAGE_BYTES,
+    READ_MARGIN_MS,
+    REREAD_WAIT_SHARE,
+)
 from goldcreststair.components.jobs.errors import JobError, JobProblem
 from goldcreststair.components.jobs.models import (
     ItemResult,
@@ -142,6 +148,19 @@
             size -= dropped.size()
 
 
+def limit_wait(wait_ms: int, own: OwnState, now: Millis) -> int:
+    """Return how long a read may wait for its first result at a daemon that may be leaving.
+
+    >>> limit_wait(1_000, OwnState(), 0), limit_wait(1_000, OwnState(stops_at=900), 400)
+    (1000, 300)
+    >>> limit_wait(1_000, OwnState(stops_at=900), 800)
+    0
+    """
+    if own.stops_at is None:
+        return wait_ms
+    return max(0, min(wait_ms, own.stops_at - READ_MARGIN_MS - now))
+
+
 def make_page(total: int, results: list[ItemResult], position: int) -> ResultPage:
     """Return the results from a position on, limited to the size of one answer."""
     page: list[ItemResult] = []
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from goldcreststair.clock import Millis
+from goldcreststair.components.fleet.models import OWN_STATE
 from goldcreststair.components.fleet.peer_requests import PeerRequestKind
 from goldcreststair.components.fleet.protocols import FLEET_LINKS, DatagramKind, hash_name
 from goldcreststair.components.jobs.checkpoints import CheckpointWriter
@@ -32,7 +33,7 @@
     SavedProgress,
     Submission,
 )
-from goldcreststair.components.jobs.reading import JobReader, make_page
+from goldcreststair.components.jobs.reading import JobReader, limit_wait, make_page
 from goldcreststair.components.jobs.records import JobRecords
 from goldcreststair.components.jobs.registry import ItemProgress, ItemState, JobRegistry, OwnedJob
 from goldcreststair.components.jobs.remote import async_answer_call
@@ -145,6 +146,9 @@
         self, key: JobKey, position: int, wait_ms: int
     ) -> Result[ResultPage, JobError]:
         """Return the results from a position on; waits up to `wait_ms` for the first one."""
+        # Another daemon that has this one read does not know when this one stops.
+        own = self._core.blackboard.read(OWN_STATE)
+        wait_ms = limit_wait(wait_ms, own, self._clock.now())
         job = self._find_confirmed(key)
         if job is None:
             return await self._reader.async_read(key, position, wait_ms)
--- a/tests/platform_adapter/test_jobs.py
+++ b/tests/platform_adapter/test_jobs.py
@@ -9,8 +9,17 @@
 import pytest
 from users_platform.jobs import SubmissionBodies
 
+from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.placement.const import MIN_CONNECTIONS
-from tests.platform_adapter.local import CONFIG, OTHER_KEY, LocalGateway, register, run_local
+from tests.platform_adapter.local import (
+    CONFIG,
+    OTHER_KEY,
+    LocalGateway,
+    async_read_answer,
+    make_request,
+    register,
+    run_local,
+)
 from tests.platform_adapter.wire_engine import EngineFault
 
 ITEM: dict[str, Any] = {
@@ -236,3 +245,22 @@
     reader = SubmissionBodies()
     (item,) = reader.decode(make_job(ITEM | {"headers": headers})).unwrap()
     assert reader.read_prompt_parts(item) == parts
+
+
+def test_a_results_read_that_waits_at_the_end_of_a_leave_gets_what_there_is() -> None:
+    """Guards against a read that waits past the end of a planned shutdown, and is answered 502."""
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.faults = [EngineFault.SILENT] * 10
+        await local.async_call("POST", "/batch/job", make_job(ITEM), {"Request-Id": "j1"})
+        reader, writer = await local.async_open()
+        entry = local.gateway.core.get(ENTRY)
+        entry.leave()
+        await asyncio.sleep(0.4)
+        writer.write(make_request("GET", "/-/lots/j1?after=0", headers={"Poll-Wait-Ms": "1000"}))
+        answer = await async_read_answer(reader)
+        assert answer.status == 200 and answer.whole
+        assert answer.read_json() == {"total": 1, "next": 0, "results": []}
+        await entry.async_wait()
+
+    run_local(scenario)
