Refuse requests that still wait at the end of a drain

A request that waited for an upstream when the drain of a stopping daemon ended had its connection closed without an answer, although it had never run and its caller could have repeated it: the queue was closed only after the server.

Half a second before the end of the drain the queue refuses them with 503 as not run, while their connections are open.

The new test failed before (the requests were still pending at the end of the drain); tests/components/online and the tests of processes pass.

--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -31,6 +31,8 @@
 CONTENT_JSON: Final = "application/json"
 CONTENT_EVENTS: Final = "text/event-stream"
 DRAIN_POLL_MS: Final = 50
+REFUSE_MS: Final = 500
+"""Time before the end of a drain in which waiting callers are refused and can still be answered."""
 
 
 class OnlineService:
@@ -63,11 +65,14 @@
         """Wait until nothing is in flight, including runs whose caller has disconnected.
 
         A claimed run continues without its caller. A VM that stopped during it would leave a
-        call with an unknown outcome.
+        call with an unknown outcome. Shortly before the deadline, requests that wait for an upstream
+        are refused as not run.
         """
         while self.count_in_flight():
             if self._clock.now() >= deadline_ms:
                 return
+            if self._clock.now() >= deadline_ms - REFUSE_MS:
+                self._gate.close()
             await self._clock.async_sleep(DRAIN_POLL_MS)
 
     async def async_close(self) -> None:
--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -243,3 +243,32 @@
         await vm.async_close()
 
     run_virtual(async_test())
+
+
+def test_request_that_waits_at_the_end_of_a_drain_is_refused_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that never ran and whose connections close without an answer."""
+    monkeypatch.setattr(loads, "MAX_IN_FLIGHT", 2)
+
+    async def async_test() -> None:
+        vm = OnlineVm()
+        await vm.async_setup(engines=1)
+        sent = [
+            asyncio.create_task(vm.async_generate(f"r{n}", max_tokens=2_000)) for n in range(20)
+        ]
+        await asyncio.sleep(1)
+        await vm.core.get(ONLINE).async_drain(vm.core.clock.now() + 2_000)
+        begun = {call.request_id for _, call in vm.upstreams.calls}
+        waiting = [task for number, task in enumerate(sent) if f"r{number}" not in begun]
+        assert waiting and all(task.done() for task in waiting)
+        for task in waiting:
+            refused = task.result()
+            assert isinstance(refused, Err)
+            assert refused.err_value.status == 503 and refused.err_value.not_run
+        for task in sent:
+            task.cancel()
+        await asyncio.gather(*sent, return_exceptions=True)
+        await vm.async_close()
+
+    run_virtual(async_test())
