--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -28,6 +28,7 @@
     OnData,
     OnHead,
 )
+from goldcreststair.send_timeout import SendTimeout
 
 STATUS_OK: Final = 200
 MAX_FOREIGN_RESPONSES: Final = 3
@@ -43,6 +44,9 @@
 """Longest head, chunk size or trailer."""
 MAX_OVERHEAD_MS: Final = 1_000
 """Longest time in which bytes arrive that bring neither a head nor a part of the body."""
+MAX_OVERHEAD_GAP_MS: Final = 100
+"""Most of the time between two such reads that counts: a server that pauses within its framing is silent, and only
+the timeout of the exchange ends a silent response."""
 _BUFFER: Final = bytearray(READ_BYTES)
 """Shared by all connections: received bytes are parsed before the next connection reads."""
 
@@ -92,7 +96,10 @@
         self._informational_count = 0
         self._overhead = 0
         """Bytes since the last part of the response, as the connection has read them."""
-        self._overhead_since: float | None = None
+        self._overhead_ms = 0.0
+        """Time in which they have arrived, without longer pauses."""
+        self._overhead_at: float | None = None
+        """When they were last read, s."""
 
     def on_message_begin(self) -> None:
         """Begin a response."""
@@ -115,7 +122,7 @@
             self._informational_count += 1
             if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
                 self.fail("only informational responses", ExchangeFailure.BROKEN)
-            self._overhead_since = None
+            self._overhead_ms, self._overhead_at = 0.0, None
             return
         self._status, self._has_head = status, True
         matches_request = self._hooks.matches_request
@@ -174,14 +181,15 @@
         """Fail if bytes go on arriving that bring nothing of the response; `now` in s."""
         if self.complete or not (self._overhead or self._foreign):
             return
-        if self._overhead_since is None:
-            self._overhead_since = now
-        too_long = (now - self._overhead_since) * MS_PER_SECOND > MAX_OVERHEAD_MS
-        if too_long or self._overhead > MAX_OVERHEAD_BYTES:
+        if self._overhead_at is not None:
+            gap_ms = (now - self._overhead_at) * MS_PER_SECOND
+            self._overhead_ms += min(gap_ms, MAX_OVERHEAD_GAP_MS)
+        self._overhead_at = now
+        if self._overhead_ms > MAX_OVERHEAD_MS or self._overhead > MAX_OVERHEAD_BYTES:
             self.fail("bytes without end that are no response", ExchangeFailure.BROKEN)
 
     def _end_overhead(self) -> None:
-        self._overhead, self._overhead_since = 0, None
+        self._overhead, self._overhead_ms, self._overhead_at = 0, 0.0, None
 
     def deliver(self) -> Awaitable[None] | None:
         """Pass what has arrived to `on_data` in one chunk; returns what to wait for."""
@@ -238,6 +246,7 @@
         self._unusable = False
         """Whether the connection was closed or received bytes that belong to no request."""
         self._delivery: asyncio.Task[None] | None = None
+        self._send_timeout = SendTimeout(sock)
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -310,6 +319,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the end of the connection."""
+        self._send_timeout.close()
         self._end(error)
 
     def _end(self, error: BaseException | None) -> None:
@@ -341,6 +351,7 @@
     def close(self) -> None:
         """Close at once; unsent bytes are dropped."""
         self._unusable = True
+        self._send_timeout.close()
         if self._delivery is not None:
             self._delivery.cancel()
         if self._transport is not None:
@@ -355,7 +366,9 @@
         self._keys.append(exchange.key)
         reader = self._reader = _ResponseReader(exchange, hooks)
         try:
-            self.transport.write(_encode(exchange))
+            request = _encode(exchange)
+            self.transport.write(request)
+            self._send_timeout.begin(len(request))
             outcome = await reader.done
         finally:
             self._reader = None
