--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -28,12 +28,12 @@
     Violation,
     find_violations,
     join_crash_record,
-    list_unanswered,
     make_touch_check,
 )
 from tests.platform_adapter.soak.crash_callers import CrashCaller
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
 from tests.platform_adapter.soak.engine import CRASH_PARTS, SoakEngine
+from tests.platform_adapter.soak.excuses import list_unanswered
 from tests.platform_adapter.soak.faults import (
     SOFTWARE_VERSIONS,
     STORE_PROXY,
