Excuse a cut in a leave only if its own upstream worked to the last sixth

The soak excused a cut if any run of the request, also one at an upstream that had been left, had ended in the last sixth of the grace period, and whenever the caller had been cut: an upstream that notices the close late made an early cut look like a late one. Now the last upstream must have worked on it, and the answer must have been open, from the last sixth on.

Planted records: 11 around the bounds; on the check before, 'upstream noticed late', 'an earlier upstream was at work' and the first of a lost answer are excused. That record (cut at 11.0 s, SIGTERM at 9.0 s) stood among the excused ones; it is reported now, as the rule counts it.

--- a/tests/platform_adapter/soak/excuses.py
+++ b/tests/platform_adapter/soak/excuses.py
@@ -63,7 +63,7 @@
         ),
         Excuse.SPENT: _has_spent_attempts(seen, tried, record),
         Excuse.UNREAD: not tried and _may_have_crossed(seen, record),
-        Excuse.LATE: _is_late_in_leave(seen, record),
+        Excuse.LATE: _is_late_in_leave(seen, tried, record),
         Excuse.NO_SOFTWARE: bool(tried)
         and _was_lost(tried[-1], seen, record)
         and not _has_other_upstream(seen, tried, record),
@@ -159,11 +159,20 @@
     )
 
 
-def _is_late_in_leave(seen: Exchange, record: Record) -> bool:
-    ends = [run.ended_at for run in record.runs if run.request == seen.request]
+def _is_late_in_leave(seen: Exchange, tried: list[Attempt], record: Record) -> bool:
+    """Return whether a request's last upstream worked on it until its answer was cut, late in a leave.
+
+    An upstream may work on after an early cut, until it notices that the connection was closed.
+    """
+    runs = [
+        run
+        for run in record.runs
+        if run.request == seen.request and tried and run.upstream == tried[-1].upstream
+    ]
     return any(
         abs(seen.sent_at - stop.at) <= LATE_IN_LEAVE_S
-        and any(ended_at >= stop.at + LAST_PART_S for ended_at in ends)
+        and stop.at + LAST_PART_S <= seen.ended_at
+        and any(run.ended_at >= stop.at + LAST_PART_S for run in runs)
         for stop in record.stops
         if stop.daemon == seen.daemon
     )
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -48,8 +48,7 @@
         Record([LOST], kills=[Signal("other", 10.5)]),
         Record([LOST], kills=[Signal("vm", 11.5)]),
         Record([LOST], stops=[Signal("vm", 9.0)]),
-        Record([LOST], stops=[Signal("vm", 9.0)], runs=[replace(LATE_RUN, ended_at=11.0)]),
-        Record([LOST], stops=[Signal("vm", 6.5)], runs=[LATE_RUN]),
+        Record([LOST], stops=[Signal("vm", 9.0)], runs=[LATE_RUN], attempts=[FIRST]),
         Record([LOST], absences=[Absence("vm", 10.1)]),
         Record([UNREAD], absences=[Absence("vm", 10.1)], attempts=[FIRST]),
         Record([UNREAD], absences=[Absence("vm", 11.1)]),
@@ -89,7 +88,6 @@
             refusals=[Run("r", "i-3", 10.4)],
         ),
         Record([replace(LOST, route="once")], attempts=[BROKEN_FIRST]),
-        Record([LOST], stops=[Signal("vm", 9.0)], runs=[LATE_RUN]),
         Record([UNREAD], absences=[Absence("vm", 10.1)]),
         Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=[Lifetime("i-2", "v2", 0.0)]),
         Record(
@@ -111,6 +109,53 @@
     assert find_promises(record) == []
 
 
+def make_late_record(
+    *,
+    stopped_at: float = 9.0,
+    daemon: str = "vm",
+    cut_at: float = 16.2,
+    run: Run | None = LATE_RUN,
+    last: Attempt = FIRST,
+) -> Record:
+    """Return a record with a request that is cut in a leave; its deadline is later."""
+    seen = replace(LOST, ended_at=cut_at, deadline_at=20.0)
+    runs = [run] if run is not None else []
+    return Record([seen], [last], runs, stops=[Signal(daemon, stopped_at)])
+
+
+@pytest.mark.parametrize(
+    ("record", "promises"),
+    [
+        pytest.param(make_late_record(), [], id="sent after SIGTERM, at work to the end"),
+        pytest.param(make_late_record(stopped_at=12.0), [Promise.ANSWERED], id="cut too early"),
+        pytest.param(
+            make_late_record(stopped_at=12.0, cut_at=18.7, run=replace(LATE_RUN, ended_at=18.7)),
+            [],
+            id="sent before SIGTERM",
+        ),
+        pytest.param(make_late_record(stopped_at=7.0), [], id="sent 3 s after SIGTERM"),
+        pytest.param(make_late_record(stopped_at=6.9), [Promise.ANSWERED], id="sent later"),
+        pytest.param(
+            make_late_record(daemon="other"), [Promise.ANSWERED], id="another daemon left"
+        ),
+        pytest.param(make_late_record(cut_at=15.6), [Promise.ANSWERED], id="upstream noticed late"),
+        pytest.param(make_late_record(cut_at=15.7), [], id="cut in the last sixth"),
+        pytest.param(
+            make_late_record(run=replace(LATE_RUN, ended_at=15.6)),
+            [Promise.ANSWERED],
+            id="upstream was done",
+        ),
+        pytest.param(make_late_record(run=None), [Promise.ANSWERED], id="no upstream began"),
+        pytest.param(
+            make_late_record(last=LAST), [Promise.ANSWERED], id="an earlier upstream was at work"
+        ),
+    ],
+)
+def test_a_cut_in_a_leave_is_excused_only_late(record: Record, promises: list[Promise]) -> None:
+    """Guards against cuts that a leave excuses although their answers could have ended in it."""
+    assert find_promises(record) == promises
+
+
 @pytest.mark.parametrize(
     "body",
     [
