Excuse a lost answer by a reset of its upstream only if that came first

A proxy marks the last request of a connection when it resets it, also long after its answer was cut: a later reset of an idle connection excused the cut. Attempts keep the time of the reset now.

Planted: an answer cut at 11.0 s whose last connection is reset at 11.1 s; excused by the check before.

--- a/tests/platform_adapter/soak/excuses.py
+++ b/tests/platform_adapter/soak/excuses.py
@@ -123,7 +123,7 @@
     """Return whether an attempt ended with its connection or with its upstream."""
     spans = [life for life in record.lifetimes if life.upstream == attempt.upstream]
     lived = any(life.since <= attempt.at and seen.ended_at <= life.until for life in spans)
-    return attempt.broken or bool(spans and not lived)
+    return attempt.broken_at <= seen.ended_at or bool(spans and not lived)
 
 
 def _has_other_upstream(seen: Exchange, tried: list[Attempt], record: Record) -> bool:
--- a/tests/platform_adapter/soak/proxy.py
+++ b/tests/platform_adapter/soak/proxy.py
@@ -48,7 +48,7 @@
         """Reset the connection on both sides."""
         self.disturbed = self.was_reset = True
         if self.attempt is not None:
-            self.attempt.broken = True
+            self.attempt.broken_at = min(self.attempt.broken_at, time.monotonic())
         self.record_unread()
         for writer in (self.near, self.far):
             raw = writer.get_extra_info("socket")
@@ -176,7 +176,8 @@
     def _add_attempts(self, data: bytes, *, broken: bool) -> list[Attempt]:
         now = time.monotonic()
         names = [found.decode() for found in REQUEST_ID.findall(data)]
-        added = [Attempt(name, self.name, now, broken) for name in names]
+        broken_at = now if broken else float("inf")
+        added = [Attempt(name, self.name, now, broken_at) for name in names]
         self.attempts += added
         return added
 
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -48,8 +48,13 @@
     request: str
     upstream: str
     at: float
-    broken: bool = False
-    """Whether the proxy reset the connection after the request was sent."""
+    broken_at: float = float("inf")
+    """When the proxy reset the connection after the request was sent."""
+
+    @property
+    def broken(self) -> bool:
+        """Return whether the proxy reset the connection."""
+        return self.broken_at < float("inf")
 
 
 @dataclass(slots=True)
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -27,7 +27,7 @@
 BEGUN = replace(LOST, body=make_event("r", 1, "v1"))
 FIRST, LAST = Attempt("r", "i-1", 10.1), Attempt("r", "i-2", 10.2)
 REFUSED = Attempt("r", "i-3", 10.3)
-BROKEN_FIRST, BROKEN_LAST = replace(FIRST, broken=True), replace(LAST, broken=True)
+BROKEN_FIRST, BROKEN_LAST = replace(FIRST, broken_at=10.3), replace(LAST, broken_at=10.3)
 ITEM = Item("j", "r", "text")
 LATE_RUN = Run("r", "i-1", 10.1, 16.8)
 
@@ -44,6 +44,7 @@
         Record([UNREAD]),
         Record([LOST], attempts=[BROKEN_FIRST]),
         Record([LOST], attempts=[BROKEN_FIRST, LAST]),
+        Record([LOST], attempts=[BROKEN_FIRST, replace(LAST, broken_at=11.1)]),
         Record([LOST], attempts=[BROKEN_FIRST, REFUSED], refusals=[Run("r", "i-3", 10.4)]),
         Record([LOST], kills=[Signal("other", 10.5)]),
         Record([LOST], kills=[Signal("vm", 11.5)]),
