Excuse a cut by a disturbance of its connection only while that lasts

A connection that was held once counted as disturbed until it closed, so that every later cut on it was excused. It counts for requests that are open while the hold lasts, or at the reset.

Planted in the proxy's test: before, during and after a hold, and after a reset.

--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -99,7 +99,7 @@
             answer.whole,
             answer.body,
             make_text(request, int(headers[EVENTS_HEADER])),
-            link.disturbed,
+            link.was_disturbed(sent_at),
             first_part=first_part,
         )
         self.record.exchanges.append(exchange)
@@ -150,7 +150,7 @@
                 answer.whole,
                 answer.body,
                 make_text(request, events, seen),
-                link is None or link.disturbed,
+                link is None or link.was_disturbed(sent_at),
                 begun_as,
                 software,
             )
--- a/tests/platform_adapter/soak/proxy.py
+++ b/tests/platform_adapter/soak/proxy.py
@@ -25,7 +25,8 @@
     near: asyncio.StreamWriter
     far: asyncio.StreamWriter
     record_requests: Callable[[bytes, "Link"], None]
-    disturbed: bool = False
+    disturbed_until: float = float("-inf")
+    """When the last disturbance ended; infinite while it goes on."""
     was_reset: bool = False
     attempt: Attempt | None = None
     to_far: asyncio.Event = field(default_factory=asyncio.Event)
@@ -33,7 +34,7 @@
 
     def hold(self, to_far: bool, to_near: bool) -> None:
         """Hold all data in these directions, and the end of the connection as well."""
-        self.disturbed = True
+        self.disturbed_until = float("inf")
         if to_far:
             self.to_far.clear()
         if to_near:
@@ -43,10 +44,15 @@
         """Pass on all data again, beginning with what was held."""
         self.to_far.set()
         self.to_near.set()
+        self.disturbed_until = min(self.disturbed_until, time.monotonic())
+
+    def was_disturbed(self, since: float) -> bool:
+        """Return whether a disturbance went on at the time `since` or began later."""
+        return self.disturbed_until >= since
 
     def reset(self) -> None:
         """Reset the connection on both sides."""
-        self.disturbed = self.was_reset = True
+        self.disturbed_until, self.was_reset = float("inf"), True
         if self.attempt is not None:
             self.attempt.broken_at = min(self.attempt.broken_at, time.monotonic())
         self.record_unread()
--- a/tests/platform_adapter/soak/test_proxy.py
+++ b/tests/platform_adapter/soak/test_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
@@ -54,3 +55,31 @@
         target.close()
 
     asyncio.run(scenario())
+
+
+def test_a_disturbance_belongs_to_the_requests_during_it() -> None:
+    """Guards against a cut that is excused by a disturbance that was over before its request was sent."""
+
+    async def scenario() -> None:
+        target = await asyncio.start_server(lambda _, __: asyncio.sleep(10), "127.0.0.1", 0)
+        host, port = target.sockets[0].getsockname()
+        proxy = Proxy("front", f"{host}:{port}")
+        await proxy.async_start()
+        proxy_host, _, proxy_port = proxy.address.rpartition(":")
+        with socket.create_connection((proxy_host, int(proxy_port))):
+            await asyncio.sleep(0.05)
+            (link,) = proxy.list_open()
+            sent_at = time.monotonic()
+            seen = [link.was_disturbed(sent_at)]
+            link.hold(True, True)
+            seen += [link.was_disturbed(sent_at), link.was_disturbed(time.monotonic())]
+            link.release()
+            await asyncio.sleep(0.01)
+            seen += [link.was_disturbed(sent_at), link.was_disturbed(time.monotonic())]
+            link.reset()
+            seen += [link.was_disturbed(sent_at)]
+        assert seen == [False, True, True, True, False, True]
+        proxy.close()
+        target.close()
+
+    asyncio.run(scenario())
