Excuse an unread request only if its connection closes at once

A request that no upstream got was excused whenever it was sent up to 0.6 s before its process ended, however long it had been left unanswered. It has to be closed within 200 ms of its last byte, or was sent to a process that was gone. Delays by the proxy before a daemon are recorded, as they hold requests up on their way.

Planted: one left for 300 ms is reported (excused before); sent to a gone process, with a late last byte, and behind a proxy's delay are excused.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -35,6 +35,7 @@
 from tests.platform_adapter.soak.engine import CRASH_PARTS, SoakEngine
 from tests.platform_adapter.soak.excuses import list_unanswered
 from tests.platform_adapter.soak.faults import (
+    FRONT_PROXY,
     SOFTWARE_VERSIONS,
     STORE_PROXY,
     Fault,
@@ -224,7 +225,7 @@
             store.address,
             tuple(self._list_addresses()[:SEEDS]),
         )
-        front = await self._async_add_proxy(f"front-{address}", plan.front)
+        front = await self._async_add_proxy(f"{FRONT_PROXY}{address}", plan.front)
         self.daemons.append(Daemon(plan, front, self.record, self.folder / f"{address}.log"))
 
     async def _async_add_proxy(self, name: str, target: str, records: bool = False) -> Proxy:
--- a/tests/platform_adapter/soak/excuses.py
+++ b/tests/platform_adapter/soak/excuses.py
@@ -12,6 +12,8 @@
 """Deadlines are sent in whole ms."""
 CLOSING_S: Final = 0.6
 """A request sent at most this long before a process ends may arrive after its connection was closed."""
+LOSS_SLACK_S: Final = 0.2
+"""A request that no upstream got may be dropped at most this long after its last byte was sent."""
 LATE_IN_LEAVE_S: Final = 3.0
 """A request sent at most this long before or after SIGTERM may still run when the grace period ends."""
 LAST_PART_S: Final = GRACE_S * 5 / 6
@@ -154,8 +156,15 @@
 
 def _may_have_crossed(seen: Exchange, record: Record) -> bool:
     """Return whether the daemon may have closed the connection before it read the request."""
+    sent_at = max(seen.sent_at, seen.body_sent_at)
+    soon = seen.ended_at - sent_at <= LOSS_SLACK_S or any(
+        delay.daemon == seen.daemon and delay.since <= seen.ended_at and sent_at <= delay.until
+        for delay in record.caller_delays
+    )
     return not seen.status and any(
-        absence.daemon == seen.daemon and absence.since - CLOSING_S <= seen.sent_at <= absence.until
+        absence.daemon == seen.daemon
+        and absence.since - CLOSING_S <= seen.sent_at <= absence.until
+        and (soon or absence.since <= seen.sent_at)
         for absence in record.absences
     )
 
--- a/tests/platform_adapter/soak/faults.py
+++ b/tests/platform_adapter/soak/faults.py
@@ -22,6 +22,8 @@
 """Shortest and longest evacuation: longer than all daemons may take to apply one."""
 SOFTWARE_VERSIONS: Final = ("v1", "v2", "v3")
 MEAN_UPGRADE_PAUSE_S: Final = 3.0
+FRONT_PROXY: Final = "front-"
+"""Prefix of the proxy between callers and a daemon, named after it."""
 STORE_PROXY: Final = "store-"
 """Prefix of the proxy between a daemon, named after it, and the store."""
 SHARE: Final = 0.5
@@ -187,9 +189,13 @@
     async def _async_delay(self, fault: Fault) -> None:
         self._record_store_fault(fault)
         proxy = self._find_proxy(fault)
+        delay = Absence(proxy.name.removeprefix(FRONT_PROXY), time.monotonic())
+        if proxy.name.startswith(FRONT_PROXY):
+            self.record.caller_delays.append(delay)
         proxy.delay_s = fault.lasts_s / LONGEST_S * LONGEST_DELAY_S
         await asyncio.sleep(fault.lasts_s)
         proxy.delay_s = 0.0
+        delay.until = time.monotonic() + LONGEST_DELAY_S
 
     async def _async_reset(self, fault: Fault) -> None:
         self._record_store_fault(fault)
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -34,6 +34,8 @@
     """Software version of the events that earlier attempts brought."""
     first_part: str = ""
     """First part of the prompt."""
+    body_sent_at: float = 0.0
+    """When the last byte was sent, if later than the head."""
 
     @property
     def stream(self) -> str:
@@ -134,6 +136,8 @@
     """Requests whose answer an upstream broke off in the middle of its first event."""
     store_faults: list[Absence] = field(default_factory=list)
     """Disturbances of a daemon's connections to the store."""
+    caller_delays: list[Absence] = field(default_factory=list)
+    """Periods in which a proxy delayed what callers sent to a daemon, and its answers."""
     crash: CrashRecord = field(default_factory=CrashRecord)
     """Requests with prompt parts that crash upstreams; times are in s here as well."""
     crash_senders: dict[str, str] = field(default_factory=dict)
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -22,7 +22,7 @@
 WHOLE = make_text("r", 3)
 GOOD = Exchange("r", "stream", "vm", 10.0, 11.0, 15.0, 200, True, WHOLE, WHOLE)
 LOST = replace(GOOD, whole=False, body=b"")
-UNREAD = replace(LOST, status=0)
+UNREAD = replace(LOST, status=0, ended_at=10.15)
 OTHER = Lifetime("i-2", "v1", 0.0)
 BEGUN = replace(LOST, body=make_event("r", 1, "v1"))
 FIRST, LAST = Attempt("r", "i-1", 10.1), Attempt("r", "i-2", 10.2)
@@ -54,6 +54,8 @@
         Record([LOST], absences=[Absence("vm", 10.1)]),
         Record([UNREAD], absences=[Absence("vm", 10.1)], attempts=[FIRST]),
         Record([UNREAD], absences=[Absence("vm", 11.1)]),
+        Record([replace(UNREAD, ended_at=10.3)], absences=[Absence("vm", 10.3)]),
+        Record([replace(UNREAD, status=200)], absences=[Absence("vm", 10.1)]),
         Record([UNREAD], absences=[Absence("vm", 8.0, 9.9)]),
         Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=[OTHER]),
         Record(
@@ -91,6 +93,13 @@
         ),
         Record([replace(LOST, route="once")], attempts=[BROKEN_FIRST]),
         Record([UNREAD], absences=[Absence("vm", 10.1)]),
+        Record([replace(UNREAD, ended_at=10.8)], absences=[Absence("vm", 9.0)]),
+        Record([replace(UNREAD, body_sent_at=10.3, ended_at=10.4)], absences=[Absence("vm", 10.4)]),
+        Record(
+            [replace(UNREAD, ended_at=10.4)],
+            absences=[Absence("vm", 10.1)],
+            caller_delays=[Absence("vm", 9.0, 10.1)],
+        ),
         Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=[Lifetime("i-2", "v2", 0.0)]),
         Record(
             [BEGUN],
