Draw leaves in the soak around which upstreams slow down and more is planned

The soak's SIGTERMs came alone, and no upstream became slower during one, so that no answer took longer than those before it. Each seed now draws leaves, by a random stream of its own: upstreams that become 4 to 20 times slower 0 to 4.5 s after SIGTERM, a second SIGTERM, one while the process starts, SIGHUPs, other daemons that leave, the store away, and a configuration with a route more. Half of the seeds have no other faults, so that nothing else excuses a cut; three of five have short answers until upstreams slow down; one in five runs beside four busy processes. The plans of other faults stay as they were, and --no-leaves runs them alone. The report counts how requests ended that were sent during a leave.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -12,7 +12,7 @@
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import orjson
 from cyclopts import App
@@ -33,7 +33,7 @@
 from tests.platform_adapter.soak.crash_callers import CrashCaller
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
 from tests.platform_adapter.soak.engine import CRASH_PARTS, SoakEngine
-from tests.platform_adapter.soak.excuses import list_unanswered
+from tests.platform_adapter.soak.excuses import count_in_leaves, list_unanswered
 from tests.platform_adapter.soak.faults import (
     FRONT_PROXY,
     SOFTWARE_VERSIONS,
@@ -46,6 +46,13 @@
     plan_faults,
     plan_upgrades,
 )
+from tests.platform_adapter.soak.leaves import (
+    SHORT_PAUSES_MS,
+    LeavePlan,
+    LeaveRunner,
+    async_keep_busy,
+    plan_leaves,
+)
 from tests.platform_adapter.soak.proxy import Proxy
 from tests.platform_adapter.soak.record import Evacuation, Lifetime, Record
 from tests.platform_adapter.wire_store import WireStore
@@ -83,13 +90,13 @@
     engines: list[SoakEngine] = field(default_factory=list)
     daemons: list[Daemon] = field(default_factory=list)
     proxies: list[Proxy] = field(default_factory=list)
+    config: dict[str, Any] = field(default_factory=lambda: copy.deepcopy(CONFIG))
     _restarts: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def async_start(self) -> None:
         """Start everything and wait until all daemons are ready."""
         self.store.start()
-        config = copy.deepcopy(CONFIG)
-        self.store.store.put(RowKey("op", "", "config"), orjson.dumps(config))
+        self._put_config()
         for number in range(ENGINES):
             await self._async_add_engine(f"i-{number}")
         peer_port = find_port()
@@ -109,6 +116,16 @@
             await engine.async_close()
         self.store.stop()
 
+    def configure(self) -> None:
+        """Put the next version of the configuration in force, with a route more."""
+        self.config["version"] += 1
+        added = self.config["routes"][0] | {"name": f"r-{self.config['version']}"}
+        self.config["routes"].append(added | {"prefix": f"/added-{self.config['version']}/"})
+        self._put_config()
+
+    def _put_config(self) -> None:
+        self.store.store.put(RowKey("op", "", "config"), orjson.dumps(self.config))
+
     async def async_evacuate(self, planned: Sequence[PlannedEvacuation]) -> None:
         """Evacuate one data centre after the other, as operators do."""
         started_at = time.monotonic()
@@ -256,13 +273,16 @@
     folder: Path,
     pauses_ms: Sequence[int] = PAUSES_MS,
     size: int = DAEMONS,
+    leaves: LeavePlan | None = None,
 ) -> tuple[Record, list[Fault]]:
-    """Run the faults of a seed; returns the observations and the faults."""
+    """Run the faults of a seed, and planned leaves; returns the observations and the faults."""
     chooser = random.Random(seed)
-    faults = plan_faults(seed, seconds)
+    leaves = leaves or LeavePlan()
+    faults = [] if leaves.is_calm else plan_faults(seed, seconds)
     async with async_open_site(folder, size) as site:
         proxies = site.proxies[:ENGINES] * UPSTREAM_WEIGHT + site.proxies[ENGINES:]
         injector = FaultInjector(site.daemons, site.engines, proxies, chooser, site.record)
+        leaving = LeaveRunner(site.daemons, site.engines, site.proxies, site.record, site.configure)
         ended = asyncio.Event()
         callers = [
             Caller(f"c{n}", site.daemons, site.record, random.Random(f"{seed}-{n}"), pauses_ms)
@@ -270,16 +290,19 @@
         ]
         part = CRASH_PARTS[seed % len(CRASH_PARTS)]
         crashing = CrashCaller(part, site.daemons, site.record, random.Random(f"crash {seed}"))
-        async with asyncio.TaskGroup() as tasks:
-            tasks.create_task(crashing.async_run(ended))
+        async with async_keep_busy(leaves.busy_processes), asyncio.TaskGroup() as tasks:
+            if not leaves.is_calm:
+                tasks.create_task(crashing.async_run(ended))
             for caller in callers:
                 tasks.create_task(caller.async_run(ended))
             planned = [
                 tasks.create_task(site.async_evacuate(plan_evacuations(seed, seconds))),
-                tasks.create_task(site.async_upgrade(plan_upgrades(seed, seconds))),
+                tasks.create_task(
+                    site.async_upgrade([] if leaves.is_calm else plan_upgrades(seed, seconds))
+                ),
                 tasks.create_task(site.async_write_foreign_entries(seconds * FOREIGN_SHARE)),
             ]
-            await injector.async_run(faults)
+            await asyncio.gather(injector.async_run(faults), leaving.async_run(leaves.steps))
             ended.set()
             for each in planned:
                 each.cancel()
@@ -291,6 +314,7 @@
     """Print a summary of the faults, the observations and the broken promises."""
     print(f"faults: {dict(Counter(fault.kind.value for fault in faults))}")
     print(f"answers: {dict(Counter((x.route, x.status, x.whole) for x in record.exchanges))}")
+    print(f"sent or cut in a leave, by s after SIGTERM: {count_in_leaves(record)}")
     excuses = Counter(str(excuse) for _, _, excuse in list_unanswered(record))
     print(f"without a whole answer: {dict(excuses)}")
     print(f"runs: {len(record.runs)}, items: {len(record.accepted)}")
@@ -308,13 +332,22 @@
 
 
 @app.default
-def main(seed: int = 1, seconds: float = 30.0, daemons: int = DAEMONS) -> None:
-    """Run a seed, print a summary, and exit with status 1 if a promise was broken."""
+def main(
+    seed: int = 1, seconds: float = 30.0, daemons: int = DAEMONS, *, leaves: bool = True
+) -> None:
+    """Run a seed, print a summary, and exit with status 1 if a promise was broken.
+
+    Without `leaves`, a seed has only its overlapping faults.
+    """
     # The stand-in store's server would log every connection that a fault broke.
     logging.getLogger("tornado").setLevel(logging.CRITICAL)
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     print(f"seed {seed}, {seconds} s, {daemons} daemons, logs in {folder}")
-    record, faults = asyncio.run(async_soak(seed, seconds, folder, size=daemons))
+    plan = plan_leaves(seed, seconds) if leaves else LeavePlan()
+    pauses_ms = SHORT_PAUSES_MS if plan.is_short else PAUSES_MS
+    record, faults = asyncio.run(async_soak(seed, seconds, folder, pauses_ms, daemons, plan))
+    print(f"leaves: calm {plan.is_calm}, short {plan.is_short}, busy {plan.busy_processes}")
+    print(f"steps: {dict(Counter(step.kind.value for step in plan.steps))}")
     violations = find_violations(record)
     print_report(record, faults, violations)
     sys.exit(1 if violations else 0)
--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -62,6 +62,8 @@
     front: Proxy
     record: Record
     log: Path
+    leaving: bool = False
+    """Whether a SIGTERM was sent and the process still runs."""
     _process: asyncio.subprocess.Process | None = None
     _absence: Absence | None = None
     _listed_until: float = float("inf")
@@ -91,22 +93,35 @@
 
     async def async_start(self) -> None:
         """Start the process and wait until it is ready."""
-        with self.log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                *self.plan.list_arguments(), stdout=log, stderr=log, env=_make_environment()
-            )
+        await self._async_spawn()
         await self._async_wait_ready()
         self._listed_until = float("inf")
         if self._absence is not None:
             self._absence.until = time.monotonic()
 
-    async def async_stop(self) -> None:
-        """Send SIGTERM, wait for the end as the platform does, and restart the process."""
+    async def async_stop(self, restarts_after_s: float = 0.0) -> None:
+        """Send SIGTERM, wait for the end as the platform does, and restart the process.
+
+        If `restarts_after_s` is given, the new process gets a SIGTERM so long after it was started.
+        """
         async with self._signals:
-            self._listed_until = time.monotonic() + ADDRESS_CACHE_S
+            await self._async_leave()
+            if restarts_after_s:
+                await self._async_spawn()
+                assert self._absence is not None
+                self._absence.until = time.monotonic()
+                await asyncio.sleep(restarts_after_s)
+                await self._async_leave()
+            await self.async_start()
+
+    async def _async_leave(self) -> None:
+        self._listed_until = time.monotonic() + ADDRESS_CACHE_S
+        self.leaving = True
+        try:
             self.send(signal.SIGTERM)
             await self._async_end()
-            await self.async_start()
+        finally:
+            self.leaving = False
 
     async def async_kill(self, down_s: float) -> None:
         """Kill the process and restart it after `down_s`."""
@@ -135,14 +150,24 @@
             await self._process.wait()
 
     def send(self, number: signal.Signals) -> None:
-        """Send the process a signal, if it runs."""
+        """Send the process a signal, if it runs, and record a SIGTERM or SIGKILL."""
         signals = {signal.SIGTERM: self.record.stops, signal.SIGKILL: self.record.kills}
         if number in signals:
             signals[number].append(Signal(self.name, time.monotonic()))
+        self.repeat(number)
+
+    def repeat(self, number: signal.Signals) -> None:
+        """Send the process a signal, if it runs, that gives it no more time."""
         if self._process is not None:
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    async def _async_spawn(self) -> None:
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *self.plan.list_arguments(), stdout=log, stderr=log, env=_make_environment()
+            )
+
     async def _async_end(self) -> None:
         assert self._process is not None
         try:
--- a/tests/platform_adapter/soak/engine.py
+++ b/tests/platform_adapter/soak/engine.py
@@ -57,6 +57,8 @@
     """Runs every request, or refuses all of them as not run while `refuses` is set."""
 
     refuses: bool = False
+    slowness: float = 1.0
+    """How many times its usual pause it takes between two events."""
     software: str = "v1"
     down: bool = False
     """Whether it has crashed: it closes every connection."""
@@ -133,7 +135,7 @@
             await writer.drain()
             return
         for number in range(first, int(headers.get(EVENTS_HEADER, "3")) + 1):
-            await asyncio.sleep(int(headers.get(PAUSE_HEADER, "0")) / 1000)
+            await asyncio.sleep(int(headers.get(PAUSE_HEADER, "0")) / 1000 * self.slowness)
             event = make_event(request, number, software)
             chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             writer.write(chunk if framed else event)
--- a/tests/platform_adapter/soak/excuses.py
+++ b/tests/platform_adapter/soak/excuses.py
@@ -1,6 +1,6 @@
 """Finds the reason, if any, for which a request may have no complete answer."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from enum import StrEnum
 from typing import Final
@@ -56,6 +56,19 @@
             yield seen, tried, _find_excuse(seen, tried, record)
 
 
+def count_in_leaves(record: Record) -> dict[str, int]:
+    """Return how often requests ended in each way whose daemon was leaving when they were sent."""
+    ends = {seen.request: excuse for seen, _, excuse in list_unanswered(record)}
+    counts = Counter[str]()
+    for seen in record.exchanges:
+        for stop in record.stops:
+            late_s = seen.sent_at - stop.at
+            if stop.daemon == seen.daemon and 0 <= late_s <= GRACE_S:
+                end = ends.get(seen.request, seen.status)
+                counts[f"{int(late_s)} s: {end or 'cut'}"] += 1
+    return dict(sorted(counts.items()))
+
+
 def _find_excuse(seen: Exchange, tried: list[Attempt], record: Record) -> Excuse | None:
     reasons = {
         Excuse.CUT: seen.cut,
