Let callers of the soak stay at a daemon that leaves, read slowly and send bodies in chunks

Fifteen more callers return to one daemon each as long as it accepts connections, leave some connections idle for up to 4 s before they use them again, send one body in seven in chunks, the last of which comes 30 to 300 ms behind, and read one answer in ten slowly. They have random streams of their own, and exist only beside drawn leaves.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -67,6 +67,8 @@
 STARTING_VERSIONS: Final = 2
 """Software versions of the upstreams at the start; upgrades bring others."""
 CALLERS: Final = 20
+STAYING_CALLERS: Final = 15
+"""Callers that return to a daemon that leaves, as long as it accepts connections."""
 UPSTREAM_WEIGHT: Final = 3
 """How many times more faults a proxy before an upstream gets than any other proxy."""
 CRASHED_S: Final = 2.5
@@ -288,6 +290,8 @@
             Caller(f"c{n}", site.daemons, site.record, random.Random(f"{seed}-{n}"), pauses_ms)
             for n in range(CALLERS)
         ]
+        if leaves.steps:
+            callers += make_staying_callers(seed, site, pauses_ms)
         part = CRASH_PARTS[seed % len(CRASH_PARTS)]
         crashing = CrashCaller(part, site.daemons, site.record, random.Random(f"crash {seed}"))
         async with async_keep_busy(leaves.busy_processes), asyncio.TaskGroup() as tasks:
@@ -310,6 +314,24 @@
     return site.record, faults
 
 
+def make_staying_callers(seed: int, site: Site, pauses_ms: Sequence[int]) -> list[Caller]:
+    """Return callers that stay at one daemon each and send and read in various manners."""
+    choosers = [random.Random(f"staying {seed}-{n}") for n in range(STAYING_CALLERS)]
+    manners = [random.Random(f"manners {seed}-{n}") for n in range(STAYING_CALLERS)]
+    return [
+        Caller(
+            f"s{n}",
+            site.daemons,
+            site.record,
+            choosers[n],
+            pauses_ms,
+            manners[n],
+            site.daemons[n % len(site.daemons)],
+        )
+        for n in range(STAYING_CALLERS)
+    ]
+
+
 def print_report(record: Record, faults: list[Fault], violations: list[Violation]) -> None:
     """Print a summary of the faults, the observations and the broken promises."""
     print(f"faults: {dict(Counter(fault.kind.value for fault in faults))}")
--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -15,12 +15,19 @@
 from tests.platform_adapter.soak.daemons import Daemon
 from tests.platform_adapter.soak.engine import (
     EVENTS_HEADER,
+    PADDING_HEADER,
     PARTS_HEADER,
     PAUSE_HEADER,
     UNFRAMED_HEADER,
     make_text,
     split_software,
 )
+from tests.platform_adapter.soak.manners import (
+    Manner,
+    async_read_slowly,
+    async_send,
+    choose_manner,
+)
 from tests.platform_adapter.soak.record import Exchange, Item, Record
 
 PATHS: Final = {"stream": "/stream/x", "once": "/once/x", "call": "/call/x", "batch": "/batch/x"}
@@ -50,6 +57,10 @@
     record: Record
     chooser: random.Random
     pauses_ms: Sequence[int] = PAUSES_MS
+    manners: random.Random | None = None
+    """Chooses how requests are sent and answers read; without it, all are plain."""
+    home: Daemon | None = None
+    """The daemon to which this caller returns as long as that accepts connections."""
     _numbers: "itertools.count[int]" = field(default_factory=lambda: itertools.count(1))
 
     async def async_run(self, ended: asyncio.Event) -> None:
@@ -57,13 +68,13 @@
         while not ended.is_set():
             listed = [daemon for daemon in self.daemons if daemon.listed]
             try:
-                daemon = self.chooser.choice(listed)
+                daemon = self.home or self.chooser.choice(listed)
                 reader, writer = await async_open(daemon.front.address)
             except (IndexError, OSError):
                 await asyncio.sleep(RECONNECT_S)
                 continue
             try:
-                while await self._async_exchange(daemon, reader, writer):
+                while self._may_send(reader) and await self._async_exchange(daemon, reader, writer):
                     if ended.is_set():
                         break
                     await asyncio.sleep(self.chooser.random() * 2 * PAUSE_S)
@@ -71,6 +82,10 @@
                 writer.close()
             await asyncio.sleep(RECONNECT_S)
 
+    def _may_send(self, reader: asyncio.StreamReader) -> bool:
+        """Return whether a connection that may have been idle for long is still open."""
+        return self.manners is None or not (reader.at_eof() or reader.exception())
+
     async def _async_exchange(
         self, daemon: Daemon, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
@@ -78,13 +93,20 @@
         request, route = f"{self.name}-{next(self._numbers)}", self.chooser.choice(ROUTES)
         headers, first_part = self._choose_work(), choose_first_part(self.chooser)
         headers[PARTS_HEADER] = make_parts(first_part, f"{self.name}-session", request)
+        manner = choose_manner(self.manners) if self.manners is not None else Manner()
         body = make_job(request, headers) if route == "batch" else request.encode()
+        # A stream that is taken up is sent with its first body.
+        if route == "once":
+            body += b"x" * manner.body_bytes
+        if route in ("once", "stream") and manner.padding:
+            headers[PADDING_HEADER] = str(manner.padding)
         fields = headers | {"Request-Id": request, "Deadline-Ms": str(int(DEADLINE_S * 1000))}
         port = writer.get_extra_info("sockname")[1]
         sent_at = time.monotonic()
-        writer.write(make_request("POST", PATHS[route], body, fields))
+        body_sent_at = await async_send(writer, PATHS[route], body, fields, manner)
         wait_s = DEADLINE_S + WAIT_AFTER_DEADLINE_S
-        answer = await async_read_or_none(reader, wait_s) or HttpAnswer(0, {}, b"", False)
+        async with async_read_slowly(writer, manner):
+            answer = await async_read_or_none(reader, wait_s) or HttpAnswer(0, {}, b"", False)
         link = daemon.front.find_link(port)
         if link is None:
             return False
@@ -98,15 +120,17 @@
             answer.status,
             answer.whole,
             answer.body,
-            make_text(request, int(headers[EVENTS_HEADER])),
+            make_text(request, int(headers[EVENTS_HEADER]), padding=_read_padding(headers)),
             link.was_disturbed(sent_at),
             first_part=first_part,
+            body_sent_at=body_sent_at,
         )
         self.record.exchanges.append(exchange)
         if route == "stream" and not answer.whole:
             await self._async_take_up(exchange, headers)
         if route == "batch" and answer.status == 202 and answer.whole:
             self.record.accepted += list_items(request, headers)
+        await asyncio.sleep(manner.idle_s)
         return answer.whole and answer.headers.get("Connection") != "close"
 
     async def _async_take_up(self, broken: Exchange, headers: dict[str, str]) -> None:
@@ -149,7 +173,7 @@
                 answer.status,
                 answer.whole,
                 answer.body,
-                make_text(request, events, seen),
+                make_text(request, events, seen, _read_padding(headers)),
                 link is None or link.was_disturbed(sent_at),
                 begun_as,
                 software,
@@ -182,6 +206,10 @@
     return ",".join(f"{name}:100" for name in names)
 
 
+def _read_padding(headers: dict[str, str]) -> int:
+    return int(headers.get(PADDING_HEADER, "0"))
+
+
 def _count_events(exchange: Exchange) -> tuple[int, str]:
     """Return the number of the last whole event of an answer, and the software that made it."""
     events = exchange.body.decode(errors="replace").split("\n\n")[:-1]
--- a/tests/platform_adapter/soak/engine.py
+++ b/tests/platform_adapter/soak/engine.py
@@ -14,6 +14,8 @@
 
 EVENTS_HEADER: Final = "Soak-Events"
 PAUSE_HEADER: Final = "Soak-Pause-Ms"
+PADDING_HEADER: Final = "Soak-Padding"
+"""Bytes that are added to each event."""
 UNFRAMED_HEADER: Final = "Soak-Unframed"
 """Asks for an answer with neither a length nor chunks."""
 PARTS_HEADER: Final = "Prompt-Prefix"
@@ -32,15 +34,17 @@
 SOFTWARE_MARK: Final = re.compile(r" by (\S+)")
 
 
-def make_event(request: str, number: int, software: str = "") -> bytes:
+def make_event(request: str, number: int, software: str = "", padding: int = 0) -> bytes:
     """Return one event of a request, with the software version that made it unless that is left out."""
+    padded = f" {'x' * padding}" if padding else ""
     mark = f" by {software}" if software else ""
-    return f"id: {number}\ndata: {request} {number}{mark}\n\n".encode()
+    return f"id: {number}\ndata: {request} {number}{padded}{mark}\n\n".encode()
 
 
-def make_text(request: str, events: int, after: int = 0) -> bytes:
+def make_text(request: str, events: int, after: int = 0, padding: int = 0) -> bytes:
     """Return the events of a request after event `after`, without software versions."""
-    return b"".join(make_event(request, number) for number in range(after + 1, events + 1))
+    numbers = range(after + 1, events + 1)
+    return b"".join(make_event(request, number, padding=padding) for number in numbers)
 
 
 def split_software(text: str) -> tuple[str, frozenset[str]]:
@@ -124,7 +128,7 @@
         self, writer: asyncio.StreamWriter, request: str, path: str, headers: dict[str, str]
     ) -> None:
         first, software = int(headers.get("Last-Event-Id", "0")) + 1, self.software
-        framed = UNFRAMED_HEADER not in headers
+        framed, padding = UNFRAMED_HEADER not in headers, int(headers.get(PADDING_HEADER, "0"))
         framing = "Transfer-Encoding: chunked" if framed else "Connection: close"
         writer.write(make_head(200, request, framing))
         if first == 1 and self._breaks_off(request, path):
@@ -136,7 +140,7 @@
             return
         for number in range(first, int(headers.get(EVENTS_HEADER, "3")) + 1):
             await asyncio.sleep(int(headers.get(PAUSE_HEADER, "0")) / 1000 * self.slowness)
-            event = make_event(request, number, software)
+            event = make_event(request, number, software, padding)
             chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             writer.write(chunk if framed else event)
             await writer.drain()
