Draw shorter deadlines for callers that stay at a leaving daemon

All requests of the soak had 5 s, so that late in a leave none had its deadline before the end: half of those of the staying callers have 1 or 2 s.

--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -34,7 +34,6 @@
 ROUTES: Final = ("stream", "stream", "stream", "once", "once", "call", "batch")
 PAUSES_MS: Final = (0, 10, 50, 100, 180)
 """Time between two events of an upstream, chosen for each request."""
-DEADLINE_S: Final = 5.0
 WAIT_AFTER_DEADLINE_S: Final = 2.0
 PAUSE_S: Final = 0.1
 RECONNECT_S: Final = 0.1
@@ -100,11 +99,12 @@
             body += b"x" * manner.body_bytes
         if route in ("once", "stream") and manner.padding:
             headers[PADDING_HEADER] = str(manner.padding)
-        fields = headers | {"Request-Id": request, "Deadline-Ms": str(int(DEADLINE_S * 1000))}
+        deadline_ms = str(int(manner.deadline_s * 1000))
+        fields = headers | {"Request-Id": request, "Deadline-Ms": deadline_ms}
         port = writer.get_extra_info("sockname")[1]
         sent_at = time.monotonic()
         body_sent_at = await async_send(writer, PATHS[route], body, fields, manner)
-        wait_s = DEADLINE_S + WAIT_AFTER_DEADLINE_S
+        wait_s = manner.deadline_s + WAIT_AFTER_DEADLINE_S
         async with async_read_slowly(writer, manner):
             answer = await async_read_or_none(reader, wait_s) or HttpAnswer(0, {}, b"", False)
         link = daemon.front.find_link(port)
@@ -116,7 +116,7 @@
             daemon.name,
             sent_at,
             time.monotonic(),
-            sent_at + DEADLINE_S,
+            sent_at + manner.deadline_s,
             answer.status,
             answer.whole,
             answer.body,
--- a/tests/platform_adapter/soak/crash_callers.py
+++ b/tests/platform_adapter/soak/crash_callers.py
@@ -11,7 +11,6 @@
 from standins.crash_rules import SentRequest
 from tests.platform_adapter.local import make_request
 from tests.platform_adapter.soak.callers import (
-    DEADLINE_S,
     PATHS,
     WAIT_AFTER_DEADLINE_S,
     async_open,
@@ -20,6 +19,7 @@
     make_parts,
 )
 from tests.platform_adapter.soak.daemons import Daemon
+from tests.platform_adapter.soak.manners import DEADLINE_S
 from tests.platform_adapter.soak.record import Record
 
 CALM_S: Final = 3.0
--- a/tests/platform_adapter/soak/manners.py
+++ b/tests/platform_adapter/soak/manners.py
@@ -25,6 +25,8 @@
 IDLE_SHARE: Final = 0.1
 IDLE_S: Final = (0.5, 4.0)
 """Shortest and longest time between an answer and the next request on its connection."""
+DEADLINE_S: Final = 5.0
+DEADLINES_S: Final = (DEADLINE_S, DEADLINE_S, 2.0, 1.0)
 LAST_CHUNK: Final = b"0\r\n\r\n"
 
 
@@ -39,6 +41,7 @@
     read_pause_s: float = 0.0
     idle_s: float = 0.0
     """Time for which the connection is left alone before the next request."""
+    deadline_s: float = DEADLINE_S
 
     @property
     def padding(self) -> int:
@@ -52,7 +55,7 @@
     >>> chooser = random.Random(1)
     >>> manners = [choose_manner(chooser) for _ in range(100)]
     >>> [sum(map(bool, each)) for each in zip(*((m.chunk_pauses_s, m.read_pause_s, m.idle_s) for m in manners))]
-    [13, 6, 8]
+    [14, 12, 5]
     """
     pauses: tuple[float, ...] = ()
     if chooser.random() < CHUNKED_SHARE:
@@ -61,7 +64,8 @@
     body_bytes = chooser.choice(BODY_BYTES) if pauses else 0
     read_pause_s = chooser.uniform(*READ_PAUSE_S) if chooser.random() < SLOW_SHARE else 0.0
     idle_s = chooser.uniform(*IDLE_S) if chooser.random() < IDLE_SHARE else 0.0
-    return Manner(pauses, body_bytes, read_pause_s, idle_s)
+    deadline_s = chooser.choice(DEADLINES_S)
+    return Manner(pauses, body_bytes, read_pause_s, idle_s, deadline_s)
 
 
 async def async_send(
