--- a/tests/components/entry/test_leaving.py
+++ b/tests/components/entry/test_leaving.py
@@ -1,8 +1,11 @@
 """Tests which requests a leaving daemon serves and which it refuses at once."""
 
+import asyncio
+
 import pytest
 
-from goldcreststair.components.entry.service import END_FRACTION, ENTRY
+from goldcreststair.clock import Clock, Millis
+from goldcreststair.components.entry.service import ENTRY, compute_serving_ms
 from standins.gateways import GatewayFleet
 from tests.helpers.gateways import async_send, run_fleet
 
@@ -24,12 +27,14 @@
         (LONG_EVENTS, LONG_EVENTS, 0, 5_000, True),
         (VERY_LONG_EVENTS, SHORT_EVENTS, 2_500, 5_000, True),
         (VERY_LONG_EVENTS, SHORT_EVENTS, 3_100, 5_000, False),
-        (LONG_EVENTS, LONG_EVENTS, 3_000, 5_000, True),
+        (LONG_EVENTS, LONG_EVENTS, 2_600, 5_000, True),
+        (LONG_EVENTS, LONG_EVENTS, 3_000, 5_000, False),
         (LONG_EVENTS, LONG_EVENTS, 4_000, 5_000, False),
         (LONG_EVENTS, SHORT_EVENTS, 4_400, 5_000, False),
         (LONG_EVENTS, SHORT_EVENTS, 4_400, 2_000, True),
-        (SHORT_EVENTS, SHORT_EVENTS, 5_000, 5_000, True),
-        (SHORT_EVENTS, SHORT_EVENTS, 6_800, 5_000, False),
+        (SHORT_EVENTS, SHORT_EVENTS, 5_000, 5_000, False),
+        (SHORT_EVENTS, SHORT_EVENTS, 5_000, 2_600, True),
+        (SHORT_EVENTS, SHORT_EVENTS, 7_100, 5_000, False),
         (0, LONG_EVENTS, 4_200, 5_000, False),
         (0, SHORT_EVENTS, 4_200, 2_000, True),
         (SHORT_EVENTS, SHORT_EVENTS, 7_300, 5_000, False),
@@ -55,10 +60,82 @@
         answer = await async_send(fleet, leaving, path, deadline_ms=deadline_ms)
         assert answer.whole == served
         if served:
-            assert answer.ended_at <= began_at + GRACE_MS * END_FRACTION
+            assert answer.ended_at <= began_at + compute_serving_ms(GRACE_MS)
             return
         assert answer.refusal is not None and answer.refusal.not_run
         assert answer.refusal.status == 503 and answer.refusal.retry_after_ms > 0
         assert answer.ended_at - sent_at <= IMMEDIATE_MS
 
     run_fleet(scenario)
+
+
+class EndlessWork:
+    """Work that never ends by itself; implements `LeaveHandler`."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.ended_at: Millis | None = None
+        self._clock = clock
+
+    def begin_leave(self) -> None:
+        """Do nothing."""
+
+    def count_running(self) -> int:
+        return 1
+
+    def stop_accepting(self) -> None:
+        """Do nothing."""
+
+    def end(self) -> None:
+        self.ended_at = self._clock.now()
+
+
+def test_answers_may_use_the_grace_period_up_to_what_ending_takes() -> None:
+    """Guards against answers that are cut while much of the grace period is left."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.add_engines(1)
+        leaving = await fleet.async_add()
+        work = EndlessWork(fleet.clock)
+        entry = leaving.core.get(ENTRY)
+        entry.add_leave_handler(work)
+        began_at = fleet.clock.now()
+        entry.leave()
+        await entry.async_wait()
+        assert work.ended_at is not None
+        assert GRACE_MS - 500 <= work.ended_at - began_at <= GRACE_MS - 300
+
+    run_fleet(scenario)
+
+
+@pytest.mark.parametrize("path", ["/stream/a", "/once/a"])
+@pytest.mark.parametrize("slow_from_ms", [0, 2_900, 4_000])
+def test_streams_begun_late_in_a_leave_end_although_upstreams_become_slow(
+    path: str, slow_from_ms: int
+) -> None:
+    """Guards against streams that are begun because earlier ones were short, and then cut."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = fleet.add_engines(2)
+        leaving, _ = await fleet.async_add_many(2)
+        await fleet.clock.async_sleep(1_000)
+        fleet.engines.events = 10
+        for _ in range(5):
+            assert (await async_send(fleet, leaving, path)).whole
+        leaving.core.get(ENTRY).leave()
+        began_at = fleet.clock.now()
+        await fleet.clock.async_sleep(slow_from_ms)
+        for engine in engines:
+            engine.pace_percent, engine.reports_pace = 1_300, False
+        await fleet.clock.async_sleep(max(0, 3_000 - slow_from_ms))
+        sent = []
+        for _ in range(14):
+            await fleet.clock.async_sleep(100)
+            sent.append(asyncio.create_task(async_send(fleet, leaving, path)))
+        ended_late = [
+            answer
+            for answer in await asyncio.gather(*sent)
+            if answer.refusal is None and answer.ended_at > began_at + compute_serving_ms(GRACE_MS)
+        ]
+        assert not ended_late
+
+    run_fleet(scenario)
