--- a/tests/platform_adapter/soak/excuses.py
+++ b/tests/platform_adapter/soak/excuses.py
@@ -57,15 +57,14 @@
 
 
 def count_in_leaves(record: Record) -> dict[str, int]:
-    """Return how often requests ended in each way whose daemon was leaving when they were sent."""
+    """Return how often requests ended in each way, by s from their daemon's last SIGTERM to their sending."""
     ends = {seen.request: excuse for seen, _, excuse in list_unanswered(record)}
     counts = Counter[str]()
     for seen in record.exchanges:
-        for stop in record.stops:
-            late_s = seen.sent_at - stop.at
-            if stop.daemon == seen.daemon and 0 <= late_s <= GRACE_S:
-                end = ends.get(seen.request, seen.status)
-                counts[f"{int(late_s)} s: {end or 'cut'}"] += 1
+        ages = [seen.sent_at - stop.at for stop in record.stops if stop.daemon == seen.daemon]
+        late_s = min((age for age in ages if age >= 0), default=GRACE_S)
+        if late_s < GRACE_S:
+            counts[f"{int(late_s)} s: {ends.get(seen.request, seen.status) or 'cut'}"] += 1
     return dict(sorted(counts.items()))
 
 
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -7,6 +7,7 @@
 from standins.crash_rules import PartArrival, PartCrash, SentRequest
 from tests.platform_adapter.soak.checker import Promise, find_part_crashes, find_violations
 from tests.platform_adapter.soak.engine import make_event, make_text
+from tests.platform_adapter.soak.excuses import count_in_leaves
 from tests.platform_adapter.soak.record import (
     Absence,
     Attempt,
@@ -359,3 +360,19 @@
     lives = [Lifetime("i-1", "v1", since), OTHER]
     record = Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=lives, began_at=5.0)
     assert find_promises(record) == promises
+
+
+def test_requests_are_counted_by_the_last_sigterm_before_them() -> None:
+    """Guards against a report in which one request counts for two leaves, or a cut for an excused one."""
+    record = Record(
+        [GOOD, replace(GOOD, request="refused", status=503), replace(LOST, request="cut")],
+        stops=[Signal("vm", 5.0), Signal("vm", 8.5), Signal("vm", 10.1), Signal("other", 9.9)],
+    )
+    record.exchanges.append(replace(LOST, request="late", ended_at=15.0, sent_at=8.4))
+    record.exchanges.append(replace(GOOD, request="before", sent_at=4.9))
+    assert count_in_leaves(record) == {
+        "1 s: 200": 1,
+        "1 s: 503": 1,
+        "1 s: cut": 1,
+        "3 s: its deadline passed": 1,
+    }
