Record a killed daemon of the soak as absent from the kill on

The absence began only when the process had been reaped, so that the request counted as sent before it.

--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -127,7 +127,11 @@
         """Kill the process and restart it after `down_s`."""
         async with self._signals:
             self.send(signal.SIGKILL)
+            killed_at = time.monotonic()
             await self._async_end()
+            # It reads nothing more from here on, though its end may be seen later.
+            assert self._absence is not None
+            self._absence.since = killed_at
             await asyncio.sleep(down_s)
             await self.async_start()
 
