--- a/goldcreststair/components/online/service.py
+++ b/goldcreststair/components/online/service.py
@@ -12,13 +12,14 @@
 from goldcreststair.components.limits.protocols import LIMITS
 from goldcreststair.components.online.calls import ServiceRunner
 from goldcreststair.components.online.claiming import ClaimedRunner, make_request_fingerprint
-from goldcreststair.components.online.gate import AdmissionGate
+from goldcreststair.components.online.gate import MIN_RETRY_MS, AdmissionGate
 from goldcreststair.components.online.generation import GenerationRunner
 from goldcreststair.components.online.levels import LevelObserver
 from goldcreststair.components.online.models import GenerateRequest, ServiceRequest
 from goldcreststair.components.online.pressure import PressureMeter
 from goldcreststair.components.online.stream import StreamRecorder
 from goldcreststair.components.routing.protocols import ROUTER
+from goldcreststair.components.shutdown.models import SHUTDOWN, Shutdown
 from goldcreststair.core import ComponentKey, Core
 from goldcreststair.helpers.refusals import Refusal, RefusalCode, clear_not_run
 from goldcreststair.journal import Subject
@@ -30,6 +31,8 @@
 CONTENT_JSON: Final = "application/json"
 CONTENT_EVENTS: Final = "text/event-stream"
 DRAIN_POLL_MS: Final = 50
+REFUSE_MS: Final = 500
+"""Time before the end of a drain in which waiting callers are refused and can still be answered."""
 
 
 class OnlineService:
@@ -38,6 +41,7 @@
     def __init__(self, core: Core) -> None:
         """Look up the components that are set up earlier."""
         self._clock = core.clock
+        self._blackboard = core.blackboard
         self._statistics = core.statistics
         self._journal = core.journal
         self._limits = core.get(LIMITS)
@@ -61,11 +65,14 @@
         """Wait until nothing is in flight, including runs whose caller has disconnected.
 
         A claimed run continues without its caller. A VM that stopped during it would leave a
-        call with an unknown outcome.
+        call with an unknown outcome. Shortly before the deadline, requests that wait for an upstream
+        are refused as not run.
         """
         while self.count_in_flight():
             if self._clock.now() >= deadline_ms:
                 return
+            if self._clock.now() >= deadline_ms - REFUSE_MS:
+                self._gate.close()
             await self._clock.async_sleep(DRAIN_POLL_MS)
 
     async def async_close(self) -> None:
@@ -139,6 +146,12 @@
     async def _async_admit(
         self, identity: Identity, idempotency_key: str, deadline_at: Millis
     ) -> Result[None, Refusal]:
+        shutdown = self._blackboard.find(SHUTDOWN) or Shutdown()
+        if not shutdown.lets_finish(deadline_at, self._clock.now()):
+            # Refused at once, while the caller still has time to try another VM.
+            message = "this VM stops before the answer would be complete"
+            refusal = Refusal(message, RefusalCode.NOT_READY, 503, True, MIN_RETRY_MS)
+            return Err(clear_not_run(refusal) if idempotency_key else refusal)
         admitted = await self._limits.async_admit(identity.customer, deadline_at)
         if isinstance(admitted, Ok):
             return Ok(None)
--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -105,21 +105,21 @@
         If `restarts_after_s` is given, the new process gets a SIGTERM so long after it was started.
         """
         async with self._signals:
-            await self._async_leave()
+            absence = await self.async_leave()
             if restarts_after_s:
                 await self._async_spawn()
-                assert self._absence is not None
-                self._absence.until = time.monotonic()
+                absence.until = time.monotonic()
                 await asyncio.sleep(restarts_after_s)
-                await self._async_leave()
+                await self.async_leave()
             await self.async_start()
 
-    async def _async_leave(self) -> None:
+    async def async_leave(self) -> Absence:
+        """Send SIGTERM and wait for the end as the platform does; returns when the process ended."""
         self._listed_until = time.monotonic() + ADDRESS_CACHE_S
         self.leaving = True
         try:
             self.send(signal.SIGTERM)
-            await self._async_end()
+            return await self._async_end()
         finally:
             self.leaving = False
 
@@ -128,10 +128,9 @@
         async with self._signals:
             self.send(signal.SIGKILL)
             killed_at = time.monotonic()
-            await self._async_end()
+            absence = await self._async_end()
             # It reads nothing more from here on, though its end may be seen later.
-            assert self._absence is not None
-            self._absence.since = killed_at
+            absence.since = killed_at
             await asyncio.sleep(down_s)
             await self.async_start()
 
@@ -172,7 +171,7 @@
                 *self.plan.list_arguments(), stdout=log, stderr=log, env=_make_environment()
             )
 
-    async def _async_end(self) -> None:
+    async def _async_end(self) -> Absence:
         assert self._process is not None
         try:
             await asyncio.wait_for(self._process.wait(), KILL_AFTER_S)
@@ -183,6 +182,7 @@
             await self._process.wait()
         self._absence = Absence(self.name, time.monotonic())
         self.record.absences.append(self._absence)
+        return self._absence
 
     async def _async_wait_ready(self) -> None:
         for _ in range(READY_POLLS):
--- a/tests/platform_adapter/soak/test_daemons.py
+++ b/tests/platform_adapter/soak/test_daemons.py
@@ -8,7 +8,7 @@
 
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
 from tests.platform_adapter.soak.proxy import Proxy
-from tests.platform_adapter.soak.record import Record
+from tests.platform_adapter.soak.record import Absence, Record
 
 REAPED_S = 0.3
 
@@ -25,9 +25,9 @@
         daemon._process = await asyncio.create_subprocess_exec("sleep", "60")
         end = Daemon._async_end
 
-        async def end_late(self: Daemon) -> None:
+        async def end_late(self: Daemon) -> Absence:
             await asyncio.sleep(REAPED_S)
-            await end(self)
+            return await end(self)
 
         async def start(self: Daemon) -> None:
             pass
