--- a/tests/platform_adapter/soak/excuses.py
+++ b/tests/platform_adapter/soak/excuses.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import Final
 
+from tests.platform_adapter.leave_rule import LAST_PART, LATE_SEND_S, LOSS_SLACK_S
 from tests.platform_adapter.soak.engine import split_software
 from tests.platform_adapter.soak.record import GRACE_S, MAX_ATTEMPTS, Attempt, Exchange, Record, Run
 
@@ -12,11 +13,7 @@
 """Deadlines are sent in whole ms."""
 CLOSING_S: Final = 0.6
 """A request sent at most this long before a process ends may arrive after its connection was closed."""
-LOSS_SLACK_S: Final = 0.2
-"""A request that no upstream got may be dropped at most this long after its last byte was sent."""
-LATE_IN_LEAVE_S: Final = 3.0
-"""A request sent at most this long before or after SIGTERM may still run when the grace period ends."""
-LAST_PART_S: Final = GRACE_S * 5 / 6
+LAST_PART_S: Final = GRACE_S * LAST_PART
 """Time after SIGTERM from which running requests may be cut."""
 OLD_LIST_S: Final = 6.0
 """How long after a disturbance a daemon's list of upstreams may still be old: it notices a silent feed after
@@ -192,7 +189,7 @@
         if run.request == seen.request and tried and run.upstream == tried[-1].upstream
     ]
     return any(
-        abs(seen.sent_at - stop.at) <= LATE_IN_LEAVE_S
+        abs(seen.sent_at - stop.at) <= LATE_SEND_S
         and stop.at + LAST_PART_S <= seen.ended_at
         and any(run.ended_at >= stop.at + LAST_PART_S for run in runs)
         for stop in record.stops
