--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -62,6 +62,8 @@
     front: Proxy
     record: Record
     log: Path
+    leaving: bool = False
+    """Whether a SIGTERM was sent and the process still runs."""
     _process: asyncio.subprocess.Process | None = None
     _absence: Absence | None = None
     _listed_until: float = float("inf")
@@ -91,32 +93,44 @@
 
     async def async_start(self) -> None:
         """Start the process and wait until it is ready."""
-        with self.log.open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                *self.plan.list_arguments(), stdout=log, stderr=log, env=_make_environment()
-            )
+        await self._async_spawn()
         await self._async_wait_ready()
         self._listed_until = float("inf")
         if self._absence is not None:
             self._absence.until = time.monotonic()
 
-    async def async_stop(self) -> None:
-        """Send SIGTERM, wait for the end as the platform does, and restart the process."""
+    async def async_stop(self, restarts_after_s: float = 0.0) -> None:
+        """Send SIGTERM, wait for the end as the platform does, and restart the process.
+
+        If `restarts_after_s` is given, the new process gets a SIGTERM so long after it was started.
+        """
         async with self._signals:
-            await self.async_leave()
+            absence = await self.async_leave()
+            if restarts_after_s:
+                await self._async_spawn()
+                absence.until = time.monotonic()
+                await asyncio.sleep(restarts_after_s)
+                await self.async_leave()
             await self.async_start()
 
     async def async_leave(self) -> Absence:
         """Send SIGTERM and wait for the end as the platform does; returns when the process ended."""
         self._listed_until = time.monotonic() + ADDRESS_CACHE_S
-        self.send(signal.SIGTERM)
-        return await self._async_end()
+        self.leaving = True
+        try:
+            self.send(signal.SIGTERM)
+            return await self._async_end()
+        finally:
+            self.leaving = False
 
     async def async_kill(self, down_s: float) -> None:
         """Kill the process and restart it after `down_s`."""
         async with self._signals:
             self.send(signal.SIGKILL)
-            await self._async_end()
+            killed_at = time.monotonic()
+            absence = await self._async_end()
+            # It reads nothing more from here on, though its end may be seen later.
+            absence.since = killed_at
             await asyncio.sleep(down_s)
             await self.async_start()
 
@@ -139,14 +153,24 @@
             await self._process.wait()
 
     def send(self, number: signal.Signals) -> None:
-        """Send the process a signal, if it runs."""
+        """Send the process a signal, if it runs, and record a SIGTERM or SIGKILL."""
         signals = {signal.SIGTERM: self.record.stops, signal.SIGKILL: self.record.kills}
         if number in signals:
             signals[number].append(Signal(self.name, time.monotonic()))
+        self.repeat(number)
+
+    def repeat(self, number: signal.Signals) -> None:
+        """Send the process a signal, if it runs, that gives it no more time."""
         if self._process is not None:
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
+    async def _async_spawn(self) -> None:
+        with self.log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                *self.plan.list_arguments(), stdout=log, stderr=log, env=_make_environment()
+            )
+
     async def _async_end(self) -> Absence:
         assert self._process is not None
         try:
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -7,6 +7,7 @@
 from standins.crash_rules import PartArrival, PartCrash, SentRequest
 from tests.platform_adapter.soak.checker import Promise, find_part_crashes, find_violations
 from tests.platform_adapter.soak.engine import make_event, make_text
+from tests.platform_adapter.soak.excuses import count_in_leaves
 from tests.platform_adapter.soak.record import (
     Absence,
     Attempt,
@@ -22,12 +23,12 @@
 WHOLE = make_text("r", 3)
 GOOD = Exchange("r", "stream", "vm", 10.0, 11.0, 15.0, 200, True, WHOLE, WHOLE)
 LOST = replace(GOOD, whole=False, body=b"")
-UNREAD = replace(LOST, status=0)
+UNREAD = replace(LOST, status=0, ended_at=10.15)
 OTHER = Lifetime("i-2", "v1", 0.0)
 BEGUN = replace(LOST, body=make_event("r", 1, "v1"))
 FIRST, LAST = Attempt("r", "i-1", 10.1), Attempt("r", "i-2", 10.2)
 REFUSED = Attempt("r", "i-3", 10.3)
-BROKEN_FIRST, BROKEN_LAST = replace(FIRST, broken=True), replace(LAST, broken=True)
+BROKEN_FIRST, BROKEN_LAST = replace(FIRST, broken_at=10.3), replace(LAST, broken_at=10.3)
 ITEM = Item("j", "r", "text")
 LATE_RUN = Run("r", "i-1", 10.1, 16.8)
 
@@ -44,15 +45,18 @@
         Record([UNREAD]),
         Record([LOST], attempts=[BROKEN_FIRST]),
         Record([LOST], attempts=[BROKEN_FIRST, LAST]),
+        Record([LOST], attempts=[BROKEN_FIRST, replace(LAST, broken_at=11.1)]),
         Record([LOST], attempts=[BROKEN_FIRST, REFUSED], refusals=[Run("r", "i-3", 10.4)]),
+        Record([replace(LOST, ended_at=14.95)]),
         Record([LOST], kills=[Signal("other", 10.5)]),
         Record([LOST], kills=[Signal("vm", 11.5)]),
         Record([LOST], stops=[Signal("vm", 9.0)]),
-        Record([LOST], stops=[Signal("vm", 9.0)], runs=[replace(LATE_RUN, ended_at=11.0)]),
-        Record([LOST], stops=[Signal("vm", 6.5)], runs=[LATE_RUN]),
+        Record([LOST], stops=[Signal("vm", 9.0)], runs=[LATE_RUN], attempts=[FIRST]),
         Record([LOST], absences=[Absence("vm", 10.1)]),
         Record([UNREAD], absences=[Absence("vm", 10.1)], attempts=[FIRST]),
         Record([UNREAD], absences=[Absence("vm", 11.1)]),
+        Record([replace(UNREAD, ended_at=10.3)], absences=[Absence("vm", 10.3)]),
+        Record([replace(UNREAD, status=200)], absences=[Absence("vm", 10.1)]),
         Record([UNREAD], absences=[Absence("vm", 8.0, 9.9)]),
         Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=[OTHER]),
         Record(
@@ -89,8 +93,14 @@
             refusals=[Run("r", "i-3", 10.4)],
         ),
         Record([replace(LOST, route="once")], attempts=[BROKEN_FIRST]),
-        Record([LOST], stops=[Signal("vm", 9.0)], runs=[LATE_RUN]),
         Record([UNREAD], absences=[Absence("vm", 10.1)]),
+        Record([replace(UNREAD, ended_at=10.8)], absences=[Absence("vm", 9.0)]),
+        Record([replace(UNREAD, body_sent_at=10.3, ended_at=10.4)], absences=[Absence("vm", 10.4)]),
+        Record(
+            [replace(UNREAD, ended_at=10.4)],
+            absences=[Absence("vm", 10.1)],
+            caller_delays=[Absence("vm", 9.0, 10.1)],
+        ),
         Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=[Lifetime("i-2", "v2", 0.0)]),
         Record(
             [BEGUN],
@@ -111,6 +121,53 @@
     assert find_promises(record) == []
 
 
+def make_late_record(
+    *,
+    stopped_at: float = 9.0,
+    daemon: str = "vm",
+    cut_at: float = 16.2,
+    run: Run | None = LATE_RUN,
+    last: Attempt = FIRST,
+) -> Record:
+    """Return a record with a request that is cut in a leave; its deadline is later."""
+    seen = replace(LOST, ended_at=cut_at, deadline_at=20.0)
+    runs = [run] if run is not None else []
+    return Record([seen], [last], runs, stops=[Signal(daemon, stopped_at)])
+
+
+@pytest.mark.parametrize(
+    ("record", "promises"),
+    [
+        pytest.param(make_late_record(), [], id="sent after SIGTERM, at work to the end"),
+        pytest.param(make_late_record(stopped_at=12.0), [Promise.ANSWERED], id="cut too early"),
+        pytest.param(
+            make_late_record(stopped_at=12.0, cut_at=18.7, run=replace(LATE_RUN, ended_at=18.7)),
+            [],
+            id="sent before SIGTERM",
+        ),
+        pytest.param(make_late_record(stopped_at=7.0), [], id="sent 3 s after SIGTERM"),
+        pytest.param(make_late_record(stopped_at=6.9), [Promise.ANSWERED], id="sent later"),
+        pytest.param(
+            make_late_record(daemon="other"), [Promise.ANSWERED], id="another daemon left"
+        ),
+        pytest.param(make_late_record(cut_at=15.6), [Promise.ANSWERED], id="upstream noticed late"),
+        pytest.param(make_late_record(cut_at=15.7), [], id="cut in the last sixth"),
+        pytest.param(
+            make_late_record(run=replace(LATE_RUN, ended_at=15.6)),
+            [Promise.ANSWERED],
+            id="upstream was done",
+        ),
+        pytest.param(make_late_record(run=None), [Promise.ANSWERED], id="no upstream began"),
+        pytest.param(
+            make_late_record(last=LAST), [Promise.ANSWERED], id="an earlier upstream was at work"
+        ),
+    ],
+)
+def test_a_cut_in_a_leave_is_excused_only_late(record: Record, promises: list[Promise]) -> None:
+    """Guards against cuts that a leave excuses although their answers could have ended in it."""
+    assert find_promises(record) == promises
+
+
 @pytest.mark.parametrize(
     "body",
     [
@@ -303,3 +360,19 @@
     lives = [Lifetime("i-1", "v1", since), OTHER]
     record = Record([BEGUN], attempts=[BROKEN_FIRST], lifetimes=lives, began_at=5.0)
     assert find_promises(record) == promises
+
+
+def test_requests_are_counted_by_the_last_sigterm_before_them() -> None:
+    """Guards against a report in which one request counts for two leaves, or a cut for an excused one."""
+    record = Record(
+        [GOOD, replace(GOOD, request="refused", status=503), replace(LOST, request="cut")],
+        stops=[Signal("vm", 5.0), Signal("vm", 8.5), Signal("vm", 10.1), Signal("other", 9.9)],
+    )
+    record.exchanges.append(replace(LOST, request="late", ended_at=15.0, sent_at=8.4))
+    record.exchanges.append(replace(GOOD, request="before", sent_at=4.9))
+    assert count_in_leaves(record) == {
+        "1 s: 200": 1,
+        "1 s: 503": 1,
+        "1 s: cut": 1,
+        "3 s: its deadline passed": 1,
+    }
