--- a/tests/platform_adapter/test_leaving.py
+++ b/tests/platform_adapter/test_leaving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -20,6 +21,8 @@
 LARGE_BYTES = 12_000_000
 """More than the kernel buffers for one connection."""
 GRACE_MS = 1_000
+HELD_S = 0.3
+"""Longer than from the begin of the hold to the end of the leave."""
 
 
 async def async_leave(local: LocalGateway) -> None:
@@ -157,3 +160,28 @@
     seen = {name: fields[name] for name in ("request", "reason", "route", "begun")}
     assert seen == {"request": "cut", "reason": cause, "route": "r-once", "begun": True}
     assert (fields["leaving_ms"] is not None) == (leaving == "yes")
+
+
+@pytest.mark.parametrize("connections", [1, 20])
+@pytest.mark.parametrize("held_from_s", [0.35, 0.54])
+def test_requests_read_in_the_step_that_ends_a_leave_are_answered(
+    connections: int, held_from_s: float
+) -> None:
+    """Guards against requests that were read completely and whose connections end without an answer."""
+
+    async def scenario(local: LocalGateway) -> None:
+        opened = [await local.async_open() for _ in range(connections)]
+
+        def hold_loop() -> None:
+            for number, (_, writer) in enumerate(opened):
+                writer.write(make_request("POST", "/once/x", headers={"Request-Id": f"r{number}"}))
+            time.sleep(HELD_S)
+
+        leaving = asyncio.create_task(async_leave(local))
+        await asyncio.sleep(0)
+        asyncio.get_running_loop().call_later(held_from_s, hold_loop)
+        answers = [await async_read_or_none(reader) for reader, _ in opened]
+        assert all(answer is not None and answer.whole for answer in answers)
+        await leaving
+
+    run_local(scenario)
