--- a/goldcreststair/components/forwarding/leave.py
+++ b/goldcreststair/components/forwarding/leave.py
@@ -26,8 +26,8 @@
     if ends_at <= own.stops_at:
         return AdmissionBasis.DEADLINE
     # Past run times bound nothing: upstreams may slow down at any moment. They decide only while a
-    # refused caller may be sent here again, and only for requests that survive a cut, as their callers
-    # can repeat or resume them at another VM.
+    # refused caller may be sent here again, and only for requests that callers can repeat or resume at
+    # another VM after a cut.
     is_advertised = own.advertised_until is not None and now < own.advertised_until
     if is_advertised and route.repeatable and now + read_run_ms() <= own.stops_at:
         return AdmissionBasis.RUN_TIME
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -22,7 +22,6 @@
     PLACEMENT_RETRY_MS,
 )
 from goldcreststair.components.forwarding.crash_reports import CrashReports
-from goldcreststair.components.forwarding.cuts import CutCause, read_cause
 from goldcreststair.components.forwarding.models import RequestProgress
 from goldcreststair.components.forwarding.outcome_report import OutcomeReport
 from goldcreststair.components.forwarding.protocols import Responder
@@ -59,6 +58,7 @@
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.abortable import AbortableWait
+from goldcreststair.helpers.cuts import CutCause, read_cause
 from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.answers import STATUS_OK, AnswerState
--- a/goldcreststair/components/reader_buffers/service.py
+++ b/goldcreststair/components/reader_buffers/service.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from goldcreststair.components.features.protocols import FEATURES
-from goldcreststair.components.forwarding.cuts import CutCause
 from goldcreststair.components.reader_buffers.buffer import BufferedResponder
 from goldcreststair.components.reader_buffers.controller import (
     BufferController,
@@ -20,6 +19,7 @@
 from goldcreststair.components.reader_buffers.protocols import Serve
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
+from goldcreststair.helpers.cuts import CutCause
 
 if TYPE_CHECKING:
     from goldcreststair.components.forwarding.protocols import Responder
