Wait for a busy engine to accept before its whole answer counts as cut

Callers saw a stream of one attempt end without its last chunk, although its engine had sent all of it.

Cause: an answer that has no length ends with its connection, as one that is cut by a crash does, so the daemon opens another connection to tell the two apart. It waited for 300 ms. An engine whose queue of connections is full takes longer: the kernel drops the first packet, and the second one is sent after a second. The answer counted as lost, and the caller's connection was closed.

Now the check may take 1.5 s, within the time of the request.

Before the change the test, with a full queue of connections for 0.5 s, gave "connection closed, and no new one is accepted".

--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -1,5 +1,6 @@
 """Runs a request at one upstream over persistent connections and classifies failures."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable
 from dataclasses import dataclass
@@ -8,6 +9,7 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.http_connection import ResponseHooks
 from goldcreststair.http_exchange import Exchange, ExchangeError, ExchangeFailure
 from goldcreststair.http_pool import ConnectionPool
@@ -19,6 +21,9 @@
 CONNECT_TIMEOUT_MS: Final = 300
 """A healthy upstream accepts within a few ms, even in another data centre. A lost packet is
 retransmitted only after a second, so another upstream is faster by then."""
+CONFIRM_TIMEOUT_MS: Final = 1_500
+"""The same behind an answer that ended with its connection. An upstream that is down refuses; one whose queue of
+connections is full drops the first packet, and gets the second one after a second."""
 STATUS_OK: Final = 200
 
 _FAILURES: Final = {
@@ -150,6 +155,8 @@
 
     A crash ends the connection as the end of such an answer does.
     """
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + call.deadline_ms / MS_PER_SECOND
     try:
         end = await runner.async_run(address, call, sink)
     # Without this, what one upstream sends or registers could end requests that others can run.
@@ -158,7 +165,9 @@
         return Err(UpstreamError(f"run failed: {error!r}", UpstreamFailure.INCOMPLETE))
     if isinstance(end, Err) or not end.ok_value.ended_by_close:
         return end
-    if await runner.pool.async_warm(address, CONNECT_TIMEOUT_MS):
+    left_ms = int((ends_at - loop.time()) * MS_PER_SECOND)
+    timeout_ms = max(CONNECT_TIMEOUT_MS, min(CONFIRM_TIMEOUT_MS, left_ms))
+    if await runner.pool.async_warm(address, timeout_ms):
         return end
     message = "connection closed, and no new one is accepted"
     return Err(UpstreamError(message, UpstreamFailure.LOST))
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -1,6 +1,7 @@
 """Runs over keep-alive connections against an engine that answers wrongly."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -13,7 +14,7 @@
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, UpstreamRunner, async_run_checked
 from tests.helpers.virtual_time import ManualClock
-from tests.platform_adapter.wire_engine import EngineFault, WireEngine, make_event
+from tests.platform_adapter.wire_engine import EngineFault, WireEngine, make_event, make_head
 
 
 class Sink:
@@ -177,6 +178,38 @@
     run_engine(scenario)
 
 
+def test_an_answer_without_a_length_is_complete_if_its_engine_accepts_late() -> None:
+    """Guards against a whole stream that is cut, as its engine had no room for another connection at its end."""
+
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listening:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen(0)
+            listening.setblocking(False)
+            host, port = listening.getsockname()
+            sink = Sink()
+            address = f"{host}:{port}"
+            running = asyncio.create_task(async_run_checked(runner, address, make_call(), sink))
+            served, _ = await loop.sock_accept(listening)
+            await loop.sock_recv(served, 65_536)
+            # One of them fills the queue, so that the kernel drops what the next one sends.
+            waiting = [socket.socket() for _ in range(2)]
+            for each in waiting:
+                each.setblocking(False)
+                each.connect_ex((host, port))
+            await loop.sock_sendall(served, make_head(200, "r1", "Connection: close") + WHOLE)
+            served.close()
+            await asyncio.sleep(0.5)
+            first, _ = await loop.sock_accept(listening)
+            end = await running
+            for each in (*waiting, first):
+                each.close()
+        assert isinstance(end, Ok) and sink.data == WHOLE
+
+    run_engine(scenario)
+
+
 def test_a_connection_whose_engine_answered_before_it_read_the_body_is_not_reused() -> None:
     """Guards against an engine that takes the next request for the rest of a body.
 
