Do not reuse a connection on which a body is still being sent

Callers' requests waited behind the rest of another request's body: an engine had answered before it had read that body, and the connection was used for the next request. A stream of one attempt may lose its time so, or its answer if the engine closes the connection instead.

Cause: the check for unsent bytes looked at the buffer of this process only. The kernel takes over some MB, so that a body of up to that length seemed to be delivered.

Now the bytes that the kernel still has to deliver count as well, where the request was long. The answer of an engine that has read its request comes with the acknowledgement of all of it: connections on which 2,000,000 bytes were sent are reused, as the test of reuse now shows.

The engine of the tests stops reading for 200 ms behind its early answer; the case of 8,000,000 bytes stays.

--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -375,7 +375,10 @@
         reusable = reader.complete and reader.keeps_alive
         reusable = reusable and not (reader.has_extra_response or self._unusable)
         # An upstream may respond before it has read a long body, and still expects the rest of it.
-        return outcome, reusable and not self.transport.get_write_buffer_size()
+        return outcome, reusable and self._is_delivered()
+
+    def _is_delivered(self) -> bool:
+        return not self.transport.get_write_buffer_size() and self._send_timeout.is_delivered()
 
 
 def _encode(exchange: Exchange) -> bytes:
--- a/goldcreststair/send_timeout.py
+++ b/goldcreststair/send_timeout.py
@@ -67,6 +67,10 @@
         self._apply(NO_TIMEOUT_MS)
         self._arm()
 
+    def is_delivered(self) -> bool:
+        """Return whether the kernel of the peer has everything that the kernel took over here."""
+        return self._timer is None or not _count_queued(self._socket)
+
     def close(self) -> None:
         """Stop watching."""
         if self._timer is not None:
@@ -90,10 +94,13 @@
         set_user_timeout(self._socket, timeout_ms)
 
 
+def _count_queued(sock: socket.socket) -> int:
+    """Return the number of bytes in a socket's send queue; raises `OSError`."""
+    queued = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
+    return int(struct.unpack("i", queued)[0])
+
+
 def _read_state(sock: socket.socket) -> SendState:
     """Read the state of a TCP socket; raises `OSError`."""
-    queued = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
     info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _IN_FLIGHT_OFFSET + 4)
-    return SendState(
-        int(struct.unpack("i", queued)[0]), int(struct.unpack_from("I", info, _IN_FLIGHT_OFFSET)[0])
-    )
+    return SendState(_count_queued(sock), int(struct.unpack_from("I", info, _IN_FLIGHT_OFFSET)[0]))
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -102,10 +102,12 @@
     run_engine(scenario)
 
 
-def test_connections_are_reused() -> None:
+@pytest.mark.parametrize("size", [4, 100_000, 2_000_000])
+def test_connections_are_reused(size: int) -> None:
     async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
         for number in range(5):
-            end, _ = await async_run_call(engine, runner, make_call(f"r{number}"))
+            call = make_call(f"r{number}", body=b"x" * size)
+            end, _ = await async_run_call(engine, runner, call)
             assert isinstance(end, Ok)
         assert engine.connections == 1
 
@@ -210,16 +212,19 @@
     run_engine(scenario)
 
 
-def test_a_connection_whose_engine_answered_before_it_read_the_body_is_not_reused() -> None:
-    """Guards against an engine that takes the next request for the rest of a body.
+@pytest.mark.parametrize("size", [1_000_000, 8_000_000], ids=["in the kernel", "in this process"])
+def test_a_connection_whose_engine_answered_before_it_read_the_body_is_not_reused(
+    size: int,
+) -> None:
+    """Guards against an engine that takes the next request for the rest of a body, or reads it seconds later.
 
     It answers a failure before it has read a long body, and reads on: another request on that connection
-    would be read as part of the body.
+    would be read as part of the body, or after the rest of it.
     """
 
     async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
         engine.faults = [EngineFault.EARLY]
-        end, _ = await async_run_call(engine, runner, make_call("r1", body=b"x" * 8_000_000))
+        end, _ = await async_run_call(engine, runner, make_call("r1", body=b"x" * size))
         assert isinstance(end, Ok) and end.ok_value.head.status == 500
         again, sink = await async_run_call(engine, runner, make_call("r2"))
         assert isinstance(again, Ok) and sink.data == WHOLE
--- a/tests/platform_adapter/wire_engine.py
+++ b/tests/platform_adapter/wire_engine.py
@@ -11,6 +11,8 @@
 PIECE_GAP_S: Final = 0.02
 """Time between two pieces that are to be read apart."""
 STALL_S: Final = 1.2
+EARLY_S: Final = 0.2
+"""Time between an early answer and the rest of the body."""
 LATE_READ_S: Final = 3.0
 """Longer than sent bytes may remain unacknowledged."""
 
@@ -122,8 +124,10 @@
         fault = self.faults.pop(0) if self.faults else EngineFault.NONE
         request_id = headers.get("Request-Id", "")
         if fault is EngineFault.EARLY:
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
             writer.write(make_head(500, request_id, "Content-Length: 3") + b"bad")
-            await writer.drain()
+            await asyncio.sleep(EARLY_S)
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
         if fault is EngineFault.READS_LATE:
             return await self._async_read_late(reader, writer, head[0], headers)
         body = await reader.readexactly(int(headers.get("Content-Length", "0")))
