Test begun streams through crash verdicts and the silence of their engine

A stream of one attempt, and one of two without another engine, go on after 3.5 s of silence, with a short body and with one that the engine's kernel holds back. A crash verdict on their prompt, or another request that finds their engine down, ends none of them.

--- a/tests/platform_adapter/test_begun_streams.py
+++ b/tests/platform_adapter/test_begun_streams.py
@@ -8,6 +8,8 @@
 import orjson
 import pytest
 
+from goldcreststair.components.crash_marks.service import CRASH_TRACKER
+from goldcreststair.components.placement.service import PLACEMENT
 from goldcreststair.store.rows import RowKey
 from tests.platform_adapter.local import (
     CONFIG,
@@ -48,6 +50,24 @@
     run_local(scenario, make_config())
 
 
+SILENT_S = 3.5
+"""Longer than any timeout on the silence of an upstream or of a connection."""
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/stream/x"])
+@pytest.mark.parametrize("body", [b"body", LONG_BODY], ids=["short", "long"])
+def test_stream_of_the_only_engine_outlives_its_silence(path: str, body: bytes) -> None:
+    """Guards against a stream that is ended for a silence of its engine, which nobody could replace."""
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.events, local.engine.pause_s = 1, SILENT_S
+        answer = await local.async_call("POST", path, body, DEADLINE)
+        assert (answer.status, answer.whole, answer.body) == (200, True, make_event(1))
+        assert len(local.engine.seen) == 1
+
+    run_local(scenario, make_config())
+
+
 EVENTS = 10
 PAUSE_S = 0.12
 LONG_WHOLE = b"".join(make_event(number) for number in range(1, EVENTS + 1))
@@ -91,6 +111,21 @@
     config["services"][0]["max_conns"] = 1
 
 
+def refuse_suspects(local: LocalGateway) -> None:
+    """Let a crash verdict fall on all that runs."""
+    tracker = local.gateway.core.get(CRASH_TRACKER)
+    for guard in tuple(tracker._guards):
+        guard.on_refused()
+
+
+def mark_upstream_down(local: LocalGateway) -> None:
+    """Let another request find that the engine refuses connections; the events that follow refute it."""
+    placement = local.gateway.core.get(PLACEMENT)
+    entry = placement.controller.upstreams.find(local.engine.name)
+    assert entry is not None
+    placement.mark_down(entry, "refused", "r9", refuses_connections=True)
+
+
 CHANGES: dict[str, tuple[Callable[[LocalGateway], None], int]] = {
     "route dropped": (lambda local: put_config(local, drop_route), 404),
     "route moved": (lambda local: put_config(local, move_route), 503),
@@ -112,6 +147,8 @@
         lambda local: local.store.store.put(RowKey("op", "", "evacuate/dc-a"), b"{}"),
         503,
     ),
+    "crash verdict": (refuse_suspects, 200),
+    "upstream found down": (mark_upstream_down, 200),
     "feed lost its history": (lambda local: local.store.store.drop_history(), 200),
     "store lost": (lambda local: local.store.stop(), 200),
     "idle connections closed": (lambda local: local.gateway.core.runner.pool.close(), 200),
