Fill the queue of connections in a test with one connection only

The test of an engine that accepts late failed in one run of many tests: two connections waited, and the second one, whose first packet the kernel had dropped as well, could take the room that the test made, before the daemon's own second packet.

--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -195,18 +195,15 @@
             running = asyncio.create_task(async_run_checked(runner, address, make_call(), sink))
             served, _ = await loop.sock_accept(listening)
             await loop.sock_recv(served, 65_536)
-            # One of them fills the queue, so that the kernel drops what the next one sends.
-            waiting = [socket.socket() for _ in range(2)]
-            for each in waiting:
-                each.setblocking(False)
-                each.connect_ex((host, port))
+            # It fills the queue, so that the kernel drops the first packet of the next one.
+            waiting = socket.create_connection((host, port))
             await loop.sock_sendall(served, make_head(200, "r1", "Connection: close") + WHOLE)
             served.close()
             await asyncio.sleep(0.5)
             first, _ = await loop.sock_accept(listening)
             end = await running
-            for each in (*waiting, first):
-                each.close()
+            waiting.close()
+            first.close()
         assert isinstance(end, Ok) and sink.data == WHOLE
 
     run_engine(scenario)
