--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -1,6 +1,7 @@
 """Runs over keep-alive connections against an engine that answers wrongly."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -13,7 +14,7 @@
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, UpstreamRunner, async_run_checked
 from tests.helpers.virtual_time import ManualClock
-from tests.platform_adapter.wire_engine import EngineFault, WireEngine, make_event
+from tests.platform_adapter.wire_engine import EngineFault, WireEngine, make_event, make_head
 
 
 class Sink:
@@ -101,10 +102,12 @@
     run_engine(scenario)
 
 
-def test_connections_are_reused() -> None:
+@pytest.mark.parametrize("size", [4, 100_000, 2_000_000])
+def test_connections_are_reused(size: int) -> None:
     async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
         for number in range(5):
-            end, _ = await async_run_call(engine, runner, make_call(f"r{number}"))
+            call = make_call(f"r{number}", body=b"x" * size)
+            end, _ = await async_run_call(engine, runner, call)
             assert isinstance(end, Ok)
         assert engine.connections == 1
 
@@ -177,16 +180,48 @@
     run_engine(scenario)
 
 
-def test_a_connection_whose_engine_answered_before_it_read_the_body_is_not_reused() -> None:
-    """Guards against an engine that takes the next request for the rest of a body.
+def test_an_answer_without_a_length_is_complete_if_its_engine_accepts_late() -> None:
+    """Guards against a whole stream that is cut, as its engine had no room for another connection at its end."""
+
+    async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listening:
+            listening.bind(("127.0.0.1", 0))
+            listening.listen(0)
+            listening.setblocking(False)
+            host, port = listening.getsockname()
+            sink = Sink()
+            address = f"{host}:{port}"
+            running = asyncio.create_task(async_run_checked(runner, address, make_call(), sink))
+            served, _ = await loop.sock_accept(listening)
+            await loop.sock_recv(served, 65_536)
+            # It fills the queue, so that the kernel drops the first packet of the next one.
+            waiting = socket.create_connection((host, port))
+            await loop.sock_sendall(served, make_head(200, "r1", "Connection: close") + WHOLE)
+            served.close()
+            await asyncio.sleep(0.5)
+            first, _ = await loop.sock_accept(listening)
+            end = await running
+            waiting.close()
+            first.close()
+        assert isinstance(end, Ok) and sink.data == WHOLE
+
+    run_engine(scenario)
+
+
+@pytest.mark.parametrize("size", [1_000_000, 8_000_000], ids=["in the kernel", "in this process"])
+def test_a_connection_whose_engine_answered_before_it_read_the_body_is_not_reused(
+    size: int,
+) -> None:
+    """Guards against an engine that takes the next request for the rest of a body, or reads it seconds later.
 
     It answers a failure before it has read a long body, and reads on: another request on that connection
-    would be read as part of the body.
+    would be read as part of the body, or after the rest of it.
     """
 
     async def scenario(engine: WireEngine, runner: UpstreamRunner) -> None:
         engine.faults = [EngineFault.EARLY]
-        end, _ = await async_run_call(engine, runner, make_call("r1", body=b"x" * 8_000_000))
+        end, _ = await async_run_call(engine, runner, make_call("r1", body=b"x" * size))
         assert isinstance(end, Ok) and end.ok_value.head.status == 500
         again, sink = await async_run_call(engine, runner, make_call("r2"))
         assert isinstance(again, Ok) and sink.data == WHOLE
