--- a/tests/platform_adapter/test_early_listener.py
+++ b/tests/platform_adapter/test_early_listener.py
@@ -2,6 +2,7 @@
 
 import http.client
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -41,8 +42,9 @@
     return path
 
 
-def test_a_request_sent_during_the_imports_is_answered(tmp_path: Path) -> None:
-    """Guards against callers whose attempts are all refused while all VMs restart at once."""
+@pytest.mark.parametrize("reloaded", [False, True], ids=["undisturbed", "SIGHUP"])
+def test_a_request_sent_during_the_imports_is_answered(tmp_path: Path, reloaded: bool) -> None:
+    """Guards against callers whose attempts are all refused while all VMs restart, or are told to reload, at once."""
     port, gate = find_port(), tmp_path / "gate"
     settings = write_settings(tmp_path / "settings.toml", f"127.0.0.1:{port}")
     command = [sys.executable, "-c", GATED_START, str(gate)]
@@ -57,6 +59,8 @@
             except ConnectionRefusedError:
                 time.sleep(0.01)
         caller.request("POST", "/x/", b"", {"Request-Id": "r", "Deadline-Ms": "20000"})
+        if reloaded:
+            process.send_signal(signal.SIGHUP)
         gate.touch()
         assert caller.getresponse().status == 503
     finally:
