Look for free ports at the address that a daemon listens on

The search for a free port asked at 127.0.0.1 only, while the daemons of a site listen on addresses of their own. It now asks there.

--- a/tests/platform_adapter/leave_site.py
+++ b/tests/platform_adapter/leave_site.py
@@ -149,8 +149,8 @@
         for address in addresses:
             plan = DaemonPlan(
                 address,
-                find_port(),
-                find_port(),
+                find_port(address),
+                find_port(address),
                 peer_port,
                 self.store.address,
                 tuple(addresses[:SEEDS]),
--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -90,13 +90,13 @@
 """Below the ports that the system assigns to outgoing connections."""
 
 
-def find_port() -> int:
-    """Return a port that is free now, and that no connection of another test takes meanwhile."""
+def find_port(address: str = "127.0.0.1") -> int:
+    """Return a port that is free at an address now, and that no connection of another test takes meanwhile."""
     while True:
         port = random.randrange(*UNASSIGNED_PORTS)
         with socket.socket() as probe:
             try:
-                probe.bind(("127.0.0.1", port))
+                probe.bind((address, port))
             except OSError:
                 continue
         return port
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -218,8 +218,8 @@
         store = await self._async_add_proxy(f"{STORE_PROXY}{address}", self.store.address)
         plan = DaemonPlan(
             address,
-            find_port(),
-            find_port(),
+            find_port(address),
+            find_port(address),
             peer_port,
             store.address,
             tuple(self._list_addresses()[:SEEDS]),
