--- a/tests/platform_adapter/measure_leave.py
+++ b/tests/platform_adapter/measure_leave.py
@@ -23,6 +23,7 @@
 import orjson
 from cyclopts import App
 
+from tests.platform_adapter.busy import async_start_busy
 from tests.platform_adapter.leave_rule import CutRequest, is_lost
 from tests.platform_adapter.leave_site import (
     DEADLINE_S,
@@ -32,7 +33,6 @@
     async_open_leave_site,
     async_slow_down,
 )
-from tests.platform_adapter.measure_quota import async_start_busy
 from tests.platform_adapter.soak.daemons import Daemon
 from tests.platform_adapter.soak.record import GRACE_S
 
--- a/tests/platform_adapter/measure_quota.py
+++ b/tests/platform_adapter/measure_quota.py
@@ -9,7 +9,6 @@
 import os
 import random
 import signal
-import sys
 import tempfile
 import time
 from collections import Counter
@@ -19,6 +18,7 @@
 from cyclopts import App
 
 from standins.measure.quotas import WINDOW_MS, choose_load
+from tests.platform_adapter.busy import async_start_busy
 from tests.platform_adapter.local import CONFIG, find_port, make_request
 from tests.platform_adapter.soak import __main__ as soak
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
@@ -90,14 +90,6 @@
     return config
 
 
-async def async_start_busy(count: int) -> list[asyncio.subprocess.Process]:
-    """Start processes that each use one processor; the caller kills them."""
-    return [
-        await asyncio.create_subprocess_exec(sys.executable, "-c", "while True: pass")
-        for _ in range(count)
-    ]
-
-
 async def async_throttle(daemon: Daemon, stopped_ms: int, rng: random.Random) -> None:
     """Let a daemon run for 100 ms at a time, as on a core whose share is used up."""
     while True:
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -21,6 +21,7 @@
 from goldcreststair.store.rows import RowKey
 from standins.crash_rules import read_begun_share
 from standins.rows import FakeRowStore
+from tests.platform_adapter.busy import async_keep_busy
 from tests.platform_adapter.local import CONFIG, find_port, register
 from tests.platform_adapter.soak.callers import PAUSES_MS, Caller, async_read_jobs
 from tests.platform_adapter.soak.checker import (
@@ -50,7 +51,6 @@
     SHORT_PAUSES_MS,
     LeavePlan,
     LeaveRunner,
-    async_keep_busy,
     plan_leaves,
 )
 from tests.platform_adapter.soak.proxy import Proxy
--- a/tests/platform_adapter/soak/leaves.py
+++ b/tests/platform_adapter/soak/leaves.py
@@ -1,12 +1,10 @@
 """Seeded leaves of daemons, and what happens around them."""
 
 import asyncio
-import contextlib
 import random
 import signal
-import sys
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Final
@@ -130,21 +128,6 @@
             yield Step(moment_s, kind, other, lasts_s, factor, share)
 
 
-@contextlib.asynccontextmanager
-async def async_keep_busy(count: int) -> AsyncIterator[None]:
-    """Run processes that never sleep."""
-    processes = [
-        await asyncio.create_subprocess_exec(sys.executable, "-c", "while True: pass")
-        for _ in range(count)
-    ]
-    try:
-        yield
-    finally:
-        for process in processes:
-            process.kill()
-            await process.wait()
-
-
 @dataclass(slots=True)
 class LeaveRunner:
     """Carries out planned leaves."""
