Infer a stream's version only from a list that is confirmed now

Callers of a stream that broke and that they took up at a VM out of step got its rest from another software version: upstreams of a new version had joined, the stream had begun there through another VM, and the VM that was asked knew the old version only.

A daemon takes a stream that it doesn't know for one of the only version that it has seen for a minute. It trusted its list of upstreams for three seconds after the last answer of the store, and by the time at which that answer was read, and later where all other daemons had been heard within 600 ms. None of this covers the moment at which the stream began. Behind relays a daemon hears no announcement at all.

Now the daemon asks the store for the changes of the list, in a call that is sent after the request was read: the stream began before it, so that the version that began it is in that answer or was seen earlier. Those who come together share a call. Where the store does not answer, two daemons with access to it are asked in the same way for the versions of the service; then all others for the stream. Without any of them the version is inferred only if all others report that the store answers nobody; else the stream is refused as not run, with the time to come back.

The feed leaves out changes that it has delivered already, as an answer that waited may arrive after a newer one.

--- a/goldcreststair/components/discovery/const.py
+++ b/goldcreststair/components/discovery/const.py
@@ -15,3 +15,5 @@
 LIST_CURRENT_MS: Final = 3_000
 """The list is current for this long after the store confirmed it; the feed does so every 2.5 s where
 nothing changes."""
+CONFIRM_TIMEOUT_MS: Final = 500
+"""Time for the store to confirm the list while a caller waits; a slow store takes 300 ms."""
--- a/goldcreststair/components/discovery/protocols.py
+++ b/goldcreststair/components/discovery/protocols.py
@@ -39,6 +39,9 @@
     def is_current(self) -> bool:
         """Return whether the store confirmed the list a moment ago."""
 
+    async def async_confirm(self) -> bool:
+        """Bring the list up to the moment of this call; returns whether the store answered in time."""
+
 
 class _AlwaysCurrent:
     """A list that cannot be old."""
@@ -52,6 +55,9 @@
     def is_current(self) -> bool:
         return True
 
+    async def async_confirm(self) -> bool:
+        return True
+
 
 ALWAYS_CURRENT: Final[UpstreamList] = _AlwaysCurrent()
 UPSTREAM_LIST: Final = ComponentKey[UpstreamList]("upstream_list")
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -9,10 +9,11 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
-from goldcreststair.components.discovery.const import LIST_CURRENT_MS
+from goldcreststair.components.discovery.const import CONFIRM_TIMEOUT_MS, LIST_CURRENT_MS
 from goldcreststair.components.discovery.controller import DiscoveryController
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.feed import TableFeed
 from goldcreststair.store.rows import StoredRow, Version
@@ -39,6 +40,10 @@
         self._followed_since = Millis(0)
         self._has_expired_entries = asyncio.Event()
         self._expiry_task: asyncio.Task[None] | None = None
+        self._confirming: asyncio.Task[bool] | None = None
+        """A call that the store has not answered yet."""
+        self._confirming_next: asyncio.Task[bool] | None = None
+        """The one after it, not sent yet."""
         core.blackboard.subscribe(CATALOGUE, self._on_catalogue)
 
     async def async_start(self) -> None:
@@ -49,10 +54,12 @@
     async def async_close(self) -> None:
         """Stop following the list."""
         await self._feed.async_close()
-        if self._expiry_task is not None:
-            self._expiry_task.cancel()
-            await asyncio.gather(self._expiry_task, return_exceptions=True)
-            self._expiry_task = None
+        tasks = (self._expiry_task, self._confirming, self._confirming_next)
+        running = [task for task in tasks if task is not None]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        self._expiry_task = None
 
     def replace_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Replace the list by all entries in the store."""
@@ -98,6 +105,25 @@
         """Return whether the store confirmed the list a moment ago."""
         return self._core.clock.now() - self._confirmed_at <= LIST_CURRENT_MS
 
+    async def async_confirm(self) -> bool:
+        """Bring the list up to the moment of this call; returns whether the store answered in time."""
+        if self._core.store_contact.is_unavailable():
+            return False
+        # A call that was sent before this moment proves nothing. Those who come while it is under way
+        # share the one after it.
+        if self._confirming_next is None:
+            self._confirming_next = asyncio.create_task(self._async_confirm_next(self._confirming))
+        confirming = self._confirming_next
+        timeout_s = CONFIRM_TIMEOUT_MS / MS_PER_SECOND
+        done, _ = await asyncio.wait({confirming}, timeout=timeout_s)
+        return bool(done) and not confirming.cancelled() and confirming.result()
+
+    async def _async_confirm_next(self, before: asyncio.Task[bool] | None) -> bool:
+        if before is not None:
+            await asyncio.wait({before})
+        self._confirming, self._confirming_next = self._confirming_next, None
+        return await self._feed.async_catch_up()
+
     def _decode(self, row: StoredRow) -> UpstreamEntry | None:
         decoded = self._reader.decode(row.key.key, row.value)
         if isinstance(decoded, Err):
--- a/goldcreststair/components/fleet/controller.py
+++ b/goldcreststair/components/fleet/controller.py
@@ -235,7 +235,7 @@
 
     def list_unresponsive(self) -> list[FleetVm]:
         """Return the daemons without a recent beacon, whose heartbeats have to be read."""
-        responsive = frozenset(self._list_responsive())
+        responsive = frozenset(self.list_responsive())
         return [peer.vm for session, peer in self._peers.items() if session not in responsive]
 
     def is_lost(self, session: str, after_ms: int) -> bool:
@@ -283,7 +283,7 @@
             if session in reachable:
                 states[session] = peer.state
         lost = frozenset(s for s in self._peers if s not in states and self.is_lost(s, LOST_MS))
-        responsive = 1 + len(self._list_responsive())
+        responsive = 1 + len(self.list_responsive())
         unlisted, agreed = self._count_unlisted(), self._check_agreement()
         return Fleet(
             self._own.session, vms, states, lost, responsive, unlisted, self._loaded, agreed
@@ -300,18 +300,18 @@
 
     def read_responsive_hash(self) -> int:
         """Return a hash of the responsive daemons, this one included, for the beacon."""
-        return reduce(xor, map(hash_name, self._list_responsive()), hash_name(self._own.session))
+        return reduce(xor, map(hash_name, self.list_responsive()), hash_name(self._own.session))
 
     def read_all_seen_since(self) -> Millis:
         """Return the oldest last-seen time of all responsive daemons; now if there is none."""
-        times = [self._read_seen_at(s, self._peers[s]) for s in self._list_responsive()]
+        times = [self._read_seen_at(s, self._peers[s]) for s in self.list_responsive()]
         return min(times, default=self._clock.now())
 
     def read_lag_ms(self) -> int:
         """Return how long the last reports of the responsive daemons may have taken, ms."""
         if not self.has_mesh():
             return self._relay_lag_ms
-        return max((self._peers[s].lag_ms for s in self._list_responsive()), default=0)
+        return max((self._peers[s].lag_ms for s in self.list_responsive()), default=0)
 
     def has_mesh(self) -> bool:
         """Return whether every daemon sends beacons to every other one."""
@@ -325,7 +325,8 @@
             else last_seen_at
         )
 
-    def _list_responsive(self) -> list[str]:
+    def list_responsive(self) -> list[str]:
+        """Return the other daemons whose last beacon is at most a few beacon intervals old."""
         if not self.has_mesh() and self._unreachable:
             # Without this, quotas are exceeded when a VM receives the beacons of all others but
             # none receives its own: they count its share as spent, and it would spend theirs.
@@ -356,7 +357,7 @@
             return True
         own = self.read_responsive_hash()
         differs = any(
-            self._peers[s].responsive_hash not in (None, own) for s in self._list_responsive()
+            self._peers[s].responsive_hash not in (None, own) for s in self.list_responsive()
         )
         now = self._clock.now()
         if not differs:
--- a/goldcreststair/components/fleet/peer_requests.py
+++ b/goldcreststair/components/fleet/peer_requests.py
@@ -30,6 +30,7 @@
     JOB = 2
     STREAM_ORIGIN = 3
     CRASH_VERDICTS = 4
+    SOFTWARE_VERSIONS = 5
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/components/fleet/protocols.py
+++ b/goldcreststair/components/fleet/protocols.py
@@ -87,6 +87,9 @@
     def list_with_store_access(self) -> list[str]:
         """Return the other ready daemons that are reachable and have contact with the store."""
 
+    def list_without_store_access(self) -> list[str]:
+        """Return the other responsive daemons whose last report says that the store does not answer."""
+
     def register_notice_handler(self, kind: DatagramKind, handler: NoticeHandler) -> None:
         """Register the handler for datagrams of one kind."""
 
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -209,6 +209,12 @@
         states = self._core.blackboard.read(FLEET).states
         return [s for s in states if s in self._with_store_access and states[s] is VmState.READY]
 
+    def list_without_store_access(self) -> list[str]:
+        """Return the other responsive daemons whose last report says that the store does not answer."""
+        self._check_paused()
+        responsive = self._controller.list_responsive()
+        return [session for session in responsive if session not in self._with_store_access]
+
     def register_notice_handler(self, kind: DatagramKind, handler: NoticeHandler) -> None:
         """Register the handler for datagrams of one kind."""
         self._handlers[kind] = handler
--- a/goldcreststair/components/stream_origins/const.py
+++ b/goldcreststair/components/stream_origins/const.py
@@ -35,4 +35,6 @@
 """Time for other daemons to report an origin; a daemon in the next data centre takes a few ms."""
 MAX_ASKED: Final = 3
 """Daemons that are asked where every daemon receives all beacons."""
+MAX_CONFIRMING: Final = 2
+"""Daemons with access to the store that are asked for the versions that are listed now."""
 STREAM_HASH_BYTES: Final = 8
--- a/goldcreststair/components/stream_origins/service.py
+++ b/goldcreststair/components/stream_origins/service.py
@@ -14,20 +14,28 @@
 from goldcreststair.components.fleet.peer_requests import PeerRequestKind
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.stream_origins.codec import (
+    decode_history,
     decode_reply,
     encode_announced,
+    encode_history,
     encode_reply,
     split_streams,
 )
 from goldcreststair.components.stream_origins.const import (
     ASK_TIMEOUT_MS,
     MAX_ASKED,
+    MAX_CONFIRMING,
     SOFTWARE_MEMORY_MS,
 )
 from goldcreststair.components.stream_origins.history import SoftwareHistory
 from goldcreststair.components.stream_origins.history_rows import HistoryRows
 from goldcreststair.components.stream_origins.known_origins import KnownOrigins
-from goldcreststair.components.stream_origins.models import OriginUnknown, StreamKey, StreamOrigin
+from goldcreststair.components.stream_origins.models import (
+    OriginUnknown,
+    StreamKey,
+    StreamOrigin,
+    VersionRecord,
+)
 from goldcreststair.errors import GoldcreststairError
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.wire.codec import decode_struct, encode_struct
@@ -60,6 +68,9 @@
         self._links.add_beacon_contributor(self._contribute)
         self._links.subscribe_direct_beacons(self._on_beacon)
         self._links.register_request_handler(PeerRequestKind.STREAM_ORIGIN, self._async_on_ask)
+        self._links.register_request_handler(
+            PeerRequestKind.SOFTWARE_VERSIONS, self._async_on_versions
+        )
         core.on_process_resumed.append(lambda _: self._history.record_gap())
         self._begun: set[StreamOrigin] = set()
         """Origins of the streams that began here."""
@@ -98,14 +109,18 @@
         """Return the origin of a stream, asking other daemons if this one does not know it."""
         key = None if stream is None else self._known.find(stream)
         if key is None:
-            only = await self._async_find_only(services, max(request_ms, SOFTWARE_MEMORY_MS))
+            within_ms = max(request_ms, SOFTWARE_MEMORY_MS)
+            only = await self._async_find_only(services, within_ms)
             if only is not None:
                 return Ok(only)
+            may_infer = self._find_only(services, within_ms) is not None
             if stream is None:
-                return Err(OriginUnknown("the caller does not name the stream", is_final=True))
-            asked = await self._async_ask(stream)
+                return Err(OriginUnknown("the caller does not name the stream", not may_infer))
+            # A stream of the only version was not announced: the daemon that began it knows it, no other.
+            asked = await self._async_ask(stream, ask_all=may_infer)
             if isinstance(asked, Err):
-                return asked
+                only = self._find_only(services, within_ms) if self._is_list_frozen() else None
+                return asked if only is None else Ok(only)
             key = asked.ok_value
         origin = self._history.find(key)
         if origin is None:
@@ -115,29 +130,86 @@
     async def _async_find_only(
         self, services: AbstractSet[str], within_ms: int
     ) -> StreamOrigin | None:
-        """Return the only version that may have begun a stream of these services, if it is known."""
-        self._check_gap()
+        """Return the only version that may have begun a stream of these services, if it is certain.
+
+        The stream began before this call, so that its version is in a list that the store confirms after it.
+        """
         origins = self._history.list_origins(services, within_ms)
-        if len(origins) != 1 or not self._is_current():
+        if len(origins) != 1:
             return None
-        horizon = self._clock.now() - within_ms
-        if any(at >= horizon for key, at in self._foreign.items() if not self._history.find(key)):
+        if await self._async_confirm(within_ms):
+            return self._find_only(services, within_ms)
+        (origin,) = origins
+        if within_ms > SOFTWARE_MEMORY_MS or not await self._async_confirm_by_others(origin):
             return None
+        return self._find_only(services, within_ms, is_complete=True)
+
+    async def _async_confirm(self, within_ms: int) -> bool:
+        """Bring the list and its history up to now; returns whether the store confirmed the list."""
+        if not await self._list.async_confirm():
+            return False
+        self._check_gap()
         if self._history.has_gap(within_ms):
             await self._rows.async_read()
-            origins = self._history.list_origins(services, within_ms)
-        if len(origins) != 1 or self._history.has_gap(within_ms):
+        return True
+
+    async def _async_confirm_by_others(self, origin: StreamOrigin) -> bool:
+        """Add the versions of a service that daemons with access to the store list now.
+
+        Returns whether one did that knows `origin`; the catalogue of another may not have the service yet.
+        """
+        able = self._links.list_with_store_access()
+        chosen = self._core.random.sample(able, min(MAX_CONFIRMING, len(able)))
+        asked = (self._async_ask_versions(session, origin.service) for session in chosen)
+        replies = [records for records in await asyncio.gather(*asked) if records is not None]
+        for records in replies:
+            self._history.merge_stored(origin.service, records, 0)
+        versions = ({record.version for record in records} for records in replies)
+        return any(origin.software_version in each for each in versions)
+
+    async def _async_ask_versions(self, session: str, service: str) -> list[VersionRecord] | None:
+        """Return the versions that a daemon lists now, times relative to now; None if it can't confirm them."""
+        kind = PeerRequestKind.SOFTWARE_VERSIONS
+        reply = await self._links.async_request(session, kind, service.encode(), ASK_TIMEOUT_MS)
+        if isinstance(reply, Err) or not reply.ok_value:
+            return None
+        decoded = decode_history(reply.ok_value)
+        if isinstance(decoded, Err):
+            extra = {"session": session, "reason": decoded.err_value.message}
+            _LOGGER.warning("Reply about software versions unreadable", extra=extra)
+            return None
+        return decoded.ok_value
+
+    async def _async_on_versions(self, payload: bytes) -> bytes:
+        """Return the versions of a service as of now, or nothing if the store does not confirm them."""
+        confirmed = await self._async_confirm(SOFTWARE_MEMORY_MS)
+        if not confirmed or self._history.has_gap(SOFTWARE_MEMORY_MS):
+            return b""
+        return encode_history(self._history.list_records(payload.decode(errors="replace"), 0))
+
+    def _find_only(
+        self, services: AbstractSet[str], within_ms: int, *, is_complete: bool = False
+    ) -> StreamOrigin | None:
+        """Return the only version that may have begun a stream of these services, as far as is known.
+
+        With `is_complete`, the history of these services has no gap.
+        """
+        self._check_gap()
+        origins = self._history.list_origins(services, within_ms)
+        if len(origins) != 1 or (not is_complete and self._history.has_gap(within_ms)):
+            return None
+        horizon = self._clock.now() - within_ms
+        if any(at >= horizon for key, at in self._foreign.items() if not self._history.find(key)):
             return None
         return next(iter(origins))
 
-    def _is_current(self) -> bool:
-        """Return whether no other daemon can know an upstream that is not listed here."""
-        if self._list.is_current():
-            return True
-        # While the store is away, those daemons that it still answers announce the streams that they begin
-        # at other versions.
+    def _is_list_frozen(self) -> bool:
+        """Return whether the store answers no daemon, so that no upstream can join for any of them."""
         fleet = self._core.blackboard.read(FLEET)
-        return 1 < len(fleet.vms) == fleet.responsive and not fleet.unlisted
+        others = fleet.vms.keys() - {fleet.own_session}
+        without = self._links.list_without_store_access()
+        is_away = self._core.store_contact.is_unavailable()
+        return bool(others) and is_away and others <= set(without) and not fleet.unlisted
 
     def _has_several(self, service: str) -> bool:
         return len(self._history.list_origins({service}, SOFTWARE_MEMORY_MS)) > 1
@@ -180,15 +252,16 @@
             if self._history.find(listed.origin) is None:
                 self._foreign[listed.origin] = self._clock.now()
 
-    async def _async_ask(self, stream: StreamKey) -> Result[int, OriginUnknown]:
+    async def _async_ask(self, stream: StreamKey, *, ask_all: bool) -> Result[int, OriginUnknown]:
         """Return the key of a stream's origin from the first other daemon that knows it."""
         fleet = self._core.blackboard.read(FLEET)
         reached = fleet.responsive + len(fleet.lost)
-        is_final = reached >= len(fleet.vms) and not fleet.unlisted
+        # Once the store confirms the list, the only version may be certain.
+        is_final = not ask_all and reached >= len(fleet.vms) and not fleet.unlisted
         payload = encode_struct(OriginAsk(stream))
         asked = [
             asyncio.ensure_future(self._async_ask_one(session, payload))
-            for session in self._list_asked()
+            for session in self._list_asked(ask_all=ask_all)
         ]
         try:
             for answered in asyncio.as_completed(asked):
@@ -203,9 +276,9 @@
                 task.cancel()
         return Err(OriginUnknown("no daemon knows where the stream began", is_final=is_final))
 
-    def _list_asked(self) -> list[str]:
+    def _list_asked(self, *, ask_all: bool) -> list[str]:
         holders = self._links.list_beacon_receivers()
-        if not self._links.has_mesh():
+        if ask_all or not self._links.has_mesh():
             return holders
         return self._core.random.sample(holders, min(MAX_ASKED, len(holders)))
 
--- a/goldcreststair/store/feed.py
+++ b/goldcreststair/store/feed.py
@@ -10,7 +10,14 @@
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.store.errors import PlatformError
 from goldcreststair.store.reading import async_read_ranges
-from goldcreststair.store.rows import HistoryLost, RowRange, RowStore, StoredRow, Version
+from goldcreststair.store.rows import (
+    HistoryLost,
+    RowPage,
+    RowRange,
+    RowStore,
+    StoredRow,
+    Version,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -19,6 +26,8 @@
 a silent feed is detected and replaced before a draining upstream or a new catalogue has to be known."""
 PROBE_WAIT_MS: Final = 50
 """Wait for changes in the first call after a failure."""
+CATCH_UP_WAIT_MS: Final = 1
+"""Wait for changes in a call that only asks what has changed by now."""
 RETRY_MIN_MS: Final = 100
 RETRY_MAX_MS: Final = 500
 """Longest delay between retries while the store is unavailable; bounds how late missed changes arrive
@@ -74,6 +83,7 @@
         self._with_snapshot = with_snapshot
         self._version = -1
         self._failing_since: Millis | None = None
+        self._complete_at = Millis(0)
         self._task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
@@ -87,6 +97,24 @@
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
 
+    def read_complete_at(self) -> Millis:
+        """Return the time up to which all changes have certainly been delivered.
+
+        It is when the last call with an answer was sent: its answer may have waited in a socket.
+        """
+        return self._complete_at
+
+    async def async_catch_up(self) -> bool:
+        """Deliver all changes until now beside the call that waits; returns whether the store answered."""
+        if self._version < 0:
+            return False
+        sent_at = self._clock.now()
+        followed = await self._store.async_follow(self._table, self._version, CATCH_UP_WAIT_MS)
+        if isinstance(followed, Err):
+            return False
+        self._deliver(followed.ok_value, sent_at)
+        return True
+
     async def _async_follow(self) -> None:
         failures = 0
         while True:
@@ -112,17 +140,26 @@
         # After a failure a call with a short wait shows whether the store is back; with the full wait
         # the recovery would be noticed only seconds later.
         wait_ms = FEED_WAIT_MS if self._failing_since is None else PROBE_WAIT_MS
+        sent_at = self._clock.now()
         followed = await self._store.async_follow(self._table, self._version, wait_ms)
         if isinstance(followed, Err):
             return followed
-        page = followed.ok_value
-        self._version = max(self._version, page.version)
-        if page.rows:
-            self._listener.apply_changes(page.rows)
+        if self._deliver(followed.ok_value, sent_at):
             await self._clock.async_sleep(self._read_pause_ms())
         return Ok(None)
 
+    def _deliver(self, page: RowPage, sent_at: Millis) -> bool:
+        """Deliver the changes of a page that are new, and return whether there are any."""
+        # A call that waits and one that catches up return the same changes, in either order.
+        rows = [row for row in page.rows if row.version > self._version]
+        self._version = max(self._version, page.version)
+        if rows:
+            self._listener.apply_changes(rows)
+        self._complete_at = max(self._complete_at, sent_at)
+        return bool(rows)
+
     async def _async_read_snapshot(self) -> Result[None, PlatformError]:
+        sent_at = self._clock.now()
         if self._with_snapshot:
             ranges = [RowRange(self._table, part, limit=PAGE_ROWS) for part in self._parts]
             read = await async_read_ranges(self._store, ranges)
@@ -135,6 +172,7 @@
         self._version = read.ok_value.version
         rows = read.ok_value.rows if self._with_snapshot else ()
         self._listener.replace_all(rows, self._version)
+        self._complete_at = max(self._complete_at, sent_at)
         return Ok(None)
 
     def _record_contact(self, *, reached: bool, reason: str = "") -> None:
--- a/standins/datagrams.py
+++ b/standins/datagrams.py
@@ -21,7 +21,10 @@
     sent: int = 0
     sent_bytes: int = 0
     _listeners: dict[tuple[str, int], DatagramHandler] = field(default_factory=dict)
+    held_until: dict[str, int] = field(default_factory=dict)
+    """Addresses whose processes stand still, and until when; what reaches them waits in their sockets."""
     _cut: set[frozenset[str]] = field(default_factory=set)
+    _cut_one_way: set[tuple[str, str]] = field(default_factory=set)
 
     def join(self, address: str) -> "FakeDatagrams":
         """Return the transport of one address."""
@@ -31,9 +34,14 @@
         """Drop all datagrams between two addresses."""
         self._cut.add(frozenset((left, right)))
 
+    def cut_one_way(self, source: str, target: str) -> None:
+        """Drop all datagrams from one address to another."""
+        self._cut_one_way.add((source, target))
+
     def clear_cuts(self) -> None:
         """Restore all cut links."""
         self._cut.clear()
+        self._cut_one_way.clear()
 
     def listen(self, address: str, port: int, on_datagram: DatagramHandler) -> None:
         """Register the receiver of an address."""
@@ -50,6 +58,8 @@
         lost = self.random.random() < self.loss
         if lost or frozenset((source, target)) in self._cut:
             return
+        if (source, target) in self._cut_one_way:
+            return
 
         def deliver() -> None:
             on_datagram = self._listeners.get((target, port))
@@ -57,7 +67,8 @@
                 on_datagram(datagram, source)
 
         late_ms = self.late.get(source, 0) + self.late.get(target, 0)
-        self.clock.call_later(self.delay_ms + late_ms, deliver)
+        held_ms = self.held_until.get(target, 0) - self.clock.now()
+        self.clock.call_later(max(self.delay_ms + late_ms, held_ms), deliver)
 
 
 @dataclass(slots=True)
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -134,6 +134,8 @@
     store: FakeRowStore
     cut: bool = False
     """Whether the store refuses this VM's calls."""
+    held_until: int = 0
+    """Until when this VM's process stands still; answers wait in its sockets."""
     calls: Counter[str] = field(default_factory=Counter)
 
     async def async_commit(
@@ -213,7 +215,10 @@
             changes = store.find_changes(table, after)
             left_ms = ends_at - store.clock.now()
             if changes or left_ms <= 0:
-                return Ok(RowPage(changes, False, store.version, store.clock.now()))
+                page = RowPage(changes, False, store.version, store.clock.now())
+                if self.held_until > store.clock.now():
+                    await store.clock.async_sleep(self.held_until - store.clock.now())
+                return Ok(page)
             await store.async_wait(left_ms)
             if self.cut or store.faults.down or store.faults.silent:
                 return Err(PlatformOutcomeUnknown("connection lost"))
@@ -251,7 +256,8 @@
     async def _async_begin_call(self, call: str) -> PlatformError | None:
         self.calls[call] += 1
         self.store.calls[call] += 1
-        await self.store.clock.async_sleep(self.store.faults.slow_ms or 4)
+        held_ms = self.held_until - self.store.clock.now()
+        await self.store.clock.async_sleep(max(held_ms, self.store.faults.slow_ms or 4))
         if self.cut or self.store.faults.down:
             return PlatformUnavailable("turned away")
         if self.store.faults.silent:
--- a/tests/components/placement/test_software.py
+++ b/tests/components/placement/test_software.py
@@ -30,6 +30,9 @@
     def is_current(self) -> bool:
         return self.current
 
+    async def async_confirm(self) -> bool:
+        return self.current
+
 
 def make_table(clock: ManualClock, age: FakeList) -> UpstreamTable:
     table = UpstreamTable(clock)
--- a/tests/store/test_feed.py
+++ b/tests/store/test_feed.py
@@ -117,3 +117,51 @@
         assert listener.rows == {"job": b"1"}
 
     run_feed(scenario, with_snapshot=False)
+
+
+def test_catching_up_delivers_changes_whose_answer_still_waits() -> None:
+    """Guards against a process that stood still and takes its last read of a table for the present."""
+
+    async def async_run() -> None:
+        clock = LoopClock()
+        store, listener = FakeRowStore(clock), Listener()
+        store.put(KEY, b"0")
+        view = store.view()
+        feed = TableFeed(view, clock, "t", listener, with_snapshot=True)
+        await feed.async_start()
+        await clock.async_sleep(50)
+        view.held_until = clock.now() + 300
+        store.put(KEY, b"1")
+        await clock.async_sleep(10)
+        assert listener.rows == {"k": b"0"}
+        view.held_until, waiting_until = 0, view.held_until
+        store.put(KEY, b"2")
+        asked_at = clock.now()
+        assert await feed.async_catch_up()
+        assert listener.rows == {"k": b"2"} and feed.read_complete_at() == asked_at
+        # The older answer arrives now, with the first change only.
+        await clock.async_sleep(waiting_until - clock.now() + 10)
+        assert listener.rows == {"k": b"2"} and feed.read_complete_at() >= asked_at
+        store.drop(KEY)
+        await clock.async_sleep(20)
+        assert listener.rows == {}
+        await feed.async_close()
+
+    run_virtual(async_run())
+
+
+def test_catching_up_fails_while_the_store_is_away() -> None:
+    async def async_run() -> None:
+        clock = LoopClock()
+        store, listener = FakeRowStore(clock), Listener()
+        feed = TableFeed(store.view(), clock, "t", listener, with_snapshot=True)
+        assert not await feed.async_catch_up()
+        await feed.async_start()
+        await clock.async_sleep(50)
+        store.faults.down = True
+        complete_at = feed.read_complete_at()
+        assert not await feed.async_catch_up()
+        assert feed.read_complete_at() == complete_at
+        await feed.async_close()
+
+    run_virtual(async_run())
