Ask the store for versions that came and went between two reads of the list

Callers got a stream joined of two software versions after a VM had been cut off: a version had joined, begun streams and left meanwhile. The list that the VM read afterwards did not name it, and the VM took its history for complete: a gap was noted only after three seconds without the store.

A list that is read as a whole, as the store has dropped its history, and the removal of an upstream that was never listed here now count as a gap, after which the versions of the last minute are read from the store.

--- a/goldcreststair/components/discovery/controller.py
+++ b/goldcreststair/components/discovery/controller.py
@@ -69,6 +69,10 @@
         if self._is_usable(entry):
             self._use(entry)
 
+    def has_entry(self, name: str) -> bool:
+        """Return whether the store has a readable entry of this name, as far as it was followed."""
+        return name in self._newest
+
     def remove(self, name: str) -> None:
         """Handle the removal of an upstream's entry from the store."""
         self._newest.pop(name, None)
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -67,12 +67,17 @@
         entries = [entry for entry in decoded.values() if entry is not None]
         unreadable = [name for name, entry in decoded.items() if entry is None]
         self._controller.replace_all(entries, unreadable)
+        self._followed_since = self._core.clock.now()
         self._publish()
 
     def apply_changes(self, rows: Sequence[StoredRow]) -> None:
         """Apply changed entries."""
+        known = {row.key.key for row in rows if self._controller.has_entry(row.key.key)}
         for row in rows:
             if row.deleted:
+                if row.key.key not in known:
+                    # It came and went without being published.
+                    self._followed_since = self._core.clock.now()
                 self._controller.remove(row.key.key)
             elif (entry := self._decode(row)) is not None:
                 self._controller.put(entry)
--- a/tests/components/discovery/test_confirmation.py
+++ b/tests/components/discovery/test_confirmation.py
@@ -56,3 +56,35 @@
         assert not await member.core.get(UPSTREAM_LIST).async_confirm()
 
     run_fleet(scenario)
+
+
+def test_an_upstream_that_came_and_went_unseen_is_a_gap() -> None:
+    """Guards against a version that served between two reads of the list and is in neither."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        member = await async_start(fleet)
+        upstreams = member.core.get(UPSTREAM_LIST)
+        followed_since = upstreams.read_followed_since()
+        member.view.cut = True
+        (brief,) = add_versions(fleet, "v2")
+        await fleet.clock.async_sleep(500)
+        fleet.unregister(brief)
+        member.view.cut = False
+        await fleet.clock.async_sleep(1_000)
+        assert upstreams.read_followed_since() > followed_since
+
+    run_fleet(scenario)
+
+
+def test_rows_that_are_read_anew_are_a_gap() -> None:
+    """Guards against versions that served in a part of the history that the store has dropped."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        member = await async_start(fleet)
+        upstreams = member.core.get(UPSTREAM_LIST)
+        followed_since = upstreams.read_followed_since()
+        fleet.store.drop_history()
+        await fleet.clock.async_sleep(1_000)
+        assert upstreams.read_followed_since() > followed_since
+
+    run_fleet(scenario)
--- a/tests/components/stream_origins/test_out_of_step.py
+++ b/tests/components/stream_origins/test_out_of_step.py
@@ -12,7 +12,12 @@
 from standins.gateways import FakeResponder, FleetMember, GatewayFleet
 from standins.run_engines import read_software
 from tests.components.forwarding.test_software_versions import add_versions
-from tests.components.stream_origins.test_fleet import IDS, async_read_history, async_take_up
+from tests.components.stream_origins.test_fleet import (
+    IDS,
+    async_begin,
+    async_read_history,
+    async_take_up,
+)
 from tests.helpers.gateways import async_send, run_fleet
 
 VMS = 3
@@ -179,6 +184,35 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("drops_history", [False, True])
+def test_streams_of_a_version_that_came_and_went_unseen(drops_history: bool) -> None:
+    """Guards against a history that lacks a version between two reads of the list."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        add_versions(fleet, "v1")
+        first, second, _ = await fleet.async_add_many(VMS)
+        await fleet.clock.async_sleep(3_000)
+        await async_read_history(fleet, second)
+        disturb(fleet, second, Play(Trouble.BOTH, 0, 0, 0, 0))
+        (brief,) = add_versions(fleet, "v2")
+        await fleet.clock.async_sleep(200)
+        began = await async_begin(fleet, first)
+        assert "v2" in began.values()
+        await fleet.clock.async_sleep(1_000)
+        await fleet.async_kill(first)
+        brief.up = False
+        fleet.unregister(brief)
+        if drops_history:
+            fleet.store.drop_history()
+        second.view.cut = False
+        fleet.datagrams.clear_cuts()
+        await fleet.clock.async_sleep(600)
+        for each, answer in (await async_take_up(fleet, second, began.keys() & IDS)).items():
+            assert judge(answer, began[each]) != JOINED
+
+    run_fleet(scenario)
+
+
 @settings(
     max_examples=EXAMPLES,
     deadline=None,
