Read what has arrived before a leave counts what runs

A wait that was interrupted past its timeout returns timers without sockets, so that the order is that way round.

--- a/goldcreststair/components/entry/service.py
+++ b/goldcreststair/components/entry/service.py
@@ -149,8 +149,12 @@
         for handler in self._leave_handlers:
             handler.begin_leave()
         await self._core.clock.async_sleep(int(self._grace_ms * ACCEPT_FRACTION))
+        # A process that stood still wakes up for its timers before it accepts and reads what has arrived
+        # meanwhile, and only what was read counts as running.
+        await self._core.clock.async_sleep(DRAIN_CHECK_MS)
         for handler in self._leave_handlers:
             handler.stop_accepting()
+        await self._core.clock.async_sleep(DRAIN_CHECK_MS)
         while self._count_running() and self._core.clock.now() < ends_at:
             await self._core.clock.async_sleep(DRAIN_CHECK_MS)
         cut = self._count_running()
