--- a/goldcreststair/components/discovery/protocols.py
+++ b/goldcreststair/components/discovery/protocols.py
@@ -31,7 +31,7 @@
     """How old the list of upstreams may be."""
 
     def read_confirmed_at(self) -> Millis:
-        """Return when the store last confirmed that the list is complete."""
+        """Return the time up to which the store has confirmed that the list is complete."""
 
     def read_followed_since(self) -> Millis:
         """Return since when no change of the list can have been missed."""
@@ -39,12 +39,15 @@
     def is_current(self) -> bool:
         """Return whether the store confirmed the list a moment ago."""
 
+    async def async_confirm(self) -> bool:
+        """Bring the list up to the moment of this call; returns whether the store answered in time."""
+
 
 class _AlwaysCurrent:
     """A list that cannot be old."""
 
     def read_confirmed_at(self) -> Millis:
-        return Millis(0)
+        return Millis(1 << 62)
 
     def read_followed_since(self) -> Millis:
         return Millis(0)
@@ -52,6 +55,9 @@
     def is_current(self) -> bool:
         return True
 
+    async def async_confirm(self) -> bool:
+        return True
+
 
 ALWAYS_CURRENT: Final[UpstreamList] = _AlwaysCurrent()
 UPSTREAM_LIST: Final = ComponentKey[UpstreamList]("upstream_list")
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -9,10 +9,11 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Catalogue
-from goldcreststair.components.discovery.const import LIST_CURRENT_MS
+from goldcreststair.components.discovery.const import CONFIRM_TIMEOUT_MS, LIST_CURRENT_MS
 from goldcreststair.components.discovery.controller import DiscoveryController
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS, LiveUpstreams, UpstreamEntry
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.store.feed import TableFeed
 from goldcreststair.store.rows import StoredRow, Version
@@ -39,7 +40,13 @@
         self._followed_since = Millis(0)
         self._has_expired_entries = asyncio.Event()
         self._expiry_task: asyncio.Task[None] | None = None
+        self._confirming: asyncio.Task[bool] | None = None
+        """A call that the store has not answered yet."""
+        self._confirming_next: asyncio.Task[bool] | None = None
+        """The one after it, not sent yet."""
+        self._resuming: asyncio.Task[bool] | None = None
         core.blackboard.subscribe(CATALOGUE, self._on_catalogue)
+        core.on_process_resumed.append(lambda _: self._on_resumed())
 
     async def async_start(self) -> None:
         """Start to follow the list and to expire entries."""
@@ -49,10 +56,12 @@
     async def async_close(self) -> None:
         """Stop following the list."""
         await self._feed.async_close()
-        if self._expiry_task is not None:
-            self._expiry_task.cancel()
-            await asyncio.gather(self._expiry_task, return_exceptions=True)
-            self._expiry_task = None
+        tasks = (self._expiry_task, self._confirming, self._confirming_next, self._resuming)
+        running = [task for task in tasks if task is not None]
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        self._expiry_task = None
 
     def replace_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Replace the list by all entries in the store."""
@@ -60,12 +69,17 @@
         entries = [entry for entry in decoded.values() if entry is not None]
         unreadable = [name for name, entry in decoded.items() if entry is None]
         self._controller.replace_all(entries, unreadable)
+        self._followed_since = self._core.clock.now()
         self._publish()
 
     def apply_changes(self, rows: Sequence[StoredRow]) -> None:
         """Apply changed entries."""
+        known = {row.key.key for row in rows if self._controller.has_entry(row.key.key)}
         for row in rows:
             if row.deleted:
+                if row.key.key not in known:
+                    # It came and went without being published.
+                    self._followed_since = self._core.clock.now()
                 self._controller.remove(row.key.key)
             elif (entry := self._decode(row)) is not None:
                 self._controller.put(entry)
@@ -87,8 +101,10 @@
             self._links.record_store_contact()
 
     def read_confirmed_at(self) -> Millis:
-        """Return when the store last confirmed that the list is complete."""
-        return self._confirmed_at
+        """Return the time up to which the store has confirmed that the list is complete."""
+        # What a process handles first after a pause may be a run that ended, before any tick.
+        self._links.check_paused()
+        return self._feed.read_complete_at()
 
     def read_followed_since(self) -> Millis:
         """Return since when no change of the list can have been missed."""
@@ -98,6 +114,28 @@
         """Return whether the store confirmed the list a moment ago."""
         return self._core.clock.now() - self._confirmed_at <= LIST_CURRENT_MS
 
+    def _on_resumed(self) -> None:
+        self._resuming = asyncio.create_task(self.async_confirm())
+
+    async def async_confirm(self) -> bool:
+        """Bring the list up to the moment of this call; returns whether the store answered in time."""
+        if self._core.store_contact.is_unavailable():
+            return False
+        # A call that was sent before this moment proves nothing. Those who come while it is under way
+        # share the one after it.
+        if self._confirming_next is None:
+            self._confirming_next = asyncio.create_task(self._async_confirm_next(self._confirming))
+        confirming = self._confirming_next
+        timeout_s = CONFIRM_TIMEOUT_MS / MS_PER_SECOND
+        done, _ = await asyncio.wait({confirming}, timeout=timeout_s)
+        return bool(done) and not confirming.cancelled() and confirming.result()
+
+    async def _async_confirm_next(self, before: asyncio.Task[bool] | None) -> bool:
+        if before is not None:
+            await asyncio.wait({before})
+        self._confirming, self._confirming_next = self._confirming_next, None
+        return await self._feed.async_catch_up()
+
     def _decode(self, row: StoredRow) -> UpstreamEntry | None:
         decoded = self._reader.decode(row.key.key, row.value)
         if isinstance(decoded, Err):
