Reserve the ports of test servers for one test process

Cause: `find_port` drew from 12,000 ports and gave the port up before the server bound it, a daemon's start later. Six test processes drew from the same ports, and one process could draw a port twice. Ruled out: outgoing connections (their ports begin at 32768) and waiting sockets (the probe skips them).

Change: a process reserves a block of 400 ports by an abstract socket name, which is free again as it ends, and hands them out in turn.

--- a/tests/platform_adapter/leave_site.py
+++ b/tests/platform_adapter/leave_site.py
@@ -15,7 +15,8 @@
 from goldcreststair.clock import BootClock
 from goldcreststair.store.rows import RowKey
 from standins.rows import FakeRowStore
-from tests.platform_adapter.local import CONFIG, find_port, make_request, register
+from tests.platform_adapter.local import CONFIG, make_request, register
+from tests.platform_adapter.ports import find_port
 from tests.platform_adapter.soak.callers import async_open
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
 from tests.platform_adapter.soak.engine import EVENTS_HEADER, PAUSE_HEADER, make_event
--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -1,11 +1,9 @@
 """A gateway daemon on loopback, with a store and an engine that speak the platform's wire format."""
 
 import asyncio
-import random
-import socket
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Any
 
 import orjson
 from serve import create_gateway
@@ -21,6 +19,7 @@
 from goldcreststair.gateway_settings import GatewaySettings
 from goldcreststair.store.rows import RowKey
 from standins.rows import FakeRowStore
+from tests.platform_adapter.ports import find_port
 from tests.platform_adapter.wire_engine import WireEngine
 from tests.platform_adapter.wire_store import WireStore
 
@@ -86,21 +85,6 @@
     ],
 }
 
-UNASSIGNED_PORTS: Final = (20_000, 32_000)
-"""Below the ports that the system assigns to outgoing connections."""
-
-
-def find_port(address: str = "127.0.0.1") -> int:
-    """Return a port that is free at an address now, and that no connection of another test takes meanwhile."""
-    while True:
-        port = random.randrange(*UNASSIGNED_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind((address, port))
-            except OSError:
-                continue
-        return port
-
 
 @dataclass(slots=True)
 class HttpAnswer:
--- a/tests/platform_adapter/measure_quota.py
+++ b/tests/platform_adapter/measure_quota.py
@@ -19,7 +19,8 @@
 
 from standins.measure.quotas import WINDOW_MS, choose_load
 from tests.platform_adapter.busy import async_start_busy
-from tests.platform_adapter.local import CONFIG, find_port, make_request
+from tests.platform_adapter.local import CONFIG, make_request
+from tests.platform_adapter.ports import find_port
 from tests.platform_adapter.soak import __main__ as soak
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
 
--- /dev/null
+++ b/tests/platform_adapter/ports.py
@@ -0,0 +1,64 @@
+"""Ports for servers of tests: no two test processes of a machine are given the same one."""
+
+import errno
+import functools
+import itertools
+import socket
+from typing import Final
+
+FIRST_PORT: Final = 20_000
+BLOCK_SIZE: Final = 400
+BLOCKS: Final = 30
+"""All blocks are below the ports that the system assigns to outgoing connections."""
+
+LOCK_NAME: Final = "\0goldcreststair-test-ports-{}"
+"""Abstract names are shared by the processes that share ports, and are free again as their process ends."""
+
+
+class PortBlock:
+    """Ports reserved for one process."""
+
+    def __init__(self, number: int, lock: socket.socket) -> None:
+        """Take over `lock`, which reserves the block with this number."""
+        self._lock = lock
+        first = FIRST_PORT + number * BLOCK_SIZE
+        self._ports = itertools.cycle(range(first, first + BLOCK_SIZE))
+
+    def find_port(self, address: str) -> int:
+        """Return the next port that is free at an address; raises `OSError` if none is."""
+        for port in itertools.islice(self._ports, BLOCK_SIZE):
+            with socket.socket() as probe:
+                try:
+                    probe.bind((address, port))
+                except OSError:
+                    continue
+            return port
+        raise OSError(errno.EADDRINUSE, f"no port of the block is free at {address}")
+
+    def close(self) -> None:
+        """Give up the reservation."""
+        self._lock.close()
+
+
+def reserve_block() -> PortBlock:
+    """Return a block that no other process has reserved; raises `OSError` if there is none."""
+    for number in range(BLOCKS):
+        lock = socket.socket(socket.AF_UNIX)
+        try:
+            lock.bind(LOCK_NAME.format(number))
+        except OSError:
+            lock.close()
+            continue
+        return PortBlock(number, lock)
+    raise OSError(errno.EADDRINUSE, "all blocks of ports are reserved")
+
+
+@functools.cache
+def get_block() -> PortBlock:
+    """Return the block of this process."""
+    return reserve_block()
+
+
+def find_port(address: str = "127.0.0.1") -> int:
+    """Return a port that is free at an address, and that is given to no other test of this machine."""
+    return get_block().find_port(address)
--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -22,7 +22,8 @@
 from standins.crash_rules import read_begun_share
 from standins.rows import FakeRowStore
 from tests.platform_adapter.busy import async_keep_busy
-from tests.platform_adapter.local import CONFIG, find_port, register
+from tests.platform_adapter.local import CONFIG, register
+from tests.platform_adapter.ports import find_port
 from tests.platform_adapter.soak.callers import PAUSES_MS, Caller, async_read_jobs
 from tests.platform_adapter.soak.checker import (
     STABLE_S,
--- a/tests/platform_adapter/test_early_listener.py
+++ b/tests/platform_adapter/test_early_listener.py
@@ -11,7 +11,7 @@
 import pytest
 from users_platform.early_listener import choose_listener, listen, open_early_listener
 
-from tests.platform_adapter.local import find_port
+from tests.platform_adapter.ports import find_port
 
 ROOT = Path(__file__).parents[2]
 GATED_START = """
--- a/tests/platform_adapter/test_endless_bytes.py
+++ b/tests/platform_adapter/test_endless_bytes.py
@@ -27,10 +27,10 @@
     CONFIG,
     HttpAnswer,
     async_read_answer,
-    find_port,
     make_request,
     register,
 )
+from tests.platform_adapter.ports import find_port
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
 from tests.platform_adapter.soak.proxy import Proxy
 from tests.platform_adapter.soak.record import Record
