Record requests of the soak to upstreams that are down

Cause: the proxy had accepted the connection, its connection to the upstream was refused, and it dropped what the daemon had sent. The checker counts attempts by what proxies saw, so it took the answer for one that was ended too early.

Change: what had arrived is recorded as a broken attempt. The check itself is unchanged. `test_a_request_to_an_upstream_that_is_down_counts_as_sent` failed before (no attempt).

--- a/tests/platform_adapter/soak/proxy.py
+++ b/tests/platform_adapter/soak/proxy.py
@@ -138,7 +138,7 @@
         try:
             far_reader, far = await asyncio.open_connection(host, int(port))
         except OSError:
-            near.transport.abort()
+            self._add_attempts(await async_abort(reader, near), broken=True)
             return
         link = Link(near, far, self._record_requests)
         link.release()
@@ -201,6 +201,16 @@
                     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
 
 
+async def async_abort(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes:
+    """Abort a connection and return what had arrived on it and was not read."""
+    pending = read_pending(writer.get_extra_info("socket").fileno())
+    writer.transport.abort()
+    try:
+        return await reader.read() + pending
+    except ConnectionError:
+        return pending
+
+
 def read_pending(descriptor: int) -> bytes:
     """Return what a socket has received and nobody has read, without waiting for more."""
     pending = bytearray()
--- a/tests/platform_adapter/soak/test_proxy.py
+++ b/tests/platform_adapter/soak/test_proxy.py
@@ -57,6 +57,26 @@
     asyncio.run(scenario())
 
 
+def test_a_request_to_an_upstream_that_is_down_counts_as_sent() -> None:
+    """Guards against the same where the upstream is down before the proxy connects to it."""
+
+    async def scenario() -> None:
+        target = await asyncio.start_server(lambda _, __: asyncio.sleep(10), "127.0.0.1", 0)
+        host, port = target.sockets[0].getsockname()
+        proxy = Proxy("i-0", f"{host}:{port}")
+        await proxy.async_start()
+        proxy_host, _, proxy_port = proxy.address.rpartition(":")
+        target.close()
+        request = make_request("POST", "/x", headers={"Request-Id": "r"})
+        with socket.create_connection((proxy_host, int(proxy_port))) as connection:
+            connection.sendall(request)
+            await asyncio.sleep(0.05)
+        assert [(each.request, each.broken) for each in proxy.attempts] == [("r", True)]
+        proxy.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_disturbance_belongs_to_the_requests_during_it() -> None:
     """Guards against a cut that is excused by a disturbance that was over before its request was sent."""
 
