End the soak's callers when they are cancelled

A dump of its tasks shows one caller that is "cancelling" and sends on, while the group of tasks waits for it.

Cause: `asyncio.wait_for` of Python 3.11 returns the result, and drops the cancellation, when its task ends in the same step. The error that had cancelled the group was not printed as the run never ended; it is not known.

Change: `asyncio.timeout`, which keeps the cancellation.

--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -253,7 +253,9 @@
 async def async_read_or_none(reader: asyncio.StreamReader, wait_s: float) -> HttpAnswer | None:
     """Return the answer, or None if there is none within `wait_s` or it cannot be read."""
     try:
-        return await asyncio.wait_for(async_read_answer(reader), wait_s)
+        # `asyncio.wait_for` drops a cancellation that comes as its task ends.
+        async with asyncio.timeout(wait_s):
+            return await async_read_answer(reader)
     except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, ValueError):
         return None
 
--- a/tests/platform_adapter/soak/crash_callers.py
+++ b/tests/platform_adapter/soak/crash_callers.py
@@ -52,7 +52,8 @@
 
     async def _async_pause(self, seconds: float, ended: asyncio.Event) -> None:
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(ended.wait(), seconds)
+            async with asyncio.timeout(seconds):
+                await ended.wait()
 
     async def _async_send(self, name: str) -> None:
         first = choose_first_part(self.chooser)
