Let the soak's proxy refuse while it begins to accept

Cause: an upstream counts as up before its proxy has stored the new server. If it crashes in that step, `refuse` closes the old server, and the new one still listens as the port is bound again.

Change: the server is stored before it listens.

--- a/tests/platform_adapter/soak/proxy.py
+++ b/tests/platform_adapter/soak/proxy.py
@@ -110,7 +110,11 @@
 
     async def async_accept(self) -> None:
         """Accept connections again, at the same address."""
-        self._server = await asyncio.start_server(self._async_carry, sock=self._held)
+        self._server = await asyncio.start_server(
+            self._async_carry, sock=self._held, start_serving=False
+        )
+        # Set before it listens, so that `refuse` closes it at any time.
+        await self._server.start_serving()
 
     def _list_address(self) -> tuple[str, int]:
         host, _, port = self.address.rpartition(":")
--- a/tests/platform_adapter/soak/test_proxy.py
+++ b/tests/platform_adapter/soak/test_proxy.py
@@ -77,6 +77,24 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("steps", range(4))
+def test_a_proxy_that_begins_to_accept_again_can_refuse(steps: int) -> None:
+    """Guards against `Address already in use` as an upstream crashes in the step in which it is up again."""
+
+    async def scenario() -> None:
+        proxy = Proxy("i-0", "127.0.0.1:1")
+        await proxy.async_start()
+        proxy.refuse()
+        accepting = asyncio.create_task(proxy.async_accept())
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        proxy.refuse()
+        await accepting
+        proxy.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_disturbance_belongs_to_the_requests_during_it() -> None:
     """Guards against a cut that is excused by a disturbance that was over before its request was sent."""
 
