Trust an upstream that was down only by a list that is confirmed after it

Cause: an upstream that refused connections is distrusted until its new entry arrives, or until 1 s after it accepts connections again. The second part held while the store had confirmed the list within 3 s. The store's answers to this daemon stood still: the other two daemons read the entry of v3 at 16.68 s, this one at 18.175 s; it saw i-3 up at 17.028 s, trusted it from 18.028 s and began the stream at 18.170 s.

Change: the list must have been confirmed at least 1 s after the upstream was up. If nothing in the list changes, the feed confirms it only every 2.5 s, so the daemon asks the store once the second is over; several upstreams share a call.

Measured: `test_upstreams_that_restarted_while_the_list_did_not_arrive[2000]` failed before (events of v2, then v1), [0] and [500] held. The other direction: `test_streams_go_on_at_upstreams_that_returned_while_the_list_did_not_change` fails without the call (streams cut that could go on). `is_current` has no other user and leaves the protocol; the row of `test_software.py` that rested on it is now asked with a list that was not confirmed.

--- a/goldcreststair/components/discovery/protocols.py
+++ b/goldcreststair/components/discovery/protocols.py
@@ -36,9 +36,6 @@
     def read_followed_since(self) -> Millis:
         """Return since when no change of the list can have been missed."""
 
-    def is_current(self) -> bool:
-        """Return whether the store confirmed the list a moment ago."""
-
     async def async_confirm(self) -> bool:
         """Bring the list up to the moment of this call; returns whether the store answered in time."""
 
@@ -52,9 +49,6 @@
     def read_followed_since(self) -> Millis:
         return Millis(0)
 
-    def is_current(self) -> bool:
-        return True
-
     async def async_confirm(self) -> bool:
         return True
 
--- a/goldcreststair/components/discovery/service.py
+++ b/goldcreststair/components/discovery/service.py
@@ -95,7 +95,7 @@
         self._controller.record_contact(reached=reached)
         if reached:
             now = self._core.clock.now()
-            if not self.is_current():
+            if not self._is_current():
                 self._followed_since = now
             self._confirmed_at = now
             self._links.record_store_contact()
@@ -110,8 +110,7 @@
         """Return since when no change of the list can have been missed."""
         return self._followed_since
 
-    def is_current(self) -> bool:
-        """Return whether the store confirmed the list a moment ago."""
+    def _is_current(self) -> bool:
         return self._core.clock.now() - self._confirmed_at <= LIST_CURRENT_MS
 
     def _on_resumed(self) -> None:
--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 from result import Err
@@ -288,8 +288,13 @@
         while True:
             await self._core.clock.async_sleep(PROBE_MS)
             self.controller.runs.expire()
-            probed = self.controller.upstreams.list_probed()
-            await asyncio.gather(*(self._async_probe(entry) for entry in probed))
+            upstreams = self.controller.upstreams
+            calls: list[Awaitable[object]] = [
+                self._async_probe(entry) for entry in upstreams.list_probed()
+            ]
+            if upstreams.needs_confirmation():
+                calls.append(upstreams.upstream_list.async_confirm())
+            await asyncio.gather(*calls)
 
     async def _async_probe(self, entry: UpstreamEntry) -> None:
         # Opening a connection costs an upstream nothing and shows at once that it is back.
--- a/goldcreststair/components/placement/upstream_table.py
+++ b/goldcreststair/components/placement/upstream_table.py
@@ -163,11 +163,21 @@
     def _has_settled(self, state: UpstreamState) -> bool:
         if state.interrupted:
             return False
-        if state.settles_at is None:
-            return True
-        if self.upstream_list.is_current():
-            return state.settles_at <= self._clock.now()
-        return state.settles_at <= self.upstream_list.read_confirmed_at()
+        # The list may have stopped arriving without a failure, so that the time alone proves nothing.
+        return state.settles_at is None or (
+            state.settles_at <= self.upstream_list.read_confirmed_at()
+        )
+
+    def needs_confirmation(self) -> bool:
+        """Return whether the software of an upstream would be certain if the list were confirmed now."""
+        now = self._clock.now()
+        return any(
+            state.settles_at is not None
+            and state.settles_at <= now
+            and not state.interrupted
+            and not self._has_settled(state)
+            for state in self._states.values()
+        )
 
     def find_software(self, name: str) -> str | None:
         """Return the software version that an upstream certainly runs, or None."""
--- a/tests/components/placement/test_software.py
+++ b/tests/components/placement/test_software.py
@@ -18,7 +18,6 @@
 class FakeList:
     """The age of the list of upstreams."""
 
-    current: bool = True
     confirmed_at: int = 0
 
     def read_confirmed_at(self) -> Millis:
@@ -27,11 +26,8 @@
     def read_followed_since(self) -> Millis:
         return Millis(0)
 
-    def is_current(self) -> bool:
-        return self.current
-
     async def async_confirm(self) -> bool:
-        return self.current
+        return True
 
 
 def make_table(clock: ManualClock, age: FakeList) -> UpstreamTable:
@@ -55,8 +51,8 @@
     down_ms: int, up_ms: int | None, software: str | None
 ) -> None:
     """Guards against continuing a stream at an upstream that has just restarted with other software."""
-    clock = ManualClock()
-    table = make_table(clock, FakeList())
+    clock, age = ManualClock(), FakeList()
+    table = make_table(clock, age)
     table.mark_interrupted("u")
     clock.advance(down_ms)
     assert [entry.name for entry in table.list_probed()] == ["u"]
@@ -64,6 +60,7 @@
         table.mark_up("u")
         clock.advance(up_ms)
         assert table.list_probed() == []
+    age.confirmed_at = clock.now()
     assert table.find_software("u") == software
 
 
@@ -79,14 +76,29 @@
 def test_old_list_does_not_settle_an_interruption(
     confirmed_after_ms: int, software: str | None
 ) -> None:
-    """Guards against an upstream that restarts while the store is away and no entry can be updated."""
-    clock, age = ManualClock(), FakeList(current=False)
+    """Guards against an upstream that restarts while its new entry cannot be updated, or does not arrive."""
+    clock, age = ManualClock(), FakeList()
     table = make_table(clock, age)
     table.mark_interrupted("u")
     table.mark_up("u")
     age.confirmed_at = clock.now() + confirmed_after_ms
     clock.advance(LONG_MS)
     assert table.find_software("u") == software
+    assert table.needs_confirmation() == (software is None)
+
+
+@pytest.mark.parametrize("up_ms", [None, 0, REGISTRATION_MS - 1])
+def test_confirmation_is_not_needed_before_the_new_entry_can_be_known(up_ms: int | None) -> None:
+    """Guards against calls of the store that cannot settle anything."""
+    clock = ManualClock()
+    table = make_table(clock, FakeList())
+    assert not table.needs_confirmation()
+    table.mark_interrupted("u")
+    clock.advance(LONG_MS)
+    if up_ms is not None:
+        table.mark_up("u")
+        clock.advance(up_ms)
+    assert not table.needs_confirmation()
 
 
 def test_silent_upstream_is_trusted() -> None:
@@ -96,14 +108,13 @@
     assert table.find_software("u") == "v1"
 
 
-@pytest.mark.parametrize("current", [True, False])
-def test_pause_of_this_process_is_settled_by_the_next_list(current: bool) -> None:
+def test_pause_of_this_process_is_settled_by_the_next_list() -> None:
     """Guards against restarts that went unnoticed while this process was paused."""
     clock = ManualClock()
     # It was confirmed a moment before the pause, or read from a socket after it.
-    age = FakeList(current=current, confirmed_at=clock.now() - 1)
+    age = FakeList(confirmed_at=clock.now() - 1)
     table = make_table(clock, age)
     table.mark_process_resumed()
     assert table.find_software("u") is None
-    age.current, age.confirmed_at = True, clock.now()
+    age.confirmed_at = clock.now()
     assert table.find_software("u") == "v1"
--- a/tests/components/stream_origins/test_out_of_step.py
+++ b/tests/components/stream_origins/test_out_of_step.py
@@ -264,3 +264,56 @@
         assert len(read_software((await began).body)) == 1
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("held_ms", [0, 500, 2_000])
+def test_upstreams_that_restarted_while_the_list_did_not_arrive(held_ms: int) -> None:
+    """Guards against going on at the version that an upstream ran before it restarted under its name."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        kept, restarted = add_versions(fleet, "v1", "v1")
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(1_000)
+        kept.up = restarted.up = False
+        await async_send(fleet, member, "/stream/a")
+        member.view.held_until = fleet.clock.now() + held_ms
+        set_software(fleet, restarted, "v2")
+        fleet.register(restarted)
+        kept.up = restarted.up = True
+        await fleet.clock.async_sleep(1_500)
+        sending = [
+            asyncio.create_task(async_send(fleet, member, "/stream/a", request_id=each))
+            for each in IDS
+        ]
+        await fleet.clock.async_sleep(200)
+        assert restarted.running
+        restarted.up = False
+        for answer in await asyncio.gather(*sending):
+            assert len(read_software(answer.body)) <= 1
+
+    run_fleet(scenario)
+
+
+def test_streams_go_on_at_upstreams_that_returned_while_the_list_did_not_change() -> None:
+    """Guards against waiting for the next change of the list before an upstream is trusted again."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = add_versions(fleet, "v1", "v1")
+        (member,) = await fleet.async_add_many(1)
+        await fleet.clock.async_sleep(3_000)
+        for engine in engines:
+            engine.up = False
+        await async_send(fleet, member, "/stream/a")
+        for engine in engines:
+            engine.up = True
+        await fleet.clock.async_sleep(1_900)
+        sending = [
+            asyncio.create_task(async_send(fleet, member, "/stream/a", request_id=each))
+            for each in IDS
+        ]
+        await fleet.clock.async_sleep(200)
+        lost = next(engine for engine in engines if engine.running)
+        lost.up = False
+        assert all(answer.whole for answer in await asyncio.gather(*sending))
+
+    run_fleet(scenario)
