--- a/tests/platform_adapter/ports.py
+++ b/tests/platform_adapter/ports.py
@@ -46,8 +46,10 @@
         lock = socket.socket(socket.AF_UNIX)
         try:
             lock.bind(LOCK_NAME.format(number))
-        except OSError:
+        except OSError as error:
             lock.close()
+            if error.errno != errno.EADDRINUSE:
+                raise
             continue
         return PortBlock(number, lock)
     raise OSError(errno.EADDRINUSE, "all blocks of ports are reserved")
