Order the restarts of a soak test by steps of the loop

Cause: the test begins the second restart 25 ms after the first, which registers its upstream after 50 ms. A process that stands still for longer runs both timers in one step, and the upstream is registered before the test has let it crash.

Change: the second restart begins two steps after the first, when the upstream is up again, which the test now checks.

--- a/tests/platform_adapter/soak/test_site.py
+++ b/tests/platform_adapter/soak/test_site.py
@@ -15,7 +15,10 @@
         engine = site.engines[0]
         began_at = site.record.lifetimes[0].since
         first = asyncio.create_task(site._async_restart(0, 0.0, "v2"))
-        await asyncio.sleep(REGISTRATION_S / 2)
+        # Steps instead of a time, after which a process that stood still may have registered it already.
+        for _ in range(2):
+            await asyncio.sleep(0)
+        assert not engine.down
         ended_at = site.record.lifetimes[0].until
         second = asyncio.create_task(site._async_restart(0, 5 * REGISTRATION_S, "v2"))
         await first
