Read the age of the list once for each placement

Since a placement with a software version read the age of the list, which also checks for a pause of the process, for each upstream that had ever restarted, beside once for the pause. One comparison with one reading now serves both: the list must have been confirmed after the upstream settled and after the last pause. 0 instead of None means that neither was. Decisions are unchanged.

--- a/goldcreststair/components/placement/upstream_table.py
+++ b/goldcreststair/components/placement/upstream_table.py
@@ -43,7 +43,7 @@
     """Because the evacuation of its data centre has ended."""
     interrupted: bool = False
     """Whether it refused connections and has not been seen since: it may restart with other software."""
-    settles_at: Millis | None = None
+    settles_at: Millis = Millis(0)
     """Time from which its entry names the software that it runs, if it restarted when it was interrupted."""
 
 
@@ -56,7 +56,7 @@
         self.cold_limiter = ColdRateLimiter(clock)
         self._clock = clock
         self._states: dict[str, UpstreamState] = {}
-        self._resumed_at: Millis | None = None
+        self._resumed_at = Millis(0)
         """When this process was last seen to have been paused."""
         self._by_service: dict[str, list[UpstreamState]] = {}
         """Upstreams that may get new work."""
@@ -153,29 +153,18 @@
         An upstream may restart under its name with other software. It accepts requests some ms before its
         new entry is known here, and while the store is away no entry can be updated at all.
         """
-        return self._has_settled(state) and self._is_list_newer_than_pause()
+        return self._is_certain(state, self.upstream_list.read_confirmed_at())
 
-    def _is_list_newer_than_pause(self) -> bool:
-        # Upstreams may have restarted during a pause of this process, in whose sockets older lists wait.
-        confirmed_at = self.upstream_list.read_confirmed_at()
-        return self._resumed_at is None or confirmed_at >= self._resumed_at
-
-    def _has_settled(self, state: UpstreamState) -> bool:
-        if state.interrupted:
-            return False
-        # The list may have stopped arriving without a failure, so that the time alone proves nothing.
-        return state.settles_at is None or (
-            state.settles_at <= self.upstream_list.read_confirmed_at()
-        )
+    def _is_certain(self, state: UpstreamState, confirmed_at: Millis) -> bool:
+        # The list may have stopped arriving without a failure, so that the time alone proves nothing. Upstreams
+        # may have restarted during a pause of this process as well, in whose sockets older lists wait.
+        return not state.interrupted and max(state.settles_at, self._resumed_at) <= confirmed_at
 
     def needs_confirmation(self) -> bool:
         """Return whether the software of an upstream would be certain if the list were confirmed now."""
-        now = self._clock.now()
+        confirmed_at, now = self.upstream_list.read_confirmed_at(), self._clock.now()
         return any(
-            state.settles_at is not None
-            and state.settles_at <= now
-            and not state.interrupted
-            and not self._has_settled(state)
+            confirmed_at < state.settles_at <= now and not state.interrupted
             for state in self._states.values()
         )
 
@@ -221,8 +210,8 @@
         """
         now = self._clock.now()
         if software_version is not None:
-            is_new = self._is_list_newer_than_pause()
-            states = [state for state in states if is_new and self._has_settled(state)]
+            confirmed_at = self.upstream_list.read_confirmed_at()
+            states = [state for state in states if self._is_certain(state, confirmed_at)]
         up = [s for s in states if s.down_until <= now and s.full_until <= now]
         # `is_suspected` would read the clock for each of hundreds of upstreams.
         unsuspected = [
