--- a/tests/components/stream_origins/test_fleet.py
+++ b/tests/components/stream_origins/test_fleet.py
@@ -16,11 +16,16 @@
 AT_ONCE_MS = 300
 
 
-async def async_begin(fleet: GatewayFleet, member: FleetMember) -> dict[str, str]:
-    """Begin streams at a daemon and return the software that began each."""
-    sending = [
+def start_streams(fleet: GatewayFleet, member: FleetMember) -> list[asyncio.Task[FakeResponder]]:
+    """Send the requests of all streams to a daemon at once."""
+    return [
         asyncio.create_task(async_send(fleet, member, "/stream/a", request_id=each)) for each in IDS
     ]
+
+
+async def async_begin(fleet: GatewayFleet, member: FleetMember) -> dict[str, str]:
+    """Begin streams at a daemon and return the software that began each."""
+    sending = start_streams(fleet, member)
     fleet.clock.call_later(60_000, sending.clear)
     await fleet.clock.async_sleep(300)
     engines = fleet.engines.by_address.values()
--- a/tests/components/stream_origins/test_out_of_step.py
+++ b/tests/components/stream_origins/test_out_of_step.py
@@ -19,6 +19,7 @@
     async_read_history,
     async_take_up,
     set_software,
+    start_streams,
 )
 from tests.helpers.gateways import async_send, run_fleet
 
@@ -114,9 +115,7 @@
     await fleet.clock.async_sleep(play.joins_ms)
     add_versions(fleet, play.software)
     await fleet.clock.async_sleep(play.begins_ms)
-    sending = [
-        asyncio.create_task(async_send(fleet, first, "/stream/a", request_id=each)) for each in IDS
-    ]
+    sending = start_streams(fleet, first)
     await fleet.clock.async_sleep(play.breaks_ms)
     engines = fleet.engines.by_address.values()
     began = {call.request_id: e.software for e in engines for call in e.ran}
@@ -281,10 +280,7 @@
         fleet.register(restarted)
         kept.up = restarted.up = True
         await fleet.clock.async_sleep(1_500)
-        sending = [
-            asyncio.create_task(async_send(fleet, member, "/stream/a", request_id=each))
-            for each in IDS
-        ]
+        sending = start_streams(fleet, member)
         await fleet.clock.async_sleep(200)
         assert restarted.running
         restarted.up = False
@@ -307,10 +303,7 @@
         for engine in engines:
             engine.up = True
         await fleet.clock.async_sleep(1_900)
-        sending = [
-            asyncio.create_task(async_send(fleet, member, "/stream/a", request_id=each))
-            for each in IDS
-        ]
+        sending = start_streams(fleet, member)
         await fleet.clock.async_sleep(200)
         lost = next(engine for engine in engines if engine.running)
         lost.up = False
