--- a/tests/platform_adapter/ports.py
+++ b/tests/platform_adapter/ports.py
@@ -16,7 +16,7 @@
 
 
 class PortBlock:
-    """Ports reserved for one process."""
+    """Ports reserved for one process, until it ends."""
 
     def __init__(self, number: int, lock: socket.socket) -> None:
         """Take over `lock`, which reserves the block with this number."""
@@ -35,13 +35,10 @@
             return port
         raise OSError(errno.EADDRINUSE, f"no port of the block is free at {address}")
 
-    def close(self) -> None:
-        """Give up the reservation."""
-        self._lock.close()
-
 
+@functools.cache
 def reserve_block() -> PortBlock:
-    """Return a block that no other process has reserved; raises `OSError` if there is none."""
+    """Return the block of this process, which no other one has; raises `OSError` if none is left."""
     for number in range(BLOCKS):
         lock = socket.socket(socket.AF_UNIX)
         try:
@@ -55,12 +52,6 @@
     raise OSError(errno.EADDRINUSE, "all blocks of ports are reserved")
 
 
-@functools.cache
-def get_block() -> PortBlock:
-    """Return the block of this process."""
-    return reserve_block()
-
-
 def find_port(address: str = "127.0.0.1") -> int:
     """Return a port that is free at an address, and that is given to no other test of this machine."""
-    return get_block().find_port(address)
+    return reserve_block().find_port(address)
