--- a/tests/platform_adapter/soak/daemons.py
+++ b/tests/platform_adapter/soak/daemons.py
@@ -174,7 +174,9 @@
     async def _async_end(self) -> Absence:
         assert self._process is not None
         try:
-            await asyncio.wait_for(self._process.wait(), KILL_AFTER_S)
+            # `asyncio.wait_for` drops a cancellation that comes as its task ends.
+            async with asyncio.timeout(KILL_AFTER_S):
+                await self._process.wait()
         except TimeoutError:
             # Not recorded as an injected kill: the daemon is to blame for what it loses by this one.
             with contextlib.suppress(ProcessLookupError):
