Ask for the list beside the probes of upstreams, not between them

Since a tick of the probes waited for the store's answer, up to 500 ms (found in review, by reading): a slow store delayed the probes of all upstreams that are down, and an error of the call would have ended them. The call is a task of its own, one at a time, as after a pause.

--- a/goldcreststair/components/placement/service.py
+++ b/goldcreststair/components/placement/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from result import Err
@@ -71,6 +71,7 @@
         self._run_end_handlers: list[OnRunEnd] = []
         self._unsubscribe: list[Callable[[], None]] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._confirming: asyncio.Task[bool] | None = None
 
     async def async_start(self) -> None:
         """Subscribe to upstreams, evacuations, catalogue and fleet, and start the probes."""
@@ -92,9 +93,10 @@
         for unsubscribe in self._unsubscribe:
             unsubscribe()
         self._unsubscribe.clear()
-        for task in self._tasks:
+        running = [*self._tasks, *([self._confirming] if self._confirming else [])]
+        for task in running:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*running, return_exceptions=True)
         self._tasks.clear()
         self._core.runner.pool.close()
 
@@ -289,12 +291,15 @@
             await self._core.clock.async_sleep(PROBE_MS)
             self.controller.runs.expire()
             upstreams = self.controller.upstreams
-            calls: list[Awaitable[object]] = [
-                self._async_probe(entry) for entry in upstreams.list_probed()
-            ]
             if upstreams.needs_confirmation():
-                calls.append(upstreams.upstream_list.async_confirm())
-            await asyncio.gather(*calls)
+                self._confirm_list()
+            await asyncio.gather(*(self._async_probe(entry) for entry in upstreams.list_probed()))
+
+    def _confirm_list(self) -> None:
+        # In a task of its own, as a slow store would delay the probes.
+        if self._confirming is None or self._confirming.done():
+            upstream_list = self.controller.upstreams.upstream_list
+            self._confirming = asyncio.create_task(upstream_list.async_confirm())
 
     async def _async_probe(self, entry: UpstreamEntry) -> None:
         # Opening a connection costs an upstream nothing and shows at once that it is back.
