Close an idle connection in place of one that has carried the key

Cause: a connection is not reused for a key that it has carried, as a late copy of the earlier answer may arrive on it. With one key no idle connection fits, so that each request opened another one, and the idle ones were only closed by age.

The oldest idle connection is now closed where none fits, so that there are no more of them than requests at a time.

--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -164,6 +164,10 @@
             if self._is_usable(entry):
                 return entry.connection
             self._close(address, entry.connection)
+        if idle:
+            # All have carried this key. Another one is opened in place of the oldest: requests that
+            # repeat a key would else use up the descriptors and the connections of the server.
+            self._close(address, idle.pop(0).connection)
         return None
 
     def _is_usable(self, entry: _IdleConnection) -> bool:
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -297,3 +297,22 @@
             await server.async_close()
 
     asyncio.run(scenario())
+
+
+def test_requests_that_repeat_a_key_leave_one_connection_idle() -> None:
+    """Guards against callers that repeat a request id, so that each request opens a connection which stays."""
+
+    async def scenario() -> int:
+        server, pool = Server(RESPONSE), ConnectionPool(LoopClock())
+        address = await server.async_start()
+        for _ in range(5):
+            exchange = Exchange(address, "GET", "/", 2_000, {}, key="repeated")
+            assert isinstance(await pool.async_exchange(exchange, ResponseHooks()), Ok)
+        left = pool.count_open(address)
+        pool.close()
+        # The server's side of the connections is closed before the loop ends.
+        await asyncio.sleep(0.1)
+        await server.async_close()
+        return left
+
+    assert asyncio.run(scenario()) == 1
