Bound what callers' messages hold together

Callers saw: a process that ran out of memory, and with it all of its requests, under bodies without end or bodies that stop just short of their end and stay open.

Cause: every bound was one on a single message. Bodies of 4 MB that are not complete were held by each connection, in a list of small parts, and nothing added them up.

A budget of the process (a quarter of memory_mb) now counts bytes as they are read until the message is answered, and answers until the kernel has accepted them. At the limit it closes what stands still, then what is largest, and answers 503 where the caller still reads; an eighth of the budget is kept for clients that hold at most 64 KB, so that ordinary bodies pass.

--- /dev/null
+++ b/goldcreststair/client_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on what a process holds for all of its clients together."""
--- /dev/null
+++ b/goldcreststair/client_limits/models.py
@@ -0,0 +1,79 @@
+"""What is held for the clients of a process."""
+
+import os
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Protocol
+
+from goldcreststair.client_limits.const import BYTES_PER_MB, HELD_SHARE, SMALL_SHARE
+from goldcreststair.clock import Millis
+
+
+class CloseCause(StrEnum):
+    """Why the connection of a client was closed."""
+
+    MEMORY = "memory"
+    """All clients together held too many bytes."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """Bounds on all clients of a process together."""
+
+    held_bytes: int
+    """Bytes received and not yet answered, and of answers not yet accepted."""
+    large_bytes: int
+    """The part of these that clients may hold who hold much; the rest stays free for the others."""
+
+
+def compute_limits(memory_mb: int) -> ClientLimits:
+    """Return the limits of a process that may use `memory_mb`, MB, or all of its machine if that is 0.
+
+    >>> compute_limits(320)
+    ClientLimits(held_bytes=83886080, large_bytes=73400320)
+    """
+    memory_bytes = memory_mb * BYTES_PER_MB or _read_machine_bytes()
+    held = memory_bytes // HELD_SHARE
+    return ClientLimits(held, held - held // SMALL_SHARE)
+
+
+def _read_machine_bytes() -> int:
+    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
+
+
+class Connection(Protocol):
+    """A client's connection, as far as it can be closed."""
+
+    def shed(self, cause: CloseCause) -> None:
+        """Refuse the client's request if it can be, and close the connection."""
+
+
+@dataclass(slots=True, eq=False)
+class Holding:
+    """What is held for one connection."""
+
+    connection: Connection
+    port: str
+    """Which of the process's ports the client has connected to."""
+    progressed_at: Millis
+    """When the client last sent or accepted a byte."""
+    received: int = 0
+    """Bytes of the client's message, and behind it, that are held."""
+    ahead: int = 0
+    """Those of them behind a message that is being answered."""
+    unsent: int = 0
+    """Bytes of answers that the client's connection has not accepted."""
+    is_serving: bool = False
+    """Whether its message is complete and being answered."""
+
+    @property
+    def size(self) -> int:
+        """Return the bytes held."""
+        return self.received + self.unsent
+
+
+class ClientReporter(Protocol):
+    """Receives counts of closed connections."""
+
+    def count_closed_client(self, cause: CloseCause) -> None:
+        """Count a connection that was closed to stay within the limits."""
--- a/goldcreststair/components/forwarding/leave.py
+++ b/goldcreststair/components/forwarding/leave.py
@@ -43,3 +43,14 @@
     message = "this VM shuts down before the answer would be complete"
     retry_ms = OTHER_VM_RETRY_MS if has_other_vm else MIN_RETRY_AFTER_MS
     return make_retryable_refusal(message, RefusalCode.NOT_READY, retry_ms)
+
+
+def make_memory_refusal(*, has_other_vm: bool) -> Refusal:
+    """Return the refusal of a request whose body can't be held.
+
+    >>> make_memory_refusal(has_other_vm=True).not_run
+    True
+    """
+    message = "this VM holds too much for all of its clients"
+    retry_ms = OTHER_VM_RETRY_MS if has_other_vm else MIN_RETRY_AFTER_MS
+    return make_retryable_refusal(message, RefusalCode.OVERLOADED, retry_ms)
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -92,6 +92,8 @@
             "jobs_owned": jobs.count_owned(),
             "items_waiting": jobs.count_waiting(),
             "requests_waiting": self.core.get(WAITING).count_waiting(),
+            "client_bytes": self.core.clients.count_bytes(),
+            "client_connections": self.core.clients.count_connections(),
             "buffered_bytes": self.core.get(READER_BUFFERS).count_bytes(),
             "readers_slow": self.core.get(READER_BUFFERS).count_slow(),
             "admission_share": self.core.get(ENTRY).opening.share,
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -8,6 +8,8 @@
 from typing import Final
 
 from goldcreststair.blackboard import Blackboard
+from goldcreststair.client_limits.controller import ClientBudget
+from goldcreststair.client_limits.models import compute_limits
 from goldcreststair.clock import Clock
 from goldcreststair.components import (
     catalogue,
@@ -75,6 +77,7 @@
     """Return a core that uses the real network."""
     meters = Meters(create_statistics(settings.statsd_address))
     contact = StoreContact(clock)
+    clients = ClientBudget(clock, compute_limits(settings.memory_mb), meters)
     return GatewayCore(
         settings=settings,
         clock=clock,
@@ -83,6 +86,7 @@
         adapter=replace(adapter, store=MeteredStore(adapter.store, meters, contact)),
         runner=runner,
         meters=meters,
+        clients=clients,
         store_contact=contact,
         datagrams=UdpTransport(),
         transport=TcpTransport(),
--- a/goldcreststair/gateway_core.py
+++ b/goldcreststair/gateway_core.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from goldcreststair.blackboard import Blackboard
+from goldcreststair.client_limits.controller import ClientBudget
 from goldcreststair.clock import Clock
 from goldcreststair.core import ComponentRegistry
 from goldcreststair.datagrams import DatagramTransport
@@ -48,6 +49,7 @@
     adapter: GatewayAdapter
     runner: Runner
     meters: Meters
+    clients: ClientBudget
     store_contact: StoreContact
     datagrams: DatagramTransport
     transport: PeerTransport
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
+from goldcreststair.client_limits.models import CloseCause
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.statistics import NullStatistics, Statistics
 
@@ -95,6 +96,9 @@
             "log_lines_dropped": _Counter("Log lines dropped for a slow reader."),
             "upstream_load_invalid": _Counter("Invalid or impossible loads of upstreams."),
             "readers_shed": _Counter("Streams closed because their callers read too slowly."),
+            "client_connections_closed": _Counter(
+                "Connections of clients closed to stay within the limits.", ("cause",)
+            ),
             "quota_buckets_created": _Counter("Token buckets created, one for each customer."),
             "quota_baselines": _Counter(
                 "First reports of daemons or relays, which charge nothing."
@@ -241,6 +245,11 @@
         self._counters["readers_shed"].values[()] += 1
         self._statistics.count("readers_shed")
 
+    def count_closed_client(self, cause: CloseCause) -> None:
+        """Count a connection that was closed to stay within the limits on all clients."""
+        self._counters["client_connections_closed"].values[(cause.value,)] += 1
+        self._statistics.count(f"client_connections_closed.{cause.value}")
+
     def observe_counter_age(self, value_ms: int) -> None:
         """Record the age of the other daemons' counters at a decision about a quota, ms."""
         self._histograms["quota_counter_age_seconds"].observe((), value_ms / MS_PER_SECOND)
@@ -308,6 +317,8 @@
     "jobs_owned": "Batch jobs that this daemon runs.",
     "items_waiting": "Items of these jobs that wait for a slot and can be in time.",
     "requests_waiting": "Requests that wait here for a slot.",
+    "client_bytes": "Bytes held for all clients, of their messages and of unread answers.",
+    "client_connections": "Open connections of clients, at all ports.",
     "buffered_bytes": "Bytes held for callers that read slowly.",
     "readers_slow": "Callers that have lagged for longer than reading an upstream may pause.",
     "admission_share": "Share of the slots that this daemon may use by itself; 1 once it knows others.",
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -10,6 +10,8 @@
 from result import Err, Ok, Result
 
 from goldcreststair.blackboard import Blackboard
+from goldcreststair.client_limits.controller import ClientBudget
+from goldcreststair.client_limits.models import compute_limits
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.catalogue.models import (
     BatchTerms,
@@ -369,6 +371,7 @@
             adapter=adapter,
             runner=self.engines,
             meters=meters,
+            clients=ClientBudget(self.clock, compute_limits(settings.memory_mb), meters),
             store_contact=contact,
             datagrams=datagrams,
             transport=self.network.join(address),
