--- /dev/null
+++ b/goldcreststair/client_limits/http.py
@@ -0,0 +1,89 @@
+"""HTTP servers whose connections are counted for all clients together."""
+
+from collections.abc import Awaitable
+from typing import Any, Final
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from goldcreststair.client_limits.controller import ClientBudget
+from goldcreststair.client_limits.listener import ClientListener
+from goldcreststair.client_limits.stream import ClientStream
+
+MAX_ENDPOINT_BODY_BYTES: Final = 1024
+"""Requests to endpoints have no body; a few bytes are read and ignored."""
+MAX_ENDPOINT_HEADER_BYTES: Final = 16 * 1024
+ENDPOINT_BUFFER_BYTES: Final = 64 * 1024
+ENDPOINT_IDLE_S: Final = 60
+ENDPOINT_BODY_S: Final = 5
+
+
+class CountingServer(HTTPServer):
+    """Counts what its handlers hold of a body that is not complete."""
+
+    def start_request(self, server_conn: Any, request_conn: Any) -> HTTPMessageDelegate:
+        """Return the delegate that reads one request."""
+        server_conn.stream.begin_message()
+        delegate = super().start_request(server_conn, request_conn)
+        return _CountingDelegate(delegate, server_conn.stream)
+
+    def on_close(self, server_conn: Any) -> None:
+        """Free what was received on a connection that is closed."""
+        super().on_close(server_conn)
+        server_conn.stream.discard()
+
+
+class _CountingDelegate(HTTPMessageDelegate):
+    """Passes a request on, and counts its body."""
+
+    def __init__(self, delegate: HTTPMessageDelegate, stream: ClientStream) -> None:
+        self._delegate = delegate
+        self._stream = stream
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        self._stream.add_message_bytes(len(chunk))
+        return self._delegate.data_received(chunk)
+
+    def finish(self) -> None:
+        self._stream.end_message()
+        self._delegate.finish()
+
+    def on_connection_close(self) -> None:
+        self._delegate.on_connection_close()
+
+
+class EndpointServer:
+    """Serves an application whose requests have no body, at one address."""
+
+    def __init__(self, application: Application, budget: ClientBudget, port: str) -> None:
+        """Create a server that does not listen yet; `port` names the port in logs."""
+        self._server = CountingServer(
+            application,
+            max_body_size=MAX_ENDPOINT_BODY_BYTES,
+            max_header_size=MAX_ENDPOINT_HEADER_BYTES,
+            idle_connection_timeout=ENDPOINT_IDLE_S,
+            body_timeout=ENDPOINT_BODY_S,
+        )
+        self._listener = ClientListener(
+            budget, port, self._server, max_buffer_bytes=ENDPOINT_BUFFER_BYTES
+        )
+
+    def start(self, address: str, port: int) -> None:
+        """Listen; raises `OSError` if the address cannot be bound."""
+        self._listener.start(bind_sockets(port, address))
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self._listener.close()
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -4,9 +4,9 @@
 import logging
 from typing import Final
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from goldcreststair.client_limits.http import EndpointServer
 from goldcreststair.components.catalogue.models import CATALOGUE
 from goldcreststair.components.discovery.models import LIVE_UPSTREAMS
 from goldcreststair.components.entry.service import ENTRY
@@ -51,7 +51,7 @@
     def __init__(self, core: GatewayCore) -> None:
         """Store the core; nothing runs yet."""
         self.core = core
-        self._server: HTTPServer | None = None
+        self._server: EndpointServer | None = None
         self._pause_task: asyncio.Task[None] | None = None
 
     async def async_start(self) -> None:
@@ -59,14 +59,14 @@
         settings = self.core.settings
         if settings.metrics_port:
             application = Application([(PATH, MetricsHandler, {"service": self})])
-            self._server = HTTPServer(application)
-            self._server.listen(settings.metrics_port, settings.address)
+            self._server = EndpointServer(application, self.core.clients, "metrics")
+            self._server.start(settings.address, settings.metrics_port)
         self._pause_task = asyncio.create_task(self._async_measure_pauses())
 
     async def async_close(self) -> None:
         """Stop the server and the event loop watch."""
         if self._server is not None:
-            self._server.stop()
+            self._server.close()
         if self._pause_task is not None:
             self._pause_task.cancel()
             await asyncio.gather(self._pause_task, return_exceptions=True)
