Count frames at the peer port for all clients together

Callers saw: a process killed for its memory by connections to its peer port.

Cause: a frame may have 16 MB, and its announced length was believed before the other side had said who it is; the number of such connections was not bounded.

Accepted channels of both daemons are counted in the budget of the process, byte by byte as they arrive, whatever is announced. The project's own daemon gets memory_mb as a setting (0: the machine's memory).

--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -11,6 +11,9 @@
 from tornado.netutil import bind_sockets
 
 from goldcreststair.blackboard import Blackboard
+from goldcreststair.client_limits.controller import ClientBudget
+from goldcreststair.client_limits.models import compute_limits
+from goldcreststair.client_limits.reports import StatisticsReporter
 from goldcreststair.clock import Clock, LoopClock
 from goldcreststair.components import (
     batch,
@@ -74,16 +77,21 @@
 def create_core(settings: Settings, clock: Clock) -> Core:
     """Return a core that uses the real platform and upstreams."""
     seed = settings.seed or secrets.randbits(64)
+    statistics = create_statistics(settings.statsd_address)
+    clients = ClientBudget(
+        clock, compute_limits(settings.memory_mb), StatisticsReporter(statistics)
+    )
     return Core(
         settings=settings,
         clock=clock,
         random=random.Random(seed),
         blackboard=Blackboard(),
         journal=Journal(clock),
-        statistics=create_statistics(settings.statsd_address),
+        statistics=statistics,
         platform=create_platform(settings.platform_url),
         upstreams=create_upstream_clients(),
-        transport=TcpTransport(),
+        clients=clients,
+        transport=TcpTransport(clients),
         session_id=secrets.token_hex(8),
     )
 
--- a/goldcreststair/core.py
+++ b/goldcreststair/core.py
@@ -11,6 +11,7 @@
     from tornado.routing import Rule
 
     from goldcreststair.blackboard import Blackboard
+    from goldcreststair.client_limits.controller import ClientBudget
     from goldcreststair.clock import Clock
     from goldcreststair.journal import Journal
     from goldcreststair.settings import Settings
@@ -93,6 +94,7 @@
     statistics: Statistics
     platform: Platform
     upstreams: UpstreamClients
+    clients: ClientBudget
     transport: PeerTransport
     session_id: str
     """Identifies this run of the daemon; never reused after a restart, and replaced if it expired."""
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -89,7 +89,7 @@
         clients=clients,
         store_contact=contact,
         datagrams=UdpTransport(),
-        transport=TcpTransport(),
+        transport=TcpTransport(clients),
         session_id=secrets.token_hex(8),
     )
 
--- a/goldcreststair/settings.py
+++ b/goldcreststair/settings.py
@@ -34,6 +34,9 @@
     statsd_address: Annotated[str, Parameter(help="HOST:PORT of statsd; empty for none.")] = ""
     log_level: Annotated[str, Parameter(help="debug, info, warning or error.")] = "info"
     seed: Annotated[int, Parameter(help="Seed of random choices; 0 for a random seed.")] = 0
+    memory_mb: Annotated[
+        int, Parameter(help="Memory available to this process, MB; 0 for that of the machine.")
+    ] = 0
     drain_ms: Annotated[int, Parameter(help="Longest wait for running work at shutdown, ms.")] = (
         120_000
     )
@@ -58,6 +61,7 @@
         ("partitions", check_range(settings.partitions, 1, 65536)),
         ("statsd_address", _check_statsd(settings.statsd_address)),
         ("log_level", "" if settings.log_level in LOG_LEVELS else f"must be one of {LOG_LEVELS}"),
+        ("memory_mb", check_range(settings.memory_mb, 0, 1_000_000)),
         ("drain_ms", check_range(settings.drain_ms, 0, 3_600_000)),
     ]
 
--- a/goldcreststair/transport.py
+++ b/goldcreststair/transport.py
@@ -10,8 +10,10 @@
 from result import Err, Ok, Result
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.netutil import bind_sockets
-from tornado.tcpserver import TCPServer
 
+from goldcreststair.client_limits.controller import ClientBudget
+from goldcreststair.client_limits.listener import ClientListener
+from goldcreststair.client_limits.stream import ClientStream
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.errors import GoldcreststairError
 
@@ -96,29 +98,52 @@
         self._stream.close()
 
 
-class _Server(TCPServer):
+class _AcceptedChannel(TcpChannel):
+    """A channel that was accepted; what is held of a frame counts for all clients together."""
+
+    def __init__(self, stream: ClientStream) -> None:
+        super().__init__(stream)
+        self._accepted = stream
+
+    async def async_receive(self) -> bytes | None:
+        """Return the next frame, or None at the end."""
+        self._accepted.begin_message()
+        frame = await super().async_receive()
+        if frame is None:
+            self._accepted.discard()
+        else:
+            # The caller decodes and serves it before it asks for the next one.
+            self._accepted.add_message_bytes(len(frame))
+        return frame
+
+
+class _Acceptor:
+    """Passes accepted streams on as channels."""
+
     def __init__(self, on_accept: OnAccept) -> None:
-        super().__init__(max_buffer_size=MAX_FRAME_BYTES * 2)
         self._on_accept = on_accept
 
-    def handle_stream(self, stream: IOStream, address: object) -> None:
+    def handle_stream(self, stream: ClientStream, address: object) -> None:
         stream.set_nodelay(True)
         stream.max_write_buffer_size = MAX_QUEUED_BYTES
-        self._on_accept(TcpChannel(stream))
+        self._on_accept(_AcceptedChannel(stream))
 
 
 class TcpTransport:
     """Channels over TCP."""
 
-    def __init__(self) -> None:
-        """Create a transport that does not listen yet."""
-        self._server: _Server | None = None
+    def __init__(self, budget: ClientBudget) -> None:
+        """Create a transport that does not listen yet; accepted channels count in `budget`."""
+        self._budget = budget
+        self._listener: ClientListener | None = None
 
     async def async_listen(self, address: str, port: int, on_accept: OnAccept) -> int:
         """Bind the port and accept connections."""
         sockets = bind_sockets(port, address)
-        self._server = _Server(on_accept)
-        self._server.add_sockets(sockets)
+        self._listener = ClientListener(
+            self._budget, "peer", _Acceptor(on_accept), max_buffer_bytes=MAX_FRAME_BYTES * 2
+        )
+        self._listener.start(sockets)
         bound: int = sockets[0].getsockname()[1]
         return bound
 
@@ -146,6 +171,6 @@
 
     async def async_close(self) -> None:
         """Stop accepting."""
-        if self._server is not None:
-            self._server.stop()
-            self._server = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
--- a/standins/daemons.py
+++ b/standins/daemons.py
@@ -15,6 +15,7 @@
 from goldcreststair.settings import DEFAULT_PARTITIONS, Settings
 from goldcreststair.statistics import NullStatistics
 from goldcreststair.store.protocols import Platform
+from standins.budgets import make_budget
 from standins.engine.client import FakeUpstreams
 from standins.gate import GatedClock, GatedTransport, VmGate, gate_platform, gate_upstreams
 from standins.network import FakeNetwork
@@ -107,6 +108,7 @@
             statistics=NullStatistics(),
             platform=platform,
             upstreams=upstreams.as_clients(),
+            clients=make_budget(self.clock),
             transport=self.network.join(address),
             session_id=f"{number:016x}",
             http_port=8080,
--- a/tests/components/peers/test_service.py
+++ b/tests/components/peers/test_service.py
@@ -18,6 +18,7 @@
 from goldcreststair.wire.codec import encode_struct
 from goldcreststair.wire.generated.online.ttypes import YieldHint
 from goldcreststair.wire.generated.peers.ttypes import Envelope, FrameKind
+from standins.budgets import make_budget
 from standins.network import FakeNetwork
 from tests.helpers.cores import make_core
 from tests.helpers.virtual_time import run_virtual
@@ -34,7 +35,7 @@
 async def async_make_node(
     name: str, address: str, network: FakeNetwork | None, delay_ms: int = 0
 ) -> Node:
-    transport = network.join(address) if network else TcpTransport()
+    transport = network.join(address) if network else TcpTransport(make_budget(LoopClock()))
     core = make_core(transport=transport, session_id=name, address=address, peer_port=0)
     served: list[tuple[str, Any]] = []
 
--- a/tests/helpers/cores.py
+++ b/tests/helpers/cores.py
@@ -13,6 +13,7 @@
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import NullStatistics
 from goldcreststair.transport import PeerTransport
+from standins.budgets import make_budget
 from standins.engine.client import FakeUpstreams
 from standins.network import FakeNetwork
 from standins.platform.store import FakePlatform
@@ -48,6 +49,7 @@
         statistics=NullStatistics(),
         platform=(platform or FakePlatform(clock)).as_platform(),
         upstreams=(upstreams or FakeUpstreams(clock)).as_clients(),
+        clients=make_budget(clock),
         transport=transport or FakeNetwork(clock).join(values["address"]),
         session_id=session_id,
     )
