Count bodies at the project's own daemon for all clients together

Callers saw: a daemon killed for its memory by 60 clients without a key.

Cause: bodies of up to 512 MB were read whole before the key is looked at, at any path, and nothing added them up.

Its connections count in the budget of the process, and one body may have half of what large ones may together, as its parts are joined at its end, within 600 s. The budget is a fifth now, and 32 broken connections are collected instead of 64.

--- a/goldcreststair/client_limits/const.py
+++ b/goldcreststair/client_limits/const.py
@@ -3,7 +3,7 @@
 from typing import Final
 
 BYTES_PER_MB: Final = 1024 * 1024
-HELD_SHARE: Final = 4
+HELD_SHARE: Final = 5
 """All clients together may have the memory of the process divided by this held for them."""
 SMALL_SHARE: Final = 8
 """This part of it, by division, is kept free for clients that hold little."""
@@ -13,6 +13,6 @@
 """Receive buffer of each connection, which limits what arrives before it is counted."""
 STALL_MS: Final = 1_000
 """A client that has sent nothing, or accepted nothing, for this time stands still."""
-COLLECT_AFTER: Final = 64
+COLLECT_AFTER: Final = 32
 """Connections closed within a message before a garbage collection. Tornado's futures, errors and frames refer to
 each other, and keep some 100 KB of each until then."""
--- a/goldcreststair/client_limits/http.py
+++ b/goldcreststair/client_limits/http.py
@@ -50,7 +50,10 @@
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
-        return self._delegate.headers_received(start_line, headers)
+        awaitable = self._delegate.headers_received(start_line, headers)
+        # The parts of a body are freed at once, not when the closing of the connection is noticed.
+        self._stream.on_shed = self._delegate.on_connection_close
+        return awaitable
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self._stream.add_message_bytes(len(chunk))
--- a/goldcreststair/client_limits/models.py
+++ b/goldcreststair/client_limits/models.py
@@ -30,7 +30,7 @@
     """Return the limits of a process that may use `memory_mb`, MB, or all of its machine if that is 0.
 
     >>> compute_limits(320)
-    ClientLimits(held_bytes=83886080, large_bytes=73400320)
+    ClientLimits(held_bytes=67108864, large_bytes=58720256)
     """
     memory_bytes = memory_mb * BYTES_PER_MB or _read_machine_bytes()
     held = memory_bytes // HELD_SHARE
--- a/goldcreststair/http_server.py
+++ b/goldcreststair/http_server.py
@@ -7,16 +7,18 @@
 from typing import Any, Final
 from weakref import WeakSet
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, HTTPServerRequest
 from tornado.web import Application, OutputTransform
 
+from goldcreststair.client_limits.http import CountingServer
+from goldcreststair.client_limits.listener import ClientListener
 from goldcreststair.components.shutdown.models import SHUTDOWN
 from goldcreststair.core import Core
 
 _LOGGER = logging.getLogger(__name__)
 
 MAX_BODY_BYTES: Final = 512 * 1024 * 1024
+MAX_BODY_S: Final = 600
 DRAIN_CHECK_MS: Final = 50
 
 
@@ -52,7 +54,7 @@
         return chunk
 
 
-class _TrackingServer(HTTPServer):
+class _TrackingServer(CountingServer):
     """Tracks its connections, so that all of them can be closed in one step."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
@@ -82,7 +84,13 @@
         self._core = core
         application = Application(core.routes)
         application.transforms.append(self._track_response)  # type: ignore[arg-type]
-        self._server = _TrackingServer(application, max_body_size=MAX_BODY_BYTES)
+        self._server = _TrackingServer(
+            application,
+            # Twice as much is held for a moment, when the parts of a body are joined.
+            max_body_size=min(MAX_BODY_BYTES, core.clients.limits.large_bytes // 2),
+            body_timeout=MAX_BODY_S,
+        )
+        self._listener = ClientListener(core.clients, "http", self._server)
         core.drainables.append(self)
 
     @property
@@ -93,7 +101,7 @@
 
     def start(self, sockets: list[socket.socket]) -> None:
         """Accept connections on the sockets."""
-        self._server.add_sockets(sockets)
+        self._listener.start(sockets)
 
     def count_running(self) -> int:
         """Return the number of responses that are not completely sent."""
@@ -106,7 +114,7 @@
         """
         # Connections from now on are refused by the operating system. Nothing was sent then, so the
         # caller may retry at another VM without risking a second run.
-        self._server.stop()
+        self._listener.close()
         while self.count_running() and self._core.clock.now() < deadline_ms:
             await self._core.clock.async_sleep(DRAIN_CHECK_MS)
         if self.count_running():
@@ -116,7 +124,7 @@
 
     async def async_close(self) -> None:
         """Close all connections."""
-        self._server.stop()
+        self._listener.close()
         self._server.close_in_one_step()
         await self._server.close_all_connections()
 
