Close silent connections before the descriptors or the memory are used up

Cause: nothing bounded the number of connections, at any port, and an error of accept left the socket readable.

All ports of a process together accept three quarters of the descriptors less 200, and at most an eighth of the memory at 16 KB each. Beyond it the connection without a request that has been silent for longest is closed; a running request never is. After an error accepting pauses for 100 ms.

--- a/goldcreststair/client_limits/const.py
+++ b/goldcreststair/client_limits/const.py
@@ -13,6 +13,17 @@
 """Receive buffer of each connection, which limits what arrives before it is counted."""
 STALL_MS: Final = 1_000
 """A client that has sent nothing, or accepted nothing, for this time stands still."""
+CONNECTIONS_SHARE: Final = 8
+"""The objects of all connections may take the memory of the process divided by this."""
+CONNECTION_BYTES: Final = 16 * 1024
+"""Memory of one idle connection."""
+FILE_DESCRIPTORS: Final = 200
+"""Descriptors of a process that are not sockets."""
+SOCKETS_KEPT_SHARE: Final = 4
+"""The process keeps the remaining descriptors, divided by this, for its own connections."""
+MIN_CONNECTIONS: Final = 16
+ACCEPT_PAUSE_MS: Final = 100
+"""Pause in accepting after an error, such as a lack of descriptors."""
 COLLECT_AFTER: Final = 32
 """Connections closed within a message before a garbage collection. Tornado's futures, errors and frames refer to
 each other, and keep some 100 KB of each until then."""
--- a/goldcreststair/client_limits/controller.py
+++ b/goldcreststair/client_limits/controller.py
@@ -83,6 +83,31 @@
         while (holding := self.choose_closed()) is not None:
             self._shed(holding, CloseCause.MEMORY)
 
+    def make_room(self) -> bool:
+        """Return whether one more connection may be opened, after closing a silent one if need be."""
+        return len(self._holdings) < self.limits.connections or self.close_silent()
+
+    def close_silent(self) -> bool:
+        """Close the connection without a request that has been silent for longest, if there is one.
+
+        Those that hold a part of a message are closed after those that hold nothing.
+        """
+        silent: Holding | None = None
+        for holding in self._holdings:
+            if not holding.is_serving:
+                silent = silent or holding
+                if not holding.size:
+                    silent = holding
+                    break
+        if silent is not None:
+            self._shed(silent, CloseCause.CONNECTIONS)
+        return silent is not None
+
+    def count_rejected(self, port: str) -> None:
+        """Record that a connection was closed as soon as it had been accepted."""
+        _LOGGER.warning("Client connection rejected", extra={"port": port})
+        self._reporter.count_closed_client(CloseCause.CONNECTIONS)
+
     def choose_closed(self) -> Holding | None:
         """Return the connection to be closed next, or None if the limits are kept."""
         if self._held <= self.limits.held_bytes and self._large <= self.limits.large_bytes:
--- a/goldcreststair/client_limits/listener.py
+++ b/goldcreststair/client_limits/listener.py
@@ -1,14 +1,20 @@
 """Accepts the connections of clients at one port, as streams whose bytes are counted."""
 
+import logging
 import socket
-from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, Final, Protocol
 
-from tornado.netutil import add_accept_handler
+from tornado.ioloop import IOLoop
 
-from goldcreststair.client_limits.const import RECEIVE_BUFFER_BYTES
+from goldcreststair.client_limits.const import ACCEPT_PAUSE_MS, RECEIVE_BUFFER_BYTES
 from goldcreststair.client_limits.controller import ClientBudget
 from goldcreststair.client_limits.stream import ClientStream
+from goldcreststair.const import MS_PER_SECOND
+
+_LOGGER = logging.getLogger(__name__)
+
+ACCEPTS_PER_STEP: Final = 128
+"""Connections accepted before others are served."""
 
 
 class StreamHandler(Protocol):
@@ -34,24 +40,54 @@
         self._port = port
         self._server = server
         self._max_buffer_bytes = max_buffer_bytes
-        self._listening: list[tuple[socket.socket, Callable[[], None]]] = []
+        self._listening: set[socket.socket] = set()
 
     def start(self, sockets: list[socket.socket]) -> None:
         """Accept connections, including those already queued on the sockets."""
         for listening in sockets:
+            listening.setblocking(False)
             # Inherited by the connections; what they may send unread is not counted.
             listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-            self._listening.append((listening, add_accept_handler(listening, self._on_accept)))
+            self._listening.add(listening)
+            self._resume(listening)
 
     def close(self) -> None:
         """Accept no more connections; safe to call twice."""
-        for listening, stop in self._listening:
-            stop()
+        for listening in self._listening:
+            IOLoop.current().remove_handler(listening)
             listening.close()
         self._listening.clear()
 
-    def _on_accept(self, opened: socket.socket, address: object) -> None:
+    def _accept_all(self, listening: socket.socket, _events: int) -> None:
+        for _ in range(ACCEPTS_PER_STEP):
+            try:
+                opened, address = listening.accept()
+            except BlockingIOError:
+                return
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                _LOGGER.warning("Accept failed", extra={"port": self._port, "reason": str(error)})
+                self._pause(listening)
+                return
+            self._accept(opened, address)
+
+    def _accept(self, opened: socket.socket, address: object) -> None:
+        if not self._budget.make_room():
+            self._budget.count_rejected(self._port)
+            opened.close()
+            return
         stream = ClientStream(
             opened, self._budget, self._port, max_buffer_bytes=self._max_buffer_bytes
         )
         self._server.handle_stream(stream, address)
+
+    def _pause(self, listening: socket.socket) -> None:
+        # The socket stays readable; without a pause the loop would do nothing else.
+        IOLoop.current().remove_handler(listening)
+        self._budget.close_silent()
+        IOLoop.current().call_later(ACCEPT_PAUSE_MS / MS_PER_SECOND, self._resume, listening)
+
+    def _resume(self, listening: socket.socket) -> None:
+        if listening in self._listening:
+            IOLoop.current().add_handler(listening, self._accept_all, IOLoop.READ)
--- a/goldcreststair/client_limits/models.py
+++ b/goldcreststair/client_limits/models.py
@@ -1,11 +1,22 @@
 """What is held for the clients of a process."""
 
 import os
+import resource
+import sys
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
 
-from goldcreststair.client_limits.const import BYTES_PER_MB, HELD_SHARE, SMALL_SHARE
+from goldcreststair.client_limits.const import (
+    BYTES_PER_MB,
+    CONNECTION_BYTES,
+    CONNECTIONS_SHARE,
+    FILE_DESCRIPTORS,
+    HELD_SHARE,
+    MIN_CONNECTIONS,
+    SMALL_SHARE,
+    SOCKETS_KEPT_SHARE,
+)
 from goldcreststair.clock import Millis
 
 
@@ -14,6 +25,8 @@
 
     MEMORY = "memory"
     """All clients together held too many bytes."""
+    CONNECTIONS = "connections"
+    """There were too many connections."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,17 +37,33 @@
     """Bytes received and not yet answered, and of answers not yet accepted."""
     large_bytes: int
     """The part of these that clients may hold who hold much; the rest stays free for the others."""
+    connections: int
+    """Open connections, at all ports."""
 
 
-def compute_limits(memory_mb: int) -> ClientLimits:
-    """Return the limits of a process that may use `memory_mb`, MB, or all of its machine if that is 0.
+def compute_limits(memory_mb: int = 0, descriptors: int = 0) -> ClientLimits:
+    """Return the limits of a process that may use `memory_mb`, MB, and so many descriptors.
 
-    >>> compute_limits(320)
-    ClientLimits(held_bytes=67108864, large_bytes=58720256)
+    Where one is 0, the limit of the machine or of the process holds.
+
+    >>> compute_limits(320, 8_200)
+    ClientLimits(held_bytes=67108864, large_bytes=58720256, connections=2560)
+    >>> compute_limits(320, 300).connections
+    75
     """
     memory_bytes = memory_mb * BYTES_PER_MB or _read_machine_bytes()
     held = memory_bytes // HELD_SHARE
-    return ClientLimits(held, held - held // SMALL_SHARE)
+    sockets = (descriptors or _read_descriptor_limit()) - FILE_DESCRIPTORS
+    connections = min(
+        sockets - sockets // SOCKETS_KEPT_SHARE,
+        memory_bytes // CONNECTIONS_SHARE // CONNECTION_BYTES,
+    )
+    return ClientLimits(held, held - held // SMALL_SHARE, max(connections, MIN_CONNECTIONS))
+
+
+def _read_descriptor_limit() -> int:
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return sys.maxsize if limit == resource.RLIM_INFINITY else limit
 
 
 def _read_machine_bytes() -> int:
--- a/goldcreststair/gateway.py
+++ b/goldcreststair/gateway.py
@@ -77,7 +77,9 @@
     """Return a core that uses the real network."""
     meters = Meters(create_statistics(settings.statsd_address))
     contact = StoreContact(clock)
-    clients = ClientBudget(clock, compute_limits(settings.memory_mb), meters)
+    clients = ClientBudget(
+        clock, compute_limits(settings.memory_mb, settings.max_descriptors), meters
+    )
     return GatewayCore(
         settings=settings,
         clock=clock,
--- a/goldcreststair/gateway_settings.py
+++ b/goldcreststair/gateway_settings.py
@@ -50,6 +50,8 @@
     """IP addresses of some daemons, separated by commas."""
     memory_mb: int = DEFAULT_MEMORY_MB
     """Memory available to this process, MB."""
+    max_descriptors: int = 0
+    """Descriptors available to this process; 0 for the limit that it was started with."""
     log_level: str = "info"
     """debug, info, warning or error."""
     statsd_address: str = ""
@@ -137,6 +139,7 @@
         ("metrics_port", check_range(settings.metrics_port, 0, MAX_PORT)),
         ("answer_ttl_s", check_range(settings.answer_ttl_s, 1, 3_600)),
         ("memory_mb", check_range(settings.memory_mb, 64, 1_000_000)),
+        ("max_descriptors", check_range(settings.max_descriptors, 0, 1_000_000_000)),
         ("grace_s", "" if settings.grace_s > 0 else "must be above 0"),
         ("job_read_s", "" if settings.job_read_s > 0 else "must be above 0"),
         ("log_level", "" if settings.log_level in LOG_LEVELS else f"must be one of {LOG_LEVELS}"),
--- a/tests/client_limits/test_controller.py
+++ b/tests/client_limits/test_controller.py
@@ -12,7 +12,7 @@
 from tests.helpers.virtual_time import ManualClock
 
 LARGE: Final = 1024 * 1024
-LIMITS: Final = ClientLimits(held_bytes=8 * LARGE, large_bytes=7 * LARGE)
+LIMITS: Final = ClientLimits(held_bytes=8 * LARGE, large_bytes=7 * LARGE, connections=3)
 
 
 @dataclass(slots=True)
@@ -117,3 +117,37 @@
     full = budget.open(Client(), "front")
     budget.resize(full, 7 * LARGE, 0)
     assert budget.choose_closed() is None
+
+
+@pytest.mark.parametrize(
+    ("cases", "closed"),
+    [
+        ([Case(), Case(), Case()], 0),
+        ([Case(is_serving=True), Case(10), Case()], 2),
+        ([Case(is_serving=True), Case(10), Case(20)], 1),
+        ([Case(is_serving=True)] * 3, None),
+    ],
+    ids=["the longest silent", "idle ones first", "then a message", "no request that runs"],
+)
+def test_which_connection_makes_room_for_another(cases: list[Case], closed: int | None) -> None:
+    """Guards against requests that are cut for a connection which has sent nothing yet."""
+    budget = ClientBudget(ManualClock(), LIMITS, Client())
+    clients = [Client() for _ in cases]
+    for client, case in zip(clients, cases, strict=True):
+        holding = budget.open(client, "front")
+        holding.is_serving = case.is_serving
+        budget.resize(holding, case.received, 0)
+    assert budget.make_room() is (closed is not None)
+    assert [n for n, client in enumerate(clients) if client.causes] == (
+        [] if closed is None else [closed]
+    )
+
+
+def test_a_client_that_goes_on_is_not_the_longest_silent() -> None:
+    """Guards against a busy connection that is closed because it is the oldest."""
+    budget = ClientBudget(ManualClock(), LIMITS, Client())
+    clients = [Client() for _ in range(3)]
+    holdings = [budget.open(client, "front") for client in clients]
+    budget.advance(holdings[0])
+    assert budget.make_room()
+    assert [len(client.causes) for client in clients] == [0, 1, 0]
