Let clients with bodies in small chunks take turns

Callers saw: 503 while and after a crowd sent bodies in chunks of one or three bytes; the daemon took a whole core, missed its time to connect to upstreams, and went on for long after the crowd had gone.

Cause: decoding a chunk takes 16 us whatever its length, and tornado gives others a turn only after 256 chunks of each connection. What a client had sent before it reset its connection was decoded to its end.

Clients with 64 chunks or more of a body now take turns, one in each step of the event loop; before a turn the connection is checked for a reset. At most 32 wait for a turn: beyond that the one with the most chunks is refused.

--- a/goldcreststair/client_limits/const.py
+++ b/goldcreststair/client_limits/const.py
@@ -24,6 +24,10 @@
 MIN_CONNECTIONS: Final = 16
 ACCEPT_PAUSE_MS: Final = 100
 """Pause in accepting after an error, such as a lack of descriptors."""
+CHUNKS_PER_TURN: Final = 64
+"""Chunks of a body that are decoded before other clients are served; ordinary bodies have fewer."""
+MAX_WAITING_TURNS: Final = 32
+"""Clients with bodies in many small chunks that may wait for each other."""
 COLLECT_AFTER: Final = 32
 """Connections closed within a message before a garbage collection. Tornado's futures, errors and frames refer to
 each other, and keep some 100 KB of each until then."""
--- a/goldcreststair/client_limits/controller.py
+++ b/goldcreststair/client_limits/controller.py
@@ -9,6 +9,7 @@
 
 from goldcreststair.client_limits.const import (
     COLLECT_AFTER,
+    MAX_WAITING_TURNS,
     SMALL_BYTES,
     STALL_MS,
 )
@@ -19,6 +20,7 @@
     Connection,
     Holding,
 )
+from goldcreststair.client_limits.turns import Turns
 from goldcreststair.clock import Clock, Millis
 
 _LOGGER = logging.getLogger(__name__)
@@ -34,6 +36,7 @@
         self._reporter = reporter
         self._holdings: dict[Holding, None] = {}
         """Open connections, those that have been silent for longest first."""
+        self._turns = Turns()
         self._held = 0
         self._large = 0
         """Bytes held for those clients that hold more than `SMALL_BYTES`."""
@@ -55,6 +58,7 @@
             self._broken += 1
         self.resize(holding, 0, 0)
         self._holdings.pop(holding, None)
+        self._turns.remove(holding)
 
     def count_bytes(self) -> int:
         """Return the bytes held for all clients."""
@@ -108,6 +112,18 @@
         _LOGGER.warning("Client connection rejected", extra={"port": port})
         self._reporter.count_closed_client(CloseCause.CONNECTIONS)
 
+    async def async_take_turn(self, holding: Holding, turns: int) -> None:
+        """Return when a client may decode further small chunks, or once its connection was closed.
+
+        `turns` is how many turns it has had.
+        """
+        if self._turns.count_waiting() >= MAX_WAITING_TURNS:
+            heaviest = self._turns.find_heaviest()
+            excess = holding if turns >= heaviest.turns else heaviest.holding
+            self._shed(excess, CloseCause.CHUNKS)
+        if holding in self._holdings:
+            await self._turns.async_wait(holding, turns)
+
     def choose_closed(self) -> Holding | None:
         """Return the connection to be closed next, or None if the limits are kept."""
         if self._held <= self.limits.held_bytes and self._large <= self.limits.large_bytes:
--- a/goldcreststair/client_limits/models.py
+++ b/goldcreststair/client_limits/models.py
@@ -27,6 +27,8 @@
     """All clients together held too many bytes."""
     CONNECTIONS = "connections"
     """There were too many connections."""
+    CHUNKS = "chunks"
+    """Too many clients sent bodies in many small chunks."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/client_limits/stream.py
+++ b/goldcreststair/client_limits/stream.py
@@ -3,12 +3,12 @@
 import errno
 import os
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tornado.concurrent import Future
 from tornado.iostream import IOStream
 
-from goldcreststair.client_limits.const import RECEIVE_BUFFER_BYTES
+from goldcreststair.client_limits.const import CHUNKS_PER_TURN, RECEIVE_BUFFER_BYTES
 from goldcreststair.client_limits.controller import ClientBudget
 from goldcreststair.client_limits.models import CloseCause, Holding
 
@@ -33,13 +33,15 @@
         self._unsent = 0
         self._pending = 0
         """Bytes that probably wait in the kernel's receive buffer."""
+        self._chunks = 0
+        """Chunk sizes that were read of the current message."""
         super().__init__(opened, max_buffer_size=max_buffer_bytes)
         self._holding: Holding = budget.open(self, port)
 
     def begin_message(self) -> None:
         """Record that nothing is held any more but what was received behind the last message."""
         self.on_shed = None
-        self._message_bytes = 0
+        self._message_bytes = self._chunks = 0
         self._holding.is_serving = False
         self._count()
 
@@ -72,6 +74,20 @@
         self._read_buffer = bytearray()
         self._read_buffer_size = 0
 
+    def read_until(self, delimiter: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
+        """Read the size of a chunk; a body of many chunks takes turns with other clients."""
+        self._chunks += 1
+        if self._chunks % CHUNKS_PER_TURN:
+            return super().read_until(delimiter, max_bytes)
+        return self._async_read_in_turn(delimiter, max_bytes)
+
+    async def _async_read_in_turn(self, delimiter: bytes, max_bytes: int | None) -> bytes:
+        await self._budget.async_take_turn(self._holding, self._chunks // CHUNKS_PER_TURN)
+        # Bytes that were received before a reset could still be read for a long time.
+        if not self.closed() and self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.close()
+        return await super().read_until(delimiter, max_bytes)
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read and count bytes; the connection is reset if they can't be held."""
         size = len(buf)
--- a/tests/client_limits/test_controller.py
+++ b/tests/client_limits/test_controller.py
@@ -1,15 +1,16 @@
 """Which clients are closed when all of them together hold too much."""
 
+import asyncio
 from dataclasses import dataclass, field
 from typing import Final
 
 import pytest
 
-from goldcreststair.client_limits.const import SMALL_BYTES, STALL_MS
+from goldcreststair.client_limits.const import MAX_WAITING_TURNS, SMALL_BYTES, STALL_MS
 from goldcreststair.client_limits.controller import ClientBudget
 from goldcreststair.client_limits.models import ClientLimits, CloseCause, Holding
-from goldcreststair.clock import Millis
-from tests.helpers.virtual_time import ManualClock
+from goldcreststair.clock import LoopClock, Millis
+from tests.helpers.virtual_time import ManualClock, run_virtual
 
 LARGE: Final = 1024 * 1024
 LIMITS: Final = ClientLimits(held_bytes=8 * LARGE, large_bytes=7 * LARGE, connections=3)
@@ -151,3 +152,26 @@
     budget.advance(holdings[0])
     assert budget.make_room()
     assert [len(client.causes) for client in clients] == [0, 1, 0]
+
+
+def test_clients_with_small_chunks_take_turns() -> None:
+    """Guards against bodies in small chunks that take all of the time, and against more than can be decoded."""
+
+    async def scenario() -> None:
+        budget = ClientBudget(LoopClock(), LIMITS, Client())
+        clients = [Client() for _ in range(MAX_WAITING_TURNS + 2)]
+        holdings = [budget.open(client, "front") for client in clients]
+        turns = [
+            asyncio.ensure_future(budget.async_take_turn(holding, number))
+            for number, holding in enumerate(holdings[:-1], start=1)
+        ]
+        await asyncio.sleep(0)
+        # The newest of them has had the most turns.
+        assert clients[MAX_WAITING_TURNS].causes == [CloseCause.CHUNKS]
+        turns.append(asyncio.ensure_future(budget.async_take_turn(holdings[-1], 0)))
+        await asyncio.sleep(0)
+        assert sum(turn.done() for turn in turns) < MAX_WAITING_TURNS
+        await asyncio.gather(*turns)
+        assert clients[-1].causes == []
+
+    run_virtual(scenario())
