Refuse submissions with many times more values than a job needs

Callers saw: memory of 20 times a body's size, for a moment, for each submission of small maps.

Cause: a value takes 64 bytes or more once decoded, so that a body of 4 MB of maps took 100 MB; the number of items was looked at afterwards.

A submission may have 200,000 values, a thousand for each of its 200 items, counted by their separators before it is decoded. Beyond that it gets 400.

--- a/tests/client_limits/crowd.py
+++ b/tests/client_limits/crowd.py
@@ -127,6 +127,12 @@
     return lambda: itertools.chain((head,), itertools.repeat(piece, count - 1), (piece[:-1],))
 
 
+def send_whole(path: str, body: bytes, *fields: str) -> Pieces:
+    """Return a complete request."""
+    head = make_head(path, f"Content-Length: {len(body)}", *fields)
+    return lambda: (head, body)
+
+
 def send_unfinished_head(size: int) -> Pieces:
     """Return a head of `size` bytes without its end."""
     return lambda: (make_head("/call/x")[:-2] + b"X-Long: " + b"x" * size,)
--- a/tests/client_limits/test_gateway_crowds.py
+++ b/tests/client_limits/test_gateway_crowds.py
@@ -19,8 +19,10 @@
     send_unfinished_head,
     send_unfinished_length,
     send_unread,
+    send_whole,
 )
 from tests.client_limits.gateway_site import GatewaySite
+from tests.platform_adapter.wire_engine import WireEngine
 
 pytestmark = pytest.mark.crowd
 
@@ -30,6 +32,16 @@
 SETTLE_POLLS: Final = 120
 SETTLE_POLL_S: Final = 0.5
 DESCRIPTORS: Final = 300
+ANSWER_BYTES: Final = 600_000
+ENGINE_PAUSE_S: Final = 0.2
+
+
+def fill(start: bytes, repeated: bytes, end: bytes) -> bytes:
+    """Return a body of nearly the longest allowed length."""
+    count = (MAX_BODY_BYTES - len(start) - len(end)) // len(repeated)
+    return start + repeated * count + end
+
+
 CASES: Final = (
     ("front", Manner("chunks without end", send_endless("/call/x"))),
     ("front", Manner("chunks that stop short", send_unfinished_chunks("/call/x"))),
@@ -52,6 +64,17 @@
 )
 
 
+WHOLE_BODY: Final = b"x" * (MAX_BODY_BYTES - 1)
+WHOLE_CASES: Final = (
+    Manner("bodies of running requests", send_whole("/call/x", WHOLE_BODY)),
+    Manner("jobs of small maps", send_whole("/batch/x", fill(b'{"requests":[', b"{},", b"{}]}"))),
+    Manner("jobs of deep nesting", send_whole("/batch/x", fill(b"", b"[", b""))),
+    Manner("jobs of large numbers", send_whole("/batch/x", fill(b"[", b"9", b"]"))),
+    Manner("large answers that are not read", send_unread("/call/x", 200)),
+    Manner("large streams that are not read", send_unread("/stream/x", 200)),
+)
+
+
 async def async_find_faults(site: GatewaySite, port: str, manner: Manner) -> list[str]:
     """Let a crowd come and go; returns what is wrong during and after it."""
     faults: list[str] = []
@@ -101,6 +124,20 @@
     assert asyncio.run(scenario()) == []
 
 
+@pytest.mark.parametrize("manner", WHOLE_CASES, ids=str)
+def test_a_crowd_of_whole_requests_costs_neither_the_memory_nor_the_service(
+    manner: Manner, tmp_path: Path
+) -> None:
+    """Guards against bodies, what decoding makes of them, and answers, that exceed the memory together."""
+    engine = WireEngine(padding=ANSWER_BYTES // 3, pause_s=ENGINE_PAUSE_S)
+
+    async def scenario() -> list[str]:
+        async with GatewaySite(tmp_path, engine=engine) as site:
+            return await async_find_faults(site, "front", manner)
+
+    assert asyncio.run(scenario()) == []
+
+
 @pytest.mark.parametrize("port", ["front", "entry", "ready", "metrics", "peer"])
 def test_idle_connections_leave_descriptors_for_callers(port: str, tmp_path: Path) -> None:
     """Guards against a daemon whose idle connections use up its descriptors, so that it accepts no caller."""
--- a/tests/platform_adapter/test_jobs.py
+++ b/tests/platform_adapter/test_jobs.py
@@ -7,6 +7,7 @@
 
 import orjson
 import pytest
+from result import Ok
 from users_platform.jobs import SubmissionBodies
 
 from goldcreststair.components.entry.service import ENTRY
@@ -264,3 +265,17 @@
         await entry.async_wait()
 
     run_local(scenario)
+
+
+@pytest.mark.parametrize(
+    ("headers", "is_read"),
+    [(60, True), (2_000, False)],
+    ids=["the most items with many headers", "more values than a job needs"],
+)
+def test_a_submission_is_bounded_by_its_values(headers: int, is_read: bool) -> None:
+    """Guards against a body of small values, which takes many times its size once decoded."""
+    fields = {f"h{number}": "540,400" for number in range(headers)}
+    item = {"path": "/batch/x", "headers": fields, "body": "YQ==", "tokens": 1}
+    listed = [{"id": f"{number}", **item} for number in range(200)]
+    decoded = SubmissionBodies().decode(orjson.dumps({"requests": listed}))
+    assert isinstance(decoded, Ok) is is_read
