--- a/goldcreststair/client_limits/const.py
+++ b/goldcreststair/client_limits/const.py
@@ -1,4 +1,4 @@
-"""Shares of a process's memory that its clients may use."""
+"""Bounds on what the clients of a process may use together."""
 
 from typing import Final
 
@@ -22,6 +22,8 @@
 SOCKETS_KEPT_SHARE: Final = 4
 """The process keeps the remaining descriptors, divided by this, for its own connections."""
 MIN_CONNECTIONS: Final = 16
+ACCEPTS_PER_STEP: Final = 128
+"""Connections accepted before others are served."""
 ACCEPT_PAUSE_MS: Final = 100
 """Pause in accepting after an error, such as a lack of descriptors."""
 CHUNKS_PER_TURN: Final = 64
@@ -31,3 +33,9 @@
 COLLECT_AFTER: Final = 32
 """Connections closed within a message before a garbage collection. Tornado's futures, errors and frames refer to
 each other, and keep some 100 KB of each until then."""
+MAX_ENDPOINT_BODY_BYTES: Final = 1024
+"""Requests to endpoints have no body; a few bytes are read and ignored."""
+MAX_ENDPOINT_HEADER_BYTES: Final = 16 * 1024
+ENDPOINT_BUFFER_BYTES: Final = 64 * 1024
+ENDPOINT_IDLE_S: Final = 60
+ENDPOINT_BODY_S: Final = 5
--- a/goldcreststair/client_limits/http.py
+++ b/goldcreststair/client_limits/http.py
@@ -1,7 +1,7 @@
 """HTTP servers whose connections are counted for all clients together."""
 
 from collections.abc import Awaitable
-from typing import Any, Final
+from typing import Any
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -13,17 +13,17 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+from goldcreststair.client_limits.const import (
+    ENDPOINT_BODY_S,
+    ENDPOINT_BUFFER_BYTES,
+    ENDPOINT_IDLE_S,
+    MAX_ENDPOINT_BODY_BYTES,
+    MAX_ENDPOINT_HEADER_BYTES,
+)
 from goldcreststair.client_limits.controller import ClientBudget
 from goldcreststair.client_limits.listener import ClientListener
 from goldcreststair.client_limits.stream import ClientStream
 
-MAX_ENDPOINT_BODY_BYTES: Final = 1024
-"""Requests to endpoints have no body; a few bytes are read and ignored."""
-MAX_ENDPOINT_HEADER_BYTES: Final = 16 * 1024
-ENDPOINT_BUFFER_BYTES: Final = 64 * 1024
-ENDPOINT_IDLE_S: Final = 60
-ENDPOINT_BODY_S: Final = 5
-
 
 class CountingServer(HTTPServer):
     """Counts what its handlers hold of a body that is not complete."""
--- a/goldcreststair/client_limits/listener.py
+++ b/goldcreststair/client_limits/listener.py
@@ -2,20 +2,21 @@
 
 import logging
 import socket
-from typing import Any, Final, Protocol
+from typing import Any, Protocol
 
 from tornado.ioloop import IOLoop
 
-from goldcreststair.client_limits.const import ACCEPT_PAUSE_MS, RECEIVE_BUFFER_BYTES
+from goldcreststair.client_limits.const import (
+    ACCEPT_PAUSE_MS,
+    ACCEPTS_PER_STEP,
+    RECEIVE_BUFFER_BYTES,
+)
 from goldcreststair.client_limits.controller import ClientBudget
 from goldcreststair.client_limits.stream import ClientStream
 from goldcreststair.const import MS_PER_SECOND
 
 _LOGGER = logging.getLogger(__name__)
 
-ACCEPTS_PER_STEP: Final = 128
-"""Connections accepted before others are served."""
-
 
 class StreamHandler(Protocol):
     """Serves accepted streams; tornado's servers are such."""
