--- a/goldcreststair/client_limits/const.py
+++ b/goldcreststair/client_limits/const.py
@@ -2,7 +2,6 @@
 
 from typing import Final
 
-BYTES_PER_MB: Final = 1024 * 1024
 HELD_SHARE: Final = 5
 """All clients together may have the memory of the process divided by this held for them."""
 SMALL_SHARE: Final = 8
--- a/goldcreststair/client_limits/models.py
+++ b/goldcreststair/client_limits/models.py
@@ -8,7 +8,6 @@
 from typing import Protocol
 
 from goldcreststair.client_limits.const import (
-    BYTES_PER_MB,
     CONNECTION_BYTES,
     CONNECTIONS_SHARE,
     FILE_DESCRIPTORS,
@@ -18,6 +17,7 @@
     SOCKETS_KEPT_SHARE,
 )
 from goldcreststair.clock import Millis
+from goldcreststair.const import BYTES_PER_MB
 
 
 class CloseCause(StrEnum):
--- a/goldcreststair/components/reader_buffers/const.py
+++ b/goldcreststair/components/reader_buffers/const.py
@@ -8,7 +8,6 @@
 """Bytes held for all connections, if the memory is large."""
 MEMORY_SHARE: Final = 6
 """All connections together may hold the memory of the process divided by this."""
-BYTES_PER_MB: Final = 1024 * 1024
 PAUSE_MS: Final = 1_500
 """Longest pause in reading from an upstream, which cuts an answer that is unread for some seconds."""
 WRITE_BYTES: Final = 16 * 1024
--- a/goldcreststair/components/reader_buffers/controller.py
+++ b/goldcreststair/components/reader_buffers/controller.py
@@ -8,13 +8,13 @@
 from goldcreststair.components.reader_buffers.const import (
     ASSUMED_BYTES,
     ASSUMED_MS,
-    BYTES_PER_MB,
     CONNECTION_BYTES,
     MAX_DAEMON_BYTES,
     MEMORY_SHARE,
     PAUSE_MS,
 )
 from goldcreststair.components.reader_buffers.models import ReaderState
+from goldcreststair.const import BYTES_PER_MB
 from goldcreststair.http_exchange import READ_BYTES
 
 
