Share what the servers of clients and their refusals have in common

CallerServer separated messages and freed closed connections by itself, as CountingServer does; both are a ClientServer now. No change of behaviour; make_leave_refusal moved from leave.py to refusals.py.

--- a/goldcreststair/client_limits/http.py
+++ b/goldcreststair/client_limits/http.py
@@ -25,14 +25,13 @@
 from goldcreststair.client_limits.stream import ClientStream
 
 
-class CountingServer(HTTPServer):
-    """Counts what its handlers hold of a body that is not complete."""
+class ClientServer(HTTPServer):
+    """Separates the messages of its connections; its delegates count what they hold of a body."""
 
     def start_request(self, server_conn: Any, request_conn: Any) -> HTTPMessageDelegate:
         """Return the delegate that reads one request."""
         server_conn.stream.begin_message()
-        delegate = super().start_request(server_conn, request_conn)
-        return _CountingDelegate(delegate, server_conn.stream)
+        return super().start_request(server_conn, request_conn)
 
     def on_close(self, server_conn: Any) -> None:
         """Free what was received on a connection that is closed."""
@@ -40,6 +39,15 @@
         server_conn.stream.discard()
 
 
+class CountingServer(ClientServer):
+    """Counts what its handlers hold of a body that is not complete."""
+
+    def start_request(self, server_conn: Any, request_conn: Any) -> HTTPMessageDelegate:
+        """Return the delegate that reads one request."""
+        delegate = super().start_request(server_conn, request_conn)
+        return _CountingDelegate(delegate, server_conn.stream)
+
+
 class _CountingDelegate(HTTPMessageDelegate):
     """Passes a request on, and counts its body."""
 
--- a/goldcreststair/components/forwarding/service.py
+++ b/goldcreststair/components/forwarding/service.py
@@ -16,9 +16,13 @@
 from goldcreststair.components.fleet.models import FLEET, OWN_STATE
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.forwarding.const import SETTLE_POLL_MS
-from goldcreststair.components.forwarding.leave import find_basis, make_leave_refusal
+from goldcreststair.components.forwarding.leave import find_basis
 from goldcreststair.components.forwarding.protocols import Responder
-from goldcreststair.components.forwarding.refusals import log_refusal, make_quarantine_refusal
+from goldcreststair.components.forwarding.refusals import (
+    log_refusal,
+    make_leave_refusal,
+    make_quarantine_refusal,
+)
 from goldcreststair.components.forwarding.request import ForwardedRequest, ForwardingContext
 from goldcreststair.components.forwarding.resumption import async_find_origin
 from goldcreststair.components.forwarding.returning import ReturnLimit
