--- a/tests/client_limits/crowd.py
+++ b/tests/client_limits/crowd.py
@@ -16,6 +16,20 @@
 ATTEMPTS: Final = 3
 """Connections that each client opens, one after the other, while it is refused."""
 RECONNECT_S: Final = 0.2
+MEMORY_MB: Final = 128
+"""Memory of a daemon under test: less than a crowd sends together; without callers it takes about 40 MB."""
+DESCRIPTORS: Final = 300
+"""Limit on its descriptors, where these are looked at: fewer than a crowd opens."""
+SPARE_DESCRIPTORS: Final = 16
+"""Descriptors that a daemon may open beside its callers' while a crowd is there: to engines and the store."""
+FRAME_BYTES: Final = 16 * 1024 * 1024
+TRIES: Final = 5
+"""Attempts of an ordinary caller, which is told to come back while the daemon is busy."""
+ANSWER_TIMEOUT_S: Final = 10.0
+RETURN_S: Final = 0.5
+SETTLE_POLLS: Final = 120
+SETTLE_POLL_S: Final = 0.5
+IDLE_CLIENTS: Final = 500
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 Pieces = Callable[[], Iterable[bytes]]
@@ -155,3 +169,9 @@
 def send_nothing() -> Iterable[bytes]:
     """Return nothing: an idle connection."""
     return ()
+
+
+IDLE: Final = Manner("idle connections", send_nothing, clients=IDLE_CLIENTS, attempts=1)
+UNFINISHED_FRAMES: Final = Manner(
+    "frames that stop short", send_frames(FRAME_BYTES, FRAME_BYTES - PIECE_BYTES)
+)
--- a/tests/client_limits/gateway_site.py
+++ b/tests/client_limits/gateway_site.py
@@ -14,7 +14,13 @@
 from goldcreststair.clock import BootClock
 from goldcreststair.store.rows import RowKey
 from standins.rows import FakeRowStore
-from tests.client_limits.crowd import MAX_BODY_BYTES
+from tests.client_limits.crowd import (
+    ANSWER_TIMEOUT_S,
+    MAX_BODY_BYTES,
+    MEMORY_MB,
+    RETURN_S,
+    TRIES,
+)
 from tests.helpers.processes import count_descriptors, read_peak_mb
 from tests.platform_adapter.local import (
     CONFIG,
@@ -31,12 +37,6 @@
 from tests.platform_adapter.wire_store import WireStore
 
 ADDRESS: Final = "127.0.0.3"
-MEMORY_MB: Final = 128
-"""Less than a crowd sends together; a daemon without callers takes about 40 MB."""
-TRIES: Final = 5
-"""Attempts of an ordinary caller, which is told to come back while the daemon is busy."""
-ANSWER_TIMEOUT_S: Final = 10.0
-RETURN_S: Final = 0.5
 
 
 def make_config() -> dict[str, Any]:
--- a/tests/client_limits/test_daemon_crowds.py
+++ b/tests/client_limits/test_daemon_crowds.py
@@ -13,12 +13,19 @@
 from standins.demo.__main__ import CUSTOMERS, make_chat, make_headers, wait_ready
 from standins.demo.fleet import Fleet, FleetPlan, send_request
 from tests.client_limits.crowd import (
-    PIECE_BYTES,
+    ANSWER_TIMEOUT_S,
+    DESCRIPTORS,
+    IDLE,
+    MEMORY_MB,
+    RETURN_S,
+    SETTLE_POLL_S,
+    SETTLE_POLLS,
+    SPARE_DESCRIPTORS,
+    TRIES,
+    UNFINISHED_FRAMES,
     Crowd,
     Manner,
     send_endless,
-    send_frames,
-    send_nothing,
     send_unfinished_chunks,
     send_unfinished_length,
 )
@@ -27,14 +34,7 @@
 
 pytestmark = pytest.mark.crowd
 
-MEMORY_MB: Final = 128
 BODY_BYTES: Final = 8 * 1024 * 1024
-FRAME_BYTES: Final = 16 * 1024 * 1024
-DESCRIPTORS: Final = 300
-SPARE_DESCRIPTORS: Final = 16
-TRIES: Final = 5
-SETTLE_POLLS: Final = 120
-SETTLE_POLL_S: Final = 0.5
 PATH: Final = "/v1/chat/completions"
 CASES: Final = (
     ("http", Manner("chunks without end", send_endless(PATH))),
@@ -43,7 +43,7 @@
     ("http", Manner("jobs that stop short", send_unfinished_length("/v1/batches", BODY_BYTES))),
     ("http", Manner("bodies for the readiness", send_endless("/health/ready", method="GET"))),
     ("http", Manner("chunks of three bytes", send_endless(PATH, 3))),
-    ("peer", Manner("frames that stop short", send_frames(FRAME_BYTES, FRAME_BYTES - PIECE_BYTES))),
+    ("peer", UNFINISHED_FRAMES),
 )
 
 
@@ -61,13 +61,18 @@
             try:
                 body = make_chat("hello", stream=False)
                 answer = send_request(
-                    self.http, "POST", PATH, body, make_headers("designers"), timeout_s=10
+                    self.http,
+                    "POST",
+                    PATH,
+                    body,
+                    make_headers("designers"),
+                    timeout_s=ANSWER_TIMEOUT_S,
                 )
                 if answer.status == 200:
                     return True
             except OSError:
                 pass
-            time.sleep(0.5)
+            time.sleep(RETURN_S)
         return False
 
 
@@ -135,8 +140,7 @@
 @pytest.mark.parametrize("port", ["http", "peer"])
 def test_idle_connections_leave_descriptors_for_callers(site: DaemonSite, port: str) -> None:
     """Guards against a daemon whose idle connections use up its descriptors, so that it accepts no caller."""
-    manner = Manner("idle connections", send_nothing, clients=500, attempts=1)
-    crowd = run_crowd(getattr(site, port), manner)
+    crowd = run_crowd(getattr(site, port), IDLE)
     assert count_descriptors(site.pid) <= DESCRIPTORS
     assert site.is_served()
     crowd.leave()
--- a/tests/client_limits/test_gateway_crowds.py
+++ b/tests/client_limits/test_gateway_crowds.py
@@ -7,14 +7,17 @@
 import pytest
 
 from tests.client_limits.crowd import (
+    DESCRIPTORS,
+    IDLE,
     MAX_BODY_BYTES,
-    PIECE_BYTES,
+    SETTLE_POLL_S,
+    SETTLE_POLLS,
+    SPARE_DESCRIPTORS,
+    UNFINISHED_FRAMES,
     Crowd,
     Manner,
     make_chunks,
     send_endless,
-    send_frames,
-    send_nothing,
     send_unfinished_chunks,
     send_unfinished_head,
     send_unfinished_length,
@@ -26,12 +29,6 @@
 
 pytestmark = pytest.mark.crowd
 
-FRAME_BYTES: Final = 16 * 1024 * 1024
-SPARE_DESCRIPTORS: Final = 16
-"""Descriptors that a daemon may open beside its callers' while a crowd is there: to engines and the store."""
-SETTLE_POLLS: Final = 120
-SETTLE_POLL_S: Final = 0.5
-DESCRIPTORS: Final = 300
 ANSWER_BYTES: Final = 600_000
 ENGINE_PAUSE_S: Final = 0.2
 
@@ -60,7 +57,7 @@
     ("entry", Manner("chunks for addresses", send_endless("/-/resolve", method="GET"))),
     ("ready", Manner("chunks for the readiness", send_endless("/-/ready", method="GET"))),
     ("metrics", Manner("chunks for metrics", send_endless("/metrics", method="GET"))),
-    ("peer", Manner("frames that stop short", send_frames(FRAME_BYTES, FRAME_BYTES - PIECE_BYTES))),
+    ("peer", UNFINISHED_FRAMES),
 )
 
 
@@ -141,11 +138,10 @@
 @pytest.mark.parametrize("port", ["front", "entry", "ready", "metrics", "peer"])
 def test_idle_connections_leave_descriptors_for_callers(port: str, tmp_path: Path) -> None:
     """Guards against a daemon whose idle connections use up its descriptors, so that it accepts no caller."""
-    idle = Manner("idle connections", send_nothing, clients=500, attempts=1)
 
     async def scenario() -> None:
         async with GatewaySite(tmp_path, descriptors=DESCRIPTORS) as site:
-            crowd = Crowd(getattr(site, port), idle)
+            crowd = Crowd(getattr(site, port), IDLE)
             await crowd.async_run()
             assert site.count_descriptors() <= DESCRIPTORS
             assert await site.async_is_served()
