Run no further requests of a client that has gone

Callers saw: 503 behind a crowd that had sent requests one behind another and left: upstreams were busy with requests whose clients had gone.

Cause: what a connection has received is used after the connection was reset or closed. While such bytes wait, tornado does not watch the socket; a closed stream still returns them. Each request was read, begun and sent to an upstream, on a connection of its own, until the bytes were used up. This is why a crowd of 60 clients opened 543 connections to its upstream.

A connection is now checked for a reset before and behind each message while bytes wait, and a closed one drops them.

--- a/goldcreststair/client_limits/http.py
+++ b/goldcreststair/client_limits/http.py
@@ -68,8 +68,10 @@
         return self._delegate.data_received(chunk)
 
     def finish(self) -> None:
-        self._stream.end_message()
-        self._delegate.finish()
+        if self._stream.end_message():
+            self._delegate.finish()
+        else:
+            self._delegate.on_connection_close()
 
     def on_connection_close(self) -> None:
         self._delegate.on_connection_close()
--- a/goldcreststair/client_limits/stream.py
+++ b/goldcreststair/client_limits/stream.py
@@ -40,6 +40,11 @@
 
     def begin_message(self) -> None:
         """Record that nothing is held any more but what was received behind the last message."""
+        if self._read_buffer_size:
+            self._close_if_reset()
+        if self.closed():
+            # A closed stream would still return the requests that it has received.
+            self.discard()
         self.on_shed = None
         self._message_bytes = self._chunks = 0
         self._holding.is_serving = False
@@ -50,9 +55,12 @@
         self._message_bytes += size
         self._count()
 
-    def end_message(self) -> None:
-        """Record that the current message is complete, and is being answered."""
+    def end_message(self) -> bool:
+        """Record that the current message is complete; returns whether it can still be answered."""
+        if self._read_buffer_size:
+            self._close_if_reset()
         self._holding.is_serving = True
+        return not self.closed()
 
     def drop_message(self) -> None:
         """Record that the current message is not held any more."""
@@ -83,9 +91,7 @@
 
     async def _async_read_in_turn(self, delimiter: bytes, max_bytes: int | None) -> bytes:
         await self._budget.async_take_turn(self._holding, self._chunks // CHUNKS_PER_TURN)
-        # Bytes that were received before a reset could still be read for a long time.
-        if not self.closed() and self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            self.close()
+        self._close_if_reset()
         return await super().read_until(delimiter, max_bytes)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -135,6 +141,12 @@
         self._budget.close(self._holding)
         super().close_fd()
 
+    def _close_if_reset(self) -> None:
+        # The socket is not watched while received bytes wait to be used, and what was received before
+        # a reset could still be read for a long time.
+        if not self.closed() and self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.close()
+
     def _count(self, received: int = 0) -> None:
         if self.closed():
             return
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -1,12 +1,15 @@
 """Callers' connections: valid and malformed messages, streams, and a daemon that leaves."""
 
 import asyncio
+import socket
+import struct
 
 import pytest
 from users_platform.jobs import JobCalls
 
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.forwarding.service import ForwardingService
+from tests.helpers.conditions import async_wait_until
 from tests.platform_adapter.local import (
     LocalGateway,
     async_read_answer,
@@ -207,6 +210,27 @@
     run_local(scenario)
 
 
+@pytest.mark.parametrize("path", ["/call/x", "/stream/x"])
+@pytest.mark.parametrize("resets", [True, False], ids=["reset", "closed"])
+def test_requests_of_a_caller_that_has_gone_are_not_run(path: str, resets: bool) -> None:
+    """Guards against requests sent one behind another that run although their caller has disconnected."""
+
+    async def scenario(local: LocalGateway) -> None:
+        local.engine.pause_s = 0.05
+        _, writer = await local.async_open()
+        writer.write(make_request("POST", path, b"x" * 1500) * 10)
+        await async_wait_until(lambda: len(local.engine.seen) > 0)
+        if resets:
+            opened: socket.socket = writer.get_extra_info("socket")
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+        await async_wait_until(lambda: not local.callers.connections)
+        # The first one was running, and the next one may have been read meanwhile.
+        assert len(local.engine.seen) <= 2
+
+    run_local(scenario)
+
+
 def test_addresses_and_readiness_before_and_during_a_leave() -> None:
     async def scenario(local: LocalGateway) -> None:
         path = "/-/resolve?name=host.example&region=default&zone=dc-a"
--- a/tests/platform_adapter/test_slow_readers.py
+++ b/tests/platform_adapter/test_slow_readers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 
 import pytest
 
@@ -10,6 +9,7 @@
 from goldcreststair.components.reader_buffers.const import CONNECTION_BYTES
 from goldcreststair.components.reader_buffers.protocols import READER_BUFFERS
 from goldcreststair.components.reader_buffers.service import ReaderBufferService
+from tests.helpers.conditions import async_wait_until
 from tests.platform_adapter.local import (
     HttpAnswer,
     LocalGateway,
@@ -48,15 +48,6 @@
     return reader
 
 
-async def async_wait_until(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds; raises `TimeoutError` after 10 s."""
-    for _ in range(1_000):
-        if condition():
-            return
-        await asyncio.sleep(0.01)
-    raise TimeoutError("condition does not hold")
-
-
 async def async_read(reader: asyncio.StreamReader) -> HttpAnswer:
     """Read an answer within 10 s."""
     async with asyncio.timeout(10):
