Close idle connections to upstreams when their time is over

Operators saw: hundreds of descriptors, and of connections of upstreams, in use after a burst until the next requests came.

Cause: an idle connection whose time was over was closed only with the next request to its upstream. Nothing else looked.

While connections are idle, a search each second closes those whose time is over. A test of expired connections gets a clock that runs and can be shifted, as the pool uses timers now; what it checks is unchanged.

Evidence (x86-64): test_idle_connections_are_closed_without_a_further_request fails before.

--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -12,7 +12,7 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
-from goldcreststair.clock import Clock, Millis
+from goldcreststair.clock import Clock, Millis, TimerHandle
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.helpers.numbers import parse_unsigned
 from goldcreststair.http_connection import PersistentConnection, ResponseHooks
@@ -26,6 +26,8 @@
 server closes the connection would be lost, and a non-repeatable one could not be sent again."""
 DEFAULT_IDLE_MS: Final = 8000
 """Longest idle time of a connection whose server announces none."""
+EXPIRY_CHECK_MS: Final = 1000
+"""Time between two searches for idle connections whose time is over."""
 
 
 MAX_BUFFERED_BYTES: Final = 32 * 1024 * 1024
@@ -73,6 +75,8 @@
         self._reused = 0
         self._buffered: dict[PersistentConnection, int] = {}
         """Bytes of bodies by the connection on which they arrive."""
+        self._expiry: TimerHandle | None = None
+        """The next search for idle connections whose time is over; None while nothing is idle."""
 
     def count(self) -> PoolCounts:
         """Return how many connections were opened and how often one was reused."""
@@ -92,6 +96,9 @@
 
     def close(self) -> None:
         """Close all idle connections."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
         for address in tuple(self._by_address):
             self.close_idle(address)
 
@@ -191,11 +198,24 @@
         if idle_ms <= 0:
             self._close(address, connection)
             return
+        idle_until = Millis(self._clock.now() + idle_ms)
+        self._by_address[address].idle.append(_IdleConnection(connection, idle_until))
+        self._schedule_expiry()
+
+    def _schedule_expiry(self) -> None:
+        if self._expiry is None:
+            self._expiry = self._clock.call_later(EXPIRY_CHECK_MS, self._close_expired)
+
+    def _close_expired(self) -> None:
+        """Close the connections whose time is over: no request may follow that would close them."""
+        self._expiry = None
         now = self._clock.now()
-        connections = self._by_address[address]
-        connections.idle.append(_IdleConnection(connection, Millis(now + idle_ms)))
-        while connections.idle and connections.idle[0].idle_until <= now:
-            self._close(address, connections.idle.pop(0).connection)
+        for address, connections in tuple(self._by_address.items()):
+            for entry in [each for each in connections.idle if each.idle_until <= now]:
+                connections.idle.remove(entry)
+                self._close(address, entry.connection)
+        if any(connections.idle for connections in self._by_address.values()):
+            self._schedule_expiry()
 
     def _close(self, address: str, connection: PersistentConnection) -> None:
         connection.close()
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -8,12 +8,11 @@
 from result import Err, Ok, Result
 from users_platform.dialect import PlatformDialect
 
-from goldcreststair.clock import LoopClock
+from goldcreststair.clock import LoopClock, Millis
 from goldcreststair.http_pool import ConnectionPool
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, UpstreamRunner, async_run_checked
-from tests.helpers.virtual_time import ManualClock
 from tests.platform_adapter.wire_engine import EngineFault, WireEngine, make_event, make_head
 
 
@@ -242,16 +241,25 @@
     run_engine(scenario)
 
 
+class ShiftedClock(LoopClock):
+    """The loop's time with a shift, as after a suspension of the VM."""
+
+    shift_ms = 0
+
+    def now(self) -> Millis:
+        return Millis(super().now() + self.shift_ms)
+
+
 def test_an_expired_idle_connection_does_not_count_as_open() -> None:
     """Guards against items that wait while slots are free, as unusable connections count as open."""
 
     async def scenario(engine: WireEngine, _: UpstreamRunner) -> None:
-        clock = ManualClock()
+        clock = ShiftedClock()
         runner = UpstreamRunner(ConnectionPool(clock), PlatformDialect())
         calls = (async_run_call(engine, runner, make_call(f"r{number}")) for number in range(2))
         await asyncio.gather(*calls)
         assert runner.pool.count_open(engine.address) == 2
-        clock.advance(10_000)
+        clock.shift_ms = 10_000
         assert runner.pool.count_open(engine.address) == 0
 
     run_engine(scenario)
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -11,9 +11,11 @@
 from goldcreststair.http_connection import PersistentConnection, ResponseHooks
 from goldcreststair.http_exchange import Exchange, ExchangeError, ExchangeFailure, HttpResponse
 from goldcreststair.http_pool import ConnectionPool
+from tests.helpers.conditions import async_wait_until
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 RESPONSE = HEAD + b"1\r\na\r\n1\r\nb\r\n0\r\n\r\n"
+SHORT_KEPT = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2\r\nContent-Length: 1\r\n\r\na"
 STALL_S = 1.1
 
 
@@ -22,6 +24,7 @@
 
     def __init__(self, *parts: bytes, closes: bool = False) -> None:
         self.connections = 0
+        self.open = 0
         self._parts = parts
         self._closes = closes
 
@@ -39,6 +42,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self.open += 1
         try:
             while await reader.readuntil(b"\r\n\r\n"):
                 for part in self._parts:
@@ -48,6 +52,7 @@
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
+        self.open -= 1
         writer.close()
 
 
@@ -316,3 +321,20 @@
         return left
 
     assert asyncio.run(scenario()) == 1
+
+
+def test_idle_connections_are_closed_without_a_further_request() -> None:
+    """Guards against connections that stay open after a burst of requests until the next one comes."""
+
+    async def scenario() -> None:
+        server, pool = Server(SHORT_KEPT), ConnectionPool(LoopClock())
+        address = await server.async_start()
+        exchanges = (Exchange(address, "GET", "/", 2_000) for _ in range(3))
+        outcomes = await asyncio.gather(
+            *(pool.async_exchange(each, ResponseHooks()) for each in exchanges)
+        )
+        assert all(isinstance(each, Ok) for each in outcomes)
+        await async_wait_until(lambda: not server.open)
+        await server.async_close()
+
+    asyncio.run(scenario())
