Treat a lack of descriptors as a connection that failed

Callers saw: 502 without a promise for requests that had not been sent, and calls to the store that ended in an exception, while all descriptors of a daemon were used.

Cause: the socket of a connection to an upstream, the store or another daemon was created outside of the code that turns its errors into a failed connection. An unexpected exception in a run counts as one whose outcome is unknown.

Evidence: test_a_lack_of_descriptors_is_a_failed_connection ended with OSError 24 before.

--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -228,7 +228,10 @@
         self, exchange: Exchange, connect_timeout_ms: int
     ) -> Result[PersistentConnection, ExchangeError]:
         host, _, port = exchange.address.rpartition(":")
-        tcp_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            tcp_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            return Err(ExchangeError(f"cannot connect: {error!r}", ExchangeFailure.CONNECT))
         _set_options(tcp_socket)
         connection = PersistentConnection(tcp_socket)
         self._by_address.setdefault(exchange.address, _AddressConnections()).open += 1
--- a/goldcreststair/transport.py
+++ b/goldcreststair/transport.py
@@ -152,7 +152,10 @@
     ) -> Result[PeerChannel, TransportError]:
         """Open a TCP connection."""
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
-        raw = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            raw = socket.socket(family, socket.SOCK_STREAM)
+        except OSError as error:
+            return Err(TransportError(f"cannot connect to {address}:{port}: {error!r}"))
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(
             raw, max_buffer_size=MAX_FRAME_BYTES * 2, max_write_buffer_size=MAX_QUEUED_BYTES
--- a/tests/test_http_connection.py
+++ b/tests/test_http_connection.py
@@ -1,6 +1,8 @@
 """Tests of responses on persistent connections, complete and broken."""
 
 import asyncio
+import errno
+import os
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -11,6 +13,8 @@
 from goldcreststair.http_connection import PersistentConnection, ResponseHooks
 from goldcreststair.http_exchange import Exchange, ExchangeError, ExchangeFailure, HttpResponse
 from goldcreststair.http_pool import ConnectionPool
+from goldcreststair.transport import TcpTransport
+from standins.budgets import make_budget
 from tests.helpers.conditions import async_wait_until
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -323,6 +327,26 @@
     assert asyncio.run(scenario()) == 1
 
 
+def test_a_lack_of_descriptors_is_a_failed_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against requests and store calls that end in an exception while all descriptors are used."""
+
+    def fail(*_: object) -> None:
+        raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+
+    async def scenario() -> None:
+        pool, transport = ConnectionPool(LoopClock()), TcpTransport(make_budget(LoopClock()))
+        monkeypatch.setattr("socket.socket", fail)
+        outcome = await pool.async_exchange(
+            Exchange("127.0.0.1:1", "GET", "/", 2_000), ResponseHooks()
+        )
+        channel = await transport.async_connect("127.0.0.1", 1, 2_000)
+        monkeypatch.undo()
+        assert isinstance(outcome, Err) and outcome.err_value.failure is ExchangeFailure.CONNECT
+        assert isinstance(channel, Err)
+
+    asyncio.run(scenario())
+
+
 def test_idle_connections_are_closed_without_a_further_request() -> None:
     """Guards against connections that stay open after a burst of requests until the next one comes."""
 
