Record requests of the soak that arrive while their connection is closed

Cause, in the harness: a transport closes its socket a step of the loop after it is told to. Requests that arrived in between were not recorded. The socket is now read once more behind the transport's end.

Evidence: test_a_request_that_arrives_while_its_connection_is_closed_counts_as_sent finds no attempt before.

--- a/tests/platform_adapter/soak/proxy.py
+++ b/tests/platform_adapter/soak/proxy.py
@@ -55,20 +55,29 @@
         self.was_reset = True
         if self.attempt is not None:
             self.attempt.broken_at = min(self.attempt.broken_at, time.monotonic())
-        self.record_unread()
         for writer in (self.near, self.far):
             raw = writer.get_extra_info("socket")
             if not writer.is_closing():
                 raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
-            writer.transport.abort()
+        self.close_near(self.near.transport.abort)
+        self.far.transport.abort()
         self.release()
         self.disturbed_until = float("inf")
 
-    def record_unread(self) -> None:
-        """Record the requests that the near side has sent and that are lost with its connection."""
+    def close_near(self, close: Callable[[], None]) -> None:
+        """Close the near side by `close`, and record the requests that are lost with its connection."""
         if self.near.is_closing():
             return
-        pending = read_pending(self.near.get_extra_info("socket").fileno())
+        # The transport closes its socket in the next step of the loop, and requests arrive until then.
+        kept = os.dup(self.near.get_extra_info("socket").fileno())
+        close()
+        asyncio.get_running_loop().call_soon(self._record_unread, kept)
+
+    def _record_unread(self, descriptor: int) -> None:
+        try:
+            pending = read_pending(descriptor)
+        finally:
+            os.close(descriptor)
         if pending:
             self.was_reset = True
             self.record_requests(pending, self)
@@ -176,8 +185,9 @@
             pass
         await passes.wait()
         if writer is link.near:
-            link.record_unread()
-        writer.close()
+            link.close_near(writer.close)
+        else:
+            writer.close()
 
     def _record_requests(self, data: bytes, link: Link) -> None:
         added = self._add_attempts(data, broken=link.was_reset)
--- a/tests/platform_adapter/soak/test_proxy.py
+++ b/tests/platform_adapter/soak/test_proxy.py
@@ -83,6 +83,22 @@
     asyncio.run(scenario())
 
 
+def test_a_request_that_arrives_while_its_connection_is_closed_counts_as_sent() -> None:
+    """Guards against the same between the decision to reset a connection and its end, a step of the loop later."""
+
+    async def scenario() -> None:
+        async with async_open_target() as target:
+            with target.connect() as connection:
+                await asyncio.sleep(0.05)
+                for link in target.proxy.list_open():
+                    link.reset()
+                connection.sendall(REQUEST)
+                await asyncio.sleep(0.05)
+            assert target.list_attempts() == [("r", True)]
+
+    asyncio.run(scenario())
+
+
 def test_a_request_to_an_upstream_that_is_down_counts_as_sent() -> None:
     """Guards against the same where the upstream is down before the proxy connects to it."""
 
