Read long bodies at the project's own daemon only for clients with a key

Callers saw: a daemon with the default settings that took as much memory as clients without a key sent.

Cause: the key is looked at once the body is complete, and what all clients may hold is a fifth of the machine's memory where memory_mb is not set. On a machine of 24 GB that bounds no crowd of some hundred connections.

The key, or the operator token, is now looked up with the headers. Without one a body may have 64 KB, so that ordinary callers get their 401 as before: refusing them at once would reset the connection within the body. A key that can't be looked up yet counts as known, as its caller is to be told when to return.

--- a/goldcreststair/client_limits/const.py
+++ b/goldcreststair/client_limits/const.py
@@ -38,3 +38,5 @@
 ENDPOINT_BUFFER_BYTES: Final = 64 * 1024
 ENDPOINT_IDLE_S: Final = 60
 ENDPOINT_BODY_S: Final = 5
+MAX_UNKNOWN_BODY_BYTES: Final = 64 * 1024
+"""Body of a client that has not shown a key; the refusal of a longer one may not reach it."""
--- a/goldcreststair/client_limits/http.py
+++ b/goldcreststair/client_limits/http.py
@@ -1,7 +1,7 @@
 """HTTP servers whose connections are counted for all clients together."""
 
 from collections.abc import Awaitable
-from typing import Any
+from typing import Any, Protocol
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -19,6 +19,7 @@
     ENDPOINT_IDLE_S,
     MAX_ENDPOINT_BODY_BYTES,
     MAX_ENDPOINT_HEADER_BYTES,
+    MAX_UNKNOWN_BODY_BYTES,
 )
 from goldcreststair.client_limits.controller import ClientBudget
 from goldcreststair.client_limits.listener import ClientListener
@@ -39,25 +40,43 @@
         server_conn.stream.discard()
 
 
+class KeyCheck(Protocol):
+    """Tells clients with a key from others by the headers of a request."""
+
+    def __call__(self, headers: HTTPHeaders) -> bool:
+        """Return whether the client may send a long body."""
+
+
 class CountingServer(ClientServer):
     """Counts what its handlers hold of a body that is not complete."""
 
+    def initialize(self, *args: Any, check_key: KeyCheck | None = None, **kwargs: Any) -> None:
+        """Serve like tornado's server; long bodies only for clients that `check_key` accepts."""
+        super().initialize(*args, **kwargs)
+        self._check_key = check_key
+
     def start_request(self, server_conn: Any, request_conn: Any) -> HTTPMessageDelegate:
         """Return the delegate that reads one request."""
         delegate = super().start_request(server_conn, request_conn)
-        return _CountingDelegate(delegate, server_conn.stream)
+        return _CountingDelegate(delegate, request_conn, self._check_key)
 
 
 class _CountingDelegate(HTTPMessageDelegate):
     """Passes a request on, and counts its body."""
 
-    def __init__(self, delegate: HTTPMessageDelegate, stream: ClientStream) -> None:
+    def __init__(
+        self, delegate: HTTPMessageDelegate, connection: Any, check_key: KeyCheck | None
+    ) -> None:
         self._delegate = delegate
-        self._stream = stream
+        self._connection = connection
+        self._stream: ClientStream = connection.stream
+        self._check_key = check_key
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
+        if self._check_key is not None and not self._check_key(headers):
+            self._connection.set_max_body_size(MAX_UNKNOWN_BODY_BYTES)
         awaitable = self._delegate.headers_received(start_line, headers)
         # The parts of a body are freed at once, not when the closing of the connection is noticed.
         self._stream.on_shed = self._delegate.on_connection_close
--- a/goldcreststair/http_server.py
+++ b/goldcreststair/http_server.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import hmac
 import logging
 import socket
 from typing import Any, Final
 from weakref import WeakSet
 
+from result import Ok
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, HTTPServerRequest
 from tornado.web import Application, OutputTransform
 
 from goldcreststair.client_limits.http import CountingServer
 from goldcreststair.client_limits.listener import ClientListener
+from goldcreststair.components.caller_api.const import BEARER
+from goldcreststair.components.keys.protocols import KEYS
 from goldcreststair.components.shutdown.models import SHUTDOWN
 from goldcreststair.core import Core
 
@@ -89,6 +93,7 @@
             # Twice as much is held for a moment, when the parts of a body are joined.
             max_body_size=min(MAX_BODY_BYTES, core.clients.limits.large_bytes // 2),
             body_timeout=MAX_BODY_S,
+            check_key=self._check_key,
         )
         self._listener = ClientListener(core.clients, "http", self._server)
         core.drainables.append(self)
@@ -128,5 +133,14 @@
         self._server.close_in_one_step()
         await self._server.close_all_connections()
 
+    def _check_key(self, headers: HTTPHeaders) -> bool:
+        key = headers.get("Authorization", "").removeprefix(BEARER)
+        if hmac.compare_digest(key.encode(), self._core.settings.operator_token.encode()):
+            return True
+        keys = self._core.find(KEYS)
+        found = keys.identify(key) if keys is not None else None
+        # A key that can't be looked up now may be valid, and its caller is to be told when to return.
+        return found is not None and (isinstance(found, Ok) or found.err_value.temporary)
+
     def _track_response(self, request: HTTPServerRequest) -> _ResponseTracker:
         return _ResponseTracker(self, request)
--- a/tests/client_limits/test_daemon_crowds.py
+++ b/tests/client_limits/test_daemon_crowds.py
@@ -36,17 +36,28 @@
 
 BODY_BYTES: Final = 8 * 1024 * 1024
 PATH: Final = "/v1/chat/completions"
+KEYLESS: Final = (
+    Manner("chunks without end", send_endless(PATH)),
+    Manner("chunks that stop short", send_unfinished_chunks(PATH, BODY_BYTES)),
+    Manner("a length that stops short", send_unfinished_length(PATH, BODY_BYTES)),
+    Manner("jobs that stop short", send_unfinished_length("/v1/batches", BODY_BYTES)),
+    Manner("bodies for the readiness", send_endless("/health/ready", method="GET")),
+    Manner("chunks of three bytes", send_endless(PATH, 3)),
+)
 CASES: Final = (
-    ("http", Manner("chunks without end", send_endless(PATH))),
-    ("http", Manner("chunks that stop short", send_unfinished_chunks(PATH, BODY_BYTES))),
-    ("http", Manner("a length that stops short", send_unfinished_length(PATH, BODY_BYTES))),
-    ("http", Manner("jobs that stop short", send_unfinished_length("/v1/batches", BODY_BYTES))),
-    ("http", Manner("bodies for the readiness", send_endless("/health/ready", method="GET"))),
-    ("http", Manner("chunks of three bytes", send_endless(PATH, 3))),
+    *(("http", manner) for manner in KEYLESS),
     ("peer", UNFINISHED_FRAMES),
 )
 
 
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits on the daemon under test; 0 stands for the default of each."""
+
+    memory_mb: int = MEMORY_MB
+    descriptors: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class DaemonSite:
     """One daemon of the demo's fleet."""
@@ -89,9 +100,10 @@
 @pytest.fixture
 def site(monkeypatch: pytest.MonkeyPatch, request: pytest.FixtureRequest) -> Iterator[DaemonSite]:
     """Start a fleet with one daemon whose memory is limited by its settings."""
-    monkeypatch.setenv("GOLDCRESTSTAIR_MEMORY_MB", str(MEMORY_MB))
+    limits: Limits = getattr(request, "param", Limits())
+    monkeypatch.setenv("GOLDCRESTSTAIR_MEMORY_MB", str(limits.memory_mb))
     fleet = Fleet(FleetPlan(daemons=1, engines=1, data_centres=("dc1",)))
-    with limit_descriptors(getattr(request, "param", 0)):
+    with limit_descriptors(limits.descriptors):
         fleet.start()
     with contextlib.closing(fleet):
         address = fleet.daemons[0].wait_listening()
@@ -136,7 +148,19 @@
     assert left <= SPARE_DESCRIPTORS
 
 
-@pytest.mark.parametrize("site", [DESCRIPTORS], indirect=True)
+@pytest.mark.parametrize("site", [Limits(memory_mb=0)], indirect=True)
+@pytest.mark.parametrize("manner", KEYLESS, ids=str)
+def test_a_crowd_without_keys_holds_little_whatever_the_memory(
+    site: DaemonSite, manner: Manner
+) -> None:
+    """Guards against bodies that are read whole before a key is looked at, by a daemon with much memory."""
+    crowd = run_crowd(site.http, manner)
+    crowd.leave()
+    assert site.is_served()
+    assert read_peak_mb(site.pid) <= MEMORY_MB
+
+
+@pytest.mark.parametrize("site", [Limits(descriptors=DESCRIPTORS)], indirect=True)
 @pytest.mark.parametrize("port", ["http", "peer"])
 def test_idle_connections_leave_descriptors_for_callers(site: DaemonSite, port: str) -> None:
     """Guards against a daemon whose idle connections use up its descriptors, so that it accepts no caller."""
