Count of a job at the project's own daemon only what is not stored yet

Callers saw: 400 or a closed connection for jobs that are longer than 7 parts in 80 of the memory, or than what clients may hold together, although a daemon holds few of their lines at a time.

Cause: since all bytes of a body were counted until it was complete, and its length was limited by the memory. A job's lines are stored as they come.

The submission now reports what it holds, and a job may have 512 MB again. What it holds is freed when the connection is closed within the body.

Evidence: test_a_job_larger_than_what_clients_may_hold_is_accepted, 41 MB at a daemon with 128 MB, ended with a reset connection before. Jobs with a key that stop short held before as well, with fewer bytes than are stored at a time.

--- a/goldcreststair/client_limits/http.py
+++ b/goldcreststair/client_limits/http.py
@@ -7,6 +7,7 @@
 from tornado.httputil import (
     HTTPHeaders,
     HTTPMessageDelegate,
+    HTTPServerRequest,
     RequestStartLine,
     ResponseStartLine,
 )
@@ -61,6 +62,13 @@
         return _CountingDelegate(delegate, request_conn, self._check_key)
 
 
+def count_body(request: HTTPServerRequest, size: int) -> None:
+    """Record that `size` bytes are held of a body that its handler uses while it arrives."""
+    stream: ClientStream | None = getattr(request.connection, "stream", None)
+    if stream is not None:
+        stream.set_message_bytes(size)
+
+
 class _CountingDelegate(HTTPMessageDelegate):
     """Passes a request on, and counts its body."""
 
--- a/goldcreststair/client_limits/stream.py
+++ b/goldcreststair/client_limits/stream.py
@@ -51,8 +51,12 @@
         self._count()
 
     def add_message_bytes(self, size: int) -> None:
+        """Record that `size` more bytes of the current message are held outside of this connection."""
+        self.set_message_bytes(self._message_bytes + size)
+
+    def set_message_bytes(self, size: int) -> None:
         """Record that `size` bytes of the current message are held outside of this connection."""
-        self._message_bytes += size
+        self._message_bytes = size
         self._count()
 
     def end_message(self) -> bool:
@@ -64,8 +68,7 @@
 
     def drop_message(self) -> None:
         """Record that the current message is not held any more."""
-        self._message_bytes = 0
-        self._count()
+        self.set_message_bytes(0)
 
     def shed(self, cause: CloseCause) -> None:
         """Refuse the request that is being received, and close the connection."""
--- a/goldcreststair/components/batch/const.py
+++ b/goldcreststair/components/batch/const.py
@@ -6,6 +6,8 @@
 """Items of one chunk, which is one object and one record."""
 MAX_LINE_BYTES: Final = 4 * 1024 * 1024
 MAX_ITEMS: Final = 200_000
+MAX_JOB_BYTES: Final = 512 * 1024 * 1024
+"""Body of one job, which is stored as it arrives."""
 DEFAULT_DUE_S: Final = 24 * 3600
 RETENTION_S: Final = 7 * 24 * 3600
 """Time that results stay readable after a job was accepted and due."""
--- a/goldcreststair/components/batch/parsing.py
+++ b/goldcreststair/components/batch/parsing.py
@@ -38,6 +38,10 @@
         """Whether the unfinished line is longer than any may be."""
         return len(self._partial) > MAX_LINE_BYTES
 
+    def count_held(self) -> int:
+        """Return the length of the unfinished line."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Return the lines that `data` completes."""
         *lines, self._partial = (self._partial + data).split(b"\n")
--- a/goldcreststair/components/batch/submission.py
+++ b/goldcreststair/components/batch/submission.py
@@ -85,12 +85,23 @@
         self._ids: dict[bytes, int] = {}
         """Digest of each custom id to its line."""
         self._items: list[Item] = []
+        self._items_bytes = 0
+        """Length of the lines of these items."""
         self._chunks: list[_StoredChunk] = []
         self._digest = hashlib.sha256()
         self._unused: list[int] = []
         """Chunks that an earlier submit committed with objects of its own."""
         self._error: BatchError | None = None
 
+    def count_held(self) -> int:
+        """Return the bytes of the body that are held until their chunk is stored."""
+        return self._items_bytes + self._splitter.count_held()
+
+    def discard(self) -> None:
+        """Free what is held; the job will not be complete."""
+        self._splitter.finish()
+        self._drop_items()
+
     async def async_feed(self, data: bytes) -> None:
         """Process bytes of the body; returns once full chunks are stored or a line is refused."""
         if self._error is not None:
@@ -146,6 +157,7 @@
                 self._fail(BatchError(message, BatchProblem.BAD_LINE))
                 return
             self._items.append(parsed.ok_value)
+            self._items_bytes += len(line)
             if len(self._items) >= CHUNK_ITEMS:
                 await self._async_store_chunk()
 
@@ -169,7 +181,7 @@
             return
         models = tuple(sorted({item.model for item in self._items}))
         self._chunks.append(_StoredChunk(name, len(self._items), models))
-        self._items = []
+        self._drop_items()
 
     def _make_manifest(self) -> Manifest:
         now_s = self._calendar.now_s()
@@ -236,7 +248,11 @@
 
     def _fail(self, error: BatchError) -> None:
         self._error = error
+        self._drop_items()
+
+    def _drop_items(self) -> None:
         self._items = []
+        self._items_bytes = 0
 
 
 def _make_chunk(manifest: Manifest, number: int, chunk: _StoredChunk) -> ChunkRecord:
--- a/goldcreststair/components/batch/views.py
+++ b/goldcreststair/components/batch/views.py
@@ -7,7 +7,13 @@
 from result import Err
 from tornado.web import stream_request_body
 
-from goldcreststair.components.batch.const import DEFAULT_DUE_S, HEADER_DUE_IN_S, RESULT_PAGE
+from goldcreststair.client_limits.http import count_body
+from goldcreststair.components.batch.const import (
+    DEFAULT_DUE_S,
+    HEADER_DUE_IN_S,
+    MAX_JOB_BYTES,
+    RESULT_PAGE,
+)
 from goldcreststair.components.batch.errors import BatchError, BatchProblem
 from goldcreststair.components.batch.models import JobProgress, Manifest, ResultLine
 from goldcreststair.components.batch.parsing import PATHS, Defaults
@@ -55,6 +61,8 @@
     """Submit a job; list jobs."""
 
     _submission: Submission | None = None
+    _is_complete = False
+    """Whether the whole body has arrived."""
 
     async def prepare(self) -> None:  # type: ignore[override]
         """Identify the caller, take one token, and get ready for the body."""
@@ -78,6 +86,8 @@
             defaults=Defaults(path, self.get_query_argument("model", "")),
         )
         self._submission = self.core.get(BATCH).begin_submission(options)
+        connection: Any = self.request.connection
+        connection.set_max_body_size(MAX_JOB_BYTES)
 
     def _refuse_submit(self, refusal: Refusal) -> None:
         # An earlier request with the same key may have been accepted. If it were told "not run", a
@@ -90,9 +100,17 @@
         """Store items as they arrive; reading from the socket pauses meanwhile."""
         if self._submission is not None:
             await self._submission.async_feed(chunk)
+            count_body(self.request, self._submission.count_held())
+
+    def on_connection_close(self) -> None:
+        """Free what was received of a job that will not be complete."""
+        super().on_connection_close()
+        if self._submission is not None and not self._is_complete:
+            self._submission.discard()
 
     async def post(self) -> None:
         """Commit the job and answer with its id."""
+        self._is_complete = True
         if self._submission is None:
             return
         outcome = await self._submission.async_finish()
--- a/tests/client_limits/crowd.py
+++ b/tests/client_limits/crowd.py
@@ -142,6 +142,11 @@
     return lambda: itertools.chain((head,), itertools.repeat(piece, count - 1), (piece[:-1],))
 
 
+def send_unfinished_chunk(head: bytes, body: bytes) -> Pieces:
+    """Return a body in one chunk, without the last chunk."""
+    return lambda: (head, f"{len(body):x}\r\n".encode(), body)
+
+
 def send_whole(path: str, body: bytes, *fields: str) -> Pieces:
     """Return a complete request."""
     head = make_head(path, f"Content-Length: {len(body)}", *fields)
--- a/tests/client_limits/test_daemon_crowds.py
+++ b/tests/client_limits/test_daemon_crowds.py
@@ -8,8 +8,11 @@
 from pathlib import Path
 from typing import Final
 
+import orjson
 import pytest
 
+from goldcreststair.client_limits.const import HELD_SHARE
+from goldcreststair.const import BYTES_PER_MB
 from standins.demo.__main__ import CUSTOMERS, make_chat, make_headers, wait_ready
 from standins.demo.fleet import Fleet, FleetPlan, send_request
 from tests.client_limits.crowd import (
@@ -25,7 +28,9 @@
     UNFINISHED_FRAMES,
     Crowd,
     Manner,
+    make_head,
     send_endless,
+    send_unfinished_chunk,
     send_unfinished_chunks,
     send_unfinished_length,
 )
@@ -36,6 +41,30 @@
 
 BODY_BYTES: Final = 8 * 1024 * 1024
 PATH: Final = "/v1/chat/completions"
+JOB_LINES: Final = 120
+"""Fewer lines of a job than are stored at a time."""
+LINE_BYTES: Final = 60 * 1024
+JOB_ITEMS: Final = 10_000
+JOB_ITEM_BYTES: Final = 4 * 1024
+JOB_HEAD: Final = make_head(
+    "/v1/batches", "Authorization: Bearer key-designers", "Transfer-Encoding: chunked"
+)
+
+
+def make_job(lines: int, line_bytes: int) -> bytes:
+    """Return the JSON lines of a job, each of about `line_bytes`."""
+    padding = "x" * line_bytes
+    parts = (
+        {"custom_id": str(number), "body": make_chat(padding, stream=False)}
+        for number in range(lines)
+    )
+    return b"\n".join(orjson.dumps(part) for part in parts)
+
+
+KEYED_JOBS: Final = Manner(
+    "jobs with a key that stop short",
+    send_unfinished_chunk(JOB_HEAD, make_job(JOB_LINES, LINE_BYTES)),
+)
 KEYLESS: Final = (
     Manner("chunks without end", send_endless(PATH)),
     Manner("chunks that stop short", send_unfinished_chunks(PATH, BODY_BYTES)),
@@ -46,6 +75,7 @@
 )
 CASES: Final = (
     *(("http", manner) for manner in KEYLESS),
+    ("http", KEYED_JOBS),
     ("peer", UNFINISHED_FRAMES),
 )
 
@@ -160,6 +190,15 @@
     assert read_peak_mb(site.pid) <= MEMORY_MB
 
 
+def test_a_job_larger_than_what_clients_may_hold_is_accepted(site: DaemonSite) -> None:
+    """Guards against jobs that are refused for their length although they are stored as they arrive."""
+    job = make_job(JOB_ITEMS, JOB_ITEM_BYTES)
+    answer = send_request(site.http, "POST", "/v1/batches", job, make_headers("designers"))
+    assert answer.status == 200
+    assert len(job) > MEMORY_MB * BYTES_PER_MB // HELD_SHARE
+    assert read_peak_mb(site.pid) <= MEMORY_MB
+
+
 @pytest.mark.parametrize("site", [Limits(descriptors=DESCRIPTORS)], indirect=True)
 @pytest.mark.parametrize("port", ["http", "peer"])
 def test_idle_connections_leave_descriptors_for_callers(site: DaemonSite, port: str) -> None:
