Bound what datagrams of strangers cost

Callers saw: a daemon whose memory grew with each datagram that anyone sent to its peer port, and that stood still while it decoded long ones; beacons of invented sessions also reduce the share of each quota that a daemon admits.

Cause: the session of each unknown beacon was kept for some seconds, whatever its length. What a relay says was kept until its session is gone from the list, which never happens to one that is not in it. A datagram of 60 KB may have 60,000 entries, which take 65 ms to decode.

Unknown sessions now count once for each address. Digests of relays that are not in the list are dropped; a relay that has just started speaks again. Datagrams of more than 1,400 bytes are decoded only from the addresses of other daemons, and counted in datagrams_rejected_total.

--- a/goldcreststair/components/fleet/const.py
+++ b/goldcreststair/components/fleet/const.py
@@ -14,6 +14,9 @@
 BEACON_MIN_GAP_MS: Final = 20
 """Changes within this time share a beacon; at 80 requests/s over 11 VMs, two changes arrive in
 it."""
+MAX_UNLISTED_DATAGRAM_BYTES: Final = 1_400
+"""Longest datagram from an address that is not another daemon's; the first beacons of a new daemon are far
+shorter. Each byte may cost a microsecond to decode."""
 MAX_MESH_PEERS: Final = 24
 """Up to this many other daemons, every daemon sends its beacons to every other one. In a larger
 fleet, relays aggregate each data centre."""
--- a/goldcreststair/components/fleet/controller.py
+++ b/goldcreststair/components/fleet/controller.py
@@ -53,6 +53,14 @@
         return max(self.known_at, self.last_seen_at or 0, self.changed_at or 0)  # type: ignore[return-value]
 
 
+@dataclass(frozen=True, slots=True)
+class _Unlisted:
+    """The last beacon of a session that is not in the list."""
+
+    session: str
+    at: Millis
+
+
 def choose_heartbeat_ms(daemons: int) -> int:
     """Return the heartbeat interval of each daemon, in ms.
 
@@ -87,8 +95,8 @@
         self._store_contact_at = clock.now()
         self._peer_contact_at = clock.now()
         self._disagreed_since: Millis | None = None
-        self._unlisted: dict[str, Millis] = {}
-        """When beacons of unknown sessions were last received."""
+        self._unlisted: dict[str, _Unlisted] = {}
+        """The last beacon of an unknown session from each address."""
         self._relay_reachable: frozenset[str] = frozenset()
         """Sessions that the followed relay reaches, from its last report."""
         self._relay_updated_at = Millis(0)
@@ -137,8 +145,9 @@
         state: VmState,
         responsive_hash: int | None = None,
         lag_ms: int | None = None,
+        address: str = "",
     ) -> bool:
-        """Apply a beacon; returns whether its sender is a known session.
+        """Apply a beacon from `address`; returns whether its sender is a known session.
 
         `lag_ms` is how long it may have taken; None if that is not known.
         """
@@ -146,7 +155,9 @@
         self._peer_contact_at = now
         peer = self._peers.get(session)
         if peer is None:
-            self._unlisted[session] = now
+            # One for each address: whoever sends beacons of many sessions must neither fill the
+            # memory nor take the others' shares of the quotas.
+            self._unlisted[address] = _Unlisted(session, now)
             return False
         peer.last_seen_at = now
         peer.state = state
@@ -294,8 +305,11 @@
         # meanwhile uses its share, while this one divides the whole quota among the daemons it
         # knows.
         horizon = self._clock.now() - UNREACHABLE_MS
-        recent = {s: at for s, at in self._unlisted.items() if at >= horizon}
-        self._unlisted = {s: at for s, at in recent.items() if s not in self._peers}
+        self._unlisted = {
+            address: last
+            for address, last in self._unlisted.items()
+            if last.at >= horizon and last.session not in self._peers
+        }
         return len(self._unlisted)
 
     def read_responsive_hash(self) -> int:
--- a/goldcreststair/components/fleet/dissemination.py
+++ b/goldcreststair/components/fleet/dissemination.py
@@ -257,9 +257,11 @@
             _LOGGER.warning("Digest unreadable: %s", decoded.err_value.message)
             return
         digest, rest = decoded.ok_value
+        # What a relay says is kept until its session is gone from the list.
+        if digest.relay not in self._vms:
+            return
         lag_ms = self._echoes.measure_lag_ms(decode_echo(rest)) or 0
-        if digest.relay in self._vms:
-            self._echoes.record_received(digest.relay, DatagramKind.DIGEST, digest.sequence)
+        self._echoes.record_received(digest.relay, DatagramKind.DIGEST, digest.sequence)
         if digest.data_centre:
             self._reachable_changed |= self._tracker.apply_digest(digest, lag_ms)
             self._changed = True
--- a/goldcreststair/components/fleet/service.py
+++ b/goldcreststair/components/fleet/service.py
@@ -13,6 +13,7 @@
 from goldcreststair.components.fleet.const import (
     BEACON_INTERVAL_MS,
     BEACON_MIN_GAP_MS,
+    MAX_UNLISTED_DATAGRAM_BYTES,
     NEW_DAEMON_MS,
     PAUSE_THRESHOLD_MS,
     RELAYED_MIN_GAP_MS,
@@ -103,6 +104,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._unsubscribe: Callable[[], None] = lambda: None
         self._peer_requests = PeerRequests(core)
+        self._addresses: frozenset[str] = frozenset()
+        """Addresses of the other daemons."""
         self._with_store_access: set[str] = set()
         """Sessions whose last beacon said that the store answers them."""
         self._session_heartbeat = SessionHeartbeat(core, self._own, self._controller, self)
@@ -301,6 +304,9 @@
         self._section.write(fleet)
         log_changes(before, fleet)
         if fleet.vms.keys() != before.vms.keys():
+            self._addresses = frozenset(
+                vm.address for session, vm in fleet.vms.items() if session != self._own.session
+            )
             self._relayed_links.replace_vms(fleet.vms)
             # Callers of a daemon that has just started wait until a relay has sent it the fleet
             # view.
@@ -342,12 +348,17 @@
                 echo = self._echoes.make_echo(session).encode()
                 self._core.datagrams.send(vm.address, vm.peer_port, datagram + echo)
 
-    def _on_datagram(self, datagram: bytes, _: str) -> None:
+    def _on_datagram(self, datagram: bytes, address: str) -> None:
         if not datagram:
             return
+        if len(datagram) > MAX_UNLISTED_DATAGRAM_BYTES and address not in self._addresses:
+            extra = {"address": address, "bytes": len(datagram)}
+            _LOGGER.warning("Datagram rejected", extra=extra)
+            self._core.meters.count_rejected_datagram()
+            return
         self.check_paused()
         if datagram[0] == DatagramKind.BEACON:
-            self._apply_beacon(datagram[1:])
+            self._apply_beacon(datagram[1:], address)
             return
         if datagram[0] == DatagramKind.DIGEST:
             self._relayed_links.apply_digest(datagram[1:])
@@ -357,7 +368,7 @@
             end = 2 + datagram[1]
             handler(datagram[2:end].decode(errors="replace"), datagram[end:])
 
-    def _apply_beacon(self, encoded: bytes) -> None:
+    def _apply_beacon(self, encoded: bytes, address: str) -> None:
         decoded = split_struct(Beacon, encoded)
         if isinstance(decoded, Err):
             _LOGGER.warning("Beacon unreadable: %s", decoded.err_value.message)
@@ -372,7 +383,7 @@
             return
         before = self._core.blackboard.read(FLEET).states.get(beacon.session)
         lag_ms = self._echoes.measure_lag_ms(decode_echo(rest))
-        if not self._controller.apply_beacon(beacon.session, state, beacon.hears, lag_ms):
+        if not self._controller.apply_beacon(beacon.session, state, beacon.hears, lag_ms, address):
             return
         self._echoes.record_received(beacon.session, DatagramKind.BEACON, beacon.sequence)
         self._sequences[beacon.session] = beacon.sequence
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -99,6 +99,9 @@
             "client_connections_closed": _Counter(
                 "Connections of clients closed to stay within the limits.", ("cause",)
             ),
+            "datagrams_rejected": _Counter(
+                "Long datagrams from addresses that are not those of daemons."
+            ),
             "quota_buckets_created": _Counter("Token buckets created, one for each customer."),
             "quota_baselines": _Counter(
                 "First reports of daemons or relays, which charge nothing."
@@ -250,6 +253,11 @@
         self._counters["client_connections_closed"].values[(cause.value,)] += 1
         self._statistics.count(f"client_connections_closed.{cause.value}")
 
+    def count_rejected_datagram(self) -> None:
+        """Count a datagram that was dropped for its length and its sender."""
+        self._counters["datagrams_rejected"].values[()] += 1
+        self._statistics.count("datagrams_rejected")
+
     def observe_counter_age(self, value_ms: int) -> None:
         """Record the age of the other daemons' counters at a decision about a quota, ms."""
         self._histograms["quota_counter_age_seconds"].observe((), value_ms / MS_PER_SECOND)
--- a/tests/client_limits/crowd.py
+++ b/tests/client_limits/crowd.py
@@ -31,6 +31,7 @@
 """How long a daemon may take to notice that a crowd has gone."""
 SETTLE_POLL_S: Final = 0.5
 IDLE_CLIENTS: Final = 500
+DATAGRAM_PAUSE_S: Final = 0.001
 RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)
 
 Pieces = Callable[[], Iterable[bytes]]
@@ -94,6 +95,20 @@
             await loop.sock_sendall(opened, piece)
 
 
+async def async_send_datagrams(address: str, make: Callable[[int], bytes]) -> None:
+    """Send datagrams, made by their number, for `CROWD_S`."""
+    loop = asyncio.get_running_loop()
+    host, _, port = address.rpartition(":")
+    ends_at = loop.time() + CROWD_S
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as opened:
+        opened.setblocking(False)
+        for number in itertools.count():
+            if loop.time() >= ends_at:
+                return
+            await loop.sock_sendto(opened, make(number), (host, int(port)))
+            await asyncio.sleep(DATAGRAM_PAUSE_S)
+
+
 def make_head(path: str, *fields: str, method: str = "POST") -> bytes:
     """Return the head of a request to `path` with further header fields."""
     lines = (
--- a/tests/client_limits/test_gateway_crowds.py
+++ b/tests/client_limits/test_gateway_crowds.py
@@ -6,6 +6,10 @@
 
 import pytest
 
+from goldcreststair.components.fleet.models import VmState
+from goldcreststair.components.fleet.protocols import DatagramKind
+from goldcreststair.wire.codec import encode_struct
+from goldcreststair.wire.generated.gateway.ttypes import Beacon, Digest, HeardDaemon
 from tests.client_limits.crowd import (
     DESCRIPTORS,
     IDLE,
@@ -16,6 +20,7 @@
     UNFINISHED_FRAMES,
     Crowd,
     Manner,
+    async_send_datagrams,
     make_chunks,
     send_endless,
     send_unfinished_chunks,
@@ -31,6 +36,8 @@
 
 ANSWER_BYTES: Final = 600_000
 ENGINE_PAUSE_S: Final = 0.2
+NUMBER: Final = "########"
+"""Stands for a number in what a crowd sends."""
 
 
 def fill(start: bytes, repeated: bytes, end: bytes) -> bytes:
@@ -72,6 +79,44 @@
 )
 
 
+DATAGRAM_BYTES: Final = 60_000
+
+
+def make_beacon(padding: int) -> bytes:
+    """Return a beacon whose session has a number and padding."""
+    beacon = Beacon(NUMBER + "x" * padding, 1, int(VmState.READY), 0)
+    return bytes((DatagramKind.BEACON,)) + encode_struct(beacon)
+
+
+def make_digest() -> bytes:
+    """Return a digest of a relay with a number, which lists as many daemons as fit."""
+    digest = Digest(NUMBER, 1, 0, "dc-b", heard=[HeardDaemon()] * DATAGRAM_BYTES)
+    return bytes((DatagramKind.DIGEST,)) + bytes(8) + encode_struct(digest)
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [make_beacon(DATAGRAM_BYTES), make_beacon(0), make_digest()],
+    ids=["long beacons of many sessions", "beacons of many sessions", "long digests"],
+)
+def test_datagrams_cost_neither_the_memory_nor_the_service(datagram: bytes, tmp_path: Path) -> None:
+    """Guards against a daemon that keeps, or decodes for long, what anyone sends to its peer port."""
+
+    def make(number: int) -> bytes:
+        return datagram.replace(NUMBER.encode(), f"{number:08}".encode(), 1)
+
+    async def scenario() -> None:
+        async with GatewaySite(tmp_path) as site:
+            assert await site.async_is_served()
+            sending = asyncio.create_task(async_send_datagrams(site.peer, make))
+            assert await site.async_is_served()
+            await sending
+            assert await site.async_is_served()
+            assert site.read_peak_mb() <= site.memory_mb
+
+    asyncio.run(scenario())
+
+
 async def async_find_faults(site: GatewaySite, port: str, manner: Manner) -> list[str]:
     """Let a crowd come and go; returns what is wrong during and after it."""
     faults: list[str] = []
--- a/tests/components/fleet/test_controller.py
+++ b/tests/components/fleet/test_controller.py
@@ -142,3 +142,13 @@
     controller.apply_beacon("other", VmState.READY)
     clock.advance(UNREACHABLE_MS + 1)
     assert controller.read_fleet().unlisted == 0
+
+
+def test_many_sessions_at_one_address_count_once() -> None:
+    """Guards against beacons of invented sessions that fill the memory and take the others' shares of quotas."""
+    clock = ManualClock()
+    controller = make_controller(clock, "a")
+    for number in range(100):
+        controller.apply_beacon(f"s{number}", VmState.READY, address="10.0.0.7")
+    controller.apply_beacon("new", VmState.READY, address="10.0.0.8")
+    assert controller.read_fleet().unlisted == 2
