Decode no long messages of sessions that are not members

Callers saw: a daemon that took several times its memory and stood still, for one message that anyone had sent to its peer port.

Cause: a message of membership is decoded for any session, as these make a new daemon known. An entry of a list may be one byte long and takes some 50 bytes and half a microsecond once decoded, so that a message of 16 MB becomes 16 million objects.

A message of a session that is not a member may have 128 KB, several times the longest of membership (200 records and 200 items); a Hello 4 KB. Longer ones are dropped, with a log line and a count (statsd: long_messages_dropped).

--- a/goldcreststair/components/peers/service.py
+++ b/goldcreststair/components/peers/service.py
@@ -10,7 +10,12 @@
 from result import Err, Ok, Result
 
 from goldcreststair.components.membership.models import MEMBERS, Member, Members
-from goldcreststair.components.peers.const import CONNECT_TIMEOUT_MS, SERVED_TO_NON_MEMBERS
+from goldcreststair.components.peers.const import (
+    CONNECT_TIMEOUT_MS,
+    MAX_HELLO_BYTES,
+    MAX_NON_MEMBER_BYTES,
+    SERVED_TO_NON_MEMBERS,
+)
 from goldcreststair.components.peers.link import Link
 from goldcreststair.components.peers.protocols import Endpoint, Handler, PeerError, PeerMessage
 from goldcreststair.core import Core
@@ -124,9 +129,15 @@
             return None
         # A daemon whose session has expired may still run and act as owner; until it is a member
         # again, only messages that bring it up to date are served.
-        if envelope.number not in SERVED_TO_NON_MEMBERS and not self._is_member(session_id):
-            return None
-        decoded = decode_struct(registration.struct, envelope.payload or b"")
+        payload = envelope.payload or b""
+        if not self._is_member(session_id):
+            if envelope.number not in SERVED_TO_NON_MEMBERS:
+                return None
+            if len(payload) > MAX_NON_MEMBER_BYTES:
+                _LOGGER.warning("Long message of a non-member dropped")
+                self._core.statistics.count("long_messages_dropped")
+                return None
+        decoded = decode_struct(registration.struct, payload)
         if isinstance(decoded, Err):
             _LOGGER.warning("Message dropped: %s", decoded.err_value.message)
             return None
@@ -234,7 +245,9 @@
                 frame = await channel.async_receive()
         except TimeoutError:
             return None
-        decoded = decode_struct(Hello, frame or b"")
+        if frame is None or len(frame) > MAX_HELLO_BYTES:
+            return None
+        decoded = decode_struct(Hello, frame)
         return decoded.ok_value if isinstance(decoded, Ok) else None
 
     def _add_link(self, channel: PeerChannel, session_id: str) -> Link:
--- a/tests/client_limits/crowd.py
+++ b/tests/client_limits/crowd.py
@@ -187,6 +187,11 @@
     )
 
 
+def make_frame(message: bytes) -> bytes:
+    """Return a whole frame of the peer protocol."""
+    return struct.pack("!I", len(message)) + message
+
+
 def send_nothing() -> Iterable[bytes]:
     """Return nothing: an idle connection."""
     return ()
--- a/tests/client_limits/test_daemon_crowds.py
+++ b/tests/client_limits/test_daemon_crowds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -12,7 +13,11 @@
 import pytest
 
 from goldcreststair.client_limits.const import HELD_SHARE
+from goldcreststair.components.membership.gossip import NUMBER_GOSSIP
 from goldcreststair.const import BYTES_PER_MB
+from goldcreststair.wire.codec import encode_struct
+from goldcreststair.wire.generated.membership.ttypes import Gossip, LoadEntry
+from goldcreststair.wire.generated.peers.ttypes import Envelope, FrameKind, Hello
 from standins.demo.__main__ import CUSTOMERS, make_chat, make_headers, wait_ready
 from standins.demo.fleet import Fleet, FleetPlan, send_request
 from tests.client_limits.crowd import (
@@ -28,6 +33,7 @@
     UNFINISHED_FRAMES,
     Crowd,
     Manner,
+    make_frame,
     make_head,
     send_endless,
     send_unfinished_chunk,
@@ -65,6 +71,18 @@
     "jobs with a key that stop short",
     send_unfinished_chunk(JOB_HEAD, make_job(JOB_LINES, LINE_BYTES)),
 )
+GOSSIP_ENTRIES: Final = 8_000_000
+"""Entries of a list, of a byte each; two such messages are within the limit on all clients."""
+
+
+@functools.cache
+def make_gossip() -> tuple[bytes, ...]:
+    """Return the frames of a stranger: its Hello, and a message with many entries."""
+    gossip = Gossip(1, 1, 1, loads=[LoadEntry()] * GOSSIP_ENTRIES)
+    post = Envelope(FrameKind.POST, NUMBER_GOSSIP, None, encode_struct(gossip))
+    return tuple(make_frame(encode_struct(each)) for each in (Hello("stranger", ""), post))
+
+
 KEYLESS: Final = (
     Manner("chunks without end", send_endless(PATH)),
     Manner("chunks that stop short", send_unfinished_chunks(PATH, BODY_BYTES)),
@@ -77,6 +95,7 @@
     *(("http", manner) for manner in KEYLESS),
     ("http", KEYED_JOBS),
     ("peer", UNFINISHED_FRAMES),
+    ("peer", Manner("messages of many entries", make_gossip, clients=2)),
 )
 
 
--- a/tests/components/peers/test_service.py
+++ b/tests/components/peers/test_service.py
@@ -11,11 +11,17 @@
 from goldcreststair.blackboard import SectionWriter
 from goldcreststair.clock import LoopClock
 from goldcreststair.components.membership.models import MEMBERS, Member, Members, MemberState
-from goldcreststair.components.peers.const import IDLE_TIMEOUT_MS, SILENCE_TIMEOUT_MS
+from goldcreststair.components.membership.probe import NUMBER_PROBE_REQUEST
+from goldcreststair.components.peers.const import (
+    IDLE_TIMEOUT_MS,
+    MAX_NON_MEMBER_BYTES,
+    SILENCE_TIMEOUT_MS,
+)
 from goldcreststair.components.peers.service import PeerService
 from goldcreststair.core import Core
 from goldcreststair.transport import MAX_FRAME_BYTES, TcpTransport
 from goldcreststair.wire.codec import encode_struct
+from goldcreststair.wire.generated.membership.ttypes import ProbeAsk
 from goldcreststair.wire.generated.online.ttypes import YieldHint
 from goldcreststair.wire.generated.peers.ttypes import Envelope, FrameKind
 from standins.budgets import make_budget
@@ -171,6 +177,31 @@
     run_virtual(async_test())
 
 
+@pytest.mark.parametrize(
+    ("length", "served"), [(MAX_NON_MEMBER_BYTES // 2, 1), (MAX_NON_MEMBER_BYTES, 0)]
+)
+def test_a_long_message_of_a_non_member_is_not_decoded(length: int, served: int) -> None:
+    """Guards against strangers whose messages of many entries take memory and time."""
+
+    async def async_test() -> None:
+        network = FakeNetwork(LoopClock())
+        left, right = await async_make_pair(network)
+        decoded: list[Any] = []
+
+        async def async_handle(_: str, message: Any) -> None:
+            decoded.append(message)
+
+        right.peers.register(NUMBER_PROBE_REQUEST, ProbeAsk, async_handle)
+        right.members.write(Members("b"))
+        left.peers.register(NUMBER_PROBE_REQUEST, ProbeAsk, None)
+        left.peers.post("b", ProbeAsk("x" * length))
+        await asyncio.sleep(1)
+        assert len(decoded) == served
+        await asyncio.gather(left.peers.async_close(), right.peers.async_close())
+
+    run_virtual(async_test())
+
+
 def test_late_and_misdirected_responses_are_dropped() -> None:
     """Responses arrive late, or with the correlation ids of other requests.
 
