Bound the bodies of accepted jobs by the memory of the VM

Callers saw: nothing yet; a customer that sends one job after another used up the memory of a daemon, as each job is accepted at once and its items wait.

Cause: the owner of a job holds the bodies of its items until all results are committed. A route bounds the tokens that wait, which the customer states, but nothing bounds bytes.

A daemon now holds bodies of an eighth of its memory. A job beyond that is passed to another daemon, in the way that one is while the store does not answer here; it gets 503 (not run, Retry-After 1 s) if none has room. A job that is alone is accepted, and one that was accepted before is found.

Jobs that are taken over from a lost VM are not bounded.

--- a/goldcreststair/client_limits/const.py
+++ b/goldcreststair/client_limits/const.py
@@ -8,6 +8,8 @@
 """This part of it, by division, is kept free for clients that hold little."""
 SMALL_BYTES: Final = 64 * 1024
 """A client that holds at most this much holds little; most bodies are far smaller."""
+JOB_SHARE: Final = 8
+"""The items of accepted jobs may have the memory of the process divided by this."""
 RECEIVE_BUFFER_BYTES: Final = 64 * 1024
 """Receive buffer of each connection, which limits what arrives before it is counted."""
 STALL_MS: Final = 1_000
--- a/goldcreststair/client_limits/models.py
+++ b/goldcreststair/client_limits/models.py
@@ -12,6 +12,7 @@
     CONNECTIONS_SHARE,
     FILE_DESCRIPTORS,
     HELD_SHARE,
+    JOB_SHARE,
     MIN_CONNECTIONS,
     SMALL_SHARE,
     SOCKETS_KEPT_SHARE,
@@ -39,6 +40,8 @@
     """Bytes received and not yet answered, and of answers not yet accepted."""
     large_bytes: int
     """The part of these that clients may hold who hold much; the rest stays free for the others."""
+    job_bytes: int
+    """Bodies of the items of accepted jobs that this process runs."""
     connections: int
     """Open connections, at all ports."""
 
@@ -49,7 +52,7 @@
     Where one is 0, the limit of the machine or of the process holds.
 
     >>> compute_limits(320, 8_200)
-    ClientLimits(held_bytes=67108864, large_bytes=58720256, connections=2560)
+    ClientLimits(held_bytes=67108864, large_bytes=58720256, job_bytes=41943040, connections=2560)
     >>> compute_limits(320, 300).connections
     75
     """
@@ -60,7 +63,12 @@
         sockets - sockets // SOCKETS_KEPT_SHARE,
         memory_bytes // CONNECTIONS_SHARE // CONNECTION_BYTES,
     )
-    return ClientLimits(held, held - held // SMALL_SHARE, max(connections, MIN_CONNECTIONS))
+    return ClientLimits(
+        held_bytes=held,
+        large_bytes=held - held // SMALL_SHARE,
+        job_bytes=memory_bytes // JOB_SHARE,
+        connections=max(connections, MIN_CONNECTIONS),
+    )
 
 
 def _read_descriptor_limit() -> int:
--- a/goldcreststair/components/jobs/protocols.py
+++ b/goldcreststair/components/jobs/protocols.py
@@ -56,6 +56,9 @@
     def count_owned(self) -> int:
         """Return the number of jobs that this daemon runs."""
 
+    def count_body_bytes(self) -> int:
+        """Return the length of the bodies of the jobs that this daemon runs."""
+
     def count_waiting(self) -> int:
         """Return the number of items that wait for a slot here and can still be in time."""
 
--- a/goldcreststair/components/jobs/registry.py
+++ b/goldcreststair/components/jobs/registry.py
@@ -98,6 +98,12 @@
     """Time since which the job's route is missing from the catalogue here."""
     lost: bool = False
     """Whether another daemon owns the job now, or the job has ended."""
+    body_bytes: int = field(init=False)
+    """Length of the bodies of all items, which are held until the job is complete."""
+
+    def __post_init__(self) -> None:
+        """Add up the bodies."""
+        self.body_bytes = sum(len(item.spec.body) for item in self.items)
 
     @property
     def key(self) -> JobKey:
@@ -135,6 +141,10 @@
         """Create an empty registry."""
         self.jobs: dict[JobKey, OwnedJob] = {}
 
+    def count_body_bytes(self) -> int:
+        """Return the length of the bodies of all jobs."""
+        return sum(job.body_bytes for job in self.jobs.values())
+
     def list_startable(
         self, now: Millis, estimate_remaining_ms: EstimateRemaining
     ) -> list[RankedItem]:
--- a/goldcreststair/components/jobs/service.py
+++ b/goldcreststair/components/jobs/service.py
@@ -84,6 +84,8 @@
         self._loading: dict[JobKey, asyncio.Task[None]] = {}
         self._recently_ended: OrderedDict[JobKey, None] = OrderedDict()
         """The most recent jobs whose end was reported, oldest first."""
+        self._accepting_bytes = 0
+        """Length of the bodies of jobs that are being accepted."""
         self._leaving = False
         self._jobs_added = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -124,7 +126,7 @@
         # If the session of a job's owner is not in the store, sweeps treat the job as abandoned.
         if not self._links.is_registered():
             return Err(JobError("this VM is not part of the fleet yet"))
-        accepted = await self._records.async_accept(submission, self._core.session_id)
+        accepted = await self._async_accept(submission)
         extra = {"job": submission.key.job, "customer": submission.key.customer}
         if isinstance(accepted, Err):
             error = accepted.err_value
@@ -142,6 +144,25 @@
         self._add_job(record, opened, submission.items)
         return Ok(None)
 
+    async def _async_accept(
+        self, submission: Submission
+    ) -> Result[tuple[JobRecord, OpenJob] | None, JobError]:
+        """Accept a job if its items can be held; returns None if it was accepted before."""
+        size = sum(len(item.body) for item in submission.items)
+        held = self._registry.count_body_bytes() + self._accepting_bytes
+        # A job that is alone is accepted whatever its length, which has a limit of its own.
+        if held and held + size > self._core.clients.limits.job_bytes:
+            found = await self._reader.async_find(submission.key)
+            if isinstance(found, Err) and found.err_value.problem is JobProblem.MISSING:
+                # Another VM is asked next, which may have room.
+                return Err(JobError("this VM holds too many items of jobs"))
+            return found.map(lambda _: None)
+        self._accepting_bytes += size
+        try:
+            return await self._records.async_accept(submission, self._core.session_id)
+        finally:
+            self._accepting_bytes -= size
+
     async def async_read_results(
         self, key: JobKey, position: int, wait_ms: int
     ) -> Result[ResultPage, JobError]:
@@ -229,6 +250,10 @@
         """Return the number of jobs that this daemon runs."""
         return len(self._registry.jobs)
 
+    def count_body_bytes(self) -> int:
+        """Return the length of the bodies of the jobs that this daemon runs."""
+        return self._registry.count_body_bytes()
+
     def count_waiting(self) -> int:
         """Return the number of items that wait for a slot here and can still be in time."""
         return self._executor.waiting_in_time
--- a/goldcreststair/components/metrics/service.py
+++ b/goldcreststair/components/metrics/service.py
@@ -90,6 +90,7 @@
             "runs_online": sum(run.online for run in runs),
             "runs_batch": sum(run.batch for run in runs),
             "jobs_owned": jobs.count_owned(),
+            "job_body_bytes": jobs.count_body_bytes(),
             "items_waiting": jobs.count_waiting(),
             "requests_waiting": self.core.get(WAITING).count_waiting(),
             "client_bytes": self.core.clients.count_bytes(),
--- a/tests/client_limits/test_controller.py
+++ b/tests/client_limits/test_controller.py
@@ -13,7 +13,9 @@
 from tests.helpers.virtual_time import ManualClock, run_virtual
 
 LARGE: Final = 1024 * 1024
-LIMITS: Final = ClientLimits(held_bytes=8 * LARGE, large_bytes=7 * LARGE, connections=3)
+LIMITS: Final = ClientLimits(
+    held_bytes=8 * LARGE, large_bytes=7 * LARGE, job_bytes=LARGE, connections=3
+)
 
 
 @dataclass(slots=True)
--- a/tests/client_limits/test_gateway_crowds.py
+++ b/tests/client_limits/test_gateway_crowds.py
@@ -1,9 +1,13 @@
 """Crowds of clients at the ports of a gateway daemon: it stays within its memory and goes on serving."""
 
 import asyncio
+import base64
+import itertools
+from collections.abc import Iterable
 from pathlib import Path
 from typing import Final
 
+import orjson
 import pytest
 
 from goldcreststair.components.fleet.models import VmState
@@ -14,14 +18,17 @@
     DESCRIPTORS,
     IDLE,
     MAX_BODY_BYTES,
+    MEMORY_MB,
     SETTLE_POLL_S,
     SETTLE_S,
     SPARE_DESCRIPTORS,
     UNFINISHED_FRAMES,
     Crowd,
     Manner,
+    Pieces,
     async_send_datagrams,
     make_chunks,
+    make_head,
     send_endless,
     send_unfinished_chunks,
     send_unfinished_head,
@@ -38,6 +45,10 @@
 ENGINE_PAUSE_S: Final = 0.2
 NUMBER: Final = "########"
 """Stands for a number in what a crowd sends."""
+JOB_ITEMS: Final = 10
+JOB_ITEM_BYTES: Final = 300_000
+JOBS: Final = 60
+"""Jobs of one customer, which take more than the memory together."""
 
 
 def fill(start: bytes, repeated: bytes, end: bytes) -> bytes:
@@ -68,9 +79,29 @@
 )
 
 
+def send_jobs(items: int, item_bytes: int) -> Pieces:
+    """Return jobs that are accepted, each connection another one."""
+    content = base64.b64encode(b"x" * item_bytes).decode()
+    requests = [
+        {"id": f"{NUMBER}{n:08x}", "path": "/batch/x", "headers": {}, "body": content, "tokens": 1}
+        for n in range(items)
+    ]
+    body = orjson.dumps({"requests": requests})
+    length = f"Content-Length: {len(body)}"
+    head = make_head("/batch/x", length, "Content-Type: application/json")
+    numbers = itertools.count()
+
+    def make_pieces() -> Iterable[bytes]:
+        number = f"{next(numbers):08x}".encode()
+        return head.replace(b"crowd", number), body.replace(NUMBER.encode(), number)
+
+    return make_pieces
+
+
 WHOLE_BODY: Final = b"x" * (MAX_BODY_BYTES - 1)
 WHOLE_CASES: Final = (
     Manner("bodies of running requests", send_whole("/call/x", WHOLE_BODY)),
+    Manner("jobs of large items", send_jobs(JOB_ITEMS, JOB_ITEM_BYTES)),
     Manner("jobs of small maps", send_whole("/batch/x", fill(b'{"requests":[', b"{},", b"{}]}"))),
     Manner("jobs of deep nesting", send_whole("/batch/x", fill(b"", b"[", b""))),
     Manner("jobs of large numbers", send_whole("/batch/x", fill(b"[", b"9", b"]"))),
@@ -176,6 +207,25 @@
     assert asyncio.run(scenario()) == []
 
 
+def test_accepted_jobs_stay_within_the_memory(tmp_path: Path) -> None:
+    """Guards against a customer whose accepted jobs wait in memory until it is used up."""
+    engine = WireEngine(pause_s=ENGINE_PAUSE_S)
+    make_pieces = send_jobs(JOB_ITEMS, JOB_ITEM_BYTES)
+
+    async def scenario() -> tuple[list[int], float]:
+        async with GatewaySite(tmp_path, engine=engine) as site:
+            statuses = [
+                (await site.async_call(b"".join(make_pieces()))).status for _ in range(JOBS)
+            ]
+            assert await site.async_is_served()
+            return statuses, site.read_peak_mb()
+
+    statuses, peak_mb = asyncio.run(scenario())
+    assert statuses[0] == 202
+    assert set(statuses) <= {202, 503}
+    assert peak_mb <= MEMORY_MB
+
+
 @pytest.mark.parametrize("port", ["front", "entry", "ready", "metrics", "peer"])
 def test_idle_connections_leave_descriptors_for_callers(port: str, tmp_path: Path) -> None:
     """Guards against a daemon whose idle connections use up its descriptors, so that it accepts no caller."""
