Let clients with many header fields take turns

Callers saw: time-outs beside clients whose heads have thousands of fields.

Cause: a head of 64 KB can have 16,000 fields and takes 50 ms to parse, in one step; each step of the event loop parsed one of each client.

A head of 256 fields or more now waits for its turn, as bodies in small chunks do. One of more than 4,096, as many as the usual limit of 16 KB can hold, closes its connection (cause fields).

Evidence: test_a_head_of_too_many_fields_closes_its_connection and test_heads_of_many_fields_take_turns, both new behaviour.

--- a/goldcreststair/client_limits/const.py
+++ b/goldcreststair/client_limits/const.py
@@ -29,16 +29,20 @@
 """Pause in accepting after an error, such as a lack of descriptors."""
 CHUNKS_PER_TURN: Final = 64
 """Chunks of a body that are decoded before other clients are served; ordinary bodies have fewer."""
+FIELDS_PER_TURN: Final = 256
+"""Header fields that are parsed before other clients are served; ordinary heads have fewer."""
+MAX_HEADER_FIELDS: Final = 4096
+"""As many as a head of 16 KB can have."""
 MAX_WAITING_TURNS: Final = 32
-"""Clients with bodies in many small chunks that may wait for each other."""
+"""Clients with many small chunks or header fields that may wait for each other."""
 COLLECT_AFTER: Final = 32
 """Connections closed within a message before a garbage collection. Tornado's futures, errors and frames refer to
 each other, and keep some 100 KB of each until then."""
+MAX_UNKNOWN_BODY_BYTES: Final = 64 * 1024
+"""Body of a client that has not shown a key; the refusal of a longer one may not reach it."""
 MAX_ENDPOINT_BODY_BYTES: Final = 1024
 """Requests to endpoints have no body; a few bytes are read and ignored."""
 MAX_ENDPOINT_HEADER_BYTES: Final = 16 * 1024
 ENDPOINT_BUFFER_BYTES: Final = 64 * 1024
 ENDPOINT_IDLE_S: Final = 60
 ENDPOINT_BODY_S: Final = 5
-MAX_UNKNOWN_BODY_BYTES: Final = 64 * 1024
-"""Body of a client that has not shown a key; the refusal of a longer one may not reach it."""
--- a/goldcreststair/client_limits/controller.py
+++ b/goldcreststair/client_limits/controller.py
@@ -107,6 +107,10 @@
             self._shed(silent, CloseCause.CONNECTIONS)
         return silent is not None
 
+    def reject(self, holding: Holding, cause: CloseCause) -> None:
+        """Close a connection that exceeds a limit of its own."""
+        self._shed(holding, cause)
+
     def count_rejected(self, port: str) -> None:
         """Record that a connection was closed as soon as it had been accepted."""
         _LOGGER.warning("Client connection rejected", extra={"port": port})
--- a/goldcreststair/client_limits/models.py
+++ b/goldcreststair/client_limits/models.py
@@ -29,7 +29,9 @@
     CONNECTIONS = "connections"
     """There were too many connections."""
     CHUNKS = "chunks"
-    """Too many clients sent bodies in many small chunks."""
+    """Too many clients sent bodies in many small chunks, or heads with many fields."""
+    FIELDS = "fields"
+    """A head had too many fields."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/client_limits/stream.py
+++ b/goldcreststair/client_limits/stream.py
@@ -6,9 +6,14 @@
 from collections.abc import Awaitable, Callable
 
 from tornado.concurrent import Future
-from tornado.iostream import IOStream
-
-from goldcreststair.client_limits.const import CHUNKS_PER_TURN, RECEIVE_BUFFER_BYTES
+from tornado.iostream import IOStream, StreamClosedError
+
+from goldcreststair.client_limits.const import (
+    CHUNKS_PER_TURN,
+    FIELDS_PER_TURN,
+    MAX_HEADER_FIELDS,
+    RECEIVE_BUFFER_BYTES,
+)
 from goldcreststair.client_limits.controller import ClientBudget
 from goldcreststair.client_limits.models import CloseCause, Holding
 
@@ -85,6 +90,17 @@
         self._read_buffer = bytearray()
         self._read_buffer_size = 0
 
+    async def read_until_regex(self, regex: bytes, max_bytes: int | None = None) -> bytes:
+        """Read the head of a message; one with many fields takes turns with other clients."""
+        head = await super().read_until_regex(regex, max_bytes)
+        fields = head.count(b"\n")
+        if fields > MAX_HEADER_FIELDS:
+            self._budget.reject(self._holding, CloseCause.FIELDS)
+            raise StreamClosedError
+        if fields >= FIELDS_PER_TURN:
+            await self._budget.async_take_turn(self._holding, fields // FIELDS_PER_TURN)
+        return head
+
     def read_until(self, delimiter: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
         """Read the size of a chunk; a body of many chunks takes turns with other clients."""
         self._chunks += 1
--- a/tests/client_limits/test_gateway_crowds.py
+++ b/tests/client_limits/test_gateway_crowds.py
@@ -49,6 +49,9 @@
 JOB_ITEM_BYTES: Final = 300_000
 JOBS: Final = 60
 """Jobs of one customer, which take more than the memory together."""
+HEAD_CLIENTS: Final = 200
+HEADS: Final = 100
+"""Heads that each client sends one behind another."""
 
 
 def fill(start: bytes, repeated: bytes, end: bytes) -> bytes:
@@ -287,3 +290,24 @@
             return status
 
     assert b" 200 " in asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("fields", [15_000, 3_500], ids=["over the limit", "below the limit"])
+def test_ordinary_requests_are_served_beside_heads_that_take_long(
+    fields: int, tmp_path: Path
+) -> None:
+    """Guards against heads of thousands of fields that take all of the time of the event loop."""
+    head = make_head("/call/x", *["a:"] * fields, "Content-Length: 0")
+    manner = Manner("fields", lambda: itertools.repeat(head, HEADS), clients=HEAD_CLIENTS)
+
+    async def scenario() -> None:
+        async with GatewaySite(tmp_path) as site:
+            assert await site.async_is_served()
+            crowd = Crowd(site.front, manner)
+            await crowd.async_run()
+            assert await site.async_is_served()
+            crowd.leave()
+            assert await site.async_is_served()
+            assert site.read_peak_mb() <= site.memory_mb
+
+    asyncio.run(scenario())
--- a/tests/platform_adapter/test_callers.py
+++ b/tests/platform_adapter/test_callers.py
@@ -7,6 +7,9 @@
 import pytest
 from users_platform.jobs import JobCalls
 
+from goldcreststair.client_limits.const import FIELDS_PER_TURN, MAX_HEADER_FIELDS
+from goldcreststair.client_limits.controller import ClientBudget
+from goldcreststair.client_limits.models import Holding
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.forwarding.service import ForwardingService
 from tests.helpers.conditions import async_wait_until
@@ -231,6 +234,35 @@
     run_local(scenario)
 
 
+def test_a_head_of_too_many_fields_closes_its_connection() -> None:
+    """Guards against heads that take long to parse for their length."""
+
+    async def scenario(local: LocalGateway) -> None:
+        reader, writer = await local.async_open()
+        fields = b"a:\r\n" * (MAX_HEADER_FIELDS + 1)
+        writer.write(b"POST /call/x HTTP/1.1\r\n" + fields + b"\r\n")
+        assert await reader.read() == b""
+
+    run_local(scenario)
+
+
+def test_heads_of_many_fields_take_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against clients whose heads take the time of all others."""
+    turns: list[int] = []
+
+    async def async_take_turn(_: ClientBudget, __: Holding, count: int) -> None:
+        turns.append(count)
+
+    async def scenario(local: LocalGateway) -> None:
+        monkeypatch.setattr(ClientBudget, "async_take_turn", async_take_turn)
+        for count in (FIELDS_PER_TURN // 2, 2 * FIELDS_PER_TURN):
+            fields = {f"X-{number}": "x" for number in range(count)}
+            await local.async_call("POST", "/call/x", headers=fields)
+        assert turns == [2]
+
+    run_local(scenario)
+
+
 def test_addresses_and_readiness_before_and_during_a_leave() -> None:
     async def scenario(local: LocalGateway) -> None:
         path = "/-/resolve?name=host.example&region=default&zone=dc-a"
