--- a/goldcreststair/client_limits/http.py
+++ b/goldcreststair/client_limits/http.py
@@ -64,8 +64,8 @@
 
 def count_body(request: HTTPServerRequest, size: int) -> None:
     """Record that `size` bytes are held of a body that its handler uses while it arrives."""
-    stream: ClientStream | None = getattr(request.connection, "stream", None)
-    if stream is not None:
+    stream = getattr(request.connection, "stream", None)
+    if isinstance(stream, ClientStream):
         stream.set_message_bytes(size)
 
 
