--- a/tests/client_limits/test_daemon_crowds.py
+++ b/tests/client_limits/test_daemon_crowds.py
@@ -138,7 +138,11 @@
 
 def find_peer_port(pid: int, http_port: str) -> str:
     """Return the other port at which a process listens."""
-    links = {str(each.readlink()) for each in Path(f"/proc/{pid}/fd").iterdir()}
+    links = set()
+    for each in Path(f"/proc/{pid}/fd").iterdir():
+        # A descriptor may be closed after it was listed.
+        with contextlib.suppress(FileNotFoundError):
+            links.add(str(each.readlink()))
     inodes = {link[len("socket:[") : -1] for link in links if link.startswith("socket:[")}
     rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
     listening = {int(r[1].split(":")[1], 16) for r in rows if r[3] == "0A" and r[9] in inodes}
