Drop what was received before a reset only where it holds requests

Daemons lost: a message that another daemon had sent right before it reset the connection, where it had arrived with the frame before it.

Cause: the check for a client that has gone stood in the stream that both HTTP servers and peer channels use. It is now called by the HTTP servers, whose requests must not run for a client that has gone; what they do is unchanged.

Evidence: test_frames_sent_before_a_reset_are_received got None in place of the second frame before.

--- a/goldcreststair/client_limits/http.py
+++ b/goldcreststair/client_limits/http.py
@@ -32,6 +32,7 @@
 
     def start_request(self, server_conn: Any, request_conn: Any) -> HTTPMessageDelegate:
         """Return the delegate that reads one request."""
+        server_conn.stream.drop_if_gone()
         server_conn.stream.begin_message()
         return super().start_request(server_conn, request_conn)
 
--- a/goldcreststair/client_limits/stream.py
+++ b/goldcreststair/client_limits/stream.py
@@ -43,13 +43,15 @@
         super().__init__(opened, max_buffer_size=max_buffer_bytes)
         self._holding: Holding = budget.open(self, port)
 
-    def begin_message(self) -> None:
-        """Record that nothing is held any more but what was received behind the last message."""
+    def drop_if_gone(self) -> None:
+        """Free what was received if the client has disconnected; a closed stream would still return it."""
         if self._read_buffer_size:
             self._close_if_reset()
         if self.closed():
-            # A closed stream would still return the requests that it has received.
             self.discard()
+
+    def begin_message(self) -> None:
+        """Record that nothing is held any more but what was received behind the last message."""
         self.on_shed = None
         self._message_bytes = self._chunks = 0
         self._holding.is_serving = False
--- a/tests/components/peers/test_service.py
+++ b/tests/components/peers/test_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,7 +20,7 @@
 )
 from goldcreststair.components.peers.service import PeerService
 from goldcreststair.core import Core
-from goldcreststair.transport import MAX_FRAME_BYTES, TcpTransport
+from goldcreststair.transport import MAX_FRAME_BYTES, PeerChannel, TcpTransport
 from goldcreststair.wire.codec import encode_struct
 from goldcreststair.wire.generated.membership.ttypes import ProbeAsk
 from goldcreststair.wire.generated.online.ttypes import YieldHint
@@ -118,6 +119,26 @@
     asyncio.run(async_test())
 
 
+def test_frames_sent_before_a_reset_are_received() -> None:
+    """Guards against messages of a daemon that are dropped because it closed the connection behind them."""
+
+    async def async_test() -> None:
+        transport = TcpTransport(make_budget(LoopClock()))
+        accepted: asyncio.Queue[PeerChannel] = asyncio.Queue()
+        port = await transport.async_listen("127.0.0.1", 0, accepted.put_nowait)
+        with socket.create_connection(("127.0.0.1", port)) as raw:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            raw.sendall(b"\0\0\0\1a" + b"\0\0\0\1b")
+            channel = await accepted.get()
+            assert await channel.async_receive() == b"a"
+        await asyncio.sleep(0.05)
+        assert await channel.async_receive() == b"b"
+        assert await channel.async_receive() is None
+        await transport.async_close()
+
+    asyncio.run(async_test())
+
+
 def test_silent_link_is_replaced() -> None:
     """Guards against requests without response although the other daemon runs.
 
