--- a/review/common-2/engine.py
+++ b/review/common-2/engine.py
@@ -128,7 +128,7 @@
             await asyncio.sleep(self.gap_s)
             if writer.transport.is_closing():
                 raise ConnectionError
-            event = b"id: %d\ndata: " % number + FREE_TEXT % (request.encode(), number) + b"\n\n"
+            event = b"id: %d\ndata: " % number + FREE_TEXT % (request.encode(), number) + b" by version " + self.version.encode() + b"\n\n"
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -89,12 +89,14 @@
         self.ip = f"{fleet.net}.{number + 1}"
         self.front, self.ready = f"{self.ip}:{fleet.ports[0]}", f"{self.ip}:{fleet.ports[1]}"
         self.process = None
+        self.store_address = ""
+        """Where this daemon reaches the store, if not where the others do."""
 
     async def start(self):
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["gateway"]
         fields = {
             "ip": self.ip, "zone": "zone-a", "region": "region-a", "zones": {"zone-a": "region-a"}, "contracts": CONTRACTS,
-            "platform": {"address": self.fleet.store_address},
+            "platform": {"address": self.store_address or self.fleet.store_address},
             "listen": {"front": self.front, "ready": self.ready, "directory": f"{self.ip}:{self.fleet.ports[2]}"},
             "internal_ports": [self.fleet.ports[3], self.fleet.ports[3]],
             "limits": {"memory_mb": 340, "max_fds": 8200}, "bounds": BOUNDS,
--- a/review/common-2/platform_store.py
+++ b/review/common-2/platform_store.py
@@ -22,19 +22,23 @@
         """Changes in order: version, steady time, row as the feed sends it."""
         self.log_start = 0
         self.blobs = {}
-        self.down = ""
-        """`busy`: every call gets 503; `silent`: no call is answered, and none has an effect."""
+        self.turned_away = set()
+        """Addresses of this store at which no call is answered, and none has an effect."""
         self.before_commit = None
         """Async hook with the body of a transaction; returns `lost` or `late:SECONDS` or None."""
         self.changed = asyncio.Event()
         self.parts = {}
         self.address = ""
-        self.server = None
-        self.calls = {}
+        self.servers = []
 
     async def start(self, host="127.0.0.1", port=0):
-        self.server = await asyncio.start_server(self._serve, host, port, limit=16 * 1024 * 1024)
-        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
+        self.address = await self.listen(host, port)
+
+    async def listen(self, host="127.0.0.1", port=0):
+        """Serve at one more address, so that the daemons that use it can be turned away; returns it."""
+        server = await asyncio.start_server(self._serve, host, port, limit=16 * 1024 * 1024)
+        self.servers.append(server)
+        return "%s:%d" % server.sockets[0].getsockname()[:2]
 
     def now_ms(self):
         return int(time.monotonic() * 1000)
@@ -90,10 +94,9 @@
                     await reader.readline()
                 elif length := int(headers.get("content-length", "0")):
                     body = await reader.readexactly(length)
-                answer = await self._answer(method, target, headers, body)
-                if answer is None:
-                    return
-                status, content = answer
+                if "%s:%d" % writer.get_extra_info("sockname")[:2] in self.turned_away:
+                    await asyncio.sleep(3600)
+                status, content = await self._answer(method, target, headers, body)
                 data = content if isinstance(content, bytes) else json.dumps(content).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
@@ -108,11 +111,6 @@
     async def _answer(self, method, target, headers, body):
         path, _, text = target.partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
-        self.calls[path.split("/")[2]] = self.calls.get(path.split("/")[2], 0) + 1
-        if self.down == "busy":
-            return 503, {}
-        if self.down == "silent":
-            await asyncio.sleep(3600)
         if path == "/-/rows-tx":
             return await self._commit(json.loads(body))
         if path == "/-/rows-get":
