--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import json
-import os
 import signal
 import sys
 import time
@@ -28,8 +27,17 @@
 
 def make_job():
     items = [
-        {"id": f"{item:016x}", "path": f"/batch/{item}", "headers": {"Model": "m", "Token-Count": f"350,{EVENTS}", "Prompt-Prefix": f"aa:100,{item:x}:250"},
-         "body": base64.b64encode(b"brief").decode(), "tokens": 350 + EVENTS}
+        {
+            "id": f"{item:016x}",
+            "path": f"/batch/{item}",
+            "headers": {
+                "Model": "m",
+                "Token-Count": f"350,{EVENTS}",
+                "Prompt-Prefix": f"aa:100,{item:x}:250",
+            },
+            "body": base64.b64encode(b"brief").decode(),
+            "tokens": 350 + EVENTS,
+        }
         for item in range(ITEMS)
     ]
     return json.dumps({"requests": items}).encode()
@@ -51,7 +59,12 @@
             await Engine(store, f"i-{number}", "llm", seen, gap_s=GAP_S).start()
         await fleet.start(store.address)
         await asyncio.sleep(3.0)
-        headers = {"Host": "host.example", "X-Api-Key": "key-club", "Request-Id": "0000000000000001", "Deadline-Ms": "4000"}
+        headers = {
+            "Host": "host.example",
+            "X-Api-Key": "key-club",
+            "Request-Id": "0000000000000001",
+            "Deadline-Ms": "4000",
+        }
         owner = fleet.daemons[0]
         status, _, _ = await call(owner.front, "POST", "/batch/jobs", headers, make_job(), 6.0)
         record("submitted", daemon=owner.front, status=status)
@@ -71,7 +84,9 @@
         reading = {"Host": "host.example", "X-Api-Key": "key-club-2"}
         results, status = [], 0
         for _ in range(20):
-            status, _, body = await call(fleet.daemons[1].front, "GET", "/-/lots/0000000000000001?after=0", reading, b"", 5.0)
+            status, _, body = await call(
+                fleet.daemons[1].front, "GET", "/-/lots/0000000000000001?after=0", reading, b"", 5.0
+            )
             record("read", status=status)
             if status == 200:
                 results = json.loads(body)["results"]
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -57,8 +57,13 @@
 
     async def send(kind, request, path, body, number, daemon):
         headers = {
-            "Host": "host.example", "X-Api-Key": "key-club", "Request-Id": request, "Deadline-Ms": "5000", "Model": "m",
-            "Token-Count": "350,100", "Prompt-Prefix": f"aa:100,{number}:250",
+            "Host": "host.example",
+            "X-Api-Key": "key-club",
+            "Request-Id": request,
+            "Deadline-Ms": "5000",
+            "Model": "m",
+            "Token-Count": "350,100",
+            "Prompt-Prefix": f"aa:100,{number}:250",
         }
         record("sent", kind=kind, request=request, daemon=daemon.front)
         try:
@@ -82,10 +87,32 @@
             if now >= began + attempt * EVERY_S:
                 request = f"bad{attempt:05x}"
                 bad.add(request)
-                sending.append(asyncio.create_task(send("bad", request, "/once/bad", BAD_BODY, "dead", fleet.daemons[attempt % 3])))
+                sending.append(
+                    asyncio.create_task(
+                        send(
+                            "bad",
+                            request,
+                            "/once/bad",
+                            BAD_BODY,
+                            "dead",
+                            fleet.daemons[attempt % 3],
+                        )
+                    )
+                )
                 attempt += 1
             request = f"{ordinary:08x}"
-            sending.append(asyncio.create_task(send("ordinary", request, "/once/x", b"brief %d" % ordinary, f"{ordinary:x}", fleet.daemons[ordinary % 3])))
+            sending.append(
+                asyncio.create_task(
+                    send(
+                        "ordinary",
+                        request,
+                        "/once/x",
+                        b"brief %d" % ordinary,
+                        f"{ordinary:x}",
+                        fleet.daemons[ordinary % 3],
+                    )
+                )
+            )
             ordinary += 1
             await asyncio.sleep(0.1)
         await asyncio.gather(*sending)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -44,12 +44,25 @@
         request = f"{number:08x}"
         for attempt in range(2):
             headers = {
-                "Host": "host.example", "X-Api-Key": "key-club", "Request-Id": f"{request}-{attempt}", "Deadline-Ms": "5000", "Model": "m",
-                "Token-Count": "350,26", "Prompt-Prefix": f"aa:100,{number:x}:250",
+                "Host": "host.example",
+                "X-Api-Key": "key-club",
+                "Request-Id": f"{request}-{attempt}",
+                "Deadline-Ms": "5000",
+                "Model": "m",
+                "Token-Count": "350,26",
+                "Prompt-Prefix": f"aa:100,{number:x}:250",
             }
             record("sent", request=f"{request}-{attempt}", daemon=daemon.front)
-            status, found, _ = await call(daemon.front, "POST", "/once/x", headers, b"book it %d" % number, 6.0)
-            record("answered", request=f"{request}-{attempt}", status=status, stamp=found.get("response-stamp", ""), not_run=found.get("not-run", ""))
+            status, found, _ = await call(
+                daemon.front, "POST", "/once/x", headers, b"book it %d" % number, 6.0
+            )
+            record(
+                "answered",
+                request=f"{request}-{attempt}",
+                status=status,
+                stamp=found.get("response-stamp", ""),
+                not_run=found.get("not-run", ""),
+            )
             answers[f"{request}-{attempt}"] = status
             # PROTOCOL.md: a client retries such a request only after a promise, on a new channel.
             if status not in PROMISES:
@@ -80,7 +93,12 @@
         broken = [request for request in began if answers.get(request) in PROMISES]
         again = [request for request in broken if answers.get(request[:-1] + "1") == 200]
         refused = sorted({answers[request] for request in broken})
-        record("summary", began_and_failed=len(began), answered_with_a_promise=len(broken), run_again=len(again))
+        record(
+            "summary",
+            began_and_failed=len(began),
+            answered_with_a_promise=len(broken),
+            run_again=len(again),
+        )
         if broken:
             return f"{len(broken)} requests that ran, and may not run twice, were answered {refused}; {len(again)} of them ran again for the same caller"
         return ""
--- a/review/common-2/engine.py
+++ b/review/common-2/engine.py
@@ -11,9 +11,28 @@
 
 
 class Engine:
-    def __init__(self, store, name, service, record, host="127.0.0.1", slots=8, queue=24, gap_s=0.02, beat_s=1.2, zone="zone-a"):
+    def __init__(
+        self,
+        store,
+        name,
+        service,
+        record,
+        host="127.0.0.1",
+        slots=8,
+        queue=24,
+        gap_s=0.02,
+        beat_s=1.2,
+        zone="zone-a",
+    ):
         self.store, self.name, self.service, self.record = store, name, service, record
-        self.host, self.slots, self.queue, self.gap_s, self.beat_s, self.zone = host, slots, queue, gap_s, beat_s, zone
+        self.host, self.slots, self.queue, self.gap_s, self.beat_s, self.zone = (
+            host,
+            slots,
+            queue,
+            gap_s,
+            beat_s,
+            zone,
+        )
         self.version = "1"
         self.state = "ready"
         self.born = int(time.time() * 1000)
@@ -27,15 +46,24 @@
         """Async hook with the request's id; what it returns replaces the run: `("status", 500)` or None."""
 
     async def start(self, port=0):
-        self.server = await asyncio.start_server(self._serve, self.host, port, limit=8 * 1024 * 1024)
+        self.server = await asyncio.start_server(
+            self._serve, self.host, port, limit=8 * 1024 * 1024
+        )
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
         self.beating = asyncio.create_task(self._beat())
 
     def register(self):
         self.sequence += 1
         entry = {
-            "service": self.service, "address": self.address, "zone": self.zone, "version": self.version,
-            "slots": self.slots, "state": self.state, "cold_left_ms": 0, "sequence": self.sequence, "born": self.born,
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": self.version,
+            "slots": self.slots,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "sequence": self.sequence,
+            "born": self.born,
         }
         self.store.put("servers", "", self.name, json.dumps(entry).encode())
 
@@ -58,7 +86,10 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 lines = head.decode("latin1").split("\r\n")
                 method, path, _ = lines[0].split(" ", 2)
-                headers = {line.partition(":")[0].strip().lower(): line.partition(":")[2].strip() for line in lines[1:]}
+                headers = {
+                    line.partition(":")[0].strip().lower(): line.partition(":")[2].strip()
+                    for line in lines[1:]
+                }
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 if method == "GET":
                     await self._report(writer, path)
@@ -72,15 +103,21 @@
 
     def _head(self, status, request, extra=""):
         load = f"{self.running},{self.waiting},{self.slots}"
-        return (
-            f"HTTP/1.1 {status} X\r\nRequest-Id: {request}\r\nServer-Load: {load}\r\nKeep-Alive: timeout=10\r\n{extra}"
-        )
+        return f"HTTP/1.1 {status} X\r\nRequest-Id: {request}\r\nServer-Load: {load}\r\nKeep-Alive: timeout=10\r\n{extra}"
 
     async def _report(self, writer, path):
         if path == "/-/report":
             content = {
-                "stage": "hybrid", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False, "sequence": 0,
-                "waiting": self.waiting, "running": self.running, "kv_used": 0, "kv_total": 101495, "handles": 0, "born": self.born,
+                "stage": "hybrid",
+                "models": [{"name": "m", "version": 1, "adapters": []}],
+                "busy": False,
+                "sequence": 0,
+                "waiting": self.waiting,
+                "running": self.running,
+                "kv_used": 0,
+                "kv_total": 101495,
+                "handles": 0,
+                "born": self.born,
             }
             status = 200
         else:
@@ -88,18 +125,30 @@
         data = json.dumps(content).encode()
         load = f"{self.running},{self.waiting},{self.slots}"
         writer.write(
-            f"HTTP/1.1 {status} X\r\nInstance-Id: {self.name}\r\nServer-Load: {load}\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data
+            f"HTTP/1.1 {status} X\r\nInstance-Id: {self.name}\r\nServer-Load: {load}\r\nContent-Length: {len(data)}\r\n\r\n".encode()
+            + data
         )
         await writer.drain()
 
     async def _run(self, writer, path, headers, body):
         request = headers.get("request-id", "")
-        self.record("reached", request=request, engine=self.name, path=path, tenant=headers.get("tenant", ""), after=headers.get("last-event-id", ""))
+        self.record(
+            "reached",
+            request=request,
+            engine=self.name,
+            path=path,
+            tenant=headers.get("tenant", ""),
+            after=headers.get("last-event-id", ""),
+        )
         if headers.get("target-instance", self.name) != self.name:
-            writer.write(self._head(421, request, "Not-Run: 1\r\nContent-Length: 0\r\n\r\n").encode())
+            writer.write(
+                self._head(421, request, "Not-Run: 1\r\nContent-Length: 0\r\n\r\n").encode()
+            )
             return
         if self.waiting >= self.queue:
-            writer.write(self._head(503, request, "Not-Run: 1\r\nContent-Length: 0\r\n\r\n").encode())
+            writer.write(
+                self._head(503, request, "Not-Run: 1\r\nContent-Length: 0\r\n\r\n").encode()
+            )
             return
         self.waiting += 1
         try:
@@ -128,7 +177,13 @@
             await asyncio.sleep(self.gap_s)
             if writer.transport.is_closing():
                 raise ConnectionError
-            event = b"id: %d\ndata: " % number + FREE_TEXT % (request.encode(), number) + b" by version " + self.version.encode() + b"\n\n"
+            event = (
+                b"id: %d\ndata: " % number
+                + FREE_TEXT % (request.encode(), number)
+                + b" by version "
+                + self.version.encode()
+                + b"\n\n"
+            )
             writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/review/common-2/fleet.py
+++ b/review/common-2/fleet.py
@@ -34,7 +34,10 @@
         self.lines.append((now, event, details))
 
     def write(self):
-        text = (f"{at:8.3f} {event} " + " ".join(f"{k}={v}" for k, v in details.items()) for at, event, details in self.lines)
+        text = (
+            f"{at:8.3f} {event} " + " ".join(f"{k}={v}" for k, v in details.items())
+            for at, event, details in self.lines
+        )
         self.path.write_text("\n".join(text) + "\n")
 
 
@@ -70,7 +73,9 @@
         shown = []
         for at, (key, value) in enumerate(entries):
             comma = "," if at < len(entries) - 1 else ""
-            shown.append(found[2].replace("{{@}}", key).replace("{{.}}", str(value)).replace("{{,}}", comma))
+            shown.append(
+                found[2].replace("{{@}}", key).replace("{{.}}", str(value)).replace("{{,}}", comma)
+            )
         return "".join(shown)
 
     def look(name):
@@ -95,19 +100,36 @@
     async def start(self):
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["gateway"]
         fields = {
-            "ip": self.ip, "zone": "zone-a", "region": "region-a", "zones": {"zone-a": "region-a"}, "contracts": CONTRACTS,
+            "ip": self.ip,
+            "zone": "zone-a",
+            "region": "region-a",
+            "zones": {"zone-a": "region-a"},
+            "contracts": CONTRACTS,
             "platform": {"address": self.store_address or self.fleet.store_address},
-            "listen": {"front": self.front, "ready": self.ready, "directory": f"{self.ip}:{self.fleet.ports[2]}"},
+            "listen": {
+                "front": self.front,
+                "ready": self.ready,
+                "directory": f"{self.ip}:{self.fleet.ports[2]}",
+            },
             "internal_ports": [self.fleet.ports[3], self.fleet.ports[3]],
-            "limits": {"memory_mb": 340, "max_fds": 8200}, "bounds": BOUNDS,
+            "limits": {"memory_mb": 340, "max_fds": 8200},
+            "bounds": BOUNDS,
         }
         settings = self.fleet.folder / f"daemon-{self.number}.toml"
         settings.write_text(render((ROOT / deploy["template"]).read_text(), fields))
-        env = {name: value for name, value in os.environ.items() if name in ("PATH", "HOME", "LANG")}
+        env = {
+            name: value for name, value in os.environ.items() if name in ("PATH", "HOME", "LANG")
+        }
         env |= {name: render(value, fields) for name, value in deploy["env"].items()}
-        env |= {"GOLDCRESTSTAIR_BOOT": str(settings), "PYTHONPATH": str(ROOT / "target/deps"), "PYTHONDONTWRITEBYTECODE": "1"}
+        env |= {
+            "GOLDCRESTSTAIR_BOOT": str(settings),
+            "PYTHONPATH": str(ROOT / "target/deps"),
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
         with (self.fleet.folder / f"daemon-{self.number}.log").open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(*deploy["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log)
+            self.process = await asyncio.create_subprocess_exec(
+                *deploy["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log
+            )
         self.fleet.record("started", daemon=self.front)
 
     async def is_ready(self):
@@ -139,12 +161,16 @@
     async def wait_ready(self, wait_s=25.0):
         ends_at = time.monotonic() + wait_s
         while not all([await daemon.is_ready() for daemon in self.daemons]):
-            if time.monotonic() > ends_at or any(each.process.returncode is not None for each in self.daemons):
+            if time.monotonic() > ends_at or any(
+                each.process.returncode is not None for each in self.daemons
+            ):
                 raise CannotRun("the daemons are not ready: " + self.read_logs()[-1500:])
             await asyncio.sleep(0.1)
 
     def read_logs(self):
-        return "\n".join(path.read_text(errors="replace") for path in sorted(self.folder.glob("*.log")))
+        return "\n".join(
+            path.read_text(errors="replace") for path in sorted(self.folder.glob("*.log"))
+        )
 
     async def stop(self):
         for daemon in self.daemons:
@@ -164,11 +190,20 @@
     async with asyncio.timeout(timeout_s):
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            head = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
-            writer.write("\r\n".join([*head, f"Content-Length: {len(body)}", "", ""]).encode() + body)
+            head = [
+                f"{method} {path} HTTP/1.1",
+                *(f"{name}: {value}" for name, value in headers.items()),
+            ]
+            writer.write(
+                "\r\n".join([*head, f"Content-Length: {len(body)}", "", ""]).encode() + body
+            )
             await writer.drain()
             lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
-            found = {line.partition(":")[0].strip().lower(): line.partition(":")[2].strip() for line in lines[1:] if line}
+            found = {
+                line.partition(":")[0].strip().lower(): line.partition(":")[2].strip()
+                for line in lines[1:]
+                if line
+            }
             status = int(lines[0].split(" ")[1])
             if found.get("transfer-encoding", "").lower() == "chunked":
                 content = b""
@@ -186,19 +221,70 @@
 
 def make_config(version, cap=1_200_000, tenants=None, **changes):
     """Return a configuration of a small deployment: one service, two streaming routes and a batch route."""
-    common = {"host": "host.example", "slo_ms": 400, "priority": 0, "service": "llm", "anonymous": False, "sticky": True}
+    common = {
+        "host": "host.example",
+        "slo_ms": 400,
+        "priority": 0,
+        "service": "llm",
+        "anonymous": False,
+        "sticky": True,
+    }
     return {
         "version": version,
         "routes": [
-            common | {"name": "r-online", "prefix": "/online/", "kind": "streaming", "timeout_ms": 5000, "max_attempts": 2, "resumable": True, "gap_target_ms": 250},
-            common | {"name": "r-once", "prefix": "/once/", "kind": "streaming", "timeout_ms": 5000, "max_attempts": 1, "resumable": False, "gap_target_ms": 250},
-            common | {"name": "r-batch", "prefix": "/batch/", "kind": "batch", "timeout_ms": 15000, "max_attempts": 3, "resumable": True, "gap_target_ms": 250,
-                      "completion_target_ms": 18000, "max_wait_s": 60, "cap": cap, "priority": 2},
+            common
+            | {
+                "name": "r-online",
+                "prefix": "/online/",
+                "kind": "streaming",
+                "timeout_ms": 5000,
+                "max_attempts": 2,
+                "resumable": True,
+                "gap_target_ms": 250,
+            },
+            common
+            | {
+                "name": "r-once",
+                "prefix": "/once/",
+                "kind": "streaming",
+                "timeout_ms": 5000,
+                "max_attempts": 1,
+                "resumable": False,
+                "gap_target_ms": 250,
+            },
+            common
+            | {
+                "name": "r-batch",
+                "prefix": "/batch/",
+                "kind": "batch",
+                "timeout_ms": 15000,
+                "max_attempts": 3,
+                "resumable": True,
+                "gap_target_ms": 250,
+                "completion_target_ms": 18000,
+                "max_wait_s": 60,
+                "cap": cap,
+                "priority": 2,
+            },
+        ],
+        "services": [
+            {
+                "name": "llm",
+                "health_path": "/health",
+                "max_conns": 180,
+                "protocol": "h1",
+                "tls": False,
+                "engine": {"slots": 8, "kv_capacity": 101495, "models": [{"name": "m"}]},
+            }
         ],
-        "services": [{"name": "llm", "health_path": "/health", "max_conns": 180, "protocol": "h1", "tls": False,
-                      "engine": {"slots": 8, "kv_capacity": 101495, "models": [{"name": "m"}]}}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": tenants or [{"name": "club", "api_keys": ["key-club"], "rate_per_s": 0, "burst": 0, "priority": 0}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": tenants
+        or [{"name": "club", "api_keys": ["key-club"], "rate_per_s": 0, "burst": 0, "priority": 0}],
     } | changes
 
 
--- a/review/common-2/platform_store.py
+++ b/review/common-2/platform_store.py
@@ -13,7 +13,12 @@
 
 class Store:
     def __init__(self, tx_ms=5.0, blob_ms=25.0, answer_ms=4.0, history_s=20.0):
-        self.tx_ms, self.blob_ms, self.answer_ms, self.history_s = tx_ms, blob_ms, answer_ms, history_s
+        self.tx_ms, self.blob_ms, self.answer_ms, self.history_s = (
+            tx_ms,
+            blob_ms,
+            answer_ms,
+            history_s,
+        )
         self.slow = 1.0
         self.version = 0
         self.rows = {}
@@ -64,7 +69,13 @@
             self.log.append((self.version, at, row))
         for table, part, key in deletes:
             if self.rows.pop((table, part, key), None) is not None:
-                row = {"table": table, "part": part, "key": key, "tombstone": True, "ver": self.version}
+                row = {
+                    "table": table,
+                    "part": part,
+                    "key": key,
+                    "tombstone": True,
+                    "ver": self.version,
+                }
                 self.log.append((self.version, at, row))
         while self.log and self.log[0][1] < at - self.history_s:
             self.log_start = self.log.pop(0)[0]
@@ -99,7 +110,8 @@
                 status, content = await self._answer(method, target, headers, body)
                 data = content if isinstance(content, bytes) else json.dumps(content).encode()
                 writer.write(
-                    b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(data))
+                    b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                    % (status, len(data))
                     + data
                 )
                 await writer.drain()
@@ -120,8 +132,19 @@
             return await self._feed(query)
         if path == "/-/rows-parts":
             await asyncio.sleep(self.answer_ms * self.slow / 1000)
-            parts = sorted({part for table, part, _ in self.rows if table == query["table"] and part > query.get("after", "")})
-            return 200, {"parts": parts[:1000], "truncated": len(parts) > 1000, "ver": self.version, "now_ms": self.now_ms()}
+            parts = sorted(
+                {
+                    part
+                    for table, part, _ in self.rows
+                    if table == query["table"] and part > query.get("after", "")
+                }
+            )
+            return 200, {
+                "parts": parts[:1000],
+                "truncated": len(parts) > 1000,
+                "ver": self.version,
+                "now_ms": self.now_ms(),
+            }
         await asyncio.sleep(self.blob_ms * self.slow / 1000)
         kind, _, name = path.removeprefix("/-/").partition("/")
         name = urllib.parse.unquote(name)
@@ -160,10 +183,21 @@
             found = self.rows.get((row["table"], row["part"], row["key"]))
             holds = holds and (found[1] if found else 0) == row["ver"]
             if found:
-                checked.append({"table": row["table"], "part": row["part"], "key": row["key"], "value": found[0], "ver": found[1]})
+                checked.append(
+                    {
+                        "table": row["table"],
+                        "part": row["part"],
+                        "key": row["key"],
+                        "value": found[0],
+                        "ver": found[1],
+                    }
+                )
         if not holds:
             return 412, {"rows": checked, "ver": self.version, "now_ms": self.now_ms()}
-        if any(entry["table"] in ("op", "servers") for entry in call.get("puts", []) + call.get("deletes", [])):
+        if any(
+            entry["table"] in ("op", "servers")
+            for entry in call.get("puts", []) + call.get("deletes", [])
+        ):
             return 403, {}
         self._apply(
             [(row["table"], row["part"], row["key"], row["value"]) for row in call.get("puts", [])],
@@ -176,7 +210,10 @@
         found = sorted(
             (key, row)
             for (table, part, key), row in self.rows.items()
-            if table == query["table"] and part == query.get("part", "") and key >= first and (not end or key < end)
+            if table == query["table"]
+            and part == query.get("part", "")
+            and key >= first
+            and (not end or key < end)
         )
         limit = min(500, int(query.get("limit", "500")))
         rows = []
@@ -185,8 +222,21 @@
             size += len(value)
             if len(rows) == limit or (rows and size > 1_000_000):
                 break
-            rows.append({"table": query["table"], "part": query.get("part", ""), "key": key, "value": value, "ver": version})
-        return {"rows": rows, "truncated": len(rows) < len(found), "ver": self.version, "now_ms": self.now_ms()}
+            rows.append(
+                {
+                    "table": query["table"],
+                    "part": query.get("part", ""),
+                    "key": key,
+                    "value": value,
+                    "ver": version,
+                }
+            )
+        return {
+            "rows": rows,
+            "truncated": len(rows) < len(found),
+            "ver": self.version,
+            "now_ms": self.now_ms(),
+        }
 
     async def _feed(self, query):
         after, ends_at = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
@@ -194,7 +244,11 @@
         while True:
             if after < self.log_start:
                 return 410, {}
-            rows = [row for version, _, row in self.log if version > after and row["table"] == query["table"]]
+            rows = [
+                row
+                for version, _, row in self.log
+                if version > after and row["table"] == query["table"]
+            ]
             left_s = ends_at - time.monotonic()
             if rows or left_s <= 0:
                 return 200, {"rows": rows, "ver": self.version, "now_ms": self.now_ms()}
