--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""One engine of six fails part of its requests, after it began to work on them, with 503 and without `Not-Run`."""
+"""One engine of seven fails part of its requests, after it began to work on them, with 503 and without `Not-Run`."""
 
 import asyncio
 import random
@@ -10,9 +10,9 @@
 from fleet import CannotRun, Fleet, call, make_config, put_config, run
 from platform_store import Store
 
-ENGINES = 6
+ENGINES = 7
 GREY = 1
-"""`srv_grey`: a share of 0.15 of the servers, of six one."""
+"""`srv_grey`: a share of 0.15 of the servers, of seven one."""
 FAILS = 0.4
 """`srv_grey`: x of its requests."""
 WORKS_S = 0.1
