List customers that have open jobs but are not in the catalogue

It writes `Customers that are not in the catalogue have open jobs`, and the gauge `removed_customers` counts them. Nothing else changes yet.

The listing reads all pages: the store's page names no field for "more", so that a full page of 1,000 parts is followed by another call. `test_all_parts_of_a_table_are_listed` (0 to 2,000 parts).

--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -79,6 +79,9 @@
 SWEEP_SOON_MS: Final = 250
 """Delay of a sweep after a VM was lost, and the minimum pause between two sweeps. When all VMs
 return at once, their jobs are taken over a second sooner than with `SWEEP_MS`."""
+REMOVED_SWEEPS: Final = 3
+"""One daemon lists the customers that have open jobs but are not in the catalogue in every so many sweeps: the
+listing is one call to the store, and rarely finds anything."""
 RETENTION_SWEEPS: Final = 20
 """Expired jobs are removed in every so many sweeps."""
 RETENTION_MARGIN_MS: Final = 30_000
--- a/goldcreststair/components/jobs/records.py
+++ b/goldcreststair/components/jobs/records.py
@@ -48,7 +48,7 @@
     make_row_key,
 )
 from goldcreststair.store.errors import ObjectMissing, PlatformError, PlatformOutcomeUnknown
-from goldcreststair.store.reading import async_read_all
+from goldcreststair.store.reading import async_list_all_parts, async_read_all
 from goldcreststair.store.rows import (
     Committed,
     RowKey,
@@ -138,6 +138,10 @@
         self.store_clock.update(read.ok_value.now_ms)
         return Ok({row.key.key: decode_open(row) for row in read.ok_value.rows})
 
+    async def async_list_customers(self) -> Result[list[str], PlatformError]:
+        """Return the names of the customers that have open jobs, whatever the catalogue says."""
+        return await async_list_all_parts(self._store, TABLE_OPEN)
+
     async def async_find(self, key: JobKey) -> Result[JobRecord | None, PlatformError]:
         """Return a job as it was accepted, or None if it is unknown."""
         row = await self._async_read_row(make_row_key(TABLE_JOBS, key))
--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable, Sequence
-from typing import Protocol
+from typing import Final, Protocol
 
 from result import Err
 
@@ -12,11 +12,13 @@
 from goldcreststair.components.fleet.models import FLEET, Fleet, VmState
 from goldcreststair.components.fleet.protocols import FLEET_LINKS
 from goldcreststair.components.jobs.const import (
+    REMOVED_SWEEPS,
     RETENTION_MARGIN_MS,
     RETENTION_SWEEPS,
     SWEEP_MS,
     SWEEP_SOON_MS,
     TABLE_ENDS,
+    TABLE_OPEN,
     TAKEOVER_AFTER_MS,
 )
 from goldcreststair.components.jobs.models import JobKey, OpenJob
@@ -30,6 +32,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+MAX_LOGGED_CUSTOMERS: Final = 16
+"""Most customers that one log line names."""
+
 
 class JobOwner(Protocol):
     """The jobs of this daemon."""
@@ -70,6 +75,9 @@
         """Customers assigned to this daemon, for the daemons and customers in `_assigned_for`."""
         self._seen_versions: dict[JobKey, int] = {}
         """Versions of the jobs' rows at the last sweep."""
+        self._removed: frozenset[str] = frozenset()
+        """Customers with open jobs that were not in the catalogue when this daemon last listed them."""
+        self._removed_task: asyncio.Task[None] | None = None
         self._sweeps = 0
         self._vm_lost = asyncio.Event()
         self._unsubscribe: Callable[[], None] = lambda: None
@@ -85,10 +93,11 @@
         """Stop the sweeps."""
         self._unsubscribe()
         await self._feed.async_close()
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
-            self._task = None
+        tasks = [task for task in (self._task, self._removed_task) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._task = self._removed_task = None
 
     def replace_all(self, rows: Sequence[StoredRow], version: Version) -> None:
         """Recheck all jobs: ends may have been missed."""
@@ -139,6 +148,35 @@
         self._sweeps += 1
         for customer in self._list_assigned(fleet):
             await self._async_sweep_customer(customer)
+        if self._sweeps % REMOVED_SWEEPS == 0:
+            self._begin_removed_sweep()
+
+    def _begin_removed_sweep(self) -> None:
+        """Begin to sweep the customers that are not in the catalogue, if this daemon does so for the fleet.
+
+        Their sweep runs beside that of the others, which it must not delay.
+        """
+        eligible = list_eligible(self._core)
+        lister = max(eligible, key=lambda session: score(session, TABLE_OPEN), default="")
+        if lister != self._core.session_id:
+            self._set_removed(frozenset())
+        elif self._removed_task is None or self._removed_task.done():
+            self._removed_task = asyncio.create_task(self._async_sweep_removed())
+
+    async def _async_sweep_removed(self) -> None:
+        catalogue = self._core.blackboard.read(CATALOGUE)
+        listed = await self._records.async_list_customers()
+        if not catalogue.version or isinstance(listed, Err):
+            return
+        self._set_removed(frozenset(listed.ok_value) - catalogue.customers.keys())
+
+    def _set_removed(self, removed: frozenset[str]) -> None:
+        if removed - self._removed:
+            named = sorted(removed)[:MAX_LOGGED_CUSTOMERS]
+            extra = {"customers": named, "count": len(removed)}
+            _LOGGER.warning("Customers that are not in the catalogue have open jobs", extra=extra)
+        self._removed = removed
+        self._core.meters.set_gauge("removed_customers", float(len(removed)))
 
     def _list_assigned(self, fleet: Fleet) -> list[str]:
         """Return the customers whose jobs this daemon sweeps."""
--- a/goldcreststair/meters.py
+++ b/goldcreststair/meters.py
@@ -323,6 +323,7 @@
     "runs_online": "Online runs of this daemon.",
     "runs_batch": "Batch runs of this daemon.",
     "jobs_owned": "Batch jobs that this daemon runs.",
+    "removed_customers": "Customers with open jobs that are not in the catalogue, as this daemon last listed them.",
     "job_body_bytes": "Bodies of the items of these jobs.",
     "items_waiting": "Items of these jobs that wait for a slot and can be in time.",
     "requests_waiting": "Requests that wait here for a slot.",
--- a/goldcreststair/store/reading.py
+++ b/goldcreststair/store/reading.py
@@ -1,4 +1,4 @@
-"""Reads ranges of rows that span several pages."""
+"""Reads ranges of rows, and lists of parts, that span several pages."""
 
 import asyncio
 from collections.abc import Sequence
@@ -30,6 +30,19 @@
         row_range = replace(row_range, first=page.rows[-1].key.key + "\0")
 
 
+async def async_list_all_parts(store: RowStore, table: str) -> Result[list[str], PlatformError]:
+    """Return every part of a table."""
+    parts: list[str] = []
+    while True:
+        listed = await store.async_list_parts(table, parts[-1] if parts else "")
+        if isinstance(listed, Err):
+            return listed
+        page, has_more = listed.ok_value
+        parts += page
+        if not has_more or not page:
+            return Ok(parts)
+
+
 async def async_read_ranges(
     store: RowStore, ranges: Sequence[RowRange]
 ) -> Result[RowPage, PlatformError]:
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -28,6 +28,7 @@
 )
 
 HISTORY = 10_000
+PARTS_PER_PAGE = 1_000
 CALL_TIMEOUT_MS = 1_000
 """Time after which a caller gives up on a call that is not answered."""
 
@@ -195,7 +196,7 @@
         if refused is not None:
             return Err(refused)
         parts = sorted({k.part for k in self.store.rows if k.table == table and k.part > after})
-        return Ok((parts, False))
+        return Ok((parts[:PARTS_PER_PAGE], len(parts) > PARTS_PER_PAGE))
 
     async def async_follow(
         self, table: str, after: int, wait_ms: int
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -14,6 +14,7 @@
     PlatformOutcomeUnknown,
     PlatformUnavailable,
 )
+from goldcreststair.store.reading import async_list_all_parts
 from goldcreststair.store.rows import (
     HistoryLost,
     ObjectExists,
@@ -63,6 +64,19 @@
     run_store(scenario)
 
 
+@pytest.mark.parametrize("count", [0, 1, 999, 1_000, 1_001, 2_000])
+def test_all_parts_of_a_table_are_listed(count: int) -> None:
+    """Customers behind the first page of parts were not listed, so that nobody ran their jobs."""
+
+    async def scenario(store: PlatformStore, wire: WireStore) -> None:
+        names = [f"customer {number:04}" for number in range(count)]
+        for name in names:
+            wire.store.put(RowKey("jobs", name, "j"), b"v")
+        assert (await async_list_all_parts(store, "jobs")).unwrap() == names
+
+    run_store(scenario)
+
+
 def test_a_feed_delivers_changes_and_removals_and_reports_compacted_history() -> None:
     async def scenario(store: PlatformStore, wire: WireStore) -> None:
         wire.store.put(KEY, b"1")
--- a/tests/platform_adapter/wire_store.py
+++ b/tests/platform_adapter/wire_store.py
@@ -149,8 +149,9 @@
 class PartsHandler(StoreHandler):
     async def get(self) -> None:
         table = self.get_query_argument("table")
-        parts, more = (await self.view.async_list_parts(table)).unwrap()
-        await self.answer(200, {"parts": parts, "truncated": more})
+        after = self.get_query_argument("after", "", strip=False)
+        parts, _ = (await self.view.async_list_parts(table, after)).unwrap()
+        await self.answer(200, {"parts": parts})
 
 
 class FeedHandler(StoreHandler):
