Run jobs of customers that were removed from the catalogue

An operator removed its customer from the catalogue, and the VM that ran the job was lost. From then on no item ran, was listed or was given up, also past the time after which items are given up, until the customer was in the catalogue again.

A list that operators may change at any time decided which of the accepted jobs are looked for. Removing old jobs started from the same list, so that rows and objects of a removed customer stayed in the store.

Evidence: `test_removed_customers.py` plays 13 orders of removing, losing, stopping and returning, an empty list, a daemon that misses the version and an outage of the store.

--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -84,6 +84,8 @@
 listing is one call to the store, and rarely finds anything."""
 RETENTION_SWEEPS: Final = 20
 """Expired jobs are removed in every so many sweeps."""
+RETENTION_REMOVED_SWEEPS: Final = 7
+"""The same for customers that are not in the catalogue, by the sweeps of these."""
 RETENTION_MARGIN_MS: Final = 30_000
 EXPIRY_MARGIN_MS: Final = 1_000
 """Added to the time from which an item may be given up: the estimate of the store's clock lags."""
--- a/goldcreststair/components/jobs/records.py
+++ b/goldcreststair/components/jobs/records.py
@@ -138,9 +138,9 @@
         self.store_clock.update(read.ok_value.now_ms)
         return Ok({row.key.key: decode_open(row) for row in read.ok_value.rows})
 
-    async def async_list_customers(self) -> Result[list[str], PlatformError]:
-        """Return the names of the customers that have open jobs, whatever the catalogue says."""
-        return await async_list_all_parts(self._store, TABLE_OPEN)
+    async def async_list_customers(self, *, open_only: bool) -> Result[list[str], PlatformError]:
+        """Return the names of the customers that have jobs, or open jobs, whatever the catalogue says."""
+        return await async_list_all_parts(self._store, TABLE_OPEN if open_only else TABLE_JOBS)
 
     async def async_find(self, key: JobKey) -> Result[JobRecord | None, PlatformError]:
         """Return a job as it was accepted, or None if it is unknown."""
--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -14,6 +14,7 @@
 from goldcreststair.components.jobs.const import (
     REMOVED_SWEEPS,
     RETENTION_MARGIN_MS,
+    RETENTION_REMOVED_SWEEPS,
     RETENTION_SWEEPS,
     SWEEP_MS,
     SWEEP_SOON_MS,
@@ -56,7 +57,11 @@
 
 
 class JobSweeper:
-    """Checks the open jobs of the customers that are assigned to this daemon."""
+    """Checks the open jobs of the customers that are assigned to this daemon.
+
+    One daemon also checks those of customers that are not in the catalogue: operators may remove a customer
+    whose jobs are open.
+    """
 
     def __init__(self, core: GatewayCore, records: JobRecords, owner: JobOwner) -> None:
         """Set up the sweeper; `owner` receives the jobs to take over."""
@@ -73,12 +78,13 @@
         self._assignments = SweepAssignments()
         self._assigned: list[str] = []
         """Customers assigned to this daemon, for the daemons and customers in `_assigned_for`."""
-        self._seen_versions: dict[JobKey, int] = {}
-        """Versions of the jobs' rows at the last sweep."""
+        self._seen_versions: dict[str, dict[JobKey, int]] = {}
+        """By customer: versions of the jobs' rows at the last sweep."""
         self._removed: frozenset[str] = frozenset()
         """Customers with open jobs that were not in the catalogue when this daemon last listed them."""
         self._removed_task: asyncio.Task[None] | None = None
         self._sweeps = 0
+        self._removed_sweeps = 0
         self._vm_lost = asyncio.Event()
         self._unsubscribe: Callable[[], None] = lambda: None
         self._task: asyncio.Task[None] | None = None
@@ -146,8 +152,12 @@
         if not fleet.loaded or self._links.is_isolated():
             return
         self._sweeps += 1
-        for customer in self._list_assigned(fleet):
-            await self._async_sweep_customer(customer)
+        assigned = self._list_assigned(fleet)
+        swept = self._removed.union(assigned)
+        self._seen_versions = {c: seen for c, seen in self._seen_versions.items() if c in swept}
+        removes_old = self._sweeps % RETENTION_SWEEPS == 0
+        for customer in assigned:
+            await self._async_sweep_customer(customer, removes_old=removes_old)
         if self._sweeps % REMOVED_SWEEPS == 0:
             self._begin_removed_sweep()
 
@@ -161,14 +171,21 @@
         if lister != self._core.session_id:
             self._set_removed(frozenset())
         elif self._removed_task is None or self._removed_task.done():
-            self._removed_task = asyncio.create_task(self._async_sweep_removed())
+            self._removed_sweeps += 1
+            removes_old = self._removed_sweeps % RETENTION_REMOVED_SWEEPS == 0
+            sweep = self._async_sweep_removed(removes_old=removes_old)
+            self._removed_task = asyncio.create_task(sweep)
 
-    async def _async_sweep_removed(self) -> None:
+    async def _async_sweep_removed(self, *, removes_old: bool) -> None:
+        listed = await self._records.async_list_customers(open_only=not removes_old)
         catalogue = self._core.blackboard.read(CATALOGUE)
-        listed = await self._records.async_list_customers()
         if not catalogue.version or isinstance(listed, Err):
             return
-        self._set_removed(frozenset(listed.ok_value) - catalogue.customers.keys())
+        removed = sorted(set(listed.ok_value) - catalogue.customers.keys())
+        if not removes_old:
+            self._set_removed(frozenset(removed))
+        for customer in removed:
+            await self._async_sweep_customer(customer, removes_old=removes_old)
 
     def _set_removed(self, removed: frozenset[str]) -> None:
         if removed - self._removed:
@@ -188,17 +205,15 @@
             self._assigned = self._assignments.list_customers(fleet.own_session)
         return self._assigned
 
-    async def _async_sweep_customer(self, customer: str) -> None:
+    async def _async_sweep_customer(self, customer: str, *, removes_old: bool) -> None:
         listed = await self._records.async_list_open(customer)
         if isinstance(listed, Err):
             return
         for job in listed.ok_value.values():
             await self._async_check_owner(job)
         seen = {job.key: job.version for job in listed.ok_value.values()}
-        others = {key: v for key, v in self._seen_versions.items() if key.customer != customer}
-        self._seen_versions = others | seen
-
-        if self._sweeps % RETENTION_SWEEPS == 0:
+        self._seen_versions[customer] = seen
+        if removes_old:
             await self._async_remove_old(customer, listed.ok_value)
 
     async def _async_check_owner(self, job: OpenJob) -> None:
@@ -206,7 +221,7 @@
         if job.owner in fleet.vms:
             if self._links.is_lost(job.owner, TAKEOVER_AFTER_MS):
                 await self._async_take_over(job)
-            elif self._seen_versions.get(job.key) == job.version:
+            elif self._seen_versions.get(job.key.customer, {}).get(job.key) == job.version:
                 self._notify_owner(job)
             return
         # A daemon that has just started may accept a job before its session is known here, but
