Take over jobs beside unreadable rows

What callers would see: the owner of a job is lost, and no item of it runs any more, because an unreadable row stands in the same table: of the same customer, or of another one whose name sorts before.

Each daemon swept the customers before the row only. Since removed customers are swept by what the table holds, rows of other writers are met more often.

--- a/goldcreststair/components/jobs/codec.py
+++ b/goldcreststair/components/jobs/codec.py
@@ -1,6 +1,8 @@
 """Encodes and decodes the store's rows and objects of jobs."""
 
-from collections.abc import Iterable, Sequence
+import logging
+from collections.abc import Callable, Iterable, Sequence
+from typing import TypeVar
 
 from goldcreststair.components.jobs.const import TEXT_PART_BYTES
 from goldcreststair.components.jobs.models import (
@@ -25,6 +27,23 @@
     ResultRow,
 )
 
+_LOGGER = logging.getLogger(__name__)
+
+T = TypeVar("T")
+
+
+def decode_readable(rows: Iterable[StoredRow], decode: Callable[[StoredRow], T]) -> list[T]:
+    """Decode rows of many jobs; an unreadable one is logged and left out, as it must not hide the others."""
+    decoded = []
+    for row in rows:
+        try:
+            decoded.append(decode(row))
+        # Bytes of another writer make the decoder raise errors of many kinds.
+        except Exception as error:
+            extra = {"table": row.key.table, "customer": row.key.part, "job": row.key.key}
+            _LOGGER.error("Row of a job unreadable: %r", error, extra=extra)
+    return decoded
+
 
 def encode_items(items: Iterable[JobItem]) -> bytes:
     """Encode the items of a job as an object."""
@@ -59,6 +78,7 @@
 def decode_record(row: StoredRow) -> JobRecord:
     """Decode a job as it was accepted."""
     read = read_struct(JobRow, row.value)
+    read.validate()
     return JobRecord(
         JobKey(row.key.part, read.job),
         read.route_host,
@@ -89,6 +109,7 @@
 def decode_open(row: StoredRow) -> OpenJob:
     """Decode an open job."""
     read = read_struct(OpenRow, row.value)
+    read.validate()
     return OpenJob(
         JobKey(row.key.part, read.job),
         read.owner,
--- a/goldcreststair/components/jobs/records.py
+++ b/goldcreststair/components/jobs/records.py
@@ -15,6 +15,7 @@
 from goldcreststair.components.jobs.codec import (
     decode_open,
     decode_progress,
+    decode_readable,
     decode_record,
     decode_results,
     encode_items,
@@ -136,7 +137,8 @@
         if isinstance(read, Err):
             return read
         self.store_clock.update(read.ok_value.now_ms)
-        return Ok({row.key.key: decode_open(row) for row in read.ok_value.rows})
+        opened = decode_readable(read.ok_value.rows, decode_open)
+        return Ok({job.key.job: job for job in opened})
 
     async def async_list_customers(self, *, open_only: bool) -> Result[list[str], PlatformError]:
         """Return the names of the customers that have jobs, or open jobs, whatever the catalogue says."""
@@ -329,7 +331,7 @@
         if isinstance(read, Err):
             return read
         self.store_clock.update(read.ok_value.now_ms)
-        return Ok([decode_record(row) for row in read.ok_value.rows])
+        return Ok(decode_readable(read.ok_value.rows, decode_record))
 
     async def _async_read_usage(self, submission: Submission) -> Result[Usage, JobError]:
         customer, route = submission.key.customer, submission.route
--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Final, Protocol
 
 from result import Err
@@ -141,11 +141,7 @@
     async def _async_repeat(self) -> None:
         while True:
             await self._async_wait_for_sweep()
-            try:
-                await self._async_sweep()
-            except Exception:
-                # One unreadable row must not leave all other jobs without an owner.
-                _LOGGER.exception("Sweep failed")
+            await _async_log_failure(self._async_sweep())
 
     async def _async_sweep(self) -> None:
         fleet = self._core.blackboard.read(FLEET)
@@ -157,7 +153,8 @@
         self._seen_versions = {c: seen for c, seen in self._seen_versions.items() if c in swept}
         removes_old = self._sweeps % RETENTION_SWEEPS == 0
         for customer in assigned:
-            await self._async_sweep_customer(customer, removes_old=removes_old)
+            sweep = self._async_sweep_customer(customer, removes_old=removes_old)
+            await _async_log_failure(sweep)
         if self._sweeps % REMOVED_SWEEPS == 0:
             self._begin_removed_sweep()
 
@@ -174,7 +171,7 @@
             self._removed_sweeps += 1
             removes_old = self._removed_sweeps % RETENTION_REMOVED_SWEEPS == 0
             sweep = self._async_sweep_removed(removes_old=removes_old)
-            self._removed_task = asyncio.create_task(sweep)
+            self._removed_task = asyncio.create_task(_async_log_failure(sweep))
 
     async def _async_sweep_removed(self, *, removes_old: bool) -> None:
         listed = await self._records.async_list_customers(open_only=not removes_old)
@@ -185,7 +182,8 @@
         if not removes_old:
             self._set_removed(frozenset(removed))
         for customer in removed:
-            await self._async_sweep_customer(customer, removes_old=removes_old)
+            sweep = self._async_sweep_customer(customer, removes_old=removes_old)
+            await _async_log_failure(sweep)
 
     def _set_removed(self, removed: frozenset[str]) -> None:
         if removed - self._removed:
@@ -269,6 +267,14 @@
                     return
 
 
+async def _async_log_failure(sweep: Awaitable[None]) -> None:
+    """Log an exception of a sweep: one customer must not leave the jobs of all others without an owner."""
+    try:
+        await sweep
+    except Exception:
+        _LOGGER.exception("Sweep failed")
+
+
 def choose_owner(core: GatewayCore, key: JobKey, route: str) -> str:
     """Return the session to own a job; daemons with the same fleet view choose the same one."""
     regions = find_job_regions(core.blackboard.read(CATALOGUE), key.customer, route)
--- a/tests/components/test_foreign_rows.py
+++ b/tests/components/test_foreign_rows.py
@@ -37,10 +37,10 @@
 NAMES: Final = ("", "zz", "a/b", f"{CUSTOMER}/x", "61616161", "~\x7f")
 
 
-def put_garbage(fleet: GatewayFleet, table: str) -> None:
+def put_garbage(fleet: GatewayFleet, table: str, parts: tuple[str, ...] = ("", "zz")) -> None:
     """Write rows of every kind under names of every kind."""
     for row in GARBAGE:
-        for part in ("", "zz"):
+        for part in parts:
             for name in NAMES:
                 fleet.store.put(RowKey(table, part, f"{name}{GARBAGE.index(row)}"), row)
 
@@ -76,3 +76,26 @@
             assert texts == {name: make_text(name, 20) for name in names}
 
     run_fleet(scenario)
+
+
+@pytest.mark.parametrize("table", [TABLE_JOBS, TABLE_OPEN])
+@pytest.mark.parametrize("part", [CUSTOMER, "aa"])
+def test_jobs_are_taken_over_beside_unreadable_rows(table: str, part: str) -> None:
+    """Guards against a row that hides the open jobs of its customer, or of all customers behind it."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        fleet.add_engines(3)
+        fleet.engines.events_by_request = {f"early-{number}": 150 for number in range(4)}
+        first, second, third = await fleet.async_add_many(3)
+        await fleet.clock.async_sleep(1_000)
+        assert (await async_submit(fleet, first, "early", 4)).accepted
+        put_garbage(fleet, table, (part,))
+        fleet.write_catalogue(2, customers=({"name": "aa"},), keys={})
+        await fleet.async_kill(first)
+        await fleet.clock.async_sleep(18_000)
+        for member in (second, third):
+            page = await async_read(member, "early")
+            texts = {result.item_id: result.text for result in page.results}
+            assert texts == {f"early-{n}": make_text(f"early-{n}", 150) for n in range(4)}
+
+    run_fleet(scenario)
