Keep jobs of a removed customer within its regions

What could be seen: a customer is restricted to regions, and operators remove it from the catalogue while a job of it is open. From then on its items ran in every region, and VMs of other regions took the job with its bodies over.

Cause: the regions were read from the catalogue only; a customer that it doesn't name counts as unrestricted.

Fix: the row of an open job keeps the customer's regions of its acceptance, also where a daemon relays the submission. They hold while the catalogue does not name the customer; a customer that is there has the regions of the catalogue. Rows and calls of earlier versions lack the field and count as before.

`test_jobs_of_a_removed_customer_stay_within_its_regions` failed for both rows (upstreams of all three data centres ran items, one is allowed), submitted at an allowed VM and relayed to one.

--- a/goldcreststair/components/catalogue/regions.py
+++ b/goldcreststair/components/catalogue/regions.py
@@ -28,11 +28,23 @@
     return combine_regions([route.regions, customer.regions if customer else frozenset()])
 
 
-def find_job_regions(catalogue: Catalogue, customer: str, route: str) -> Regions:
-    """Return the regions in which the jobs of a customer on a route may be handled."""
+def find_customer_regions(
+    catalogue: Catalogue, customer: str, accepted: frozenset[str]
+) -> frozenset[str]:
+    """Return the regions of a customer; `accepted` are those it had when its job was accepted.
+
+    Operators may remove a customer whose jobs are open; these stay where they were allowed.
+    """
     known = catalogue.customers.get(customer)
+    return accepted if known is None else known.regions
+
+
+def find_job_regions(
+    catalogue: Catalogue, customer: str, route: str, accepted: frozenset[str]
+) -> Regions:
+    """Return the regions in which a job may be handled, by its route and customer; `accepted` as above."""
     restrictions = [found.regions for found in catalogue.routes if found.name == route]
-    return combine_regions([*restrictions, known.regions if known else frozenset()])
+    return combine_regions([*restrictions, find_customer_regions(catalogue, customer, accepted)])
 
 
 def find_host_regions(catalogue: Catalogue, host: str) -> Regions:
--- a/goldcreststair/components/jobs/api.py
+++ b/goldcreststair/components/jobs/api.py
@@ -68,6 +68,7 @@
             max_wait_ms=route.batch.max_wait_ms,
             max_waiting_tokens=route.batch.max_waiting_tokens,
             regions=find_request_regions(route, admitted.customer),
+            customer_regions=admitted.customer.regions,
         )
         submitted = await self._jobs.async_submit(submission)
         return submitted.map_err(refuse_job)
--- a/goldcreststair/components/jobs/codec.py
+++ b/goldcreststair/components/jobs/codec.py
@@ -102,6 +102,7 @@
             job.waiting_tokens,
             job.route,
             list(job.failures),
+            sorted(job.customer_regions) or None,
         )
     )
 
@@ -118,6 +119,7 @@
         read.waiting_tokens,
         read.route,
         tuple(read.failures),
+        frozenset(read.customer_regions or ()),
         row.version,
     )
 
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -10,7 +10,11 @@
 
 from goldcreststair.clock import Millis
 from goldcreststair.components.catalogue.models import CATALOGUE, Route
-from goldcreststair.components.catalogue.regions import Regions, find_request_regions
+from goldcreststair.components.catalogue.regions import (
+    Regions,
+    combine_regions,
+    find_customer_regions,
+)
 from goldcreststair.components.crash_marks.guard import RequestGuard
 from goldcreststair.components.crash_marks.models import LostRun
 from goldcreststair.components.crash_marks.service import CRASH_TRACKER
@@ -219,8 +223,10 @@
             self._finish(job, item, ItemResult(item.spec.item_id, done=False), "its route is gone")
             return True
         job.route_missing_since = None
-        customer = catalogue.customers.get(job.key.customer)
-        regions = find_request_regions(route, customer)
+        customer_regions = find_customer_regions(
+            catalogue, job.key.customer, job.open.customer_regions
+        )
+        regions = combine_regions([route.regions, customer_regions])
         self._continuation.check_origin(job, item, route)
         service = choose_service(route, self._core.random.random())
         if item.origin is not None:
--- a/goldcreststair/components/jobs/handover.py
+++ b/goldcreststair/components/jobs/handover.py
@@ -70,7 +70,7 @@
 
     async def _async_hand_over(self, job: OwnedJob) -> None:
         """Make another daemon the owner; runs continue until the store has confirmed it."""
-        session = choose_owner(self._core, job.key, job.open.route)
+        session = choose_owner(self._core, job.open)
         if not session:
             return
         unsaved = list_unsaved(job, include_all=True)
--- a/goldcreststair/components/jobs/models.py
+++ b/goldcreststair/components/jobs/models.py
@@ -65,6 +65,8 @@
     """Name of the route whose limit of waiting tokens the job counts against."""
     failures: tuple[int, ...] = ()
     """Failed runs of each item, by its number."""
+    customer_regions: frozenset[str] = frozenset()
+    """Regions of the customer when the job was accepted; empty for everywhere."""
     version: int = 0
     """Version of the row; serves as the owner's fencing token."""
 
@@ -117,6 +119,8 @@
     """The customer's limit of waiting tokens on this route; 0 for none."""
     regions: Regions = None
     """Regions in which the job may run; None for all."""
+    customer_regions: frozenset[str] = frozenset()
+    """Regions of the customer; empty for everywhere."""
 
     @property
     def tokens(self) -> int:
--- a/goldcreststair/components/jobs/records.py
+++ b/goldcreststair/components/jobs/records.py
@@ -382,6 +382,7 @@
             submission.tokens,
             submission.route,
             tuple(0 for _ in submission.items),
+            submission.customer_regions,
         )
         job_row, open_row = make_row_key(TABLE_JOBS, key), make_row_key(TABLE_OPEN, key)
         order_row = RowKey(TABLE_ORDER, key.customer, submission.route)
--- a/goldcreststair/components/jobs/remote.py
+++ b/goldcreststair/components/jobs/remote.py
@@ -57,6 +57,7 @@
             encode_items(submission.items),
             submission.max_wait_ms,
             submission.max_waiting_tokens,
+            customer_regions=sorted(submission.customer_regions),
         )
         return (await self._async_call_any(call, submission.regions)).map(lambda _: None)
 
@@ -135,6 +136,7 @@
             decode_items(call.items),
             call.max_wait_ms,
             call.max_waiting_tokens,
+            customer_regions=frozenset(call.customer_regions or ()),
         )
         return _make_reply(await jobs.async_submit(submission))
     if call.verb == JobVerb.READ:
--- a/goldcreststair/components/jobs/sweeping.py
+++ b/goldcreststair/components/jobs/sweeping.py
@@ -237,7 +237,7 @@
             self._owner.load(job.key)
 
     async def _async_take_over(self, job: OpenJob) -> None:
-        session = choose_owner(self._core, job.key, job.route)
+        session = choose_owner(self._core, job)
         if not session:
             return
         extra = {"job": job.key.job, "before": job.owner, "owner": session}
@@ -275,11 +275,12 @@
         _LOGGER.exception("Sweep failed")
 
 
-def choose_owner(core: GatewayCore, key: JobKey, route: str) -> str:
+def choose_owner(core: GatewayCore, job: OpenJob) -> str:
     """Return the session to own a job; daemons with the same fleet view choose the same one."""
-    regions = find_job_regions(core.blackboard.read(CATALOGUE), key.customer, route)
+    catalogue, (customer, name) = core.blackboard.read(CATALOGUE), (job.key.customer, job.key.job)
+    regions = find_job_regions(catalogue, customer, job.route, job.customer_regions)
     eligible = filter_by_region(core, list_eligible(core), regions)
-    return max(eligible, key=lambda session: score(session, key.customer, key.job), default="")
+    return max(eligible, key=lambda session: score(session, customer, name), default="")
 
 
 def filter_by_region(core: GatewayCore, sessions: Iterable[str], regions: Regions) -> list[str]:
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -228,6 +228,7 @@
   5: required i64 waiting_tokens
   6: required string route
   7: required list<i16> failures
+  8: optional list<string> customer_regions
 }
 
 /** One listed result, or the first part of a long one. */
@@ -323,6 +324,7 @@
   10: optional i32 position
   11: optional i32 wait_ms
   12: optional string item
+  13: optional list<string> customer_regions
 }
 
 /** The answer to a call about a job; `problem` is empty if it succeeded. */
--- a/tests/components/requests/test_regions.py
+++ b/tests/components/requests/test_regions.py
@@ -12,7 +12,7 @@
 from goldcreststair.components.entry.service import ENTRY
 from goldcreststair.components.jobs.protocols import JOBS
 from goldcreststair.helpers.refusals import RefusalCode
-from standins.gateways import DEFAULT_ROUTES, HOST, FakeResponder, GatewayFleet
+from standins.gateways import DEFAULT_ROUTES, HOST, FakeResponder, FleetMember, GatewayFleet
 from standins.run_engines import RunEngine
 from tests.helpers.gateways import async_read, async_send, async_submit, run_fleet
 
@@ -48,6 +48,12 @@
     return {engine.data_centre for engine in engines if engine.ran}
 
 
+def list_job_outcomes(member: FleetMember) -> str:
+    """Return the metrics of a daemon that say what became of jobs there."""
+    lines = member.core.meters.render().decode().splitlines()
+    return "\n".join(line for line in lines if "batch_jobs_total" in line)
+
+
 async def async_load(fleet: GatewayFleet) -> list[FakeResponder]:
     """Send requests of each kind to all daemons, more than the engines of one region have slots for."""
     paths = ("/stream/1", "/once/1", "/call/1", "/book/1")
@@ -109,6 +115,34 @@
     run_fleet(scenario)
 
 
+@pytest.mark.parametrize("is_relayed", [False, True])
+def test_jobs_of_a_removed_customer_stay_within_its_regions(is_relayed: bool) -> None:
+    """Guards against items and bodies that leave the regions of a customer which the catalogue no longer names."""
+
+    async def scenario(fleet: GatewayFleet) -> None:
+        engines = await async_start(fleet, [], ["r1"], 9)
+        for engine in engines:
+            engine.slots = 2
+            fleet.register(engine)
+        outside = next(each for each in fleet.members if each.core.settings.region == "r2")
+        outside.view.cut = is_relayed
+        await fleet.clock.async_sleep(3_500)
+        inside = [each for each in fleet.members if each.core.settings.region == "r1"]
+        for number in range(6):
+            member = outside if is_relayed else inside[0]
+            assert (await async_submit(fleet, member, f"j{number}", 10)).accepted
+        fleet.write_catalogue(2, customers=({"name": "other"},), keys={})
+        await fleet.clock.async_sleep(300)
+        for each in inside[:2]:
+            await fleet.async_kill(each)
+        await fleet.clock.async_sleep(15_000)
+        assert list_used_data_centres(engines) == {"dc1"}
+        taken = [each for each in fleet.members if "taken_over" in list_job_outcomes(each)]
+        assert {each.core.settings.region for each in taken} == {"r1"}
+
+    run_fleet(scenario)
+
+
 def test_submission_is_relayed_within_its_regions() -> None:
     """Guards against a VM without the store that relays a job into a region that is not allowed."""
 
