Show that jobs of the other daemon don't depend on the list of customers

`test_job_of_a_removed_customer_is_finished` removes one or all customers before or after the loss of none, one or two of three VMs: all 12 rows pass on the code as it is.

--- a/tests/components/batch/test_failures.py
+++ b/tests/components/batch/test_failures.py
@@ -13,10 +13,12 @@
 from goldcreststair.components.batch.errors import BatchProblem
 from goldcreststair.components.batch.records import make_job_key
 from goldcreststair.components.batch.submission import make_job_id
+from goldcreststair.components.configuration.controller import CONFIGURATION_FOLLOWER
 from goldcreststair.components.peers.protocols import PEERS, Handler
 from goldcreststair.wire.generated.batch.ttypes import RecordPut
 from standins.engine.models import EngineParameters
 from tests.helpers.batch_fleet import BatchFleet, make_lines
+from tests.helpers.cores import make_configuration
 from tests.helpers.idle_upstreams import IdleUpstreams
 from tests.helpers.virtual_time import run_virtual
 
@@ -61,6 +63,33 @@
     run(story)
 
 
+@pytest.mark.parametrize("lost", [0, 1, 2])
+@pytest.mark.parametrize(
+    "removed", [{}, {"other": {"rate_per_s": 1, "burst": 1}}], ids=["all", "one"]
+)
+@pytest.mark.parametrize("loses_first", [False, True])
+def test_job_of_a_removed_customer_is_finished(
+    lost: int, removed: dict[str, Any], loses_first: bool
+) -> None:
+    """Items stay undone once their customer is removed from the configuration and VMs are lost."""
+
+    async def story(fleet: BatchFleet) -> None:
+        manifest = (await fleet.async_submit(make_lines(300, tokens=60))).unwrap()
+        for loses in (loses_first, not loses_first):
+            await fleet.clock.async_sleep(500)
+            if loses:
+                for vm in sorted(fleet.services)[:lost]:
+                    await fleet.async_kill(vm)
+            else:
+                configuration = make_configuration(2, customers=removed, keys={})
+                for core in fleet.cores.values():
+                    core.get(CONFIGURATION_FOLLOWER).apply(configuration)
+        await fleet.async_wait(manifest.job)
+        assert (await fleet.async_check(manifest.job))["done"] == 300
+
+    run(story)
+
+
 def test_paused_chunk_owner_resumes() -> None:
     """A former chunk owner overwrites item states that the new owner committed.
 
