Don't pass on an upstream's status that promises "not run"

The daemon passed the 503 on. Its caller took it for the promise that the request has not run and never will, sent it again, and it ran twice.

Cause: each place that answers a caller decided by itself which status it sends. Refusals of the daemon were kept from a promise that does not hold; an upstream's answer was passed on whatever its status. 408 and 429 even counted as whole answers, so that a repeatable request was not run elsewhere either.

Fix: `PROMISE_STATUSES` (408, 421, 429, 503) is defined once. An upstream's answer with one of them is a failed run: repeatable requests run elsewhere while their attempts last, and `may_pass_on` keeps the status from every caller. Such runs count as failures in the ejection of outliers.

--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -61,7 +61,7 @@
 from goldcreststair.helpers.cuts import CutCause, read_cause
 from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.helpers.retry_budget import RetryBudget
-from goldcreststair.upstreams.answers import STATUS_OK, AnswerState
+from goldcreststair.upstreams.answers import STATUS_OK, AnswerState, may_pass_on
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd, async_run_checked
@@ -163,7 +163,7 @@
             )
             if next_step is NextStep.GIVE_UP:
                 failed = state is AnswerState.FAILED and not self._relay.has_begun
-                if isinstance(end, Ok) and failed:
+                if isinstance(end, Ok) and failed and may_pass_on(end.ok_value.head):
                     self._finish_answered(end.ok_value)
                 else:
                     self._finish_refused(make_final_refusal(self._progress, error))
@@ -517,5 +517,7 @@
 def _make_run_error(end: RunEnd) -> UpstreamError:
     if end.head.status != STATUS_OK:
         message = f"upstream answered {end.head.status}"
+        if not may_pass_on(end.head):
+            message += " and does not say that it has not run"
         return UpstreamError(message, UpstreamFailure.LOST, end.head.status)
     return UpstreamError("the answer was broken off", UpstreamFailure.INCOMPLETE)
--- a/goldcreststair/components/placement/outcomes.py
+++ b/goldcreststair/components/placement/outcomes.py
@@ -8,6 +8,7 @@
 from result import Err, Result
 
 from goldcreststair.components.placement.models import RunOutcome
+from goldcreststair.upstreams.answers import may_pass_on
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.runner import RunEnd
 
@@ -44,6 +45,8 @@
             return RunOutcome.FAILED
         return OUTCOMES.get(error.failure, RunOutcome.ABORTED)
     status = end.ok_value.head.status
-    if status >= STATUS_FAILED or (status == STATUS_OK and not complete):
+    if status >= STATUS_FAILED or not may_pass_on(end.ok_value.head):
+        return RunOutcome.FAILED
+    if status == STATUS_OK and not complete:
         return RunOutcome.FAILED
     return RunOutcome.SUCCESS
--- a/goldcreststair/helpers/refusals.py
+++ b/goldcreststair/helpers/refusals.py
@@ -7,6 +7,8 @@
 from goldcreststair.errors import GoldcreststairError
 
 STATUS_UNAVAILABLE: Final = 503
+PROMISE_STATUSES: Final = frozenset((408, 421, 429, 503))
+"""Statuses that promise a caller that its request has not run and never will, so that it may be sent again."""
 
 
 class RefusalCode(StrEnum):
--- a/goldcreststair/upstreams/answers.py
+++ b/goldcreststair/upstreams/answers.py
@@ -1,8 +1,13 @@
-"""Decides whether an upstream's answer is whole; everything that passes an answer on asks here."""
+"""Decides whether an upstream's answer is whole, and whether a caller may get it.
+
+Everything that passes an answer on asks here.
+"""
 
 from enum import StrEnum
 from typing import Final
 
+from goldcreststair.helpers.refusals import PROMISE_STATUSES
+from goldcreststair.upstreams.dialect import RunHead
 from goldcreststair.upstreams.events import EventSplitter, StreamEvent
 from goldcreststair.upstreams.runner import RunEnd
 
@@ -81,9 +86,20 @@
     caller has the head of the answer already, so that no other status can follow.
     """
     status = end.head.status
-    if status >= STATUS_FAILED or (has_begun and status != STATUS_OK):
+    if status >= STATUS_FAILED or status in PROMISE_STATUSES:
+        return AnswerState.FAILED
+    if has_begun and status != STATUS_OK:
         return AnswerState.FAILED
     if status == STATUS_OK and events is not None:
         whole = events.is_whole(ended_by_close=end.ended_by_close)
         return AnswerState.WHOLE if whole else AnswerState.BROKEN_OFF
     return AnswerState.WHOLE
+
+
+def may_pass_on(head: RunHead) -> bool:
+    """Return whether a caller may get an upstream's failure as it is.
+
+    Some statuses promise that the request has not run. A run that ended with its answer may have happened: an
+    upstream that has not run a request says so, and that is no answer (`UpstreamFailure.REFUSED`).
+    """
+    return head.status not in PROMISE_STATUSES
