Treat an engine's throttling as a failed run, not as a verdict on the request

What callers saw: an engine that answered 408, 421 or 429 without `X-Not-Run` for some seconds ended items of batch jobs as failed for good, and online requests got the status as if the request itself were invalid. While all engines answered 5xx, sound items ended as quarantined, in the whole fleet.

Cause: each 4xx counted as "the upstream found the request invalid", and each 5xx of an item as a crash of its engine, although an engine that answers has not crashed.

Fix: the four statuses that promise "not run" are failed runs where the upstream does not say so itself. Online requests run elsewhere and end as `upstream_failed` with `not_run` false; items run again later, after a pause of the engine. Other failures that an engine answers count as a try of the item and not as a crash.

--- a/goldcreststair/components/batch/dispatcher.py
+++ b/goldcreststair/components/batch/dispatcher.py
@@ -19,6 +19,7 @@
 from goldcreststair.components.quarantine.protocols import QUARANTINE, UNKNOWN_PARTS, Parts
 from goldcreststair.core import Core
 from goldcreststair.helpers.crash_evidence import Suspects
+from goldcreststair.helpers.refusals import PROMISE_STATUSES
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.models import GenerateEnd, Upstream
 from goldcreststair.wire.generated.batch.ttypes import ItemResult, LotItem, LotRequest, Verdict
@@ -39,6 +40,14 @@
 }
 
 
+def _classify_error(error: UpstreamError) -> Verdict:
+    """Return what a failed run says about its item; an upstream that answers has not crashed."""
+    if error.failure is not UpstreamFailure.LOST or not error.status:
+        return _FAILURES.get(error.failure, Verdict.FAILED)
+    # The upstream is overloaded, which says nothing about the item: it runs again later.
+    return Verdict.NOT_RUN if error.status in PROMISE_STATUSES else Verdict.FAILED
+
+
 class ItemSource(Protocol):
     """Source of items for a dispatcher."""
 
@@ -277,12 +286,12 @@
         if isinstance(outcome, Ok):
             self._parts.report_answer(self._find_suspects(stream))
             return Verdict.DONE
-        if outcome.err_value.failure is UpstreamFailure.LOST and not outcome.err_value.status:
+        error, now = outcome.err_value, self._core.clock.now()
+        if error.failure is UpstreamFailure.LOST and not error.status:
             suspects = self._find_suspects(stream)
             self._parts.report_lost(self.upstream.name, suspects, wrote_ms=stream.wrote_ms)
-        verdict = _FAILURES.get(outcome.err_value.failure, Verdict.FAILED)
-        now = self._core.clock.now()
-        if verdict in (Verdict.NOT_RUN, Verdict.CRASHED):
+        verdict = _classify_error(error)
+        if verdict == Verdict.NOT_RUN or error.failure is UpstreamFailure.LOST:
             self._blocked_until = Millis(now + BACKOFF_MS)
         if verdict != Verdict.CRASHED:
             return verdict
--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
 from goldcreststair.const import HEADER_REQUEST_ID
+from goldcreststair.helpers.refusals import PROMISE_STATUSES
 from goldcreststair.http_exchange import (
     Exchange,
     ExchangeError,
@@ -86,7 +87,7 @@
         return UpstreamError(
             "upstream did not run the request", UpstreamFailure.REFUSED, response.status
         )
-    if 400 <= response.status < 500:
+    if 400 <= response.status < 500 and response.status not in PROMISE_STATUSES:
         failure = UpstreamFailure.REJECTED
         return UpstreamError(
             "upstream rejected the request", failure, response.status, response.body
--- a/standins/engine/client.py
+++ b/standins/engine/client.py
@@ -6,10 +6,13 @@
 
 import orjson
 from result import Err, Ok, Result
+from tornado.httputil import HTTPHeaders
 
 from goldcreststair.clock import Clock
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.http_exchange import HttpResponse
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.http_engine import convert_error_response
 from goldcreststair.upstreams.models import (
     CacheEvent,
     GenerateCall,
@@ -198,6 +201,8 @@
         faults = engine.faults
         if faults.refuse or engine.draining:
             return UpstreamError("not accepting requests", UpstreamFailure.REFUSED, 503)
+        if faults.fail_status:
+            return convert_error_response(HttpResponse(faults.fail_status, HTTPHeaders(), b"{}"))
         if faults.crash_marker and faults.crash_marker.encode() in call.body:
             engine.crash()
             return UpstreamError("connection closed early", UpstreamFailure.LOST)
--- a/standins/engine/models.py
+++ b/standins/engine/models.py
@@ -47,6 +47,8 @@
 
     refuse: bool = False
     """Answer 503 with `X-Not-Run: true`."""
+    fail_status: int = 0
+    """Answer requests with this status, and without `X-Not-Run`; 0 for none."""
     crash_marker: str = ""
     """A request whose body holds this text crashes the engine."""
     crash_delay_ms: int = 0
--- a/tests/components/batch/test_failures.py
+++ b/tests/components/batch/test_failures.py
@@ -383,6 +383,29 @@
     run(story)
 
 
+@pytest.mark.parametrize("failing", [("e1",), ("e1", "e2")], ids="-".join)
+@pytest.mark.parametrize("status", [408, 429, 503, 500, 502])
+def test_items_survive_engines_that_fail_requests_for_a_while(
+    status: int, failing: tuple[str, ...]
+) -> None:
+    """Sound items ended as failed or quarantined, as an engine that answers was taken for one that crashed."""
+
+    async def story(fleet: BatchFleet) -> None:
+        for name in failing:
+            fleet.engines[name].faults.fail_status = status
+        manifest = (await fleet.async_submit(make_lines(100, tokens=40))).unwrap()
+        await fleet.clock.async_sleep(8_000)
+        for name in failing:
+            fleet.engines[name].faults.fail_status = 0
+        await fleet.async_wait(manifest.job)
+        counts = await fleet.async_check(manifest.job)
+        assert counts["quarantined"] == 0
+        if status not in (500, 502):
+            assert counts["done"] == 100
+
+    run(story)
+
+
 def test_item_rejected_by_engines_fails_alone() -> None:
     """An item that only the engine can recognise as invalid makes other items fail."""
 
--- a/tests/upstreams/test_http_engine.py
+++ b/tests/upstreams/test_http_engine.py
@@ -6,16 +6,20 @@
 import pytest
 from result import Err, Ok
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
 
 from goldcreststair.const import HEADER_REQUEST_ID
+from goldcreststair.http_exchange import HttpResponse
 from goldcreststair.upstreams import http_engine
 from goldcreststair.upstreams.errors import UpstreamFailure
 from goldcreststair.upstreams.http_engine import (
     CONTROL_TIMEOUT_MS,
+    HEADER_NOT_RUN,
     MAX_KV_STATE_BYTES,
     HttpEngineClient,
+    convert_error_response,
 )
 from goldcreststair.upstreams.models import (
     GenerateCall,
@@ -56,6 +60,31 @@
     asyncio.run(async_test())
 
 
+@pytest.mark.parametrize("says_not_run", [False, True])
+@pytest.mark.parametrize(
+    ("status", "failure"),
+    [
+        (400, UpstreamFailure.REJECTED),
+        (404, UpstreamFailure.REJECTED),
+        (422, UpstreamFailure.REJECTED),
+        (408, UpstreamFailure.LOST),
+        (421, UpstreamFailure.LOST),
+        (429, UpstreamFailure.LOST),
+        (503, UpstreamFailure.LOST),
+        (500, UpstreamFailure.LOST),
+        (504, UpstreamFailure.LOST),
+    ],
+)
+def test_only_the_word_of_an_upstream_shows_that_a_request_has_not_run(
+    status: int, failure: UpstreamFailure, says_not_run: bool
+) -> None:
+    """A throttled request was answered as invalid, and a status alone was taken for "not run"."""
+    headers = HTTPHeaders({HEADER_NOT_RUN: "true"} if says_not_run else {})
+    error = convert_error_response(HttpResponse(status, headers, b"{}"))
+    assert error.failure is (UpstreamFailure.REFUSED if says_not_run else failure)
+    assert (error.not_run, error.status) == (says_not_run, status)
+
+
 class SlowOrderHandler(RequestHandler):
     async def post(self) -> None:
         await asyncio.sleep(CONTROL_TIMEOUT_MS / 1000 + 0.3)
