Log how long a run had written when its upstream crashed

The log names it in the `lost` runs of each crash, but not how far its answer had got, which tells a crash that was not noticed from one that was held against nobody. Each lost run now has `wrote_ms` beside `events`.

--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -292,7 +292,12 @@
             "software": entry.software_version,
             "runs": len(lost),
             "lost": [
-                {"request": run.request, "parts": run.prompt_parts, "events": run.events}
+                {
+                    "request": run.request,
+                    "parts": run.prompt_parts,
+                    "events": run.events,
+                    "wrote_ms": run.wrote_ms,
+                }
                 for run in lost[:MAX_LOGGED_RUNS]
             ],
         }
