--- a/goldcreststair/components/crash_marks/codec.py
+++ b/goldcreststair/components/crash_marks/codec.py
@@ -1,13 +1,17 @@
 """Encodes and decodes crashes, answers and verdicts in beacons, requests between daemons and rows."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from typing import Final
 
 from result import Result
 
 from goldcreststair.helpers.crash_evidence import (
+    BEGIN,
     SUSPECT_BYTES,
+    WHOLE,
     Answers,
     CrashReport,
+    Extent,
     Suspect,
     Suspects,
 )
@@ -19,6 +23,8 @@
     LostRuns,
 )
 
+ENCODED_WHOLE: Final = -1
+
 
 def join_suspects(suspects: Suspects) -> bytes:
     """Return suspects as bytes."""
@@ -53,6 +59,7 @@
         report.others or None,
         b"".join(elsewhere) or None,
         list(elsewhere.values()) or None,
+        *_encode_extents([report.extents.get(each, BEGIN) for each in sorted(report.begun)]),
     )
 
 
@@ -61,19 +68,43 @@
     suspects, begun = split_suspects(raw.suspects), split_suspects(raw.begun or b"")
     pairs = zip(iterate_suspects(raw.elsewhere or b""), raw.elsewhere_counts or (), strict=False)
     age_ms, others = max(0, raw.age_ms), max(0, raw.others or 0)
-    return CrashReport(raw.crash, raw.software, suspects, begun, age_ms, others, dict(pairs))
+    extents = zip(
+        iterate_suspects(raw.begun or b""),
+        _decode_extents(raw.begun_ms, raw.begun_events),
+        strict=False,
+    )
+    return CrashReport(
+        raw.crash, raw.software, suspects, begun, age_ms, others, dict(pairs), dict(extents)
+    )
 
 
-def encode_answers(software: int, ages_ms: Mapping[Suspect, int]) -> AnsweredSuspects:
+def encode_answers(answers: Answers) -> AnsweredSuspects:
     """Encode the suspects that upstreams of one software version have answered."""
-    return AnsweredSuspects(software, b"".join(ages_ms), list(ages_ms.values()))
+    ages_ms, extents = answers.ages_ms, [answers.extents.get(s, WHOLE) for s in answers.ages_ms]
+    encoded = _encode_extents(extents) if answers.extents else (None, None)
+    return AnsweredSuspects(answers.software, b"".join(ages_ms), list(ages_ms.values()), *encoded)
 
 
 def decode_answers(raw: AnsweredSuspects) -> Answers:
     """Decode answered suspects; one without an age is left out."""
-    suspects = iterate_suspects(raw.suspects)
+    suspects = tuple(iterate_suspects(raw.suspects))
     pairs = zip(suspects, raw.ages_ms, strict=False)
-    return Answers(raw.software, {suspect: max(0, age_ms) for suspect, age_ms in pairs})
+    extents = zip(suspects, _decode_extents(raw.wrote_ms, raw.events), strict=False)
+    ages_ms = {suspect: max(0, age_ms) for suspect, age_ms in pairs}
+    return Answers(raw.software, ages_ms, {s: each for s, each in extents if each != WHOLE})
+
+
+def _encode_extents(extents: Sequence[Extent]) -> tuple[list[int] | None, list[int] | None]:
+    wrote_ms = [ENCODED_WHOLE if each == WHOLE else each.wrote_ms for each in extents]
+    events = [ENCODED_WHOLE if each == WHOLE else each.events for each in extents]
+    return wrote_ms or None, events or None
+
+
+def _decode_extents(
+    wrote_ms: Iterable[int] | None, events: Iterable[int] | None
+) -> Iterator[Extent]:
+    for ms, count in zip(wrote_ms or (), events or (), strict=False):
+        yield WHOLE if ms == ENCODED_WHOLE else Extent(max(0, ms), max(0, count))
 
 
 def encode_all(verdicts: Iterable[tuple[Suspects, int]]) -> bytes:
--- a/goldcreststair/components/crash_marks/gossip.py
+++ b/goldcreststair/components/crash_marks/gossip.py
@@ -26,7 +26,15 @@
     REPORT_MS,
     YOUNG_MS,
 )
-from goldcreststair.helpers.crash_evidence import Answers, CrashReport, Suspect, Suspects
+from goldcreststair.helpers.crash_evidence import (
+    BEGIN,
+    Answers,
+    CrashReport,
+    Suspect,
+    Suspects,
+    Written,
+    make_answers,
+)
 from goldcreststair.helpers.crash_verdicts import Verdicts, encode_verdict
 from goldcreststair.wire.generated.gateway.ttypes import AnsweredSuspects, Beacon
 
@@ -66,8 +74,8 @@
         self._listener = listener
         self._reports: OrderedDict[bytes, tuple[CrashReport, Millis]] = OrderedDict()
         """This daemon's own reports, by crash, and when it was seen."""
-        self._answered: dict[int, dict[Suspect, Millis]] = {}
-        """When the answers began that are announced, by software and suspect."""
+        self._answered: dict[int, dict[Suspect, Written]] = {}
+        """The answers that are announced, by software and suspect."""
         self._answers_until = Millis(0)
         self._released: dict[Suspect, Millis] = {}
         """Suspects whose verdicts were released, and until when that is announced."""
@@ -78,11 +86,22 @@
         """Announce a crash that this daemon saw, or more runs that were lost in it."""
         since = Millis(self._clock.now() - report.age_ms)
         known, at = self._reports.pop(report.crash, (report, since))
-        suspects = known.suspects | report.suspects
+        extents = {
+            each: known.extents.get(each, BEGIN).extend(report.extents.get(each, BEGIN))
+            for each in known.begun | report.begun
+        }
+        late = {each for each, extent in extents.items() if extent.is_late}
+        suspects = (known.suspects | report.suspects) - late
         begun = (known.begun | report.begun) - suspects
         others, elsewhere = known.others, {**report.elsewhere, **known.elsewhere}
         merged = CrashReport(
-            report.crash, report.software, suspects, begun, others=others, elsewhere=elsewhere
+            report.crash,
+            report.software,
+            suspects,
+            begun,
+            others=others,
+            elsewhere=elsewhere,
+            extents={each: extents[each] for each in begun},
         )
         self._reports[report.crash] = merged, at
         while len(self._reports) > MAX_REPORTS_IN_BEACON:
@@ -92,7 +111,7 @@
         """Announce that upstreams have answered suspects of several crashes."""
         now = self._clock.now()
         announced = self._answered.setdefault(answers.software, {})
-        announced.update({each: Millis(now - age_ms) for each, age_ms in answers.ages_ms.items()})
+        announced.update(answers.iterate(now))
         self._answers_until = Millis(now + REPORT_MS)
 
     def announce_released(self, suspects: Suspects) -> None:
@@ -153,6 +172,7 @@
             self._answered.clear()
         listed: list[AnsweredSuspects] = []
         for software, announced in self._answered.items():
-            newest = sorted(announced, key=lambda each: announced[each])[-MAX_ANSWERS_IN_BEACON:]
-            listed.append(encode_answers(software, {s: now - announced[s] for s in newest}))
+            newest = sorted(announced, key=lambda each: announced[each].at)[-MAX_ANSWERS_IN_BEACON:]
+            answers = make_answers(software, {each: announced[each] for each in newest}, now)
+            listed.append(encode_answers(answers))
         return listed
--- a/goldcreststair/components/crash_marks/guard.py
+++ b/goldcreststair/components/crash_marks/guard.py
@@ -7,7 +7,13 @@
 from goldcreststair.components.crash_marks.const import MAX_TURN_WAIT_MS, TURN_POLL_MS
 from goldcreststair.components.crash_marks.models import Turn
 from goldcreststair.components.discovery.models import UpstreamEntry
-from goldcreststair.helpers.crash_evidence import Suspects
+from goldcreststair.helpers.crash_evidence import (
+    SOUND_MS,
+    Extent,
+    RequestSuspects,
+    Suspects,
+    Written,
+)
 
 
 class RunningSuspects(Protocol):
@@ -37,8 +43,10 @@
     def return_trial(self, suspects: Suspects) -> None:
         """Record that a trial has not run."""
 
-    def report_answer(self, entry: UpstreamEntry, suspects: Suspects, wrote_at: Millis) -> None:
-        """Report an answer that shows that its request crashes no upstream."""
+    def report_answer(
+        self, entry: UpstreamEntry, suspects: RequestSuspects, written: Written
+    ) -> None:
+        """Report an answer, which speaks for its suspects as far as it has got."""
 
 
 class RequestGuard:
@@ -48,7 +56,7 @@
         self,
         clock: Clock,
         running: RunningSuspects,
-        suspects: Suspects,
+        suspects: RequestSuspects,
         on_refused: Callable[[], None],
         *,
         can_wait: bool = False,
@@ -57,12 +65,15 @@
 
         One that `can_wait` is a batch item, which is owed however often upstreams crash under it.
         """
-        self.suspects = suspects
+        self.request = suspects
+        self.suspects = suspects.every
         self.on_refused = on_refused
         self.upstream: UpstreamEntry | None = None
         """The upstream of the current run."""
-        self.wrote_at: Millis | None = None
-        """When the current run last wrote, once that shows that the request crashes no upstream."""
+        self.written: Written | None = None
+        """The answer of the current run; None while it says nothing about its suspects."""
+        self._reported_ms = 0
+        """How long that answer had gone on when it was last reported."""
         self._clock = clock
         self._running = running
         self._can_wait = can_wait
@@ -99,13 +110,25 @@
 
     def begin_run(self, entry: UpstreamEntry) -> None:
         """Record the upstream at which the run begins."""
-        self.upstream, self.wrote_at = entry, None
+        self.upstream, self.written, self._reported_ms = entry, None, 0
+
+    def record_progress(self, at: Millis, extent: Extent) -> None:
+        """Record how far the answer of the current run has got."""
+        if not extent.is_late:
+            return
+        self.written = Written(at, extent)
+        if extent.wrote_ms >= self._reported_ms + SOUND_MS:
+            self._reported_ms = extent.wrote_ms
+            self._report(self.written)
+
+    def record_whole(self, at: Millis) -> None:
+        """Record that the answer of the current run is whole."""
+        self.written = Written(at)
+        self._report(self.written)
 
-    def record_sound(self, wrote_at: Millis) -> None:
-        """Record that the answer of the current run is whole, or that it goes on after a long time."""
-        is_first, self.wrote_at = self.wrote_at is None, wrote_at
-        if is_first and self.upstream is not None:
-            self._running.report_answer(self.upstream, self.suspects, wrote_at)
+    def _report(self, written: Written) -> None:
+        if self.upstream is not None:
+            self._running.report_answer(self.upstream, self.request, written)
 
     def leave(self, *, not_run: bool = False) -> None:
         """End the turn, after a run unless `not_run`; does nothing if none was taken."""
@@ -114,5 +137,5 @@
         if self._is_trial and (not_run or self.upstream is None):
             self._running.return_trial(self.suspects)
         self._entered = self._is_trial = False
-        self.upstream = self.wrote_at = None
+        self.upstream = self.written = None
         self._running.leave(self)
--- a/goldcreststair/components/crash_marks/models.py
+++ b/goldcreststair/components/crash_marks/models.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from goldcreststair.helpers.crash_evidence import SOUND_MS, Suspects
+from goldcreststair.helpers.crash_evidence import Extent, RequestSuspects
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,19 +12,11 @@
 
     request: str
     """Id of the request or item."""
-    suspects: Suspects
-    """Everything about the request that may crash upstreams."""
+    suspects: RequestSuspects
     prompt_parts: tuple[str, ...]
     """Names of the prompt's parts in order; the last part belongs to this request alone."""
-    events: int
-    """Number of events that the run had returned."""
-    wrote_ms: int = 0
-    """Time from its first to its last event."""
-
-    @property
-    def is_sound(self) -> bool:
-        """Whether it had gone on for longer than a request runs that crashes upstreams."""
-        return self.wrote_ms > SOUND_MS
+    extent: Extent
+    """How far its answer had got."""
 
 
 class Turn(StrEnum):
--- a/goldcreststair/components/crash_marks/service.py
+++ b/goldcreststair/components/crash_marks/service.py
@@ -46,12 +46,17 @@
 from goldcreststair.core import ComponentKey
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.crash_evidence import (
+    BEGIN,
     SUSPECT_BYTES,
     Answers,
     CrashEvidence,
     CrashReport,
+    Extent,
+    RequestSuspects,
     Suspect,
     Suspects,
+    Written,
+    make_answers,
 )
 from goldcreststair.helpers.crash_verdicts import (
     VerdictChange,
@@ -106,7 +111,7 @@
         await self._rows.async_close()
 
     def open_guard(
-        self, suspects: Suspects, on_refused: Callable[[], None], *, can_wait: bool = False
+        self, suspects: RequestSuspects, on_refused: Callable[[], None], *, can_wait: bool = False
     ) -> RequestGuard:
         """Return a guard for one request, as described there."""
         return RequestGuard(self._clock, self, suspects, on_refused, can_wait=can_wait)
@@ -147,7 +152,7 @@
         if not verdicts or not is_due:
             return False
         named = frozenset[Suspect]().union(*verdicts)
-        lost = any(named & run.suspects for lost in self._lost.values() for run in lost.runs)
+        lost = any(named & run.suspects.every for lost in self._lost.values() for run in lost.runs)
         runs_here = any(self._running[each] for each in named)
         return not (lost or runs_here or self._gossip.is_probed_elsewhere(named))
 
@@ -180,7 +185,7 @@
     def _list_unconfirmed(self, suspects: Suspects) -> Suspects:
         """Return those suspects of earlier crashes whose runs were just lost here."""
         known = (each for each in suspects if self._verdicts.count(each))
-        lost = [run.suspects for lost in self._lost.values() for run in lost.runs]
+        lost = [run.suspects.every for lost in self._lost.values() for run in lost.runs]
         return frozenset(each for each in known if any(each in found for found in lost))
 
     def enter(self, guard: RequestGuard) -> None:
@@ -206,20 +211,23 @@
         """Record that a trial has not run."""
         self._verdicts.return_trial(suspects)
 
-    def report_answer(self, entry: UpstreamEntry, suspects: Suspects, wrote_at: Millis) -> None:
-        """Report an answer that shows that its request crashes no upstream; `wrote_at` is its last event's time."""
-        software = _hash_software(entry)
-        clears = self._evidence.record_answer(suspects, software, wrote_at)
-        if self.is_refused(suspects):
-            # VMs that took the verdict over know none of its crashes, which such an answer would clear.
-            named = self._verdicts.list_named(suspects)
-            ages_ms = dict.fromkeys(named, self._clock.now() - wrote_at)
-            self._gossip.announce_answers(Answers(software, ages_ms))
-            self._links.schedule_beacon()
-        elif not clears:
-            return
-        self._announce_answers(suspects)
-        self._update()
+    def report_answer(
+        self, entry: UpstreamEntry, suspects: RequestSuspects, written: Written
+    ) -> None:
+        """Report an answer, which speaks for its suspects as far as it has got."""
+        software, clears = _hash_software(entry), False
+        is_refused = self.is_refused(suspects.every)
+        for answered, reached in suspects.list_answered(written):
+            clears |= self._evidence.record_answer(answered, software, reached)
+            if is_refused:
+                # VMs that took the verdict over know none of its crashes, which such an answer would clear.
+                named = dict.fromkeys(self._verdicts.list_named(answered), reached)
+                answers = make_answers(software, named, self._clock.now())
+                self._gossip.announce_answers(answers)
+                self._links.schedule_beacon()
+        if is_refused or clears:
+            self._announce_answers(suspects.every)
+            self._update()
 
     def _announce_answers(self, suspects: Suspects) -> None:
         untold = self._evidence.list_untold(suspects)
@@ -231,11 +239,12 @@
     def _record_running(self, suspects: Suspects) -> None:
         """Record the answers that speak for some suspects and are still being written here."""
         for guard in self._guards:
-            if guard.wrote_at is None or guard.upstream is None:
+            if guard.written is None or guard.upstream is None:
                 continue
             if guard.suspects & suspects:
                 software = _hash_software(guard.upstream)
-                self._evidence.record_answer(guard.suspects, software, guard.wrote_at)
+                for answered, reached in guard.request.list_answered(guard.written):
+                    self._evidence.record_answer(answered, software, reached)
 
     def report_lost_run(self, entry: UpstreamEntry, run: LostRun) -> None:
         """Report a run whose connection broke or that went silent."""
@@ -274,9 +283,9 @@
         age_ms = self._clock.now() - seen_at + COLLECT_MS
         software = _hash_software(entry)
         for run in lost.runs:
-            if run.is_sound:
-                wrote_at = Millis(seen_at - COLLECT_MS)
-                self._evidence.record_answer(run.suspects, software, wrote_at)
+            written = Written(Millis(seen_at - COLLECT_MS), run.extent)
+            for answered, reached in run.suspects.list_answered(written):
+                self._evidence.record_answer(answered, software, reached)
         report = lost.make_report(_hash_crash(entry), software, age_ms)
         if not (report.suspects or report.begun):
             return
@@ -295,8 +304,8 @@
                 {
                     "request": run.request,
                     "parts": run.prompt_parts,
-                    "events": run.events,
-                    "wrote_ms": run.wrote_ms,
+                    "events": run.extent.events,
+                    "wrote_ms": run.extent.wrote_ms,
                 }
                 for run in lost[:MAX_LOGGED_RUNS]
             ],
@@ -433,13 +442,28 @@
     """What this VM ran at each other upstream of the service at that moment."""
 
     def make_report(self, crash: bytes, software: int, age_ms: int) -> CrashReport:
-        """Return what may have caused the crash: runs that had not written for long."""
-        blamed = [run for run in self.runs if not run.is_sound]
-        every = frozenset[Suspect]().union(*(run.suspects for run in blamed))
-        suspects = frozenset[Suspect]().union(*(run.suspects for run in blamed if not run.events))
-        counts = Counter(each for running in self.elsewhere for each in running & every)
-        others = len(self.elsewhere)
-        return CrashReport(crash, software, suspects, every - suspects, age_ms, others, counts)
+        """Return what may have caused the crash, at the place that the longest run with it had reached."""
+        extents: dict[Suspect, Extent] = {}
+        silent: set[Suspect] = set()
+        for run in self.runs:
+            blamed = run.suspects.list_blamed(run.extent)
+            for suspect in blamed:
+                extents[suspect] = extents.get(suspect, BEGIN).extend(run.extent)
+            if not run.extent.events:
+                silent |= blamed
+        suspects = frozenset(each for each in silent if not extents[each].is_late)
+        begun = frozenset(extents) - suspects
+        counts = Counter(each for running in self.elsewhere for each in running & extents.keys())
+        return CrashReport(
+            crash,
+            software,
+            suspects,
+            begun,
+            age_ms,
+            len(self.elsewhere),
+            counts,
+            {each: extents[each] for each in begun},
+        )
 
 
 def _hash_crash(entry: UpstreamEntry) -> bytes:
--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -56,10 +56,21 @@
 TURN_VALID_MS: Final = 10_000
 """How long it counts that the pace of an upstream was passed on: much longer than all upstreams take
 for their turns."""
+WHOLE_ANSWER: Final = -1
+"""Stands for how far a whole answer has got."""
 COUNTED_SILENCE_MS: Final = 2_000
 """What a sender counted while it was silent for longer is left to its own share of each quota."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Answered:
+    """An answer on a suspect of crashes, as beacons carry it."""
+
+    age_ms: int
+    wrote_ms: int = WHOLE_ANSWER
+    events: int = WHOLE_ANSWER
+
+
 @dataclass(slots=True)
 class _Source:
     """Last counters received from one sender."""
@@ -169,8 +180,8 @@
     queued: dict[tuple[int, int], int] = field(default_factory=dict)
     """Waiting requests by service and priority."""
     crashes: list[LostRuns] = field(default_factory=list)
-    answered: dict[int, dict[bytes, int]] = field(default_factory=dict)
-    """The shortest age of an answer, by software and suspect, ms."""
+    answered: dict[int, dict[bytes, _Answered]] = field(default_factory=dict)
+    """The answer that says most, by software and suspect."""
     released: bytearray = field(default_factory=bytearray)
     probing: bytearray = field(default_factory=bytearray)
     verdicts: int | None = None
@@ -207,9 +218,12 @@
         self.crashes += message.crashes or ()
         for answers in message.answered or ():
             known = self.answered.setdefault(answers.software, {})
+            extents = [*zip(answers.wrote_ms or (), answers.events or (), strict=False)]
             for number, age_ms in enumerate(answers.ages_ms):
                 suspect = answers.suspects[SUSPECT_BYTES * number : SUSPECT_BYTES * (number + 1)]
-                known[suspect] = min(age_ms, known.get(suspect, age_ms))
+                whole = number >= len(extents)
+                answered = _Answered(age_ms) if whole else _Answered(age_ms, *extents[number])
+                known[suspect] = min(answered, known.get(suspect, answered), key=_rank_answered)
         self.released += message.released or b""
         self.probing += message.probing or b""
 
@@ -258,9 +272,8 @@
             waiting=waiting or None,
             crashes=sorted(self.crashes, key=attrgetter("age_ms"))[:MAX_CRASHES] or None,
             answered=[
-                AnsweredSuspects(software, b"".join(ages), list(ages.values()))
+                _make_answered_suspects(software, _choose_youngest(every))
                 for software, every in self.answered.items()
-                for ages in (_choose_youngest(every),)
             ]
             or None,
             released=bytes(self.released[:MAX_PROBING_BYTES]) or None,
@@ -489,10 +502,27 @@
         return max(fresh, key=rank, default=None)
 
 
-def _choose_youngest(ages: Mapping[bytes, int]) -> dict[bytes, int]:
+def _choose_youngest(answered: Mapping[bytes, _Answered]) -> dict[bytes, _Answered]:
     """Return the suspects that were answered last, as many as a digest may hold."""
-    youngest = sorted(ages, key=lambda suspect: ages[suspect])[:MAX_ANSWERED]
-    return {suspect: ages[suspect] for suspect in youngest}
+    youngest = sorted(answered, key=lambda suspect: answered[suspect].age_ms)[:MAX_ANSWERED]
+    return {suspect: answered[suspect] for suspect in youngest}
+
+
+def _rank_answered(answered: _Answered) -> tuple[bool, int]:
+    """Order whole answers first, then by age."""
+    return answered.wrote_ms != WHOLE_ANSWER, answered.age_ms
+
+
+def _make_answered_suspects(software: int, answered: Mapping[bytes, _Answered]) -> AnsweredSuspects:
+    every = tuple(answered.values())
+    all_whole = all(each.wrote_ms == WHOLE_ANSWER for each in every)
+    return AnsweredSuspects(
+        software,
+        b"".join(answered),
+        [each.age_ms for each in every],
+        None if all_whole else [each.wrote_ms for each in every],
+        None if all_whole else [each.events for each in every],
+    )
 
 
 def _mark_unresponsive(entry: HeardDaemon) -> HeardDaemon:
--- a/goldcreststair/components/forwarding/crash_reports.py
+++ b/goldcreststair/components/forwarding/crash_reports.py
@@ -7,12 +7,11 @@
 from goldcreststair.components.discovery.models import UpstreamEntry
 from goldcreststair.components.forwarding.relay import StreamRelay
 from goldcreststair.components.requests.models import AdmittedRequest
-from goldcreststair.helpers.crash_evidence import SOUND_MS
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
 
 class CrashReports:
-    """Reports lost runs, and answers that are whole or have gone on for some time."""
+    """Reports lost runs, and how far answers have got."""
 
     def __init__(
         self,
@@ -31,12 +30,14 @@
 
     def record_data(self) -> None:
         """Record that the current run returned an event."""
-        if self._relay.run_wrote_ms > SOUND_MS:
-            self._guard.record_sound(self._clock.now())
+        self._guard.record_progress(self._clock.now(), self._relay.run_extent)
 
     def record_whole(self) -> None:
-        """Record that the current run returned a whole answer."""
-        self._guard.record_sound(self._clock.now())
+        """Record that the current run returned a whole answer, or the rest of one."""
+        if self._relay.run_begins_at:
+            self._guard.record_progress(self._clock.now(), self._relay.run_extent.end())
+        else:
+            self._guard.record_whole(self._clock.now())
 
     def record_failure(self, entry: UpstreamEntry, error: UpstreamError) -> None:
         """Record that a run failed."""
@@ -46,9 +47,8 @@
         request = self._admitted.request
         run = LostRun(
             request.request_id,
-            self._admitted.suspects,
+            self._guard.request,
             request.prompt_parts,
-            self._relay.run_events,
-            self._relay.run_wrote_ms,
+            self._relay.run_extent,
         )
         self._tracker.report_lost_run(entry, run)
--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -4,6 +4,7 @@
 
 from goldcreststair.clock import Clock, Millis
 from goldcreststair.components.forwarding.protocols import Responder
+from goldcreststair.helpers.crash_evidence import Extent
 from goldcreststair.upstreams.answers import (
     STATUS_OK,
     AnswerState,
@@ -40,6 +41,8 @@
         """Whether the head of the stream was sent to the caller."""
         self.run_first_at: Millis | None = None
         """When the current run sent its first event."""
+        self.run_begins_at = last_event
+        """Number of the event after which the current run began."""
         self.run_load: UpstreamLoad | None = None
         """Load in the head of the current run."""
         self.run_gap_ms: float | None = None
@@ -59,6 +62,7 @@
     def begin_run(self) -> None:
         """Prepare for the next run; an incomplete event of the previous run is dropped."""
         self._events = EventSequence(self.last_event)
+        self.run_begins_at = self.last_event
         if not self.has_begun:
             self._head = None
         self.run_first_at = self.run_gap_ms = self.run_load = self.head_at = None
@@ -77,9 +81,10 @@
         return self._events.events
 
     @property
-    def run_wrote_ms(self) -> int:
-        """Time from the first to the last event of the current run, in ms."""
-        return 0 if self.run_first_at is None else self.progress_at - self.run_first_at
+    def run_extent(self) -> Extent:
+        """How far the answer of the current run has got."""
+        wrote_ms = 0 if self.run_first_at is None else self.progress_at - self.run_first_at
+        return Extent(wrote_ms, self.run_events)
 
     @property
     def is_broken(self) -> bool:
--- a/goldcreststair/components/forwarding/request.py
+++ b/goldcreststair/components/forwarding/request.py
@@ -58,6 +58,7 @@
 from goldcreststair.features import Feature
 from goldcreststair.gateway_core import GatewayCore
 from goldcreststair.helpers.abortable import AbortableWait
+from goldcreststair.helpers.crash_evidence import RequestSuspects, hash_shared_parts
 from goldcreststair.helpers.cuts import CutCause, read_cause
 from goldcreststair.helpers.refusals import Refusal
 from goldcreststair.helpers.retry_budget import RetryBudget
@@ -122,7 +123,9 @@
         )
         self._relay.wants_chunks = admitted.route.kind is CallKind.STREAMING
         tracker = core.get(CRASH_TRACKER)
-        self._guard = tracker.open_guard(admitted.suspects, self._on_refused)
+        own = admitted.suspects - hash_shared_parts(admitted.request.prompt_parts)
+        suspects = RequestSuspects(admitted.suspects, late=own)
+        self._guard = tracker.open_guard(suspects, self._on_refused)
         self._crash_reports = CrashReports(tracker, self._guard, core.clock, admitted, self._relay)
         self._wait = AbortableWait()
 
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -54,7 +54,14 @@
 from goldcreststair.components.requests.admission import choose_service
 from goldcreststair.components.stream_origins.models import StreamOrigin
 from goldcreststair.gateway_core import GatewayCore
-from goldcreststair.helpers.crash_evidence import SOUND_MS, Suspects, list_suspects
+from goldcreststair.helpers.crash_evidence import (
+    BEGIN,
+    Extent,
+    RequestSuspects,
+    Suspects,
+    Written,
+    list_suspects,
+)
 from goldcreststair.helpers.fingerprints import make_call_fingerprint
 from goldcreststair.upstreams.dialect import RunCall
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
@@ -92,8 +99,8 @@
     ended: bool = False
 
     @property
-    def wrote_ms(self) -> int:
-        return 0 if self.sink is None else self.sink.wrote_ms
+    def extent(self) -> Extent:
+        return BEGIN if self.sink is None else self.sink.extent
 
 
 class ItemExecutor:
@@ -313,7 +320,8 @@
         if not run.item.last_event:
             run.item.origin = self._find_origin(run.upstream)
         tracker, suspects = self._core.get(CRASH_TRACKER), self._find_suspects(run.job, run.item)
-        run.guard = tracker.open_guard(suspects, lambda: self._on_refused(run), can_wait=True)
+        request = RequestSuspects(suspects)
+        run.guard = tracker.open_guard(request, lambda: self._on_refused(run), can_wait=True)
         run.guard.try_enter()
         run.guard.begin_run(run.upstream)
         self._runs[run] = None
@@ -332,8 +340,8 @@
 
     def _on_data(self, run: _Run) -> None:
         self._placement.controller.upstreams.record_progress(run.upstream.name)
-        if run.guard is not None and run.wrote_ms > SOUND_MS:
-            run.guard.record_sound(self._clock.now())
+        if run.guard is not None:
+            run.guard.record_progress(self._clock.now(), run.extent)
 
     def _find_origin(self, entry: UpstreamEntry) -> StreamOrigin | None:
         """Return the software that an upstream certainly runs, or None."""
@@ -413,8 +421,9 @@
             return
         done = verdict.verdict is Verdict.DONE
         if done:
-            suspects = self._find_suspects(job, item)
-            self._core.get(CRASH_TRACKER).report_answer(run.upstream, suspects, self._clock.now())
+            suspects = RequestSuspects(self._find_suspects(job, item))
+            written = Written(self._clock.now())
+            self._core.get(CRASH_TRACKER).report_answer(run.upstream, suspects, written)
             run_ms = self._clock.now() - run.began_at
             self._estimate.learn(item, item.last_event - run.first_event, run_ms)
         text = b"\n".join(item.data) if done else b""
@@ -438,10 +447,10 @@
             self._report_lost(run)
 
     def _report_lost(self, run: _Run) -> None:
-        spec, events = run.item.spec, run.item.last_event - run.first_event
+        spec = run.item.spec
         parts = self._core.adapter.submission_reader.read_prompt_parts(spec)
-        suspects = self._find_suspects(run.job, run.item)
-        lost = LostRun(spec.item_id, suspects, parts, events, run.wrote_ms)
+        suspects = RequestSuspects(self._find_suspects(run.job, run.item))
+        lost = LostRun(spec.item_id, suspects, parts, run.extent)
         self._core.get(CRASH_TRACKER).report_lost_run(run.upstream, lost)
 
     def _finish(
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -13,6 +13,7 @@
 )
 from goldcreststair.components.jobs.registry import ItemProgress
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.helpers.crash_evidence import Extent
 from goldcreststair.upstreams.answers import AnswerState, EventSequence, classify_answer
 from goldcreststair.upstreams.dialect import RunCall, RunHead
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
@@ -59,9 +60,10 @@
         return self._sequence.repeated
 
     @property
-    def wrote_ms(self) -> int:
-        """Time from the first to the last event of this run, in ms."""
-        return 0 if self.first_event_at is None else self.last_progress_at - self.first_event_at
+    def extent(self) -> Extent:
+        """How far the answer of this run has got."""
+        first_at = self.first_event_at
+        return Extent(0 if first_at is None else self.last_progress_at - first_at, self.events)
 
     @property
     def is_broken(self) -> bool:
--- a/goldcreststair/components/quarantine/parts.py
+++ b/goldcreststair/components/quarantine/parts.py
@@ -28,11 +28,12 @@
 )
 from goldcreststair.core import Core
 from goldcreststair.helpers.crash_evidence import (
-    SOUND_MS,
     Answers,
     CrashEvidence,
     CrashReport,
+    Extent,
     Suspects,
+    Written,
     list_suspects,
 )
 from goldcreststair.helpers.crash_verdicts import (
@@ -125,7 +126,9 @@
         """Report a run that was lost with its upstream, and how long it had returned tokens; None if not at all."""
         if not suspects:
             return
-        if wrote_ms is not None and wrote_ms > SOUND_MS:
+        # Which of the other upstreams ran a part at that moment is not known here, so that a late crash
+        # would count against the parts that all long answers hold.
+        if wrote_ms is not None and Extent(wrote_ms).is_late:
             self.report_answer(suspects)
             return
         runs = "new" if wrote_ms is None else "begun"
@@ -134,7 +137,8 @@
 
     def report_answer(self, suspects: Suspects) -> None:
         """Report an answer that is whole or has gone on: nothing about its request crashes upstreams."""
-        clears = self._evidence.record_answer(suspects, ANY_SOFTWARE, self._clock.now())
+        written = Written(self._clock.now())
+        clears = self._evidence.record_answer(suspects, ANY_SOFTWARE, written)
         named = self._verdicts.list_named(suspects)
         if not clears and not named:
             return
--- a/goldcreststair/helpers/crash_evidence.py
+++ b/goldcreststair/helpers/crash_evidence.py
@@ -1,14 +1,14 @@
 """Finds what crashes upstreams: parts of prompts, or whole requests; no I/O.
 
-A part that crashes upstreams ends each one that begins to write an answer on it. Such a crash ends all other
-runs there as well, so single crashes say little: a part is to blame if several crashes have it in common, which
-chance does not explain, and no answer that was written meanwhile. One answer shows that a part is sound, however
-many crashes it was present at.
+A part that crashes upstreams ends each one that writes an answer on it, at the begin of the answer or at some
+place of it. Such a crash ends all other runs there as well, so single crashes say little: a part is to blame if
+several crashes have it in common, which chance does not explain, and no answer that was written meanwhile. An
+answer shows that a part is sound as far as it has got: one that is whole, however many crashes it was present at.
 """
 
 import math
 from collections import Counter, OrderedDict, defaultdict
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 from functools import lru_cache
 from hashlib import blake2b
@@ -26,20 +26,24 @@
 """A request that has what so many unexplained crashes have in common is refused, if its runs had not
 returned anything, and few upstreams ran it at those moments."""
 POINTS_TO_REFUSE: Final = 300
-"""A suspect is to blame if its crashes weigh so much: three of `POINTS`, or five of `BEGUN_POINTS`."""
+"""A suspect is to blame if its crashes weigh so much: three of `POINTS`, four of `LATE_POINTS`, or five of
+`BEGUN_POINTS`."""
 POINTS: Final = 100
 """Weight of a crash at which a rare suspect was present; less of one that more upstreams ran at that moment."""
 BEGUN_POINTS: Final = 60
 """The same if all runs with the suspect had returned something: they may be present at crashes of others."""
+LATE_POINTS: Final = 75
+"""The same if one of them had gone on for longer than `SOUND_MS`: chance comes to other places of the answer."""
 RARE_SHARE: Final = 0.1
 """Share of the upstreams up to which a suspect counts as rare: chance brings it to one crash of ten."""
 CRASHES_TO_SUSPECT: Final = 2
 ALL_CRASHES_TO_SUSPECT: Final = 3
+LATE_TO_SUSPECT: Final = 2 * LATE_POINTS
+"""Weight of late crashes from which requests with a suspect run one at a time, where few others run."""
 SIMULTANEOUS_MS: Final = 25
 """Upstreams that end within this time ended for one reason, such as the loss of a rack: they count once."""
 SOUND_MS: Final = 1_000
-"""An answer that has gone on for this long shows that its request does not crash upstreams, as a whole one
-does."""
+"""An answer that has gone on for so long after some place shows that its request does not crash upstreams there."""
 FRESH_MS: Final = 1_000
 """An answer that was written this long before a crash still speaks for its parts, at the same software version."""
 EVIDENCE_MS: Final = 10 * 60_000
@@ -50,7 +54,9 @@
 MAX_ANSWERS: Final = 8_192
 """Most parts whose last answers are known; the least recently used ones are forgotten."""
 MAX_SOFTWARE: Final = 4
-"""Most software versions of which the last answer on a part is known."""
+"""Most software versions of which the last answers on a part are known."""
+MAX_WRITTEN: Final = 4
+"""Most answers of one software version on a part that are kept, none of which says all that another one does."""
 MAX_PARTS: Final = 32
 """Most parts of one request that are looked at."""
 
@@ -71,8 +77,90 @@
     The last part belongs to the request alone, so that its fingerprint stands for it; an empty one is left
     out.
     """
-    shared = map(hash_part, list(prompt_parts)[:-1][:MAX_PARTS])
-    return frozenset((bytes.fromhex(fingerprint), *shared) if fingerprint else shared)
+    shared = hash_shared_parts(prompt_parts)
+    return shared | {bytes.fromhex(fingerprint)} if fingerprint else shared
+
+
+def hash_shared_parts(prompt_parts: Collection[str]) -> Suspects:
+    """Return the suspects that stand for the parts of a prompt which other requests may share."""
+    return frozenset(map(hash_part, list(prompt_parts)[:-1][:MAX_PARTS]))
+
+
+@dataclass(frozen=True, slots=True)
+class Extent:
+    """How far the answer of one run has got."""
+
+    wrote_ms: int = 0
+    """Time from its first to its last event."""
+    events: int = 0
+
+    @property
+    def is_late(self) -> bool:
+        """Whether a crash here came later than at the begin of the answer."""
+        return self.wrote_ms > SOUND_MS
+
+    def covers(self, other: "Extent") -> bool:
+        """Return whether this answer has got as far as another one."""
+        return self.wrote_ms >= other.wrote_ms and self.events >= other.events
+
+    def passes(self, crash: "Extent") -> bool:
+        """Return whether an answer has gone on so far beyond a place that nothing there crashes upstreams.
+
+        What does so may come at a time or at an event of the answer, and upstreams differ in their pace.
+        """
+        goes_on = self.wrote_ms > crash.wrote_ms + SOUND_MS
+        return goes_on and self.events * PASSING_EVENTS[1] >= crash.events * PASSING_EVENTS[0]
+
+    def extend(self, other: "Extent") -> "Extent":
+        """Return how far the longer of two answers has got."""
+        return Extent(max(self.wrote_ms, other.wrote_ms), max(self.events, other.events))
+
+    def end(self) -> "Extent":
+        """Return the extent of the rest of an answer, which ended here as a whole one does.
+
+        It speaks for its begin, and for all places that it has passed.
+        """
+        return Extent(max(self.wrote_ms, SOUND_MS) + SOUND_MS + 1, WHOLE.events)
+
+
+PASSING_EVENTS: Final = (5, 4)
+"""Ratio of the events of an answer that has passed a place: the last events before a crash may be lost."""
+BEGIN: Final = Extent()
+WHOLE: Final = Extent(2**31 - 1, 2**31 - 1)
+"""Extent of a whole answer."""
+PASSED_BY_WHOLE: Final = Extent(2**30, 2**30)
+"""A place that only whole answers have passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """An answer as it was when something of it was last written."""
+
+    at: Millis
+    extent: Extent = WHOLE
+
+    def clears(self, since: Millis, crash: Extent) -> bool:
+        """Return whether it speaks for a suspect of a crash; answers from `since` on do."""
+        return self.at >= since and self.extent.passes(crash)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestSuspects:
+    """What about one request may crash upstreams."""
+
+    every: Suspects
+    late: Suspects = frozenset()
+    """Those that may do so late in an answer: the request itself, as its parts do when an answer begins."""
+
+    def list_blamed(self, extent: Extent) -> Suspects:
+        """Return what may have caused a crash that ended an answer there."""
+        return self.late if extent.is_late else self.every
+
+    def list_answered(self, written: Written) -> tuple[tuple[Suspects, Written], ...]:
+        """Return what an answer speaks for, and how far."""
+        if not written.extent.is_late:
+            return ()
+        return (self.every - self.late, Written(written.at)), (self.late, written)
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,12 +174,14 @@
     suspects: Suspects
     """Suspects whose runs had not returned anything."""
     begun: Suspects = frozenset()
-    """Suspects all of whose runs had returned something."""
+    """Suspects all of whose runs had returned something, or one of them for longer than `SOUND_MS`."""
     age_ms: int = 0
     others: int = 0
     """Number of other upstreams of the service that the VM used at that moment."""
     elsewhere: Mapping[Suspect, int] = field(default_factory=dict)
     """At how many of these it ran a suspect; those at none are left out."""
+    extents: Mapping[Suspect, Extent] = field(default_factory=dict)
+    """How far the longest run of a suspect in `begun` had got."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +190,37 @@
 
     software: int
     ages_ms: Mapping[Suspect, int]
+    extents: Mapping[Suspect, Extent] = field(default_factory=dict)
+    """How far the answers have got that are not whole."""
+
+    def iterate(self, now: Millis) -> Iterator[tuple[Suspect, Written]]:
+        """Yield the suspects with their answers."""
+        for suspect, age_ms in self.ages_ms.items():
+            yield suspect, Written(Millis(now - age_ms), self.extents.get(suspect, WHOLE))
+
+
+def make_answers(software: int, written: Mapping[Suspect, Written], now: Millis) -> Answers:
+    """Return answers as they are announced."""
+    ages_ms = {suspect: now - each.at for suspect, each in written.items()}
+    extents = {s: each.extent for s, each in written.items() if each.extent != WHOLE}
+    return Answers(software, ages_ms, extents)
+
+
+@dataclass(slots=True)
+class _AnswerLog:
+    """The answers of one software version on a suspect that say most."""
+
+    entries: tuple[Written, ...] = ()
+    """In the order of their times; an earlier one has got further."""
+
+    def add(self, written: Written) -> None:
+        kept = [e for e in self.entries if e.at > written.at or not written.extent.covers(e.extent)]
+        if not any(e.at >= written.at and e.extent.covers(written.extent) for e in kept):
+            kept.append(written)
+        self.entries = tuple(sorted(kept, key=lambda each: each.at)[-MAX_WRITTEN:])
+
+    def clears(self, since: Millis, crash: Extent) -> bool:
+        return any(each.clears(since, crash) for each in self.entries)
 
 
 @dataclass(slots=True)
@@ -108,8 +229,10 @@
     known_at: Millis
     software: int
     suspects: set[Suspect] = field(default_factory=set)
-    begun: set[Suspect] = field(default_factory=set)
-    """Those suspects whose runs had all returned something."""
+    before_output: set[Suspect] = field(default_factory=set)
+    """Those of which a run had not returned anything."""
+    extents: dict[Suspect, Extent] = field(default_factory=dict)
+    """How far the longest run of a suspect had got; those at the begin are left out."""
     others: int = 0
     elsewhere: Mapping[Suspect, int] = field(default_factory=dict)
     """As in the report of the VM that used most upstreams."""
@@ -119,10 +242,27 @@
         """An answer that was written since this time clears its suspects."""
         return Millis(self.at - FRESH_MS)
 
+    def find_extent(self, suspect: Suspect) -> Extent:
+        """Return how far an answer must have passed to speak for a suspect."""
+        return self.extents.get(suspect, BEGIN)
+
+    def extend(self, extents: Mapping[Suspect, Extent]) -> bool:
+        """Take over how far runs had got; returns whether any had got further than was known."""
+        longer = {s: self.find_extent(s).extend(extent) for s, extent in extents.items()}
+        changed = any(extent != self.find_extent(suspect) for suspect, extent in longer.items())
+        self.extents.update(longer)
+        return changed
+
+    def is_before_output(self, suspect: Suspect) -> bool:
+        """Return whether the crash may have come before a run with a suspect returned anything."""
+        return suspect in self.before_output and not self.find_extent(suspect).is_late
+
     def weigh(self, suspect: Suspect) -> int:
         """Return how much this crash says against a suspect that was present."""
         share = self.elsewhere.get(suspect, 0) / self.others if self.others else 0.0
-        points = BEGUN_POINTS if suspect in self.begun else POINTS
+        points = POINTS if self.is_before_output(suspect) else BEGUN_POINTS
+        if self.find_extent(suspect).is_late:
+            points = LATE_POINTS
         return round(points * math.log(max(share, RARE_SHARE)) / math.log(RARE_SHARE))
 
 
@@ -133,9 +273,13 @@
     crashes: int = 0
     """All crashes, of one moment or not."""
     total: int = 0
+    early: int = 0
+    """Crashes at the begin of its answers."""
     before_output: int = 0
     """Crashes at which a run with the suspect had not returned anything."""
     points: int = 0
+    late_points: int = 0
+    """Weight of the crashes that came later in its answers."""
     _total_at: Millis = Millis(-SIMULTANEOUS_MS - 1)
     _before_output_at: Millis = Millis(-SIMULTANEOUS_MS - 1)
 
@@ -147,26 +291,29 @@
     @property
     def is_suspicious(self) -> bool:
         """Whether only one request with the suspect may run at a time."""
-        return self.before_output >= CRASHES_TO_SUSPECT or self.total >= ALL_CRASHES_TO_SUSPECT
+        is_often = self.early >= ALL_CRASHES_TO_SUSPECT or self.late_points >= LATE_TO_SUSPECT
+        return self.before_output >= CRASHES_TO_SUSPECT or is_often
 
     @property
     def rank(self) -> tuple[int, int, int]:
         """Order of suspects by how much speaks against them."""
         return self.points, self.total, self.crashes
 
-    def add(self, at: Millis, points: int, *, begun: bool) -> None:
+    def add(self, at: Millis, points: int, *, before_output: bool, late: bool) -> None:
         """Add a crash that weighs `points`; crashes are added in the order of their times."""
         self.crashes += 1
         if at - self._total_at > SIMULTANEOUS_MS:
             self.total += 1
+            self.early += not late
             self.points += points
+            self.late_points += points * late
             self._total_at = at
-        if not begun and at - self._before_output_at > SIMULTANEOUS_MS:
+        if before_output and at - self._before_output_at > SIMULTANEOUS_MS:
             self.before_output += 1
             self._before_output_at = at
 
 
-_ONE_CRASH: Final = CrashCount(crashes=1, total=1, before_output=1, points=POINTS)
+_ONE_CRASH: Final = CrashCount(crashes=1, total=1, early=1, before_output=1, points=POINTS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,9 +332,9 @@
         self._clock = clock
         self._is_served = is_served
         self._crashes: OrderedDict[bytes, _Crash] = OrderedDict()
-        self._answers: OrderedDict[Suspect, dict[int, Millis]] = OrderedDict()
-        """When an answer on a suspect was last written, by software."""
-        self._shared: dict[tuple[Suspect, int], Millis] = {}
+        self._answers: OrderedDict[Suspect, dict[int, _AnswerLog]] = OrderedDict()
+        """The last answers on a suspect, by software."""
+        self._shared: dict[tuple[Suspect, int], _AnswerLog] = {}
         """The same of the answers that a VM has announced."""
 
     @property
@@ -210,41 +357,42 @@
         new = [each for each in reported if each not in known.suspects]
         added = new[: MAX_SUSPECTS - len(known.suspects)]
         known.suspects.update(added)
-        known.begun.update(each for each in added if each in report.begun)
-        before_output = known.begun & report.suspects
-        known.begun -= before_output
-        return bool(added or before_output)
+        before_output = (report.suspects & known.suspects) - known.before_output
+        known.before_output |= before_output
+        extents = {s: e for s, e in report.extents.items() if s in known.suspects}
+        return known.extend(extents) or bool(added or before_output)
 
-    def record_answer(self, suspects: Suspects, software: int, wrote_at: Millis) -> bool:
-        """Record that an answer on these suspects was written; returns whether it clears one of a crash."""
+    def record_answer(self, suspects: Suspects, software: int, written: Written) -> bool:
+        """Record an answer on these suspects; returns whether it clears one of a crash."""
         clears = False
         for suspect in suspects:
             answers = self._answers.pop(suspect, {})
-            before = answers.pop(software, Millis(-1))
-            answers[software] = max(wrote_at, before)
-            if len(answers) > MAX_SOFTWARE:
-                del answers[next(iter(answers))]
-            self._answers[suspect] = answers
+            log = answers.pop(software, None) or _AnswerLog()
             clears = clears or any(
-                before < crash.cleared_since <= wrote_at
+                written.clears(crash.cleared_since, crash.find_extent(suspect))
+                and not log.clears(crash.cleared_since, crash.find_extent(suspect))
                 for crash in self._crashes.values()
                 if suspect in crash.suspects
             )
+            log.add(written)
+            answers[software] = log
+            if len(answers) > MAX_SOFTWARE:
+                del answers[next(iter(answers))]
+            self._answers[suspect] = answers
         while len(self._answers) > MAX_ANSWERS:
             self._answers.popitem(last=False)
         return clears
 
     def is_answered(self, suspects: Suspects, since: Millis) -> bool:
-        """Return whether answers of any software version on all of these suspects were written since a time."""
-        return all(self._find_answer(suspect, None) >= since for suspect in suspects)
+        """Return whether whole answers of any software version on all of these suspects were written since a time."""
+        return all(self._is_cleared(suspect, None, since, PASSED_BY_WHOLE) for suspect in suspects)
 
     def record_shared(self, answers: Answers) -> bool:
         """Record answers that another VM has announced; returns whether any clears a suspect of a crash."""
-        clears, now = False, self._clock.now()
-        for suspect, age_ms in answers.ages_ms.items():
-            key, wrote_at = (suspect, answers.software), Millis(now - age_ms)
-            clears |= self.record_answer(frozenset((suspect,)), answers.software, wrote_at)
-            self._shared[key] = max(wrote_at, self._shared.get(key, wrote_at))
+        clears = False
+        for suspect, written in answers.iterate(self._clock.now()):
+            clears |= self.record_answer(frozenset((suspect,)), answers.software, written)
+            self._shared.setdefault((suspect, answers.software), _AnswerLog()).add(written)
         return clears
 
     def list_untold(self, suspects: Suspects) -> list[Answers]:
@@ -252,29 +400,34 @@
 
         Answers that a VM has announced are left out; those returned count as announced from now on.
         """
-        untold: defaultdict[int, dict[Suspect, int]] = defaultdict(dict)
+        untold: defaultdict[int, dict[Suspect, Written]] = defaultdict(dict)
         present: Counter[Suspect] = Counter()
         for crash in self._crashes.values():
             present.update(crash.suspects & suspects)
-        now = self._clock.now()
         for crash in self._crashes.values():
             for suspect in crash.suspects & suspects:
                 if present[suspect] == 1:
                     continue
-                for software, wrote_at in self._answers.get(suspect, {}).items():
-                    shared_at = self._shared.get((suspect, software), Millis(-1))
-                    if shared_at < crash.cleared_since <= wrote_at:
-                        untold[software][suspect] = now - wrote_at
-        for software, ages in untold.items():
-            self._shared.update({(each, software): self._answers[each][software] for each in ages})
-        return [Answers(software, ages) for software, ages in untold.items()]
+                since, extent = crash.cleared_since, crash.find_extent(suspect)
+                for software, log in self._answers.get(suspect, {}).items():
+                    shared = self._shared.setdefault((suspect, software), _AnswerLog())
+                    telling = [each for each in log.entries if each.clears(since, extent)]
+                    if telling and not shared.clears(since, extent):
+                        shared.add(telling[-1])
+                        untold[software][suspect] = telling[-1]
+        now = self._clock.now()
+        return [make_answers(software, found, now) for software, found in untold.items()]
 
     def expire(self) -> None:
         """Forget crashes that are too old to count."""
         horizon = self._clock.now() - EVIDENCE_MS
         while self._crashes and next(iter(self._crashes.values())).at < horizon:
             self._crashes.popitem(last=False)
-        self._shared = {key: at for key, at in self._shared.items() if at >= horizon}
+        self._shared = {
+            key: log
+            for key, log in self._shared.items()
+            if log.entries and log.entries[-1].at >= horizon
+        }
 
     def find_culprits(self, explained: Collection[Suspects], settle_ms: int = 0) -> list[Culprit]:
         """Return what explains the crashes, that of most of them first.
@@ -354,8 +507,10 @@
         for name in sorted(left, key=lambda name: self._crashes[name].at):
             crash = self._crashes[name]
             for suspect in left[name] & frequent:
-                begun = suspect in crash.begun
-                counts[suspect].add(crash.at, crash.weigh(suspect), begun=begun)
+                before_output = crash.is_before_output(suspect)
+                late = crash.find_extent(suspect).is_late
+                points = crash.weigh(suspect)
+                counts[suspect].add(crash.at, points, before_output=before_output, late=late)
         return counts
 
     def _list_open(self, crash: _Crash, *, any_software: bool = False) -> Suspects:
@@ -365,11 +520,20 @@
         """
         since = crash.cleared_since
         software = None if any_software or not self._is_served(crash.software) else crash.software
-        return frozenset(s for s in crash.suspects if self._find_answer(s, software) < since)
-
-    def _find_answer(self, suspect: Suspect, software: int | None) -> int:
-        """Return when an answer on a suspect was last written, of any software version if that is None."""
+        return frozenset(
+            suspect
+            for suspect in crash.suspects
+            if not self._is_cleared(suspect, software, since, crash.find_extent(suspect))
+        )
+
+    def _is_cleared(
+        self, suspect: Suspect, software: int | None, since: Millis, crash: Extent
+    ) -> bool:
+        """Return whether an answer since a time has passed a place; `software` is None for any version."""
         answers = self._answers.get(suspect)
         if not answers:
-            return -1
-        return max(answers.values()) if software is None else answers.get(software, -1)
+            return False
+        if software is not None:
+            log = answers.get(software)
+            return log is not None and log.clears(since, crash)
+        return any(log.clears(since, crash) for log in answers.values())
--- a/goldcreststair/wire/gateway.thrift
+++ b/goldcreststair/wire/gateway.thrift
@@ -71,6 +71,9 @@
   /** Those of all suspects that it ran at some of these, and at how many. */
   7: optional binary elsewhere
   8: optional list<i32> elsewhere_counts
+  /** How far the longest run of each of `begun` had got: ms, and events. */
+  9: optional list<i32> begun_ms
+  10: optional list<i32> begun_events
 }
 
 /** Prompt parts and whole requests that were at several crashes, and that upstreams have answered. */
@@ -81,6 +84,9 @@
   2: required binary suspects
   /** Time since an answer on each of them was last written, ms. */
   3: required list<i32> ages_ms
+  /** How far these answers have got, ms and events; -1 for a whole one, left out if all are whole. */
+  4: optional list<i32> wrote_ms
+  5: optional list<i32> events
 }
 
 /** What a daemon says of itself to others, whole in each datagram. */
--- a/standins/run_engines.py
+++ b/standins/run_engines.py
@@ -113,6 +113,14 @@
     """Request id -> status of its answer; 200 for others."""
     poison: bytes = b""
     """Body that crashes each engine that runs it."""
+    poison_after_ms: int = 0
+    """Time from its first event in a run to the crash; 0 for a crash before that event."""
+    poison_at_event: int = 0
+    """Number of the event at which it crashes engines, whichever run it comes in; 0 for none."""
+    poison_arrivals: list[Millis] = field(default_factory=list)
+    """When requests with this body reached an engine."""
+    poison_crashes: list[Millis] = field(default_factory=list)
+    """When engines crashed under them."""
     crash_parts: dict[str, CrashManner] = field(default_factory=dict)
     """Prompt parts that crash each engine that begins an answer on them."""
     crash_events: int = 2
@@ -170,6 +178,8 @@
         if engine is None or not engine.up:
             return Err(UpstreamError("cannot connect", UpstreamFailure.CONNECT))
         self.deadlines.append(call.deadline_ms)
+        if self.poison and call.body == self.poison:
+            self.poison_arrivals.append(self.clock.now())
         part = self._find_crash_part(call)
         if part:
             vm = self.read_vm(call.request_id)
@@ -221,9 +231,9 @@
         load = UpstreamLoad(engine.running, engine.waiting, engine.slots, pace)
         cold_ms = max(0, engine.cold_until - self.clock.now())
         head = RunHead(status, (("Stamp", engine.name),), False, False, load, cold_ms)
-        if self.poison and call.body == self.poison:
-            self.crashes += 1
-            engine.up = False
+        is_late = self.poison_after_ms or self.poison_at_event
+        if self.poison and call.body == self.poison and not is_late:
+            self._crash_by_poison(engine)
         await self.clock.async_sleep(engine.scale(engine.first_ms))
         lost = await self._async_check(engine)
         if lost is not None:
@@ -240,9 +250,12 @@
     async def _async_send_events(
         self, engine: RunEngine, call: RunCall, sink: RunSink, head: RunHead
     ) -> Result[RunEnd, UpstreamError]:
+        began_at = self.clock.now()
         for number in range(
             call.resume_after + 1, self.events_by_request.get(call.request_id, self.events) + 1
         ):
+            if call.body == self.poison and engine.up and self._is_poison_due(number, began_at):
+                self._crash_by_poison(engine)
             lost = await self._async_check(engine)
             if lost is not None:
                 return Err(lost)
@@ -272,6 +285,18 @@
             await self.clock.async_sleep(engine.scale(engine.event_ms))
         return Ok(RunEnd(head, b"", ended_by_close=answer.ended_by_close))
 
+    def _is_poison_due(self, number: int, began_at: Millis) -> bool:
+        """Return whether an engine crashes before it sends an event of the poisonous request."""
+        after_ms, at_event = self.poison_after_ms, self.poison_at_event
+        is_late = bool(after_ms) and self.clock.now() - began_at >= after_ms
+        return bool(self.poison) and (is_late or (bool(at_event) and number >= at_event))
+
+    def _crash_by_poison(self, engine: RunEngine) -> None:
+        self.crashes += 1
+        self.poison_crashes.append(self.clock.now())
+        engine.up = False
+        self.on_crash(engine)
+
     def _choose_status(self, engine: RunEngine, call: RunCall) -> int:
         ran = len(engine.ran)
         if int(ran * engine.fail_share) > int((ran - 1) * engine.fail_share):
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -1,9 +1,11 @@
 """Which part of a prompt, or which request, is to blame for crashes."""
 
 from dataclasses import dataclass
+from typing import Final
 
 import pytest
 
+from goldcreststair.clock import Millis
 from goldcreststair.helpers.crash_evidence import (
     EVIDENCE_MS,
     FRESH_MS,
@@ -11,10 +13,15 @@
     MAX_CRASHES,
     MAX_PARTS,
     MAX_SUSPECTS,
+    SOUND_MS,
+    WHOLE,
     Answers,
     CrashEvidence,
     CrashReport,
+    Extent,
+    RequestSuspects,
     Suspects,
+    Written,
     hash_part,
     list_suspects,
 )
@@ -41,6 +48,8 @@
     begun: str = ""
     """Suspects whose runs had."""
     answered: str = ""
+    extent: Extent | None = None
+    """How far the answers had got: those that the crash ended, or that speak for their suspects."""
     software: int = V1
     common: str = ""
     """Suspects that ran at all other upstreams as well."""
@@ -57,15 +66,156 @@
             crash, suspects = f"c{number}".encode(), name(*event.crashed.split())
             elsewhere = dict.fromkeys(name(*event.common.split()), OTHERS)
             begun = name(*event.begun.split())
+            extents = dict.fromkeys(begun, event.extent) if event.extent else {}
             report = CrashReport(
-                crash, event.software, suspects, begun, others=OTHERS, elsewhere=elsewhere
+                crash,
+                event.software,
+                suspects,
+                begun,
+                others=OTHERS,
+                elsewhere=elsewhere,
+                extents=extents,
             )
             evidence.record_crash(report)
         if event.answered:
-            evidence.record_answer(name(*event.answered.split()), event.software, clock.now())
+            answered, written = (
+                name(*event.answered.split()),
+                Written(clock.now(), event.extent or WHOLE),
+            )
+            evidence.record_answer(answered, event.software, written)
     return [{each.decode().rstrip(".") for each in c.suspects} for c in evidence.find_culprits(())]
 
 
+def reach(seconds: float, events: int = 0) -> Extent:
+    """Return how far an answer of 33 events a second has got."""
+    return Extent(int(seconds * 1000), events or int(seconds * 33))
+
+
+PLACE: Final = reach(3)
+
+
+@pytest.mark.parametrize(
+    ("events", "culprits"),
+    [
+        pytest.param(
+            [At(5_000 * n, begun="x", extent=PLACE) for n in range(4)],
+            [{"x"}],
+            id="four crashes at one place of an answer",
+        ),
+        pytest.param(
+            [At(5_000 * n, begun="x", extent=PLACE) for n in range(3)],
+            [],
+            id="three may be chance",
+        ),
+        pytest.param(
+            [At(5_000 * n, begun="x", extent=reach(1 + 1.5 * n)) for n in range(4)],
+            [],
+            id="crashes by chance: later answers have passed the places of earlier ones",
+        ),
+        pytest.param(
+            [
+                *(At(5_000 * n, begun="x", extent=PLACE) for n in range(4)),
+                At(20_000, answered="x", extent=reach(3.5)),
+            ],
+            [{"x"}],
+            id="an answer that has just reached the place",
+        ),
+        pytest.param(
+            [
+                *(At(5_000 * n, begun="x", extent=PLACE) for n in range(4)),
+                At(20_000, answered="x", extent=reach(6, 90)),
+            ],
+            [{"x"}],
+            id="a slow answer that has not reached the event",
+        ),
+        pytest.param(
+            [
+                *(At(5_000 * n, begun="x", extent=PLACE) for n in range(4)),
+                At(20_000, answered="x", extent=reach(5)),
+            ],
+            [],
+            id="an answer that has passed the place",
+        ),
+        pytest.param(
+            [
+                *(At(5_000 * n, begun="x", extent=PLACE) for n in range(4)),
+                At(20_000, answered="x", extent=reach(0.5).end()),
+            ],
+            [{"x"}],
+            id="the rest of an answer, which does not hold the place",
+        ),
+        pytest.param(
+            [
+                *(At(5_000 * n, begun="x", extent=reach(0.5)) for n in range(5)),
+                At(25_000, answered="x", extent=reach(0.2).end()),
+            ],
+            [],
+            id="the rest of an answer after crashes at the begin",
+        ),
+        pytest.param(
+            [
+                *(At(5_000 * n, begun="x", extent=PLACE) for n in range(4)),
+                At(20_000, answered="x"),
+            ],
+            [],
+            id="a whole answer",
+        ),
+        pytest.param(
+            [
+                *(At(5_000 * n, begun="x", extent=PLACE) for n in range(3)),
+                At(15_000, answered="x"),
+                At(20_000, begun="x", extent=PLACE),
+            ],
+            [],
+            id="a whole answer between the crashes",
+        ),
+    ],
+)
+def test_a_crash_late_in_an_answer_is_cleared_by_answers_that_pass_it(
+    events: list[At], culprits: list[set[str]]
+) -> None:
+    """An answer in progress acquitted its request of crashes at places that it had not reached."""
+    assert replay(events) == culprits
+
+
+@pytest.mark.parametrize(
+    ("extent", "blamed", "answered"),
+    [
+        (reach(0.5), "request part", []),
+        (Extent(SOUND_MS, 30), "request part", []),
+        (reach(3), "request", [("part", WHOLE), ("request", reach(3))]),
+        (WHOLE, "request", [("part", WHOLE), ("request", WHOLE)]),
+    ],
+)
+def test_late_crashes_count_against_the_request_and_not_its_parts(
+    extent: Extent, blamed: str, answered: list[tuple[str, Extent]]
+) -> None:
+    """Parts that all long answers hold were present at each late crash, and were refused for chance."""
+    request = RequestSuspects(name("request", "part"), late=name("request"))
+    assert request.list_blamed(extent) == name(*blamed.split())
+    found = request.list_answered(Written(Millis(7), extent))
+    assert found == tuple((name(each), Written(Millis(7), reached)) for each, reached in answered)
+
+
+@pytest.mark.parametrize("order", [1, -1])
+def test_reports_of_several_vms_say_how_far_the_longest_run_had_got(order: int) -> None:
+    """One VM's short run beside another VM's long one let the long one speak against its own crash."""
+    clock = ManualClock()
+    clock.advance(10_000)
+    evidence = CrashEvidence(clock)
+    for number in range(4):
+        crash = f"c{number}".encode()
+        reports = [
+            CrashReport(crash, V1, frozenset(), name("x"), extents={b"x.......": extent})
+            for extent in (reach(0.2), PLACE)
+        ]
+        for report in reports[::order]:
+            evidence.record_crash(report)
+        evidence.record_answer(name("x"), V1, Written(clock.now(), PLACE))
+        clock.advance(5_000)
+    assert [culprit.suspects for culprit in evidence.find_culprits(())] == [name("x")]
+
+
 @pytest.mark.parametrize(
     ("events", "culprits"),
     [
@@ -161,7 +311,7 @@
     for number in range(3):
         evidence.record_crash(CrashReport(b"crash%d" % number, V1, name("a")))
         evidence._clock.advance(100)  # type: ignore[attr-defined]
-    evidence.record_answer(name("a"), V2, evidence._clock.now())
+    evidence.record_answer(name("a"), V2, Written(evidence._clock.now()))
     assert bool(evidence.find_culprits(())) is is_served
     assert evidence.count_crashes(()) == {}
 
@@ -198,7 +348,7 @@
     clock = ManualClock()
     clock.advance(10_000)
     knows, suspects = CrashEvidence(clock), CrashEvidence(clock)
-    knows.record_answer(name("a"), V1, clock.now())
+    knows.record_answer(name("a"), V1, Written(clock.now()))
     for crash in (b"first", b"second"):
         assert knows.list_untold(name("a")) == [] and set(knows.count_crashes(())) <= set(name("b"))
         for evidence in (knows, suspects):
@@ -227,7 +377,9 @@
     clock.advance(FRESH_MS)
     evidence = CrashEvidence(clock)
     for number in range(2 * MAX_ANSWERS):
-        evidence.record_answer(frozenset((b"%08d" % number, *name("used"))), V1, clock.now())
+        evidence.record_answer(
+            frozenset((b"%08d" % number, *name("used"))), V1, Written(clock.now())
+        )
     assert len(evidence._answers) == MAX_ANSWERS
     made_up = frozenset(b"%08d" % number for number in range(2 * MAX_SUSPECTS))
     for number in range(2 * MAX_CRASHES):
@@ -267,7 +419,7 @@
     assert verdicts.find(name("bad", "x")) and not verdicts.find(name("seen"))
     assert crash(5, "seen").added == (name("seen"),)
     assert verdicts.find(name("bad"))
-    evidence.record_answer(name("seen"), V1, clock.now())
+    evidence.record_answer(name("seen"), V1, Written(clock.now()))
     assert verdicts.update(0).released == (name("seen"),)
     assert verdicts.find(name("bad")) and not verdicts.find(name("seen"))
 
