Show that the other daemon refuses requests that crash engines late

The tests of a crashing request and of poison items now also crash engines after 1, 60 and 150 tokens of a run.

--- a/standins/engine/client.py
+++ b/standins/engine/client.py
@@ -203,7 +203,7 @@
             return UpstreamError("not accepting requests", UpstreamFailure.REFUSED, 503)
         if faults.fail_status:
             return convert_error_response(HttpResponse(faults.fail_status, HTTPHeaders(), b"{}"))
-        if faults.crash_marker and faults.crash_marker.encode() in call.body:
+        if _is_poison(engine, call) and not faults.crash_after_tokens:
             engine.crash()
             return UpstreamError("connection closed early", UpstreamFailure.LOST)
         if faults.cross_answers:
@@ -222,6 +222,10 @@
             silent = engine.faults.silent and not silent_at_start
             if silent and not await self._async_wait_while_silent(engine, call):
                 return Err(UpstreamError("no progress", UpstreamFailure.SILENT))
+            returned = index - call.resume_after - 1
+            if _is_poison(engine, call) and returned >= engine.faults.crash_after_tokens:
+                engine.crash()
+                return Err(UpstreamError("connection closed early", UpstreamFailure.LOST))
             if call.stream and index < generation.produced:
                 chunk = _make_chunk(request, index, engine.software)
                 index = chunk.last_index + 1
@@ -250,6 +254,11 @@
         return False
 
 
+def _is_poison(engine: EngineModel, call: GenerateCall) -> bool:
+    marker = engine.faults.crash_marker
+    return bool(marker) and marker.encode() in call.body
+
+
 def _make_chunk(request: ParsedRequest, first: int, software: str) -> StreamChunk:
     generation = request.generation
     last = generation.produced - 1
--- a/standins/engine/models.py
+++ b/standins/engine/models.py
@@ -51,6 +51,8 @@
     """Answer requests with this status, and without `X-Not-Run`; 0 for none."""
     crash_marker: str = ""
     """A request whose body holds this text crashes the engine."""
+    crash_after_tokens: int = 0
+    """Tokens that a run of such a request returns before the crash."""
     crash_delay_ms: int = 0
     """Time from the start of such a request to the crash."""
     silent: bool = False
--- a/tests/components/batch/test_failures.py
+++ b/tests/components/batch/test_failures.py
@@ -359,8 +359,9 @@
     run(story)
 
 
+@pytest.mark.parametrize("after_tokens", [0, 1, 60, 150])
 @pytest.mark.parametrize("poison", [1, 4])
-def test_poison_items_do_not_delay_the_rest(poison: int) -> None:
+def test_poison_items_do_not_delay_the_rest(poison: int, after_tokens: int) -> None:
     """Items that crash each engine that runs them delay or fail the rest of their job.
 
     They must be quarantined after at most 3 crashes each, and all other items must end as done.
@@ -369,12 +370,13 @@
     async def story(fleet: BatchFleet) -> None:
         for engine in fleet.engines.values():
             engine.faults.crash_marker = '"poison '
-        bad = make_lines(poison, tokens=40, word="poison")
+            engine.faults.crash_after_tokens = after_tokens
+        bad = make_lines(poison, tokens=400, word="poison")
         lines = make_lines(200, tokens=40)
         lines[20:20] = bad
         manifest = (await fleet.async_submit(lines)).unwrap()
         await fleet.async_wait(manifest.job, 240)
-        expected = {f"poison {number}|40": "quarantined" for number in range(poison)}
+        expected = {f"poison {number}|400": "quarantined" for number in range(poison)}
         counts = await fleet.async_check(manifest.job, expected)
         assert (counts["done"], counts["quarantined"]) == (200, poison)
         assert sum(engine.crashes for engine in fleet.engines.values()) <= 3 * poison
--- a/tests/components/online/test_admission.py
+++ b/tests/components/online/test_admission.py
@@ -91,7 +91,8 @@
     run_virtual(async_test())
 
 
-def test_crashing_request_is_quarantined_and_others_finish() -> None:
+@pytest.mark.parametrize("after_tokens", [0, 1, 60, 150])
+def test_crashing_request_is_quarantined_and_others_finish(after_tokens: int) -> None:
     """A request crashes each upstream that runs it, and its caller resends it to another VM.
 
     Requests that ran beside it must finish. It must be quarantined in the whole fleet, so that
@@ -106,13 +107,14 @@
         await other.async_setup(engines=3, shared_sets=shared)
         for engine in vm.upstreams.engines.values():
             engine.faults.crash_marker = "poison"
+            engine.faults.crash_after_tokens = after_tokens
         sinks = [RecordingSink() for _ in range(12)]
         unaffected = [
             asyncio.create_task(vm.async_generate(f"r{n}", sink, prompt=f"p{n}", max_tokens=100))
             for n, sink in enumerate(sinks)
         ]
         await asyncio.sleep(0.5)
-        poisoned = await vm.async_generate("bad", prompt="poison")
+        poisoned = await vm.async_generate("bad", prompt="poison", max_tokens=1_000)
         assert isinstance(poisoned, Err)
         assert poisoned.err_value.code is RefusalCode.QUARANTINED
         assert not poisoned.err_value.not_run
@@ -121,7 +123,7 @@
         assert all(sink.data.count(b"id: ") == 100 for sink in sinks)
         crashes = sum(engine.crashes for engine in vm.upstreams.engines.values())
         assert crashes <= 4
-        again = await other.async_generate("bad2", prompt="poison")
+        again = await other.async_generate("bad2", prompt="poison", max_tokens=1_000)
         assert isinstance(again, Err) and again.err_value.code is RefusalCode.QUARANTINED
         assert again.err_value.not_run
         assert sum(engine.crashes for engine in vm.upstreams.engines.values()) == crashes
