Take no answer for whole that ends before its request is delivered

Cause: an answer without a length ends with its connection, and its end was taken for a whole one whatever had become of the request. A reset behind the end isn't reported to the reader any more, and empties the send queue.

Fix: at the end of such an answer the daemon asks the socket. Bytes of the request that are not sent or not acknowledged, or an error of the socket, mean that the answer is broken off. Behind a request of more than 16 KB, which the engine's kernel may hold unread, a reset is waited for 100 ms. An engine that answers early, reads on and closes still answers. Answers with a length count as before, and their connections are not used again once they are closed. The exchange of the project's own daemon does the same on a duplicate of its socket, as a service's answer that a reset cut was whole there. A refusal with `Not-Run`, or with 421, needs no whole body: a refused upload is no run.

What cannot be known: an engine that closes its sending side, keeps a request unread that fits into its kernel's buffer (200 KB here) and resets later than 100 ms behind.

--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -19,6 +19,7 @@
 from tornado.iostream import StreamClosedError
 
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.delivery import LONG_REQUEST_BYTES, RESET_WAIT_MS, find_send_failure
 from goldcreststair.http_exchange import (
     READ_BYTES,
     Exchange,
@@ -210,12 +211,16 @@
             response = HttpResponse(self._status, self._headers, body, self._ended_by_close)
             self.done.set_result(Ok(response))
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the response has neither a length nor chunks."""
+        framing = ("Content-Length", "Transfer-Encoding")
+        has_head = self._has_head and not self._foreign
+        return has_head and not any(name in self._headers for name in framing)
+
     def end(self, error: BaseException | None) -> None:
-        """Handle the end of the connection, which ends a response without a length unless by a reset."""
-        has_no_length = not (
-            "Content-Length" in self._headers or "Transfer-Encoding" in self._headers
-        )
-        if self._has_head and not self._foreign and has_no_length and error is None:
+        """Handle the end of the connection; `error` says why a response that ends with it is not whole."""
+        if self.ends_with_connection and error is None:
             self.complete = self._ended_by_close = True
             self.finish()
         else:
@@ -246,6 +251,10 @@
         self._unusable = False
         """Whether the connection was closed or received bytes that belong to no request."""
         self._delivery: asyncio.Task[None] | None = None
+        self._request_bytes = 0
+        """Length of the request that was sent last."""
+        self._confirmation: asyncio.TimerHandle | None = None
+        """Confirms the end of a response once no reset has followed it."""
         self._send_timeout = SendTimeout(sock)
 
     @property
@@ -313,15 +322,39 @@
             self.transport.resume_reading()
 
     def eof_received(self) -> bool:
-        """Handle the end of the server's side of the connection."""
-        self._end(None)
-        return False
+        """Handle the end of the server's side of the connection; returns whether it stays open for a while."""
+        reader = self._reader
+        if reader is None or reader.complete or not reader.ends_with_connection:
+            self._end(None)
+            return False
+        failure = self._find_send_failure()
+        if failure is not None or self._request_bytes < LONG_REQUEST_BYTES:
+            self._end(failure)
+            return False
+        self._unusable = True
+        loop = asyncio.get_running_loop()
+        self._confirmation = loop.call_later(RESET_WAIT_MS / MS_PER_SECOND, self._confirm_end)
+        return True
+
+    def _confirm_end(self) -> None:
+        self._end(self._find_send_failure())
+
+    def _find_send_failure(self) -> OSError | None:
+        if self.transport.get_write_buffer_size():
+            return ConnectionError("ended before the request was sent")
+        return find_send_failure(self._socket)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Handle the end of the connection."""
         self._send_timeout.close()
+        self._cancel_confirmation()
         self._end(error)
 
+    def _cancel_confirmation(self) -> None:
+        if self._confirmation is not None:
+            self._confirmation.cancel()
+            self._confirmation = None
+
     def _end(self, error: BaseException | None) -> None:
         self._unusable = True
         if self._reader is not None and not self._reader.complete:
@@ -352,6 +385,7 @@
         """Close at once; unsent bytes are dropped."""
         self._unusable = True
         self._send_timeout.close()
+        self._cancel_confirmation()
         if self._delivery is not None:
             self._delivery.cancel()
         if self._transport is not None:
@@ -367,6 +401,7 @@
         reader = self._reader = _ResponseReader(exchange, hooks)
         try:
             request = _encode(exchange)
+            self._request_bytes = len(request)
             self.transport.write(request)
             self._send_timeout.begin(len(request))
             outcome = await reader.done
--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -26,6 +26,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.delivery import LONG_REQUEST_BYTES, RESET_WAIT_MS, find_send_failure
 from goldcreststair.errors import GoldcreststairError
 
 DEFAULT_CONNECT_TIMEOUT_MS: Final = 1000
@@ -99,6 +100,8 @@
 
 class _ResponseReader(HTTPMessageDelegate):
     def __init__(self, on_head: OnHead | None, on_data: OnData | None) -> None:
+        self.on_unframed: Callable[[], None] = lambda: None
+        """Called with a head without a length or chunks."""
         self.status = 0
         self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
@@ -116,6 +119,8 @@
         self.progress += 1
         self.status = start_line.code
         self.headers = headers
+        if "Content-Length" not in headers and "Transfer-Encoding" not in headers:
+            self.on_unframed()
         if self._on_head is not None:
             self._on_head(self.status, headers)
 
@@ -139,6 +144,42 @@
             self.progress += 1
 
 
+class _DeliveryWatch:
+    """Tells whether a request was delivered whose response ends with its connection.
+
+    The stream closes its descriptor with the end of the response; a duplicate keeps the socket.
+    """
+
+    def __init__(self, stream: IOStream) -> None:
+        self._stream = stream
+        self._socket: socket.socket | None = None
+
+    def __enter__(self) -> _DeliveryWatch:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self._socket is not None:
+            self._socket.close()
+
+    def begin(self) -> None:
+        """Keep the socket beyond the end of the stream."""
+        self._socket = self._stream.socket.dup()
+
+    async def async_find_failure(
+        self, written: asyncio.Future[None], size: int
+    ) -> BaseException | None:
+        """Return why the response is not known to be whole; `written` is the write of `size` bytes."""
+        if self._socket is None:
+            return None
+        if not written.done() or written.exception() is not None:
+            return ConnectionError("ended before the request was sent")
+        failure = self._stream.error or find_send_failure(self._socket)
+        if failure is None and size >= LONG_REQUEST_BYTES:
+            await asyncio.sleep(RESET_WAIT_MS / MS_PER_SECOND)
+            failure = find_send_failure(self._socket)
+        return failure
+
+
 async def async_exchange(
     exchange: Exchange, on_head: OnHead | None = None, on_data: OnData | None = None
 ) -> Result[HttpResponse, ExchangeError]:
@@ -191,17 +232,22 @@
     headers["Connection"] = "close"
     headers["Content-Length"] = str(len(exchange.body))
     start_line = RequestStartLine(exchange.method, exchange.path, "HTTP/1.1")
-    try:
-        connection.write_headers(start_line, headers, exchange.body)
-        connection.finish()
-        reading = asyncio.ensure_future(connection.read_response(reader))
-        idle = await _async_wait(reading, reader, exchange.idle_timeout_ms)
-    except (StreamClosedError, HTTPInputError, OSError) as error:
-        return Err(ExchangeError(f"response broken: {error!r}", ExchangeFailure.BROKEN))
-    if idle:
-        return Err(ExchangeError("no progress", ExchangeFailure.IDLE))
-    if not reader.complete:
-        return Err(ExchangeError("connection closed early", ExchangeFailure.BROKEN))
+    with _DeliveryWatch(stream) as watch:
+        reader.on_unframed = watch.begin
+        try:
+            written = connection.write_headers(start_line, headers, exchange.body)
+            connection.finish()
+            reading = asyncio.ensure_future(connection.read_response(reader))
+            idle = await _async_wait(reading, reader, exchange.idle_timeout_ms)
+        except (StreamClosedError, HTTPInputError, OSError) as error:
+            return Err(ExchangeError(f"response broken: {error!r}", ExchangeFailure.BROKEN))
+        if idle:
+            return Err(ExchangeError("no progress", ExchangeFailure.IDLE))
+        if not reader.complete:
+            return Err(ExchangeError("connection closed early", ExchangeFailure.BROKEN))
+        failure = await watch.async_find_failure(written, len(exchange.body))
+    if failure is not None:
+        return Err(ExchangeError(f"response broken: {failure!r}", ExchangeFailure.BROKEN))
     return Ok(HttpResponse(reader.status, reader.headers, b"".join(reader.chunks)))
 
 
--- a/goldcreststair/send_timeout.py
+++ b/goldcreststair/send_timeout.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import socket
 import struct
-import termios
 from dataclasses import dataclass
 from typing import Final
 
 from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.delivery import count_queued
 
 USER_TIMEOUT_MS: Final = 2000
 """Time after which unacknowledged bytes end a connection: a path that drops packets sends no reset."""
@@ -69,7 +68,7 @@
 
     def is_delivered(self) -> bool:
         """Return whether the kernel of the peer has everything that the kernel took over here."""
-        return self._timer is None or not _count_queued(self._socket)
+        return self._timer is None or not count_queued(self._socket)
 
     def close(self) -> None:
         """Stop watching."""
@@ -94,13 +93,7 @@
         set_user_timeout(self._socket, timeout_ms)
 
 
-def _count_queued(sock: socket.socket) -> int:
-    """Return the number of bytes in a socket's send queue; raises `OSError`."""
-    queued = fcntl.ioctl(sock, termios.TIOCOUTQ, struct.pack("i", 0))
-    return int(struct.unpack("i", queued)[0])
-
-
 def _read_state(sock: socket.socket) -> SendState:
     """Read the state of a TCP socket; raises `OSError`."""
     info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _IN_FLIGHT_OFFSET + 4)
-    return SendState(_count_queued(sock), int(struct.unpack_from("I", info, _IN_FLIGHT_OFFSET)[0]))
+    return SendState(count_queued(sock), int(struct.unpack_from("I", info, _IN_FLIGHT_OFFSET)[0]))
--- a/goldcreststair/upstreams/dialect.py
+++ b/goldcreststair/upstreams/dialect.py
@@ -59,6 +59,11 @@
     load_text: str = ""
     """The beginning of the header that reports the load, as sent; empty if there was none."""
 
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the upstream certainly has not run the request and will not run it."""
+        return self.misdirected or self.not_run
+
 
 class UpstreamDialect(Protocol):
     """Translates between runs and HTTP headers."""
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -137,14 +137,15 @@
             is_rejected=lambda: sink.is_broken,
         )
         outcome = await self.pool.async_exchange(exchange, hooks)
+        # The head of a refusal says all of it, whatever becomes of its body.
+        if head is not None and head.is_refusal:
+            message = "the address belongs to another upstream" if head.misdirected else "not run"
+            refused = UpstreamFailure.REFUSED
+            return Err(UpstreamError(message, refused, head.status, misdirected=head.misdirected))
         if isinstance(outcome, Err):
             return Err(_convert_error(outcome.err_value))
         if head is None:
             return Err(UpstreamError("answer has no head", UpstreamFailure.LOST))
-        if head.misdirected or head.not_run:
-            message = "the address belongs to another upstream" if head.misdirected else "not run"
-            refused = UpstreamFailure.REFUSED
-            return Err(UpstreamError(message, refused, head.status, misdirected=head.misdirected))
         return Ok(RunEnd(head, outcome.ok_value.body, outcome.ok_value.ended_by_close))
 
 
