Take no answer with a status that HTTP does not define

Cause: any number was a status. On the same path: a success with `Not-Run` was taken for the promise that the request has not run, after its text had reached the caller; a service's 200 with `X-Not-Run` let a booking run once more.

Fix: a head with a status outside 100 to 599 breaks its answer off at once, in both HTTP clients. A success that says that it has not run is neither: nothing of it is passed on, and the run may have happened.

--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -21,6 +21,8 @@
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.delivery import LONG_REQUEST_BYTES, RESET_WAIT_MS, find_send_failure
 from goldcreststair.http_exchange import (
+    FIRST_STATUS,
+    LAST_STATUS,
     READ_BYTES,
     Exchange,
     ExchangeError,
@@ -119,6 +121,9 @@
         status = self.parser.get_status_code()
         if self.complete:
             return
+        if not FIRST_STATUS <= status <= LAST_STATUS:
+            self.fail(f"{status} is no status", ExchangeFailure.BROKEN)
+            return
         if status < STATUS_OK:
             self._informational_count += 1
             if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
@@ -133,6 +138,7 @@
         self._end_overhead()
         if self._hooks.on_head is not None:
             self._hooks.on_head(status, self._headers)
+        self.check_rejected()
 
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body."""
@@ -145,11 +151,11 @@
                 self.fail("response to another request too long", ExchangeFailure.MALFORMED)
             return
         self._end_overhead()
+        if self.done.done():
+            return
         if self._hooks.on_data is not None and self._status == STATUS_OK:
             self._pending.append(chunk)
             return
-        if self.done.done():
-            return
         self._body += chunk
         limit = self._max_bytes
         if self._status >= FIRST_ERROR_STATUS:
--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -32,6 +32,9 @@
 DEFAULT_CONNECT_TIMEOUT_MS: Final = 1000
 MAX_RESPONSE_BYTES: Final = 256 * 1024 * 1024
 READ_BYTES: Final = 64 * 1024
+FIRST_STATUS: Final = 100
+LAST_STATUS: Final = 599
+"""HTTP defines no class of statuses beyond these."""
 MAX_UNREAD_BYTES: Final = 1024 * 1024
 """Most bytes that wait in this process to be parsed; a head or a chunk size is far shorter."""
 
@@ -248,6 +251,8 @@
         failure = await watch.async_find_failure(written, len(exchange.body))
     if failure is not None:
         return Err(ExchangeError(f"response broken: {failure!r}", ExchangeFailure.BROKEN))
+    if not FIRST_STATUS <= reader.status <= LAST_STATUS:
+        return Err(ExchangeError(f"{reader.status} is no status", ExchangeFailure.BROKEN))
     return Ok(HttpResponse(reader.status, reader.headers, b"".join(reader.chunks)))
 
 
--- a/goldcreststair/upstreams/dialect.py
+++ b/goldcreststair/upstreams/dialect.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Final, Protocol
 
 Headers = tuple[tuple[str, str], ...]
+FIRST_ERROR_STATUS: Final = 400
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +63,12 @@
     @property
     def is_refusal(self) -> bool:
         """Whether the upstream certainly has not run the request and will not run it."""
-        return self.misdirected or self.not_run
+        return self.misdirected or (self.not_run and self.status >= FIRST_ERROR_STATUS)
+
+    @property
+    def is_contradictory(self) -> bool:
+        """Whether it answers with a success, and says that it has not run the request."""
+        return self.not_run and not self.is_refusal
 
 
 class UpstreamDialect(Protocol):
--- a/goldcreststair/upstreams/http_service.py
+++ b/goldcreststair/upstreams/http_service.py
@@ -4,6 +4,7 @@
 
 from goldcreststair.const import HEADER_REQUEST_ID
 from goldcreststair.http_exchange import Exchange, async_exchange
+from goldcreststair.upstreams.dialect import FIRST_ERROR_STATUS
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.http_engine import (
     HEADER_NOT_RUN,
@@ -33,6 +34,9 @@
             return Err(convert_exchange_error(outcome.err_value))
         response = outcome.ok_value
         if response.headers.get(HEADER_NOT_RUN) == "true":
+            if response.status < FIRST_ERROR_STATUS:
+                message = "a success that says it has not run"
+                return Err(UpstreamError(message, UpstreamFailure.INCOMPLETE))
             return Err(convert_error_response(response))
         echoed = response.headers.get(HEADER_REQUEST_ID, call.request_id)
         if echoed != call.request_id:
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -115,7 +115,11 @@
         def on_head(status: int, headers: HTTPHeaders) -> None:
             nonlocal head
             head = dialect.decode_head(status, headers)
-            sink.on_head(head)
+            if not head.is_contradictory:
+                sink.on_head(head)
+
+        def is_rejected() -> bool:
+            return sink.is_broken or (head is not None and head.is_contradictory)
 
         exchange = Exchange(
             address=address,
@@ -134,7 +138,7 @@
             on_head,
             on_data,
             lambda found: dialect.matches_run(call, found),
-            is_rejected=lambda: sink.is_broken,
+            is_rejected=is_rejected,
         )
         outcome = await self.pool.async_exchange(exchange, hooks)
         # The head of a refusal says all of it, whatever becomes of its body.
