Bound the text of an item whose answer never ends

What callers saw: a job's items never got a result, and the daemon was killed for its memory.

Cause: an engine that sends one whole event after the other, each of them the next of its answer, never ends an item, and the item kept all of it. A stream passes its events on; a call has had a limit of 16 MB; an item had none. A text that is longer than one transaction of the store holds could not have been committed either.

Change: a run that takes an item's text above what one transaction holds, 600 KB, is broken off, reported as a failure of its upstream, and the item starts over at another one.

--- a/goldcreststair/components/jobs/const.py
+++ b/goldcreststair/components/jobs/const.py
@@ -14,6 +14,8 @@
 MAX_COMMIT_ENTRIES: Final = 80
 """Rows written in one transaction; the store accepts 100, of 1 MB in total."""
 MAX_COMMIT_BYTES: Final = 600_000
+MAX_TEXT_BYTES: Final = MAX_COMMIT_BYTES
+"""Longest text of an item, which one transaction has to hold; a run that sends more is broken off."""
 
 TICK_MS: Final = 20
 """Interval of the search for free slots. A start becomes visible to other daemons with the next
--- a/goldcreststair/components/jobs/execution.py
+++ b/goldcreststair/components/jobs/execution.py
@@ -414,6 +414,10 @@
         item.silent_runs = count_silent_runs(end, item.silent_runs)
         if verdict.verdict is Verdict.AGAIN:
             self._report_failure(run, end)
+            if run.sink is not None and run.sink.is_oversized:
+                # What the item has is not the beginning of an answer that may end.
+                self._record_start_over(job, item, "its text is longer than a result may be")
+                item.start_over()
             pause_ms = choose_backoff_ms(item.lost_runs + item.failures)
             item.not_before = Millis(self._clock.now() + pause_ms)
             item.state = ItemState.WAITING
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -9,6 +9,7 @@
 from goldcreststair.components.jobs.const import (
     EVENT_TIMEOUT_MS,
     FIRST_EVENT_TIMEOUT_MS,
+    MAX_TEXT_BYTES,
     MAX_TIMEOUT_DOUBLINGS,
 )
 from goldcreststair.components.jobs.registry import ItemProgress
@@ -43,6 +44,7 @@
         self._report_head = report_head
         self._report_data = report_data
         self._sequence = EventSequence(item.last_event)
+        self._text_bytes = sum(map(len, item.data))
         self._closed = False
 
     def close(self) -> None:
@@ -68,7 +70,12 @@
     @property
     def is_broken(self) -> bool:
         """Whether nothing that follows in this run can continue the item's text."""
-        return self._sequence.is_broken
+        return self._sequence.is_broken or self.is_oversized
+
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the item's text is longer than a result may be."""
+        return self._text_bytes > MAX_TEXT_BYTES
 
     def classify(self, end: RunEnd) -> AnswerState:
         """Return whether the answer with which the run ended is whole."""
@@ -87,6 +94,7 @@
         for event in self._sequence.feed(chunk):
             self._item.last_event = event.number
             self._item.data.append(event.data)
+            self._text_bytes += len(event.data)
         if self.events == before:
             return
         # Bytes that complete no event may go on without end.
--- a/tests/platform_adapter/endless_engine.py
+++ b/tests/platform_adapter/endless_engine.py
@@ -1,6 +1,7 @@
 """An engine that sends bytes that are no answer until its connection is closed."""
 
 import asyncio
+import itertools
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 """Time between two pieces; 0 for full speed."""
 FAST_BYTES: Final = 64 * 1024
 SLOW_BYTES: Final = 16
+NUMBERED_EVENTS: Final = 16
 LIMIT_S: Final = 20.0
 """The engine stops by itself after this time."""
 
@@ -41,6 +43,8 @@
     """Whole events that all have the same number."""
     AFTERWARDS = "afterwards"
     """Behind a whole answer."""
+    NUMBERED = "numbered"
+    """Whole events, each of which continues the answer."""
 
 
 @dataclass(slots=True)
@@ -89,10 +93,10 @@
     ) -> None:
         opening, make_piece = make_endless_answer(answer.manner, answer.request, self.events)
         size = SLOW_BYTES if pause_s else FAST_BYTES
-        piece = make_piece(size)
         try:
             writer.write(opening)
             while time.monotonic() - answer.began_at < LIMIT_S:
+                piece = make_piece(size)
                 writer.write(piece)
                 answer.sent += len(piece)
                 await writer.drain()
@@ -137,5 +141,13 @@
         Endless.COMMENTS: b": x\n\n",
         Endless.EVENTS: make_event(1),
     }
+    numbers = itertools.count(1)
+
+    def make_numbered(size: int) -> bytes:
+        padding = size // NUMBERED_EVENTS
+        return b"".join(make_event(next(numbers), padding) for _ in range(NUMBERED_EVENTS))
+
+    if manner is Endless.NUMBERED:
+        return plain, make_numbered
     unit = units.get(manner, b"x")
     return openings[manner], lambda size: unit * max(1, size // len(unit))
--- a/tests/platform_adapter/test_endless_bytes.py
+++ b/tests/platform_adapter/test_endless_bytes.py
@@ -96,7 +96,12 @@
             await engine.async_start()
             register(self.store, engine)
         plan = DaemonPlan(
-            ADDRESS, find_port(), find_port(), find_port(), self.store.address, (ADDRESS,)
+            ADDRESS,
+            find_port(),
+            find_port(),
+            find_port(),
+            self.store.address,
+            (ADDRESS,),
         )
         front = Proxy("front", plan.front)
         await front.async_start()
@@ -128,11 +133,34 @@
         assert self.daemon is not None
         return self.daemon.read_peak_mb()
 
+    async def async_submit(self, job: str, items: list[dict[str, Any]]) -> HttpAnswer:
+        """Submit a batch job."""
+        host, _, port = self.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = orjson.dumps({"requests": items})
+        writer.write(make_request("POST", "/batch/x", body, {"Request-Id": job}))
+        try:
+            return await async_read_answer(reader)
+        finally:
+            writer.close()
+
+    async def async_read_job(self, job: str) -> dict[str, str]:
+        """Return the texts of the items that are done."""
+        host, _, port = self.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(make_request("GET", f"/-/lots/{job}?after=0"))
+        try:
+            page = (await async_read_answer(reader)).read_json()
+        finally:
+            writer.close()
+        return {each["id"]: each["text"] for each in page.get("results", ())}
+
 
 def list_cases() -> list[tuple[str, Endless]]:
     """Return the routes, each with the manners that it can recognise."""
-    stream = [("/stream/x", each) for each in Endless if each is not Endless.BODY]
-    calls = [("/call/x", each) for each in Endless if each not in STREAMED]
+    known = [each for each in Endless if each is not Endless.NUMBERED]
+    stream = [("/stream/x", each) for each in known if each is not Endless.BODY]
+    calls = [("/call/x", each) for each in known if each not in STREAMED]
     return [*stream, *calls]
 
 
@@ -197,8 +225,41 @@
     assert asyncio.run(scenario()) == []
 
 
+ITEMS: Final = 12
+ITEMS_S: Final = 30.0
+
+
+def test_items_whose_answers_never_end_are_done_elsewhere(tmp_path: Path) -> None:
+    """A daemon kept all that an engine sent for an item, event after event, until it ran out of memory."""
+
+    async def scenario() -> float:
+        async with Site(tmp_path) as site:
+            items = [
+                {
+                    "id": f"item-{number}",
+                    "path": "/batch/x",
+                    "headers": {MANNER_HEADER: Endless.NUMBERED},
+                    "body": "",
+                    "tokens": 50,
+                }
+                for number in range(ITEMS)
+            ]
+            assert (await site.async_submit("j", items)).status == 202
+            ends_at, texts = time.monotonic() + ITEMS_S, dict[str, str]()
+            while len(texts) < ITEMS and time.monotonic() < ends_at:
+                await asyncio.sleep(0.2)
+                texts = await site.async_read_job("j")
+            print(f"{len(texts)} items done, peak {site.read_peak_mb():.1f} MB")
+            assert texts == {f"item-{number}": "word1\nword2\nword3" for number in range(ITEMS)}
+            assert len(site.engines[0].seen_requests) == ITEMS
+            return site.read_peak_mb()
+
+    assert asyncio.run(scenario()) < MOST_PEAK_MB
+
+
 @pytest.mark.parametrize(
-    "manner", [each for each in Endless if each not in (*STREAMED, Endless.FOREIGN)]
+    "manner",
+    [each for each in Endless if each not in (*STREAMED, Endless.FOREIGN, Endless.NUMBERED)],
 )
 @pytest.mark.parametrize("pause_ms", ["0", SLOW_MS], ids=["full speed", "slowly"])
 def test_a_response_without_end_ends_by_itself(manner: Endless, pause_ms: str) -> None:
