Bound parts of events for all runs together

What callers saw: nothing yet; a daemon near its memory limit could be killed, with all the requests it served.

Cause: an event may have 256 KB before its run is broken off, and each run had this limit for itself. Upstreams that send most of an event and then nothing cost a daemon 256 KB for each of its runs, and the parts stayed referenced by the failed runs until the next garbage collection.

Change: what a run holds of an incomplete event counts towards the limit of the connection pool, like the bodies of answers that are not streamed; the run that holds the most is broken off. The limit follows the memory of the process. A run that ended frees what it held.

--- a/goldcreststair/components/forwarding/relay.py
+++ b/goldcreststair/components/forwarding/relay.py
@@ -91,6 +91,15 @@
         """Whether nothing that follows in the current run can continue the answer."""
         return self._events.is_broken
 
+    @property
+    def held_bytes(self) -> int:
+        """Length of what has arrived of the next event."""
+        return self._events.held_bytes
+
+    def drop_partial_event(self) -> None:
+        """Drop what has arrived of the next event, as the run ends here."""
+        self._events.drop_partial_event()
+
     def classify(self, end: RunEnd) -> AnswerState:
         """Return whether the answer with which the current run ended is whole."""
         events = self._events if self.wants_chunks else None
--- a/goldcreststair/components/jobs/runner.py
+++ b/goldcreststair/components/jobs/runner.py
@@ -77,6 +77,15 @@
         """Whether the item's text is longer than a result may be."""
         return self._text_bytes > MAX_TEXT_BYTES
 
+    @property
+    def held_bytes(self) -> int:
+        """Length of the text so far, and of an event that is not complete."""
+        return self._text_bytes + self._sequence.held_bytes
+
+    def drop_partial_event(self) -> None:
+        """Drop what has arrived of the next event, as the run ends here."""
+        self._sequence.drop_partial_event()
+
     def classify(self, end: RunEnd) -> AnswerState:
         """Return whether the answer with which the run ended is whole."""
         return classify_answer(end, self._sequence)
--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -41,6 +41,8 @@
 MAX_FAILURE_BYTES: Final = 1024 * 1024
 """Longest body of a response that reports a failure."""
 FIRST_ERROR_STATUS: Final = 400
+MIN_HELD_BYTES: Final = 16 * 1024
+"""Fewest bytes of an incomplete event that count towards the pool's limit."""
 MAX_FOREIGN_BYTES: Final = 1024 * 1024
 """Most bytes in the bodies of such responses."""
 MAX_OVERHEAD_BYTES: Final = 64 * 1024
@@ -67,6 +69,8 @@
     """Called when the whole response has arrived, before its last bytes are delivered."""
     is_rejected: Callable[[], bool] | None = None
     """Returns whether `on_data` can use nothing that follows, so that the response need not be read to its end."""
+    read_held: Callable[[], int] | None = None
+    """Returns the number of bytes that `on_data` holds, as more must follow."""
     on_buffered: Callable[[int], None] | None = None
     """Called with the number of body bytes that the response holds now."""
 
@@ -95,6 +99,8 @@
         """The body so far, unless `on_data` receives it."""
         self._pending: list[bytes] = []
         """Chunks of the body that `on_data` has not received yet."""
+        self._held = 0
+        """Bytes that `on_data` held after the last chunk."""
         self._ended_by_close = False
         self._informational_count = 0
         self._overhead = 0
@@ -203,7 +209,18 @@
         if not self._pending or self._hooks.on_data is None:
             return None
         data, self._pending = b"".join(self._pending), []
-        return self._hooks.on_data(data)
+        delivery = self._hooks.on_data(data)
+        self._report_held()
+        return delivery
+
+    def _report_held(self) -> None:
+        if self._hooks.read_held is None or self._hooks.on_buffered is None:
+            return
+        held = self._hooks.read_held()
+        # Almost every chunk ends with an event, and little is held of it.
+        if held >= MIN_HELD_BYTES or self._held >= MIN_HELD_BYTES:
+            self._hooks.on_buffered(held)
+        self._held = held
 
     def check_rejected(self) -> None:
         """Fail if the requester can use nothing that follows."""
--- a/goldcreststair/upstreams/answers.py
+++ b/goldcreststair/upstreams/answers.py
@@ -46,6 +46,15 @@
         """Whether nothing that follows in this run can continue the answer."""
         return self._has_gap or self._splitter.is_oversized
 
+    def drop_partial_event(self) -> None:
+        """Drop what has arrived of the next event, as the run ends here."""
+        self._splitter.drop_partial_event()
+
+    @property
+    def held_bytes(self) -> int:
+        """Length of what has arrived of the next event."""
+        return self._splitter.held_bytes
+
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that this chunk completes and that continue the answer."""
         if self.is_broken:
--- a/goldcreststair/upstreams/events.py
+++ b/goldcreststair/upstreams/events.py
@@ -53,7 +53,16 @@
     @property
     def is_oversized(self) -> bool:
         """Return whether the incomplete event, with its comments, is longer than `MAX_EVENT_BYTES`."""
-        return len(self._buffer) + len(self._comments) > MAX_EVENT_BYTES
+        return self.held_bytes > MAX_EVENT_BYTES
+
+    def drop_partial_event(self) -> None:
+        """Drop the incomplete event, and the comments before it."""
+        self._buffer, self._comments = bytearray(), bytearray()
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the length of the incomplete event, with its comments."""
+        return len(self._buffer) + len(self._comments)
 
     def feed(self, chunk: bytes) -> list[StreamEvent]:
         """Return the events that this chunk completes."""
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -9,10 +9,10 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 
-from goldcreststair.const import MS_PER_SECOND
+from goldcreststair.const import BYTES_PER_MB, MS_PER_SECOND
 from goldcreststair.http_connection import ResponseHooks
 from goldcreststair.http_exchange import Exchange, ExchangeError, ExchangeFailure
-from goldcreststair.http_pool import ConnectionPool
+from goldcreststair.http_pool import MAX_BUFFERED_BYTES, ConnectionPool
 from goldcreststair.upstreams.dialect import RunCall, RunHead, UpstreamDialect
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 
@@ -38,6 +38,22 @@
 """Longest body of an answer that is not streamed."""
 
 
+BUFFERED_SHARE: Final = 8
+"""Part of a process's memory that answers may hold which are not whole, as a divisor."""
+
+
+def compute_buffered_bytes(memory_mb: int) -> int:
+    """Return how many bytes of answers a process of `memory_mb`, MB, may hold until they are whole.
+
+    >>> [compute_buffered_bytes(memory_mb) // BYTES_PER_MB for memory_mb in (0, 96, 200, 340)]
+    [32, 16, 25, 32]
+    """
+    if not memory_mb:
+        return MAX_BUFFERED_BYTES
+    share = memory_mb * BYTES_PER_MB // BUFFERED_SHARE
+    return min(MAX_BUFFERED_BYTES, max(MAX_ANSWER_BYTES, share))
+
+
 class RunSink(Protocol):
     """Receives an answer while it arrives."""
 
@@ -48,6 +64,13 @@
     def is_broken(self) -> bool:
         """Whether nothing that follows in this run can be used, so that it may end."""
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the answer that are held, as more of it must follow."""
+
+    def drop_partial_event(self) -> None:
+        """Free what has arrived of an event that will not be complete."""
+
     def on_head(self, head: RunHead) -> None:
         """Handle the head of the answer to this run."""
 
@@ -139,8 +162,16 @@
             on_data,
             lambda found: dialect.matches_run(call, found),
             is_rejected=is_rejected,
+            read_held=lambda: sink.held_bytes,
         )
-        outcome = await self.pool.async_exchange(exchange, hooks)
+        whole = False
+        try:
+            outcome = await self.pool.async_exchange(exchange, hooks)
+            whole = isinstance(outcome, Ok)
+        finally:
+            # A run that failed may stay referenced until the next garbage collection.
+            if not whole:
+                sink.drop_partial_event()
         # The head of a refusal says all of it, whatever becomes of its body.
         if head is not None and head.is_refusal:
             message = "the address belongs to another upstream" if head.misdirected else "not run"
--- a/tests/platform_adapter/endless_engine.py
+++ b/tests/platform_adapter/endless_engine.py
@@ -17,6 +17,8 @@
 FAST_BYTES: Final = 64 * 1024
 SLOW_BYTES: Final = 16
 NUMBERED_EVENTS: Final = 16
+HELD_BYTES: Final = 250 * 1024
+"""Less than the longest event that a daemon waits for the end of."""
 LIMIT_S: Final = 20.0
 """The engine stops by itself after this time."""
 
@@ -45,6 +47,8 @@
     """Behind a whole answer."""
     NUMBERED = "numbered"
     """Whole events, each of which continues the answer."""
+    HELD = "held"
+    """Most of an event that may still end, and then nothing."""
 
 
 @dataclass(slots=True)
@@ -149,5 +153,7 @@
 
     if manner is Endless.NUMBERED:
         return plain, make_numbered
+    if manner is Endless.HELD:
+        return plain + b"id: 1\ndata: " + b"x" * HELD_BYTES, lambda _: b""
     unit = units.get(manner, b"x")
     return openings[manner], lambda size: unit * max(1, size // len(unit))
--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -238,6 +238,7 @@
     zone: str = "dc-a",
     version: str = "v1",
     born: int = 1,
+    slots: int = 8,
 ) -> None:
     """Write an engine's entry to the store's table of upstreams."""
     entry = {
@@ -245,7 +246,7 @@
         "address": engine.address,
         "zone": zone,
         "version": version,
-        "slots": 8,
+        "slots": slots,
         "cold_left_ms": 0,
         "state": state,
         "sequence": 1,
--- a/tests/platform_adapter/test_endless_bytes.py
+++ b/tests/platform_adapter/test_endless_bytes.py
@@ -79,7 +79,8 @@
 class Site:
     """One daemon, a store and engines."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, memory_mb: int = 0) -> None:
+        self.flags = (f"--memory-mb={memory_mb}",) if memory_mb else ()
         self.store = WireStore(FakeRowStore(BootClock()))
         seen_requests: set[str] = set()
         self.engines = [
@@ -102,6 +103,7 @@
             find_port(),
             self.store.address,
             (ADDRESS,),
+            self.flags,
         )
         front = Proxy("front", plan.front)
         await front.async_start()
@@ -158,7 +160,7 @@
 
 def list_cases() -> list[tuple[str, Endless]]:
     """Return the routes, each with the manners that it can recognise."""
-    known = [each for each in Endless if each is not Endless.NUMBERED]
+    known = [each for each in Endless if each not in (Endless.NUMBERED, Endless.HELD)]
     stream = [("/stream/x", each) for each in known if each is not Endless.BODY]
     calls = [("/call/x", each) for each in known if each not in STREAMED]
     return [*stream, *calls]
@@ -257,9 +259,44 @@
     assert asyncio.run(scenario()) < MOST_PEAK_MB
 
 
+HELD: Final = 240
+HELD_MEMORY_MB: Final = 96
+
+
+def test_parts_of_events_are_bounded_for_all_runs_together(tmp_path: Path) -> None:
+    """A daemon held a part of an event for each of hundreds of runs, none of which was too long by itself."""
+
+    async def scenario() -> float:
+        async with Site(tmp_path, HELD_MEMORY_MB) as site:
+            config = make_config()
+            config["services"][0] |= {"max_conns": 400, "engine": {"slots": HELD}}
+            config["version"] += 1
+            site.store.store.put(RowKey("op", "", "config"), orjson.dumps(config))
+            for engine in site.engines:
+                register(site.store, engine, slots=HELD)
+            await asyncio.sleep(RECOVERY_S)
+            asked = [
+                site.async_send("/once/x", f"h{number}", {MANNER_HEADER: Endless.HELD})
+                for number in range(HELD)
+            ]
+            answers = await asyncio.gather(*asked)
+            assert {each.status for each in answers}.intersection(PROMISES) <= {503}
+            reached = sum(len(engine.endless_answers) for engine in site.engines)
+            print(f"{reached} answers held, peak {site.read_peak_mb():.1f} MB")
+            sound = await site.async_send("/stream/x", "sound", {})
+            assert (sound.status, sound.body) == (200, WHOLE)
+            return site.read_peak_mb()
+
+    assert asyncio.run(scenario()) < HELD_MEMORY_MB
+
+
 @pytest.mark.parametrize(
     "manner",
-    [each for each in Endless if each not in (*STREAMED, Endless.FOREIGN, Endless.NUMBERED)],
+    [
+        each
+        for each in Endless
+        if each not in (*STREAMED, Endless.FOREIGN, Endless.NUMBERED, Endless.HELD)
+    ],
 )
 @pytest.mark.parametrize("pause_ms", ["0", SLOW_MS], ids=["full speed", "slowly"])
 def test_a_response_without_end_ends_by_itself(manner: Endless, pause_ms: str) -> None:
--- a/tests/platform_adapter/test_late_delivery.py
+++ b/tests/platform_adapter/test_late_delivery.py
@@ -24,9 +24,13 @@
 
     delay_s: float
     wants_chunks: bool = True
+    held_bytes: int = 0
     is_broken: bool = False
     data: bytes = b""
 
+    def drop_partial_event(self) -> None:
+        pass
+
     def on_head(self, head: RunHead) -> None:
         """Ignore the head."""
 
--- a/tests/platform_adapter/test_runner.py
+++ b/tests/platform_adapter/test_runner.py
@@ -22,9 +22,13 @@
     def __init__(self, streams: bool = True) -> None:
         self.wants_chunks = streams
         self.is_broken = False
+        self.held_bytes = 0
         self.head: RunHead | None = None
         self.data = b""
 
+    def drop_partial_event(self) -> None:
+        pass
+
     def on_head(self, head: RunHead) -> None:
         self.head = head
 
