Bound what the other daemon holds of responses without end

What callers saw: nothing yet; the project's own daemon could be killed for its memory, with all the requests it served.

Cause: a response could have 256 MB, and nothing bounded all of them together. A stream's events are kept to resume it elsewhere, without any limit, run after run.

Change: the bound that the connection pool of the gateway daemons had became a class of its own, which the other daemon's clients use too: all responses together may hold an eighth of the memory, and the longest one is ended as incomplete. The answer to a generation may have 16 MB, over all its runs. A reader of tornado's connection stays in a reference cycle, so it drops what it has read when the exchange ends.

--- a/goldcreststair/bootstrap.py
+++ b/goldcreststair/bootstrap.py
@@ -40,6 +40,7 @@
 from goldcreststair.core import Component, Core
 from goldcreststair.http_server import DaemonServer
 from goldcreststair.journal import Journal
+from goldcreststair.response_budget import compute_response_bytes
 from goldcreststair.settings import Settings
 from goldcreststair.statistics import create_statistics
 from goldcreststair.store.http import create_platform
@@ -89,7 +90,7 @@
         journal=Journal(clock),
         statistics=statistics,
         platform=create_platform(settings.platform_url),
-        upstreams=create_upstream_clients(),
+        upstreams=create_upstream_clients(compute_response_bytes(settings.memory_mb)),
         clients=clients,
         transport=TcpTransport(clients),
         session_id=secrets.token_hex(8),
--- a/goldcreststair/client_limits/models.py
+++ b/goldcreststair/client_limits/models.py
@@ -1,6 +1,5 @@
 """What is held for the clients of a process."""
 
-import os
 import resource
 import sys
 from dataclasses import dataclass
@@ -18,7 +17,7 @@
     SOCKETS_KEPT_SHARE,
 )
 from goldcreststair.clock import Millis
-from goldcreststair.const import BYTES_PER_MB
+from goldcreststair.helpers.memory import compute_memory_bytes
 
 
 class CloseCause(StrEnum):
@@ -58,7 +57,7 @@
     >>> compute_limits(320, 300).connections
     75
     """
-    memory_bytes = memory_mb * BYTES_PER_MB or _read_machine_bytes()
+    memory_bytes = compute_memory_bytes(memory_mb)
     held = memory_bytes // HELD_SHARE
     sockets = (descriptors or _read_descriptor_limit()) - FILE_DESCRIPTORS
     connections = min(
@@ -78,10 +77,6 @@
     return sys.maxsize if limit == resource.RLIM_INFINITY else limit
 
 
-def _read_machine_bytes() -> int:
-    return os.sysconf("SC_PAGE_SIZE") * os.sysconf("SC_PHYS_PAGES")
-
-
 class Connection(Protocol):
     """A client's connection, as far as it can be closed."""
 
--- a/goldcreststair/components/online/stream.py
+++ b/goldcreststair/components/online/stream.py
@@ -3,6 +3,7 @@
 import orjson
 
 from goldcreststair.clock import Clock, Millis
+from goldcreststair.upstreams.events import MAX_ANSWER_BYTES
 from goldcreststair.upstreams.models import StreamChunk
 from goldcreststair.upstreams.protocols import StreamSink
 
@@ -25,6 +26,7 @@
         """Whether the current run skipped tokens; the rest of that run is then dropped."""
         self._sink = sink
         self._events: list[bytes] = []
+        self._event_bytes = 0
 
     async def async_accept(self, chunk: StreamChunk) -> None:
         """Forward the new tokens of a chunk of the current run."""
@@ -46,6 +48,7 @@
         if self.first_token_at is None:
             self.first_token_at = self._clock.now()
         self._events.append(chunk.data)
+        self._event_bytes += len(chunk.data)
         await self._sink.async_accept(chunk)
 
     @property
@@ -54,8 +57,8 @@
         return self.first_token_at is not None
 
     def begin_run(self) -> None:
-        """Clear the gap flag of the previous run."""
-        self.gap = False
+        """Clear the gap flag of the previous run, unless nothing more is kept of this response."""
+        self.gap = self._event_bytes > MAX_ANSWER_BYTES
 
     def read_data(self) -> bytes:
         """Return all events forwarded so far."""
--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -28,6 +29,7 @@
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.delivery import LONG_REQUEST_BYTES, RESET_WAIT_MS, find_send_failure
 from goldcreststair.errors import GoldcreststairError
+from goldcreststair.response_budget import ResponseBudget
 
 DEFAULT_CONNECT_TIMEOUT_MS: Final = 1000
 MAX_RESPONSE_BYTES: Final = 256 * 1024 * 1024
@@ -93,7 +95,7 @@
     """Longest wait between two chunks of the response; 0 for no limit."""
     connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
     max_response_bytes: int = MAX_RESPONSE_BYTES
-    """A longer body ends the exchange as broken."""
+    """A longer body ends the exchange."""
     key: str = ""
     """Identifies the request in its response. A connection that carried it is not used for it again, as a copy of
     its earlier response may still arrive there; persistent connections only."""
@@ -101,8 +103,40 @@
     """Whether a complete response is still delivered after the timeout; persistent connections only."""
 
 
+class _ReadLimit:
+    """Ends a response that is too long, or the largest of all, by closing its connection."""
+
+    def __init__(self, stream: IOStream, max_bytes: int, responses: ResponseBudget) -> None:
+        self.failure: ExchangeError | None = None
+        self._stream = stream
+        self._max_bytes = max_bytes
+        self._responses = responses
+        self._received = 0
+
+    def __enter__(self) -> _ReadLimit:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._responses.release(self)
+
+    def count(self, size: int) -> None:
+        """Count bytes of the body, whether they are held here or where `on_data` takes them."""
+        if self.failure is not None:
+            return
+        self._received += size
+        if self._received > self._max_bytes:
+            self.end_response("response too long")
+        else:
+            self._responses.record(self, self._received)
+
+    def end_response(self, reason: str) -> None:
+        """End the response, of which nothing more can be used."""
+        self.failure = ExchangeError(reason, ExchangeFailure.REJECTED)
+        self._stream.close()
+
+
 class _ResponseReader(HTTPMessageDelegate):
-    def __init__(self, on_head: OnHead | None, on_data: OnData | None) -> None:
+    def __init__(self, on_head: OnHead | None, on_data: OnData | None, limit: _ReadLimit) -> None:
         self.on_unframed: Callable[[], None] = lambda: None
         """Called with a head without a length or chunks."""
         self.status = 0
@@ -114,6 +148,7 @@
         """Whether `on_data` still processes a chunk, so that nothing more is read meanwhile."""
         self._on_head = on_head
         self._on_data = on_data
+        self._limit = limit
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -129,6 +164,7 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         self.progress += 1
+        self._limit.count(len(chunk))
         if self._on_data is None or self.status != 200:
             self.chunks.append(chunk)
             return None
@@ -138,6 +174,10 @@
     def finish(self) -> None:
         self.complete = True
 
+    def release(self) -> None:
+        """Drop what was read, and who takes it: the connection's reference cycle may keep the reader for long."""
+        self.chunks, self._on_head, self._on_data = [], None, None
+
     async def _async_deliver(self, delivery: Awaitable[None]) -> None:
         self.delivering = True
         try:
@@ -184,25 +224,32 @@
 
 
 async def async_exchange(
-    exchange: Exchange, on_head: OnHead | None = None, on_data: OnData | None = None
+    exchange: Exchange,
+    on_head: OnHead | None = None,
+    on_data: OnData | None = None,
+    responses: ResponseBudget | None = None,
 ) -> Result[HttpResponse, ExchangeError]:
     """Send one request and read its response.
 
     With `on_data` the body of a 200 response is passed to it in chunks. Cancelling the coroutine
-    closes the connection at once.
+    closes the connection at once. `responses` bounds what all responses hold that are not whole.
     """
     opened = await _async_connect(exchange)
     if isinstance(opened, Err):
         return opened
     stream = opened.ok_value
-    reader = _ResponseReader(on_head, on_data)
+    limit = _ReadLimit(stream, exchange.max_response_bytes, responses or ResponseBudget())
+    reader = _ResponseReader(on_head, on_data, limit)
     try:
         async with asyncio.timeout(exchange.timeout_ms / MS_PER_SECOND):
-            return await _async_send(stream, exchange, reader)
+            with limit:
+                outcome = await _async_send(stream, exchange, reader)
+        return outcome if limit.failure is None else Err(limit.failure)
     except TimeoutError:
         return Err(ExchangeError("no complete response in time", ExchangeFailure.TIMEOUT))
     finally:
         stream.close()
+        reader.release()
 
 
 async def _async_connect(exchange: Exchange) -> Result[IOStream, ExchangeError]:
@@ -226,8 +273,9 @@
 async def _async_send(
     stream: IOStream, exchange: Exchange, reader: _ResponseReader
 ) -> Result[HttpResponse, ExchangeError]:
+    # The reader's limit says why it ended a response; tornado would report a malformed one.
     parameters = HTTP1ConnectionParameters(
-        no_keep_alive=True, max_body_size=exchange.max_response_bytes, chunk_size=READ_BYTES
+        no_keep_alive=True, max_body_size=sys.maxsize, chunk_size=READ_BYTES
     )
     connection = HTTP1Connection(stream, True, parameters)
     headers = HTTPHeaders(dict(exchange.headers))
--- a/goldcreststair/http_pool.py
+++ b/goldcreststair/http_pool.py
@@ -17,6 +17,7 @@
 from goldcreststair.helpers.numbers import parse_unsigned
 from goldcreststair.http_connection import PersistentConnection, ResponseHooks
 from goldcreststair.http_exchange import Exchange, ExchangeError, ExchangeFailure, HttpResponse
+from goldcreststair.response_budget import ResponseBudget
 from goldcreststair.send_timeout import USER_TIMEOUT_MS, set_user_timeout
 
 KEEP_ALIVE_PROBE_S: Final = 1
@@ -69,12 +70,10 @@
     def __init__(self, clock: Clock, max_buffered_bytes: int = MAX_BUFFERED_BYTES) -> None:
         """Initialise without connections; bodies that arrive may hold `max_buffered_bytes` together."""
         self._clock = clock
-        self._max_buffered_bytes = max_buffered_bytes
         self._by_address: dict[str, _AddressConnections] = {}
         self._opened = 0
         self._reused = 0
-        self._buffered: dict[PersistentConnection, int] = {}
-        """Bytes of bodies by the connection on which they arrive."""
+        self._responses = ResponseBudget(max_buffered_bytes)
         self._expiry: TimerHandle | None = None
         """The next search for idle connections whose time is over; None while nothing is idle."""
 
@@ -135,7 +134,7 @@
             async with asyncio.timeout(exchange.timeout_ms / MS_PER_SECOND) as deadline:
                 if exchange.delivers_late:
                     hooks = replace(hooks, on_complete=partial(_extend, deadline, exchange))
-                hooks = replace(hooks, on_buffered=partial(self._record_buffered, connection))
+                hooks = replace(hooks, on_buffered=partial(self._responses.record, connection))
                 outcome, reusable = await connection.async_send(exchange, hooks)
             if isinstance(outcome, Ok):
                 idle_ms = _read_idle_ms(outcome.ok_value.headers)
@@ -145,7 +144,7 @@
         except (ConnectionError, StreamClosedError) as error:
             return Err(ExchangeError(f"response broken: {error!r}", ExchangeFailure.BROKEN))
         finally:
-            self._buffered.pop(connection, None)
+            self._responses.release(connection)
             if reusable:
                 self._store_idle(exchange.address, connection, idle_ms)
             else:
@@ -153,14 +152,6 @@
                 # on this connection would get it.
                 self._close(exchange.address, connection)
 
-    def _record_buffered(self, connection: PersistentConnection, count: int) -> None:
-        """Record how much of a body a connection holds, and end the largest one if all hold too much."""
-        self._buffered[connection] = count
-        if sum(self._buffered.values()) > self._max_buffered_bytes:
-            largest = max(self._buffered, key=lambda each: self._buffered[each])
-            del self._buffered[largest]
-            largest.end_response("responses too long")
-
     def _pop_idle(self, address: str, key: str) -> PersistentConnection | None:
         connections = self._by_address.get(address)
         idle = connections.idle if connections is not None else []
--- a/goldcreststair/upstreams/events.py
+++ b/goldcreststair/upstreams/events.py
@@ -9,6 +9,8 @@
 FIELD_DATA: Final = b"data:"
 COMMENT: Final = b":"
 EVENT_END: Final = b"\n\n"
+MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
+"""Longest body of an answer that is kept, to be passed on once it is whole or to be resumed."""
 MAX_EVENT_BYTES: Final = 256 * 1024
 """A longer event is treated as broken framing."""
 
--- a/goldcreststair/upstreams/http_engine.py
+++ b/goldcreststair/upstreams/http_engine.py
@@ -18,8 +18,9 @@
     HttpResponse,
     async_exchange,
 )
+from goldcreststair.response_budget import ResponseBudget
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
-from goldcreststair.upstreams.events import MAX_EVENT_BYTES
+from goldcreststair.upstreams.events import MAX_ANSWER_BYTES, MAX_EVENT_BYTES
 from goldcreststair.upstreams.models import (
     CacheEvent,
     GenerateCall,
@@ -154,14 +155,20 @@
 class HttpEngineClient:
     """Calls engines over a new connection for each call."""
 
+    def __init__(self, responses: ResponseBudget | None = None) -> None:
+        """Let `responses` bound what all calls hold together."""
+        self._responses = responses or ResponseBudget()
+
     async def async_generate(
         self, upstream: Upstream, call: GenerateCall, sink: StreamSink
     ) -> Result[GenerateEnd, UpstreamError]:
         """Run or resume one request."""
+        if len(call.prior) > MAX_ANSWER_BYTES:
+            return Err(UpstreamError("answer without end", UpstreamFailure.INCOMPLETE))
         reader = _StreamReader(call, sink)
         exchange = _create_exchange(upstream, call)
         on_data = reader.async_on_data if call.stream else None
-        answering = async_exchange(exchange, reader.on_head, on_data)
+        answering = async_exchange(exchange, reader.on_head, on_data, self._responses)
         outcome: Result[HttpResponse, ExchangeError] | None
         if call.software_version is None:
             outcome = await answering
@@ -187,19 +194,21 @@
         self, upstream: Upstream, request_id: str
     ) -> Result[None, UpstreamError]:
         """Stop a request; an unknown request is not an error."""
-        outcome = await _async_control(upstream, "POST", f"/requests/{request_id}/cancel")
+        outcome = await self._async_control(upstream, "POST", f"/requests/{request_id}/cancel")
         return outcome.map(lambda _: None)
 
     async def async_read_load(self, upstream: Upstream) -> Result[LoadReport, UpstreamError]:
         """Return the engine's last load report."""
-        outcome = await _async_control(upstream, "GET", "/load")
+        outcome = await self._async_control(upstream, "GET", "/load")
         return outcome.map(lambda response: _decode_load(orjson.loads(response.body)))
 
     async def async_read_cache_events(
         self, upstream: Upstream, after_sequence: int
     ) -> Result[tuple[CacheEvent, ...], UpstreamError]:
         """Return prefix-cache events after a sequence number."""
-        outcome = await _async_control(upstream, "GET", f"/cache_events?after={after_sequence}")
+        outcome = await self._async_control(
+            upstream, "GET", f"/cache_events?after={after_sequence}"
+        )
         return outcome.map(
             lambda response: tuple(CacheEvent(**raw) for raw in orjson.loads(response.body))
         )
@@ -210,7 +219,7 @@
         """Send an order; returns `FENCED` if the engine has seen a newer fencing token."""
         body = orjson.dumps(dataclasses.asdict(order))
         limits = ControlLimits(timeout_ms=ORDER_TIMEOUT_MS)
-        outcome = await _async_control(upstream, "POST", "/orders", body, limits)
+        outcome = await self._async_control(upstream, "POST", "/orders", body, limits)
         if isinstance(outcome, Err) and outcome.err_value.status == STATUS_FENCED:
             return Err(UpstreamError("old fencing token", UpstreamFailure.FENCED, STATUS_FENCED))
         return outcome.map(lambda _: None)
@@ -223,16 +232,39 @@
         # small VM. An engine has to export a reference to its state instead.
         path = f"/requests/{request_id}/kv"
         limits = ControlLimits(max_bytes=MAX_KV_STATE_BYTES)
-        outcome = await _async_control(upstream, "GET", path, limits=limits)
+        outcome = await self._async_control(upstream, "GET", path, limits=limits)
         return outcome.map(lambda response: response.body)
 
     async def async_import_kv(
         self, upstream: Upstream, request_id: str, state: bytes
     ) -> Result[None, UpstreamError]:
         """Send the KV state of a request to an engine, to be resumed there."""
-        outcome = await _async_control(upstream, "PUT", f"/requests/{request_id}/kv", state)
+        outcome = await self._async_control(upstream, "PUT", f"/requests/{request_id}/kv", state)
         return outcome.map(lambda _: None)
 
+    async def _async_control(
+        self,
+        upstream: Upstream,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        limits: ControlLimits = DEFAULT_LIMITS,
+    ) -> Result[HttpResponse, UpstreamError]:
+        exchange = Exchange(
+            upstream.address,
+            method,
+            path,
+            limits.timeout_ms,
+            body=body,
+            max_response_bytes=limits.max_bytes,
+        )
+        outcome = await async_exchange(exchange, responses=self._responses)
+        if isinstance(outcome, Err):
+            return Err(convert_exchange_error(outcome.err_value))
+        if outcome.ok_value.status != STATUS_OK:
+            return Err(convert_error_response(outcome.ok_value))
+        return outcome
+
 
 async def _async_end_early(answering: Coroutine[Any, Any, T], ends: asyncio.Event) -> T | None:
     """Return the result of a coroutine, or None if it was cancelled because `ends` was set."""
@@ -265,6 +297,7 @@
         headers={HEADER_REQUEST_ID: call.request_id, "Content-Type": "application/json"},
         body=body,
         idle_timeout_ms=IDLE_TIMEOUT_MS if call.stream else _choose_non_stream_idle_ms(call),
+        max_response_bytes=MAX_ANSWER_BYTES,
     )
 
 
@@ -287,26 +320,3 @@
     # Engines of a later version may report more than this daemon knows.
     known = {name: value for name, value in raw.items() if name in _REPORT_FIELDS}
     return LoadReport(**{**known, **lists})
-
-
-async def _async_control(
-    upstream: Upstream,
-    method: str,
-    path: str,
-    body: bytes = b"",
-    limits: ControlLimits = DEFAULT_LIMITS,
-) -> Result[HttpResponse, UpstreamError]:
-    exchange = Exchange(
-        upstream.address,
-        method,
-        path,
-        limits.timeout_ms,
-        body=body,
-        max_response_bytes=limits.max_bytes,
-    )
-    outcome = await async_exchange(exchange)
-    if isinstance(outcome, Err):
-        return Err(convert_exchange_error(outcome.err_value))
-    if outcome.ok_value.status != STATUS_OK:
-        return Err(convert_error_response(outcome.ok_value))
-    return outcome
--- a/goldcreststair/upstreams/http_service.py
+++ b/goldcreststair/upstreams/http_service.py
@@ -4,6 +4,7 @@
 
 from goldcreststair.const import HEADER_REQUEST_ID
 from goldcreststair.http_exchange import Exchange, async_exchange
+from goldcreststair.response_budget import ResponseBudget
 from goldcreststair.upstreams.dialect import FIRST_ERROR_STATUS
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.http_engine import (
@@ -17,6 +18,10 @@
 class HttpServiceClient:
     """Calls plain services over a new connection for each call."""
 
+    def __init__(self, responses: ResponseBudget | None = None) -> None:
+        """Let `responses` bound what all calls hold together."""
+        self._responses = responses or ResponseBudget()
+
     async def async_call(
         self, upstream: Upstream, call: ServiceCall
     ) -> Result[ServiceResponse, UpstreamError]:
@@ -29,7 +34,7 @@
             headers={**call.headers, HEADER_REQUEST_ID: call.request_id},
             body=call.body,
         )
-        outcome = await async_exchange(exchange)
+        outcome = await async_exchange(exchange, responses=self._responses)
         if isinstance(outcome, Err):
             return Err(convert_exchange_error(outcome.err_value))
         response = outcome.ok_value
--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -9,12 +9,14 @@
 from result import Err, Ok, Result
 from tornado.httputil import HTTPHeaders
 
-from goldcreststair.const import BYTES_PER_MB, MS_PER_SECOND
+from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.http_connection import ResponseHooks
 from goldcreststair.http_exchange import Exchange, ExchangeError, ExchangeFailure
 from goldcreststair.http_pool import MAX_BUFFERED_BYTES, ConnectionPool
+from goldcreststair.response_budget import compute_response_bytes
 from goldcreststair.upstreams.dialect import RunCall, RunHead, UpstreamDialect
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.events import MAX_ANSWER_BYTES
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -34,23 +36,15 @@
     ExchangeFailure.MALFORMED: UpstreamFailure.CROSSED,
     ExchangeFailure.REJECTED: UpstreamFailure.INCOMPLETE,
 }
-MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
-"""Longest body of an answer that is not streamed."""
-
-
-BUFFERED_SHARE: Final = 8
-"""Part of a process's memory that answers may hold which are not whole, as a divisor."""
 
 
 def compute_buffered_bytes(memory_mb: int) -> int:
     """Return how many bytes of answers a process of `memory_mb`, MB, may hold until they are whole.
 
-    >>> [compute_buffered_bytes(memory_mb) // BYTES_PER_MB for memory_mb in (0, 96, 200, 340)]
-    [32, 16, 25, 32]
+    >>> [compute_buffered_bytes(memory_mb) // BYTES_PER_MB for memory_mb in (96, 200, 340)]
+    [16, 25, 32]
     """
-    if not memory_mb:
-        return MAX_BUFFERED_BYTES
-    share = memory_mb * BYTES_PER_MB // BUFFERED_SHARE
+    share = compute_response_bytes(memory_mb)
     return min(MAX_BUFFERED_BYTES, max(MAX_ANSWER_BYTES, share))
 
 
--- a/tests/components/online/test_stream_recorder.py
+++ b/tests/components/online/test_stream_recorder.py
@@ -1,6 +1,7 @@
 """Tests of joining the runs of a stream and of the decisions after a failed run."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -13,6 +14,7 @@
 from goldcreststair.components.online.stream import StreamRecorder
 from goldcreststair.helpers.retry_budget import RetryBudget
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
+from goldcreststair.upstreams.events import MAX_ANSWER_BYTES
 from goldcreststair.upstreams.models import StreamChunk
 from tests.helpers.online import RecordingSink
 from tests.helpers.virtual_time import ManualClock
@@ -51,6 +53,23 @@
     assert (recorder.read_text(), sink.read_text(), recorder.gap) == (text, text, gap)
 
 
+def test_a_response_without_end_is_not_kept_through_further_runs() -> None:
+    """Guards against engines that send text without end, run after run, until the memory is used up."""
+    sink = RecordingSink()
+    recorder = StreamRecorder(sink, ManualClock())
+    comment = b":" + b"x" * (MAX_ANSWER_BYTES // 4)
+
+    async def async_test() -> None:
+        for run in range(12):
+            recorder.begin_run()
+            chunk = make_chunk(run, run)
+            await recorder.async_accept(replace(chunk, data=comment + b"\n" + chunk.data))
+
+    asyncio.run(async_test())
+    assert recorder.gap
+    assert MAX_ANSWER_BYTES < len(recorder.read_data()) < 2 * MAX_ANSWER_BYTES
+
+
 @pytest.mark.parametrize(
     ("failure", "repeatable", "last_index", "budget", "step"),
     [
