Make the doctest of compute_buffered_bytes independent of an import

Its module lost the import of BYTES_PER_MB when the arithmetic moved to response_budget.py, and the doctest still used the name (NameError).

The doctest now divides by 2**20. Before: 1 failed in goldcreststair/upstreams/runner.py; after: all doctests of the package pass.

--- a/goldcreststair/upstreams/runner.py
+++ b/goldcreststair/upstreams/runner.py
@@ -41,7 +41,7 @@
 def compute_buffered_bytes(memory_mb: int) -> int:
     """Return how many bytes of answers a process of `memory_mb`, MB, may hold until they are whole.
 
-    >>> [compute_buffered_bytes(memory_mb) // BYTES_PER_MB for memory_mb in (96, 200, 340)]
+    >>> [compute_buffered_bytes(memory_mb) // 2**20 for memory_mb in (96, 200, 340)]
     [16, 25, 32]
     """
     share = compute_response_bytes(memory_mb)
