--- a/tests/platform_adapter/leave_site.py
+++ b/tests/platform_adapter/leave_site.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import contextlib
-import copy
 import random
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
@@ -19,7 +18,12 @@
 from tests.platform_adapter.ports import find_port
 from tests.platform_adapter.soak.callers import async_open
 from tests.platform_adapter.soak.daemons import Daemon, DaemonPlan
-from tests.platform_adapter.soak.engine import EVENTS_HEADER, PAUSE_HEADER, make_event
+from tests.platform_adapter.soak.engine import (
+    EVENTS_HEADER,
+    PADDING_HEADER,
+    PAUSE_HEADER,
+    make_event,
+)
 from tests.platform_adapter.soak.proxy import Proxy
 from tests.platform_adapter.soak.record import Record, Run
 from tests.platform_adapter.wire_engine import WireEngine, make_head
@@ -72,7 +76,8 @@
             for event_number in range(1, int(headers.get(EVENTS_HEADER, "3")) + 1):
                 pause_s = int(headers.get(PAUSE_HEADER, "0")) / 1_000
                 await asyncio.sleep(pause_s * self.pace.factor)
-                event = make_event(request, event_number)
+                padding = int(headers.get(PADDING_HEADER, "0"))
+                event = make_event(request, event_number, padding=padding)
                 writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 await writer.drain()
             writer.write(b"0\r\n\r\n")
@@ -127,6 +132,9 @@
     """Daemons without proxies before them, upstreams of one pace, and a store."""
 
     folder: Path
+    config: Mapping[str, Any] = field(default_factory=lambda: CONFIG)
+    slots: int = 8
+    """Requests that one engine serves at a time."""
     pace: Pace = field(default_factory=Pace)
     record: Record = field(default_factory=Record)
     store: WireStore = field(default_factory=lambda: WireStore(FakeRowStore(BootClock())))
@@ -138,13 +146,12 @@
     async def async_start(self) -> None:
         """Start everything and wait until all daemons are ready."""
         self.store.start()
-        config: dict[str, Any] = copy.deepcopy(CONFIG)
-        self.store.store.put(RowKey("op", "", "config"), orjson.dumps(config))
+        self.store.store.put(RowKey("op", "", "config"), orjson.dumps(self.config))
         for number in range(ENGINES):
             engine = PacedEngine(f"i-{number}", pace=self.pace)
             await engine.async_start()
             self.engines.append(engine)
-            register(self.store, engine)
+            register(self.store, engine, slots=self.slots)
         peer_port = find_port()
         addresses = [f"127.0.0.{number + 2}" for number in range(DAEMONS)]
         for address in addresses:
@@ -170,7 +177,11 @@
 
     def find_run(self, request: str) -> Run | None:
         """Return the run of a request, if an upstream began it."""
-        return next((e.runs[request] for e in self.engines if request in e.runs), None)
+        return next(iter(self.list_runs(request)), None)
+
+    def list_runs(self, request: str) -> list[Run]:
+        """Return the runs of a request, at most one for each upstream."""
+        return [each.runs[request] for each in self.engines if request in each.runs]
 
     def list_addresses(self) -> list[Daemon]:
         """Return the daemons that a lookup names now."""
@@ -192,9 +203,11 @@
 
 
 @contextlib.asynccontextmanager
-async def async_open_leave_site(folder: Path) -> AsyncIterator[LeaveSite]:
+async def async_open_leave_site(
+    folder: Path, config: Mapping[str, Any] = CONFIG, slots: int = 8
+) -> AsyncIterator[LeaveSite]:
     """Start a site; it is stopped in any case."""
-    site = LeaveSite(folder)
+    site = LeaveSite(folder, config, slots)
     try:
         await site.async_start()
         yield site
--- a/tests/platform_adapter/local.py
+++ b/tests/platform_adapter/local.py
@@ -239,10 +239,11 @@
     version: str = "v1",
     born: int = 1,
     slots: int = 8,
+    service: str = "engine",
 ) -> None:
     """Write an engine's entry to the store's table of upstreams."""
     entry = {
-        "service": "engine",
+        "service": service,
         "address": engine.address,
         "zone": zone,
         "version": version,
