Let upstreams of the soak fail after they have begun a request

One request of 25 now fails at the first upstream that runs it, with 503, 429 or 408 and without Not-Run, and the checker counts a run against 408 and 421 as well as 429 and 503.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -225,6 +225,7 @@
             runs=self.record.runs,
             refusals=self.record.refusals,
             broken_off=self.record.broken_off,
+            failed=self.record.failed,
             software=software,
             crash_record=self.record.crash,
             on_crash=self._restart_crashed,
@@ -283,6 +284,8 @@
     leaves = leaves or LeavePlan()
     faults = [] if leaves.is_calm else plan_faults(seed, seconds)
     async with async_open_site(folder, size) as site:
+        for engine in site.engines:
+            engine.fails = True
         proxies = site.proxies[:ENGINES] * UPSTREAM_WEIGHT + site.proxies[ENGINES:]
         injector = FaultInjector(site.daemons, site.engines, proxies, chooser, site.record)
         leaving = LeaveRunner(site.daemons, site.engines, site.proxies, site.record, site.configure)
@@ -342,6 +345,7 @@
     print(f"without a whole answer: {dict(excuses)}")
     print(f"runs: {len(record.runs)}, items: {len(record.accepted)}")
     print(f"broken off in the first event: {len(record.broken_off)}")
+    print(f"failed after they had begun: {len(record.failed)}")
     print(f"evacuations: {len(record.evacuations)}, upgrades: {len(record.lifetimes) - ENGINES}")
     crash = join_crash_record(record)
     print(f"crashes by part: {dict(Counter(each.part for each in crash.crashes))}")
--- a/tests/platform_adapter/soak/checker.py
+++ b/tests/platform_adapter/soak/checker.py
@@ -23,7 +23,7 @@
     Record,
 )
 
-NOT_RUN: Final = frozenset((429, 503))
+NOT_RUN: Final = frozenset((408, 421, 429, 503))
 STABLE_S: Final = 3.0
 """A daemon is calm once it has been undisturbed for this long."""
 MIN_RESUMED: Final = 12
--- a/tests/platform_adapter/soak/engine.py
+++ b/tests/platform_adapter/soak/engine.py
@@ -30,6 +30,10 @@
 
 BREAKS_EVERY: Final = 20
 """One request of so many is broken off, once by each upstream, in the middle of its first event."""
+FAILS_EVERY: Final = 25
+"""One request of so many fails at the first upstream that runs it."""
+FAILURE_STATUSES: Final = (503, 429, 408)
+"""To callers they promise that nothing ran; an upstream promises that only with `Not-Run`."""
 CALL_PATH: Final = "/call/x"
 SOFTWARE_MARK: Final = re.compile(r" by (\S+)")
 
@@ -71,6 +75,10 @@
     """Requests that it refused as not run."""
     broken_off: list[Run] = field(default_factory=list)
     """Requests whose answer it broke off in the middle of their first event."""
+    fails: bool = False
+    """Whether some requests fail after it has begun them."""
+    failed: list[Run] = field(default_factory=list)
+    """Requests that failed after an upstream had begun them; one list for all upstreams."""
     crash_record: CrashRecord = field(default_factory=CrashRecord)
     on_crash: Callable[["SoakEngine"], None] = lambda _: None
     """Called when it ends under a prompt part."""
@@ -118,6 +126,10 @@
         try:
             if part:
                 await self._async_crash(writer, request, headers, part)
+            elif status := self._find_failure(request):
+                self.failed.append(run)
+                writer.write(make_head(status, request, "Content-Length: 0"))
+                return True
             else:
                 await self._async_run(writer, request, head[0].split()[1], headers)
         finally:
@@ -148,6 +160,13 @@
             writer.write(b"0\r\n\r\n")
             await writer.drain()
 
+    def _find_failure(self, request: str) -> int:
+        """Return the status with which a request fails here; 0 if it does not."""
+        number, kind = divmod(zlib.crc32(request.encode()), FAILS_EVERY)
+        if not self.fails or kind or any(each.request == request for each in self.failed):
+            return 0
+        return FAILURE_STATUSES[number % len(FAILURE_STATUSES)]
+
     def _breaks_off(self, request: str, path: str) -> bool:
         # The body of a call holds no events by which it could be seen to be incomplete.
         if path == CALL_PATH or zlib.crc32(request.encode()) % BREAKS_EVERY:
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -134,6 +134,8 @@
     """Requests that upstreams refused as not run."""
     broken_off: list[Run] = field(default_factory=list)
     """Requests whose answer an upstream broke off in the middle of its first event."""
+    failed: list[Run] = field(default_factory=list)
+    """Requests that failed after an upstream had begun them."""
     store_faults: list[Absence] = field(default_factory=list)
     """Disturbances of a daemon's connections to the store."""
     caller_delays: list[Absence] = field(default_factory=list)
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -201,6 +201,8 @@
         ("stream", 503, 0, []),
         ("stream", 503, 1, [Promise.NOT_RUN]),
         ("call", 429, 1, [Promise.NOT_RUN]),
+        ("call", 408, 1, [Promise.NOT_RUN]),
+        ("stream", 421, 1, [Promise.NOT_RUN]),
     ],
 )
 def test_a_request_that_ran_too_often_is_found(
--- a/tests/platform_adapter/soak/test_soak.py
+++ b/tests/platform_adapter/soak/test_soak.py
@@ -30,7 +30,7 @@
     assert faults and record.runs and record.accepted and record.stops and record.kills
     assert len(record.lifetimes) > ENGINES
     assert record.crash.sent and record.crash.crashes
-    assert record.broken_off and record.foreign_entries
+    assert record.broken_off and record.failed and record.foreign_entries
 
 
 def test_nothing_that_is_begun_late_in_a_leave_is_cut(tmp_path: Path) -> None:
