Remove a customer with open jobs in the soak, and kill an owner of them

A second customer now submits eight jobs and is removed, and a daemon that owns some of them is killed unless the soak is calm. Its items must run before the customer is added again, and be listed afterwards.

--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -56,6 +56,7 @@
 )
 from tests.platform_adapter.soak.proxy import Proxy
 from tests.platform_adapter.soak.record import Evacuation, Lifetime, Record
+from tests.platform_adapter.soak.removed_customer import RemovedCustomer
 from tests.platform_adapter.wire_store import WireStore
 
 app = App(help="Run gateway daemons as processes under seeded connection faults and signals.")
@@ -78,6 +79,8 @@
 """When entries of another writer come, as a share of the soak."""
 FOREIGN_LATER_S: Final = 3_600.0
 """How much later than now their upstreams claim to have started: later than any restart."""
+REMOVED_SHARE: Final = 0.1
+"""When a customer submits jobs and is removed, as a share of the soak."""
 LISTED_WITHIN_S: Final = 30.0
 """How long accepted items may take to be listed after the last fault."""
 
@@ -99,7 +102,7 @@
     async def async_start(self) -> None:
         """Start everything and wait until all daemons are ready."""
         self.store.start()
-        self._put_config()
+        self.put_config()
         for number in range(ENGINES):
             await self._async_add_engine(f"i-{number}")
         peer_port = find_port()
@@ -121,12 +124,14 @@
 
     def configure(self) -> None:
         """Put the next version of the configuration in force, with a route more."""
-        self.config["version"] += 1
-        added = self.config["routes"][0] | {"name": f"r-{self.config['version']}"}
-        self.config["routes"].append(added | {"prefix": f"/added-{self.config['version']}/"})
-        self._put_config()
+        number = self.config["version"] + 1
+        added = self.config["routes"][0] | {"name": f"r-{number}"}
+        self.config["routes"].append(added | {"prefix": f"/added-{number}/"})
+        self.put_config()
 
-    def _put_config(self) -> None:
+    def put_config(self) -> None:
+        """Put the present document in force, as its next version."""
+        self.config["version"] += 1
         self.store.store.put(RowKey("op", "", "config"), orjson.dumps(self.config))
 
     async def async_evacuate(self, planned: Sequence[PlannedEvacuation]) -> None:
@@ -298,6 +303,9 @@
             callers += make_staying_callers(seed, site, pauses_ms)
         part = CRASH_PARTS[seed % len(CRASH_PARTS)]
         crashing = CrashCaller(part, site.daemons, site.record, random.Random(f"crash {seed}"))
+        removed = RemovedCustomer(
+            site, random.Random(f"removed {seed}"), kills=not leaves.is_calm
+        )
         async with async_keep_busy(leaves.busy_processes), asyncio.TaskGroup() as tasks:
             if not leaves.is_calm:
                 tasks.create_task(crashing.async_run(ended))
@@ -308,13 +316,17 @@
                 tasks.create_task(
                     site.async_upgrade([] if leaves.is_calm else plan_upgrades(seed, seconds))
                 ),
+                tasks.create_task(removed.async_submit_and_remove(seconds * REMOVED_SHARE)),
                 tasks.create_task(site.async_write_foreign_entries(seconds * FOREIGN_SHARE)),
             ]
             await asyncio.gather(injector.async_run(faults), leaving.async_run(leaves.steps))
             ended.set()
             for each in planned:
                 each.cancel()
-        await async_read_jobs(site.daemons, site.record, time.monotonic() + LISTED_WITHIN_S)
+        until = time.monotonic() + LISTED_WITHIN_S
+        jobs = sorted({item.job for item in site.record.accepted})
+        await async_read_jobs(site.daemons, site.record, until, jobs)
+        await removed.async_return(LISTED_WITHIN_S)
     return site.record, faults
 
 
@@ -346,6 +358,7 @@
     print(f"runs: {len(record.runs)}, items: {len(record.accepted)}")
     print(f"broken off in the first event: {len(record.broken_off)}")
     print(f"failed after they had begun: {len(record.failed)}")
+    print(f"items of a removed customer: {len(record.removed_items)}")
     print(f"evacuations: {len(record.evacuations)}, upgrades: {len(record.lifetimes) - ENGINES}")
     crash = join_crash_record(record)
     print(f"crashes by part: {dict(Counter(each.part for each in crash.crashes))}")
--- a/tests/platform_adapter/soak/callers.py
+++ b/tests/platform_adapter/soak/callers.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from tests.platform_adapter.local import HttpAnswer, async_read_answer, make_request
+from tests.platform_adapter.local import KEY, HttpAnswer, async_read_answer, make_request
 from tests.platform_adapter.soak.daemons import Daemon
 from tests.platform_adapter.soak.engine import (
     EVENTS_HEADER,
@@ -260,25 +260,26 @@
         return None
 
 
-async def async_read_jobs(daemons: Sequence[Daemon], record: Record, until: float) -> None:
-    """Read each accepted job until all its items are listed, or until the time `until`."""
-    jobs = sorted({item.job for item in record.accepted})
+async def async_read_jobs(
+    daemons: Sequence[Daemon], record: Record, until: float, jobs: Sequence[str], key: str = KEY
+) -> None:
+    """Read each job until all its items are listed, or until the time `until`."""
     for job in jobs:
         items: list[Item] = []
         for daemon in itertools.cycle(daemons):
-            items = await _async_read_job(daemon, job) or items
+            items = await _async_read_job(daemon, job, key) or items
             if len(items) >= JOB_ITEMS or time.monotonic() >= until:
                 break
             await asyncio.sleep(READ_PAUSE_S)
         record.listed += items
 
 
-async def _async_read_job(daemon: Daemon, job: str) -> list[Item]:
+async def _async_read_job(daemon: Daemon, job: str, key: str) -> list[Item]:
     try:
         reader, writer = await async_open(daemon.front.address)
     except OSError:
         return []
-    headers = {"Request-Id": f"read-{job}"}
+    headers = {"Request-Id": f"read-{job}", "X-Api-Key": key}
     writer.write(make_request("GET", f"/-/lots/{job}?after=0", headers=headers))
     answer = await async_read_or_none(reader, READ_TIMEOUT_S)
     writer.close()
--- a/tests/platform_adapter/soak/checker.py
+++ b/tests/platform_adapter/soak/checker.py
@@ -40,6 +40,7 @@
     ONCE = "once"
     NOT_RUN = "not run"
     LISTED = "listed"
+    KEPT = "items of a removed customer run"
     EVACUATED = "evacuated"
     ONE_SOFTWARE = "one software version"
     RESUMED = "resumed"
@@ -63,6 +64,7 @@
         *find_wrong_texts(record),
         *find_wrong_runs(record),
         *find_wrong_listings(record),
+        *find_dropped_items(record),
         *find_runs_in_evacuations(record),
         *find_joined_software(record),
         *find_lost_resumptions(record),
@@ -117,6 +119,14 @@
             yield Violation(Promise.LISTED, item.item, f"{item.job}: text {found[0].text!r}")
 
 
+def find_dropped_items(record: Record) -> Iterator[Violation]:
+    """Yield accepted items of a removed customer that no upstream ran before the customer returned."""
+    run = {each.request for each in record.runs if each.at <= record.customer_returned_at}
+    for item in record.removed_items:
+        if item not in run:
+            yield Violation(Promise.KEPT, item, "did not run while its customer was removed")
+
+
 def find_joined_software(record: Record) -> Iterator[Violation]:
     """Yield streams, over all attempts of their callers, and items with events of two versions."""
     versions: dict[str, set[str]] = defaultdict(set)
--- a/tests/platform_adapter/soak/record.py
+++ b/tests/platform_adapter/soak/record.py
@@ -144,6 +144,10 @@
     """Requests with prompt parts that crash upstreams; times are in s here as well."""
     crash_senders: dict[str, str] = field(default_factory=dict)
     """The daemon that got each of these requests, by request id."""
+    removed_items: list[str] = field(default_factory=list)
+    """Accepted items of a customer that was then removed from the configuration."""
+    customer_returned_at: float = 0.0
+    """When that customer was added again."""
     foreign_entries: int = 0
     """Rows that another writer has put into the table of upstreams."""
     began_at: float = 0.0
--- a/tests/platform_adapter/soak/test_checker.py
+++ b/tests/platform_adapter/soak/test_checker.py
@@ -346,6 +346,15 @@
     assert not list(find_part_crashes(record))
 
 
+@pytest.mark.parametrize(("ran_at", "promises"), [(10.0, []), (30.0, [Promise.KEPT])])
+def test_items_of_a_removed_customer_run_before_it_returns(
+    ran_at: float, promises: list[Promise]
+) -> None:
+    """Guards against jobs that wait until their removed customer returns."""
+    record = Record(runs=[Run("r", "i-1", ran_at)], removed_items=["r"], customer_returned_at=20.0)
+    assert find_promises(record) == promises
+
+
 def test_a_refusal_belongs_to_the_last_attempt_at_its_upstream() -> None:
     """Guards against blaming a daemon for a stream that went back to its first upstream and was refused."""
     back = Attempt("r", "i-1", 10.9)
--- a/tests/platform_adapter/soak/test_soak.py
+++ b/tests/platform_adapter/soak/test_soak.py
@@ -30,6 +30,7 @@
     assert faults and record.runs and record.accepted and record.stops and record.kills
     assert len(record.lifetimes) > ENGINES
     assert record.crash.sent and record.crash.crashes
+    assert record.removed_items and record.customer_returned_at
     assert record.broken_off and record.failed and record.foreign_entries
 
 
