--- a/tests/platform_adapter/soak/__main__.py
+++ b/tests/platform_adapter/soak/__main__.py
@@ -303,9 +303,7 @@
             callers += make_staying_callers(seed, site, pauses_ms)
         part = CRASH_PARTS[seed % len(CRASH_PARTS)]
         crashing = CrashCaller(part, site.daemons, site.record, random.Random(f"crash {seed}"))
-        removed = RemovedCustomer(
-            site, random.Random(f"removed {seed}"), kills=not leaves.is_calm
-        )
+        removed = RemovedCustomer(site, random.Random(f"removed {seed}"), kills=not leaves.is_calm)
         async with async_keep_busy(leaves.busy_processes), asyncio.TaskGroup() as tasks:
             if not leaves.is_calm:
                 tasks.create_task(crashing.async_run(ended))
