--- a/goldcreststair/components/crash_marks/codec.py
+++ b/goldcreststair/components/crash_marks/codec.py
@@ -1,12 +1,12 @@
 """Encodes and decodes crashes, answers and verdicts in beacons, requests between daemons and rows."""
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
-from typing import Final
 
 from result import Result
 
 from goldcreststair.helpers.crash_evidence import (
     BEGIN,
+    ENCODED_WHOLE,
     SUSPECT_BYTES,
     WHOLE,
     Answers,
@@ -23,8 +23,6 @@
     LostRuns,
 )
 
-ENCODED_WHOLE: Final = -1
-
 
 def join_suspects(suspects: Suspects) -> bytes:
     """Return suspects as bytes."""
--- a/goldcreststair/components/fleet/digests.py
+++ b/goldcreststair/components/fleet/digests.py
@@ -25,7 +25,7 @@
 from goldcreststair.components.fleet.models import VmState
 from goldcreststair.components.fleet.protocols import hash_name
 from goldcreststair.helpers.counters import estimate_earlier_count
-from goldcreststair.helpers.crash_evidence import SUSPECT_BYTES
+from goldcreststair.helpers.crash_evidence import ENCODED_WHOLE, SUSPECT_BYTES
 from goldcreststair.wire.generated.gateway.ttypes import (
     AnsweredSuspects,
     BatchRuns,
@@ -56,8 +56,6 @@
 TURN_VALID_MS: Final = 10_000
 """How long it counts that the pace of an upstream was passed on: much longer than all upstreams take
 for their turns."""
-WHOLE_ANSWER: Final = -1
-"""Stands for how far a whole answer has got."""
 COUNTED_SILENCE_MS: Final = 2_000
 """What a sender counted while it was silent for longer is left to its own share of each quota."""
 
@@ -67,8 +65,8 @@
     """An answer on a suspect of crashes, as beacons carry it."""
 
     age_ms: int
-    wrote_ms: int = WHOLE_ANSWER
-    events: int = WHOLE_ANSWER
+    wrote_ms: int = ENCODED_WHOLE
+    events: int = ENCODED_WHOLE
 
 
 @dataclass(slots=True)
@@ -510,12 +508,12 @@
 
 def _rank_answered(answered: _Answered) -> tuple[bool, int]:
     """Order whole answers first, then by age."""
-    return answered.wrote_ms != WHOLE_ANSWER, answered.age_ms
+    return answered.wrote_ms != ENCODED_WHOLE, answered.age_ms
 
 
 def _make_answered_suspects(software: int, answered: Mapping[bytes, _Answered]) -> AnsweredSuspects:
     every = tuple(answered.values())
-    all_whole = all(each.wrote_ms == WHOLE_ANSWER for each in every)
+    all_whole = all(each.wrote_ms == ENCODED_WHOLE for each in every)
     return AnsweredSuspects(
         software,
         b"".join(answered),
--- a/goldcreststair/helpers/crash_evidence.py
+++ b/goldcreststair/helpers/crash_evidence.py
@@ -128,6 +128,8 @@
 BEGIN: Final = Extent()
 WHOLE: Final = Extent(2**31 - 1, 2**31 - 1)
 """Extent of a whole answer."""
+ENCODED_WHOLE: Final = -1
+"""Stands for both numbers of that extent between daemons."""
 PASSED_BY_WHOLE: Final = Extent(2**30, 2**30)
 """A place that only whole answers have passed."""
 
--- a/goldcreststair/http_connection.py
+++ b/goldcreststair/http_connection.py
@@ -21,6 +21,7 @@
 from goldcreststair.const import MS_PER_SECOND
 from goldcreststair.delivery import LONG_REQUEST_BYTES, RESET_WAIT_MS, find_send_failure
 from goldcreststair.http_exchange import (
+    FIRST_ERROR_STATUS,
     FIRST_STATUS,
     LAST_STATUS,
     READ_BYTES,
@@ -40,7 +41,6 @@
 MAX_INFORMATIONAL_RESPONSES: Final = 8
 MAX_FAILURE_BYTES: Final = 1024 * 1024
 """Longest body of a response that reports a failure."""
-FIRST_ERROR_STATUS: Final = 400
 MIN_HELD_BYTES: Final = 16 * 1024
 """Fewest bytes of an incomplete event that count towards the pool's limit."""
 MAX_FOREIGN_BYTES: Final = 1024 * 1024
--- a/goldcreststair/http_exchange.py
+++ b/goldcreststair/http_exchange.py
@@ -37,6 +37,7 @@
 FIRST_STATUS: Final = 100
 LAST_STATUS: Final = 599
 """HTTP defines no class of statuses beyond these."""
+FIRST_ERROR_STATUS: Final = 400
 MAX_UNREAD_BYTES: Final = 1024 * 1024
 """Most bytes that wait in this process to be parsed; a head or a chunk size is far shorter."""
 
--- a/goldcreststair/upstreams/dialect.py
+++ b/goldcreststair/upstreams/dialect.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Protocol
+
+from goldcreststair.http_exchange import FIRST_ERROR_STATUS
 
 Headers = tuple[tuple[str, str], ...]
-FIRST_ERROR_STATUS: Final = 400
 
 
 @dataclass(frozen=True, slots=True)
--- a/goldcreststair/upstreams/http_service.py
+++ b/goldcreststair/upstreams/http_service.py
@@ -3,9 +3,8 @@
 from result import Err, Ok, Result
 
 from goldcreststair.const import HEADER_REQUEST_ID
-from goldcreststair.http_exchange import Exchange, async_exchange
+from goldcreststair.http_exchange import FIRST_ERROR_STATUS, Exchange, async_exchange
 from goldcreststair.response_budget import ResponseBudget
-from goldcreststair.upstreams.dialect import FIRST_ERROR_STATUS
 from goldcreststair.upstreams.errors import UpstreamError, UpstreamFailure
 from goldcreststair.upstreams.http_engine import (
     HEADER_NOT_RUN,
